--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Writes src/protocol/generated/ from the schema. Needs protoc on PATH; the build does not run this.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+protoc --plugin=node_modules/.bin/protoc-gen-ts_proto \
+  --ts_proto_out=src/protocol/generated \
+  --ts_proto_opt=outputServices=grpc-js,esModuleInterop=true,env=node,forceLong=number,useOptionals=messages,outputJsonMethods=false,unrecognizedEnum=false,importSuffix= \
+  -I src/protocol src/protocol/beechlift.proto
--- /dev/null
+++ b/src/cli/runCheck.ts
@@ -0,0 +1,56 @@
+import { checkManifest } from '../manifest/checkManifest';
+import { computeDigest } from '../manifest/manifestDelta';
+import { formatFault } from '../manifest/manifestFault';
+import { manifestSchema } from '../manifest/manifestSchema';
+import { parseControlSettings, parseEntrySettings, readTextFile } from '../settings/loadSettings';
+import { EXIT_CODES, printResult } from './output';
+
+/** Kinds of document that `check` reads. */
+export type CheckedKind = 'manifest' | 'entry' | 'control';
+
+/** Arguments of `check`. */
+export type CheckArguments = {
+  readonly file: string | undefined;
+  readonly kind: CheckedKind;
+  readonly schema: boolean;
+  readonly json: boolean;
+};
+
+const checkManifestFile = (text: string, json: boolean): number => {
+  const { manifest, faults } = checkManifest(text);
+  if (!manifest) {
+    printResult({ ok: false, faults }, faults.map(formatFault).join('\n'), json);
+    return EXIT_CODES.refused;
+  }
+  const digest = computeDigest(manifest);
+  printResult({ ok: true, version: manifest.version, digest }, `version ${manifest.version} is sound, digest ${digest}`, json);
+  return EXIT_CODES.done;
+};
+
+const reportSettings = (json: boolean): number => {
+  printResult({ ok: true }, 'the settings are sound', json);
+  return EXIT_CODES.done;
+};
+
+const checkers: Record<CheckedKind, (text: string, json: boolean) => number> = {
+  manifest: checkManifestFile,
+  entry: (text, json) => {
+    parseEntrySettings(text);
+    return reportSettings(json);
+  },
+  control: (text, json) => {
+    parseControlSettings(text);
+    return reportSettings(json);
+  },
+};
+
+/** Checks a document without asking the system. */
+export const runCheck = ({
+  file, kind, schema, json,
+}: CheckArguments): number => {
+  if (schema || file === undefined) {
+    printResult(manifestSchema, JSON.stringify(manifestSchema, null, 2), json);
+    return EXIT_CODES.done;
+  }
+  return checkers[kind](readTextFile(file), json);
+};
--- /dev/null
+++ b/src/cli/runLocate.ts
@@ -0,0 +1,38 @@
+import { request } from 'undici';
+import type { LocateAnswer } from '../entry/callerApi';
+import { CALLER_HEADERS } from '../entry/callerRequest';
+import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
+import type { ErrorBody } from '../errors/beechliftError';
+import { EXIT_CODES, printResult } from './output';
+
+/** Arguments of `locate`. */
+export type LocateArguments = {
+  readonly entry: string;
+  readonly key: string;
+  readonly zone: string;
+  readonly json: boolean;
+};
+
+const TIMEOUT_MS = 5_000;
+
+/** Asks an entry VM which ones to use. */
+export const runLocate = async ({
+  entry, key, zone, json,
+}: LocateArguments): Promise<number> => {
+  const response = await request(`http://${entry}/v1/entries`, {
+    headers: { authorization: `Bearer ${key}`, ...(zone ? { [CALLER_HEADERS.zone]: zone } : {}) },
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+  }).catch((cause: unknown) => {
+    throw new BeechliftError('configurationStale', `${entry} does not answer: ${(cause as Error).message}`);
+  });
+  const body = await response.body.json();
+  if (response.statusCode !== 200) {
+    const { error } = body as ErrorBody;
+    throw makeErrorFromNumber(error.code, error.message);
+  }
+  const answer = body as LocateAnswer;
+  const lines = answer.entries.map(({ id, address, zone: at }) => `${address}  ${id} in ${at}`);
+  printResult(answer, [...lines, `keep for ${answer.keepMs} ms`].join('\n'), json);
+  return EXIT_CODES.done;
+};
--- /dev/null
+++ b/src/cli/runProcess.ts
@@ -0,0 +1,40 @@
+import { toBeechliftError } from '../errors/beechliftError';
+import { parseControlSettings, parseEntrySettings, readTextFile } from '../settings/loadSettings';
+import { wireControl, wireEntry } from '../wiring';
+import { EXIT_CODES, printError } from './output';
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+
+/** Ends a process gracefully on the first signal, at once on the second. */
+const stopOnSignal = (shutDown: () => Promise<void>): void => {
+  let stopping = false;
+  STOP_SIGNALS.forEach((signal) => process.on(signal, () => {
+    if (stopping) process.exit(EXIT_CODES.fault);
+    stopping = true;
+    shutDown()
+      .then(() => process.exit(EXIT_CODES.done))
+      .catch((error: unknown) => process.exit(printError(toBeechliftError(error), false)));
+  }));
+};
+
+/** Runs an entry until it is told to stop. */
+export const runEntry = async (settingsFile: string): Promise<void> => {
+  const settings = parseEntrySettings(readTextFile(settingsFile));
+  const { shutDown } = await wireEntry(settings);
+  stopOnSignal(shutDown);
+};
+
+/*
+ * Guards against a replica that goes on with a disk which refused a write: what it would vote for could be
+ * gone after a restart. It ends, and the others go on without it.
+ */
+const endOnFault = (error: unknown): void => {
+  process.exit(printError(toBeechliftError(error), false));
+};
+
+/** Runs a control replica until it is told to stop. */
+export const runControl = async (settingsFile: string): Promise<void> => {
+  const settings = parseControlSettings(readTextFile(settingsFile));
+  const { shutDown } = await wireControl(settings, endOnFault);
+  stopOnSignal(shutDown);
+};
--- /dev/null
+++ b/src/control/claimHolder.ts
@@ -0,0 +1,124 @@
+import type {
+  AcceptClaimRequest, ClaimRecord, ClaimReply, CopyClaimsReply, CopyClaimsRequest, HolderSet,
+  PrepareClaimRequest,
+} from '../protocol/generated/beechlift';
+import { ZERO_BALLOT } from '../core/claims/ballot';
+import {
+  acceptClaim, DEFAULT_CLAIM_BOUNDS, expireClaims, listRecords, makeClaimTable, mergeClaim, prepareClaim,
+} from '../core/claims/claimTable';
+import type { ClaimBounds, ClaimDecision, ClaimTable } from '../core/claims/claimTable';
+import type { ClaimStore } from '../disk/claimStore';
+import { resultCodes } from '../errors/resultCodes';
+import type { ResultCode } from '../errors/resultCodes';
+import type { Clock } from '../utils/clock';
+
+const COPY_BATCH = 2_000;
+
+const findNumber = (code: ResultCode | 'accepted'): number => (
+  code === 'accepted' ? 0 : resultCodes[code].number
+);
+
+const toReply = (decision: ClaimDecision): ClaimReply => ({
+  ok: decision.ok,
+  code: findNumber(decision.code),
+  promised: decision.promised,
+  accepted: decision.accepted,
+  value: decision.value,
+});
+
+const refuseMoved = (): ClaimReply => ({
+  ok: false, code: resultCodes.holderSetMoved.number, promised: ZERO_BALLOT, accepted: ZERO_BALLOT, value: undefined,
+});
+
+/**
+ * Holds claims for entry VMs. Every promise and every accepted value is synced before it is answered, so a
+ * holder that restarts votes at once and has forgotten nothing.
+ *
+ * @example
+ * const holder = new ClaimHolder(store, () => site.holders, systemClock);
+ * await holder.load();
+ */
+export class ClaimHolder {
+  readonly table: ClaimTable = makeClaimTable();
+
+  constructor(
+    private readonly store: ClaimStore,
+    private readonly readHolders: () => Pick<HolderSet, 'number'>,
+    private readonly clock: Clock,
+    public bounds: ClaimBounds = DEFAULT_CLAIM_BOUNDS,
+  ) {}
+
+  /** Reads the claims from disk. */
+  async load(): Promise<void> {
+    const records = await this.store.load();
+    const now = this.clock.now();
+    records.forEach((record) => mergeClaim(this.table, record, now));
+  }
+
+  /** First round of a claim. */
+  async prepare(request: PrepareClaimRequest): Promise<ClaimReply> {
+    if (!this.isCurrent(request.holderSet)) return refuseMoved();
+    const ballot = request.ballot ?? ZERO_BALLOT;
+    return this.answer(prepareClaim(this.table, this.bounds, request.key, ballot, this.clock.now()));
+  }
+
+  /** Second round of a claim. */
+  async accept(request: AcceptClaimRequest): Promise<ClaimReply> {
+    if (!this.isCurrent(request.holderSet) || !request.value) return refuseMoved();
+    const ballot = request.ballot ?? ZERO_BALLOT;
+    return this.answer(
+      acceptClaim(this.table, this.bounds, request.key, ballot, request.value, this.clock.now()),
+    );
+  }
+
+  /** Hands claims to a holder that is new; only once this one refuses requests of the set before. */
+  copy(request: CopyClaimsRequest): CopyClaimsReply {
+    if (this.readHolders().number < request.holderSet) {
+      return { claims: [], lastKey: '', code: resultCodes.holderSetMoved.number };
+    }
+    const keys = [...this.table.claims.keys()].sort();
+    const start = keys.findIndex((key) => key > request.afterKey);
+    const batch = start < 0 ? [] : keys.slice(start, start + COPY_BATCH);
+    const wanted = new Set(batch);
+    const claims = listRecords(this.table).filter(({ key }) => wanted.has(key));
+    return { claims, lastKey: batch.at(-1) ?? '', code: 0 };
+  }
+
+  /** Takes over claims that another holder handed on. */
+  async merge(records: readonly ClaimRecord[]): Promise<void> {
+    const now = this.clock.now();
+    await Promise.all(records.map((record) => {
+      const {
+        key, promised, accepted, value,
+      } = mergeClaim(this.table, record, now);
+      return this.store.append({
+        key, promised, accepted, value,
+      });
+    }));
+  }
+
+  /** Forgets what is past its retention, and rewrites the file when most of it is stale. */
+  async expire(): Promise<void> {
+    expireClaims(this.table, this.bounds, this.clock.now());
+    if (this.store.needsCompaction) await this.store.compact(() => listRecords(this.table));
+  }
+
+  /** Closes the file. */
+  close(): Promise<void> {
+    return this.store.close();
+  }
+
+  /*
+   * Guards a replacement of holders: a request under an older set could reach a majority of holders that the
+   * newer set does not meet, so a holder that knows the newer set refuses it.
+   */
+  private isCurrent(holderSet: number): boolean {
+    return holderSet === this.readHolders().number;
+  }
+
+  private async answer(decision: ClaimDecision): Promise<ClaimReply> {
+    const reply = toReply(decision);
+    if (decision.record) await this.store.append(decision.record);
+    return reply;
+  }
+}
--- /dev/null
+++ b/src/control/controlNode.ts
@@ -0,0 +1,283 @@
+import type {
+  ChangeReplicasRequest, HeartbeatReply, HeartbeatRequest, HolderSet, LogMessage, Replica,
+  ReportCopiedRequest, StatusReply, SubmitReply, SubmitRequest,
+} from '../protocol/generated/beechlift';
+import { HeartbeatReply as HeartbeatReplyCodec } from '../protocol/generated/beechlift';
+import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
+import {
+  computeMembers, noteMember, trimMembers,
+} from '../core/membership/memberTable';
+import type { MemberTable } from '../core/membership/memberTable';
+import {
+  applySiteCommand, collectChanges, formatSiteState, makeSiteState, parseSiteState,
+} from '../core/membership/siteState';
+import type { SiteCommand, SiteState, SubmitResult } from '../core/membership/siteState';
+import type { LogStore } from '../disk/logStore';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { resultCodes } from '../errors/resultCodes';
+import { checkManifest } from '../manifest/checkManifest';
+import { formatFault } from '../manifest/manifestFault';
+import type { ManifestFault } from '../manifest/manifestFault';
+import { computeDigest } from '../manifest/manifestDelta';
+import type { ControlSettings } from '../settings/settings';
+import type { Logger } from '../telemetry/logger';
+import { formatCanonicalJson } from '../utils/canonicalJson';
+import { isKeyOf } from '../utils/secretKey';
+import type { Clock } from '../utils/clock';
+import { Operation } from '../utils/operation';
+import { LogRunner } from './logRunner';
+import {
+  planHolderChange, planReplicaChange, startReplacement,
+} from './replacement';
+
+const PROPOSE_TIMEOUT_MS = 4_000;
+
+/** How a control node reaches the others. */
+export type ControlPort = {
+  readonly sendMessage: (message: LogMessage, address: string) => void;
+  readonly forwardSubmit: (request: SubmitRequest, address: string, operation: Operation) => Promise<SubmitReply>;
+  readonly failStorage: (error: unknown) => void;
+};
+
+const toSubmitReply = (result: SubmitResult): SubmitReply => ({
+  code: result.code === 'accepted' ? 0 : resultCodes[result.code].number,
+  message: result.message,
+  version: result.version,
+  digest: result.digest,
+  faults: [],
+});
+
+const refuseFaults = (faults: readonly ManifestFault[]): SubmitReply => ({
+  code: resultCodes[faults[0]?.code ?? 'manifestInvalid'].number,
+  message: faults.map(formatFault).join('\n'),
+  version: 0,
+  digest: '',
+  faults: faults.map(({ code, path, message }) => ({ code: resultCodes[code].number, path, message })),
+});
+
+/**
+ * One control replica: the replicated state of the site, and what a leader does with it. It knows nothing of
+ * the wire.
+ *
+ * @example
+ * const node = new ControlNode(settings, stored, store, port, systemClock, logger);
+ * setInterval(() => node.tick(), 50);
+ */
+export class ControlNode {
+  site: SiteState;
+
+  readonly runner: LogRunner<SubmitResult>;
+
+  private readonly heard: MemberTable = new Map();
+
+  private leadingSince = 0;
+
+  private proposing = false;
+
+  private copiedSet = 0;
+
+  constructor(
+    private readonly settings: ControlSettings,
+    stored: StoredLog,
+    store: LogStore,
+    private readonly port: ControlPort,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    this.site = parseSiteState(stored.snapshot.data);
+    this.runner = new LogRunner(settings.id, stored, store, {
+      applyCommand: (command) => this.applyCommand(command),
+      restoreSnapshot: (snapshot) => this.restoreSnapshot(snapshot),
+      takeSnapshot: () => formatSiteState(this.site),
+      sendMessage: (message) => this.sendMessage(message),
+      noteRole: (role, term) => this.noteRole(role, term),
+      failStorage: (error) => port.failStorage(error),
+    }, clock);
+  }
+
+  /** Address of the leader as this replica knows it; empty when there is none. */
+  get leaderAddress(): string {
+    return this.findReplica(this.runner.state.leaderId)?.address ?? '';
+  }
+
+  /** The claim holders that are in force. */
+  get holders(): HolderSet {
+    const { number, current, previous } = this.site.holders;
+    return { number, current: [...current], previous: [...previous] };
+  }
+
+  /** Runs the log and, on a leader, the systems that keep the site in order. */
+  tick(): void {
+    this.runner.handle({ kind: 'tick' });
+    if (!this.runner.holdsLease || this.proposing) return;
+    const now = this.clock.now();
+    trimMembers(this.heard, now);
+    const command = this.planCommand(now);
+    if (command) this.proposeQuietly(command);
+    else this.continueReplacement();
+  }
+
+  /** Answers an entry: a lease, and what it lacks of the configuration. */
+  handleHeartbeat(request: HeartbeatRequest): HeartbeatReply {
+    if (!this.runner.holdsLease) return this.answerNotLeading();
+    if (request.member) {
+      noteMember(this.heard, request.member, request.manifestVersion, this.clock.now());
+    }
+    return this.buildHeartbeatReply(request);
+  }
+
+  /** Checks and submits a manifest; on any replica but the leader it is forwarded. */
+  async submit(request: SubmitRequest): Promise<SubmitReply> {
+    const operation = new Operation({ timeoutMs: Math.min(request.deadlineMs || PROPOSE_TIMEOUT_MS, PROPOSE_TIMEOUT_MS), clock: this.clock });
+    if (!this.runner.holdsLease) return this.forwardSubmit(request, operation);
+    this.requireOperator(request.operatorKey);
+    const { manifest, faults } = checkManifest(request.manifest, this.site.manifest);
+    if (!manifest) return refuseFaults(faults);
+    const digest = computeDigest(manifest);
+    const command: SiteCommand = {
+      kind: 'manifest', requestId: digest, digest, manifest,
+    };
+    const result = await this.runner.propose(JSON.stringify(command), operation);
+    if (!result) throw new BeechliftError('noQuorum', 'the log gave no result');
+    this.logger.info('manifest submitted', { version: result.version, digest: result.digest, result: result.code });
+    return toSubmitReply(result);
+  }
+
+  /** Tells what is in force, and, on the leader, where. */
+  readStatus(operatorKey: string): StatusReply {
+    this.requireOperator(operatorKey);
+    const { state } = this.runner;
+    const now = this.clock.now();
+    return {
+      id: this.settings.id,
+      role: state.role,
+      leaderAddress: this.leaderAddress,
+      term: state.term,
+      commitIndex: state.commitIndex,
+      manifestVersion: this.site.manifest?.version ?? 0,
+      manifestDigest: this.site.digest,
+      members: [...this.heard.values()].map(({ member, manifestVersion, heardAt }) => ({
+        member, manifestVersion, silentMs: Math.round(now - heardAt),
+      })),
+      holders: this.holders,
+      viewNumber: this.site.viewNumber,
+      claims: 0,
+      code: 0,
+      message: '',
+    };
+  }
+
+  /** Begins to replace a replica; the rest follows by itself. */
+  changeReplicas(request: ChangeReplicasRequest): SubmitReply {
+    this.requireOperator(request.operatorKey);
+    const next = startReplacement(this.runner.state.replicas, request.removeId, request.add);
+    const started = this.runner.holdsLease && next !== undefined && this.runner.changeReplicas(next);
+    if (!started) {
+      throw new BeechliftError('replicaChangeRefused', 'this replica does not lead, a change is in progress, or the names do not fit');
+    }
+    return {
+      code: 0, message: 'started', version: 0, digest: '', faults: [],
+    };
+  }
+
+  /** Notes that a new claim holder has copied what it must. */
+  noteCopied(request: ReportCopiedRequest): void {
+    this.copiedSet = Math.max(this.copiedSet, request.holderSet);
+  }
+
+  private planCommand(now: number): SiteCommand | undefined {
+    const members = computeMembers(this.site.members, this.heard, this.leadingSince, now);
+    if (members) return { kind: 'members', members };
+    return planHolderChange(this.site.holders, this.runner.state, this.copiedSet);
+  }
+
+  private continueReplacement(): void {
+    const next = planReplicaChange(this.runner.state);
+    if (next) this.runner.changeReplicas(next);
+  }
+
+  private proposeQuietly(command: SiteCommand): void {
+    this.proposing = true;
+    const operation = new Operation({ timeoutMs: PROPOSE_TIMEOUT_MS, clock: this.clock });
+    this.runner.propose(JSON.stringify(command), operation)
+      .catch((error: unknown) => this.logger.warn('proposal failed', { kind: command.kind, reason: toBeechliftError(error).message }))
+      .finally(() => { this.proposing = false; });
+  }
+
+  private answerNotLeading(): HeartbeatReply {
+    return HeartbeatReplyCodec.fromPartial({ leaderAddress: this.leaderAddress });
+  }
+
+  private buildHeartbeatReply(request: HeartbeatRequest): HeartbeatReply {
+    const { site } = this;
+    const reply = HeartbeatReplyCodec.fromPartial({
+      leaseMs: this.settings.leaseMs,
+      manifestVersion: site.manifest?.version ?? 0,
+      manifestDigest: site.digest,
+      viewNumber: site.viewNumber,
+      holders: this.holders,
+    });
+    if (request.viewNumber !== site.viewNumber) {
+      reply.view = { number: site.viewNumber, members: [...site.members] };
+    }
+    if (site.manifest && request.manifestDigest !== site.digest) this.addManifest(reply, request);
+    return reply;
+  }
+
+  private addManifest(reply: HeartbeatReply, request: HeartbeatRequest): void {
+    const changes = collectChanges(this.site, request.manifestVersion, request.manifestDigest);
+    if (!changes) {
+      reply.manifest = formatCanonicalJson(this.site.manifest);
+      return;
+    }
+    reply.delta = {
+      baseVersion: request.manifestVersion, baseDigest: request.manifestDigest, changes,
+    };
+  }
+
+  private async forwardSubmit(request: SubmitRequest, operation: Operation): Promise<SubmitReply> {
+    const address = this.leaderAddress;
+    const ownAddress = this.settings.address;
+    if (request.forwarded || address === '' || address === ownAddress) {
+      throw new BeechliftError('noQuorum', `replica "${this.settings.id}" knows no leader that holds its lease`);
+    }
+    return this.port.forwardSubmit({ ...request, forwarded: true }, address, operation);
+  }
+
+  private requireOperator(key: string): void {
+    const operators = Object.values(this.site.manifest?.operators ?? {});
+    const hashes = this.site.manifest
+      ? operators.map(({ keyHash }) => keyHash)
+      : [this.settings.firstOperatorKeyHash];
+    if (!isKeyOf(key, hashes)) throw new BeechliftError('operatorUnknown', 'the operator key is not in the manifest');
+  }
+
+  private applyCommand(text: string): SubmitResult | undefined {
+    return applySiteCommand(this.site, JSON.parse(text) as SiteCommand);
+  }
+
+  private restoreSnapshot(snapshot: Snapshot): void {
+    this.site = snapshot.data === '' ? makeSiteState() : parseSiteState(snapshot.data);
+  }
+
+  private findReplica(id: string): Replica | undefined {
+    const { voters, learners } = this.runner.state.replicas;
+    return [...voters, ...learners].find((replica) => replica.id === id);
+  }
+
+  private sendMessage(message: LogMessage): void {
+    const address = this.findReplica(message.to)?.address ?? this.findSetting(message.to);
+    if (address) this.port.sendMessage(message, address);
+  }
+
+  private findSetting(id: string): string | undefined {
+    return this.settings.replicas.find((replica) => replica.id === id)?.address;
+  }
+
+  private noteRole(role: LogRole, term: number): void {
+    this.logger.info('role changed', { role, term });
+    if (role !== 'leader') return;
+    this.leadingSince = this.clock.now();
+    this.heard.clear();
+  }
+}
--- /dev/null
+++ b/src/control/controlProcess.ts
@@ -0,0 +1,122 @@
+import { makeEmptyLog } from '../core/log/logState';
+import { ClaimStore } from '../disk/claimStore';
+import { nodeFileSystem } from '../disk/fileSystem';
+import { LogStore } from '../disk/logStore';
+import { ControlClient, ControlService } from '../protocol/generated/beechlift';
+import type { LogMessage, SubmitReply, SubmitRequest } from '../protocol/generated/beechlift';
+import type { ControlSettings } from '../settings/settings';
+import type { Logger } from '../telemetry/logger';
+import { systemClock } from '../utils/clock';
+import { Operation } from '../utils/operation';
+import { LinkTable } from '../wire/linkTable';
+import { toPeerError } from '../wire/peerError';
+import { RpcServer } from '../wire/rpcServer';
+import { ClaimHolder } from './claimHolder';
+import { ControlNode } from './controlNode';
+import { makeControlService } from './controlService';
+import { HolderCopier } from './holderCopier';
+
+const TICK_MS = 25;
+const SLOW_TICK_MS = 500;
+const STEP_TIMEOUT_MS = 1_000;
+
+/** A control process that runs. */
+export type RunningControl = {
+  readonly node: ControlNode;
+  readonly holder: ClaimHolder;
+  readonly address: string;
+  readonly stop: () => Promise<void>;
+};
+
+/** What a control process needs from outside. */
+export type ControlParts = {
+  readonly settings: ControlSettings;
+  readonly logger: Logger;
+  /** Called when the disk failed: the process must end, and vote for nothing more. */
+  readonly failStorage: (error: unknown) => void;
+};
+
+const sendStep = (links: LinkTable<ControlClient>, message: LogMessage, address: string): void => {
+  links.find(address).call<LogMessage, object>(
+    (stub) => stub.step.bind(stub) as never,
+    message,
+    new Operation({ timeoutMs: STEP_TIMEOUT_MS }),
+  ).catch(() => undefined); // The log repeats what was lost.
+};
+
+const forwardSubmit = (
+  links: LinkTable<ControlClient>,
+  request: SubmitRequest,
+  address: string,
+  operation: Operation,
+): Promise<SubmitReply> => links.find(address)
+  .call<SubmitRequest, SubmitReply>((stub) => stub.submit.bind(stub) as never, request, operation)
+  .catch((thrown: unknown) => { throw toPeerError(thrown, 'noQuorum'); });
+
+const loadNode = async (parts: ControlParts, links: LinkTable<ControlClient>): Promise<ControlNode> => {
+  const { settings, logger } = parts;
+  const store = new LogStore(nodeFileSystem, settings.dataFolder);
+  const voters = settings.joining ? [] : [...settings.replicas];
+  const stored = await store.load(makeEmptyLog({ voters, learners: [], leaving: [] }));
+  return new ControlNode(settings, stored, store, {
+    sendMessage: (message, address) => sendStep(links, message, address),
+    forwardSubmit: (request, address, operation) => forwardSubmit(links, request, address, operation),
+    failStorage: parts.failStorage,
+  }, systemClock, logger);
+};
+
+const startTimers = (
+  node: ControlNode,
+  holder: ClaimHolder,
+  copier: HolderCopier,
+  fail: (error: unknown) => void,
+): (() => void) => {
+  const fast = setInterval(() => node.tick(), TICK_MS);
+  const slow = setInterval(() => {
+    const retention = node.site.manifest?.limits.claimRetentionMs;
+    if (retention !== undefined) holder.bounds = { ...holder.bounds, retentionMs: retention };
+    holder.expire().catch(fail);
+    copier.tick().catch(fail);
+  }, SLOW_TICK_MS);
+  return () => {
+    clearInterval(fast);
+    clearInterval(slow);
+  };
+};
+
+/**
+ * Starts a control replica with its data folder.
+ *
+ * @example
+ * const control = await startControl({ settings, logger, failStorage });
+ */
+export const startControl = async (parts: ControlParts): Promise<RunningControl> => {
+  const { settings, logger } = parts;
+  const links = new LinkTable(ControlClient);
+  const node = await loadNode(parts, links);
+  const claims = new ClaimStore(nodeFileSystem, settings.dataFolder);
+  const holder = new ClaimHolder(claims, () => node.holders, systemClock);
+  await holder.load();
+  const copier = new HolderCopier({
+    id: settings.id,
+    readHolders: () => node.holders,
+    readLeaderAddress: () => node.leaderAddress,
+  }, holder, links, logger);
+  const server = new RpcServer();
+  server.add(ControlService, makeControlService(node, holder));
+  const address = await server.listen(settings.address);
+  const stopTimers = startTimers(node, holder, copier, parts.failStorage);
+  logger.info('control serves', { address });
+  return {
+    node,
+    holder,
+    address,
+    stop: async () => {
+      stopTimers();
+      server.close();
+      links.close();
+      await node.runner.stop();
+      await holder.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/control/holderCopier.ts
@@ -0,0 +1,90 @@
+import { ControlClient } from '../protocol/generated/beechlift';
+import type { CopyClaimsReply, HolderSet, Replica } from '../protocol/generated/beechlift';
+import type { Logger } from '../telemetry/logger';
+import { Operation } from '../utils/operation';
+import type { LinkTable } from '../wire/linkTable';
+import type { ClaimHolder } from './claimHolder';
+
+const COPY_TIMEOUT_MS = 5_000;
+
+/** What the copier reads of its replica. */
+export type CopierView = {
+  readonly id: string;
+  readonly readHolders: () => HolderSet;
+  readonly readLeaderAddress: () => string;
+};
+
+/**
+ * Lets a new claim holder copy what a majority of the holders before it hold, before it is counted alone.
+ *
+ * Guards against the second loss right after a repair: once the new set stands alone, every claim that the
+ * old set agreed on is known to a majority of the new one.
+ *
+ * @example
+ * const copier = new HolderCopier(view, holder, links, logger);
+ * setInterval(() => copier.tick(), 500);
+ */
+export class HolderCopier {
+  private copiedSet = 0;
+
+  private busy = false;
+
+  constructor(
+    private readonly view: CopierView,
+    private readonly holder: ClaimHolder,
+    private readonly links: LinkTable<ControlClient>,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Copies when this replica is new in a set that is not settled yet, and reports it. */
+  async tick(): Promise<void> {
+    const holders = this.view.readHolders();
+    if (this.busy || !this.isDue(holders)) return;
+    this.busy = true;
+    try {
+      if (this.copiedSet < holders.number) await this.copyFromMajority(holders);
+      await this.report(holders);
+    } catch (error) {
+      this.logger.warn('claims not copied yet', { reason: (error as Error).message });
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private isDue(holders: HolderSet): boolean {
+    return holders.previous.length > 0 && holders.current.some(({ id }) => id === this.view.id);
+  }
+
+  private async copyFromMajority(holders: HolderSet): Promise<void> {
+    const results = await Promise.allSettled(
+      holders.previous.map((replica) => this.copyFrom(replica, holders.number)),
+    );
+    const copied = results.filter(({ status }) => status === 'fulfilled').length;
+    if (copied <= holders.previous.length / 2) throw new Error(`${copied} of ${holders.previous.length} holders answered`);
+    this.copiedSet = holders.number;
+    this.logger.info('claims copied', { holderSet: holders.number, claims: this.holder.table.claims.size });
+  }
+
+  private async copyFrom(replica: Replica, holderSet: number, afterKey = ''): Promise<void> {
+    if (replica.id === this.view.id) return;
+    const reply = await this.links.find(replica.address).call<object, CopyClaimsReply>(
+      (stub) => stub.copyClaims.bind(stub) as never,
+      { holderSet, afterKey },
+      new Operation({ timeoutMs: COPY_TIMEOUT_MS }),
+    );
+    if (reply.code !== 0) throw new Error(`holder "${replica.id}" has not moved to set ${holderSet} yet`);
+    await this.holder.merge(reply.claims);
+    if (reply.lastKey !== '') await this.copyFrom(replica, holderSet, reply.lastKey);
+  }
+
+  private async report(holders: HolderSet): Promise<void> {
+    const isNew = !holders.previous.some(({ id }) => id === this.view.id);
+    const address = this.view.readLeaderAddress();
+    if (!isNew || address === '') return;
+    await this.links.find(address).call<object, object>(
+      (stub) => stub.reportCopied.bind(stub) as never,
+      { holderSet: holders.number, id: this.view.id },
+      new Operation({ timeoutMs: COPY_TIMEOUT_MS }),
+    );
+  }
+}
--- /dev/null
+++ b/src/control/logRunner.ts
@@ -0,0 +1,203 @@
+import type { LogEntry, LogMessage } from '../protocol/generated/beechlift';
+import { BeechliftError } from '../errors/beechliftError';
+import { handleLogEvent, holdsLeaderLease } from '../core/log/replicatedLog';
+import { makeLogState, REPLICAS_COMMAND } from '../core/log/logState';
+import type {
+  LogEffect, LogEvent, LogRole, LogState, LogTimings, ReplicaSet, Snapshot, StoredLog,
+} from '../core/log/logTypes';
+import type { LogStore } from '../disk/logStore';
+import type { Clock } from '../utils/clock';
+import type { Operation } from '../utils/operation';
+
+/** What the runner hands on. */
+export type LogListener<Result> = {
+  readonly applyCommand: (command: string) => Result | undefined;
+  readonly restoreSnapshot: (snapshot: Snapshot) => void;
+  readonly takeSnapshot: () => string;
+  readonly sendMessage: (message: LogMessage) => void;
+  readonly noteRole: (role: LogRole, term: number) => void;
+  /** The disk can no longer be trusted; the process must end. */
+  readonly failStorage: (error: unknown) => void;
+};
+
+type PendingProposal<Result> = {
+  readonly term: number;
+  readonly resolve: (result: Result | undefined) => void;
+  readonly reject: (error: Error) => void;
+};
+
+type EffectOf<Kind extends LogEffect['kind']> = Extract<LogEffect, { kind: Kind }>;
+
+type OutwardKind = Exclude<LogEffect['kind'], 'persist' | 'persistSnapshot'>;
+
+const COMPACT_ENTRIES = 512;
+const COMPACT_BYTES = 8_388_608;
+
+const isOfKind = <Kind extends LogEffect['kind']>(kind: Kind) => (
+  (effect: LogEffect): effect is EffectOf<Kind> => effect.kind === kind
+);
+
+/**
+ * Drives the pure log of one replica: feeds it events, syncs what it wants synced, and only then does what
+ * it wants done.
+ *
+ * @example
+ * const runner = new LogRunner('c1', stored, store, listener, systemClock);
+ * const result = await runner.propose(command, operation);
+ */
+export class LogRunner<Result> {
+  readonly state: LogState;
+
+  private queue: LogEffect[] = [];
+
+  private draining = false;
+
+  private stopped = false;
+
+  private readonly proposals = new Map<number, PendingProposal<Result>>();
+
+  private lastProposed: EffectOf<'proposed'> | undefined;
+
+  constructor(
+    id: string,
+    stored: StoredLog,
+    private readonly store: LogStore,
+    private readonly listener: LogListener<Result>,
+    private readonly clock: Clock,
+    timings?: LogTimings,
+  ) {
+    this.state = makeLogState(id, stored, Math.random, clock.now(), timings);
+  }
+
+  /** Whether this replica may answer for the whole site at this moment. */
+  get holdsLease(): boolean {
+    return !this.stopped && holdsLeaderLease(this.state, this.clock.now());
+  }
+
+  /** Runs one event. */
+  handle(event: LogEvent): void {
+    if (this.stopped) return;
+    const effects = handleLogEvent(this.state, event, this.clock.now());
+    this.lastProposed = effects.find(isOfKind('proposed'));
+    this.queue.push(...effects);
+    this.drain().catch((error: unknown) => this.fail(error));
+  }
+
+  /** Appends a command; resolves with its result once it is committed and applied here. */
+  propose(command: string, operation: Operation): Promise<Result | undefined> {
+    this.handle({ kind: 'propose', command });
+    const proposed = this.lastProposed;
+    if (!proposed) {
+      return Promise.reject(new BeechliftError('noQuorum', `replica "${this.state.id}" does not lead`));
+    }
+    return new Promise((resolve, reject) => {
+      this.proposals.set(proposed.index, { term: proposed.term, resolve, reject });
+      const giveUp = () => {
+        this.proposals.delete(proposed.index);
+        reject(new BeechliftError('noQuorum', 'no majority of replicas answered before the deadline', { steps: operation.steps }));
+      };
+      const timer = setTimeout(giveUp, operation.remainingMs);
+      timer.unref();
+    });
+  }
+
+  /** Starts to change the replica set; false when one is being changed already. */
+  changeReplicas(replicas: ReplicaSet): boolean {
+    this.handle({ kind: 'changeReplicas', replicas });
+    return this.lastProposed !== undefined;
+  }
+
+  /** Stops; nothing is written after. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.rejectProposals('the replica is stopping');
+    await this.store.close();
+  }
+
+  private async drain(): Promise<void> {
+    if (this.draining) return;
+    this.draining = true;
+    try {
+      await this.drainBatches();
+    } finally {
+      this.draining = false;
+    }
+  }
+
+  private async drainBatches(): Promise<void> {
+    const batch = this.queue;
+    if (batch.length === 0 || this.stopped) return;
+    this.queue = [];
+    await this.persist(batch);
+    batch.forEach((effect) => this.perform(effect));
+    this.compact();
+    await this.drainBatches();
+  }
+
+  /*
+   * Guards against a vote or an acknowledgement that a crash makes untrue: all that a batch wants on disk is
+   * synced, in one sync, before any message of the batch leaves.
+   */
+  private async persist(batch: readonly LogEffect[]): Promise<void> {
+    const position = batch.findLastIndex(isOfKind('persistSnapshot'));
+    const snapshot = batch[position];
+    if (snapshot?.kind === 'persistSnapshot') {
+      await this.store.replace(snapshot.snapshot, snapshot.hardState, snapshot.entries);
+    }
+    const writes = batch.slice(position + 1).filter(isOfKind('persist'));
+    if (writes.length > 0) await this.store.append(writes);
+    this.noteSynced(writes.flatMap(({ entries }) => entries.slice(-1)).at(-1));
+  }
+
+  private noteSynced(entry: LogEntry | undefined): void {
+    if (entry) this.handle({ kind: 'synced', index: entry.index, term: entry.term });
+  }
+
+  private perform(effect: LogEffect): void {
+    const handler = this.outward[effect.kind as OutwardKind] as ((effect: LogEffect) => void) | undefined;
+    handler?.(effect);
+  }
+
+  private readonly outward: { [Kind in OutwardKind]: (effect: EffectOf<Kind>) => void } = {
+    send: ({ message }) => this.listener.sendMessage(message),
+    apply: ({ entry }) => this.apply(entry),
+    restore: ({ snapshot }) => this.listener.restoreSnapshot(snapshot),
+    roleChanged: ({ role, term }) => this.noteRole(role, term),
+    proposed: () => undefined,
+  };
+
+  private apply(entry: LogEntry): void {
+    const isSite = entry.command !== '' && !entry.command.startsWith(REPLICAS_COMMAND);
+    const result = isSite ? this.listener.applyCommand(entry.command) : undefined;
+    const proposal = this.proposals.get(entry.index);
+    if (!proposal) return;
+    this.proposals.delete(entry.index);
+    if (proposal.term === entry.term) proposal.resolve(result);
+    else proposal.reject(new BeechliftError('noQuorum', 'another leader took this place in the log'));
+  }
+
+  private noteRole(role: LogRole, term: number): void {
+    if (role !== 'leader') this.rejectProposals('this replica no longer leads');
+    this.listener.noteRole(role, term);
+  }
+
+  private rejectProposals(reason: string): void {
+    const proposals = [...this.proposals.values()];
+    this.proposals.clear();
+    proposals.forEach(({ reject }) => reject(new BeechliftError('noQuorum', reason)));
+  }
+
+  private compact(): void {
+    const { state } = this;
+    const applied = state.appliedIndex - state.snapshot.index;
+    if (applied < COMPACT_ENTRIES && this.store.size < COMPACT_BYTES) return;
+    if (applied === 0) return;
+    this.handle({ kind: 'snapshotTaken', index: state.appliedIndex, data: this.listener.takeSnapshot() });
+  }
+
+  private fail(error: unknown): void {
+    this.stopped = true;
+    this.rejectProposals('the disk failed');
+    this.listener.failStorage(error);
+  }
+}
--- /dev/null
+++ b/src/control/replacement.ts
@@ -0,0 +1,83 @@
+import type { Replica } from '../protocol/generated/beechlift';
+import type { LogState, ReplicaSet } from '../core/log/logTypes';
+import type { AgreedHolders, SiteCommand } from '../core/membership/siteState';
+
+/**
+ * Replacing a control replica, step by step: the newcomer learns the log, then votes, then the old one goes;
+ * then the claim holders follow, first both sets together, then the new one alone. Every step is a command of
+ * the log, so a new leader goes on where the old one stopped.
+ */
+
+/**
+ * First step: the newcomer learns, and the one to go is marked.
+ *
+ * @example
+ * const next = startReplacement(replicas, 'c2', { id: 'c4', address, zone });
+ */
+export const startReplacement = (
+  replicas: ReplicaSet,
+  removeId: string,
+  newcomer: Replica | undefined,
+): ReplicaSet | undefined => {
+  const known = replicas.voters.some(({ id }) => id === removeId);
+  const busy = replicas.learners.length > 0 || replicas.leaving.length > 0;
+  const taken = replicas.voters.some(({ id }) => id === newcomer?.id);
+  if (!known || busy || !newcomer || taken) return undefined;
+  return { voters: replicas.voters, learners: [newcomer], leaving: [removeId] };
+};
+
+const MAX_LAG_ENTRIES = 4;
+
+/*
+ * Guards against a majority that counts on a replica which does not hold the log yet: were a second VM lost
+ * right after the repair, nothing could be committed. A learner votes only once it has all but the last
+ * entries.
+ */
+const hasCaughtUp = (state: LogState, id: string): boolean => {
+  const match = state.peers.get(id)?.matchIndex ?? 0;
+  return match > 0 && state.commitIndex - match <= MAX_LAG_ENTRIES;
+};
+
+/** Next step of the replica set, or undefined when none is due. */
+export const planReplicaChange = (state: LogState): ReplicaSet | undefined => {
+  const { voters, learners, leaving } = state.replicas;
+  const [learner] = learners;
+  if (learner) {
+    if (!hasCaughtUp(state, learner.id)) return undefined;
+    return { voters: [...voters, learner], learners: [], leaving };
+  }
+  if (leaving.length === 0) return undefined;
+  return { voters: voters.filter(({ id }) => !leaving.includes(id)), learners: [], leaving: [] };
+};
+
+const formatIds = (replicas: readonly Replica[]): string => (
+  replicas.map(({ id }) => id).sort().join(' ')
+);
+
+const isSettled = (state: LogState): boolean => (
+  state.replicas.learners.length === 0 && state.replicas.leaving.length === 0
+);
+
+/**
+ * Next step of the claim holders, or undefined when none is due.
+ *
+ * @param copiedSet newest holder set whose newcomer has copied its claims
+ * @example
+ * const command = planHolderChange(site.holders, state, copiedSet);
+ */
+export const planHolderChange = (
+  holders: AgreedHolders,
+  state: LogState,
+  copiedSet: number,
+): SiteCommand | undefined => {
+  if (holders.number === 0) {
+    return { kind: 'holders', current: state.replicas.voters, previous: [] };
+  }
+  if (holders.previous.length > 0) {
+    if (copiedSet < holders.number) return undefined;
+    return { kind: 'holders', current: holders.current, previous: [] };
+  }
+  const moved = formatIds(holders.current) !== formatIds(state.replicas.voters);
+  if (!moved || !isSettled(state)) return undefined;
+  return { kind: 'holders', current: state.replicas.voters, previous: holders.current };
+};
--- /dev/null
+++ b/src/core/claims/claimQuorum.ts
@@ -0,0 +1,102 @@
+import type {
+  Ballot, ClaimReply, ClaimValue, HolderSet, Replica,
+} from '../../protocol/generated/beechlift';
+import { rankByRendezvous } from '../../utils/rendezvous';
+import { compareBallots, ZERO_BALLOT } from './ballot';
+
+/** Holders of one claim: three in different availability zones where there are as many. */
+export const HOLDERS_PER_CLAIM = 3;
+
+const pickHolders = (replicas: readonly Replica[], key: string): Replica[] => {
+  const byId = new Map(replicas.map((replica) => [replica.id, replica]));
+  const ranked = rankByRendezvous(`claim:${key}`, [...byId.keys()])
+    .flatMap((id) => byId.get(id) ?? []);
+  const firstOfZone = ranked.filter((replica, position) => (
+    ranked.findIndex(({ zone }) => zone === replica.zone) === position));
+  const others = ranked.filter((replica) => !firstOfZone.includes(replica));
+  return [...firstOfZone, ...others].slice(0, HOLDERS_PER_CLAIM);
+};
+
+/** The groups that must each agree by majority: one, or two while holders are being replaced. */
+export type HolderGroups = {
+  readonly number: number;
+  readonly groups: readonly (readonly Replica[])[];
+};
+
+/**
+ * Finds the holders of a claim.
+ *
+ * @example
+ * const { groups } = findHolderGroups(holderSet, key);
+ */
+export const findHolderGroups = (set: HolderSet, key: string): HolderGroups => ({
+  number: set.number,
+  groups: [set.current, set.previous]
+    .map((replicas) => pickHolders(replicas, key))
+    .filter((group) => group.length > 0),
+});
+
+/** All holders asked, each once. */
+export const listHolders = ({ groups }: HolderGroups): Replica[] => (
+  [...new Map(groups.flat().map((replica) => [replica.id, replica])).values()]
+);
+
+/** Replies by holder id. */
+export type ClaimReplies = ReadonlyMap<string, ClaimReply>;
+
+/** What the replies so far mean. */
+export type QuorumState = 'won' | 'lost' | 'open';
+
+const countGroup = (
+  group: readonly Replica[],
+  ids: ReadonlySet<string>,
+): number => group.filter(({ id }) => ids.has(id)).length;
+
+/**
+ * Judges a round: won when a majority of every group agreed, lost when one no longer can.
+ *
+ * @param failed holders that could not be reached
+ * @example
+ * const state = judgeQuorum(groups, replies, failed);
+ */
+export const judgeQuorum = (
+  { groups }: HolderGroups,
+  replies: ClaimReplies,
+  failed: ReadonlySet<string>,
+): QuorumState => {
+  const agreed = new Set([...replies].filter(([, reply]) => reply.ok).map(([id]) => id));
+  const refused = new Set([...replies].filter(([, reply]) => !reply.ok).map(([id]) => id));
+  const against = new Set([...refused, ...failed]);
+  if (groups.length === 0) return 'lost';
+  if (groups.every((group) => countGroup(group, agreed) > group.length / 2)) return 'won';
+  const hopeless = groups.some((group) => countGroup(group, against) >= group.length / 2);
+  return hopeless ? 'lost' : 'open';
+};
+
+/**
+ * Finds the value that the replies of a won prepare round bind the proposer to, if any.
+ *
+ * @example
+ * const value = findBoundValue(replies.values());
+ */
+export const findBoundValue = (replies: Iterable<ClaimReply>): ClaimValue | undefined => {
+  const [newest] = [...replies]
+    .filter((reply) => reply.ok && reply.value !== undefined)
+    .sort((a, b) => compareBallots(b.accepted ?? ZERO_BALLOT, a.accepted ?? ZERO_BALLOT));
+  return newest?.value;
+};
+
+/**
+ * Computes a ballot above all that were seen.
+ *
+ * @example
+ * const ballot = raiseBallot('e1:7f3a', replies.values());
+ */
+export const raiseBallot = (
+  proposer: string,
+  seen: Iterable<ClaimReply>,
+  lowest: Ballot = ZERO_BALLOT,
+): Ballot => {
+  const rounds = [...seen].map(({ promised }) => promised?.round ?? 0);
+  return { round: Math.max(lowest.round, 0, ...rounds) + 1, proposer };
+};
--- /dev/null
+++ b/src/core/log/logState.ts
@@ -0,0 +1,177 @@
+import { LogMessage } from '../../protocol/generated/beechlift';
+import type { LogEntry } from '../../protocol/generated/beechlift';
+import type {
+  HardState, LogEffect, LogMessageKind, LogState, LogStep, LogTimings, ReplicaSet, StoredLog,
+} from './logTypes';
+
+/** Prefix of a log command that changes the replica set rather than the state machine. */
+export const REPLICAS_COMMAND = 'replicas:';
+
+/** Timings for sites whose availability zones are a few milliseconds apart. */
+export const DEFAULT_LOG_TIMINGS: LogTimings = {
+  heartbeatMs: 150,
+  electionMs: 1_000,
+  leaseMarginMs: 150,
+};
+
+/**
+ * Makes the log that a new site starts with: empty, with the replicas of the settings.
+ *
+ * @example
+ * const stored = makeEmptyLog({ voters: [a, b, c], learners: [] });
+ */
+export const makeEmptyLog = (replicas: ReplicaSet): StoredLog => ({
+  hardState: { term: 0, votedFor: '' },
+  snapshot: {
+    index: 0, term: 0, replicas, data: '',
+  },
+  entries: [],
+});
+
+const readReplicas = (entry: LogEntry): ReplicaSet | undefined => (
+  entry.command.startsWith(REPLICAS_COMMAND)
+    ? JSON.parse(entry.command.slice(REPLICAS_COMMAND.length)) as ReplicaSet
+    : undefined
+);
+
+/**
+ * Finds the replica set in force: the newest one in the log, committed or not.
+ *
+ * @example
+ * state.replicas = findReplicas(state);
+ */
+export const findReplicas = (state: Pick<LogState, 'entries' | 'snapshot'>): ReplicaSet => {
+  const entry = state.entries.findLast(({ command }) => command.startsWith(REPLICAS_COMMAND));
+  return (entry && readReplicas(entry)) ?? state.snapshot.replicas;
+};
+
+const drawElectionTime = (state: LogState, now: number): number => (
+  now + state.timings.electionMs * (1 + state.drawRandom())
+);
+
+/**
+ * Makes the state of a replica from what its disk holds.
+ *
+ * @example
+ * const state = makeLogState('c1', stored, Math.random, clock.now());
+ */
+export const makeLogState = (
+  id: string,
+  stored: StoredLog,
+  drawRandom: () => number,
+  now: number,
+  timings: LogTimings = DEFAULT_LOG_TIMINGS,
+): LogState => {
+  const state: LogState = {
+    id,
+    timings,
+    drawRandom,
+    role: 'follower',
+    term: stored.hardState.term,
+    votedFor: stored.hardState.votedFor,
+    leaderId: '',
+    snapshot: stored.snapshot,
+    entries: [...stored.entries],
+    replicas: stored.snapshot.replicas,
+    commitIndex: stored.snapshot.index,
+    appliedIndex: stored.snapshot.index,
+    syncedIndex: stored.snapshot.index + stored.entries.length,
+    electionAt: 0,
+    /*
+     * Guards the lease of a leader that this replica acknowledged before it restarted: it counts its
+     * start as a contact, so that it takes part in no election until that lease is over.
+     */
+    lastLeaderContactAt: now,
+    heartbeatAt: 0,
+    votes: new Set(),
+    peers: new Map(),
+    round: 0,
+    roundSentAt: new Map(),
+    leaseUntil: 0,
+    incoming: undefined,
+  };
+  state.replicas = findReplicas(state);
+  state.electionAt = drawElectionTime(state, now);
+  return state;
+};
+
+/** Index of the last entry, or of the snapshot when no entry follows it. */
+export const readLastIndex = (state: LogState): number => state.snapshot.index + state.entries.length;
+
+/** Entry at an index, when it is neither compacted nor beyond the end. */
+export const findEntry = (state: LogState, index: number): LogEntry | undefined => (
+  state.entries[index - state.snapshot.index - 1]
+);
+
+/** Term of an index; undefined when it is compacted or beyond the end. */
+export const findTerm = (state: LogState, index: number): number | undefined => (
+  index === state.snapshot.index ? state.snapshot.term : findEntry(state, index)?.term
+);
+
+/** Term of the last entry. */
+export const readLastTerm = (state: LogState): number => findTerm(state, readLastIndex(state)) ?? 0;
+
+/** Whether a replica votes. */
+export const isVoter = (state: LogState, id: string): boolean => (
+  state.replicas.voters.some((replica) => replica.id === id)
+);
+
+/** Whether the replicas named, with those that are no voters left out, are a majority. */
+export const hasMajority = (state: LogState, ids: Iterable<string>): boolean => {
+  const voting = [...ids].filter((id) => isVoter(state, id));
+  return voting.length > state.replicas.voters.length / 2;
+};
+
+/** All other replicas, learners included. */
+export const listPeers = (state: LogState): string[] => (
+  [...state.replicas.voters, ...state.replicas.learners]
+    .map(({ id }) => id)
+    .filter((id) => id !== state.id)
+);
+
+/** The part of the state that votes and terms rest on. */
+export const readHardState = ({ term, votedFor }: LogState): HardState => ({ term, votedFor });
+
+/** Adds an effect to the step. */
+export const addEffect = (step: LogStep, effect: LogEffect): void => {
+  step.effects.push(effect);
+};
+
+/** Adds a message to the step, with the fields that every message carries. */
+export const sendMessage = (
+  step: LogStep,
+  kind: LogMessageKind,
+  to: string,
+  fields: Partial<LogMessage> = {},
+): void => {
+  const message = LogMessage.fromPartial({
+    term: step.state.term, ...fields, kind, to, from: step.state.id,
+  });
+  addEffect(step, { kind: 'send', message });
+};
+
+/** Writes term and vote, and entries that changed, before anything that follows is sent. */
+export const persistState = (step: LogStep, entries: readonly LogEntry[] = []): void => {
+  addEffect(step, { kind: 'persist', hardState: readHardState(step.state), entries });
+};
+
+/** Starts the wait for the next election anew. */
+export const resetElectionTime = (step: LogStep): void => {
+  step.state.electionAt = drawElectionTime(step.state, step.now);
+};
+
+/** Steps down to follower, in a newer term or under a known leader. */
+export const becomeFollower = (step: LogStep, term: number, leaderId: string): void => {
+  const { state } = step;
+  const changed = state.role !== 'follower';
+  if (term > state.term) {
+    state.term = term;
+    state.votedFor = '';
+    persistState(step);
+  }
+  state.role = 'follower';
+  state.leaderId = leaderId;
+  state.leaseUntil = 0;
+  resetElectionTime(step);
+  if (changed) addEffect(step, { kind: 'roleChanged', role: 'follower', term: state.term });
+};
--- /dev/null
+++ b/src/core/log/replicatedLog.ts
@@ -0,0 +1,81 @@
+import type { LogMessage } from '../../protocol/generated/beechlift';
+import {
+  handlePreVote, handlePreVoteReply, handleVote, handleVoteReply, startPreVote,
+} from './election';
+import {
+  handleAppend, handleAppendReply, handleChangeReplicas, handlePropose, handleSynced,
+  repeatAppend,
+} from './replication';
+import { findTerm, resetElectionTime } from './logState';
+import { handleSnapshot, handleSnapshotReply, handleSnapshotTaken } from './snapshotTransfer';
+import type {
+  LogEffect, LogEvent, LogMessageKind, LogState, LogStep,
+} from './logTypes';
+
+const messageHandlers: Record<LogMessageKind, (step: LogStep, message: LogMessage) => void> = {
+  preVote: handlePreVote,
+  preVoteReply: handlePreVoteReply,
+  vote: handleVote,
+  voteReply: handleVoteReply,
+  append: handleAppend,
+  appendReply: handleAppendReply,
+  snapshot: handleSnapshot,
+  snapshotReply: handleSnapshotReply,
+};
+
+const isMessageKind = (kind: string): kind is LogMessageKind => Object.hasOwn(messageHandlers, kind);
+
+const handleMessage = (step: LogStep, message: LogMessage): void => {
+  if (message.to !== step.state.id || !isMessageKind(message.kind)) return;
+  messageHandlers[message.kind](step, message);
+};
+
+const handleTick = (step: LogStep): void => {
+  const { state, now } = step;
+  if (state.role === 'leader') {
+    if (now >= state.heartbeatAt) repeatAppend(step);
+    return;
+  }
+  if (now >= state.electionAt) {
+    resetElectionTime(step);
+    startPreVote(step);
+  }
+};
+
+type Handlers = { [Kind in LogEvent['kind']]: (
+  step: LogStep, event: Extract<LogEvent, { kind: Kind }>,
+) => void };
+
+const eventHandlers: Handlers = {
+  tick: (step) => handleTick(step),
+  message: (step, event) => handleMessage(step, event.message),
+  propose: (step, event) => handlePropose(step, event.command),
+  changeReplicas: (step, event) => handleChangeReplicas(step, event.replicas),
+  synced: (step, event) => handleSynced(step, event.index, event.term),
+  snapshotTaken: (step, event) => handleSnapshotTaken(step, event.index, event.data),
+};
+
+/**
+ * Runs one event through a replica of the log and returns what is to be done, in order.
+ *
+ * @example
+ * const effects = handleLogEvent(state, { kind: 'tick' }, clock.now());
+ */
+export const handleLogEvent = (state: LogState, event: LogEvent, now: number): LogEffect[] => {
+  const step: LogStep = { state, now, effects: [] };
+  const handler = eventHandlers[event.kind] as (step: LogStep, event: LogEvent) => void;
+  handler(step, event);
+  return step.effects;
+};
+
+/**
+ * Whether this replica leads, has committed in its own term, and no other can lead at this moment:
+ * what it reads of its state is then the newest that is accepted.
+ *
+ * @example
+ * if (!holdsLeaderLease(state, clock.now())) refuse('noQuorum');
+ */
+export const holdsLeaderLease = (state: LogState, now: number): boolean => state.role === 'leader'
+  && findTerm(state, state.commitIndex) === state.term
+  && now < state.leaseUntil;
+
--- /dev/null
+++ b/src/core/log/replication.ts
@@ -0,0 +1,289 @@
+import type { LogEntry, LogMessage } from '../../protocol/generated/beechlift';
+import { continueSnapshot } from './snapshotTransfer';
+import {
+  addEffect, becomeFollower, findEntry, findReplicas, findTerm, hasMajority, listPeers, persistState,
+  readLastIndex, REPLICAS_COMMAND, resetElectionTime, sendMessage,
+} from './logState';
+import type {
+  LogState, LogStep, PeerProgress, ReplicaSet,
+} from './logTypes';
+
+const MAX_BATCH_ENTRIES = 256;
+const MAX_BATCH_BYTES = 1_048_576;
+const MAX_ROUNDS_KEPT = 256;
+const MAX_UNACKED_ROUNDS = 4;
+
+/** Command that a new leader commits to learn what is committed. */
+export const NOOP_COMMAND = '';
+
+const makeProgress = (state: LogState): PeerProgress => ({
+  nextIndex: readLastIndex(state) + 1, matchIndex: 0, ackedRound: 0, snapshotOffset: -1,
+});
+
+const findProgress = (state: LogState, id: string): PeerProgress => {
+  const known = state.peers.get(id);
+  if (known) return known;
+  const progress = makeProgress(state);
+  state.peers.set(id, progress);
+  return progress;
+};
+
+const pickBatch = (state: LogState, from: number): LogEntry[] => {
+  const entries = state.entries.slice(from - state.snapshot.index - 1).slice(0, MAX_BATCH_ENTRIES);
+  let bytes = 0;
+  const end = entries.findIndex((entry, position) => {
+    bytes += entry.command.length;
+    return position > 0 && bytes > MAX_BATCH_BYTES;
+  });
+  return end === -1 ? entries : entries.slice(0, end);
+};
+
+/* Guards the network against a peer that is down: it gets empty appends until it acknowledges one. */
+const isSilent = (state: LogState, progress: PeerProgress): boolean => (
+  state.round - progress.ackedRound > MAX_UNACKED_ROUNDS
+);
+
+const sendAppend = (step: LogStep, id: string): void => {
+  const { state } = step;
+  const progress = findProgress(state, id);
+  if (progress.nextIndex <= state.snapshot.index) {
+    continueSnapshot(step, id, progress);
+    return;
+  }
+  const previous = progress.nextIndex - 1;
+  const entries = isSilent(state, progress) ? [] : pickBatch(state, progress.nextIndex);
+  sendMessage(step, 'append', id, {
+    lastIndex: previous,
+    lastTerm: findTerm(state, previous) ?? 0,
+    commitIndex: state.commitIndex,
+    entries,
+    round: state.round,
+  });
+  // Sent ahead of the acknowledgement; a rejection or the next heartbeat winds it back.
+  progress.nextIndex += entries.length;
+};
+
+const trimRounds = (state: LogState): void => {
+  const oldest = state.round - MAX_ROUNDS_KEPT;
+  [...state.roundSentAt.keys()]
+    .filter((round) => round < oldest)
+    .forEach((round) => state.roundSentAt.delete(round));
+};
+
+/** Sends to every peer what it lacks, as a new round of the lease. */
+export const broadcastAppend = (step: LogStep): void => {
+  const { state, now } = step;
+  state.round += 1;
+  state.roundSentAt.set(state.round, now);
+  trimRounds(state);
+  state.heartbeatAt = now + state.timings.heartbeatMs;
+  listPeers(state).forEach((id) => sendAppend(step, id));
+  renewLeaderLease(step);
+};
+
+/** Winds back to what is acknowledged, against appends that were lost, and sends a round. */
+export const repeatAppend = (step: LogStep): void => {
+  step.state.peers.forEach((progress) => {
+    if (progress.matchIndex > 0) progress.nextIndex = progress.matchIndex + 1;
+  });
+  broadcastAppend(step);
+};
+
+/*
+ * Guards against two leaders that both grant configuration leases. The lease counts from the sending of the
+ * newest round that a majority acknowledged; each of those replicas refuses to vote for electionMs after it
+ * received that round, which was later than its sending.
+ */
+function renewLeaderLease({ state, now }: LogStep): void {
+  const acked = [...state.roundSentAt.keys()].findLast((round) => {
+    const ids = [...state.peers].filter(([, peer]) => peer.ackedRound >= round).map(([id]) => id);
+    return hasMajority(state, [state.id, ...ids]);
+  });
+  if (acked === undefined) return;
+  const sentAt = state.roundSentAt.get(acked) ?? now;
+  const until = sentAt + state.timings.electionMs - state.timings.leaseMarginMs;
+  state.leaseUntil = Math.max(state.leaseUntil, until);
+}
+
+const appendEntry = (step: LogStep, command: string): LogEntry => {
+  const { state } = step;
+  const entry: LogEntry = { index: readLastIndex(state) + 1, term: state.term, command };
+  state.entries.push(entry);
+  state.replicas = findReplicas(state);
+  persistState(step, [entry]);
+  return entry;
+};
+
+/** Takes over as leader of the term, with an empty entry to commit what earlier terms left. */
+export const startLeading = (step: LogStep): void => {
+  const { state } = step;
+  state.role = 'leader';
+  state.leaderId = state.id;
+  state.peers = new Map();
+  state.roundSentAt = new Map();
+  state.leaseUntil = 0;
+  addEffect(step, { kind: 'roleChanged', role: 'leader', term: state.term });
+  listPeers(state).forEach((id) => findProgress(state, id));
+  appendEntry(step, NOOP_COMMAND);
+  broadcastAppend(step);
+};
+
+/** Appends a command; only a leader does. */
+export const handlePropose = (step: LogStep, command: string): void => {
+  if (step.state.role !== 'leader') return;
+  const entry = appendEntry(step, command);
+  addEffect(step, { kind: 'proposed', index: entry.index, term: entry.term });
+  broadcastAppend(step);
+};
+
+const countChanges = (from: ReplicaSet, to: ReplicaSet): number => {
+  const before = from.voters.map(({ id }) => id);
+  const after = to.voters.map(({ id }) => id);
+  return before.filter((id) => !after.includes(id)).length
+    + after.filter((id) => !before.includes(id)).length;
+};
+
+/*
+ * Guards against two majorities that do not meet: one voter changes at a time, and none before the last
+ * change and an entry of this leader's own term are committed.
+ */
+const canChangeReplicas = (state: LogState, replicas: ReplicaSet): boolean => {
+  const pending = state.entries.some(({ index, command }) => (
+    index > state.commitIndex && command.startsWith(REPLICAS_COMMAND)));
+  const ownTerm = findTerm(state, state.commitIndex) === state.term;
+  return !pending && ownTerm && countChanges(state.replicas, replicas) <= 1;
+};
+
+/** Changes the replica set by one voter, when none is being changed. */
+export const handleChangeReplicas = (step: LogStep, replicas: ReplicaSet): void => {
+  const { state } = step;
+  if (state.role !== 'leader' || !canChangeReplicas(state, replicas)) return;
+  handlePropose(step, `${REPLICAS_COMMAND}${JSON.stringify(replicas)}`);
+};
+
+/** Hands committed entries to the state machine, in order. */
+export const applyCommitted = (step: LogStep): void => {
+  const { state } = step;
+  const ready = state.entries.slice(
+    state.appliedIndex - state.snapshot.index,
+    state.commitIndex - state.snapshot.index,
+  );
+  ready.forEach((entry) => {
+    state.appliedIndex = entry.index;
+    addEffect(step, { kind: 'apply', entry });
+  });
+};
+
+const isStoredByMajority = (state: LogState, index: number): boolean => {
+  const peers = [...state.peers].filter(([, { matchIndex }]) => matchIndex >= index).map(([id]) => id);
+  const own = state.syncedIndex >= index ? [state.id] : [];
+  return hasMajority(state, [...own, ...peers]);
+};
+
+/*
+ * Guards against committing an entry of an older term by count alone, which a later leader could still
+ * replace: only an entry of the own term is committed by count, and it commits all before it.
+ */
+const advanceCommit = (step: LogStep): void => {
+  const { state } = step;
+  const newest = state.entries.findLast(({ index, term }) => (
+    index > state.commitIndex && term === state.term && isStoredByMajority(state, index)));
+  if (!newest) return;
+  state.commitIndex = newest.index;
+  applyCommitted(step);
+  if (!state.replicas.voters.some(({ id }) => id === state.id)) becomeFollower(step, state.term, '');
+};
+
+/** Notes that the own disk holds all up to an index. */
+export const handleSynced = (step: LogStep, index: number, term: number): void => {
+  const { state } = step;
+  if (findTerm(state, index) !== term) return;
+  state.syncedIndex = Math.max(state.syncedIndex, index);
+  if (state.role === 'leader') advanceCommit(step);
+};
+
+/** Drops entries from an index on, which a newer leader replaces. */
+const truncateFrom = (state: LogState, index: number): void => {
+  state.entries = state.entries.slice(0, index - state.snapshot.index - 1);
+  state.syncedIndex = Math.min(state.syncedIndex, index - 1);
+};
+
+const storeEntries = (step: LogStep, entries: readonly LogEntry[]): void => {
+  const { state } = step;
+  const fresh = entries.filter((entry) => entry.index > state.snapshot.index
+    && findEntry(state, entry.index)?.term !== entry.term);
+  const [first] = fresh;
+  if (!first) return;
+  truncateFrom(state, first.index);
+  const added = entries.filter(({ index }) => index >= first.index);
+  state.entries.push(...added);
+  state.replicas = findReplicas(state);
+  persistState(step, added);
+};
+
+const refuseAppend = (step: LogStep, message: LogMessage): void => {
+  const hint = Math.min(readLastIndex(step.state), message.lastIndex - 1);
+  sendMessage(step, 'appendReply', message.from, {
+    granted: false, matchIndex: Math.max(hint, step.state.snapshot.index), round: message.round,
+  });
+};
+
+/** Notes that the leader of the current term was heard. */
+export const followLeader = (step: LogStep, message: LogMessage): void => {
+  const { state } = step;
+  if (message.term > state.term || state.role !== 'follower') {
+    becomeFollower(step, message.term, message.from);
+  }
+  state.leaderId = message.from;
+  state.lastLeaderContactAt = step.now;
+  resetElectionTime(step);
+};
+
+/** Stores entries of the leader; the answer leaves after they are synced. */
+export const handleAppend = (step: LogStep, message: LogMessage): void => {
+  const { state } = step;
+  if (message.term < state.term) {
+    sendMessage(step, 'appendReply', message.from, { granted: false, round: 0 });
+    return;
+  }
+  followLeader(step, message);
+  const compacted = message.lastIndex < state.snapshot.index;
+  if (!compacted && findTerm(state, message.lastIndex) !== message.lastTerm) {
+    refuseAppend(step, message);
+    return;
+  }
+  storeEntries(step, message.entries);
+  const matchIndex = message.lastIndex + message.entries.length;
+  state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex));
+  applyCommitted(step);
+  sendMessage(step, 'appendReply', message.from, {
+    granted: true, matchIndex, round: message.round,
+  });
+};
+
+const noteMatch = (step: LogStep, id: string, progress: PeerProgress, matchIndex: number): void => {
+  const { state } = step;
+  progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
+  progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+  advanceCommit(step);
+  if (state.role === 'leader' && progress.nextIndex <= readLastIndex(state)) sendAppend(step, id);
+};
+
+/** Counts an acknowledgement, or winds back after a refusal. */
+export const handleAppendReply = (step: LogStep, message: LogMessage): void => {
+  const { state } = step;
+  if (message.term > state.term) {
+    becomeFollower(step, message.term, '');
+    return;
+  }
+  if (state.role !== 'leader' || message.term !== state.term) return;
+  const progress = findProgress(state, message.from);
+  progress.ackedRound = Math.max(progress.ackedRound, message.round);
+  renewLeaderLease(step);
+  if (message.granted) {
+    noteMatch(step, message.from, progress, message.matchIndex);
+    return;
+  }
+  progress.nextIndex = Math.max(progress.matchIndex, Math.min(progress.nextIndex - 1, message.matchIndex)) + 1;
+  sendAppend(step, message.from);
+};
--- /dev/null
+++ b/src/core/membership/locate.ts
@@ -0,0 +1,42 @@
+import type { Member } from '../../protocol/generated/beechlift';
+import { rankByRendezvous } from '../../utils/rendezvous';
+
+/** Entry VMs of a view that may own pools: those that are not leaving. */
+export const listActive = (members: readonly Member[]): Member[] => (
+  members.filter(({ state }) => state === 'active')
+);
+
+/**
+ * Finds the entry that owns a pool in a view.
+ *
+ * @example
+ * const owner = findOwner(view.members, 'fast');
+ */
+export const findOwner = (members: readonly Member[], pool: string): Member | undefined => {
+  const active = listActive(members);
+  const [id] = rankByRendezvous(`pool:${pool}`, active.map((member) => member.id));
+  return active.find((member) => member.id === id);
+};
+
+const MAX_ADDRESSES = 4;
+
+/**
+ * Ranks the entry VMs for a caller: own availability zone first, spread by client account, leaving ones not
+ * at all. Several are named, so that a caller has where to go when the first is gone.
+ *
+ * @example
+ * rankEntries(view.members, 'kiosks', 'az-1');
+ */
+export const rankEntries = (
+  members: readonly Member[],
+  account: string,
+  zone: string,
+): Member[] => {
+  const active = listActive(members);
+  const byId = new Map(active.map((member) => [member.id, member]));
+  const spread = rankByRendezvous(`account:${account}`, active.map(({ id }) => id))
+    .flatMap((id) => byId.get(id) ?? []);
+  const near = spread.filter((member) => member.zone === zone);
+  const far = spread.filter((member) => member.zone !== zone);
+  return [...near, ...far].slice(0, MAX_ADDRESSES);
+};
--- /dev/null
+++ b/src/core/membership/siteState.ts
@@ -0,0 +1,201 @@
+import type { Member, Replica } from '../../protocol/generated/beechlift';
+import type { Manifest } from '../../manifest/manifest';
+import { diffManifests } from '../../manifest/manifestDelta';
+import type { SectionChange } from '../../manifest/manifestDelta';
+import type { ResultCode } from '../../errors/resultCodes';
+
+/** Who holds claims, as agreed by the log. While `previous` is not empty both sets must agree. */
+export type AgreedHolders = {
+  readonly number: number;
+  readonly current: readonly Replica[];
+  readonly previous: readonly Replica[];
+};
+
+/** What the log carries. */
+export type SiteCommand =
+  | { readonly kind: 'manifest'; readonly requestId: string; readonly digest: string; readonly manifest: Manifest }
+  | { readonly kind: 'members'; readonly members: readonly Member[] }
+  | { readonly kind: 'holders'; readonly current: readonly Replica[]; readonly previous: readonly Replica[] };
+
+/** What came of a submitted manifest. */
+export type SubmitResult = {
+  readonly code: ResultCode | 'accepted';
+  readonly version: number;
+  readonly digest: string;
+  readonly message: string;
+};
+
+/** What changed from one accepted manifest to the next. */
+export type KeptDelta = {
+  readonly baseVersion: number;
+  readonly baseDigest: string;
+  readonly changes: readonly SectionChange[];
+};
+
+/** The replicated state of a site: the same on every replica that applied the same commands. */
+export type SiteState = {
+  manifest: Manifest | undefined;
+  digest: string;
+  /** Digest by accepted version, newest last. */
+  accepted: Map<number, string>;
+  members: readonly Member[];
+  viewNumber: number;
+  holders: AgreedHolders;
+  /** Not part of the replicated state: kept to send less. */
+  deltas: KeptDelta[];
+};
+
+const MAX_ACCEPTED = 4_096;
+const MAX_DELTAS = 64;
+
+/** Makes the state of a site that has accepted nothing. */
+export const makeSiteState = (): SiteState => ({
+  manifest: undefined,
+  digest: '',
+  accepted: new Map(),
+  members: [],
+  viewNumber: 0,
+  holders: { number: 0, current: [], previous: [] },
+  deltas: [],
+});
+
+const readVersion = (state: SiteState): number => state.manifest?.version ?? 0;
+
+const answerTaken = (version: number, digest: string, held: string): SubmitResult => (
+  held === digest
+    ? {
+      code: 'accepted', version, digest, message: 'accepted before',
+    }
+    : {
+      code: 'versionTaken', version, digest: held, message: `version ${version} is held by digest ${held}`,
+    }
+);
+
+/**
+ * Decides on a manifest by comparing version and digest with what was accepted, without changing anything.
+ * A resend of an accepted one gets the same acceptance, whatever came after it.
+ *
+ * @example
+ * const result = decideManifest(state, manifest, digest);
+ */
+export const decideManifest = (
+  state: SiteState,
+  manifest: Manifest,
+  digest: string,
+): SubmitResult => {
+  const { version, basedOn } = manifest;
+  const held = state.accepted.get(version);
+  if (held !== undefined) return answerTaken(version, digest, held);
+  const current = readVersion(state);
+  if (version <= current) {
+    return {
+      code: 'versionTooLow', version: current, digest: state.digest, message: `version ${version} is below ${current}, which is in force`,
+    };
+  }
+  if (basedOn !== undefined && basedOn !== state.digest) {
+    return {
+      code: 'baseMoved', version: current, digest: state.digest, message: `based on ${basedOn}, but ${state.digest || 'nothing'} is in force`,
+    };
+  }
+  return {
+    code: 'accepted', version, digest, message: 'accepted',
+  };
+};
+
+const keepDelta = (state: SiteState, next: Manifest): void => {
+  if (!state.manifest) return;
+  state.deltas.push({
+    baseVersion: state.manifest.version,
+    baseDigest: state.digest,
+    changes: diffManifests(state.manifest, next),
+  });
+  if (state.deltas.length > MAX_DELTAS) state.deltas.shift();
+};
+
+const acceptManifest = (state: SiteState, manifest: Manifest, digest: string): void => {
+  keepDelta(state, manifest);
+  state.manifest = manifest;
+  state.digest = digest;
+  state.accepted.set(manifest.version, digest);
+  const [oldest] = state.accepted.keys();
+  if (state.accepted.size > MAX_ACCEPTED && oldest !== undefined) state.accepted.delete(oldest);
+};
+
+type CommandOf<Kind extends SiteCommand['kind']> = Extract<SiteCommand, { kind: Kind }>;
+
+type Handlers = { [Kind in SiteCommand['kind']]: (
+  state: SiteState, command: CommandOf<Kind>,
+) => SubmitResult | undefined };
+
+const commandHandlers: Handlers = {
+  manifest: (state, { manifest, digest }) => {
+    const result = decideManifest(state, manifest, digest);
+    const fresh = result.code === 'accepted' && !state.accepted.has(manifest.version);
+    if (fresh) acceptManifest(state, manifest, digest);
+    return result;
+  },
+  members: (state, { members }) => {
+    state.members = members;
+    state.viewNumber += 1;
+    return undefined;
+  },
+  holders: (state, { current, previous }) => {
+    state.holders = { number: state.holders.number + 1, current, previous };
+    return undefined;
+  },
+};
+
+/**
+ * Applies a committed command.
+ *
+ * @example
+ * const result = applySiteCommand(state, JSON.parse(entry.command));
+ */
+export const applySiteCommand = (
+  state: SiteState,
+  command: SiteCommand,
+): SubmitResult | undefined => {
+  const handler = commandHandlers[command.kind] as (
+    state: SiteState, command: SiteCommand,
+  ) => SubmitResult | undefined;
+  return handler(state, command);
+};
+
+/**
+ * Writes the replicated state for a snapshot.
+ *
+ * @example
+ * const data = formatSiteState(state);
+ */
+export const formatSiteState = (state: SiteState): string => JSON.stringify({
+  ...state, accepted: [...state.accepted], deltas: [],
+});
+
+/**
+ * Reads the replicated state from a snapshot; an empty text is a site that has accepted nothing.
+ *
+ * @example
+ * const state = parseSiteState(snapshot.data);
+ */
+export const parseSiteState = (data: string): SiteState => {
+  if (data === '') return makeSiteState();
+  const stored = JSON.parse(data) as SiteState & { accepted: [number, string][] };
+  return { ...stored, accepted: new Map(stored.accepted) };
+};
+
+/**
+ * Collects the changes from a version that an entry holds to the one in force; undefined when they are no
+ * longer kept and the whole manifest must be sent.
+ *
+ * @example
+ * const changes = collectChanges(state, 7, digest);
+ */
+export const collectChanges = (
+  state: SiteState,
+  version: number,
+  digest: string,
+): SectionChange[] | undefined => {
+  const start = state.deltas.findIndex(({ baseVersion, baseDigest }) => (
+    baseVersion === version && baseDigest === digest));
+  return start < 0 ? undefined : state.deltas.slice(start).flatMap(({ changes }) => changes);
+};
--- /dev/null
+++ b/src/core/schedule/announcements.ts
@@ -0,0 +1,79 @@
+import type { Announcement } from '../../protocol/generated/beechlift';
+import { forgetPrefix } from './scheduleTables';
+import { updateIndex } from './workerIndex';
+import type { ScheduleStep, ScheduleTables, WorkerEntity } from './scheduleTypes';
+
+const makeWorker = (announcement: Announcement): WorkerEntity => ({
+  id: announcement.id,
+  incarnation: announcement.incarnation,
+  address: announcement.address,
+  zone: announcement.zone,
+  hardware: announcement.hardware,
+  targets: announcement.models,
+  slots: announcement.slots,
+  canResume: false,
+  leaving: false,
+  announcedAt: 0,
+  foreign: 0,
+  running: new Set(),
+  ended: [],
+  prefixes: new Map(),
+  slowness: 1,
+  pace: 'steady',
+});
+
+const addWorker = (tables: ScheduleTables, announcement: Announcement): WorkerEntity | undefined => {
+  const known = tables.workers.get(announcement.id);
+  if (known || tables.workers.size >= tables.config.limits.workersPerPool) return known;
+  const worker = makeWorker(announcement);
+  tables.workers.set(worker.id, worker);
+  // An owner that took over may have heard of requests there before it heard of the worker.
+  tables.running.forEach(({ workerId, requestId }) => {
+    if (workerId === worker.id) worker.running.add(requestId);
+  });
+  return worker;
+};
+
+/** Dispatch and reading are milliseconds apart; a request this near to a reading may or may not be in it. */
+const READING_SLACK_MS = 250;
+
+/** How long an ended request may still stand in a reported load. */
+const ENDED_KEPT_MS = 10_000;
+
+/*
+ * Guards against taking our own requests for somebody else's load, which is reported with a lag: what held a
+ * slot here at the time of the reading, ended since or not, is ours. Only what is beyond that is foreign.
+ */
+const countForeign = (
+  { tables, now }: ScheduleStep,
+  worker: WorkerEntity,
+  announcement: Announcement,
+): number => {
+  const readAt = now - announcement.loadAgeMs;
+  const running = [...worker.running]
+    .filter((id) => (tables.running.get(id)?.grantedAt ?? 0) <= readAt + READING_SLACK_MS);
+  const ended = worker.ended
+    .filter(({ grantedAt }) => grantedAt <= readAt + READING_SLACK_MS)
+    .filter(({ endedAt }) => endedAt >= readAt - READING_SLACK_MS);
+  return Math.max(0, announcement.running - running.length - ended.length);
+};
+
+/** Takes in what a backend server says of itself. */
+export const handleAnnouncement = (step: ScheduleStep, announcement: Announcement): void => {
+  const { tables, now } = step;
+  const worker = addWorker(tables, announcement);
+  if (!worker) return;
+  worker.incarnation = announcement.incarnation;
+  worker.address = announcement.address;
+  worker.zone = announcement.zone;
+  worker.hardware = announcement.hardware;
+  worker.targets = announcement.models;
+  worker.slots = announcement.slots;
+  worker.canResume = announcement.abilities.includes('resume');
+  worker.leaving = announcement.state === 'leaving';
+  worker.announcedAt = now;
+  worker.ended = worker.ended.filter(({ endedAt }) => now - endedAt < ENDED_KEPT_MS);
+  worker.foreign = countForeign(step, worker, announcement);
+  announcement.evictedPrefixes.forEach((prefix) => forgetPrefix(tables, worker, prefix));
+  updateIndex(tables.index, worker);
+};
--- /dev/null
+++ b/src/core/schedule/chooseWorker.ts
@@ -0,0 +1,105 @@
+import { estimateFirstTokenMs, estimateTotalMs } from './speedModel';
+import { hasFreeSlot, listCandidates } from './workerIndex';
+import type {
+  PolicyName, ScheduleTables, WaitingEntity, WorkerEntity,
+} from './scheduleTypes';
+
+/** A worker for a request, and what is expected of it. */
+export type Choice = {
+  readonly worker: WorkerEntity;
+  /** Prompt tokens that are probably not in the worker's cache. */
+  readonly freshTokens: number;
+};
+
+type Chooser = (tables: ScheduleTables, waiting: WaitingEntity) => Choice | undefined;
+
+/** Prompt tokens behind each prefix hash, in the order in which entries send them. */
+export const PREFIX_TOKENS: readonly number[] = [64, 256, 1_024, 4_096];
+
+const findCachedTokens = (worker: WorkerEntity, prefixes: readonly string[]): number => {
+  const position = prefixes.findLastIndex((prefix) => worker.prefixes.has(prefix));
+  return position < 0 ? 0 : PREFIX_TOKENS[position] ?? 0;
+};
+
+const makeChoice = (
+  tables: ScheduleTables,
+  waiting: WaitingEntity,
+  worker: WorkerEntity,
+): Choice => {
+  const prompt = waiting.ask.promptTokens;
+  const cached = tables.policy.affinity ? findCachedTokens(worker, waiting.ask.prefixes) : 0;
+  return { worker, freshTokens: Math.max(0, prompt - cached) };
+};
+
+const scoreChoice = (tables: ScheduleTables, waiting: WaitingEntity, choice: Choice): number => {
+  const { worker, freshTokens } = choice;
+  tables.comparisons += 1;
+  const batch = worker.running.size + 1;
+  const hardware = tables.policy.speeds ? worker.hardware : '';
+  const expected = estimateTotalMs(tables.speeds, hardware, batch, freshTokens, waiting.outputTokens);
+  return expected * (tables.policy.stragglers ? worker.slowness : 1);
+};
+
+const listPrefixHolders = (tables: ScheduleTables, waiting: WaitingEntity): string[] => {
+  const prefix = waiting.ask.prefixes.findLast((item) => tables.prefixWorkers.has(item));
+  const holders = prefix === undefined ? undefined : tables.prefixWorkers.get(prefix);
+  return [...(holders ?? [])].slice(0, MAX_PREFIX_CANDIDATES);
+};
+
+const MAX_PREFIX_CANDIDATES = 8;
+
+const servesTarget = (worker: WorkerEntity, target: string): boolean => worker.targets.includes(target);
+
+/** The worker that is expected to finish the request first, among kinds of free workers and prefix holders. */
+const chooseExpectedFirst: Chooser = (tables, waiting) => {
+  const { target } = waiting.ask;
+  const holders = tables.policy.affinity ? listPrefixHolders(tables, waiting) : [];
+  const free = holders.filter((id) => hasFreeSlot(tables.index, id));
+  const ids = [...new Set([...listCandidates(tables.index, target), ...free])];
+  const [best] = ids
+    .flatMap((id) => tables.workers.get(id) ?? [])
+    .filter((worker) => servesTarget(worker, target))
+    .map((worker) => makeChoice(tables, waiting, worker))
+    .map((choice) => ({ choice, score: scoreChoice(tables, waiting, choice) }))
+    .sort((a, b) => a.score - b.score);
+  return best?.choice;
+};
+
+const listServing = (tables: ScheduleTables, target: string): WorkerEntity[] => (
+  [...tables.workers.values()].filter((worker) => !worker.leaving && servesTarget(worker, target))
+);
+
+const chooseNextInTurn: Chooser = (tables, waiting) => {
+  const serving = listServing(tables, waiting.ask.target);
+  tables.turn += 1;
+  const worker = serving[tables.turn % Math.max(1, serving.length)];
+  return worker && makeChoice(tables, waiting, worker);
+};
+
+const chooseLeastOutstanding: Chooser = (tables, waiting) => {
+  const [worker] = listServing(tables, waiting.ask.target)
+    .sort((a, b) => a.running.size - b.running.size);
+  return worker && makeChoice(tables, waiting, worker);
+};
+
+const choosers: Record<PolicyName, Chooser> = {
+  owner: chooseExpectedFirst,
+  roundRobin: chooseNextInTurn,
+  leastOutstanding: chooseLeastOutstanding,
+};
+
+/**
+ * Chooses a worker for a request, or none when no slot is free.
+ *
+ * @example
+ * const choice = chooseWorker(tables, waiting);
+ */
+export const chooseWorker = (
+  tables: ScheduleTables,
+  waiting: WaitingEntity,
+): Choice | undefined => choosers[tables.policy.name](tables, waiting);
+
+/** Expected time to the first token on a choice, in milliseconds. */
+export const estimateChoiceFirstTokenMs = (tables: ScheduleTables, choice: Choice): number => (
+  estimateFirstTokenMs(tables.speeds, choice.worker.hardware, choice.freshTokens)
+);
--- /dev/null
+++ b/src/core/schedule/fairQueue.ts
@@ -0,0 +1,90 @@
+import type { ScheduleTables, WaitingEntity } from './scheduleTypes';
+import { findAccountUse } from './accountUse';
+
+const findQueues = (tables: ScheduleTables, rank: number): Map<string, string[]> => {
+  const known = tables.queues.get(rank);
+  if (known) return known;
+  const queues = new Map<string, string[]>();
+  tables.queues.set(rank, queues);
+  return queues;
+};
+
+const readLeastVirtualTokens = (tables: ScheduleTables, queues: Map<string, string[]>): number => (
+  [...queues.keys()].reduce(
+    (least, account) => Math.min(least, findAccountUse(tables, account).virtualTokens),
+    Infinity,
+  )
+);
+
+/*
+ * Guards against an account that was idle and then claims all the service it did not use: it joins at the
+ * level of the account that has had the least among those that wait.
+ */
+const levelNewcomer = (
+  tables: ScheduleTables,
+  queues: Map<string, string[]>,
+  account: string,
+): void => {
+  const least = readLeastVirtualTokens(tables, queues);
+  const use = findAccountUse(tables, account);
+  if (least !== Infinity) use.virtualTokens = Math.max(use.virtualTokens, least);
+};
+
+/** Puts a request at the end of its account's queue. */
+export const addWaiting = (tables: ScheduleTables, waiting: WaitingEntity): void => {
+  const { account, requestId } = waiting.ask;
+  const queues = findQueues(tables, waiting.rank);
+  const queue = queues.get(account);
+  tables.waiting.set(requestId, waiting);
+  if (queue) {
+    queue.push(requestId);
+    return;
+  }
+  levelNewcomer(tables, queues, account);
+  queues.set(account, [requestId]);
+};
+
+/** Takes a request out of its queue, wherever it stands. */
+export const removeWaiting = (tables: ScheduleTables, requestId: string): WaitingEntity | undefined => {
+  const waiting = tables.waiting.get(requestId);
+  if (!waiting) return undefined;
+  tables.waiting.delete(requestId);
+  const queues = findQueues(tables, waiting.rank);
+  const queue = queues.get(waiting.ask.account) ?? [];
+  const position = queue.indexOf(requestId);
+  if (position >= 0) queue.splice(position, 1);
+  if (queue.length === 0) queues.delete(waiting.ask.account);
+  return waiting;
+};
+
+/**
+ * Lists the first waiting request of every account of a rank, least served account first.
+ *
+ * @example
+ * const [next] = listHeads(tables, 0);
+ */
+export const listHeads = (tables: ScheduleTables, rank: number): WaitingEntity[] => (
+  [...(tables.queues.get(rank) ?? [])]
+    .map(([account, [head]]) => ({
+      served: findAccountUse(tables, account).virtualTokens,
+      waiting: head === undefined ? undefined : tables.waiting.get(head),
+    }))
+    .sort((a, b) => a.served - b.served)
+    .flatMap(({ waiting }) => waiting ?? [])
+);
+
+/** Ranks that have requests waiting, highest tier first. */
+export const listWaitingRanks = (tables: ScheduleTables): number[] => (
+  [...tables.queues]
+    .filter(([, queues]) => queues.size > 0)
+    .map(([rank]) => rank)
+    .sort((a, b) => a - b)
+);
+
+/** Counts the requests that wait at a rank or a higher tier. */
+export const countAhead = (tables: ScheduleTables, rank: number): number => (
+  [...tables.queues]
+    .filter(([other]) => other <= rank)
+    .flatMap(([, queues]) => [...queues.values()])
+    .reduce((sum, queue) => sum + queue.length, 0)
+);
--- /dev/null
+++ b/src/core/schedule/grantSystem.ts
@@ -0,0 +1,98 @@
+import { chargeAccount } from './accountUse';
+import { chooseWorker, estimateChoiceFirstTokenMs } from './chooseWorker';
+import { listHeads, listWaitingRanks, removeWaiting } from './fairQueue';
+import { addRunning, notePrefixes } from './scheduleTables';
+import type { Choice } from './chooseWorker';
+import type { ScheduleStep, ScheduleTables, WaitingEntity } from './scheduleTypes';
+
+/** Milliseconds within which an entry must begin to dispatch what it was granted. */
+export const GRANT_MS = 2_000;
+
+const sumHeadroom = (tables: ScheduleTables, rank: number): number => Object.values(tables.config.tiers)
+  .filter((tier) => tier.rank < rank)
+  .reduce((sum, tier) => {
+    const bound = Math.floor(tier.headroom * tables.index.slots);
+    const runs = tables.runningByRank.get(tier.rank) ?? 0;
+    // Learnt need: as many as ran at once of late and one more, within the manifest's bound.
+    const need = Math.min(bound, Math.ceil(tables.peaks.get(tier.rank) ?? 0) + 1);
+    return sum + Math.max(0, need - runs);
+  }, 0);
+
+/**
+ * Computes how many slots a rank must leave free for higher tiers.
+ *
+ * @example
+ * computeHeadroom(tables, 2);
+ */
+export const computeHeadroom = (tables: ScheduleTables, rank: number): number => (
+  tables.policy.headroom ? sumHeadroom(tables, rank) : 0
+);
+
+const hasRoom = (tables: ScheduleTables, rank: number): boolean => {
+  if (tables.policy.name !== 'owner') return true;
+  const free = tables.index.slots - tables.index.used;
+  // One slot stays usable for every tier where nothing else runs: headroom never starves a pool.
+  return free > Math.min(computeHeadroom(tables, rank), Math.max(0, tables.index.slots - 1));
+};
+
+const grant = (step: ScheduleStep, waiting: WaitingEntity, choice: Choice): void => {
+  const { tables, now } = step;
+  const { ask } = waiting;
+  const { worker } = choice;
+  removeWaiting(tables, ask.requestId);
+  chargeAccount(tables, ask.account, waiting.cost);
+  addRunning(tables, {
+    requestId: ask.requestId,
+    entryId: ask.entryId,
+    workerId: worker.id,
+    rank: waiting.rank,
+    account: ask.account,
+    target: ask.target,
+    tier: ask.tier,
+    promptTokens: ask.promptTokens,
+    cost: waiting.cost,
+    grantedAt: now,
+    batch: worker.running.size + 1,
+    expectedFirstTokenMs: estimateChoiceFirstTokenMs(tables, choice),
+    started: false,
+    late: false,
+  });
+  notePrefixes(tables, worker, ask.prefixes, now);
+  step.effects.push({
+    kind: 'grant',
+    requestId: ask.requestId,
+    workerId: worker.id,
+    workerAddress: worker.address,
+    workerIncarnation: worker.incarnation,
+    canResume: worker.canResume,
+  });
+};
+
+const grantOne = (step: ScheduleStep, rank: number): boolean => {
+  const { tables } = step;
+  if (!hasRoom(tables, rank)) return false;
+  const refusedTargets = new Set<string>();
+  return listHeads(tables, rank).some((waiting) => {
+    // The free workers are the same for all requests of a target: one that found none speaks for all.
+    if (refusedTargets.has(waiting.ask.target)) return false;
+    const choice = chooseWorker(tables, waiting);
+    if (choice) grant(step, waiting, choice);
+    else refusedTargets.add(waiting.ask.target);
+    return choice !== undefined;
+  });
+};
+
+const grantRank = (step: ScheduleStep, rank: number): void => {
+  const most = step.tables.waiting.size;
+  Array.from({ length: most }).some(() => !grantOne(step, rank));
+};
+
+/**
+ * Grants free slots, highest tier first, and within a tier to the account that was served least.
+ *
+ * @example
+ * runGrantSystem(step);
+ */
+export const runGrantSystem = (step: ScheduleStep): void => {
+  listWaitingRanks(step.tables).forEach((rank) => grantRank(step, rank));
+};
--- /dev/null
+++ b/src/core/schedule/scheduleTypes.ts
@@ -0,0 +1,160 @@
+import type { Announcement, AskRequest, ReportRequest, RegisterRequest } from '../../protocol/generated/beechlift';
+import type { ResultCode } from '../../errors/resultCodes';
+import type { ClientAccount, Limits, Tier } from '../../manifest/manifest';
+import type { LengthModel } from './lengthModel';
+import type { SpeedTable } from './speedModel';
+import type { WorkerIndex } from './workerIndex';
+
+/** Whether a worker takes its full load, or only probes after it proved slow. */
+export type WorkerPace = 'steady' | 'eased';
+
+/** When a request that has ended held its slot, monotonic milliseconds. */
+export type EndedRequest = {
+  readonly grantedAt: number;
+  readonly endedAt: number;
+};
+
+/** A backend server of the pool, as its owner knows it. */
+export type WorkerEntity = {
+  readonly id: string;
+  incarnation: string;
+  address: string;
+  zone: string;
+  hardware: string;
+  targets: readonly string[];
+  slots: number;
+  canResume: boolean;
+  leaving: boolean;
+  announcedAt: number;
+  /** Requests running there that are not this system's, from its reported load. */
+  foreign: number;
+  /** Requests granted here and not yet reported as ended. */
+  readonly running: Set<string>;
+  /** Requests that ended of late: a reported load that lags may still count them. */
+  ended: EndedRequest[];
+  /** Prompt prefixes dispatched there, oldest first. */
+  readonly prefixes: Map<string, number>;
+  /** Observed time over expected time, smoothed; 1 is as expected. */
+  slowness: number;
+  pace: WorkerPace;
+};
+
+/** A request that waits for a slot. */
+export type WaitingEntity = {
+  readonly ask: AskRequest;
+  readonly rank: number;
+  readonly askedAt: number;
+  readonly deadlineAt: number;
+  /** Prompt tokens plus the output expected. */
+  readonly cost: number;
+  readonly outputTokens: number;
+};
+
+/** A request that holds a slot. */
+export type RunningEntity = {
+  readonly requestId: string;
+  readonly entryId: string;
+  readonly workerId: string;
+  readonly rank: number;
+  readonly account: string;
+  readonly target: string;
+  readonly tier: string;
+  readonly promptTokens: number;
+  readonly cost: number;
+  readonly grantedAt: number;
+  /** Requests on the worker when this one was granted, itself included. */
+  readonly batch: number;
+  readonly expectedFirstTokenMs: number;
+  started: boolean;
+  /** Set when the owner has already counted this request as late. */
+  late: boolean;
+};
+
+/** How requests are matched with workers. */
+export type PolicyName = 'owner' | 'roundRobin' | 'leastOutstanding';
+
+/** Parts of the policy that can be switched off to measure what they bring. */
+export type PolicySettings = {
+  readonly name: PolicyName;
+  readonly affinity: boolean;
+  readonly headroom: boolean;
+  readonly stragglers: boolean;
+  readonly speeds: boolean;
+};
+
+/** What the owner takes from the manifest. */
+export type ScheduleConfig = {
+  readonly tiers: Readonly<Record<string, Tier>>;
+  readonly accounts: Readonly<Record<string, ClientAccount>>;
+  readonly limits: Limits;
+};
+
+/** How much of a pool one account uses. */
+export type AccountUse = {
+  /** Requests waiting and running. */
+  requests: number;
+  /** Tokens served, divided by the account's weight: the fair queue serves the least first. */
+  virtualTokens: number;
+  /** Tokens that may still be used in this minute. */
+  tokensLeft: number;
+  refilledAt: number;
+};
+
+/** All that the owner of one pool knows. */
+export type ScheduleTables = {
+  readonly pool: string;
+  readonly policy: PolicySettings;
+  config: ScheduleConfig;
+  readonly workers: Map<string, WorkerEntity>;
+  readonly index: WorkerIndex;
+  readonly waiting: Map<string, WaitingEntity>;
+  /** Waiting request ids by rank and account, oldest first. */
+  readonly queues: Map<number, Map<string, string[]>>;
+  readonly running: Map<string, RunningEntity>;
+  readonly runningByRank: Map<number, number>;
+  readonly accounts: Map<string, AccountUse>;
+  readonly speeds: SpeedTable;
+  readonly lengths: LengthModel;
+  /** Most requests of a rank that ran at once of late; decays. */
+  readonly peaks: Map<number, number>;
+  /** Prefix to the workers it was dispatched to. */
+  readonly prefixWorkers: Map<string, Set<string>>;
+  /** Entries that must still tell what they run before this owner may shed. */
+  readonly unregistered: Set<string>;
+  /** Until then an earlier owner's grants may still start. */
+  settledAt: number;
+  /** Smoothed time that a request holds a slot, in milliseconds. */
+  meanServiceMs: number;
+  /** Turn counter of the round-robin baseline. */
+  turn: number;
+  /** Workers looked at while choosing, for the bench. */
+  comparisons: number;
+};
+
+/** What happens to a pool. */
+export type ScheduleEvent =
+  | { readonly kind: 'ask'; readonly ask: AskRequest }
+  | { readonly kind: 'report'; readonly report: ReportRequest }
+  | { readonly kind: 'register'; readonly register: RegisterRequest }
+  | { readonly kind: 'announce'; readonly announcement: Announcement }
+  | { readonly kind: 'configure'; readonly config: ScheduleConfig }
+  | { readonly kind: 'membersChanged'; readonly entryIds: readonly string[] }
+  | { readonly kind: 'tick' };
+
+/** What the owner decides. */
+export type ScheduleEffect =
+  | {
+    readonly kind: 'grant'; readonly requestId: string; readonly workerId: string;
+    readonly workerAddress: string; readonly workerIncarnation: string; readonly canResume: boolean;
+  }
+  | {
+    readonly kind: 'refuse'; readonly requestId: string; readonly code: ResultCode;
+    readonly message: string; readonly retryAfterMs: number;
+  };
+
+/** One step of the owner. */
+export type ScheduleStep = {
+  readonly tables: ScheduleTables;
+  readonly now: number;
+  readonly effects: ScheduleEffect[];
+};
--- /dev/null
+++ b/src/core/schedule/shedSystem.ts
@@ -0,0 +1,137 @@
+import { releaseAccountUse } from './accountUse';
+import { countAhead, removeWaiting } from './fairQueue';
+import { estimateTotalMs } from './speedModel';
+import type { ResultCode } from '../../errors/resultCodes';
+import type { ScheduleStep, ScheduleTables, WaitingEntity } from './scheduleTypes';
+
+const MIN_RETRY_MS = 200;
+const MAX_RETRY_MS = 30_000;
+/** Once no worker has been known for this long, waiting for one is given up. */
+const NO_WORKER_MS = 3_000;
+
+/**
+ * Estimates how long a request of a rank waits for its slot, from the measured backlog.
+ *
+ * @example
+ * const retryAfterMs = estimateWaitMs(tables, rank);
+ */
+export const estimateWaitMs = (tables: ScheduleTables, rank: number): number => {
+  const { slots, used } = tables.index;
+  const ahead = countAhead(tables, rank);
+  if (used + ahead < slots) return 0;
+  return ((ahead + 1) * tables.meanServiceMs) / Math.max(1, slots);
+};
+
+/** The time to come back that goes with a refusal, in milliseconds. */
+export const computeRetryMs = (tables: ScheduleTables, rank: number): number => (
+  Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, estimateWaitMs(tables, rank))))
+);
+
+const runsLower = (tables: ScheduleTables, rank: number): boolean => (
+  [...tables.runningByRank].some(([other, count]) => other > rank && count > 0)
+);
+
+const isLowestRank = (tables: ScheduleTables, rank: number): boolean => (
+  Object.values(tables.config.tiers).every((tier) => tier.rank <= rank)
+);
+
+/*
+ * Guards against tier inversion: a tier may be refused for want of capacity only while this owner knows that
+ * nothing lower holds a slot. An owner that took over knows it once every entry has told what it runs and the
+ * grants of the owner before it can no longer start. The lowest tier has nothing below it.
+ */
+export const canShed = (tables: ScheduleTables, rank: number, now: number): boolean => {
+  if (tables.policy.name !== 'owner' || isLowestRank(tables, rank)) return true;
+  const settled = tables.unregistered.size === 0 && now >= tables.settledAt;
+  return settled && !runsLower(tables, rank);
+};
+
+/** Gives a waiting request its final answer, at once. */
+export const refuseWaiting = (
+  step: ScheduleStep,
+  waiting: WaitingEntity,
+  code: ResultCode,
+  message: string,
+): void => {
+  const { tables } = step;
+  removeWaiting(tables, waiting.ask.requestId);
+  releaseAccountUse(tables, waiting.ask.account, waiting.cost);
+  step.effects.push({
+    kind: 'refuse',
+    requestId: waiting.ask.requestId,
+    code,
+    message,
+    retryAfterMs: computeRetryMs(tables, waiting.rank),
+  });
+};
+
+const findFastestMs = (tables: ScheduleTables, waiting: WaitingEntity): number => {
+  const times = [...tables.speeds.keys()].map((hardware) => (
+    estimateTotalMs(tables.speeds, hardware, 1, 0, waiting.outputTokens)));
+  return times.length === 0 ? 0 : Math.min(...times);
+};
+
+/** Whether the request could still be answered in time if it got its slot after the expected wait. */
+const canMeetDeadline = (
+  tables: ScheduleTables,
+  waiting: WaitingEntity,
+  waitMs: number,
+  now: number,
+): boolean => now + waitMs + findFastestMs(tables, waiting) <= waiting.deadlineAt;
+
+const shedLate = (step: ScheduleStep, waiting: WaitingEntity): void => {
+  const { tables, now } = step;
+  if (canMeetDeadline(tables, waiting, 0, now) || !canShed(tables, waiting.rank, now)) return;
+  refuseWaiting(step, waiting, 'noSlotInTime', `no slot in pool "${tables.pool}" for tier "${waiting.ask.tier}" before its deadline`);
+};
+
+const shedWithoutWorker = (step: ScheduleStep, waiting: WaitingEntity): void => {
+  const { tables, now } = step;
+  if (now - waiting.askedAt < NO_WORKER_MS || !tables.waiting.has(waiting.ask.requestId)) return;
+  const served = [...tables.workers.values()]
+    .some((worker) => !worker.leaving && worker.targets.includes(waiting.ask.target));
+  if (served || !canShed(tables, waiting.rank, now)) return;
+  refuseWaiting(step, waiting, 'noBackend', `no backend server of pool "${tables.pool}" carries "${waiting.ask.target}"`);
+};
+
+/** Orders what is shed first: lowest tier, then costliest in prefill, then newest. */
+const compareForShedding = (a: WaitingEntity, b: WaitingEntity): number => b.rank - a.rank
+  || b.ask.promptTokens - a.ask.promptTokens
+  || b.askedAt - a.askedAt;
+
+const shedOverflow = (step: ScheduleStep): void => {
+  const { tables, now } = step;
+  const excess = tables.waiting.size - tables.config.limits.queuePerPool;
+  if (excess <= 0) return;
+  [...tables.waiting.values()]
+    .sort(compareForShedding)
+    .slice(0, excess)
+    .filter((waiting) => canShed(tables, waiting.rank, now))
+    .forEach((waiting) => refuseWaiting(step, waiting, 'queueFull', `${tables.config.limits.queuePerPool} requests wait in pool "${tables.pool}"`));
+};
+
+/**
+ * Refuses what can no longer be answered in time or finds no room, where that breaks no tier's protection.
+ *
+ * @example
+ * runShedSystem(step);
+ */
+export const runShedSystem = (step: ScheduleStep): void => {
+  const waiting = [...step.tables.waiting.values()];
+  waiting.forEach((item) => shedLate(step, item));
+  waiting.forEach((item) => shedWithoutWorker(step, item));
+  shedOverflow(step);
+};
+
+/**
+ * Refuses a newcomer whose deadline the backlog does not allow, before any prefill is spent on it.
+ *
+ * @example
+ * if (!isHopeless(tables, waiting, now)) addWaiting(tables, waiting);
+ */
+export const isHopeless = (tables: ScheduleTables, waiting: WaitingEntity, now: number): boolean => (
+  tables.policy.name === 'owner'
+  && tables.index.slots > 0
+  && !canMeetDeadline(tables, waiting, estimateWaitMs(tables, waiting.rank), now)
+  && canShed(tables, waiting.rank, now)
+);
--- /dev/null
+++ b/src/core/schedule/workerSystems.ts
@@ -0,0 +1,86 @@
+import { trimAccounts } from './accountUse';
+import { forgetPrefix } from './scheduleTables';
+import { removeFromIndex, updateIndex } from './workerIndex';
+import type {
+  RunningEntity, ScheduleStep, ScheduleTables, WorkerEntity,
+} from './scheduleTypes';
+
+/** Silence after which a backend server counts as leaving, in milliseconds. */
+export const ANNOUNCEMENT_LEASE_MS = 3_000;
+
+const FORGET_WORKER_MS = 60_000;
+const EASE_ABOVE = 2.5;
+const STEADY_BELOW = 1.5;
+const SLOWNESS_SMOOTHING = 0.3;
+const LATE_FACTOR = 4;
+const LATE_SLACK_MS = 1_000;
+const MAX_SLOWNESS_SAMPLE = 10;
+const PEAK_HALF_LIFE_TICKS = 600;
+
+const silenceWorker = ({ tables, now }: ScheduleStep, worker: WorkerEntity): void => {
+  if (worker.leaving || now - worker.announcedAt < ANNOUNCEMENT_LEASE_MS) return;
+  worker.leaving = true;
+  updateIndex(tables.index, worker);
+};
+
+const forgetWorker = ({ tables, now }: ScheduleStep, worker: WorkerEntity): void => {
+  const gone = now - worker.announcedAt > FORGET_WORKER_MS && worker.running.size === 0;
+  if (!gone) return;
+  [...worker.prefixes.keys()].forEach((prefix) => forgetPrefix(tables, worker, prefix));
+  removeFromIndex(tables.index, worker.id);
+  tables.workers.delete(worker.id);
+};
+
+/** Backend servers that fell silent get no more work; those long gone are forgotten. */
+export const runExpirySystem = (step: ScheduleStep): void => {
+  const { tables } = step;
+  [...tables.workers.values()].forEach((worker) => {
+    silenceWorker(step, worker);
+    forgetWorker(step, worker);
+  });
+  trimAccounts(tables);
+};
+
+const setPace = (tables: ScheduleTables, worker: WorkerEntity): void => {
+  const { pace } = worker;
+  if (worker.slowness > EASE_ABOVE) worker.pace = 'eased';
+  if (worker.slowness < STEADY_BELOW) worker.pace = 'steady';
+  if (worker.pace !== pace) updateIndex(tables.index, worker);
+};
+
+/**
+ * Learns how a worker keeps to what is expected of its hardware type: far behind, it is eased out to
+ * probes; the probes bring it back.
+ *
+ * @param ratio observed time over expected time
+ * @example
+ * learnSlowness(tables, worker, 1.2);
+ */
+export const learnSlowness = (tables: ScheduleTables, worker: WorkerEntity, ratio: number): void => {
+  if (!tables.policy.stragglers) return;
+  const sample = Math.min(MAX_SLOWNESS_SAMPLE, Math.max(0.1, ratio));
+  worker.slowness += SLOWNESS_SMOOTHING * (sample - worker.slowness);
+  setPace(tables, worker);
+};
+
+const markLate = ({ tables, now }: ScheduleStep, running: RunningEntity): void => {
+  if (running.started || running.late) return;
+  const allowed = running.expectedFirstTokenMs * LATE_FACTOR + LATE_SLACK_MS;
+  if (now - running.grantedAt < allowed) return;
+  running.late = true;
+  const worker = tables.workers.get(running.workerId);
+  if (worker) learnSlowness(tables, worker, MAX_SLOWNESS_SAMPLE);
+};
+
+/** Finds workers that are late with their first tokens before they answer anything. */
+export const runStragglerSystem = (step: ScheduleStep): void => {
+  step.tables.running.forEach((running) => markLate(step, running));
+};
+
+/** Lets the learnt need for headroom fade. */
+export const runPeakSystem = ({ tables }: ScheduleStep): void => {
+  tables.peaks.forEach((peak, rank) => {
+    const runs = tables.runningByRank.get(rank) ?? 0;
+    tables.peaks.set(rank, Math.max(runs, peak * 0.5 ** (1 / PEAK_HALF_LIFE_TICKS)));
+  });
+};
--- /dev/null
+++ b/src/disk/logStore.ts
@@ -0,0 +1,81 @@
+import { join } from 'node:path';
+import type { LogEntry } from '../protocol/generated/beechlift';
+import type { HardState, Snapshot, StoredLog } from '../core/log/logTypes';
+import type { FileSystem } from './fileSystem';
+import { RecordFile } from './recordFile';
+
+type LogRecord =
+  | { readonly kind: 'state'; readonly hardState: HardState; readonly entries: readonly LogEntry[] }
+  | { readonly kind: 'snapshot'; readonly snapshot: Snapshot };
+
+/** One change of the log on its way to disk. */
+export type LogWrite = {
+  readonly hardState: HardState;
+  readonly entries: readonly LogEntry[];
+};
+
+type Fold = { hardState: HardState; snapshot: Snapshot; entries: LogEntry[] };
+
+const foldEntries = (fold: Fold, entries: readonly LogEntry[]): LogEntry[] => {
+  const [first] = entries;
+  if (!first) return fold.entries;
+  // Entries replace all that stood from their index on.
+  return [...fold.entries.filter(({ index }) => index < first.index), ...entries];
+};
+
+const foldRecord = (fold: Fold, record: LogRecord): Fold => {
+  if (record.kind === 'snapshot') {
+    const entries = fold.entries.filter(({ index }) => index > record.snapshot.index);
+    return { ...fold, snapshot: record.snapshot, entries };
+  }
+  return { ...fold, hardState: record.hardState, entries: foldEntries(fold, record.entries) };
+};
+
+/**
+ * Keeps a replica's log on disk.
+ *
+ * @example
+ * const store = new LogStore(nodeFileSystem, 'data');
+ * const stored = await store.load(makeEmptyLog(replicas));
+ */
+export class LogStore {
+  private readonly file: RecordFile;
+
+  constructor(files: FileSystem, folder: string) {
+    this.file = new RecordFile(files, join(folder, 'manifest.log'));
+  }
+
+  /** Bytes on disk. */
+  get size(): number {
+    return this.file.size;
+  }
+
+  /** Reads the log, or writes the empty one that a new site starts with. */
+  async load(empty: StoredLog): Promise<StoredLog> {
+    const records = await this.file.open() as LogRecord[];
+    if (records.length === 0) {
+      await this.replace(empty.snapshot, empty.hardState, empty.entries);
+      return empty;
+    }
+    return records.reduce(foldRecord, { ...empty, entries: [...empty.entries] });
+  }
+
+  /** Adds changes in order; resolves once they are synced. */
+  append(writes: readonly LogWrite[]): Promise<void> {
+    return this.file.append(writes.map((write): LogRecord => ({ kind: 'state', ...write })));
+  }
+
+  /** Puts a snapshot and what follows it in the place of all that was written. */
+  replace(snapshot: Snapshot, hardState: HardState, entries: readonly LogEntry[]): Promise<void> {
+    const records: LogRecord[] = [
+      { kind: 'snapshot', snapshot },
+      { kind: 'state', hardState, entries },
+    ];
+    return this.file.replace(() => records);
+  }
+
+  /** Closes the file. */
+  close(): Promise<void> {
+    return this.file.close();
+  }
+}
--- /dev/null
+++ b/src/disk/recordFile.ts
@@ -0,0 +1,162 @@
+import { crc32 } from 'node:zlib';
+import { dirname } from 'node:path';
+import { BeechliftError } from '../errors/beechliftError';
+import type { AppendFile, FileSystem } from './fileSystem';
+
+const CHECKSUM_DIGITS = 8;
+const NEWLINE = 0x0a;
+
+const formatRecord = (record: unknown): string => {
+  const text = JSON.stringify(record);
+  return `${crc32(text).toString(16).padStart(CHECKSUM_DIGITS, '0')} ${text}\n`;
+};
+
+const parseLine = (line: string): unknown => {
+  const text = line.slice(CHECKSUM_DIGITS + 1);
+  const sum = crc32(text).toString(16).padStart(CHECKSUM_DIGITS, '0');
+  return line.slice(0, CHECKSUM_DIGITS) === sum ? JSON.parse(text) as unknown : undefined;
+};
+
+/** What a file held: its records, and how many bytes of it are sound. */
+type ParsedFile = {
+  readonly records: unknown[];
+  readonly soundBytes: number;
+};
+
+const splitLines = (content: Buffer): string[] => {
+  const lines = content.toString().split('\n');
+  return lines.at(-1) === '' ? lines.slice(0, -1) : lines;
+};
+
+/*
+ * Guards against a torn write: a crash may leave the end of the last records missing or mixed up. Nothing
+ * there was answered yet, as answers wait for the sync, so it is cut off. A bad record with a sound one after
+ * it is no torn write but damage to what was answered, and is refused.
+ */
+const parseContent = (path: string, content: Buffer): ParsedFile => {
+  const lines = splitLines(content).map((line) => ({ line, record: parseLine(line) }));
+  const firstBad = lines.findIndex(({ record }) => record === undefined);
+  if (firstBad < 0) return { records: lines.map(({ record }) => record), soundBytes: content.length };
+  const soundAfter = lines.slice(firstBad).some(({ record }) => record !== undefined);
+  if (soundAfter) {
+    throw new BeechliftError('logCorrupt', `record ${firstBad + 1} of "${path}" does not match its checksum, and sound records follow it`);
+  }
+  const sound = lines.slice(0, firstBad);
+  return {
+    records: sound.map(({ record }) => record),
+    soundBytes: sound.reduce((sum, { line }) => sum + Buffer.byteLength(line) + 1, 0),
+  };
+};
+
+const toStorageError = (path: string, cause: unknown): BeechliftError => (
+  new BeechliftError('storageFailed', `cannot write "${path}": ${(cause as Error).message}`, { cause })
+);
+
+/**
+ * A file of checksummed records, one a line. Writers that come while a sync is under way share the next one.
+ *
+ * @example
+ * const file = new RecordFile(nodeFileSystem, 'data/log');
+ * const records = await file.open();
+ * await file.append([{ kind: 'entry' }]);
+ */
+export class RecordFile {
+  private file: AppendFile | undefined;
+
+  private pending: string[] = [];
+
+  private queue: Promise<void> = Promise.resolve();
+
+  private failure: BeechliftError | undefined;
+
+  private bytesWritten = 0;
+
+  constructor(private readonly files: FileSystem, private readonly path: string) {}
+
+  /** Bytes in the file. */
+  get size(): number {
+    return this.bytesWritten;
+  }
+
+  /** Reads what the file holds, cuts a torn end off, and opens it for appending. */
+  async open(): Promise<unknown[]> {
+    await this.files.makeFolder(dirname(this.path));
+    const content = await this.files.readFile(this.path) ?? Buffer.alloc(0);
+    const { records, soundBytes } = parseContent(this.path, content);
+    this.file = await this.files.openAppend(this.path);
+    if (soundBytes < content.length) {
+      await this.file.truncate(soundBytes);
+      await this.file.sync();
+    } else if (content.length > 0 && content.at(-1) !== NEWLINE) {
+      // The last record is whole but its line end was torn off.
+      await this.file.append(Buffer.from('\n'));
+      await this.file.sync();
+    }
+    await this.files.syncFolder(dirname(this.path));
+    this.bytesWritten = soundBytes;
+    return records;
+  }
+
+  /** Adds records; resolves once they are synced. */
+  append(records: readonly unknown[]): Promise<void> {
+    this.pending.push(...records.map(formatRecord));
+    return this.enqueue(() => this.flush());
+  }
+
+  /*
+   * Guards against a crash in the middle of a rewrite: the new content is whole and synced under another
+   * name before it takes the place of the old, and the folder is synced after. The records are listed when
+   * the rewrite begins, so that nothing which was appended in the meantime is left out.
+   */
+  replace(listRecords: () => readonly unknown[]): Promise<void> {
+    return this.enqueue(() => this.rewrite(Buffer.from(listRecords().map(formatRecord).join(''))));
+  }
+
+  /** Waits for what is being written and closes the file. */
+  async close(): Promise<void> {
+    await this.queue;
+    await this.file?.close();
+    this.file = undefined;
+  }
+
+  /*
+   * Guards against a write that failed for one caller and looks done to the next, whose records were in the
+   * same batch: after a failure nothing more is written and everyone hears of it.
+   */
+  private enqueue(task: () => Promise<void>): Promise<void> {
+    const result = this.queue.then(async () => {
+      if (this.failure) throw this.failure;
+      try {
+        await task();
+      } catch (cause) {
+        this.failure = toStorageError(this.path, cause);
+        throw this.failure;
+      }
+    });
+    this.queue = result.catch(() => undefined);
+    return result;
+  }
+
+  private async flush(): Promise<void> {
+    if (this.pending.length === 0) return;
+    const bytes = Buffer.from(this.pending.join(''));
+    this.pending = [];
+    if (!this.file) throw new Error('the file is not open');
+    await this.file.append(bytes);
+    await this.file.sync();
+    this.bytesWritten += bytes.length;
+  }
+
+  private async rewrite(bytes: Buffer): Promise<void> {
+    const fresh = `${this.path}.new`;
+    await this.files.remove(fresh);
+    const file = await this.files.openAppend(fresh);
+    await file.append(bytes);
+    await file.sync();
+    await this.files.rename(fresh, this.path);
+    await this.files.syncFolder(dirname(this.path));
+    await this.file?.close();
+    this.file = file;
+    this.bytesWritten = bytes.length;
+  }
+}
--- /dev/null
+++ b/src/entry/answerRelay.ts
@@ -0,0 +1,109 @@
+import { BeechliftError } from '../errors/beechliftError';
+import type { Operation } from '../utils/operation';
+import { EngineFailure, EngineRefusal } from './engineClient';
+import type { EngineClient, EngineEvent } from './engineClient';
+import { StreamUnknown } from './streamUnknown';
+
+/** A stream that was dispatched, and where it can be taken up again. */
+export type DispatchedStream = {
+  readonly address: string;
+  readonly streamId: string;
+  readonly canResume: boolean;
+  readonly headers: Readonly<Record<string, string>>;
+};
+
+const SILENCE_MS = 5_000;
+const RESUME_PAUSE_MS = 100;
+const MAX_RESUMES = 20;
+
+/** Milliseconds without a byte after which a connection to an engine is given up. */
+export const ENGINE_SILENCE_MS = SILENCE_MS;
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms); });
+
+/**
+ * Passes the events of one stream on, whole and in order, over as many connections as it takes.
+ *
+ * Guards against chunks that come late, doubled or out of order: an event is passed on only when its offset
+ * is the next one; what was seen already is dropped; a gap is a failed connection, and the stream is taken up
+ * again at the offset that is missing.
+ *
+ * @example
+ * const relay = new AnswerRelay(engines, stream, operation);
+ * await relay.run(events, async (event) => { reply.write(event.data); });
+ */
+export class AnswerRelay {
+  /** Events passed on so far. */
+  offset = 0;
+
+  /** Times the stream was taken up again. */
+  resumes = 0;
+
+  constructor(
+    private readonly engines: EngineClient,
+    private readonly stream: DispatchedStream,
+    private readonly operation: Operation,
+  ) {}
+
+  /** Relays from the first connection on; ends after the last event. */
+  async run(
+    first: AsyncGenerator<EngineEvent> | undefined,
+    deliver: (event: EngineEvent) => Promise<void>,
+  ): Promise<void> {
+    try {
+      const events = first ?? await this.resume();
+      await this.deliverAll(events, deliver);
+    } catch (error) {
+      await this.recover(error, deliver);
+    }
+  }
+
+  private async deliverAll(
+    events: AsyncGenerator<EngineEvent>,
+    deliver: (event: EngineEvent) => Promise<void>,
+  ): Promise<void> {
+    // eslint-disable-next-line no-restricted-syntax -- a stream is read in order
+    for await (const event of events) {
+      if (event.offset > this.offset) {
+        throw new EngineFailure('maybeSent', `event ${event.offset} came where ${this.offset} was due`);
+      }
+      if (event.offset === this.offset) {
+        this.offset += 1;
+        await deliver(event);
+      }
+    }
+  }
+
+  private async recover(
+    error: unknown,
+    deliver: (event: EngineEvent) => Promise<void>,
+  ): Promise<void> {
+    const { operation, stream } = this;
+    if (!(error instanceof EngineFailure)) throw error;
+    operation.note(`stream ${stream.streamId} broke at event ${this.offset}: ${error.message}`);
+    const canGoOn = stream.canResume && this.resumes < MAX_RESUMES
+      && operation.remainingMs > 0 && !operation.signal.aborted;
+    if (!canGoOn) {
+      throw new BeechliftError('backendFailed', `the stream from ${stream.address} broke and could not be resumed`, {
+        run: this.offset > 0 ? 'ran' : 'unknown', steps: operation.steps, cause: error,
+      });
+    }
+    this.resumes += 1;
+    await pause(RESUME_PAUSE_MS * Math.min(this.resumes, 10));
+    await this.run(undefined, deliver);
+  }
+
+  private async resume(): Promise<AsyncGenerator<EngineEvent>> {
+    const { address, streamId, headers } = this.stream;
+    try {
+      return await this.engines.resume({
+        address, streamId, headers, fromOffset: this.offset, signal: this.operation.signal,
+      }, SILENCE_MS);
+    } catch (error) {
+      if (error instanceof EngineRefusal) {
+        throw new StreamUnknown(streamId, this.offset, error.status);
+      }
+      throw error;
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/answerSink.ts
@@ -0,0 +1,59 @@
+/** Where an answer goes, event by event. */
+export type AnswerSink = {
+  /** Takes one event; resolves when the caller can take the next. */
+  readonly deliver: (data: string) => Promise<void>;
+  /** The answer is whole. */
+  readonly end: () => Promise<void>;
+};
+
+type Choice = {
+  readonly delta?: { readonly content?: string };
+  readonly text?: string;
+  readonly finish_reason?: string | null;
+};
+
+type Chunk = {
+  readonly id?: string;
+  readonly created?: number;
+  readonly model?: string;
+  readonly choices?: readonly Choice[];
+  readonly usage?: unknown;
+};
+
+const joinText = (chunks: readonly Chunk[]): string => chunks
+  .map(({ choices }) => choices?.[0]?.delta?.content ?? choices?.[0]?.text ?? '')
+  .join('');
+
+const findFinishReason = (chunks: readonly Chunk[]): string => (
+  chunks.findLast(({ choices }) => choices?.[0]?.finish_reason)?.choices?.[0]?.finish_reason ?? 'stop'
+);
+
+const buildMessage = (isChat: boolean, text: string, finishReason: string): object => (isChat
+  ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: finishReason }
+  : { index: 0, text, finish_reason: finishReason });
+
+/**
+ * Folds the events of a stream into one completion, for callers that did not ask for a stream.
+ *
+ * @example
+ * const completion = foldEvents(events, true);
+ */
+export const foldEvents = (events: readonly string[], isChat: boolean): object => {
+  const chunks = events.map((data) => JSON.parse(data) as Chunk);
+  const [first] = chunks;
+  const usage = chunks.findLast((chunk) => chunk.usage)?.usage;
+  return {
+    id: first?.id ?? '',
+    object: isChat ? 'chat.completion' : 'text_completion',
+    created: first?.created ?? 0,
+    model: first?.model ?? '',
+    choices: [buildMessage(isChat, joinText(chunks), findFinishReason(chunks))],
+    ...(usage ? { usage } : {}),
+  };
+};
+
+/** Whether an event carries generated text; the last ones of a stream may carry none. */
+export const hasToken = (data: string): boolean => {
+  const { choices } = JSON.parse(data) as Chunk;
+  return Boolean(choices?.[0]?.delta?.content ?? choices?.[0]?.text);
+};
--- /dev/null
+++ b/src/entry/callerRequest.ts
@@ -0,0 +1,255 @@
+import { createHash } from 'node:crypto';
+import { PREFIX_TOKENS } from '../core/schedule/chooseWorker';
+import type { ClientAccount, Manifest, Service } from '../manifest/manifest';
+import { BeechliftError } from '../errors/beechliftError';
+
+/** Headers that callers may send beside the usual ones. */
+export const CALLER_HEADERS = {
+  idempotencyKey: 'idempotency-key',
+  tier: 'beechlift-tier',
+  deadline: 'beechlift-deadline-ms',
+  nonIdempotent: 'beechlift-non-idempotent',
+  zone: 'beechlift-zone',
+} as const;
+
+/** A request that was checked and may be scheduled. */
+export type CallerRequest = {
+  readonly id: string;
+  readonly account: string;
+  readonly tier: string;
+  readonly pool: string;
+  /** Model or service. */
+  readonly target: string;
+  readonly path: string;
+  readonly body: string;
+  readonly bodyHash: string;
+  readonly stream: boolean;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly prefixes: readonly string[];
+  readonly deadlineMs: number;
+  readonly idempotencyKey: string;
+  readonly isIdempotent: boolean;
+};
+
+/** A client account with its name. */
+export type KnownAccount = {
+  readonly name: string;
+  readonly account: ClientAccount;
+};
+
+/** Headers as the HTTP server gives them. */
+export type CallerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+type CompletionBody = {
+  readonly model?: unknown;
+  readonly stream?: unknown;
+  readonly max_tokens?: unknown;
+  readonly messages?: unknown;
+  readonly prompt?: unknown;
+};
+
+const CHARACTERS_PER_TOKEN = 4;
+const MAX_KEY_LENGTH = 255;
+const DEADLINE_PATTERN = /^\d{1,8}$/;
+
+const readHeader = (headers: CallerHeaders, name: string): string => {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] ?? '' : value ?? '';
+};
+
+/** Tokens that a text has, about. */
+export const estimateTokens = (text: string): number => Math.ceil(text.length / CHARACTERS_PER_TOKEN);
+
+const hashText = (text: string): string => createHash('sha1').update(text).digest('base64url');
+
+const listPrefixes = (target: string, prompt: string): string[] => PREFIX_TOKENS
+  .map((tokens) => tokens * CHARACTERS_PER_TOKEN)
+  .filter((length) => prompt.length >= length)
+  .map((length) => hashText(`${target}\n${prompt.slice(0, length)}`));
+
+const readMessages = (messages: unknown): string => {
+  if (!Array.isArray(messages) || messages.length === 0) {
+    throw new BeechliftError('invalidRequest', `/messages: expected a list with at least one message, got ${JSON.stringify(messages)?.slice(0, 60) ?? 'nothing'}`);
+  }
+  return messages
+    .map((message: { role?: unknown; content?: unknown } | null) => `${String(message?.role)}\n${typeof message?.content === 'string' ? message.content : JSON.stringify(message?.content) ?? ''}`)
+    .join('\n');
+};
+
+const readPrompt = (prompt: unknown): string => {
+  if (typeof prompt !== 'string') {
+    throw new BeechliftError('invalidRequest', `/prompt: expected a text, got ${JSON.stringify(prompt)?.slice(0, 60) ?? 'nothing'}`);
+  }
+  return prompt;
+};
+
+const promptReaders: Readonly<Record<string, (body: CompletionBody) => string>> = {
+  '/v1/chat/completions': ({ messages }) => readMessages(messages),
+  '/v1/completions': ({ prompt }) => readPrompt(prompt),
+};
+
+/** Paths under which models answer. */
+export const COMPLETION_PATHS: readonly string[] = Object.keys(promptReaders);
+
+const parseBody = (text: string): CompletionBody => {
+  let body: unknown;
+  try {
+    body = JSON.parse(text);
+  } catch (cause) {
+    throw new BeechliftError('malformedJson', `the body is no JSON: ${(cause as Error).message}`);
+  }
+  if (typeof body !== 'object' || body === null || Array.isArray(body)) {
+    throw new BeechliftError('invalidRequest', '/: expected an object');
+  }
+  return body;
+};
+
+/**
+ * Chooses the tier: the one that is asked for, or the first that the account holds.
+ *
+ * @example
+ * const tier = pickTier(manifest, known, request.headers);
+ */
+export const pickTier = (known: KnownAccount, headers: CallerHeaders): string => {
+  const asked = readHeader(headers, CALLER_HEADERS.tier);
+  const { tiers } = known.account;
+  if (asked === '') return tiers[0] ?? '';
+  if (tiers.includes(asked)) return asked;
+  throw new BeechliftError('tierNotGranted', `account "${known.name}" holds ${tiers.map((tier) => `"${tier}"`).join(', ')}, not "${asked.slice(0, 64)}"`);
+};
+
+const readDeadline = (headers: CallerHeaders, longest: number): number => {
+  const text = readHeader(headers, CALLER_HEADERS.deadline);
+  if (text === '') return longest;
+  if (!DEADLINE_PATTERN.test(text) || Number(text) === 0) {
+    throw new BeechliftError('invalidRequest', `${CALLER_HEADERS.deadline}: expected milliseconds from 1 to 99999999, got "${text.slice(0, 60)}"`);
+  }
+  return Math.min(longest, Number(text));
+};
+
+type Identity = Pick<CallerRequest, 'idempotencyKey' | 'isIdempotent'>;
+
+const readIdentity = (headers: CallerHeaders, isRepeatable: boolean): Identity => {
+  const idempotencyKey = readHeader(headers, CALLER_HEADERS.idempotencyKey);
+  const marked = readHeader(headers, CALLER_HEADERS.nonIdempotent).toLowerCase() === 'true';
+  const isIdempotent = isRepeatable && !marked;
+  if (idempotencyKey.length > MAX_KEY_LENGTH) {
+    throw new BeechliftError('invalidRequest', `Idempotency-Key: expected at most ${MAX_KEY_LENGTH} characters, got ${idempotencyKey.length}`);
+  }
+  if (!isIdempotent && idempotencyKey === '') {
+    throw new BeechliftError('keyRequired', 'this request may not run twice, so it needs an Idempotency-Key');
+  }
+  return { idempotencyKey, isIdempotent };
+};
+
+const findPool = (manifest: Manifest, kind: 'models' | 'services', target: string): string | undefined => (
+  Object.entries(manifest.pools)
+    .find(([, pool]) => pool.role === 'worker' && pool[kind].includes(target))?.[0]
+);
+
+const readMaxTokens = (value: unknown): number => {
+  if (value === undefined || value === null) return 0;
+  if (Number.isInteger(value) && Number(value) > 0) return Number(value);
+  throw new BeechliftError('invalidRequest', `/max_tokens: expected a whole number above 0, got ${JSON.stringify(value).slice(0, 60)}`);
+};
+
+/** What a completion request is checked against. */
+export type CompletionInput = {
+  readonly id: string;
+  readonly path: string;
+  readonly text: string;
+  readonly headers: CallerHeaders;
+  readonly known: KnownAccount;
+  readonly manifest: Manifest;
+};
+
+/**
+ * Checks a completion request and works out what the scheduler needs of it.
+ *
+ * @example
+ * const request = readCompletionRequest({ id, path, text, headers, known, manifest });
+ */
+export const readCompletionRequest = (input: CompletionInput): CallerRequest => {
+  const {
+    id, path, text, headers, known, manifest,
+  } = input;
+  const body = parseBody(text);
+  const tier = pickTier(known, headers);
+  const target = typeof body.model === 'string' ? body.model : '';
+  const pool = findPool(manifest, 'models', target);
+  if (pool === undefined) throw new BeechliftError('unknownModel', `no pool carries model "${target.slice(0, 128)}" in manifest version ${manifest.version}`);
+  const prompt = promptReaders[path]?.(body) ?? '';
+  const promptTokens = estimateTokens(prompt);
+  const { contextTokens } = manifest.models[target] ?? { contextTokens: 0 };
+  if (promptTokens > contextTokens) {
+    throw new BeechliftError('bodyTooLarge', `the prompt has about ${promptTokens} tokens, model "${target}" takes ${contextTokens}`);
+  }
+  return {
+    id,
+    account: known.name,
+    tier,
+    pool,
+    target,
+    path,
+    body: text,
+    bodyHash: hashText(`${path}\n${text}`),
+    stream: body.stream === true,
+    promptTokens,
+    maxTokens: readMaxTokens(body.max_tokens),
+    prefixes: listPrefixes(target, prompt),
+    deadlineMs: readDeadline(headers, manifest.tiers[tier]?.totalMs ?? 0),
+    ...readIdentity(headers, true),
+  };
+};
+
+/** What a service call is checked against. */
+export type ServiceInput = {
+  readonly id: string;
+  readonly name: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: Buffer;
+  readonly headers: CallerHeaders;
+  readonly known: KnownAccount;
+  readonly manifest: Manifest;
+};
+
+const findService = ({ name, manifest }: ServiceInput): Service => {
+  const service = manifest.services[name];
+  if (service === undefined) throw new BeechliftError('unknownService', `manifest version ${manifest.version} has no service "${name.slice(0, 128)}"`);
+  return service;
+};
+
+/**
+ * Checks a call to a plain service.
+ *
+ * @example
+ * const request = readServiceRequest({ id, name: 'tags', method: 'GET', path, body, headers, known, manifest });
+ */
+export const readServiceRequest = (input: ServiceInput): CallerRequest => {
+  const {
+    id, name, method, path, body, headers, known, manifest,
+  } = input;
+  const service = findService(input);
+  const tier = pickTier(known, headers);
+  const pool = findPool(manifest, 'services', name);
+  if (pool === undefined) throw new BeechliftError('unknownService', `no pool carries service "${name.slice(0, 128)}"`);
+  const longest = Math.min(service.timeoutMs, manifest.tiers[tier]?.totalMs ?? service.timeoutMs);
+  return {
+    id,
+    account: known.name,
+    tier,
+    pool,
+    target: name,
+    path,
+    body: '',
+    bodyHash: createHash('sha1').update(`${method} ${path}\n`).update(body).digest('base64url'),
+    stream: false,
+    promptTokens: 1,
+    maxTokens: 1,
+    prefixes: [],
+    deadlineMs: readDeadline(headers, longest),
+    ...readIdentity(headers, service.repeatable.includes(method)),
+  };
+};
--- /dev/null
+++ b/src/entry/claimClient.ts
@@ -0,0 +1,139 @@
+import { ControlClient } from '../protocol/generated/beechlift';
+import type {
+  AcceptClaimRequest, Ballot, ClaimReply, ClaimValue, HolderSet, PrepareClaimRequest, Replica,
+} from '../protocol/generated/beechlift';
+import {
+  findBoundValue, findHolderGroups, judgeQuorum, listHolders, raiseBallot,
+} from '../core/claims/claimQuorum';
+import type { HolderGroups } from '../core/claims/claimQuorum';
+import { BeechliftError } from '../errors/beechliftError';
+import { resultCodes } from '../errors/resultCodes';
+import { Operation } from '../utils/operation';
+import type { LinkTable } from '../wire/linkTable';
+
+/** A claim that this entry has taken. */
+export type ClaimTicket = {
+  readonly key: string;
+  readonly ballot: Ballot;
+  /** What was agreed on before; a new dispatch is allowed only without it or when it was released. */
+  readonly bound: ClaimValue | undefined;
+};
+
+type Round = {
+  readonly replies: Map<string, ClaimReply>;
+  readonly won: boolean;
+};
+
+const ROUND_TIMEOUT_MS = 1_500;
+const MAX_ATTEMPTS = 6;
+
+const askRound = (
+  groups: HolderGroups,
+  ask: (holder: Replica) => Promise<ClaimReply>,
+): Promise<Round> => new Promise((resolve) => {
+  const replies = new Map<string, ClaimReply>();
+  const failed = new Set<string>();
+  const judge = () => {
+    const state = judgeQuorum(groups, replies, failed);
+    if (state !== 'open') resolve({ replies, won: state === 'won' });
+  };
+  const holders = listHolders(groups);
+  if (holders.length === 0) judge();
+  holders.forEach((holder) => {
+    ask(holder)
+      .then((reply) => { replies.set(holder.id, reply); })
+      .catch(() => { failed.add(holder.id); })
+      .finally(judge);
+  });
+});
+
+const wasOutbid = ({ replies }: Round): boolean => [...replies.values()]
+  .some(({ code }) => code === resultCodes.ballotTooLow.number);
+
+/**
+ * Takes claims at a majority of their holders.
+ *
+ * @example
+ * const ticket = await claims.prepare('kiosks\nroom-17', operation);
+ * await claims.accept(ticket, value, operation);
+ */
+export class ClaimClient {
+  private sequence = 0;
+
+  constructor(
+    private readonly proposer: string,
+    private readonly links: LinkTable<ControlClient>,
+    private readonly readHolders: () => HolderSet,
+  ) {}
+
+  /** Takes a claim over from whoever has it, and tells what was agreed on before. */
+  async prepare(key: string, operation: Operation): Promise<ClaimTicket> {
+    this.sequence += 1;
+    const proposer = `${this.proposer}:${this.sequence}`;
+    return this.tryPrepare(key, { round: 1, proposer }, operation, MAX_ATTEMPTS);
+  }
+
+  /**
+   * Writes what becomes of the request; fails when another entry has taken the claim over since, or no
+   * majority answers. After a failure nothing may be sent on the strength of this ticket.
+   */
+  async accept(ticket: ClaimTicket, value: ClaimValue, operation: Operation): Promise<void> {
+    const groups = findHolderGroups(this.readHolders(), ticket.key);
+    const round = await askRound(groups, (holder) => this.call<AcceptClaimRequest>(
+      holder,
+      'acceptClaim',
+      {
+        holderSet: groups.number, key: ticket.key, ballot: ticket.ballot, value,
+      },
+      operation,
+    ));
+    if (round.won) return;
+    operation.note(`claim: ${round.replies.size} holders answered to "${value.state}"`);
+    if (wasOutbid(round)) {
+      throw new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM', { steps: operation.steps });
+    }
+    throw new BeechliftError('claimUnavailable', 'no majority of claim holders agreed', { steps: operation.steps });
+  }
+
+  private async tryPrepare(
+    key: string,
+    ballot: Ballot,
+    operation: Operation,
+    attempts: number,
+  ): Promise<ClaimTicket> {
+    const groups = findHolderGroups(this.readHolders(), key);
+    const round = await askRound(groups, (holder) => this.call<PrepareClaimRequest>(
+      holder,
+      'prepareClaim',
+      { holderSet: groups.number, key, ballot },
+      operation,
+    ));
+    if (round.won) return { key, ballot, bound: findBoundValue(round.replies.values()) };
+    operation.note(`claim: ballot ${ballot.round} lost, ${round.replies.size} holders answered`);
+    if (attempts <= 1 || operation.remainingMs === 0) {
+      throw new BeechliftError('claimUnavailable', 'no majority of claim holders agreed', { steps: operation.steps });
+    }
+    const next = raiseBallot(ballot.proposer, round.replies.values(), ballot);
+    return this.tryPrepare(key, next, operation, attempts - 1);
+  }
+
+  private call<Request>(
+    holder: Replica,
+    method: 'prepareClaim' | 'acceptClaim',
+    request: Request,
+    operation: Operation,
+  ): Promise<ClaimReply> {
+    const timeoutMs = Math.min(ROUND_TIMEOUT_MS, operation.remainingMs);
+    return this.links.find(holder.address).call<Request, ClaimReply>(
+      (stub) => stub[method].bind(stub) as never,
+      request,
+      new Operation({ timeoutMs }),
+    );
+  }
+}
+
+/** Whether a claim leaves the way free for a dispatch. */
+export const isFree = ({ bound }: ClaimTicket): boolean => (
+  bound === undefined || bound.state === 'released'
+);
+
--- /dev/null
+++ b/src/entry/engineClient.ts
@@ -0,0 +1,244 @@
+import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage } from 'eventsource-parser';
+import { Agent, Client, errors, request } from 'undici';
+import type { Dispatcher } from 'undici';
+
+/** One event of an engine's stream: its place in the answer and its data. */
+export type EngineEvent = {
+  readonly offset: number;
+  readonly data: string;
+};
+
+/** How far a dispatch got when it failed. */
+export type DispatchReach = 'notSent' | 'maybeSent';
+
+/** A connection to an engine that failed. */
+export class EngineFailure extends Error {
+  constructor(readonly reach: DispatchReach, message: string, options?: ErrorOptions) {
+    super(message, options);
+    this.name = 'EngineFailure';
+  }
+}
+
+/** An engine that answered with an error status. */
+export class EngineRefusal extends Error {
+  constructor(readonly status: number, readonly body: string) {
+    super(`the engine answered with status ${status}`);
+    this.name = 'EngineRefusal';
+  }
+}
+
+/** What a cancel says of a stream. */
+export type CancelState = 'neverSeen' | 'cancelled' | 'finished' | 'unknown';
+
+/** Answer to a cancel. An engine that was started anew knows nothing of the streams before. */
+export type CancelReply = {
+  readonly state: CancelState;
+  readonly incarnation: string;
+};
+
+/** A dispatch to an engine. */
+export type EngineDispatch = {
+  readonly address: string;
+  readonly streamId: string;
+  readonly path: string;
+  readonly body: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly signal: AbortSignal;
+};
+
+/** Where a stream is taken up again. */
+export type EngineResume = Pick<EngineDispatch, 'address' | 'streamId' | 'signal' | 'headers'> & {
+  readonly fromOffset: number;
+};
+
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Idle connections are not reused after this long: what lies between may have lost track of them. */
+const IDLE_REUSE_MS = 1_000;
+const MAX_CONNECTIONS = 1_024;
+const SHORT_CALL_MS = 2_000;
+const MAX_ERROR_BYTES = 65_536;
+const DONE = '[DONE]';
+
+/** Errors before anything of the request was written. */
+const NOT_SENT_CODES: readonly string[] = [
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL',
+];
+
+const readCode = (error: unknown): string => String((error as { code?: unknown }).code ?? '');
+
+const toFailure = (error: unknown): EngineFailure => {
+  const reach = NOT_SENT_CODES.includes(readCode(error)) || error instanceof errors.ConnectTimeoutError
+    ? 'notSent'
+    : 'maybeSent';
+  return new EngineFailure(reach, (error as Error).message, { cause: error });
+};
+
+/** Reads at most so many bytes of an error's body. */
+const readBounded = async (body: Dispatcher.ResponseData['body']): Promise<string> => {
+  const text = await body.text();
+  return text.slice(0, MAX_ERROR_BYTES);
+};
+
+/** Queue between the parser, which pushes, and the relay, which pulls. */
+type ParsedChunk = {
+  readonly events: EngineEvent[];
+  readonly done: boolean;
+};
+
+const makeChunkParser = (fromOffset: number): ((text: string) => ParsedChunk) => {
+  let events: EngineEvent[] = [];
+  let done = false;
+  let next = fromOffset;
+  const parser = createParser({
+    onEvent: (event: EventSourceMessage) => {
+      if (event.data === DONE) {
+        done = true;
+        return;
+      }
+      const offset = event.id === undefined ? next : Number(event.id);
+      next = offset + 1;
+      events.push({ offset, data: event.data });
+    },
+  });
+  return (text) => {
+    events = [];
+    parser.feed(text);
+    return { events, done };
+  };
+};
+
+const readNext = async (
+  iterator: AsyncIterator<Buffer>,
+  silenceMs: number,
+): Promise<IteratorResult<Buffer>> => {
+  let timer: NodeJS.Timeout | undefined;
+  const silence = new Promise<never>((resolve, reject) => {
+    timer = setTimeout(() => reject(new EngineFailure('maybeSent', `no byte for ${silenceMs} ms`)), silenceMs);
+  });
+  try {
+    return await Promise.race([iterator.next(), silence]);
+  } finally {
+    clearTimeout(timer);
+  }
+};
+
+/**
+ * Speaks with engines: starts, resumes and cancels streams.
+ *
+ * @example
+ * const events = await engines.dispatch(dispatch, 5_000);
+ */
+export class EngineClient {
+  private readonly agent = new Agent({
+    connections: MAX_CONNECTIONS,
+    keepAliveTimeout: IDLE_REUSE_MS,
+    keepAliveMaxTimeout: IDLE_REUSE_MS,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 1,
+  });
+
+  /** Starts a stream; the events follow as the engine makes them. */
+  async dispatch(dispatch: EngineDispatch, silenceMs: number): Promise<AsyncGenerator<EngineEvent>> {
+    const {
+      address, path, body, headers, streamId, signal,
+    } = dispatch;
+    const response = await this.send(`http://${address}${path}`, {
+      method: 'POST',
+      body,
+      headers: { ...headers, 'content-type': 'application/json', 'beechlift-stream': streamId },
+      signal,
+      headersTimeout: silenceMs,
+      dispatcher: this.agent,
+    });
+    return this.readEvents(response, 0, silenceMs);
+  }
+
+  /** Takes a stream up again from an offset, over a fresh connection. */
+  async resume(resume: EngineResume, silenceMs: number): Promise<AsyncGenerator<EngineEvent>> {
+    const {
+      address, streamId, fromOffset, signal, headers,
+    } = resume;
+    const fresh = this.makeFreshClient(address);
+    try {
+      const response = await this.send(`http://${address}/v1/streams/${encodeURIComponent(streamId)}?from=${fromOffset}`, {
+        method: 'GET', headers, signal, headersTimeout: silenceMs, dispatcher: fresh,
+      });
+      return this.readEvents(response, fromOffset, silenceMs);
+    } finally {
+      // Closes once the stream that runs over it has ended.
+      fresh.close().catch(() => undefined);
+    }
+  }
+
+  /** Cancels a stream and bars its id; tells what the engine knew of it. */
+  async cancel(address: string, streamId: string): Promise<CancelReply> {
+    const fresh = this.makeFreshClient(address);
+    try {
+      const response = await request(`http://${address}/v1/streams/${encodeURIComponent(streamId)}`, {
+        method: 'DELETE', headersTimeout: SHORT_CALL_MS, bodyTimeout: SHORT_CALL_MS, dispatcher: fresh,
+      });
+      const { state, incarnation } = await response.body.json() as Partial<CancelReply>;
+      return { state: state ?? 'unknown', incarnation: incarnation ?? '' };
+    } catch {
+      return { state: 'unknown', incarnation: '' };
+    } finally {
+      fresh.close().catch(() => undefined);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- the pool of connections belongs here
+  private makeFreshClient(address: string): Client {
+    return new Client(`http://${address}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0,
+    });
+  }
+
+  private async send(
+    url: string,
+    options: NonNullable<Parameters<typeof request>[1]>,
+  ): Promise<Dispatcher.ResponseData> {
+    let response: Dispatcher.ResponseData;
+    try {
+      response = await request(url, options) as Dispatcher.ResponseData;
+    } catch (error) {
+      throw toFailure(error);
+    }
+    if (response.statusCode !== 200) {
+      throw new EngineRefusal(response.statusCode, await readBounded(response.body));
+    }
+    return response;
+  }
+
+  /* Guards against a connection that goes silent in mid-answer: the wait for the next byte is bounded. */
+  private async* readEvents(
+    response: Dispatcher.ResponseData,
+    fromOffset: number,
+    silenceMs: number,
+  ): AsyncGenerator<EngineEvent> {
+    const parse = makeChunkParser(fromOffset);
+    const decoder = new TextDecoder();
+    const iterator = response.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    try {
+      for (;;) {
+        // eslint-disable-next-line no-await-in-loop -- a stream is read in order
+        const { value, done } = await readNext(iterator, silenceMs);
+        if (done) throw new EngineFailure('maybeSent', 'the stream ended before its last event');
+        const chunk = parse(decoder.decode(value, { stream: true }));
+        yield* chunk.events;
+        if (chunk.done) return;
+      }
+    } catch (error) {
+      throw error instanceof EngineFailure ? error : toFailure(error);
+    } finally {
+      response.body.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/entryProcess.ts
@@ -0,0 +1,172 @@
+import { randomUUID } from 'node:crypto';
+import { DEFAULT_POLICY } from '../core/schedule/scheduleTables';
+import type { PolicySettings } from '../core/schedule/scheduleTypes';
+import { ControlClient, PeerClient, PeerService } from '../protocol/generated/beechlift';
+import type { Member } from '../protocol/generated/beechlift';
+import type { Manifest } from '../manifest/manifest';
+import type { EntrySettings } from '../settings/settings';
+import type { Logger } from '../telemetry/logger';
+import { Metrics } from '../telemetry/metrics';
+import { HopTracer } from '../telemetry/tracing';
+import { systemClock } from '../utils/clock';
+import { LinkTable } from '../wire/linkTable';
+import { RpcServer } from '../wire/rpcServer';
+import { ActiveTable } from './activeTable';
+import { CallerApi } from './callerApi';
+import { ClaimClient } from './claimClient';
+import { Configuration } from './configuration';
+import { EngineClient } from './engineClient';
+import { Heartbeat } from './heartbeat';
+import { ModelRunner } from './modelRunner';
+import { makePeerService } from './peerService';
+import { RetryBudget } from './retryBudget';
+import { Scheduler } from './scheduler';
+import { ServiceRunner } from './serviceRunner';
+import { SlotKeeper } from './slotKeeper';
+
+const TICK_MS = 50;
+const REGISTER_MS = 2_000;
+const DRAIN_POLL_MS = 50;
+
+/** State of an entry as the view shows it. */
+export type MemberState = 'active' | 'leaving' | 'gone';
+
+/** An entry process that runs. */
+export type RunningEntry = {
+  readonly api: CallerApi;
+  readonly configuration: Configuration;
+  readonly scheduler: Scheduler;
+  readonly peerAddress: string;
+  /** Sets the address under which callers reach this entry, once its HTTP server listens. */
+  readonly setCallerAddress: (address: string) => void;
+  /** Leaves the view, waits until callers have stopped coming and all answers are whole. */
+  readonly drain: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+};
+
+/** What an entry process needs from outside. */
+export type EntryParts = {
+  readonly settings: EntrySettings;
+  readonly logger: Logger;
+  readonly policy?: PolicySettings;
+};
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms); });
+
+const requireManifest = (configuration: Configuration): Manifest => {
+  if (!configuration.manifest) throw new Error('no manifest is in force yet');
+  return configuration.manifest;
+};
+
+/**
+ * Starts an entry: its links, its scheduler and its heartbeat. The HTTP server is put before it by the wiring.
+ *
+ * @example
+ * const entry = await startEntry({ settings, logger });
+ */
+export const startEntry = async ({ settings, logger, policy }: EntryParts): Promise<RunningEntry> => {
+  const clock = systemClock;
+  const incarnation = randomUUID();
+  const tracer = new HopTracer(`entry/${settings.id}`, settings.traceFile);
+  const metrics = new Metrics();
+  const configuration = new Configuration(clock);
+  const active = new ActiveTable();
+  const budget = new RetryBudget();
+  const engines = new EngineClient();
+  const peers = new LinkTable(PeerClient);
+  const control = new LinkTable(ControlClient);
+  let { callerAddress, peerAddress } = settings;
+  let state: MemberState = 'active';
+  const readMember = (): Member => ({
+    id: settings.id, incarnation, peerAddress, callerAddress, zone: settings.zone, state,
+  });
+  const scheduler = new Scheduler({
+    id: settings.id, configuration, peers, clock, listRunning: () => active.listRunning(), policy: policy ?? DEFAULT_POLICY,
+  });
+  const claims = new ClaimClient(`${settings.id}:${incarnation}`, control, () => configuration.holders);
+  const slots = new SlotKeeper(
+    settings.id,
+    settings.zone,
+    scheduler,
+    active,
+    tracer,
+    () => configuration.viewNumber,
+  );
+  const shared = {
+    slots,
+    tracer,
+    clock,
+    metrics,
+    readManifest: () => requireManifest(configuration),
+    isServing: () => configuration.isServing,
+  };
+  const models = new ModelRunner({ ...shared, engines, budget });
+  const services = new ServiceRunner(shared);
+  const api = new CallerApi({
+    id: settings.id,
+    zone: settings.zone,
+    configuration,
+    scheduler,
+    claims,
+    models,
+    services,
+    active,
+    budget,
+    metrics,
+    tracer,
+    logger,
+    clock,
+    isLeaving: () => state !== 'active',
+  });
+  const heartbeat = new Heartbeat({
+    configuration,
+    controlAddresses: settings.control.map(({ address }) => address),
+    control,
+    peers,
+    readMember,
+    clock,
+  });
+  const server = new RpcServer();
+  server.add(PeerService, makePeerService(scheduler, configuration, tracer));
+  peerAddress = await server.listen(settings.peerAddress);
+  const timers = [
+    setInterval(() => { heartbeat.beat().catch(() => undefined); }, settings.heartbeatMs),
+    setInterval(() => scheduler.tick(), TICK_MS),
+    setInterval(() => { scheduler.register().catch(() => undefined); }, REGISTER_MS),
+  ];
+  const waitUntilIdle = async (deadline: number): Promise<void> => {
+    if (active.size === 0 || clock.now() > deadline) return;
+    await pause(DRAIN_POLL_MS);
+    await waitUntilIdle(deadline);
+  };
+  /*
+   * Guards callers against being cut off: locate stops naming this entry first; callers that still hold an
+   * older answer are served until that answer has run out; then what is open is finished.
+   */
+  const drain = async (): Promise<void> => {
+    state = 'leaving';
+    await heartbeat.beat();
+    await pause(configuration.manifest?.limits.locateMs ?? 0);
+    await waitUntilIdle(clock.now() + settings.drainMs);
+    state = 'gone';
+    await heartbeat.beat();
+  };
+  await heartbeat.beat();
+  logger.info('entry serves', { peerAddress });
+  return {
+    api,
+    configuration,
+    scheduler,
+    peerAddress,
+    setCallerAddress: (address) => { callerAddress = address; },
+    drain,
+    stop: async () => {
+      timers.forEach((timer) => clearInterval(timer));
+      server.close();
+      peers.close();
+      control.close();
+      await engines.close();
+      await tracer.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/entry/modelRunner.ts
@@ -0,0 +1,330 @@
+import { randomUUID } from 'node:crypto';
+import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import type { Manifest } from '../manifest/manifest';
+import type { Metrics } from '../telemetry/metrics';
+import type { HopTracer } from '../telemetry/tracing';
+import type { Clock } from '../utils/clock';
+import { AnswerRelay, ENGINE_SILENCE_MS } from './answerRelay';
+import { hasToken } from './answerSink';
+import { EngineFailure, EngineRefusal } from './engineClient';
+import type { EngineClient, EngineEvent } from './engineClient';
+import { decodeKeptAnswer, KeptAnswer } from './keptAnswer';
+import type { RequestJob } from './requestJob';
+import type { ClaimedDispatch } from './requestClaim';
+import type { RetryBudget } from './retryBudget';
+import type { SlotKeeper, SlotTimes } from './slotKeeper';
+import { StreamUnknown } from './streamUnknown';
+
+const MAX_ATTEMPTS = 3;
+const ANSWER_TYPE = 'application/json';
+
+/** What runs model requests. */
+export type ModelRunnerParts = {
+  readonly slots: SlotKeeper;
+  readonly engines: EngineClient;
+  readonly budget: RetryBudget;
+  readonly metrics: Metrics;
+  readonly tracer: HopTracer;
+  readonly clock: Clock;
+  readonly readManifest: () => Manifest;
+  readonly isServing: () => boolean;
+};
+
+type Granted = {
+  readonly dispatch: ClaimedDispatch;
+  readonly grantMs: number;
+  readonly grantedAt: number;
+};
+
+type RelayResult = SlotTimes & { readonly kept: KeptAnswer };
+
+/**
+ * Takes a model request from its claim to the end of its answer.
+ *
+ * @example
+ * await runner.run(job);
+ */
+export class ModelRunner {
+  constructor(private readonly parts: ModelRunnerParts) {}
+
+  /** Runs a request; resolves when its answer is whole, throws when it gets none. */
+  async run(job: RequestJob): Promise<void> {
+    const grant = await this.takeClaimAndSlot(job);
+    if (grant) await this.dispatch(job, grant);
+    else await this.takeUp(job);
+  }
+
+  /**
+   * Takes the claim while the request queues, so that it costs no time of its own.
+   *
+   * @returns the grant, or undefined when an earlier attempt with the same key is to be taken up
+   */
+  private async takeClaimAndSlot(job: RequestJob): Promise<AskReply | undefined> {
+    const { slots, tracer } = this.parts;
+    const { span } = tracer.startHop('claim', job.context, { keyed: job.claim.isKeyed });
+    const claimed = job.claim.take(job.waiting)
+      .catch((error: unknown) => {
+        job.waiting.cancel('claim failed');
+        throw error;
+      })
+      .then(() => { if (job.claim.bound) job.waiting.cancel('an earlier attempt is taken up'); })
+      .finally(() => span.end());
+    const granted = slots.take(job.request, job.waiting, job.context);
+    const [claim, slot] = await Promise.allSettled([claimed, granted]);
+    if (claim.status === 'rejected' || job.claim.bound) {
+      if (slot.status === 'fulfilled') slots.drop(job.request);
+      if (claim.status === 'rejected') throw claim.reason;
+      return undefined;
+    }
+    if (slot.status === 'rejected') return this.refuse(job, slot.reason);
+    return slot.value;
+  }
+
+  /* Guards "not run": it is said only once the claim is given back at a majority, with no byte sent. */
+  private async refuse(job: RequestJob, reason: unknown): Promise<never> {
+    const error = toBeechliftError(reason);
+    const released = await job.claim.release();
+    if (released) throw error;
+    throw new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
+  }
+
+  private async dispatch(job: RequestJob, reply: AskReply): Promise<void> {
+    const granted: Granted = {
+      dispatch: {
+        workerId: reply.workerId,
+        workerAddress: reply.workerAddress,
+        workerIncarnation: reply.workerIncarnation,
+        streamId: randomUUID(),
+        canResume: reply.canResume,
+      },
+      grantMs: reply.grantMs,
+      grantedAt: this.parts.clock.now(),
+    };
+    try {
+      await job.claim.markDispatched(granted.dispatch, job.waiting);
+    } catch (error) {
+      this.parts.slots.drop(job.request);
+      throw error;
+    }
+    if (this.isTooLate(job, granted)) {
+      this.parts.slots.drop(job.request);
+      await this.tryAgain(job, 'the grant was too old to be used');
+      return;
+    }
+    await this.send(job, granted);
+  }
+
+  /*
+   * Guards against an entry that was paused between its claim and its dispatch: the grant, the
+   * configuration lease and the caller are looked at again right before the first byte.
+   */
+  private isTooLate(job: RequestJob, { grantedAt, grantMs }: Granted): boolean {
+    const age = this.parts.clock.now() - grantedAt;
+    return age > grantMs || !this.parts.isServing() || job.caller.isGone();
+  }
+
+  private async send(job: RequestJob, granted: Granted): Promise<void> {
+    const { tracer, engines } = this.parts;
+    const { workerAddress, streamId, workerId } = granted.dispatch;
+    const { span, below } = tracer.startHop('engine', job.context, { worker: workerId, stream: streamId });
+    const headers = tracer.formatHeaders(below);
+    try {
+      const events = await engines.dispatch({
+        address: workerAddress,
+        streamId,
+        path: job.request.path,
+        body: this.buildBody(job),
+        headers,
+        signal: job.relaying.signal,
+      }, ENGINE_SILENCE_MS).catch((error: unknown) => this.judgeDispatch(error, granted));
+      await this.relay(job, granted.dispatch, events, headers);
+    } catch (error) {
+      await this.handleFailure(job, granted, error);
+    } finally {
+      span.end();
+    }
+  }
+
+  /** A dispatch that may have arrived is taken up again as a stream; one that did not is thrown on. */
+  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a dispatch
+  private judgeDispatch(error: unknown, { dispatch }: Granted): undefined {
+    const mayRun = error instanceof EngineFailure && error.reach === 'maybeSent';
+    if (mayRun && dispatch.canResume) return undefined;
+    throw error;
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a dispatch
+  private buildBody({ request }: RequestJob): string {
+    return request.stream
+      ? request.body
+      : JSON.stringify({ ...JSON.parse(request.body) as object, stream: true });
+  }
+
+  private async relay(
+    job: RequestJob,
+    dispatch: ClaimedDispatch,
+    events: AsyncGenerator<EngineEvent> | undefined,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<void> {
+    const { metrics, slots } = this.parts;
+    metrics.openStreams.inc();
+    try {
+      const result = await this.relayEvents(job, dispatch, events, headers);
+      slots.finish(job.request, 'complete', result);
+      this.countGoodput(job, result);
+      await job.sink.end();
+      await job.claim.finish({ answer: result.kept, status: 200, contentType: ANSWER_TYPE }).catch(() => undefined);
+    } finally {
+      metrics.openStreams.dec();
+    }
+  }
+
+  private async relayEvents(
+    job: RequestJob,
+    dispatch: ClaimedDispatch,
+    events: AsyncGenerator<EngineEvent> | undefined,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<RelayResult> {
+    const { clock, engines, metrics } = this.parts;
+    const kept = new KeptAnswer(job.claim.isKeyed ? this.parts.readManifest().limits.answerBytes : 0);
+    const sentAt = clock.now();
+    const times = { firstTokenMs: 0, outputTokens: 0 };
+    const relay = new AnswerRelay(engines, {
+      address: dispatch.workerAddress, streamId: dispatch.streamId, canResume: dispatch.canResume, headers,
+    }, job.relaying);
+    await relay.run(events, async ({ data }) => {
+      if (hasToken(data)) {
+        times.outputTokens += 1;
+        if (times.outputTokens === 1) times.firstTokenMs = this.noteFirstToken(job, sentAt);
+      }
+      kept.add(data);
+      if (!job.caller.isGone()) await job.sink.deliver(data);
+    }).finally(() => metrics.resumes.inc(relay.resumes));
+    return { ...times, kept, totalMs: clock.now() - sentAt };
+  }
+
+  private noteFirstToken(job: RequestJob, sentAt: number): number {
+    const now = this.parts.clock.now();
+    this.parts.slots.start(job.request);
+    this.parts.metrics.firstToken.observe({ tier: job.request.tier }, (now - job.startedAt) / 1_000);
+    return now - sentAt;
+  }
+
+  private countGoodput(job: RequestJob, { firstTokenMs, totalMs }: SlotTimes): void {
+    const tier = this.parts.readManifest().tiers[job.request.tier];
+    const elapsed = this.parts.clock.now() - job.startedAt;
+    const toFirst = elapsed - totalMs + firstTokenMs;
+    const inTime = tier !== undefined && elapsed <= tier.totalMs && toFirst <= tier.firstTokenMs;
+    if (inTime && !job.caller.isGone()) this.parts.metrics.goodput.inc({ tier: job.request.tier });
+  }
+
+  private async handleFailure(job: RequestJob, granted: Granted, error: unknown): Promise<void> {
+    const { slots, metrics } = this.parts;
+    if (error instanceof EngineFailure && error.reach === 'notSent') {
+      slots.finish(job.request, 'unreachable');
+      await this.tryAgain(job, `backend server "${granted.dispatch.workerId}" could not be reached`);
+      return;
+    }
+    if (error instanceof StreamUnknown) {
+      await this.handleUnknownStream(job, granted, error);
+      return;
+    }
+    slots.finish(job.request, job.caller.isGone() ? 'cancelled' : 'failed');
+    metrics.wastedPrefill.inc({ reason: 'dropped' }, job.request.promptTokens);
+    if (job.relaying.signal.aborted) await this.cancelStream(granted.dispatch);
+    throw error instanceof EngineRefusal ? this.toRefusal(error) : error;
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a failure
+  private toRefusal(error: EngineRefusal): BeechliftError {
+    return new BeechliftError('backendFailed', `the engine answered with status ${error.status}: ${error.body.slice(0, 500)}`, { run: 'unknown' });
+  }
+
+  private async cancelStream({ workerAddress, streamId }: ClaimedDispatch): Promise<void> {
+    await this.parts.engines.cancel(workerAddress, streamId);
+  }
+
+  private async handleUnknownStream(job: RequestJob, granted: Granted, error: StreamUnknown): Promise<void> {
+    const proven = error.offset === 0 && await this.isProvenNotRun(granted.dispatch);
+    this.parts.slots.finish(job.request, 'failed');
+    if (proven) {
+      await this.tryAgain(job, 'the engine never saw the stream and bars it now');
+      return;
+    }
+    this.parts.metrics.wastedPrefill.inc({ reason: 'dropped' }, job.request.promptTokens);
+    throw new BeechliftError('backendFailed', `the engine lost stream ${error.streamId} at event ${error.offset}`, {
+      run: error.offset > 0 ? 'ran' : 'unknown', steps: job.relaying.steps,
+    });
+  }
+
+  /*
+   * Guards against running a request twice after a dispatch whose fate is unknown: the engine bars the
+   * stream id and says that it never saw it, and it is the same start of the engine that was dispatched to. A
+   * dispatch that is still on its way is then refused there.
+   */
+  private async isProvenNotRun(dispatch: Pick<ClaimedDispatch, 'workerAddress' | 'streamId' | 'workerIncarnation'>): Promise<boolean> {
+    const { state, incarnation } = await this.parts.engines.cancel(dispatch.workerAddress, dispatch.streamId);
+    return state === 'neverSeen' && incarnation !== '' && incarnation === dispatch.workerIncarnation;
+  }
+
+  /** Starts over after a dispatch that provably did no work, within the bounds of retries. */
+  private async tryAgain(job: RequestJob, reason: string): Promise<void> {
+    job.waiting = job.makeWaiting();
+    job.waiting.note(reason);
+    job.attempts += 1;
+    const released = await job.claim.release();
+    const allowed = released && job.attempts < MAX_ATTEMPTS && !job.caller.isGone()
+      && this.parts.isServing() && job.waiting.remainingMs > 0 && this.parts.budget.take();
+    if (!allowed) {
+      throw new BeechliftError('noBackend', reason, {
+        run: released ? 'notRun' : 'unknown', retryAfterMs: 1_000, steps: job.waiting.steps,
+      });
+    }
+    this.parts.metrics.retries.inc();
+    const reply = await this.parts.slots.take(job.request, job.waiting, job.context)
+      .catch((error: unknown) => this.refuse(job, error));
+    await this.dispatch(job, reply);
+  }
+
+  /** Answers from what an earlier attempt with the same key did. */
+  private async takeUp(job: RequestJob): Promise<void> {
+    const bound = job.claim.bound as ClaimValue;
+    if (bound.state === 'finished' && bound.answerKept) {
+      await this.replay(job, decodeKeptAnswer(bound.answer));
+      return;
+    }
+    await job.claim.confirmBound(job.relaying);
+    if (!bound.canResume) {
+      throw new BeechliftError(bound.state === 'finished' ? 'answerGone' : 'outcomeUnknown', 'the same key was dispatched before, and its answer cannot be taken up again', { retryAfterMs: 1_000 });
+    }
+    await this.resumeBound(job, bound);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of taking up
+  private async replay({ sink }: RequestJob, events: readonly string[]): Promise<void> {
+    await events.reduce((before, data) => before.then(() => sink.deliver(data)), Promise.resolve());
+    await sink.end();
+  }
+
+  private async resumeBound(job: RequestJob, bound: ClaimValue): Promise<void> {
+    const dispatch: ClaimedDispatch = bound;
+    try {
+      await this.relay(job, dispatch, undefined, this.parts.tracer.formatHeaders(job.context));
+    } catch (error) {
+      if (!(error instanceof StreamUnknown)) throw error;
+      await this.settleLostStream(job, bound, error);
+    }
+  }
+
+  private async settleLostStream(job: RequestJob, bound: ClaimValue, error: StreamUnknown): Promise<void> {
+    if (bound.state === 'finished') {
+      throw new BeechliftError('answerGone', 'the request ran, and neither the engine nor the claim keeps its answer');
+    }
+    const proven = error.offset === 0 && await this.isProvenNotRun(bound);
+    if (!proven) {
+      throw new BeechliftError('outcomeUnknown', 'the engine does not know the stream and cannot prove that it never ran', { steps: job.relaying.steps });
+    }
+    await this.tryAgain(job, 'the earlier attempt never reached its engine');
+  }
+}
--- /dev/null
+++ b/src/entry/peerService.ts
@@ -0,0 +1,40 @@
+import type { PeerServer } from '../protocol/generated/beechlift';
+import type { HopTracer } from '../telemetry/tracing';
+import { handleUnary } from '../wire/rpcServer';
+import type { Configuration } from './configuration';
+import type { Scheduler } from './scheduler';
+
+/**
+ * The wire side of an entry towards other entries: turns messages into calls and nothing more.
+ *
+ * @example
+ * server.add(PeerService, makePeerService(scheduler, configuration, tracer));
+ */
+export const makePeerService = (
+  scheduler: Scheduler,
+  configuration: Configuration,
+  tracer: HopTracer,
+): PeerServer => ({
+  ask: handleUnary(async (request, { headers, onCancel }) => {
+    const { span } = tracer.startHop('owner', tracer.readContext(headers), { pool: request.pool, queue: 'here' });
+    try {
+      return await scheduler.askHere(request, onCancel);
+    } finally {
+      span.end();
+    }
+  }),
+  report: handleUnary((request) => {
+    scheduler.reportHere(request);
+    return {};
+  }),
+  register: handleUnary((request) => {
+    scheduler.registerHere(request);
+    return {};
+  }),
+  forwardAnnouncement: handleUnary((request) => {
+    scheduler.announceHere(request);
+    return {};
+  }),
+  readProof: handleUnary((request) => (
+    configuration.buildProof(request.manifestDigest, request.viewNumber))),
+});
--- /dev/null
+++ b/src/entry/poolOwner.ts
@@ -0,0 +1,120 @@
+import type {
+  Announcement, AskReply, AskRequest, RegisterRequest, ReportRequest,
+} from '../protocol/generated/beechlift';
+import { resultCodes } from '../errors/resultCodes';
+import { handleScheduleEvent } from '../core/schedule/poolSchedule';
+import { GRANT_MS } from '../core/schedule/grantSystem';
+import type {
+  ScheduleEffect, ScheduleEvent, ScheduleTables,
+} from '../core/schedule/scheduleTypes';
+import type { Clock } from '../utils/clock';
+
+type EffectOf<Kind extends ScheduleEffect['kind']> = Extract<ScheduleEffect, { kind: Kind }>;
+
+const toReply: { [Kind in ScheduleEffect['kind']]: (effect: EffectOf<Kind>) => AskReply } = {
+  grant: (effect) => ({
+    code: 0,
+    retryAfterMs: 0,
+    workerId: effect.workerId,
+    workerAddress: effect.workerAddress,
+    workerIncarnation: effect.workerIncarnation,
+    grantMs: GRANT_MS,
+    canResume: effect.canResume,
+    message: '',
+  }),
+  refuse: (effect) => ({
+    code: resultCodes[effect.code].number,
+    retryAfterMs: effect.retryAfterMs,
+    workerId: '',
+    workerAddress: '',
+    workerIncarnation: '',
+    grantMs: 0,
+    canResume: false,
+    message: effect.message,
+  }),
+};
+
+const buildReply = (effect: ScheduleEffect): AskReply => (
+  toReply[effect.kind] as (effect: ScheduleEffect) => AskReply
+)(effect);
+
+const dropReport = (ask: AskRequest): ReportRequest => ({
+  requestId: ask.requestId,
+  entryId: ask.entryId,
+  pool: ask.pool,
+  phase: 'dropped',
+  outcome: 'cancelled',
+  firstTokenMs: 0,
+  totalMs: 0,
+  outputTokens: 0,
+});
+
+/**
+ * Owns one pool: the queue before it and the slots in it. Knows nothing of the wire.
+ *
+ * @example
+ * const owner = new PoolOwner(tables, systemClock);
+ * const reply = await owner.ask(request);
+ */
+export class PoolOwner {
+  private readonly answers = new Map<string, (reply: AskReply) => void>();
+
+  constructor(readonly tables: ScheduleTables, private readonly clock: Clock) {}
+
+  /** Waits for a slot; resolves when the request is granted or refused. */
+  ask(ask: AskRequest): Promise<AskReply> {
+    return new Promise((resolve) => {
+      this.answers.set(ask.requestId, resolve);
+      this.run({ kind: 'ask', ask });
+    });
+  }
+
+  /** Takes a request out that its entry gave up; a grant that crossed it on the way is taken back. */
+  drop(ask: AskRequest): void {
+    this.answers.delete(ask.requestId);
+    this.run({ kind: 'report', report: dropReport(ask) });
+  }
+
+  /** Notes how a granted request goes. */
+  report(report: ReportRequest): void {
+    this.run({ kind: 'report', report });
+  }
+
+  /** Notes all that an entry runs. */
+  register(register: RegisterRequest): void {
+    this.run({ kind: 'register', register });
+  }
+
+  /** Notes what a backend server says of itself. */
+  announce(announcement: Announcement): void {
+    this.run({ kind: 'announce', announcement });
+  }
+
+  /** Runs an event and answers whoever it decides on. */
+  run(event: ScheduleEvent): void {
+    handleScheduleEvent(this.tables, event, this.clock.now())
+      .forEach((effect) => this.answer(effect));
+  }
+
+  /** Answers all that wait, when another entry owns the pool. */
+  close(): void {
+    const answers = [...this.answers.values()];
+    this.answers.clear();
+    answers.forEach((resolve) => resolve({
+      code: resultCodes.ownerMoved.number,
+      retryAfterMs: 0,
+      workerId: '',
+      workerAddress: '',
+      workerIncarnation: '',
+      grantMs: 0,
+      canResume: false,
+      message: `another entry VM owns pool "${this.tables.pool}"`,
+    }));
+  }
+
+  private answer(effect: ScheduleEffect): void {
+    const resolve = this.answers.get(effect.requestId);
+    this.answers.delete(effect.requestId);
+    resolve?.(buildReply(effect));
+  }
+}
--- /dev/null
+++ b/src/entry/requestClaim.ts
@@ -0,0 +1,120 @@
+import type { ClaimValue } from '../protocol/generated/beechlift';
+import { ClaimValue as ClaimValueCodec } from '../protocol/generated/beechlift';
+import type { ClaimState } from '../core/claims/claimTable';
+import { BeechliftError } from '../errors/beechliftError';
+import { Operation } from '../utils/operation';
+import type { CallerRequest } from './callerRequest';
+import type { ClaimClient, ClaimTicket } from './claimClient';
+import { isFree } from './claimClient';
+
+const RELEASE_TIMEOUT_MS = 1_500;
+const FINISH_TIMEOUT_MS = 5_000;
+
+/** Where a request is dispatched. */
+export type ClaimedDispatch = {
+  readonly workerId: string;
+  readonly workerAddress: string;
+  readonly workerIncarnation: string;
+  readonly streamId: string;
+  readonly canResume: boolean;
+};
+
+/** An answer that is whole. */
+export type FinishedAnswer = {
+  readonly answer: {
+    /** Whether the answer is within the bound of what is kept. */
+    readonly isWhole: boolean;
+    readonly encode: () => Buffer;
+  };
+  readonly status: number;
+  readonly contentType: string;
+};
+
+/**
+ * The claim of one request. A request without a key has none: nobody can send it again under the same
+ * identity, and its entry sends it once.
+ *
+ * @example
+ * await claim.take(operation);
+ * await claim.markDispatched(dispatch, operation);
+ */
+export class RequestClaim {
+  private ticket: ClaimTicket | undefined;
+
+  private last: ClaimValue | undefined;
+
+  constructor(private readonly request: CallerRequest, private readonly claims: ClaimClient) {}
+
+  /** Whether there is a claim to keep. */
+  get isKeyed(): boolean {
+    return this.request.idempotencyKey !== '';
+  }
+
+  /** What an earlier attempt agreed on and this one is bound to. */
+  get bound(): ClaimValue | undefined {
+    return this.ticket && !isFree(this.ticket) ? this.ticket.bound : undefined;
+  }
+
+  /** Takes the claim; refuses a key that stands for another body. */
+  async take(operation: Operation): Promise<void> {
+    if (!this.isKeyed) return;
+    const { account, idempotencyKey, bodyHash } = this.request;
+    this.ticket = await this.claims.prepare(`${account}\n${idempotencyKey}`, operation);
+    const { bound } = this;
+    if (bound && bound.bodyHash !== bodyHash) {
+      throw new BeechliftError('keyReused', 'this Idempotency-Key was used with another body');
+    }
+  }
+
+  /** Writes where the request goes. No byte may be sent before this has succeeded. */
+  async markDispatched(dispatch: ClaimedDispatch, operation: Operation): Promise<void> {
+    await this.write('dispatched', operation, dispatch);
+  }
+
+  /** Confirms what is bound, so that it holds at a majority before it is acted on. */
+  async confirmBound(operation: Operation): Promise<void> {
+    if (!this.ticket?.bound) return;
+    this.last = this.ticket.bound;
+    await this.claims.accept(this.ticket, this.ticket.bound, operation);
+  }
+
+  /** Writes that the answer is whole, with the answer when it is within its bound. */
+  async finish({ answer, status, contentType }: FinishedAnswer): Promise<void> {
+    const fields: Partial<ClaimValue> = {
+      ...this.last,
+      status,
+      contentType,
+      answerKept: answer.isWhole,
+      answer: answer.isWhole ? answer.encode() : Buffer.alloc(0),
+    };
+    await this.write('finished', new Operation({ timeoutMs: FINISH_TIMEOUT_MS }), fields);
+  }
+
+  /**
+   * Gives the claim back: only when this has succeeded is "not run" proven.
+   *
+   * @returns whether a majority agreed
+   */
+  async release(): Promise<boolean> {
+    if (!this.ticket) return true;
+    try {
+      await this.write('released', new Operation({ timeoutMs: RELEASE_TIMEOUT_MS }));
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  private async write(
+    state: ClaimState,
+    operation: Operation,
+    fields: Partial<ClaimValue> = {},
+  ): Promise<void> {
+    if (!this.ticket) return;
+    const value = ClaimValueCodec.fromPartial({
+      ...fields, state, bodyHash: this.request.bodyHash, target: this.request.target,
+    });
+    this.last = value;
+    await this.claims.accept(this.ticket, value, operation);
+  }
+}
--- /dev/null
+++ b/src/entry/scheduler.ts
@@ -0,0 +1,291 @@
+import { PeerClient } from '../protocol/generated/beechlift';
+import type {
+  Announcement, AskReply, AskRequest, Member, RegisterRequest, ReportRequest, RunningRequest,
+} from '../protocol/generated/beechlift';
+import { findOwner } from '../core/membership/locate';
+import { GRANT_MS } from '../core/schedule/grantSystem';
+import { DEFAULT_POLICY, makeScheduleTables } from '../core/schedule/scheduleTables';
+import type { PolicySettings } from '../core/schedule/scheduleTypes';
+import { BeechliftError } from '../errors/beechliftError';
+import { resultCodes } from '../errors/resultCodes';
+import type { Clock } from '../utils/clock';
+import { Operation } from '../utils/operation';
+import type { LinkTable } from '../wire/linkTable';
+import type { Configuration } from './configuration';
+import { PoolOwner } from './poolOwner';
+
+const SHORT_TIMEOUT_MS = 800;
+const MOVED_RETRY_MS = 100;
+/** An earlier owner may go on granting until it hears of the view or its lease ends. */
+const HANDOVER_MS = GRANT_MS + 3_000;
+const ANNOUNCEMENT_KEPT_MS = 3_000;
+const MAX_ANNOUNCEMENTS = 10_000;
+
+type KeptAnnouncement = {
+  readonly announcement: Announcement;
+  readonly at: number;
+};
+
+/** A running request with its pool. */
+export type PooledRequest = {
+  readonly pool: string;
+  readonly running: RunningRequest;
+};
+
+/** What the scheduler needs. */
+export type SchedulerParts = {
+  readonly id: string;
+  readonly configuration: Configuration;
+  readonly peers: LinkTable<PeerClient>;
+  readonly clock: Clock;
+  /** All that this entry has dispatched and not finished. */
+  readonly listRunning: () => readonly PooledRequest[];
+  readonly policy?: PolicySettings;
+};
+
+/**
+ * Brings asks, reports and announcements to the owner of their pool: this entry or a peer.
+ *
+ * @example
+ * const reply = await scheduler.ask(ask, operation);
+ */
+export class Scheduler {
+  private readonly owners = new Map<string, PoolOwner>();
+
+  private readonly announcements = new Map<string, KeptAnnouncement>();
+
+  private readonly policy: PolicySettings;
+
+  constructor(private readonly parts: SchedulerParts) {
+    this.policy = parts.policy ?? DEFAULT_POLICY;
+    parts.configuration.listen({
+      noteManifest: () => this.reconfigure(),
+      noteMembers: (members) => this.handleView(members),
+    });
+  }
+
+  /** Pools that this entry owns. */
+  listOwned(): readonly PoolOwner[] {
+    return [...this.owners.values()];
+  }
+
+  /** Waits for a slot at the pool's owner; asks the new owner when the pool moves meanwhile. */
+  async ask(ask: AskRequest, operation: Operation, headers: Readonly<Record<string, string>> = {}): Promise<AskReply> {
+    const reply = await this.askOnce(ask, operation, headers);
+    if (reply && reply.code !== resultCodes.ownerMoved.number) return reply;
+    if (operation.signal.aborted) throw new BeechliftError('callerGone', 'the caller is gone');
+    if (operation.remainingMs <= MOVED_RETRY_MS) {
+      throw new BeechliftError('noSlotInTime', `the owner of pool "${ask.pool}" did not answer in time`, { steps: operation.steps, retryAfterMs: SHORT_TIMEOUT_MS });
+    }
+    operation.note(`owner of pool "${ask.pool}" moved or does not answer`);
+    await new Promise((resolve) => { setTimeout(resolve, MOVED_RETRY_MS); });
+    const deadlineMs = Math.max(0, ask.deadlineMs - MOVED_RETRY_MS);
+    return this.ask({ ...ask, deadlineMs }, operation, headers);
+  }
+
+  /** Asks here, for an entry that takes this one for the owner. */
+  askHere(ask: AskRequest, onCancel: (listener: () => void) => void): Promise<AskReply> {
+    const owner = this.findOwned(ask.pool);
+    if (!owner) return Promise.resolve(this.answerMoved(ask.pool));
+    onCancel(() => owner.drop(ask));
+    return owner.ask(ask);
+  }
+
+  /** Tells the owner how a granted request goes; what is lost on the way is made good by `register`. */
+  report(report: ReportRequest): void {
+    const owner = this.findOwnerOf(report.pool);
+    if (!owner) return;
+    if (owner.id === this.parts.id) {
+      this.findOwned(report.pool)?.report(report);
+      return;
+    }
+    this.parts.peers.find(owner.peerAddress).call<ReportRequest, object>(
+      (stub) => stub.report.bind(stub) as never,
+      report,
+      new Operation({ timeoutMs: SHORT_TIMEOUT_MS }),
+    ).catch(() => undefined);
+  }
+
+  /** Tells every owner all that runs here. */
+  async register(): Promise<void> {
+    const pools = Object.keys(this.parts.configuration.manifest?.pools ?? {});
+    const running = this.parts.listRunning();
+    await Promise.allSettled(pools.map((pool) => this.registerPool({
+      entryId: this.parts.id,
+      pool,
+      running: running.filter((item) => item.pool === pool).map((item) => item.running),
+      viewNumber: this.parts.configuration.viewNumber,
+    })));
+  }
+
+  /** Takes in what another entry runs. */
+  registerHere(request: RegisterRequest): void {
+    this.findOwned(request.pool)?.register(request);
+  }
+
+  /** Takes in a report of another entry. */
+  reportHere(report: ReportRequest): void {
+    this.findOwned(report.pool)?.report(report);
+  }
+
+  /** Brings an announcement to the pool's owner, and keeps it for an owner that takes over. */
+  async announce(announcement: Announcement): Promise<void> {
+    this.keepAnnouncement(announcement);
+    const owner = this.findOwnerOf(announcement.pool);
+    if (!owner) throw new BeechliftError('ownerMoved', `no entry VM owns pool "${announcement.pool}" yet`);
+    if (this.policy.name !== 'owner') this.announceHere(announcement);
+    else await this.forward(owner, announcement);
+  }
+
+  /** Takes in an announcement that another entry forwarded. */
+  announceHere(announcement: Announcement): void {
+    this.findOwned(announcement.pool)?.announce(announcement);
+  }
+
+  /** Runs the systems of all owned pools. */
+  tick(): void {
+    this.owners.forEach((owner) => owner.run({ kind: 'tick' }));
+    const oldest = this.parts.clock.now() - ANNOUNCEMENT_KEPT_MS;
+    [...this.announcements]
+      .filter(([, { at }]) => at < oldest)
+      .forEach(([id]) => this.announcements.delete(id));
+  }
+
+  private findOwnerOf(pool: string): Member | undefined {
+    const { configuration, id } = this.parts;
+    const self = configuration.members.find((member) => member.id === id);
+    // The baselines decide at each entry alone.
+    if (this.policy.name !== 'owner') return self;
+    return findOwner(configuration.members, pool);
+  }
+
+  private findOwned(pool: string): PoolOwner | undefined {
+    const known = this.owners.get(pool);
+    if (known || this.findOwnerOf(pool)?.id !== this.parts.id) return known;
+    return this.takeOver(pool);
+  }
+
+  /*
+   * Guards against tier inversion at a hand-over: until every entry has told what it runs, and the grants of
+   * the owner before can no longer start, this owner refuses nothing but the lowest tier.
+   */
+  private takeOver(pool: string): PoolOwner | undefined {
+    const { configuration, clock } = this.parts;
+    const { manifest, members } = configuration;
+    if (!manifest?.pools[pool]) return undefined;
+    const others = members.map(({ id }) => id);
+    const settledAt = clock.now() + HANDOVER_MS;
+    const tables = makeScheduleTables(pool, manifest, others, settledAt, this.policy);
+    const owner = new PoolOwner(tables, clock);
+    this.owners.set(pool, owner);
+    return owner;
+  }
+
+  private async askOnce(
+    ask: AskRequest,
+    operation: Operation,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<AskReply | undefined> {
+    const member = this.findOwnerOf(ask.pool);
+    if (!member) return undefined;
+    if (member.id === this.parts.id) return this.askOwned(ask, operation);
+    try {
+      return await this.parts.peers.find(member.peerAddress).call<AskRequest, AskReply>(
+        (stub) => stub.ask.bind(stub) as never,
+        ask,
+        operation,
+        headers,
+      );
+    } catch {
+      return undefined;
+    }
+  }
+
+  private askOwned(ask: AskRequest, operation: Operation): Promise<AskReply> {
+    return new Promise((resolve) => {
+      const drop = () => {
+        this.owners.get(ask.pool)?.drop(ask);
+        resolve(this.answerMoved(ask.pool));
+      };
+      operation.signal.addEventListener('abort', drop, { once: true });
+      this.askHere(ask, () => undefined)
+        .then((reply) => {
+          operation.signal.removeEventListener('abort', drop);
+          resolve(reply);
+        })
+        .catch(() => resolve(this.answerMoved(ask.pool)));
+    });
+  }
+
+  private answerMoved(pool: string): AskReply {
+    return {
+      code: resultCodes.ownerMoved.number,
+      retryAfterMs: 0,
+      workerId: '',
+      workerAddress: '',
+      workerIncarnation: '',
+      grantMs: 0,
+      canResume: false,
+      message: `entry VM "${this.parts.id}" does not own pool "${pool}"`,
+    };
+  }
+
+  private async registerPool(request: RegisterRequest): Promise<void> {
+    const owner = this.findOwnerOf(request.pool);
+    if (!owner) return;
+    if (owner.id === this.parts.id) {
+      this.registerHere(request);
+      return;
+    }
+    await this.parts.peers.find(owner.peerAddress).call<RegisterRequest, object>(
+      (stub) => stub.register.bind(stub) as never,
+      request,
+      new Operation({ timeoutMs: SHORT_TIMEOUT_MS }),
+    );
+  }
+
+  private keepAnnouncement(announcement: Announcement): void {
+    if (this.announcements.size >= MAX_ANNOUNCEMENTS) return;
+    this.announcements.set(announcement.id, { announcement, at: this.parts.clock.now() });
+  }
+
+  private async forward(owner: Member, announcement: Announcement): Promise<void> {
+    if (owner.id === this.parts.id) {
+      this.announceHere(announcement);
+      return;
+    }
+    await this.parts.peers.find(owner.peerAddress).call<Announcement, object>(
+      (stub) => stub.forwardAnnouncement.bind(stub) as never,
+      announcement,
+      new Operation({ timeoutMs: SHORT_TIMEOUT_MS }),
+    );
+  }
+
+  private reconfigure(): void {
+    const { manifest } = this.parts.configuration;
+    if (!manifest) return;
+    [...this.owners]
+      .filter(([pool]) => !manifest.pools[pool])
+      .forEach(([pool]) => this.giveUp(pool));
+    this.owners.forEach((owner) => owner.run({ kind: 'configure', config: manifest }));
+  }
+
+  private handleView(members: readonly Member[]): void {
+    const entryIds = members.map(({ id }) => id);
+    [...this.owners.keys()]
+      .filter((pool) => this.findOwnerOf(pool)?.id !== this.parts.id)
+      .forEach((pool) => this.giveUp(pool));
+    this.owners.forEach((owner) => owner.run({ kind: 'membersChanged', entryIds }));
+    this.parts.peers.keep(members.map(({ peerAddress }) => peerAddress));
+    this.register().catch(() => undefined);
+    // An owner that took over learns of the backend servers now and not at their next announcement.
+    this.announcements.forEach(({ announcement }) => {
+      this.announce(announcement).catch(() => undefined);
+    });
+  }
+
+  private giveUp(pool: string): void {
+    this.owners.get(pool)?.close();
+    this.owners.delete(pool);
+  }
+}
--- /dev/null
+++ b/src/entry/serviceClient.ts
@@ -0,0 +1,87 @@
+import { Client, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { BeechliftError } from '../errors/beechliftError';
+import { EngineFailure } from './engineClient';
+
+/** A call to a plain service. */
+export type ServiceCall = {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly timeoutMs: number;
+  readonly maxBytes: number;
+};
+
+/** What the service answered. */
+export type ServiceAnswer = {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+};
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const NOT_SENT_CODES: readonly string[] = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
+const HOP_HEADERS: readonly string[] = [
+  'connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'host',
+  'proxy-authorization', 'authorization', 'expect',
+];
+
+/** Headers that concern one connection only, and the caller's API key, are not passed on. */
+export const pickPassedHeaders = (
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> => Object.fromEntries(
+  Object.entries(headers)
+    .filter(([name, value]) => value !== undefined && !HOP_HEADERS.includes(name.toLowerCase()))
+    .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? '']),
+);
+
+const toFailure = (error: unknown): EngineFailure => {
+  const code = String((error as { code?: unknown }).code ?? '');
+  return new EngineFailure(NOT_SENT_CODES.includes(code) ? 'notSent' : 'maybeSent', (error as Error).message, { cause: error });
+};
+
+const readBody = async (body: Dispatcher.ResponseData['body'], maxBytes: number): Promise<Buffer> => {
+  const pieces: Buffer[] = [];
+  let bytes = 0;
+  // eslint-disable-next-line no-restricted-syntax -- a body is read in order
+  for await (const piece of body) {
+    bytes += (piece as Buffer).length;
+    if (bytes > maxBytes) {
+      body.destroy();
+      throw new BeechliftError('answerTooLarge', `the service answered with more than ${maxBytes} bytes`);
+    }
+    pieces.push(piece as Buffer);
+  }
+  return Buffer.concat(pieces);
+};
+
+/**
+ * Calls a plain service over a connection of its own.
+ *
+ * Guards a call that may not be repeated against a pooled connection that went silent while it was idle: the
+ * call would be lost on the way with no means to tell whether it ran.
+ *
+ * @example
+ * const answer = await callService({ address, method: 'GET', path: '/tags/7', … });
+ */
+export const callService = async (call: ServiceCall): Promise<ServiceAnswer> => {
+  const client = new Client(`http://${call.address}`, {
+    connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: call.timeoutMs, bodyTimeout: call.timeoutMs,
+  });
+  try {
+    const response = await request(`http://${call.address}${call.path}`, {
+      method: call.method as Dispatcher.HttpMethod,
+      headers: call.headers,
+      body: call.body.length > 0 ? call.body : null,
+      dispatcher: client,
+    });
+    const body = await readBody(response.body, call.maxBytes);
+    return { status: response.statusCode, headers: pickPassedHeaders(response.headers), body };
+  } catch (error) {
+    throw error instanceof BeechliftError ? error : toFailure(error);
+  } finally {
+    client.destroy().catch(() => undefined);
+  }
+};
--- /dev/null
+++ b/src/entry/serviceRunner.ts
@@ -0,0 +1,134 @@
+import { randomUUID } from 'node:crypto';
+import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import type { Manifest } from '../manifest/manifest';
+import type { HopTracer } from '../telemetry/tracing';
+import type { Clock } from '../utils/clock';
+import { EngineFailure } from './engineClient';
+import type { RequestJob } from './requestJob';
+import { callService } from './serviceClient';
+import type { ServiceAnswer } from './serviceClient';
+import type { SlotKeeper } from './slotKeeper';
+
+/** What is sent to the service. */
+export type ServiceDispatch = {
+  readonly method: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+};
+
+/** What runs service calls. */
+export type ServiceRunnerParts = {
+  readonly slots: SlotKeeper;
+  readonly tracer: HopTracer;
+  readonly clock: Clock;
+  readonly readManifest: () => Manifest;
+  readonly isServing: () => boolean;
+};
+
+const TYPE_HEADER = 'content-type';
+
+/**
+ * Takes a call to a plain service from its claim to its answer. A call that was sent is never sent again.
+ *
+ * @example
+ * const answer = await runner.run(job, { method: 'POST', headers, body });
+ */
+export class ServiceRunner {
+  constructor(private readonly parts: ServiceRunnerParts) {}
+
+  /** Runs a call and returns the whole answer. */
+  async run(job: RequestJob, dispatch: ServiceDispatch): Promise<ServiceAnswer> {
+    await job.claim.take(job.waiting);
+    const { bound } = job.claim;
+    if (bound) return this.answerBound(bound);
+    const grant = await this.parts.slots.take(job.request, job.waiting, job.context)
+      .catch((error: unknown) => this.refuse(job, error));
+    await this.claimDispatch(job, grant);
+    return this.send(job, grant, dispatch);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a call
+  private answerBound(bound: ClaimValue): ServiceAnswer {
+    if (bound.state === 'finished' && bound.answerKept) {
+      return {
+        status: bound.status, headers: { [TYPE_HEADER]: bound.contentType }, body: Buffer.from(bound.answer),
+      };
+    }
+    if (bound.state === 'finished') throw new BeechliftError('answerGone', 'the call ran, and its answer was too large to be kept');
+    throw new BeechliftError('outcomeUnknown', 'the same key was sent before, and nobody knows yet how it ended', { retryAfterMs: 1_000 });
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a call
+  private async refuse(job: RequestJob, reason: unknown): Promise<never> {
+    const error = toBeechliftError(reason);
+    const released = await job.claim.release();
+    throw released ? error : new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
+  }
+
+  private async claimDispatch(job: RequestJob, grant: AskReply): Promise<void> {
+    const grantedAt = this.parts.clock.now();
+    try {
+      await job.claim.markDispatched({
+        workerId: grant.workerId,
+        workerAddress: grant.workerAddress,
+        workerIncarnation: grant.workerIncarnation,
+        streamId: randomUUID(),
+        canResume: false,
+      }, job.waiting);
+    } catch (error) {
+      this.parts.slots.drop(job.request);
+      throw error;
+    }
+    const age = this.parts.clock.now() - grantedAt;
+    if (age <= grant.grantMs && this.parts.isServing() && !job.caller.isGone()) return;
+    this.parts.slots.drop(job.request);
+    await this.refuse(job, new BeechliftError('noSlotInTime', 'the grant was too old to be used', { retryAfterMs: 500 }));
+  }
+
+  private async send(
+    job: RequestJob,
+    grant: AskReply,
+    dispatch: ServiceDispatch,
+  ): Promise<ServiceAnswer> {
+    const { tracer, slots, clock } = this.parts;
+    const { span, below } = tracer.startHop('service', job.context, { worker: grant.workerId });
+    const sentAt = clock.now();
+    try {
+      const answer = await callService({
+        ...dispatch,
+        address: grant.workerAddress,
+        path: job.request.path,
+        headers: { ...dispatch.headers, ...tracer.formatHeaders(below) },
+        timeoutMs: Math.max(1, job.request.deadlineMs),
+        maxBytes: this.parts.readManifest().limits.bodyBytes,
+      });
+      const totalMs = clock.now() - sentAt;
+      slots.finish(job.request, 'complete', { firstTokenMs: totalMs, totalMs, outputTokens: 1 });
+      await this.keep(job, answer);
+      return answer;
+    } catch (error) {
+      return await this.fail(job, error);
+    } finally {
+      span.end();
+    }
+  }
+
+  /** Keeps the answer before it is given, so that a resend after a crash of this entry finds it. */
+  private async keep(job: RequestJob, answer: ServiceAnswer): Promise<void> {
+    const { answerBytes } = this.parts.readManifest().limits;
+    await job.claim.finish({
+      answer: { isWhole: answer.body.length <= answerBytes, encode: () => answer.body },
+      status: answer.status,
+      contentType: answer.headers[TYPE_HEADER] ?? '',
+    }).catch(() => undefined);
+  }
+
+  private async fail(job: RequestJob, error: unknown): Promise<never> {
+    const notSent = error instanceof EngineFailure && error.reach === 'notSent';
+    this.parts.slots.finish(job.request, notSent ? 'unreachable' : 'failed');
+    if (notSent) return this.refuse(job, new BeechliftError('noBackend', error.message, { retryAfterMs: 1_000 }));
+    if (error instanceof BeechliftError) throw error;
+    throw new BeechliftError('outcomeUnknown', `the call was sent and no whole answer came: ${(error as Error).message}`);
+  }
+}
