--- /dev/null
+++ b/src/entry/slotKeeper.ts
@@ -0,0 +1,111 @@
+import type { AskReply, ReportRequest } from '../protocol/generated/beechlift';
+import { makeErrorFromNumber } from '../errors/beechliftError';
+import type { HopTracer } from '../telemetry/tracing';
+import type { Operation } from '../utils/operation';
+import type { Context } from '@opentelemetry/api';
+import type { ActiveTable } from './activeTable';
+import type { CallerRequest } from './callerRequest';
+import type { Scheduler } from './scheduler';
+
+/** How a granted request ended. */
+export type SlotOutcome = 'complete' | 'failed' | 'cancelled' | 'unreachable';
+
+/** What a request took. */
+export type SlotTimes = {
+  readonly firstTokenMs: number;
+  readonly totalMs: number;
+  readonly outputTokens: number;
+};
+
+const NO_TIMES: SlotTimes = { firstTokenMs: 0, totalMs: 0, outputTokens: 0 };
+
+/**
+ * Gets slots from the owner of a pool and tells it how they are used.
+ *
+ * @example
+ * const grant = await slots.take(request, operation, context);
+ * slots.finish(request, 'complete', times);
+ */
+export class SlotKeeper {
+  constructor(
+    private readonly id: string,
+    private readonly zone: string,
+    private readonly scheduler: Scheduler,
+    private readonly active: ActiveTable,
+    private readonly tracer: HopTracer,
+    private readonly readViewNumber: () => number,
+  ) {}
+
+  /** Waits for a slot; throws the refusal when there is none. */
+  async take(request: CallerRequest, operation: Operation, parent: Context): Promise<AskReply> {
+    const { span, below } = this.tracer.startHop('owner', parent, { pool: request.pool, tier: request.tier });
+    try {
+      const reply = await this.scheduler.ask(
+        this.buildAsk(request, operation),
+        operation,
+        this.tracer.formatHeaders(below),
+      );
+      if (reply.code !== 0) {
+        throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
+      }
+      span.setAttribute('worker', reply.workerId);
+      this.active.markRunning(request, reply.workerId);
+      return reply;
+    } finally {
+      span.end();
+    }
+  }
+
+  /** The first token came. */
+  start(request: CallerRequest): void {
+    this.report(request, 'started', 'complete', NO_TIMES);
+  }
+
+  /** The slot is free again. */
+  finish(request: CallerRequest, outcome: SlotOutcome, times: SlotTimes = NO_TIMES): void {
+    this.active.unmarkRunning(request.id);
+    this.report(request, 'finished', outcome, times);
+  }
+
+  /** The slot was never used. */
+  drop(request: CallerRequest): void {
+    this.active.unmarkRunning(request.id);
+    this.report(request, 'dropped', 'cancelled', NO_TIMES);
+  }
+
+  private buildAsk(request: CallerRequest, operation: Operation) {
+    return {
+      requestId: request.id,
+      entryId: this.id,
+      pool: request.pool,
+      target: request.target,
+      tier: request.tier,
+      account: request.account,
+      promptTokens: request.promptTokens,
+      maxTokens: request.maxTokens,
+      deadlineMs: Math.max(1, Math.floor(request.deadlineMs - operation.elapsedMs)),
+      prefixes: [...request.prefixes],
+      zone: this.zone,
+      viewNumber: this.readViewNumber(),
+    };
+  }
+
+  private report(
+    request: CallerRequest,
+    phase: 'started' | 'finished' | 'dropped',
+    outcome: SlotOutcome,
+    times: SlotTimes,
+  ): void {
+    const report: ReportRequest = {
+      requestId: request.id,
+      entryId: this.id,
+      pool: request.pool,
+      phase,
+      outcome,
+      firstTokenMs: Math.round(times.firstTokenMs),
+      totalMs: Math.round(times.totalMs),
+      outputTokens: times.outputTokens,
+    };
+    this.scheduler.report(report);
+  }
+}
--- /dev/null
+++ b/src/entry/streamUnknown.ts
@@ -0,0 +1,7 @@
+/** The engine does not know a stream that is to be resumed. */
+export class StreamUnknown extends Error {
+  constructor(readonly streamId: string, readonly offset: number, readonly status: number) {
+    super(`the engine answered ${status} for stream ${streamId}`);
+    this.name = 'StreamUnknown';
+  }
+}
--- /dev/null
+++ b/src/http/httpServer.ts
@@ -0,0 +1,66 @@
+import Fastify from 'fastify';
+import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import type { ResultCode } from '../errors/resultCodes';
+
+const MAX_BODY_BYTES = 67_108_864;
+const MAX_HEADER_BYTES = 32_768;
+const MS_PER_SECOND = 1_000;
+const KEEP_ALIVE_MS = 72_000;
+
+const frameworkCodes: Readonly<Record<string, ResultCode>> = {
+  FST_ERR_CTP_BODY_TOO_LARGE: 'bodyTooLarge',
+  FST_ERR_CTP_INVALID_JSON_BODY: 'malformedJson',
+  FST_ERR_CTP_EMPTY_JSON_BODY: 'malformedJson',
+  FST_ERR_CTP_INVALID_CONTENT_LENGTH: 'invalidRequest',
+  FST_ERR_CTP_INVALID_MEDIA_TYPE: 'invalidRequest',
+  FST_ERR_BAD_URL: 'unknownPath',
+};
+
+const toCodedError = (error: Error): BeechliftError => {
+  if (error instanceof BeechliftError) return error;
+  const { code, statusCode } = error as FastifyError;
+  const known = frameworkCodes[code];
+  if (known) return new BeechliftError(known, error.message);
+  if (statusCode !== undefined && statusCode < 500) return new BeechliftError('invalidRequest', error.message);
+  return toBeechliftError(error);
+};
+
+/**
+ * Sends an error in the form that docs/CALLERS.md shows.
+ *
+ * @example
+ * sendError(reply, new BeechliftError('unknownPath', 'GET /x'));
+ */
+export const sendError = (reply: FastifyReply, error: BeechliftError): FastifyReply => {
+  const { retryAfterMs } = error.detail;
+  if (retryAfterMs !== undefined) {
+    reply.header('retry-after', Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND)));
+  }
+  return reply.code(error.status).send(error.buildBody());
+};
+
+/**
+ * Makes an HTTP server whose errors all carry a code.
+ *
+ * @example
+ * const app = makeHttpServer();
+ */
+export const makeHttpServer = (): FastifyInstance => {
+  const app = Fastify({
+    bodyLimit: MAX_BODY_BYTES,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    http: { maxHeaderSize: MAX_HEADER_BYTES },
+    forceCloseConnections: 'idle',
+  });
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (request, body, done) => { done(null, body); });
+  app.setErrorHandler((error: Error, request, reply) => sendError(reply, toCodedError(error)));
+  app.setNotFoundHandler((request, reply) => sendError(reply, new BeechliftError('unknownPath', `${request.method} ${request.url.slice(0, 200)}`)));
+  return app;
+};
+
+/** Body of a request as bytes; empty when there is none. */
+export const readBody = (request: FastifyRequest): Buffer => (
+  Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0)
+);
--- /dev/null
+++ b/src/http/httpSink.ts
@@ -0,0 +1,103 @@
+import { once } from 'node:events';
+import type { FastifyReply } from 'fastify';
+import { foldEvents } from '../entry/answerSink';
+import type { AnswerSink } from '../entry/answerSink';
+import type { CallerLink } from '../entry/requestJob';
+import type { BeechliftError } from '../errors/beechliftError';
+import { sendError } from './httpServer';
+
+const KEEP_ALIVE_MS = 2_000;
+const STREAM_HEADERS = {
+  'content-type': 'text/event-stream', 'cache-control': 'no-cache', connection: 'keep-alive',
+};
+
+/**
+ * Writes an answer to a caller: as a stream of server-sent events, or folded into one JSON document.
+ *
+ * Guards against a slow caller that fills the memory: the next event is taken from the engine only once the
+ * caller's connection has room.
+ *
+ * @example
+ * const sink = new HttpSink(reply, true, '/v1/chat/completions');
+ */
+export class HttpSink implements AnswerSink {
+  /** The caller's end, as the runners see it. */
+  readonly link: CallerLink;
+
+  private readonly events: string[] = [];
+
+  private offset = 0;
+
+  private begun = false;
+
+  private keepAlive: NodeJS.Timeout | undefined;
+
+  private gone = false;
+
+  constructor(
+    private readonly reply: FastifyReply,
+    private readonly isStream: boolean,
+    private readonly path: string,
+  ) {
+    const listeners: (() => void)[] = [];
+    reply.raw.on('close', () => {
+      clearInterval(this.keepAlive);
+      if (reply.raw.writableFinished) return;
+      this.gone = true;
+      listeners.forEach((listener) => listener());
+    });
+    this.link = {
+      isGone: () => this.gone,
+      onGone: (listener) => { listeners.push(listener); },
+    };
+  }
+
+  /** Takes one event. */
+  async deliver(data: string): Promise<void> {
+    if (!this.isStream) {
+      this.events.push(data);
+      return;
+    }
+    this.begin();
+    await this.write(`id: ${this.offset}\ndata: ${data}\n\n`);
+    this.offset += 1;
+  }
+
+  /** Ends a whole answer. */
+  async end(): Promise<void> {
+    clearInterval(this.keepAlive);
+    if (this.gone) return;
+    if (!this.isStream) {
+      await this.reply.send(foldEvents(this.events, this.path.includes('chat')));
+      return;
+    }
+    this.begin();
+    this.reply.raw.end('data: [DONE]\n\n');
+  }
+
+  /** Tells the caller what went wrong: by status, or, once a stream has begun, by an event. */
+  fail(error: BeechliftError): void {
+    clearInterval(this.keepAlive);
+    if (this.gone) return;
+    if (!this.begun) {
+      sendError(this.reply, error);
+      return;
+    }
+    this.reply.raw.end(`event: error\ndata: ${JSON.stringify(error.buildBody())}\n\n`);
+  }
+
+  private begin(): void {
+    if (this.begun) return;
+    this.begun = true;
+    this.reply.hijack();
+    this.reply.raw.writeHead(200, STREAM_HEADERS);
+    // Comments let a caller tell a silent connection from a slow answer.
+    this.keepAlive = setInterval(() => this.reply.raw.write(': keep-alive\n\n'), KEEP_ALIVE_MS);
+    this.keepAlive.unref();
+  }
+
+  private async write(text: string): Promise<void> {
+    if (this.gone || this.reply.raw.write(text)) return;
+    await Promise.race([once(this.reply.raw, 'drain'), once(this.reply.raw, 'close')]);
+  }
+}
--- /dev/null
+++ b/src/manifest/checkManifest.ts
@@ -0,0 +1,138 @@
+import { buildValidator } from '../utils/schemaValidator';
+import { manifestSchema } from './manifestSchema';
+import type { Manifest } from './manifest';
+import type { ManifestFault } from './manifestFault';
+
+/** What comes of checking a text: the manifest, or every fault found in it. */
+export type CheckedManifest =
+  | { readonly manifest: Manifest; readonly faults: readonly [] }
+  | { readonly manifest: undefined; readonly faults: readonly ManifestFault[] };
+
+type Rule = (manifest: Manifest, previous?: Manifest) => ManifestFault[];
+
+const MAX_HEADROOM = 0.9;
+
+const listMissing = (
+  names: readonly string[],
+  known: object,
+  path: string,
+  kind: string,
+): ManifestFault[] => names
+  .filter((name) => !Object.hasOwn(known, name))
+  .map((name) => ({ code: 'danglingName', path, message: `${kind} "${name}" is not defined` }));
+
+const checkAccountTiers: Rule = ({ accounts, tiers }, previous) => Object.entries(accounts)
+  .flatMap(([name, account]) => listMissing(account.tiers, tiers, `/accounts/${name}/tiers`, 'tier'))
+  .map((fault) => {
+    const removed = Object.keys(previous?.tiers ?? {}).some((tier) => fault.message.includes(`"${tier}"`));
+    return removed ? { ...fault, code: 'tierInUse' as const } : fault;
+  });
+
+const checkPoolNames: Rule = ({ pools, models, services }) => Object.entries(pools)
+  .flatMap(([name, pool]) => [
+    ...listMissing(pool.models, models, `/pools/${name}/models`, 'model'),
+    ...listMissing(pool.services, services, `/pools/${name}/services`, 'service'),
+  ]);
+
+const checkCarried: Rule = ({ pools, models, services }) => {
+  const workers = Object.values(pools).filter(({ role }) => role === 'worker');
+  const carriedModels = new Set(workers.flatMap((pool) => pool.models));
+  const carriedServices = new Set(workers.flatMap((pool) => pool.services));
+  const findUncarried = (names: string[], carried: Set<string>, section: string): ManifestFault[] => names
+    .filter((name) => !carried.has(name))
+    .map((name) => ({
+      code: 'uncarriedModel', path: `/${section}/${name}`, message: 'no pool with role "worker" carries it',
+    }));
+  return [
+    ...findUncarried(Object.keys(models), carriedModels, 'models'),
+    ...findUncarried(Object.keys(services), carriedServices, 'services'),
+  ];
+};
+
+const checkHeadroom: Rule = ({ tiers }) => {
+  const total = Object.values(tiers).reduce((sum, { headroom }) => sum + headroom, 0);
+  if (total <= MAX_HEADROOM) return [];
+  return [{
+    code: 'headroomAboveCapacity', path: '/tiers', message: `headroom adds up to ${total.toFixed(2)}, at most ${MAX_HEADROOM} is allowed`,
+  }];
+};
+
+const checkRanks: Rule = ({ tiers }) => {
+  const seen = new Map<number, string>();
+  return Object.entries(tiers).flatMap(([name, { rank }]): ManifestFault[] => {
+    const other = seen.get(rank);
+    seen.set(rank, name);
+    if (other === undefined) return [];
+    return [{ code: 'duplicateRank', path: `/tiers/${name}/rank`, message: `rank ${rank} is also that of "${other}"` }];
+  });
+};
+
+const checkKeys: Rule = ({ accounts }) => {
+  const seen = new Map<string, string>();
+  return Object.entries(accounts).flatMap(([name, { keyHashes }]) => keyHashes
+    .flatMap((keyHash): ManifestFault[] => {
+      const other = seen.get(keyHash);
+      seen.set(keyHash, name);
+      if (other === undefined) return [];
+      return [{ code: 'duplicateKey', path: `/accounts/${name}/keyHashes`, message: `the same key belongs to "${other}"` }];
+    }));
+};
+
+const checkMigration: Rule = ({ migration, accounts, tiers }) => Object.entries(migration)
+  .flatMap(([name, item]) => listMissing(
+    [name],
+    item.of === 'account' ? accounts : tiers,
+    `/migration/${name}`,
+    item.of,
+  ));
+
+/*
+ * Guards against a queue that is full of the top tier while a lower tier still runs: the owner could
+ * then neither shed nor wait. As accounts hold no more requests than their concurrency, a sum within the
+ * bound keeps the queue from ever filling.
+ */
+const checkQueueBound: Rule = ({ accounts, limits }) => {
+  const total = Object.values(accounts).reduce((sum, { concurrency }) => sum + concurrency, 0);
+  if (total <= limits.queuePerPool) return [];
+  return [{
+    code: 'limitsAboveBound', path: '/limits/queuePerPool', message: `concurrency adds up to ${total}, above the bound of ${limits.queuePerPool}`,
+  }];
+};
+
+const rules: readonly Rule[] = [
+  checkAccountTiers,
+  checkPoolNames,
+  checkCarried,
+  checkHeadroom,
+  checkRanks,
+  checkKeys,
+  checkMigration,
+  checkQueueBound,
+];
+
+const validateForm = buildValidator(manifestSchema);
+
+const refuse = (faults: ManifestFault[]): CheckedManifest => ({ manifest: undefined, faults });
+
+/**
+ * Parses and checks a manifest, with every fault in one answer.
+ *
+ * @param previous the manifest in force, for rules on what a change removes
+ * @example
+ * const { manifest, faults } = checkManifest(text);
+ */
+export const checkManifest = (text: string, previous?: Manifest): CheckedManifest => {
+  let document: unknown;
+  try {
+    document = JSON.parse(text);
+  } catch (thrown) {
+    return refuse([{ code: 'manifestMalformed', path: '/', message: (thrown as Error).message }]);
+  }
+  const formFaults = validateForm(document);
+  if (formFaults.length > 0) {
+    return refuse(formFaults.map((fault) => ({ code: 'manifestInvalid', ...fault })));
+  }
+  const manifest = document as Manifest;
+  const faults = rules.flatMap((rule) => rule(manifest, previous));
+  return faults.length > 0 ? refuse(faults) : { manifest, faults: [] };
+};
--- /dev/null
+++ b/src/manifest/manifestDelta.ts
@@ -0,0 +1,75 @@
+import { computeSha256, formatCanonicalJson } from '../utils/canonicalJson';
+import type { Manifest } from './manifest';
+
+/** One item that differs between two manifests. */
+export type SectionChange = {
+  /** Top-level field of the manifest. */
+  readonly section: string;
+  /** Item of the section; empty where the field is no section. */
+  readonly name: string;
+  /** New value as JSON; empty when the item is gone. */
+  readonly value: string;
+};
+
+type Section = Readonly<Record<string, unknown>>;
+
+const isSection = (value: unknown): value is Section => (
+  typeof value === 'object' && value !== null && !Array.isArray(value)
+);
+
+const diffSection = (section: string, from: Section, to: Section): SectionChange[] => {
+  const names = [...new Set([...Object.keys(from), ...Object.keys(to)])];
+  return names.flatMap((name) => {
+    const value = name in to ? formatCanonicalJson(to[name]) : '';
+    const before = name in from ? formatCanonicalJson(from[name]) : '';
+    return value === before ? [] : [{ section, name, value }];
+  });
+};
+
+/**
+ * Lists what changed between two manifests, item by item.
+ *
+ * @example
+ * const changes = diffManifests(older, newer);
+ */
+export const diffManifests = (from: Manifest, to: Manifest): SectionChange[] => {
+  const before = from as unknown as Section;
+  const after = to as unknown as Section;
+  const fields = [...new Set([...Object.keys(before), ...Object.keys(after)])];
+  return fields.flatMap((field) => {
+    const [a, b] = [before[field], after[field]];
+    if (isSection(a) && isSection(b)) return diffSection(field, a, b);
+    const value = b === undefined ? '' : formatCanonicalJson(b);
+    const old = a === undefined ? '' : formatCanonicalJson(a);
+    return value === old ? [] : [{ section: field, name: '', value }];
+  });
+};
+
+const applyChange = (document: Record<string, unknown>, change: SectionChange) => {
+  const { section, name, value } = change;
+  const field = name === '' ? section : name;
+  const holder = name === '' ? { ...document } : { ...(document[section] as Section) };
+  if (value === '') delete holder[field];
+  else holder[field] = JSON.parse(value);
+  return name === '' ? holder : { ...document, [section]: holder };
+};
+
+/**
+ * Applies changes to a manifest; the result must be compared by digest with what was meant.
+ *
+ * @example
+ * const newer = applyChanges(older, changes);
+ */
+export const applyChanges = (base: Manifest, changes: readonly SectionChange[]): Manifest => (
+  changes.reduce(applyChange, base as unknown as Record<string, unknown>) as unknown as Manifest
+);
+
+/**
+ * Computes the digest under which a manifest is known: SHA-256 of its canonical JSON.
+ *
+ * @example
+ * computeDigest(manifest); // 64 hex digits
+ */
+export const computeDigest = (manifest: Manifest): string => computeSha256(
+  formatCanonicalJson(manifest),
+);
--- /dev/null
+++ b/src/settings/loadSettings.ts
@@ -0,0 +1,59 @@
+import { readFileSync } from 'node:fs';
+import { parse, printParseErrorCode } from 'jsonc-parser';
+import type { ParseError } from 'jsonc-parser';
+import { BeechliftError } from '../errors/beechliftError';
+import { buildValidator } from '../utils/schemaValidator';
+import { controlSettingsSchema, entrySettingsSchema } from './settingsSchema';
+import type { ControlSettings, EntrySettings } from './settings';
+
+/**
+ * Reads a text file.
+ *
+ * @example
+ * const text = readTextFile('examples/kiosks/manifest.json');
+ */
+export const readTextFile = (path: string): string => {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (cause) {
+    throw new BeechliftError('fileUnreadable', `cannot read "${path}": ${(cause as Error).message}`, { cause });
+  }
+};
+
+const parseSettings = (text: string, validate: ReturnType<typeof buildValidator>): unknown => {
+  const errors: ParseError[] = [];
+  const document: unknown = parse(text, errors, { allowTrailingComma: true });
+  const [first] = errors;
+  if (first) {
+    throw new BeechliftError('settingsMalformed', `${printParseErrorCode(first.error)} at character ${first.offset}`);
+  }
+  const faults = validate(document);
+  if (faults.length > 0) {
+    const lines = faults.map(({ path, message }) => `${path}: ${message}`);
+    throw new BeechliftError('settingsInvalid', lines.join('\n'));
+  }
+  return document;
+};
+
+const validateEntry = buildValidator(entrySettingsSchema);
+const validateControl = buildValidator(controlSettingsSchema);
+
+/**
+ * Parses the settings of an entry process; throws one error that lists every wrong field.
+ *
+ * @example
+ * const settings = parseEntrySettings(readTextFile('entry.jsonc'));
+ */
+export const parseEntrySettings = (text: string): EntrySettings => (
+  parseSettings(text, validateEntry) as EntrySettings
+);
+
+/**
+ * Parses the settings of a control process; throws one error that lists every wrong field.
+ *
+ * @example
+ * const settings = parseControlSettings(readTextFile('control.jsonc'));
+ */
+export const parseControlSettings = (text: string): ControlSettings => (
+  parseSettings(text, validateControl) as ControlSettings
+);
--- /dev/null
+++ b/src/utils/schemaValidator.ts
@@ -0,0 +1,42 @@
+import { Ajv } from 'ajv';
+import type { ErrorObject } from 'ajv';
+
+/** One thing that is wrong with a document. */
+export type SchemaFault = {
+  /** JSON pointer to the field. */
+  readonly path: string;
+  /** What was expected there, and the value that was found. */
+  readonly message: string;
+};
+
+const MAX_SHOWN_VALUE = 60;
+
+const formatValue = (value: unknown): string => {
+  const text = JSON.stringify(value) ?? 'nothing';
+  return text.length > MAX_SHOWN_VALUE ? `${text.slice(0, MAX_SHOWN_VALUE)}…` : text;
+};
+
+const formatExpectation = (error: ErrorObject): string => {
+  const { allowedValues, additionalProperty } = error.params as Record<string, unknown>;
+  if (allowedValues) return `expected one of ${JSON.stringify(allowedValues)}`;
+  if (additionalProperty) return `unknown field "${String(additionalProperty)}"`;
+  return error.message ?? 'is not valid';
+};
+
+const toFault = (error: ErrorObject): SchemaFault => ({
+  path: error.instancePath || '/',
+  message: `${formatExpectation(error)}, got ${formatValue(error.data)}`,
+});
+
+/**
+ * Builds a function that lists every fault of a document against a JSON schema.
+ *
+ * @example
+ * const validate = buildValidator({ type: 'object', required: ['id'] });
+ * validate({}); // [{ path: '/', message: "must have required property 'id', got {}" }]
+ */
+export const buildValidator = (schema: object): ((value: unknown) => SchemaFault[]) => {
+  const ajv = new Ajv({ allErrors: true, verbose: true, useDefaults: true });
+  const validate = ajv.compile(schema);
+  return (value) => (validate(value) ? [] : (validate.errors ?? []).map(toFault));
+};
--- /dev/null
+++ b/src/utils/secretKey.ts
@@ -0,0 +1,16 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+const hashKey = (key: string): Buffer => createHash('sha256').update(key).digest();
+
+/**
+ * Whether a key is the one behind any of the hashes. Every hash is compared, each in constant time, so that
+ * the time tells nothing of which one came near.
+ *
+ * @example
+ * if (!isKeyOf(key, account.keyHashes)) throw new BeechliftError('unknownKey', '…');
+ */
+export const isKeyOf = (key: string, hashes: readonly string[]): boolean => {
+  const own = hashKey(key);
+  const matches = hashes.map((hash) => timingSafeEqual(own, Buffer.from(hash, 'hex')));
+  return matches.includes(true);
+};
--- /dev/null
+++ b/src/version.ts
@@ -0,0 +1,4 @@
+import { version } from '../package.json';
+
+/** Version of this build. */
+export const VERSION: string = version;
--- /dev/null
+++ b/src/wire/linkTable.ts
@@ -0,0 +1,40 @@
+import type { Client } from '@grpc/grpc-js';
+import { RpcLink } from './rpcLink';
+import type { ClientConstructor } from './rpcLink';
+
+/**
+ * Links by address, opened when first used.
+ *
+ * @example
+ * const peers = new LinkTable(PeerClient);
+ * peers.find('10.0.0.2:7100').call(…);
+ */
+export class LinkTable<Stub extends Client> {
+  private readonly links = new Map<string, RpcLink<Stub>>();
+
+  constructor(private readonly Constructor: ClientConstructor<Stub>) {}
+
+  /** The link to an address. */
+  find(address: string): RpcLink<Stub> {
+    const known = this.links.get(address);
+    if (known) return known;
+    const link = new RpcLink(this.Constructor, address);
+    this.links.set(address, link);
+    return link;
+  }
+
+  /** Closes links to addresses that are not in use any more. */
+  keep(addresses: readonly string[]): void {
+    [...this.links.keys()]
+      .filter((address) => !addresses.includes(address))
+      .forEach((address) => {
+        this.links.get(address)?.close();
+        this.links.delete(address);
+      });
+  }
+
+  /** Closes all links. */
+  close(): void {
+    this.keep([]);
+  }
+}
--- /dev/null
+++ b/src/wire/rpcLink.ts
@@ -0,0 +1,100 @@
+import {
+  credentials, Metadata, status,
+} from '@grpc/grpc-js';
+import type {
+  CallOptions, ChannelCredentials, ChannelOptions, Client, ClientUnaryCall, ServiceError,
+} from '@grpc/grpc-js';
+import type { Operation } from '../utils/operation';
+
+/** Options that both ends share: pings of their own, and nothing of the library's balancing or retrying. */
+export const CHANNEL_OPTIONS: ChannelOptions = {
+  'grpc.keepalive_time_ms': 1_000,
+  'grpc.keepalive_timeout_ms': 700,
+  'grpc.keepalive_permit_without_calls': 1,
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.enable_http_proxy': 0,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 500,
+  'grpc.max_receive_message_length': 67_108_864,
+  'grpc.max_send_message_length': 67_108_864,
+};
+
+/** Makes a client for an address. */
+export type ClientConstructor<Stub extends Client> = new (
+  address: string,
+  channelCredentials: ChannelCredentials,
+  options?: Partial<ChannelOptions>,
+) => Stub;
+
+/** A unary method of a generated client. */
+export type UnaryMethod<Request, Reply> = (
+  request: Request,
+  metadata: Metadata,
+  options: Partial<CallOptions>,
+  callback: (error: ServiceError | null, reply: Reply) => void,
+) => ClientUnaryCall;
+
+/** Statuses that tell of the connection and not of the peer. */
+const SUSPECT_STATUSES: readonly number[] = [status.DEADLINE_EXCEEDED, status.UNAVAILABLE];
+
+/**
+ * One peer over gRPC.
+ *
+ * Guards against a connection that goes silent for good while new ones work: pings find it, and after a call
+ * that got no answer in its time the next call goes over a fresh connection, not the suspect one.
+ *
+ * @example
+ * const link = new RpcLink(PeerClient, '10.0.0.2:7100');
+ * const reply = await link.call((stub) => stub.ask.bind(stub), request, operation);
+ */
+export class RpcLink<Stub extends Client> {
+  private stub: Stub;
+
+  constructor(
+    private readonly Constructor: ClientConstructor<Stub>,
+    readonly address: string,
+  ) {
+    this.stub = this.open();
+  }
+
+  /** Calls a method; fails when the operation's deadline passes or it is cancelled. */
+  call<Request, Reply>(
+    pickMethod: (stub: Stub) => UnaryMethod<Request, Reply>,
+    request: Request,
+    operation: Operation,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<Reply> {
+    const metadata = new Metadata();
+    Object.entries(headers).forEach(([key, value]) => metadata.set(key, value));
+    const used = this.stub;
+    return new Promise((resolve, reject) => {
+      const deadline = Date.now() + operation.remainingMs;
+      const call = pickMethod(used).call(used, request, metadata, { deadline }, (error, reply) => {
+        if (error && SUSPECT_STATUSES.includes(error.code)) this.renew(used);
+        if (error) reject(error);
+        else resolve(reply);
+      });
+      const cancel = () => call.cancel();
+      operation.signal.addEventListener('abort', cancel, { once: true });
+      call.on('status', () => operation.signal.removeEventListener('abort', cancel));
+    });
+  }
+
+  /** Closes the connection. */
+  close(): void {
+    this.stub.close();
+  }
+
+  private open(): Stub {
+    return new this.Constructor(this.address, credentials.createInsecure(), CHANNEL_OPTIONS);
+  }
+
+  /** Opens a fresh connection in place of one that gave no answer; calls on the old one may still end. */
+  private renew(suspect: Stub): void {
+    if (this.stub !== suspect) return;
+    this.stub = this.open();
+    suspect.close();
+  }
+}
--- /dev/null
+++ b/src/wiring.ts
@@ -0,0 +1,74 @@
+/** The one module that puts the parts of a process together. */
+import { startControl } from './control/controlProcess';
+import type { RunningControl } from './control/controlProcess';
+import type { PolicySettings } from './core/schedule/scheduleTypes';
+import { startEntry } from './entry/entryProcess';
+import type { RunningEntry } from './entry/entryProcess';
+import { makeAdminServer } from './http/adminServer';
+import { makeCallerServer } from './http/callerServer';
+import { listenOn } from './http/listenOn';
+import type { ControlSettings, EntrySettings } from './settings/settings';
+import { makeLogger } from './telemetry/logger';
+
+/** A process with its HTTP server. */
+export type WiredProcess<Running> = {
+  readonly running: Running;
+  /** Where its HTTP server listens. */
+  readonly address: string;
+  /** Ends without cutting anything off. */
+  readonly shutDown: () => Promise<void>;
+};
+
+/**
+ * Starts an entry with its HTTP server.
+ *
+ * @example
+ * const entry = await wireEntry(settings);
+ */
+export const wireEntry = async (
+  settings: EntrySettings,
+  policy?: PolicySettings,
+): Promise<WiredProcess<RunningEntry>> => {
+  const logger = makeLogger(`entry/${settings.id}`, settings.logLevel);
+  const running = await startEntry({ settings, logger, policy });
+  const app = makeCallerServer(running.api);
+  const address = await listenOn(app, settings.callerAddress);
+  running.setCallerAddress(address);
+  logger.info('callers are served', { address });
+  return {
+    running,
+    address,
+    shutDown: async () => {
+      await running.drain();
+      await app.close();
+      await running.stop();
+      logger.info('entry ended');
+    },
+  };
+};
+
+/**
+ * Starts a control replica with its HTTP server.
+ *
+ * @example
+ * const control = await wireControl(settings, (error) => process.exit(1));
+ */
+export const wireControl = async (
+  settings: ControlSettings,
+  failStorage: (error: unknown) => void,
+): Promise<WiredProcess<RunningControl>> => {
+  const logger = makeLogger(`control/${settings.id}`, settings.logLevel);
+  const running = await startControl({ settings, logger, failStorage });
+  const app = makeAdminServer(running);
+  const address = await listenOn(app, settings.adminAddress);
+  logger.info('operators are served', { address });
+  return {
+    running,
+    address,
+    shutDown: async () => {
+      await app.close();
+      await running.stop();
+      logger.info('control ended');
+    },
+  };
+};
--- /dev/null
+++ b/tests/fakes/engineModel.ts
@@ -0,0 +1,160 @@
+import { createHash } from 'node:crypto';
+
+/** How fast an engine is and what it can do. */
+export type EngineTraits = {
+  /** Milliseconds for one prompt token that is not cached. */
+  readonly prefillMs: number;
+  /** Milliseconds for one token of one stream. */
+  readonly decodeMs: number;
+  readonly slots: number;
+  /** Prefixes that the cache holds. */
+  readonly cacheSize: number;
+};
+
+/** Faults on demand. */
+export type EngineFault = 'none' | 'stall' | 'silent' | 'slow' | 'drop' | 'refuse';
+
+/** A stream as the engine keeps it. */
+export type EngineStream = {
+  readonly id: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly isChat: boolean;
+  readonly model: string;
+  readonly events: string[];
+  done: boolean;
+  cancelled: boolean;
+  readonly listeners: Set<() => void>;
+};
+
+const CHARACTERS_PER_TOKEN = 4;
+const PREFIX_TOKENS = [64, 256, 1_024, 4_096];
+const BATCH_COST = 0.05;
+const SLOW_FACTOR = 8;
+const MAX_KEPT_STREAMS = 5_000;
+
+const hashText = (text: string): string => createHash('sha1').update(text).digest('base64url');
+
+/** The answer that belongs to a prompt, so that a caller can tell its own from another's. */
+export const makeExpectedText = (prompt: string, tokens: number): string => {
+  const mark = hashText(prompt).slice(0, 6);
+  return Array.from({ length: tokens }, (unused, position) => `${mark}:${position} `).join('');
+};
+
+/** Continuous batching over one prefix cache: every step admits what fits and gives each stream one token. */
+export class EngineModel {
+  fault: EngineFault = 'none';
+
+  readonly streams = new Map<string, EngineStream>();
+
+  readonly barred = new Set<string>();
+
+  /** Prompt tokens prefilled, cached ones left out. */
+  prefilledTokens = 0;
+
+  private readonly waiting: EngineStream[] = [];
+
+  private readonly running = new Set<EngineStream>();
+
+  private readonly cache = new Map<string, true>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly traits: EngineTraits) {}
+
+  /** Requests in the engine. */
+  get load(): number {
+    return this.running.size + this.waiting.length;
+  }
+
+  /** Takes a stream in. */
+  add(stream: EngineStream): void {
+    this.streams.set(stream.id, stream);
+    const [oldest] = this.streams.keys();
+    if (this.streams.size > MAX_KEPT_STREAMS && oldest) this.streams.delete(oldest);
+    this.waiting.push(stream);
+    this.schedule(0);
+  }
+
+  /** Ends a stream early, and bars its id from now on. */
+  cancel(id: string): 'neverSeen' | 'cancelled' | 'finished' {
+    this.barred.add(id);
+    const stream = this.streams.get(id);
+    if (!stream) return 'neverSeen';
+    if (stream.done) return 'finished';
+    stream.cancelled = true;
+    stream.done = true;
+    this.running.delete(stream);
+    stream.listeners.forEach((listener) => listener());
+    return 'cancelled';
+  }
+
+  /** Stops all work. */
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  private schedule(delayMs: number): void {
+    if (this.timer) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.step();
+    }, delayMs);
+  }
+
+  private step(): void {
+    if (this.fault === 'stall') {
+      this.schedule(20);
+      return;
+    }
+    const prefillMs = this.admit();
+    this.running.forEach((stream) => this.emit(stream));
+    if (this.running.size === 0 && this.waiting.length === 0) return;
+    const batch = Math.max(0, this.running.size - 1);
+    const decodeMs = this.traits.decodeMs * (1 + BATCH_COST * batch);
+    this.schedule((prefillMs + decodeMs) * (this.fault === 'slow' ? SLOW_FACTOR : 1));
+  }
+
+  private admit(): number {
+    if (this.running.size >= this.traits.slots) return 0;
+    const stream = this.waiting.shift();
+    if (!stream) return 0;
+    if (!stream.done) this.running.add(stream);
+    return this.prefill(stream.prompt);
+  }
+
+  private prefill(prompt: string): number {
+    const prefixes = PREFIX_TOKENS
+      .filter((tokens) => prompt.length >= tokens * CHARACTERS_PER_TOKEN)
+      .map((tokens) => ({ tokens, key: hashText(prompt.slice(0, tokens * CHARACTERS_PER_TOKEN)) }));
+    const cached = prefixes.findLast(({ key }) => this.cache.has(key))?.tokens ?? 0;
+    prefixes.forEach(({ key }) => {
+      this.cache.delete(key);
+      this.cache.set(key, true);
+    });
+    [...this.cache.keys()]
+      .slice(0, Math.max(0, this.cache.size - this.traits.cacheSize))
+      .forEach((key) => this.cache.delete(key));
+    const fresh = Math.max(0, prompt.length / CHARACTERS_PER_TOKEN - cached);
+    this.prefilledTokens += fresh;
+    return fresh * this.traits.prefillMs;
+  }
+
+  private emit(stream: EngineStream): void {
+    const position = stream.events.length;
+    const isLast = position >= stream.maxTokens;
+    const text = isLast ? '' : `${hashText(stream.prompt).slice(0, 6)}:${position} `;
+    const choice = stream.isChat ? { index: 0, delta: { content: text } } : { index: 0, text };
+    stream.events.push(JSON.stringify({
+      id: stream.id,
+      object: stream.isChat ? 'chat.completion.chunk' : 'text_completion',
+      model: stream.model,
+      choices: [{ ...choice, finish_reason: isLast ? 'stop' : null }],
+    }));
+    if (isLast) {
+      stream.done = true;
+      this.running.delete(stream);
+    }
+    stream.listeners.forEach((listener) => listener());
+  }
+}
--- /dev/null
+++ b/tests/fakes/engineStandIn.ts
@@ -0,0 +1,214 @@
+import { appendFileSync } from 'node:fs';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { randomUUID } from 'node:crypto';
+import { request } from 'undici';
+import { EngineModel } from './engineModel';
+import type { EngineFault, EngineStream, EngineTraits } from './engineModel';
+
+/** What a stand-in is started with. */
+export type StandInOptions = EngineTraits & {
+  readonly id: string;
+  readonly pool: string;
+  readonly hardware: string;
+  readonly models: readonly string[];
+  /** Entry VMs to announce to; they are taken in turn. */
+  readonly entries: readonly string[];
+  readonly announceMs: number;
+  /** Age of the load that is reported. */
+  readonly loadLagMs: number;
+  /** File for a record of every dispatch. */
+  readonly recordFile: string;
+  readonly secret?: string;
+};
+
+type CompletionBody = {
+  readonly model: string;
+  readonly max_tokens?: number;
+  readonly messages?: readonly { readonly role?: string; readonly content?: string }[];
+  readonly prompt?: string;
+};
+
+type Route = (request_: IncomingMessage, response: ServerResponse, body: string) => void;
+
+const readBody = async (incoming: IncomingMessage): Promise<string> => {
+  const pieces: Buffer[] = [];
+  // eslint-disable-next-line no-restricted-syntax -- a body is read in order
+  for await (const piece of incoming) pieces.push(piece as Buffer);
+  return Buffer.concat(pieces).toString();
+};
+
+const joinPrompt = (body: CompletionBody): string => (
+  body.messages?.map(({ role, content }) => `${role}\n${content}`).join('\n') ?? body.prompt ?? ''
+);
+
+/** A model engine that tests and benches put before the system: it knows no tiers and admits as they come. */
+export class EngineStandIn {
+  readonly model: EngineModel;
+
+  readonly incarnation = randomUUID();
+
+  address = '';
+
+  state: 'ready' | 'leaving' = 'ready';
+
+  /** Stream ids in the order in which they were dispatched here. */
+  readonly dispatched: string[] = [];
+
+  private readonly server: Server;
+
+  private readonly loads: { readonly at: number; readonly load: number }[] = [];
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private turn = 0;
+
+  constructor(private readonly options: StandInOptions) {
+    this.model = new EngineModel(options);
+    this.server = createServer((incoming, response) => {
+      this.handle(incoming, response).catch(() => response.destroy());
+    });
+  }
+
+  /** Listens and begins to announce itself. */
+  async start(port = 0): Promise<void> {
+    await new Promise<void>((resolve) => { this.server.listen(port, '127.0.0.1', resolve); });
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    this.timer = setInterval(() => { this.announce().catch(() => undefined); }, this.options.announceMs);
+    await this.announce().catch(() => undefined);
+  }
+
+  /** Dies at once: open connections are cut. */
+  crash(): void {
+    clearInterval(this.timer);
+    this.model.stop();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** Tells an entry about itself. */
+  async announce(): Promise<void> {
+    const {
+      id, pool, hardware, models, slots, entries, loadLagMs, secret,
+    } = this.options;
+    const now = performance.now();
+    this.loads.push({ at: now, load: this.model.load });
+    if (this.loads.length > 600) this.loads.shift();
+    const reading = this.loads.findLast(({ at }) => at <= now - loadLagMs);
+    this.turn += 1;
+    const entry = entries[this.turn % entries.length];
+    const response = await request(`http://${entry}/v1/announce`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      headersTimeout: 1_000,
+      body: JSON.stringify({
+        id,
+        pool,
+        hardware,
+        models,
+        slots,
+        kind: 'model',
+        incarnation: this.incarnation,
+        address: this.address,
+        zone: 'az-1',
+        abilities: ['resume', 'cancel'],
+        state: this.state,
+        running: reading?.load ?? 0,
+        loadAgeMs: reading ? Math.round(now - reading.at) : 0,
+        ...(secret ? { secret } : {}),
+      }),
+    });
+    await response.body.dump();
+  }
+
+  private async handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(incoming);
+    const url = new URL(incoming.url ?? '/', 'http://engine');
+    if (this.model.fault === 'refuse') {
+      response.writeHead(503).end();
+      return;
+    }
+    const [, version, kind, id] = url.pathname.split('/');
+    const route = this.routes[`${incoming.method} ${version}/${kind}`];
+    if (!route) {
+      response.writeHead(404).end();
+      return;
+    }
+    incoming.headers['x-stream'] = id ?? '';
+    incoming.headers['x-from'] = url.searchParams.get('from') ?? '0';
+    route(incoming, response, body);
+  }
+
+  private readonly routes: Readonly<Record<string, Route>> = {
+    'POST v1/chat': (incoming, response, body) => this.dispatch(incoming, response, body, true),
+    'POST v1/completions': (incoming, response, body) => this.dispatch(incoming, response, body, false),
+    'GET v1/streams': (incoming, response) => {
+      const stream = this.model.streams.get(String(incoming.headers['x-stream']));
+      if (!stream || stream.cancelled) response.writeHead(404).end();
+      else this.relay(stream, response, Number(incoming.headers['x-from']));
+    },
+    'DELETE v1/streams': (incoming, response) => {
+      const state = this.model.cancel(String(incoming.headers['x-stream']));
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify({ state, incarnation: this.incarnation }));
+    },
+    'POST v1/fault': (incoming, response, body) => {
+      this.model.fault = (JSON.parse(body) as { kind: EngineFault }).kind;
+      response.end();
+    },
+    'GET v1/stats': (incoming, response) => {
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify({ prefilledTokens: this.model.prefilledTokens, dispatched: this.dispatched.length }));
+    },
+  };
+
+  private dispatch(incoming: IncomingMessage, response: ServerResponse, text: string, isChat: boolean): void {
+    const id = String(incoming.headers['beechlift-stream'] ?? randomUUID());
+    if (this.model.barred.has(id) || this.model.streams.has(id)) {
+      response.writeHead(409).end();
+      return;
+    }
+    const body = JSON.parse(text) as CompletionBody;
+    const stream: EngineStream = {
+      id,
+      prompt: joinPrompt(body),
+      maxTokens: body.max_tokens ?? 16,
+      isChat,
+      model: body.model,
+      events: [],
+      done: false,
+      cancelled: false,
+      listeners: new Set(),
+    };
+    this.dispatched.push(id);
+    this.record({ kind: 'dispatch', engine: this.options.id, stream: id, prompt: stream.prompt.slice(0, 200) });
+    this.model.add(stream);
+    this.relay(stream, response, 0);
+  }
+
+  private relay(stream: EngineStream, response: ServerResponse, from: number): void {
+    let offset = from;
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.flushHeaders();
+    const push = () => {
+      if (this.model.fault === 'silent') return;
+      if (this.model.fault === 'drop' && offset > from + 2) {
+        response.destroy();
+        return;
+      }
+      stream.events.slice(offset).forEach((data) => {
+        response.write(`id: ${offset}\ndata: ${data}\n\n`);
+        offset += 1;
+      });
+      if (stream.done) response.end(stream.cancelled ? '' : 'data: [DONE]\n\n');
+    };
+    stream.listeners.add(push);
+    response.on('close', () => stream.listeners.delete(push));
+    push();
+  }
+
+  private record(line: object): void {
+    if (this.options.recordFile !== '') appendFileSync(this.options.recordFile, `${JSON.stringify(line)}\n`);
+  }
+}
