--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -26,7 +26,11 @@
   await writeFile('dist/sea.json', JSON.stringify({
     main: 'dist/beechlift.cjs', output: 'dist/sea.blob', disableExperimentalSEAWarning: true,
   }));
-  execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'ignore' });
+  execFileSync(
+    process.execPath,
+    ['--experimental-sea-config', 'dist/sea.json'],
+    { stdio: 'ignore' },
+  );
   await copyFile(process.execPath, 'dist/beechlift');
   await chmod('dist/beechlift', 0o755);
   await inject('dist/beechlift', 'NODE_SEA_BLOB', await readFile('dist/sea.blob'), {
--- a/scripts/start.ts
+++ b/scripts/start.ts
@@ -1,7 +1,7 @@
 /**
- * Runs a small site on loopback: two entries, one control replica and two unlike engine stand-ins, each a
- * process of its own. Submits a manifest, asks as a caller would, prints what happened, and ends. With --keep
- * it goes on until it is interrupted. Nothing stays behind.
+ * Runs a small site on loopback: two entries, one control replica and two unlike engine stand-ins,
+ * each a process of its own. Submits a manifest, asks as a caller would, prints what happened, and
+ * ends. With --keep it goes on until it is interrupted. Nothing stays behind.
  */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
@@ -16,7 +16,11 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { request } from 'undici';
 
-type Span = {
+interface StreamChunk {
+  readonly choices: readonly { readonly delta: { readonly content: string } }[];
+}
+
+interface Span {
   readonly traceId: string;
   readonly spanId: string;
   readonly parentId: string;
@@ -24,7 +28,7 @@
   readonly startMs: number;
   readonly durationMs: number;
   readonly attributes: Readonly<Record<string, string>>;
-};
+}
 
 const OPERATOR_KEY = 'demo-operator';
 const CALLER_KEY = 'demo-kiosk';
@@ -48,7 +52,9 @@
 
 const run = (args: readonly string[]): ChildProcess => {
   const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'ignore', 'pipe'] });
-  child.stderr?.on('data', (data: Buffer) => { if (process.env.BEECHLIFT_LOGS) process.stderr.write(data); });
+  child.stderr?.on('data', (data: Buffer) => {
+    if (process.env.BEECHLIFT_LOGS) process.stderr.write(data);
+  });
   children.push(child);
   return child;
 };
@@ -90,7 +96,9 @@
     },
     history: { rank: 1, firstTokenMs: 5_000, totalMs: 60_000 },
   },
-  accounts: { kiosks: { keyHashes: [hashKey(CALLER_KEY)], tiers: ['door', 'history'], concurrency: 64 } },
+  accounts: {
+    kiosks: { keyHashes: [hashKey(CALLER_KEY)], tiers: ['door', 'history'], concurrency: 64 },
+  },
   models: { guide: {} },
   pools: { engines: { kind: 'model', models: ['guide'] } },
 });
@@ -104,7 +112,12 @@
   });
 });
 
-const askStreaming = async (entry: string, tier: string, prompt: string, tokens: number): Promise<string> => {
+const askStreaming = async (
+  entry: string,
+  tier: string,
+  prompt: string,
+  tokens: number,
+): Promise<string> => {
   const response = await request(`http://${entry}/v1/chat/completions`, {
     method: 'POST',
     headers: {
@@ -121,7 +134,8 @@
   if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}: ${text}`);
   return text.split('\n')
     .filter((line) => line.startsWith('data: {'))
-    .map((line) => (JSON.parse(line.slice(6)) as { choices: { delta: { content: string } }[] }).choices[0]?.delta.content ?? '')
+    .map((line) => JSON.parse(line.slice(6)) as StreamChunk)
+    .map(({ choices }) => choices[0]?.delta.content ?? '')
     .join('');
 };
 
@@ -143,13 +157,21 @@
     ...formatTrace(spans, span.spanId, depth + 1),
   ]);
 
-const printAnswer = async (title: string, entry: string, tier: string, prompt: string, tokens: number): Promise<void> => {
+const printAnswer = async (
+  title: string,
+  entry: string,
+  tier: string,
+  prompt: string,
+  tokens: number,
+): Promise<void> => {
   const startedAt = performance.now();
   const answer = await askStreaming(entry, tier, prompt, tokens);
   const words = answer.trim().split(' ');
   console.log(`\n${title} (tier ${tier}), ${words.length} tokens in ${(performance.now() - startedAt).toFixed(0)} ms:`);
   console.log(`  ${words.slice(0, 6).join(' ')}${words.length > 6 ? ' …' : ''}`);
-  const findRoot = () => readSpans().find((span) => span.hop === 'caller' && span.attributes.tier === tier);
+  const findRoot = () => readSpans().find(
+    (span) => span.hop === 'caller' && span.attributes.tier === tier,
+  );
   await waitUntil('the trace', async () => findRoot() !== undefined);
   const root = findRoot();
   const spans = readSpans().filter(({ traceId }) => traceId === root?.traceId);
@@ -164,11 +186,19 @@
     id: 'c1', zone: 'az-1', address: control, adminAddress: admin, replicas: [{ id: 'c1', address: control, zone: 'az-1' }], dataFolder: join(folder, 'data'), firstOperatorKeyHash: hashKey(OPERATOR_KEY),
   })]);
   const entries = [
-    { id: 'e1', zone: 'az-1', callerAddress: caller1, peerAddress: peer1 },
-    { id: 'e2', zone: 'az-2', callerAddress: caller2, peerAddress: peer2 },
+    {
+      id: 'e1', zone: 'az-1', callerAddress: caller1, peerAddress: peer1,
+    },
+    {
+      id: 'e2', zone: 'az-2', callerAddress: caller2, peerAddress: peer2,
+    },
   ];
   entries.forEach((entry) => run(['dist/beechlift.cjs', 'entry', writeJson(`${entry.id}.json`, {
-    ...entry, control: [{ id: 'c1', address: control, zone: 'az-1' }], traceFile: join(folder, `${entry.id}.trace`),
+    ...entry,
+    control: [
+      { id: 'c1', address: control, zone: 'az-1' },
+    ],
+    traceFile: join(folder, `${entry.id}.trace`),
   })]));
   const engine = {
     pool: 'engines', models: ['guide'], entries: [caller1, caller2], announceMs: 500, loadLagMs: 1_000, recordFile: '', cacheSize: 64,
@@ -188,11 +218,20 @@
   return status.owned.flatMap(({ workers }) => workers).length;
 };
 
-const main = async (): Promise<void> => {
+const runSite = async (): Promise<void> => {
   const { entries, control } = await startSite();
   const [first] = entries as [string];
   console.log('submit');
-  await callCli(['submit', writeJson('manifest.json', makeManifest()), '--control', control, '--key', OPERATOR_KEY]);
+  await callCli(
+    [
+      'submit',
+      writeJson('manifest.json', makeManifest()),
+      '--control',
+      control,
+      '--key',
+      OPERATOR_KEY,
+    ],
+  );
   await waitUntil('the engines', async () => {
     const counts = await Promise.all(entries.map(readWorkers));
     return counts.reduce((sum, count) => sum + count, 0) === 2;
@@ -203,14 +242,16 @@
   await printAnswer('A bale history', first, 'history', 'Gin 12, bale 90417: weighed, graded, moved. '.repeat(120), 120);
   if (!keep) return;
   console.log(`\nstill running; try\ncurl -N http://${first}/v1/chat/completions -H 'authorization: Bearer ${CALLER_KEY}' -H 'content-type: application/json' -d '{"model":"guide","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Where is breakfast?"}]}'`);
-  await new Promise(() => { setInterval(() => undefined, 60_000); });
+  await new Promise(() => {
+    setInterval(() => undefined, 60_000);
+  });
 };
 
 ['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, () => {
   stopAll().finally(() => process.exit(130));
 }));
 
-main()
+runSite()
   .then(() => stopAll())
   .then(() => process.exit(0))
   .catch(async (error: unknown) => {
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -11,18 +11,23 @@
 const RETRY_PAUSE_MS = 200;
 const CALL_TIMEOUT_MS = 5_000;
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms); });
+const pause = (ms: number): Promise<void> => new Promise((resolve) => {
+  setTimeout(resolve, ms);
+});
 
 /**
- * An operator's side of the control replicas: asks one after the other until one decides. A manifest may be
- * sent as often as one likes, so a lost answer is no reason to stop.
+ * An operator's side of the control replicas: asks one after the other until one decides. A
+ * manifest may be sent as often as one likes, so a lost answer is no reason to stop.
  *
  * @example
  * const client = new OperatorClient(['10.0.0.1:7200'], key);
  * const reply = await client.submit(text, 15_000);
  */
 export class OperatorClient {
-  constructor(private readonly addresses: readonly string[], private readonly operatorKey: string) {}
+  constructor(
+    private readonly addresses: readonly string[],
+    private readonly operatorKey: string,
+  ) {}
 
   /** Submits a manifest. */
   submit(manifest: string, timeoutMs: number): Promise<SubmitReply> {
@@ -41,7 +46,11 @@
   }
 
   /** Begins to replace a replica. */
-  changeReplicas(request: Omit<ChangeReplicasRequest, 'operatorKey'>, timeoutMs: number): Promise<SubmitReply> {
+  changeReplicas(
+    request: Omit<ChangeReplicasRequest,
+      'operatorKey'>,
+    timeoutMs: number,
+  ): Promise<SubmitReply> {
     return this.ask<ChangeReplicasRequest, SubmitReply>('changeReplicas', {
       ...request, operatorKey: this.operatorKey,
     }, timeoutMs);
@@ -67,7 +76,6 @@
     }
   }
 
-  // eslint-disable-next-line class-methods-use-this -- one call of this client
   private async callOnce<Request, Reply>(
     address: string,
     method: 'submit' | 'readStatus' | 'changeReplicas',
--- a/src/cli/runCheck.ts
+++ b/src/cli/runCheck.ts
@@ -8,13 +8,16 @@
 /** Kinds of document that `check` reads. */
 export type CheckedKind = 'manifest' | 'entry' | 'control';
 
+/** The same kinds, as the command line offers them. */
+export const CHECKED_KINDS: readonly CheckedKind[] = ['manifest', 'entry', 'control'];
+
 /** Arguments of `check`. */
-export type CheckArguments = {
+export interface CheckArguments {
   readonly file: string | undefined;
   readonly kind: CheckedKind;
   readonly schema: boolean;
   readonly json: boolean;
-};
+}
 
 const checkManifestFile = (text: string, json: boolean): number => {
   const { manifest, faults } = checkManifest(text);
--- a/src/cli/runLocate.ts
+++ b/src/cli/runLocate.ts
@@ -6,12 +6,12 @@
 import { EXIT_CODES, printResult } from './output';
 
 /** Arguments of `locate`. */
-export type LocateArguments = {
+export interface LocateArguments {
   readonly entry: string;
   readonly key: string;
   readonly zone: string;
   readonly json: boolean;
-};
+}
 
 const TIMEOUT_MS = 5_000;
 
--- a/src/cli/runOperator.ts
+++ b/src/cli/runOperator.ts
@@ -7,14 +7,16 @@
 import { EXIT_CODES, printResult } from './output';
 
 /** Arguments that all commands to control share. */
-export type OperatorArguments = {
+export interface OperatorArguments {
   readonly control: readonly string[];
   readonly key: string;
   readonly timeout: number;
   readonly json: boolean;
-};
+}
 
-const openClient = ({ control, key }: OperatorArguments): OperatorClient => new OperatorClient(control, key);
+const openClient = ({ control, key }: OperatorArguments): OperatorClient => (
+  new OperatorClient(control, key)
+);
 
 const requireAccepted = (reply: SubmitReply): SubmitReply => {
   if (reply.code !== 0) throw makeErrorFromNumber(reply.code, reply.message);
@@ -23,7 +25,9 @@
 
 /** Submits a manifest; safe to repeat. */
 export const runSubmit = async (file: string, options: OperatorArguments): Promise<number> => {
-  const reply = requireAccepted(await openClient(options).submit(readTextFile(file), options.timeout));
+  const reply = requireAccepted(
+    await openClient(options).submit(readTextFile(file), options.timeout),
+  );
   const { version, digest, message } = reply;
   printResult({ ok: true, version, digest }, `version ${version} ${message}, digest ${digest}`, options.json);
   return EXIT_CODES.done;
--- a/src/cli/runProcess.ts
+++ b/src/cli/runProcess.ts
@@ -25,8 +25,8 @@
 };
 
 /*
- * Guards against a replica that goes on with a disk which refused a write: what it would vote for could be
- * gone after a restart. It ends, and the others go on without it.
+ * Guards against a replica that goes on with a disk which refused a write: what it would vote for
+ * could be gone after a restart. It ends, and the others go on without it.
  */
 const endOnFault = (error: unknown): void => {
   process.exit(printError(toBeechliftError(error), false));
--- a/src/control/claimHolder.ts
+++ b/src/control/claimHolder.ts
@@ -4,7 +4,8 @@
 } from '../protocol/generated/beechlift';
 import { ZERO_BALLOT } from '../core/claims/ballot';
 import {
-  acceptClaim, DEFAULT_CLAIM_BOUNDS, expireClaims, listRecords, makeClaimTable, mergeClaim, prepareClaim,
+  acceptClaim, DEFAULT_CLAIM_BOUNDS, expireClaims, listRecords, makeClaimTable, mergeClaim,
+  prepareClaim,
 } from '../core/claims/claimTable';
 import type { ClaimBounds, ClaimDecision, ClaimTable } from '../core/claims/claimTable';
 import type { ClaimStore } from '../disk/claimStore';
@@ -27,12 +28,16 @@
 });
 
 const refuseMoved = (): ClaimReply => ({
-  ok: false, code: resultCodes.holderSetMoved.number, promised: ZERO_BALLOT, accepted: ZERO_BALLOT, value: undefined,
+  ok: false,
+  code: resultCodes.holderSetMoved.number,
+  promised: ZERO_BALLOT,
+  accepted: ZERO_BALLOT,
+  value: undefined,
 });
 
 /**
- * Holds claims for entry VMs. Every promise and every accepted value is synced before it is answered, so a
- * holder that restarts votes at once and has forgotten nothing.
+ * Holds claims for entry VMs. Every promise and every accepted value is synced before it is
+ * answered, so a holder that restarts votes at once and has forgotten nothing.
  *
  * @example
  * const holder = new ClaimHolder(store, () => site.holders, systemClock);
@@ -59,7 +64,9 @@
   async prepare(request: PrepareClaimRequest): Promise<ClaimReply> {
     if (!this.isCurrent(request.holderSet)) return refuseMoved();
     const ballot = request.ballot ?? ZERO_BALLOT;
-    return this.answer(prepareClaim(this.table, this.bounds, request.key, ballot, this.clock.now()));
+    return this.answer(
+      prepareClaim(this.table, this.bounds, request.key, ballot, this.clock.now()),
+    );
   }
 
   /** Second round of a claim. */
@@ -71,7 +78,9 @@
     );
   }
 
-  /** Hands claims to a holder that is new; only once this one refuses requests of the set before. */
+  /**
+   * Hands claims to a holder that is new; only once this one refuses requests of the set before.
+   */
   copy(request: CopyClaimsRequest): CopyClaimsReply {
     if (this.readHolders().number < request.holderSet) {
       return { claims: [], lastKey: '', code: resultCodes.holderSetMoved.number };
@@ -109,8 +118,8 @@
   }
 
   /*
-   * Guards a replacement of holders: a request under an older set could reach a majority of holders that the
-   * newer set does not meet, so a holder that knows the newer set refuses it.
+   * Guards a replacement of holders: a request under an older set could reach a majority of holders
+   * that the newer set does not meet, so a holder that knows the newer set refuses it.
    */
   private isCurrent(holderSet: number): boolean {
     return holderSet === this.readHolders().number;
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -33,11 +33,15 @@
 const PROPOSE_TIMEOUT_MS = 4_000;
 
 /** How a control node reaches the others. */
-export type ControlPort = {
+export interface ControlPort {
   readonly sendMessage: (message: LogMessage, address: string) => void;
-  readonly forwardSubmit: (request: SubmitRequest, address: string, operation: Operation) => Promise<SubmitReply>;
+  readonly forwardSubmit: (
+    request: SubmitRequest,
+    address: string,
+    operation: Operation,
+  ) => Promise<SubmitReply>;
   readonly failStorage: (error: unknown) => void;
-};
+}
 
 const toSubmitReply = (result: SubmitResult): SubmitReply => ({
   code: result.code === 'accepted' ? 0 : resultCodes[result.code].number,
@@ -52,12 +56,14 @@
   message: faults.map(formatFault).join('\n'),
   version: 0,
   digest: '',
-  faults: faults.map(({ code, path, message }) => ({ code: resultCodes[code].number, path, message })),
+  faults: faults.map(
+    ({ code, path, message }) => ({ code: resultCodes[code].number, path, message }),
+  ),
 });
 
 /**
- * One control replica: the replicated state of the site, and what a leader does with it. It knows nothing of
- * the wire.
+ * One control replica: the replicated state of the site, and what a leader does with it. It knows
+ * nothing of the wire.
  *
  * @example
  * const node = new ControlNode(settings, stored, store, port, systemClock, logger);
@@ -128,7 +134,10 @@
 
   /** Checks and submits a manifest; on any replica but the leader it is forwarded. */
   async submit(request: SubmitRequest): Promise<SubmitReply> {
-    const operation = new Operation({ timeoutMs: Math.min(request.deadlineMs || PROPOSE_TIMEOUT_MS, PROPOSE_TIMEOUT_MS), clock: this.clock });
+    const operation = new Operation({
+      timeoutMs: Math.min(request.deadlineMs || PROPOSE_TIMEOUT_MS, PROPOSE_TIMEOUT_MS),
+      clock: this.clock,
+    });
     if (!this.runner.holdsLease) return this.forwardSubmit(request, operation);
     this.requireOperator(request.operatorKey);
     const { manifest, faults } = checkManifest(request.manifest, this.site.manifest);
@@ -139,7 +148,10 @@
     };
     const result = await this.runner.propose(JSON.stringify(command), operation);
     if (!result) throw new BeechliftError('noQuorum', 'the log gave no result');
-    this.logger.info('manifest submitted', { version: result.version, digest: result.digest, result: result.code });
+    this.logger.info(
+      'manifest submitted',
+      { version: result.version, digest: result.digest, result: result.code },
+    );
     return toSubmitReply(result);
   }
 
@@ -171,7 +183,9 @@
   changeReplicas(request: ChangeReplicasRequest): SubmitReply {
     this.requireOperator(request.operatorKey);
     const next = startReplacement(this.runner.state.replicas, request.removeId, request.add);
-    const started = this.runner.holdsLease && next !== undefined && this.runner.changeReplicas(next);
+    const started = this.runner.holdsLease
+      && next !== undefined
+      && this.runner.changeReplicas(next);
     if (!started) {
       throw new BeechliftError('replicaChangeRefused', 'this replica does not lead, a change is in progress, or the names do not fit');
     }
@@ -200,8 +214,15 @@
     this.proposing = true;
     const operation = new Operation({ timeoutMs: PROPOSE_TIMEOUT_MS, clock: this.clock });
     this.runner.propose(JSON.stringify(command), operation)
-      .catch((error: unknown) => this.logger.warn('proposal failed', { kind: command.kind, reason: toBeechliftError(error).message }))
-      .finally(() => { this.proposing = false; });
+      .catch(
+        (error: unknown) => this.logger.warn(
+          'proposal failed',
+          { kind: command.kind, reason: toBeechliftError(error).message },
+        ),
+      )
+      .finally(() => {
+        this.proposing = false;
+      });
   }
 
   private answerNotLeading(): HeartbeatReply {
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -21,20 +21,20 @@
 const STEP_TIMEOUT_MS = 1_000;
 
 /** A control process that runs. */
-export type RunningControl = {
+export interface RunningControl {
   readonly node: ControlNode;
   readonly holder: ClaimHolder;
   readonly address: string;
   readonly stop: () => Promise<void>;
-};
+}
 
 /** What a control process needs from outside. */
-export type ControlParts = {
+export interface ControlParts {
   readonly settings: ControlSettings;
   readonly logger: Logger;
   /** Called when the disk failed: the process must end, and vote for nothing more. */
   readonly failStorage: (error: unknown) => void;
-};
+}
 
 const sendStep = (links: LinkTable<ControlClient>, message: LogMessage, address: string): void => {
   links.find(address).call<LogMessage, object>(
@@ -51,16 +51,26 @@
   operation: Operation,
 ): Promise<SubmitReply> => links.find(address)
   .call<SubmitRequest, SubmitReply>((stub) => stub.submit.bind(stub) as never, request, operation)
-  .catch((thrown: unknown) => { throw toPeerError(thrown, 'noQuorum'); });
+  .catch((thrown: unknown) => {
+    throw toPeerError(thrown, 'noQuorum');
+  });
 
-const loadNode = async (parts: ControlParts, links: LinkTable<ControlClient>): Promise<ControlNode> => {
+const loadNode = async (
+  parts: ControlParts,
+  links: LinkTable<ControlClient>,
+): Promise<ControlNode> => {
   const { settings, logger } = parts;
   const store = new LogStore(nodeFileSystem, settings.dataFolder);
   const voters = settings.joining ? [] : [...settings.replicas];
   const stored = await store.load(makeEmptyLog({ voters, learners: [], leaving: [] }));
   return new ControlNode(settings, stored, store, {
     sendMessage: (message, address) => sendStep(links, message, address),
-    forwardSubmit: (request, address, operation) => forwardSubmit(links, request, address, operation),
+    forwardSubmit: (request, address, operation) => forwardSubmit(
+      links,
+      request,
+      address,
+      operation,
+    ),
     failStorage: parts.failStorage,
   }, systemClock, logger);
 };
--- a/src/control/holderCopier.ts
+++ b/src/control/holderCopier.ts
@@ -8,17 +8,18 @@
 const COPY_TIMEOUT_MS = 5_000;
 
 /** What the copier reads of its replica. */
-export type CopierView = {
+export interface CopierView {
   readonly id: string;
   readonly readHolders: () => HolderSet;
   readonly readLeaderAddress: () => string;
-};
+}
 
 /**
- * Lets a new claim holder copy what a majority of the holders before it hold, before it is counted alone.
+ * Lets a new claim holder copy what a majority of the holders before it hold, before it is counted
+ * alone.
  *
- * Guards against the second loss right after a repair: once the new set stands alone, every claim that the
- * old set agreed on is known to a majority of the new one.
+ * Guards against the second loss right after a repair: once the new set stands alone, every claim
+ * that the old set agreed on is known to a majority of the new one.
  *
  * @example
  * const copier = new HolderCopier(view, holder, links, logger);
@@ -62,7 +63,10 @@
     const copied = results.filter(({ status }) => status === 'fulfilled').length;
     if (copied <= holders.previous.length / 2) throw new Error(`${copied} of ${holders.previous.length} holders answered`);
     this.copiedSet = holders.number;
-    this.logger.info('claims copied', { holderSet: holders.number, claims: this.holder.table.claims.size });
+    this.logger.info(
+      'claims copied',
+      { holderSet: holders.number, claims: this.holder.table.claims.size },
+    );
   }
 
   private async copyFrom(replica: Replica, holderSet: number, afterKey = ''): Promise<void> {
--- a/src/control/logRunner.ts
+++ b/src/control/logRunner.ts
@@ -10,7 +10,7 @@
 import type { Operation } from '../utils/operation';
 
 /** What the runner hands on. */
-export type LogListener<Result> = {
+export interface LogListener<Result> {
   readonly applyCommand: (command: string) => Result | undefined;
   readonly restoreSnapshot: (snapshot: Snapshot) => void;
   readonly takeSnapshot: () => string;
@@ -18,16 +18,18 @@
   readonly noteRole: (role: LogRole, term: number) => void;
   /** The disk can no longer be trusted; the process must end. */
   readonly failStorage: (error: unknown) => void;
-};
+}
 
-type PendingProposal<Result> = {
+interface PendingProposal<Result> {
   readonly term: number;
   readonly resolve: (result: Result | undefined) => void;
   readonly reject: (error: Error) => void;
-};
+}
 
 type EffectOf<Kind extends LogEffect['kind']> = Extract<LogEffect, { kind: Kind }>;
 
+type OutwardHandler = (effect: LogEffect) => void;
+
 type OutwardKind = Exclude<LogEffect['kind'], 'persist' | 'persistSnapshot'>;
 
 const COMPACT_ENTRIES = 512;
@@ -38,8 +40,8 @@
 );
 
 /**
- * Drives the pure log of one replica: feeds it events, syncs what it wants synced, and only then does what
- * it wants done.
+ * Drives the pure log of one replica: feeds it events, syncs what it wants synced, and only then
+ * does what it wants done.
  *
  * @example
  * const runner = new LogRunner('c1', stored, store, listener, systemClock);
@@ -135,8 +137,8 @@
   }
 
   /*
-   * Guards against a vote or an acknowledgement that a crash makes untrue: all that a batch wants on disk is
-   * synced, in one sync, before any message of the batch leaves.
+   * Guards against a vote or an acknowledgement that a crash makes untrue: all that a batch wants
+   * on disk is synced, in one sync, before any message of the batch leaves.
    */
   private async persist(batch: readonly LogEffect[]): Promise<void> {
     const position = batch.findLastIndex(isOfKind('persistSnapshot'));
@@ -154,7 +156,7 @@
   }
 
   private perform(effect: LogEffect): void {
-    const handler = this.outward[effect.kind as OutwardKind] as ((effect: LogEffect) => void) | undefined;
+    const handler = this.outward[effect.kind as OutwardKind] as OutwardHandler | undefined;
     handler?.(effect);
   }
 
@@ -192,7 +194,9 @@
     const applied = state.appliedIndex - state.snapshot.index;
     if (applied < COMPACT_ENTRIES && this.store.size < COMPACT_BYTES) return;
     if (applied === 0) return;
-    this.handle({ kind: 'snapshotTaken', index: state.appliedIndex, data: this.listener.takeSnapshot() });
+    this.handle({
+      kind: 'snapshotTaken', index: state.appliedIndex, data: this.listener.takeSnapshot(),
+    });
   }
 
   private fail(error: unknown): void {
--- a/src/control/replacement.ts
+++ b/src/control/replacement.ts
@@ -3,9 +3,9 @@
 import type { AgreedHolders, SiteCommand } from '../core/membership/siteState';
 
 /**
- * Replacing a control replica, step by step: the newcomer learns the log, then votes, then the old one goes;
- * then the claim holders follow, first both sets together, then the new one alone. Every step is a command of
- * the log, so a new leader goes on where the old one stopped.
+ * Replacing a control replica, step by step: the newcomer learns the log, then votes, then the old
+ * one goes; then the claim holders follow, first both sets together, then the new one alone. Every
+ * step is a command of the log, so a new leader goes on where the old one stopped.
  */
 
 /**
@@ -29,9 +29,9 @@
 const MAX_LAG_ENTRIES = 4;
 
 /*
- * Guards against a majority that counts on a replica which does not hold the log yet: were a second VM lost
- * right after the repair, nothing could be committed. A learner votes only once it has all but the last
- * entries.
+ * Guards against a majority that counts on a replica which does not hold the log yet: were a second
+ * VM lost right after the repair, nothing could be committed. A learner votes only once it has all
+ * but the last entries.
  */
 const hasCaughtUp = (state: LogState, id: string): boolean => {
   const match = state.peers.get(id)?.matchIndex ?? 0;
--- a/src/core/claims/claimQuorum.ts
+++ b/src/core/claims/claimQuorum.ts
@@ -18,10 +18,10 @@
 };
 
 /** The groups that must each agree by majority: one, or two while holders are being replaced. */
-export type HolderGroups = {
+export interface HolderGroups {
   readonly number: number;
   readonly groups: readonly (readonly Replica[])[];
-};
+}
 
 /**
  * Finds the holders of a claim.
--- a/src/core/claims/claimTable.ts
+++ b/src/core/claims/claimTable.ts
@@ -6,28 +6,28 @@
 export type ClaimState = 'dispatched' | 'finished' | 'released';
 
 /** A claim as one holder keeps it. */
-export type ClaimEntity = {
+export interface ClaimEntity {
   readonly key: string;
   promised: Ballot;
   accepted: Ballot;
   value: ClaimValue | undefined;
   /** Last change, monotonic milliseconds. */
   touchedAt: number;
-};
+}
 
 /** The claims of one holder, oldest change first. */
-export type ClaimTable = {
+export interface ClaimTable {
   readonly claims: Map<string, ClaimEntity>;
   /** Bytes of kept answers, which are bounded. */
   bytes: number;
-};
+}
 
 /** Bounds of a claim table. */
-export type ClaimBounds = {
+export interface ClaimBounds {
   readonly retentionMs: number;
   readonly maxClaims: number;
   readonly maxBytes: number;
-};
+}
 
 /** Bounds that keep a holder well within its memory. */
 export const DEFAULT_CLAIM_BOUNDS: ClaimBounds = {
@@ -35,14 +35,14 @@
 };
 
 /** A holder's answer, and the record to sync before the answer leaves. */
-export type ClaimDecision = {
+export interface ClaimDecision {
   readonly ok: boolean;
   readonly code: ResultCode | 'accepted';
   readonly promised: Ballot;
   readonly accepted: Ballot;
   readonly value: ClaimValue | undefined;
   readonly record: ClaimRecord | undefined;
-};
+}
 
 /** Makes an empty table. */
 export const makeClaimTable = (): ClaimTable => ({ claims: new Map(), bytes: 0 });
@@ -85,8 +85,8 @@
 );
 
 /**
- * Promises to take nothing below a ballot, and tells what was accepted so far. The promise is the claim:
- * whoever holds it at a majority may dispatch, until another takes it with a higher ballot.
+ * Promises to take nothing below a ballot, and tells what was accepted so far. The promise is the
+ * claim: whoever holds it at a majority may dispatch, until another takes it with a higher ballot.
  *
  * @example
  * const decision = prepareClaim(table, bounds, key, { round: 1, proposer: 'e1' }, clock.now());
@@ -107,8 +107,8 @@
 };
 
 /*
- * Guards against a paused entry that wakes after its claim was taken over: its ballot is below what the
- * majority has promised since, so its dispatch is refused before any byte leaves.
+ * Guards against a paused entry that wakes after its claim was taken over: its ballot is below what
+ * the majority has promised since, so its dispatch is refused before any byte leaves.
  */
 export const acceptClaim = (
   table: ClaimTable,
--- a/src/core/log/election.ts
+++ b/src/core/log/election.ts
@@ -14,10 +14,10 @@
 };
 
 /*
- * Guards the lease of a leader: while this replica has heard from one within the election time it helps
- * no other to power. Were it to vote, a manifest could be accepted by a new leader while the old one still
- * grants configuration leases on an older version. The leader itself counts the same time from before it
- * sent, less a margin, so its lease ends first.
+ * Guards the lease of a leader: while this replica has heard from one within the election time it
+ * helps no other to power. Were it to vote, a manifest could be accepted by a new leader while the
+ * old one still grants configuration leases on an older version. The leader itself counts the same
+ * time from before it sent, less a margin, so its lease ends first.
  */
 const hearsLeader = ({ state, now }: LogStep): boolean => (
   state.role === 'leader' || now - state.lastLeaderContactAt < state.timings.electionMs
@@ -46,8 +46,8 @@
 };
 
 /**
- * Asks whether an election could be won, without raising the term: a VM that was cut off and returns
- * does not unseat a leader that the others hear.
+ * Asks whether an election could be won, without raising the term: a VM that was cut off and
+ * returns does not unseat a leader that the others hear.
  *
  * @example
  * if (now >= state.electionAt) startPreVote(step);
--- a/src/core/log/logState.ts
+++ b/src/core/log/logState.ts
@@ -78,8 +78,8 @@
     syncedIndex: stored.snapshot.index + stored.entries.length,
     electionAt: 0,
     /*
-     * Guards the lease of a leader that this replica acknowledged before it restarted: it counts its
-     * start as a contact, so that it takes part in no election until that lease is over.
+     * Guards the lease of a leader that this replica acknowledged before it restarted: it counts
+     * its start as a contact, so that it takes part in no election until that lease is over.
      */
     lastLeaderContactAt: now,
     heartbeatAt: 0,
@@ -96,7 +96,9 @@
 };
 
 /** Index of the last entry, or of the snapshot when no entry follows it. */
-export const readLastIndex = (state: LogState): number => state.snapshot.index + state.entries.length;
+export const readLastIndex = ({ snapshot, entries }: LogState): number => (
+  snapshot.index + entries.length
+);
 
 /** Entry at an index, when it is neither compacted nor beyond the end. */
 export const findEntry = (state: LogState, index: number): LogEntry | undefined => (
@@ -175,3 +177,14 @@
   resetElectionTime(step);
   if (changed) addEffect(step, { kind: 'roleChanged', role: 'follower', term: state.term });
 };
+
+/** Notes that the leader of the current term was heard. */
+export const followLeader = (step: LogStep, message: LogMessage): void => {
+  const { state } = step;
+  if (message.term > state.term || state.role !== 'follower') {
+    becomeFollower(step, message.term, message.from);
+  }
+  state.leaderId = message.from;
+  state.lastLeaderContactAt = step.now;
+  resetElectionTime(step);
+};
--- a/src/core/log/logTypes.ts
+++ b/src/core/log/logTypes.ts
@@ -4,63 +4,62 @@
 export type LogRole = 'follower' | 'preCandidate' | 'candidate' | 'leader';
 
 /** Kinds of message between replicas. */
-export type LogMessageKind =
-  | 'preVote' | 'preVoteReply'
+export type LogMessageKind = | 'preVote' | 'preVoteReply'
   | 'vote' | 'voteReply'
   | 'append' | 'appendReply'
   | 'snapshot' | 'snapshotReply';
 
 /** Who replicates the log. Learners receive it and do not vote. */
-export type ReplicaSet = {
+export interface ReplicaSet {
   readonly voters: readonly Replica[];
   readonly learners: readonly Replica[];
   /** Voters that go once every learner votes. */
   readonly leaving: readonly string[];
-};
+}
 
 /** State of the log up to `index`, in place of the entries it was made from. */
-export type Snapshot = {
+export interface Snapshot {
   readonly index: number;
   readonly term: number;
   readonly replicas: ReplicaSet;
   /** The state machine as text; the log does not look inside. */
   readonly data: string;
-};
+}
 
 /** What must be on disk before a vote or an acknowledgement leaves. */
-export type HardState = {
+export interface HardState {
   readonly term: number;
   readonly votedFor: string;
-};
+}
 
 /** Everything a replica finds on its disk. */
-export type StoredLog = {
+export interface StoredLog {
   readonly hardState: HardState;
   readonly snapshot: Snapshot;
   readonly entries: readonly LogEntry[];
-};
+}
 
 /** What a leader knows of another replica. */
-export type PeerProgress = {
+export interface PeerProgress {
   nextIndex: number;
   matchIndex: number;
   /** Last round that the peer acknowledged. */
   ackedRound: number;
   /** Bytes of the snapshot that the peer holds; -1 when none is on its way. */
   snapshotOffset: number;
-};
+}
 
 /** Durations of the log in milliseconds. */
-export type LogTimings = {
+export interface LogTimings {
   readonly heartbeatMs: number;
   /** Shortest silence after which a follower stands for election. */
   readonly electionMs: number;
   /** Held back from the lease of a leader against clocks that run at unlike rates. */
   readonly leaseMarginMs: number;
-};
+}
 
 /** One replica's part of the log. Only the functions of this folder change it. */
-export type LogState = {
+export interface LogState {
   readonly id: string;
   readonly timings: LogTimings;
   /** Numbers from 0 to 1, from a seeded source in tests. */
@@ -88,11 +87,10 @@
   leaseUntil: number;
   /** Pieces of a snapshot that is being received. */
   incoming: { index: number; term: number; pieces: Buffer[]; bytes: number } | undefined;
-};
+}
 
 /** What happens to a replica. */
-export type LogEvent =
-  | { readonly kind: 'tick' }
+export type LogEvent = | { readonly kind: 'tick' }
   | { readonly kind: 'message'; readonly message: LogMessage }
   | { readonly kind: 'propose'; readonly command: string }
   | { readonly kind: 'changeReplicas'; readonly replicas: ReplicaSet }
@@ -100,11 +98,10 @@
   | { readonly kind: 'snapshotTaken'; readonly index: number; readonly data: string };
 
 /**
- * What a replica wants done. Effects are carried out in order: a `send` that stands behind a `persist`
- * leaves only after that is synced.
+ * What a replica wants done. Effects are carried out in order: a `send` that stands behind a
+ * `persist` leaves only after that is synced.
  */
-export type LogEffect =
-  | { readonly kind: 'persist'; readonly hardState: HardState; readonly entries: readonly LogEntry[] }
+export type LogEffect = | { readonly kind: 'persist'; readonly hardState: HardState; readonly entries: readonly LogEntry[] }
   | { readonly kind: 'persistSnapshot'; readonly snapshot: Snapshot; readonly hardState: HardState; readonly entries: readonly LogEntry[] }
   | { readonly kind: 'send'; readonly message: LogMessage }
   | { readonly kind: 'apply'; readonly entry: LogEntry }
@@ -113,8 +110,8 @@
   | { readonly kind: 'proposed'; readonly index: number; readonly term: number };
 
 /** One step of a replica: its state, the time, and the effects so far. */
-export type LogStep = {
+export interface LogStep {
   readonly state: LogState;
   readonly now: number;
   readonly effects: LogEffect[];
-};
+}
--- a/src/core/log/replicatedLog.ts
+++ b/src/core/log/replicatedLog.ts
@@ -23,7 +23,9 @@
   snapshotReply: handleSnapshotReply,
 };
 
-const isMessageKind = (kind: string): kind is LogMessageKind => Object.hasOwn(messageHandlers, kind);
+const isMessageKind = (kind: string): kind is LogMessageKind => (
+  Object.hasOwn(messageHandlers, kind)
+);
 
 const handleMessage = (step: LogStep, message: LogMessage): void => {
   if (message.to !== step.state.id || !isMessageKind(message.kind)) return;
@@ -78,4 +80,3 @@
 export const holdsLeaderLease = (state: LogState, now: number): boolean => state.role === 'leader'
   && findTerm(state, state.commitIndex) === state.term
   && now < state.leaseUntil;
-
--- a/src/core/log/replication.ts
+++ b/src/core/log/replication.ts
@@ -1,8 +1,8 @@
 import type { LogEntry, LogMessage } from '../../protocol/generated/beechlift';
-import { continueSnapshot } from './snapshotTransfer';
+import { continueSnapshot } from './snapshotSender';
 import {
-  addEffect, becomeFollower, findEntry, findReplicas, findTerm, hasMajority, listPeers, persistState,
-  readLastIndex, REPLICAS_COMMAND, resetElectionTime, sendMessage,
+  addEffect, becomeFollower, findEntry, findReplicas, findTerm, followLeader, hasMajority, isVoter,
+  listPeers, persistState, readLastIndex, REPLICAS_COMMAND, sendMessage,
 } from './logState';
 import type {
   LogState, LogStep, PeerProgress, ReplicaSet,
@@ -38,7 +38,9 @@
   return end === -1 ? entries : entries.slice(0, end);
 };
 
-/* Guards the network against a peer that is down: it gets empty appends until it acknowledges one. */
+/*
+ * Guards the network against a peer that is down: it gets empty appends until it acknowledges one.
+ */
 const isSilent = (state: LogState, progress: PeerProgress): boolean => (
   state.round - progress.ackedRound > MAX_UNACKED_ROUNDS
 );
@@ -70,6 +72,22 @@
     .forEach((round) => state.roundSentAt.delete(round));
 };
 
+/*
+ * Guards against two leaders that both grant configuration leases. The lease counts from the
+ * sending of the newest round that a majority acknowledged; each of those replicas refuses to vote
+ * for electionMs after it received that round, which was later than its sending.
+ */
+const renewLeaderLease = ({ state, now }: LogStep): void => {
+  const acked = [...state.roundSentAt.keys()].findLast((round) => {
+    const ids = [...state.peers].filter(([, peer]) => peer.ackedRound >= round).map(([id]) => id);
+    return hasMajority(state, [state.id, ...ids]);
+  });
+  if (acked === undefined) return;
+  const sentAt = state.roundSentAt.get(acked) ?? now;
+  const until = sentAt + state.timings.electionMs - state.timings.leaseMarginMs;
+  state.leaseUntil = Math.max(state.leaseUntil, until);
+};
+
 /** Sends to every peer what it lacks, as a new round of the lease. */
 export const broadcastAppend = (step: LogStep): void => {
   const { state, now } = step;
@@ -89,22 +107,6 @@
   broadcastAppend(step);
 };
 
-/*
- * Guards against two leaders that both grant configuration leases. The lease counts from the sending of the
- * newest round that a majority acknowledged; each of those replicas refuses to vote for electionMs after it
- * received that round, which was later than its sending.
- */
-function renewLeaderLease({ state, now }: LogStep): void {
-  const acked = [...state.roundSentAt.keys()].findLast((round) => {
-    const ids = [...state.peers].filter(([, peer]) => peer.ackedRound >= round).map(([id]) => id);
-    return hasMajority(state, [state.id, ...ids]);
-  });
-  if (acked === undefined) return;
-  const sentAt = state.roundSentAt.get(acked) ?? now;
-  const until = sentAt + state.timings.electionMs - state.timings.leaseMarginMs;
-  state.leaseUntil = Math.max(state.leaseUntil, until);
-}
-
 const appendEntry = (step: LogStep, command: string): LogEntry => {
   const { state } = step;
   const entry: LogEntry = { index: readLastIndex(state) + 1, term: state.term, command };
@@ -144,8 +146,8 @@
 };
 
 /*
- * Guards against two majorities that do not meet: one voter changes at a time, and none before the last
- * change and an entry of this leader's own term are committed.
+ * Guards against two majorities that do not meet: one voter changes at a time, and none before the
+ * last change and an entry of this leader's own term are committed.
  */
 const canChangeReplicas = (state: LogState, replicas: ReplicaSet): boolean => {
   const pending = state.entries.some(({ index, command }) => (
@@ -175,14 +177,16 @@
 };
 
 const isStoredByMajority = (state: LogState, index: number): boolean => {
-  const peers = [...state.peers].filter(([, { matchIndex }]) => matchIndex >= index).map(([id]) => id);
+  const peers = [...state.peers].filter(
+    ([, { matchIndex }]) => matchIndex >= index,
+  ).map(([id]) => id);
   const own = state.syncedIndex >= index ? [state.id] : [];
   return hasMajority(state, [...own, ...peers]);
 };
 
 /*
- * Guards against committing an entry of an older term by count alone, which a later leader could still
- * replace: only an entry of the own term is committed by count, and it commits all before it.
+ * Guards against committing an entry of an older term by count alone, which a later leader could
+ * still replace: only an entry of the own term is committed by count, and it commits all before it.
  */
 const advanceCommit = (step: LogStep): void => {
   const { state } = step;
@@ -191,7 +195,7 @@
   if (!newest) return;
   state.commitIndex = newest.index;
   applyCommitted(step);
-  if (!state.replicas.voters.some(({ id }) => id === state.id)) becomeFollower(step, state.term, '');
+  if (!isVoter(state, state.id)) becomeFollower(step, state.term, '');
 };
 
 /** Notes that the own disk holds all up to an index. */
@@ -228,17 +232,6 @@
   });
 };
 
-/** Notes that the leader of the current term was heard. */
-export const followLeader = (step: LogStep, message: LogMessage): void => {
-  const { state } = step;
-  if (message.term > state.term || state.role !== 'follower') {
-    becomeFollower(step, message.term, message.from);
-  }
-  state.leaderId = message.from;
-  state.lastLeaderContactAt = step.now;
-  resetElectionTime(step);
-};
-
 /** Stores entries of the leader; the answer leaves after they are synced. */
 export const handleAppend = (step: LogStep, message: LogMessage): void => {
   const { state } = step;
@@ -284,6 +277,9 @@
     noteMatch(step, message.from, progress, message.matchIndex);
     return;
   }
-  progress.nextIndex = Math.max(progress.matchIndex, Math.min(progress.nextIndex - 1, message.matchIndex)) + 1;
+  progress.nextIndex = Math.max(
+    progress.matchIndex,
+    Math.min(progress.nextIndex - 1, message.matchIndex),
+  ) + 1;
   sendAppend(step, message.from);
 };
--- a/src/core/log/snapshotTransfer.ts
+++ b/src/core/log/snapshotTransfer.ts
@@ -1,35 +1,13 @@
 import type { LogMessage } from '../../protocol/generated/beechlift';
-import { followLeader, handleAppendReply } from './replication';
+import { handleAppendReply } from './replication';
+import { continueSnapshot } from './snapshotSender';
 import {
-  addEffect, findReplicas, findTerm, readHardState, readLastIndex, sendMessage,
+  addEffect, findReplicas, followLeader, findTerm, readHardState, readLastIndex, sendMessage,
 } from './logState';
 import type {
-  LogState, LogStep, PeerProgress, Snapshot,
+  LogState, LogStep, Snapshot,
 } from './logTypes';
 
-/** Bytes of a snapshot in one message. */
-export const SNAPSHOT_CHUNK_BYTES = 262_144;
-
-const encodeSnapshot = ({ replicas, data }: Snapshot): Buffer => (
-  Buffer.from(JSON.stringify({ replicas, data }))
-);
-
-/** Sends the next chunk of the snapshot to a peer that needs entries which are compacted. */
-export const continueSnapshot = (step: LogStep, id: string, progress: PeerProgress): void => {
-  const { snapshot, round } = step.state;
-  if (progress.snapshotOffset < 0) progress.snapshotOffset = 0;
-  const bytes = encodeSnapshot(snapshot);
-  const end = progress.snapshotOffset + SNAPSHOT_CHUNK_BYTES;
-  sendMessage(step, 'snapshot', id, {
-    lastIndex: snapshot.index,
-    lastTerm: snapshot.term,
-    offset: progress.snapshotOffset,
-    chunk: bytes.subarray(progress.snapshotOffset, end),
-    done: end >= bytes.length,
-    round,
-  });
-};
-
 const collectChunk = (state: LogState, message: LogMessage): void => {
   const { incoming } = state;
   const same = incoming?.index === message.lastIndex && incoming.term === message.lastTerm;
@@ -49,7 +27,9 @@
   const pieces = state.incoming?.pieces ?? [];
   state.incoming = undefined;
   if (message.lastIndex <= state.commitIndex) return;
-  const { replicas, data } = JSON.parse(Buffer.concat(pieces).toString()) as Pick<Snapshot, 'replicas' | 'data'>;
+  const { replicas, data } = JSON.parse(
+    Buffer.concat(pieces).toString(),
+  ) as Pick<Snapshot, 'replicas' | 'data'>;
   const keepsTail = findTerm(state, message.lastIndex) === message.lastTerm;
   const tail = keepsTail ? state.entries.filter(({ index }) => index > message.lastIndex) : [];
   state.snapshot = {
@@ -59,7 +39,10 @@
   state.replicas = findReplicas(state);
   state.commitIndex = message.lastIndex;
   state.appliedIndex = message.lastIndex;
-  state.syncedIndex = Math.max(state.snapshot.index, Math.min(state.syncedIndex, readLastIndex(state)));
+  state.syncedIndex = Math.max(
+    state.snapshot.index,
+    Math.min(state.syncedIndex, readLastIndex(state)),
+  );
   addEffect(step, {
     kind: 'persistSnapshot', snapshot: state.snapshot, hardState: readHardState(state), entries: tail,
   });
--- a/src/core/membership/locate.ts
+++ b/src/core/membership/locate.ts
@@ -21,8 +21,8 @@
 const MAX_ADDRESSES = 4;
 
 /**
- * Ranks the entry VMs for a caller: own availability zone first, spread by client account, leaving ones not
- * at all. Several are named, so that a caller has where to go when the first is gone.
+ * Ranks the entry VMs for a caller: own availability zone first, spread by client account, leaving
+ * ones not at all. Several are named, so that a caller has where to go when the first is gone.
  *
  * @example
  * rankEntries(view.members, 'kiosks', 'az-1');
--- a/src/core/membership/memberTable.ts
+++ b/src/core/membership/memberTable.ts
@@ -4,11 +4,11 @@
 export const MEMBER_SILENCE_MS = 2_000;
 
 /** What the leader has heard of an entry. */
-export type HeardMember = {
+export interface HeardMember {
   readonly member: Member;
   readonly heardAt: number;
   readonly manifestVersion: number;
-};
+}
 
 /** Entries by id, as the leader hears them. Not replicated: a new leader hears them anew. */
 export type MemberTable = Map<string, HeardMember>;
@@ -38,11 +38,15 @@
   && a.callerAddress === b.callerAddress
   && a.zone === b.zone;
 
-const isSilent = (heard: HeardMember, now: number): boolean => now - heard.heardAt > MEMBER_SILENCE_MS;
+const isSilent = (
+  heard: HeardMember,
+  now: number,
+): boolean => now - heard.heardAt > MEMBER_SILENCE_MS;
 
 /*
- * Guards against throwing all entries out of the view because a new leader has not heard from them yet: for
- * one silence time after it took over, a member that it has not heard of stays as the old view has it.
+ * Guards against throwing all entries out of the view because a new leader has not heard from them
+ * yet: for one silence time after it took over, a member that it has not heard of stays as the old
+ * view has it.
  */
 const keepUnheard = (
   member: Member,
--- a/src/core/membership/siteState.ts
+++ b/src/core/membership/siteState.ts
@@ -5,35 +5,34 @@
 import type { ResultCode } from '../../errors/resultCodes';
 
 /** Who holds claims, as agreed by the log. While `previous` is not empty both sets must agree. */
-export type AgreedHolders = {
+export interface AgreedHolders {
   readonly number: number;
   readonly current: readonly Replica[];
   readonly previous: readonly Replica[];
-};
+}
 
 /** What the log carries. */
-export type SiteCommand =
-  | { readonly kind: 'manifest'; readonly requestId: string; readonly digest: string; readonly manifest: Manifest }
+export type SiteCommand = | { readonly kind: 'manifest'; readonly requestId: string; readonly digest: string; readonly manifest: Manifest }
   | { readonly kind: 'members'; readonly members: readonly Member[] }
   | { readonly kind: 'holders'; readonly current: readonly Replica[]; readonly previous: readonly Replica[] };
 
 /** What came of a submitted manifest. */
-export type SubmitResult = {
+export interface SubmitResult {
   readonly code: ResultCode | 'accepted';
   readonly version: number;
   readonly digest: string;
   readonly message: string;
-};
+}
 
 /** What changed from one accepted manifest to the next. */
-export type KeptDelta = {
+export interface KeptDelta {
   readonly baseVersion: number;
   readonly baseDigest: string;
   readonly changes: readonly SectionChange[];
-};
+}
 
 /** The replicated state of a site: the same on every replica that applied the same commands. */
-export type SiteState = {
+export interface SiteState {
   manifest: Manifest | undefined;
   digest: string;
   /** Digest by accepted version, newest last. */
@@ -43,7 +42,7 @@
   holders: AgreedHolders;
   /** Not part of the replicated state: kept to send less. */
   deltas: KeptDelta[];
-};
+}
 
 const MAX_ACCEPTED = 4_096;
 const MAX_DELTAS = 64;
@@ -72,8 +71,8 @@
 );
 
 /**
- * Decides on a manifest by comparing version and digest with what was accepted, without changing anything.
- * A resend of an accepted one gets the same acceptance, whatever came after it.
+ * Decides on a manifest by comparing version and digest with what was accepted, without changing
+ * anything. A resend of an accepted one gets the same acceptance, whatever came after it.
  *
  * @example
  * const result = decideManifest(state, manifest, digest);
@@ -184,8 +183,8 @@
 };
 
 /**
- * Collects the changes from a version that an entry holds to the one in force; undefined when they are no
- * longer kept and the whole manifest must be sent.
+ * Collects the changes from a version that an entry holds to the one in force; undefined when they
+ * are no longer kept and the whole manifest must be sent.
  *
  * @example
  * const changes = collectChanges(state, 7, digest);
--- a/src/core/schedule/accountUse.ts
+++ b/src/core/schedule/accountUse.ts
@@ -55,7 +55,11 @@
 };
 
 /** Counts a request of an account out; tokens that it did not use are given back. */
-export const releaseAccountUse = (tables: ScheduleTables, account: string, unused: number): void => {
+export const releaseAccountUse = (
+  tables: ScheduleTables,
+  account: string,
+  unused: number,
+): void => {
   const use = findAccountUse(tables, account);
   use.requests = Math.max(0, use.requests - 1);
   use.tokensLeft += unused;
--- a/src/core/schedule/announcements.ts
+++ b/src/core/schedule/announcements.ts
@@ -22,7 +22,10 @@
   pace: 'steady',
 });
 
-const addWorker = (tables: ScheduleTables, announcement: Announcement): WorkerEntity | undefined => {
+const addWorker = (
+  tables: ScheduleTables,
+  announcement: Announcement,
+): WorkerEntity | undefined => {
   const known = tables.workers.get(announcement.id);
   if (known || tables.workers.size >= tables.config.limits.workersPerPool) return known;
   const worker = makeWorker(announcement);
@@ -34,15 +37,19 @@
   return worker;
 };
 
-/** Dispatch and reading are milliseconds apart; a request this near to a reading may or may not be in it. */
+/**
+ * Dispatch and reading are milliseconds apart; a request this near to a reading may or may not be
+ * in it.
+ */
 const READING_SLACK_MS = 250;
 
 /** How long an ended request may still stand in a reported load. */
 const ENDED_KEPT_MS = 10_000;
 
 /*
- * Guards against taking our own requests for somebody else's load, which is reported with a lag: what held a
- * slot here at the time of the reading, ended since or not, is ours. Only what is beyond that is foreign.
+ * Guards against taking our own requests for somebody else's load, which is reported with a lag:
+ * what held a slot here at the time of the reading, ended since or not, is ours. Only what is
+ * beyond that is foreign.
  */
 const countForeign = (
   { tables, now }: ScheduleStep,
--- a/src/core/schedule/chooseWorker.ts
+++ b/src/core/schedule/chooseWorker.ts
@@ -5,11 +5,13 @@
 } from './scheduleTypes';
 
 /** A worker for a request, and what is expected of it. */
-export type Choice = {
+export interface Choice {
   readonly worker: WorkerEntity;
   /** Prompt tokens that are probably not in the worker's cache. */
   readonly freshTokens: number;
-};
+}
+
+const MAX_PREFIX_CANDIDATES = 8;
 
 type Chooser = (tables: ScheduleTables, waiting: WaitingEntity) => Choice | undefined;
 
@@ -36,7 +38,13 @@
   tables.comparisons += 1;
   const batch = worker.running.size + 1;
   const hardware = tables.policy.speeds ? worker.hardware : '';
-  const expected = estimateTotalMs(tables.speeds, hardware, batch, freshTokens, waiting.outputTokens);
+  const expected = estimateTotalMs(
+    tables.speeds,
+    hardware,
+    batch,
+    freshTokens,
+    waiting.outputTokens,
+  );
   return expected * (tables.policy.stragglers ? worker.slowness : 1);
 };
 
@@ -46,11 +54,15 @@
   return [...(holders ?? [])].slice(0, MAX_PREFIX_CANDIDATES);
 };
 
-const MAX_PREFIX_CANDIDATES = 8;
-
-const servesTarget = (worker: WorkerEntity, target: string): boolean => worker.targets.includes(target);
+const servesTarget = (
+  worker: WorkerEntity,
+  target: string,
+): boolean => worker.targets.includes(target);
 
-/** The worker that is expected to finish the request first, among kinds of free workers and prefix holders. */
+/**
+ * The worker that is expected to finish the request first, among kinds of free workers and prefix
+ * holders.
+ */
 const chooseExpectedFirst: Chooser = (tables, waiting) => {
   const { target } = waiting.ask;
   const holders = tables.policy.affinity ? listPrefixHolders(tables, waiting) : [];
--- a/src/core/schedule/fairQueue.ts
+++ b/src/core/schedule/fairQueue.ts
@@ -17,8 +17,8 @@
 );
 
 /*
- * Guards against an account that was idle and then claims all the service it did not use: it joins at the
- * level of the account that has had the least among those that wait.
+ * Guards against an account that was idle and then claims all the service it did not use: it joins
+ * at the level of the account that has had the least among those that wait.
  */
 const levelNewcomer = (
   tables: ScheduleTables,
@@ -45,7 +45,10 @@
 };
 
 /** Takes a request out of its queue, wherever it stands. */
-export const removeWaiting = (tables: ScheduleTables, requestId: string): WaitingEntity | undefined => {
+export const removeWaiting = (
+  tables: ScheduleTables,
+  requestId: string,
+): WaitingEntity | undefined => {
   const waiting = tables.waiting.get(requestId);
   if (!waiting) return undefined;
   tables.waiting.delete(requestId);
--- a/src/core/schedule/grantSystem.ts
+++ b/src/core/schedule/grantSystem.ts
@@ -8,7 +8,10 @@
 /** Milliseconds within which an entry must begin to dispatch what it was granted. */
 export const GRANT_MS = 2_000;
 
-const sumHeadroom = (tables: ScheduleTables, rank: number): number => Object.values(tables.config.tiers)
+const sumHeadroom = (
+  tables: ScheduleTables,
+  rank: number,
+): number => Object.values(tables.config.tiers)
   .filter((tier) => tier.rank < rank)
   .reduce((sum, tier) => {
     const bound = Math.floor(tier.headroom * tables.index.slots);
@@ -73,7 +76,8 @@
   if (!hasRoom(tables, rank)) return false;
   const refusedTargets = new Set<string>();
   return listHeads(tables, rank).some((waiting) => {
-    // The free workers are the same for all requests of a target: one that found none speaks for all.
+    // The free workers are the same for all requests of a target: one that found none speaks for
+    // all.
     if (refusedTargets.has(waiting.ask.target)) return false;
     const choice = chooseWorker(tables, waiting);
     if (choice) grant(step, waiting, choice);
--- a/src/core/schedule/lengthModel.ts
+++ b/src/core/schedule/lengthModel.ts
@@ -10,11 +10,11 @@
 const STEP = 0.1;
 
 /** Whose outputs are alike. */
-export type LengthKey = {
+export interface LengthKey {
   readonly target: string;
   readonly tier: string;
   readonly account: string;
-};
+}
 
 const formatKey = ({ target, tier, account }: LengthKey): string => `${target}\n${tier}\n${account}`;
 
--- a/src/core/schedule/poolSchedule.ts
+++ b/src/core/schedule/poolSchedule.ts
@@ -66,7 +66,11 @@
   addWaiting(tables, waiting);
 };
 
-const learnFromReport = (step: ScheduleStep, running: RunningEntity, report: ReportRequest): void => {
+const learnFromReport = (
+  step: ScheduleStep,
+  running: RunningEntity,
+  report: ReportRequest,
+): void => {
   const { tables, now } = step;
   const worker = tables.workers.get(running.workerId);
   if (!worker || report.outcome !== 'complete') return;
@@ -107,7 +111,11 @@
   const running = removeRunning(tables, report.requestId, now);
   if (!running) return;
   const used = running.promptTokens + report.outputTokens;
-  releaseAccountUse(tables, running.account, report.phase === 'dropped' ? running.cost : running.cost - used);
+  releaseAccountUse(
+    tables,
+    running.account,
+    report.phase === 'dropped' ? running.cost : running.cost - used,
+  );
   learnFromReport(step, running, report);
   if (report.outcome === 'unreachable') suspendWorker(step, running.workerId);
 };
@@ -157,9 +165,9 @@
 };
 
 /*
- * Guards against slots that stay taken for good because the report of an end was lost: an entry tells all
- * that it runs every few seconds, and what it no longer names is over. A grant that is younger than its way
- * there and back is left alone.
+ * Guards against slots that stay taken for good because the report of an end was lost: an entry
+ * tells all that it runs every few seconds, and what it no longer names is over. A grant that is
+ * younger than its way there and back is left alone.
  */
 const freeForgotten = (step: ScheduleStep, register: RegisterRequest): void => {
   const named = new Set(register.running.map(({ requestId }) => requestId));
@@ -211,7 +219,9 @@
   report: (step, event) => handleReport(step, event.report),
   register: (step, event) => handleRegister(step, event.register),
   announce: (step, event) => handleAnnouncement(step, event.announcement),
-  configure: (step, event) => { step.tables.config = event.config; },
+  configure: (step, event) => {
+    step.tables.config = event.config;
+  },
   membersChanged: (step, event) => handleMembersChanged(step, event.entryIds),
   tick: (step) => runTickSystems(step),
 };
--- a/src/core/schedule/scheduleTables.ts
+++ b/src/core/schedule/scheduleTables.ts
@@ -92,7 +92,11 @@
 };
 
 /** Forgets that a worker holds a prefix. */
-export const forgetPrefix = (tables: ScheduleTables, worker: WorkerEntity, prefix: string): void => {
+export const forgetPrefix = (
+  tables: ScheduleTables,
+  worker: WorkerEntity,
+  prefix: string,
+): void => {
   worker.prefixes.delete(prefix);
   const holders = tables.prefixWorkers.get(prefix);
   holders?.delete(worker.id);
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -1,4 +1,6 @@
-import type { Announcement, AskRequest, ReportRequest, RegisterRequest } from '../../protocol/generated/beechlift';
+import type {
+  Announcement, AskRequest, ReportRequest, RegisterRequest,
+} from '../../protocol/generated/beechlift';
 import type { ResultCode } from '../../errors/resultCodes';
 import type { ClientAccount, Limits, Tier } from '../../manifest/manifest';
 import type { LengthModel } from './lengthModel';
@@ -9,13 +11,13 @@
 export type WorkerPace = 'steady' | 'eased';
 
 /** When a request that has ended held its slot, monotonic milliseconds. */
-export type EndedRequest = {
+export interface EndedRequest {
   readonly grantedAt: number;
   readonly endedAt: number;
-};
+}
 
 /** A backend server of the pool, as its owner knows it. */
-export type WorkerEntity = {
+export interface WorkerEntity {
   readonly id: string;
   incarnation: string;
   address: string;
@@ -37,10 +39,10 @@
   /** Observed time over expected time, smoothed; 1 is as expected. */
   slowness: number;
   pace: WorkerPace;
-};
+}
 
 /** A request that waits for a slot. */
-export type WaitingEntity = {
+export interface WaitingEntity {
   readonly ask: AskRequest;
   readonly rank: number;
   readonly askedAt: number;
@@ -48,10 +50,10 @@
   /** Prompt tokens plus the output expected. */
   readonly cost: number;
   readonly outputTokens: number;
-};
+}
 
 /** A request that holds a slot. */
-export type RunningEntity = {
+export interface RunningEntity {
   readonly requestId: string;
   readonly entryId: string;
   readonly workerId: string;
@@ -68,29 +70,29 @@
   started: boolean;
   /** Set when the owner has already counted this request as late. */
   late: boolean;
-};
+}
 
 /** How requests are matched with workers. */
 export type PolicyName = 'owner' | 'roundRobin' | 'leastOutstanding';
 
 /** Parts of the policy that can be switched off to measure what they bring. */
-export type PolicySettings = {
+export interface PolicySettings {
   readonly name: PolicyName;
   readonly affinity: boolean;
   readonly headroom: boolean;
   readonly stragglers: boolean;
   readonly speeds: boolean;
-};
+}
 
 /** What the owner takes from the manifest. */
-export type ScheduleConfig = {
+export interface ScheduleConfig {
   readonly tiers: Readonly<Record<string, Tier>>;
   readonly accounts: Readonly<Record<string, ClientAccount>>;
   readonly limits: Limits;
-};
+}
 
 /** How much of a pool one account uses. */
-export type AccountUse = {
+export interface AccountUse {
   /** Requests waiting and running. */
   requests: number;
   /** Tokens served, divided by the account's weight: the fair queue serves the least first. */
@@ -98,10 +100,10 @@
   /** Tokens that may still be used in this minute. */
   tokensLeft: number;
   refilledAt: number;
-};
+}
 
 /** All that the owner of one pool knows. */
-export type ScheduleTables = {
+export interface ScheduleTables {
   readonly pool: string;
   readonly policy: PolicySettings;
   config: ScheduleConfig;
@@ -129,11 +131,10 @@
   turn: number;
   /** Workers looked at while choosing, for the bench. */
   comparisons: number;
-};
+}
 
 /** What happens to a pool. */
-export type ScheduleEvent =
-  | { readonly kind: 'ask'; readonly ask: AskRequest }
+export type ScheduleEvent = | { readonly kind: 'ask'; readonly ask: AskRequest }
   | { readonly kind: 'report'; readonly report: ReportRequest }
   | { readonly kind: 'register'; readonly register: RegisterRequest }
   | { readonly kind: 'announce'; readonly announcement: Announcement }
@@ -142,19 +143,25 @@
   | { readonly kind: 'tick' };
 
 /** What the owner decides. */
-export type ScheduleEffect =
-  | {
-    readonly kind: 'grant'; readonly requestId: string; readonly workerId: string;
-    readonly workerAddress: string; readonly workerIncarnation: string; readonly canResume: boolean;
-  }
+export type ScheduleEffect = | {
+  readonly kind: 'grant';
+  readonly requestId: string;
+  readonly workerId: string;
+  readonly workerAddress: string;
+  readonly workerIncarnation: string;
+  readonly canResume: boolean;
+}
   | {
-    readonly kind: 'refuse'; readonly requestId: string; readonly code: ResultCode;
-    readonly message: string; readonly retryAfterMs: number;
+    readonly kind: 'refuse';
+    readonly requestId: string;
+    readonly code: ResultCode;
+    readonly message: string;
+    readonly retryAfterMs: number;
   };
 
 /** One step of the owner. */
-export type ScheduleStep = {
+export interface ScheduleStep {
   readonly tables: ScheduleTables;
   readonly now: number;
   readonly effects: ScheduleEffect[];
-};
+}
--- a/src/core/schedule/shedSystem.ts
+++ b/src/core/schedule/shedSystem.ts
@@ -36,9 +36,10 @@
 );
 
 /*
- * Guards against tier inversion: a tier may be refused for want of capacity only while this owner knows that
- * nothing lower holds a slot. An owner that took over knows it once every entry has told what it runs and the
- * grants of the owner before it can no longer start. The lowest tier has nothing below it.
+ * Guards against tier inversion: a tier may be refused for want of capacity only while this owner
+ * knows that nothing lower holds a slot. An owner that took over knows it once every entry has told
+ * what it runs and the grants of the owner before it can no longer start. The lowest tier has
+ * nothing below it.
  */
 export const canShed = (tables: ScheduleTables, rank: number, now: number): boolean => {
   if (tables.policy.name !== 'owner' || isLowestRank(tables, rank)) return true;
@@ -71,7 +72,9 @@
   return times.length === 0 ? 0 : Math.min(...times);
 };
 
-/** Whether the request could still be answered in time if it got its slot after the expected wait. */
+/**
+ * Whether the request could still be answered in time if it got its slot after the expected wait.
+ */
 const canMeetDeadline = (
   tables: ScheduleTables,
   waiting: WaitingEntity,
@@ -111,7 +114,8 @@
 };
 
 /**
- * Refuses what can no longer be answered in time or finds no room, where that breaks no tier's protection.
+ * Refuses what can no longer be answered in time or finds no room, where that breaks no tier's
+ * protection.
  *
  * @example
  * runShedSystem(step);
@@ -129,7 +133,11 @@
  * @example
  * if (!isHopeless(tables, waiting, now)) addWaiting(tables, waiting);
  */
-export const isHopeless = (tables: ScheduleTables, waiting: WaitingEntity, now: number): boolean => (
+export const isHopeless = (
+  tables: ScheduleTables,
+  waiting: WaitingEntity,
+  now: number,
+): boolean => (
   tables.policy.name === 'owner'
   && tables.index.slots > 0
   && !canMeetDeadline(tables, waiting, estimateWaitMs(tables, waiting.rank), now)
--- a/src/core/schedule/speedModel.ts
+++ b/src/core/schedule/speedModel.ts
@@ -1,30 +1,31 @@
 /**
- * Speed of each hardware type, learnt from our own timings. A worker that has just announced itself starts
- * with what is known of its type, as Sia bootstraps its throughput models (Jayaram Subramanya et al., "Sia:
- * Heterogeneity-aware, goodput-optimized ML-cluster scheduling", SOSP 2023).
+ * Speed of each hardware type, learnt from our own timings. A worker that has just announced itself
+ * starts with what is known of its type, as Sia bootstraps its throughput models (Jayaram
+ * Subramanya et al., "Sia: Heterogeneity-aware, goodput-optimized ML-cluster scheduling", SOSP
+ * 2023).
  */
 
 /** What is known of one hardware type. */
-export type HardwareSpeed = {
+export interface HardwareSpeed {
   /** Milliseconds for one prompt token that is not in the cache. */
   prefillMs: number;
   /** Milliseconds for one output token, by batch bucket. */
   readonly decodeMs: Map<number, number>;
   samples: number;
-};
+}
 
 /** Speeds by hardware type. */
 export type SpeedTable = Map<string, HardwareSpeed>;
 
 /** One finished request, as timed by the entry that relayed it. */
-export type SpeedSample = {
+export interface SpeedSample {
   readonly hardware: string;
   readonly batch: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly firstTokenMs: number;
   readonly totalMs: number;
-};
+}
 
 const SMOOTHING = 0.1;
 const DEFAULT_PREFILL_MS = 0.1;
--- a/src/core/schedule/workerIndex.ts
+++ b/src/core/schedule/workerIndex.ts
@@ -1,7 +1,10 @@
 import type { WorkerEntity } from './scheduleTypes';
 
-/** Workers with a free slot, by target and by what makes them alike, so that a choice looks at kinds. */
-export type WorkerIndex = {
+/**
+ * Workers with a free slot, by target and by what makes them alike, so that a choice looks at
+ * kinds.
+ */
+export interface WorkerIndex {
   /** Target to bucket to worker ids. */
   readonly free: Map<string, Map<string, Set<string>>>;
   /** Where each indexed worker stands. */
@@ -10,7 +13,7 @@
   slots: number;
   used: number;
   readonly counted: Map<string, { readonly slots: number; readonly used: number }>;
-};
+}
 
 const EASED_SLOTS = 1;
 
@@ -20,8 +23,8 @@
 });
 
 /**
- * Computes how many requests of ours a worker may run: its slots, less what others run there, and only a
- * probe while it is eased out.
+ * Computes how many requests of ours a worker may run: its slots, less what others run there, and
+ * only a probe while it is eased out.
  *
  * @example
  * const free = readUsableSlots(worker) - worker.running.size;
--- a/src/core/schedule/workerSystems.ts
+++ b/src/core/schedule/workerSystems.ts
@@ -49,14 +49,18 @@
 };
 
 /**
- * Learns how a worker keeps to what is expected of its hardware type: far behind, it is eased out to
- * probes; the probes bring it back.
+ * Learns how a worker keeps to what is expected of its hardware type: far behind, it is eased out
+ * to probes; the probes bring it back.
  *
  * @param ratio observed time over expected time
  * @example
  * learnSlowness(tables, worker, 1.2);
  */
-export const learnSlowness = (tables: ScheduleTables, worker: WorkerEntity, ratio: number): void => {
+export const learnSlowness = (
+  tables: ScheduleTables,
+  worker: WorkerEntity,
+  ratio: number,
+): void => {
   if (!tables.policy.stragglers) return;
   const sample = Math.min(MAX_SLOWNESS_SAMPLE, Math.max(0.1, ratio));
   worker.slowness += SLOWNESS_SMOOTHING * (sample - worker.slowness);
--- a/src/disk/claimStore.ts
+++ b/src/disk/claimStore.ts
@@ -10,7 +10,9 @@
   Buffer.from(ClaimRecord.encode(record).finish()).toString('base64')
 );
 
-const decodeClaim = (text: unknown): ClaimRecord => ClaimRecord.decode(Buffer.from(String(text), 'base64'));
+const decodeClaim = (text: unknown): ClaimRecord => ClaimRecord.decode(
+  Buffer.from(String(text), 'base64'),
+);
 
 /**
  * Keeps a holder's claims on disk, so that it never forgets what it promised.
--- a/src/disk/fileSystem.ts
+++ b/src/disk/fileSystem.ts
@@ -3,16 +3,19 @@
 } from 'node:fs/promises';
 
 /** A file that is only appended to. */
-export type AppendFile = {
+export interface AppendFile {
   /** Writes at the end; the bytes last only after `sync`. */
   readonly append: (bytes: Buffer) => Promise<void>;
   readonly sync: () => Promise<void>;
   readonly truncate: (length: number) => Promise<void>;
   readonly close: () => Promise<void>;
-};
+}
 
-/** The part of a file system that the stores use; tests put one in its place that loses what was not synced. */
-export type FileSystem = {
+/**
+ * The part of a file system that the stores use; tests put one in its place that loses what was not
+ * synced.
+ */
+export interface FileSystem {
   readonly makeFolder: (path: string) => Promise<void>;
   /** Whole content, or undefined when there is no such file. */
   readonly readFile: (path: string) => Promise<Buffer | undefined>;
@@ -21,7 +24,7 @@
   readonly remove: (path: string) => Promise<void>;
   /** Makes renames and new names in a folder last. */
   readonly syncFolder: (path: string) => Promise<void>;
-};
+}
 
 /** The machine's own file system. */
 export const nodeFileSystem: FileSystem = {
--- a/src/disk/logStore.ts
+++ b/src/disk/logStore.ts
@@ -4,17 +4,16 @@
 import type { FileSystem } from './fileSystem';
 import { RecordFile } from './recordFile';
 
-type LogRecord =
-  | { readonly kind: 'state'; readonly hardState: HardState; readonly entries: readonly LogEntry[] }
+type LogRecord = | { readonly kind: 'state'; readonly hardState: HardState; readonly entries: readonly LogEntry[] }
   | { readonly kind: 'snapshot'; readonly snapshot: Snapshot };
 
 /** One change of the log on its way to disk. */
-export type LogWrite = {
+export interface LogWrite {
   readonly hardState: HardState;
   readonly entries: readonly LogEntry[];
-};
+}
 
-type Fold = { hardState: HardState; snapshot: Snapshot; entries: LogEntry[] };
+interface Fold { hardState: HardState; snapshot: Snapshot; entries: LogEntry[] }
 
 const foldEntries = (fold: Fold, entries: readonly LogEntry[]): LogEntry[] => {
   const [first] = entries;
--- a/src/disk/recordFile.ts
+++ b/src/disk/recordFile.ts
@@ -18,10 +18,10 @@
 };
 
 /** What a file held: its records, and how many bytes of it are sound. */
-type ParsedFile = {
+interface ParsedFile {
   readonly records: unknown[];
   readonly soundBytes: number;
-};
+}
 
 const splitLines = (content: Buffer): string[] => {
   const lines = content.toString().split('\n');
@@ -29,14 +29,18 @@
 };
 
 /*
- * Guards against a torn write: a crash may leave the end of the last records missing or mixed up. Nothing
- * there was answered yet, as answers wait for the sync, so it is cut off. A bad record with a sound one after
- * it is no torn write but damage to what was answered, and is refused.
+ * Guards against a torn write: a crash may leave the end of the last records missing or mixed up.
+ * Nothing there was answered yet, as answers wait for the sync, so it is cut off. A bad record with
+ * a sound one after it is no torn write but damage to what was answered, and is refused.
  */
 const parseContent = (path: string, content: Buffer): ParsedFile => {
   const lines = splitLines(content).map((line) => ({ line, record: parseLine(line) }));
   const firstBad = lines.findIndex(({ record }) => record === undefined);
-  if (firstBad < 0) return { records: lines.map(({ record }) => record), soundBytes: content.length };
+  if (firstBad < 0) {
+    return {
+      records: lines.map(({ record }) => record), soundBytes: content.length,
+    };
+  }
   const soundAfter = lines.slice(firstBad).some(({ record }) => record !== undefined);
   if (soundAfter) {
     throw new BeechliftError('logCorrupt', `record ${firstBad + 1} of "${path}" does not match its checksum, and sound records follow it`);
@@ -53,7 +57,8 @@
 );
 
 /**
- * A file of checksummed records, one a line. Writers that come while a sync is under way share the next one.
+ * A file of checksummed records, one a line. Writers that come while a sync is under way share the
+ * next one.
  *
  * @example
  * const file = new RecordFile(nodeFileSystem, 'data/log');
@@ -104,9 +109,10 @@
   }
 
   /*
-   * Guards against a crash in the middle of a rewrite: the new content is whole and synced under another
-   * name before it takes the place of the old, and the folder is synced after. The records are listed when
-   * the rewrite begins, so that nothing which was appended in the meantime is left out.
+   * Guards against a crash in the middle of a rewrite: the new content is whole and synced under
+   * another name before it takes the place of the old, and the folder is synced after. The records
+   * are listed when the rewrite begins, so that nothing which was appended in the meantime is left
+   * out.
    */
   replace(listRecords: () => readonly unknown[]): Promise<void> {
     return this.enqueue(() => this.rewrite(Buffer.from(listRecords().map(formatRecord).join(''))));
@@ -120,8 +126,8 @@
   }
 
   /*
-   * Guards against a write that failed for one caller and looks done to the next, whose records were in the
-   * same batch: after a failure nothing more is written and everyone hears of it.
+   * Guards against a write that failed for one caller and looks done to the next, whose records
+   * were in the same batch: after a failure nothing more is written and everyone hears of it.
    */
   private enqueue(task: () => Promise<void>): Promise<void> {
     const result = this.queue.then(async () => {
--- a/src/entry/answerRelay.ts
+++ b/src/entry/answerRelay.ts
@@ -1,16 +1,17 @@
 import { BeechliftError } from '../errors/beechliftError';
 import type { Operation } from '../utils/operation';
-import { EngineFailure, EngineRefusal } from './engineClient';
+import { EngineFailure } from './engineFailure';
+import { EngineRefusal } from './engineRefusal';
 import type { EngineClient, EngineEvent } from './engineClient';
 import { StreamUnknown } from './streamUnknown';
 
 /** A stream that was dispatched, and where it can be taken up again. */
-export type DispatchedStream = {
+export interface DispatchedStream {
   readonly address: string;
   readonly streamId: string;
   readonly canResume: boolean;
   readonly headers: Readonly<Record<string, string>>;
-};
+}
 
 const SILENCE_MS = 5_000;
 const RESUME_PAUSE_MS = 100;
@@ -19,14 +20,16 @@
 /** Milliseconds without a byte after which a connection to an engine is given up. */
 export const ENGINE_SILENCE_MS = SILENCE_MS;
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms); });
+const pause = (ms: number): Promise<void> => new Promise((resolve) => {
+  setTimeout(resolve, ms);
+});
 
 /**
  * Passes the events of one stream on, whole and in order, over as many connections as it takes.
  *
- * Guards against chunks that come late, doubled or out of order: an event is passed on only when its offset
- * is the next one; what was seen already is dropped; a gap is a failed connection, and the stream is taken up
- * again at the offset that is missing.
+ * Guards against chunks that come late, doubled or out of order: an event is passed on only when
+ * its offset is the next one; what was seen already is dropped; a gap is a failed connection, and
+ * the stream is taken up again at the offset that is missing.
  *
  * @example
  * const relay = new AnswerRelay(engines, stream, operation);
--- a/src/entry/answerSink.ts
+++ b/src/entry/answerSink.ts
@@ -1,31 +1,33 @@
 /** Where an answer goes, event by event. */
-export type AnswerSink = {
+export interface AnswerSink {
   /** Takes one event; resolves when the caller can take the next. */
   readonly deliver: (data: string) => Promise<void>;
   /** The answer is whole. */
   readonly end: () => Promise<void>;
-};
+}
 
-type Choice = {
+interface Choice {
   readonly delta?: { readonly content?: string };
   readonly text?: string;
   readonly finish_reason?: string | null;
-};
+}
 
-type Chunk = {
+interface Chunk {
   readonly id?: string;
   readonly created?: number;
   readonly model?: string;
   readonly choices?: readonly Choice[];
   readonly usage?: unknown;
-};
+}
 
 const joinText = (chunks: readonly Chunk[]): string => chunks
   .map(({ choices }) => choices?.[0]?.delta?.content ?? choices?.[0]?.text ?? '')
   .join('');
 
 const findFinishReason = (chunks: readonly Chunk[]): string => (
-  chunks.findLast(({ choices }) => choices?.[0]?.finish_reason)?.choices?.[0]?.finish_reason ?? 'stop'
+  chunks.findLast(
+    ({ choices }) => choices?.[0]?.finish_reason,
+  )?.choices?.[0]?.finish_reason ?? 'stop'
 );
 
 const buildMessage = (isChat: boolean, text: string, finishReason: string): object => (isChat
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -27,16 +27,21 @@
 import type { ServiceRunner } from './serviceRunner';
 import { pickPassedHeaders } from './serviceClient';
 
-/** A request beyond its deadline may still be served while lower tiers hold slots; then it is given up. */
+/**
+ * A request beyond its deadline may still be served while lower tiers hold slots; then it is given
+ * up.
+ */
 const WAIT_SLACK_MS = 30_000;
 /** An answer that has begun is relayed to its end, however late, within this. */
 const RELAY_LIMIT_MS = 1_800_000;
 /** How long a repeatable answer goes on without its caller before it is cancelled. */
 const CALLER_GRACE_MS = 10_000;
+/** How often a backend server is asked to announce itself. */
+const ANNOUNCE_MS = 1_000;
 const BEARER = /^Bearer\s+(\S.*)$/i;
 
 /** What the caller-facing API of an entry is made of. */
-export type CallerApiParts = {
+export interface CallerApiParts {
   readonly id: string;
   readonly zone: string;
   readonly configuration: Configuration;
@@ -51,32 +56,39 @@
   readonly logger: Logger;
   readonly clock: Clock;
   readonly isLeaving: () => boolean;
-};
+}
 
 /** A completion request that was checked. */
-export type CheckedCall = {
+export interface CheckedCall {
   readonly request: CallerRequest;
   readonly headers: CallerHeaders;
-};
+}
 
 /** A call to a plain service. */
-export type ServiceInputCall = {
+export interface ServiceInputCall {
   readonly name: string;
   readonly method: string;
   readonly path: string;
   readonly headers: CallerHeaders;
   readonly body: Buffer;
   readonly isGone: () => boolean;
-};
+}
+
+/** One entry VM that a caller may use. */
+export interface LocatedEntry {
+  readonly id: string;
+  readonly address: string;
+  readonly zone: string;
+}
 
 /** Answer to a locate. */
-export type LocateAnswer = {
-  readonly entries: readonly { readonly id: string; readonly address: string; readonly zone: string }[];
+export interface LocateAnswer {
+  readonly entries: readonly LocatedEntry[];
   /** How long the answer may be kept, in milliseconds. */
   readonly keepMs: number;
   /** When the older scheduler is to take this caller's requests. */
   readonly older?: readonly string[];
-};
+}
 
 /**
  * What callers and backend servers can ask of an entry; it knows nothing of HTTP.
@@ -98,7 +110,7 @@
   /** Checks a completion request. */
   readCompletion(path: string, body: Buffer, headers: CallerHeaders): CheckedCall {
     const manifest = this.requireServing();
-    const known = this.authenticate(headers);
+    const known = this.findAccount(headers);
     this.requireSize(body, manifest);
     const request = readCompletionRequest({
       id: this.makeId(), path, text: body.toString(), headers, known, manifest,
@@ -107,33 +119,47 @@
   }
 
   /** Runs a completion; resolves when the answer is whole, throws when there is none. */
-  async runCompletion({ request, headers }: CheckedCall, sink: AnswerSink, caller: CallerLink): Promise<void> {
+  async runCompletion(
+    { request, headers }: CheckedCall,
+    sink: AnswerSink,
+    caller: CallerLink,
+  ): Promise<void> {
     await this.runJob(request, headers, sink, caller, (job) => this.parts.models.run(job));
   }
 
   /** Calls a plain service. */
   async callService(call: ServiceInputCall): Promise<ServiceAnswer> {
     const manifest = this.requireServing();
-    const known = this.authenticate(call.headers);
+    const known = this.findAccount(call.headers);
     this.requireSize(call.body, manifest);
     const request = readServiceRequest({
       ...call, id: this.makeId(), known, manifest,
     });
     const sink: AnswerSink = { deliver: async () => undefined, end: async () => undefined };
     const caller: CallerLink = { isGone: call.isGone, onGone: () => undefined };
-    const dispatch = { method: call.method, headers: pickPassedHeaders(call.headers), body: call.body };
-    return this.runJob(request, call.headers, sink, caller, (job) => this.parts.services.run(job, dispatch));
+    const dispatch = {
+      method: call.method, headers: pickPassedHeaders(call.headers), body: call.body,
+    };
+    return this.runJob(
+      request,
+      call.headers,
+      sink,
+      caller,
+      (job) => this.parts.services.run(job, dispatch),
+    );
   }
 
   /** Tells a caller which entry VMs to use, and for how long. */
   locate(headers: CallerHeaders): LocateAnswer {
     const manifest = this.requireServing(true);
-    const known = this.authenticate(headers);
+    const known = this.findAccount(headers);
     const zone = String(headers[CALLER_HEADERS.zone] ?? this.parts.zone);
     const ranked = rankEntries(this.parts.configuration.members, known.name, zone);
     const older = this.findOlder(manifest, known);
     return {
-      entries: ranked.map(({ id, callerAddress, zone: at }) => ({ id, address: callerAddress, zone: at })),
+      entries: ranked.map(
+        ({ id, callerAddress, zone: at }) => ({ id, address: callerAddress, zone: at }),
+      ),
       keepMs: manifest.limits.locateMs,
       ...(older ? { older } : {}),
     };
@@ -163,7 +189,11 @@
         waiting: tables.waiting.size,
         running: tables.running.size,
         workers: [...tables.workers.values()].map((worker) => ({
-          id: worker.id, slots: worker.slots, running: worker.running.size, leaving: worker.leaving, pace: worker.pace,
+          id: worker.id,
+          slots: worker.slots,
+          running: worker.running.size,
+          leaving: worker.leaving,
+          pace: worker.pace,
         })),
       })),
     };
@@ -189,7 +219,9 @@
     caller: CallerLink,
     run: (job: RequestJob) => Promise<Result>,
   ): Promise<Result> {
-    const { active, metrics, tracer, budget } = this.parts;
+    const {
+      active, metrics, tracer, budget,
+    } = this.parts;
     const { span, below } = tracer.startHop('caller', tracer.readContext(headers), {
       request: request.id, tier: request.tier, account: request.account, target: request.target,
     });
@@ -215,7 +247,11 @@
   private logRefusal(request: CallerRequest, error: BeechliftError): void {
     const level = error.code === 'internalFailure' ? 'error' : 'info';
     this.parts.logger[level]('request ended without an answer', {
-      requestId: request.id, code: error.number, name: error.code, run: error.run, reason: error.message,
+      requestId: request.id,
+      code: error.number,
+      name: error.code,
+      run: error.run,
+      reason: error.message,
     });
   }
 
@@ -226,7 +262,9 @@
     context: RequestJob['context'],
   ): RequestJob {
     const { clock, claims } = this.parts;
-    const makeWaiting = () => new Operation({ timeoutMs: request.deadlineMs + WAIT_SLACK_MS, clock });
+    const makeWaiting = () => new Operation({
+      timeoutMs: request.deadlineMs + WAIT_SLACK_MS, clock,
+    });
     const job: RequestJob = {
       request,
       sink,
@@ -244,10 +282,10 @@
   }
 
   /**
-   * A caller that is gone takes its waiting request with it. An answer that has begun is cancelled when nobody
-   * can ask for it again, after a grace when it may be repeated, and never when it may not.
+   * A caller that is gone takes its waiting request with it. An answer that has begun is cancelled
+   * when nobody can ask for it again, after a grace when it may be repeated, and never when it may
+   * not.
    */
-  // eslint-disable-next-line class-methods-use-this -- belongs to the way of a request
   private handleGone(job: RequestJob): void {
     job.waiting.cancel('caller gone');
     if (!job.request.isIdempotent) return;
@@ -271,13 +309,12 @@
     return manifest;
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the checks of a request
   private requireSize(body: Buffer, { limits }: Manifest): void {
     if (body.length <= limits.bodyBytes) return;
     throw new BeechliftError('bodyTooLarge', `the body has ${body.length} bytes, at most ${limits.bodyBytes} are taken`);
   }
 
-  private authenticate(headers: CallerHeaders): KnownAccount {
+  private findAccount(headers: CallerHeaders): KnownAccount {
     const key = BEARER.exec(String(headers.authorization ?? ''))?.[1] ?? '';
     const known = this.accountByHash.get(computeSha256(key));
     // The table is found by hash; the comparison in constant time settles it.
@@ -295,13 +332,17 @@
   }
 
   /** Sticky by account: the same accounts stay with the older scheduler while the share stands. */
-  // eslint-disable-next-line class-methods-use-this -- belongs to locate
-  private findOlder(manifest: Manifest, { name, account }: KnownAccount): readonly string[] | undefined {
+  private findOlder(
+    manifest: Manifest,
+    { name, account }: KnownAccount,
+  ): readonly string[] | undefined {
     const place = parseInt(computeSha256(`migration:${name}`).slice(0, 8), 16) / 0x1_0000_0000;
-    const rules = [manifest.migration[name], ...account.tiers.map((tier) => manifest.migration[tier])];
-    const rule = rules.find((item, position) => item && (position === 0 ? item.of === 'account' : item.of === 'tier'));
+    const rules = [
+      manifest.migration[name], ...account.tiers.map((tier) => manifest.migration[tier]),
+    ];
+    const rule = rules.find(
+      (item, position) => item && (position === 0 ? item.of === 'account' : item.of === 'tier'),
+    );
     return rule && place >= rule.share ? rule.olderAddresses : undefined;
   }
 }
-
-const ANNOUNCE_MS = 1_000;
--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -13,7 +13,7 @@
 } as const;
 
 /** A request that was checked and may be scheduled. */
-export type CallerRequest = {
+export interface CallerRequest {
   readonly id: string;
   readonly account: string;
   readonly tier: string;
@@ -30,24 +30,24 @@
   readonly deadlineMs: number;
   readonly idempotencyKey: string;
   readonly isIdempotent: boolean;
-};
+}
 
 /** A client account with its name. */
-export type KnownAccount = {
+export interface KnownAccount {
   readonly name: string;
   readonly account: ClientAccount;
-};
+}
 
 /** Headers as the HTTP server gives them. */
 export type CallerHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
-type CompletionBody = {
+interface CompletionBody {
   readonly model?: unknown;
   readonly stream?: unknown;
   readonly max_tokens?: unknown;
   readonly messages?: unknown;
   readonly prompt?: unknown;
-};
+}
 
 const CHARACTERS_PER_TOKEN = 4;
 const MAX_KEY_LENGTH = 255;
@@ -59,7 +59,9 @@
 };
 
 /** Tokens that a text has, about. */
-export const estimateTokens = (text: string): number => Math.ceil(text.length / CHARACTERS_PER_TOKEN);
+export const estimateTokens = (text: string): number => Math.ceil(
+  text.length / CHARACTERS_PER_TOKEN,
+);
 
 const hashText = (text: string): string => createHash('sha1').update(text).digest('base64url');
 
@@ -143,7 +145,11 @@
   return { idempotencyKey, isIdempotent };
 };
 
-const findPool = (manifest: Manifest, kind: 'models' | 'services', target: string): string | undefined => (
+const findPool = (
+  manifest: Manifest,
+  kind: 'models' | 'services',
+  target: string,
+): string | undefined => (
   Object.entries(manifest.pools)
     .find(([, pool]) => pool.role === 'worker' && pool[kind].includes(target))?.[0]
 );
@@ -155,14 +161,14 @@
 };
 
 /** What a completion request is checked against. */
-export type CompletionInput = {
+export interface CompletionInput {
   readonly id: string;
   readonly path: string;
   readonly text: string;
   readonly headers: CallerHeaders;
   readonly known: KnownAccount;
   readonly manifest: Manifest;
-};
+}
 
 /**
  * Checks a completion request and works out what the scheduler needs of it.
@@ -204,7 +210,7 @@
 };
 
 /** What a service call is checked against. */
-export type ServiceInput = {
+export interface ServiceInput {
   readonly id: string;
   readonly name: string;
   readonly method: string;
@@ -213,7 +219,7 @@
   readonly headers: CallerHeaders;
   readonly known: KnownAccount;
   readonly manifest: Manifest;
-};
+}
 
 const findService = ({ name, manifest }: ServiceInput): Service => {
   const service = manifest.services[name];
@@ -225,7 +231,8 @@
  * Checks a call to a plain service.
  *
  * @example
- * const request = readServiceRequest({ id, name: 'tags', method: 'GET', path, body, headers, known, manifest });
+ * const request = readServiceRequest({ id, name: 'tags', method: 'GET', path, body, headers, known,
+ * manifest });
  */
 export const readServiceRequest = (input: ServiceInput): CallerRequest => {
   const {
--- a/src/entry/claimClient.ts
+++ b/src/entry/claimClient.ts
@@ -12,17 +12,19 @@
 import type { LinkTable } from '../wire/linkTable';
 
 /** A claim that this entry has taken. */
-export type ClaimTicket = {
+export interface ClaimTicket {
   readonly key: string;
   readonly ballot: Ballot;
-  /** What was agreed on before; a new dispatch is allowed only without it or when it was released. */
+  /**
+   * What was agreed on before; a new dispatch is allowed only without it or when it was released.
+   */
   readonly bound: ClaimValue | undefined;
-};
+}
 
-type Round = {
+interface Round {
   readonly replies: Map<string, ClaimReply>;
   readonly won: boolean;
-};
+}
 
 const ROUND_TIMEOUT_MS = 1_500;
 const MAX_ATTEMPTS = 6;
@@ -41,8 +43,12 @@
   if (holders.length === 0) judge();
   holders.forEach((holder) => {
     ask(holder)
-      .then((reply) => { replies.set(holder.id, reply); })
-      .catch(() => { failed.add(holder.id); })
+      .then((reply) => {
+        replies.set(holder.id, reply);
+      })
+      .catch(() => {
+        failed.add(holder.id);
+      })
       .finally(judge);
   });
 });
@@ -74,8 +80,8 @@
   }
 
   /**
-   * Writes what becomes of the request; fails when another entry has taken the claim over since, or no
-   * majority answers. After a failure nothing may be sent on the strength of this ticket.
+   * Writes what becomes of the request; fails when another entry has taken the claim over since, or
+   * no majority answers. After a failure nothing may be sent on the strength of this ticket.
    */
   async accept(ticket: ClaimTicket, value: ClaimValue, operation: Operation): Promise<void> {
     const groups = findHolderGroups(this.readHolders(), ticket.key);
@@ -136,4 +142,3 @@
 export const isFree = ({ bound }: ClaimTicket): boolean => (
   bound === undefined || bound.state === 'released'
 );
-
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -6,17 +6,17 @@
 import type { Clock } from '../utils/clock';
 
 /** Called when a newer manifest or view is in force here. */
-export type ConfigurationListener = {
+export interface ConfigurationListener {
   readonly noteManifest: (manifest: Manifest) => void;
   readonly noteMembers: (members: readonly Member[], viewNumber: number) => void;
-};
+}
 
 /**
  * What an entry knows of the accepted configuration, and until when it may rely on it.
  *
- * Guards against serving on an older configuration while the site has accepted a newer one: without a lease
- * that was asked for recently enough, the entry takes no new work. Versions only go up, so that a reply which
- * was delayed, or a peer that lags, reverts nothing.
+ * Guards against serving on an older configuration while the site has accepted a newer one: without
+ * a lease that was asked for recently enough, the entry takes no new work. Versions only go up, so
+ * that a reply which was delayed, or a peer that lags, reverts nothing.
  *
  * @example
  * const configuration = new Configuration(systemClock);
@@ -97,8 +97,8 @@
     if (reply.manifestVersion === 0 || reply.manifestDigest === this.digest) return true;
     const next = this.readManifest(reply);
     /*
-     * Guards against a delta on a base that is not the one it was made for: only the digest that the quorum
-     * accepted comes into force; otherwise the whole manifest is asked for next.
+     * Guards against a delta on a base that is not the one it was made for: only the digest that
+     * the quorum accepted comes into force; otherwise the whole manifest is asked for next.
      */
     if (!next || computeDigest(next) !== reply.manifestDigest) {
       this.digest = '';
--- a/src/entry/engineClient.ts
+++ b/src/entry/engineClient.ts
@@ -1,51 +1,36 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
-import { Agent, Client, errors, request } from 'undici';
+import {
+  Agent, Client, errors, request,
+} from 'undici';
 import type { Dispatcher } from 'undici';
+import { EngineFailure } from './engineFailure';
+import { EngineRefusal } from './engineRefusal';
 
 /** One event of an engine's stream: its place in the answer and its data. */
-export type EngineEvent = {
+export interface EngineEvent {
   readonly offset: number;
   readonly data: string;
-};
-
-/** How far a dispatch got when it failed. */
-export type DispatchReach = 'notSent' | 'maybeSent';
-
-/** A connection to an engine that failed. */
-export class EngineFailure extends Error {
-  constructor(readonly reach: DispatchReach, message: string, options?: ErrorOptions) {
-    super(message, options);
-    this.name = 'EngineFailure';
-  }
-}
-
-/** An engine that answered with an error status. */
-export class EngineRefusal extends Error {
-  constructor(readonly status: number, readonly body: string) {
-    super(`the engine answered with status ${status}`);
-    this.name = 'EngineRefusal';
-  }
 }
 
 /** What a cancel says of a stream. */
 export type CancelState = 'neverSeen' | 'cancelled' | 'finished' | 'unknown';
 
 /** Answer to a cancel. An engine that was started anew knows nothing of the streams before. */
-export type CancelReply = {
+export interface CancelReply {
   readonly state: CancelState;
   readonly incarnation: string;
-};
+}
 
 /** A dispatch to an engine. */
-export type EngineDispatch = {
+export interface EngineDispatch {
   readonly address: string;
   readonly streamId: string;
   readonly path: string;
   readonly body: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly signal: AbortSignal;
-};
+}
 
 /** Where a stream is taken up again. */
 export type EngineResume = Pick<EngineDispatch, 'address' | 'streamId' | 'signal' | 'headers'> & {
@@ -53,7 +38,9 @@
 };
 
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Idle connections are not reused after this long: what lies between may have lost track of them. */
+/**
+ * Idle connections are not reused after this long: what lies between may have lost track of them.
+ */
 const IDLE_REUSE_MS = 1_000;
 const MAX_CONNECTIONS = 1_024;
 const SHORT_CALL_MS = 2_000;
@@ -68,7 +55,9 @@
 const readCode = (error: unknown): string => String((error as { code?: unknown }).code ?? '');
 
 const toFailure = (error: unknown): EngineFailure => {
-  const reach = NOT_SENT_CODES.includes(readCode(error)) || error instanceof errors.ConnectTimeoutError
+  const neverLeft = NOT_SENT_CODES.includes(readCode(error))
+    || error instanceof errors.ConnectTimeoutError;
+  const reach = neverLeft
     ? 'notSent'
     : 'maybeSent';
   return new EngineFailure(reach, (error as Error).message, { cause: error });
@@ -81,10 +70,10 @@
 };
 
 /** Queue between the parser, which pushes, and the relay, which pulls. */
-type ParsedChunk = {
+interface ParsedChunk {
   readonly events: EngineEvent[];
   readonly done: boolean;
-};
+}
 
 const makeChunkParser = (fromOffset: number): ((text: string) => ParsedChunk) => {
   let events: EngineEvent[] = [];
@@ -114,7 +103,10 @@
 ): Promise<IteratorResult<Buffer>> => {
   let timer: NodeJS.Timeout | undefined;
   const silence = new Promise<never>((resolve, reject) => {
-    timer = setTimeout(() => reject(new EngineFailure('maybeSent', `no byte for ${silenceMs} ms`)), silenceMs);
+    timer = setTimeout(
+      () => reject(new EngineFailure('maybeSent', `no byte for ${silenceMs} ms`)),
+      silenceMs,
+    );
   });
   try {
     return await Promise.race([iterator.next(), silence]);
@@ -141,7 +133,10 @@
   });
 
   /** Starts a stream; the events follow as the engine makes them. */
-  async dispatch(dispatch: EngineDispatch, silenceMs: number): Promise<AsyncGenerator<EngineEvent>> {
+  async dispatch(
+    dispatch: EngineDispatch,
+    silenceMs: number,
+  ): Promise<AsyncGenerator<EngineEvent>> {
     const {
       address, path, body, headers, streamId, signal,
     } = dispatch;
@@ -194,7 +189,6 @@
     return this.agent.destroy();
   }
 
-  // eslint-disable-next-line class-methods-use-this -- the pool of connections belongs here
   private makeFreshClient(address: string): Client {
     return new Client(`http://${address}`, {
       connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0,
@@ -217,7 +211,10 @@
     return response;
   }
 
-  /* Guards against a connection that goes silent in mid-answer: the wait for the next byte is bounded. */
+  /*
+   * Guards against a connection that goes silent in mid-answer: the wait for the next byte is
+   * bounded.
+   */
   private async* readEvents(
     response: Dispatcher.ResponseData,
     fromOffset: number,
--- /dev/null
+++ b/src/entry/engineRefusal.ts
@@ -0,0 +1,7 @@
+/** An engine that answered with an error status. */
+export class EngineRefusal extends Error {
+  constructor(readonly status: number, readonly body: string) {
+    super(`the engine answered with status ${status}`);
+    this.name = 'EngineRefusal';
+  }
+}
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -32,7 +32,7 @@
 export type MemberState = 'active' | 'leaving' | 'gone';
 
 /** An entry process that runs. */
-export type RunningEntry = {
+export interface RunningEntry {
   readonly api: CallerApi;
   readonly configuration: Configuration;
   readonly scheduler: Scheduler;
@@ -42,16 +42,18 @@
   /** Leaves the view, waits until callers have stopped coming and all answers are whole. */
   readonly drain: () => Promise<void>;
   readonly stop: () => Promise<void>;
-};
+}
 
 /** What an entry process needs from outside. */
-export type EntryParts = {
+export interface EntryParts {
   readonly settings: EntrySettings;
   readonly logger: Logger;
   readonly policy?: PolicySettings;
-};
+}
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms); });
+const pause = (ms: number): Promise<void> => new Promise((resolve) => {
+  setTimeout(resolve, ms);
+});
 
 const requireManifest = (configuration: Configuration): Manifest => {
   if (!configuration.manifest) throw new Error('no manifest is in force yet');
@@ -59,12 +61,15 @@
 };
 
 /**
- * Starts an entry: its links, its scheduler and its heartbeat. The HTTP server is put before it by the wiring.
+ * Starts an entry: its links, its scheduler and its heartbeat. The HTTP server is put before it by
+ * the wiring.
  *
  * @example
  * const entry = await startEntry({ settings, logger });
  */
-export const startEntry = async ({ settings, logger, policy }: EntryParts): Promise<RunningEntry> => {
+export const startEntry = async ({
+  settings, logger, policy,
+}: EntryParts): Promise<RunningEntry> => {
   const clock = systemClock;
   const incarnation = randomUUID();
   const tracer = new HopTracer(`entry/${settings.id}`, settings.traceFile);
@@ -81,9 +86,18 @@
     id: settings.id, incarnation, peerAddress, callerAddress, zone: settings.zone, state,
   });
   const scheduler = new Scheduler({
-    id: settings.id, configuration, peers, clock, listRunning: () => active.listRunning(), policy: policy ?? DEFAULT_POLICY,
+    id: settings.id,
+    configuration,
+    peers,
+    clock,
+    listRunning: () => active.listRunning(),
+    policy: policy ?? DEFAULT_POLICY,
   });
-  const claims = new ClaimClient(`${settings.id}:${incarnation}`, control, () => configuration.holders);
+  const claims = new ClaimClient(
+    `${settings.id}:${incarnation}`,
+    control,
+    () => configuration.holders,
+  );
   const slots = new SlotKeeper(
     settings.id,
     settings.zone,
@@ -130,9 +144,13 @@
   server.add(PeerService, makePeerService(scheduler, configuration, tracer));
   peerAddress = await server.listen(settings.peerAddress);
   const timers = [
-    setInterval(() => { heartbeat.beat().catch(() => undefined); }, settings.heartbeatMs),
+    setInterval(() => {
+      heartbeat.beat().catch(() => undefined);
+    }, settings.heartbeatMs),
     setInterval(() => scheduler.tick(), TICK_MS),
-    setInterval(() => { scheduler.register().catch(() => undefined); }, REGISTER_MS),
+    setInterval(() => {
+      scheduler.register().catch(() => undefined);
+    }, REGISTER_MS),
   ];
   const waitUntilIdle = async (deadline: number): Promise<void> => {
     if (active.size === 0 || clock.now() > deadline) return;
@@ -140,8 +158,8 @@
     await waitUntilIdle(deadline);
   };
   /*
-   * Guards callers against being cut off: locate stops naming this entry first; callers that still hold an
-   * older answer are served until that answer has run out; then what is open is finished.
+   * Guards callers against being cut off: locate stops naming this entry first; callers that still
+   * hold an older answer are served until that answer has run out; then what is open is finished.
    */
   const drain = async (): Promise<void> => {
     state = 'leaving';
@@ -158,7 +176,9 @@
     configuration,
     scheduler,
     peerAddress,
-    setCallerAddress: (address) => { callerAddress = address; },
+    setCallerAddress: (address) => {
+      callerAddress = address;
+    },
     drain,
     stop: async () => {
       timers.forEach((timer) => clearInterval(timer));
--- a/src/entry/heartbeat.ts
+++ b/src/entry/heartbeat.ts
@@ -13,14 +13,14 @@
 const MAX_PEERS_ASKED = 3;
 
 /** What the heartbeat needs. */
-export type HeartbeatParts = {
+export interface HeartbeatParts {
   readonly configuration: Configuration;
   readonly controlAddresses: readonly string[];
   readonly control: LinkTable<ControlClient>;
   readonly peers: LinkTable<PeerClient>;
   readonly readMember: () => Member;
   readonly clock: Clock;
-};
+}
 
 /**
  * Keeps an entry known to the control leader and its configuration lease alive.
@@ -38,7 +38,10 @@
     this.leaderAddress = parts.controlAddresses[0] ?? '';
   }
 
-  /** Sends one heartbeat; falls back to the other replicas, then to peers. Returns whether a lease came. */
+  /**
+   * Sends one heartbeat; falls back to the other replicas, then to peers. Returns whether a lease
+   * came.
+   */
   async beat(): Promise<boolean> {
     const renewed = await this.askControl(this.leaderAddress) || await this.askNextReplica();
     if (renewed) return true;
@@ -61,7 +64,7 @@
     const sentAt = clock.now();
     try {
       const reply = await control.find(address).call<HeartbeatRequest, HeartbeatReply>(
-        (stub) => stub.heartbeat.bind(stub) as never,
+        (stub) => stub.heartbeat.bind(stub),
         this.buildRequest(),
         new Operation({ timeoutMs: CALL_TIMEOUT_MS }),
       );
@@ -88,8 +91,9 @@
   }
 
   /*
-   * Guards an entry that is cut off from control but not from its peers: a peer's lease proves as much, for
-   * as long as that lease lasts. It counts from before this entry asked, so it never outlives the peer's own.
+   * Guards an entry that is cut off from control but not from its peers: a peer's lease proves as
+   * much, for as long as that lease lasts. It counts from before this entry asked, so it never
+   * outlives the peer's own.
    */
   private async askPeers(): Promise<boolean> {
     const { configuration, readMember } = this.parts;
@@ -106,7 +110,7 @@
     const sentAt = clock.now();
     try {
       const reply = await peers.find(address).call<ProofRequest, HeartbeatReply>(
-        (stub) => stub.readProof.bind(stub) as never,
+        (stub) => stub.readProof.bind(stub),
         {
           manifestVersion: configuration.version,
           manifestDigest: configuration.digest,
--- a/src/entry/modelRunner.ts
+++ b/src/entry/modelRunner.ts
@@ -7,7 +7,8 @@
 import type { Clock } from '../utils/clock';
 import { AnswerRelay, ENGINE_SILENCE_MS } from './answerRelay';
 import { hasToken } from './answerSink';
-import { EngineFailure, EngineRefusal } from './engineClient';
+import { EngineFailure } from './engineFailure';
+import { EngineRefusal } from './engineRefusal';
 import type { EngineClient, EngineEvent } from './engineClient';
 import { decodeKeptAnswer, KeptAnswer } from './keptAnswer';
 import type { RequestJob } from './requestJob';
@@ -20,7 +21,7 @@
 const ANSWER_TYPE = 'application/json';
 
 /** What runs model requests. */
-export type ModelRunnerParts = {
+export interface ModelRunnerParts {
   readonly slots: SlotKeeper;
   readonly engines: EngineClient;
   readonly budget: RetryBudget;
@@ -29,13 +30,13 @@
   readonly clock: Clock;
   readonly readManifest: () => Manifest;
   readonly isServing: () => boolean;
-};
+}
 
-type Granted = {
+interface Granted {
   readonly dispatch: ClaimedDispatch;
   readonly grantMs: number;
   readonly grantedAt: number;
-};
+}
 
 type RelayResult = SlotTimes & { readonly kept: KeptAnswer };
 
@@ -68,7 +69,9 @@
         job.waiting.cancel('claim failed');
         throw error;
       })
-      .then(() => { if (job.claim.bound) job.waiting.cancel('an earlier attempt is taken up'); })
+      .then(() => {
+        if (job.claim.bound) job.waiting.cancel('an earlier attempt is taken up');
+      })
       .finally(() => span.end());
     const granted = slots.take(job.request, job.waiting, job.context);
     const [claim, slot] = await Promise.allSettled([claimed, granted]);
@@ -81,7 +84,10 @@
     return slot.value;
   }
 
-  /* Guards "not run": it is said only once the claim is given back at a majority, with no byte sent. */
+  /*
+   * Guards "not run": it is said only once the claim is given back at a majority, with no byte
+   * sent.
+   */
   private async refuse(job: RequestJob, reason: unknown): Promise<never> {
     const error = toBeechliftError(reason);
     const released = await job.claim.release();
@@ -127,7 +133,11 @@
   private async send(job: RequestJob, granted: Granted): Promise<void> {
     const { tracer, engines } = this.parts;
     const { workerAddress, streamId, workerId } = granted.dispatch;
-    const { span, below } = tracer.startHop('engine', job.context, { worker: workerId, stream: streamId });
+    const { span, below } = tracer.startHop(
+      'engine',
+      job.context,
+      { worker: workerId, stream: streamId },
+    );
     const headers = tracer.formatHeaders(below);
     try {
       const events = await engines.dispatch({
@@ -146,15 +156,15 @@
     }
   }
 
-  /** A dispatch that may have arrived is taken up again as a stream; one that did not is thrown on. */
-  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a dispatch
+  /**
+   * A dispatch that may have arrived is taken up again as a stream; one that did not is thrown on.
+   */
   private judgeDispatch(error: unknown, { dispatch }: Granted): undefined {
     const mayRun = error instanceof EngineFailure && error.reach === 'maybeSent';
     if (mayRun && dispatch.canResume) return undefined;
     throw error;
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a dispatch
   private buildBody({ request }: RequestJob): string {
     return request.stream
       ? request.body
@@ -174,7 +184,9 @@
       slots.finish(job.request, 'complete', result);
       this.countGoodput(job, result);
       await job.sink.end();
-      await job.claim.finish({ answer: result.kept, status: 200, contentType: ANSWER_TYPE }).catch(() => undefined);
+      await job.claim.finish({
+        answer: result.kept, status: 200, contentType: ANSWER_TYPE,
+      }).catch(() => undefined);
     } finally {
       metrics.openStreams.dec();
     }
@@ -187,11 +199,16 @@
     headers: Readonly<Record<string, string>>,
   ): Promise<RelayResult> {
     const { clock, engines, metrics } = this.parts;
-    const kept = new KeptAnswer(job.claim.isKeyed ? this.parts.readManifest().limits.answerBytes : 0);
+    const kept = new KeptAnswer(
+      job.claim.isKeyed ? this.parts.readManifest().limits.answerBytes : 0,
+    );
     const sentAt = clock.now();
     const times = { firstTokenMs: 0, outputTokens: 0 };
     const relay = new AnswerRelay(engines, {
-      address: dispatch.workerAddress, streamId: dispatch.streamId, canResume: dispatch.canResume, headers,
+      address: dispatch.workerAddress,
+      streamId: dispatch.streamId,
+      canResume: dispatch.canResume,
+      headers,
     }, job.relaying);
     await relay.run(events, async ({ data }) => {
       if (hasToken(data)) {
@@ -207,7 +224,10 @@
   private noteFirstToken(job: RequestJob, sentAt: number): number {
     const now = this.parts.clock.now();
     this.parts.slots.start(job.request);
-    this.parts.metrics.firstToken.observe({ tier: job.request.tier }, (now - job.startedAt) / 1_000);
+    this.parts.metrics.firstToken.observe(
+      { tier: job.request.tier },
+      (now - job.startedAt) / 1_000,
+    );
     return now - sentAt;
   }
 
@@ -236,7 +256,6 @@
     throw error instanceof EngineRefusal ? this.toRefusal(error) : error;
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a failure
   private toRefusal(error: EngineRefusal): BeechliftError {
     return new BeechliftError('backendFailed', `the engine answered with status ${error.status}: ${error.body.slice(0, 500)}`, { run: 'unknown' });
   }
@@ -245,7 +264,11 @@
     await this.parts.engines.cancel(workerAddress, streamId);
   }
 
-  private async handleUnknownStream(job: RequestJob, granted: Granted, error: StreamUnknown): Promise<void> {
+  private async handleUnknownStream(
+    job: RequestJob,
+    granted: Granted,
+    error: StreamUnknown,
+  ): Promise<void> {
     const proven = error.offset === 0 && await this.isProvenNotRun(granted.dispatch);
     this.parts.slots.finish(job.request, 'failed');
     if (proven) {
@@ -259,12 +282,18 @@
   }
 
   /*
-   * Guards against running a request twice after a dispatch whose fate is unknown: the engine bars the
-   * stream id and says that it never saw it, and it is the same start of the engine that was dispatched to. A
-   * dispatch that is still on its way is then refused there.
+   * Guards against running a request twice after a dispatch whose fate is unknown: the engine bars
+   * the stream id and says that it never saw it, and it is the same start of the engine that was
+   * dispatched to. A dispatch that is still on its way is then refused there.
    */
-  private async isProvenNotRun(dispatch: Pick<ClaimedDispatch, 'workerAddress' | 'streamId' | 'workerIncarnation'>): Promise<boolean> {
-    const { state, incarnation } = await this.parts.engines.cancel(dispatch.workerAddress, dispatch.streamId);
+  private async isProvenNotRun(
+    dispatch: Pick<ClaimedDispatch,
+    'workerAddress' | 'streamId' | 'workerIncarnation'>,
+  ): Promise<boolean> {
+    const { state, incarnation } = await this.parts.engines.cancel(
+      dispatch.workerAddress,
+      dispatch.streamId,
+    );
     return state === 'neverSeen' && incarnation !== '' && incarnation === dispatch.workerIncarnation;
   }
 
@@ -301,7 +330,6 @@
     await this.resumeBound(job, bound);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of taking up
   private async replay({ sink }: RequestJob, events: readonly string[]): Promise<void> {
     await events.reduce((before, data) => before.then(() => sink.deliver(data)), Promise.resolve());
     await sink.end();
@@ -317,7 +345,11 @@
     }
   }
 
-  private async settleLostStream(job: RequestJob, bound: ClaimValue, error: StreamUnknown): Promise<void> {
+  private async settleLostStream(
+    job: RequestJob,
+    bound: ClaimValue,
+    error: StreamUnknown,
+  ): Promise<void> {
     if (bound.state === 'finished') {
       throw new BeechliftError('answerGone', 'the request ran, and neither the engine nor the claim keeps its answer');
     }
--- a/src/entry/poolOwner.ts
+++ b/src/entry/poolOwner.ts
@@ -69,7 +69,9 @@
     });
   }
 
-  /** Takes a request out that its entry gave up; a grant that crossed it on the way is taken back. */
+  /**
+   * Takes a request out that its entry gave up; a grant that crossed it on the way is taken back.
+   */
   drop(ask: AskRequest): void {
     this.answers.delete(ask.requestId);
     this.run({ kind: 'report', report: dropReport(ask) });
--- a/src/entry/requestClaim.ts
+++ b/src/entry/requestClaim.ts
@@ -11,16 +11,16 @@
 const FINISH_TIMEOUT_MS = 5_000;
 
 /** Where a request is dispatched. */
-export type ClaimedDispatch = {
+export interface ClaimedDispatch {
   readonly workerId: string;
   readonly workerAddress: string;
   readonly workerIncarnation: string;
   readonly streamId: string;
   readonly canResume: boolean;
-};
+}
 
 /** An answer that is whole. */
-export type FinishedAnswer = {
+export interface FinishedAnswer {
   readonly answer: {
     /** Whether the answer is within the bound of what is kept. */
     readonly isWhole: boolean;
@@ -28,11 +28,11 @@
   };
   readonly status: number;
   readonly contentType: string;
-};
+}
 
 /**
- * The claim of one request. A request without a key has none: nobody can send it again under the same
- * identity, and its entry sends it once.
+ * The claim of one request. A request without a key has none: nobody can send it again under the
+ * same identity, and its entry sends it once.
  *
  * @example
  * await claim.take(operation);
--- a/src/entry/requestJob.ts
+++ b/src/entry/requestJob.ts
@@ -5,14 +5,14 @@
 import type { RequestClaim } from './requestClaim';
 
 /** The caller's end of a request. */
-export type CallerLink = {
+export interface CallerLink {
   /** Whether the caller has closed its connection. */
   readonly isGone: () => boolean;
   readonly onGone: (listener: () => void) => void;
-};
+}
 
 /** One request on its way through an entry. */
-export type RequestJob = {
+export interface RequestJob {
   readonly request: CallerRequest;
   readonly sink: AnswerSink;
   readonly caller: CallerLink;
@@ -27,4 +27,4 @@
   readonly startedAt: number;
   /** Dispatches that provably did no work. */
   attempts: number;
-};
+}
--- a/src/entry/scheduler.ts
+++ b/src/entry/scheduler.ts
@@ -21,19 +21,19 @@
 const ANNOUNCEMENT_KEPT_MS = 3_000;
 const MAX_ANNOUNCEMENTS = 10_000;
 
-type KeptAnnouncement = {
+interface KeptAnnouncement {
   readonly announcement: Announcement;
   readonly at: number;
-};
+}
 
 /** A running request with its pool. */
-export type PooledRequest = {
+export interface PooledRequest {
   readonly pool: string;
   readonly running: RunningRequest;
-};
+}
 
 /** What the scheduler needs. */
-export type SchedulerParts = {
+export interface SchedulerParts {
   readonly id: string;
   readonly configuration: Configuration;
   readonly peers: LinkTable<PeerClient>;
@@ -41,7 +41,7 @@
   /** All that this entry has dispatched and not finished. */
   readonly listRunning: () => readonly PooledRequest[];
   readonly policy?: PolicySettings;
-};
+}
 
 /**
  * Brings asks, reports and announcements to the owner of their pool: this entry or a peer.
@@ -59,7 +59,7 @@
   constructor(private readonly parts: SchedulerParts) {
     this.policy = parts.policy ?? DEFAULT_POLICY;
     parts.configuration.listen({
-      noteManifest: () => this.reconfigure(),
+      noteManifest: () => this.updateOwners(),
       noteMembers: (members) => this.handleView(members),
     });
   }
@@ -70,7 +70,12 @@
   }
 
   /** Waits for a slot at the pool's owner; asks the new owner when the pool moves meanwhile. */
-  async ask(ask: AskRequest, operation: Operation, headers: Readonly<Record<string, string>> = {}): Promise<AskReply> {
+  async ask(
+    ask: AskRequest,
+    operation: Operation,
+    headers: Readonly<Record<string,
+      string>> = {},
+  ): Promise<AskReply> {
     const reply = await this.askOnce(ask, operation, headers);
     if (reply && reply.code !== resultCodes.ownerMoved.number) return reply;
     if (operation.signal.aborted) throw new BeechliftError('callerGone', 'the caller is gone');
@@ -78,7 +83,9 @@
       throw new BeechliftError('noSlotInTime', `the owner of pool "${ask.pool}" did not answer in time`, { steps: operation.steps, retryAfterMs: SHORT_TIMEOUT_MS });
     }
     operation.note(`owner of pool "${ask.pool}" moved or does not answer`);
-    await new Promise((resolve) => { setTimeout(resolve, MOVED_RETRY_MS); });
+    await new Promise((resolve) => {
+      setTimeout(resolve, MOVED_RETRY_MS);
+    });
     const deadlineMs = Math.max(0, ask.deadlineMs - MOVED_RETRY_MS);
     return this.ask({ ...ask, deadlineMs }, operation, headers);
   }
@@ -91,7 +98,9 @@
     return owner.ask(ask);
   }
 
-  /** Tells the owner how a granted request goes; what is lost on the way is made good by `register`. */
+  /**
+   * Tells the owner how a granted request goes; what is lost on the way is made good by `register`.
+   */
   report(report: ReportRequest): void {
     const owner = this.findOwnerOf(report.pool);
     if (!owner) return;
@@ -166,8 +175,8 @@
   }
 
   /*
-   * Guards against tier inversion at a hand-over: until every entry has told what it runs, and the grants of
-   * the owner before can no longer start, this owner refuses nothing but the lowest tier.
+   * Guards against tier inversion at a hand-over: until every entry has told what it runs, and the
+   * grants of the owner before can no longer start, this owner refuses nothing but the lowest tier.
    */
   private takeOver(pool: string): PoolOwner | undefined {
     const { configuration, clock } = this.parts;
@@ -191,7 +200,7 @@
     if (member.id === this.parts.id) return this.askOwned(ask, operation);
     try {
       return await this.parts.peers.find(member.peerAddress).call<AskRequest, AskReply>(
-        (stub) => stub.ask.bind(stub) as never,
+        (stub) => stub.ask.bind(stub),
         ask,
         operation,
         headers,
@@ -238,7 +247,7 @@
       return;
     }
     await this.parts.peers.find(owner.peerAddress).call<RegisterRequest, object>(
-      (stub) => stub.register.bind(stub) as never,
+      (stub) => stub.register.bind(stub),
       request,
       new Operation({ timeoutMs: SHORT_TIMEOUT_MS }),
     );
@@ -255,13 +264,13 @@
       return;
     }
     await this.parts.peers.find(owner.peerAddress).call<Announcement, object>(
-      (stub) => stub.forwardAnnouncement.bind(stub) as never,
+      (stub) => stub.forwardAnnouncement.bind(stub),
       announcement,
       new Operation({ timeoutMs: SHORT_TIMEOUT_MS }),
     );
   }
 
-  private reconfigure(): void {
+  private updateOwners(): void {
     const { manifest } = this.parts.configuration;
     if (!manifest) return;
     [...this.owners]
--- a/src/entry/serviceClient.ts
+++ b/src/entry/serviceClient.ts
@@ -1,10 +1,10 @@
 import { Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { BeechliftError } from '../errors/beechliftError';
-import { EngineFailure } from './engineClient';
+import { EngineFailure } from './engineFailure';
 
 /** A call to a plain service. */
-export type ServiceCall = {
+export interface ServiceCall {
   readonly address: string;
   readonly method: string;
   readonly path: string;
@@ -12,17 +12,19 @@
   readonly body: Buffer;
   readonly timeoutMs: number;
   readonly maxBytes: number;
-};
+}
 
 /** What the service answered. */
-export type ServiceAnswer = {
+export interface ServiceAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
-};
+}
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const NOT_SENT_CODES: readonly string[] = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
+const NOT_SENT_CODES: readonly string[] = [
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT',
+];
 const HOP_HEADERS: readonly string[] = [
   'connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'host',
   'proxy-authorization', 'authorization', 'expect',
@@ -39,10 +41,17 @@
 
 const toFailure = (error: unknown): EngineFailure => {
   const code = String((error as { code?: unknown }).code ?? '');
-  return new EngineFailure(NOT_SENT_CODES.includes(code) ? 'notSent' : 'maybeSent', (error as Error).message, { cause: error });
+  return new EngineFailure(
+    NOT_SENT_CODES.includes(code) ? 'notSent' : 'maybeSent',
+    (error as Error).message,
+    { cause: error },
+  );
 };
 
-const readBody = async (body: Dispatcher.ResponseData['body'], maxBytes: number): Promise<Buffer> => {
+const readBody = async (
+  body: Dispatcher.ResponseData['body'],
+  maxBytes: number,
+): Promise<Buffer> => {
   const pieces: Buffer[] = [];
   let bytes = 0;
   // eslint-disable-next-line no-restricted-syntax -- a body is read in order
@@ -60,19 +69,23 @@
 /**
  * Calls a plain service over a connection of its own.
  *
- * Guards a call that may not be repeated against a pooled connection that went silent while it was idle: the
- * call would be lost on the way with no means to tell whether it ran.
+ * Guards a call that may not be repeated against a pooled connection that went silent while it was
+ * idle: the call would be lost on the way with no means to tell whether it ran.
  *
  * @example
  * const answer = await callService({ address, method: 'GET', path: '/tags/7', … });
  */
 export const callService = async (call: ServiceCall): Promise<ServiceAnswer> => {
   const client = new Client(`http://${call.address}`, {
-    connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: call.timeoutMs, bodyTimeout: call.timeoutMs,
+    connect: {
+      timeout: CONNECT_TIMEOUT_MS,
+    },
+    headersTimeout: call.timeoutMs,
+    bodyTimeout: call.timeoutMs,
   });
   try {
     const response = await request(`http://${call.address}${call.path}`, {
-      method: call.method as Dispatcher.HttpMethod,
+      method: call.method,
       headers: call.headers,
       body: call.body.length > 0 ? call.body : null,
       dispatcher: client,
--- a/src/entry/serviceRunner.ts
+++ b/src/entry/serviceRunner.ts
@@ -4,32 +4,33 @@
 import type { Manifest } from '../manifest/manifest';
 import type { HopTracer } from '../telemetry/tracing';
 import type { Clock } from '../utils/clock';
-import { EngineFailure } from './engineClient';
+import { EngineFailure } from './engineFailure';
 import type { RequestJob } from './requestJob';
 import { callService } from './serviceClient';
 import type { ServiceAnswer } from './serviceClient';
 import type { SlotKeeper } from './slotKeeper';
 
 /** What is sent to the service. */
-export type ServiceDispatch = {
+export interface ServiceDispatch {
   readonly method: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
-};
+}
 
 /** What runs service calls. */
-export type ServiceRunnerParts = {
+export interface ServiceRunnerParts {
   readonly slots: SlotKeeper;
   readonly tracer: HopTracer;
   readonly clock: Clock;
   readonly readManifest: () => Manifest;
   readonly isServing: () => boolean;
-};
+}
 
 const TYPE_HEADER = 'content-type';
 
 /**
- * Takes a call to a plain service from its claim to its answer. A call that was sent is never sent again.
+ * Takes a call to a plain service from its claim to its answer. A call that was sent is never sent
+ * again.
  *
  * @example
  * const answer = await runner.run(job, { method: 'POST', headers, body });
@@ -48,22 +49,28 @@
     return this.send(job, grant, dispatch);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a call
   private answerBound(bound: ClaimValue): ServiceAnswer {
     if (bound.state === 'finished' && bound.answerKept) {
       return {
-        status: bound.status, headers: { [TYPE_HEADER]: bound.contentType }, body: Buffer.from(bound.answer),
+        status: bound.status,
+        headers: {
+          [TYPE_HEADER]: bound.contentType,
+        },
+        body: Buffer.from(bound.answer),
       };
     }
     if (bound.state === 'finished') throw new BeechliftError('answerGone', 'the call ran, and its answer was too large to be kept');
     throw new BeechliftError('outcomeUnknown', 'the same key was sent before, and nobody knows yet how it ended', { retryAfterMs: 1_000 });
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the steps of a call
   private async refuse(job: RequestJob, reason: unknown): Promise<never> {
     const error = toBeechliftError(reason);
     const released = await job.claim.release();
-    throw released ? error : new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
+    throw released ? error : new BeechliftError(
+      error.code,
+      error.message,
+      { ...error.detail, run: 'unknown' },
+    );
   }
 
   private async claimDispatch(job: RequestJob, grant: AskReply): Promise<void> {
@@ -127,7 +134,12 @@
   private async fail(job: RequestJob, error: unknown): Promise<never> {
     const notSent = error instanceof EngineFailure && error.reach === 'notSent';
     this.parts.slots.finish(job.request, notSent ? 'unreachable' : 'failed');
-    if (notSent) return this.refuse(job, new BeechliftError('noBackend', error.message, { retryAfterMs: 1_000 }));
+    if (notSent) {
+      return this.refuse(
+        job,
+        new BeechliftError('noBackend', error.message, { retryAfterMs: 1_000 }),
+      );
+    }
     if (error instanceof BeechliftError) throw error;
     throw new BeechliftError('outcomeUnknown', `the call was sent and no whole answer came: ${(error as Error).message}`);
   }
--- a/src/entry/slotKeeper.ts
+++ b/src/entry/slotKeeper.ts
@@ -1,8 +1,8 @@
+import type { Context } from '@opentelemetry/api';
 import type { AskReply, ReportRequest } from '../protocol/generated/beechlift';
 import { makeErrorFromNumber } from '../errors/beechliftError';
 import type { HopTracer } from '../telemetry/tracing';
 import type { Operation } from '../utils/operation';
-import type { Context } from '@opentelemetry/api';
 import type { ActiveTable } from './activeTable';
 import type { CallerRequest } from './callerRequest';
 import type { Scheduler } from './scheduler';
@@ -11,11 +11,11 @@
 export type SlotOutcome = 'complete' | 'failed' | 'cancelled' | 'unreachable';
 
 /** What a request took. */
-export type SlotTimes = {
+export interface SlotTimes {
   readonly firstTokenMs: number;
   readonly totalMs: number;
   readonly outputTokens: number;
-};
+}
 
 const NO_TIMES: SlotTimes = { firstTokenMs: 0, totalMs: 0, outputTokens: 0 };
 
@@ -38,7 +38,11 @@
 
   /** Waits for a slot; throws the refusal when there is none. */
   async take(request: CallerRequest, operation: Operation, parent: Context): Promise<AskReply> {
-    const { span, below } = this.tracer.startHop('owner', parent, { pool: request.pool, tier: request.tier });
+    const { span, below } = this.tracer.startHop(
+      'owner',
+      parent,
+      { pool: request.pool, tier: request.tier },
+    );
     try {
       const reply = await this.scheduler.ask(
         this.buildAsk(request, operation),
--- a/src/errors/beechliftError.ts
+++ b/src/errors/beechliftError.ts
@@ -2,7 +2,7 @@
 import type { ResultCode, RunState } from './resultCodes';
 
 /** What may go along with an error. */
-export type ErrorDetail = {
+export interface ErrorDetail {
   /** When to come back, in milliseconds from now. */
   readonly retryAfterMs?: number;
   /** Steps that led here, oldest first. */
@@ -10,10 +10,10 @@
   /** Overrides the run state of the code where more is known. */
   readonly run?: RunState;
   readonly cause?: unknown;
-};
+}
 
 /** The form in which an error is shown to callers and operators. */
-export type ErrorBody = {
+export interface ErrorBody {
   readonly error: {
     readonly code: number;
     readonly name: ResultCode;
@@ -23,7 +23,7 @@
     readonly retryAfterMs?: number;
     readonly steps?: readonly string[];
   };
-};
+}
 
 /**
  * An error with a numbered result code.
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -6,7 +6,7 @@
 export type RunState = 'notRun' | 'ran' | 'unknown';
 
 /** One row of the table. */
-export type ResultCodeRow = {
+export interface ResultCodeRow {
   /** The stable number, which never changes its meaning. */
   readonly number: number;
   /** HTTP status that carries the code towards callers and operators. */
@@ -14,7 +14,7 @@
   readonly run: RunState;
   /** What the reader should do about it, one sentence. */
   readonly action: string;
-};
+}
 
 const defineCodes = <Name extends string>(rows: Record<Name, ResultCodeRow>) => rows;
 
--- a/src/http/adminServer.ts
+++ b/src/http/adminServer.ts
@@ -16,7 +16,12 @@
   collectDefaultMetrics({ register: registry });
   const addGauge = (name: string, help: string, read: () => number): void => {
     const gauge: Gauge = new Gauge({
-      name, help, registers: [registry], collect: (): void => { gauge.set(read()); },
+      name,
+      help,
+      registers: [registry],
+      collect: (): void => {
+        gauge.set(read());
+      },
     });
   };
   addGauge('beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.runner.holdsLease));
@@ -43,7 +48,9 @@
       operatorKey: readOperatorKey(request),
       deadlineMs: SUBMIT_TIMEOUT_MS,
       forwarded: false,
-    }).catch((error: unknown) => { throw toBeechliftError(error); });
+    }).catch((error: unknown) => {
+      throw toBeechliftError(error);
+    });
     reply.code(result.code === 0 ? 200 : 409);
     return result;
   });
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -1,5 +1,7 @@
 import Fastify from 'fastify';
-import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type {
+  FastifyError, FastifyInstance, FastifyReply, FastifyRequest,
+} from 'fastify';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { ResultCode } from '../errors/resultCodes';
 
@@ -22,8 +24,8 @@
   const { code, statusCode } = error as FastifyError;
   const known = frameworkCodes[code];
   if (known) return new BeechliftError(known, error.message);
-  if (statusCode !== undefined && statusCode < 500) return new BeechliftError('invalidRequest', error.message);
-  return toBeechliftError(error);
+  const isCallers = statusCode !== undefined && statusCode < 500;
+  return isCallers ? new BeechliftError('invalidRequest', error.message) : toBeechliftError(error);
 };
 
 /**
@@ -54,7 +56,9 @@
     forceCloseConnections: 'idle',
   });
   app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', { parseAs: 'buffer' }, (request, body, done) => { done(null, body); });
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (request, body, done) => {
+    done(null, body);
+  });
   app.setErrorHandler((error: Error, request, reply) => sendError(reply, toCodedError(error)));
   app.setNotFoundHandler((request, reply) => sendError(reply, new BeechliftError('unknownPath', `${request.method} ${request.url.slice(0, 200)}`)));
   return app;
--- a/src/http/httpSink.ts
+++ b/src/http/httpSink.ts
@@ -12,10 +12,11 @@
 };
 
 /**
- * Writes an answer to a caller: as a stream of server-sent events, or folded into one JSON document.
+ * Writes an answer to a caller: as a stream of server-sent events, or folded into one JSON
+ * document.
  *
- * Guards against a slow caller that fills the memory: the next event is taken from the engine only once the
- * caller's connection has room.
+ * Guards against a slow caller that fills the memory: the next event is taken from the engine only
+ * once the caller's connection has room.
  *
  * @example
  * const sink = new HttpSink(reply, true, '/v1/chat/completions');
@@ -48,7 +49,9 @@
     });
     this.link = {
       isGone: () => this.gone,
-      onGone: (listener) => { listeners.push(listener); },
+      onGone: (listener) => {
+        listeners.push(listener);
+      },
     };
   }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,7 +1,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { EXIT_CODES, printError } from './cli/output';
-import { runCheck } from './cli/runCheck';
+import { CHECKED_KINDS, runCheck } from './cli/runCheck';
 import type { CheckedKind } from './cli/runCheck';
 import { runLocate } from './cli/runLocate';
 import {
@@ -57,8 +57,14 @@
     'Check a manifest or settings offline',
     (command) => command
       .positional('file', { type: 'string' })
-      .option('kind', { choices: ['manifest', 'entry', 'control'] as CheckedKind[], default: 'manifest' as CheckedKind })
-      .option('schema', { type: 'boolean', default: false, describe: 'Print the schema of manifests' })
+      .option(
+        'kind',
+        { choices: CHECKED_KINDS, default: CHECKED_KINDS[0] as CheckedKind },
+      )
+      .option(
+        'schema',
+        { type: 'boolean', default: false, describe: 'Print the schema of manifests' },
+      )
       .example('$0 check manifest.json', 'list every fault')
       .example('$0 check --schema', 'for a build pipeline'),
     (argv) => settle(argv.json, () => runCheck(argv)),
--- a/src/manifest/checkManifest.ts
+++ b/src/manifest/checkManifest.ts
@@ -4,8 +4,7 @@
 import type { ManifestFault } from './manifestFault';
 
 /** What comes of checking a text: the manifest, or every fault found in it. */
-export type CheckedManifest =
-  | { readonly manifest: Manifest; readonly faults: readonly [] }
+export type CheckedManifest = | { readonly manifest: Manifest; readonly faults: readonly [] }
   | { readonly manifest: undefined; readonly faults: readonly ManifestFault[] };
 
 type Rule = (manifest: Manifest, previous?: Manifest) => ManifestFault[];
@@ -22,9 +21,13 @@
   .map((name) => ({ code: 'danglingName', path, message: `${kind} "${name}" is not defined` }));
 
 const checkAccountTiers: Rule = ({ accounts, tiers }, previous) => Object.entries(accounts)
-  .flatMap(([name, account]) => listMissing(account.tiers, tiers, `/accounts/${name}/tiers`, 'tier'))
+  .flatMap(
+    ([name, account]) => listMissing(account.tiers, tiers, `/accounts/${name}/tiers`, 'tier'),
+  )
   .map((fault) => {
-    const removed = Object.keys(previous?.tiers ?? {}).some((tier) => fault.message.includes(`"${tier}"`));
+    const removed = Object.keys(previous?.tiers ?? {}).some(
+      (tier) => fault.message.includes(`"${tier}"`),
+    );
     return removed ? { ...fault, code: 'tierInUse' as const } : fault;
   });
 
@@ -38,7 +41,11 @@
   const workers = Object.values(pools).filter(({ role }) => role === 'worker');
   const carriedModels = new Set(workers.flatMap((pool) => pool.models));
   const carriedServices = new Set(workers.flatMap((pool) => pool.services));
-  const findUncarried = (names: string[], carried: Set<string>, section: string): ManifestFault[] => names
+  const findUncarried = (
+    names: string[],
+    carried: Set<string>,
+    section: string,
+  ): ManifestFault[] => names
     .filter((name) => !carried.has(name))
     .map((name) => ({
       code: 'uncarriedModel', path: `/${section}/${name}`, message: 'no pool with role "worker" carries it',
@@ -87,9 +94,9 @@
   ));
 
 /*
- * Guards against a queue that is full of the top tier while a lower tier still runs: the owner could
- * then neither shed nor wait. As accounts hold no more requests than their concurrency, a sum within the
- * bound keeps the queue from ever filling.
+ * Guards against a queue that is full of the top tier while a lower tier still runs: the owner
+ * could then neither shed nor wait. As accounts hold no more requests than their concurrency, a sum
+ * within the bound keeps the queue from ever filling.
  */
 const checkQueueBound: Rule = ({ accounts, limits }) => {
   const total = Object.values(accounts).reduce((sum, { concurrency }) => sum + concurrency, 0);
--- a/src/manifest/manifestDelta.ts
+++ b/src/manifest/manifestDelta.ts
@@ -2,14 +2,14 @@
 import type { Manifest } from './manifest';
 
 /** One item that differs between two manifests. */
-export type SectionChange = {
+export interface SectionChange {
   /** Top-level field of the manifest. */
   readonly section: string;
   /** Item of the section; empty where the field is no section. */
   readonly name: string;
   /** New value as JSON; empty when the item is gone. */
   readonly value: string;
-};
+}
 
 type Section = Readonly<Record<string, unknown>>;
 
--- a/src/manifest/manifestFault.ts
+++ b/src/manifest/manifestFault.ts
@@ -2,12 +2,12 @@
 import type { ResultCode } from '../errors/resultCodes';
 
 /** One reason why a manifest is not accepted. */
-export type ManifestFault = {
+export interface ManifestFault {
   readonly code: ResultCode;
   /** JSON pointer into the manifest. */
   readonly path: string;
   readonly message: string;
-};
+}
 
 /**
  * Writes a fault as one line for operators.
--- a/src/manifest/manifestSchema.ts
+++ b/src/manifest/manifestSchema.ts
@@ -6,10 +6,15 @@
 const SHA256_PATTERN = '^[0-9a-f]{64}$';
 
 const nameList = {
-  type: 'array', items: { type: 'string', pattern: NAME_PATTERN }, maxItems: MAX_NAMES, uniqueItems: true,
+  type: 'array',
+  items: {
+    type: 'string', pattern: NAME_PATTERN,
+  },
+  maxItems: MAX_NAMES,
+  uniqueItems: true,
 };
 
-const sectionOf = (properties: object, required: string[]) => ({
+const buildSection = (properties: object, required: string[]) => ({
   type: 'object',
   maxProperties: MAX_ITEMS,
   propertyNames: { pattern: NAME_PATTERN },
@@ -19,12 +24,12 @@
   default: {},
 });
 
-const numberBetween = (minimum: number, maximum: number, fallback?: number) => ({
+const buildNumber = (minimum: number, maximum: number, fallback?: number) => ({
   type: 'number', minimum, maximum, ...(fallback === undefined ? {} : { default: fallback }),
 });
 
-const integerBetween = (minimum: number, maximum: number, fallback?: number) => ({
-  ...numberBetween(minimum, maximum, fallback), type: 'integer',
+const buildInteger = (minimum: number, maximum: number, fallback?: number) => ({
+  ...buildNumber(minimum, maximum, fallback), type: 'integer',
 });
 
 const DAY_MS = 86_400_000;
@@ -36,38 +41,38 @@
   required: ['version', 'operators', 'tiers', 'accounts', 'pools'],
   additionalProperties: false,
   properties: {
-    version: integerBetween(1, Number.MAX_SAFE_INTEGER),
+    version: buildInteger(1, Number.MAX_SAFE_INTEGER),
     basedOn: { type: 'string', pattern: SHA256_PATTERN },
-    operators: sectionOf({ keyHash: { type: 'string', pattern: SHA256_PATTERN } }, ['keyHash']),
-    tiers: sectionOf({
-      rank: integerBetween(0, 15),
-      firstTokenMs: integerBetween(1, DAY_MS),
-      totalMs: integerBetween(1, DAY_MS),
-      headroom: numberBetween(0, 0.9, 0),
+    operators: buildSection({ keyHash: { type: 'string', pattern: SHA256_PATTERN } }, ['keyHash']),
+    tiers: buildSection({
+      rank: buildInteger(0, 15),
+      firstTokenMs: buildInteger(1, DAY_MS),
+      totalMs: buildInteger(1, DAY_MS),
+      headroom: buildNumber(0, 0.9, 0),
     }, ['rank', 'firstTokenMs', 'totalMs']),
-    accounts: sectionOf({
+    accounts: buildSection({
       keyHashes: {
         type: 'array', minItems: 1, maxItems: 16, items: { type: 'string', pattern: SHA256_PATTERN },
       },
       tiers: { ...nameList, minItems: 1 },
-      concurrency: integerBetween(1, 100_000, 64),
-      tokensPerMinute: integerBetween(0, 1e12, 0),
-      weight: numberBetween(0.01, 1_000, 1),
+      concurrency: buildInteger(1, 100_000, 64),
+      tokensPerMinute: buildInteger(0, 1e12, 0),
+      weight: buildNumber(0.01, 1_000, 1),
     }, ['keyHashes', 'tiers']),
-    models: sectionOf({
-      contextTokens: integerBetween(1, 10_000_000, 32_768),
+    models: buildSection({
+      contextTokens: buildInteger(1, 10_000_000, 32_768),
       adapters: { ...nameList, default: [] },
       modelVersion: { type: 'string', maxLength: 128, default: '1' },
     }, []),
-    services: sectionOf({
-      timeoutMs: integerBetween(1, DAY_MS, 10_000),
+    services: buildSection({
+      timeoutMs: buildInteger(1, DAY_MS, 10_000),
       repeatable: {
         type: 'array',
         items: { enum: ['GET', 'HEAD', 'PUT', 'DELETE', 'POST', 'PATCH'] },
         default: ['GET', 'HEAD'],
       },
     }, []),
-    pools: sectionOf({
+    pools: buildSection({
       kind: { enum: ['model', 'service'] },
       role: { enum: ['worker', 'standby'], default: 'worker' },
       models: { ...nameList, default: [] },
@@ -75,9 +80,9 @@
       secretHash: { type: 'string', pattern: `${SHA256_PATTERN}|^$`, default: '' },
       checksFencing: { type: 'boolean', default: true },
     }, ['kind']),
-    migration: sectionOf({
+    migration: buildSection({
       of: { enum: ['account', 'tier'] },
-      share: numberBetween(0, 1),
+      share: buildNumber(0, 1),
       olderAddresses: {
         type: 'array', items: { type: 'string', maxLength: 256 }, minItems: 1, maxItems: 32,
       },
@@ -87,12 +92,12 @@
       additionalProperties: false,
       default: {},
       properties: {
-        bodyBytes: integerBetween(1_024, 64 * MIB, MIB),
-        answerBytes: integerBetween(0, MIB, 65_536),
-        queuePerPool: integerBetween(1, 1_000_000, 10_000),
-        workersPerPool: integerBetween(1, 10_000, 3_000),
-        claimRetentionMs: integerBetween(1_000, DAY_MS, 600_000),
-        locateMs: integerBetween(100, 600_000, 5_000),
+        bodyBytes: buildInteger(1_024, 64 * MIB, MIB),
+        answerBytes: buildInteger(0, MIB, 65_536),
+        queuePerPool: buildInteger(1, 1_000_000, 10_000),
+        workersPerPool: buildInteger(1, 10_000, 3_000),
+        claimRetentionMs: buildInteger(1_000, DAY_MS, 600_000),
+        locateMs: buildInteger(100, 600_000, 5_000),
       },
     },
   },
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,16 +1,15 @@
 /** Settings of a process, read from JSON with comments. */
 
 /** Another process of the system. */
-export type ReplicaSetting = {
+export interface ReplicaSetting {
   readonly id: string;
   /** IP and port of its gRPC server. */
   readonly address: string;
   readonly zone: string;
-};
-
+}
 
 /** What `beechlift entry` reads. */
-export type EntrySettings = {
+export interface EntrySettings {
   readonly id: string;
   readonly zone: string;
   /** Where callers and backend servers connect, IP and port. */
@@ -22,10 +21,10 @@
   readonly logLevel: LogLevel;
   readonly traceFile: string;
   readonly drainMs: number;
-};
+}
 
 /** What `beechlift control` reads. */
-export type ControlSettings = {
+export interface ControlSettings {
   readonly id: string;
   readonly zone: string;
   /** Where entry VMs, other replicas and operators connect, IP and port. */
@@ -42,7 +41,7 @@
   readonly joining: boolean;
   readonly leaseMs: number;
   readonly logLevel: LogLevel;
-};
+}
 
 /** How much a process logs. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -44,7 +44,9 @@
 /** Schema of `control` settings. */
 export const controlSettingsSchema = {
   type: 'object',
-  required: ['id', 'zone', 'address', 'adminAddress', 'replicas', 'dataFolder', 'firstOperatorKeyHash'],
+  required: [
+    'id', 'zone', 'address', 'adminAddress', 'replicas', 'dataFolder', 'firstOperatorKeyHash',
+  ],
   additionalProperties: false,
   properties: {
     id: name,
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -5,9 +5,10 @@
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /** Writes structured lines. */
-export type Logger = {
-  readonly [Level in 'debug' | 'info' | 'warn' | 'error']: (message: string, fields?: LogFields) => void;
-};
+export type Logger = Readonly<Record<'debug' | 'info' | 'warn' | 'error', (
+  message: string,
+  fields?: LogFields,
+) => void>>;
 
 const writeLine = (level: string, process: string, message: string, fields: LogFields): void => {
   const line = {
@@ -29,5 +30,5 @@
     writeLine(name, process, message, fields);
   };
   logger.setLevel(level, false);
-  return logger as unknown as Logger;
+  return logger;
 };
--- a/src/telemetry/tracing.ts
+++ b/src/telemetry/tracing.ts
@@ -1,12 +1,10 @@
-import { appendFile } from 'node:fs';
 import {
   ROOT_CONTEXT, SpanKind, SpanStatusCode, trace,
 } from '@opentelemetry/api';
 import type { Context, Span } from '@opentelemetry/api';
-import { ExportResultCode, hrTimeToMilliseconds, W3CTraceContextPropagator } from '@opentelemetry/core';
-import type { ExportResult } from '@opentelemetry/core';
+import { W3CTraceContextPropagator } from '@opentelemetry/core';
 import { BasicTracerProvider, BatchSpanProcessor } from '@opentelemetry/sdk-trace-base';
-import type { ReadableSpan, SpanExporter } from '@opentelemetry/sdk-trace-base';
+import { FileSpanExporter } from './fileSpanExporter';
 
 /** Headers that carry the trace context across VMs, as W3C Trace Context names them. */
 export type TraceHeaders = Record<string, string>;
@@ -17,38 +15,12 @@
 /** Attributes of a span. */
 export type HopAttributes = Readonly<Record<string, string | number | boolean>>;
 
-const formatSpan = (span: ReadableSpan): string => JSON.stringify({
-  traceId: span.spanContext().traceId,
-  spanId: span.spanContext().spanId,
-  parentId: span.parentSpanContext?.spanId ?? '',
-  hop: span.name,
-  startMs: hrTimeToMilliseconds(span.startTime),
-  durationMs: hrTimeToMilliseconds(span.duration),
-  attributes: span.attributes,
-});
-
-/** Writes spans as lines of JSON, which any collector reads. */
-class FileSpanExporter implements SpanExporter {
-  constructor(private readonly path: string) {}
-
-  export(spans: ReadableSpan[], done: (result: ExportResult) => void): void {
-    const lines = spans.map((span) => `${formatSpan(span)}\n`).join('');
-    appendFile(this.path, lines, (error) => {
-      done({ code: error ? ExportResultCode.FAILED : ExportResultCode.SUCCESS });
-    });
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- the interface asks for a method
-  async shutdown(): Promise<void> {
-    await Promise.resolve();
-  }
-}
-
 const EXPORT_DELAY_MS = 200;
 const MAX_QUEUED_SPANS = 8_192;
 
 /**
- * Traces requests hop by hop. Without a file, spans are not recorded, but the context still travels.
+ * Traces requests hop by hop. Without a file, spans are not recorded, but the context still
+ * travels.
  *
  * @example
  * const tracer = new HopTracer('entry/e1', 'traces.ndjson');
@@ -81,13 +53,19 @@
   formatHeaders(from: Context): TraceHeaders {
     const headers: TraceHeaders = {};
     this.propagator.inject(from, headers, {
-      set: (carrier, key, value) => { (carrier as TraceHeaders)[key] = value; },
+      set: (carrier, key, value) => {
+        (carrier as TraceHeaders)[key] = value;
+      },
     });
     return headers;
   }
 
   /** Begins a span under a context, and the context for what lies below it. */
-  startHop(hop: HopName, parent: Context, attributes: HopAttributes = {}): { span: Span; below: Context } {
+  startHop(
+    hop: HopName,
+    parent: Context,
+    attributes: HopAttributes = {},
+  ): { span: Span; below: Context } {
     const tracer = this.provider?.getTracer('beechlift') ?? trace.getTracer('beechlift');
     const span = tracer.startSpan(hop, {
       kind: SpanKind.INTERNAL, attributes: { ...attributes, process: this.process },
@@ -106,4 +84,3 @@
   span.setStatus({ code: SpanStatusCode.ERROR, message });
   span.end();
 };
-
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -1,7 +1,7 @@
 /** Monotonic time in milliseconds. Leases and deadlines use nothing else. */
-export type Clock = {
+export interface Clock {
   readonly now: () => number;
-};
+}
 
 /**
  * The machine's monotonic clock, which a change of the wall clock does not move.
--- a/src/utils/operation.ts
+++ b/src/utils/operation.ts
@@ -2,12 +2,12 @@
 import type { Clock } from './clock';
 
 /** What an operation starts from. */
-export type OperationOptions = {
+export interface OperationOptions {
   /** Milliseconds from now until the operation must have ended. */
   readonly timeoutMs: number;
   readonly clock?: Clock;
   readonly signal?: AbortSignal;
-};
+}
 
 const MAX_STEPS = 32;
 
--- a/src/utils/schemaValidator.ts
+++ b/src/utils/schemaValidator.ts
@@ -2,12 +2,12 @@
 import type { ErrorObject } from 'ajv';
 
 /** One thing that is wrong with a document. */
-export type SchemaFault = {
+export interface SchemaFault {
   /** JSON pointer to the field. */
   readonly path: string;
   /** What was expected there, and the value that was found. */
   readonly message: string;
-};
+}
 
 const MAX_SHOWN_VALUE = 60;
 
--- a/src/wire/peerError.ts
+++ b/src/wire/peerError.ts
@@ -4,8 +4,8 @@
 const CODED_DETAILS = /^(\d{4}) (\w+): ([\s\S]*)$/;
 
 /**
- * Turns what a call threw into an error with a code: the code that the peer named, or the given one when the
- * call itself failed.
+ * Turns what a call threw into an error with a code: the code that the peer named, or the given one
+ * when the call itself failed.
  *
  * @example
  * .catch((thrown) => { throw toPeerError(thrown, 'noQuorum'); });
--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -6,7 +6,10 @@
 } from '@grpc/grpc-js';
 import type { Operation } from '../utils/operation';
 
-/** Options that both ends share: pings of their own, and nothing of the library's balancing or retrying. */
+/**
+ * Options that both ends share: pings of their own, and nothing of the library's balancing or
+ * retrying.
+ */
 export const CHANNEL_OPTIONS: ChannelOptions = {
   'grpc.keepalive_time_ms': 1_000,
   'grpc.keepalive_timeout_ms': 700,
@@ -42,8 +45,9 @@
 /**
  * One peer over gRPC.
  *
- * Guards against a connection that goes silent for good while new ones work: pings find it, and after a call
- * that got no answer in its time the next call goes over a fresh connection, not the suspect one.
+ * Guards against a connection that goes silent for good while new ones work: pings find it, and
+ * after a call that got no answer in its time the next call goes over a fresh connection, not the
+ * suspect one.
  *
  * @example
  * const link = new RpcLink(PeerClient, '10.0.0.2:7100');
@@ -91,7 +95,10 @@
     return new this.Constructor(this.address, credentials.createInsecure(), CHANNEL_OPTIONS);
   }
 
-  /** Opens a fresh connection in place of one that gave no answer; calls on the old one may still end. */
+  /**
+   * Opens a fresh connection in place of one that gave no answer; calls on the old one may still
+   * end.
+   */
   private renew(suspect: Stub): void {
     if (this.stub !== suspect) return;
     this.stub = this.open();
--- a/src/wire/rpcServer.ts
+++ b/src/wire/rpcServer.ts
@@ -6,15 +6,16 @@
 import { CHANNEL_OPTIONS } from './rpcLink';
 
 /** What a handler may know of its call beside the request. */
-export type CallContext = {
+export interface CallContext {
   /** Metadata of the call as plain headers. */
   readonly headers: Readonly<Record<string, unknown>>;
   /** Runs when the other end gave the call up before it was answered. */
   readonly onCancel: (listener: () => void) => void;
-};
+}
 
 /**
- * Turns an async function into a gRPC handler; whatever it throws becomes a status that names the code.
+ * Turns an async function into a gRPC handler; whatever it throws becomes a status that names the
+ * code.
  *
  * @example
  * const handlers = { heartbeat: handleUnary((request) => node.handleHeartbeat(request)) };
@@ -22,23 +23,27 @@
 export const handleUnary = <Request, Reply>(
   handler: (request: Request, context: CallContext) => Promise<Reply> | Reply,
 ): handleUnaryCall<Request, Reply> => (call: ServerUnaryCall<Request, Reply>, callback) => {
-    let answered = false;
-    const context: CallContext = {
-      headers: call.metadata.getMap(),
-      // The library also reports calls as cancelled that were answered and are over.
-      onCancel: (listener) => { call.on('cancelled', () => { if (!answered) listener(); }); },
-    };
-    Promise.resolve()
-      .then(() => handler(call.request, context))
-      .then((reply) => {
-        answered = true;
-        callback(null, reply);
-      })
-      .catch((thrown: unknown) => {
-        const error = toBeechliftError(thrown);
-        callback({ code: status.INTERNAL, details: `${error.number} ${error.code}: ${error.message}` });
+  let answered = false;
+  const context: CallContext = {
+    headers: call.metadata.getMap(),
+    // The library also reports calls as cancelled that were answered and are over.
+    onCancel: (listener) => {
+      call.on('cancelled', () => {
+        if (!answered) listener();
       });
+    },
   };
+  Promise.resolve()
+    .then(() => handler(call.request, context))
+    .then((reply) => {
+      answered = true;
+      callback(null, reply);
+    })
+    .catch((thrown: unknown) => {
+      const error = toBeechliftError(thrown);
+      callback({ code: status.INTERNAL, details: `${error.number} ${error.code}: ${error.message}` });
+    });
+};
 
 /**
  * Serves a gRPC service on an address.
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -11,13 +11,13 @@
 import { makeLogger } from './telemetry/logger';
 
 /** A process with its HTTP server. */
-export type WiredProcess<Running> = {
+export interface WiredProcess<Running> {
   readonly running: Running;
   /** Where its HTTP server listens. */
   readonly address: string;
   /** Ends without cutting anything off. */
   readonly shutDown: () => Promise<void>;
-};
+}
 
 /**
  * Starts an entry with its HTTP server.
--- a/tests/fakes/engineModel.ts
+++ b/tests/fakes/engineModel.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 
 /** How fast an engine is and what it can do. */
-export type EngineTraits = {
+export interface EngineTraits {
   /** Milliseconds for one prompt token that is not cached. */
   readonly prefillMs: number;
   /** Milliseconds for one token of one stream. */
@@ -9,13 +9,13 @@
   readonly slots: number;
   /** Prefixes that the cache holds. */
   readonly cacheSize: number;
-};
+}
 
 /** Faults on demand. */
 export type EngineFault = 'none' | 'stall' | 'silent' | 'slow' | 'drop' | 'refuse';
 
 /** A stream as the engine keeps it. */
-export type EngineStream = {
+export interface EngineStream {
   readonly id: string;
   readonly prompt: string;
   readonly maxTokens: number;
@@ -25,7 +25,7 @@
   done: boolean;
   cancelled: boolean;
   readonly listeners: Set<() => void>;
-};
+}
 
 const CHARACTERS_PER_TOKEN = 4;
 const PREFIX_TOKENS = [64, 256, 1_024, 4_096];
@@ -41,7 +41,10 @@
   return Array.from({ length: tokens }, (unused, position) => `${mark}:${position} `).join('');
 };
 
-/** Continuous batching over one prefix cache: every step admits what fits and gives each stream one token. */
+/**
+ * Continuous batching over one prefix cache: every step admits what fits and gives each stream one
+ * token.
+ */
 export class EngineModel {
   fault: EngineFault = 'none';
 
@@ -107,15 +110,15 @@
       this.schedule(20);
       return;
     }
-    const prefillMs = this.admit();
-    this.running.forEach((stream) => this.emit(stream));
+    const prefillMs = this.takeWaiting();
+    this.running.forEach((stream) => this.addEvent(stream));
     if (this.running.size === 0 && this.waiting.length === 0) return;
     const batch = Math.max(0, this.running.size - 1);
     const decodeMs = this.traits.decodeMs * (1 + BATCH_COST * batch);
     this.schedule((prefillMs + decodeMs) * (this.fault === 'slow' ? SLOW_FACTOR : 1));
   }
 
-  private admit(): number {
+  private takeWaiting(): number {
     if (this.running.size >= this.traits.slots) return 0;
     const stream = this.waiting.shift();
     if (!stream) return 0;
@@ -140,7 +143,7 @@
     return fresh * this.traits.prefillMs;
   }
 
-  private emit(stream: EngineStream): void {
+  private addEvent(stream: EngineStream): void {
     const position = stream.events.length;
     const isLast = position >= stream.maxTokens;
     const text = isLast ? '' : `${hashText(stream.prompt).slice(0, 6)}:${position} `;
--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -23,12 +23,12 @@
   readonly secret?: string;
 };
 
-type CompletionBody = {
+interface CompletionBody {
   readonly model: string;
   readonly max_tokens?: number;
   readonly messages?: readonly { readonly role?: string; readonly content?: string }[];
   readonly prompt?: string;
-};
+}
 
 type Route = (request_: IncomingMessage, response: ServerResponse, body: string) => void;
 
@@ -43,7 +43,10 @@
   body.messages?.map(({ role, content }) => `${role}\n${content}`).join('\n') ?? body.prompt ?? ''
 );
 
-/** A model engine that tests and benches put before the system: it knows no tiers and admits as they come. */
+/**
+ * A model engine that tests and benches put before the system: it knows no tiers and admits as they
+ * come.
+ */
 export class EngineStandIn {
   readonly model: EngineModel;
 
@@ -73,9 +76,13 @@
 
   /** Listens and begins to announce itself. */
   async start(port = 0): Promise<void> {
-    await new Promise<void>((resolve) => { this.server.listen(port, '127.0.0.1', resolve); });
+    await new Promise<void>((resolve) => {
+      this.server.listen(port, '127.0.0.1', resolve);
+    });
     this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-    this.timer = setInterval(() => { this.announce().catch(() => undefined); }, this.options.announceMs);
+    this.timer = setInterval(() => {
+      this.announce().catch(() => undefined);
+    }, this.options.announceMs);
     await this.announce().catch(() => undefined);
   }
 
@@ -142,7 +149,12 @@
 
   private readonly routes: Readonly<Record<string, Route>> = {
     'POST v1/chat': (incoming, response, body) => this.dispatch(incoming, response, body, true),
-    'POST v1/completions': (incoming, response, body) => this.dispatch(incoming, response, body, false),
+    'POST v1/completions': (incoming, response, body) => this.dispatch(
+      incoming,
+      response,
+      body,
+      false,
+    ),
     'GET v1/streams': (incoming, response) => {
       const stream = this.model.streams.get(String(incoming.headers['x-stream']));
       if (!stream || stream.cancelled) response.writeHead(404).end();
@@ -159,11 +171,20 @@
     },
     'GET v1/stats': (incoming, response) => {
       response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify({ prefilledTokens: this.model.prefilledTokens, dispatched: this.dispatched.length }));
+      response.end(
+        JSON.stringify({
+          prefilledTokens: this.model.prefilledTokens, dispatched: this.dispatched.length,
+        }),
+      );
     },
   };
 
-  private dispatch(incoming: IncomingMessage, response: ServerResponse, text: string, isChat: boolean): void {
+  private dispatch(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    text: string,
+    isChat: boolean,
+  ): void {
     const id = String(incoming.headers['beechlift-stream'] ?? randomUUID());
     if (this.model.barred.has(id) || this.model.streams.has(id)) {
       response.writeHead(409).end();
@@ -182,7 +203,9 @@
       listeners: new Set(),
     };
     this.dispatched.push(id);
-    this.record({ kind: 'dispatch', engine: this.options.id, stream: id, prompt: stream.prompt.slice(0, 200) });
+    this.noteRecord({
+      kind: 'dispatch', engine: this.options.id, stream: id, prompt: stream.prompt.slice(0, 200),
+    });
     this.model.add(stream);
     this.relay(stream, response, 0);
   }
@@ -208,7 +231,7 @@
     push();
   }
 
-  private record(line: object): void {
+  private noteRecord(line: object): void {
     if (this.options.recordFile !== '') appendFileSync(this.options.recordFile, `${JSON.stringify(line)}\n`);
   }
 }
