--- /dev/null
+++ b/tests/core/log-model.spec.ts
@@ -0,0 +1,48 @@
+import fc from 'fast-check';
+import prand from 'pure-rand';
+import { describe, expect, it } from 'vitest';
+import { LogModel } from './logModel';
+import type { ModelStep } from './logModel';
+
+const RUNS = Number(process.env.BEECHLIFT_FUZZ_RUNS ?? 150);
+const SEED = process.env.BEECHLIFT_FUZZ_RUNS ? undefined : 4_711;
+const MAX_STEPS = 500;
+
+const node = fc.nat({ max: 4 });
+const pick = fc.nat({ max: 50 });
+
+const step: fc.Arbitrary<ModelStep> = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.constantFrom(10, 60, 200, 700, 1_200) }) },
+  { weight: 12, arbitrary: fc.record({ kind: fc.constant('round' as const), ms: fc.constantFrom(20, 150, 400, 900) }) },
+  { weight: 10, arbitrary: fc.record({ kind: fc.constant('flush' as const), node }) },
+  { weight: 14, arbitrary: fc.record({ kind: fc.constant('deliver' as const), pick }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom('lose' as const, 'double' as const), pick }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('propose' as const), node }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constantFrom('crash' as const, 'compact' as const, 'cut' as const, 'join' as const, 'rush' as const), node }) },
+);
+
+describe('the replicated log', () => {
+  /*
+   * An operator's manifest was accepted and is gone after an incident, or two replicas each say
+   * that they lead. Messages are lost, doubled, delayed and reordered, and replicas crash with the
+   * loss of what was not synced, at any moment.
+   */
+  it('should keep one history, one leader a term and one lease, whatever is lost', () => {
+    let applied = 0;
+    fc.assert(fc.property(
+      fc.constantFrom(3, 5),
+      fc.integer({ min: 1, max: 0x7fffffff }),
+      fc.array(step, { maxLength: MAX_STEPS, minLength: MAX_STEPS / 2 }),
+      (size, seed, steps) => {
+        const generator = prand.xoroshiro128plus(seed);
+        const drawRandom = () => prand.unsafeUniformIntDistribution(0, 9_999, generator) / 10_000;
+        const model = new LogModel(size, drawRandom);
+        steps.forEach((item) => model.run(item));
+        const recovered = model.heal(400);
+        applied += model.history.size;
+        return recovered;
+      },
+    ), { numRuns: RUNS, seed: SEED });
+    expect(applied).toBeGreaterThan(RUNS);
+  });
+});
