Failure tests on real processes: entries, control, connections

Found by them so far: a process that could not start went on as its server was open (fixed here: it ends); a broken stream was tried 20 times over 18 s before the caller heard (fixed here: eight attempts in a row without an event, about 4 s).

--- a/src/cli/runProcess.ts
+++ b/src/cli/runProcess.ts
@@ -17,12 +17,21 @@
   }));
 };
 
+/** Ends a process that could not start, whatever it has open already. */
+const endOnFailure = async (start: () => Promise<void>): Promise<void> => {
+  try {
+    await start();
+  } catch (thrown) {
+    process.exit(printError(toBeechliftError(thrown), false));
+  }
+};
+
 /** Runs an entry until it is told to stop. */
-export const runEntry = async (settingsFile: string): Promise<void> => {
+export const runEntry = (settingsFile: string): Promise<void> => endOnFailure(async () => {
   const settings = parseEntrySettings(readTextFile(settingsFile));
   const { shutDown } = await wireEntry(settings);
   stopOnSignal(shutDown);
-};
+});
 
 /*
  * Guards against a replica that goes on with a disk which refused a write: what it would vote for
@@ -33,8 +42,8 @@
 };
 
 /** Runs a control replica until it is told to stop. */
-export const runControl = async (settingsFile: string): Promise<void> => {
+export const runControl = (settingsFile: string): Promise<void> => endOnFailure(async () => {
   const settings = parseControlSettings(readTextFile(settingsFile));
   const { shutDown } = await wireControl(settings, endOnFault);
   stopOnSignal(shutDown);
-};
+});
--- a/src/control/claimHolder.ts
+++ b/src/control/claimHolder.ts
@@ -50,6 +50,8 @@
     private readonly store: ClaimStore,
     private readonly readHolders: () => Pick<HolderSet, 'number'>,
     private readonly clock: Clock,
+    /** Called when the disk failed: the process must end, and vote for nothing more. */
+    private readonly failStorage: (error: unknown) => void = () => undefined,
     public bounds: ClaimBounds = DEFAULT_CLAIM_BOUNDS,
   ) {}
 
@@ -125,9 +127,18 @@
     return holderSet === this.readHolders().number;
   }
 
+  private async save(record: ClaimRecord): Promise<void> {
+    try {
+      await this.store.append(record);
+    } catch (error) {
+      this.failStorage(error);
+      throw error;
+    }
+  }
+
   private async answer(decision: ClaimDecision): Promise<ClaimReply> {
     const reply = toReply(decision);
-    if (decision.record) await this.store.append(decision.record);
+    if (decision.record) await this.save(decision.record);
     return reply;
   }
 }
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -112,6 +112,11 @@
     return { number, current: [...current], previous: [...previous] };
   }
 
+  /** Replicas that vote, as this one knows it. */
+  listVoterIds(): string[] {
+    return this.runner.state.replicas.voters.map(({ id }) => id);
+  }
+
   /** Runs the log and, on a leader, the systems that keep the site in order. */
   tick(): void {
     this.runner.handle({ kind: 'tick' });
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -3,7 +3,9 @@
 import { nodeFileSystem } from '../disk/fileSystem';
 import { LogStore } from '../disk/logStore';
 import { ControlClient, ControlService } from '../protocol/generated/beechlift';
-import type { LogMessage, SubmitReply, SubmitRequest } from '../protocol/generated/beechlift';
+import type {
+  FoundingReply, LogMessage, SubmitReply, SubmitRequest,
+} from '../protocol/generated/beechlift';
 import type { ControlSettings } from '../settings/settings';
 import type { Logger } from '../telemetry/logger';
 import { systemClock } from '../utils/clock';
@@ -13,7 +15,9 @@
 import { RpcServer } from '../wire/rpcServer';
 import { ClaimHolder } from './claimHolder';
 import { ControlNode } from './controlNode';
-import { makeControlService } from './controlService';
+import { makeControlService, makeWaitingService } from './controlService';
+import type { StartedService } from './controlService';
+import { Founding } from './founding';
 import { HolderCopier } from './holderCopier';
 
 const TICK_MS = 25;
@@ -55,6 +59,15 @@
     throw toPeerError(thrown, 'noQuorum');
   });
 
+const askFounding = (
+  links: LinkTable<ControlClient>,
+  address: string,
+): Promise<FoundingReply> => links.find(address).call<object, FoundingReply>(
+  (stub) => stub.readFounding.bind(stub),
+  {},
+  new Operation({ timeoutMs: STEP_TIMEOUT_MS }),
+);
+
 const loadNode = async (
   parts: ControlParts,
   links: LinkTable<ControlClient>,
@@ -103,29 +116,45 @@
 export const startControl = async (parts: ControlParts): Promise<RunningControl> => {
   const { settings, logger } = parts;
   const links = new LinkTable(ControlClient);
-  const node = await loadNode(parts, links);
+  let node: ControlNode | undefined;
+  const founding = new Founding({
+    id: settings.id,
+    replicas: settings.replicas,
+    joining: settings.joining,
+    files: nodeFileSystem,
+    dataFolder: settings.dataFolder,
+    askOther: (address) => askFounding(links, address),
+  });
+  const server = new RpcServer();
+  let service: StartedService | undefined;
+  server.add(ControlService, makeWaitingService(
+    () => service,
+    () => founding.read(node?.listVoterIds() ?? []),
+  ));
+  const address = await server.listen(settings.address);
+  await founding.settle();
+  node = await loadNode(parts, links);
+  const started = node;
   const claims = new ClaimStore(nodeFileSystem, settings.dataFolder);
-  const holder = new ClaimHolder(claims, () => node.holders, systemClock);
+  const holder = new ClaimHolder(claims, () => started.holders, systemClock, parts.failStorage);
   await holder.load();
   const copier = new HolderCopier({
     id: settings.id,
-    readHolders: () => node.holders,
-    readLeaderAddress: () => node.leaderAddress,
+    readHolders: () => started.holders,
+    readLeaderAddress: () => started.leaderAddress,
   }, holder, links, logger);
-  const server = new RpcServer();
-  server.add(ControlService, makeControlService(node, holder));
-  const address = await server.listen(settings.address);
-  const stopTimers = startTimers(node, holder, copier, parts.failStorage);
+  service = makeControlService(started, holder);
+  const stopTimers = startTimers(started, holder, copier, parts.failStorage);
   logger.info('control serves', { address });
   return {
-    node,
+    node: started,
     holder,
     address,
     stop: async () => {
       stopTimers();
       server.close();
       links.close();
-      await node.runner.stop();
+      await started.runner.stop();
       await holder.close();
     },
   };
--- a/src/control/controlService.ts
+++ b/src/control/controlService.ts
@@ -1,15 +1,20 @@
-import type { ControlServer } from '../protocol/generated/beechlift';
+import type { ServerUnaryCall, sendUnaryData } from '@grpc/grpc-js';
+import { BeechliftError } from '../errors/beechliftError';
+import type { ControlServer, FoundingReply } from '../protocol/generated/beechlift';
 import { handleUnary } from '../wire/rpcServer';
 import type { ClaimHolder } from './claimHolder';
 import type { ControlNode } from './controlNode';
 
+/** The service of a replica whose log runs. */
+export type StartedService = Omit<ControlServer, 'readFounding'>;
+
 /**
  * The wire side of a control replica: turns messages into calls and nothing more.
  *
  * @example
  * server.add(ControlService, makeControlService(node, holder));
  */
-export const makeControlService = (node: ControlNode, holder: ClaimHolder): ControlServer => ({
+export const makeControlService = (node: ControlNode, holder: ClaimHolder): StartedService => ({
   heartbeat: handleUnary((request) => node.handleHeartbeat(request)),
   submit: handleUnary((request) => node.submit(request)),
   readStatus: handleUnary((request) => ({
@@ -28,3 +33,34 @@
     return {};
   }),
 });
+
+const METHODS = [
+  'heartbeat', 'submit', 'readStatus', 'step', 'changeReplicas', 'prepareClaim', 'acceptClaim', 'copyClaims',
+  'reportCopied',
+] as const;
+
+/**
+ * The same service while the replica still finds out whether it may begin: others can ask about
+ * that, and everything else is refused until the log runs.
+ *
+ * @example
+ * server.add(ControlService, makeWaitingService(() => service, () => founding.read(voters)));
+ */
+export const makeWaitingService = (
+  findService: () => StartedService | undefined,
+  readFounding: () => FoundingReply,
+): ControlServer => {
+  const refuse = handleUnary<unknown, never>(() => {
+    throw new BeechliftError('noQuorum', 'this replica has not begun yet');
+  });
+  const relayCall = (method: (typeof METHODS)[number]) => (
+    call: ServerUnaryCall<unknown, unknown>,
+    callback: sendUnaryData<unknown>,
+  ) => {
+    const service = findService();
+    const handler = (service?.[method] ?? refuse) as typeof refuse;
+    handler(call, callback);
+  };
+  const methods = Object.fromEntries(METHODS.map((method) => [method, relayCall(method)]));
+  return { ...methods, readFounding: handleUnary(readFounding) } as unknown as ControlServer;
+};
--- a/src/entry/answerRelay.ts
+++ b/src/entry/answerRelay.ts
@@ -15,7 +15,8 @@
 
 const SILENCE_MS = 5_000;
 const RESUME_PAUSE_MS = 100;
-const MAX_RESUMES = 20;
+/** Attempts in a row without a single event, about four seconds. */
+const MAX_FAILED_RESUMES = 8;
 
 /** Milliseconds without a byte after which a connection to an engine is given up. */
 export const ENGINE_SILENCE_MS = SILENCE_MS;
@@ -42,6 +43,8 @@
   /** Times the stream was taken up again. */
   resumes = 0;
 
+  private failedResumes = 0;
+
   constructor(
     private readonly engines: EngineClient,
     private readonly stream: DispatchedStream,
@@ -72,6 +75,7 @@
       }
       if (event.offset === this.offset) {
         this.offset += 1;
+        this.failedResumes = 0;
         await deliver(event);
       }
     }
@@ -84,7 +88,7 @@
     const { operation, stream } = this;
     if (!(error instanceof EngineFailure)) throw error;
     operation.note(`stream ${stream.streamId} broke at event ${this.offset}: ${error.message}`);
-    const canGoOn = stream.canResume && this.resumes < MAX_RESUMES
+    const canGoOn = stream.canResume && this.failedResumes < MAX_FAILED_RESUMES
       && operation.remainingMs > 0 && !operation.signal.aborted;
     if (!canGoOn) {
       throw new BeechliftError('backendFailed', `the stream from ${stream.address} broke and could not be resumed`, {
@@ -92,7 +96,8 @@
       });
     }
     this.resumes += 1;
-    await pause(RESUME_PAUSE_MS * Math.min(this.resumes, 10));
+    this.failedResumes += 1;
+    await pause(RESUME_PAUSE_MS * this.failedResumes);
     await this.run(undefined, deliver);
   }
 
--- a/src/entry/claimClient.ts
+++ b/src/entry/claimClient.ts
@@ -24,6 +24,8 @@
 interface Round {
   readonly replies: Map<string, ClaimReply>;
   readonly won: boolean;
+  /** Why holders could not be asked. */
+  readonly failures: readonly string[];
 }
 
 const ROUND_TIMEOUT_MS = 1_500;
@@ -35,9 +37,10 @@
 ): Promise<Round> => new Promise((resolve) => {
   const replies = new Map<string, ClaimReply>();
   const failed = new Set<string>();
+  const failures: string[] = [];
   const judge = () => {
     const state = judgeQuorum(groups, replies, failed);
-    if (state !== 'open') resolve({ replies, won: state === 'won' });
+    if (state !== 'open') resolve({ replies, won: state === 'won', failures });
   };
   const holders = listHolders(groups);
   if (holders.length === 0) judge();
@@ -53,6 +56,11 @@
   });
 });
 
+const formatRound = ({ replies, failures }: Round): string => [
+  ...[...replies].map(([id, { ok, code }]) => `${id}: ${ok ? 'agreed' : code}`),
+  ...failures,
+].join(', ');
+
 const wasOutbid = ({ replies }: Round): boolean => [...replies.values()]
   .some(({ code }) => code === resultCodes.ballotTooLow.number);
 
@@ -94,7 +102,7 @@
       operation,
     ));
     if (round.won) return;
-    operation.note(`claim: ${round.replies.size} holders answered to "${value.state}"`);
+    operation.note(`claim "${value.state}" lost: ${formatRound(round)}`);
     if (wasOutbid(round)) {
       throw new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM', { steps: operation.steps });
     }
@@ -115,7 +123,7 @@
       operation,
     ));
     if (round.won) return { key, ballot, bound: findBoundValue(round.replies.values()) };
-    operation.note(`claim: ballot ${ballot.round} lost, ${round.replies.size} holders answered`);
+    operation.note(`claim: ballot ${ballot.round} lost: ${formatRound(round)}`);
     if (attempts <= 1 || operation.remainingMs === 0) {
       throw new BeechliftError('claimUnavailable', 'no majority of claim holders agreed', { steps: operation.steps });
     }
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -182,6 +182,9 @@
   folderLocked: {
     number: 7006, status: 500, run: 'notRun', action: 'Stop the other process that uses the data folder.',
   },
+  diskLost: {
+    number: 7007, status: 500, run: 'notRun', action: 'Replace this replica under a new id with beechlift replace.',
+  },
   recordsInvalid: {
     number: 8001, status: 400, run: 'notRun', action: 'Correct the line of the records file that is named.',
   },
--- a/tests/core/log-model.spec.ts
+++ b/tests/core/log-model.spec.ts
@@ -34,7 +34,13 @@
   {
     weight: 6,
     arbitrary: fc.record({
-      kind: fc.constantFrom('crash' as const, 'compact' as const, 'cut' as const, 'join' as const, 'rush' as const),
+      kind: fc.constantFrom(
+        'crash' as const,
+        'compact' as const,
+        'cut' as const,
+        'join' as const,
+        'rush' as const,
+      ),
       node,
     }),
   },
--- a/tests/core/schedule-tiers.spec.ts
+++ b/tests/core/schedule-tiers.spec.ts
@@ -176,7 +176,15 @@
     const tables = makeTables();
     announce(tables, 'w1', 1, 0);
     const askMany = (account: string, count: number, deadlineMs: number) => (
-      Array.from({ length: count }).flatMap((unused, position) => ask(tables, `${account}${position}`, 'guide', 1, { account, deadlineMs })));
+      Array.from({ length: count }).flatMap(
+        (unused, position) => ask(
+          tables,
+          `${account}${position}`,
+          'guide',
+          1,
+          { account, deadlineMs },
+        ),
+      ));
     askMany('a', 20, 60_000);
     expect(ask(tables, 'b-first', 'guide', 1, { account: 'b', deadlineMs: 5_000 })).toEqual([]);
     askMany('b', 4, 60_000);
--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -30,7 +30,7 @@
   readonly prompt?: string;
 }
 
-type Route = (request_: IncomingMessage, response: ServerResponse, body: string) => void;
+type Route = (incoming: IncomingMessage, response: ServerResponse, body: string) => void;
 
 const readBody = async (incoming: IncomingMessage): Promise<string> => {
   const pieces: Buffer[] = [];
--- /dev/null
+++ b/tests/site/control-failures.spec.ts
@@ -0,0 +1,164 @@
+import { rmSync } from 'node:fs';
+import { join } from 'node:path';
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import { OperatorClient } from '../../src/cli/operatorClient';
+import { makeExpectedText } from '../fakes/engineModel';
+import {
+  findFreeAddress, makeManifest, OPERATOR_KEY, TestSite, waitUntil,
+} from '../fakes/testSite';
+import type { SiteProcess } from '../fakes/testSite';
+
+describe('control under failure', () => {
+  let site: TestSite;
+
+  beforeEach(async () => {
+    site = new TestSite();
+    await site.start(3, 2);
+  });
+  afterEach(() => site.stop());
+
+  const findLeader = async (): Promise<SiteProcess> => {
+    const { id, role } = await site.readControl();
+    const leader = site.controls.find((control) => control.id === id);
+    if (!leader || role !== 'leader') throw new Error('nobody leads');
+    return leader;
+  };
+
+  /*
+   * The leader dies right after a pipeline submitted version 2, and the answer is lost. The
+   * pipeline sends it again; it must read the same acceptance, and version 2 must stay in force.
+   */
+  it('should give the same acceptance to a resend after the leader died', async () => {
+    const accepted = await site.submit(makeManifest(2));
+    await site.kill(await findLeader());
+    const again = await site.submit(makeManifest(2));
+    expect([again.code, again.digest]).toEqual([0, accepted.digest]);
+    await site.submit(makeManifest(3));
+    await site.waitForVersion(3);
+    const old = await site.submit(makeManifest(2));
+    expect([old.code, old.digest]).toEqual([0, accepted.digest]);
+    const [entry] = site.entries as [SiteProcess];
+    expect((await site.readStatus(entry)).manifestVersion).toBe(3);
+  });
+
+  /*
+   * Two operators submit version 2 with other contents at the same moment, through two replicas.
+   * Both read that theirs was accepted.
+   */
+  it('should accept exactly one of two manifests that race for a version', async () => {
+    const variants = [7_000, 8_000, 9_000].map((totalMs) => makeManifest(2, {
+      tiers: {
+        door: { rank: 0, firstTokenMs: 1_000, totalMs },
+        history: { rank: 1, firstTokenMs: 1_000, totalMs },
+      },
+    }));
+    const replies = await Promise.all(variants.map((variant, position) => (
+      new OperatorClient([site.controlAddresses[position] ?? ''], OPERATOR_KEY).submit(JSON.stringify(variant), 20_000))));
+    expect(replies.map(({ code }) => code).sort()).toEqual([0, 4007, 4007]);
+    expect(new Set(replies.map(({ digest }) => digest)).size).toBe(1);
+  });
+
+  /*
+   * Two of three control VMs are lost. Entries cannot tell whether a newer manifest is in force
+   * and go on with the old one for hours. They must refuse, truthfully, and serve again by
+   * themselves.
+   */
+  it('should refuse new work as not run without a control quorum, and come back by itself', async () => {
+    const engine = await site.addEngine('g1');
+    const [entry] = site.entries as [SiteProcess];
+    const running = site.ask(entry, 'long', { tokens: 900 });
+    await waitUntil('it has begun', () => engine.dispatched.length === 1);
+    await Promise.all(site.controls.slice(0, 2).map((control) => site.kill(control)));
+    await waitUntil('the lease is over', async () => !(await site.readStatus(entry)).isServing);
+    const refused = await site.ask(entry, 'short');
+    expect([refused.status, refused.body.error?.name, refused.body.error?.run]).toEqual([503, 'configurationStale', 'notRun']);
+    expect((await running).text).toBe(makeExpectedText('long', 900));
+    site.controls.slice(0, 2).forEach((control) => site.restart(control));
+    await waitUntil('it serves again', async () => (await site.ask(entry, 'short')).status === 200);
+    expect(engine.dispatched).toHaveLength(2);
+  });
+
+  /*
+   * An entry VM is paused while a manifest takes a model away, and wakes a minute later. It must
+   * not serve a single request on the manifest that it remembers.
+   */
+  it('should not serve on an old manifest after a pause', async () => {
+    const engine = await site.addEngine('g1');
+    const [entry, other] = site.entries as [SiteProcess, SiteProcess];
+    site.freeze(entry, true);
+    await site.submit(makeManifest(2, {
+      models: { other: {} }, pools: { engines: { kind: 'model', models: ['other'] } },
+    }));
+    await site.waitForVersion(2, [other]);
+    await waitUntil('the lease of the paused entry is over', async () => {
+      const { members } = await site.readControl();
+      return members.every(({ member, silentMs }) => member?.id !== entry.id || silentMs > 4_000);
+    });
+    const woken = site.ask(entry, 'short');
+    site.freeze(entry, false);
+    expect((await woken).status).not.toBe(200);
+    expect(engine.dispatched).toHaveLength(0);
+    await site.waitForVersion(2);
+  });
+
+  /*
+   * A control VM lost its disk and was started again with an empty folder. It votes as if it had
+   * never voted, and with one more that lags an accepted manifest or a claim is forgotten.
+   */
+  it('should not let a replica vote that lost its disk', async () => {
+    const lost = site.controls.find(({ id }) => id === 'c2') as SiteProcess;
+    await site.kill(lost);
+    rmSync(join(site.folder, 'data-c2'), { recursive: true });
+    site.restart(lost);
+    await waitUntil('it ends', () => lost.child.exitCode !== null);
+    expect(lost.child.exitCode).toBe(4);
+  });
+
+  /*
+   * A control VM is replaced, and right after the repair a second one is lost. What was accepted
+   * and what was claimed must still be known, to a majority that includes the newcomer.
+   */
+  it('should lose neither manifests nor claims when a second VM is lost right after a repair', async () => {
+    const engine = await site.addEngine('g1');
+    const [entry] = site.entries as [SiteProcess];
+    const before = await site.ask(entry, 'issue a room', { key: 'room-1' });
+    await site.submit(makeManifest(2));
+    const gone = site.controls.find(({ id }) => id === 'c2') as SiteProcess;
+    await site.kill(gone);
+    const newcomer = { id: 'c4', address: await findFreeAddress(), zone: 'az-2' };
+    await site.addControl(newcomer, true);
+    const started = await site.operator.changeReplicas({ removeId: 'c2', add: newcomer }, 20_000);
+    expect(started.code).toBe(0);
+    await waitUntil('the holders have moved', async () => {
+      const { holders } = await site.readControl();
+      return holders?.previous.length === 0 && holders.current.some(({ id }) => id === 'c4');
+    });
+    const second = site.controls.find(({ id }) => id === 'c1') as SiteProcess;
+    await site.kill(second);
+    const again = await site.submit(makeManifest(2));
+    expect(again.code).toBe(0);
+    await waitUntil('entries serve', async () => (await site.readStatus(entry)).isServing);
+    const after = await site.ask(entry, 'issue a room', { key: 'room-1' });
+    expect(after.text).toBe(before.text);
+    expect(engine.dispatched).toHaveLength(1);
+  });
+
+  /*
+   * All VMs lose power at once. After the restart the accepted manifest and the claims are there,
+   * and a room that was issued is not issued again.
+   */
+  it('should know what was accepted and claimed after all processes were killed', async () => {
+    const engine = await site.addEngine('g1');
+    const [entry] = site.entries as [SiteProcess];
+    const before = await site.ask(entry, 'issue a room', { key: 'room-1' });
+    await site.submit(makeManifest(2));
+    const all = [...site.controls, ...site.entries];
+    await Promise.all(all.map((member) => site.kill(member)));
+    all.forEach((member) => site.restart(member));
+    await site.waitForVersion(2);
+    expect((await site.ask(entry, 'issue a room', { key: 'room-1' })).text).toBe(before.text);
+    expect(engine.dispatched).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/tests/site/entry-failures.spec.ts
@@ -0,0 +1,136 @@
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import { makeExpectedText } from '../fakes/engineModel';
+import { TestSite, waitUntil } from '../fakes/testSite';
+import type { SiteProcess } from '../fakes/testSite';
+
+describe('entries under failure', () => {
+  let site: TestSite;
+  let first: SiteProcess;
+  let second: SiteProcess;
+
+  beforeEach(async () => {
+    site = new TestSite();
+    await site.start(3, 3);
+    [first, second] = site.entries as [SiteProcess, SiteProcess, SiteProcess];
+  });
+  afterEach(() => site.stop());
+
+  const countDispatched = () => (
+    site.engines.reduce((sum, { dispatched }) => sum + dispatched.length, 0));
+
+  /*
+   * A kiosk waits for a room number and its entry VM dies in mid-answer. The kiosk sends the same
+   * key to its next address. It must read the whole answer, and no second room may be issued.
+   */
+  it('should give the whole answer through another entry after one died, and run it once', async () => {
+    await site.addEngine('g1', { decodeMs: 10 });
+    const options = { key: 'room-17', tokens: 120, headers: { 'beechlift-non-idempotent': 'true' } };
+    const lost = site.ask(first, 'issue a room', options).catch(() => undefined);
+    await waitUntil('the engine has begun', () => countDispatched() === 1);
+    await site.kill(first);
+    const answer = await site.ask(second, 'issue a room', options);
+    expect([answer.status, answer.text]).toEqual([200, makeExpectedText('issue a room', 120)]);
+    expect(countDispatched()).toBe(1);
+    await lost;
+    const replayed = await site.ask(second, 'issue a room', options);
+    expect(replayed.text).toBe(answer.text);
+    expect(countDispatched()).toBe(1);
+  });
+
+  /*
+   * An entry VM is paused with a request that waits for a slot. The caller sends it again through
+   * another entry, which runs it. The first one wakes, gets its slot, and issues a second room.
+   */
+  it('should send nothing when it wakes after its claim was taken over', async () => {
+    const engine = await site.addEngine('g1', { slots: 1, decodeMs: 10 });
+    const blocker = site.ask(second, 'blocker', { tokens: 150 });
+    await waitUntil('the slot is taken', () => engine.dispatched.length === 1);
+    const paused = site.ask(first, 'issue a room', { key: 'room-18', tokens: 8 }).catch(() => undefined);
+    await waitUntil('the request waits', async () => {
+      const all = await Promise.all(site.entries.map((entry) => site.readStatus(entry)));
+      return all.flatMap(({ owned }) => owned).some(({ waiting }) => waiting === 1);
+    });
+    site.freeze(first, true);
+    const answer = await site.ask(second, 'issue a room', { key: 'room-18', tokens: 8 });
+    expect(answer.text).toBe(makeExpectedText('issue a room', 8));
+    site.freeze(first, false);
+    const late = await paused;
+    expect(late === undefined || late.status !== 200 || late.text === answer.text).toBe(true);
+    await blocker;
+    expect(engine.dispatched).toHaveLength(2);
+  });
+
+  /*
+   * A kiosk sends the same key to two entry VMs in the same moment, as its first try seemed lost.
+   * Two rooms are issued, or one of the answers is another's.
+   */
+  it('should run a key once when it comes to all entries at once', async () => {
+    await site.addEngine('g1');
+    const asks = Array.from({ length: 8 }, (unused, key) => site.entries.map((entry) => (
+      site.ask(entry, `prompt ${key}`, { key: `k${key}`, tokens: 12 })))).flat();
+    const answers = await Promise.all(asks);
+    expect(countDispatched()).toBe(8);
+    const whole = answers.filter(({ status }) => status === 200);
+    expect(whole.length).toBeGreaterThanOrEqual(8);
+    answers.forEach(({ status, text, body }, position) => {
+      const own = makeExpectedText(`prompt ${Math.floor(position / 3)}`, 12);
+      expect(status === 200 ? text : body.error?.name).toSatisfy((value: string) => [own, 'superseded', 'claimUnavailable'].includes(value));
+    });
+  });
+
+  /*
+   * The owner of the pool dies under load. Requests that wait at other entries hang until their
+   * callers give up, or are refused though slots are free.
+   */
+  it('should go on with a new owner when the owner of a pool dies', async () => {
+    await site.addEngine('g1', { slots: 4 });
+    const owns = await Promise.all(site.entries.map(async (entry) => (
+      (await site.readStatus(entry)).owned.length > 0)));
+    const owner = site.entries[owns.indexOf(true)] as SiteProcess;
+    const others = site.entries.filter((entry) => entry !== owner);
+    const asks = Array.from({ length: 24 }, (unused, position) => (
+      site.ask(others[position % 2] as SiteProcess, `prompt ${position}`, { tokens: 30, key: `o${position}` })));
+    await waitUntil('some have begun', () => countDispatched() >= 2);
+    await site.kill(owner);
+    const answers = await Promise.all(asks);
+    expect(answers.map(({ text }) => text))
+      .toEqual(answers.map((unused, position) => makeExpectedText(`prompt ${position}`, 30)));
+    expect(countDispatched()).toBe(24);
+  });
+
+  /*
+   * An entry VM is shut down for an update in the middle of the day, and callers with open answers
+   * are cut off; others still send to it, as they keep the locate answer for a while.
+   */
+  it('should cut nobody off when it is shut down', async () => {
+    await site.addEngine('g1', { decodeMs: 10 });
+    const running = Array.from({ length: 4 }, (unused, position) => site.ask(first, `long ${position}`, { tokens: 150 }));
+    await waitUntil('all have begun', () => countDispatched() === 4);
+    const ended = site.kill(first, 'SIGTERM');
+    const answers = await Promise.all(running);
+    expect(answers.map(({ text }) => text))
+      .toEqual(answers.map((unused, position) => makeExpectedText(`long ${position}`, 150)));
+    await ended;
+    expect(first.child.exitCode).toBe(0);
+    expect((await site.readControl()).members.some(({ member }) => member?.id === first.id && member.state === 'active')).toBe(false);
+  });
+
+  /*
+   * An engine says that it leaves. Whatever entry it told, all must stop sending there, and what it
+   * runs must end whole.
+   */
+  it('should send nothing new to a backend server that leaves', async () => {
+    const leaving = await site.addEngine('g1', { decodeMs: 10 });
+    const running = site.ask(first, 'long', { tokens: 150 });
+    await waitUntil('it has begun', () => leaving.dispatched.length === 1);
+    const staying = await site.addEngine('g2');
+    leaving.state = 'leaving';
+    await leaving.announce();
+    const answers = await Promise.all(site.entries.flatMap((entry) => Array.from({ length: 5 }, () => site.ask(entry, 'short'))));
+    expect(answers.every(({ status }) => status === 200)).toBe(true);
+    expect([leaving.dispatched.length, staying.dispatched.length]).toEqual([1, 15]);
+    expect((await running).text).toBe(makeExpectedText('long', 150));
+  });
+});
