Policy: estimate waits by how fast a tier is served; count the first token's deadline

Change: the rate at which a rank was granted of late, or how long its head has waited, bounds the estimate; a request whose first token would be late is refused early, where no lower tier runs. Conclusion: a wait has to be estimated from service that was given.

--- /dev/null
+++ b/bench/benchEntry.ts
@@ -0,0 +1,14 @@
+/** An entry with a policy of the bench: POLICY SETTINGS. */
+import { DEFAULT_POLICY } from '../src/core/schedule/scheduleTables';
+import type { PolicySettings } from '../src/core/schedule/scheduleTypes';
+import { parseEntrySettings, readTextFile } from '../src/settings/loadSettings';
+import { wireEntry } from '../src/wiring';
+
+const [policy = '{}', settingsFile = ''] = process.argv.slice(2);
+const settings = parseEntrySettings(readTextFile(settingsFile));
+
+wireEntry(settings, { ...DEFAULT_POLICY, ...JSON.parse(policy) as Partial<PolicySettings> })
+  .catch((error: unknown) => {
+    console.error(error);
+    process.exit(1);
+  });
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,5 +40,5 @@
       'no-console': 'off',
     },
   },
-  { files: ['**/*.mjs'], languageOptions: { globals: { process: 'readonly' } } },
+  { files: ['**/*.mjs'], languageOptions: { globals: { console: 'readonly', fetch: 'readonly', process: 'readonly' } } },
 ];
--- a/scripts/engine.ts
+++ b/scripts/engine.ts
@@ -5,7 +5,7 @@
 const options = JSON.parse(process.argv[2] ?? '{}') as StandInOptions;
 const engine = new EngineStandIn(options);
 
-engine.start().catch((error: unknown) => {
+engine.start(options.port).catch((error: unknown) => {
   process.stderr.write(`${String(error)}\n`);
   process.exitCode = 1;
 });
--- a/src/core/schedule/fairQueue.ts
+++ b/src/core/schedule/fairQueue.ts
@@ -89,9 +89,22 @@
 );
 
 /**
- * Counts the requests that are served before the next one of an account: all of higher tiers, and
- * of its own tier as many from each account as wait from this one. What a large account has
- * queued beyond that does not delay a small one.
+ * Counts the requests of a rank that are served before the next one of an account: of each account
+ * as many as wait from this one. What a large account has queued beyond that does not delay a
+ * small one.
+ *
+ * @example
+ * countInRank(tables, 1, 'kiosks');
+ */
+export const countInRank = (tables: ScheduleTables, rank: number, account: string): number => {
+  const queues = tables.queues.get(rank);
+  const own = queues?.get(account)?.length ?? 0;
+  return sumLengths(queues?.values() ?? [], own + 1);
+};
+
+/**
+ * Counts the requests that are served before the next one of an account, all of higher tiers
+ * included.
  *
  * @example
  * countAhead(tables, 1, 'kiosks');
@@ -100,7 +113,5 @@
   const higher = [...tables.queues]
     .filter(([other]) => other < rank)
     .reduce((sum, [, queues]) => sum + sumLengths(queues.values(), Infinity), 0);
-  const queues = tables.queues.get(rank);
-  const own = queues?.get(account)?.length ?? 0;
-  return higher + sumLengths(queues?.values() ?? [], own + 1);
+  return higher + countInRank(tables, rank, account);
 };
--- /dev/null
+++ b/src/core/schedule/grantRate.ts
@@ -0,0 +1,36 @@
+import type { ScheduleTables } from './scheduleTypes';
+
+/** Time over which a rate forgets, in seconds. */
+const WINDOW_SECONDS = 2;
+const MS_PER_SECOND = 1_000;
+
+const readRate = (tables: ScheduleTables, rank: number, now: number): number => {
+  const rate = tables.grantRates.get(rank);
+  if (!rate) return 0;
+  return rate.perSecond * Math.exp((rate.at - now) / (WINDOW_SECONDS * MS_PER_SECOND));
+};
+
+/** Counts one grant of a rank. */
+export const noteGrant = (tables: ScheduleTables, rank: number, now: number): void => {
+  const perSecond = readRate(tables, rank, now) + 1 / WINDOW_SECONDS;
+  tables.grantRates.set(rank, { perSecond, at: now });
+};
+
+const findHeadWaitMs = (tables: ScheduleTables, rank: number, now: number): number => {
+  const heads = [...(tables.queues.get(rank)?.values() ?? [])].flatMap(([head]) => head ?? []);
+  const waits = heads.map((id) => now - (tables.waiting.get(id)?.askedAt ?? now));
+  return Math.max(0, ...waits);
+};
+
+/**
+ * Computes how long a rank needs for one grant, from how fast it was served of late. A rank that
+ * was not served lately is judged by how long its first request has waited already.
+ *
+ * @example
+ * const waitMs = (ahead + 1) * computeGrantMs(tables, 2, now);
+ */
+export const computeGrantMs = (tables: ScheduleTables, rank: number, now: number): number => {
+  const measured = MS_PER_SECOND / Math.max(1e-9, readRate(tables, rank, now));
+  const waited = findHeadWaitMs(tables, rank, now) + tables.meanServiceMs;
+  return Math.min(measured, waited);
+};
--- a/src/core/schedule/grantSystem.ts
+++ b/src/core/schedule/grantSystem.ts
@@ -1,6 +1,7 @@
 import { chargeAccount } from './accountUse';
 import { chooseWorker, estimateChoiceFirstTokenMs } from './chooseWorker';
 import { listHeads, listWaitingRanks, removeWaiting } from './fairQueue';
+import { noteGrant } from './grantRate';
 import { addRunning, notePrefixes } from './scheduleTables';
 import type { Choice } from './chooseWorker';
 import type { ScheduleStep, ScheduleTables, WaitingEntity } from './scheduleTypes';
@@ -44,6 +45,7 @@
   const { worker } = choice;
   removeWaiting(tables, ask.requestId);
   chargeAccount(tables, ask.account, waiting.cost);
+  noteGrant(tables, waiting.rank, now);
   addRunning(tables, {
     requestId: ask.requestId,
     entryId: ask.entryId,
--- a/src/core/schedule/poolSchedule.ts
+++ b/src/core/schedule/poolSchedule.ts
@@ -29,6 +29,10 @@
     rank: findRank(tables, ask.tier),
     askedAt: now,
     deadlineAt: now + ask.deadlineMs,
+    firstTokenAt: now + Math.min(
+      ask.deadlineMs,
+      tables.config.tiers[ask.tier]?.firstTokenMs ?? ask.deadlineMs,
+    ),
     cost: ask.promptTokens + outputTokens,
     outputTokens,
   };
@@ -45,7 +49,7 @@
     requestId: waiting.ask.requestId,
     code,
     message,
-    retryAfterMs: computeRetryMs(step.tables, waiting),
+    retryAfterMs: computeRetryMs(step.tables, waiting, step.now),
   });
 };
 
--- a/src/core/schedule/scheduleTables.ts
+++ b/src/core/schedule/scheduleTables.ts
@@ -43,6 +43,7 @@
   speeds: new Map(),
   lengths: makeLengthModel(),
   peaks: new Map(),
+  grantRates: new Map(),
   prefixWorkers: new Map(),
   unregistered: new Set(unregistered),
   settledAt,
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -46,7 +46,10 @@
   readonly ask: AskRequest;
   readonly rank: number;
   readonly askedAt: number;
+  /** When the whole answer is late, monotonic milliseconds. */
   readonly deadlineAt: number;
+  /** When its first token is late, monotonic milliseconds. */
+  readonly firstTokenAt: number;
   /** Prompt tokens plus the output expected. */
   readonly cost: number;
   readonly outputTokens: number;
@@ -102,6 +105,13 @@
   refilledAt: number;
 }
 
+/** How fast a rank is served. */
+export interface GrantRate {
+  perSecond: number;
+  /** When it was last brought up to date, monotonic milliseconds. */
+  at: number;
+}
+
 /** All that the owner of one pool knows. */
 export interface ScheduleTables {
   readonly pool: string;
@@ -125,6 +135,8 @@
   readonly unregistered: Set<string>;
   /** Until then an earlier owner's grants may still start. */
   settledAt: number;
+  /** Grants a second of each rank, decaying. */
+  readonly grantRates: Map<number, GrantRate>;
   /** Smoothed time that a request holds a slot, in milliseconds. */
   meanServiceMs: number;
   /** Turn counter of the round-robin baseline. */
--- a/src/core/schedule/shedSystem.ts
+++ b/src/core/schedule/shedSystem.ts
@@ -1,34 +1,52 @@
 import { releaseAccountUse } from './accountUse';
-import { countAhead, removeWaiting } from './fairQueue';
-import { estimateTotalMs } from './speedModel';
+import { countAhead, countInRank, removeWaiting } from './fairQueue';
+import { computeGrantMs } from './grantRate';
+import { estimateFirstTokenMs, estimateTotalMs } from './speedModel';
 import type { ResultCode } from '../../errors/resultCodes';
 import type { ScheduleStep, ScheduleTables, WaitingEntity } from './scheduleTypes';
 
+interface FastestTimes {
+  readonly firstTokenMs: number;
+  readonly totalMs: number;
+}
+
 const MIN_RETRY_MS = 200;
 const MAX_RETRY_MS = 30_000;
 /** Once no worker has been known for this long, waiting for one is given up. */
 const NO_WORKER_MS = 3_000;
 
+const estimateSlotWaitMs = (tables: ScheduleTables, ahead: number): number => (
+  ((ahead + 1) * tables.meanServiceMs) / Math.max(1, tables.index.slots)
+);
+
 /**
- * Estimates how long a request of a rank waits for its slot, from the measured backlog.
+ * Estimates how long a request waits for its slot: by the slots that are there, and by how fast
+ * its tier was served of late, as higher tiers go on arriving while it waits.
  *
  * @example
- * const retryAfterMs = estimateWaitMs(tables, rank, 'kiosks');
+ * const retryAfterMs = estimateWaitMs(tables, waiting, now);
  */
 export const estimateWaitMs = (
   tables: ScheduleTables,
-  rank: number,
-  account: string,
+  { rank, ask }: WaitingEntity,
+  now: number,
 ): number => {
   const { slots, used } = tables.index;
-  const ahead = countAhead(tables, rank, account);
+  const ahead = countAhead(tables, rank, ask.account);
   if (used + ahead < slots) return 0;
-  return ((ahead + 1) * tables.meanServiceMs) / Math.max(1, slots);
+  const inRank = countInRank(tables, rank, ask.account);
+  const bySlots = estimateSlotWaitMs(tables, ahead);
+  if (inRank === 0) return bySlots;
+  return Math.max(bySlots, (inRank + 1) * computeGrantMs(tables, rank, now));
 };
 
 /** The time to come back that goes with a refusal, in milliseconds. */
-export const computeRetryMs = (tables: ScheduleTables, { rank, ask }: WaitingEntity): number => {
-  const waitMs = estimateWaitMs(tables, rank, ask.account);
+export const computeRetryMs = (
+  tables: ScheduleTables,
+  waiting: WaitingEntity,
+  now: number,
+): number => {
+  const waitMs = estimateWaitMs(tables, waiting, now);
   return Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs)));
 };
 
@@ -59,7 +77,7 @@
   code: ResultCode,
   message: string,
 ): void => {
-  const { tables } = step;
+  const { tables, now } = step;
   removeWaiting(tables, waiting.ask.requestId);
   releaseAccountUse(tables, waiting.ask.account, waiting.cost);
   step.effects.push({
@@ -67,25 +85,43 @@
     requestId: waiting.ask.requestId,
     code,
     message,
-    retryAfterMs: computeRetryMs(tables, waiting),
+    retryAfterMs: computeRetryMs(tables, waiting, now),
   });
 };
 
-const findFastestMs = (tables: ScheduleTables, waiting: WaitingEntity): number => {
-  const times = [...tables.speeds.keys()].map((hardware) => (
-    estimateTotalMs(tables.speeds, hardware, 1, 0, waiting.outputTokens)));
-  return times.length === 0 ? 0 : Math.min(...times);
+/** The least that the request itself takes: to its first token, and to its last. */
+const findFastest = (
+  tables: ScheduleTables,
+  { ask, outputTokens }: WaitingEntity,
+): FastestTimes => {
+  const kinds = [...tables.speeds.keys()];
+  const first = kinds.map((hardware) => estimateFirstTokenMs(tables.speeds, hardware, 0));
+  const total = kinds.map((hardware) => (
+    estimateTotalMs(
+      tables.speeds,
+      hardware,
+      1,
+      ask.prefixes.length > 0 ? 0 : ask.promptTokens,
+      outputTokens,
+    )));
+  return { firstTokenMs: Math.min(Infinity, ...first), totalMs: Math.min(Infinity, ...total) };
 };
 
 /**
- * Whether the request could still be answered in time if it got its slot after the expected wait.
+ * Whether the request can still be answered in time if it gets its slot after the expected wait.
  */
 const canMeetDeadline = (
   tables: ScheduleTables,
   waiting: WaitingEntity,
   waitMs: number,
   now: number,
-): boolean => now + waitMs + findFastestMs(tables, waiting) <= waiting.deadlineAt;
+): boolean => {
+  const startAt = now + waitMs;
+  if (tables.speeds.size === 0) return startAt <= waiting.deadlineAt;
+  const fastest = findFastest(tables, waiting);
+  return startAt + fastest.totalMs <= waiting.deadlineAt
+    && startAt + fastest.firstTokenMs <= waiting.firstTokenAt;
+};
 
 const shedLate = (step: ScheduleStep, waiting: WaitingEntity): void => {
   const { tables, now } = step;
@@ -144,6 +180,6 @@
   now: number,
 ): boolean => {
   if (tables.policy.name !== 'owner' || tables.index.slots === 0) return false;
-  const waitMs = estimateWaitMs(tables, waiting.rank, waiting.ask.account);
+  const waitMs = estimateWaitMs(tables, waiting, now);
   return !canMeetDeadline(tables, waiting, waitMs, now) && canShed(tables, waiting.rank, now);
 };
--- a/src/entry/claimClient.ts
+++ b/src/entry/claimClient.ts
@@ -142,8 +142,8 @@
     }
     /*
      * Guards a request that comes while claim holders are replaced: they refuse the set that this
-     * entry still knows, until its next heartbeat brings the newer one. Trying again at once used up
-     * all attempts within 20 ms.
+     * entry still knows, until its next heartbeat brings the newer one. Trying again at once used
+     * up all attempts within 20 ms.
      */
     await pause(computePauseMs(attempts));
     const next = raiseBallot(ballot.proposer, round.replies.values(), ballot);
--- a/tests/fakes/engineModel.ts
+++ b/tests/fakes/engineModel.ts
@@ -24,6 +24,8 @@
   readonly events: string[];
   done: boolean;
   cancelled: boolean;
+  /** Prompt tokens that were prefilled for it. */
+  prefilled: number;
   readonly listeners: Set<() => void>;
 }
 
@@ -55,6 +57,9 @@
   /** Prompt tokens prefilled, cached ones left out. */
   prefilledTokens = 0;
 
+  /** Those of them that were for streams which were cancelled. */
+  wastedTokens = 0;
+
   private readonly waiting: EngineStream[] = [];
 
   private readonly running = new Set<EngineStream>();
@@ -86,6 +91,7 @@
     if (!stream) return 'neverSeen';
     if (stream.done) return 'finished';
     stream.cancelled = true;
+    this.wastedTokens += stream.prefilled;
     stream.done = true;
     this.running.delete(stream);
     stream.listeners.forEach((listener) => listener());
@@ -121,12 +127,13 @@
   private takeWaiting(): number {
     if (this.running.size >= this.traits.slots) return 0;
     const stream = this.waiting.shift();
-    if (!stream) return 0;
-    if (!stream.done) this.running.add(stream);
-    return this.prefill(stream.prompt);
+    if (!stream || stream.done) return 0;
+    this.running.add(stream);
+    return this.prefill(stream);
   }
 
-  private prefill(prompt: string): number {
+  private prefill(stream: EngineStream): number {
+    const { prompt } = stream;
     const prefixes = PREFIX_TOKENS
       .filter((tokens) => prompt.length >= tokens * CHARACTERS_PER_TOKEN)
       .map((tokens) => ({ tokens, key: hashText(prompt.slice(0, tokens * CHARACTERS_PER_TOKEN)) }));
@@ -140,6 +147,7 @@
       .forEach((key) => this.cache.delete(key));
     const fresh = Math.max(0, prompt.length / CHARACTERS_PER_TOKEN - cached);
     this.prefilledTokens += fresh;
+    stream.prefilled = fresh;
     return fresh * this.traits.prefillMs;
   }
 
--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -21,6 +21,8 @@
   /** File for a record of every dispatch. */
   readonly recordFile: string;
   readonly secret?: string;
+  /** Port to listen on; 0 or none for any. */
+  readonly port?: number;
 };
 
 interface CompletionBody {
@@ -173,7 +175,9 @@
       response.setHeader('content-type', 'application/json');
       response.end(
         JSON.stringify({
-          prefilledTokens: this.model.prefilledTokens, dispatched: this.dispatched.length,
+          prefilledTokens: this.model.prefilledTokens,
+          wastedTokens: this.model.wastedTokens,
+          dispatched: this.dispatched.length,
         }),
       );
     },
@@ -200,6 +204,7 @@
       events: [],
       done: false,
       cancelled: false,
+      prefilled: 0,
       listeners: new Set(),
     };
     this.dispatched.push(id);
--- a/tests/fakes/testSite.ts
+++ b/tests/fakes/testSite.ts
@@ -116,6 +116,9 @@
 
   readonly engines: EngineStandIn[] = [];
 
+  /** Program and arguments of an entry; the benches put one with another policy here. */
+  entryProgram: readonly string[] = [BINARY, 'entry'];
+
   private replicas: { id: string; address: string; zone: string }[] = [];
 
   constructor() {
@@ -314,9 +317,10 @@
   }
 
   private run(kind: 'entry' | 'control', settingsFile: string): ChildProcess {
+    const program = kind === 'entry' ? this.entryProgram : [BINARY, kind];
     const child = spawn(
       process.execPath,
-      [BINARY, kind, settingsFile],
+      [...program, settingsFile],
       { stdio: ['ignore', 'ignore', 'pipe'] },
     );
     child.stderr.on('data', (data: Buffer) => {
