--- /dev/null
+++ b/bench/counts.ts
@@ -0,0 +1,124 @@
+/**
+ * Counts that are the same on every machine, with their bounds: work of a decision, bytes of the
+ * messages that control sends again and again. `--check` compares them with bench/bounds.json.
+ */
+import { readFileSync } from 'node:fs';
+import { handleScheduleEvent } from '../src/core/schedule/poolSchedule';
+import { makeScheduleTables } from '../src/core/schedule/scheduleTables';
+import type { ScheduleConfig } from '../src/core/schedule/scheduleTypes';
+import type { Manifest } from '../src/manifest/manifest';
+import { diffManifests } from '../src/manifest/manifestDelta';
+import {
+  Announcement, AskRequest, ClaimRecord, HeartbeatReply, HeartbeatRequest, ReportRequest,
+} from '../src/protocol/generated/beechlift';
+
+const DECISIONS = 500;
+const HARDWARE_TYPES = 3;
+const SHA256_DIGITS = 64;
+
+const config: ScheduleConfig = {
+  tiers: {
+    door: {
+      rank: 0, firstTokenMs: 1_000, totalMs: 60_000, headroom: 0.1,
+    },
+  },
+  accounts: {
+    a: {
+      keyHashes: [], tiers: ['door'], concurrency: 100_000, tokensPerMinute: 0, weight: 1,
+    },
+  },
+  limits: {
+    bodyBytes: 1,
+    answerBytes: 1,
+    queuePerPool: 100_000,
+    workersPerPool: 10_000,
+    claimRetentionMs: 1,
+    locateMs: 1,
+  },
+};
+
+/** Workers looked at for one decision, with so many workers in the pool. */
+const countComparisons = (workers: number): number => {
+  const tables = makeScheduleTables('engines', config, [], 0);
+  Array.from({ length: workers }).forEach((unused, position) => handleScheduleEvent(tables, {
+    kind: 'announce',
+    announcement: Announcement.fromPartial({
+      id: `w${position}`, hardware: `h${position % HARDWARE_TYPES}`, zone: 'az-1', models: ['guide'], slots: 8, state: 'ready',
+    }),
+  }, 0));
+  Array.from({ length: DECISIONS }).forEach((unused, position) => {
+    handleScheduleEvent(tables, {
+      kind: 'ask',
+      ask: AskRequest.fromPartial({
+        requestId: `r${position}`, tier: 'door', account: 'a', target: 'guide', promptTokens: 200, maxTokens: 20, deadlineMs: 60_000, prefixes: [`p${position % 20}`],
+      }),
+    }, position);
+    handleScheduleEvent(tables, {
+      kind: 'report',
+      report: ReportRequest.fromPartial({
+        requestId: `r${position - 40}`, phase: 'finished', outcome: 'complete', firstTokenMs: 20, totalMs: 200, outputTokens: 20,
+      }),
+    }, position);
+  });
+  return tables.comparisons / DECISIONS;
+};
+
+const hash = 'a'.repeat(SHA256_DIGITS);
+const member = {
+  id: 'entry-101', incarnation: '0a1b2c3d-0a1b-2c3d-4e5f-0a1b2c3d4e5f', peerAddress: '10.20.30.40:7100', callerAddress: '10.20.30.40:7000', zone: 'az-21', state: 'active',
+};
+const replicas = Array.from({ length: 5 }, (unused, position) => ({ id: `c${position}`, address: '10.20.30.41:7200', zone: 'az-21' }));
+
+const makeManifest = (accounts: number, version: number): Manifest => ({
+  version,
+  operators: {},
+  tiers: config.tiers,
+  accounts: Object.fromEntries(Array.from({ length: accounts }, (unused, position) => [`account-${position}`, {
+    keyHashes: [hash], tiers: ['door', 'guide'], concurrency: position === 7 ? version : 64, tokensPerMinute: 0, weight: 1,
+  }])),
+  models: {},
+  services: {},
+  pools: {},
+  migration: {},
+  limits: config.limits,
+});
+
+const countDeltaBytes = (accounts: number): number => {
+  const changes = diffManifests(makeManifest(accounts, 1), makeManifest(accounts, 2));
+  return HeartbeatReply.encode(HeartbeatReply.fromPartial({
+    leaseMs: 3_000, manifestVersion: 2, manifestDigest: hash, viewNumber: 9, holders: { number: 3, current: replicas, previous: [] }, delta: { baseVersion: 1, baseDigest: hash, changes },
+  })).finish().length;
+};
+
+const counts: Readonly<Record<string, number>> = {
+  'comparisons per decision, 10 workers': countComparisons(10),
+  'comparisons per decision, 100 workers': countComparisons(100),
+  'comparisons per decision, 1,000 workers': countComparisons(1_000),
+  'comparisons per decision, 3,000 workers': countComparisons(3_000),
+  'bytes of a heartbeat': HeartbeatRequest.encode({
+    member, manifestVersion: 12_345, manifestDigest: hash, viewNumber: 999,
+  }).finish().length,
+  'bytes of an unchanged answer to a heartbeat': HeartbeatReply.encode(HeartbeatReply.fromPartial({
+    leaseMs: 3_000, manifestVersion: 12_345, manifestDigest: hash, viewNumber: 999, holders: { number: 3, current: replicas, previous: [] },
+  })).finish().length,
+  'bytes of one change among 100 accounts': countDeltaBytes(100),
+  'bytes of one change among 13,000 accounts': countDeltaBytes(13_000),
+  'bytes of a view of 340 entries': HeartbeatReply.encode(HeartbeatReply.fromPartial({
+    view: { number: 9, members: Array.from({ length: 340 }, () => member) },
+  })).finish().length,
+  'bytes of a dispatched claim': ClaimRecord.encode(ClaimRecord.fromPartial({
+    key: `kiosks\n${member.incarnation}`,
+    promised: { round: 1, proposer: `entry-101:${member.incarnation}:12345` },
+    accepted: { round: 1, proposer: `entry-101:${member.incarnation}:12345` },
+    value: {
+      state: 'dispatched', bodyHash: 'a'.repeat(27), workerId: 'worker-1001', workerAddress: '10.20.30.40:7000', streamId: member.incarnation, target: 'guide', canResume: true, workerIncarnation: member.incarnation,
+    },
+  })).finish().length,
+};
+
+const bounds = JSON.parse(readFileSync('bench/bounds.json', 'utf8')) as Record<string, number>;
+const rows = Object.entries(counts).map(([name, count]) => ({ name, count, bound: bounds[name] ?? 0 }));
+const broken = rows.filter(({ count, bound }) => count > bound);
+
+rows.forEach(({ name, count, bound }) => console.log(`${name}: ${count} (at most ${bound})${count > bound ? '  BROKEN' : ''}`));
+if (process.argv.includes('--check') && broken.length > 0) process.exitCode = 1;
--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,274 @@
+/**
+ * Slopes for docs/CAPACITY.md: processor time, bytes and memory of each role at several sizes, from
+ * real processes on loopback. Processor time is the process's own, so that other load on the
+ * machine does not count.
+ */
+import { spawn } from 'node:child_process';
+import { setTimeout as pause } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import { ControlClient, ClaimValue, Announcement } from '../src/protocol/generated/beechlift';
+import { ClaimClient } from '../src/entry/claimClient';
+import { makeScheduleTables } from '../src/core/schedule/scheduleTables';
+import { handleScheduleEvent } from '../src/core/schedule/poolSchedule';
+import { Operation } from '../src/utils/operation';
+import { LinkTable } from '../src/wire/linkTable';
+import {
+  API_KEY, findFreeAddress, hashKey, makeManifest, TestSite, waitUntil,
+} from '../tests/fakes/testSite';
+import type { SiteProcess } from '../tests/fakes/testSite';
+
+const MEASURE_MS = 5_000;
+const HEARTBEAT_MS = 500;
+const DAEMONS = [8, 32, 64, 128];
+const MIB = 1_048_576;
+const CLOCK_TICKS = 100;
+
+interface Fit {
+  readonly slope: number;
+  readonly base: number;
+  /** Largest distance from the line, as a share of the largest value. */
+  readonly residual: number;
+}
+
+const fitLine = (points: readonly (readonly [number, number])[]): Fit => {
+  const n = points.length;
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / n;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / n;
+  const over = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+  const under = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+  const slope = over / under;
+  const base = meanY - slope * meanX;
+  const largest = Math.max(...points.map(([, y]) => Math.abs(y)));
+  const residual = Math.max(...points.map(([x, y]) => Math.abs(y - base - slope * x))) / largest;
+  return { slope, base, residual };
+};
+
+const printFit = (name: string, unit: string, points: readonly (readonly [number, number])[]): Fit => {
+  const fit = fitLine(points);
+  console.log(`${name}: ${points.map(([x, y]) => `${x}: ${y.toFixed(3)}`).join(', ')}`);
+  console.log(`  = ${fit.base.toFixed(4)} + ${fit.slope.toPrecision(4)} x ${unit}, residual ${(fit.residual * 100).toFixed(1)} %`);
+  return fit;
+};
+
+const readProc = async (member: SiteProcess, file: string): Promise<string> => {
+  const { readFile } = await import('node:fs/promises');
+  return readFile(`/proc/${member.child.pid}/${file}`, 'utf8');
+};
+
+const readCpuSeconds = async (member: SiteProcess): Promise<number> => {
+  const fields = (await readProc(member, 'stat')).split(') ')[1]?.split(' ') ?? [];
+  return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS;
+};
+
+const readMemoryMib = async (member: SiteProcess): Promise<number> => (
+  Number(/VmRSS:\s+(\d+)/.exec(await readProc(member, 'status'))?.[1] ?? 0) * 1_024) / MIB;
+
+const measureCpu = async (member: SiteProcess, run: () => Promise<unknown>): Promise<{ cpu: number; seconds: number }> => {
+  const before = await readCpuSeconds(member);
+  const startedAt = performance.now();
+  await run();
+  const seconds = (performance.now() - startedAt) / 1_000;
+  return { cpu: await readCpuSeconds(member) - before, seconds };
+};
+
+const runStep = async <Item>(items: readonly Item[], run: (item: Item) => Promise<void>): Promise<void> => {
+  await items.reduce<Promise<void>>(async (earlier, item) => {
+    await earlier;
+    await run(item);
+  }, Promise.resolve());
+};
+
+/** Heartbeats of many daemons at one leader. */
+const measureHeartbeats = async (site: TestSite): Promise<void> => {
+  const [leader] = site.controls as [SiteProcess];
+  const points: [number, number][] = [];
+  await runStep(DAEMONS, async (count) => {
+    const links = Array.from({ length: count }, () => new LinkTable(ControlClient));
+    const beat = (link: LinkTable<ControlClient>, position: number) => link.find(leader.address).call<object, object>(
+      (stub) => stub.heartbeat.bind(stub) as never,
+      {
+        member: {
+          id: `d${position}`, incarnation: 'x', peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:1', zone: 'az-1', state: 'active',
+        },
+        manifestVersion: 1,
+        manifestDigest: 'x',
+        viewNumber: 0,
+      },
+      new Operation({ timeoutMs: 400 }),
+    ).catch(() => undefined);
+    const timers = links.map((link, position) => setInterval(() => beat(link, position), HEARTBEAT_MS));
+    await pause(2_000);
+    const { cpu, seconds } = await measureCpu(leader, () => pause(MEASURE_MS));
+    timers.forEach((timer) => clearInterval(timer));
+    links.forEach((link) => link.close());
+    points.push([count, (cpu / seconds) * 100]);
+    await pause(3_000);
+  });
+  printFit('leader, % of a core by daemons that send 2 heartbeats/s each with the whole view and manifest', '%', points);
+};
+
+/** Claims at one holder. */
+const measureClaims = async (site: TestSite): Promise<void> => {
+  const [holder] = site.controls as [SiteProcess];
+  const links = new LinkTable(ControlClient);
+  const holders = (await site.readControl()).holders ?? { number: 1, current: [], previous: [] };
+  const client = new ClaimClient('bench', links, () => holders);
+  const points: [number, number][] = [];
+  await runStep([200, 800, 1_600], async (count) => {
+    const { cpu } = await measureCpu(holder, () => Promise.all(Array.from({ length: count }, async (unused, position) => {
+      await pause(position / 2);
+      const operation = new Operation({ timeoutMs: 5_000 });
+      const ticket = await client.prepare(`a\n${count}-${position}`, operation);
+      await client.accept(ticket, ClaimValue.fromPartial({ state: 'dispatched', streamId: 'x' }), operation);
+      await client.accept(ticket, ClaimValue.fromPartial({ state: 'finished', answer: Buffer.alloc(400), answerKept: true }), operation);
+    })));
+    points.push([count * 3, cpu * 1_000]);
+  });
+  printFit('holder, milliseconds of processor time by synced votes', 'ms', points);
+  const memory = await readMemoryMib(holder);
+  console.log(`holder, memory with ${points.reduce((sum, [votes]) => sum + votes / 3, 0)} claims: ${memory.toFixed(1)} MiB`);
+  links.close();
+};
+
+const ask = async (entry: SiteProcess, tokens: number, agent: Agent): Promise<void> => {
+  const response = await request(`http://${entry.address}/v1/completions`, {
+    method: 'POST',
+    dispatcher: agent,
+    headers: { authorization: `Bearer ${API_KEY}`, 'content-type': 'application/json' },
+    body: JSON.stringify({
+      model: 'guide', prompt: 'hello', max_tokens: tokens, stream: true,
+    }),
+  });
+  await response.body.dump({ limit: 1e9 });
+};
+
+/** Tokens and streams at one entry. */
+const measureRelay = async (site: TestSite): Promise<void> => {
+  const [entry] = site.entries as [SiteProcess];
+  const agent = new Agent({ connections: 2_000 });
+  const address = await findFreeAddress();
+  const engine = spawn(process.execPath, ['dist/engine.cjs', JSON.stringify({
+    id: 'g1', pool: 'engines', hardware: 'fast', models: ['guide'], entries: site.entries.map((item) => item.address), announceMs: 200, loadLagMs: 0, recordFile: '', prefillMs: 0, decodeMs: 2, slots: 2_000, cacheSize: 8, port: Number(address.split(':')[1]),
+  })], { stdio: 'ignore' });
+  await waitUntil('the engine is known', async () => (await site.listWorkers()).includes('g1'));
+  await Promise.all(Array.from({ length: 32 }, () => ask(entry, 50, agent)));
+  const tokens: [number, number][] = [];
+  await runStep([50, 200, 400], async (count) => {
+    const { cpu } = await measureCpu(entry, () => Promise.all(Array.from({ length: 32 }, () => ask(entry, count, agent))));
+    tokens.push([count * 32, cpu * 1_000]);
+  });
+  printFit('entry, milliseconds of processor time by relayed tokens (32 streams)', 'ms', tokens);
+  const requests: [number, number][] = [];
+  await runStep([100, 300, 600], async (count) => {
+    const { cpu } = await measureCpu(entry, () => Promise.all(Array.from({ length: count }, () => ask(entry, 1, agent))));
+    requests.push([count, cpu * 1_000]);
+  });
+  printFit('entry, milliseconds of processor time by requests of one token without a key', 'ms', requests);
+  const memory: [number, number][] = [];
+  await runStep([1, 200, 400, 800], async (count) => {
+    const running = Promise.all(Array.from({ length: count }, () => ask(entry, 100, agent)));
+    await waitUntil('all are open', async () => (await site.readStatus(entry)).open >= count);
+    memory.push([count, await readMemoryMib(entry)]);
+    await running;
+  });
+  printFit('entry, MiB by open streams', 'MiB', memory);
+  engine.kill('SIGKILL');
+};
+
+/** Memory of an owner by workers, and of an entry by accounts. */
+const measureTables = async (site: TestSite): Promise<void> => {
+  const [entry] = site.entries as [SiteProcess];
+  const accounts: [number, number][] = [];
+  await runStep([100, 4_000, 13_000], async (count) => {
+    const manifest = makeManifest(100 + count, {
+      accounts: Object.fromEntries(Array.from({ length: count }, (unused, position) => [`a${position}`, {
+        keyHashes: [hashKey(`k${position}`)], tiers: ['door'], concurrency: 10,
+      }])),
+      limits: { queuePerPool: 1_000_000 },
+    });
+    await site.submit(manifest);
+    await site.waitForVersion(100 + count);
+    await pause(2_000);
+    accounts.push([count, await readMemoryMib(entry)]);
+  });
+  printFit('entry, MiB by client accounts', 'MiB', accounts);
+  const workers: [number, number][] = [];
+  [100, 1_000, 3_000].forEach((count) => {
+    global.gc?.();
+    const before = process.memoryUsage().heapUsed;
+    const tables = makeScheduleTables('p', site as never, [], 0);
+    tables.config = { tiers: {}, accounts: {}, limits: { workersPerPool: 10_000 } as never };
+    const startedAt = process.cpuUsage();
+    Array.from({ length: count }).forEach((unused, position) => handleScheduleEvent(tables, {
+      kind: 'announce',
+      announcement: Announcement.fromPartial({
+        id: `w${position}`, hardware: 'h', models: ['m'], slots: 8, state: 'ready',
+      }),
+    }, 1));
+    const spent = process.cpuUsage(startedAt);
+    global.gc?.();
+    workers.push([count, (process.memoryUsage().heapUsed - before) / 1_024]);
+    console.log(`owner, ${count} announcements: ${((spent.user + spent.system) / count).toFixed(1)} us each; workers kept: ${tables.workers.size}`);
+  });
+  printFit('owner, KiB of heap by workers', 'KiB', workers);
+};
+
+/** From accepted to in force on all of eight entries. */
+const measureChange = async (): Promise<void> => {
+  const site = new TestSite();
+  await site.start(3, 8);
+  const times: number[] = [];
+  await runStep(Array.from({ length: 10 }, (unused, position) => position + 2), async (version) => {
+    await site.submit(makeManifest(version));
+    const acceptedAt = performance.now();
+    await site.waitForVersion(version);
+    times.push(performance.now() - acceptedAt);
+  });
+  console.log(`8 entries, accepted to in force everywhere: max ${Math.max(...times).toFixed(0)} ms of ${times.length} changes (heartbeats every 200 ms)`);
+  const frozen = site.entries[0] as SiteProcess;
+  site.freeze(frozen, true);
+  await site.submit(makeManifest(50));
+  const acceptedAt = performance.now();
+  await site.waitForVersion(50, site.entries.slice(1));
+  console.log(`one entry frozen: in force on the other 7 after ${(performance.now() - acceptedAt).toFixed(0)} ms`);
+  site.freeze(frozen, false);
+  const { id } = await site.readControl();
+  const killedAt = performance.now();
+  await site.kill(site.controls.find((control) => control.id === id) as SiteProcess);
+  await site.submit(makeManifest(51));
+  await site.waitForVersion(51);
+  console.log(`leader killed just before the submit: in force everywhere ${(performance.now() - killedAt).toFixed(0)} ms after the kill`);
+  const behind = site.controls.find((control) => control.child.exitCode === null && control.child.signalCode === null) as SiteProcess;
+  await runStep(Array.from({ length: 1_000 }, (unused, position) => position + 100), async (version) => {
+    await site.submit(makeManifest(version));
+  });
+  await site.kill(behind);
+  const restartedAt = performance.now();
+  site.restart(behind);
+  await site.submit(makeManifest(2_000));
+  await site.waitForVersion(2_000);
+  console.log(`a replica restarted with 1,000 changes piled up: site decides and all serve ${(performance.now() - restartedAt).toFixed(0)} ms after`);
+  await site.stop();
+};
+
+const runSlopes = async (): Promise<void> => {
+  const site = new TestSite();
+  await site.start(1, 2);
+  console.log(`idle: control ${(await readMemoryMib(site.controls[0] as SiteProcess)).toFixed(1)} MiB, entry ${(await readMemoryMib(site.entries[0] as SiteProcess)).toFixed(1)} MiB`);
+  const idle = await measureCpu(site.entries[0] as SiteProcess, () => pause(MEASURE_MS));
+  console.log(`entry without requests: ${((idle.cpu / idle.seconds) * 100).toFixed(2)} % of a core`);
+  await measureRelay(site);
+  await measureClaims(site);
+  await measureTables(site);
+  await site.stop();
+  const second = new TestSite();
+  await second.start(1, 0);
+  await measureHeartbeats(second);
+  await second.stop();
+  await measureChange();
+};
+
+runSlopes().then(() => process.exit(0)).catch((error: unknown) => {
+  console.error(error);
+  process.exit(1);
+});
