--- a/bench/counts.ts
+++ b/bench/counts.ts
@@ -43,20 +43,37 @@
   Array.from({ length: workers }).forEach((unused, position) => handleScheduleEvent(tables, {
     kind: 'announce',
     announcement: Announcement.fromPartial({
-      id: `w${position}`, hardware: `h${position % HARDWARE_TYPES}`, zone: 'az-1', models: ['guide'], slots: 8, state: 'ready',
+      id: `w${position}`,
+      hardware: `h${position % HARDWARE_TYPES}`,
+      zone: 'az-1',
+      models: ['guide'],
+      slots: 8,
+      state: 'ready',
     }),
   }, 0));
   Array.from({ length: DECISIONS }).forEach((unused, position) => {
     handleScheduleEvent(tables, {
       kind: 'ask',
       ask: AskRequest.fromPartial({
-        requestId: `r${position}`, tier: 'door', account: 'a', target: 'guide', promptTokens: 200, maxTokens: 20, deadlineMs: 60_000, prefixes: [`p${position % 20}`],
+        requestId: `r${position}`,
+        tier: 'door',
+        account: 'a',
+        target: 'guide',
+        promptTokens: 200,
+        maxTokens: 20,
+        deadlineMs: 60_000,
+        prefixes: [`p${position % 20}`],
       }),
     }, position);
     handleScheduleEvent(tables, {
       kind: 'report',
       report: ReportRequest.fromPartial({
-        requestId: `r${position - 40}`, phase: 'finished', outcome: 'complete', firstTokenMs: 20, totalMs: 200, outputTokens: 20,
+        requestId: `r${position - 40}`,
+        phase: 'finished',
+        outcome: 'complete',
+        firstTokenMs: 20,
+        totalMs: 200,
+        outputTokens: 20,
       }),
     }, position);
   });
@@ -65,7 +82,12 @@
 
 const hash = 'a'.repeat(SHA256_DIGITS);
 const member = {
-  id: 'entry-101', incarnation: '0a1b2c3d-0a1b-2c3d-4e5f-0a1b2c3d4e5f', peerAddress: '10.20.30.40:7100', callerAddress: '10.20.30.40:7000', zone: 'az-21', state: 'active',
+  id: 'entry-101',
+  incarnation: '0a1b2c3d-0a1b-2c3d-4e5f-0a1b2c3d4e5f',
+  peerAddress: '10.20.30.40:7100',
+  callerAddress: '10.20.30.40:7000',
+  zone: 'az-21',
+  state: 'active',
 };
 const replicas = Array.from({ length: 5 }, (unused, position) => ({ id: `c${position}`, address: '10.20.30.41:7200', zone: 'az-21' }));
 
@@ -74,7 +96,11 @@
   operators: {},
   tiers: config.tiers,
   accounts: Object.fromEntries(Array.from({ length: accounts }, (unused, position) => [`account-${position}`, {
-    keyHashes: [hash], tiers: ['door', 'guide'], concurrency: position === 7 ? version : 64, tokensPerMinute: 0, weight: 1,
+    keyHashes: [hash],
+    tiers: ['door', 'guide'],
+    concurrency: position === 7 ? version : 64,
+    tokensPerMinute: 0,
+    weight: 1,
   }])),
   models: {},
   services: {},
@@ -86,7 +112,12 @@
 const countDeltaBytes = (accounts: number): number => {
   const changes = diffManifests(makeManifest(accounts, 1), makeManifest(accounts, 2));
   return HeartbeatReply.encode(HeartbeatReply.fromPartial({
-    leaseMs: 3_000, manifestVersion: 2, manifestDigest: hash, viewNumber: 9, holders: { number: 3, current: replicas, previous: [] }, delta: { baseVersion: 1, baseDigest: hash, changes },
+    leaseMs: 3_000,
+    manifestVersion: 2,
+    manifestDigest: hash,
+    viewNumber: 9,
+    holders: { number: 3, current: replicas, previous: [] },
+    delta: { baseVersion: 1, baseDigest: hash, changes },
   })).finish().length;
 };
 
@@ -99,7 +130,11 @@
     member, manifestVersion: 12_345, manifestDigest: hash, viewNumber: 999,
   }).finish().length,
   'bytes of an unchanged answer to a heartbeat': HeartbeatReply.encode(HeartbeatReply.fromPartial({
-    leaseMs: 3_000, manifestVersion: 12_345, manifestDigest: hash, viewNumber: 999, holders: { number: 3, current: replicas, previous: [] },
+    leaseMs: 3_000,
+    manifestVersion: 12_345,
+    manifestDigest: hash,
+    viewNumber: 999,
+    holders: { number: 3, current: replicas, previous: [] },
   })).finish().length,
   'bytes of one change among 100 accounts': countDeltaBytes(100),
   'bytes of one change among 13,000 accounts': countDeltaBytes(13_000),
@@ -111,14 +146,24 @@
     promised: { round: 1, proposer: `entry-101:${member.incarnation}:12345` },
     accepted: { round: 1, proposer: `entry-101:${member.incarnation}:12345` },
     value: {
-      state: 'dispatched', bodyHash: 'a'.repeat(27), workerId: 'worker-1001', workerAddress: '10.20.30.40:7000', streamId: member.incarnation, target: 'guide', canResume: true, workerIncarnation: member.incarnation,
+      state: 'dispatched',
+      bodyHash: 'a'.repeat(27),
+      workerId: 'worker-1001',
+      workerAddress: '10.20.30.40:7000',
+      streamId: member.incarnation,
+      target: 'guide',
+      canResume: true,
+      workerIncarnation: member.incarnation,
     },
   })).finish().length,
 };
 
 const bounds = JSON.parse(readFileSync('bench/bounds.json', 'utf8')) as Record<string, number>;
-const rows = Object.entries(counts).map(([name, count]) => ({ name, count, bound: bounds[name] ?? 0 }));
+const rows = Object.entries(counts)
+  .map(([name, count]) => ({ name, count, bound: bounds[name] ?? 0 }));
 const broken = rows.filter(({ count, bound }) => count > bound);
 
-rows.forEach(({ name, count, bound }) => console.log(`${name}: ${count} (at most ${bound})${count > bound ? '  BROKEN' : ''}`));
+rows.forEach(({ name, count, bound }) => {
+  console.log(`${name}: ${count} (at most ${bound})${count > bound ? '  BROKEN' : ''}`);
+});
 if (process.argv.includes('--check') && broken.length > 0) process.exitCode = 1;
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -26,7 +26,7 @@
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0;
 };
 
-const timeStream = async (address: string): Promise<Timing> => {
+const measureStream = async (address: string): Promise<Timing> => {
   const startedAt = performance.now();
   const response = await request(`http://${address}/v1/completions`, {
     method: 'POST',
@@ -42,14 +42,15 @@
     const events = (piece as Buffer).toString().split('data: {').length - 1;
     if (events > 0) times.push(performance.now());
   }
-  return { firstMs: (times[0] ?? 0) - startedAt, gaps: times.slice(1).map((time, position) => time - (times[position] ?? 0)) };
+  const gaps = times.slice(1).map((time, position) => time - (times[position] ?? 0));
+  return { firstMs: (times[0] ?? 0) - startedAt, gaps };
 };
 
-const timeRounds = async (address: string, streams: number): Promise<Timing[]> => {
+const measureRounds = async (address: string, streams: number): Promise<Timing[]> => {
   const rounds = Array.from({ length: ROUNDS[streams] ?? 1 });
   return rounds.reduce<Promise<Timing[]>>(async (earlier) => [
     ...await earlier,
-    ...await Promise.all(Array.from({ length: streams }, () => timeStream(address))),
+    ...await Promise.all(Array.from({ length: streams }, () => measureStream(address))),
   ], Promise.resolve([]));
 };
 
@@ -60,11 +61,13 @@
 };
 
 const compareStreams = async (engine: string, entry: string, streams: number): Promise<void> => {
-  await timeRounds(entry, streams);
-  const direct = await timeRounds(engine, streams);
-  const through = await timeRounds(entry, streams);
-  const added = [0.5, 0.99].map((quantile) => findQuantile(through.map(({ firstMs }) => firstMs), quantile)
-    - findQuantile(direct.map(({ firstMs }) => firstMs), quantile));
+  await measureRounds(entry, streams);
+  const direct = await measureRounds(engine, streams);
+  const through = await measureRounds(entry, streams);
+  const readFirst = (timings: readonly Timing[], quantile: number) => (
+    findQuantile(timings.map(({ firstMs }) => firstMs), quantile));
+  const added = [0.5, 0.99].map((quantile) => (
+    readFirst(through, quantile) - readFirst(direct, quantile)));
   console.log(`${streams} streams (p50 / p99)`);
   console.log(`  direct:  ${formatTimes(direct)}`);
   console.log(`  entry:   ${formatTimes(through)}`);
@@ -76,7 +79,19 @@
   await site.start(1, 2);
   const address = await findFreeAddress();
   const engine = spawn(process.execPath, ['dist/engine.cjs', JSON.stringify({
-    id: 'g1', pool: 'engines', hardware: 'fast', models: ['guide'], entries: site.entries.map((entry) => entry.address), announceMs: 200, loadLagMs: 0, recordFile: '', prefillMs: 0, decodeMs: DECODE_MS, slots: NEEDED_SLOTS, cacheSize: 8, port: Number(address.split(':')[1]),
+    id: 'g1',
+    pool: 'engines',
+    hardware: 'fast',
+    models: ['guide'],
+    entries: site.entries.map((entry) => entry.address),
+    announceMs: 200,
+    loadLagMs: 0,
+    recordFile: '',
+    prefillMs: 0,
+    decodeMs: DECODE_MS,
+    slots: NEEDED_SLOTS,
+    cacheSize: 8,
+    port: Number(address.split(':')[1]),
   })], { stdio: 'ignore' });
   try {
     await waitUntil('the engine is known', async () => (await site.listWorkers()).includes('g1'));
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -23,6 +23,14 @@
 const MIB = 1_048_576;
 const CLOCK_TICKS = 100;
 
+type Points = readonly (readonly [number, number])[];
+
+/** Processor seconds that a piece of work took, and how long it lasted. */
+interface Spent {
+  readonly cpu: number;
+  readonly seconds: number;
+}
+
 interface Fit {
   readonly slope: number;
   readonly base: number;
@@ -30,7 +38,7 @@
   readonly residual: number;
 }
 
-const fitLine = (points: readonly (readonly [number, number])[]): Fit => {
+const computeFit = (points: Points): Fit => {
   const n = points.length;
   const meanX = points.reduce((sum, [x]) => sum + x, 0) / n;
   const meanY = points.reduce((sum, [, y]) => sum + y, 0) / n;
@@ -43,8 +51,8 @@
   return { slope, base, residual };
 };
 
-const printFit = (name: string, unit: string, points: readonly (readonly [number, number])[]): Fit => {
-  const fit = fitLine(points);
+const printFit = (name: string, unit: string, points: Points): Fit => {
+  const fit = computeFit(points);
   console.log(`${name}: ${points.map(([x, y]) => `${x}: ${y.toFixed(3)}`).join(', ')}`);
   console.log(`  = ${fit.base.toFixed(4)} + ${fit.slope.toPrecision(4)} x ${unit}, residual ${(fit.residual * 100).toFixed(1)} %`);
   return fit;
@@ -63,7 +71,10 @@
 const readMemoryMib = async (member: SiteProcess): Promise<number> => (
   Number(/VmRSS:\s+(\d+)/.exec(await readProc(member, 'status'))?.[1] ?? 0) * 1_024) / MIB;
 
-const measureCpu = async (member: SiteProcess, run: () => Promise<unknown>): Promise<{ cpu: number; seconds: number }> => {
+const measureCpu = async (
+  member: SiteProcess,
+  run: () => Promise<unknown>,
+): Promise<Spent> => {
   const before = await readCpuSeconds(member);
   const startedAt = performance.now();
   await run();
@@ -71,7 +82,10 @@
   return { cpu: await readCpuSeconds(member) - before, seconds };
 };
 
-const runStep = async <Item>(items: readonly Item[], run: (item: Item) => Promise<void>): Promise<void> => {
+const runStep = async <Item>(
+  items: readonly Item[],
+  run: (item: Item) => Promise<void>,
+): Promise<void> => {
   await items.reduce<Promise<void>>(async (earlier, item) => {
     await earlier;
     await run(item);
@@ -84,11 +98,19 @@
   const points: [number, number][] = [];
   await runStep(DAEMONS, async (count) => {
     const links = Array.from({ length: count }, () => new LinkTable(ControlClient));
-    const beat = (link: LinkTable<ControlClient>, position: number) => link.find(leader.address).call<object, object>(
+    const beat = (
+      link: LinkTable<ControlClient>,
+      position: number,
+    ) => link.find(leader.address).call<object, object>(
       (stub) => stub.heartbeat.bind(stub) as never,
       {
         member: {
-          id: `d${position}`, incarnation: 'x', peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:1', zone: 'az-1', state: 'active',
+          id: `d${position}`,
+          incarnation: 'x',
+          peerAddress: '127.0.0.1:1',
+          callerAddress: '127.0.0.1:1',
+          zone: 'az-1',
+          state: 'active',
         },
         manifestVersion: 1,
         manifestDigest: 'x',
@@ -96,7 +118,8 @@
       },
       new Operation({ timeoutMs: 400 }),
     ).catch(() => undefined);
-    const timers = links.map((link, position) => setInterval(() => beat(link, position), HEARTBEAT_MS));
+    const timers = links.map((link, position) => (
+      setInterval(() => beat(link, position), HEARTBEAT_MS)));
     await pause(2_000);
     const { cpu, seconds } = await measureCpu(leader, () => pause(MEASURE_MS));
     timers.forEach((timer) => clearInterval(timer));
@@ -107,6 +130,11 @@
   printFit('leader, % of a core by daemons that send 2 heartbeats/s each with the whole view and manifest', '%', points);
 };
 
+const DISPATCHED = ClaimValue.fromPartial({ state: 'dispatched', streamId: 'x' });
+const FINISHED = ClaimValue.fromPartial({
+  state: 'finished', answer: Buffer.alloc(400), answerKept: true,
+});
+
 /** Claims at one holder. */
 const measureClaims = async (site: TestSite): Promise<void> => {
   const [holder] = site.controls as [SiteProcess];
@@ -115,12 +143,13 @@
   const client = new ClaimClient('bench', links, () => holders);
   const points: [number, number][] = [];
   await runStep([200, 800, 1_600], async (count) => {
-    const { cpu } = await measureCpu(holder, () => Promise.all(Array.from({ length: count }, async (unused, position) => {
+    const positions = Array.from({ length: count }, (unused, position) => position);
+    const { cpu } = await measureCpu(holder, () => Promise.all(positions.map(async (position) => {
       await pause(position / 2);
       const operation = new Operation({ timeoutMs: 5_000 });
       const ticket = await client.prepare(`a\n${count}-${position}`, operation);
-      await client.accept(ticket, ClaimValue.fromPartial({ state: 'dispatched', streamId: 'x' }), operation);
-      await client.accept(ticket, ClaimValue.fromPartial({ state: 'finished', answer: Buffer.alloc(400), answerKept: true }), operation);
+      await client.accept(ticket, DISPATCHED, operation);
+      await client.accept(ticket, FINISHED, operation);
     })));
     points.push([count * 3, cpu * 1_000]);
   });
@@ -142,30 +171,49 @@
   await response.body.dump({ limit: 1e9 });
 };
 
+const askMany = (
+  entry: SiteProcess,
+  count: number,
+  tokens: number,
+  agent: Agent,
+): Promise<unknown> => Promise.all(Array.from({ length: count }, () => ask(entry, tokens, agent)));
+
 /** Tokens and streams at one entry. */
 const measureRelay = async (site: TestSite): Promise<void> => {
   const [entry] = site.entries as [SiteProcess];
   const agent = new Agent({ connections: 2_000 });
   const address = await findFreeAddress();
   const engine = spawn(process.execPath, ['dist/engine.cjs', JSON.stringify({
-    id: 'g1', pool: 'engines', hardware: 'fast', models: ['guide'], entries: site.entries.map((item) => item.address), announceMs: 200, loadLagMs: 0, recordFile: '', prefillMs: 0, decodeMs: 2, slots: 2_000, cacheSize: 8, port: Number(address.split(':')[1]),
+    id: 'g1',
+    pool: 'engines',
+    hardware: 'fast',
+    models: ['guide'],
+    entries: site.entries.map((item) => item.address),
+    announceMs: 200,
+    loadLagMs: 0,
+    recordFile: '',
+    prefillMs: 0,
+    decodeMs: 2,
+    slots: 2_000,
+    cacheSize: 8,
+    port: Number(address.split(':')[1]),
   })], { stdio: 'ignore' });
   await waitUntil('the engine is known', async () => (await site.listWorkers()).includes('g1'));
   await Promise.all(Array.from({ length: 32 }, () => ask(entry, 50, agent)));
   const tokens: [number, number][] = [];
   await runStep([50, 200, 400], async (count) => {
-    const { cpu } = await measureCpu(entry, () => Promise.all(Array.from({ length: 32 }, () => ask(entry, count, agent))));
+    const { cpu } = await measureCpu(entry, () => askMany(entry, 32, count, agent));
     tokens.push([count * 32, cpu * 1_000]);
   });
   printFit('entry, milliseconds of processor time by relayed tokens (32 streams)', 'ms', tokens);
   const requests: [number, number][] = [];
   await runStep([100, 300, 600], async (count) => {
-    const { cpu } = await measureCpu(entry, () => Promise.all(Array.from({ length: count }, () => ask(entry, 1, agent))));
+    const { cpu } = await measureCpu(entry, () => askMany(entry, count, 1, agent));
     requests.push([count, cpu * 1_000]);
   });
   printFit('entry, milliseconds of processor time by requests of one token without a key', 'ms', requests);
   const memory: [number, number][] = [];
-  await runStep([1, 200, 400, 800], async (count) => {
+  await runStep([1, 150, 300, 450], async (count) => {
     const running = Promise.all(Array.from({ length: count }, () => ask(entry, 100, agent)));
     await waitUntil('all are open', async () => (await site.readStatus(entry)).open >= count);
     memory.push([count, await readMemoryMib(entry)]);
@@ -238,7 +286,8 @@
   await site.submit(makeManifest(51));
   await site.waitForVersion(51);
   console.log(`leader killed just before the submit: in force everywhere ${(performance.now() - killedAt).toFixed(0)} ms after the kill`);
-  const behind = site.controls.find((control) => control.child.exitCode === null && control.child.signalCode === null) as SiteProcess;
+  const behind = site.controls.find(({ child }) => (
+    child.exitCode === null && child.signalCode === null)) as SiteProcess;
   await runStep(Array.from({ length: 1_000 }, (unused, position) => position + 100), async (version) => {
     await site.submit(makeManifest(version));
   });
@@ -254,8 +303,10 @@
 const runSlopes = async (): Promise<void> => {
   const site = new TestSite();
   await site.start(1, 2);
-  console.log(`idle: control ${(await readMemoryMib(site.controls[0] as SiteProcess)).toFixed(1)} MiB, entry ${(await readMemoryMib(site.entries[0] as SiteProcess)).toFixed(1)} MiB`);
-  const idle = await measureCpu(site.entries[0] as SiteProcess, () => pause(MEASURE_MS));
+  const [control, entry] = [site.controls[0] as SiteProcess, site.entries[0] as SiteProcess];
+  const sizes = await Promise.all([control, entry].map(readMemoryMib));
+  console.log(`idle, MiB of control and entry: ${sizes.map((size) => size.toFixed(1)).join(', ')}`);
+  const idle = await measureCpu(entry, () => pause(MEASURE_MS));
   console.log(`entry without requests: ${((idle.cpu / idle.seconds) * 100).toFixed(2)} % of a core`);
   await measureRelay(site);
   await measureClaims(site);
