verify: check what callers and engines recorded against what must always hold

beechlift verify FILES reads NDJSON of sent, answer and dispatch, and prints each broken invariant with its story: dispatched once, whole and own answers, a true notRun, the same for a resend, everything answered. Conclusion: proofs look at both ends, not at our logs.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -214,7 +214,8 @@
   printFit('entry, milliseconds of processor time by requests of one token without a key', 'ms', requests);
   const memory: [number, number][] = [];
   await runStep([1, 150, 300, 450], async (count) => {
-    const running = Promise.all(Array.from({ length: count }, () => ask(entry, 100, agent)));
+    // The stand-in admits one stream a step: long enough for all to be open at once.
+    const running = askMany(entry, count, count + 60, agent);
     await waitUntil('all are open', async () => (await site.readStatus(entry)).open >= count);
     memory.push([count, await readMemoryMib(entry)]);
     await running;
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
   runExplain, runReplace, runStatus, runSubmit,
 } from './cli/runOperator';
 import { runControl, runEntry } from './cli/runProcess';
+import { runVerify } from './cli/runVerify';
 import { toBeechliftError } from './errors/beechliftError';
 import { VERSION } from './version';
 
@@ -118,6 +119,14 @@
       .example('$0 explain 2001', ''),
     (argv) => settle(argv.json, () => runExplain(String(argv.code), argv.json)),
   )
+  .command(
+    'verify <records..>',
+    'Check what callers and engines recorded against what must always hold',
+    (command) => command
+      .positional('records', { type: 'string', array: true, demandOption: true })
+      .example('$0 verify callers.ndjson engines.ndjson', 'NDJSON of sent, answer and dispatch'),
+    (argv) => settle(argv.json, () => runVerify(argv.records, argv.json)),
+  )
   .demandCommand(1, 'Name a command.')
   .strict()
   .wrap(100)
