--- a/src/entry/modelRunner.ts
+++ b/src/entry/modelRunner.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { BeechliftError } from '../errors/beechliftError';
 import type { Manifest } from '../manifest/manifest';
 import type { Metrics } from '../telemetry/metrics';
 import type { HopTracer } from '../telemetry/tracing';
@@ -11,6 +11,10 @@
 import { EngineRefusal } from './engineRefusal';
 import type { EngineClient, EngineEvent } from './engineClient';
 import { decodeKeptAnswer, KeptAnswer } from './keptAnswer';
+import {
+  buildStreamBody, judgeDispatch, replayAnswer, toBackendError,
+} from './modelSteps';
+import { refuseReleased } from './refuseReleased';
 import type { RequestJob } from './requestJob';
 import type { ClaimedDispatch } from './requestClaim';
 import type { RetryBudget } from './retryBudget';
@@ -80,21 +84,10 @@
       if (claim.status === 'rejected') throw claim.reason;
       return undefined;
     }
-    if (slot.status === 'rejected') return this.refuse(job, slot.reason);
+    if (slot.status === 'rejected') return refuseReleased(job, slot.reason);
     return slot.value;
   }
 
-  /*
-   * Guards "not run": it is said only once the claim is given back at a majority, with no byte
-   * sent.
-   */
-  private async refuse(job: RequestJob, reason: unknown): Promise<never> {
-    const error = toBeechliftError(reason);
-    const released = await job.claim.release();
-    if (released) throw error;
-    throw new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
-  }
-
   private async dispatch(job: RequestJob, reply: AskReply): Promise<void> {
     const granted: Granted = {
       dispatch: {
@@ -144,10 +137,10 @@
         address: workerAddress,
         streamId,
         path: job.request.path,
-        body: this.buildBody(job),
+        body: buildStreamBody(job.request),
         headers,
         signal: job.relaying.signal,
-      }, ENGINE_SILENCE_MS).catch((error: unknown) => this.judgeDispatch(error, granted));
+      }, ENGINE_SILENCE_MS).catch((error: unknown) => judgeDispatch(error, granted.dispatch));
       await this.relay(job, granted.dispatch, events, headers);
     } catch (error) {
       await this.handleFailure(job, granted, error);
@@ -156,21 +149,6 @@
     }
   }
 
-  /**
-   * A dispatch that may have arrived is taken up again as a stream; one that did not is thrown on.
-   */
-  private judgeDispatch(error: unknown, { dispatch }: Granted): undefined {
-    const mayRun = error instanceof EngineFailure && error.reach === 'maybeSent';
-    if (mayRun && dispatch.canResume) return undefined;
-    throw error;
-  }
-
-  private buildBody({ request }: RequestJob): string {
-    return request.stream
-      ? request.body
-      : JSON.stringify({ ...JSON.parse(request.body) as object, stream: true });
-  }
-
   private async relay(
     job: RequestJob,
     dispatch: ClaimedDispatch,
@@ -253,11 +231,7 @@
     slots.finish(job.request, job.caller.isGone() ? 'cancelled' : 'failed');
     metrics.wastedPrefill.inc({ reason: 'dropped' }, job.request.promptTokens);
     if (job.relaying.signal.aborted) await this.cancelStream(granted.dispatch);
-    throw error instanceof EngineRefusal ? this.toRefusal(error) : error;
-  }
-
-  private toRefusal(error: EngineRefusal): BeechliftError {
-    return new BeechliftError('backendFailed', `the engine answered with status ${error.status}: ${error.body.slice(0, 500)}`, { run: 'unknown' });
+    throw error instanceof EngineRefusal ? toBackendError(error) : error;
   }
 
   private async cancelStream({ workerAddress, streamId }: ClaimedDispatch): Promise<void> {
@@ -312,7 +286,7 @@
     }
     this.parts.metrics.retries.inc();
     const reply = await this.parts.slots.take(job.request, job.waiting, job.context)
-      .catch((error: unknown) => this.refuse(job, error));
+      .catch((error: unknown) => refuseReleased(job, error));
     await this.dispatch(job, reply);
   }
 
@@ -320,7 +294,7 @@
   private async takeUp(job: RequestJob): Promise<void> {
     const bound = job.claim.bound as ClaimValue;
     if (bound.state === 'finished' && bound.answerKept) {
-      await this.replay(job, decodeKeptAnswer(bound.answer));
+      await replayAnswer(job.sink, decodeKeptAnswer(bound.answer));
       return;
     }
     await job.claim.confirmBound(job.relaying);
@@ -330,11 +304,6 @@
     await this.resumeBound(job, bound);
   }
 
-  private async replay({ sink }: RequestJob, events: readonly string[]): Promise<void> {
-    await events.reduce((before, data) => before.then(() => sink.deliver(data)), Promise.resolve());
-    await sink.end();
-  }
-
   private async resumeBound(job: RequestJob, bound: ClaimValue): Promise<void> {
     const dispatch: ClaimedDispatch = bound;
     try {
--- /dev/null
+++ b/src/entry/refuseReleased.ts
@@ -0,0 +1,13 @@
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import type { RequestJob } from './requestJob';
+
+/*
+ * Guards "not run": it is said only once the claim is given back at a majority, with no byte sent.
+ * Where no majority agrees, the caller hears that nobody knows.
+ */
+export const refuseReleased = async (job: RequestJob, reason: unknown): Promise<never> => {
+  const error = toBeechliftError(reason);
+  const released = await job.claim.release();
+  if (released) throw error;
+  throw new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
+};
--- a/src/entry/serviceRunner.ts
+++ b/src/entry/serviceRunner.ts
@@ -1,10 +1,11 @@
 import { randomUUID } from 'node:crypto';
 import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { BeechliftError } from '../errors/beechliftError';
 import type { Manifest } from '../manifest/manifest';
 import type { HopTracer } from '../telemetry/tracing';
 import type { Clock } from '../utils/clock';
 import { EngineFailure } from './engineFailure';
+import { refuseReleased } from './refuseReleased';
 import type { RequestJob } from './requestJob';
 import { callService } from './serviceClient';
 import type { ServiceAnswer } from './serviceClient';
@@ -44,7 +45,7 @@
     const { bound } = job.claim;
     if (bound) return this.answerBound(bound);
     const grant = await this.parts.slots.take(job.request, job.waiting, job.context)
-      .catch((error: unknown) => this.refuse(job, error));
+      .catch((error: unknown) => refuseReleased(job, error));
     await this.claimDispatch(job, grant);
     return this.send(job, grant, dispatch);
   }
@@ -63,16 +64,6 @@
     throw new BeechliftError('outcomeUnknown', 'the same key was sent before, and nobody knows yet how it ended', { retryAfterMs: 1_000 });
   }
 
-  private async refuse(job: RequestJob, reason: unknown): Promise<never> {
-    const error = toBeechliftError(reason);
-    const released = await job.claim.release();
-    throw released ? error : new BeechliftError(
-      error.code,
-      error.message,
-      { ...error.detail, run: 'unknown' },
-    );
-  }
-
   private async claimDispatch(job: RequestJob, grant: AskReply): Promise<void> {
     const grantedAt = this.parts.clock.now();
     try {
@@ -90,7 +81,7 @@
     const age = this.parts.clock.now() - grantedAt;
     if (age <= grant.grantMs && this.parts.isServing() && !job.caller.isGone()) return;
     this.parts.slots.drop(job.request);
-    await this.refuse(job, new BeechliftError('noSlotInTime', 'the grant was too old to be used', { retryAfterMs: 500 }));
+    await refuseReleased(job, new BeechliftError('noSlotInTime', 'the grant was too old to be used', { retryAfterMs: 500 }));
   }
 
   private async send(
@@ -135,7 +126,7 @@
     const notSent = error instanceof EngineFailure && error.reach === 'notSent';
     this.parts.slots.finish(job.request, notSent ? 'unreachable' : 'failed');
     if (notSent) {
-      return this.refuse(
+      return refuseReleased(
         job,
         new BeechliftError('noBackend', error.message, { retryAfterMs: 1_000 }),
       );
