--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -26,7 +26,7 @@
 };
 
 const ENTRIES = 8;
-const SEED = 20_261;
+const SEED = Number(process.env.SEED ?? 20_261);
 
 const [shapeName = 'kiosk', secondsText = '10', ...loadTexts] = process.argv.slice(2);
 const shape = SHAPES[shapeName as keyof typeof SHAPES];
@@ -121,7 +121,8 @@
 };
 
 const runAll = async (): Promise<void> => {
-  const rows = await Object.keys(POLICIES).reduce<Promise<Row[]>>(
+  const chosen = process.env.POLICIES?.split(',') ?? Object.keys(POLICIES);
+  const rows = await chosen.reduce<Promise<Row[]>>(
     async (earlier, name) => [...await earlier, ...await runPolicy(name)],
     Promise.resolve([]),
   );
