Reading the whole change: one pause, one judgement of failed connections, no dead sums

Found by reading the diff: pause() was written six times beside Node's own timers/promises; the codes of connections that never opened stood twice and had drifted apart (services lacked EADDRNOTAVAIL, which also means nothing was sent); the least time to a first token was computed for a prompt of 0 tokens, which is always 0; a manifest command carried a requestId that nobody reads; a type nobody uses. Conclusion: nothing a caller sees changes, but for a service call whose connection could not be opened for want of a local address: it is now truly told as not run.

--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { ControlClient } from '../protocol/generated/beechlift';
 import type {
   ChangeReplicasRequest, StatusReply, StatusRequest, SubmitReply, SubmitRequest,
@@ -11,10 +12,6 @@
 const RETRY_PAUSE_MS = 200;
 const CALL_TIMEOUT_MS = 5_000;
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 /**
  * An operator's side of the control replicas: asks one after the other until one decides. A
  * manifest may be sent as often as one likes, so a lost answer is no reason to stop.
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -149,7 +149,7 @@
     if (!manifest) return refuseFaults(faults);
     const digest = computeDigest(manifest);
     const command: SiteCommand = {
-      kind: 'manifest', requestId: digest, digest, manifest,
+      kind: 'manifest', digest, manifest,
     };
     const result = await this.runner.propose(JSON.stringify(command), operation);
     if (!result) throw new BeechliftError('noQuorum', 'the log gave no result');
--- a/src/control/founding.ts
+++ b/src/control/founding.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
 import type { FileSystem } from '../disk/fileSystem';
 import { RecordFile } from '../disk/recordFile';
 import { BeechliftError } from '../errors/beechliftError';
@@ -19,10 +20,6 @@
   readonly askOther: (address: string) => Promise<FoundingReply>;
 }
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 const formatBirth = (id: string, birth: string): string => `${id}=${birth}`;
 
 /**
--- a/src/core/membership/siteState.ts
+++ b/src/core/membership/siteState.ts
@@ -12,7 +12,7 @@
 }
 
 /** What the log carries. */
-export type SiteCommand = | { readonly kind: 'manifest'; readonly requestId: string; readonly digest: string; readonly manifest: Manifest }
+export type SiteCommand = | { readonly kind: 'manifest'; readonly digest: string; readonly manifest: Manifest }
   | { readonly kind: 'members'; readonly members: readonly Member[] }
   | { readonly kind: 'holders'; readonly current: readonly Replica[]; readonly previous: readonly Replica[] };
 
--- a/src/core/schedule/shedSystem.ts
+++ b/src/core/schedule/shedSystem.ts
@@ -1,15 +1,10 @@
 import { releaseAccountUse } from './accountUse';
 import { countAhead, countInRank, removeWaiting } from './fairQueue';
 import { computeGrantMs } from './grantRate';
-import { estimateFirstTokenMs, estimateTotalMs } from './speedModel';
+import { estimateTotalMs } from './speedModel';
 import type { ResultCode } from '../../errors/resultCodes';
 import type { ScheduleStep, ScheduleTables, WaitingEntity } from './scheduleTypes';
 
-interface FastestTimes {
-  readonly firstTokenMs: number;
-  readonly totalMs: number;
-}
-
 const MIN_RETRY_MS = 200;
 const MAX_RETRY_MS = 30_000;
 /** Once no worker has been known for this long, waiting for one is given up. */
@@ -89,22 +84,12 @@
   });
 };
 
-/** The least that the request itself takes: to its first token, and to its last. */
-const findFastest = (
-  tables: ScheduleTables,
-  { ask, outputTokens }: WaitingEntity,
-): FastestTimes => {
-  const kinds = [...tables.speeds.keys()];
-  const first = kinds.map((hardware) => estimateFirstTokenMs(tables.speeds, hardware, 0));
-  const total = kinds.map((hardware) => (
-    estimateTotalMs(
-      tables.speeds,
-      hardware,
-      1,
-      ask.prefixes.length > 0 ? 0 : ask.promptTokens,
-      outputTokens,
-    )));
-  return { firstTokenMs: Math.min(Infinity, ...first), totalMs: Math.min(Infinity, ...total) };
+/** The least time that the request itself takes, in milliseconds. */
+const findFastestMs = (tables: ScheduleTables, { ask, outputTokens }: WaitingEntity): number => {
+  const promptTokens = ask.prefixes.length > 0 ? 0 : ask.promptTokens;
+  const times = [...tables.speeds.keys()].map((hardware) => (
+    estimateTotalMs(tables.speeds, hardware, 1, promptTokens, outputTokens)));
+  return Math.min(...times);
 };
 
 /**
@@ -118,9 +103,8 @@
 ): boolean => {
   const startAt = now + waitMs;
   if (tables.speeds.size === 0) return startAt <= waiting.deadlineAt;
-  const fastest = findFastest(tables, waiting);
-  return startAt + fastest.totalMs <= waiting.deadlineAt
-    && startAt + fastest.firstTokenMs <= waiting.firstTokenAt;
+  return startAt <= waiting.firstTokenAt
+    && startAt + findFastestMs(tables, waiting) <= waiting.deadlineAt;
 };
 
 const shedLate = (step: ScheduleStep, waiting: WaitingEntity): void => {
--- a/src/entry/answerRelay.ts
+++ b/src/entry/answerRelay.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { BeechliftError } from '../errors/beechliftError';
 import type { Operation } from '../utils/operation';
 import { EngineFailure } from './engineFailure';
@@ -21,10 +22,6 @@
 /** Milliseconds without a byte after which a connection to an engine is given up. */
 export const ENGINE_SILENCE_MS = SILENCE_MS;
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 /**
  * Passes the events of one stream on, whole and in order, over as many connections as it takes.
  *
--- a/src/entry/claimClient.ts
+++ b/src/entry/claimClient.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { ControlClient } from '../protocol/generated/beechlift';
 import type {
   AcceptClaimRequest, Ballot, ClaimReply, ClaimValue, HolderSet, PrepareClaimRequest, Replica,
@@ -67,10 +68,6 @@
 const wasOutbid = ({ replies }: Round): boolean => [...replies.values()]
   .some(({ code }) => code === resultCodes.ballotTooLow.number);
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 /** Doubles with every attempt, with a random part, so that two that outbid each other part. */
 const computePauseMs = (attemptsLeft: number): number => {
   const longest = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (MAX_ATTEMPTS - attemptsLeft));
--- a/src/entry/engineClient.ts
+++ b/src/entry/engineClient.ts
@@ -1,11 +1,12 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
 import {
-  Agent, Client, errors, request,
+  Agent, Client, request,
 } from 'undici';
 import type { Dispatcher } from 'undici';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
+import { toEngineFailure } from './toEngineFailure';
 
 /** One event of an engine's stream: its place in the answer and its data. */
 export interface EngineEvent {
@@ -47,22 +48,6 @@
 const MAX_ERROR_BYTES = 65_536;
 const DONE = '[DONE]';
 
-/** Errors before anything of the request was written. */
-const NOT_SENT_CODES: readonly string[] = [
-  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL',
-];
-
-const readCode = (error: unknown): string => String((error as { code?: unknown }).code ?? '');
-
-const toFailure = (error: unknown): EngineFailure => {
-  const neverLeft = NOT_SENT_CODES.includes(readCode(error))
-    || error instanceof errors.ConnectTimeoutError;
-  const reach = neverLeft
-    ? 'notSent'
-    : 'maybeSent';
-  return new EngineFailure(reach, (error as Error).message, { cause: error });
-};
-
 /** Reads at most so many bytes of an error's body. */
 const readBounded = async (body: Dispatcher.ResponseData['body']): Promise<string> => {
   const text = await body.text();
@@ -203,7 +188,7 @@
     try {
       response = await request(url, options) as Dispatcher.ResponseData;
     } catch (error) {
-      throw toFailure(error);
+      throw toEngineFailure(error);
     }
     if (response.statusCode !== 200) {
       throw new EngineRefusal(response.statusCode, await readBounded(response.body));
@@ -233,7 +218,7 @@
         if (chunk.done) return;
       }
     } catch (error) {
-      throw error instanceof EngineFailure ? error : toFailure(error);
+      throw error instanceof EngineFailure ? error : toEngineFailure(error);
     } finally {
       response.body.destroy();
     }
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
 import { DEFAULT_POLICY } from '../core/schedule/scheduleTables';
 import type { PolicySettings } from '../core/schedule/scheduleTypes';
 import { ControlClient, PeerClient, PeerService } from '../protocol/generated/beechlift';
@@ -51,10 +52,6 @@
   readonly policy?: PolicySettings;
 }
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 const requireManifest = (configuration: Configuration): Manifest => {
   if (!configuration.manifest) throw new Error('no manifest is in force yet');
   return configuration.manifest;
--- a/src/entry/scheduler.ts
+++ b/src/entry/scheduler.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { PeerClient } from '../protocol/generated/beechlift';
 import type {
   Announcement, AskReply, AskRequest, Member, RegisterRequest, ReportRequest, RunningRequest,
@@ -88,9 +89,7 @@
       throw new BeechliftError('noSlotInTime', `the owner of pool "${ask.pool}" did not answer in time`, { steps: operation.steps, retryAfterMs: SHORT_TIMEOUT_MS });
     }
     operation.note(`owner of pool "${ask.pool}" moved or does not answer`);
-    await new Promise((resolve) => {
-      setTimeout(resolve, MOVED_RETRY_MS);
-    });
+    await pause(MOVED_RETRY_MS);
     const deadlineMs = Math.max(0, ask.deadlineMs - MOVED_RETRY_MS);
     return this.ask({ ...ask, deadlineMs }, operation, headers);
   }
--- a/src/entry/serviceClient.ts
+++ b/src/entry/serviceClient.ts
@@ -1,7 +1,7 @@
 import { Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { BeechliftError } from '../errors/beechliftError';
-import { EngineFailure } from './engineFailure';
+import { toEngineFailure } from './toEngineFailure';
 
 /** A call to a plain service. */
 export interface ServiceCall {
@@ -22,9 +22,6 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const NOT_SENT_CODES: readonly string[] = [
-  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT',
-];
 const HOP_HEADERS: readonly string[] = [
   'connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'host',
   'proxy-authorization', 'authorization', 'expect',
@@ -39,15 +36,6 @@
     .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? '']),
 );
 
-const toFailure = (error: unknown): EngineFailure => {
-  const code = String((error as { code?: unknown }).code ?? '');
-  return new EngineFailure(
-    NOT_SENT_CODES.includes(code) ? 'notSent' : 'maybeSent',
-    (error as Error).message,
-    { cause: error },
-  );
-};
-
 const readBody = async (
   body: Dispatcher.ResponseData['body'],
   maxBytes: number,
@@ -93,7 +81,7 @@
     const body = await readBody(response.body, call.maxBytes);
     return { status: response.statusCode, headers: pickPassedHeaders(response.headers), body };
   } catch (error) {
-    throw error instanceof BeechliftError ? error : toFailure(error);
+    throw error instanceof BeechliftError ? error : toEngineFailure(error);
   } finally {
     client.destroy().catch(() => undefined);
   }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,9 +3,6 @@
   collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 
-/** Why prompt work was done in vain. */
-export type WasteReason = 'dropped' | 'repeated' | 'moved';
-
 const FIRST_TOKEN_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.75, 1.5, 3, 6, 15];
 const NANOSECONDS_PER_SECOND = 1e9;
 const DELAY_RESOLUTION_MS = 10;
