A server that said it leaves is not made ready again by an older announcement

A server announces to its entries in turn; a "ready" on its way through one entry came to the owner after the "leaving" through another. Entries also hand announcements up to three seconds old to a new owner, which can undo "leaving" in the same way. Ruled out: a late grant (the one extra dispatch came after the answer to "leaving"). Before: the pure test grants to the leaving server at 120 ms. After: none for 5 s, the longest way of an announcement, unless it is a new start; a server that goes on saying "ready" is back after that.

--- a/src/core/schedule/announcements.ts
+++ b/src/core/schedule/announcements.ts
@@ -14,6 +14,7 @@
   slots: announcement.slots,
   canResume: false,
   leaving: false,
+  leftAt: -Infinity,
   announcedAt: 0,
   foreign: 0,
   running: new Set(),
@@ -69,12 +70,35 @@
   return Math.max(0, announcement.running - running.length - ended.length);
 };
 
+/**
+ * Longest way of an announcement: kept by an entry for a new owner for three seconds, and forwarded
+ * in less than one.
+ */
+const ANNOUNCEMENT_FLIGHT_MS = 5_000;
+
+/*
+ * Guards against an announcement that was overtaken: a backend server tells its entries in turn,
+ * and a "ready" from before it said that it leaves can come to the owner later. Within the longest
+ * way of an announcement only a new start of the server takes "leaving" back.
+ */
+const isLeaving = (
+  { now }: ScheduleStep,
+  worker: WorkerEntity,
+  announcement: Announcement,
+): boolean => {
+  const isNewStart = worker.incarnation !== announcement.incarnation;
+  if (isNewStart) worker.leftAt = -Infinity;
+  if (announcement.state === 'leaving') worker.leftAt = now;
+  return now - worker.leftAt < ANNOUNCEMENT_FLIGHT_MS;
+};
+
 /** Takes in what a backend server says of itself. */
 export const handleAnnouncement = (step: ScheduleStep, announcement: Announcement): void => {
   const { tables, now } = step;
   const worker = addWorker(tables, announcement);
   if (!worker) return;
   if (worker.incarnation !== announcement.incarnation) noteNewStart(step, worker);
+  worker.leaving = isLeaving(step, worker, announcement);
   worker.incarnation = announcement.incarnation;
   worker.address = announcement.address;
   worker.zone = announcement.zone;
@@ -82,7 +106,6 @@
   worker.targets = announcement.models;
   worker.slots = announcement.slots;
   worker.canResume = announcement.abilities.includes('resume');
-  worker.leaving = announcement.state === 'leaving';
   worker.announcedAt = now;
   worker.ended = worker.ended.filter(({ endedAt }) => now - endedAt < ENDED_KEPT_MS);
   worker.foreign = countForeign(step, worker, announcement);
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -30,6 +30,8 @@
   slots: number;
   canResume: boolean;
   leaving: boolean;
+  /** When it last said that it leaves, monotonic milliseconds. */
+  leftAt: number;
   announcedAt: number;
   /** Requests running there that are not this system's, from its reported load. */
   foreign: number;
--- a/tests/core/worker-reach.spec.ts
+++ b/tests/core/worker-reach.spec.ts
@@ -9,6 +9,29 @@
   handleScheduleEvent(tables, { kind: 'tick' }, now)
 );
 
+describe('a backend server that leaves', () => {
+  /*
+   * An engine that shuts down is given new requests and cuts them off. It told one entry VM that it
+   * leaves; what it told another one just before came to the owner later.
+   */
+  it('should not be taken for ready by an announcement that was overtaken', () => {
+    const tables = makeTables();
+    announce(tables, 'g1', 4, 0, { incarnation: 'first' });
+    announce(tables, 'g1', 4, 100, { incarnation: 'first', state: 'leaving' });
+    announce(tables, 'g1', 4, 110, { incarnation: 'first' });
+    expect(ask(tables, 'a', 'door', 120)).toEqual([]);
+    expect(listKinds(announce(tables, 'g1', 4, 200, { incarnation: 'second' }))).toEqual(['grant a']);
+  });
+
+  it('should be ready again when it goes on saying so', () => {
+    const tables = makeTables();
+    announce(tables, 'g1', 4, 0, { state: 'leaving' });
+    ask(tables, 'a', 'history', 0, { deadlineMs: 10_000 });
+    expect(announce(tables, 'g1', 4, 4_900)).toEqual([]);
+    expect(listKinds(announce(tables, 'g1', 4, 5_100))).toEqual(['grant a']);
+  });
+});
+
 describe('a backend server that cannot be reached', () => {
   /*
    * Callers read "not run" though an engine is there: its path is broken, but its announcements
