A resend waits for a dispatch that is on its way before it bars the stream

Cause: with a busy machine "should run a key once when it comes to all entries at once" failed 2 runs of 3: one try read 3002 backendFailed (engine answered 409), a resend read 2006 noBackend with run unknown. A resend found the claim dispatched, asked the engine, which knew nothing of the stream yet, and barred it; the dispatch then met the bar. Nothing had failed. Ruled out: a second dispatch (8 in each run), the claim round itself. Change: an unknown stream at event 0 is asked again until the dispatch can no longer arrive (life of a grant and 0.5 s); a 409 of the engine is told as superseded; a release that finds itself outbid says so in place of noBackend. Before: the new test with a dispatch 0.7 s under way reads 3002. After: both tries read the same whole answer, one dispatch; whole suite twice with eight busy loops: no failure (2 of 3 before).

--- a/src/entry/modelRunner.ts
+++ b/src/entry/modelRunner.ts
@@ -1,16 +1,17 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
 import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
+import { GRANT_MS } from '../core/schedule/grantSystem';
 import { BeechliftError } from '../errors/beechliftError';
 import type { Manifest } from '../manifest/manifest';
 import type { Metrics } from '../telemetry/metrics';
 import type { HopTracer } from '../telemetry/tracing';
 import type { Clock } from '../utils/clock';
-import { AnswerRelay, ENGINE_SILENCE_MS } from './answerRelay';
-import { hasToken } from './answerSink';
+import { ENGINE_SILENCE_MS } from './answerRelay';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
-import type { EngineClient, EngineEvent } from './engineClient';
-import { decodeKeptAnswer, KeptAnswer } from './keptAnswer';
+import type { EngineClient } from './engineClient';
+import { decodeKeptAnswer } from './keptAnswer';
 import {
   buildStreamBody, judgeDispatch, replayAnswer, toBackendError,
 } from './modelSteps';
@@ -18,11 +19,14 @@
 import type { RequestJob } from './requestJob';
 import type { ClaimedDispatch } from './requestClaim';
 import type { RetryBudget } from './retryBudget';
-import type { SlotKeeper, SlotTimes } from './slotKeeper';
+import type { SlotKeeper } from './slotKeeper';
+import { StreamRunner } from './streamRunner';
 import { StreamUnknown } from './streamUnknown';
 
 const MAX_ATTEMPTS = 3;
-const ANSWER_TYPE = 'application/json';
+/** Longest time from a written claim to the arrival of its dispatch at the engine. */
+const DISPATCH_FLIGHT_MS = GRANT_MS + 500;
+const ARRIVAL_POLL_MS = 100;
 
 /** What runs model requests. */
 export interface ModelRunnerParts {
@@ -42,8 +46,6 @@
   readonly grantedAt: number;
 }
 
-type RelayResult = SlotTimes & { readonly kept: KeptAnswer };
-
 /**
  * Takes a model request from its claim to the end of its answer.
  *
@@ -51,7 +53,11 @@
  * await runner.run(job);
  */
 export class ModelRunner {
-  constructor(private readonly parts: ModelRunnerParts) {}
+  private readonly streams: StreamRunner;
+
+  constructor(private readonly parts: ModelRunnerParts) {
+    this.streams = new StreamRunner(parts);
+  }
 
   /** Runs a request; resolves when its answer is whole, throws when it gets none. */
   async run(job: RequestJob): Promise<void> {
@@ -141,7 +147,7 @@
         headers,
         signal: job.relaying.signal,
       }, ENGINE_SILENCE_MS).catch((error: unknown) => judgeDispatch(error, granted.dispatch));
-      await this.relay(job, granted.dispatch, events, headers);
+      await this.streams.run(job, granted.dispatch, events, headers);
     } catch (error) {
       await this.handleFailure(job, granted, error);
     } finally {
@@ -149,74 +155,6 @@
     }
   }
 
-  private async relay(
-    job: RequestJob,
-    dispatch: ClaimedDispatch,
-    events: AsyncGenerator<EngineEvent> | undefined,
-    headers: Readonly<Record<string, string>>,
-  ): Promise<void> {
-    const { metrics, slots } = this.parts;
-    metrics.openStreams.inc();
-    try {
-      const result = await this.relayEvents(job, dispatch, events, headers);
-      slots.finish(job.request, 'complete', result);
-      this.countGoodput(job, result);
-      await job.sink.end();
-      await job.claim.finish({
-        answer: result.kept, status: 200, contentType: ANSWER_TYPE,
-      }).catch(() => undefined);
-    } finally {
-      metrics.openStreams.dec();
-    }
-  }
-
-  private async relayEvents(
-    job: RequestJob,
-    dispatch: ClaimedDispatch,
-    events: AsyncGenerator<EngineEvent> | undefined,
-    headers: Readonly<Record<string, string>>,
-  ): Promise<RelayResult> {
-    const { clock, engines, metrics } = this.parts;
-    const kept = new KeptAnswer(
-      job.claim.isKeyed ? this.parts.readManifest().limits.answerBytes : 0,
-    );
-    const sentAt = clock.now();
-    const times = { firstTokenMs: 0, outputTokens: 0 };
-    const relay = new AnswerRelay(engines, {
-      address: dispatch.workerAddress,
-      streamId: dispatch.streamId,
-      canResume: dispatch.canResume,
-      headers,
-    }, job.relaying);
-    await relay.run(events, async ({ data }) => {
-      if (hasToken(data)) {
-        times.outputTokens += 1;
-        if (times.outputTokens === 1) times.firstTokenMs = this.noteFirstToken(job, sentAt);
-      }
-      kept.add(data);
-      if (!job.caller.isGone()) await job.sink.deliver(data);
-    }).finally(() => metrics.resumes.inc(relay.resumes));
-    return { ...times, kept, totalMs: clock.now() - sentAt };
-  }
-
-  private noteFirstToken(job: RequestJob, sentAt: number): number {
-    const now = this.parts.clock.now();
-    this.parts.slots.start(job.request);
-    this.parts.metrics.firstToken.observe(
-      { tier: job.request.tier },
-      (now - job.startedAt) / 1_000,
-    );
-    return now - sentAt;
-  }
-
-  private countGoodput(job: RequestJob, { firstTokenMs, totalMs }: SlotTimes): void {
-    const tier = this.parts.readManifest().tiers[job.request.tier];
-    const elapsed = this.parts.clock.now() - job.startedAt;
-    const toFirst = elapsed - totalMs + firstTokenMs;
-    const inTime = tier !== undefined && elapsed <= tier.totalMs && toFirst <= tier.firstTokenMs;
-    if (inTime && !job.caller.isGone()) this.parts.metrics.goodput.inc({ tier: job.request.tier });
-  }
-
   private async handleFailure(job: RequestJob, granted: Granted, error: unknown): Promise<void> {
     const { slots, metrics } = this.parts;
     if (error instanceof EngineFailure && error.reach === 'notSent') {
@@ -276,12 +214,13 @@
     job.waiting = job.makeWaiting();
     job.waiting.note(reason);
     job.attempts += 1;
-    const released = await job.claim.release();
-    const allowed = released && job.attempts < MAX_ATTEMPTS && !job.caller.isGone()
+    const releaseFailure = await job.claim.release();
+    if (releaseFailure) throw releaseFailure;
+    const allowed = job.attempts < MAX_ATTEMPTS && !job.caller.isGone()
       && this.parts.isServing() && job.waiting.remainingMs > 0 && this.parts.budget.take();
     if (!allowed) {
       throw new BeechliftError('noBackend', reason, {
-        run: released ? 'notRun' : 'unknown', retryAfterMs: 1_000, steps: job.waiting.steps,
+        run: 'notRun', retryAfterMs: 1_000, steps: job.waiting.steps,
       });
     }
     this.parts.metrics.retries.inc();
@@ -304,13 +243,29 @@
     await this.resumeBound(job, bound);
   }
 
-  private async resumeBound(job: RequestJob, bound: ClaimValue): Promise<void> {
-    const dispatch: ClaimedDispatch = bound;
+  /*
+   * Guards against cutting a dispatch off that is still on its way: its entry wrote the claim, and
+   * its first byte follows within the life of a grant. Until then an engine that does not know
+   * the stream proves nothing; to bar the stream would turn a good request into two errors.
+   */
+  private async resumeBound(
+    job: RequestJob,
+    bound: ClaimValue,
+    arrivesBy = this.parts.clock.now() + DISPATCH_FLIGHT_MS,
+  ): Promise<void> {
+    const headers = this.parts.tracer.formatHeaders(job.context);
     try {
-      await this.relay(job, dispatch, undefined, this.parts.tracer.formatHeaders(job.context));
+      await this.streams.run(job, bound, undefined, headers);
     } catch (error) {
       if (!(error instanceof StreamUnknown)) throw error;
-      await this.settleLostStream(job, bound, error);
+      const mayArrive = error.offset === 0 && bound.state === 'dispatched'
+        && this.parts.clock.now() < arrivesBy && !job.caller.isGone();
+      if (!mayArrive) {
+        await this.settleLostStream(job, bound, error);
+        return;
+      }
+      await pause(ARRIVAL_POLL_MS);
+      await this.resumeBound(job, bound, arrivesBy);
     }
   }
 
--- a/src/entry/modelSteps.ts
+++ b/src/entry/modelSteps.ts
@@ -25,9 +25,16 @@
 
 const MAX_SHOWN_BODY = 500;
 
-/** What a caller is told when an engine answers with an error status. */
+const BARRED_STATUS = 409;
+
+/**
+ * What a caller is told when an engine answers with an error status. A stream that is barred there
+ * was taken over by a resend of the same key.
+ */
 export const toBackendError = ({ status, body }: EngineRefusal): BeechliftError => (
-  new BeechliftError('backendFailed', `the engine answered with status ${status}: ${body.slice(0, MAX_SHOWN_BODY)}`, { run: 'unknown' })
+  status === BARRED_STATUS
+    ? new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM')
+    : new BeechliftError('backendFailed', `the engine answered with status ${status}: ${body.slice(0, MAX_SHOWN_BODY)}`, { run: 'unknown' })
 );
 
 /** Gives a caller an answer that was kept. */
--- a/src/entry/refuseReleased.ts
+++ b/src/entry/refuseReleased.ts
@@ -7,7 +7,7 @@
  */
 export const refuseReleased = async (job: RequestJob, reason: unknown): Promise<never> => {
   const error = toBeechliftError(reason);
-  const released = await job.claim.release();
-  if (released) throw error;
+  const releaseFailure = await job.claim.release();
+  if (!releaseFailure) throw error;
   throw new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
 };
--- a/src/entry/requestClaim.ts
+++ b/src/entry/requestClaim.ts
@@ -1,7 +1,7 @@
 import type { ClaimValue } from '../protocol/generated/beechlift';
 import { ClaimValue as ClaimValueCodec } from '../protocol/generated/beechlift';
 import type { ClaimState } from '../core/claims/claimTable';
-import { BeechliftError } from '../errors/beechliftError';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import { Operation } from '../utils/operation';
 import type { CallerRequest } from './callerRequest';
 import type { ClaimClient, ClaimTicket } from './claimClient';
@@ -93,15 +93,16 @@
   /**
    * Gives the claim back: only when this has succeeded is "not run" proven.
    *
-   * @returns whether a majority agreed
+   * @returns why no majority agreed; such an error says that nobody knows whether it ran
    */
-  async release(): Promise<boolean> {
-    if (!this.ticket) return true;
+  async release(): Promise<BeechliftError | undefined> {
+    if (!this.ticket) return undefined;
     try {
       await this.write('released', new Operation({ timeoutMs: RELEASE_TIMEOUT_MS }));
-      return true;
-    } catch {
-      return false;
+      return undefined;
+    } catch (thrown) {
+      const error = toBeechliftError(thrown);
+      return new BeechliftError(error.code, error.message, { ...error.detail, run: 'unknown' });
     }
   }
 
--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -22,6 +22,8 @@
   /** File for a record of every dispatch. */
   readonly recordFile: string;
   readonly secret?: string;
+  /** How long a dispatch is on its way. */
+  readonly arriveMs?: number;
   /** Port to listen on; 0 or none for any. */
   readonly port?: number;
 };
@@ -62,6 +64,9 @@
   /** Every dispatch, as the check of records reads it. */
   readonly dispatches: DispatchRecord[] = [];
 
+  /** Stream ids whose first byte has come. */
+  readonly arriving = new Set<string>();
+
   /** Stream ids in the order in which they were dispatched here. */
   readonly dispatched: string[] = [];
 
@@ -194,6 +199,13 @@
     isChat: boolean,
   ): void {
     const id = String(incoming.headers['beechlift-stream'] ?? randomUUID());
+    this.arriving.add(id);
+    const { arriveMs } = this.options;
+    if (arriveMs) setTimeout(() => this.accept(id, response, text, isChat), arriveMs);
+    else this.accept(id, response, text, isChat);
+  }
+
+  private accept(id: string, response: ServerResponse, text: string, isChat: boolean): void {
     if (this.model.barred.has(id) || this.model.streams.has(id)) {
       response.writeHead(409).end();
       return;
--- a/tests/site/entry-failures.spec.ts
+++ b/tests/site/entry-failures.spec.ts
@@ -88,6 +88,20 @@
     });
   });
 
+  /*
+   * The kiosk sends again through another entry VM while the first dispatch is still on its way to
+   * the engine, which therefore knows nothing of it. The resend barred the stream there, and both
+   * tries read an error though nothing had failed.
+   */
+  it('should not take a dispatch that is still on its way for one that was lost', async () => {
+    const engine = await site.addEngine('g1', { arriveMs: 700 });
+    const asked = site.ask(first, 'late', { key: 'k', tokens: 12 });
+    await waitUntil('it is on its way', () => engine.arriving.size === 1);
+    const again = await site.ask(second, 'late', { key: 'k', tokens: 12 });
+    expect([(await asked).text, again.text]).toEqual(Array(2).fill(makeExpectedText('late', 12)));
+    expect(countDispatched()).toBe(1);
+  });
+
   /*
    * The owner of the pool dies under load. Requests that wait at other entries hang until their
    * callers give up, or are refused though slots are free.
