Orders to backend servers: the manifest's models are rolled through a pool

Cause: pools did not carry what the manifest said; operators had to load models by hand and nothing held a version back from reaching all engines. Limits: a pool with one engine for a model is left alone; the older scheduler's newest requests on a shared engine are not seen.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -248,7 +248,9 @@
     global.gc?.();
     const before = process.memoryUsage().heapUsed;
     const tables = makeScheduleTables('p', site as never, [], 0);
-    tables.config = { tiers: {}, accounts: {}, limits: { workersPerPool: 10_000 } as never };
+    tables.config = {
+      tiers: {}, accounts: {}, models: {}, pools: {}, limits: { workersPerPool: 10_000 } as never,
+    };
     const startedAt = process.cpuUsage();
     Array.from({ length: count }).forEach((unused, position) => handleScheduleEvent(tables, {
       kind: 'announce',
--- a/src/core/schedule/announcements.ts
+++ b/src/core/schedule/announcements.ts
@@ -25,6 +25,12 @@
   reach: 'reached',
   suspendedAt: 0,
   pauseMs: 0,
+  canOrder: false,
+  carries: '',
+  ordered: '',
+  orderedAt: -Infinity,
+  turn: 'serving',
+  turnAt: -Infinity,
 });
 
 const addWorker = (
@@ -97,7 +103,10 @@
   const { tables, now } = step;
   const worker = addWorker(tables, announcement);
   if (!worker) return;
-  if (worker.incarnation !== announcement.incarnation) noteNewStart(step, worker);
+  if (worker.incarnation !== announcement.incarnation) {
+    noteNewStart(step, worker);
+    worker.ordered = '';
+  }
   worker.leaving = isLeaving(step, worker, announcement);
   worker.incarnation = announcement.incarnation;
   worker.address = announcement.address;
@@ -106,6 +115,8 @@
   worker.targets = announcement.models;
   worker.slots = announcement.slots;
   worker.canResume = announcement.abilities.includes('resume');
+  worker.canOrder = announcement.abilities.includes('orders');
+  worker.carries = announcement.orderDigest;
   worker.announcedAt = now;
   worker.ended = worker.ended.filter(({ endedAt }) => now - endedAt < ENDED_KEPT_MS);
   worker.foreign = countForeign(step, worker, announcement);
--- a/src/core/schedule/poolSchedule.ts
+++ b/src/core/schedule/poolSchedule.ts
@@ -8,6 +8,8 @@
 import { addWaiting, removeWaiting } from './fairQueue';
 import { runGrantSystem } from './grantSystem';
 import { estimateOutputTokens, learnOutputTokens } from './lengthModel';
+import { updateDesired } from './orderBook';
+import { handleOrderAnswer, noteNewView, runOrderSystem } from './orderSystem';
 import { addRunning, findRank, removeRunning } from './scheduleTables';
 import { estimateTotalMs, learnSpeed } from './speedModel';
 import { computeRetryMs, isHopeless, runShedSystem } from './shedSystem';
@@ -196,6 +198,7 @@
 const handleMembersChanged = (step: ScheduleStep, entryIds: readonly string[]): void => {
   const { tables } = step;
   const present = new Set(entryIds);
+  noteNewView(step);
   [...tables.running.values()]
     .filter(({ entryId }) => !present.has(entryId))
     .forEach((running) => freeRunning(step, running));
@@ -212,6 +215,7 @@
   runReachSystem(step);
   runStragglerSystem(step);
   runPeakSystem(step);
+  runOrderSystem(step);
   runShedSystem(step);
 };
 
@@ -226,8 +230,10 @@
   announce: (step, event) => handleAnnouncement(step, event.announcement),
   configure: (step, event) => {
     step.tables.config = event.config;
+    updateDesired(step.tables);
   },
   membersChanged: (step, event) => handleMembersChanged(step, event.entryIds),
+  orderAnswered: (step, event) => handleOrderAnswer(step, event.workerId, event.result),
   tick: (step) => runTickSystems(step),
 };
 
--- a/src/core/schedule/scheduleTables.ts
+++ b/src/core/schedule/scheduleTables.ts
@@ -1,3 +1,4 @@
+import { makeOrderBook } from './orderBook';
 import { makeLengthModel } from './lengthModel';
 import { updateIndex, makeWorkerIndex } from './workerIndex';
 import type {
@@ -49,6 +50,7 @@
   unregistered: new Set(unregistered),
   settledAt,
   meanServiceMs: DEFAULT_SERVICE_MS,
+  orders: makeOrderBook(pool, config, settledAt),
   missed: new Map(),
   turn: 0,
   comparisons: 0,
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -2,7 +2,9 @@
   Announcement, AskRequest, ReportRequest, RegisterRequest,
 } from '../../protocol/generated/beechlift';
 import type { ResultCode } from '../../errors/resultCodes';
-import type { ClientAccount, Limits, Tier } from '../../manifest/manifest';
+import type {
+  ClientAccount, Limits, Model, Pool, Tier,
+} from '../../manifest/manifest';
 import type { LengthModel } from './lengthModel';
 import type { SpeedTable } from './speedModel';
 import type { WorkerIndex } from './workerIndex';
@@ -13,6 +15,35 @@
 /** Whether requests arrive at a worker: it takes all, none for a pause, or one as a probe. */
 export type WorkerReach = 'reached' | 'suspended' | 'probed';
 
+/** Where a worker stands while an order changes it: it takes work only when it serves. */
+export type WorkerTurn = 'serving' | 'draining' | 'loading';
+
+/** A model as a worker is to carry it. */
+export interface DesiredModel {
+  readonly name: string;
+  readonly modelVersion: string;
+  readonly adapters: readonly string[];
+}
+
+/** All that a worker of a pool is to carry; an order always tells the whole of it. */
+export interface DesiredState {
+  readonly role: Pool['role'];
+  readonly models: readonly DesiredModel[];
+  readonly digest: string;
+}
+
+/** What a backend server made of an order. */
+export type OrderResult = 'taken' | 'outbid' | 'failed';
+
+/** What the owner of a pool knows of its orders. */
+export interface OrderBook {
+  desired: DesiredState | undefined;
+  /** No order before this, monotonic milliseconds: an earlier owner's may still arrive. */
+  from: number;
+  /** When the weight store bears the next load. */
+  nextLoadAt: number;
+}
+
 /** When a request that has ended held its slot, monotonic milliseconds. */
 export interface EndedRequest {
   readonly grantedAt: number;
@@ -49,6 +80,16 @@
   suspendedAt: number;
   /** How long it is left alone from then on. */
   pauseMs: number;
+  /** Whether it takes orders. */
+  canOrder: boolean;
+  /** Digest of the state that it says it carries. */
+  carries: string;
+  /** Digest of the state that it was last ordered to carry. */
+  ordered: string;
+  orderedAt: number;
+  turn: WorkerTurn;
+  /** When its turn last changed, monotonic milliseconds. */
+  turnAt: number;
 }
 
 /** A request that waits for a slot. */
@@ -101,6 +142,8 @@
 export interface ScheduleConfig {
   readonly tiers: Readonly<Record<string, Tier>>;
   readonly accounts: Readonly<Record<string, ClientAccount>>;
+  readonly models: Readonly<Record<string, Model>>;
+  readonly pools: Readonly<Record<string, Pool>>;
   readonly limits: Limits;
 }
 
@@ -151,6 +194,7 @@
   readonly grantRates: Map<number, GrantRate>;
   /** Smoothed time that a request holds a slot, in milliseconds. */
   meanServiceMs: number;
+  readonly orders: OrderBook;
   /** Request to the workers that it did not reach; the oldest are forgotten. */
   readonly missed: Map<string, readonly string[]>;
   /** Turn counter of the round-robin baseline. */
@@ -166,6 +210,7 @@
   | { readonly kind: 'announce'; readonly announcement: Announcement }
   | { readonly kind: 'configure'; readonly config: ScheduleConfig }
   | { readonly kind: 'membersChanged'; readonly entryIds: readonly string[] }
+  | { readonly kind: 'orderAnswered'; readonly workerId: string; readonly result: OrderResult }
   | { readonly kind: 'tick' };
 
 /** What the owner decides. */
@@ -183,6 +228,12 @@
     readonly code: ResultCode;
     readonly message: string;
     readonly retryAfterMs: number;
+  }
+  | {
+    readonly kind: 'order';
+    readonly workerId: string;
+    readonly workerAddress: string;
+    readonly desired: DesiredState;
   };
 
 /** One step of the owner. */
--- a/src/core/schedule/workerIndex.ts
+++ b/src/core/schedule/workerIndex.ts
@@ -30,7 +30,7 @@
  * const free = readUsableSlots(worker) - worker.running.size;
  */
 export const readUsableSlots = (worker: WorkerEntity): number => {
-  if (worker.leaving || worker.reach === 'suspended') return 0;
+  if (worker.leaving || worker.reach === 'suspended' || worker.turn !== 'serving') return 0;
   const own = Math.max(0, worker.slots - worker.foreign);
   const isProbed = worker.pace === 'eased' || worker.reach === 'probed';
   return isProbed ? Math.min(PROBE_SLOTS, own) : own;
--- a/src/entry/announcement.ts
+++ b/src/entry/announcement.ts
@@ -25,7 +25,7 @@
     adapters: { ...nameList, default: [] },
     slots: { type: 'integer', minimum: 0, maximum: MAX_SLOTS },
     abilities: {
-      type: 'array', maxItems: 16, default: [], items: { enum: ['resume', 'cancel', 'kvExport', 'kvImport', 'fencing'] },
+      type: 'array', maxItems: 16, default: [], items: { enum: ['resume', 'cancel', 'kvExport', 'kvImport', 'fencing', 'orders'] },
     },
     state: { enum: ['ready', 'leaving'] },
     running: {
@@ -40,6 +40,7 @@
     evictedPrefixes: {
       type: 'array', maxItems: 1_024, items: { type: 'string', maxLength: 64 }, default: [],
     },
+    orderDigest: { type: 'string', maxLength: 64, default: '' },
     secret: { type: 'string', maxLength: 256, default: '' },
   },
 };
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -195,6 +195,8 @@
           leaving: worker.leaving,
           pace: worker.pace,
           reach: worker.reach,
+          turn: worker.turn,
+          isAsWanted: worker.carries === tables.orders.desired?.digest,
         })),
       })),
     };
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -20,6 +20,7 @@
 import { Heartbeat } from './heartbeat';
 import { ModelRunner } from './modelRunner';
 import { makePeerService } from './peerService';
+import { OrderSender } from './orderSender';
 import { RetryBudget } from './retryBudget';
 import { Scheduler } from './scheduler';
 import { ServiceRunner } from './serviceRunner';
@@ -88,6 +89,7 @@
     peers,
     clock,
     listRunning: () => active.listRunning(),
+    orders: new OrderSender(metrics, logger),
     policy: policy ?? DEFAULT_POLICY,
   });
   const claims = new ClaimClient(
--- /dev/null
+++ b/src/entry/orderSender.ts
@@ -0,0 +1,58 @@
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { ORDER_FLIGHT_MS } from '../core/schedule/orderBook';
+import type { DesiredState, OrderResult } from '../core/schedule/scheduleTypes';
+import type { Logger } from '../telemetry/logger';
+import type { Metrics } from '../telemetry/metrics';
+
+const results: Readonly<Record<number, OrderResult>> = { 200: 'taken', 202: 'taken', 409: 'outbid' };
+
+const readCause = (thrown: unknown): string => (
+  thrown instanceof Error ? thrown.message : String(thrown)
+);
+
+/**
+ * Sends orders to backend servers: the whole state that one is to carry, with a fencing number.
+ *
+ * @example
+ * const result = await orders.send('10.1.0.7:8000', desired, 12);
+ */
+export class OrderSender {
+  constructor(private readonly metrics: Metrics, private readonly logger: Logger) {}
+
+  /** Sends one order; what the server carries is read back from its announcements. */
+  async send(address: string, desired: DesiredState, fencing: number): Promise<OrderResult> {
+    const result = await this.put(address, { ...desired, fencing })
+      .then((reply) => this.judge(address, reply, fencing))
+      .catch((thrown: unknown): OrderResult => {
+        this.logger.warn('order not delivered, it is repeated', { address, cause: readCause(thrown) });
+        return 'failed';
+      });
+    this.metrics.orders.inc({ result });
+    return result;
+  }
+
+  private async put(
+    address: string,
+    order: DesiredState & { readonly fencing: number },
+  ): Promise<Dispatcher.ResponseData> {
+    const response = await request(`http://${address}/v1/order`, {
+      method: 'PUT',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(order),
+      signal: AbortSignal.timeout(ORDER_FLIGHT_MS),
+    });
+    await response.body.dump();
+    return response;
+  }
+
+  private judge(
+    address: string,
+    { statusCode }: Dispatcher.ResponseData,
+    fencing: number,
+  ): OrderResult {
+    const result = results[statusCode] ?? 'failed';
+    if (result !== 'taken') this.logger.warn('order refused', { address, statusCode, fencing });
+    return result;
+  }
+}
--- a/src/entry/poolOwner.ts
+++ b/src/entry/poolOwner.ts
@@ -13,7 +13,12 @@
 
 type EffectOf<Kind extends ScheduleEffect['kind']> = Extract<ScheduleEffect, { kind: Kind }>;
 
-const toReply: { [Kind in ScheduleEffect['kind']]: (effect: EffectOf<Kind>) => AskReply } = {
+type Decision = EffectOf<'grant' | 'refuse'>;
+
+/** An order that the owner decided on. */
+export type OrderEffect = EffectOf<'order'>;
+
+const toReply: { [Kind in Decision['kind']]: (effect: EffectOf<Kind>) => AskReply } = {
   grant: (effect) => ({
     code: 0,
     retryAfterMs: 0,
@@ -36,8 +41,8 @@
   }),
 };
 
-const buildReply = (effect: ScheduleEffect): AskReply => (
-  toReply[effect.kind] as (effect: ScheduleEffect) => AskReply
+const buildReply = (effect: Decision): AskReply => (
+  toReply[effect.kind] as (effect: Decision) => AskReply
 )(effect);
 
 const dropReport = (ask: AskRequest): ReportRequest => ({
@@ -55,13 +60,17 @@
  * Owns one pool: the queue before it and the slots in it. Knows nothing of the wire.
  *
  * @example
- * const owner = new PoolOwner(tables, systemClock);
+ * const owner = new PoolOwner(tables, systemClock, (order) => sender.send(order));
  * const reply = await owner.ask(request);
  */
 export class PoolOwner {
   private readonly answers = new Map<string, (reply: AskReply) => void>();
 
-  constructor(readonly tables: ScheduleTables, private readonly clock: Clock) {}
+  constructor(
+    readonly tables: ScheduleTables,
+    private readonly clock: Clock,
+    private readonly sendOrder: (order: OrderEffect) => void,
+  ) {}
 
   /** Waits for a slot; resolves when the request is granted or refused. */
   ask(ask: AskRequest): Promise<AskReply> {
@@ -102,7 +111,10 @@
   /** Runs an event and answers whoever it decides on. */
   run(event: ScheduleEvent): void {
     handleScheduleEvent(this.tables, event, this.clock.now())
-      .forEach((effect) => this.answer(effect));
+      .forEach((effect) => {
+        if (effect.kind === 'order') this.sendOrder(effect);
+        else this.answer(effect);
+      });
   }
 
   /** Answers all that wait, when another entry owns the pool. */
@@ -113,7 +125,7 @@
     answers.forEach((resolve) => resolve(moved));
   }
 
-  private answer(effect: ScheduleEffect): void {
+  private answer(effect: Decision): void {
     const resolve = this.answers.get(effect.requestId);
     this.answers.delete(effect.requestId);
     resolve?.(buildReply(effect));
--- a/src/entry/scheduler.ts
+++ b/src/entry/scheduler.ts
@@ -15,7 +15,9 @@
 import { toPeerError } from '../wire/peerError';
 import type { Configuration } from './configuration';
 import { makeMovedReply } from './movedReply';
+import type { OrderSender } from './orderSender';
 import { PoolOwner } from './poolOwner';
+import type { OrderEffect } from './poolOwner';
 
 const SHORT_TIMEOUT_MS = 800;
 const MOVED_RETRY_MS = 100;
@@ -43,6 +45,7 @@
   readonly clock: Clock;
   /** All that this entry has dispatched and not finished. */
   readonly listRunning: () => readonly PooledRequest[];
+  readonly orders: OrderSender;
   readonly policy?: PolicySettings;
 }
 
@@ -197,11 +200,26 @@
     const others = members.map(({ id }) => id);
     const settledAt = clock.now() + HANDOVER_MS;
     const tables = makeScheduleTables(pool, manifest, others, settledAt, this.policy);
-    const owner = new PoolOwner(tables, clock);
+    const owner = new PoolOwner(tables, clock, (order) => this.sendOrder(pool, order));
     this.owners.set(pool, owner);
     return owner;
   }
 
+  /*
+   * Guards against an order of an owner that is none any more: the lease and the owner are looked
+   * at right before it is sent, and the view's number goes with it as the fencing number. A view
+   * names one owner of a pool, and an owner that took over has a higher view.
+   */
+  private sendOrder(pool: string, order: OrderEffect): void {
+    const { configuration, id, orders } = this.parts;
+    if (!configuration.isServing || this.findOwnerOf(pool)?.id !== id) return;
+    orders.send(order.workerAddress, order.desired, configuration.viewNumber)
+      .then((result) => {
+        this.owners.get(pool)?.run({ kind: 'orderAnswered', workerId: order.workerId, result });
+      })
+      .catch(() => undefined);
+  }
+
   private async askOnce(
     ask: AskRequest,
     operation: Operation,
--- a/src/manifest/manifest.ts
+++ b/src/manifest/manifest.ts
@@ -74,6 +74,8 @@
   readonly answerBytes: number;
   readonly queuePerPool: number;
   readonly workersPerPool: number;
+  /** Orders to load that the weight store bears, over all pools together. */
+  readonly loadsPerMinute: number;
   /** How long a claim is kept after its last change, in milliseconds. */
   readonly claimRetentionMs: number;
   /** How long callers keep a locate answer, in milliseconds. */
--- a/src/manifest/manifestSchema.ts
+++ b/src/manifest/manifestSchema.ts
@@ -96,6 +96,7 @@
         answerBytes: buildInteger(0, MIB, 65_536),
         queuePerPool: buildInteger(1, 1_000_000, 10_000),
         workersPerPool: buildInteger(1, 10_000, 3_000),
+        loadsPerMinute: buildInteger(1, 100_000, 6),
         claimRetentionMs: buildInteger(1_000, DAY_MS, 600_000),
         locateMs: buildInteger(100, 600_000, 5_000),
       },
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -26,6 +26,8 @@
 
   readonly retries = this.makeCounter('beechlift_retries_total', 'Dispatches that never left and were tried elsewhere', []);
 
+  readonly orders = this.makeCounter('beechlift_orders_total', 'Orders to backend servers by what they answered', ['result']);
+
   readonly firstToken = new Histogram({
     name: 'beechlift_first_token_seconds', help: 'Time to the first token by tier', labelNames: ['tier'], buckets: FIRST_TOKEN_BUCKETS, registers: [this.registry],
   });
--- /dev/null
+++ b/tests/core/orders.spec.ts
@@ -0,0 +1,146 @@
+import { describe, expect, it } from 'vitest';
+import { handleScheduleEvent } from '../../src/core/schedule/poolSchedule';
+import type { ScheduleConfig, ScheduleTables } from '../../src/core/schedule/scheduleTypes';
+import {
+  announce, ask, config, finish, listKinds, makeTables,
+} from './scheduleModel';
+
+const makeSite = (modelVersion: string, checksFencing = true): ScheduleConfig => ({
+  ...config,
+  models: { guide: { contextTokens: 1_000, adapters: ['ro'], modelVersion } },
+  pools: {
+    engines: {
+      kind: 'model', role: 'worker', models: ['guide'], services: [], secretHash: '', checksFencing,
+    },
+  },
+});
+
+const LOAD_MS = 1_000;
+
+const makePool = (settledAt = -LOAD_MS, checksFencing = true): ScheduleTables => (
+  makeTables([], settledAt, makeSite('1', checksFencing))
+);
+
+const tick = (tables: ScheduleTables, now: number) => (
+  listKinds(handleScheduleEvent(tables, { kind: 'tick' }, now))
+);
+
+const readWanted = (tables: ScheduleTables): string => tables.orders.desired?.digest ?? '';
+
+const announceOrdered = (
+  tables: ScheduleTables,
+  id: string,
+  now: number,
+  orderDigest = '',
+  fields: object = {},
+) => announce(tables, id, 4, now, { abilities: ['orders'], orderDigest, ...fields });
+
+describe('orders to backend servers', () => {
+  /*
+   * A new model version reaches all engines at once and callers find nobody who carries the model.
+   * One at a time may be out of work, and the next follows only when it is back.
+   */
+  it('should roll through a pool and never take the last ready worker', () => {
+    const tables = makePool();
+    announceOrdered(tables, 'g1', 0);
+    expect([tick(tables, 10), tick(tables, 20)]).toEqual([[], []]);
+    ['g2', 'g3'].forEach((id) => announceOrdered(tables, id, 100));
+    expect([tick(tables, 110), tick(tables, 120)]).toEqual([[], ['order g1']]);
+    announceOrdered(tables, 'g1', 200, '', { models: [] });
+    expect([tick(tables, 1_500), tick(tables, 1_600)]).toEqual([[], []]);
+    announceOrdered(tables, 'g1', 1_700, readWanted(tables));
+    expect([tick(tables, 1_710), tick(tables, 1_720)]).toEqual([[], ['order g2']]);
+  });
+
+  /*
+   * A guest's answer breaks off, as its engine was ordered to load another version. The engine must
+   * get nothing new first, and the order only when all that runs there has ended, ours or not.
+   */
+  it('should order only a worker on which nothing runs any more', () => {
+    const tables = makePool();
+    announceOrdered(tables, 'g1', 0, '', { hardware: 'fast' });
+    ask(tables, 'long', 'history', 10);
+    announceOrdered(tables, 'g2', 20);
+    expect(tick(tables, 30)).toEqual([]);
+    expect(tables.workers.get('g1')?.turn).toBe('draining');
+    ask(tables, 'next', 'history', 40);
+    expect(tables.running.get('next')?.workerId).toBe('g2');
+    expect(tick(tables, 50)).toEqual([]);
+    finish(tables, 'long', 60);
+    announceOrdered(tables, 'g1', 70, '', { running: 2 });
+    expect(tick(tables, 80)).toEqual([]);
+    announceOrdered(tables, 'g1', 90);
+    expect(tick(tables, 100)).toEqual(['order g1']);
+  });
+
+  /*
+   * The other engine dies while this one is being emptied for an order. Every request then waits
+   * for nobody; this one must go back to work at once.
+   */
+  it('should put a worker back when it became the last one of its model', () => {
+    const tables = makePool();
+    announceOrdered(tables, 'g1', 0);
+    ask(tables, 'long', 'history', 10);
+    announceOrdered(tables, 'g2', 20);
+    tick(tables, 30);
+    announceOrdered(tables, 'g2', 40, '', { state: 'leaving' });
+    tick(tables, 50);
+    ask(tables, 'next', 'door', 60);
+    expect(tables.running.get('next')?.workerId).toBe('g1');
+  });
+
+  /*
+   * Two owners order one engine, the older one last, and it carries what nobody wants any more. An
+   * engine that ignores the fencing number is left alone until the older owner's orders are over.
+   */
+  it('should wait out the owner before, where engines ignore the fencing number', () => {
+    const [fenced, unfenced] = [makePool(5_000), makePool(5_000, false)];
+    [fenced, unfenced].forEach((tables) => ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 4_000)));
+    const order = (tables: ScheduleTables, now: number) => (
+      [tick(tables, now), tick(tables, now + 1)]);
+    expect(order(fenced, 5_000 + LOAD_MS - 2)).toEqual([[], []]);
+    expect(order(fenced, 5_000 + LOAD_MS)).toEqual([[], ['order g1']]);
+    expect(order(unfenced, 6_990)).toEqual([[], []]);
+    ['g1', 'g2'].forEach((id) => announceOrdered(unfenced, id, 6_995));
+    expect(order(unfenced, 7_000)).toEqual([[], ['order g1']]);
+  });
+
+  /*
+   * An owner that lost its pool has not heard of it. The engine has seen a higher number and says
+   * so; nothing more may be ordered until a view names this owner again.
+   */
+  it('should order nothing more once a server has seen a higher fencing number', () => {
+    const tables = makePool();
+    ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 0));
+    tick(tables, 10);
+    expect(tick(tables, 20)).toEqual(['order g1']);
+    handleScheduleEvent(tables, { kind: 'orderAnswered', workerId: 'g1', result: 'outbid' }, 30);
+    ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 6_000));
+    expect(tick(tables, 6_010)).toEqual([]);
+    handleScheduleEvent(tables, { kind: 'membersChanged', entryIds: ['e1'] }, 6_020);
+    expect(tick(tables, 7_000)).toEqual([]);
+    ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 8_000));
+    expect(tick(tables, 8_030)).toEqual(['order g1']);
+  });
+
+  /*
+   * The answer to an order and the order itself may be lost, and an engine may start anew with
+   * nothing loaded. The order is repeated until the engine says that it carries the state; a new
+   * load waits until the weight store bears it.
+   */
+  it('should repeat what was lost and keep to the limit of the weight store', () => {
+    const tables = makePool();
+    ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 0));
+    tick(tables, 10);
+    expect(tick(tables, 20)).toEqual(['order g1']);
+    announceOrdered(tables, 'g1', 3_000);
+    expect([tick(tables, 5_010), tick(tables, 5_020)]).toEqual([[], ['order g1']]);
+    handleScheduleEvent(tables, {
+      kind: 'configure',
+      config: { ...makeSite('2'), limits: { ...config.limits, loadsPerMinute: 3 } },
+    }, 5_030);
+    expect(tick(tables, 10_030)).toEqual(['order g1']);
+    handleScheduleEvent(tables, { kind: 'configure', config: makeSite('3') }, 10_040);
+    expect([tick(tables, 16_000), tick(tables, 30_030)]).toEqual([[], ['order g1']]);
+  });
+});
--- a/tests/core/schedule-tiers.spec.ts
+++ b/tests/core/schedule-tiers.spec.ts
@@ -32,7 +32,7 @@
       const check = (effects: readonly ScheduleEffect[], ranks: Map<string, number>) => {
         const refused = effects
           .filter((effect) => effect.kind === 'refuse' && effect.code !== 'accountLimited')
-          .map(({ requestId }) => requestId);
+          .flatMap((effect) => (effect.kind === 'order' ? [] : effect.requestId));
         refusals += refused.length;
         const lowest = Math.max(-1, ...[...tables.running.values()].map(({ rank }) => rank));
         return refused.every((id) => (ranks.get(id) ?? 0) >= lowest);
--- a/tests/core/scheduleModel.ts
+++ b/tests/core/scheduleModel.ts
@@ -14,18 +14,25 @@
   accounts: Object.fromEntries(['a', 'b', 'c'].map((name) => [name, {
     keyHashes: [], tiers: TIERS, concurrency: 40, tokensPerMinute: 0, weight: 1,
   }])),
+  models: {},
+  pools: {},
   limits: {
     bodyBytes: 1,
     answerBytes: 1,
     queuePerPool: 120,
     workersPerPool: 10,
+    loadsPerMinute: 60,
     claimRetentionMs: 1,
     locateMs: 1,
   },
 };
 
-export const makeTables = (unregistered: string[] = [], settledAt = 0): ScheduleTables => (
-  makeScheduleTables('engines', config, unregistered, settledAt)
+export const makeTables = (
+  unregistered: string[] = [],
+  settledAt = 0,
+  sections: Partial<ScheduleConfig> = {},
+): ScheduleTables => (
+  makeScheduleTables('engines', { ...config, ...sections }, unregistered, settledAt)
 );
 
 export const announce = (
@@ -67,4 +74,5 @@
   }),
 }, now);
 
-export const listKinds = (effects: readonly ScheduleEffect[]): string[] => effects.map((effect) => `${effect.kind} ${effect.requestId}`);
+export const listKinds = (effects: readonly ScheduleEffect[]): string[] => effects
+  .map((effect) => `${effect.kind} ${effect.kind === 'order' ? effect.workerId : effect.requestId}`);
--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -22,12 +22,22 @@
   /** File for a record of every dispatch. */
   readonly recordFile: string;
   readonly secret?: string;
+  /** How long it loads what it is ordered to; unset: it takes no orders. */
+  readonly loadMs?: number;
+  /** Whether it takes orders under an old fencing number. */
+  readonly ignoresFencing?: boolean;
   /** How long a dispatch is on its way. */
   readonly arriveMs?: number;
   /** Port to listen on; 0 or none for any. */
   readonly port?: number;
 };
 
+interface Order {
+  readonly fencing: number;
+  readonly digest: string;
+  readonly models: readonly { readonly name: string; readonly modelVersion: string }[];
+}
+
 interface CompletionBody {
   readonly model: string;
   readonly max_tokens?: number;
@@ -64,6 +74,18 @@
   /** Every dispatch, as the check of records reads it. */
   readonly dispatches: DispatchRecord[] = [];
 
+  /** Orders that were carried out or are being so. */
+  readonly orders: Order[] = [];
+
+  /** Answers that ran when an order came: a real engine would cut them. */
+  cutByOrders = 0;
+
+  carried: Order | undefined;
+
+  isLoading = false;
+
+  private fencing = 0;
+
   /** Stream ids whose first byte has come. */
   readonly arriving = new Set<string>();
 
@@ -124,13 +146,14 @@
         id,
         pool,
         hardware,
-        models,
+        models: this.isLoading ? [] : models,
         slots,
         kind: 'model',
+        orderDigest: this.carried?.digest ?? '',
         incarnation: this.incarnation,
         address: this.address,
         zone: 'az-1',
-        abilities: ['resume', 'cancel'],
+        abilities: ['resume', 'cancel', ...(this.options.loadMs === undefined ? [] : ['orders'])],
         state: this.state,
         running: reading?.load ?? 0,
         loadAgeMs: reading ? Math.round(now - reading.at) : 0,
@@ -176,6 +199,9 @@
       response.setHeader('content-type', 'application/json');
       response.end(JSON.stringify({ state, incarnation: this.incarnation }));
     },
+    'PUT v1/order': (incoming, response, body) => {
+      response.writeHead(this.takeOrder(JSON.parse(body) as Order)).end();
+    },
     'POST v1/fault': (incoming, response, body) => {
       this.model.fault = (JSON.parse(body) as { kind: EngineFault }).kind;
       response.end();
@@ -192,6 +218,26 @@
     },
   };
 
+  /** As after a start with an empty memory. */
+  forgetOrders(): void {
+    this.orders.length = 0;
+    this.carried = undefined;
+  }
+
+  private takeOrder(order: Order): number {
+    if (order.fencing < this.fencing && !this.options.ignoresFencing) return 409;
+    this.fencing = order.fencing;
+    if (this.orders.at(-1)?.digest === order.digest) return 200;
+    this.orders.push(order);
+    this.cutByOrders += this.model.load;
+    this.isLoading = true;
+    setTimeout(() => {
+      this.carried = order;
+      this.isLoading = false;
+    }, this.options.loadMs);
+    return 202;
+  }
+
   private dispatch(
     incoming: IncomingMessage,
     response: ServerResponse,
--- /dev/null
+++ b/tests/site/orders.spec.ts
@@ -0,0 +1,96 @@
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import { makeExpectedText } from '../fakes/engineModel';
+import type { EngineStandIn } from '../fakes/engineStandIn';
+import { makeManifest, TestSite, waitUntil } from '../fakes/testSite';
+import type { SiteProcess } from '../fakes/testSite';
+
+const makeVersion = (version: number, checksFencing = true): object => makeManifest(version, {
+  models: { guide: { modelVersion: `v${version}` } },
+  pools: { engines: { kind: 'model', models: ['guide'], checksFencing } },
+  limits: { locateMs: 300, loadsPerMinute: 120 },
+});
+
+const readCarried = ({ carried }: EngineStandIn): string | undefined => (
+  carried?.models[0]?.modelVersion
+);
+
+describe('orders under failure', () => {
+  let site: TestSite;
+
+  beforeEach(async () => {
+    site = new TestSite();
+    await site.start(1, 3);
+  });
+  afterEach(() => site.stop());
+
+  const addEngines = (options: object) => Promise.all(['g1', 'g2'].map((id) => (
+    site.addEngine(id, { loadMs: 300, decodeMs: 10, ...options }))));
+
+  const waitForVersion = (engines: readonly EngineStandIn[], version: string) => (
+    waitUntil(`all engines carry ${version}`, () => (
+      engines.every((engine) => readCarried(engine) === version))));
+
+  const findOwner = async (): Promise<SiteProcess> => {
+    const owns = await Promise.all(site.entries.map(async (entry) => (
+      (await site.readStatus(entry)).owned.length > 0)));
+    return site.entries[owns.indexOf(true)] as SiteProcess;
+  };
+
+  /*
+   * A pipeline brings a new model version while guests read their answers. An answer breaks off, or
+   * nobody carries the model for a while and new guests are refused.
+   */
+  it('should bring a new version to all engines and cut no answer', async () => {
+    const engines = await addEngines({});
+    await site.submit(makeVersion(2));
+    let isRolling = true;
+    const askOn = async (
+      entry: SiteProcess,
+      prompt: string,
+      before: string[],
+    ): Promise<string[]> => {
+      const { text } = await site.ask(entry, prompt, { tokens: 60, tier: 'history' });
+      return isRolling ? askOn(entry, prompt, [...before, text]) : [...before, text];
+    };
+    const asked = Array.from({ length: 6 }, (unused, position) => (
+      askOn(site.entries[position % 3] as SiteProcess, `p${position}`, [])));
+    await waitForVersion(engines, 'v2');
+    isRolling = false;
+    const answers = await Promise.all(asked);
+    const wrong = answers.flatMap((texts, position) => (
+      texts.filter((text) => text !== makeExpectedText(`p${position}`, 60))));
+    expect(wrong).toEqual([]);
+    expect(engines.map(({ cutByOrders }) => cutByOrders)).toEqual([0, 0]);
+  });
+
+  /*
+   * The entry VM that orders the engines dies in the middle of a roll-out. The other engine stays
+   * on the old version for good, or the new owner orders against the one before.
+   */
+  it('should go on with the roll-out when the owner of the pool dies', async () => {
+    const engines = await addEngines({ ignoresFencing: true });
+    await site.submit(makeVersion(2, false));
+    await waitUntil('one is ordered', () => engines.some(({ orders }) => orders.length > 0));
+    await site.kill(await findOwner());
+    await waitForVersion(engines, 'v2');
+    const counts = engines.map(({ orders }) => (
+      orders.filter(({ models }) => models[0]?.modelVersion === 'v2').length));
+    expect(counts).toEqual([1, 1]);
+  });
+
+  /*
+   * An engine starts anew and has lost what it was ordered to load. Its pool says that it carries
+   * the version, callers find that it does not.
+   */
+  it('should order an engine again that has lost what it loaded', async () => {
+    const engines = await addEngines({});
+    await site.submit(makeVersion(2));
+    await waitForVersion(engines, 'v2');
+    const [first] = engines as [EngineStandIn];
+    first.forgetOrders();
+    await waitForVersion(engines, 'v2');
+    expect(first.orders).toHaveLength(1);
+  });
+});
