A call to a service that could not be sent goes to another server

Cause: ServiceRunner refused 503 noBackend at the first server it could not reach, while model requests were tried elsewhere; plain services had no test of their own on real processes. startOver holds the rule for both now. Before: with one of two services gone, three of six calls read 503. After: six of six 201, none at the one that is gone. The other four tests (pass through, resend, entry dies, service dies) passed at once; with the claim's answer taken out three of them fail.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,10 +1,12 @@
 /**
  * Policies side by side on the same arrivals: ours, round robin, and least outstanding at each
- * entry alone. Arguments: shape (kiosk | registry), seconds of each run, and loads.
+ * entry alone. Arguments: shape (kiosk | registry), seconds of each run, and loads. FAULT=slow or
+ * FAULT=stall strikes the first engine, one of the two fastest, after a fifth of each run.
  */
 import { writeFileSync } from 'node:fs';
 import type { PolicySettings } from '../src/core/schedule/scheduleTypes';
 import { KIOSK_SHAPE, makeArrivals, REGISTRY_SHAPE } from './policyLoad';
+import type { Arrival } from './policyLoad';
 import { PolicySite } from './policySite';
 import type { EngineTotals, Outcome } from './policySite';
 
@@ -26,6 +28,7 @@
 };
 
 const ENTRIES = 8;
+const FAULT_AFTER = 0.2;
 const SEED = Number(process.env.SEED ?? 20_261);
 
 const [shapeName = 'kiosk', secondsText = '10', ...loadTexts] = process.argv.slice(2);
@@ -92,6 +95,22 @@
   };
 };
 
+/** Strikes the first engine for the rest of a run. */
+const runWithFault = async (
+  site: PolicySite,
+  arrivals: readonly Arrival[],
+): Promise<Outcome[]> => {
+  const fault = process.env.FAULT;
+  if (!fault) return site.run(arrivals);
+  const timer = setTimeout(() => {
+    site.setFault(0, fault).catch(console.error);
+  }, seconds * 1_000 * FAULT_AFTER);
+  const outcomes = await site.run(arrivals);
+  clearTimeout(timer);
+  await site.setFault(0, 'none');
+  return outcomes;
+};
+
 const runLoads = async (
   site: PolicySite,
   policy: string,
@@ -100,7 +119,7 @@
     const rows = await earlier;
     const arrivals = makeArrivals(shape.tiers, shape.capacity * load, seconds, SEED);
     const before = await site.readTotals();
-    const outcomes = await site.run(arrivals);
+    const outcomes = await runWithFault(site, arrivals);
     const row = sumOutcomes(policy, load, outcomes, before, await site.readTotals());
     console.log(JSON.stringify(row));
     return [...rows, row];
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -110,10 +110,11 @@
     tracer,
     clock,
     metrics,
+    budget,
     readManifest: () => requireManifest(configuration),
     isServing: () => configuration.isServing,
   };
-  const models = new ModelRunner({ ...shared, engines, budget });
+  const models = new ModelRunner({ ...shared, engines });
   const services = new ServiceRunner(shared);
   const api = new CallerApi({
     id: settings.id,
--- a/src/entry/modelRunner.ts
+++ b/src/entry/modelRunner.ts
@@ -20,10 +20,10 @@
 import type { ClaimedDispatch } from './requestClaim';
 import type { RetryBudget } from './retryBudget';
 import type { SlotKeeper } from './slotKeeper';
+import { startOver } from './startOver';
 import { StreamRunner } from './streamRunner';
 import { StreamUnknown } from './streamUnknown';
 
-const MAX_ATTEMPTS = 3;
 /** Longest time from a written claim to the arrival of its dispatch at the engine. */
 const DISPATCH_FLIGHT_MS = GRANT_MS + 500;
 const ARRIVAL_POLL_MS = 100;
@@ -211,19 +211,7 @@
 
   /** Starts over after a dispatch that provably did no work, within the bounds of retries. */
   private async tryAgain(job: RequestJob, reason: string): Promise<void> {
-    job.waiting = job.makeWaiting();
-    job.waiting.note(reason);
-    job.attempts += 1;
-    const releaseFailure = await job.claim.release();
-    if (releaseFailure) throw releaseFailure;
-    const allowed = job.attempts < MAX_ATTEMPTS && !job.caller.isGone()
-      && this.parts.isServing() && job.waiting.remainingMs > 0 && this.parts.budget.take();
-    if (!allowed) {
-      throw new BeechliftError('noBackend', reason, {
-        run: 'notRun', retryAfterMs: 1_000, steps: job.waiting.steps,
-      });
-    }
-    this.parts.metrics.retries.inc();
+    await startOver(this.parts, job, reason);
     const reply = await this.parts.slots.take(job.request, job.waiting, job.context)
       .catch((error: unknown) => refuseReleased(job, error));
     await this.dispatch(job, reply);
--- a/src/entry/serviceRunner.ts
+++ b/src/entry/serviceRunner.ts
@@ -2,6 +2,7 @@
 import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
 import { BeechliftError } from '../errors/beechliftError';
 import type { Manifest } from '../manifest/manifest';
+import type { Metrics } from '../telemetry/metrics';
 import type { HopTracer } from '../telemetry/tracing';
 import type { Clock } from '../utils/clock';
 import { EngineFailure } from './engineFailure';
@@ -9,7 +10,9 @@
 import type { RequestJob } from './requestJob';
 import { callService } from './serviceClient';
 import type { ServiceAnswer } from './serviceClient';
+import type { RetryBudget } from './retryBudget';
 import type { SlotKeeper } from './slotKeeper';
+import { startOver } from './startOver';
 
 /** What is sent to the service. */
 export interface ServiceDispatch {
@@ -23,6 +26,8 @@
   readonly slots: SlotKeeper;
   readonly tracer: HopTracer;
   readonly clock: Clock;
+  readonly budget: RetryBudget;
+  readonly metrics: Metrics;
   readonly readManifest: () => Manifest;
   readonly isServing: () => boolean;
 }
@@ -31,7 +36,7 @@
 
 /**
  * Takes a call to a plain service from its claim to its answer. A call that was sent is never sent
- * again.
+ * again; one that provably was not goes to another server.
  *
  * @example
  * const answer = await runner.run(job, { method: 'POST', headers, body });
@@ -44,6 +49,13 @@
     await job.claim.take(job.waiting);
     const { bound } = job.claim;
     if (bound) return this.answerBound(bound);
+    return this.takeSlotAndSend(job, dispatch);
+  }
+
+  private async takeSlotAndSend(
+    job: RequestJob,
+    dispatch: ServiceDispatch,
+  ): Promise<ServiceAnswer> {
     const grant = await this.parts.slots.take(job.request, job.waiting, job.context)
       .catch((error: unknown) => refuseReleased(job, error));
     await this.claimDispatch(job, grant);
@@ -106,7 +118,7 @@
       await this.keep(job, answer);
       return answer;
     } catch (error) {
-      return await this.fail(job, error);
+      return await this.handleFailure(job, grant, dispatch, error);
     } finally {
       span.end();
     }
@@ -122,14 +134,17 @@
     }).catch(() => undefined);
   }
 
-  private async fail(job: RequestJob, error: unknown): Promise<never> {
+  private async handleFailure(
+    job: RequestJob,
+    grant: AskReply,
+    dispatch: ServiceDispatch,
+    error: unknown,
+  ): Promise<ServiceAnswer> {
     const notSent = error instanceof EngineFailure && error.reach === 'notSent';
     this.parts.slots.finish(job.request, notSent ? 'unreachable' : 'failed');
     if (notSent) {
-      return refuseReleased(
-        job,
-        new BeechliftError('noBackend', error.message, { retryAfterMs: 1_000 }),
-      );
+      await startOver(this.parts, job, `backend server "${grant.workerId}" could not be reached`);
+      return this.takeSlotAndSend(job, dispatch);
     }
     if (error instanceof BeechliftError) throw error;
     throw new BeechliftError('outcomeUnknown', `the call was sent and no whole answer came: ${(error as Error).message}`);
--- /dev/null
+++ b/tests/fakes/serviceStandIn.ts
@@ -0,0 +1,62 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import { request } from 'undici';
+
+/** A plain service beside the engines, which notes every call that reaches it. */
+export class ServiceStandIn {
+  /** Method, path and body of each call. */
+  readonly calls: string[] = [];
+
+  /** How long a call takes. */
+  workMs = 0;
+
+  address = '';
+
+  private readonly server: Server;
+
+  constructor(readonly id: string, private readonly entries: readonly string[]) {
+    this.server = createServer((incoming, response) => {
+      this.answer(incoming, response).catch(() => response.destroy());
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Tells every entry about itself. */
+  async announce(): Promise<void> {
+    await Promise.all(this.entries.map(async (entry) => {
+      const response = await request(`http://${entry}/v1/announce`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({
+          id: this.id, pool: 'rooms', kind: 'service', address: this.address, models: ['rooms'], slots: 4, state: 'ready',
+        }),
+      });
+      await response.body.dump();
+    }));
+  }
+
+  /** Dies at once: open connections are cut. */
+  crash(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async answer(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    const pieces: Buffer[] = [];
+    // eslint-disable-next-line no-restricted-syntax -- a body is read in order
+    for await (const piece of incoming) pieces.push(piece as Buffer);
+    this.calls.push(`${incoming.method} ${incoming.url} ${Buffer.concat(pieces).toString()}`);
+    const count = this.calls.length;
+    await pause(this.workMs);
+    response.writeHead(201, { 'content-type': 'text/plain', 'x-door': incoming.headers['x-door'] ?? '' });
+    response.end(`room ${count} by ${this.id}`);
+  }
+}
--- /dev/null
+++ b/tests/site/service-failures.spec.ts
@@ -0,0 +1,127 @@
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import { request } from 'undici';
+import { ServiceStandIn } from '../fakes/serviceStandIn';
+import {
+  API_KEY, makeManifest, TestSite, waitUntil,
+} from '../fakes/testSite';
+import type { SiteProcess } from '../fakes/testSite';
+
+describe('plain services under failure', () => {
+  let site: TestSite;
+  let first: SiteProcess;
+  let second: SiteProcess;
+  let services: ServiceStandIn[];
+  let timer: NodeJS.Timeout;
+
+  beforeEach(async () => {
+    site = new TestSite();
+    services = [];
+    await site.start(3, 3, makeManifest(1, {
+      services: { rooms: { timeoutMs: 8_000 } },
+      pools: {
+        engines: { kind: 'model', models: ['guide'] },
+        rooms: { kind: 'service', services: ['rooms'] },
+      },
+    }));
+    [first, second] = site.entries as [SiteProcess, SiteProcess, SiteProcess];
+    timer = setInterval(() => {
+      services.forEach((service) => service.announce().catch(() => undefined));
+    }, 200);
+  });
+  afterEach(async () => {
+    clearInterval(timer);
+    services.forEach((service) => service.crash());
+    await site.stop();
+  });
+
+  const addService = async (id: string): Promise<ServiceStandIn> => {
+    const service = new ServiceStandIn(id, site.entries.map(({ address }) => address));
+    await service.start();
+    services.push(service);
+    await waitUntil(`${id} is known`, async () => (await site.listWorkers()).includes(id));
+    return service;
+  };
+
+  const askForRoom = async (entry: SiteProcess, key: string, headers: object = {}) => {
+    const response = await request(`http://${entry.address}/services/rooms/issue?floor=2`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${API_KEY}`, 'idempotency-key': key, 'x-door': '17', ...headers,
+      },
+      body: 'for a family',
+    });
+    return {
+      status: response.statusCode, headers: response.headers, text: await response.body.text(),
+    };
+  };
+
+  const readName = ({ text }: { text: string }): string => (
+    (JSON.parse(text) as { error: { name: string } }).error.name);
+
+  it('should pass method, path, headers and body, and the answer back', async () => {
+    const service = await addService('s1');
+    const answer = await askForRoom(first, 'k');
+    expect([answer.status, answer.text, answer.headers['x-door']]).toEqual([201, 'room 1 by s1', '17']);
+    expect(service.calls).toEqual(['POST /issue?floor=2 for a family']);
+  });
+
+  /*
+   * A kiosk issues a room, the answer is lost, and it sends the same key through another entry VM.
+   * It must read the same room; two rooms must not be issued.
+   */
+  it('should give the same answer to a resend and call the service once', async () => {
+    const service = await addService('s1');
+    const answers = [await askForRoom(first, 'k'), await askForRoom(second, 'k')];
+    expect(answers.map(({ status, text }) => [status, text]))
+      .toEqual([[201, 'room 1 by s1'], [201, 'room 1 by s1']]);
+    expect(service.calls).toHaveLength(1);
+  });
+
+  /*
+   * The entry VM dies while the room is being issued. Nobody can tell the kiosk how it ended, so
+   * the resend must say "unknown", and the service must not be called again.
+   */
+  it('should call nothing twice when the entry dies in mid-call', async () => {
+    const service = await addService('s1');
+    service.workMs = 1_000;
+    const lost = askForRoom(first, 'k').catch(() => undefined);
+    await waitUntil('the call has arrived', () => service.calls.length === 1);
+    await site.kill(first);
+    await lost;
+    const again = await askForRoom(second, 'k');
+    expect([again.status, readName(again)]).toEqual([502, 'outcomeUnknown']);
+    expect(service.calls).toHaveLength(1);
+  });
+
+  /*
+   * The service dies with the call in hand. The kiosk must not read "not run", and no other one may
+   * get the call.
+   */
+  it('should not claim that a call did not run when its service died', async () => {
+    const service = await addService('s1');
+    service.workMs = 5_000;
+    const asked = askForRoom(first, 'k');
+    await waitUntil('the call has arrived', () => service.calls.length === 1);
+    service.crash();
+    const other = await addService('s2');
+    expect(readName(await asked)).toBe('outcomeUnknown');
+    expect(readName(await askForRoom(second, 'k'))).toBe('outcomeUnknown');
+    expect(other.calls).toHaveLength(0);
+  });
+
+  /*
+   * One service announces itself and nothing listens at its address. No call was sent, so each goes
+   * to the other one; a kiosk read "no backend" though one was there.
+   */
+  it('should call another service when nothing could be sent', async () => {
+    const gone = await addService('s1');
+    gone.crash();
+    const other = await addService('s2');
+    const keys = ['a', 'b', 'c', 'd', 'e', 'f'];
+    const answers = await Promise.all(keys.map((key) => askForRoom(first, key)));
+    expect(answers.map(({ status }) => status)).toEqual(keys.map(() => 201));
+    expect([gone.calls.length, other.calls.length]).toEqual([0, 6]);
+  });
+});
