--- a/tests/fakes/engineModel.ts
+++ b/tests/fakes/engineModel.ts
@@ -9,6 +9,8 @@
   readonly slots: number;
   /** Prefixes that the cache holds. */
   readonly cacheSize: number;
+  /** Gives the first token at once and never slows down: a bench of the relay wants no queue. */
+  readonly isPrompt?: boolean;
 }
 
 /** Faults on demand. */
@@ -80,6 +82,12 @@
     this.streams.set(stream.id, stream);
     const [oldest] = this.streams.keys();
     if (this.streams.size > MAX_KEPT_STREAMS && oldest) this.streams.delete(oldest);
+    if (this.traits.isPrompt) {
+      this.running.add(stream);
+      this.addEvent(stream);
+      this.schedule(this.traits.decodeMs);
+      return;
+    }
     this.waiting.push(stream);
     this.schedule(0);
   }
@@ -120,7 +128,8 @@
     this.running.forEach((stream) => this.addEvent(stream));
     if (this.running.size === 0 && this.waiting.length === 0) return;
     const batch = Math.max(0, this.running.size - 1);
-    const decodeMs = this.traits.decodeMs * (1 + BATCH_COST * batch);
+    const slowdown = this.traits.isPrompt ? 1 : 1 + BATCH_COST * batch;
+    const decodeMs = this.traits.decodeMs * slowdown;
     this.schedule((prefillMs + decodeMs) * (this.fault === 'slow' ? SLOW_FACTOR : 1));
   }
 
