Three scenarios: a server that leaves, a shutdown, a roll-out with two deaths

The third freezes the leader and kills the owner in the middle of a roll-out: each engine carries the new version, no answer is cut, no invariant is broken. findOwner stands once, in TestSite.

--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -8,8 +8,16 @@
 import { EngineModel } from './engineModel';
 import type { EngineFault, EngineStream, EngineTraits } from './engineModel';
 
+/** How an engine takes orders. */
+export interface OrderTraits {
+  /** How long it loads what it is ordered to; unset: it takes no orders. */
+  readonly loadMs?: number;
+  /** Whether it takes orders under an old fencing number. */
+  readonly ignoresFencing?: boolean;
+}
+
 /** What a stand-in is started with. */
-export type StandInOptions = EngineTraits & {
+export type StandInOptions = EngineTraits & OrderTraits & {
   readonly id: string;
   readonly pool: string;
   readonly hardware: string;
@@ -22,10 +30,6 @@
   /** File for a record of every dispatch. */
   readonly recordFile: string;
   readonly secret?: string;
-  /** How long it loads what it is ordered to; unset: it takes no orders. */
-  readonly loadMs?: number;
-  /** Whether it takes orders under an old fencing number. */
-  readonly ignoresFencing?: boolean;
   /** How long a dispatch is on its way. */
   readonly arriveMs?: number;
   /** Port to listen on; 0 or none for any. */
@@ -86,6 +90,8 @@
 
   private fencing = 0;
 
+  private orderTraits: OrderTraits;
+
   /** Stream ids whose first byte has come. */
   readonly arriving = new Set<string>();
 
@@ -102,6 +108,7 @@
 
   constructor(private readonly options: StandInOptions) {
     this.model = new EngineModel(options);
+    this.orderTraits = options;
     this.server = createServer((incoming, response) => {
       this.handle(incoming, response).catch(() => response.destroy());
     });
@@ -153,7 +160,7 @@
         incarnation: this.incarnation,
         address: this.address,
         zone: 'az-1',
-        abilities: ['resume', 'cancel', ...(this.options.loadMs === undefined ? [] : ['orders'])],
+        abilities: ['resume', 'cancel', ...(this.orderTraits.loadMs === undefined ? [] : ['orders'])],
         state: this.state,
         running: reading?.load ?? 0,
         loadAgeMs: reading ? Math.round(now - reading.at) : 0,
@@ -218,6 +225,11 @@
     },
   };
 
+  /** From now on it takes orders. */
+  setOrders(traits: OrderTraits): void {
+    this.orderTraits = traits;
+  }
+
   /** As after a start with an empty memory. */
   forgetOrders(): void {
     this.orders.length = 0;
@@ -225,7 +237,7 @@
   }
 
   private takeOrder(order: Order): number {
-    if (order.fencing < this.fencing && !this.options.ignoresFencing) return 409;
+    if (order.fencing < this.fencing && !this.orderTraits.ignoresFencing) return 409;
     this.fencing = order.fencing;
     if (this.orders.at(-1)?.digest === order.digest) return 200;
     this.orders.push(order);
@@ -234,7 +246,7 @@
     setTimeout(() => {
       this.carried = order;
       this.isLoading = false;
-    }, this.options.loadMs);
+    }, this.orderTraits.loadMs);
     return 202;
   }
 
--- a/tests/fakes/testSite.ts
+++ b/tests/fakes/testSite.ts
@@ -207,6 +207,13 @@
     return engine;
   }
 
+  /** The entry that owns a pool. */
+  async findOwner(): Promise<SiteProcess> {
+    const owns = await Promise.all(this.entries.map(async (entry) => (
+      (await this.readStatus(entry)).owned.length > 0)));
+    return this.entries[owns.indexOf(true)] as SiteProcess;
+  }
+
   async listWorkers(): Promise<string[]> {
     const all = await Promise.all(
       this.entries.map((entry) => this.readStatus(entry).catch(() => undefined)),
--- a/tests/scenarios/failures.feature
+++ b/tests/scenarios/failures.feature
@@ -64,3 +64,33 @@
     Given a site of 3 control replicas, 3 entries and 2 engine with 4 slots
     When 10 callers send requests with keys through every entry at once
     Then no invariant is broken
+
+  Scenario: A backend server leaves while callers wait
+    Given a site of 1 control replicas, 3 entries and 2 engine with 2 slots
+    When 16 callers send requests with keys through entry 1
+    And 4 of them have begun
+    And engine 1 leaves
+    Then every caller has its whole answer
+    And engine 1 got at most the 2 requests that were granted before it left
+    And no invariant is broken
+
+  Scenario: An entry is shut down while answers run
+    Given a site of 1 control replicas, 2 entries and 1 engine with 4 slots
+    When 4 callers send requests with keys through entry 1
+    And 4 of them have begun
+    And entry 1 is shut down
+    Then every caller has its whole answer
+    And no invariant is broken
+
+  Scenario: The leader of control and the owner of the pool fail in a roll-out
+    Given a site of 3 control replicas, 3 entries and 2 engine with 4 slots
+    And the engines take orders and ignore fencing numbers
+    When an operator submits version 2 with a new model version
+    And one engine is ordered
+    And the leader of control freezes
+    And the owner of the pool dies
+    And 8 callers send requests with keys through a living entry
+    Then every engine carries the new model version
+    And no answer was cut by an order
+    And every caller has its whole answer
+    And no invariant is broken
--- a/tests/scenarios/steps.ts
+++ b/tests/scenarios/steps.ts
@@ -5,6 +5,7 @@
 import type { VerifyRecord } from '../../src/verify/records';
 import { verifyRecords } from '../../src/verify/verifyRecords';
 import { makeExpectedText } from '../fakes/engineModel';
+import type { EngineStandIn } from '../fakes/engineStandIn';
 import { SilentProxy } from '../fakes/silentProxy';
 import {
   makeManifest, OPERATOR_KEY, TestSite, waitUntil,
@@ -12,6 +13,7 @@
 import type { Answer, SiteProcess } from '../fakes/testSite';
 
 const TOKENS = 30;
+const NEW_MODEL = 'new';
 const STEP_TIMEOUT_MS = 90_000;
 
 setDefaultTimeout(STEP_TIMEOUT_MS);
@@ -33,12 +35,22 @@
 
   readonly proxies: SilentProxy[] = [];
 
+  /** Requests that an engine had when it left. */
+  dispatchedAtLeaving = 0;
+
+  /** The entry that owned the pool and was killed. */
+  owner: SiteProcess | undefined;
+
   private sends = 0;
 
   findEntry(position: number): SiteProcess {
     return this.site.entries[position - 1] as SiteProcess;
   }
 
+  findEngine(position: number): EngineStandIn {
+    return this.site.engines[position - 1] as EngineStandIn;
+  }
+
   countDispatched(): number {
     return this.site.engines.reduce((sum, { dispatched }) => sum + dispatched.length, 0);
   }
@@ -176,6 +188,61 @@
   this.attach(JSON.stringify(await submitRaces(this, count)), 'application/json');
 });
 
+When('engine {int} leaves', async function leave(this: ScenarioWorld, position: number) {
+  const engine = this.findEngine(position);
+  engine.state = 'leaving';
+  await engine.announce();
+  this.dispatchedAtLeaving = engine.dispatched.length;
+});
+
+When('entry {int} is shut down', async function shutDown(this: ScenarioWorld, entry: number) {
+  await this.site.kill(this.findEntry(entry), 'SIGTERM');
+});
+
+Given('the engines take orders and ignore fencing numbers', async function takeOrders(this: ScenarioWorld) {
+  this.site.engines.forEach((engine) => engine.setOrders({ loadMs: 300, ignoresFencing: true }));
+});
+
+When('an operator submits version {int} with a new model version', async function submitModel(this: ScenarioWorld, version: number) {
+  await this.site.submit(makeManifest(version, {
+    models: { guide: { modelVersion: NEW_MODEL } },
+    pools: { engines: { kind: 'model', models: ['guide'], checksFencing: false } },
+    limits: { locateMs: 300, loadsPerMinute: 120 },
+  }));
+});
+
+When('one engine is ordered', async function waitForOrder(this: ScenarioWorld) {
+  await waitUntil('one is ordered', () => (
+    this.site.engines.some(({ orders }) => orders.length > 0)));
+});
+
+When('the owner of the pool dies', async function killOwner(this: ScenarioWorld) {
+  this.owner = await this.site.findOwner();
+  await this.site.kill(this.owner);
+});
+
+When('{int} callers send requests with keys through a living entry', function sendOn(this: ScenarioWorld, count: number) {
+  const entry = this.site.entries.find((other) => other !== this.owner) as SiteProcess;
+  addCallers(this, count).forEach((caller) => {
+    caller.pending = this.send(caller, entry);
+  });
+});
+
+Then('every engine carries the new model version', async function checkModel(this: ScenarioWorld) {
+  await waitUntil('all carry it', () => this.site.engines.every(({ carried }) => (
+    carried?.models[0]?.modelVersion === NEW_MODEL)));
+});
+
+Then('no answer was cut by an order', function checkOrders(this: ScenarioWorld) {
+  const cut = this.site.engines.reduce((sum, { cutByOrders }) => sum + cutByOrders, 0);
+  if (cut > 0) throw new Error(`${cut} answers ran when an order came`);
+});
+
+Then('engine {int} got at most the {int} requests that were granted before it left', function checkLeft(this: ScenarioWorld, position: number, granted: number) {
+  const late = this.findEngine(position).dispatched.length - this.dispatchedAtLeaving;
+  if (late > granted) throw new Error(`${late} requests came after it left`);
+});
+
 Then('one of them is accepted, also when all send again', async function checkRace(this: ScenarioWorld) {
   const replies = await submitRaces(this, this.site.controls.length);
   const accepted = replies.filter(({ code }) => code === 0);
--- a/tests/site/entry-failures.spec.ts
+++ b/tests/site/entry-failures.spec.ts
@@ -108,9 +108,7 @@
    */
   it('should go on with a new owner when the owner of a pool dies', async () => {
     await site.addEngine('g1', { slots: 4 });
-    const owns = await Promise.all(site.entries.map(async (entry) => (
-      (await site.readStatus(entry)).owned.length > 0)));
-    const owner = site.entries[owns.indexOf(true)] as SiteProcess;
+    const owner = await site.findOwner();
     const others = site.entries.filter((entry) => entry !== owner);
     const asks = Array.from({ length: 24 }, (unused, position) => (
       site.ask(
--- a/tests/site/orders.spec.ts
+++ b/tests/site/orders.spec.ts
@@ -32,12 +32,6 @@
     waitUntil(`all engines carry ${version}`, () => (
       engines.every((engine) => readCarried(engine) === version))));
 
-  const findOwner = async (): Promise<SiteProcess> => {
-    const owns = await Promise.all(site.entries.map(async (entry) => (
-      (await site.readStatus(entry)).owned.length > 0)));
-    return site.entries[owns.indexOf(true)] as SiteProcess;
-  };
-
   /*
    * A pipeline brings a new model version while guests read their answers. An answer breaks off, or
    * nobody carries the model for a while and new guests are refused.
@@ -73,7 +67,7 @@
     const engines = await addEngines({ ignoresFencing: true });
     await site.submit(makeVersion(2, false));
     await waitUntil('one is ordered', () => engines.some(({ orders }) => orders.length > 0));
-    await site.kill(await findOwner());
+    await site.kill(await site.findOwner());
     await waitForVersion(engines, 'v2');
     const counts = engines.map(({ orders }) => (
       orders.filter(({ models }) => models[0]?.modelVersion === 'v2').length));
