--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -26,6 +26,7 @@
 import type { ServiceAnswer } from './serviceClient';
 import type { ServiceRunner } from './serviceRunner';
 import { pickPassedHeaders } from './serviceClient';
+import { formatWorkerStatus } from './workerStatus';
 
 /**
  * A request beyond its deadline may still be served while lower tiers hold slots; then it is given
@@ -188,16 +189,7 @@
         pool: tables.pool,
         waiting: tables.waiting.size,
         running: tables.running.size,
-        workers: [...tables.workers.values()].map((worker) => ({
-          id: worker.id,
-          slots: worker.slots,
-          running: worker.running.size,
-          leaving: worker.leaving,
-          pace: worker.pace,
-          reach: worker.reach,
-          turn: worker.turn,
-          isAsWanted: worker.carries === tables.orders.desired?.digest,
-        })),
+        workers: [...tables.workers.values()].map((worker) => formatWorkerStatus(tables, worker)),
       })),
     };
   }
--- /dev/null
+++ b/src/entry/workerStatus.ts
@@ -0,0 +1,18 @@
+import type { ScheduleTables, WorkerEntity } from '../core/schedule/scheduleTypes';
+
+/**
+ * What the status page shows of a worker.
+ *
+ * @example
+ * [...tables.workers.values()].map((worker) => formatWorkerStatus(tables, worker));
+ */
+export const formatWorkerStatus = (tables: ScheduleTables, worker: WorkerEntity): object => ({
+  id: worker.id,
+  slots: worker.slots,
+  running: worker.running.size,
+  leaving: worker.leaving,
+  pace: worker.pace,
+  reach: worker.reach,
+  turn: worker.turn,
+  isAsWanted: worker.carries === tables.orders.desired?.digest,
+});
