--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -247,10 +247,9 @@
   [100, 1_000, 3_000].forEach((count) => {
     global.gc?.();
     const before = process.memoryUsage().heapUsed;
-    const tables = makeScheduleTables('p', site as never, [], 0);
-    tables.config = {
+    const tables = makeScheduleTables('p', {
       tiers: {}, accounts: {}, models: {}, pools: {}, limits: { workersPerPool: 10_000 } as never,
-    };
+    }, [], 0);
     const startedAt = process.cpuUsage();
     Array.from({ length: count }).forEach((unused, position) => handleScheduleEvent(tables, {
       kind: 'announce',
--- a/src/core/schedule/announcements.ts
+++ b/src/core/schedule/announcements.ts
@@ -92,21 +92,23 @@
   worker: WorkerEntity,
   announcement: Announcement,
 ): boolean => {
-  const isNewStart = worker.incarnation !== announcement.incarnation;
-  if (isNewStart) worker.leftAt = -Infinity;
   if (announcement.state === 'leaving') worker.leftAt = now;
   return now - worker.leftAt < ANNOUNCEMENT_FLIGHT_MS;
 };
 
+/** A new start of a worker has nothing to do with what the one before said or was ordered. */
+const forgetStart = (step: ScheduleStep, worker: WorkerEntity): void => {
+  worker.leftAt = -Infinity;
+  worker.ordered = '';
+  noteNewStart(step, worker);
+};
+
 /** Takes in what a backend server says of itself. */
 export const handleAnnouncement = (step: ScheduleStep, announcement: Announcement): void => {
   const { tables, now } = step;
   const worker = addWorker(tables, announcement);
   if (!worker) return;
-  if (worker.incarnation !== announcement.incarnation) {
-    noteNewStart(step, worker);
-    worker.ordered = '';
-  }
+  if (worker.incarnation !== announcement.incarnation) forgetStart(step, worker);
   worker.leaving = isLeaving(step, worker, announcement);
   worker.incarnation = announcement.incarnation;
   worker.address = announcement.address;
--- a/src/entry/orderSender.ts
+++ b/src/entry/orderSender.ts
@@ -2,15 +2,12 @@
 import type { Dispatcher } from 'undici';
 import { ORDER_FLIGHT_MS } from '../core/schedule/orderBook';
 import type { DesiredState, OrderResult } from '../core/schedule/scheduleTypes';
+import { toBeechliftError } from '../errors/beechliftError';
 import type { Logger } from '../telemetry/logger';
 import type { Metrics } from '../telemetry/metrics';
 
 const results: Readonly<Record<number, OrderResult>> = { 200: 'taken', 202: 'taken', 409: 'outbid' };
 
-const readCause = (thrown: unknown): string => (
-  thrown instanceof Error ? thrown.message : String(thrown)
-);
-
 /**
  * Sends orders to backend servers: the whole state that one is to carry, with a fencing number.
  *
@@ -25,7 +22,7 @@
     const result = await this.put(address, { ...desired, fencing })
       .then((reply) => this.judge(address, reply, fencing))
       .catch((thrown: unknown): OrderResult => {
-        this.logger.warn('order not delivered, it is repeated', { address, cause: readCause(thrown) });
+        this.logger.warn('order not delivered, it is repeated', { address, cause: toBeechliftError(thrown).message });
         return 'failed';
       });
     this.metrics.orders.inc({ result });
--- a/tests/fakes/engineStandIn.ts
+++ b/tests/fakes/engineStandIn.ts
@@ -7,6 +7,7 @@
 import type { DispatchRecord } from '../../src/verify/records';
 import { EngineModel } from './engineModel';
 import type { EngineFault, EngineStream, EngineTraits } from './engineModel';
+import { readBody } from './readBody';
 
 /** How an engine takes orders. */
 export interface OrderTraits {
@@ -51,13 +52,6 @@
 
 type Route = (incoming: IncomingMessage, response: ServerResponse, body: string) => void;
 
-const readBody = async (incoming: IncomingMessage): Promise<string> => {
-  const pieces: Buffer[] = [];
-  // eslint-disable-next-line no-restricted-syntax -- a body is read in order
-  for await (const piece of incoming) pieces.push(piece as Buffer);
-  return Buffer.concat(pieces).toString();
-};
-
 const joinPrompt = (body: CompletionBody): string => (
   body.messages?.map(({ role, content }) => `${role}\n${content}`).join('\n') ?? body.prompt ?? ''
 );
--- /dev/null
+++ b/tests/fakes/readBody.ts
@@ -0,0 +1,9 @@
+import type { IncomingMessage } from 'node:http';
+
+/** Reads the whole body of a request to a stand-in. */
+export const readBody = async (incoming: IncomingMessage): Promise<string> => {
+  const pieces: Buffer[] = [];
+  // eslint-disable-next-line no-restricted-syntax -- a body is read in order
+  for await (const piece of incoming) pieces.push(piece as Buffer);
+  return Buffer.concat(pieces).toString();
+};
--- a/tests/fakes/serviceStandIn.ts
+++ b/tests/fakes/serviceStandIn.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import { request } from 'undici';
+import { readBody } from './readBody';
 
 /** A plain service beside the engines, which notes every call that reaches it. */
 export class ServiceStandIn {
@@ -50,10 +51,8 @@
   }
 
   private async answer(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    const pieces: Buffer[] = [];
-    // eslint-disable-next-line no-restricted-syntax -- a body is read in order
-    for await (const piece of incoming) pieces.push(piece as Buffer);
-    this.calls.push(`${incoming.method} ${incoming.url} ${Buffer.concat(pieces).toString()}`);
+    const body = await readBody(incoming);
+    this.calls.push(`${incoming.method} ${incoming.url} ${body}`);
     const count = this.calls.length;
     await pause(this.workMs);
     response.writeHead(201, { 'content-type': 'text/plain', 'x-door': incoming.headers['x-door'] ?? '' });
