--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,6 +12,13 @@
   sourcemap: false,
 };
 
+if (process.argv.includes('--platform')) {
+  await build({
+    ...shared, entryPoints: ['platform/main.ts'], outfile: 'target/beechlift.cjs', minify: true, keepNames: false,
+  });
+  process.exit(0);
+}
+
 await mkdir('dist', { recursive: true });
 await build({ ...shared, entryPoints: ['src/main.ts'], outfile: 'dist/beechlift.cjs' });
 const extra = process.argv.slice(2).filter((name) => !name.startsWith('-'));
--- /dev/null
+++ b/src/control/entryTable.ts
@@ -0,0 +1,105 @@
+import type {
+  EntryRecord, WatchRequest, WorkerLoad,
+} from '../protocol/generated/beechlift';
+import { computeShares } from '../core/routing/accountBudget';
+import type { EntryDemand } from '../core/routing/accountBudget';
+import type { AccountShare } from '../protocol/generated/beechlift';
+
+/** What the leader knows of an entry. */
+interface KnownEntry {
+  request: WatchRequest;
+  heardAt: number;
+}
+
+/** Bounds the table. */
+const MAX_ENTRIES = 2_000;
+
+/**
+ * Silence after which callers are not sent to an entry, in milliseconds: three askings, each held
+ * for a quarter of a second.
+ */
+const SILENCE_MS = 900;
+
+/**
+ * Entries as the leader hears them. Not replicated: a new leader hears them anew.
+ *
+ * @example
+ * entries.note(request, clock.now());
+ * const records = entries.list(clock.now());
+ */
+export class EntryTable {
+  private readonly entries = new Map<string, KnownEntry>();
+
+  /** @param leaseMs an entry that was granted a lease may use its shares for this long */
+  constructor(private readonly leaseMs: number) {}
+
+  /** Notes that an entry asked. */
+  note(request: WatchRequest, now: number): void {
+    if (!this.entries.has(request.entryId) && this.entries.size >= MAX_ENTRIES) return;
+    this.dropReborn(request);
+    this.entries.set(request.entryId, { request, heardAt: now });
+  }
+
+  /** Entries that callers may be sent to. */
+  list(now: number): EntryRecord[] {
+    return [...this.entries.values()]
+      .filter(({ request, heardAt }) => request.state === 'active' && now - heardAt <= SILENCE_MS)
+      .map(({ request }) => ({
+        id: request.entryId,
+        callerAddress: request.callerAddress,
+        zone: request.zone,
+        state: request.state,
+      }));
+  }
+
+  /** Entries that may hold a lease, and thereby shares of limits. */
+  countLeased(now: number): number {
+    this.forget(now);
+    return this.entries.size;
+  }
+
+  /** What all entries but one have at each backend server. */
+  sumLoads(exceptId: string, now: number): WorkerLoad[] {
+    const sums = new Map<string, WorkerLoad & { observers: number }>();
+    [...this.entries.values()]
+      .filter(({ request, heardAt }) => request.entryId !== exceptId && now - heardAt <= SILENCE_MS)
+      .forEach(({ request }) => request.loads.forEach((load) => {
+        const sum = sums.get(load.workerId) ?? {
+          workerId: load.workerId, inFlight: 0, tokens: 0, slowness: 0, observers: 0,
+        };
+        sum.inFlight += load.inFlight;
+        sum.tokens += load.tokens;
+        sum.slowness += load.slowness;
+        sum.observers += load.slowness > 0 ? 1 : 0;
+        sums.set(load.workerId, sum);
+      }));
+    return [...sums.values()].map(({ observers, ...sum }) => (
+      { ...sum, slowness: Math.round(sum.slowness / Math.max(1, observers)) }));
+  }
+
+  /** Shares of all limits for an entry. */
+  computeShares(entryId: string, now: number): AccountShare[] {
+    this.forget(now);
+    const demands = [...this.entries.values()].map(({ request }): EntryDemand => (
+      { entryId: request.entryId, demands: request.demands }));
+    return computeShares(demands, entryId);
+  }
+
+  /** Forgets all: another replica leads, or this one has just begun to. */
+  clear(): void {
+    this.entries.clear();
+  }
+
+  /** A process that serves the address of another has taken its place. */
+  private dropReborn({ entryId, callerAddress }: WatchRequest): void {
+    this.entries.forEach(({ request }, id) => {
+      if (id !== entryId && request.callerAddress === callerAddress) this.entries.delete(id);
+    });
+  }
+
+  private forget(now: number): void {
+    this.entries.forEach(({ heardAt }, id) => {
+      if (now - heardAt > this.leaseMs) this.entries.delete(id);
+    });
+  }
+}
--- a/src/control/logRunner.ts
+++ b/src/control/logRunner.ts
@@ -1,6 +1,7 @@
 import type { LogEntry, LogMessage } from '../protocol/generated/beechlift';
+import { setTimeout as pause } from 'node:timers/promises';
 import { BeechliftError } from '../errors/beechliftError';
-import { handleLogEvent, holdsLeaderLease } from '../core/log/replicatedLog';
+import { handleLogEvent, holdsLeaderLease, isRoundConfirmed } from '../core/log/replicatedLog';
 import { makeLogState, REPLICAS_COMMAND } from '../core/log/logState';
 import type {
   LogEffect, LogEvent, LogRole, LogState, LogTimings, ReplicaSet, Snapshot, StoredLog,
@@ -32,6 +33,8 @@
 
 type OutwardKind = Exclude<LogEffect['kind'], 'persist' | 'persistSnapshot'>;
 
+/** Acknowledgements of a round come within a few milliseconds. */
+const CONFIRM_POLL_MS = 2;
 const COMPACT_ENTRIES = 512;
 const COMPACT_BYTES = 8_388_608;
 
@@ -103,6 +106,24 @@
     });
   }
 
+  /**
+   * Proves that this replica leads, by a round that a majority acknowledges; false when that does
+   * not come about before the deadline. Unlike the lease it rests on no clock.
+   */
+  async confirmLeadership(operation: Operation): Promise<boolean> {
+    this.handle({ kind: 'confirm' });
+    const { term, round, role } = this.state;
+    if (role !== 'leader') return false;
+    const poll = async (): Promise<boolean> => {
+      if (this.stopped || this.state.role !== 'leader') return false;
+      if (isRoundConfirmed(this.state, term, round)) return true;
+      if (operation.remainingMs === 0) return false;
+      await pause(CONFIRM_POLL_MS);
+      return poll();
+    };
+    return poll();
+  }
+
   /** Starts to change the replica set; false when one is being changed already. */
   changeReplicas(replicas: ReplicaSet): boolean {
     this.handle({ kind: 'changeReplicas', replicas });
--- /dev/null
+++ b/src/control/routedControl.ts
@@ -0,0 +1,247 @@
+import { makeEmptyLog } from '../core/log/logState';
+import { nodeFileSystem } from '../disk/fileSystem';
+import { LogStore } from '../disk/logStore';
+import { SiteClient, SiteService } from '../protocol/generated/beechlift';
+import type {
+  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PublishReply, PublishRequest,
+  Replica, WatchReply, WatchRequest, WorkerAnnouncement,
+} from '../protocol/generated/beechlift';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import type { RoutingReader } from '../manifest/routing';
+import type { Logger } from '../telemetry/logger';
+import { SuspensionWatch, systemClock } from '../utils/clock';
+import { Operation } from '../utils/operation';
+import { LinkTable } from '../wire/linkTable';
+import { toPeerError } from '../wire/peerError';
+import { handleUnary, RpcServer } from '../wire/rpcServer';
+import { BirthRecord } from './birthRecord';
+import { RoutedNode } from './routedNode';
+import { SeedFounding } from './seedFounding';
+
+/** How often the log looks at its timers, in milliseconds. */
+const TICK_MS = 25;
+const STEP_TIMEOUT_MS = 1_000;
+const MEET_TIMEOUT_MS = 400;
+const PUBLISH_TIMEOUT_MS = 3_000;
+const CONFIRM_TIMEOUT_MS = 800;
+/** Backend servers wait one second for an acknowledgement. */
+const ANNOUNCE_TIMEOUT_MS = 700;
+/** How long a replica that follows has its question held by the leader. */
+const FOLLOW_HOLD_MS = 250;
+const FOLLOW_TIMEOUT_MS = 700;
+/** How often a replica that hears no leader looks for the site. */
+const SEARCH_MS = 400;
+
+/** What a routed control process is made from. */
+export interface RoutedControlSettings {
+  readonly zone: string;
+  /** IP and port where the other replicas and the entries reach it by gRPC. */
+  readonly address: string;
+  /** gRPC addresses of the replicas that found the site, or that know it. */
+  readonly readSeeds: () => readonly string[];
+  readonly isFirstStart: boolean;
+  readonly dataFolder: string;
+  readonly leaseMs: number;
+  readonly voterCount: number;
+}
+
+/** What a routed control process needs from outside. */
+export interface RoutedControlParts {
+  readonly settings: RoutedControlSettings;
+  readonly readRouting: RoutingReader;
+  readonly logger: Logger;
+  /** Called when the disk failed: the process must end, and vote for nothing more. */
+  readonly failStorage: (error: unknown) => void;
+}
+
+/** A routed control process that runs. */
+export interface RunningRoutedControl {
+  readonly node: RoutedNode;
+  readonly stop: () => Promise<void>;
+}
+
+type Links = LinkTable<SiteClient>;
+
+const callSite = <Request, Reply>(
+  links: Links,
+  address: string,
+  method: keyof SiteClient,
+  request: Request,
+  timeoutMs: number,
+): Promise<Reply> => links.find(address).call<Request, Reply>(
+  (stub) => (stub[method] as (...args: unknown[]) => unknown).bind(stub) as never,
+  request,
+  new Operation({ timeoutMs }),
+);
+
+/** Messages of the log that are under way to each replica, at most. */
+const MAX_STEPS_IN_FLIGHT = 64;
+
+/*
+ * Guards memory against a replica that takes connections but answers nothing: beyond the bound its
+ * messages are dropped, as the log repeats what was lost.
+ */
+const makeStepSender = (links: Links): ((message: LogMessage, address: string) => void) => {
+  const inFlight = new Map<string, number>();
+  return (message, address) => {
+    const count = inFlight.get(address) ?? 0;
+    if (count >= MAX_STEPS_IN_FLIGHT) return;
+    inFlight.set(address, count + 1);
+    callSite<LogMessage, object>(links, address, 'step', message, STEP_TIMEOUT_MS)
+      .catch(() => undefined) // The log repeats what was lost.
+      .finally(() => inFlight.set(address, (inFlight.get(address) ?? 1) - 1));
+  };
+};
+
+const askMeet = (
+  links: Links,
+  address: string,
+  self: Replica,
+): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', { from: self, founding: false }, MEET_TIMEOUT_MS)
+  .catch(() => undefined); // One that does not answer is asked again.
+
+/** What serves calls, once the replica knows with whom it begins. */
+type NodeHolder = { node: RoutedNode | undefined };
+
+const requireNode = ({ node }: NodeHolder): RoutedNode => {
+  if (!node) throw new BeechliftError('starting', 'this replica is still looking for the others');
+  return node;
+};
+
+const makeService = (
+  holder: NodeHolder,
+  record: BirthRecord,
+  self: Replica,
+) => ({
+  watch: handleUnary<WatchRequest, WatchReply>((request) => requireNode(holder).watch(request)),
+  publish: handleUnary<PublishRequest, PublishReply>(
+    (request) => requireNode(holder).publish(request),
+  ),
+  announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
+    (said) => requireNode(holder).announce(said),
+  ),
+  confirm: handleUnary<object, ConfirmReply>(() => requireNode(holder).confirm()),
+  step: handleUnary<LogMessage, object>((message) => {
+    requireNode(holder).step(message);
+    return {};
+  }),
+  meet: handleUnary<MeetRequest, MeetReply>((request) => holder.node?.meet(request) ?? {
+    self,
+    founded: record.founders !== undefined,
+    founders: [...(record.founders ?? [])],
+    leaderAddress: '',
+  }),
+});
+
+const startFollowing = (node: RoutedNode, links: Links): (() => void) => {
+  let stopped = false;
+  const ask = async (): Promise<void> => {
+    if (stopped) return;
+    const address = node.leaderAddress;
+    const canAsk = !node.isLeading && address !== '' && node.runner.state.role !== 'leader';
+    const reply = canAsk
+      ? await callSite<WatchRequest, WatchReply>(links, address, 'watch', node.buildFollowRequest(FOLLOW_HOLD_MS), FOLLOW_TIMEOUT_MS).catch(() => undefined)
+      : undefined;
+    if (reply && reply.leaseMs > 0) node.follow(reply);
+    const wait = reply && reply.leaseMs > 0 ? 0 : FOLLOW_HOLD_MS;
+    setTimeout(() => { ask().catch(() => undefined); }, wait).unref();
+  };
+  ask().catch(() => undefined);
+  return () => {
+    stopped = true;
+  };
+};
+
+const searchSite = (
+  node: RoutedNode,
+  links: Links,
+  self: Replica,
+  readSeeds: () => readonly string[],
+): void => {
+  if (!node.isOutOfTouch) return;
+  const known = new Set([...readSeeds(), ...node.replicaAddresses]);
+  known.delete(self.address);
+  known.forEach((address) => {
+    askMeet(links, address, self)
+      .then((reply) => {
+        const leader = reply?.leaderAddress ?? '';
+        const isNew = leader !== '' && leader !== self.address && !known.has(leader);
+        return isNew ? askMeet(links, leader, self) : undefined;
+      })
+      .catch(() => undefined);
+  });
+};
+
+/**
+ * Starts a replica that serves control of a routed site.
+ *
+ * @example
+ * const control = await startRoutedControl({ settings, readRouting, logger, failStorage });
+ */
+export const startRoutedControl = async (
+  parts: RoutedControlParts,
+): Promise<RunningRoutedControl> => {
+  const { settings, logger } = parts;
+  const links = new LinkTable(SiteClient);
+  const record = new BirthRecord(nodeFileSystem, settings.dataFolder);
+  await record.open();
+  const self: Replica = { id: record.id, address: settings.address, zone: settings.zone };
+  const holder: NodeHolder = { node: undefined };
+  const server = new RpcServer();
+  server.add(SiteService, makeService(holder, record, self));
+  await server.listen(settings.address);
+  const founders = await new SeedFounding({
+    record,
+    readSelf: () => self,
+    seeds: settings.readSeeds(),
+    isFirstStart: settings.isFirstStart,
+    askSeed: (address) => askMeet(links, address, self),
+  }).settle();
+  logger.info('site found', { birth: self.id, founders: founders.length });
+  const store = new LogStore(nodeFileSystem, settings.dataFolder);
+  const stored = await store.load(makeEmptyLog({ voters: founders, learners: [], leaving: [] }));
+  const node = new RoutedNode({
+    self,
+    founders,
+    stored,
+    store,
+    readRouting: parts.readRouting,
+    port: {
+      sendMessage: makeStepSender(links),
+      publish: (request, address) => callSite<PublishRequest, PublishReply>(links, address, 'publish', request, PUBLISH_TIMEOUT_MS)
+        .catch((thrown: unknown) => { throw toPeerError(thrown, 'noQuorum'); }),
+      announce: (said, address) => callSite<WorkerAnnouncement, AnnounceReply>(links, address, 'announce', said, ANNOUNCE_TIMEOUT_MS)
+        .catch((thrown: unknown) => {
+          logger.warn('announcement not forwarded', { worker: said.workerId, reason: toBeechliftError(thrown).message });
+          return { taken: false };
+        }),
+      confirm: (address) => callSite<object, ConfirmReply>(links, address, 'confirm', {}, CONFIRM_TIMEOUT_MS)
+        .catch((thrown: unknown) => { throw toPeerError(thrown, 'noQuorum'); }),
+      failStorage: parts.failStorage,
+    },
+    clock: systemClock,
+    suspension: new SuspensionWatch(),
+    logger,
+    leaseMs: settings.leaseMs,
+    voterCount: settings.voterCount,
+  });
+  holder.node = node;
+  const ticking = setInterval(() => node.tick(), TICK_MS);
+  const searching = setInterval(
+    () => searchSite(node, links, self, settings.readSeeds),
+    SEARCH_MS,
+  );
+  const stopFollowing = startFollowing(node, links);
+  return {
+    node,
+    stop: async () => {
+      clearInterval(ticking);
+      clearInterval(searching);
+      stopFollowing();
+      server.close();
+      links.close();
+      await node.stop();
+      await record.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/control/routedNode.ts
@@ -0,0 +1,420 @@
+import { randomUUID } from 'node:crypto';
+import type {
+  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PublishReply,
+  PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
+} from '../protocol/generated/beechlift';
+import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
+import { planReplicas } from '../core/log/replicaPlan';
+import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
+import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
+import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
+import {
+  adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, noteAnnouncement,
+} from '../core/routing/workerTable';
+import type { WorkerTable } from '../core/routing/workerTable';
+import type { LogStore } from '../disk/logStore';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { resultCodes } from '../errors/resultCodes';
+import type { RoutingReader } from '../manifest/routing';
+import type { Logger } from '../telemetry/logger';
+import { computeSha256 } from '../utils/canonicalJson';
+import type { Clock, SuspensionWatch } from '../utils/clock';
+import { Operation } from '../utils/operation';
+import { EntryTable } from './entryTable';
+import { HeldWatches } from './heldWatches';
+import { LogRunner } from './logRunner';
+import { Newcomers } from './newcomers';
+
+/** Most milliseconds that an operator's change may take. */
+const PUBLISH_TIMEOUT_MS = 3_000;
+/** Most milliseconds that proving leadership may take. */
+const CONFIRM_TIMEOUT_MS = 700;
+/** Longest that a watch is held. */
+const MAX_HOLD_MS = 1_000;
+/** Entries of the log that a learner may lack when it begins to vote. */
+const MAX_LAG_ENTRIES = 4;
+/** Silence after which a replica may be replaced by one that stands by, in milliseconds. */
+const REPLICA_SILENCE_MS = 3_000;
+/** Silence of the leader after which a replica looks for the site, in milliseconds. */
+const LOST_CONTACT_MS = 1_000;
+
+/** How a node reaches the other replicas. */
+export interface RoutedPort {
+  readonly sendMessage: (message: LogMessage, address: string) => void;
+  readonly publish: (request: PublishRequest, address: string) => Promise<PublishReply>;
+  readonly announce: (said: WorkerAnnouncement, address: string) => Promise<AnnounceReply>;
+  readonly confirm: (address: string) => Promise<ConfirmReply>;
+  readonly failStorage: (error: unknown) => void;
+}
+
+/** What a node is made from. */
+export interface RoutedNodeParts {
+  readonly self: Replica;
+  readonly founders: readonly Replica[];
+  readonly stored: StoredLog;
+  readonly store: LogStore;
+  readonly readRouting: RoutingReader;
+  readonly port: RoutedPort;
+  readonly clock: Clock;
+  readonly suspension: SuspensionWatch;
+  readonly logger: Logger;
+  /** How long an entry may rely on what it was told, in milliseconds. */
+  readonly leaseMs: number;
+  /** Voters that the site is to have. */
+  readonly voterCount: number;
+}
+
+/**
+ * One replica that serves control of a routed site: the replicated routing document, the backend
+ * servers that announced themselves, and the entries that watch. It knows nothing of the wire.
+ *
+ * @example
+ * const node = new RoutedNode(parts);
+ * setInterval(() => node.tick(), 25);
+ */
+export class RoutedNode {
+  readonly runner: LogRunner<true>;
+
+  site: SiteDocument;
+
+  /** Entries as the leader told of them, for a replica that follows. */
+  private followedEntries: readonly EntryRecord[] = [];
+
+  private workers: WorkerTable = makeWorkerTable(randomUUID());
+
+  private readonly entries: EntryTable;
+
+  private readonly watches = new HeldWatches();
+
+  private readonly newcomers = new Newcomers();
+
+  private readonly heardReplicas = new Map<string, number>();
+
+  private suspensionEpoch: number;
+
+  private leadingSince = 0;
+
+  constructor(private readonly parts: RoutedNodeParts) {
+    this.site = parseSiteDocument(parts.stored.snapshot.data);
+    this.entries = new EntryTable(parts.leaseMs);
+    this.suspensionEpoch = parts.suspension.readEpoch();
+    this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
+      applyCommand: (command) => this.applyCommand(command),
+      restoreSnapshot: (snapshot) => this.restoreSnapshot(snapshot),
+      takeSnapshot: () => JSON.stringify(this.site),
+      sendMessage: (message) => this.sendMessage(message),
+      noteRole: (role, term) => this.noteRole(role, term),
+      failStorage: (error) => parts.port.failStorage(error),
+    }, parts.clock);
+  }
+
+  /** gRPC address of the leader as this replica knows it; empty when there is none. */
+  get leaderAddress(): string {
+    return this.findReplica(this.runner.state.leaderId)?.address ?? '';
+  }
+
+  /** Whether this replica leads and no other can at this moment. */
+  get isLeading(): boolean {
+    this.noteSuspension();
+    return this.runner.holdsLease;
+  }
+
+  /** gRPC addresses of all replicas of the site. */
+  get replicaAddresses(): string[] {
+    const { voters, learners } = this.runner.state.replicas;
+    return [...voters, ...learners].map(({ address }) => address);
+  }
+
+  /** Whether nothing was heard from a leader for long: the replica may not be part of the site. */
+  get isOutOfTouch(): boolean {
+    const { state } = this.runner;
+    return state.role !== 'leader'
+      && this.parts.clock.now() - state.lastLeaderContactAt > LOST_CONTACT_MS;
+  }
+
+  /** Entries that callers may be sent to. */
+  listEntries(): readonly EntryRecord[] {
+    return this.isLeading ? this.entries.list(this.parts.clock.now()) : this.followedEntries;
+  }
+
+  /** Runs the log and, on a leader, what keeps the site in order. */
+  tick(): void {
+    this.noteSuspension();
+    this.runner.handle({ kind: 'tick' });
+    if (!this.runner.holdsLease) return;
+    const now = this.parts.clock.now();
+    const { revision } = this.workers;
+    expireWorkers(this.workers, now);
+    if (this.workers.revision !== revision) this.watches.release();
+    this.tendReplicas(now);
+  }
+
+  /** Takes a message of another replica. */
+  step(message: LogMessage): void {
+    this.heardReplicas.set(message.from, this.parts.clock.now());
+    this.runner.handle({ kind: 'message', message });
+  }
+
+  /** Answers an entry or a replica that follows, held until there is news. */
+  async watch(request: WatchRequest): Promise<WatchReply> {
+    if (!this.isLeading) return this.answerNotLeading();
+    if (request.entryId !== '') this.entries.note(request, this.parts.clock.now());
+    if (!this.hasNews(request)) await this.watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
+    return this.isLeading ? this.buildWatchReply(request) : this.answerNotLeading();
+  }
+
+  /** Takes in what the leader told a replica that follows. */
+  follow(reply: WatchReply): void {
+    if (this.runner.holdsLease) return;
+    const now = this.parts.clock.now();
+    this.followedEntries = reply.entries;
+    if (this.workers.epoch !== reply.workersEpoch) {
+      this.workers = makeWorkerTable(reply.workersEpoch);
+    }
+    reply.workers.forEach((record) => adoptRecord(this.workers, record, now));
+    this.workers.revision = reply.workersRevision;
+  }
+
+  /** What a replica that follows asks the leader with. */
+  buildFollowRequest(holdMs: number): WatchRequest {
+    return {
+      entryId: '',
+      callerAddress: '',
+      zone: '',
+      state: '',
+      documentDigest: this.site.digest,
+      workersEpoch: this.workers.epoch,
+      workersRevision: this.workers.revision,
+      holdMs,
+      loads: [],
+      demands: [],
+    };
+  }
+
+  /** Checks a document and has a majority accept it; on a replica that follows it is forwarded. */
+  async publish(request: PublishRequest): Promise<PublishReply> {
+    const { routing, faults } = this.parts.readRouting(request.document);
+    if (!routing) {
+      this.parts.logger.info('document refused', { faults: faults.slice(0, 3).join('; ') });
+      return { code: resultCodes.manifestInvalid.number, message: faults.join('\n'), version: 0 };
+    }
+    if (routing.version <= this.site.version) return this.acceptPublished(routing.version);
+    if (!this.isLeading) return this.forwardPublish(request);
+    const operation = new Operation({ timeoutMs: PUBLISH_TIMEOUT_MS, clock: this.parts.clock });
+    const command: DocumentCommand = { version: routing.version, document: request.document };
+    await this.runner.propose(JSON.stringify(command), operation);
+    return this.acceptPublished(routing.version);
+  }
+
+  /** The newest accepted document; throws when this replica cannot be sure which it is. */
+  async readNewest(): Promise<SiteDocument> {
+    const index = await this.findCommitIndex();
+    const operation = new Operation({ timeoutMs: CONFIRM_TIMEOUT_MS, clock: this.parts.clock });
+    await this.waitApplied(index, operation);
+    if (this.site.version === 0) throw new BeechliftError('noQuorum', 'no document was accepted yet');
+    return this.site;
+  }
+
+  /** Proves that this replica leads, for one that follows. */
+  async confirm(): Promise<ConfirmReply> {
+    const operation = new Operation({ timeoutMs: CONFIRM_TIMEOUT_MS, clock: this.parts.clock });
+    const { commitIndex } = this.runner.state;
+    const confirmed = await this.runner.confirmLeadership(operation);
+    // What is committed by now is at least what was when the call came.
+    return { confirmed, commitIndex: Math.max(commitIndex, this.runner.state.commitIndex) };
+  }
+
+  /** Takes in what a backend server said of itself; false when no leader could be told. */
+  async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
+    if (this.isLeading) {
+      this.takeAnnouncement(said);
+      return { taken: true };
+    }
+    const address = this.leaderAddress;
+    if (address === '') return { taken: false };
+    return this.parts.port.announce(said, address);
+  }
+
+  /** Answers another replica that looks for the site. */
+  meet({ from }: MeetRequest): MeetReply {
+    if (from && this.runner.state.role === 'leader') this.newcomers.note(from, this.parts.clock.now());
+    return {
+      self: this.parts.self,
+      founded: true,
+      founders: [...this.parts.founders],
+      leaderAddress: this.leaderAddress,
+    };
+  }
+
+  /** Ends all that wait. */
+  stop(): Promise<void> {
+    this.watches.release();
+    return this.runner.stop();
+  }
+
+  private hasNews({ documentDigest, workersEpoch, workersRevision }: WatchRequest): boolean {
+    return documentDigest !== this.site.digest
+      || workersEpoch !== this.workers.epoch
+      || workersRevision !== this.workers.revision;
+  }
+
+  private answerNotLeading(): WatchReply {
+    const leaderAddress = this.leaderAddress === this.parts.self.address ? '' : this.leaderAddress;
+    return WatchReplyCodec.fromPartial({ leaderAddress, controlAddresses: this.replicaAddresses });
+  }
+
+  private buildWatchReply(request: WatchRequest): WatchReply {
+    const { site, workers, entries } = this;
+    const now = this.parts.clock.now();
+    const isEntry = request.entryId !== '';
+    return {
+      leaseMs: this.parts.leaseMs,
+      leaderAddress: this.parts.self.address,
+      controlAddresses: this.replicaAddresses,
+      documentDigest: site.digest,
+      documentVersion: site.version,
+      // A replica that follows has the document from the log.
+      document: isEntry && request.documentDigest !== site.digest ? site.document : '',
+      workersEpoch: workers.epoch,
+      workersRevision: workers.revision,
+      workers: listChangedWorkers(workers, request.workersEpoch, request.workersRevision),
+      entries: isEntry ? [] : entries.list(now),
+      loads: isEntry ? entries.sumLoads(request.entryId, now) : [],
+      shares: isEntry ? entries.computeShares(request.entryId, now) : [],
+      entryCount: entries.countLeased(now),
+    };
+  }
+
+  private takeAnnouncement(said: WorkerAnnouncement): void {
+    const { revision } = this.workers;
+    noteAnnouncement(this.workers, said, this.parts.clock.now());
+    if (this.workers.revision === revision) return;
+    this.parts.logger.info('backend server changed', {
+      worker: said.workerId, service: said.service, address: said.address, state: said.state, sequence: said.sequence,
+    });
+    this.watches.release();
+  }
+
+  private acceptPublished(version: number): PublishReply {
+    this.parts.logger.info('document accepted', { version, inForce: this.site.version });
+    return { code: 0, message: '', version: this.site.version };
+  }
+
+  private forwardPublish(request: PublishRequest): Promise<PublishReply> {
+    const address = this.leaderAddress;
+    if (request.forwarded || address === '') throw new BeechliftError('noQuorum', 'no replica leads at the moment');
+    return this.parts.port.publish({ ...request, forwarded: true }, address);
+  }
+
+  private async findCommitIndex(): Promise<number> {
+    const { confirmed, commitIndex } = await this.askConfirm();
+    if (!confirmed) throw new BeechliftError('noQuorum', 'no majority confirmed which document is the newest');
+    return commitIndex;
+  }
+
+  private askConfirm(): Promise<ConfirmReply> {
+    if (this.runner.state.role === 'leader') return this.confirm();
+    const address = this.leaderAddress;
+    if (address === '') throw new BeechliftError('noQuorum', 'no replica leads at the moment');
+    return this.parts.port.confirm(address);
+  }
+
+  private async waitApplied(index: number, operation: Operation): Promise<void> {
+    if (this.runner.state.appliedIndex >= index) return;
+    if (operation.remainingMs === 0) throw new BeechliftError('noQuorum', 'this replica lags behind the newest document');
+    await this.watches.hold(POLL_APPLIED_MS);
+    await this.waitApplied(index, operation);
+  }
+
+  private applyCommand(text: string): true {
+    const command = JSON.parse(text) as DocumentCommand;
+    const before = this.site;
+    this.site = applyDocument(this.site, command, computeSha256(command.document));
+    if (this.site !== before) this.watches.release();
+    return true;
+  }
+
+  private restoreSnapshot(snapshot: Snapshot): void {
+    this.site = snapshot.data === '' ? NO_DOCUMENT : parseSiteDocument(snapshot.data);
+    this.watches.release();
+  }
+
+  private tendReplicas(now: number): void {
+    const { state } = this.runner;
+    const next = planReplicas({
+      ownId: state.id,
+      replicas: state.replicas,
+      newcomers: this.newcomers.list(now),
+      silent: new Set(this.listSilent(now)),
+      caughtUp: new Set(this.listCaughtUp()),
+      voterCount: this.parts.voterCount,
+    });
+    if (!next || !this.runner.changeReplicas(next)) return;
+    this.parts.logger.info('replica set changes', {
+      voters: next.voters.map(({ id }) => id).join(' '),
+      learners: next.learners.map(({ id }) => id).join(' '),
+    });
+  }
+
+  private listSilent(now: number): string[] {
+    const { voters, learners } = this.runner.state.replicas;
+    return [...voters, ...learners]
+      .map(({ id }) => id)
+      .filter((id) => id !== this.parts.self.id)
+      .filter((id) => now - Math.max(this.leadingSince, this.heardReplicas.get(id) ?? 0) > REPLICA_SILENCE_MS);
+  }
+
+  private listCaughtUp(): string[] {
+    const { peers, commitIndex } = this.runner.state;
+    return [...peers]
+      .filter(([, { matchIndex }]) => matchIndex > 0 && commitIndex - matchIndex <= MAX_LAG_ENTRIES)
+      .map(([id]) => id);
+  }
+
+  /*
+   * Guards the lease of a leader that was suspended: see the log's event. It is looked at before
+   * each answer that rests on the lease, as the first call after a wake may come before any tick.
+   */
+  private noteSuspension(): void {
+    const epoch = this.parts.suspension.readEpoch();
+    if (epoch === this.suspensionEpoch) return;
+    this.suspensionEpoch = epoch;
+    this.runner.handle({ kind: 'suspended' });
+    this.parts.logger.warn('clocks moved apart: leases are renewed before they are relied on');
+  }
+
+  private findReplica(id: string): Replica | undefined {
+    const { voters, learners } = this.runner.state.replicas;
+    return [...voters, ...learners, ...this.parts.founders].find((replica) => replica.id === id);
+  }
+
+  private sendMessage(message: LogMessage): void {
+    const address = this.findReplica(message.to)?.address;
+    if (address) this.parts.port.sendMessage(message, address);
+  }
+
+  private noteRole(role: LogRole, term: number): void {
+    this.parts.logger.info('role changed', { role, term });
+    if (role !== 'leader') return;
+    const now = this.parts.clock.now();
+    this.leadingSince = now;
+    this.entries.clear();
+    this.beginWorkerTable(now);
+  }
+
+  /** A new leader begins with what it was told as a follower, under an epoch of its own. */
+  private beginWorkerTable(now: number): void {
+    const records = listChangedWorkers(this.workers, '', 0);
+    this.workers = makeWorkerTable(randomUUID());
+    records.forEach((record) => adoptRecord(this.workers, record, now));
+  }
+}
+
+/** How often a reader looks whether its replica has caught up. */
+const POLL_APPLIED_MS = 2;
+
+/** Makes an error reply of whatever a publish threw. */
+export const refusePublish = (thrown: unknown): PublishReply => {
+  const error = toBeechliftError(thrown);
+  return { code: error.number, message: error.message, version: 0 };
+};
--- a/src/core/log/logTypes.ts
+++ b/src/core/log/logTypes.ts
@@ -93,6 +93,10 @@
 export type LogEvent = | { readonly kind: 'tick' }
   | { readonly kind: 'message'; readonly message: LogMessage }
   | { readonly kind: 'propose'; readonly command: string }
+  /** The clock stood still for a while that nobody can tell, as when a VM is suspended. */
+  | { readonly kind: 'suspended' }
+  /** A round is to be sent that proves leadership without any clock. */
+  | { readonly kind: 'confirm' }
   | { readonly kind: 'changeReplicas'; readonly replicas: ReplicaSet }
   | { readonly kind: 'synced'; readonly index: number; readonly term: number }
   | { readonly kind: 'snapshotTaken'; readonly index: number; readonly data: string };
--- a/src/core/log/replicatedLog.ts
+++ b/src/core/log/replicatedLog.ts
@@ -3,10 +3,10 @@
   handlePreVote, handlePreVoteReply, handleVote, handleVoteReply, startPreVote,
 } from './election';
 import {
-  handleAppend, handleAppendReply, handleChangeReplicas, handlePropose, handleSynced,
-  repeatAppend,
+  broadcastAppend, dropLeaderLease, handleAppend, handleAppendReply, handleChangeReplicas,
+  handlePropose, handleSynced, repeatAppend,
 } from './replication';
-import { findTerm, resetElectionTime } from './logState';
+import { findTerm, hasMajority, resetElectionTime } from './logState';
 import { handleSnapshot, handleSnapshotReply, handleSnapshotTaken } from './snapshotTransfer';
 import type {
   LogEffect, LogEvent, LogMessageKind, LogState, LogStep,
@@ -52,6 +52,10 @@
   tick: (step) => handleTick(step),
   message: (step, event) => handleMessage(step, event.message),
   propose: (step, event) => handlePropose(step, event.command),
+  suspended: (step) => dropLeaderLease(step),
+  confirm: (step) => {
+    if (step.state.role === 'leader') broadcastAppend(step);
+  },
   changeReplicas: (step, event) => handleChangeReplicas(step, event.replicas),
   synced: (step, event) => handleSynced(step, event.index, event.term),
   snapshotTaken: (step, event) => handleSnapshotTaken(step, event.index, event.data),
@@ -80,3 +84,19 @@
 export const holdsLeaderLease = (state: LogState, now: number): boolean => state.role === 'leader'
   && findTerm(state, state.commitIndex) === state.term
   && now < state.leaseUntil;
+
+/**
+ * Whether a majority has acknowledged a round that was sent while this replica led. As each of them
+ * knew of no newer leader when it did, what was committed here by then is the newest that was
+ * accepted when the round was sent, whatever the clocks say.
+ *
+ * @example
+ * if (isRoundConfirmed(state, term, round)) answerRead();
+ */
+export const isRoundConfirmed = (state: LogState, term: number, round: number): boolean => {
+  const ids = [...state.peers].filter(([, peer]) => peer.ackedRound >= round).map(([id]) => id);
+  return state.role === 'leader'
+    && state.term === term
+    && findTerm(state, state.commitIndex) === term
+    && hasMajority(state, [state.id, ...ids]);
+};
--- a/src/core/log/replication.ts
+++ b/src/core/log/replication.ts
@@ -88,6 +88,16 @@
   state.leaseUntil = Math.max(state.leaseUntil, until);
 };
 
+/*
+ * Guards against a leader that was suspended: its monotonic clock stood still meanwhile, so the
+ * lease it counts looks valid while another leader may have been elected. Rounds sent before count
+ * for nothing; the next one that a majority acknowledges renews the lease.
+ */
+export const dropLeaderLease = ({ state }: LogStep): void => {
+  state.leaseUntil = 0;
+  state.roundSentAt.clear();
+};
+
 /** Sends to every peer what it lacks, as a new round of the lease. */
 export const broadcastAppend = (step: LogStep): void => {
   const { state, now } = step;
--- /dev/null
+++ b/src/core/routing/routedWorkers.ts
@@ -0,0 +1,239 @@
+import type { WorkerLoad, WorkerRecord } from '../../protocol/generated/beechlift';
+import type { WorkerStanding } from './workerTable';
+
+/** A backend server as one entry sees it. */
+export interface RoutedWorker {
+  readonly id: string;
+  service: string;
+  address: string;
+  zone: string;
+  slots: number;
+  standing: WorkerStanding;
+  isCold: boolean;
+  /** Requests of this entry that it holds. */
+  inFlight: number;
+  /** Prompt tokens of those that have not begun to answer. */
+  pendingTokens: number;
+  /** What the other entries together have there, as last told. */
+  othersInFlight: number;
+  othersPendingTokens: number;
+  /** Smoothed time a unit of its work takes here: an event of a stream, or a whole answer. */
+  paceMs: number;
+  paceSamples: number;
+  /** Slowness as the other entries observed it; 0 when they did not. */
+  othersSlowness: number;
+  /** Smoothed share of failures among its answers. */
+  failureShare: number;
+  /** No request before this, monotonic milliseconds. */
+  suspendedUntil: number;
+  /** How long the next suspension lasts. */
+  pauseMs: number;
+}
+
+/** What is known of the work of a service, over all its backend servers. */
+export interface ServiceWork {
+  /** Smoothed time that a request holds a slot, in milliseconds. */
+  holdMs: number;
+  /** Smoothed time to read one prompt token on a server of usual speed. */
+  prefillMsPerToken: number;
+  failureShare: number;
+}
+
+/** All that an entry knows of backend servers. */
+export interface RoutedWorkers {
+  readonly byId: Map<string, RoutedWorker>;
+  readonly byService: Map<string, RoutedWorker[]>;
+  readonly work: Map<string, ServiceWork>;
+}
+
+/** One answer, as the entry that relayed it timed it. */
+export interface AnswerSample {
+  readonly holdMs: number;
+  /** Time of one event of a stream, or of the whole answer; 0 when too little was seen. */
+  readonly paceMs: number;
+  /** Time to the first event for each prompt token that was to be read; 0 for plain answers. */
+  readonly prefillMsPerToken: number;
+  readonly failed: boolean;
+}
+
+/** First guesses, replaced by what is observed: those of a mid-sized engine. */
+const FIRST_WORK: ServiceWork = { holdMs: 500, prefillMsPerToken: 0.02, failureShare: 0 };
+
+/** Weight of one observation: about ten of them replace what was known. */
+const SMOOTHING = 0.2;
+
+/** Shortest and longest time a server is left alone after a request did not arrive there. */
+const FIRST_PAUSE_MS = 300;
+const MAX_PAUSE_MS = 5_000;
+
+const smooth = (old: number, sample: number): number => old + SMOOTHING * (sample - old);
+
+/** Makes empty tables. */
+export const makeRoutedWorkers = (): RoutedWorkers => ({
+  byId: new Map(), byService: new Map(), work: new Map(),
+});
+
+const makeWorker = (id: string): RoutedWorker => ({
+  id,
+  service: '',
+  address: '',
+  zone: '',
+  slots: 1,
+  standing: 'ready',
+  isCold: false,
+  inFlight: 0,
+  pendingTokens: 0,
+  othersInFlight: 0,
+  othersPendingTokens: 0,
+  paceMs: 0,
+  paceSamples: 0,
+  othersSlowness: 0,
+  failureShare: 0,
+  suspendedUntil: 0,
+  pauseMs: FIRST_PAUSE_MS,
+});
+
+const indexByService = (workers: RoutedWorkers): void => {
+  workers.byService.clear();
+  workers.byId.forEach((worker) => {
+    if (worker.standing === 'gone') return;
+    const list = workers.byService.get(worker.service) ?? [];
+    list.push(worker);
+    workers.byService.set(worker.service, list);
+  });
+};
+
+const applyRecord = (workers: RoutedWorkers, { said, standing }: WorkerRecord): void => {
+  if (!said) return;
+  const worker = workers.byId.get(said.workerId) ?? makeWorker(said.workerId);
+  worker.service = said.service || worker.service;
+  worker.address = said.address || worker.address;
+  worker.zone = said.zone || worker.zone;
+  worker.slots = Math.max(1, said.slots || worker.slots);
+  worker.standing = standing as WorkerStanding;
+  worker.isCold = said.coldMs > 0;
+  workers.byId.set(worker.id, worker);
+};
+
+const forgetGone = (workers: RoutedWorkers): void => {
+  [...workers.byId.values()]
+    .filter(({ standing, inFlight }) => standing === 'gone' && inFlight === 0)
+    .forEach(({ id }) => workers.byId.delete(id));
+};
+
+/**
+ * Takes in records of backend servers that changed.
+ *
+ * @example
+ * applyRecords(workers, reply.workers);
+ */
+export const applyRecords = (
+  workers: RoutedWorkers,
+  records: readonly WorkerRecord[],
+): void => {
+  if (records.length === 0) return;
+  records.forEach((record) => applyRecord(workers, record));
+  forgetGone(workers);
+  indexByService(workers);
+};
+
+/**
+ * Takes in what the other entries have at each backend server; one that is not named has nothing.
+ *
+ * @example
+ * applyLoads(workers, reply.loads);
+ */
+export const applyLoads = (workers: RoutedWorkers, loads: readonly WorkerLoad[]): void => {
+  const byId = new Map(loads.map((load) => [load.workerId, load]));
+  workers.byId.forEach((worker) => {
+    const load = byId.get(worker.id);
+    worker.othersInFlight = load?.inFlight ?? 0;
+    worker.othersPendingTokens = load?.tokens ?? 0;
+    worker.othersSlowness = (load?.slowness ?? 0) / 1_000;
+  });
+};
+
+/** What is known of a service's work. */
+export const findWork = (workers: RoutedWorkers, service: string): ServiceWork => {
+  const known = workers.work.get(service);
+  if (known) return known;
+  const work = { ...FIRST_WORK };
+  workers.work.set(service, work);
+  return work;
+};
+
+const listPaces = (workers: RoutedWorkers, service: string): number[] => (
+  (workers.byService.get(service) ?? [])
+    .filter(({ paceSamples }) => paceSamples > 0)
+    .map(({ paceMs }) => paceMs)
+    .sort((a, b) => a - b)
+);
+
+/** Own observations that count as much as what all other entries observed. */
+const OWN_SAMPLES = 4;
+
+/**
+ * Estimates how much longer a server's work takes than that of the fastest of its service; 1 for
+ * one that was never observed, so that it is tried.
+ *
+ * @example
+ * estimateSlowness(workers, worker); // 3 where a unit takes three times as long
+ */
+export const estimateSlowness = (workers: RoutedWorkers, worker: RoutedWorker): number => {
+  const [fastest] = listPaces(workers, worker.service);
+  const own = worker.paceSamples > 0 && fastest ? worker.paceMs / fastest : 0;
+  if (own === 0) return worker.othersSlowness || 1;
+  if (worker.othersSlowness === 0) return own;
+  const weight = worker.paceSamples / (worker.paceSamples + OWN_SAMPLES);
+  return weight * own + (1 - weight) * worker.othersSlowness;
+};
+
+/** Learns from one answer. */
+export const learnAnswer = (
+  workers: RoutedWorkers,
+  worker: RoutedWorker,
+  sample: AnswerSample,
+): void => {
+  const work = findWork(workers, worker.service);
+  worker.failureShare = smooth(worker.failureShare, sample.failed ? 1 : 0);
+  work.failureShare = smooth(work.failureShare, sample.failed ? 1 : 0);
+  if (sample.failed) return;
+  work.holdMs = smooth(work.holdMs, sample.holdMs);
+  if (sample.prefillMsPerToken > 0) {
+    work.prefillMsPerToken = smooth(
+      work.prefillMsPerToken,
+      sample.prefillMsPerToken / Math.max(1, estimateSlowness(workers, worker)),
+    );
+  }
+  if (sample.paceMs <= 0) return;
+  worker.paceMs = worker.paceSamples === 0 ? sample.paceMs : smooth(worker.paceMs, sample.paceMs);
+  worker.paceSamples += 1;
+};
+
+/** A request did not arrive at a server, or its connection broke: it is left alone for a while. */
+export const suspendWorker = (worker: RoutedWorker, now: number): void => {
+  if (now < worker.suspendedUntil) return;
+  worker.suspendedUntil = now + worker.pauseMs;
+  worker.pauseMs = Math.min(MAX_PAUSE_MS, worker.pauseMs * 2);
+};
+
+/** A request was answered by a server: it is in reach. */
+export const noteReached = (worker: RoutedWorker): void => {
+  worker.suspendedUntil = 0;
+  worker.pauseMs = FIRST_PAUSE_MS;
+};
+
+/**
+ * Lists what this entry has at each backend server, for the other entries.
+ *
+ * @example
+ * request.loads = listLoads(workers);
+ */
+export const listLoads = (workers: RoutedWorkers): WorkerLoad[] => [...workers.byId.values()]
+  .filter(({ inFlight, paceSamples }) => inFlight > 0 || paceSamples > 0)
+  .map((worker) => ({
+    workerId: worker.id,
+    inFlight: worker.inFlight,
+    tokens: worker.pendingTokens,
+    slowness: worker.paceSamples > 0 ? Math.round(1_000 * estimateSlowness(workers, worker)) : 0,
+  }));
--- /dev/null
+++ b/src/core/routing/workerTable.ts
@@ -0,0 +1,162 @@
+import type {
+  WorkerAnnouncement, WorkerRecord,
+} from '../../protocol/generated/beechlift';
+
+/** Where a backend server stands: it takes work only when it is ready. */
+export type WorkerStanding = 'ready' | 'draining' | 'gone' | 'silent';
+
+/** A backend server as the table knows it. */
+export interface KnownWorker {
+  said: WorkerAnnouncement;
+  standing: WorkerStanding;
+  /** When it was last heard, monotonic milliseconds. */
+  heardAt: number;
+  /** The table's revision at which it last changed. */
+  revision: number;
+}
+
+/** All backend servers that have announced themselves. */
+export interface WorkerTable {
+  /** Names the table that revisions count in; another leader has another one. */
+  readonly epoch: string;
+  revision: number;
+  readonly workers: Map<string, KnownWorker>;
+  /** Backend server that holds an address, by address. */
+  readonly holders: Map<string, string>;
+}
+
+/**
+ * Silence after which a backend server takes no more work, in milliseconds: four of the usual
+ * announcements of 1.2 s, so that one which is late by a second or two is not taken for a death.
+ */
+export const WORKER_SILENCE_MS = 5_000;
+
+/** How long one that has left is remembered, so that a late announcement does not revive it. */
+const GONE_KEPT_MS = 300_000;
+
+/** Bounds the table, the ones that left included. */
+const MAX_WORKERS = 20_000;
+
+/** Makes an empty table. */
+export const makeWorkerTable = (epoch: string): WorkerTable => ({
+  epoch, revision: 0, workers: new Map(), holders: new Map(),
+});
+
+const setStanding = (table: WorkerTable, worker: KnownWorker, standing: WorkerStanding): void => {
+  table.revision += 1;
+  worker.standing = standing;
+  worker.revision = table.revision;
+};
+
+/*
+ * Guards against an announcement that was on its way while its sender crashed and another server
+ * took its address: the address belongs to the newcomer, and the one before stays gone for good.
+ */
+const takeAddress = (table: WorkerTable, { workerId, address }: WorkerAnnouncement): void => {
+  const holder = table.holders.get(address);
+  const before = holder === undefined ? undefined : table.workers.get(holder);
+  if (before && holder !== workerId && before.standing !== 'gone') {
+    setStanding(table, before, 'gone');
+  }
+  table.holders.set(address, workerId);
+};
+
+const addWorker = (table: WorkerTable, said: WorkerAnnouncement, now: number): void => {
+  if (table.workers.size >= MAX_WORKERS) return;
+  const worker: KnownWorker = {
+    said, standing: 'ready', heardAt: now, revision: 0,
+  };
+  table.workers.set(said.workerId, worker);
+  if (said.state !== 'gone') takeAddress(table, said);
+  setStanding(table, worker, said.state as WorkerStanding);
+};
+
+const isOlder = (said: WorkerAnnouncement, known: WorkerAnnouncement): boolean => (
+  said.state !== 'gone' && said.sequence < known.sequence
+);
+
+const hasChanged = (worker: KnownWorker, said: WorkerAnnouncement): boolean => {
+  const before = worker.said;
+  return worker.standing !== said.state
+    || before.address !== said.address
+    || before.slots !== said.slots
+    || before.service !== said.service
+    || (before.coldMs > 0) !== (said.coldMs > 0);
+};
+
+/**
+ * Takes in what a backend server says of itself.
+ *
+ * Guards against announcements that arrive late: one with a lower number than the newest, or from a
+ * server that is gone, changes nothing.
+ *
+ * @example
+ * noteAnnouncement(table, announcement, clock.now());
+ */
+export const noteAnnouncement = (
+  table: WorkerTable,
+  said: WorkerAnnouncement,
+  now: number,
+): void => {
+  const worker = table.workers.get(said.workerId);
+  if (!worker) {
+    addWorker(table, said, now);
+    return;
+  }
+  if (worker.standing === 'gone' || isOlder(said, worker.said)) return;
+  worker.heardAt = now;
+  const changed = hasChanged(worker, said);
+  // Leaving is announced by name alone: what was said before still tells the address.
+  worker.said = said.state === 'gone' ? { ...worker.said, state: 'gone' } : said;
+  if (changed) setStanding(table, worker, said.state as WorkerStanding);
+};
+
+/** Takes over a record that another replica's table held. */
+export const adoptRecord = (table: WorkerTable, record: WorkerRecord, now: number): void => {
+  const { said, standing } = record;
+  if (!said) return;
+  const known = table.workers.get(said.workerId);
+  if (known && (known.standing === 'gone' || known.said.sequence > said.sequence)) return;
+  if (!known && table.workers.size >= MAX_WORKERS) return;
+  const worker: KnownWorker = {
+    said, standing: 'ready', heardAt: now, revision: 0,
+  };
+  table.workers.set(said.workerId, worker);
+  if (standing !== 'gone') table.holders.set(said.address, said.workerId);
+  setStanding(table, worker, standing as WorkerStanding);
+};
+
+/**
+ * Sets aside what has been silent for long, and forgets what left long ago.
+ *
+ * @example
+ * expireWorkers(table, clock.now());
+ */
+export const expireWorkers = (table: WorkerTable, now: number): void => {
+  table.workers.forEach((worker, id) => {
+    const silentMs = now - worker.heardAt;
+    if (worker.standing === 'ready' && silentMs > WORKER_SILENCE_MS) {
+      setStanding(table, worker, 'silent');
+    }
+    if (worker.standing === 'ready' || silentMs <= GONE_KEPT_MS) return;
+    table.workers.delete(id);
+    if (table.holders.get(worker.said.address) === id) table.holders.delete(worker.said.address);
+  });
+};
+
+/**
+ * Lists what changed since a revision; all of it when the asker counts in another table.
+ *
+ * @example
+ * const records = listChangedWorkers(table, request.workersEpoch, request.workersRevision);
+ */
+export const listChangedWorkers = (
+  table: WorkerTable,
+  epoch: string,
+  revision: number,
+): WorkerRecord[] => {
+  const since = epoch === table.epoch ? revision : 0;
+  return [...table.workers.values()]
+    .filter((worker) => worker.revision > since)
+    .map(({ said, standing }) => ({ said, standing }));
+};
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -59,6 +59,12 @@
   headersTooLarge: {
     number: 1013, status: 431, run: 'notRun', action: 'Send fewer or shorter headers.',
   },
+  unknownRoute: {
+    number: 1014, status: 404, run: 'notRun', action: 'Use a host and path that a route of the routing document covers.',
+  },
+  bodyTooSlow: {
+    number: 1015, status: 408, run: 'notRun', action: 'Send the body without long pauses.',
+  },
   noSlotInTime: {
     number: 2001, status: 503, run: 'notRun', action: 'Send the request again after Retry-After.',
   },
@@ -80,6 +86,9 @@
   ownerMoved: {
     number: 2007, status: 503, run: 'notRun', action: 'Send again; the pool has a new owner.',
   },
+  starting: {
+    number: 2008, status: 503, run: 'notRun', action: 'Use another replica, or ask again in a moment; this one has just started.',
+  },
   outcomeUnknown: {
     number: 3001, status: 502, run: 'unknown', action: 'Ask again with the same key; do not use a new one.',
   },
@@ -95,6 +104,9 @@
   callerGone: {
     number: 3005, status: 499, run: 'unknown', action: 'None; the caller closed the connection.',
   },
+  routeTimeout: {
+    number: 3006, status: 504, run: 'unknown', action: 'Raise the timeout of the route, or ask for less at a time.',
+  },
   internalFailure: {
     number: 3999, status: 500, run: 'unknown', action: 'Report it with the log lines of the request id.',
   },
--- /dev/null
+++ b/src/relay/admitRequest.ts
@@ -0,0 +1,82 @@
+import { pickTarget } from '../core/routing/routeTable';
+import type { RouteTable } from '../core/routing/routeTable';
+import { BeechliftError } from '../errors/beechliftError';
+import type { Route, RoutedAccount } from '../manifest/routing';
+import type { RelaySite } from './relaySite';
+import type { CallFacts } from './requestDialect';
+
+/** A request that may be sent, and what the routing says of it. */
+export interface AdmittedRequest {
+  readonly route: Route;
+  readonly service: string;
+  readonly account: RoutedAccount | undefined;
+  readonly rank: number;
+  /** Routing version that admitted it. */
+  readonly version: number;
+}
+
+/** Time after which a caller may ask an entry again that cannot serve at the moment. */
+const STALE_RETRY_MS = 500;
+
+const requireTable = (site: RelaySite): RouteTable => {
+  if (site.table && site.isServing) return site.table;
+  // Without a lease it is not known which routes and keys are in force: nothing is said of them.
+  throw new BeechliftError('configurationStale', 'this entry has no lease on the routing document', { retryAfterMs: STALE_RETRY_MS });
+};
+
+const findCaller = (
+  table: RouteTable,
+  route: Route,
+  facts: CallFacts,
+): RoutedAccount | undefined => {
+  if (route.isPublic || !table.needsKeys) return undefined;
+  const account = table.findAccount(facts.key);
+  if (!account) throw new BeechliftError('unknownKey', `the key opens no account for route "${route.name}"`);
+  return account;
+};
+
+/** What a request costs its account, in the account's unit. */
+const computeCost = (account: RoutedAccount, { tokens }: CallFacts): number => {
+  if (account.unit === 'requests') return 1;
+  return tokens ? tokens.prompt + tokens.output : account.defaultTokens;
+};
+
+const chargeAccount = (
+  site: RelaySite,
+  account: RoutedAccount | undefined,
+  facts: CallFacts,
+  now: number,
+): void => {
+  if (!account) return;
+  if (site.budget.take(account, computeCost(account, facts), now)) return;
+  throw new BeechliftError('accountLimited', `account "${account.name}" has used up its share of ${account.perSecond} ${account.unit} a second at this entry`, { retryAfterMs: site.budget.estimateWaitMs(account) });
+};
+
+/**
+ * Decides whether a request may be sent, and to which service; throws the refusal otherwise.
+ *
+ * @param draw a number from 0 to below 1, by which a route with several targets is split
+ * @example
+ * const admitted = admitRequest(site, facts, 'shop.example', '/orders/7', Math.random(), now);
+ */
+export const admitRequest = (
+  site: RelaySite,
+  facts: CallFacts,
+  host: string,
+  target: string,
+  draw: number,
+  now: number,
+): AdmittedRequest => {
+  const table = requireTable(site);
+  const route = table.findRoute(host, target);
+  if (!route) throw new BeechliftError('unknownRoute', `no route covers host "${host.slice(0, 100)}" and this path`);
+  const account = findCaller(table, route, facts);
+  chargeAccount(site, account, facts, now);
+  return {
+    route,
+    service: pickTarget(route.targets, draw),
+    account,
+    rank: account?.rank ?? route.rank,
+    version: table.routing.version,
+  };
+};
--- /dev/null
+++ b/src/relay/relayProcess.ts
@@ -0,0 +1,129 @@
+import { randomUUID } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { FastifyInstance } from 'fastify';
+import type { RetryBounds } from '../core/routing/retryAllowance';
+import type { RoutingReader } from '../manifest/routing';
+import type { Logger } from '../telemetry/logger';
+import { SuspensionWatch, systemClock } from '../utils/clock';
+import { RelayMetrics } from './relayMetrics';
+import { applyCallerLimits, makeRelayServer } from './relayServer';
+import { RelaySite } from './relaySite';
+import type { RequestDialect } from './requestDialect';
+import { SiteWatch } from './siteWatch';
+import { WorkerConnections } from './workerConnections';
+
+/** What an entry of a routed site is started with. */
+export interface RelaySettings {
+  readonly zone: string;
+  /** IP and port where callers connect. */
+  readonly callerAddress: string;
+  /** gRPC addresses of control replicas that the settings name. */
+  readonly readSeeds: () => readonly string[];
+  readonly retryBounds: RetryBounds;
+  /** What accounts may use beyond their limits, over all entries together. */
+  readonly limitSlack: number;
+  /** How long callers may use an answer to where they should connect, in milliseconds. */
+  readonly locateMs: number;
+  /** How long a shutdown may take, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/** What an entry of a routed site needs from outside. */
+export interface RelayParts {
+  readonly settings: RelaySettings;
+  readonly readRouting: RoutingReader;
+  readonly dialect: RequestDialect;
+  readonly logger: Logger;
+}
+
+/** An entry of a routed site that runs. */
+export interface RunningRelay {
+  readonly site: RelaySite;
+  readonly app: FastifyInstance;
+  readonly metrics: RelayMetrics;
+  /** Ends without cutting a request off, as far as the grace allows. */
+  readonly shutDown: () => Promise<void>;
+}
+
+/** How often idle connections to servers that left are closed, and limits are put in force. */
+const TEND_MS = 500;
+/** Part of the grace that is used: what is left is for the process to end. */
+const GRACE_PART = 0.9;
+const POLL_OPEN_MS = 25;
+
+const tend = (site: RelaySite, app: FastifyInstance, connections: WorkerConnections): void => {
+  const limits = site.table?.routing.limits;
+  if (limits) applyCallerLimits(app, limits);
+  const addresses = [...site.workers.byId.values()]
+    .filter(({ standing }) => standing !== 'gone')
+    .map(({ address }) => address);
+  connections.keep(new Set(addresses));
+};
+
+const countOpen = async (metrics: RelayMetrics): Promise<number> => (
+  (await metrics.open.get()).values[0]?.value ?? 0
+);
+
+const waitIdle = async (metrics: RelayMetrics, until: number): Promise<void> => {
+  if (systemClock.now() >= until || await countOpen(metrics) === 0) return;
+  await pause(POLL_OPEN_MS);
+  await waitIdle(metrics, until);
+};
+
+/**
+ * Starts an entry of a routed site; its caller port is still to be opened.
+ *
+ * @example
+ * const relay = startRelay({ settings, readRouting, dialect, logger });
+ * await listenOn(relay.app, settings.callerAddress);
+ */
+export const startRelay = ({
+  settings, readRouting, dialect, logger,
+}: RelayParts): RunningRelay => {
+  const suspension = new SuspensionWatch();
+  const metrics = new RelayMetrics();
+  const connections = new WorkerConnections();
+  const site = new RelaySite({
+    entryId: randomUUID(),
+    callerAddress: settings.callerAddress,
+    zone: settings.zone,
+    readRouting,
+    clock: systemClock,
+    suspension,
+    logger,
+    retryBounds: settings.retryBounds,
+    limitSlack: settings.limitSlack,
+  });
+  const app = makeRelayServer({
+    site, dialect, connections, clock: systemClock, logger, metrics,
+  });
+  const watch = new SiteWatch({
+    site, readSeeds: settings.readSeeds, clock: systemClock, suspension, logger,
+  });
+  watch.start();
+  const tending = setInterval(() => tend(site, app, connections), TEND_MS);
+  return {
+    site,
+    app,
+    metrics,
+    /*
+     * Guards against requests that are cut off by a planned end. Callers are no longer sent here
+     * from the first moment, those that were keep what they were told for a while and are served
+     * meanwhile, and only then is the port closed.
+     */
+    shutDown: async () => {
+      const end = systemClock.now() + settings.graceMs * GRACE_PART;
+      site.isLeaving = true;
+      logger.info('entry leaves', { graceMs: settings.graceMs });
+      await watch.tell();
+      await pause(settings.locateMs);
+      const closing = app.close();
+      await waitIdle(metrics, end);
+      clearInterval(tending);
+      watch.stop();
+      connections.close();
+      await Promise.race([closing, pause(Math.max(0, end - systemClock.now()))]);
+      logger.info('entry ended');
+    },
+  };
+};
--- /dev/null
+++ b/src/relay/relayServer.ts
@@ -0,0 +1,88 @@
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import Fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+import type { CallerLimits } from '../manifest/routing';
+import { RoutedRequest } from './routedRequest';
+import type { RequestParts } from './routedRequest';
+
+/** Largest head that is read at all; the routing document bounds it further. */
+const MAX_HEAD_BYTES = 65_536;
+/** Until a document says otherwise. */
+const FIRST_IDLE_MS = 15_000;
+const FIRST_HEAD_MS = 3_000;
+/** How often connections are looked at whose heads take too long. */
+const CHECK_MS = 1_000;
+const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
+const HEAD_TOO_LARGE = 'HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
+
+/** Answers what cannot be read as a request, and closes: nothing of it was passed on. */
+const answerUnreadable = (error: Error & { code?: string }, socket: Socket): void => {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? HEAD_TOO_LARGE : BAD_REQUEST);
+};
+
+const measureHead = (request: IncomingMessage): number => (
+  request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0)
+);
+
+
+/**
+ * Makes the server that callers connect to: every request, whatever its method and path, goes to
+ * the routing, with its body unread.
+ *
+ * @example
+ * const app = makeRelayServer(parts);
+ * await app.listen({ host, port });
+ */
+export const makeRelayServer = (parts: RequestParts): FastifyInstance => {
+  const targets = new WeakMap<IncomingMessage, string>();
+  const app = Fastify({
+    keepAliveTimeout: FIRST_IDLE_MS,
+    connectionTimeout: 0,
+    requestTimeout: 0,
+    http: {
+      maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: FIRST_HEAD_MS, connectionsCheckingInterval: CHECK_MS,
+    },
+    clientErrorHandler: answerUnreadable,
+    forceCloseConnections: 'idle',
+    // The framework's own router knows one path; the target that came is kept beside.
+    rewriteUrl: (request) => {
+      targets.set(request as IncomingMessage, request.url ?? '/');
+      return '/';
+    },
+  });
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', (request, payload, done) => done(null, payload));
+  app.addHook('onRequest', async (request, reply) => {
+    reply.hijack();
+    const { raw } = request;
+    const target = targets.get(raw) ?? '/';
+    const most = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
+    if (measureHead(raw) > most) {
+      reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).end();
+      return;
+    }
+    if (parts.site.isLeaving) reply.raw.setHeader('connection', 'close');
+    parts.metrics.open.inc();
+    await new RoutedRequest(parts, raw, reply.raw, target).run();
+    parts.metrics.open.dec();
+  });
+  app.all('/', async () => undefined);
+  return app;
+};
+
+/**
+ * Puts the limits of a routing document in force for connections to callers.
+ *
+ * Guards against a request that crosses the close of an idle connection: callers may use one that
+ * was idle for most of the limit, so it is closed a little after the limit, not before.
+ */
+export const applyCallerLimits = (app: FastifyInstance, limits: CallerLimits): void => {
+  app.server.keepAliveTimeout = limits.idleTimeoutMs;
+  app.server.headersTimeout = limits.headerTimeoutMs;
+};
+
--- /dev/null
+++ b/src/relay/relaySite.ts
@@ -0,0 +1,163 @@
+import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import { AccountBudget } from '../core/routing/accountBudget';
+import { RetryAllowance } from '../core/routing/retryAllowance';
+import type { RetryBounds } from '../core/routing/retryAllowance';
+import {
+  applyLoads, applyRecords, listLoads, makeRoutedWorkers,
+} from '../core/routing/routedWorkers';
+import { RouteTable } from '../core/routing/routeTable';
+import type { RoutingReader } from '../manifest/routing';
+import type { Logger } from '../telemetry/logger';
+import type { Clock, SuspensionWatch } from '../utils/clock';
+
+/** What an entry does at present, as control and the readiness check see it. */
+export type RelayState = 'starting' | 'active' | 'leaving';
+
+/** What a relay site is made from. */
+export interface RelaySiteParts {
+  readonly entryId: string;
+  readonly callerAddress: string;
+  readonly zone: string;
+  readonly readRouting: RoutingReader;
+  readonly clock: Clock;
+  readonly suspension: SuspensionWatch;
+  readonly logger: Logger;
+  readonly retryBounds: RetryBounds;
+  /** What accounts may use beyond their limits, over all entries together. */
+  readonly limitSlack: number;
+}
+
+/**
+ * What an entry of a routed site knows, and until when it may rely on it.
+ *
+ * Guards against serving what a newer document forbids: without a lease that was asked for recently
+ * enough, or after the machine may have been suspended, the entry takes no new requests.
+ *
+ * @example
+ * site.applyReply(reply, sentAt, epoch);
+ * if (!site.isServing) refuse('configurationStale');
+ */
+export class RelaySite {
+  table: RouteTable | undefined;
+
+  readonly workers = makeRoutedWorkers();
+
+  readonly budget: AccountBudget;
+
+  readonly retries: RetryAllowance;
+
+  isLeaving = false;
+
+  private digest = '';
+
+  private workersEpoch = '';
+
+  private workersRevision = 0;
+
+  private leaseUntil = 0;
+
+  private leaseEpoch = -1;
+
+  private entryCount = 1;
+
+  constructor(private readonly parts: RelaySiteParts) {
+    const readEntryCount = () => this.entryCount;
+    this.budget = new AccountBudget({ slack: parts.limitSlack }, readEntryCount);
+    this.retries = new RetryAllowance(parts.retryBounds, readEntryCount);
+  }
+
+  /** Availability zone of this entry. */
+  get zone(): string {
+    return this.parts.zone;
+  }
+
+  /** Whether new requests may be taken. */
+  get isServing(): boolean {
+    const { clock, suspension } = this.parts;
+    return this.table !== undefined
+      && clock.now() < this.leaseUntil
+      && suspension.readEpoch() === this.leaseEpoch;
+  }
+
+  /** What control and readiness checks are told. */
+  get state(): RelayState {
+    if (this.isLeaving) return 'leaving';
+    return this.isServing && this.workersEpoch !== '' ? 'active' : 'starting';
+  }
+
+  /** What the leader of control is asked with. */
+  buildRequest(holdMs: number): WatchRequest {
+    const { entryId, callerAddress, zone, clock } = this.parts;
+    return {
+      entryId,
+      callerAddress,
+      zone,
+      state: this.state,
+      documentDigest: this.digest,
+      workersEpoch: this.workersEpoch,
+      workersRevision: this.workersRevision,
+      holdMs,
+      loads: listLoads(this.workers),
+      demands: this.budget.listDemands(clock.now()),
+    };
+  }
+
+  /**
+   * Takes in what the leader told.
+   *
+   * @param sentAt when the request left, monotonic milliseconds: the lease counts from there
+   * @param epoch of the suspension watch when it left
+   */
+  applyReply(reply: WatchReply, sentAt: number, epoch: number): void {
+    if (!this.applyDocument(reply)) return;
+    this.applyWorkers(reply);
+    this.entryCount = Math.max(1, reply.entryCount);
+    this.budget.applyShares(reply.shares);
+    if (reply.documentVersion === 0) return;
+    this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
+    this.leaseEpoch = epoch;
+  }
+
+  private applyDocument(reply: WatchReply): boolean {
+    const inForce = this.table?.routing.version ?? 0;
+    // Guards against a reply that was overtaken: versions only go up.
+    if (reply.documentVersion < inForce) return false;
+    if (reply.documentDigest === this.digest || reply.document === '') return reply.documentDigest === this.digest;
+    const { routing, faults } = this.parts.readRouting(reply.document);
+    if (!routing) {
+      this.parts.logger.error('accepted document cannot be read', { faults: faults.slice(0, 3).join('; ') });
+      return false;
+    }
+    this.table = new RouteTable(routing);
+    this.digest = reply.documentDigest;
+    this.parts.logger.info('document in force', { version: routing.version, routes: routing.routes.length });
+    return true;
+  }
+
+  private applyWorkers(reply: WatchReply): void {
+    applyRecords(this.workers, reply.workers);
+    applyLoads(this.workers, reply.loads);
+    this.workersEpoch = reply.workersEpoch;
+    this.workersRevision = reply.workersRevision;
+  }
+}
+
+/** Fewest entries of the caller's own availability zone that are named without the others. */
+const MIN_NEAR = 2;
+
+/**
+ * Picks the entries that a caller is told of: those of its own availability zone when there are
+ * several, as that is where requests cost no bytes between zones, and otherwise all.
+ *
+ * @example
+ * const addresses = pickEntries(records, 'az-1', 64);
+ */
+export const pickEntries = (
+  entries: readonly EntryRecord[],
+  zone: string,
+  most: number,
+): string[] => {
+  const near = entries.filter((entry) => entry.zone === zone);
+  const picked = near.length >= MIN_NEAR ? near : entries;
+  return picked.slice(0, most).map(({ callerAddress }) => callerAddress);
+};
--- /dev/null
+++ b/src/relay/requestDialect.ts
@@ -0,0 +1,46 @@
+import type { RoutedAccount } from '../manifest/routing';
+
+/** Headers as they came, name and value in turn. */
+export type RawHeaders = readonly string[];
+
+/** What the headers of a request tell. */
+export interface CallFacts {
+  /** The caller's own id of this attempt; empty when it gave none. */
+  readonly requestId: string;
+  /** Milliseconds that the caller will wait; undefined when it did not tell. */
+  readonly patienceMs: number | undefined;
+  /** The key that the caller holds; empty when it sent none. */
+  readonly key: string;
+  /** Tokens of the prompt and most tokens of the answer; undefined when they were not told. */
+  readonly tokens: { readonly prompt: number; readonly output: number } | undefined;
+}
+
+/** What the headers of an answer tell. */
+export interface AnswerFacts {
+  /** Id of the request that the answer says it belongs to; empty when it names none. */
+  readonly requestId: string;
+  /** Whether the backend server states that it did not run the request. */
+  readonly isNotExecuted: boolean;
+  /** Whether something on the way changed the body, which no backend server was asked to do. */
+  readonly isEncoded: boolean;
+}
+
+/** What the entry adds to a request that it passes on. */
+export interface PassedOn {
+  readonly workerId: string;
+  readonly account: RoutedAccount | undefined;
+  readonly remainingMs: number;
+  /** Last event that the caller has of a stream that goes on elsewhere; empty otherwise. */
+  readonly lastEventId: string;
+}
+
+/**
+ * The headers by which a site's callers and backend servers speak of requests. One dialect serves a
+ * whole process; it is the only place that knows their names.
+ */
+export interface RequestDialect {
+  readonly readCall: (headers: RawHeaders) => CallFacts;
+  readonly readAnswer: (headers: RawHeaders) => AnswerFacts;
+  /** Headers for the backend server: the caller's, less those of one connection and our own. */
+  readonly buildRequestHeaders: (headers: RawHeaders, passedOn: PassedOn) => string[];
+}
--- /dev/null
+++ b/src/relay/routedRequest.ts
@@ -0,0 +1,363 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { learnAnswer, noteReached, suspendWorker } from '../core/routing/routedWorkers';
+import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
+import type { WorkerChoice } from '../core/routing/workerChoice';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import { admitRequest } from './admitRequest';
+import type { AdmittedRequest } from './admitRequest';
+import { AnswerWriter } from './answerWriter';
+import { readRequestBody } from './readRequestBody';
+import type { RelayMetrics } from './relayMetrics';
+import type { RelaySite } from './relaySite';
+import type { AnswerFacts, CallFacts, RequestDialect } from './requestDialect';
+import { UpstreamCall } from './upstreamCall';
+import type { UpstreamEnd, UpstreamHead } from './upstreamCall';
+import type { WorkerConnections } from './workerConnections';
+
+/** What all requests of an entry share. */
+export interface RequestParts {
+  readonly site: RelaySite;
+  readonly dialect: RequestDialect;
+  readonly connections: WorkerConnections;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: RelayMetrics;
+}
+
+/** What came of one attempt. */
+type AttemptEnd = | { readonly kind: 'answered' }
+  /** The server did not run it, or no byte reached it. */
+  | { readonly kind: 'unsent' | 'rejected'; readonly reason: string }
+  /** It may have run. */
+  | { readonly kind: 'broken' | 'failed'; readonly reason: string };
+
+/** Servers that a request is offered to without being run by any, at most. */
+const MAX_OFFERS = 4;
+/** Longest time that a caller may take for its body, in milliseconds. */
+const BODY_MS = 30_000;
+/** Bounds on the time after which a refused caller may come back, in milliseconds. */
+const MIN_RETRY_MS = 150;
+const MAX_RETRY_MS = 3_000;
+/** Time to come back where no server is known at all: an announcement or two. */
+const NO_WORKER_RETRY_MS = 1_000;
+/** Silence of a server, in target latencies, after which it is taken for unwell. */
+const SILENCE_IN_TARGETS = 2.5;
+/** Shortest silence that says anything, in milliseconds. */
+const MIN_SILENCE_MS = 250;
+const SERVER_ERROR = 500;
+
+/**
+ * One request of a caller: admitted, sent to a backend server, and answered once. It is sent again
+ * only where nothing can run twice: the server did not run it, or its route says that it may be
+ * repeated.
+ *
+ * @example
+ * await new RoutedRequest(parts, request, response).run();
+ */
+export class RoutedRequest {
+  private readonly receivedAt: number;
+
+  private readonly facts: CallFacts;
+
+  private readonly tried: string[] = [];
+
+  private sent = 0;
+
+  private offers = 0;
+
+  private deadlineAt = Infinity;
+
+  private call: UpstreamCall | undefined;
+
+  private writer: AnswerWriter;
+
+  private admitted: AdmittedRequest | undefined;
+
+  constructor(
+    private readonly parts: RequestParts,
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly target: string,
+  ) {
+    this.receivedAt = parts.clock.now();
+    this.facts = parts.dialect.readCall(request.rawHeaders);
+    this.writer = new AnswerWriter(response, false, () => parts.clock.now());
+  }
+
+  /** Serves the request; never rejects. */
+  async run(): Promise<void> {
+    this.response.on('close', () => this.noteClosed());
+    try {
+      await this.serve();
+    } catch (thrown) {
+      this.refuse(toBeechliftError(thrown));
+    }
+  }
+
+  private async serve(): Promise<void> {
+    const { site, clock } = this.parts;
+    const host = this.request.headers.host ?? '';
+    const admitted = admitRequest(
+      site,
+      this.facts,
+      host,
+      this.target,
+      Math.random(),
+      this.receivedAt,
+    );
+    this.admitted = admitted;
+    const { route } = admitted;
+    const patienceMs = Math.min(route.timeoutMs, this.facts.patienceMs ?? Infinity);
+    this.deadlineAt = this.receivedAt + patienceMs;
+    this.writer = new AnswerWriter(this.response, route.kind === 'stream' && route.isResumable, () => clock.now());
+    const limits = site.table?.routing.limits;
+    const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0, BODY_MS);
+    site.retries.noteRequest(admitted.service, clock.now());
+    const timer = setTimeout(() => this.timeOut(), this.deadlineAt - clock.now());
+    try {
+      await this.offer(admitted, body);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Offers the request to one server after another, until it is answered or given up. */
+  private async offer(admitted: AdmittedRequest, body: Buffer): Promise<void> {
+    const choice = this.choose(admitted);
+    this.offers += 1;
+    this.tried.push(choice.worker.id);
+    const end = await this.attempt(admitted, choice.worker, body);
+    this.logAttempt(choice, end);
+    if (end.kind === 'answered' || this.writer.isOver) return;
+    if (!this.maySendAgain(admitted, end)) {
+      this.giveUp(end);
+      return;
+    }
+    this.parts.metrics.repeats.inc({ reason: end.kind });
+    await this.offer(admitted, body);
+  }
+
+  private choose({ service, route, rank }: AdmittedRequest): WorkerChoice {
+    const { site, clock } = this.parts;
+    const choice = chooseRoutedWorker(site.workers, {
+      service, promptTokens: this.facts.tokens?.prompt ?? 0, zone: site.zone, tried: this.tried,
+    }, clock.now());
+    if (!choice) throw new BeechliftError('noBackend', `no backend server of service "${service}" can take the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
+    const isFirst = this.offers === 0;
+    if (!isFirst || isWorthSending(choice.startMs, route.targetLatencyMs, rank)) return choice;
+    const waitMs = choice.startMs - route.targetLatencyMs / 2;
+    throw new BeechliftError('noSlotInTime', `the first of service "${service}" would begin in about ${Math.round(choice.startMs)} ms, the target is ${route.targetLatencyMs} ms`, {
+      retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs)),
+    });
+  }
+
+  private async attempt(
+    admitted: AdmittedRequest,
+    worker: RoutedWorker,
+    body: Buffer,
+  ): Promise<AttemptEnd> {
+    const { connections, dialect, clock } = this.parts;
+    const client = connections.take(worker.address);
+    const promptTokens = this.facts.tokens?.prompt ?? 0;
+    const startedAt = clock.now();
+    let verdict: AttemptEnd | undefined;
+    let isPending = true;
+    this.writer.dropTorn();
+    const call: UpstreamCall = new UpstreamCall(client, {
+      onHead: (head) => {
+        worker.pendingTokens -= isPending ? promptTokens : 0;
+        isPending = false;
+        verdict = this.judgeHead(admitted, head);
+        if (verdict) return false;
+        this.writer.writeHead(head);
+        return true;
+      },
+      onData: (chunk) => {
+        const isRoomy = this.writer.write(chunk);
+        if (!isRoomy) this.writer.waitDrained(() => call.resume());
+        return isRoomy;
+      },
+    });
+    this.call = call;
+    worker.inFlight += 1;
+    worker.pendingTokens += promptTokens;
+    const silence = setTimeout(
+      () => this.noteSilence(admitted, worker, call),
+      Math.max(MIN_SILENCE_MS, SILENCE_IN_TARGETS * admitted.route.targetLatencyMs),
+    );
+    const end = await call.run({
+      method: this.request.method ?? 'GET',
+      path: this.target,
+      headers: dialect.buildRequestHeaders(this.request.rawHeaders, {
+        workerId: worker.id,
+        account: admitted.account,
+        remainingMs: Math.max(1, Math.floor(this.deadlineAt - clock.now())),
+        lastEventId: this.writer.lastEventId,
+      }),
+      body,
+    });
+    clearTimeout(silence);
+    worker.inFlight -= 1;
+    if (isPending) worker.pendingTokens -= promptTokens;
+    this.call = undefined;
+    if (call.isSent) this.sent += 1;
+    if (end.kind === 'whole') connections.give(worker.address, client);
+    else connections.drop(client);
+    return this.settle(worker, startedAt, end, verdict);
+  }
+
+  /** Tells what is wrong with a head; undefined for one that is passed on. */
+  private judgeHead(
+    { route }: AdmittedRequest,
+    { status, headers }: UpstreamHead,
+  ): AttemptEnd | undefined {
+    const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
+    if (answer.isNotExecuted) return { kind: 'rejected', reason: `status ${status}, not executed` };
+    if (answer.requestId !== this.facts.requestId || answer.isEncoded) {
+      return { kind: 'broken', reason: 'the answer belongs to another request' };
+    }
+    if (status < SERVER_ERROR) return this.judgeResumed(status);
+    const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
+    const repeats = route.maxAttempts > this.sent + 1 && this.isRepeatable(route.kind);
+    return repeats || this.writer.hasBegun ? end : undefined;
+  }
+
+  /** A stream that goes on elsewhere can only go on with a success. */
+  private judgeResumed(status: number): AttemptEnd | undefined {
+    if (!this.writer.hasBegun || status === 200) return undefined;
+    return { kind: 'failed', reason: `status ${status} in place of the rest of a stream` };
+  }
+
+  private settle(
+    worker: RoutedWorker,
+    startedAt: number,
+    end: UpstreamEnd,
+    verdict: AttemptEnd | undefined,
+  ): AttemptEnd {
+    const { site, clock } = this.parts;
+    const now = clock.now();
+    if (verdict?.kind === 'rejected') {
+      suspendWorker(worker, now);
+      return verdict;
+    }
+    if (verdict?.kind === 'failed') {
+      this.learn(worker, startedAt, true);
+      return verdict;
+    }
+    if (end.kind === 'whole') {
+      noteReached(worker);
+      this.writer.end();
+      this.learn(worker, startedAt, this.response.statusCode >= SERVER_ERROR);
+      return { kind: 'answered' };
+    }
+    if (this.writer.isOver) return { kind: 'broken', reason: 'the caller has gone' };
+    suspendWorker(worker, now);
+    learnAnswer(site.workers, worker, {
+      holdMs: 0, paceMs: 0, prefillMsPerToken: 0, failed: true,
+    });
+    return end.kind === 'unsent' ? end : verdict ?? end;
+  }
+
+  private learn(worker: RoutedWorker, startedAt: number, failed: boolean): void {
+    const { site, clock } = this.parts;
+    const { firstAt, lastAt, pieces } = this.writer;
+    const isStream = this.admitted?.route.kind === 'stream';
+    const holdMs = clock.now() - startedAt;
+    const promptTokens = this.facts.tokens?.prompt ?? 0;
+    const streamPaceMs = pieces > 2 ? (lastAt - firstAt) / (pieces - 1) : 0;
+    learnAnswer(site.workers, worker, {
+      holdMs,
+      paceMs: isStream ? streamPaceMs : holdMs,
+      prefillMsPerToken: isStream && promptTokens > 0 && pieces > 0
+        ? (firstAt - startedAt) / (promptTokens + worker.pendingTokens)
+        : 0,
+      failed,
+    });
+  }
+
+  private isRepeatable(kind: AdmittedRequest['route']['kind']): boolean {
+    const isResumable = this.admitted?.route.isResumable ?? false;
+    return kind === 'idempotent' || (kind === 'stream' && isResumable);
+  }
+
+  /*
+   * Guards against running twice what may run once: after a byte was sent, only a server that says
+   * that it did not run the request, or a route that may be repeated, allows another send.
+   */
+  private maySendAgain({ route, service }: AdmittedRequest, end: AttemptEnd): boolean {
+    const { site, clock } = this.parts;
+    const now = clock.now();
+    if (now >= this.deadlineAt || this.offers >= MAX_OFFERS) return false;
+    if (end.kind === 'unsent') return true;
+    const isSafe = end.kind === 'rejected' || this.isRepeatable(route.kind);
+    const hasAttempts = end.kind === 'rejected' || this.sent < route.maxAttempts;
+    return isSafe && hasAttempts && site.retries.take(service, now);
+  }
+
+  private giveUp(end: AttemptEnd): void {
+    const wasRun = end.kind === 'broken' || end.kind === 'failed';
+    const reason = end.kind === 'answered' ? '' : end.reason;
+    if (wasRun) throw new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
+    throw new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs: MIN_RETRY_MS });
+  }
+
+  /*
+   * Guards against a server that accepts requests and stays silent: others are preferred from now
+   * on, and what may be repeated is taken elsewhere at once.
+   */
+  private noteSilence(admitted: AdmittedRequest, worker: RoutedWorker, call: UpstreamCall): void {
+    if (this.writer.hasBegun) return;
+    suspendWorker(worker, this.parts.clock.now());
+    const { route } = admitted;
+    const canRepeat = this.isRepeatable(route.kind) && this.sent + 1 < route.maxAttempts;
+    if (canRepeat) call.abort('the backend server is silent');
+  }
+
+  private timeOut(): void {
+    if (this.writer.isOver) return;
+    this.refuse(new BeechliftError('routeTimeout', 'the answer was not whole when its time was over'));
+    this.call?.abort('its time is over');
+  }
+
+  /** A caller that has gone is waited for by nobody: its backend server is told by the close. */
+  private noteClosed(): void {
+    if (this.response.writableFinished) return;
+    this.call?.abort('the caller has gone');
+  }
+
+  private refuse(error: BeechliftError): void {
+    const { metrics, logger, site, clock } = this.parts;
+    metrics.refusals.inc({ code: error.number });
+    logger.info('request refused', {
+      requestId: this.facts.requestId,
+      route: this.admitted?.route.name,
+      account: this.admitted?.account?.name,
+      version: this.admitted?.version,
+      code: error.number,
+      reason: error.message,
+      sent: this.sent,
+      heldMs: Math.round(clock.now() - this.receivedAt),
+    });
+    this.writer.fail(error, site.isLeaving);
+  }
+
+  private logAttempt({ worker, startMs }: WorkerChoice, end: AttemptEnd): void {
+    const { metrics, logger, clock } = this.parts;
+    const tookMs = clock.now() - this.receivedAt;
+    metrics.attempts.inc({ outcome: end.kind });
+    const level = end.kind === 'answered' ? 'debug' : 'info';
+    logger[level]('attempt ended', {
+      requestId: this.facts.requestId,
+      route: this.admitted?.route.name,
+      worker: worker.id,
+      expectedMs: Math.round(startMs),
+      outcome: end.kind,
+      reason: end.kind === 'answered' ? undefined : end.reason,
+      status: this.response.statusCode,
+      tookMs: Math.round(tookMs),
+    });
+  }
+}
--- /dev/null
+++ b/src/relay/siteWatch.ts
@@ -0,0 +1,127 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import { SiteClient } from '../protocol/generated/beechlift';
+import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import type { Logger } from '../telemetry/logger';
+import type { Clock, SuspensionWatch } from '../utils/clock';
+import { Operation } from '../utils/operation';
+import { LinkTable } from '../wire/linkTable';
+import type { RelaySite } from './relaySite';
+
+/** How long the leader holds a question without news: this bounds how old loads and shares are. */
+const HOLD_MS = 200;
+/** Silence beyond the hold after which another replica is asked. */
+const ANSWER_MS = 350;
+/** Pause before the next replica is asked, after one that could not help. */
+const RETRY_MS = 40;
+
+/** What the watch needs. */
+export interface SiteWatchParts {
+  readonly site: RelaySite;
+  /** Replicas that the settings name. */
+  readonly readSeeds: () => readonly string[];
+  readonly clock: Clock;
+  readonly suspension: SuspensionWatch;
+  readonly logger: Logger;
+}
+
+/**
+ * Keeps asking the leader of control, which renews the lease and brings whatever changed. Finds the
+ * leader by asking the replicas in turn.
+ *
+ * @example
+ * const watch = new SiteWatch(parts);
+ * watch.start();
+ */
+export class SiteWatch {
+  private readonly links = new LinkTable(SiteClient);
+
+  private leader = '';
+
+  private known: readonly string[] = [];
+
+  private turn = 0;
+
+  private stopped = false;
+
+  private isLost = false;
+
+  constructor(private readonly parts: SiteWatchParts) {}
+
+  /** Begins to ask. */
+  start(): void {
+    this.run().catch((error: unknown) => this.parts.logger.error('watch ended', { reason: String(error) }));
+  }
+
+  /** Tells the leader of a new state at once, beside the question that is held. */
+  async tell(): Promise<void> {
+    const address = this.leader;
+    if (address !== '') await this.ask(address, 0);
+  }
+
+  /** Stops asking. */
+  stop(): void {
+    this.stopped = true;
+    this.links.close();
+  }
+
+  private async run(): Promise<void> {
+    if (this.stopped) return;
+    const address = this.leader || this.pickNext();
+    const reached = address !== '' && await this.ask(address, this.leader === '' ? 0 : HOLD_MS);
+    if (!reached && !this.stopped) await pause(RETRY_MS);
+    await this.run();
+  }
+
+  private pickNext(): string {
+    const all = [...new Set([...this.known, ...this.parts.readSeeds()])];
+    this.turn += 1;
+    return all[this.turn % Math.max(1, all.length)] ?? '';
+  }
+
+  private async ask(address: string, holdMs: number): Promise<boolean> {
+    const { site, clock, suspension } = this.parts;
+    const sentAt = clock.now();
+    const epoch = suspension.readEpoch();
+    const reply = await this.call(address, site.buildRequest(holdMs), holdMs);
+    if (!reply || reply.leaseMs <= 0) {
+      this.noteNoLeader(address, reply);
+      return false;
+    }
+    this.noteLeader(address, reply);
+    site.applyReply(reply, sentAt, epoch);
+    return true;
+  }
+
+  private async call(
+    address: string,
+    request: WatchRequest,
+    holdMs: number,
+  ): Promise<WatchReply | undefined> {
+    try {
+      return await this.links.find(address).call<WatchRequest, WatchReply>(
+        (stub) => stub.watch.bind(stub) as never,
+        request,
+        new Operation({ timeoutMs: holdMs + ANSWER_MS }),
+      );
+    } catch (error) {
+      if (!this.isLost) this.parts.logger.warn('control replica does not answer', { address, reason: (error as Error).message });
+      return undefined;
+    }
+  }
+
+  private noteLeader(address: string, reply: WatchReply): void {
+    this.leader = address;
+    this.known = reply.controlAddresses;
+    if (this.isLost) this.parts.logger.info('leader of control found', { address });
+    this.isLost = false;
+  }
+
+  private noteNoLeader(asked: string, reply: WatchReply | undefined): void {
+    const named = reply?.leaderAddress ?? '';
+    // One that names itself, or the one that has just failed, leads nowhere.
+    this.leader = named !== asked && reply ? named : '';
+    if (reply && reply.controlAddresses.length > 0) this.known = reply.controlAddresses;
+    if (!this.isLost) this.parts.logger.warn('leader of control lost', { asked, named });
+    this.isLost = true;
+  }
+}
--- /dev/null
+++ b/src/relay/upstreamCall.ts
@@ -0,0 +1,123 @@
+import type { Client, Dispatcher } from 'undici';
+import type { RawHeaders } from './requestDialect';
+
+/** How a request went at one backend server. */
+export type UpstreamEnd = | { readonly kind: 'whole' }
+  /** No byte of the request left. */
+  | { readonly kind: 'unsent'; readonly reason: string }
+  /** It was sent, and no whole answer came. */
+  | { readonly kind: 'broken'; readonly reason: string };
+
+/** A request as it goes to a backend server. */
+export interface UpstreamRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer;
+}
+
+/** Head of an answer. */
+export interface UpstreamHead {
+  readonly status: number;
+  readonly headers: RawHeaders;
+}
+
+/** Who hears of an answer. */
+export interface UpstreamListener {
+  /** Returns false to refuse the answer, which ends the connection. */
+  readonly onHead: (head: UpstreamHead) => boolean;
+  /** Returns false when the reader is full; `resume` is to be called then. */
+  readonly onData: (chunk: Buffer) => boolean;
+}
+
+const readRawHeaders = (controller: Dispatcher.DispatchController): string[] => (
+  ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((item) => (
+    typeof item === 'string' ? item : item.toString('latin1')))
+);
+
+/**
+ * One request to one backend server.
+ *
+ * @example
+ * const call = new UpstreamCall(client, listener);
+ * const end = await call.run(request);
+ */
+export class UpstreamCall {
+  /** Whether bytes of the request may have left. */
+  isSent = false;
+
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private abortReason: Error | undefined;
+
+  private isRefused = false;
+
+  constructor(private readonly client: Client, private readonly listener: UpstreamListener) {}
+
+  /** Sends the request; resolves once its answer has ended, whole or not. */
+  run({ method, path, headers, body }: UpstreamRequest): Promise<UpstreamEnd> {
+    return new Promise((resolve) => {
+      const fail = (error: Error): void => resolve(
+        this.isSent
+          ? { kind: 'broken', reason: error.message }
+          : { kind: 'unsent', reason: error.message },
+      );
+      try {
+        this.client.dispatch({
+          method: method as Dispatcher.HttpMethod,
+          path,
+          headers,
+          body: body.length > 0 ? body : null,
+        }, {
+          onRequestStart: (controller) => this.start(controller),
+          onResponseStart: (controller, status) => this.readHead(controller, status),
+          onResponseData: (controller, chunk) => {
+            if (!this.isRefused && !this.listener.onData(chunk)) controller.pause();
+          },
+          onResponseEnd: () => resolve(this.isRefused
+            ? { kind: 'broken', reason: 'the answer was refused' }
+            : { kind: 'whole' }),
+          onResponseError: (controller, error) => fail(error),
+        });
+      } catch (error) {
+        fail(error as Error);
+      }
+    });
+  }
+
+  /** Goes on after the reader was full. */
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  /** Gives the request up; its connection ends, by which the backend server learns of it. */
+  abort(reason: string): void {
+    this.abortReason = new Error(reason);
+    if (this.controller) this.controller.abort(this.abortReason);
+    else this.client.destroy(this.abortReason).catch(() => undefined); // Its end is reported above.
+  }
+
+  /*
+   * Guards requests that may not run twice: a library that would send a request anew over a fresh
+   * connection is stopped before the first byte.
+   */
+  private start(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.abortReason) {
+      controller.abort(this.abortReason);
+      return;
+    }
+    if (this.isSent) {
+      controller.abort(new Error('the request would have been sent twice'));
+      return;
+    }
+    this.isSent = true;
+  }
+
+  private readHead(controller: Dispatcher.DispatchController, status: number): void {
+    // Answers below 200 only announce the one that follows.
+    if (status < 200) return;
+    this.isRefused = !this.listener.onHead({ status, headers: readRawHeaders(controller) });
+    if (this.isRefused) controller.abort(new Error('the answer was refused'));
+  }
+}
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -1,9 +1,8 @@
 import { readFileSync } from 'node:fs';
-import { parse, printParseErrorCode } from 'jsonc-parser';
-import type { ParseError } from 'jsonc-parser';
 import { BeechliftError } from '../errors/beechliftError';
 import { buildValidator } from '../utils/schemaValidator';
 import { controlSettingsSchema, entrySettingsSchema } from './settingsSchema';
+import { parseSettings } from './settingsFile';
 import type { ControlSettings, EntrySettings } from './settings';
 
 /**
@@ -20,21 +19,6 @@
   }
 };
 
-const parseSettings = (text: string, validate: ReturnType<typeof buildValidator>): unknown => {
-  const errors: ParseError[] = [];
-  const document: unknown = parse(text, errors, { allowTrailingComma: true });
-  const [first] = errors;
-  if (first) {
-    throw new BeechliftError('settingsMalformed', `${printParseErrorCode(first.error)} at character ${first.offset}`);
-  }
-  const faults = validate(document);
-  if (faults.length > 0) {
-    const lines = faults.map(({ path, message }) => `${path}: ${message}`);
-    throw new BeechliftError('settingsInvalid', lines.join('\n'));
-  }
-  return document;
-};
-
 const validateEntry = buildValidator(entrySettingsSchema);
 const validateControl = buildValidator(controlSettingsSchema);
 
--- /dev/null
+++ b/src/settings/settingsFile.ts
@@ -0,0 +1,75 @@
+import { readFileSync } from 'node:fs';
+import { parse, printParseErrorCode } from 'jsonc-parser';
+import type { ParseError } from 'jsonc-parser';
+import { BeechliftError } from '../errors/beechliftError';
+import type { SchemaFault } from '../utils/schemaValidator';
+
+/** Lists the faults of a document. */
+export type Validator = (value: unknown) => readonly SchemaFault[];
+
+/**
+ * Parses settings in JSON with comments; throws one error that lists every wrong field.
+ *
+ * @example
+ * const settings = parseSettings(text, buildValidator(schema));
+ */
+export const parseSettings = (text: string, validate: Validator): unknown => {
+  const errors: ParseError[] = [];
+  const document: unknown = parse(text, errors, { allowTrailingComma: true });
+  const [first] = errors;
+  if (first) {
+    throw new BeechliftError('settingsMalformed', `${printParseErrorCode(first.error)} at character ${first.offset}`);
+  }
+  const faults = validate(document);
+  if (faults.length > 0) {
+    const lines = faults.map(({ path, message }) => `${path}: ${message}`);
+    throw new BeechliftError('settingsInvalid', lines.join('\n'));
+  }
+  return document;
+};
+
+/**
+ * Settings that may change while the process runs.
+ *
+ * @example
+ * const file = new SettingsFile('/etc/relay.jsonc', (text) => parseRelaySettings(text), noteFault);
+ * process.on('SIGHUP', () => file.reload());
+ */
+export class SettingsFile<Settings> {
+  current: Settings;
+
+  private text: string;
+
+  constructor(
+    private readonly path: string,
+    private readonly parseText: (text: string) => Settings,
+    /** Hears of a change that cannot be used; the settings before stay in force. */
+    private readonly noteFault: (error: unknown) => void,
+    private readonly noteChange: () => void,
+  ) {
+    this.text = this.read();
+    this.current = parseText(this.text);
+  }
+
+  /** Reads the file again, when it changed. */
+  reload(): void {
+    try {
+      const text = this.read();
+      if (text === this.text) return;
+      // A text that cannot be used is reported once, not at each look.
+      this.text = text;
+      this.current = this.parseText(text);
+      this.noteChange();
+    } catch (error) {
+      this.noteFault(error);
+    }
+  }
+
+  private read(): string {
+    try {
+      return readFileSync(this.path, 'utf8');
+    } catch (cause) {
+      throw new BeechliftError('fileUnreadable', `cannot read "${this.path}": ${(cause as Error).message}`, { cause });
+    }
+  }
+}
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -12,3 +12,43 @@
 export const systemClock: Clock = {
   now: () => performance.now(),
 };
+
+/** Largest drift between the clocks of one machine that is no sign of a suspension. */
+const MAX_DRIFT_MS = 100;
+
+/**
+ * Tells whether the machine may have been suspended.
+ *
+ * Guards leases: while a VM is suspended its monotonic clock stands still, so a lease that ended
+ * long ago looks valid when it wakes. The time of day goes on, so the difference of the two clocks
+ * jumps. A time of day that was merely set looks the same; it costs one renewal of each lease.
+ *
+ * @example
+ * const epoch = suspension.readEpoch(); // before asking for a lease
+ * const isValid = clock.now() < until && suspension.readEpoch() === epoch;
+ */
+export class SuspensionWatch {
+  private epoch = 0;
+
+  private drift: number;
+
+  constructor(
+    private readonly clock: Clock = systemClock,
+    // eslint-disable-next-line no-restricted-globals -- compared with the monotonic clock alone
+    private readonly readTimeOfDay: () => number = Date.now,
+  ) {
+    this.drift = this.measureDrift();
+  }
+
+  /** A number that grows each time the machine may have been suspended. */
+  readEpoch(): number {
+    const drift = this.measureDrift();
+    if (Math.abs(drift - this.drift) > MAX_DRIFT_MS) this.epoch += 1;
+    this.drift = drift;
+    return this.epoch;
+  }
+
+  private measureDrift(): number {
+    return this.readTimeOfDay() - this.clock.now();
+  }
+}
