Limits lent by the leader; first event by a line through base and tokens

Shares of a limit cut per entry refused accounts that were within it; dividing the time to the first event by tokens alone took the fixed cost of short prompts for the price of a token, so long prompts looked hopeless. Ruled out: lack of slots (servers were half empty).

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -1,9 +1,6 @@
 import type {
   EntryRecord, WatchRequest, WorkerLoad,
 } from '../protocol/generated/beechlift';
-import { computeShares } from '../core/routing/accountBudget';
-import type { EntryDemand } from '../core/routing/accountBudget';
-import type { AccountShare } from '../protocol/generated/beechlift';
 
 /** What the leader knows of an entry. */
 interface KnownEntry {
@@ -30,7 +27,7 @@
 export class EntryTable {
   private readonly entries = new Map<string, KnownEntry>();
 
-  /** @param leaseMs an entry that was granted a lease may use its shares for this long */
+  /** @param leaseMs an entry that was granted a lease counts for this long, heard or not */
   constructor(private readonly leaseMs: number) {}
 
   /** Notes that an entry asked. */
@@ -52,7 +49,7 @@
       }));
   }
 
-  /** Entries that may hold a lease, and thereby shares of limits. */
+  /** Entries that may hold a lease. */
   countLeased(now: number): number {
     this.forget(now);
     return this.entries.size;
@@ -77,14 +74,6 @@
       { ...sum, slowness: Math.round(sum.slowness / Math.max(1, observers)) }));
   }
 
-  /** Shares of all limits for an entry. */
-  computeShares(entryId: string, now: number): AccountShare[] {
-    this.forget(now);
-    const demands = [...this.entries.values()].map(({ request }): EntryDemand => (
-      { entryId: request.entryId, demands: request.demands }));
-    return computeShares(demands, entryId);
-  }
-
   /** Forgets all: another replica leads, or this one has just begun to. */
   clear(): void {
     this.entries.clear();
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -43,6 +43,8 @@
   readonly dataFolder: string;
   readonly leaseMs: number;
   readonly voterCount: number;
+  /** What accounts may use beyond their limits, over all entries together. */
+  readonly limitSlack: number;
 }
 
 /** What a routed control process needs from outside. */
@@ -224,6 +226,7 @@
     logger,
     leaseMs: settings.leaseMs,
     voterCount: settings.voterCount,
+    limitSlack: settings.limitSlack,
   });
   holder.node = node;
   const ticking = setInterval(() => node.tick(), TICK_MS);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -6,6 +6,7 @@
 import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
 import { planReplicas } from '../core/log/replicaPlan';
 import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
+import { AccountLedger } from '../core/routing/accountLedger';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
 import {
@@ -62,6 +63,8 @@
   readonly leaseMs: number;
   /** Voters that the site is to have. */
   readonly voterCount: number;
+  /** What accounts may use beyond their limits, over all entries together. */
+  readonly limitSlack: number;
 }
 
 /**
@@ -84,6 +87,8 @@
 
   private readonly entries: EntryTable;
 
+  private ledger: AccountLedger;
+
   private readonly watches = new HeldWatches();
 
   private readonly newcomers = new Newcomers();
@@ -97,6 +102,7 @@
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.entries = new EntryTable(parts.leaseMs);
+    this.ledger = new AccountLedger(parts.limitSlack);
     this.suspensionEpoch = parts.suspension.readEpoch();
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
       applyCommand: (command) => this.applyCommand(command),
@@ -158,7 +164,7 @@
   /** Answers an entry or a replica that follows, held until there is news. */
   async watch(request: WatchRequest): Promise<WatchReply> {
     if (!this.isLeading) return this.answerNotLeading();
-    if (request.entryId !== '') this.entries.note(request, this.parts.clock.now());
+    if (request.entryId !== '') this.noteEntry(request);
     if (!this.hasNews(request)) await this.watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
     return this.isLeading ? this.buildWatchReply(request) : this.answerNotLeading();
   }
@@ -187,7 +193,7 @@
       workersRevision: this.workers.revision,
       holdMs,
       loads: [],
-      demands: [],
+      spends: [],
     };
   }
 
@@ -252,6 +258,18 @@
     return this.runner.stop();
   }
 
+  private noteEntry(request: WatchRequest): void {
+    const now = this.parts.clock.now();
+    this.entries.note(request, now);
+    this.ledger.noteSpends(request.entryId, request.spends, now);
+  }
+
+  /** Puts the limits of the document in force, which only a leader counts. */
+  private configureLedger(): void {
+    const { routing } = this.parts.readRouting(this.site.document);
+    if (routing) this.ledger.configure(routing.accounts, this.parts.clock.now());
+  }
+
   private hasNews({ documentDigest, workersEpoch, workersRevision }: WatchRequest): boolean {
     return documentDigest !== this.site.digest
       || workersEpoch !== this.workers.epoch
@@ -267,6 +285,7 @@
     const { site, workers, entries } = this;
     const now = this.parts.clock.now();
     const isEntry = request.entryId !== '';
+    const entryCount = entries.countLeased(now);
     return {
       leaseMs: this.parts.leaseMs,
       leaderAddress: this.parts.self.address,
@@ -280,8 +299,8 @@
       workers: listChangedWorkers(workers, request.workersEpoch, request.workersRevision),
       entries: isEntry ? [] : entries.list(now),
       loads: isEntry ? entries.sumLoads(request.entryId, now) : [],
-      shares: isEntry ? entries.computeShares(request.entryId, now) : [],
-      entryCount: entries.countLeased(now),
+      grants: isEntry ? this.ledger.listGrants(request.entryId, entryCount, now) : [],
+      entryCount,
     };
   }
 
@@ -330,7 +349,9 @@
     const command = JSON.parse(text) as DocumentCommand;
     const before = this.site;
     this.site = applyDocument(this.site, command, computeSha256(command.document));
-    if (this.site !== before) this.watches.release();
+    if (this.site === before) return true;
+    if (this.runner.state.role === 'leader') this.configureLedger();
+    this.watches.release();
     return true;
   }
 
@@ -399,6 +420,8 @@
     const now = this.parts.clock.now();
     this.leadingSince = now;
     this.entries.clear();
+    this.ledger = new AccountLedger(this.parts.limitSlack);
+    if (this.site.version > 0) this.configureLedger();
     this.beginWorkerTable(now);
   }
 
--- /dev/null
+++ b/src/core/routing/accountLedger.ts
@@ -0,0 +1,105 @@
+/** What is left of each account's limit over all entries together, as the leader of control counts. */
+import type { AccountGrant, AccountSpend } from '../../protocol/generated/beechlift';
+import type { RoutedAccount } from '../../manifest/routing';
+
+interface LedgerLine {
+  account: RoutedAccount;
+  /** Units that may still be used; below zero they were overdrawn. */
+  level: number;
+  refilledAt: number;
+  /** Total that each entry last reported, and what it asks for a second. */
+  readonly entries: Map<string, { total: number; demand: number; heardAt: number }>;
+}
+
+/**
+ * Part of the slack that is lent on top of the burst. The rest covers what cannot be known in time:
+ * each entry may overdraw by one request, and an entry that was cut off may use up what it holds.
+ */
+const LENT_SLACK = 0.5;
+/** Part of what is left that is shared evenly, so that an entry without demand can begin at once. */
+const EVEN_PART = 0.4;
+const MS_PER_SECOND = 1_000;
+/** An entry that is silent for this long holds nothing any more: its lease is over. */
+const ENTRY_KEPT_MS = 10_000;
+
+/**
+ * Lends what is left of limits to the entries, anew with each of their questions. As all that is
+ * lent at a time adds up to what is left, a limit holds over all entries, also over one that is cut
+ * off: it can use what it was lent last and no more.
+ *
+ * @example
+ * ledger.configure(routing.accounts, now);
+ * ledger.noteSpends('e1', request.spends, now);
+ * reply.grants = ledger.listGrants('e1');
+ */
+export class AccountLedger {
+  private readonly lines = new Map<string, LedgerLine>();
+
+  /** @param slack units beyond the limits that the site allows within a window */
+  constructor(private readonly slack: number) {}
+
+  /** Takes over the accounts of a routing document; what was used of the same account stays. */
+  configure(accounts: readonly RoutedAccount[], now: number): void {
+    const names = new Set(accounts.map(({ name }) => name));
+    this.lines.forEach((line, name) => {
+      if (!names.has(name)) this.lines.delete(name);
+    });
+    accounts.filter(({ perSecond }) => perSecond > 0).forEach((account) => {
+      const line = this.lines.get(account.name);
+      if (!line) {
+        this.lines.set(account.name, {
+          account, level: account.burst, refilledAt: now, entries: new Map(),
+        });
+        return;
+      }
+      this.refill(line, now);
+      line.account = account;
+      line.level = Math.min(line.level, this.computeCapacity(account));
+    });
+  }
+
+  /** Takes in what an entry let through. */
+  noteSpends(entryId: string, spends: readonly AccountSpend[], now: number): void {
+    spends.forEach(({ account, total, demand }) => {
+      const line = this.lines.get(account);
+      if (!line) return;
+      this.refill(line, now);
+      const before = line.entries.get(entryId);
+      // An entry that this ledger did not know used its units under the leader before.
+      if (before) line.level -= Math.max(0, total - before.total);
+      line.entries.set(entryId, { total, demand, heardAt: now });
+    });
+  }
+
+  /** What an entry may let through of each limited account. */
+  listGrants(entryId: string, entryCount: number, now: number): AccountGrant[] {
+    return [...this.lines.values()].map((line) => {
+      this.refill(line, now);
+      return {
+        account: line.account.name,
+        units: line.level * this.computeShare(line, entryId, entryCount),
+        reportedTotal: line.entries.get(entryId)?.total ?? 0,
+      };
+    });
+  }
+
+  private computeCapacity({ burst }: RoutedAccount): number {
+    return burst + LENT_SLACK * this.slack;
+  }
+
+  private computeShare({ entries }: LedgerLine, entryId: string, entryCount: number): number {
+    const total = [...entries.values()].reduce((sum, { demand }) => sum + demand, 0);
+    const even = 1 / Math.max(1, entryCount);
+    if (total <= 0) return even;
+    return EVEN_PART * even + (1 - EVEN_PART) * ((entries.get(entryId)?.demand ?? 0) / total);
+  }
+
+  private refill(line: LedgerLine, now: number): void {
+    const gained = ((now - line.refilledAt) / MS_PER_SECOND) * line.account.perSecond;
+    line.level = Math.min(this.computeCapacity(line.account), line.level + gained);
+    line.refilledAt = now;
+    line.entries.forEach(({ heardAt }, id) => {
+      if (now - heardAt > ENTRY_KEPT_MS) line.entries.delete(id);
+    });
+  }
+}
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -1,4 +1,6 @@
 import type { WorkerLoad, WorkerRecord } from '../../protocol/generated/beechlift';
+import { learnLine, makeLineFit } from './lineFit';
+import type { LineFit } from './lineFit';
 import type { WorkerStanding } from './workerTable';
 
 /** A backend server as one entry sees it. */
@@ -34,8 +36,8 @@
 export interface ServiceWork {
   /** Smoothed time that a request holds a slot, in milliseconds. */
   holdMs: number;
-  /** Smoothed time to read one prompt token on a server of usual speed. */
-  prefillMsPerToken: number;
+  /** Time to the first event on the fastest server, by prompt tokens to be read until then. */
+  readonly firstEvent: LineFit;
   failureShare: number;
 }
 
@@ -51,13 +53,15 @@
   readonly holdMs: number;
   /** Time of one event of a stream, or of the whole answer; 0 when too little was seen. */
   readonly paceMs: number;
-  /** Time to the first event for each prompt token that was to be read; 0 for plain answers. */
-  readonly prefillMsPerToken: number;
+  /** Time to the first event, and the prompt tokens that were to be read until then. */
+  readonly firstEvent: { readonly ms: number; readonly tokens: number } | undefined;
   readonly failed: boolean;
 }
 
 /** First guesses, replaced by what is observed: those of a mid-sized engine. */
-const FIRST_WORK: ServiceWork = { holdMs: 500, prefillMsPerToken: 0.02, failureShare: 0 };
+const FIRST_HOLD_MS = 500;
+const FIRST_BASE_MS = 100;
+const FIRST_TOKEN_MS = 0.02;
 
 /** Weight of one observation: about ten of them replace what was known. */
 const SMOOTHING = 0.2;
@@ -157,7 +161,9 @@
 export const findWork = (workers: RoutedWorkers, service: string): ServiceWork => {
   const known = workers.work.get(service);
   if (known) return known;
-  const work = { ...FIRST_WORK };
+  const work = {
+    holdMs: FIRST_HOLD_MS, firstEvent: makeLineFit(FIRST_BASE_MS, FIRST_TOKEN_MS), failureShare: 0,
+  };
   workers.work.set(service, work);
   return work;
 };
@@ -199,11 +205,9 @@
   work.failureShare = smooth(work.failureShare, sample.failed ? 1 : 0);
   if (sample.failed) return;
   work.holdMs = smooth(work.holdMs, sample.holdMs);
-  if (sample.prefillMsPerToken > 0) {
-    work.prefillMsPerToken = smooth(
-      work.prefillMsPerToken,
-      sample.prefillMsPerToken / Math.max(1, estimateSlowness(workers, worker)),
-    );
+  if (sample.firstEvent) {
+    const { ms, tokens } = sample.firstEvent;
+    learnLine(work.firstEvent, tokens, ms / Math.max(1, estimateSlowness(workers, worker)));
   }
   if (sample.paceMs <= 0) return;
   worker.paceMs = worker.paceSamples === 0 ? sample.paceMs : smooth(worker.paceMs, sample.paceMs);
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -2,6 +2,7 @@
  * Which backend server takes a request: the one that is expected to begin its answer first, of
  * those that are ready, in reach, and were not tried for this request already.
  */
+import { readLine, readSlope } from './lineFit';
 import { estimateSlowness, findWork } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceWork } from './routedWorkers';
 
@@ -18,8 +19,10 @@
 /** A backend server, and what is expected of it. */
 export interface WorkerChoice {
   readonly worker: RoutedWorker;
-  /** Expected milliseconds until the answer begins. */
-  readonly startMs: number;
+  /** Expected milliseconds until a slot is free and what is before the request has been read. */
+  readonly waitMs: number;
+  /** Expected milliseconds that its own beginning takes from then on. */
+  readonly ownMs: number;
 }
 
 /**
@@ -31,26 +34,36 @@
 /** How many times its wait counts for a server all of whose answers fail beyond the usual. */
 const FAILURE_WEIGHT = 20;
 
-/** Milliseconds that an unloaded server of usual speed takes, so that weights have a base. */
+/** Milliseconds that a plain answer of a server of usual speed takes, so that loads compare. */
 const BASE_MS = 10;
 
 /** A cold server is expected to take this many times as long. */
 const COLD_FACTOR = 2;
 
-const estimateStartMs = (
+interface Expected {
+  /** Milliseconds until a slot is free and what is before the request has been read. */
+  readonly waitMs: number;
+  /** Milliseconds that its own beginning takes from then on. */
+  readonly ownMs: number;
+}
+
+const estimateStart = (
   workers: RoutedWorkers,
   work: ServiceWork,
   worker: RoutedWorker,
   request: ChoiceRequest,
-): number => {
+): Expected => {
   const slowness = estimateSlowness(workers, worker) * (worker.isCold ? COLD_FACTOR : 1);
   const held = worker.inFlight + worker.othersInFlight;
   const over = Math.max(0, held + 1 - worker.slots);
   const slotMs = (over * work.holdMs) / worker.slots;
-  const pending = worker.pendingTokens + worker.othersPendingTokens + request.promptTokens;
-  const prefillMs = pending * work.prefillMsPerToken;
-  const crowdMs = BASE_MS * (1 + held / worker.slots);
-  return slowness * (slotMs + prefillMs + crowdMs);
+  const pending = worker.pendingTokens + worker.othersPendingTokens;
+  const crowdMs = (BASE_MS * held) / worker.slots;
+  const isPrompt = request.promptTokens > 0;
+  return {
+    waitMs: slowness * (slotMs + pending * readSlope(work.firstEvent) + crowdMs),
+    ownMs: slowness * (isPrompt ? readLine(work.firstEvent, request.promptTokens) : BASE_MS),
+  };
 };
 
 const weighFailures = (work: ServiceWork, worker: RoutedWorker): number => (
@@ -82,9 +95,10 @@
   const usable = (workers.byService.get(request.service) ?? [])
     .filter((worker) => canTake(worker, request, now));
   const scored = usable.map((worker) => {
-    const startMs = estimateStartMs(workers, work, worker, request);
+    const { waitMs, ownMs } = estimateStart(workers, work, worker, request);
     const zoneMs = worker.zone === request.zone ? 0 : OTHER_ZONE_MS;
-    return { worker, startMs, score: startMs * weighFailures(work, worker) + zoneMs };
+    const score = (waitMs + ownMs) * weighFailures(work, worker) + zoneMs;
+    return { worker, waitMs, ownMs, score };
   });
   return scored.reduce<typeof scored[number] | undefined>(
     (best, item) => (!best || item.score < best.score ? item : best),
@@ -94,22 +108,23 @@
 
 /**
  * How long a request may be expected to wait, as a part of its target latency, by rank: what ranks
- * lower yields earlier as a service fills up, so that the ranks above keep what is left.
+ * lower yields earlier as a service fills up, so that the ranks above keep what is left. Only the
+ * wait counts, not the request's own length: long requests are not turned away for being long.
  */
 const WAIT_SHARE_BY_RANK = [1.2, 1, 0.8];
 
 /**
- * Decides whether a request is worth being sent: one that would begin too late for its target is
+ * Decides whether a request is worth being sent: one that would wait too long for its target is
  * refused at once, before a server spends work on it that another could use in time.
  *
  * @example
- * if (!isWorthSending(choice.startMs, route.targetLatencyMs, rank)) refuse();
+ * if (!isWorthSending(choice, route.targetLatencyMs, rank)) refuse();
  */
 export const isWorthSending = (
-  startMs: number,
+  { waitMs }: Pick<WorkerChoice, 'waitMs'>,
   targetLatencyMs: number,
   rank: number,
 ): boolean => {
   const share = WAIT_SHARE_BY_RANK[Math.min(rank, WAIT_SHARE_BY_RANK.length - 1)] ?? 1;
-  return startMs <= share * targetLatencyMs;
+  return waitMs <= share * targetLatencyMs;
 };
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -20,8 +20,6 @@
   /** gRPC addresses of control replicas that the settings name. */
   readonly readSeeds: () => readonly string[];
   readonly retryBounds: RetryBounds;
-  /** What accounts may use beyond their limits, over all entries together. */
-  readonly limitSlack: number;
   /** How long callers may use an answer to where they should connect, in milliseconds. */
   readonly locateMs: number;
   /** How long a shutdown may take, in milliseconds. */
@@ -92,7 +90,6 @@
     suspension,
     logger,
     retryBounds: settings.retryBounds,
-    limitSlack: settings.limitSlack,
   });
   const app = makeRelayServer({
     site, dialect, connections, clock: systemClock, logger, metrics,
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -23,8 +23,6 @@
   readonly suspension: SuspensionWatch;
   readonly logger: Logger;
   readonly retryBounds: RetryBounds;
-  /** What accounts may use beyond their limits, over all entries together. */
-  readonly limitSlack: number;
 }
 
 /**
@@ -42,7 +40,7 @@
 
   readonly workers = makeRoutedWorkers();
 
-  readonly budget: AccountBudget;
+  readonly budget = new AccountBudget();
 
   readonly retries: RetryAllowance;
 
@@ -62,7 +60,6 @@
 
   constructor(private readonly parts: RelaySiteParts) {
     const readEntryCount = () => this.entryCount;
-    this.budget = new AccountBudget({ slack: parts.limitSlack }, readEntryCount);
     this.retries = new RetryAllowance(parts.retryBounds, readEntryCount);
   }
 
@@ -98,7 +95,7 @@
       workersRevision: this.workersRevision,
       holdMs,
       loads: listLoads(this.workers),
-      demands: this.budget.listDemands(clock.now()),
+      spends: this.budget.listSpends(clock.now()),
     };
   }
 
@@ -112,7 +109,7 @@
     if (!this.applyDocument(reply)) return;
     this.applyWorkers(reply);
     this.entryCount = Math.max(1, reply.entryCount);
-    this.budget.applyShares(reply.shares);
+    this.budget.applyGrants(reply.grants, this.parts.clock.now());
     if (reply.documentVersion === 0) return;
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
     this.leaseEpoch = epoch;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -70,6 +70,9 @@
 
   private deadlineAt = Infinity;
 
+  /** Prompt tokens that the server was still to read when the request was sent there. */
+  private pendingBefore = 0;
+
   private call: UpstreamCall | undefined;
 
   private writer: AnswerWriter;
@@ -147,10 +150,9 @@
     }, clock.now());
     if (!choice) throw new BeechliftError('noBackend', `no backend server of service "${service}" can take the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
     const isFirst = this.offers === 0;
-    if (!isFirst || isWorthSending(choice.startMs, route.targetLatencyMs, rank)) return choice;
-    const waitMs = choice.startMs - route.targetLatencyMs / 2;
-    throw new BeechliftError('noSlotInTime', `the first of service "${service}" would begin in about ${Math.round(choice.startMs)} ms, the target is ${route.targetLatencyMs} ms`, {
-      retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs)),
+    if (!isFirst || isWorthSending(choice, route.targetLatencyMs, rank)) return choice;
+    throw new BeechliftError('noSlotInTime', `the wait at service "${service}" is about ${Math.round(choice.waitMs)} ms, the target is ${route.targetLatencyMs} ms`, {
+      retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, choice.waitMs)),
     });
   }
 
@@ -182,6 +184,7 @@
       },
     });
     this.call = call;
+    this.pendingBefore = worker.pendingTokens + worker.othersPendingTokens;
     worker.inFlight += 1;
     worker.pendingTokens += promptTokens;
     const silence = setTimeout(
@@ -256,7 +259,7 @@
     if (this.writer.isOver) return { kind: 'broken', reason: 'the caller has gone' };
     suspendWorker(worker, now);
     learnAnswer(site.workers, worker, {
-      holdMs: 0, paceMs: 0, prefillMsPerToken: 0, failed: true,
+      holdMs: 0, paceMs: 0, firstEvent: undefined, failed: true,
     });
     return end.kind === 'unsent' ? end : verdict ?? end;
   }
@@ -271,9 +274,9 @@
     learnAnswer(site.workers, worker, {
       holdMs,
       paceMs: isStream ? streamPaceMs : holdMs,
-      prefillMsPerToken: isStream && promptTokens > 0 && pieces > 0
-        ? (firstAt - startedAt) / (promptTokens + worker.pendingTokens)
-        : 0,
+      firstEvent: isStream && promptTokens > 0 && pieces > 0
+        ? { ms: firstAt - startedAt, tokens: promptTokens + this.pendingBefore }
+        : undefined,
       failed,
     });
   }
@@ -344,7 +347,7 @@
     this.writer.fail(error, site.isLeaving);
   }
 
-  private logAttempt({ worker, startMs }: WorkerChoice, end: AttemptEnd): void {
+  private logAttempt({ worker, waitMs, ownMs }: WorkerChoice, end: AttemptEnd): void {
     const { metrics, logger, clock } = this.parts;
     const tookMs = clock.now() - this.receivedAt;
     metrics.attempts.inc({ outcome: end.kind });
@@ -353,7 +356,7 @@
       requestId: this.facts.requestId,
       route: this.admitted?.route.name,
       worker: worker.id,
-      expectedMs: Math.round(startMs),
+      expectedMs: Math.round(waitMs + ownMs),
       outcome: end.kind,
       reason: end.kind === 'answered' ? undefined : end.reason,
       status: this.response.statusCode,
