The leader gives out the slots of model engines

Change: a pure placement module, hosted by the leader of control: each slot known, what waits served by rank, hopeless waits refused at once; entries choose for themselves while no leader is in reach.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -17,6 +17,9 @@
  */
 const SILENCE_MS = 900;
 
+/** Silence after which what an entry holds is given to others, in milliseconds. */
+const GONE_MS = 2_000;
+
 /**
  * Entries as the leader hears them. Not replicated: a new leader hears them anew.
  *
@@ -55,6 +58,12 @@
     return this.entries.size;
   }
 
+  /** Whether an entry is there: it was heard of late, and no other process took its place. */
+  has(entryId: string, now: number): boolean {
+    const entry = this.entries.get(entryId);
+    return entry !== undefined && now - entry.heardAt <= GONE_MS;
+  }
+
   /** What all entries but one have at each backend server. */
   sumLoads(exceptId: string, now: number): WorkerLoad[] {
     const sums = new Map<string, WorkerLoad & { observers: number }>();
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -3,8 +3,8 @@
 import { LogStore } from '../disk/logStore';
 import { SiteClient, SiteService } from '../protocol/generated/beechlift';
 import type {
-  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PublishReply, PublishRequest,
-  Replica, WatchReply, WatchRequest, WorkerAnnouncement,
+  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceReply, PlaceRequest,
+  PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { RoutingReader } from '../manifest/routing';
@@ -123,6 +123,11 @@
   announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
     (said) => requireNode(holder).announce(said),
   ),
+  place: handleUnary<PlaceRequest, PlaceReply>((request) => requireNode(holder).place(request)),
+  reportPlaced: handleUnary<ReportPlacedRequest, object>((request) => {
+    requireNode(holder).reportPlaced(request);
+    return {};
+  }),
   confirm: handleUnary<object, ConfirmReply>(() => requireNode(holder).confirm()),
   step: handleUnary<LogMessage, object>((message) => {
     requireNode(holder).step(message);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type {
-  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PublishReply,
-  PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
+  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceReply,
+  PlaceRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
 import { planReplicas } from '../core/log/replicaPlan';
@@ -24,6 +24,7 @@
 import { EntryTable } from './entryTable';
 import { HeldWatches } from './heldWatches';
 import { LogRunner } from './logRunner';
+import { PlacementDesk, refuseLimited } from './placementDesk';
 import { Newcomers } from './newcomers';
 import type { WorkerMemo } from './workerMemo';
 
@@ -93,6 +94,11 @@
 
   private ledger: AccountLedger;
 
+  private desk: PlacementDesk;
+
+  /** Revision of the table of backend servers that the desk knows. */
+  private deskRevision = 0;
+
   private readonly watches = new HeldWatches();
 
   private readonly newcomers = new Newcomers();
@@ -107,6 +113,7 @@
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.entries = new EntryTable(parts.leaseMs);
     this.ledger = new AccountLedger(parts.limitSlack);
+    this.desk = new PlacementDesk(parts.clock);
     const now = parts.clock.now();
     parts.remembered.forEach((record) => adoptRecord(this.workers, record, now));
     this.suspensionEpoch = parts.suspension.readEpoch();
@@ -159,6 +166,7 @@
     const { revision } = this.workers;
     expireWorkers(this.workers, now);
     if (this.workers.revision !== revision) this.watches.release();
+    this.tendDesk(now);
     this.tendReplicas(now);
   }
 
@@ -237,6 +245,26 @@
     return { confirmed, commitIndex: Math.max(commitIndex, this.runner.state.commitIndex) };
   }
 
+  /** Decides which backend server takes a request; the reply may be that it still waits. */
+  async place(request: PlaceRequest): Promise<PlaceReply> {
+    if (!this.isLeading) throw new BeechliftError('noQuorum', 'this replica does not lead');
+    if (!this.desk.knows(request.placeId)) {
+      const now = this.parts.clock.now();
+      const waitMs = this.ledger.charge(request.account, request.cost, now);
+      if (waitMs > 0) return refuseLimited(`account "${request.account}" is beyond its limit`, Math.ceil(waitMs));
+    }
+    this.informDesk();
+    const reply = await this.desk.place(request);
+    // What is refused has used nothing.
+    if (reply.code !== 0) this.ledger.refund(request.account, request.cost);
+    return reply;
+  }
+
+  /** Takes in how placed requests go. */
+  reportPlaced({ reports }: ReportPlacedRequest): void {
+    this.desk.report(reports);
+  }
+
   /** Takes in what a backend server said of itself; false when no leader could be told. */
   async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
     if (this.isLeading) {
@@ -277,6 +305,20 @@
     if (routing) this.ledger.configure(routing.accounts, this.parts.clock.now());
   }
 
+  /** Brings the desk up to what is known of backend servers and entries. */
+  private tendDesk(now: number): void {
+    this.informDesk();
+    this.desk.applyLoads(this.entries.sumLoads('', now));
+    this.desk.tick((entryId) => this.entries.has(entryId, now));
+  }
+
+  private informDesk(): void {
+    const { epoch, revision } = this.workers;
+    if (this.deskRevision === revision) return;
+    this.desk.applyRecords(listChangedWorkers(this.workers, epoch, this.deskRevision));
+    this.deskRevision = revision;
+  }
+
   private hasNews({ documentDigest, workersEpoch, workersRevision }: WatchRequest): boolean {
     return documentDigest !== this.site.digest
       || workersEpoch !== this.workers.epoch
@@ -427,6 +469,9 @@
     const now = this.parts.clock.now();
     this.leadingSince = now;
     this.entries.clear();
+    this.desk.close();
+    this.desk = new PlacementDesk(this.parts.clock);
+    this.deskRevision = 0;
     this.ledger = new AccountLedger(this.parts.limitSlack);
     if (this.site.version > 0) this.configureLedger();
     this.beginWorkerTable(now);
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -15,7 +15,9 @@
  * Part of the slack that is lent on top of the burst. The rest covers what cannot be known in time:
  * each entry may overdraw by one request, and an entry that was cut off may use up what it holds.
  */
-const LENT_SLACK = 0.5;
+const LENT_SLACK = 0.25;
+/** Part of the slack that a request which is decided on here may overdraw. */
+const OVERDRAFT_SLACK = 0.3;
 /** Part of what is left that is shared evenly, so that an entry without demand can begin at once. */
 const EVEN_PART = 0.4;
 const MS_PER_SECOND = 1_000;
@@ -71,6 +73,28 @@
     });
   }
 
+  /**
+   * Charges an account for a request that is decided on here, to the unit. A request may use the
+   * slack below an empty limit.
+   *
+   * @returns 0 when it was charged, otherwise milliseconds until it may be
+   */
+  charge(name: string, cost: number, now: number): number {
+    const line = this.lines.get(name);
+    if (!line) return 0;
+    this.refill(line, now);
+    const missing = cost - line.level - OVERDRAFT_SLACK * this.slack;
+    if (missing > 0) return (missing / line.account.perSecond) * MS_PER_SECOND;
+    line.level -= cost;
+    return 0;
+  }
+
+  /** Gives back what was charged for a request that was refused. */
+  refund(name: string, cost: number): void {
+    const line = this.lines.get(name);
+    if (line) line.level += cost;
+  }
+
   /** What an entry may let through of each limited account. */
   listGrants(entryId: string, entryCount: number, now: number): AccountGrant[] {
     return [...this.lines.values()].map((line) => {
--- /dev/null
+++ b/src/core/routing/placement.ts
@@ -0,0 +1,307 @@
+/**
+ * Which request gets which slot of which model engine, decided in one place for all entries.
+ *
+ * It answers bursts: entries that choose for themselves, on loads that are a fifth of a second old,
+ * all send to the same engine, where requests then wait in the order they came while another engine
+ * idles. Here every slot is known, none is given twice, and what waits is served by rank.
+ */
+import { readLine } from './lineFit';
+import {
+  findWork, learnAnswer, learnPace, noteReached, suspendWorker,
+} from './routedWorkers';
+import type { RoutedWorker, RoutedWorkers, TimedTokens } from './routedWorkers';
+import { chooseRoutedWorker } from './workerChoice';
+import type { WorkerChoice } from './workerChoice';
+
+/** A request that asks for a slot. */
+export interface PlaceAsk {
+  readonly id: string;
+  readonly entryId: string;
+  readonly service: string;
+  readonly rank: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly targetMs: number;
+  /** When its whole answer must have come, monotonic milliseconds. */
+  readonly deadlineAt: number;
+  readonly zone: string;
+  readonly tried: readonly string[];
+  readonly askedAt: number;
+}
+
+/** A request that holds a slot. */
+interface PlacedRequest {
+  readonly ask: PlaceAsk;
+  readonly workerId: string;
+  readonly placedAt: number;
+  /** Prompt tokens that its server was to read before its own when it was placed. */
+  readonly pendingBefore: number;
+  hasBegun: boolean;
+}
+
+/** All that placing rests on. */
+export interface PlacementTables {
+  readonly workers: RoutedWorkers;
+  readonly waiting: Map<string, PlaceAsk>;
+  readonly placed: Map<string, PlacedRequest>;
+}
+
+/** What was decided of a request. */
+export type PlaceDecision = | {
+  readonly kind: 'grant';
+  readonly id: string;
+  readonly workerId: string;
+  readonly expectedMs: number;
+}
+  | {
+    readonly kind: 'refuse';
+    readonly id: string;
+    readonly reason: string;
+    readonly retryAfterMs: number;
+  };
+
+/** How a placed request goes. */
+export interface PlacedNews {
+  readonly id: string;
+  readonly phase: 'running' | 'ended' | 'failed' | 'dropped' | 'rejected' | 'unreached';
+  readonly paceMs: number;
+  readonly firstEventMs: number;
+  readonly outputMs: number;
+}
+
+/**
+ * How long a request may wait for a slot, as a part of its target latency, by rank. The rest of the
+ * target is for its own beginning. The lowest rank gives up first, as it is served last.
+ */
+const WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
+/** Bounds on the time after which a refused caller may come back, in milliseconds. */
+const MIN_RETRY_MS = 250;
+const MAX_RETRY_MS = 4_000;
+/** Bounds what waits, over all services. */
+const MAX_WAITING = 4_096;
+
+/** Makes empty tables over the backend servers. */
+export const makePlacement = (workers: RoutedWorkers): PlacementTables => (
+  { workers, waiting: new Map(), placed: new Map() }
+);
+
+const countSlots = ({ workers }: PlacementTables, service: string, now: number): number => (
+  (workers.byService.get(service) ?? [])
+    .filter(({ standing, suspendedUntil }) => standing === 'ready' && suspendedUntil <= now)
+    .reduce((sum, { slots }) => sum + slots, 0)
+);
+
+const countAhead = ({ waiting }: PlacementTables, ask: PlaceAsk): number => (
+  [...waiting.values()].filter(({ service, rank, id }) => (
+    service === ask.service && rank <= ask.rank && id !== ask.id)).length
+);
+
+/**
+ * Estimates how long a request waits for a slot, by what waits before it and how long a slot is
+ * held.
+ */
+const estimateWaitMs = (tables: PlacementTables, ask: PlaceAsk, now: number): number => {
+  const slots = countSlots(tables, ask.service, now);
+  const { holdMs } = findWork(tables.workers, ask.service);
+  return ((countAhead(tables, ask) + 1) * holdMs) / Math.max(1, slots);
+};
+
+const computePatienceMs = (tables: PlacementTables, ask: PlaceAsk): number => {
+  const share = WAIT_SHARE_BY_RANK[Math.min(ask.rank, WAIT_SHARE_BY_RANK.length - 1)] ?? 0;
+  const ownMs = readLine(findWork(tables.workers, ask.service).firstEvent, ask.promptTokens);
+  return Math.max(0, share * ask.targetMs - Math.min(ownMs, ask.targetMs / 2));
+};
+
+const refuse = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+  reason: string,
+): PlaceDecision => {
+  tables.waiting.delete(ask.id);
+  const waitMs = estimateWaitMs(tables, ask, now);
+  return {
+    kind: 'refuse',
+    id: ask.id,
+    reason,
+    retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs))),
+  };
+};
+
+const chooseFree = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+): WorkerChoice | undefined => chooseRoutedWorker(tables.workers, {
+  service: ask.service,
+  promptTokens: ask.promptTokens,
+  outputTokens: ask.outputTokens,
+  remainingMs: ask.deadlineAt - now,
+  zone: ask.zone,
+  tried: ask.tried,
+  mustBeFree: true,
+}, now);
+
+const grant = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  { worker, waitMs, ownMs }: WorkerChoice,
+  now: number,
+): PlaceDecision => {
+  tables.waiting.delete(ask.id);
+  tables.placed.set(ask.id, {
+    ask,
+    workerId: worker.id,
+    placedAt: now,
+    pendingBefore: worker.pendingTokens + worker.othersPendingTokens,
+    hasBegun: false,
+  });
+  worker.inFlight += 1;
+  worker.pendingTokens += ask.promptTokens;
+  return {
+    kind: 'grant', id: ask.id, workerId: worker.id, expectedMs: Math.round(waitMs + ownMs),
+  };
+};
+
+const compareWaiting = (a: PlaceAsk, b: PlaceAsk): number => (
+  a.rank - b.rank || a.askedAt - b.askedAt
+);
+
+const decideWaiting = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+): PlaceDecision | undefined => {
+  const choice = chooseFree(tables, ask, now);
+  if (choice) return grant(tables, ask, choice, now);
+  const isOver = now - ask.askedAt > computePatienceMs(tables, ask);
+  return isOver ? refuse(tables, ask, now, 'no slot was free in time') : undefined;
+};
+
+/**
+ * Gives free slots to what waits, highest rank and longest wait first, and refuses what has waited
+ * too long to be answered on time.
+ *
+ * @example
+ * const decisions = runPlacement(tables, clock.now());
+ */
+export const runPlacement = (tables: PlacementTables, now: number): PlaceDecision[] => (
+  [...tables.waiting.values()]
+    .sort(compareWaiting)
+    .flatMap((ask) => decideWaiting(tables, ask, now) ?? [])
+);
+
+/**
+ * Takes in a request. One that would wait too long is refused at once: its caller can come back
+ * when the burst is over, and no time is spent on it meanwhile.
+ *
+ * @example
+ * const decisions = askPlace(tables, ask, clock.now());
+ */
+export const askPlace = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+): PlaceDecision[] => {
+  if (tables.waiting.has(ask.id) || tables.placed.has(ask.id)) return [];
+  if (tables.waiting.size >= MAX_WAITING) return [refuse(tables, ask, now, 'too many requests wait')];
+  tables.waiting.set(ask.id, ask);
+  const decisions = runPlacement(tables, now);
+  const isWaiting = tables.waiting.has(ask.id);
+  if (!isWaiting || estimateWaitMs(tables, ask, now) <= computePatienceMs(tables, ask)) {
+    return decisions;
+  }
+  return [...decisions, refuse(tables, ask, now, 'the wait for a slot would be too long')];
+};
+
+const releaseSlot = (
+  tables: PlacementTables,
+  { ask, workerId, hasBegun }: PlacedRequest,
+): RoutedWorker | undefined => {
+  tables.placed.delete(ask.id);
+  const worker = tables.workers.byId.get(workerId);
+  if (!worker) return undefined;
+  worker.inFlight -= 1;
+  if (!hasBegun) worker.pendingTokens -= ask.promptTokens;
+  return worker;
+};
+
+const noteBegun = (worker: RoutedWorker, placed: PlacedRequest): void => {
+  if (placed.hasBegun) return;
+  placed.hasBegun = true;
+  worker.pendingTokens -= placed.ask.promptTokens;
+};
+
+const makeTimed = (ms: number, tokens: number): TimedTokens | undefined => (
+  ms > 0 ? { ms, tokens } : undefined
+);
+
+type NewsHandler = (
+  tables: PlacementTables, placed: PlacedRequest, news: PlacedNews, now: number,
+) => void;
+
+const learnEnd = (isFailed: boolean): NewsHandler => (tables, placed, news, now) => {
+  const { ask, placedAt, pendingBefore } = placed;
+  const worker = releaseSlot(tables, placed);
+  if (!worker) return;
+  if (!isFailed) noteReached(worker);
+  learnAnswer(tables.workers, worker, {
+    holdMs: now - placedAt,
+    paceMs: 0,
+    firstEvent: makeTimed(news.firstEventMs, ask.promptTokens + pendingBefore),
+    output: makeTimed(news.outputMs, ask.outputTokens),
+    failed: isFailed,
+  });
+};
+
+const suspend: NewsHandler = (tables, placed, news, now) => {
+  const worker = releaseSlot(tables, placed);
+  if (worker) suspendWorker(worker, now);
+};
+
+const newsHandlers: Record<PlacedNews['phase'], NewsHandler> = {
+  running: (tables, placed, news) => {
+    const worker = tables.workers.byId.get(placed.workerId);
+    if (!worker) return;
+    noteBegun(worker, placed);
+    if (news.paceMs > 0) learnPace(worker, news.paceMs);
+  },
+  ended: learnEnd(false),
+  failed: learnEnd(true),
+  dropped: (tables, placed) => {
+    releaseSlot(tables, placed);
+  },
+  rejected: suspend,
+  unreached: suspend,
+};
+
+/**
+ * Takes in how a placed request goes.
+ *
+ * @example
+ * notePlaced(tables, { id, phase: 'ended', paceMs: 0, firstEventMs: 180, outputMs: 640 }, now);
+ */
+export const notePlaced = (tables: PlacementTables, news: PlacedNews, now: number): void => {
+  const placed = tables.placed.get(news.id);
+  if (placed) newsHandlers[news.phase](tables, placed, news, now);
+};
+
+/**
+ * Frees what an entry holds that has gone, and what must have ended by its deadline: its report was
+ * lost.
+ *
+ * @example
+ * expirePlaced(tables, (entryId) => entries.has(entryId), clock.now());
+ */
+export const expirePlaced = (
+  tables: PlacementTables,
+  isThere: (entryId: string) => boolean,
+  now: number,
+): void => {
+  [...tables.placed.values()]
+    .filter(({ ask }) => now > ask.deadlineAt || !isThere(ask.entryId))
+    .forEach((placed) => releaseSlot(tables, placed));
+  [...tables.waiting.values()]
+    .filter(({ entryId }) => !isThere(entryId))
+    .forEach(({ id }) => tables.waiting.delete(id));
+};
--- a/src/core/routing/routeTable.ts
+++ b/src/core/routing/routeTable.ts
@@ -34,7 +34,14 @@
 
   private readonly accountsByKey: ReadonlyMap<string, RoutedAccount>;
 
+  private readonly firstAccountRank: number;
+
+  /** Ranks that routes have, 0 included. */
+  private readonly routeRanks: number;
+
   constructor(readonly routing: Routing) {
+    this.firstAccountRank = routing.accounts.reduce((least, { rank }) => Math.min(least, rank ?? 0), Infinity);
+    this.routeRanks = 1 + routing.routes.reduce((most, { rank }) => Math.max(most, rank), 0);
     this.hosts = indexByHost(routing.routes);
     this.services = new Map(routing.services.map((service) => [service.name, service]));
     this.accountsByKey = new Map(routing.accounts.flatMap(
@@ -67,6 +74,15 @@
     return this.accountsByKey.get(key);
   }
 
+  /**
+   * Rank of a request: 0 goes first. An account's rank precedes the route's, so it counts by as many
+   * steps as routes have ranks; where all accounts have the same, the routes' ranks decide alone.
+   */
+  computeRank(route: Route, account: RoutedAccount | undefined): number {
+    const steps = account ? (account.rank ?? 0) - this.firstAccountRank : 0;
+    return route.rank + steps * this.routeRanks;
+  }
+
   /** A service by name. */
   findService(name: string): RoutedService | undefined {
     return this.services.get(name);
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -14,6 +14,8 @@
   isCold: boolean;
   /** Requests of this entry that it holds. */
   inFlight: number;
+  /** Those of them that the present leader of control placed, and knows of. */
+  placed: number;
   /** Prompt tokens of those that have not begun to answer. */
   pendingTokens: number;
   /** What the other entries together have there, as last told. */
@@ -97,6 +99,7 @@
   standing: 'ready',
   isCold: false,
   inFlight: 0,
+  placed: 0,
   pendingTokens: 0,
   othersInFlight: 0,
   othersPendingTokens: 0,
@@ -251,17 +254,25 @@
   worker.pauseMs = FIRST_PAUSE_MS;
 };
 
+/** Another leader knows nothing of what the one before placed. */
+export const forgetPlaced = (workers: RoutedWorkers): void => {
+  workers.byId.forEach((worker) => {
+    worker.placed = 0;
+  });
+};
+
 /**
- * Lists what this entry has at each backend server, for the other entries.
+ * Lists what this entry has at each backend server without the leader's knowing, for the leader and
+ * the other entries.
  *
  * @example
  * request.loads = listLoads(workers);
  */
 export const listLoads = (workers: RoutedWorkers): WorkerLoad[] => [...workers.byId.values()]
-  .filter(({ inFlight, paceSamples }) => inFlight > 0 || paceSamples > 0)
+  .filter(({ inFlight, placed, paceSamples }) => inFlight > placed || paceSamples > 0)
   .map((worker) => ({
     workerId: worker.id,
-    inFlight: worker.inFlight,
-    tokens: worker.pendingTokens,
+    inFlight: Math.max(0, worker.inFlight - worker.placed),
+    tokens: worker.placed > 0 ? 0 : Math.max(0, worker.pendingTokens),
     slowness: worker.paceSamples > 0 ? Math.round(1_000 * estimateSlowness(workers, worker)) : 0,
   }));
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -18,6 +18,8 @@
   readonly zone: string;
   /** Backend servers that this request was at already. */
   readonly tried: readonly string[];
+  /** Whether only a server with a free slot will do. */
+  readonly mustBeFree: boolean;
 }
 
 /** A backend server, and what is expected of it. */
@@ -88,14 +90,15 @@
   1 + FAILURE_WEIGHT * Math.max(0, worker.failureShare - work.failureShare - 0.1)
 );
 
-/**
- * Whether a server takes new work. While none is ready, one that fell silent is tried: its
- * announcements may be what is lost, and not the server.
- */
+const isFree = ({ inFlight, othersInFlight, slots }: RoutedWorker): boolean => (
+  inFlight + othersInFlight < slots
+);
+
 const canTake = (worker: RoutedWorker, request: ChoiceRequest, now: number): boolean => (
   worker.standing === 'ready'
     && now >= worker.suspendedUntil
     && !request.tried.includes(worker.id)
+    && (!request.mustBeFree || isFree(worker))
 );
 
 /**
--- a/src/relay/admitRequest.ts
+++ b/src/relay/admitRequest.ts
@@ -10,6 +10,7 @@
   readonly route: Route;
   readonly service: string;
   readonly account: RoutedAccount | undefined;
+  /** Rank 0 goes first: the account's precedes the route's where accounts differ. */
   readonly rank: number;
   /** Routing version that admitted it. */
   readonly version: number;
@@ -36,12 +37,13 @@
 };
 
 /** What a request costs its account, in the account's unit. */
-const computeCost = (account: RoutedAccount, { tokens }: CallFacts): number => {
+export const computeCost = (account: RoutedAccount, { tokens }: CallFacts): number => {
   if (account.unit === 'requests') return 1;
   return tokens ? tokens.prompt + tokens.output : account.defaultTokens;
 };
 
-const chargeAccount = (
+/** Takes what a request costs off its account's loan; throws when that is used up. */
+export const chargeAccount = (
   site: RelaySite,
   account: RoutedAccount | undefined,
   facts: CallFacts,
@@ -57,7 +59,7 @@
  *
  * @param draw a number from 0 to below 1, by which a route with several targets is split
  * @example
- * const admitted = admitRequest(site, facts, 'shop.example', '/orders/7', Math.random(), now);
+ * const admitted = admitRequest(site, facts, 'shop.example', '/orders/7', Math.random());
  */
 export const admitRequest = (
   site: RelaySite,
@@ -65,18 +67,16 @@
   host: string,
   target: string,
   draw: number,
-  now: number,
 ): AdmittedRequest => {
   const table = requireTable(site);
   const route = table.findRoute(host, target);
   if (!route) throw new BeechliftError('unknownRoute', `no route covers host "${host.slice(0, 100)}" and this path`);
   const account = findCaller(table, route, facts);
-  chargeAccount(site, account, facts, now);
   return {
     route,
     service: pickTarget(route.targets, draw),
     account,
-    rank: account?.rank ?? route.rank,
+    rank: table.computeRank(route, account),
     version: table.routing.version,
   };
 };
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -5,12 +5,14 @@
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import { SuspensionWatch, systemClock } from '../utils/clock';
+import { PlaceClient } from './placeClient';
 import { RelayMetrics } from './relayMetrics';
 import { applyCallerLimits, makeRelayServer } from './relayServer';
 import { RelaySite } from './relaySite';
 import type { RequestDialect } from './requestDialect';
 import { SiteWatch } from './siteWatch';
 import { WorkerConnections } from './workerConnections';
+import { WorkerPicker } from './workerPicker';
 
 /** What an entry of a routed site is started with. */
 export interface RelaySettings {
@@ -91,12 +93,16 @@
     logger,
     retryBounds: settings.retryBounds,
   });
-  const app = makeRelayServer({
-    site, dialect, connections, clock: systemClock, logger, metrics,
-  });
   const watch = new SiteWatch({
     site, readSeeds: settings.readSeeds, clock: systemClock, suspension, logger,
   });
+  const placeClient = new PlaceClient({
+    findLeader: () => watch.findLeader(), clock: systemClock, logger,
+  });
+  const picker = new WorkerPicker({ site, placeClient, clock: systemClock });
+  const app = makeRelayServer({
+    site, dialect, connections, picker, placeClient, clock: systemClock, logger, metrics,
+  });
   watch.start();
   const tending = setInterval(() => tend(site, app, connections), TEND_MS);
   return {
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -3,7 +3,7 @@
 import { RetryAllowance } from '../core/routing/retryAllowance';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import {
-  applyLoads, applyRecords, listLoads, makeRoutedWorkers,
+  applyLoads, applyRecords, forgetPlaced, listLoads, makeRoutedWorkers,
 } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import type { RoutingReader } from '../manifest/routing';
@@ -48,7 +48,8 @@
 
   private digest = '';
 
-  private workersEpoch = '';
+  /** The leader's table of backend servers that is held here. */
+  workersEpoch = '';
 
   private workersRevision = 0;
 
@@ -63,6 +64,11 @@
     this.retries = new RetryAllowance(parts.retryBounds, readEntryCount);
   }
 
+  /** Names this start of the entry. */
+  get entryId(): string {
+    return this.parts.entryId;
+  }
+
   /** Availability zone of this entry. */
   get zone(): string {
     return this.parts.zone;
@@ -127,12 +133,13 @@
     }
     this.table = new RouteTable(routing);
     this.digest = reply.documentDigest;
-    this.parts.logger.info('document in force', { version: routing.version, routes: routing.routes.length, accounts: routing.accounts.map((x) => `${x.name}:${x.rank}:${x.perSecond}:${x.burst}`).join(' '), r: routing.routes.map((x) => `${x.rank}/${x.kind}/${x.maxAttempts}/${x.isResumable}/${x.targetLatencyMs}`).join(' ') });
+    this.parts.logger.info('document in force', { version: routing.version, routes: routing.routes.length });
     return true;
   }
 
   private applyWorkers(reply: WatchReply): void {
     applyRecords(this.workers, reply.workers);
+    if (reply.workersEpoch !== this.workersEpoch) forgetPlaced(this.workers);
     applyLoads(this.workers, reply.loads);
     this.workersEpoch = reply.workersEpoch;
     this.workersRevision = reply.workersRevision;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -4,8 +4,7 @@
   learnAnswer, learnPace, noteReached, suspendWorker,
 } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
-import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
-import type { WorkerChoice } from '../core/routing/workerChoice';
+import type { PlacedReport } from '../protocol/generated/beechlift';
 import type { Route } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
@@ -14,18 +13,23 @@
 import { AnswerWriter } from './answerWriter';
 import type { AnswerFlow } from './answerWriter';
 import { readRequestBody } from './readRequestBody';
+import type { PlaceClient } from './placeClient';
 import type { RelayMetrics } from './relayMetrics';
 import type { RelaySite } from './relaySite';
 import type { AnswerFacts, CallFacts, RequestDialect } from './requestDialect';
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamEnd, UpstreamHead } from './upstreamCall';
 import type { WorkerConnections } from './workerConnections';
+import { NO_TIMES } from './workerPicker';
+import type { PickedWorker, WorkerPicker } from './workerPicker';
 
 /** What all requests of an entry share. */
 export interface RequestParts {
   readonly site: RelaySite;
   readonly dialect: RequestDialect;
   readonly connections: WorkerConnections;
+  readonly picker: WorkerPicker;
+  readonly placeClient: PlaceClient;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
@@ -33,6 +37,8 @@
 
 /** What came of one attempt. */
 type AttemptEnd = | { readonly kind: 'answered' }
+  /** Nobody waits for it any more. */
+  | { readonly kind: 'dropped'; readonly reason: string }
   /** The server did not run it, or no byte reached it. */
   | { readonly kind: 'unsent' | 'rejected'; readonly reason: string }
   /** It may have run. */
@@ -42,11 +48,12 @@
 const MAX_OFFERS = 4;
 /** Longest time that a caller may take for its body, in milliseconds. */
 const BODY_MS = 30_000;
-/** Bounds on the time after which a refused caller may come back, in milliseconds. */
+/** Time to come back after servers refused, in milliseconds: a slot or two later. */
 const MIN_RETRY_MS = 150;
-const MAX_RETRY_MS = 3_000;
-/** Time to come back where no server is known at all: an announcement or two. */
-const NO_WORKER_RETRY_MS = 1_000;
+/** What the leader hears of each end. */
+const PLACED_PHASES: Record<AttemptEnd['kind'], string> = {
+  answered: 'ended', dropped: 'dropped', failed: 'failed', broken: 'unreached', rejected: 'rejected', unsent: 'unreached',
+};
 /** Silence of a server, in target latencies, after which it is taken for unwell. */
 const SILENCE_IN_TARGETS = 2.5;
 /** Shortest silence that says anything, in milliseconds. */
@@ -120,7 +127,6 @@
       host,
       this.target,
       Math.random(),
-      this.receivedAt,
     );
     this.admitted = admitted;
     const { route } = admitted;
@@ -140,11 +146,17 @@
 
   /** Offers the request to one server after another, until it is answered or given up. */
   private async offer(admitted: AdmittedRequest, body: Buffer): Promise<void> {
-    const choice = this.choose(admitted);
+    const picked = await this.parts.picker.pick({
+      admitted, facts: this.facts, deadlineAt: this.deadlineAt, tried: [...this.tried],
+    });
+    if (this.writer.isOver) {
+      this.reportPlaced(picked, 'dropped');
+      return;
+    }
     this.offers += 1;
-    this.tried.push(choice.worker.id);
-    const end = await this.attempt(admitted, choice.worker, body);
-    this.logAttempt(choice, end);
+    this.tried.push(picked.worker.id);
+    const end = await this.attempt(admitted, picked, body);
+    this.logAttempt(picked, end);
     if (end.kind === 'answered' || this.writer.isOver) return;
     if (!this.maySendAgain(admitted, end)) {
       this.giveUp(end);
@@ -154,29 +166,12 @@
     await this.offer(admitted, body);
   }
 
-  private choose({ service, route, rank }: AdmittedRequest): WorkerChoice {
-    const { site, clock } = this.parts;
-    const choice = chooseRoutedWorker(site.workers, {
-      service,
-      promptTokens: this.facts.tokens?.prompt ?? 0,
-      outputTokens: this.facts.tokens?.output ?? 0,
-      remainingMs: this.deadlineAt - clock.now(),
-      zone: site.zone,
-      tried: this.tried,
-    }, clock.now());
-    if (!choice) throw new BeechliftError('noBackend', `no backend server of service "${service}" can take the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
-    const isFirst = this.offers === 0;
-    if (!isFirst || isWorthSending(choice, route.targetLatencyMs, rank)) return choice;
-    throw new BeechliftError('noSlotInTime', `the wait at service "${service}" is about ${Math.round(choice.waitMs)} ms, the target is ${route.targetLatencyMs} ms`, {
-      retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, choice.waitMs)),
-    });
-  }
-
   private async attempt(
     admitted: AdmittedRequest,
-    worker: RoutedWorker,
+    picked: PickedWorker,
     body: Buffer,
   ): Promise<AttemptEnd> {
+    const { worker } = picked;
     const { connections, dialect, clock } = this.parts;
     const client = connections.take(worker.address);
     const promptTokens = this.facts.tokens?.prompt ?? 0;
@@ -195,7 +190,7 @@
       },
       onData: (chunk) => {
         const isRoomy = this.writer.write(chunk);
-        this.notePiece(admitted, worker);
+        this.notePiece(admitted, picked);
         if (!isRoomy) this.writer.waitDrained(() => call.resume());
         return isRoomy;
       },
@@ -203,6 +198,7 @@
     this.call = call;
     this.pendingBefore = worker.pendingTokens + worker.othersPendingTokens;
     worker.inFlight += 1;
+    if (picked.placeId !== '') worker.placed += 1;
     worker.pendingTokens += promptTokens;
     const silence = setTimeout(
       () => this.noteSilence(admitted, worker, call),
@@ -221,12 +217,15 @@
     });
     clearTimeout(silence);
     worker.inFlight -= 1;
+    if (picked.epoch !== '' && picked.epoch === this.parts.site.workersEpoch) worker.placed -= 1;
     if (isPending) worker.pendingTokens -= promptTokens;
     this.call = undefined;
     if (call.isSent) this.sent += 1;
     if (end.kind === 'whole') connections.give(worker.address, client);
     else connections.drop(client);
-    return this.settle(worker, startedAt, end, verdict);
+    const settled = this.settle(worker, startedAt, end, verdict);
+    this.reportPlaced(picked, PLACED_PHASES[settled.kind], startedAt);
+    return settled;
   }
 
   /** Tells what is wrong with a head; undefined for one that is passed on. */
@@ -273,7 +272,7 @@
       this.learn(worker, startedAt, this.writer.statusCode >= SERVER_ERROR);
       return { kind: 'answered' };
     }
-    if (this.writer.isOver) return { kind: 'broken', reason: 'the caller has gone' };
+    if (this.writer.isOver) return { kind: 'dropped', reason: 'its time was over, or its caller has gone' };
     suspendWorker(worker, now);
     learnAnswer(site.workers, worker, {
       holdMs: 0, paceMs: 0, firstEvent: undefined, output: undefined, failed: true,
@@ -300,10 +299,29 @@
   }
 
   /** Learns a server's pace from a stream that runs, each time so many events have come. */
-  private notePiece({ route }: AdmittedRequest, worker: RoutedWorker): void {
+  private notePiece({ route }: AdmittedRequest, picked: PickedWorker): void {
     const { firstAt, lastAt, pieces } = this.writer;
-    if (route.kind !== 'stream' || pieces === 0 || pieces % PACE_PIECES !== 0) return;
-    learnPace(worker, (lastAt - firstAt) / (pieces - 1));
+    if (route.kind !== 'stream' || pieces === 0) return;
+    const isPaced = pieces % PACE_PIECES === 0;
+    const paceMs = isPaced ? (lastAt - firstAt) / (pieces - 1) : 0;
+    if (isPaced) learnPace(picked.worker, paceMs);
+    if (!isPaced && pieces > 1) return;
+    this.tellPlaced(picked, { phase: 'running', ...NO_TIMES, paceMs });
+  }
+
+  private tellPlaced({ placeId }: PickedWorker, news: Omit<PlacedReport, 'placeId'>): void {
+    if (placeId !== '') this.parts.placeClient.report({ placeId, ...news });
+  }
+
+  private reportPlaced(picked: PickedWorker, phase: string, startedAt = 0): void {
+    const { firstAt, lastAt, pieces } = this.writer;
+    const isTimed = phase === 'ended' && pieces > 0;
+    this.tellPlaced(picked, {
+      phase,
+      paceMs: 0,
+      firstEventMs: isTimed ? firstAt - startedAt : 0,
+      outputMs: isTimed ? lastAt - firstAt : 0,
+    });
   }
 
   private isRepeatable(kind: AdmittedRequest['route']['kind']): boolean {
@@ -374,7 +392,7 @@
     this.writer.fail(error, site.isLeaving);
   }
 
-  private logAttempt({ worker, waitMs, ownMs }: WorkerChoice, end: AttemptEnd): void {
+  private logAttempt({ worker, expectedMs, placeId }: PickedWorker, end: AttemptEnd): void {
     const { metrics, logger, clock } = this.parts;
     const tookMs = clock.now() - this.receivedAt;
     metrics.attempts.inc({ outcome: end.kind });
@@ -383,7 +401,8 @@
       requestId: this.facts.requestId,
       route: this.admitted?.route.name,
       worker: worker.id,
-      expectedMs: Math.round(waitMs + ownMs),
+      placed: placeId !== '',
+      expectedMs: Math.round(expectedMs),
       outcome: end.kind,
       reason: end.kind === 'answered' ? undefined : end.reason,
       status: this.response.statusCode,
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionWatch } from '../utils/clock';
 import { Operation } from '../utils/operation';
+import type { RpcLink } from '../wire/rpcLink';
 import { LinkTable } from '../wire/linkTable';
 import type { RelaySite } from './relaySite';
 
@@ -58,6 +59,11 @@
     if (address !== '') await this.ask(address, 0);
   }
 
+  /** The leader as last heard; undefined while none is known. */
+  findLeader(): RpcLink<SiteClient> | undefined {
+    return this.leader === '' || this.isLost ? undefined : this.links.find(this.leader);
+  }
+
   /** Stops asking. */
   stop(): void {
     this.stopped = true;
--- /dev/null
+++ b/src/relay/workerPicker.ts
@@ -0,0 +1,138 @@
+import { randomUUID } from 'node:crypto';
+import type { PlacedReport } from '../protocol/generated/beechlift';
+import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
+import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
+import type { Clock } from '../utils/clock';
+import { chargeAccount, computeCost } from './admitRequest';
+import type { AdmittedRequest } from './admitRequest';
+import type { PlaceClient } from './placeClient';
+import type { RelaySite } from './relaySite';
+import type { CallFacts } from './requestDialect';
+
+/** A request that needs a backend server. */
+export interface PickRequest {
+  readonly admitted: AdmittedRequest;
+  readonly facts: CallFacts;
+  readonly deadlineAt: number;
+  /** Backend servers that it was at already. */
+  readonly tried: readonly string[];
+}
+
+/** The backend server that takes a request. */
+export interface PickedWorker {
+  readonly worker: RoutedWorker;
+  readonly expectedMs: number;
+  /** Under which the leader knows it; empty where the entry chose by itself. */
+  readonly placeId: string;
+  /** The leader's table that the place is counted in. */
+  readonly epoch: string;
+}
+
+/** What the picker needs. */
+export interface WorkerPickerParts {
+  readonly site: RelaySite;
+  readonly placeClient: PlaceClient;
+  readonly clock: Clock;
+}
+
+/** Bounds on the time after which a refused caller may come back, in milliseconds. */
+const MIN_RETRY_MS = 250;
+const MAX_RETRY_MS = 3_000;
+/** Time to come back where no server is known at all: an announcement or two. */
+const NO_WORKER_RETRY_MS = 1_000;
+
+/** Part of a report that says nothing of times. */
+export const NO_TIMES: Pick<PlacedReport, 'paceMs' | 'firstEventMs' | 'outputMs'> = {
+  paceMs: 0, firstEventMs: 0, outputMs: 0,
+};
+
+/**
+ * Finds the backend server for a request. Model engines, whose slots are dear, are given out by the
+ * leader of control for all entries; plain services, and everything while no leader is in reach,
+ * are chosen here.
+ *
+ * @example
+ * const picked = await picker.pick(request);
+ */
+export class WorkerPicker {
+  /** Names the places of this process. */
+  private readonly prefix = randomUUID().slice(0, 8);
+
+  private counter = 0;
+
+  constructor(private readonly parts: WorkerPickerParts) {}
+
+  /** Resolves with the server; throws the refusal when there is none. */
+  async pick(request: PickRequest): Promise<PickedWorker> {
+    const { site } = this.parts;
+    const isEngine = site.table?.findService(request.admitted.service)?.isEngine ?? false;
+    const placed = isEngine ? await this.place(request) : undefined;
+    if (placed) return placed;
+    if (request.tried.length === 0) {
+      chargeAccount(site, request.admitted.account, request.facts, this.parts.clock.now());
+    }
+    return this.choose(request);
+  }
+
+  private async place(request: PickRequest): Promise<PickedWorker | undefined> {
+    const { site, placeClient, clock } = this.parts;
+    const { admitted, facts, tried, deadlineAt } = request;
+    const { account, service, rank, route } = admitted;
+    this.counter += 1;
+    const placeId = `${this.prefix}${this.counter}`;
+    const reply = await placeClient.place({
+      placeId,
+      entryId: site.entryId,
+      service,
+      account: account?.name ?? '',
+      cost: account && tried.length === 0 ? computeCost(account, facts) : 0,
+      rank,
+      promptTokens: facts.tokens?.prompt ?? 0,
+      outputTokens: facts.tokens?.output ?? 0,
+      targetMs: Math.round(route.targetLatencyMs),
+      remainingMs: Math.max(1, Math.round(deadlineAt - clock.now())),
+      zone: site.zone,
+      tried: [...tried],
+    }, deadlineAt);
+    if (!reply) return undefined;
+    if (reply.code !== 0) {
+      throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
+    }
+    const worker = site.workers.byId.get(reply.workerId);
+    if (worker) {
+      return {
+        worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch,
+      };
+    }
+    // The leader knows a server that this entry has not heard of yet.
+    placeClient.report({ placeId, phase: 'rejected', ...NO_TIMES });
+    return undefined;
+  }
+
+  private choose({
+    admitted, facts, deadlineAt, tried,
+  }: PickRequest): PickedWorker {
+    const { site, clock } = this.parts;
+    const { service, route, rank } = admitted;
+    const now = clock.now();
+    const choice = chooseRoutedWorker(site.workers, {
+      service,
+      promptTokens: facts.tokens?.prompt ?? 0,
+      outputTokens: facts.tokens?.output ?? 0,
+      remainingMs: deadlineAt - now,
+      zone: site.zone,
+      tried,
+      mustBeFree: false,
+    }, now);
+    if (!choice) throw new BeechliftError('noBackend', `no backend server of service "${service}" can take the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
+    if (tried.length === 0 && !isWorthSending(choice, route.targetLatencyMs, rank)) {
+      throw new BeechliftError('noSlotInTime', `the wait at service "${service}" is about ${Math.round(choice.waitMs)} ms, the target is ${route.targetLatencyMs} ms`, {
+        retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, choice.waitMs)),
+      });
+    }
+    return {
+      worker: choice.worker, expectedMs: choice.waitMs + choice.ownMs, placeId: '', epoch: '',
+    };
+  }
+}
