--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -178,12 +178,28 @@
 
   /** Answers an entry or a replica that follows, held until there is news. */
   async watch(request: WatchRequest): Promise<WatchReply> {
-    if (!this.isLeading) return this.answerNotLeading();
+    if (!this.isLeading) return this.awaitLeader(request);
     if (request.entryId !== '') this.noteEntry(request);
     if (!this.hasNews(request)) await this.watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
     return this.isLeading ? this.buildWatchReply(request) : this.answerNotLeading();
   }
 
+  /**
+   * Holds a question while no leader is known, so that who asks learns of one at once: after all
+   * processes were killed, callers wait for just that.
+   */
+  private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
+    const until = this.parts.clock.now() + Math.min(MAX_HOLD_MS, request.holdMs);
+    const poll = async (): Promise<WatchReply> => {
+      if (this.isLeading) return this.watch({ ...request, holdMs: 0 });
+      const isKnown = this.leaderAddress !== '' && this.leaderAddress !== this.parts.self.address;
+      if (isKnown || this.parts.clock.now() >= until) return this.answerNotLeading();
+      await this.watches.hold(LEADER_POLL_MS);
+      return poll();
+    };
+    return poll();
+  }
+
   /** Takes in what the leader told a replica that follows. */
   follow(reply: WatchReply): void {
     if (this.runner.holdsLease) return;
@@ -485,6 +501,8 @@
   }
 }
 
+/** How often a held question looks for a leader. */
+const LEADER_POLL_MS = 10;
 /** How often a reader looks whether its replica has caught up. */
 const POLL_APPLIED_MS = 2;
 
--- a/src/core/log/logState.ts
+++ b/src/core/log/logState.ts
@@ -50,8 +50,14 @@
   return (entry && readReplicas(entry)) ?? state.snapshot.replicas;
 };
 
+/**
+ * Spread of the times at which replicas stand for election, as a part of the election time: many
+ * times a round trip, so that one is usually elected before the next stands.
+ */
+const ELECTION_SPREAD = 0.6;
+
 const drawElectionTime = (state: LogState, now: number): number => (
-  now + state.timings.electionMs * (1 + state.drawRandom())
+  now + state.timings.electionMs * (1 + ELECTION_SPREAD * state.drawRandom())
 );
 
 /**
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -12,12 +12,14 @@
 }
 
 /**
- * Part of the slack that is lent on top of the burst. The rest covers what cannot be known in time:
+ * Part of the slack that is added to the burst. The rest covers what cannot be known in time:
  * each entry may overdraw by one request, and an entry that was cut off may use up what it holds.
  */
-const LENT_SLACK = 0.25;
+const LENT_SLACK = 0.15;
 /** Part of the slack that a request which is decided on here may overdraw. */
-const OVERDRAFT_SLACK = 0.3;
+const OVERDRAFT_SLACK = 0.25;
+/** Part of the slack that entries are lent below that. */
+const SMALL_SLACK = 0.05;
 /** Part of what is left that is shared evenly, so that an entry without demand can begin at once. */
 const EVEN_PART = 0.4;
 const MS_PER_SECOND = 1_000;
@@ -101,12 +103,20 @@
       this.refill(line, now);
       return {
         account: line.account.name,
-        units: line.level * this.computeShare(line, entryId, entryCount),
+        units: this.computeLendable(line) * this.computeShare(line, entryId, entryCount),
         reportedTotal: line.entries.get(entryId)?.total ?? 0,
       };
     });
   }
 
+  /*
+   * Guards the small requests of an account whose large ones use up its limit here: what entries
+   * are lent reaches a little below the level at which large ones are refused.
+   */
+  private computeLendable({ level }: LedgerLine): number {
+    return level + (OVERDRAFT_SLACK + SMALL_SLACK) * this.slack;
+  }
+
   private computeCapacity({ burst }: RoutedAccount): number {
     return burst + LENT_SLACK * this.slack;
   }
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -1,6 +1,6 @@
 /**
  * Which backend server takes a request: the one that is expected to begin its answer first, of
- * those that are ready, in reach, and were not tried for this request already.
+ * those that may take it.
  */
 import { readLine, readSlope } from './lineFit';
 import { estimateSlowness, findWork } from './routedWorkers';
@@ -94,13 +94,29 @@
   inFlight + othersInFlight < slots
 );
 
-const canTake = (worker: RoutedWorker, request: ChoiceRequest, now: number): boolean => (
-  worker.standing === 'ready'
-    && now >= worker.suspendedUntil
-    && !request.tried.includes(worker.id)
-    && (!request.mustBeFree || isFree(worker))
+const isUsable = (worker: RoutedWorker, request: ChoiceRequest): boolean => (
+  worker.standing === 'ready' && (!request.mustBeFree || isFree(worker))
 );
 
+/**
+ * Servers that may take a request, the best kind that there is: in reach and not tried yet; else in
+ * reach; and for requests that are not placed, else any that is ready. A last server that failed a
+ * request is better than a refusal.
+ */
+const listCandidates = (
+  workers: RoutedWorkers,
+  request: ChoiceRequest,
+  now: number,
+): RoutedWorker[] => {
+  const usable = (workers.byService.get(request.service) ?? [])
+    .filter((worker) => isUsable(worker, request));
+  const inReach = usable.filter(({ suspendedUntil }) => now >= suspendedUntil);
+  const fresh = inReach.filter(({ id }) => !request.tried.includes(id));
+  if (fresh.length > 0) return fresh;
+  if (inReach.length > 0 || request.mustBeFree) return inReach;
+  return usable.filter(({ id }) => !request.tried.includes(id));
+};
+
 /**
  * Chooses a backend server, or none when no server may take the request.
  *
@@ -113,9 +129,7 @@
   now: number,
 ): WorkerChoice | undefined => {
   const work = findWork(workers, request.service);
-  const usable = (workers.byService.get(request.service) ?? [])
-    .filter((worker) => canTake(worker, request, now));
-  const scored = usable.map((worker) => {
+  const scored = listCandidates(workers, request, now).map((worker) => {
     const expected = estimateStart(workers, work, worker, request);
     const { waitMs, ownMs } = expected;
     const zoneMs = worker.zone === request.zone ? 0 : OTHER_ZONE_MS;
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -13,6 +13,9 @@
 /** What an entry does at present, as control and the readiness check see it. */
 export type RelayState = 'starting' | 'active' | 'leaving';
 
+/** Requests that wait for a lease, at most: beyond it they are refused at once. */
+const MAX_WAITERS = 500;
+
 /** What a relay site is made from. */
 export interface RelaySiteParts {
   readonly entryId: string;
@@ -59,6 +62,8 @@
 
   private entryCount = 1;
 
+  private readonly waiters = new Set<() => void>();
+
   constructor(private readonly parts: RelaySiteParts) {
     const readEntryCount = () => this.entryCount;
     this.retries = new RetryAllowance(parts.retryBounds, readEntryCount);
@@ -82,6 +87,25 @@
       && suspension.readEpoch() === this.leaseEpoch;
   }
 
+  /**
+   * Waits until new requests may be taken; resolves after the time also when they may not.
+   *
+   * @example
+   * await site.waitServing(300);
+   */
+  waitServing(mostMs: number): Promise<void> {
+    if (this.isServing || this.waiters.size >= MAX_WAITERS) return Promise.resolve();
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.waiters.delete(end);
+        resolve();
+      };
+      const timer = setTimeout(end, mostMs);
+      this.waiters.add(end);
+    });
+  }
+
   /** What control and readiness checks are told. */
   get state(): RelayState {
     if (this.isLeaving) return 'leaving';
@@ -119,6 +143,7 @@
     if (reply.documentVersion === 0) return;
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
     this.leaseEpoch = epoch;
+    [...this.waiters].forEach((end) => end());
   }
 
   private applyDocument(reply: WatchReply): boolean {
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -50,6 +50,12 @@
 const BODY_MS = 30_000;
 /** Time to come back after servers refused, in milliseconds: a slot or two later. */
 const MIN_RETRY_MS = 150;
+/**
+ * How long a request waits for the entry's lease, in milliseconds: an entry that has just started,
+ * or whose leader has just died, gets it within a fraction of a second, so most requests that come
+ * meanwhile are still answered on time.
+ */
+const LEASE_WAIT_MS = 350;
 /** What the leader hears of each end. */
 const PLACED_PHASES: Record<AttemptEnd['kind'], string> = {
   answered: 'ended', dropped: 'dropped', failed: 'failed', broken: 'unreached', rejected: 'rejected', unsent: 'unreached',
@@ -121,13 +127,8 @@
   private async serve(): Promise<void> {
     const { site, clock } = this.parts;
     const host = this.request.headers.host ?? '';
-    const admitted = admitRequest(
-      site,
-      this.facts,
-      host,
-      this.target,
-      Math.random(),
-    );
+    if (!site.isServing) await site.waitServing(LEASE_WAIT_MS);
+    const admitted = admitRequest(site, this.facts, host, this.target, Math.random());
     this.admitted = admitted;
     const { route } = admitted;
     const patienceMs = Math.min(route.timeoutMs, this.facts.patienceMs ?? Infinity);
@@ -230,7 +231,7 @@
 
   /** Tells what is wrong with a head; undefined for one that is passed on. */
   private judgeHead(
-    { route }: AdmittedRequest,
+    { route, service }: AdmittedRequest,
     { status, headers }: UpstreamHead,
   ): AttemptEnd | undefined {
     const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
@@ -240,7 +241,9 @@
     }
     if (status < SERVER_ERROR) return this.judgeResumed(status);
     const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
-    const repeats = route.maxAttempts > this.sent + 1 && this.isRepeatable(route.kind);
+    const repeats = route.maxAttempts > this.sent + 1
+      && this.isRepeatable(route.kind)
+      && this.parts.picker.hasChoice(service);
     return repeats || this.writer.hasBegun ? end : undefined;
   }
 
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -40,8 +40,6 @@
 
   private known: readonly string[] = [];
 
-  private turn = 0;
-
   private stopped = false;
 
   private isLost = false;
@@ -72,16 +70,20 @@
 
   private async run(): Promise<void> {
     if (this.stopped) return;
-    const address = this.leader || this.pickNext();
-    const reached = address !== '' && await this.ask(address, this.leader === '' ? 0 : HOLD_MS);
+    const reached = this.leader === '' ? await this.search() : await this.ask(this.leader, HOLD_MS);
     if (!reached && !this.stopped) await pause(RETRY_MS);
     await this.run();
   }
 
-  private pickNext(): string {
+  /** Asks all replicas at once; the first that leads, or that names who does, ends the search. */
+  private async search(): Promise<boolean> {
     const all = [...new Set([...this.known, ...this.parts.readSeeds()])];
-    this.turn += 1;
-    return all[this.turn % Math.max(1, all.length)] ?? '';
+    const asked = all.map(async (address) => {
+      const reached = await this.ask(address, HOLD_MS);
+      if (!reached && this.leader === '') throw new Error(`"${address}" knows no leader`);
+      return reached;
+    });
+    return Promise.any(asked).catch(() => false);
   }
 
   private async ask(address: string, holdMs: number): Promise<boolean> {
@@ -124,9 +126,10 @@
 
   private noteNoLeader(asked: string, reply: WatchReply | undefined): void {
     const named = reply?.leaderAddress ?? '';
-    // One that names itself, or the one that has just failed, leads nowhere.
-    this.leader = named !== asked && reply ? named : '';
     if (reply && reply.controlAddresses.length > 0) this.known = reply.controlAddresses;
+    if (this.leader !== '' && this.leader !== asked) return;
+    // One that names itself, or the one that has just failed, leads nowhere.
+    this.leader = named === asked ? '' : named;
     if (!this.isLost) this.parts.logger.warn('leader of control lost', { asked, named });
     this.isLost = true;
   }
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -75,6 +75,13 @@
     return this.choose(request);
   }
 
+  /** Whether any server of a service may take a request at the moment. */
+  hasChoice(service: string): boolean {
+    const now = this.parts.clock.now();
+    return (this.parts.site.workers.byService.get(service) ?? [])
+      .some(({ standing, suspendedUntil }) => standing === 'ready' && now >= suspendedUntil);
+  }
+
   private async place(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const { admitted, facts, tried, deadlineAt } = request;
