--- a/src/control/birthRecord.ts
+++ b/src/control/birthRecord.ts
@@ -44,7 +44,7 @@
   }
 
   /** Notes with whom the site begins; empty for a replica that joins one. */
-  async found(founders: readonly Replica[]): Promise<void> {
+  async foundSite(founders: readonly Replica[]): Promise<void> {
     await this.file.append([{ founders }]);
     this.founders = founders;
   }
--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -83,11 +83,6 @@
       { ...sum, slowness: Math.round(sum.slowness / Math.max(1, observers)) }));
   }
 
-  /** Forgets all: another replica leads, or this one has just begun to. */
-  clear(): void {
-    this.entries.clear();
-  }
-
   /** A process that serves the address of another has taken its place. */
   private dropReborn({ entryId, callerAddress }: WatchRequest): void {
     this.entries.forEach(({ request }, id) => {
--- a/src/control/heldWatches.ts
+++ b/src/control/heldWatches.ts
@@ -5,23 +5,24 @@
  * await watches.hold(250, () => hasNews());
  */
 export class HeldWatches {
-  private readonly waiting = new Set<() => void>();
+  private readonly waiting = new Set<{ end: () => void }>();
 
   /** Resolves when something changed, or after the time. */
   hold(ms: number): Promise<void> {
     return new Promise((resolve) => {
-      const end = () => {
+      const watch = { end: (): void => undefined };
+      const timer = setTimeout(() => watch.end(), ms);
+      watch.end = () => {
         clearTimeout(timer);
-        this.waiting.delete(end);
+        this.waiting.delete(watch);
         resolve();
       };
-      const timer = setTimeout(end, ms);
-      this.waiting.add(end);
+      this.waiting.add(watch);
     });
   }
 
   /** Lets all go that wait. */
   release(): void {
-    [...this.waiting].forEach((end) => end());
+    [...this.waiting].forEach(({ end }) => end());
   }
 }
--- /dev/null
+++ b/src/control/leaderBook.ts
@@ -0,0 +1,115 @@
+import type {
+  EntryRecord, PlacedReport, PlaceReply, PlaceRequest, WatchReply, WatchRequest,
+} from '../protocol/generated/beechlift';
+import { AccountLedger } from '../core/routing/accountLedger';
+import { listChangedWorkers } from '../core/routing/workerTable';
+import type { WorkerTable } from '../core/routing/workerTable';
+import type { RoutedAccount } from '../manifest/routing';
+import type { Clock } from '../utils/clock';
+import { EntryTable } from './entryTable';
+import { PlacementDesk, refuseLimited } from './placementDesk';
+
+/** What a book is made from. */
+export interface LeaderBookParts {
+  readonly clock: Clock;
+  /** How long an entry may rely on what it was told, in milliseconds. */
+  readonly leaseMs: number;
+  /** What accounts may use beyond their limits, over all entries together. */
+  readonly limitSlack: number;
+}
+
+/** The part of an answer that only entries need. */
+export type EntryPart = Pick<WatchReply, 'entries' | 'loads' | 'grants' | 'entryCount'>;
+
+/**
+ * What a leader keeps for its time: the entries that it hears, what is left of limits, and who
+ * holds which slot. None of it is replicated; the next leader begins a book of its own.
+ *
+ * @example
+ * const book = new LeaderBook(parts);
+ * book.configureAccounts(routing.accounts);
+ */
+export class LeaderBook {
+  private readonly entries: EntryTable;
+
+  private readonly ledger: AccountLedger;
+
+  private readonly desk: PlacementDesk;
+
+  /** Revision of the table of backend servers that the desk knows. */
+  private deskRevision = 0;
+
+  constructor(private readonly parts: LeaderBookParts) {
+    this.entries = new EntryTable(parts.leaseMs);
+    this.ledger = new AccountLedger(parts.limitSlack);
+    this.desk = new PlacementDesk(parts.clock);
+  }
+
+  /** Puts the limits of accounts in force. */
+  configureAccounts(accounts: readonly RoutedAccount[]): void {
+    this.ledger.configure(accounts, this.parts.clock.now());
+  }
+
+  /** Notes that an entry asked, and what it let through. */
+  noteEntry(request: WatchRequest): void {
+    const now = this.parts.clock.now();
+    this.entries.note(request, now);
+    this.ledger.noteSpends(request.entryId, request.spends, now);
+  }
+
+  /** Entries that callers may be sent to. */
+  listEntries(): EntryRecord[] {
+    return this.entries.list(this.parts.clock.now());
+  }
+
+  /** What an entry is told beside the document and the backend servers. */
+  buildEntryPart({ entryId }: WatchRequest): EntryPart {
+    const now = this.parts.clock.now();
+    const entryCount = this.entries.countLeased(now);
+    return {
+      entries: [],
+      loads: this.entries.sumLoads(entryId, now),
+      grants: this.ledger.listGrants(entryId, entryCount, now),
+      entryCount,
+    };
+  }
+
+  /** Decides which backend server takes a request; the reply may be that it still waits. */
+  async place(request: PlaceRequest, workers: WorkerTable): Promise<PlaceReply> {
+    const { account, cost, placeId } = request;
+    if (!this.desk.hasHeard(placeId)) {
+      const waitMs = this.ledger.charge(account, cost, this.parts.clock.now());
+      if (waitMs > 0) return refuseLimited(`account "${account}" is beyond its limit`, Math.ceil(waitMs));
+    }
+    this.informDesk(workers);
+    const reply = await this.desk.place(request);
+    // What is refused has used nothing.
+    if (reply.code !== 0) this.ledger.refund(account, cost);
+    return reply;
+  }
+
+  /** Takes in how placed requests go. */
+  report(reports: readonly PlacedReport[]): void {
+    this.desk.report(reports);
+  }
+
+  /** Brings what is kept up to what is known of backend servers and entries. */
+  tend(workers: WorkerTable): void {
+    const now = this.parts.clock.now();
+    this.informDesk(workers);
+    this.desk.applyLoads(this.entries.sumLoads('', now));
+    this.desk.tick((entryId) => this.entries.has(entryId, now));
+  }
+
+  /** Lets all go that wait, when another replica leads. */
+  close(): void {
+    this.desk.close();
+  }
+
+  private informDesk(workers: WorkerTable): void {
+    const { epoch, revision } = workers;
+    if (this.deskRevision === revision) return;
+    this.desk.applyRecords(listChangedWorkers(workers, epoch, this.deskRevision));
+    this.deskRevision = revision;
+  }
+}
--- a/src/control/logRunner.ts
+++ b/src/control/logRunner.ts
@@ -1,5 +1,5 @@
-import type { LogEntry, LogMessage } from '../protocol/generated/beechlift';
 import { setTimeout as pause } from 'node:timers/promises';
+import type { LogEntry, LogMessage } from '../protocol/generated/beechlift';
 import { BeechliftError } from '../errors/beechliftError';
 import { handleLogEvent, holdsLeaderLease, isRoundConfirmed } from '../core/log/replicatedLog';
 import { makeLogState, REPLICAS_COMMAND } from '../core/log/logState';
--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -61,7 +61,7 @@
   constructor(private readonly clock: Clock) {}
 
   /** Whether a request waits here, or was decided on without its entry having heard. */
-  knows(placeId: string): boolean {
+  hasHeard(placeId: string): boolean {
     return this.tables.waiting.has(placeId) || this.unfetched.has(placeId);
   }
 
--- /dev/null
+++ b/src/control/replicaKeeper.ts
@@ -0,0 +1,62 @@
+import type { Replica } from '../protocol/generated/beechlift';
+import { planReplicas } from '../core/log/replicaPlan';
+import type { LogState, ReplicaSet } from '../core/log/logTypes';
+import type { Clock } from '../utils/clock';
+import { Newcomers } from './newcomers';
+
+/** Entries of the log that a learner may lack when it begins to vote. */
+const MAX_LAG_ENTRIES = 4;
+/** Silence after which a replica may be replaced by one that stands by, in milliseconds. */
+const REPLICA_SILENCE_MS = 3_000;
+
+/**
+ * What a leader knows of the other replicas, from which it plans how the replica set heals.
+ *
+ * @example
+ * const next = keeper.plan(runner.state, leadingSince);
+ * if (next) runner.changeReplicas(next);
+ */
+export class ReplicaKeeper {
+  private readonly newcomers = new Newcomers();
+
+  private readonly heardAt = new Map<string, number>();
+
+  /** @param voterCount voters that the site is to have */
+  constructor(private readonly voterCount: number, private readonly clock: Clock) {}
+
+  /** Notes that a message of a replica came. */
+  noteHeard(id: string): void {
+    this.heardAt.set(id, this.clock.now());
+  }
+
+  /** Notes that a replica asks to take part. */
+  noteNewcomer(replica: Replica): void {
+    this.newcomers.note(replica, this.clock.now());
+  }
+
+  /** Next step of the replica set, or undefined when none is due. */
+  plan(state: LogState, leadingSince: number): ReplicaSet | undefined {
+    const now = this.clock.now();
+    return planReplicas({
+      ownId: state.id,
+      replicas: state.replicas,
+      newcomers: this.newcomers.list(now),
+      silent: new Set(this.listSilent(state, leadingSince, now)),
+      caughtUp: new Set(this.listCaughtUp(state)),
+      voterCount: this.voterCount,
+    });
+  }
+
+  private listSilent({ id: ownId, replicas }: LogState, leadingSince: number, now: number): string[] {
+    return [...replicas.voters, ...replicas.learners]
+      .map(({ id }) => id)
+      .filter((id) => id !== ownId)
+      .filter((id) => now - Math.max(leadingSince, this.heardAt.get(id) ?? 0) > REPLICA_SILENCE_MS);
+  }
+
+  private listCaughtUp({ peers, commitIndex }: LogState): string[] {
+    return [...peers]
+      .filter(([, { matchIndex }]) => matchIndex > 0 && commitIndex - matchIndex <= MAX_LAG_ENTRIES)
+      .map(([id]) => id);
+  }
+}
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -104,7 +104,7 @@
   .catch(() => undefined); // One that does not answer is asked again.
 
 /** What serves calls, once the replica knows with whom it begins. */
-type NodeHolder = { node: RoutedNode | undefined };
+interface NodeHolder { node: RoutedNode | undefined }
 
 const requireNode = ({ node }: NodeHolder): RoutedNode => {
   if (!node) throw new BeechliftError('starting', 'this replica is still looking for the others');
@@ -152,7 +152,9 @@
       : undefined;
     if (reply && reply.leaseMs > 0) node.follow(reply);
     const wait = reply && reply.leaseMs > 0 ? 0 : FOLLOW_HOLD_MS;
-    setTimeout(() => { ask().catch(() => undefined); }, wait).unref();
+    setTimeout(() => {
+      ask().catch(() => undefined);
+    }, wait).unref();
   };
   ask().catch(() => undefined);
   return () => {
@@ -221,14 +223,18 @@
     port: {
       sendMessage: makeStepSender(links),
       publish: (request, address) => callSite<PublishRequest, PublishReply>(links, address, 'publish', request, PUBLISH_TIMEOUT_MS)
-        .catch((thrown: unknown) => { throw toPeerError(thrown, 'noQuorum'); }),
+        .catch((thrown: unknown) => {
+          throw toPeerError(thrown, 'noQuorum');
+        }),
       announce: (said, address) => callSite<WorkerAnnouncement, AnnounceReply>(links, address, 'announce', said, ANNOUNCE_TIMEOUT_MS)
         .catch((thrown: unknown) => {
           logger.warn('announcement not forwarded', { worker: said.workerId, reason: toBeechliftError(thrown).message });
           return { taken: false };
         }),
       confirm: (address) => callSite<object, ConfirmReply>(links, address, 'confirm', {}, CONFIRM_TIMEOUT_MS)
-        .catch((thrown: unknown) => { throw toPeerError(thrown, 'noQuorum'); }),
+        .catch((thrown: unknown) => {
+          throw toPeerError(thrown, 'noQuorum');
+        }),
       failStorage: parts.failStorage,
     },
     clock: systemClock,
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -4,9 +4,7 @@
   PlaceRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
-import { planReplicas } from '../core/log/replicaPlan';
 import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
-import { AccountLedger } from '../core/routing/accountLedger';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
 import {
@@ -21,11 +19,11 @@
 import { computeSha256 } from '../utils/canonicalJson';
 import type { Clock, SuspensionWatch } from '../utils/clock';
 import { Operation } from '../utils/operation';
-import { EntryTable } from './entryTable';
 import { HeldWatches } from './heldWatches';
+import { LeaderBook } from './leaderBook';
+import type { EntryPart } from './leaderBook';
 import { LogRunner } from './logRunner';
-import { PlacementDesk, refuseLimited } from './placementDesk';
-import { Newcomers } from './newcomers';
+import { ReplicaKeeper } from './replicaKeeper';
 import type { WorkerMemo } from './workerMemo';
 
 /** Most milliseconds that an operator's change may take. */
@@ -34,10 +32,10 @@
 const CONFIRM_TIMEOUT_MS = 700;
 /** Longest that a watch is held. */
 const MAX_HOLD_MS = 1_000;
-/** Entries of the log that a learner may lack when it begins to vote. */
-const MAX_LAG_ENTRIES = 4;
-/** Silence after which a replica may be replaced by one that stands by, in milliseconds. */
-const REPLICA_SILENCE_MS = 3_000;
+/** How often a held question looks for a leader. */
+const LEADER_POLL_MS = 10;
+/** How often a reader looks whether its replica has caught up. */
+const POLL_APPLIED_MS = 2;
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
@@ -90,20 +88,11 @@
 
   private workers: WorkerTable = makeWorkerTable(randomUUID());
 
-  private readonly entries: EntryTable;
-
-  private ledger: AccountLedger;
-
-  private desk: PlacementDesk;
-
-  /** Revision of the table of backend servers that the desk knows. */
-  private deskRevision = 0;
+  private book: LeaderBook;
 
   private readonly watches = new HeldWatches();
 
-  private readonly newcomers = new Newcomers();
-
-  private readonly heardReplicas = new Map<string, number>();
+  private readonly keeper: ReplicaKeeper;
 
   private suspensionEpoch: number;
 
@@ -111,9 +100,8 @@
 
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
-    this.entries = new EntryTable(parts.leaseMs);
-    this.ledger = new AccountLedger(parts.limitSlack);
-    this.desk = new PlacementDesk(parts.clock);
+    this.book = new LeaderBook(parts);
+    this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock);
     const now = parts.clock.now();
     parts.remembered.forEach((record) => adoptRecord(this.workers, record, now));
     this.suspensionEpoch = parts.suspension.readEpoch();
@@ -153,7 +141,7 @@
 
   /** Entries that callers may be sent to. */
   listEntries(): readonly EntryRecord[] {
-    return this.isLeading ? this.entries.list(this.parts.clock.now()) : this.followedEntries;
+    return this.isLeading ? this.book.listEntries() : this.followedEntries;
   }
 
   /** Runs the log and, on a leader, what keeps the site in order. */
@@ -166,20 +154,20 @@
     const { revision } = this.workers;
     expireWorkers(this.workers, now);
     if (this.workers.revision !== revision) this.watches.release();
-    this.tendDesk(now);
-    this.tendReplicas(now);
+    this.book.tend(this.workers);
+    this.tendReplicas();
   }
 
   /** Takes a message of another replica. */
   step(message: LogMessage): void {
-    this.heardReplicas.set(message.from, this.parts.clock.now());
+    this.keeper.noteHeard(message.from);
     this.runner.handle({ kind: 'message', message });
   }
 
   /** Answers an entry or a replica that follows, held until there is news. */
   async watch(request: WatchRequest): Promise<WatchReply> {
     if (!this.isLeading) return this.awaitLeader(request);
-    if (request.entryId !== '') this.noteEntry(request);
+    if (request.entryId !== '') this.book.noteEntry(request);
     if (!this.hasNews(request)) await this.watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
     return this.isLeading ? this.buildWatchReply(request) : this.answerNotLeading();
   }
@@ -264,21 +252,12 @@
   /** Decides which backend server takes a request; the reply may be that it still waits. */
   async place(request: PlaceRequest): Promise<PlaceReply> {
     if (!this.isLeading) throw new BeechliftError('noQuorum', 'this replica does not lead');
-    if (!this.desk.knows(request.placeId)) {
-      const now = this.parts.clock.now();
-      const waitMs = this.ledger.charge(request.account, request.cost, now);
-      if (waitMs > 0) return refuseLimited(`account "${request.account}" is beyond its limit`, Math.ceil(waitMs));
-    }
-    this.informDesk();
-    const reply = await this.desk.place(request);
-    // What is refused has used nothing.
-    if (reply.code !== 0) this.ledger.refund(request.account, request.cost);
-    return reply;
+    return this.book.place(request, this.workers);
   }
 
   /** Takes in how placed requests go. */
   reportPlaced({ reports }: ReportPlacedRequest): void {
-    this.desk.report(reports);
+    this.book.report(reports);
   }
 
   /** Takes in what a backend server said of itself; false when no leader could be told. */
@@ -294,7 +273,7 @@
 
   /** Answers another replica that looks for the site. */
   meet({ from }: MeetRequest): MeetReply {
-    if (from && this.runner.state.role === 'leader') this.newcomers.note(from, this.parts.clock.now());
+    if (from && this.runner.state.role === 'leader') this.keeper.noteNewcomer(from);
     return {
       self: this.parts.self,
       founded: true,
@@ -309,30 +288,10 @@
     return this.runner.stop();
   }
 
-  private noteEntry(request: WatchRequest): void {
-    const now = this.parts.clock.now();
-    this.entries.note(request, now);
-    this.ledger.noteSpends(request.entryId, request.spends, now);
-  }
-
   /** Puts the limits of the document in force, which only a leader counts. */
-  private configureLedger(): void {
+  private configureAccounts(): void {
     const { routing } = this.parts.readRouting(this.site.document);
-    if (routing) this.ledger.configure(routing.accounts, this.parts.clock.now());
-  }
-
-  /** Brings the desk up to what is known of backend servers and entries. */
-  private tendDesk(now: number): void {
-    this.informDesk();
-    this.desk.applyLoads(this.entries.sumLoads('', now));
-    this.desk.tick((entryId) => this.entries.has(entryId, now));
-  }
-
-  private informDesk(): void {
-    const { epoch, revision } = this.workers;
-    if (this.deskRevision === revision) return;
-    this.desk.applyRecords(listChangedWorkers(this.workers, epoch, this.deskRevision));
-    this.deskRevision = revision;
+    if (routing) this.book.configureAccounts(routing.accounts);
   }
 
   private hasNews({ documentDigest, workersEpoch, workersRevision }: WatchRequest): boolean {
@@ -347,11 +306,11 @@
   }
 
   private buildWatchReply(request: WatchRequest): WatchReply {
-    const { site, workers, entries } = this;
-    const now = this.parts.clock.now();
+    const { site, workers } = this;
     const isEntry = request.entryId !== '';
-    const entryCount = entries.countLeased(now);
+    const entryPart = isEntry ? this.book.buildEntryPart(request) : this.buildReplicaPart();
     return {
+      ...entryPart,
       leaseMs: this.parts.leaseMs,
       leaderAddress: this.parts.self.address,
       controlAddresses: this.replicaAddresses,
@@ -362,10 +321,13 @@
       workersEpoch: workers.epoch,
       workersRevision: workers.revision,
       workers: listChangedWorkers(workers, request.workersEpoch, request.workersRevision),
-      entries: isEntry ? [] : entries.list(now),
-      loads: isEntry ? entries.sumLoads(request.entryId, now) : [],
-      grants: isEntry ? this.ledger.listGrants(request.entryId, entryCount, now) : [],
-      entryCount,
+    };
+  }
+
+  /** A replica that follows is told the entries, for callers that ask it where to connect. */
+  private buildReplicaPart(): EntryPart {
+    return {
+      entries: this.book.listEntries(), loads: [], grants: [], entryCount: 0,
     };
   }
 
@@ -415,7 +377,7 @@
     const before = this.site;
     this.site = applyDocument(this.site, command, computeSha256(command.document));
     if (this.site === before) return true;
-    if (this.runner.state.role === 'leader') this.configureLedger();
+    if (this.runner.state.role === 'leader') this.configureAccounts();
     this.watches.release();
     return true;
   }
@@ -425,16 +387,8 @@
     this.watches.release();
   }
 
-  private tendReplicas(now: number): void {
-    const { state } = this.runner;
-    const next = planReplicas({
-      ownId: state.id,
-      replicas: state.replicas,
-      newcomers: this.newcomers.list(now),
-      silent: new Set(this.listSilent(now)),
-      caughtUp: new Set(this.listCaughtUp()),
-      voterCount: this.parts.voterCount,
-    });
+  private tendReplicas(): void {
+    const next = this.keeper.plan(this.runner.state, this.leadingSince);
     if (!next || !this.runner.changeReplicas(next)) return;
     this.parts.logger.info('replica set changes', {
       voters: next.voters.map(({ id }) => id).join(' '),
@@ -442,21 +396,6 @@
     });
   }
 
-  private listSilent(now: number): string[] {
-    const { voters, learners } = this.runner.state.replicas;
-    return [...voters, ...learners]
-      .map(({ id }) => id)
-      .filter((id) => id !== this.parts.self.id)
-      .filter((id) => now - Math.max(this.leadingSince, this.heardReplicas.get(id) ?? 0) > REPLICA_SILENCE_MS);
-  }
-
-  private listCaughtUp(): string[] {
-    const { peers, commitIndex } = this.runner.state;
-    return [...peers]
-      .filter(([, { matchIndex }]) => matchIndex > 0 && commitIndex - matchIndex <= MAX_LAG_ENTRIES)
-      .map(([id]) => id);
-  }
-
   /*
    * Guards the lease of a leader that was suspended: see the log's event. It is looked at before
    * each answer that rests on the lease, as the first call after a wake may come before any tick.
@@ -484,12 +423,9 @@
     if (role !== 'leader') return;
     const now = this.parts.clock.now();
     this.leadingSince = now;
-    this.entries.clear();
-    this.desk.close();
-    this.desk = new PlacementDesk(this.parts.clock);
-    this.deskRevision = 0;
-    this.ledger = new AccountLedger(this.parts.limitSlack);
-    if (this.site.version > 0) this.configureLedger();
+    this.book.close();
+    this.book = new LeaderBook(this.parts);
+    if (this.site.version > 0) this.configureAccounts();
     this.beginWorkerTable(now);
   }
 
@@ -501,11 +437,6 @@
   }
 }
 
-/** How often a held question looks for a leader. */
-const LEADER_POLL_MS = 10;
-/** How often a reader looks whether its replica has caught up. */
-const POLL_APPLIED_MS = 2;
-
 /** Makes an error reply of whatever a publish threw. */
 export const refusePublish = (thrown: unknown): PublishReply => {
   const error = toBeechliftError(thrown);
--- a/src/control/seedFounding.ts
+++ b/src/control/seedFounding.ts
@@ -36,12 +36,14 @@
     const { record } = this.parts;
     if (record.founders) return record.founders;
     const founders = await this.findFounders();
-    await record.found(founders);
+    await record.foundSite(founders);
     return founders;
   }
 
   private async findFounders(): Promise<readonly Replica[]> {
-    const { seeds, readSelf, isFirstStart, record } = this.parts;
+    const {
+      seeds, readSelf, isFirstStart, record,
+    } = this.parts;
     const self = readSelf();
     const isSeed = seeds.includes(self.address);
     // A founder that was killed before it could begin may be started again as if it were no first
--- a/src/core/log/replicaPlan.ts
+++ b/src/core/log/replicaPlan.ts
@@ -26,13 +26,15 @@
   others.some(({ id, address }) => address === voter.address && id !== voter.id)
 );
 
-const listLost = ({ replicas, newcomers, silent, ownId }: ReplicaSituation): Replica[] => {
+const listLost = ({
+  replicas, newcomers, silent, ownId,
+}: ReplicaSituation): Replica[] => {
   const others = [...newcomers, ...replicas.learners, ...replicas.voters];
   return replicas.voters.filter((voter) => voter.id !== ownId
     && (silent.has(voter.id) || isReplaced(voter, others)));
 };
 
-const withLearners = (replicas: ReplicaSet, learners: readonly Replica[]): ReplicaSet => (
+const replaceLearners = (replicas: ReplicaSet, learners: readonly Replica[]): ReplicaSet => (
   { ...replicas, learners }
 );
 
@@ -40,12 +42,12 @@
   const known = new Set([...replicas.voters, ...replicas.learners].map(({ id }) => id));
   const newcomer = newcomers.find(({ id }) => !known.has(id));
   if (!newcomer || replicas.learners.length >= MAX_LEARNERS) return undefined;
-  return withLearners(replicas, [...replicas.learners, newcomer]);
+  return replaceLearners(replicas, [...replicas.learners, newcomer]);
 };
 
 const dropSilentLearner = ({ replicas, silent }: ReplicaSituation): ReplicaSet | undefined => {
   const heard = replicas.learners.filter(({ id }) => !silent.has(id));
-  return heard.length === replicas.learners.length ? undefined : withLearners(replicas, heard);
+  return heard.length === replicas.learners.length ? undefined : replaceLearners(replicas, heard);
 };
 
 const promoteLearner = (situation: ReplicaSituation): ReplicaSet | undefined => {
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -1,4 +1,4 @@
-/** What is left of each account's limit over all entries together, as the leader of control counts. */
+/** What is left of each account's limit over all entries, as the leader of control counts it. */
 import type { AccountGrant, AccountSpend } from '../../protocol/generated/beechlift';
 import type { RoutedAccount } from '../../manifest/routing';
 
@@ -15,12 +15,12 @@
  * Part of the slack that is added to the burst. The rest covers what cannot be known in time:
  * each entry may overdraw by one request, and an entry that was cut off may use up what it holds.
  */
-const LENT_SLACK = 0.15;
+const LENT_SLACK = 0.1;
 /** Part of the slack that a request which is decided on here may overdraw. */
-const OVERDRAFT_SLACK = 0.25;
+const OVERDRAFT_SLACK = 0.2;
 /** Part of the slack that entries are lent below that. */
 const SMALL_SLACK = 0.05;
-/** Part of what is left that is shared evenly, so that an entry without demand can begin at once. */
+/** Part of what is left that is shared evenly: an entry without demand can begin at once. */
 const EVEN_PART = 0.4;
 const MS_PER_SECOND = 1_000;
 /** An entry that is silent for this long holds nothing any more: its lease is over. */
--- a/src/core/routing/retryAllowance.ts
+++ b/src/core/routing/retryAllowance.ts
@@ -1,4 +1,4 @@
-/** What a service's requests may be repeated, at one of several entries that share the allowance. */
+/** How often a service's requests may be repeated at one of the entries that share the bounds. */
 
 /** Bounds on repeats over all entries together, as the site sets them. */
 export interface RetryBounds {
@@ -29,7 +29,10 @@
 export class RetryAllowance {
   private readonly byService = new Map<string, Allowance>();
 
-  constructor(private readonly bounds: RetryBounds, private readonly readEntryCount: () => number) {}
+  constructor(
+    private readonly bounds: RetryBounds,
+    private readonly readEntryCount: () => number,
+  ) {}
 
   /** Counts a request of the service. */
   noteRequest(service: string, now: number): void {
--- a/src/core/routing/routeTable.ts
+++ b/src/core/routing/routeTable.ts
@@ -40,7 +40,10 @@
   private readonly routeRanks: number;
 
   constructor(readonly routing: Routing) {
-    this.firstAccountRank = routing.accounts.reduce((least, { rank }) => Math.min(least, rank ?? 0), Infinity);
+    this.firstAccountRank = routing.accounts.reduce(
+      (least, { rank }) => Math.min(least, rank ?? 0),
+      Infinity,
+    );
     this.routeRanks = 1 + routing.routes.reduce((most, { rank }) => Math.max(most, rank), 0);
     this.hosts = indexByHost(routing.routes);
     this.services = new Map(routing.services.map((service) => [service.name, service]));
@@ -75,8 +78,8 @@
   }
 
   /**
-   * Rank of a request: 0 goes first. An account's rank precedes the route's, so it counts by as many
-   * steps as routes have ranks; where all accounts have the same, the routes' ranks decide alone.
+   * Rank of a request: 0 goes first. An account's rank precedes the route's, so it counts by as
+   * many steps as routes have ranks; where all accounts have the same, the routes' decide alone.
    */
   computeRank(route: Route, account: RoutedAccount | undefined): number {
     const steps = account ? (account.rank ?? 0) - this.firstAccountRank : 0;
--- a/src/core/routing/siteDocument.ts
+++ b/src/core/routing/siteDocument.ts
@@ -1,4 +1,4 @@
-/** The replicated state of a routed site: one document, of which the highest version is in force. */
+/** The replicated state of a routed site: one document; the highest version is in force. */
 
 /** What the log carries. */
 export interface DocumentCommand {
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -135,7 +135,9 @@
     const zoneMs = worker.zone === request.zone ? 0 : OTHER_ZONE_MS;
     const startScore = (waitMs + ownMs) * weighFailures(work, worker) + zoneMs;
     const score = startScore + computeOverrunMs(expected, request);
-    return { worker, waitMs, ownMs, score };
+    return {
+      worker, waitMs, ownMs, score,
+    };
   });
   return scored.reduce<typeof scored[number] | undefined>(
     (best, item) => (!best || item.score < best.score ? item : best),
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -84,7 +84,7 @@
   ): Promise<PlaceReply | undefined> {
     try {
       return await leader.call<PlaceRequest, PlaceReply>(
-        (stub) => stub.place.bind(stub) as never,
+        (stub) => stub.place.bind(stub),
         request,
         new Operation({ timeoutMs: SILENCE_MS }),
       );
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -29,7 +29,6 @@
   request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0)
 );
 
-
 /**
  * Makes the server that callers connect to: every request, whatever its method and path, goes to
  * the routing, with its body unread.
@@ -51,7 +50,7 @@
     forceCloseConnections: 'idle',
     // The framework's own router knows one path; the target that came is kept beside.
     rewriteUrl: (request) => {
-      targets.set(request as IncomingMessage, request.url ?? '/');
+      targets.set(request, request.url ?? '/');
       return '/';
     },
   });
@@ -85,4 +84,3 @@
   app.server.keepAliveTimeout = limits.idleTimeoutMs;
   app.server.headersTimeout = limits.headerTimeoutMs;
 };
-
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -62,7 +62,7 @@
 
   private entryCount = 1;
 
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = new Set<{ end: () => void }>();
 
   constructor(private readonly parts: RelaySiteParts) {
     const readEntryCount = () => this.entryCount;
@@ -96,13 +96,14 @@
   waitServing(mostMs: number): Promise<void> {
     if (this.isServing || this.waiters.size >= MAX_WAITERS) return Promise.resolve();
     return new Promise((resolve) => {
-      const end = () => {
+      const waiter = { end: (): void => undefined };
+      const timer = setTimeout(() => waiter.end(), mostMs);
+      waiter.end = () => {
         clearTimeout(timer);
-        this.waiters.delete(end);
+        this.waiters.delete(waiter);
         resolve();
       };
-      const timer = setTimeout(end, mostMs);
-      this.waiters.add(end);
+      this.waiters.add(waiter);
     });
   }
 
@@ -114,7 +115,9 @@
 
   /** What the leader of control is asked with. */
   buildRequest(holdMs: number): WatchRequest {
-    const { entryId, callerAddress, zone, clock } = this.parts;
+    const {
+      entryId, callerAddress, zone, clock,
+    } = this.parts;
     return {
       entryId,
       callerAddress,
@@ -143,7 +146,7 @@
     if (reply.documentVersion === 0) return;
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
     this.leaseEpoch = epoch;
-    [...this.waiters].forEach((end) => end());
+    [...this.waiters].forEach(({ end }) => end());
   }
 
   private applyDocument(reply: WatchReply): boolean {
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -137,7 +137,7 @@
     const limits = site.table?.routing.limits;
     const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0, BODY_MS);
     site.retries.noteRequest(admitted.service, clock.now());
-    const timer = setTimeout(() => this.timeOut(), this.deadlineAt - clock.now());
+    const timer = setTimeout(() => this.expire(), this.deadlineAt - clock.now());
     try {
       await this.offer(admitted, body);
     } finally {
@@ -367,7 +367,7 @@
     if (canRepeat) call.abort('the backend server is silent');
   }
 
-  private timeOut(): void {
+  private expire(): void {
     if (this.writer.isOver) return;
     this.refuse(new BeechliftError('routeTimeout', 'the answer was not whole when its time was over'));
     this.call?.abort('its time is over');
@@ -380,7 +380,9 @@
   }
 
   private refuse(error: BeechliftError): void {
-    const { metrics, logger, site, clock } = this.parts;
+    const {
+      metrics, logger, site, clock,
+    } = this.parts;
     metrics.refusals.inc({ code: error.number });
     logger.info('request refused', {
       requestId: this.facts.requestId,
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -107,7 +107,7 @@
   ): Promise<WatchReply | undefined> {
     try {
       return await this.links.find(address).call<WatchRequest, WatchReply>(
-        (stub) => stub.watch.bind(stub) as never,
+        (stub) => stub.watch.bind(stub),
         request,
         new Operation({ timeoutMs: holdMs + ANSWER_MS }),
       );
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -55,7 +55,9 @@
   constructor(private readonly client: Client, private readonly listener: UpstreamListener) {}
 
   /** Sends the request; resolves once its answer has ended, whole or not. */
-  run({ method, path, headers, body }: UpstreamRequest): Promise<UpstreamEnd> {
+  run({
+    method, path, headers, body,
+  }: UpstreamRequest): Promise<UpstreamEnd> {
     return new Promise((resolve) => {
       const fail = (error: Error): void => resolve(
         this.isSent
@@ -64,7 +66,7 @@
       );
       try {
         this.client.dispatch({
-          method: method as Dispatcher.HttpMethod,
+          method,
           path,
           headers,
           body: body.length > 0 ? body : null,
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -84,8 +84,12 @@
 
   private async place(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
-    const { admitted, facts, tried, deadlineAt } = request;
-    const { account, service, rank, route } = admitted;
+    const {
+      admitted, facts, tried, deadlineAt,
+    } = request;
+    const {
+      account, service, rank, route,
+    } = admitted;
     this.counter += 1;
     const placeId = `${this.prefix}${this.counter}`;
     const reply = await placeClient.place({
--- /dev/null
+++ b/tests/core/account-limits.spec.ts
@@ -0,0 +1,97 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { AccountBudget } from '../../src/core/routing/accountBudget';
+import { AccountLedger } from '../../src/core/routing/accountLedger';
+import { makeAccount } from '../fakes/routings';
+
+const RATE = 50_000;
+const SLACK = 190_000;
+const WINDOW_MS = 8_000;
+const account = makeAccount({ perSecond: RATE, burst: RATE });
+/** What may be used in any window, over all entries. */
+const MOST = (RATE * (WINDOW_MS / 1_000) + RATE) * 1.1 + SLACK;
+
+interface Use { readonly at: number; readonly cost: number }
+
+const findMostInWindow = (uses: readonly Use[]): number => uses.reduce((most, { at }) => {
+  const sum = uses.filter((use) => use.at >= at && use.at < at + WINDOW_MS)
+    .reduce((total, { cost }) => total + cost, 0);
+  return Math.max(most, sum);
+}, 0);
+
+/** Entries that are flooded; each asks the leader every 200 ms unless its link is cut. */
+const flood = (costs: readonly number[], cutFrom: number): Use[] => {
+  const ledger = new AccountLedger(SLACK);
+  ledger.configure([account], 0);
+  const entries = Array.from({ length: 8 }, () => new AccountBudget());
+  const uses: Use[] = [];
+  Array.from({ length: 2_000 }, (unused, step) => step * 10).forEach((now) => {
+    entries.forEach((entry, position) => {
+      const isCut = position < 3 && now >= cutFrom && now < cutFrom + 4_000;
+      if (now % 200 === 0 && !isCut) {
+        ledger.noteSpends(`e${position}`, entry.listSpends(now), now);
+        entry.applyGrants(ledger.listGrants(`e${position}`, entries.length, now), now);
+      }
+      const cost = costs[(position + now) % costs.length] ?? 1;
+      if (entry.take(account, cost, now)) uses.push({ at: now, cost });
+    });
+    const cost = costs[now % costs.length] ?? 1;
+    if (ledger.charge(account.name, cost, now) === 0) uses.push({ at: now, cost });
+  });
+  return uses;
+};
+
+describe('limits of accounts over all entries', () => {
+  // One account sends many times its usual to all entries at once, while some of them cannot reach
+  // the leader: together they must stay within the limit in every window.
+  it('should hold in every window of a flood, with entries cut off', () => {
+    fc.assert(fc.property(
+      fc.array(fc.integer({ min: 50, max: 9_000 }), { minLength: 3, maxLength: 9 }),
+      fc.integer({ min: 0, max: 12_000 }),
+      (costs, cutFrom) => {
+        expect(findMostInWindow(flood(costs, cutFrom))).toBeLessThanOrEqual(MOST);
+      },
+    ), { numRuns: 30, seed: 7 });
+  });
+
+  it('should give an account about all of its limit', () => {
+    const uses = flood([3_700], 0);
+    const total = uses.reduce((sum, { cost }) => sum + cost, 0);
+    expect(total).toBeGreaterThan(RATE * 20);
+  });
+
+  it('should not refuse a large request of an account that is within its limit', () => {
+    const ledger = new AccountLedger(SLACK);
+    ledger.configure([account], 0);
+    expect(ledger.charge(account.name, 53_000, 0)).toBe(0);
+  });
+
+  it('should say when a refused request may come back', () => {
+    const ledger = new AccountLedger(SLACK);
+    ledger.configure([account], 0);
+    const waits = Array.from({ length: 100 }, () => ledger.charge(account.name, 10_000, 0));
+    const waitMs = waits.at(-1) ?? 0;
+    expect(waitMs).toBeGreaterThan(0);
+    expect(ledger.charge(account.name, 10_000, waitMs + 1)).toBe(0);
+  });
+
+  it('should charge nothing for what is refused afterwards', () => {
+    const ledger = new AccountLedger(0);
+    ledger.configure([account], 0);
+    expect(ledger.charge(account.name, RATE, 0)).toBe(0);
+    ledger.refund(account.name, RATE);
+    expect(ledger.charge(account.name, RATE, 0)).toBe(0);
+  });
+
+  // A report is lost on its way; the next one carries the total, so nothing is counted twice or
+  // forgotten. A leader that has just taken over does not charge what was used under the one before.
+  it('should count totals, whatever reports were lost', () => {
+    const ledger = new AccountLedger(0);
+    ledger.configure([account], 0);
+    ledger.noteSpends('e1', [{ account: 'lobby', total: 900_000, demand: 1 }], 0);
+    ledger.noteSpends('e1', [{ account: 'lobby', total: 920_000, demand: 1 }], 0);
+    ledger.noteSpends('e1', [{ account: 'lobby', total: 920_000, demand: 1 }], 0);
+    expect(ledger.charge('lobby', 30_000, 0)).toBe(0);
+    expect(ledger.charge('lobby', 1_000, 0)).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/tests/core/placement.spec.ts
@@ -0,0 +1,176 @@
+import { describe, expect, it } from 'vitest';
+import {
+  askPlace, expirePlaced, makePlacement, notePlaced, runPlacement,
+} from '../../src/core/routing/placement';
+import type {
+  PlaceAsk, PlaceDecision, PlacedNews, PlacementTables,
+} from '../../src/core/routing/placement';
+import { applyRecords, learnPace, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
+import { WorkerRecord } from '../../src/protocol/generated/beechlift';
+
+const makeRecord = (workerId: string, slots: number, standing = 'ready'): WorkerRecord => WorkerRecord.fromPartial({
+  said: {
+    workerId, service: 'lm', address: `10.0.0.${workerId}:80`, zone: 'a', slots, state: 'ready', sequence: 1,
+  },
+  standing,
+});
+
+const makeTables = (slots: readonly number[]): PlacementTables => {
+  const workers = makeRoutedWorkers();
+  applyRecords(workers, slots.map((count, position) => makeRecord(String(position), count)));
+  return makePlacement(workers);
+};
+
+const ask = (fields: Partial<PlaceAsk> & { id: string }): PlaceAsk => ({
+  entryId: 'e1',
+  service: 'lm',
+  rank: 0,
+  promptTokens: 1_000,
+  outputTokens: 100,
+  targetMs: 1_000,
+  deadlineAt: 15_000,
+  zone: 'a',
+  tried: [],
+  askedAt: 0,
+  ...fields,
+});
+
+const makeNews = (id: string, phase: PlacedNews['phase'] = 'ended'): PlacedNews => (
+  {
+    id, phase, paceMs: 0, firstEventMs: 150, outputMs: 500,
+  });
+
+const listGranted = (decisions: readonly PlaceDecision[]): string[] => decisions
+  .filter(({ kind }) => kind === 'grant').map(({ id }) => id);
+
+const countHeld = (tables: PlacementTables, id: string): number => (
+  [...tables.placed.values()].filter(({ workerId }) => workerId === id).length
+);
+
+describe('placing requests on model engines', () => {
+  it('should never give a slot twice, and fill all that there are', () => {
+    const tables = makeTables([6, 6, 2]);
+    Array.from({ length: 40 }, (unused, count) => askPlace(tables, ask({ id: `r${count}` }), count));
+    expect(['0', '1', '2'].map((id) => countHeld(tables, id))).toEqual([6, 6, 2]);
+  });
+
+  // A burst fills all engines with questions of the lowest rank; the digests that come behind them
+  // are worth fifteen times as much and must get the next slots.
+  it('should give the next slots to the highest rank that waits, then to who waits longest', () => {
+    const tables = makeTables([2]);
+    const waiting = [['low', 2], ['lower', 2], ['mid', 1], ['top', 0], ['top2', 0]] as const;
+    ['a', 'b'].forEach((id) => askPlace(tables, ask({ id, rank: 2 }), 0));
+    waiting.forEach(([id, rank], position) => {
+      tables.waiting.set(id, ask({ id, rank, askedAt: position }));
+    });
+    notePlaced(tables, makeNews('a'), 10);
+    notePlaced(tables, makeNews('b'), 10);
+    expect(listGranted(runPlacement(tables, 10))).toEqual(['top', 'top2']);
+  });
+
+  it('should refuse at once what would wait too long, with a time to come back', () => {
+    const tables = makeTables([1]);
+    const decisions = Array.from({ length: 6 }, (unused, count) => (
+      askPlace(tables, ask({ id: `r${count}`, rank: 2, targetMs: 500 }), 0))).flat();
+    const refused = decisions.filter(({ kind }) => kind === 'refuse');
+    expect(refused.length).toBeGreaterThan(3);
+    expect(refused.every((item) => item.kind === 'refuse' && item.retryAfterMs >= 250)).toBe(true);
+    expect(tables.waiting.size + tables.placed.size + refused.length).toBe(6);
+  });
+
+  it('should refuse what has waited for its share of the target', () => {
+    const tables = makeTables([1]);
+    askPlace(tables, ask({ id: 'a' }), 0);
+    tables.waiting.set('b', ask({ id: 'b', askedAt: 0 }));
+    expect(runPlacement(tables, 100)).toEqual([]);
+    expect(runPlacement(tables, 900).map(({ kind, id }) => [kind, id])).toEqual([['refuse', 'b']]);
+  });
+
+  // An answer of 800 tokens lasts longer on an engine four times slower than the caller waits: it
+  // was cut off by its deadline after all the work.
+  it('should keep long answers from engines that cannot finish them', () => {
+    const tables = makeTables([6, 6]);
+    Array.from({ length: 20 }).forEach(() => {
+      learnPace(tables.workers.byId.get('0') as never, 40);
+      learnPace(tables.workers.byId.get('1') as never, 10);
+    });
+    askPlace(tables, ask({ id: 'long', outputTokens: 1_700 }), 0);
+    expect(tables.placed.get('long')?.workerId).toBe('1');
+  });
+
+  it('should leave a server that does not answer alone for a while', () => {
+    const tables = makeTables([6, 6]);
+    askPlace(tables, ask({ id: 'a' }), 0);
+    const first = tables.placed.get('a')?.workerId;
+    notePlaced(tables, makeNews('a', 'unreached'), 10);
+    askPlace(tables, ask({ id: 'b' }), 20);
+    expect(tables.placed.get('b')?.workerId).not.toBe(first);
+  });
+
+  it('should send nothing to a server that leaves', () => {
+    const tables = makeTables([6]);
+    applyRecords(tables.workers, [makeRecord('0', 6, 'draining')]);
+    askPlace(tables, ask({ id: 'a' }), 0);
+    expect(tables.placed.size).toBe(0);
+  });
+
+  // An entry dies with twelve streams: its engines stop work on them at once, and the slots must
+  // not stay taken until the streams' deadlines.
+  it('should free the slots of an entry that has gone, and what is past its deadline', () => {
+    const tables = makeTables([4]);
+    askPlace(tables, ask({ id: 'a', entryId: 'dead' }), 0);
+    askPlace(tables, ask({ id: 'b', entryId: 'dead' }), 0);
+    askPlace(tables, ask({ id: 'c', deadlineAt: 500 }), 0);
+    askPlace(tables, ask({ id: 'd' }), 0);
+    expirePlaced(tables, (entryId) => entryId !== 'dead', 1_000);
+    expect([...tables.placed.keys()]).toEqual(['d']);
+    expect(tables.workers.byId.get('0')?.inFlight).toBe(1);
+    expect(tables.workers.byId.get('0')?.pendingTokens).toBe(1_000);
+  });
+
+  it('should count prompt tokens as pending until the first event', () => {
+    const tables = makeTables([4]);
+    askPlace(tables, ask({ id: 'a', promptTokens: 5_000 }), 0);
+    notePlaced(tables, makeNews('a', 'running'), 10);
+    notePlaced(tables, makeNews('a', 'running'), 20);
+    expect(tables.workers.byId.get('0')?.pendingTokens).toBe(0);
+    notePlaced(tables, makeNews('a'), 30);
+    expect(tables.workers.byId.get('0')?.pendingTokens).toBe(0);
+  });
+
+  /**
+   * The load of the heaviest days: arrivals of three ranks at 1.6 times what the engines bear. Those
+   * of the highest rank, the dearest, must all begin within their target.
+   */
+  it('should serve the highest rank on time when there is too much work', () => {
+    const tables = makeTables([6, 6, 6]);
+    const lasts = 700;
+    const ends = new Map<string, number>();
+    const began = new Map<string, number>();
+    const note = (decisions: readonly PlaceDecision[], now: number): void => decisions
+      .filter(({ kind }) => kind === 'grant')
+      .forEach(({ id }) => {
+        ends.set(id, now + lasts);
+        began.set(id, now);
+      });
+    const asked: PlaceAsk[] = [];
+    Array.from({ length: 2_000 }, (unused, step) => step * 5).forEach((now) => {
+      [...ends].filter(([, at]) => at <= now).forEach(([id]) => {
+        ends.delete(id);
+        notePlaced(tables, makeNews(id), now);
+      });
+      note(runPlacement(tables, now), now);
+      if (now % 25 !== 0) return;
+      const request = ask({
+        id: `r${now}`, rank: (now / 25) % 3, askedAt: now, targetMs: 1_000, deadlineAt: now + 15_000,
+      });
+      asked.push(request);
+      note(askPlace(tables, request, now), now);
+    });
+    const top = asked.filter(({ rank }) => rank === 0);
+    const onTime = top.filter(({ id, askedAt }) => (began.get(id) ?? Infinity) - askedAt < 800);
+    expect(onTime.length / top.length).toBeGreaterThan(0.98);
+    const served = asked.filter(({ id }) => began.has(id)).length;
+    expect(served).toBeGreaterThan((10_000 / lasts) * 18 * 0.9);
+  });
+});
--- /dev/null
+++ b/tests/core/replica-plan.spec.ts
@@ -0,0 +1,89 @@
+import { describe, expect, it } from 'vitest';
+import { planReplicas } from '../../src/core/log/replicaPlan';
+import type { ReplicaSituation } from '../../src/core/log/replicaPlan';
+import type { ReplicaSet } from '../../src/core/log/logTypes';
+import type { Replica } from '../../src/protocol/generated/beechlift';
+
+const makeReplica = (id: string, address = id): Replica => ({ id, address, zone: 'a' });
+
+const [a, b, c] = ['a', 'b', 'c'].map((id) => makeReplica(id)) as [Replica, Replica, Replica];
+
+const makeSituation = (fields: Partial<ReplicaSituation>): ReplicaSituation => ({
+  ownId: 'a',
+  replicas: { voters: [a, b, c], learners: [], leaving: [] },
+  newcomers: [],
+  silent: new Set(),
+  caughtUp: new Set(),
+  voterCount: 3,
+  ...fields,
+});
+
+/** Applies plans until none is due; all learners catch up at once. */
+const settle = (start: ReplicaSituation): ReplicaSet => {
+  const caughtUp = new Set(start.newcomers.map(({ id }) => id));
+  const run = (current: ReplicaSituation, left: number): ReplicaSet => {
+    const next = planReplicas(current);
+    if (!next) return current.replicas;
+    if (left === 0) throw new Error('the plan does not come to an end');
+    return run({ ...current, replicas: next, caughtUp }, left - 1);
+  };
+  return run(start, 20);
+};
+
+const listIds = (replicas: readonly Replica[]): string => replicas.map(({ id }) => id).sort().join(' ');
+
+describe('the replica set that heals itself', () => {
+  it('should leave a whole site alone', () => {
+    expect(planReplicas(makeSituation({}))).toBeUndefined();
+  });
+
+  // A replica loses its disk right after it acknowledged a change and comes back empty at its old
+  // address. Were its old birth kept, it would be a voter that has forgotten its vote.
+  it('should put a new birth in the place of the one that its address had', () => {
+    const newborn = makeReplica('c2', 'c');
+    const replicas = settle(makeSituation({ newcomers: [newborn] }));
+    expect([listIds(replicas.voters), listIds(replicas.learners)]).toEqual(['a b c2', '']);
+  });
+
+  it('should not let a newcomer vote before it has caught up', () => {
+    const newborn = makeReplica('c2', 'c');
+    const replicas = { voters: [a, b, c], learners: [newborn], leaving: [] };
+    expect(planReplicas(makeSituation({ replicas, newcomers: [newborn] }))).toBeUndefined();
+  });
+
+  it('should put one at a new address in the place of one that fell silent', () => {
+    const spare = makeReplica('d');
+    const replicas = settle(makeSituation({ newcomers: [spare], silent: new Set(['b']) }));
+    expect([listIds(replicas.voters), listIds(replicas.learners)]).toEqual(['a c d', '']);
+  });
+
+  it('should let one that is not needed stand by', () => {
+    const replicas = settle(makeSituation({ newcomers: [makeReplica('d')] }));
+    expect([listIds(replicas.voters), listIds(replicas.learners)]).toEqual(['a b c', 'd']);
+  });
+
+  it('should let go of one that stands by and fell silent', () => {
+    const replicas = { voters: [a, b, c], learners: [makeReplica('d')], leaving: [] };
+    const next = planReplicas(makeSituation({ replicas, silent: new Set(['d']) }));
+    expect(next?.learners).toEqual([]);
+  });
+
+  it('should retire nobody while there is no successor', () => {
+    expect(planReplicas(makeSituation({ silent: new Set(['b', 'c']) }))).toBeUndefined();
+  });
+
+  it('should never change more than one voter at a time', () => {
+    const start = makeSituation({ newcomers: [makeReplica('b2', 'b'), makeReplica('c2', 'c')] });
+    const run = (current: ReplicaSituation, left: number): void => {
+      const next = planReplicas(current);
+      if (!next || left === 0) return;
+      const before = new Set(current.replicas.voters.map(({ id }) => id));
+      const after = new Set(next.voters.map(({ id }) => id));
+      const changed = [...before].filter((id) => !after.has(id)).length
+        + [...after].filter((id) => !before.has(id)).length;
+      expect(changed).toBeLessThanOrEqual(1);
+      run({ ...current, replicas: next, caughtUp: new Set(['b2', 'c2']) }, left - 1);
+    };
+    run(start, 20);
+  });
+});
--- /dev/null
+++ b/tests/core/routing-document.spec.ts
@@ -0,0 +1,91 @@
+import { describe, expect, it } from 'vitest';
+import { RouteTable, pickTarget } from '../../src/core/routing/routeTable';
+import { applyDocument, NO_DOCUMENT } from '../../src/core/routing/siteDocument';
+import { checkRouting } from '../../src/manifest/checkRouting';
+import { makeAccount, makeRoute, makeRouting } from '../fakes/routings';
+
+describe('the table of routes', () => {
+  const routing = makeRouting({
+    routes: [
+      makeRoute({ name: 'all', pathPrefix: '/' }),
+      makeRoute({ name: 'orders', pathPrefix: '/orders/' }),
+      makeRoute({ name: 'old', pathPrefix: '/orders/old/' }),
+      makeRoute({ name: 'other', host: 'Other.example', pathPrefix: '/orders/' }),
+    ],
+  });
+  const table = new RouteTable(routing);
+
+  it.each([
+    ['shop.example', '/orders/7', 'orders'],
+    ['shop.example', '/orders/old/7?x=/orders/', 'old'],
+    ['SHOP.example:8080', '/orders', 'all'],
+    ['other.example', '/orders/', 'other'],
+    ['shop.example', '/orders/oldest', 'orders'],
+  ])('should route %s%s to the longest prefix', (host, target, name) => {
+    expect(table.findRoute(host, target)?.name).toBe(name);
+  });
+
+  it.each([
+    ['other.example', '/orders'],
+    ['nobody.example', '/'],
+    ['', '/'],
+  ])('should find no route for %s%s', (host, target) => {
+    expect(table.findRoute(host, target)).toBeUndefined();
+  });
+
+  it('should let the routes decide the rank where all accounts have the same', () => {
+    const account = makeAccount({ rank: 1 });
+    const ranked = new RouteTable(makeRouting({ accounts: [account, makeAccount({ name: 'b', rank: 1, keys: ['kb'] })] }));
+    const ranks = [0, 1, 2].map((rank) => ranked.computeRank(makeRoute({ rank }), account));
+    expect(ranks).toEqual([0, 1, 2]);
+  });
+
+  it('should put all of a lower account behind all of a higher one', () => {
+    const high = makeAccount({ rank: 0 });
+    const low = makeAccount({ name: 'b', rank: 1, keys: ['kb'] });
+    const ranked = new RouteTable(makeRouting({
+      routes: [makeRoute({ rank: 0 }), makeRoute({ name: 'late', pathPrefix: '/late/', rank: 2 })], accounts: [high, low],
+    }));
+    const lastOfHigh = ranked.computeRank(makeRoute({ rank: 2 }), high);
+    expect(ranked.computeRank(makeRoute({ rank: 0 }), low)).toBeGreaterThan(lastOfHigh);
+  });
+
+  it('should split by weight', () => {
+    const targets = [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }, { service: 'c', weight: 0 }];
+    const picked = Array.from({ length: 100 }, (unused, draw) => pickTarget(targets, draw / 100));
+    expect(picked.filter((service) => service === 'a')).toHaveLength(90);
+    expect(picked.filter((service) => service === 'c')).toHaveLength(0);
+  });
+});
+
+describe('checking a routing', () => {
+  it('should name every fault at once', () => {
+    const faults = checkRouting(makeRouting({
+      routes: [
+        makeRoute({ name: 'a', targets: [{ service: 'nobody', weight: 1 }] }),
+        makeRoute({ name: 'b', timeoutMs: 0 }),
+        makeRoute({ name: 'c', pathPrefix: '/c/', targets: [{ service: 'rooms', weight: 0 }] }),
+        makeRoute({ name: 'd', pathPrefix: 'd' }),
+      ],
+      accounts: [makeAccount({}), makeAccount({ name: 'second' })],
+    }));
+    expect(faults.join('\n')).toMatch(/nobody[\s\S]*share host and prefix[\s\S]*add up to nothing[\s\S]*no time to answer[\s\S]*slash[\s\S]*share a key/);
+    expect(faults).toHaveLength(6);
+  });
+
+  it('should find no fault in a sound routing', () => {
+    expect(checkRouting(makeRouting({}))).toEqual([]);
+  });
+});
+
+describe('the document in force', () => {
+  // An operator's acknowledgement was lost, it sends an older change again, and another operator
+  // sends other content under the version held: nothing that was in force may come back or change.
+  it('should only ever be replaced by a higher version', () => {
+    const first = applyDocument(NO_DOCUMENT, { version: 4, document: 'four' }, 'd4');
+    const late = applyDocument(first, { version: 3, document: 'three' }, 'd3');
+    const other = applyDocument(late, { version: 4, document: 'other' }, 'dx');
+    const next = applyDocument(other, { version: 9, document: 'nine' }, 'd9');
+    expect([late.document, other.document, next.document]).toEqual(['four', 'four', 'nine']);
+  });
+});
--- /dev/null
+++ b/tests/fakes/routings.ts
@@ -0,0 +1,41 @@
+import type { Route, RoutedAccount, Routing } from '../../src/manifest/routing';
+
+/** A route of the host shop.example to the service rooms, with changes. */
+export const makeRoute = (changes: Partial<Route>): Route => ({
+  name: 'r',
+  host: 'shop.example',
+  pathPrefix: '/orders/',
+  kind: 'idempotent',
+  timeoutMs: 2_000,
+  targetLatencyMs: 200,
+  rank: 0,
+  targets: [{ service: 'rooms', weight: 1 }],
+  maxAttempts: 2,
+  isPublic: false,
+  isResumable: false,
+  ...changes,
+});
+
+/** An account with the key k1, with changes. */
+export const makeAccount = (changes: Partial<RoutedAccount>): RoutedAccount => ({
+  name: 'lobby',
+  keys: ['k1'],
+  rank: undefined,
+  unit: 'tokens',
+  perSecond: 0,
+  burst: 0,
+  defaultTokens: 10,
+  ...changes,
+});
+
+/** A routing with one route, one service and one account, with changes. */
+export const makeRouting = (changes: Partial<Routing>): Routing => ({
+  version: 1,
+  routes: [makeRoute({})],
+  services: [{ name: 'rooms', maxConnections: 100, isEngine: false }],
+  accounts: [makeAccount({})],
+  limits: {
+    headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+  },
+  ...changes,
+});
--- /dev/null
+++ b/tests/relay/event-framer.spec.ts
@@ -0,0 +1,44 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { EventFramer } from '../../src/relay/eventFramer';
+
+const makeStream = (from: number, to: number): string => (
+  Array.from({ length: to - from + 1 }, (unused, position) => `id: ${from + position}\ndata: word ă ${from + position}\n\n`).join('')
+);
+
+const cutAt = (bytes: Buffer, cuts: readonly number[]): Buffer[] => {
+  const ends = [...new Set(cuts.map((cut) => cut % (bytes.length + 1)))].sort((x, y) => x - y);
+  return [...ends, bytes.length].map((end, position) => bytes.subarray(ends[position - 1] ?? 0, end));
+};
+
+describe('framing a stream of events', () => {
+  it('should pass all bytes on unchanged, however they are cut', () => {
+    fc.assert(fc.property(fc.array(fc.nat()), (cuts) => {
+      const bytes = Buffer.from(makeStream(1, 9));
+      const framer = new EventFramer();
+      const passed = Buffer.concat(cutAt(bytes, cuts).map((piece) => framer.push(piece)));
+      expect(passed.equals(bytes)).toBe(true);
+      expect([framer.lastEventId, framer.count]).toEqual(['9', 9]);
+    }), { seed: 3 });
+  });
+
+  // A server dies in the middle of the sixth event; the caller must get five from it, then the sixth
+  // to the last from the server where the stream goes on: none torn, missing or twice.
+  it('should let a stream go on elsewhere without a torn event', () => {
+    fc.assert(fc.property(fc.nat({ max: 400 }), (length) => {
+      const framer = new EventFramer();
+      const first = framer.push(Buffer.from(makeStream(1, 9)).subarray(0, length));
+      framer.dropTorn();
+      const next = Number(framer.lastEventId || 0) + 1;
+      const rest = next > 9 ? Buffer.alloc(0) : framer.push(Buffer.from(makeStream(next, 9)));
+      expect(Buffer.concat([first, rest]).toString()).toBe(makeStream(1, 9));
+    }), { seed: 5 });
+  });
+
+  it('should hand out what stands behind the last event when the answer has ended', () => {
+    const framer = new EventFramer();
+    framer.push(Buffer.from('id: 1\ndata: x\n\n: done'));
+    expect(framer.takeRest().toString()).toBe(': done');
+    expect(framer.takeRest()).toHaveLength(0);
+  });
+});
