A replica that joins answers the leader; tests of routed control and of requests over real sockets

Cause: a replica with an empty disk knew no address of the leader, whose name stands in the log that it was still to get, so its acknowledgements went nowhere: it was taken in as a learner, counted as silent and dropped, again and again, and the site stayed with two of three votes. Found by the new test of a wiped disk, which failed first; the silence of a newcomer now counts from when it was first seen.

--- a/src/control/replicaKeeper.ts
+++ b/src/control/replicaKeeper.ts
@@ -47,11 +47,20 @@
     });
   }
 
-  private listSilent({ id: ownId, replicas }: LogState, leadingSince: number, now: number): string[] {
-    return [...replicas.voters, ...replicas.learners]
-      .map(({ id }) => id)
+  /*
+   * Guards a newcomer against being dropped before its first message, which would add and drop it
+   * again and again: its silence counts from when this replica first saw it in the set.
+   */
+  private listSilent(
+    { id: ownId, replicas }: LogState,
+    leadingSince: number,
+    now: number,
+  ): string[] {
+    const ids = [...replicas.voters, ...replicas.learners].map(({ id }) => id);
+    ids.filter((id) => !this.heardAt.has(id)).forEach((id) => this.heardAt.set(id, now));
+    return ids
       .filter((id) => id !== ownId)
-      .filter((id) => now - Math.max(leadingSince, this.heardAt.get(id) ?? 0) > REPLICA_SILENCE_MS);
+      .filter((id) => now - Math.max(leadingSince, this.heardAt.get(id) ?? now) > REPLICA_SILENCE_MS);
   }
 
   private listCaughtUp({ peers, commitIndex }: LogState): string[] {
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -171,14 +171,18 @@
   if (!node.isOutOfTouch) return;
   const known = new Set([...readSeeds(), ...node.replicaAddresses]);
   known.delete(self.address);
+  const ask = async (address: string): Promise<string> => {
+    const reply = await askMeet(links, address, self);
+    if (reply?.self) node.noteMet(reply.self);
+    return reply?.leaderAddress ?? '';
+  };
   known.forEach((address) => {
-    askMeet(links, address, self)
-      .then((reply) => {
-        const leader = reply?.leaderAddress ?? '';
+    ask(address)
+      .then((leader) => {
         const isNew = leader !== '' && leader !== self.address && !known.has(leader);
-        return isNew ? askMeet(links, leader, self) : undefined;
+        return isNew ? ask(leader) : '';
       })
-      .catch(() => undefined);
+      .catch(() => undefined); // Looked for again in a moment.
   });
 };
 
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -36,6 +36,8 @@
 const LEADER_POLL_MS = 10;
 /** How often a reader looks whether its replica has caught up. */
 const POLL_APPLIED_MS = 2;
+/** Replicas that are remembered from looking for the site, at most. */
+const MAX_MET = 32;
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
@@ -94,6 +96,12 @@
 
   private readonly keeper: ReplicaKeeper;
 
+  /**
+   * Replicas that this one met while it looked for the site. One that joins knows nobody by its log
+   * yet, and has to answer the leader from which it will learn it.
+   */
+  private readonly met = new Map<string, Replica>();
+
   private suspensionEpoch: number;
 
   private leadingSince = 0;
@@ -271,6 +279,15 @@
     return this.parts.port.announce(said, address);
   }
 
+  /** Notes who answered while this replica looked for the site. */
+  noteMet(replica: Replica): void {
+    // One replica at an address: a birth that is gone is forgotten.
+    this.met.forEach(({ address }, id) => {
+      if (address === replica.address) this.met.delete(id);
+    });
+    if (this.met.size < MAX_MET) this.met.set(replica.id, replica);
+  }
+
   /** Answers another replica that looks for the site. */
   meet({ from }: MeetRequest): MeetReply {
     if (from && this.runner.state.role === 'leader') this.keeper.noteNewcomer(from);
@@ -410,7 +427,8 @@
 
   private findReplica(id: string): Replica | undefined {
     const { voters, learners } = this.runner.state.replicas;
-    return [...voters, ...learners, ...this.parts.founders].find((replica) => replica.id === id);
+    return [...voters, ...learners, ...this.parts.founders, ...this.met.values()]
+      .find((replica) => replica.id === id);
   }
 
   private sendMessage(message: LogMessage): void {
--- /dev/null
+++ b/tests/control/routed-site.spec.ts
@@ -0,0 +1,255 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import { startRoutedControl } from '../../src/control/routedControl';
+import type { RunningRoutedControl } from '../../src/control/routedControl';
+import { checkRouting } from '../../src/manifest/checkRouting';
+import type { RoutingReader, Routing } from '../../src/manifest/routing';
+import { WatchRequest, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import { makeLogger } from '../../src/telemetry/logger';
+import { makeRoute, makeRouting } from '../fakes/routings';
+
+const readRouting: RoutingReader = (document) => {
+  try {
+    const routing = JSON.parse(document) as Routing;
+    const faults = checkRouting(routing);
+    return faults.length > 0 ? { routing: undefined, faults } : { routing, faults: [] };
+  } catch (error) {
+    return { routing: undefined, faults: [(error as Error).message] };
+  }
+};
+
+const findFreePort = (): Promise<number> => new Promise((resolve) => {
+  const server = createServer();
+  server.listen(0, '127.0.0.1', () => {
+    const { port } = server.address() as AddressInfo;
+    server.close(() => resolve(port));
+  });
+});
+
+const waitFor = async (isDone: () => boolean | Promise<boolean>, what: string): Promise<void> => {
+  const until = performance.now() + 15_000;
+  const poll = async (): Promise<void> => {
+    if (await isDone()) return;
+    if (performance.now() > until) throw new Error(`not within 15 s: ${what}`);
+    await pause(20);
+    await poll();
+  };
+  await poll();
+};
+
+const formatDocument = (version: number, changes: Partial<Routing> = {}): string => (
+  JSON.stringify(makeRouting({ version, ...changes })));
+
+/** Control replicas of one site, as real servers on loopback with data folders of their own. */
+class ControlSite {
+  readonly running = new Map<number, RunningRoutedControl>();
+
+  private readonly folders = new Map<number, string>();
+
+  private constructor(private readonly ports: readonly number[]) {}
+
+  static async reserve(count: number): Promise<ControlSite> {
+    const ports = await Promise.all(Array.from({ length: count }, findFreePort));
+    return new ControlSite(ports);
+  }
+
+  async start(position: number, isFirstStart: boolean): Promise<void> {
+    const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
+    this.folders.set(position, folder);
+    this.running.set(position, await startRoutedControl({
+      settings: {
+        zone: 'a',
+        address: this.address(position),
+        readSeeds: () => [0, 1, 2].map((seed) => this.address(seed)),
+        isFirstStart,
+        dataFolder: folder,
+        leaseMs: 4_000,
+        voterCount: 3,
+        limitSlack: 1_000,
+      },
+      readRouting,
+      logger: makeLogger(`control/${position}`, (process.env.BEECHLIFT_LOGS ? 'info' : 'silent')),
+      failStorage: () => undefined,
+    }));
+  }
+
+  async stop(position: number): Promise<void> {
+    await this.running.get(position)?.stop();
+    this.running.delete(position);
+  }
+
+  async wipe(position: number): Promise<void> {
+    await this.stop(position);
+    await rm(this.folders.get(position) ?? '', { recursive: true, force: true });
+    this.folders.delete(position);
+  }
+
+  node(position: number) {
+    const running = this.running.get(position);
+    if (!running) throw new Error(`replica ${position} does not run`);
+    return running.node;
+  }
+
+  findLeader(): number | undefined {
+    return [...this.running].find(([, { node }]) => node.isLeading)?.[0];
+  }
+
+  async waitLeader(): Promise<number> {
+    await waitFor(() => this.findLeader() !== undefined, 'a leader');
+    return this.findLeader() ?? -1;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.running.keys()].map((position) => this.stop(position)));
+    await Promise.all([...this.folders.values()].map((folder) => rm(folder, { recursive: true, force: true })));
+  }
+
+  private address(position: number): string {
+    return `127.0.0.1:${this.ports[position]}`;
+  }
+}
+
+describe('control of a routed site', () => {
+  let site: ControlSite | undefined;
+
+  const found = async (count = 3): Promise<ControlSite> => {
+    site = await ControlSite.reserve(count);
+    const started = site;
+    await Promise.all([0, 1, 2].map((position) => started.start(position, true)));
+    await started.waitLeader();
+    return started;
+  };
+
+  const publish = (position: number, document: string) => (
+    (site as ControlSite).node(position).publish({ document, deadlineMs: 3_000, forwarded: false }));
+
+  afterEach(async () => {
+    await site?.close();
+    site = undefined;
+  });
+
+  it('should take a document at any replica and read the newest at every one', async () => {
+    const started = await found();
+    expect((await publish(1, formatDocument(4))).code).toBe(0);
+    expect((await publish(2, formatDocument(9))).code).toBe(0);
+    const read = await Promise.all([0, 1, 2].map((position) => started.node(position).readNewest()));
+    expect(read.map(({ version }) => version)).toEqual([9, 9, 9]);
+  });
+
+  // Two operators race; an acknowledgement is lost, and the older change is sent again.
+  it('should acknowledge an older document, or other content under the version held, without effect', async () => {
+    const started = await found();
+    const newest = formatDocument(9);
+    await publish(0, newest);
+    const other = formatDocument(9, { routes: [makeRoute({ name: 'other' })] });
+    expect((await publish(1, formatDocument(4))).code).toBe(0);
+    expect((await publish(2, other)).code).toBe(0);
+    expect((await started.node(1).readNewest()).document).toBe(newest);
+  });
+
+  it('should refuse an invalid document with every fault and keep the one in force', async () => {
+    const started = await found();
+    await publish(0, formatDocument(2));
+    const refused = await publish(1, formatDocument(3, { routes: [makeRoute({ timeoutMs: 0, targets: [] })] }));
+    expect(refused.code).not.toBe(0);
+    expect(refused.message).toMatch(/add up to nothing[\s\S]*no time/);
+    expect((await publish(1, '{"version": 3, "rou')).code).not.toBe(0);
+    expect((await started.node(2).readNewest()).version).toBe(2);
+  });
+
+  // A replica loses its disk right after it acknowledged a change, and nobody repairs anything.
+  it('should take a replica with an empty disk in again, and lose nothing that was accepted', async () => {
+    const started = await found();
+    await publish(0, formatDocument(5));
+    const leader = await started.waitLeader();
+    await started.wipe(leader);
+    await started.start(leader, false);
+    await started.waitLeader();
+    await waitFor(() => {
+      const { voters, learners } = started.node(leader).runner.state.replicas;
+      const own = started.node(leader).runner.state.id;
+      return voters.length === 3 && learners.length === 0 && voters.some(({ id }) => id === own);
+    }, 'the newborn votes');
+    const others = [0, 1, 2].filter((position) => position !== leader);
+    await started.stop(others[0] ?? 0);
+    await started.waitLeader();
+    expect((await started.node(leader).readNewest()).version).toBe(5);
+    expect((await publish(leader, formatDocument(6))).code).toBe(0);
+  });
+
+  // A machine is gone for good; another comes at a new address with an empty disk.
+  it('should put a newcomer at another address in the place of one that is gone', async () => {
+    const started = await found(4);
+    await publish(0, formatDocument(5));
+    const leader = await started.waitLeader();
+    const gone = [0, 1, 2].find((position) => position !== leader) ?? 0;
+    await started.wipe(gone);
+    await started.start(3, false);
+    await waitFor(() => {
+      const { voters } = started.node(leader).runner.state.replicas;
+      return voters.length === 3 && voters.some(({ id }) => id === started.node(3).runner.state.id);
+    }, 'the newcomer votes');
+    expect((await started.node(3).readNewest()).version).toBe(5);
+  });
+
+  it('should come back with what it knew after all processes ended at once', async () => {
+    const started = await found();
+    await publish(0, formatDocument(7));
+    const leader = await started.waitLeader();
+    await started.node(leader).announce(WorkerAnnouncement.fromPartial({
+      workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', sequence: 1,
+    }));
+    await pause(900);
+    await Promise.all([0, 1, 2].map((position) => started.stop(position)));
+    await Promise.all([0, 1, 2].map((position) => started.start(position, false)));
+    const next = await started.waitLeader();
+    const reply = await started.node(next).watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
+    expect(reply.documentVersion).toBe(7);
+    expect(reply.workers.map(({ said, standing }) => [said?.workerId, standing])).toEqual([['w1', 'ready']]);
+  });
+
+  // A founder is killed before the others knew of it, and is started again: one site, not two.
+  it('should found one site when a founder is restarted in the middle', async () => {
+    site = await ControlSite.reserve(3);
+    const started = site;
+    const first = started.start(0, true);
+    await pause(100);
+    await Promise.all([started.start(1, true), started.start(2, true), first]);
+    await started.waitLeader();
+    const sets = [0, 1, 2].map((position) => started.node(position).runner.state.replicas.voters.map(({ id }) => id).sort().join(' '));
+    expect(new Set(sets).size).toBe(1);
+  });
+
+  it('should answer a held question at once when a backend server leaves', async () => {
+    const started = await found();
+    await publish(0, formatDocument(2));
+    const leader = started.node(await started.waitLeader());
+    const say = (state: string, sequence: number) => leader.announce(WorkerAnnouncement.fromPartial({
+      workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state, sequence,
+    }));
+    await say('ready', 1);
+    const first = await leader.watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
+    const from = performance.now();
+    const held = leader.watch(WatchRequest.fromPartial({
+      entryId: 'e1', state: 'active', documentDigest: first.documentDigest, workersEpoch: first.workersEpoch, workersRevision: first.workersRevision, holdMs: 1_000,
+    }));
+    await say('draining', 2);
+    const reply = await held;
+    expect(reply.workers.map(({ standing }) => standing)).toEqual(['draining']);
+    expect(performance.now() - from).toBeLessThan(500);
+  });
+
+  it('should read nothing without a majority', async () => {
+    const started = await found();
+    await publish(0, formatDocument(2));
+    await Promise.all([1, 2].map((position) => started.stop(position)));
+    await expect(started.node(0).readNewest()).rejects.toThrow();
+  });
+});
--- a/tests/core/log-guards.spec.ts
+++ b/tests/core/log-guards.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { makeEmptyLog, makeLogState } from '../../src/core/log/logState';
+import { DEFAULT_LOG_TIMINGS, makeEmptyLog, makeLogState } from '../../src/core/log/logState';
 import { handleLogEvent } from '../../src/core/log/replicatedLog';
 import type { LogEffect, LogState, StoredLog } from '../../src/core/log/logTypes';
 import { LogMessage } from '../../src/protocol/generated/beechlift';
@@ -121,7 +121,8 @@
     const vote = (now: number) => findReply(
       deliver(restarted, { kind: 'vote', from: 'c2', term: 5 }, now),
     )?.granted;
-    expect(vote(LATER + 900)).toBe(false);
-    expect(vote(LATER + 1_001)).toBe(true);
+    const { electionMs } = DEFAULT_LOG_TIMINGS;
+    expect(vote(LATER + electionMs - 1)).toBe(false);
+    expect(vote(LATER + electionMs + 1)).toBe(true);
   });
 });
--- /dev/null
+++ b/tests/fakes/relayRig.ts
@@ -0,0 +1,193 @@
+import { createServer, Socket } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+import type { FastifyInstance } from 'fastify';
+import type { Routing } from '../../src/manifest/routing';
+import { WatchReply } from '../../src/protocol/generated/beechlift';
+import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
+import { PlaceClient } from '../../src/relay/placeClient';
+import { RelayMetrics } from '../../src/relay/relayMetrics';
+import { makeRelayServer } from '../../src/relay/relayServer';
+import { RelaySite } from '../../src/relay/relaySite';
+import type { RequestDialect } from '../../src/relay/requestDialect';
+import { WorkerConnections } from '../../src/relay/workerConnections';
+import { WorkerPicker } from '../../src/relay/workerPicker';
+import { makeLogger } from '../../src/telemetry/logger';
+import { SuspensionWatch, systemClock } from '../../src/utils/clock';
+
+const HOST = '127.0.0.1';
+const LEASE_MS = 60_000;
+
+/** A dialect of the tests' own: the relay must not depend on the names of any platform. */
+export const testDialect: RequestDialect = {
+  readCall: (headers) => ({
+    requestId: findHeader(headers, 'x-id') ?? '',
+    patienceMs: Number(findHeader(headers, 'x-patience') ?? 5_000),
+    key: findHeader(headers, 'x-key') ?? '',
+    tokens: undefined,
+  }),
+  readAnswer: (headers) => ({
+    requestId: findHeader(headers, 'x-id') ?? '',
+    isNotExecuted: findHeader(headers, 'x-not-run') !== undefined,
+    isEncoded: false,
+  }),
+  buildRequestHeaders: (headers, { workerId, remainingMs, lastEventId }) => [
+    ...dropHeaders(headers, new Set(['x-key', 'x-patience', 'content-length'])),
+    'x-worker', workerId, 'x-left', String(remainingMs), 'x-last', lastEventId,
+  ],
+};
+
+/** What a backend server of a test does with the bytes of a request. */
+export type ServerScript = (socket: Socket, request: string, count: number) => void;
+
+/** Writes a plain answer with a length. */
+export const sendAnswer = (socket: Socket, id: string, body: string, status = 200, extra = ''): void => {
+  socket.write(`HTTP/1.1 ${status} X\r\nx-id: ${id}\r\n${extra}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+};
+
+/** A backend server whose every byte is the test's. */
+export class ScriptedServer {
+  /** Requests as they came. */
+  readonly requests: string[] = [];
+
+  /** Sockets that the other end closed. */
+  closed = 0;
+
+  private readonly server: Server;
+
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly script: ServerScript) {
+    this.server = createServer((socket) => this.serve(socket));
+  }
+
+  /** Where it listens. */
+  get address(): string {
+    return `${HOST}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.listen(0, HOST, () => resolve());
+    });
+  }
+
+  close(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+    this.server.close();
+  }
+
+  private serve(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.closed += 1;
+    });
+    socket.on('data', (data) => {
+      this.requests.push(data.toString('latin1'));
+      this.script(socket, data.toString('latin1'), this.requests.length);
+    });
+  }
+}
+
+/** An entry over scripted backend servers, without control. */
+export class RelayRig {
+  readonly metrics = new RelayMetrics();
+
+  readonly site = new RelaySite({
+    entryId: 'e1',
+    callerAddress: '',
+    zone: 'a',
+    readRouting: () => ({ routing: this.routing, faults: [] }),
+    clock: systemClock,
+    suspension: new SuspensionWatch(),
+    logger: makeLogger('test', 'silent'),
+    retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+  });
+
+  private readonly connections = new WorkerConnections();
+
+  private app: FastifyInstance | undefined;
+
+  private constructor(private readonly routing: Routing, private readonly servers: readonly ScriptedServer[]) {}
+
+  /** Starts servers with the scripts, named w0, w1 and so on, and an entry before them. */
+  static async start(routing: Routing, scripts: readonly ServerScript[]): Promise<RelayRig> {
+    const servers = scripts.map((script) => new ScriptedServer(script));
+    await Promise.all(servers.map((server) => server.listen()));
+    const rig = new RelayRig(routing, servers);
+    await rig.open();
+    return rig;
+  }
+
+  /** The server of a number. */
+  server(position: number): ScriptedServer {
+    return this.servers[position] as ScriptedServer;
+  }
+
+  /** Requests that all servers together received. */
+  get received(): string[] {
+    return this.servers.flatMap(({ requests }) => requests);
+  }
+
+  get port(): number {
+    return (this.app?.server.address() as AddressInfo).port;
+  }
+
+  /** Sends bytes as they are and collects what comes until the connection ends or it is quiet. */
+  exchange(bytes: string, quietMs = 150): Promise<string> {
+    return new Promise((resolve) => {
+      const socket = new Socket();
+      const pieces: Buffer[] = [];
+      const end = (): void => {
+        socket.destroy();
+        resolve(Buffer.concat(pieces).toString('latin1'));
+      };
+      socket.setTimeout(quietMs, end);
+      socket.on('data', (piece) => pieces.push(piece));
+      socket.on('close', end);
+      socket.on('error', end);
+      socket.connect(this.port, HOST, () => socket.write(bytes));
+    });
+  }
+
+  async close(): Promise<void> {
+    this.connections.close();
+    this.servers.forEach((server) => server.close());
+    this.app?.server.closeAllConnections();
+    await this.app?.close();
+  }
+
+  private async open(): Promise<void> {
+    const { site } = this;
+    site.applyReply(WatchReply.fromPartial({
+      leaseMs: LEASE_MS,
+      documentDigest: 'd',
+      documentVersion: 1,
+      document: 'd',
+      workersEpoch: 'e',
+      workersRevision: 1,
+      entryCount: 1,
+      workers: this.servers.map(({ address }, position) => ({
+        said: {
+          workerId: `w${position}`, service: 'rooms', address, zone: 'a', slots: 6, state: 'ready', sequence: 1,
+        },
+        standing: 'ready',
+      })),
+    }), systemClock.now(), new SuspensionWatch().readEpoch());
+    const logger = makeLogger('test', 'silent');
+    const placeClient = new PlaceClient({
+      findLeader: () => undefined, clock: systemClock, logger,
+    });
+    this.app = makeRelayServer({
+      site,
+      dialect: testDialect,
+      connections: this.connections,
+      picker: new WorkerPicker({ site, placeClient, clock: systemClock }),
+      placeClient,
+      clock: systemClock,
+      logger,
+      metrics: this.metrics,
+    });
+    await this.app.listen({ host: HOST, port: 0 });
+  }
+}
--- /dev/null
+++ b/tests/relay/routed-request.spec.ts
@@ -0,0 +1,221 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import type { Route } from '../../src/manifest/routing';
+import { RelayRig, sendAnswer } from '../fakes/relayRig';
+import type { ServerScript } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+
+const HOST = 'Host: shop.example\r\nx-id: r1\r\nx-key: k1\r\n';
+
+const answerAll: ServerScript = (socket, request) => {
+  sendAnswer(socket, /x-id: (\w+)/.exec(request)?.[1] ?? '', 'fine');
+};
+
+const failAll: ServerScript = (socket) => sendAnswer(socket, 'r1', 'broken', 500);
+
+const makeEvents = (from: number, to: number): string => (
+  Array.from({ length: to - from + 1 }, (unused, position) => `id: ${from + position}\ndata: x\n\n`).join('')
+);
+
+const HEAD = 'HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n';
+
+const writeChunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+
+describe('a routed request', () => {
+  let rig: RelayRig | undefined;
+
+  const start = async (route: Partial<Route>, ...scripts: ServerScript[]): Promise<RelayRig> => {
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), scripts);
+    return rig;
+  };
+
+  const callShop = async (path = '/orders/7', options: RequestInit = {}): Promise<Response> => {
+    // fetch sets no Host of its own choosing; the rig's host is sent raw where it matters.
+    const text = await rig?.exchange(`${options.method ?? 'GET'} ${path} HTTP/1.1\r\n${HOST}${options.body ? `content-length: ${String(options.body).length}\r\n` : ''}connection: close\r\n\r\n${String(options.body ?? '')}`, 2_500) ?? '';
+    const status = Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0);
+    return new Response(text.slice(text.indexOf('\r\n\r\n') + 4), { status: status || 599, headers: { 'x-head': encodeURIComponent(text.slice(0, text.indexOf('\r\n\r\n'))) } });
+  };
+
+  afterEach(async () => {
+    await rig?.close();
+    rig = undefined;
+  });
+
+  it('should pass method, path, body and headers on unchanged, less the key', async () => {
+    const { received } = await start({}, answerAll).then(async (started) => {
+      await callShop('/orders/7?a=%20b', { method: 'PUT', body: 'one two' });
+      return started;
+    });
+    expect(received[0]).toMatch(/^PUT \/orders\/7\?a=%20b HTTP\/1.1\r\n/);
+    expect(received[0]).toMatch(/Host: shop.example\r\n/i);
+    expect(received[0]).toMatch(/x-id: r1\r\n/);
+    expect(received[0]?.endsWith('\r\n\r\none two')).toBe(true);
+    expect(received[0]).not.toMatch(/k1/);
+  });
+
+  // A server dies in the middle of a plain answer. The other one is asked, as the route allows it,
+  // and its answer must not be put behind the half that the caller had of the first.
+  it('should answer with one whole answer when a server breaks off', async () => {
+    const half: ServerScript = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 9\r\n\r\nhalf');
+      setTimeout(() => socket.destroy(), 20);
+    };
+    await start({ kind: 'idempotent' }, half, half, answerAll);
+    const answer = await callShop();
+    const body = await answer.text();
+    expect([200, 502]).toContain(answer.status);
+    expect(body).not.toMatch(/half/);
+    if (answer.status === 200) expect(body).toBe('fine');
+  });
+
+  // A door code is issued, the connection breaks before the answer: a second send would issue two.
+  it('should never send twice what may run once, when its answer is lost', async () => {
+    const lose: ServerScript = (socket) => socket.destroy();
+    const started = await start({ kind: 'nonIdempotent' }, lose, lose);
+    expect((await callShop('/orders/7', { method: 'POST', body: 'x' })).status).toBe(502);
+    expect(started.received).toHaveLength(1);
+  });
+
+  it('should send what may run once to another server when the first says that it did not run', async () => {
+    const refuse: ServerScript = (socket) => sendAnswer(socket, 'r1', '', 503, 'x-not-run: 1\r\n');
+    const either: ServerScript = (socket, request, count) => (
+      started.received.length === 1 && count === 1 ? refuse : answerAll)(socket, request, count);
+    const started: RelayRig = await start({ kind: 'nonIdempotent' }, either, either);
+    expect((await callShop()).status).toBe(200);
+    expect(started.received).toHaveLength(2);
+  });
+
+  // An answer of an earlier request comes late, on the connection where this one's is due.
+  it('should not take the answer of another request for its own', async () => {
+    const stray: ServerScript = (socket) => sendAnswer(socket, 'other', 'not yours');
+    const started = await start({ kind: 'nonIdempotent' }, stray);
+    const answer = await callShop();
+    expect([answer.status, await answer.text()]).not.toContain('not yours');
+    expect(answer.status).toBe(502);
+    expect(started.received).toHaveLength(1);
+  });
+
+  it('should repeat a failure of a route that may be repeated, and pass the last one on', async () => {
+    const started = await start({ kind: 'idempotent', maxAttempts: 2 }, failAll, failAll, failAll);
+    const answer = await callShop();
+    expect([answer.status, await answer.text()]).toEqual([500, 'broken']);
+    expect(started.received).toHaveLength(2);
+  });
+
+  it('should pass a failure on at once where the route may not be repeated', async () => {
+    const started = await start({ kind: 'nonIdempotent', maxAttempts: 3 }, failAll, failAll);
+    expect((await callShop()).status).toBe(500);
+    expect(started.received).toHaveLength(1);
+  });
+
+  // A stream that may be resumed loses its server in the middle of an event: the caller gets each
+  // event once and whole, from two servers, in one answer.
+  it('should go on with a stream at another server after its last whole event', async () => {
+    const serve: ServerScript = (socket, request) => {
+      const last = Number(/x-last: (\d+)/.exec(request)?.[1] ?? 0);
+      if (last > 0) {
+        socket.write(`${HEAD}${writeChunk(makeEvents(last + 1, 9))}0\r\n\r\n`);
+        return;
+      }
+      socket.write(`${HEAD}${writeChunk(`${makeEvents(1, 5)}id: 6\nda`)}`);
+      setTimeout(() => socket.destroy(), 30);
+    };
+    await start({ kind: 'stream', isResumable: true, targetLatencyMs: 800 }, serve, serve);
+    const text = await (await callShop()).text();
+    const ids = [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+    expect(ids).toEqual([1, 2, 3, 4, 5, 6, 7, 8, 9]);
+  });
+
+  it('should break a stream off that may not be resumed, so that it does not look whole', async () => {
+    const serve: ServerScript = (socket) => {
+      socket.write(`${HEAD}${writeChunk(makeEvents(1, 5))}`);
+      setTimeout(() => socket.destroy(), 30);
+    };
+    const started = await start({ kind: 'stream' }, serve, serve);
+    const text = await (await callShop()).text();
+    expect(text).toMatch(/id: 5/);
+    expect(text).not.toMatch(/\r\n0\r\n\r\n$/);
+    expect(started.received).toHaveLength(1);
+  });
+
+  it('should stop the work of a server whose caller has gone', async () => {
+    const silent: ServerScript = () => undefined;
+    const started = await start({ kind: 'nonIdempotent' }, silent);
+    await started.exchange(`GET /orders/7 HTTP/1.1\r\n${HOST}\r\n`, 100);
+    await pause(100);
+    expect(started.received).toHaveLength(1);
+    expect(started.server(0).closed).toBe(1);
+  });
+
+  it('should give the final answer at the timeout of the route', async () => {
+    await start({ kind: 'nonIdempotent', timeoutMs: 200 }, () => undefined);
+    const from = performance.now();
+    expect((await callShop()).status).toBe(504);
+    expect(performance.now() - from).toBeLessThan(1_500);
+  });
+
+  it('should take an idempotent request away from a silent server', async () => {
+    const started = await start({ kind: 'idempotent', targetLatencyMs: 50 }, (socket, request, count) => {
+      if (started.received.length > 1) answerAll(socket, request, count);
+    }, (socket, request, count) => {
+      if (started.received.length > 1) answerAll(socket, request, count);
+    });
+    expect((await callShop()).status).toBe(200);
+    expect(started.received).toHaveLength(2);
+  });
+
+  it('should refuse without a lease, with a time to come back, and say nothing of routes', async () => {
+    const started = await start({}, answerAll);
+    Object.assign(started.site, { leaseUntil: -1 });
+    const answer = await callShop('/nothing/here');
+    expect(answer.status).toBe(503);
+    expect(decodeURIComponent(answer.headers.get('x-head') ?? '')).toMatch(/retry-after/i);
+    expect(started.received).toHaveLength(0);
+  });
+
+  it.each([
+    ['/nothing', 'x-key: k1\r\n', 404],
+    ['/orders/1', 'x-key: wrong\r\n', 401],
+    ['/orders/1', '', 401],
+  ])('should answer %s with key "%s" by %i', async (path, key, status) => {
+    const started = await start({}, answerAll);
+    const text = await started.exchange(`GET ${path} HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\n${key}\r\n`);
+    expect(text).toMatch(new RegExp(`^HTTP/1.1 ${status}`));
+    expect(started.received).toHaveLength(0);
+  });
+
+  // A caller hides a second request in the body of the first, by two lengths that contradict.
+  it('should refuse a request with two ways of telling its length', async () => {
+    const started = await start({}, answerAll);
+    const inner = 'GET /orders/9 HTTP/1.1\r\nHost: shop.example\r\nx-id: r9\r\n\r\n';
+    const text = await started.exchange(`POST /orders/7 HTTP/1.1\r\n${HOST}content-length: ${inner.length}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n${inner}`);
+    expect(text).toMatch(/^HTTP\/1.1 400/);
+    expect(started.received.join('')).not.toMatch(/r9/);
+  });
+
+  it('should refuse a body beyond the limit and keep serving', async () => {
+    rig = await RelayRig.start(makeRouting({
+      limits: {
+        headerBytes: 16_384, bodyBytes: 10, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+      },
+    }), [answerAll]);
+    expect((await callShop('/orders/1', { method: 'POST', body: 'far too long a body' })).status).toBe(413);
+    expect((await callShop('/orders/1', { method: 'POST', body: 'short' })).status).toBe(200);
+  });
+
+  // A server sends another answer right behind a whole one; whatever is sent next over that
+  // connection would get it.
+  it('should never reuse a connection with bytes behind a whole answer', async () => {
+    const twice: ServerScript = (socket, request) => {
+      const id = /x-id: (\w+)/.exec(request)?.[1] ?? '';
+      sendAnswer(socket, id, `for ${id}`);
+      sendAnswer(socket, id, `again ${id}`);
+    };
+    const started = await start({}, twice);
+    const ask = (id: string) => started.exchange(`GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nx-id: ${id}\r\nx-key: k1\r\n\r\n`);
+    expect(await ask('a')).toMatch(/for a$/);
+    expect(await ask('b')).toMatch(/for b$/);
+  });
+});
