--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -174,13 +174,13 @@
   ): Promise<AttemptEnd> {
     const { worker } = picked;
     const { connections, dialect, clock } = this.parts;
-    const client = connections.take(worker.address);
+    const connection = connections.take(worker.address);
     const promptTokens = this.facts.tokens?.prompt ?? 0;
     const startedAt = clock.now();
     let verdict: AttemptEnd | undefined;
     let isPending = true;
     this.writer.dropUnsent();
-    const call: UpstreamCall = new UpstreamCall(client, {
+    const call: UpstreamCall = new UpstreamCall(connection, {
       onHead: (head) => {
         worker.pendingTokens -= isPending ? promptTokens : 0;
         isPending = false;
@@ -222,8 +222,8 @@
     if (isPending) worker.pendingTokens -= promptTokens;
     this.call = undefined;
     if (call.isSent) this.sent += 1;
-    if (end.kind === 'whole') connections.give(worker.address, client);
-    else connections.drop(client);
+    if (end.kind === 'whole') connections.give(connection);
+    else connection.end();
     const settled = this.settle(worker, startedAt, end, verdict);
     this.reportPlaced(picked, PLACED_PHASES[settled.kind], startedAt);
     return settled;
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -1,5 +1,6 @@
-import type { Client, Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { RawHeaders } from './requestDialect';
+import type { WorkerConnection } from './workerConnection';
 
 /** How a request went at one backend server. */
 export type UpstreamEnd = | { readonly kind: 'whole' }
@@ -39,7 +40,7 @@
  * One request to one backend server.
  *
  * @example
- * const call = new UpstreamCall(client, listener);
+ * const call = new UpstreamCall(connection, listener);
  * const end = await call.run(request);
  */
 export class UpstreamCall {
@@ -52,7 +53,10 @@
 
   private isRefused = false;
 
-  constructor(private readonly client: Client, private readonly listener: UpstreamListener) {}
+  constructor(
+    private readonly connection: WorkerConnection,
+    private readonly listener: UpstreamListener,
+  ) {}
 
   /** Sends the request; resolves once its answer has ended, whole or not. */
   run({
@@ -65,7 +69,7 @@
           : { kind: 'unsent', reason: error.message },
       );
       try {
-        this.client.dispatch({
+        this.connection.client.dispatch({
           method,
           path,
           headers,
@@ -76,9 +80,7 @@
           onResponseData: (controller, chunk) => {
             if (!this.isRefused && !this.listener.onData(chunk)) controller.pause();
           },
-          onResponseEnd: () => resolve(this.isRefused
-            ? { kind: 'broken', reason: 'the answer was refused' }
-            : { kind: 'whole' }),
+          onResponseEnd: () => resolve(this.judgeEnd()),
           onResponseError: (controller, error) => fail(error),
         });
       } catch (error) {
@@ -96,7 +98,7 @@
   abort(reason: string): void {
     this.abortReason = new Error(reason);
     if (this.controller) this.controller.abort(this.abortReason);
-    else this.client.destroy(this.abortReason).catch(() => undefined); // Its end is reported above.
+    else this.connection.client.destroy(this.abortReason).catch(() => undefined); // Its end is reported above.
   }
 
   /*
@@ -116,6 +118,12 @@
     this.isSent = true;
   }
 
+  private judgeEnd(): UpstreamEnd {
+    if (this.isRefused) return { kind: 'broken', reason: 'the answer was refused' };
+    if (this.connection.wasReset) return { kind: 'broken', reason: 'the connection was reset' };
+    return { kind: 'whole' };
+  }
+
   private readHead(controller: Dispatcher.DispatchController, status: number): void {
     // Answers below 200 only announce the one that follows.
     if (status < 200) return;
--- a/tests/relay/routed-request.spec.ts
+++ b/tests/relay/routed-request.spec.ts
@@ -128,6 +128,29 @@
     expect(ids).toEqual([1, 2, 3, 4, 5, 6, 7, 8, 9]);
   });
 
+  // A server answers without a length, so that the answer ends with the connection, and crashes in
+  // the middle: the reset must not be taken for the end, or half an answer looks whole.
+  it('should not take a reset for the end of an answer without a length', async () => {
+    const crash: ServerScript = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\nconnection: close\r\n\r\nhalf of it');
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    };
+    await start({ kind: 'nonIdempotent' }, crash);
+    const answer = await callShop();
+    expect([answer.status, await answer.text()]).not.toContain('half of it');
+    expect(answer.status).toBe(502);
+  });
+
+  it('should pass an answer without a length on when its connection ends in order', async () => {
+    const close: ServerScript = (socket) => {
+      socket.end('HTTP/1.1 200 OK\r\nx-id: r1\r\nconnection: close\r\n\r\nall of it');
+    };
+    await start({ kind: 'nonIdempotent' }, close);
+    const answer = await callShop();
+    expect(answer.status).toBe(200);
+    expect(await answer.text()).toMatch(/all of it/);
+  });
+
   it('should break a stream off that may not be resumed, so that it does not look whole', async () => {
     const serve: ServerScript = (socket) => {
       socket.write(`${HEAD}${writeChunk(makeEvents(1, 5))}`);
