--- a/scripts/start.ts
+++ b/scripts/start.ts
@@ -37,8 +37,9 @@
 const children: ChildProcess[] = [];
 
 const run = (args: readonly string[]): ChildProcess => {
-  const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'ignore', 'pipe'] });
-  child.stderr?.on('data', (data: Buffer) => {
+  const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+  child.stderr?.resume();
+  child.stdout?.on('data', (data: Buffer) => {
     if (process.env.BEECHLIFT_LOGS) process.stderr.write(data);
   });
   children.push(child);
--- a/src/control/replicaKeeper.ts
+++ b/src/control/replicaKeeper.ts
@@ -60,7 +60,10 @@
     ids.filter((id) => !this.heardAt.has(id)).forEach((id) => this.heardAt.set(id, now));
     return ids
       .filter((id) => id !== ownId)
-      .filter((id) => now - Math.max(leadingSince, this.heardAt.get(id) ?? now) > REPLICA_SILENCE_MS);
+      .filter((id) => {
+        const heardAt = Math.max(leadingSince, this.heardAt.get(id) ?? now);
+        return now - heardAt > REPLICA_SILENCE_MS;
+      });
   }
 
   private listCaughtUp({ peers, commitIndex }: LogState): string[] {
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -4,7 +4,8 @@
 import { SiteClient, SiteService } from '../protocol/generated/beechlift';
 import type {
   AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceReply, PlaceRequest,
-  PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest, WorkerAnnouncement,
+  PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest,
+  WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { RoutingReader } from '../manifest/routing';
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -1,7 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import type {
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceReply,
-  PlaceRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
+  PlaceRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply,
+  WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
@@ -353,7 +354,11 @@
     noteAnnouncement(this.workers, said, this.parts.clock.now());
     if (this.workers.revision === revision) return;
     this.parts.logger.info('backend server changed', {
-      worker: said.workerId, service: said.service, address: said.address, state: said.state, sequence: said.sequence,
+      worker: said.workerId,
+      service: said.service,
+      address: said.address,
+      state: said.state,
+      sequence: said.sequence,
     });
     this.watches.release();
   }
--- /dev/null
+++ b/src/core/routing/arrivals.ts
@@ -0,0 +1,47 @@
+/** How often requests of each rank arrive at a service, smoothed. */
+interface Rate {
+  perMs: number;
+  /** When it was last brought up to date, monotonic milliseconds. */
+  at: number;
+}
+
+/** Rates by service and rank. */
+export type Arrivals = Map<string, Map<number, Rate>>;
+
+/** Time over which a rate forgets, in milliseconds: short against a burst, long against a lull. */
+const WINDOW_MS = 1_500;
+
+/** Makes an empty table. */
+export const makeArrivals = (): Arrivals => new Map();
+
+const readRate = ({ perMs, at }: Rate, now: number): number => (
+  perMs * Math.exp((at - now) / WINDOW_MS)
+);
+
+/** Counts an arrival. */
+export const noteArrival = (
+  arrivals: Arrivals,
+  service: string,
+  rank: number,
+  now: number,
+): void => {
+  const ranks = arrivals.get(service) ?? new Map<number, Rate>();
+  const rate = ranks.get(rank);
+  ranks.set(rank, { perMs: (rate ? readRate(rate, now) : 0) + 1 / WINDOW_MS, at: now });
+  arrivals.set(service, ranks);
+};
+
+/**
+ * Reads how many requests of higher ranks arrive in a millisecond.
+ *
+ * @example
+ * const perMs = readHigherRate(arrivals, 'bale-scribe', 2, now); // ranks 0 and 1
+ */
+export const readHigherRate = (
+  arrivals: Arrivals,
+  service: string,
+  rank: number,
+  now: number,
+): number => [...(arrivals.get(service) ?? [])]
+  .filter(([other]) => other < rank)
+  .reduce((sum, [, rate]) => sum + readRate(rate, now), 0);
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -5,6 +5,8 @@
  * all send to the same engine, where requests then wait in the order they came while another engine
  * idles. Here every slot is known, none is given twice, and what waits is served by rank.
  */
+import { makeArrivals, noteArrival, readHigherRate } from './arrivals';
+import type { Arrivals } from './arrivals';
 import { readLine } from './lineFit';
 import {
   findWork, learnAnswer, learnPace, noteReached, suspendWorker,
@@ -44,6 +46,9 @@
   readonly workers: RoutedWorkers;
   readonly waiting: Map<string, PlaceAsk>;
   readonly placed: Map<string, PlacedRequest>;
+  readonly arrivals: Arrivals;
+  /** Refusals so far, by which those that come back are spread. */
+  refusals: number;
 }
 
 /** What was decided of a request. */
@@ -74,15 +79,23 @@
  * target is for its own beginning. The lowest rank gives up first, as it is served last.
  */
 const WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
-/** Bounds on the time after which a refused caller may come back, in milliseconds. */
-const MIN_RETRY_MS = 250;
-const MAX_RETRY_MS = 4_000;
+/**
+ * Time after which a refused caller may come back, in milliseconds. One that comes back while the
+ * burst lasts is refused again, which helps nobody, so it is told a time in the order of a burst;
+ * those that were refused together come back one after the other.
+ */
+const MIN_RETRY_MS = 2_000;
+const MAX_RETRY_MS = 5_000;
+const RETRY_STEPS = 8;
+const RETRY_STEP_MS = 250;
 /** Bounds what waits, over all services. */
 const MAX_WAITING = 4_096;
 
 /** Makes empty tables over the backend servers. */
 export const makePlacement = (workers: RoutedWorkers): PlacementTables => (
-  { workers, waiting: new Map(), placed: new Map() }
+  {
+    workers, waiting: new Map(), placed: new Map(), arrivals: makeArrivals(), refusals: 0,
+  }
 );
 
 const countSlots = ({ workers }: PlacementTables, service: string, now: number): number => (
@@ -96,14 +109,21 @@
     service === ask.service && rank <= ask.rank && id !== ask.id)).length
 );
 
+/** Part of all slots that a rank gets at least, however many requests of higher ranks come. */
+const LEAST_PART = 0.05;
+
 /**
- * Estimates how long a request waits for a slot, by what waits before it and how long a slot is
- * held.
+ * Estimates how long a request waits for a slot: by what waits before it, how long slots are held,
+ * and how many of the slots that become free go to higher ranks which arrive meanwhile. Without the
+ * last, low ranks would be let in to wait and be refused late.
  */
 const estimateWaitMs = (tables: PlacementTables, ask: PlaceAsk, now: number): number => {
-  const slots = countSlots(tables, ask.service, now);
+  const slots = Math.max(1, countSlots(tables, ask.service, now));
   const { holdMs } = findWork(tables.workers, ask.service);
-  return ((countAhead(tables, ask) + 1) * holdMs) / Math.max(1, slots);
+  const freedPerMs = slots / holdMs;
+  const higherPerMs = readHigherRate(tables.arrivals, ask.service, ask.rank, now);
+  const leftPerMs = Math.max(LEAST_PART * freedPerMs, freedPerMs - higherPerMs);
+  return (countAhead(tables, ask) + 1) / leftPerMs;
 };
 
 const computePatienceMs = (tables: PlacementTables, ask: PlaceAsk): number => {
@@ -119,12 +139,14 @@
   reason: string,
 ): PlaceDecision => {
   tables.waiting.delete(ask.id);
+  tables.refusals += 1;
   const waitMs = estimateWaitMs(tables, ask, now);
+  const spreadMs = (tables.refusals % RETRY_STEPS) * RETRY_STEP_MS;
   return {
     kind: 'refuse',
     id: ask.id,
     reason,
-    retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs))),
+    retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs) + spreadMs)),
   };
 };
 
@@ -204,6 +226,7 @@
   now: number,
 ): PlaceDecision[] => {
   if (tables.waiting.has(ask.id) || tables.placed.has(ask.id)) return [];
+  noteArrival(tables.arrivals, ask.service, ask.rank, now);
   if (tables.waiting.size >= MAX_WAITING) return [refuse(tables, ask, now, 'too many requests wait')];
   tables.waiting.set(ask.id, ask);
   const decisions = runPlacement(tables, now);
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -44,7 +44,9 @@
     connectionTimeout: 0,
     requestTimeout: 0,
     http: {
-      maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: FIRST_HEAD_MS, connectionsCheckingInterval: CHECK_MS,
+      maxHeaderSize: MAX_HEAD_BYTES,
+      headersTimeout: FIRST_HEAD_MS,
+      connectionsCheckingInterval: CHECK_MS,
     },
     clientErrorHandler: answerUnreadable,
     forceCloseConnections: 'idle',
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -97,8 +97,9 @@
   /** Gives the request up; its connection ends, by which the backend server learns of it. */
   abort(reason: string): void {
     this.abortReason = new Error(reason);
+    // Without a controller, the end of the request is reported as that of its connection.
     if (this.controller) this.controller.abort(this.abortReason);
-    else this.connection.client.destroy(this.abortReason).catch(() => undefined); // Its end is reported above.
+    else this.connection.client.destroy(this.abortReason).catch(() => undefined);
   }
 
   /*
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -33,10 +33,10 @@
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (options, callback) => connect(options, (error, socket) => {
-        if (socket) this.watch(socket as Socket);
+        if (socket) this.watch(socket);
         // The library types the two cases of its callback apart.
         if (error) callback(error, null);
-        else callback(null, socket as never);
+        else callback(null, socket);
       }),
       keepAliveTimeout: IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -1,4 +1,4 @@
-import loglevel from 'loglevel';
+import pino from 'pino';
 import type { LogLevel } from '../settings/settings';
 
 /** Fields of a log line beside its message. */
@@ -10,25 +10,54 @@
   fields?: LogFields,
 ) => void>>;
 
-const writeLine = (level: string, process: string, message: string, fields: LogFields): void => {
-  const line = {
-    time: new Date().toISOString(), level, process, message, ...fields,
-  };
-  console.error(JSON.stringify(line));
+/** Bytes of lines that wait for a reader who is slow; what comes beyond is dropped and counted. */
+const MAX_WAITING_BYTES = 1_048_576;
+const STANDARD_OUTPUT = 1;
+
+/*
+ * Guards the event loop against a reader of the logs who stops reading: standard output is a pipe,
+ * whose writes would block. Lines are written beside the loop, and dropped beyond a bound.
+ */
+const openOutput = () => pino.destination({
+  dest: STANDARD_OUTPUT, sync: false, maxLength: MAX_WAITING_BYTES,
+});
+
+let output: ReturnType<typeof openOutput> | undefined;
+
+let dropped = 0;
+
+const useOutput = (): ReturnType<typeof openOutput> => {
+  if (output) return output;
+  output = openOutput();
+  output.on('drop', () => {
+    dropped += 1;
+  });
+  process.on('exit', () => output?.flushSync());
+  return output;
 };
 
+/** Lines that were dropped so far, as their reader was too slow. */
+export const countDroppedLines = (): number => dropped;
+
 /**
- * Makes a logger whose lines are JSON on standard error.
+ * Makes a logger whose lines are JSON on standard output.
  *
  * @example
  * const logger = makeLogger('entry/e1', 'info');
  * logger.info('request refused', { requestId, code: 2001 });
  */
-export const makeLogger = (process: string, level: LogLevel): Logger => {
-  const logger = loglevel.getLogger(process);
-  logger.methodFactory = (name) => (message: string, fields: LogFields = {}) => {
-    writeLine(name, process, message, fields);
+export const makeLogger = (name: string, level: LogLevel): Logger => {
+  const logger = pino({
+    level,
+    base: { process: name },
+    messageKey: 'message',
+    timestamp: pino.stdTimeFunctions.isoTime,
+    formatters: { level: (label) => ({ level: label }) },
+  }, useOutput());
+  return {
+    debug: (message, fields = {}) => logger.debug(fields, message),
+    info: (message, fields = {}) => logger.info(fields, message),
+    warn: (message, fields = {}) => logger.warn(fields, message),
+    error: (message, fields = {}) => logger.error(fields, message),
   };
-  logger.setLevel(level, false);
-  return logger;
 };
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -55,7 +55,7 @@
 
   private constructor(private readonly ports: readonly number[]) {}
 
-  static async reserve(count: number): Promise<ControlSite> {
+  static async open(count: number): Promise<ControlSite> {
     const ports = await Promise.all(Array.from({ length: count }, findFreePort));
     return new ControlSite(ports);
   }
@@ -66,8 +66,8 @@
     this.running.set(position, await startRoutedControl({
       settings: {
         zone: 'a',
-        address: this.address(position),
-        readSeeds: () => [0, 1, 2].map((seed) => this.address(seed)),
+        address: this.readAddress(position),
+        readSeeds: () => [0, 1, 2].map((seed) => this.readAddress(seed)),
         isFirstStart,
         dataFolder: folder,
         leaseMs: 4_000,
@@ -85,13 +85,13 @@
     this.running.delete(position);
   }
 
-  async wipe(position: number): Promise<void> {
+  async dropDisk(position: number): Promise<void> {
     await this.stop(position);
     await rm(this.folders.get(position) ?? '', { recursive: true, force: true });
     this.folders.delete(position);
   }
 
-  node(position: number) {
+  findNode(position: number) {
     const running = this.running.get(position);
     if (!running) throw new Error(`replica ${position} does not run`);
     return running.node;
@@ -108,10 +108,11 @@
 
   async close(): Promise<void> {
     await Promise.all([...this.running.keys()].map((position) => this.stop(position)));
-    await Promise.all([...this.folders.values()].map((folder) => rm(folder, { recursive: true, force: true })));
+    await Promise.all([...this.folders.values()].map((folder) => (
+      rm(folder, { recursive: true, force: true }))));
   }
 
-  private address(position: number): string {
+  private readAddress(position: number): string {
     return `127.0.0.1:${this.ports[position]}`;
   }
 }
@@ -120,7 +121,7 @@
   let site: ControlSite | undefined;
 
   const found = async (count = 3): Promise<ControlSite> => {
-    site = await ControlSite.reserve(count);
+    site = await ControlSite.open(count);
     const started = site;
     await Promise.all([0, 1, 2].map((position) => started.start(position, true)));
     await started.waitLeader();
@@ -128,7 +129,8 @@
   };
 
   const publish = (position: number, document: string) => (
-    (site as ControlSite).node(position).publish({ document, deadlineMs: 3_000, forwarded: false }));
+    (site as ControlSite).findNode(position)
+      .publish({ document, deadlineMs: 3_000, forwarded: false }));
 
   afterEach(async () => {
     await site?.close();
@@ -139,29 +141,32 @@
     const started = await found();
     expect((await publish(1, formatDocument(4))).code).toBe(0);
     expect((await publish(2, formatDocument(9))).code).toBe(0);
-    const read = await Promise.all([0, 1, 2].map((position) => started.node(position).readNewest()));
+    const read = await Promise.all(
+      [0, 1, 2].map((position) => started.findNode(position).readNewest()),
+    );
     expect(read.map(({ version }) => version)).toEqual([9, 9, 9]);
   });
 
   // Two operators race; an acknowledgement is lost, and the older change is sent again.
-  it('should acknowledge an older document, or other content under the version held, without effect', async () => {
+  it('should acknowledge what is older or held already, without effect', async () => {
     const started = await found();
     const newest = formatDocument(9);
     await publish(0, newest);
     const other = formatDocument(9, { routes: [makeRoute({ name: 'other' })] });
     expect((await publish(1, formatDocument(4))).code).toBe(0);
     expect((await publish(2, other)).code).toBe(0);
-    expect((await started.node(1).readNewest()).document).toBe(newest);
+    expect((await started.findNode(1).readNewest()).document).toBe(newest);
   });
 
   it('should refuse an invalid document with every fault and keep the one in force', async () => {
     const started = await found();
     await publish(0, formatDocument(2));
-    const refused = await publish(1, formatDocument(3, { routes: [makeRoute({ timeoutMs: 0, targets: [] })] }));
+    const routes = [makeRoute({ timeoutMs: 0, targets: [] })];
+    const refused = await publish(1, formatDocument(3, { routes }));
     expect(refused.code).not.toBe(0);
     expect(refused.message).toMatch(/add up to nothing[\s\S]*no time/);
     expect((await publish(1, '{"version": 3, "rou')).code).not.toBe(0);
-    expect((await started.node(2).readNewest()).version).toBe(2);
+    expect((await started.findNode(2).readNewest()).version).toBe(2);
   });
 
   // A replica loses its disk right after it acknowledged a change, and nobody repairs anything.
@@ -169,18 +174,18 @@
     const started = await found();
     await publish(0, formatDocument(5));
     const leader = await started.waitLeader();
-    await started.wipe(leader);
+    await started.dropDisk(leader);
     await started.start(leader, false);
     await started.waitLeader();
     await waitFor(() => {
-      const { voters, learners } = started.node(leader).runner.state.replicas;
-      const own = started.node(leader).runner.state.id;
+      const { voters, learners } = started.findNode(leader).runner.state.replicas;
+      const own = started.findNode(leader).runner.state.id;
       return voters.length === 3 && learners.length === 0 && voters.some(({ id }) => id === own);
     }, 'the newborn votes');
     const others = [0, 1, 2].filter((position) => position !== leader);
     await started.stop(others[0] ?? 0);
     await started.waitLeader();
-    expect((await started.node(leader).readNewest()).version).toBe(5);
+    expect((await started.findNode(leader).readNewest()).version).toBe(5);
     expect((await publish(leader, formatDocument(6))).code).toBe(0);
   });
 
@@ -190,55 +195,65 @@
     await publish(0, formatDocument(5));
     const leader = await started.waitLeader();
     const gone = [0, 1, 2].find((position) => position !== leader) ?? 0;
-    await started.wipe(gone);
+    await started.dropDisk(gone);
     await started.start(3, false);
     await waitFor(() => {
-      const { voters } = started.node(leader).runner.state.replicas;
-      return voters.length === 3 && voters.some(({ id }) => id === started.node(3).runner.state.id);
+      const { voters } = started.findNode(leader).runner.state.replicas;
+      const newcomer = started.findNode(3).runner.state.id;
+      return voters.length === 3 && voters.some(({ id }) => id === newcomer);
     }, 'the newcomer votes');
-    expect((await started.node(3).readNewest()).version).toBe(5);
+    expect((await started.findNode(3).readNewest()).version).toBe(5);
   });
 
   it('should come back with what it knew after all processes ended at once', async () => {
     const started = await found();
     await publish(0, formatDocument(7));
     const leader = await started.waitLeader();
-    await started.node(leader).announce(WorkerAnnouncement.fromPartial({
+    await started.findNode(leader).announce(WorkerAnnouncement.fromPartial({
       workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', sequence: 1,
     }));
     await pause(900);
     await Promise.all([0, 1, 2].map((position) => started.stop(position)));
     await Promise.all([0, 1, 2].map((position) => started.start(position, false)));
     const next = await started.waitLeader();
-    const reply = await started.node(next).watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
+    const reply = await started.findNode(next)
+      .watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
     expect(reply.documentVersion).toBe(7);
-    expect(reply.workers.map(({ said, standing }) => [said?.workerId, standing])).toEqual([['w1', 'ready']]);
+    const [worker] = reply.workers;
+    expect([worker?.said?.workerId, worker?.standing]).toEqual(['w1', 'ready']);
   });
 
   // A founder is killed before the others knew of it, and is started again: one site, not two.
   it('should found one site when a founder is restarted in the middle', async () => {
-    site = await ControlSite.reserve(3);
+    site = await ControlSite.open(3);
     const started = site;
     const first = started.start(0, true);
     await pause(100);
     await Promise.all([started.start(1, true), started.start(2, true), first]);
     await started.waitLeader();
-    const sets = [0, 1, 2].map((position) => started.node(position).runner.state.replicas.voters.map(({ id }) => id).sort().join(' '));
+    const sets = [0, 1, 2].map((position) => (
+      started.findNode(position).runner.state.replicas.voters.map(({ id }) => id).sort().join(' ')));
     expect(new Set(sets).size).toBe(1);
   });
 
   it('should answer a held question at once when a backend server leaves', async () => {
     const started = await found();
     await publish(0, formatDocument(2));
-    const leader = started.node(await started.waitLeader());
-    const say = (state: string, sequence: number) => leader.announce(WorkerAnnouncement.fromPartial({
-      workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state, sequence,
-    }));
+    const leader = started.findNode(await started.waitLeader());
+    const say = (state: string, sequence: number) => (
+      leader.announce(WorkerAnnouncement.fromPartial({
+        workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state, sequence,
+      })));
     await say('ready', 1);
     const first = await leader.watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
     const from = performance.now();
     const held = leader.watch(WatchRequest.fromPartial({
-      entryId: 'e1', state: 'active', documentDigest: first.documentDigest, workersEpoch: first.workersEpoch, workersRevision: first.workersRevision, holdMs: 1_000,
+      entryId: 'e1',
+      state: 'active',
+      documentDigest: first.documentDigest,
+      workersEpoch: first.workersEpoch,
+      workersRevision: first.workersRevision,
+      holdMs: 1_000,
     }));
     await say('draining', 2);
     const reply = await held;
@@ -250,6 +265,6 @@
     const started = await found();
     await publish(0, formatDocument(2));
     await Promise.all([1, 2].map((position) => started.stop(position)));
-    await expect(started.node(0).readNewest()).rejects.toThrow();
+    await expect(started.findNode(0).readNewest()).rejects.toThrow();
   });
 });
--- a/tests/core/account-limits.spec.ts
+++ b/tests/core/account-limits.spec.ts
@@ -84,7 +84,7 @@
   });
 
   // A report is lost on its way; the next one carries the total, so nothing is counted twice or
-  // forgotten. A leader that has just taken over does not charge what was used under the one before.
+  // forgotten. A leader that has just taken over does not charge what was used before.
   it('should count totals, whatever reports were lost', () => {
     const ledger = new AccountLedger(0);
     ledger.configure([account], 0);
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -139,8 +139,8 @@
   });
 
   /**
-   * The load of the heaviest days: arrivals of three ranks at 1.6 times what the engines bear. Those
-   * of the highest rank, the dearest, must all begin within their target.
+   * The load of the heaviest days: arrivals of three ranks at 1.6 times what the engines bear.
+   * Those of the highest rank, the dearest, must all begin within their target.
    */
   it('should serve the highest rank on time when there is too much work', () => {
     const tables = makeTables([6, 6, 6]);
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -1,5 +1,5 @@
-import { createServer, Socket } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
+import { Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import type { FastifyInstance } from 'fastify';
 import type { Routing } from '../../src/manifest/routing';
 import { WatchReply } from '../../src/protocol/generated/beechlift';
@@ -13,6 +13,8 @@
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionWatch, systemClock } from '../../src/utils/clock';
+import { ScriptedServer } from './scriptedServer';
+import type { ServerScript } from './scriptedServer';
 
 const HOST = '127.0.0.1';
 const LEASE_MS = 60_000;
@@ -36,59 +38,6 @@
   ],
 };
 
-/** What a backend server of a test does with the bytes of a request. */
-export type ServerScript = (socket: Socket, request: string, count: number) => void;
-
-/** Writes a plain answer with a length. */
-export const sendAnswer = (socket: Socket, id: string, body: string, status = 200, extra = ''): void => {
-  socket.write(`HTTP/1.1 ${status} X\r\nx-id: ${id}\r\n${extra}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
-};
-
-/** A backend server whose every byte is the test's. */
-export class ScriptedServer {
-  /** Requests as they came. */
-  readonly requests: string[] = [];
-
-  /** Sockets that the other end closed. */
-  closed = 0;
-
-  private readonly server: Server;
-
-  private readonly sockets = new Set<Socket>();
-
-  constructor(private readonly script: ServerScript) {
-    this.server = createServer((socket) => this.serve(socket));
-  }
-
-  /** Where it listens. */
-  get address(): string {
-    return `${HOST}:${(this.server.address() as AddressInfo).port}`;
-  }
-
-  listen(): Promise<void> {
-    return new Promise((resolve) => {
-      this.server.listen(0, HOST, () => resolve());
-    });
-  }
-
-  close(): void {
-    this.sockets.forEach((socket) => socket.destroy());
-    this.server.close();
-  }
-
-  private serve(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('close', () => {
-      this.closed += 1;
-    });
-    socket.on('data', (data) => {
-      this.requests.push(data.toString('latin1'));
-      this.script(socket, data.toString('latin1'), this.requests.length);
-    });
-  }
-}
-
 /** An entry over scripted backend servers, without control. */
 export class RelayRig {
   readonly metrics = new RelayMetrics();
@@ -108,7 +57,10 @@
 
   private app: FastifyInstance | undefined;
 
-  private constructor(private readonly routing: Routing, private readonly servers: readonly ScriptedServer[]) {}
+  private constructor(
+    private readonly routing: Routing,
+    private readonly servers: readonly ScriptedServer[],
+  ) {}
 
   /** Starts servers with the scripts, named w0, w1 and so on, and an entry before them. */
   static async start(routing: Routing, scripts: readonly ServerScript[]): Promise<RelayRig> {
@@ -120,7 +72,7 @@
   }
 
   /** The server of a number. */
-  server(position: number): ScriptedServer {
+  findServer(position: number): ScriptedServer {
     return this.servers[position] as ScriptedServer;
   }
 
@@ -134,7 +86,7 @@
   }
 
   /** Sends bytes as they are and collects what comes until the connection ends or it is quiet. */
-  exchange(bytes: string, quietMs = 150): Promise<string> {
+  send(bytes: string, quietMs = 150): Promise<string> {
     return new Promise((resolve) => {
       const socket = new Socket();
       const pieces: Buffer[] = [];
--- /dev/null
+++ b/tests/fakes/scriptedServer.ts
@@ -0,0 +1,63 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+const HOST = '127.0.0.1';
+
+/** What a backend server of a test does with the bytes of a request. */
+export type ServerScript = (socket: Socket, request: string, count: number) => void;
+
+/** Writes a plain answer with a length. */
+export const sendAnswer = (
+  socket: Socket,
+  id: string,
+  body: string,
+  status = 200,
+  extra = '',
+): void => {
+  socket.write(`HTTP/1.1 ${status} X\r\nx-id: ${id}\r\n${extra}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+};
+
+/** A backend server whose every byte is the test's. */
+export class ScriptedServer {
+  /** Requests as they came. */
+  readonly requests: string[] = [];
+
+  /** Sockets that the other end closed. */
+  closed = 0;
+
+  private readonly server: Server;
+
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly script: ServerScript) {
+    this.server = createServer((socket) => this.serve(socket));
+  }
+
+  /** Where it listens. */
+  get address(): string {
+    return `${HOST}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.listen(0, HOST, () => resolve());
+    });
+  }
+
+  close(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+    this.server.close();
+  }
+
+  private serve(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.closed += 1;
+    });
+    socket.on('data', (data) => {
+      this.requests.push(data.toString('latin1'));
+      this.script(socket, data.toString('latin1'), this.requests.length);
+    });
+  }
+}
--- a/tests/fakes/testSite.ts
+++ b/tests/fakes/testSite.ts
@@ -328,9 +328,10 @@
     const child = spawn(
       process.execPath,
       [...program, settingsFile],
-      { stdio: ['ignore', 'ignore', 'pipe'] },
+      { stdio: ['ignore', 'pipe', 'pipe'] },
     );
-    child.stderr.on('data', (data: Buffer) => {
+    child.stderr.resume();
+    child.stdout.on('data', (data: Buffer) => {
       if (process.env.BEECHLIFT_LOGS) process.stderr.write(data);
     });
     return child;
--- a/tests/relay/event-framer.spec.ts
+++ b/tests/relay/event-framer.spec.ts
@@ -8,7 +8,8 @@
 
 const cutAt = (bytes: Buffer, cuts: readonly number[]): Buffer[] => {
   const ends = [...new Set(cuts.map((cut) => cut % (bytes.length + 1)))].sort((x, y) => x - y);
-  return [...ends, bytes.length].map((end, position) => bytes.subarray(ends[position - 1] ?? 0, end));
+  const all = [...ends, bytes.length];
+  return all.map((end, position) => bytes.subarray(ends[position - 1] ?? 0, end));
 };
 
 describe('framing a stream of events', () => {
@@ -22,8 +23,8 @@
     }), { seed: 3 });
   });
 
-  // A server dies in the middle of the sixth event; the caller must get five from it, then the sixth
-  // to the last from the server where the stream goes on: none torn, missing or twice.
+  // A server dies in the middle of the sixth event; the caller must get five from it, and the
+  // others from the server where the stream goes on: none torn, missing or twice.
   it('should let a stream go on elsewhere without a torn event', () => {
     fc.assert(fc.property(fc.nat({ max: 400 }), (length) => {
       const framer = new EventFramer();
--- a/tests/relay/routed-request.spec.ts
+++ b/tests/relay/routed-request.spec.ts
@@ -3,8 +3,9 @@
   afterEach, describe, expect, it,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
-import { RelayRig, sendAnswer } from '../fakes/relayRig';
-import type { ServerScript } from '../fakes/relayRig';
+import { RelayRig } from '../fakes/relayRig';
+import { sendAnswer } from '../fakes/scriptedServer';
+import type { ServerScript } from '../fakes/scriptedServer';
 import { makeRoute, makeRouting } from '../fakes/routings';
 
 const HOST = 'Host: shop.example\r\nx-id: r1\r\nx-key: k1\r\n';
@@ -33,7 +34,7 @@
 
   const callShop = async (path = '/orders/7', options: RequestInit = {}): Promise<Response> => {
     // fetch sets no Host of its own choosing; the rig's host is sent raw where it matters.
-    const text = await rig?.exchange(`${options.method ?? 'GET'} ${path} HTTP/1.1\r\n${HOST}${options.body ? `content-length: ${String(options.body).length}\r\n` : ''}connection: close\r\n\r\n${String(options.body ?? '')}`, 2_500) ?? '';
+    const text = await rig?.send(`${options.method ?? 'GET'} ${path} HTTP/1.1\r\n${HOST}${options.body ? `content-length: ${String(options.body).length}\r\n` : ''}connection: close\r\n\r\n${String(options.body ?? '')}`, 2_500) ?? '';
     const status = Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0);
     return new Response(text.slice(text.indexOf('\r\n\r\n') + 4), { status: status || 599, headers: { 'x-head': encodeURIComponent(text.slice(0, text.indexOf('\r\n\r\n'))) } });
   };
@@ -58,11 +59,11 @@
   // A server dies in the middle of a plain answer. The other one is asked, as the route allows it,
   // and its answer must not be put behind the half that the caller had of the first.
   it('should answer with one whole answer when a server breaks off', async () => {
-    const half: ServerScript = (socket) => {
+    const breakOff: ServerScript = (socket) => {
       socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 9\r\n\r\nhalf');
       setTimeout(() => socket.destroy(), 20);
     };
-    await start({ kind: 'idempotent' }, half, half, answerAll);
+    await start({ kind: 'idempotent' }, breakOff, breakOff, answerAll);
     const answer = await callShop();
     const body = await answer.text();
     expect([200, 502]).toContain(answer.status);
@@ -72,25 +73,25 @@
 
   // A door code is issued, the connection breaks before the answer: a second send would issue two.
   it('should never send twice what may run once, when its answer is lost', async () => {
-    const lose: ServerScript = (socket) => socket.destroy();
-    const started = await start({ kind: 'nonIdempotent' }, lose, lose);
+    const dropAll: ServerScript = (socket) => socket.destroy();
+    const started = await start({ kind: 'nonIdempotent' }, dropAll, dropAll);
     expect((await callShop('/orders/7', { method: 'POST', body: 'x' })).status).toBe(502);
     expect(started.received).toHaveLength(1);
   });
 
   it('should send what may run once to another server when the first says that it did not run', async () => {
     const refuse: ServerScript = (socket) => sendAnswer(socket, 'r1', '', 503, 'x-not-run: 1\r\n');
-    const either: ServerScript = (socket, request, count) => (
-      started.received.length === 1 && count === 1 ? refuse : answerAll)(socket, request, count);
-    const started: RelayRig = await start({ kind: 'nonIdempotent' }, either, either);
+    const refuseFirst: ServerScript = (socket, request, count) => (
+      rig?.received.length === 1 ? refuse : answerAll)(socket, request, count);
+    const started = await start({ kind: 'nonIdempotent' }, refuseFirst, refuseFirst);
     expect((await callShop()).status).toBe(200);
     expect(started.received).toHaveLength(2);
   });
 
   // An answer of an earlier request comes late, on the connection where this one's is due.
   it('should not take the answer of another request for its own', async () => {
-    const stray: ServerScript = (socket) => sendAnswer(socket, 'other', 'not yours');
-    const started = await start({ kind: 'nonIdempotent' }, stray);
+    const sendOther: ServerScript = (socket) => sendAnswer(socket, 'other', 'not yours');
+    const started = await start({ kind: 'nonIdempotent' }, sendOther);
     const answer = await callShop();
     expect([answer.status, await answer.text()]).not.toContain('not yours');
     expect(answer.status).toBe(502);
@@ -131,21 +132,21 @@
   // A server answers without a length, so that the answer ends with the connection, and crashes in
   // the middle: the reset must not be taken for the end, or half an answer looks whole.
   it('should not take a reset for the end of an answer without a length', async () => {
-    const crash: ServerScript = (socket) => {
+    const resetAll: ServerScript = (socket) => {
       socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\nconnection: close\r\n\r\nhalf of it');
       setTimeout(() => socket.resetAndDestroy(), 30);
     };
-    await start({ kind: 'nonIdempotent' }, crash);
+    await start({ kind: 'nonIdempotent' }, resetAll);
     const answer = await callShop();
     expect([answer.status, await answer.text()]).not.toContain('half of it');
     expect(answer.status).toBe(502);
   });
 
   it('should pass an answer without a length on when its connection ends in order', async () => {
-    const close: ServerScript = (socket) => {
+    const endAll: ServerScript = (socket) => {
       socket.end('HTTP/1.1 200 OK\r\nx-id: r1\r\nconnection: close\r\n\r\nall of it');
     };
-    await start({ kind: 'nonIdempotent' }, close);
+    await start({ kind: 'nonIdempotent' }, endAll);
     const answer = await callShop();
     expect(answer.status).toBe(200);
     expect(await answer.text()).toMatch(/all of it/);
@@ -164,12 +165,12 @@
   });
 
   it('should stop the work of a server whose caller has gone', async () => {
-    const silent: ServerScript = () => undefined;
-    const started = await start({ kind: 'nonIdempotent' }, silent);
-    await started.exchange(`GET /orders/7 HTTP/1.1\r\n${HOST}\r\n`, 100);
+    const keepSilent: ServerScript = () => undefined;
+    const started = await start({ kind: 'nonIdempotent' }, keepSilent);
+    await started.send(`GET /orders/7 HTTP/1.1\r\n${HOST}\r\n`, 100);
     await pause(100);
     expect(started.received).toHaveLength(1);
-    expect(started.server(0).closed).toBe(1);
+    expect(started.findServer(0).closed).toBe(1);
   });
 
   it('should give the final answer at the timeout of the route', async () => {
@@ -180,11 +181,10 @@
   });
 
   it('should take an idempotent request away from a silent server', async () => {
-    const started = await start({ kind: 'idempotent', targetLatencyMs: 50 }, (socket, request, count) => {
-      if (started.received.length > 1) answerAll(socket, request, count);
-    }, (socket, request, count) => {
-      if (started.received.length > 1) answerAll(socket, request, count);
-    });
+    const answerSecond: ServerScript = (socket, request, count) => {
+      if ((rig?.received.length ?? 0) > 1) answerAll(socket, request, count);
+    };
+    const started = await start({ kind: 'idempotent', targetLatencyMs: 50 }, answerSecond, answerSecond);
     expect((await callShop()).status).toBe(200);
     expect(started.received).toHaveLength(2);
   });
@@ -204,7 +204,7 @@
     ['/orders/1', '', 401],
   ])('should answer %s with key "%s" by %i', async (path, key, status) => {
     const started = await start({}, answerAll);
-    const text = await started.exchange(`GET ${path} HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\n${key}\r\n`);
+    const text = await started.send(`GET ${path} HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\n${key}\r\n`);
     expect(text).toMatch(new RegExp(`^HTTP/1.1 ${status}`));
     expect(started.received).toHaveLength(0);
   });
@@ -213,7 +213,7 @@
   it('should refuse a request with two ways of telling its length', async () => {
     const started = await start({}, answerAll);
     const inner = 'GET /orders/9 HTTP/1.1\r\nHost: shop.example\r\nx-id: r9\r\n\r\n';
-    const text = await started.exchange(`POST /orders/7 HTTP/1.1\r\n${HOST}content-length: ${inner.length}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n${inner}`);
+    const text = await started.send(`POST /orders/7 HTTP/1.1\r\n${HOST}content-length: ${inner.length}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n${inner}`);
     expect(text).toMatch(/^HTTP\/1.1 400/);
     expect(started.received.join('')).not.toMatch(/r9/);
   });
@@ -231,13 +231,13 @@
   // A server sends another answer right behind a whole one; whatever is sent next over that
   // connection would get it.
   it('should never reuse a connection with bytes behind a whole answer', async () => {
-    const twice: ServerScript = (socket, request) => {
+    const sendTwice: ServerScript = (socket, request) => {
       const id = /x-id: (\w+)/.exec(request)?.[1] ?? '';
       sendAnswer(socket, id, `for ${id}`);
       sendAnswer(socket, id, `again ${id}`);
     };
-    const started = await start({}, twice);
-    const ask = (id: string) => started.exchange(`GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nx-id: ${id}\r\nx-key: k1\r\n\r\n`);
+    const started = await start({}, sendTwice);
+    const ask = (id: string) => started.send(`GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nx-id: ${id}\r\nx-key: k1\r\n\r\n`);
     expect(await ask('a')).toMatch(/for a$/);
     expect(await ask('b')).toMatch(/for b$/);
   });
