--- a/bench/benchEngine.ts
+++ b/bench/benchEngine.ts
@@ -1,7 +1,8 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import type { StandInOptions } from '../tests/fakes/engineStandIn';
-import { findFreeAddress, waitUntil } from '../tests/fakes/testSite';
+import { findFreeAddress } from '../tests/fakes/freeAddress';
+import { waitUntil } from '../tests/fakes/testSite';
 import type { TestSite } from '../tests/fakes/testSite';
 
 /** An engine stand-in in a process of its own. */
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,6 +40,10 @@
       'no-console': 'off',
     },
   },
+  {
+    files: ['src/**/*.ts', 'scripts/**/*.ts'],
+    rules: { 'house/platform-names': 'error' },
+  },
   {
     // A wall clock that jumps must move no lease, deadline or timeout: src/utils/clock.ts is the
     // one clock. Log lines show the time of day.
--- a/scripts/start.ts
+++ b/scripts/start.ts
@@ -12,7 +12,8 @@
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { request } from 'undici';
-import { findFreeAddress, hashKey, waitUntil } from '../tests/fakes/testSite';
+import { findFreeAddress } from '../tests/fakes/freeAddress';
+import { hashKey, waitUntil } from '../tests/fakes/testSite';
 
 interface StreamChunk {
   readonly choices: readonly { readonly delta: { readonly content: string } }[];
--- /dev/null
+++ b/tests/platform/platform-words.spec.ts
@@ -0,0 +1,159 @@
+import { describe, expect, it } from 'vitest';
+import { platformDialect } from '../../platform/requestHeaders';
+import {
+  buildPeerAddress, listSeeds, parseControlSettings, parseRelaySettings,
+} from '../../platform/platformSettings';
+import { readRoutingDocument } from '../../platform/routingDocument';
+import { buildFarewell, decodeHeartbeat } from '../../platform/workerCalls';
+
+const makeDocument = (changes: object = {}): Record<string, unknown> => ({
+  version: 7,
+  routes: [{
+    name: 'r', host: 'a.example', path_prefix: '/x/', route_kind: 'streaming', timeout_ms: 8000, target_latency_ms: 800, priority: 1, service: 's', max_attempts: 2, public: false, sticky: true, resumable: true, itl_target_ms: 200,
+  }, {
+    name: 'w', host: 'a.example', path_prefix: '/y/', route_kind: 'non_idempotent', timeout_ms: 600, weighted_services: [{ service: 's', weight: 90 }, { service: 't', weight: 10 }],
+  }],
+  services: [{ name: 's', max_connections: 610, inference_engine: { slots: 7 } }, { name: 't' }],
+  limits: {
+    max_header_bytes: 100, max_body_bytes: 200, header_timeout_ms: 300, idle_timeout_ms: 400,
+  },
+  tenants: [{
+    name: 'n', api_keys: ['k1', 'k2'], priority: 1, unit: 'tokens', uncached_tokens: 200, rate_per_s: 68176, burst: 5,
+  }],
+  ...changes,
+});
+
+describe('the routing document of the platform', () => {
+  it('should be decoded into routes, services, accounts and limits', () => {
+    const { routing } = readRoutingDocument(JSON.stringify(makeDocument()));
+    const [stream, once] = routing?.routes ?? [];
+    expect([stream?.kind, stream?.isResumable, stream?.maxAttempts]).toEqual(['stream', true, 2]);
+    expect([once?.kind, once?.isResumable, once?.maxAttempts]).toEqual(['nonIdempotent', false, 1]);
+    expect(routing?.routes[1]?.targets).toHaveLength(2);
+    expect(routing?.services.map(({ isEngine }) => isEngine)).toEqual([true, false]);
+    expect(routing?.accounts[0]).toEqual({
+      name: 'n', keys: ['k1', 'k2'], rank: 1, unit: 'tokens', perSecond: 68176, burst: 5, defaultTokens: 200,
+    });
+    expect(routing?.limits).toEqual({
+      headerBytes: 100, bodyBytes: 200, headerTimeoutMs: 300, idleTimeoutMs: 400,
+    });
+  });
+
+  it('should take fields that it does not know', () => {
+    const document = JSON.stringify(makeDocument({ novelty: { a: 1 } }));
+    expect(readRoutingDocument(document).faults).toEqual([]);
+  });
+
+  const makeRoute = (changes: object): object => ({
+    name: 'r', host: 'a.example', path_prefix: '/x/', route_kind: 'idempotent', timeout_ms: 8000, service: 's', ...changes,
+  });
+
+  it.each([
+    ['an unknown service', { routes: [makeRoute({ service: 'nobody' })] }],
+    ['two routes at one place', { routes: [makeRoute({}), makeRoute({ name: 'q' })] }],
+    ['weights that add up to nothing', { routes: [makeRoute({ service: undefined, weighted_services: [{ service: 's', weight: 0 }] })] }],
+    ['no time to answer', { routes: [makeRoute({ timeout_ms: 0 })] }],
+    ['a key of two accounts', { tenants: [{ name: 'a', api_keys: ['k'] }, { name: 'b', api_keys: ['k'] }] }],
+    ['no version', { version: undefined }],
+    ['a kind that is none', { routes: [makeRoute({ route_kind: 'sometimes' })] }],
+  ])('should be refused for %s', (name, changes) => {
+    const { routing, faults } = readRoutingDocument(JSON.stringify(makeDocument(changes)));
+    expect(routing).toBeUndefined();
+    expect(faults.length).toBeGreaterThan(0);
+  });
+
+  it('should be refused when it was cut short', () => {
+    const text = JSON.stringify(makeDocument());
+    expect(readRoutingDocument(text.slice(0, -40)).routing).toBeUndefined();
+  });
+});
+
+describe('the headers of the platform', () => {
+  const headers = [
+    'Host', 'a.example', 'Attempt-Id', '9c41', 'Model', 'm', 'Token-Count', '1460,80', 'Prompt-Prefix', '5c:800',
+    'Deadline-Ms', '15000', 'Authorization', 'Bearer k1', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1',
+    'Tenant', 'forged', 'Kv-Retention', 'forged', 'Pin-Ms', '9', 'Kv-Backup', 'forged', 'Kv-From', 'forged',
+    'Kv-Fetch', 'forged', 'Expected-Instance', 'forged', 'X-Own', 'kept', 'Last-Event-Id', '3',
+  ];
+
+  it('should tell id, patience, key and tokens', () => {
+    expect(platformDialect.readCall(headers)).toEqual({
+      requestId: '9c41', patienceMs: 15000, key: 'k1', tokens: { prompt: 1460, output: 80 },
+    });
+  });
+
+  it.each([
+    [[], {
+      requestId: '', patienceMs: undefined, key: '', tokens: undefined,
+    }],
+    [['Deadline-Ms', 'soon', 'Token-Count', 'x', 'Authorization', 'Basic k1'], {
+      requestId: '', patienceMs: undefined, key: '', tokens: undefined,
+    }],
+    [['Token-Count', '12'], {
+      requestId: '', patienceMs: undefined, key: '', tokens: { prompt: 12, output: 0 },
+    }],
+  ])('should make nothing of what cannot be read: %j', (raw, expected) => {
+    expect(platformDialect.readCall(raw)).toEqual(expected);
+  });
+
+  // A caller sends headers that are the system's to set, and would be admitted before all others.
+  it('should pass on what is the caller\'s, and set what is ours whatever the caller sent', () => {
+    const passed = platformDialect.buildRequestHeaders(headers, {
+      workerId: 'i-7', account: { name: 'n' } as never, remainingMs: 14_200, lastEventId: '',
+    });
+    const text = passed.join('|');
+    expect(text).not.toMatch(/forged|Bearer|k1|Pin-Ms|X-Hop|keep-alive|15000/);
+    expect(text).toMatch(/X-Own\|kept/);
+    expect(text).toMatch(/Last-Event-Id\|3/);
+    expect(text).toMatch(/Deadline-Ms\|14200/);
+    expect(text).toMatch(/Expected-Instance\|i-7/);
+    expect(text).toMatch(/Tenant\|n/);
+  });
+
+  it('should name the last event that a caller has where a stream goes on', () => {
+    const passed = platformDialect.buildRequestHeaders(headers, {
+      workerId: 'i-7', account: undefined, remainingMs: 1, lastEventId: '12',
+    });
+    expect(passed.filter((item) => item === 'Last-Event-Id')).toHaveLength(1);
+    expect(passed.join('|')).toMatch(/Last-Event-Id\|12/);
+    expect(passed.join('|')).not.toMatch(/Tenant/);
+  });
+});
+
+describe('what backend servers say on the platform', () => {
+  it('should be decoded into an announcement', () => {
+    const said = decodeHeartbeat('i-7', JSON.stringify({
+      service: 's', address: '10.0.0.9:80', zone: 'a', version: 'v1', slots: 7, state: 'draining', cold_remaining_ms: 12.6, sequence: 4, phase: 'aggregated',
+    }));
+    expect(said).toMatchObject({
+      workerId: 'i-7', service: 's', address: '10.0.0.9:80', slots: 7, state: 'draining', coldMs: 13, sequence: 4,
+    });
+    expect(buildFarewell('i-7').state).toBe('gone');
+  });
+
+  it.each(['', '{', '[]', '{"service":"s"}', '{"service":"s","address":"x","zone":"a","state":"ready","sequence":1}'])('should be refused when it is %s', (body) => {
+    expect(() => decodeHeartbeat('i-7', body)).toThrow();
+  });
+});
+
+describe('settings on the platform', () => {
+  const common = {
+    name: 'n', zone: 'a', ip: '10.0.0.4', seeds: '10.0.0.1:8229,10.0.0.2:8229', internalPorts: '7600,7615',
+  };
+  const relay = {
+    ...common, callerAddress: '10.0.0.4:1', readinessAddress: '10.0.0.4:2', graceSeconds: 8, retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10,
+  };
+
+  it('should find our own processes at the first internal port of the seeds', () => {
+    const settings = parseRelaySettings(`// filled in\n${JSON.stringify(relay)}`);
+    expect(listSeeds(settings)).toEqual(['10.0.0.1:7600', '10.0.0.2:7600']);
+    expect(buildPeerAddress(settings)).toBe('10.0.0.4:7600');
+    expect(settings.logLevel).toBe('info');
+  });
+
+  it('should name every wrong field at once', () => {
+    expect(() => parseRelaySettings(JSON.stringify({ ...relay, graceSeconds: 'x', retryRatio: -1 }))).toThrow(/graceSeconds[\s\S]*retryRatio/);
+    expect(() => parseControlSettings(JSON.stringify(common))).toThrow(/dataFolder/);
+    expect(() => parseControlSettings('{')).toThrow();
+  });
+});
--- a/tools/eslint/houseRules.mjs
+++ b/tools/eslint/houseRules.mjs
@@ -60,4 +60,24 @@
   },
 };
 
-export default { rules: { 'verb-names': verbNames, 'layer-imports': layerImports } };
+const PLATFORM_NAMES = /Attempt-Id|Server-Stamp|Expected-Instance|Not-Executed|Prompt-Prefix|Token-Count|Kv-[A-Z][a-z]+|Instances\.(Heartbeat|Deregister)|Configuration\.(Replace|Read)|readiness_address|seed_nodes/i;
+
+/** The names of the users' platform stand in platform/ alone; src/ imports nothing from it. */
+const platformNames = {
+  meta: { type: 'problem', schema: [], messages: { name: 'The platform\'s name "{{name}}" belongs into platform/.', source: 'src/ imports nothing from platform/.' } },
+  create: (context) => ({
+    Program: (node) => {
+      const found = PLATFORM_NAMES.exec(context.sourceCode.text);
+      if (found) context.report({ node, messageId: 'name', data: { name: found[0] } });
+    },
+    ImportDeclaration: (node) => {
+      if (/(^|\/)platform\//.test(node.source.value)) context.report({ node, messageId: 'source' });
+    },
+  }),
+};
+
+export default {
+  rules: {
+    'verb-names': verbNames, 'layer-imports': layerImports, 'platform-names': platformNames,
+  },
+};
