--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -6,7 +6,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import { ControlClient, ClaimValue, Announcement } from '../src/protocol/generated/beechlift';
-import { ClaimClient } from '../src/entry/claimClient';
+import { ClaimClient } from '../src/entry/sending/claimClient';
 import { makeScheduleTables } from '../src/core/schedule/scheduleTables';
 import { handleScheduleEvent } from '../src/core/schedule/poolSchedule';
 import { Operation } from '../src/utils/operation';
--- a/src/cli/runLocate.ts
+++ b/src/cli/runLocate.ts
@@ -1,6 +1,6 @@
 import { request } from 'undici';
-import type { LocateAnswer } from '../entry/callerApi';
-import { CALLER_HEADERS } from '../entry/callerRequest';
+import type { LocateAnswer } from '../entry/callers/callerApi';
+import { CALLER_HEADERS } from '../entry/callers/callerRequest';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
 import type { ErrorBody } from '../errors/beechliftError';
 import { EXIT_CODES, printResult } from './output';
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -1,78 +1,37 @@
-import { randomUUID } from 'node:crypto';
 import type {
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceReply,
   PlaceRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply,
-  WatchRequest, WorkerAnnouncement, WorkerRecord,
+  WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
-import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
+import {
+  WatchReply as WatchReplyCodec, WatchRequest as WatchRequestCodec,
+} from '../protocol/generated/beechlift';
+import type { LogRole, Snapshot } from '../core/log/logTypes';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
-import {
-  adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, noteAnnouncement,
-} from '../core/routing/workerTable';
-import type { WorkerTable } from '../core/routing/workerTable';
-import type { LogStore } from '../disk/logStore';
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { BeechliftError } from '../errors/beechliftError';
 import { resultCodes } from '../errors/resultCodes';
-import type { RoutingReader } from '../manifest/routing';
-import type { Logger } from '../telemetry/logger';
 import { computeSha256 } from '../utils/canonicalJson';
-import type { Clock, SuspensionWatch } from '../utils/clock';
 import { Operation } from '../utils/operation';
 import { HeldWatches } from './heldWatches';
 import { LeaderBook } from './leaderBook';
 import type { EntryPart } from './leaderBook';
 import { LogRunner } from './logRunner';
+import { NewestReader } from './newestReader';
+import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
-import type { WorkerMemo } from './workerMemo';
+import type { RoutedNodeParts } from './routedNodeParts';
+import { WorkerRegistry } from './workerRegistry';
 
 /** Most milliseconds that an operator's change may take. */
 const PUBLISH_TIMEOUT_MS = 3_000;
-/** Most milliseconds that proving leadership may take. */
-const CONFIRM_TIMEOUT_MS = 700;
 /** Longest that a watch is held. */
 const MAX_HOLD_MS = 1_000;
 /** How often a held question looks for a leader. */
 const LEADER_POLL_MS = 10;
-/** How often a reader looks whether its replica has caught up. */
-const POLL_APPLIED_MS = 2;
-/** Replicas that are remembered from looking for the site, at most. */
-const MAX_MET = 32;
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
-/** How a node reaches the other replicas. */
-export interface RoutedPort {
-  readonly sendMessage: (message: LogMessage, address: string) => void;
-  readonly publish: (request: PublishRequest, address: string) => Promise<PublishReply>;
-  readonly announce: (said: WorkerAnnouncement, address: string) => Promise<AnnounceReply>;
-  readonly confirm: (address: string) => Promise<ConfirmReply>;
-  readonly failStorage: (error: unknown) => void;
-}
-
-/** What a node is made from. */
-export interface RoutedNodeParts {
-  readonly self: Replica;
-  readonly founders: readonly Replica[];
-  readonly stored: StoredLog;
-  readonly store: LogStore;
-  /** Backend servers that were known before a restart. */
-  readonly remembered: readonly WorkerRecord[];
-  readonly memo: Pick<WorkerMemo, 'note'>;
-  readonly readRouting: RoutingReader;
-  readonly port: RoutedPort;
-  readonly clock: Clock;
-  readonly suspension: SuspensionWatch;
-  readonly logger: Logger;
-  /** How long an entry may rely on what it was told, in milliseconds. */
-  readonly leaseMs: number;
-  /** Voters that the site is to have. */
-  readonly voterCount: number;
-  /** What accounts may use beyond their limits, over all entries together. */
-  readonly limitSlack: number;
-}
-
 /**
  * One replica that serves control of a routed site: the replicated routing document, the backend
  * servers that announced themselves, and the entries that watch. It knows nothing of the wire.
@@ -89,7 +48,7 @@
   /** Entries as the leader told of them, for a replica that follows. */
   private followedEntries: readonly EntryRecord[] = [];
 
-  private workers: WorkerTable = makeWorkerTable(randomUUID());
+  private readonly registry: WorkerRegistry;
 
   private book: LeaderBook;
 
@@ -97,11 +56,9 @@
 
   private readonly keeper: ReplicaKeeper;
 
-  /**
-   * Replicas that this one met while it looked for the site. One that joins knows nobody by its log
-   * yet, and has to answer the leader from which it will learn it.
-   */
-  private readonly met = new Map<string, Replica>();
+  private readonly reader: NewestReader;
+
+  private readonly directory: ReplicaDirectory;
 
   private suspensionEpoch: number;
 
@@ -111,8 +68,8 @@
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.book = new LeaderBook(parts);
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock);
-    const now = parts.clock.now();
-    parts.remembered.forEach((record) => adoptRecord(this.workers, record, now));
+    this.registry = new WorkerRegistry(parts);
+    this.directory = new ReplicaDirectory(parts.founders);
     this.suspensionEpoch = parts.suspension.readEpoch();
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
       applyCommand: (command) => this.applyCommand(command),
@@ -122,11 +79,17 @@
       noteRole: (role, term) => this.noteRole(role, term),
       failStorage: (error) => parts.port.failStorage(error),
     }, parts.clock);
+    this.reader = new NewestReader({
+      runner: this.runner,
+      readLeaderAddress: () => this.leaderAddress,
+      askLeader: (address) => parts.port.confirm(address),
+      clock: parts.clock,
+    });
   }
 
   /** gRPC address of the leader as this replica knows it; empty when there is none. */
   get leaderAddress(): string {
-    return this.findReplica(this.runner.state.leaderId)?.address ?? '';
+    return this.findAddress(this.runner.state.leaderId);
   }
 
   /** Whether this replica leads and no other can at this moment. */
@@ -157,13 +120,10 @@
   tick(): void {
     this.noteSuspension();
     this.runner.handle({ kind: 'tick' });
-    const now = this.parts.clock.now();
-    this.parts.memo.note(this.workers.revision, now, () => listChangedWorkers(this.workers, '', 0));
+    this.registry.save();
     if (!this.runner.holdsLease) return;
-    const { revision } = this.workers;
-    expireWorkers(this.workers, now);
-    if (this.workers.revision !== revision) this.watches.release();
-    this.book.tend(this.workers);
+    if (this.registry.expire()) this.watches.release();
+    this.book.tend(this.registry.table);
     this.tendReplicas();
   }
 
@@ -200,29 +160,16 @@
   /** Takes in what the leader told a replica that follows. */
   follow(reply: WatchReply): void {
     if (this.runner.holdsLease) return;
-    const now = this.parts.clock.now();
     this.followedEntries = reply.entries;
-    if (this.workers.epoch !== reply.workersEpoch) {
-      this.workers = makeWorkerTable(reply.workersEpoch);
-    }
-    reply.workers.forEach((record) => adoptRecord(this.workers, record, now));
-    this.workers.revision = reply.workersRevision;
+    this.registry.follow(reply);
   }
 
   /** What a replica that follows asks the leader with. */
   buildFollowRequest(holdMs: number): WatchRequest {
-    return {
-      entryId: '',
-      callerAddress: '',
-      zone: '',
-      state: '',
-      documentDigest: this.site.digest,
-      workersEpoch: this.workers.epoch,
-      workersRevision: this.workers.revision,
-      holdMs,
-      loads: [],
-      spends: [],
-    };
+    const { epoch, revision } = this.registry.table;
+    return WatchRequestCodec.fromPartial({
+      documentDigest: this.site.digest, workersEpoch: epoch, workersRevision: revision, holdMs,
+    });
   }
 
   /** Checks a document and has a majority accept it; on a replica that follows it is forwarded. */
@@ -242,26 +189,20 @@
 
   /** The newest accepted document; throws when this replica cannot be sure which it is. */
   async readNewest(): Promise<SiteDocument> {
-    const index = await this.findCommitIndex();
-    const operation = new Operation({ timeoutMs: CONFIRM_TIMEOUT_MS, clock: this.parts.clock });
-    await this.waitApplied(index, operation);
+    await this.reader.waitNewest();
     if (this.site.version === 0) throw new BeechliftError('noQuorum', 'no document was accepted yet');
     return this.site;
   }
 
   /** Proves that this replica leads, for one that follows. */
-  async confirm(): Promise<ConfirmReply> {
-    const operation = new Operation({ timeoutMs: CONFIRM_TIMEOUT_MS, clock: this.parts.clock });
-    const { commitIndex } = this.runner.state;
-    const confirmed = await this.runner.confirmLeadership(operation);
-    // What is committed by now is at least what was when the call came.
-    return { confirmed, commitIndex: Math.max(commitIndex, this.runner.state.commitIndex) };
+  confirm(): Promise<ConfirmReply> {
+    return this.reader.confirm();
   }
 
   /** Decides which backend server takes a request; the reply may be that it still waits. */
   async place(request: PlaceRequest): Promise<PlaceReply> {
     if (!this.isLeading) throw new BeechliftError('noQuorum', 'this replica does not lead');
-    return this.book.place(request, this.workers);
+    return this.book.place(request, this.registry.table);
   }
 
   /** Takes in how placed requests go. */
@@ -272,7 +213,7 @@
   /** Takes in what a backend server said of itself; false when no leader could be told. */
   async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
     if (this.isLeading) {
-      this.takeAnnouncement(said);
+      if (this.registry.take(said)) this.watches.release();
       return { taken: true };
     }
     const address = this.leaderAddress;
@@ -282,11 +223,7 @@
 
   /** Notes who answered while this replica looked for the site. */
   noteMet(replica: Replica): void {
-    // One replica at an address: a birth that is gone is forgotten.
-    this.met.forEach(({ address }, id) => {
-      if (address === replica.address) this.met.delete(id);
-    });
-    if (this.met.size < MAX_MET) this.met.set(replica.id, replica);
+    this.directory.noteMet(replica);
   }
 
   /** Answers another replica that looks for the site. */
@@ -312,10 +249,8 @@
     if (routing) this.book.configureAccounts(routing.accounts);
   }
 
-  private hasNews({ documentDigest, workersEpoch, workersRevision }: WatchRequest): boolean {
-    return documentDigest !== this.site.digest
-      || workersEpoch !== this.workers.epoch
-      || workersRevision !== this.workers.revision;
+  private hasNews(request: WatchRequest): boolean {
+    return request.documentDigest !== this.site.digest || this.registry.hasNews(request);
   }
 
   private answerNotLeading(): WatchReply {
@@ -324,7 +259,7 @@
   }
 
   private buildWatchReply(request: WatchRequest): WatchReply {
-    const { site, workers } = this;
+    const { site } = this;
     const isEntry = request.entryId !== '';
     const entryPart = isEntry ? this.book.buildEntryPart(request) : this.buildReplicaPart();
     return {
@@ -336,9 +271,7 @@
       documentVersion: site.version,
       // A replica that follows has the document from the log.
       document: isEntry && request.documentDigest !== site.digest ? site.document : '',
-      workersEpoch: workers.epoch,
-      workersRevision: workers.revision,
-      workers: listChangedWorkers(workers, request.workersEpoch, request.workersRevision),
+      ...this.registry.buildPart(request),
     };
   }
 
@@ -349,20 +282,6 @@
     };
   }
 
-  private takeAnnouncement(said: WorkerAnnouncement): void {
-    const { revision } = this.workers;
-    noteAnnouncement(this.workers, said, this.parts.clock.now());
-    if (this.workers.revision === revision) return;
-    this.parts.logger.info('backend server changed', {
-      worker: said.workerId,
-      service: said.service,
-      address: said.address,
-      state: said.state,
-      sequence: said.sequence,
-    });
-    this.watches.release();
-  }
-
   private acceptPublished(version: number): PublishReply {
     this.parts.logger.info('document accepted', { version, inForce: this.site.version });
     return { code: 0, message: '', version: this.site.version };
@@ -374,26 +293,6 @@
     return this.parts.port.publish({ ...request, forwarded: true }, address);
   }
 
-  private async findCommitIndex(): Promise<number> {
-    const { confirmed, commitIndex } = await this.askConfirm();
-    if (!confirmed) throw new BeechliftError('noQuorum', 'no majority confirmed which document is the newest');
-    return commitIndex;
-  }
-
-  private askConfirm(): Promise<ConfirmReply> {
-    if (this.runner.state.role === 'leader') return this.confirm();
-    const address = this.leaderAddress;
-    if (address === '') throw new BeechliftError('noQuorum', 'no replica leads at the moment');
-    return this.parts.port.confirm(address);
-  }
-
-  private async waitApplied(index: number, operation: Operation): Promise<void> {
-    if (this.runner.state.appliedIndex >= index) return;
-    if (operation.remainingMs === 0) throw new BeechliftError('noQuorum', 'this replica lags behind the newest document');
-    await this.watches.hold(POLL_APPLIED_MS);
-    await this.waitApplied(index, operation);
-  }
-
   private applyCommand(text: string): true {
     const command = JSON.parse(text) as DocumentCommand;
     const before = this.site;
@@ -430,38 +329,22 @@
     this.parts.logger.warn('clocks moved apart: leases are renewed before they are relied on');
   }
 
-  private findReplica(id: string): Replica | undefined {
-    const { voters, learners } = this.runner.state.replicas;
-    return [...voters, ...learners, ...this.parts.founders, ...this.met.values()]
-      .find((replica) => replica.id === id);
+  private findAddress(id: string): string {
+    return this.directory.find(id, this.runner.state.replicas)?.address ?? '';
   }
 
   private sendMessage(message: LogMessage): void {
-    const address = this.findReplica(message.to)?.address;
-    if (address) this.parts.port.sendMessage(message, address);
+    const address = this.findAddress(message.to);
+    if (address !== '') this.parts.port.sendMessage(message, address);
   }
 
   private noteRole(role: LogRole, term: number): void {
     this.parts.logger.info('role changed', { role, term });
     if (role !== 'leader') return;
-    const now = this.parts.clock.now();
-    this.leadingSince = now;
+    this.leadingSince = this.parts.clock.now();
     this.book.close();
     this.book = new LeaderBook(this.parts);
     if (this.site.version > 0) this.configureAccounts();
-    this.beginWorkerTable(now);
-  }
-
-  /** A new leader begins with what it was told as a follower, under an epoch of its own. */
-  private beginWorkerTable(now: number): void {
-    const records = listChangedWorkers(this.workers, '', 0);
-    this.workers = makeWorkerTable(randomUUID());
-    records.forEach((record) => adoptRecord(this.workers, record, now));
+    this.registry.lead();
   }
 }
-
-/** Makes an error reply of whatever a publish threw. */
-export const refusePublish = (thrown: unknown): PublishReply => {
-  const error = toBeechliftError(thrown);
-  return { code: error.number, message: error.message, version: 0 };
-};
--- /dev/null
+++ b/src/control/routedNodeParts.ts
@@ -0,0 +1,41 @@
+import type {
+  AnnounceReply, ConfirmReply, LogMessage, PublishReply, PublishRequest, Replica,
+  WorkerAnnouncement, WorkerRecord,
+} from '../protocol/generated/beechlift';
+import type { StoredLog } from '../core/log/logTypes';
+import type { LogStore } from '../disk/logStore';
+import type { RoutingReader } from '../manifest/routing';
+import type { Logger } from '../telemetry/logger';
+import type { Clock, SuspensionWatch } from '../utils/clock';
+import type { WorkerMemo } from './workerMemo';
+
+/** How a node reaches the other replicas. */
+export interface RoutedPort {
+  readonly sendMessage: (message: LogMessage, address: string) => void;
+  readonly publish: (request: PublishRequest, address: string) => Promise<PublishReply>;
+  readonly announce: (said: WorkerAnnouncement, address: string) => Promise<AnnounceReply>;
+  readonly confirm: (address: string) => Promise<ConfirmReply>;
+  readonly failStorage: (error: unknown) => void;
+}
+
+/** What a node is made from. */
+export interface RoutedNodeParts {
+  readonly self: Replica;
+  readonly founders: readonly Replica[];
+  readonly stored: StoredLog;
+  readonly store: LogStore;
+  /** Backend servers that were known before a restart. */
+  readonly remembered: readonly WorkerRecord[];
+  readonly memo: Pick<WorkerMemo, 'note'>;
+  readonly readRouting: RoutingReader;
+  readonly port: RoutedPort;
+  readonly clock: Clock;
+  readonly suspension: SuspensionWatch;
+  readonly logger: Logger;
+  /** How long an entry may rely on what it was told, in milliseconds. */
+  readonly leaseMs: number;
+  /** Voters that the site is to have. */
+  readonly voterCount: number;
+  /** What accounts may use beyond their limits, over all entries together. */
+  readonly limitSlack: number;
+}
--- /dev/null
+++ b/src/control/workerRegistry.ts
@@ -0,0 +1,97 @@
+import { randomUUID } from 'node:crypto';
+import type {
+  WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
+} from '../protocol/generated/beechlift';
+import {
+  adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, noteAnnouncement,
+} from '../core/routing/workerTable';
+import type { WorkerTable } from '../core/routing/workerTable';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import type { WorkerMemo } from './workerMemo';
+
+/** What the registry needs. */
+export interface WorkerRegistryParts {
+  /** Backend servers that were known before a restart. */
+  readonly remembered: readonly WorkerRecord[];
+  readonly memo: Pick<WorkerMemo, 'note'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * The backend servers of a site, as one replica knows them: the leader hears them, the others
+ * follow its table, and all remember it over a restart.
+ *
+ * @example
+ * if (registry.take(announcement)) watches.release();
+ */
+export class WorkerRegistry {
+  table: WorkerTable = makeWorkerTable(randomUUID());
+
+  constructor(private readonly parts: WorkerRegistryParts) {
+    this.adopt(parts.remembered);
+  }
+
+  /** Takes in what a backend server said of itself; tells whether anything changed. */
+  take(said: WorkerAnnouncement): boolean {
+    const { revision } = this.table;
+    noteAnnouncement(this.table, said, this.parts.clock.now());
+    if (this.table.revision === revision) return false;
+    this.parts.logger.info('backend server changed', {
+      worker: said.workerId,
+      service: said.service,
+      address: said.address,
+      state: said.state,
+      sequence: said.sequence,
+    });
+    return true;
+  }
+
+  /** Sets silent servers aside; tells whether anything changed. */
+  expire(): boolean {
+    const { revision } = this.table;
+    expireWorkers(this.table, this.parts.clock.now());
+    return this.table.revision !== revision;
+  }
+
+  /** Writes what changed to the disk, now and then. */
+  save(): void {
+    const { memo, clock } = this.parts;
+    memo.note(this.table.revision, clock.now(), () => listChangedWorkers(this.table, '', 0));
+  }
+
+  /** Takes over what the leader told a replica that follows. */
+  follow({ workers, workersEpoch, workersRevision }: WatchReply): void {
+    if (this.table.epoch !== workersEpoch) this.table = makeWorkerTable(workersEpoch);
+    this.adopt(workers);
+    this.table.revision = workersRevision;
+  }
+
+  /** Begins a table of its own with what is known, for a replica that has begun to lead. */
+  lead(): void {
+    const records = listChangedWorkers(this.table, '', 0);
+    this.table = makeWorkerTable(randomUUID());
+    this.adopt(records);
+  }
+
+  /** Whether an asker lacks something. */
+  hasNews({ workersEpoch, workersRevision }: WatchRequest): boolean {
+    return workersEpoch !== this.table.epoch || workersRevision !== this.table.revision;
+  }
+
+  /** What an asker lacks. */
+  buildPart(request: WatchRequest): Pick<WatchReply, 'workers' | 'workersEpoch' | 'workersRevision'> {
+    const { epoch, revision } = this.table;
+    return {
+      workersEpoch: epoch,
+      workersRevision: revision,
+      workers: listChangedWorkers(this.table, request.workersEpoch, request.workersRevision),
+    };
+  }
+
+  private adopt(records: readonly WorkerRecord[]): void {
+    const now = this.parts.clock.now();
+    records.forEach((record) => adoptRecord(this.table, record, now));
+  }
+}
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -7,7 +7,6 @@
 } from '../../manifest/manifest';
 import type { LengthModel } from './lengthModel';
 import type { SpeedTable } from './speedModel';
-import type { WorkerIndex } from './workerIndex';
 
 /** Whether a worker takes its full load, or only probes after it proved slow. */
 export type WorkerPace = 'steady' | 'eased';
@@ -92,6 +91,21 @@
   turnAt: number;
 }
 
+/**
+ * Workers with a free slot, by target and by what makes them alike, so that a choice looks at
+ * kinds.
+ */
+export interface WorkerIndex {
+  /** Target to bucket to worker ids. */
+  readonly free: Map<string, Map<string, Set<string>>>;
+  /** Where each indexed worker stands. */
+  readonly places: Map<string, { readonly targets: readonly string[]; readonly bucket: string }>;
+  /** Slots over all workers that may be used, and those in use. */
+  slots: number;
+  used: number;
+  readonly counted: Map<string, { readonly slots: number; readonly used: number }>;
+}
+
 /** A request that waits for a slot. */
 export interface WaitingEntity {
   readonly ask: AskRequest;
--- a/src/core/schedule/workerIndex.ts
+++ b/src/core/schedule/workerIndex.ts
@@ -1,19 +1,4 @@
-import type { WorkerEntity } from './scheduleTypes';
-
-/**
- * Workers with a free slot, by target and by what makes them alike, so that a choice looks at
- * kinds.
- */
-export interface WorkerIndex {
-  /** Target to bucket to worker ids. */
-  readonly free: Map<string, Map<string, Set<string>>>;
-  /** Where each indexed worker stands. */
-  readonly places: Map<string, { readonly targets: readonly string[]; readonly bucket: string }>;
-  /** Slots over all workers that may be used, and those in use. */
-  slots: number;
-  used: number;
-  readonly counted: Map<string, { readonly slots: number; readonly used: number }>;
-}
+import type { WorkerEntity, WorkerIndex } from './scheduleTypes';
 
 const PROBE_SLOTS = 1;
 
--- a/src/entry/activeTable.ts
+++ b/src/entry/callers/activeTable.ts
@@ -1,6 +1,6 @@
-import type { RunningRequest } from '../protocol/generated/beechlift';
+import type { RunningRequest } from '../../protocol/generated/beechlift';
 import type { CallerRequest } from './callerRequest';
-import type { PooledRequest } from './scheduler';
+import type { PooledRequest } from '../choosing/scheduler';
 
 /** Requests that this entry has taken and not finished. */
 export class ActiveTable {
--- a/src/entry/callerRequest.ts
+++ b/src/entry/callers/callerRequest.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
-import { PREFIX_TOKENS } from '../core/schedule/chooseWorker';
-import type { ClientAccount, Manifest, Service } from '../manifest/manifest';
-import { BeechliftError } from '../errors/beechliftError';
+import { PREFIX_TOKENS } from '../../core/schedule/chooseWorker';
+import type { ClientAccount, Manifest, Service } from '../../manifest/manifest';
+import { BeechliftError } from '../../errors/beechliftError';
 
 /** Headers that callers may send beside the usual ones. */
 export const CALLER_HEADERS = {
--- a/src/entry/requestJob.ts
+++ b/src/entry/callers/requestJob.ts
@@ -1,8 +1,8 @@
 import type { Context } from '@opentelemetry/api';
-import type { Operation } from '../utils/operation';
+import type { Operation } from '../../utils/operation';
 import type { AnswerSink } from './answerSink';
 import type { CallerRequest } from './callerRequest';
-import type { RequestClaim } from './requestClaim';
+import type { RequestClaim } from '../sending/requestClaim';
 
 /** The caller's end of a request. */
 export interface CallerLink {
--- a/src/entry/announcement.ts
+++ b/src/entry/choosing/announcement.ts
@@ -1,8 +1,8 @@
-import { Announcement } from '../protocol/generated/beechlift';
-import { BeechliftError } from '../errors/beechliftError';
-import type { Manifest } from '../manifest/manifest';
-import { isKeyOf } from '../utils/secretKey';
-import { buildValidator } from '../utils/schemaValidator';
+import { Announcement } from '../../protocol/generated/beechlift';
+import { BeechliftError } from '../../errors/beechliftError';
+import type { Manifest } from '../../manifest/manifest';
+import { isKeyOf } from '../../utils/secretKey';
+import { buildValidator } from '../../utils/schemaValidator';
 
 const name = { type: 'string', pattern: '^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$' };
 const nameList = { type: 'array', items: name, maxItems: 256 };
--- a/src/entry/movedReply.ts
+++ b/src/entry/choosing/movedReply.ts
@@ -1,5 +1,5 @@
-import type { AskReply } from '../protocol/generated/beechlift';
-import { resultCodes } from '../errors/resultCodes';
+import type { AskReply } from '../../protocol/generated/beechlift';
+import { resultCodes } from '../../errors/resultCodes';
 
 /**
  * Answers an ask that reached an entry which does not own the pool, or no longer does.
--- a/src/entry/orderSender.ts
+++ b/src/entry/choosing/orderSender.ts
@@ -1,10 +1,10 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { ORDER_FLIGHT_MS } from '../core/schedule/orderBook';
-import type { DesiredState, OrderResult } from '../core/schedule/scheduleTypes';
-import { toBeechliftError } from '../errors/beechliftError';
-import type { Logger } from '../telemetry/logger';
-import type { Metrics } from '../telemetry/metrics';
+import { ORDER_FLIGHT_MS } from '../../core/schedule/orderBook';
+import type { DesiredState, OrderResult } from '../../core/schedule/scheduleTypes';
+import { toBeechliftError } from '../../errors/beechliftError';
+import type { Logger } from '../../telemetry/logger';
+import type { Metrics } from '../../telemetry/metrics';
 
 const results: Readonly<Record<number, OrderResult>> = { 200: 'taken', 202: 'taken', 409: 'outbid' };
 
--- a/src/entry/poolOwner.ts
+++ b/src/entry/choosing/poolOwner.ts
@@ -1,14 +1,14 @@
 import type {
   Announcement, AskReply, AskRequest, RegisterRequest, ReportRequest,
-} from '../protocol/generated/beechlift';
-import { BeechliftError } from '../errors/beechliftError';
-import { resultCodes } from '../errors/resultCodes';
-import { handleScheduleEvent } from '../core/schedule/poolSchedule';
-import { GRANT_MS } from '../core/schedule/grantSystem';
+} from '../../protocol/generated/beechlift';
+import { BeechliftError } from '../../errors/beechliftError';
+import { resultCodes } from '../../errors/resultCodes';
+import { handleScheduleEvent } from '../../core/schedule/poolSchedule';
+import { GRANT_MS } from '../../core/schedule/grantSystem';
 import type {
   ScheduleEffect, ScheduleEvent, ScheduleTables,
-} from '../core/schedule/scheduleTypes';
-import type { Clock } from '../utils/clock';
+} from '../../core/schedule/scheduleTypes';
+import type { Clock } from '../../utils/clock';
 import { makeMovedReply } from './movedReply';
 
 type EffectOf<Kind extends ScheduleEffect['kind']> = Extract<ScheduleEffect, { kind: Kind }>;
--- a/src/entry/scheduler.ts
+++ b/src/entry/choosing/scheduler.ts
@@ -1,19 +1,19 @@
 import { setTimeout as pause } from 'node:timers/promises';
-import { PeerClient } from '../protocol/generated/beechlift';
+import { PeerClient } from '../../protocol/generated/beechlift';
 import type {
   Announcement, AskReply, AskRequest, Member, RegisterRequest, ReportRequest, RunningRequest,
-} from '../protocol/generated/beechlift';
-import { findOwner } from '../core/membership/locate';
-import { GRANT_MS } from '../core/schedule/grantSystem';
-import { DEFAULT_POLICY, makeScheduleTables } from '../core/schedule/scheduleTables';
-import type { PolicySettings } from '../core/schedule/scheduleTypes';
-import { BeechliftError } from '../errors/beechliftError';
-import { resultCodes } from '../errors/resultCodes';
-import type { Clock } from '../utils/clock';
-import { Operation } from '../utils/operation';
-import type { LinkTable } from '../wire/linkTable';
-import { toPeerError } from '../wire/peerError';
-import type { Configuration } from './configuration';
+} from '../../protocol/generated/beechlift';
+import { findOwner } from '../../core/membership/locate';
+import { GRANT_MS } from '../../core/schedule/grantSystem';
+import { DEFAULT_POLICY, makeScheduleTables } from '../../core/schedule/scheduleTables';
+import type { PolicySettings } from '../../core/schedule/scheduleTypes';
+import { BeechliftError } from '../../errors/beechliftError';
+import { resultCodes } from '../../errors/resultCodes';
+import type { Clock } from '../../utils/clock';
+import { Operation } from '../../utils/operation';
+import type { LinkTable } from '../../wire/linkTable';
+import { toPeerError } from '../../wire/peerError';
+import type { Configuration } from '../inForce/configuration';
 import { makeMovedReply } from './movedReply';
 import type { OrderSender } from './orderSender';
 import { PoolOwner } from './poolOwner';
--- a/src/entry/slotKeeper.ts
+++ b/src/entry/choosing/slotKeeper.ts
@@ -1,10 +1,10 @@
 import type { Context } from '@opentelemetry/api';
-import type { AskReply, ReportRequest } from '../protocol/generated/beechlift';
-import { makeErrorFromNumber } from '../errors/beechliftError';
-import type { HopTracer } from '../telemetry/tracing';
-import type { Operation } from '../utils/operation';
-import type { ActiveTable } from './activeTable';
-import type { CallerRequest } from './callerRequest';
+import type { AskReply, ReportRequest } from '../../protocol/generated/beechlift';
+import { makeErrorFromNumber } from '../../errors/beechliftError';
+import type { HopTracer } from '../../telemetry/tracing';
+import type { Operation } from '../../utils/operation';
+import type { ActiveTable } from '../callers/activeTable';
+import type { CallerRequest } from '../callers/callerRequest';
 import type { Scheduler } from './scheduler';
 
 /** How a granted request ended. */
--- a/src/entry/workerStatus.ts
+++ b/src/entry/choosing/workerStatus.ts
@@ -1,4 +1,4 @@
-import type { ScheduleTables, WorkerEntity } from '../core/schedule/scheduleTypes';
+import type { ScheduleTables, WorkerEntity } from '../../core/schedule/scheduleTypes';
 
 /**
  * What the status page shows of a worker.
--- a/src/entry/configuration.ts
+++ b/src/entry/inForce/configuration.ts
@@ -1,9 +1,9 @@
 import type {
   HeartbeatReply, HolderSet, Member,
-} from '../protocol/generated/beechlift';
-import type { Manifest } from '../manifest/manifest';
-import { applyChanges, computeDigest } from '../manifest/manifestDelta';
-import type { Clock } from '../utils/clock';
+} from '../../protocol/generated/beechlift';
+import type { Manifest } from '../../manifest/manifest';
+import { applyChanges, computeDigest } from '../../manifest/manifestDelta';
+import type { Clock } from '../../utils/clock';
 
 /** Called when a newer manifest or view is in force here. */
 export interface ConfigurationListener {
--- a/src/entry/heartbeat.ts
+++ b/src/entry/inForce/heartbeat.ts
@@ -1,10 +1,10 @@
-import { ControlClient, PeerClient } from '../protocol/generated/beechlift';
+import { ControlClient, PeerClient } from '../../protocol/generated/beechlift';
 import type {
   HeartbeatReply, HeartbeatRequest, Member, ProofRequest,
-} from '../protocol/generated/beechlift';
-import type { Clock } from '../utils/clock';
-import { Operation } from '../utils/operation';
-import type { LinkTable } from '../wire/linkTable';
+} from '../../protocol/generated/beechlift';
+import type { Clock } from '../../utils/clock';
+import { Operation } from '../../utils/operation';
+import type { LinkTable } from '../../wire/linkTable';
 import type { Configuration } from './configuration';
 
 const CALL_TIMEOUT_MS = 400;
--- a/src/entry/peerService.ts
+++ b/src/entry/peers/peerService.ts
@@ -1,8 +1,8 @@
-import type { PeerServer } from '../protocol/generated/beechlift';
-import type { HopTracer } from '../telemetry/tracing';
-import { handleUnary } from '../wire/rpcServer';
-import type { Configuration } from './configuration';
-import type { Scheduler } from './scheduler';
+import type { PeerServer } from '../../protocol/generated/beechlift';
+import type { HopTracer } from '../../telemetry/tracing';
+import { handleUnary } from '../../wire/rpcServer';
+import type { Configuration } from '../inForce/configuration';
+import type { Scheduler } from '../choosing/scheduler';
 
 /**
  * The wire side of an entry towards other entries: turns messages into calls and nothing more.
--- a/src/entry/answerRelay.ts
+++ b/src/entry/sending/answerRelay.ts
@@ -1,6 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
-import { BeechliftError } from '../errors/beechliftError';
-import type { Operation } from '../utils/operation';
+import { BeechliftError } from '../../errors/beechliftError';
+import type { Operation } from '../../utils/operation';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
 import type { EngineClient, EngineEvent } from './engineClient';
--- a/src/entry/claimClient.ts
+++ b/src/entry/sending/claimClient.ts
@@ -1,16 +1,16 @@
 import { setTimeout as pause } from 'node:timers/promises';
-import { ControlClient } from '../protocol/generated/beechlift';
+import { ControlClient } from '../../protocol/generated/beechlift';
 import type {
   AcceptClaimRequest, Ballot, ClaimReply, ClaimValue, HolderSet, PrepareClaimRequest, Replica,
-} from '../protocol/generated/beechlift';
+} from '../../protocol/generated/beechlift';
 import {
   findBoundValue, findHolderGroups, judgeQuorum, listHolders, raiseBallot,
-} from '../core/claims/claimQuorum';
-import type { HolderGroups } from '../core/claims/claimQuorum';
-import { BeechliftError } from '../errors/beechliftError';
-import { resultCodes } from '../errors/resultCodes';
-import { Operation } from '../utils/operation';
-import type { LinkTable } from '../wire/linkTable';
+} from '../../core/claims/claimQuorum';
+import type { HolderGroups } from '../../core/claims/claimQuorum';
+import { BeechliftError } from '../../errors/beechliftError';
+import { resultCodes } from '../../errors/resultCodes';
+import { Operation } from '../../utils/operation';
+import type { LinkTable } from '../../wire/linkTable';
 
 /** A claim that this entry has taken. */
 export interface ClaimTicket {
--- a/src/entry/modelRunner.ts
+++ b/src/entry/sending/modelRunner.ts
@@ -1,25 +1,25 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as pause } from 'node:timers/promises';
-import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
-import { GRANT_MS } from '../core/schedule/grantSystem';
-import { BeechliftError } from '../errors/beechliftError';
-import type { Manifest } from '../manifest/manifest';
-import type { Metrics } from '../telemetry/metrics';
-import type { HopTracer } from '../telemetry/tracing';
-import type { Clock } from '../utils/clock';
+import type { AskReply, ClaimValue } from '../../protocol/generated/beechlift';
+import { GRANT_MS } from '../../core/schedule/grantSystem';
+import { BeechliftError } from '../../errors/beechliftError';
+import type { Manifest } from '../../manifest/manifest';
+import type { Metrics } from '../../telemetry/metrics';
+import type { HopTracer } from '../../telemetry/tracing';
+import type { Clock } from '../../utils/clock';
 import { ENGINE_SILENCE_MS } from './answerRelay';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
 import type { EngineClient } from './engineClient';
-import { decodeKeptAnswer } from './keptAnswer';
+import { decodeKeptAnswer } from '../callers/keptAnswer';
 import {
   buildStreamBody, judgeDispatch, replayAnswer, toBackendError,
 } from './modelSteps';
 import { refuseReleased } from './refuseReleased';
-import type { RequestJob } from './requestJob';
+import type { RequestJob } from '../callers/requestJob';
 import type { ClaimedDispatch } from './requestClaim';
 import type { RetryBudget } from './retryBudget';
-import type { SlotKeeper } from './slotKeeper';
+import type { SlotKeeper } from '../choosing/slotKeeper';
 import { startOver } from './startOver';
 import { StreamRunner } from './streamRunner';
 import { StreamUnknown } from './streamUnknown';
--- a/src/entry/modelSteps.ts
+++ b/src/entry/sending/modelSteps.ts
@@ -1,6 +1,6 @@
-import { BeechliftError } from '../errors/beechliftError';
-import type { AnswerSink } from './answerSink';
-import type { CallerRequest } from './callerRequest';
+import { BeechliftError } from '../../errors/beechliftError';
+import type { AnswerSink } from '../callers/answerSink';
+import type { CallerRequest } from '../callers/callerRequest';
 import { EngineFailure } from './engineFailure';
 import type { EngineRefusal } from './engineRefusal';
 import type { ClaimedDispatch } from './requestClaim';
--- a/src/entry/refuseReleased.ts
+++ b/src/entry/sending/refuseReleased.ts
@@ -1,5 +1,5 @@
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
-import type { RequestJob } from './requestJob';
+import { BeechliftError, toBeechliftError } from '../../errors/beechliftError';
+import type { RequestJob } from '../callers/requestJob';
 
 /*
  * Guards "not run": it is said only once the claim is given back at a majority, with no byte sent.
--- a/src/entry/requestClaim.ts
+++ b/src/entry/sending/requestClaim.ts
@@ -1,9 +1,9 @@
-import type { ClaimValue } from '../protocol/generated/beechlift';
-import { ClaimValue as ClaimValueCodec } from '../protocol/generated/beechlift';
-import type { ClaimState } from '../core/claims/claimTable';
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
-import { Operation } from '../utils/operation';
-import type { CallerRequest } from './callerRequest';
+import type { ClaimValue } from '../../protocol/generated/beechlift';
+import { ClaimValue as ClaimValueCodec } from '../../protocol/generated/beechlift';
+import type { ClaimState } from '../../core/claims/claimTable';
+import { BeechliftError, toBeechliftError } from '../../errors/beechliftError';
+import { Operation } from '../../utils/operation';
+import type { CallerRequest } from '../callers/callerRequest';
 import type { ClaimClient, ClaimTicket } from './claimClient';
 import { isFree } from './claimClient';
 
--- a/src/entry/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -1,6 +1,6 @@
 import { Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { BeechliftError } from '../errors/beechliftError';
+import { BeechliftError } from '../../errors/beechliftError';
 import { toEngineFailure } from './toEngineFailure';
 
 /** A call to a plain service. */
--- a/src/entry/serviceRunner.ts
+++ b/src/entry/sending/serviceRunner.ts
@@ -1,17 +1,17 @@
 import { randomUUID } from 'node:crypto';
-import type { AskReply, ClaimValue } from '../protocol/generated/beechlift';
-import { BeechliftError } from '../errors/beechliftError';
-import type { Manifest } from '../manifest/manifest';
-import type { Metrics } from '../telemetry/metrics';
-import type { HopTracer } from '../telemetry/tracing';
-import type { Clock } from '../utils/clock';
+import type { AskReply, ClaimValue } from '../../protocol/generated/beechlift';
+import { BeechliftError } from '../../errors/beechliftError';
+import type { Manifest } from '../../manifest/manifest';
+import type { Metrics } from '../../telemetry/metrics';
+import type { HopTracer } from '../../telemetry/tracing';
+import type { Clock } from '../../utils/clock';
 import { EngineFailure } from './engineFailure';
 import { refuseReleased } from './refuseReleased';
-import type { RequestJob } from './requestJob';
+import type { RequestJob } from '../callers/requestJob';
 import { callService } from './serviceClient';
 import type { ServiceAnswer } from './serviceClient';
 import type { RetryBudget } from './retryBudget';
-import type { SlotKeeper } from './slotKeeper';
+import type { SlotKeeper } from '../choosing/slotKeeper';
 import { startOver } from './startOver';
 
 /** What is sent to the service. */
--- a/src/entry/startOver.ts
+++ b/src/entry/sending/startOver.ts
@@ -1,6 +1,6 @@
-import { BeechliftError } from '../errors/beechliftError';
-import type { Metrics } from '../telemetry/metrics';
-import type { RequestJob } from './requestJob';
+import { BeechliftError } from '../../errors/beechliftError';
+import type { Metrics } from '../../telemetry/metrics';
+import type { RequestJob } from '../callers/requestJob';
 import type { RetryBudget } from './retryBudget';
 
 const MAX_ATTEMPTS = 3;
--- a/src/entry/streamRunner.ts
+++ b/src/entry/sending/streamRunner.ts
@@ -1,13 +1,13 @@
-import type { Manifest } from '../manifest/manifest';
-import type { Metrics } from '../telemetry/metrics';
-import type { Clock } from '../utils/clock';
+import type { Manifest } from '../../manifest/manifest';
+import type { Metrics } from '../../telemetry/metrics';
+import type { Clock } from '../../utils/clock';
 import { AnswerRelay } from './answerRelay';
-import { hasToken } from './answerSink';
+import { hasToken } from '../callers/answerSink';
 import type { EngineClient, EngineEvent } from './engineClient';
-import { KeptAnswer } from './keptAnswer';
+import { KeptAnswer } from '../callers/keptAnswer';
 import type { ClaimedDispatch } from './requestClaim';
-import type { RequestJob } from './requestJob';
-import type { SlotKeeper, SlotTimes } from './slotKeeper';
+import type { RequestJob } from '../callers/requestJob';
+import type { SlotKeeper, SlotTimes } from '../choosing/slotKeeper';
 
 const ANSWER_TYPE = 'application/json';
 
--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -1,7 +1,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { toBeechliftError } from '../errors/beechliftError';
-import { COMPLETION_PATHS } from '../entry/callerRequest';
-import type { CallerApi } from '../entry/callerApi';
+import { COMPLETION_PATHS } from '../entry/callers/callerRequest';
+import type { CallerApi } from '../entry/callers/callerApi';
 import { HttpSink } from './httpSink';
 import { makeHttpServer, readBody } from './httpServer';
 
--- a/src/http/httpSink.ts
+++ b/src/http/httpSink.ts
@@ -1,8 +1,8 @@
 import { once } from 'node:events';
 import type { FastifyReply } from 'fastify';
-import { foldEvents } from '../entry/answerSink';
-import type { AnswerSink } from '../entry/answerSink';
-import type { CallerLink } from '../entry/requestJob';
+import { foldEvents } from '../entry/callers/answerSink';
+import type { AnswerSink } from '../entry/callers/answerSink';
+import type { CallerLink } from '../entry/callers/requestJob';
 import type { BeechliftError } from '../errors/beechliftError';
 import { sendError } from './httpServer';
 
--- /dev/null
+++ b/src/relay/attemptNotes.ts
@@ -0,0 +1,143 @@
+import type { PlacedReport } from '../protocol/generated/beechlift';
+import { learnAnswer, learnPace } from '../core/routing/routedWorkers';
+import type { Clock } from '../utils/clock';
+import type { AnswerWriter } from './answerWriter';
+import type { PlaceClient } from './placeClient';
+import type { RelaySite } from './relaySite';
+import type { CallFacts } from './requestDialect';
+import { NO_TIMES } from './workerPicker';
+import type { PickedWorker } from './workerPicker';
+
+/** What came of one attempt. */
+export type AttemptEnd = | { readonly kind: 'answered' }
+  /** Nobody waits for it any more. */
+  | { readonly kind: 'dropped'; readonly reason: string }
+  /** The server did not run it, or no byte reached it. */
+  | { readonly kind: 'unsent' | 'rejected'; readonly reason: string }
+  /** It may have run. */
+  | { readonly kind: 'broken' | 'failed'; readonly reason: string };
+
+/** What the leader hears of each end. */
+const PLACED_PHASES: Record<AttemptEnd['kind'], string> = {
+  answered: 'ended',
+  dropped: 'dropped',
+  failed: 'failed',
+  broken: 'unreached',
+  rejected: 'rejected',
+  unsent: 'unreached',
+};
+
+/** Events of a stream after which the pace of its server is learnt anew. */
+const PACE_PIECES = 8;
+
+/** What notes of an attempt are made from. */
+export interface AttemptNotesParts {
+  readonly site: RelaySite;
+  readonly placeClient: PlaceClient;
+  readonly clock: Clock;
+  readonly picked: PickedWorker;
+  readonly writer: AnswerWriter;
+  readonly facts: CallFacts;
+  readonly isStream: boolean;
+}
+
+/**
+ * What is counted, learnt and told of one attempt at one backend server.
+ *
+ * @example
+ * const notes = new AttemptNotes(parts); // counts the request in
+ * notes.noteHead();
+ * notes.noteEnd('answered');
+ */
+export class AttemptNotes {
+  private readonly startedAt: number;
+
+  /** Prompt tokens that the server was still to read when the request was sent there. */
+  private readonly pendingBefore: number;
+
+  private isPending = true;
+
+  constructor(private readonly parts: AttemptNotesParts) {
+    const { picked, clock } = parts;
+    const { worker } = picked;
+    this.startedAt = clock.now();
+    this.pendingBefore = worker.pendingTokens + worker.othersPendingTokens;
+    worker.inFlight += 1;
+    if (picked.placeId !== '') worker.placed += 1;
+    worker.pendingTokens += this.promptTokens;
+  }
+
+  /** The answer has begun. */
+  noteHead(): void {
+    if (!this.isPending) return;
+    this.isPending = false;
+    this.parts.picked.worker.pendingTokens -= this.promptTokens;
+  }
+
+  /** A piece of the answer was passed on: the pace is learnt each time so many events have come. */
+  notePiece(): void {
+    const { isStream, picked } = this.parts;
+    const { firstAt, lastAt, pieces } = this.parts.writer;
+    if (!isStream || pieces === 0) return;
+    const isPaced = pieces % PACE_PIECES === 0;
+    const paceMs = isPaced ? (lastAt - firstAt) / (pieces - 1) : 0;
+    if (isPaced) learnPace(picked.worker, paceMs);
+    if (isPaced || pieces === 1) this.tell({ phase: 'running', ...NO_TIMES, paceMs });
+  }
+
+  /** The server has nothing of the request any more. */
+  noteOver(): void {
+    const { picked, site } = this.parts;
+    this.noteHead();
+    picked.worker.inFlight -= 1;
+    if (picked.epoch !== '' && picked.epoch === site.workersEpoch) picked.worker.placed -= 1;
+  }
+
+  /** Tells the leader how the attempt ended. */
+  noteEnd(kind: AttemptEnd['kind']): void {
+    const { firstAt, lastAt, pieces } = this.parts.writer;
+    const isTimed = kind === 'answered' && pieces > 0;
+    this.tell({
+      phase: PLACED_PHASES[kind],
+      paceMs: 0,
+      firstEventMs: isTimed ? firstAt - this.startedAt : 0,
+      outputMs: isTimed ? lastAt - firstAt : 0,
+    });
+  }
+
+  /** Learns from an answer that came. */
+  learn(failed: boolean): void {
+    const {
+      site, clock, isStream, picked,
+    } = this.parts;
+    const { firstAt, lastAt, pieces } = this.parts.writer;
+    const { tokens } = this.parts.facts;
+    const isTimed = isStream && tokens !== undefined && pieces > 0;
+    const holdMs = clock.now() - this.startedAt;
+    learnAnswer(site.workers, picked.worker, {
+      holdMs,
+      paceMs: isStream ? 0 : holdMs,
+      firstEvent: isTimed
+        ? { ms: firstAt - this.startedAt, tokens: tokens.prompt + this.pendingBefore }
+        : undefined,
+      output: isTimed ? { ms: lastAt - firstAt, tokens: tokens.output } : undefined,
+      failed,
+    });
+  }
+
+  /** Learns that no answer came. */
+  learnSilence(): void {
+    learnAnswer(this.parts.site.workers, this.parts.picked.worker, {
+      holdMs: 0, paceMs: 0, firstEvent: undefined, output: undefined, failed: true,
+    });
+  }
+
+  private get promptTokens(): number {
+    return this.parts.facts.tokens?.prompt ?? 0;
+  }
+
+  private tell(news: Omit<PlacedReport, 'placeId'>): void {
+    const { picked, placeClient } = this.parts;
+    if (picked.placeId !== '') placeClient.report({ placeId: picked.placeId, ...news });
+  }
+}
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -4,7 +4,7 @@
 import type { FastifyInstance } from 'fastify';
 import type { CallerLimits } from '../manifest/routing';
 import { RoutedRequest } from './routedRequest';
-import type { RequestParts } from './routedRequest';
+import type { RequestParts } from './requestParts';
 
 /** Largest head that is read at all; the routing document bounds it further. */
 const MAX_HEAD_BYTES = 65_536;
--- /dev/null
+++ b/src/relay/requestParts.ts
@@ -0,0 +1,20 @@
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import type { PlaceClient } from './placeClient';
+import type { RelayMetrics } from './relayMetrics';
+import type { RelaySite } from './relaySite';
+import type { RequestDialect } from './requestDialect';
+import type { WorkerConnections } from './workerConnections';
+import type { WorkerPicker } from './workerPicker';
+
+/** What all requests of an entry share. */
+export interface RequestParts {
+  readonly site: RelaySite;
+  readonly dialect: RequestDialect;
+  readonly connections: WorkerConnections;
+  readonly picker: WorkerPicker;
+  readonly placeClient: PlaceClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: RelayMetrics;
+}
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -1,48 +1,20 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
-import {
-  learnAnswer, learnPace, noteReached, suspendWorker,
-} from '../core/routing/routedWorkers';
+import { noteReached, suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
-import type { PlacedReport } from '../protocol/generated/beechlift';
 import type { Route } from '../manifest/routing';
-import type { Logger } from '../telemetry/logger';
-import type { Clock } from '../utils/clock';
 import { admitRequest } from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
 import { AnswerWriter } from './answerWriter';
 import type { AnswerFlow } from './answerWriter';
+import { AttemptNotes } from './attemptNotes';
+import type { AttemptEnd } from './attemptNotes';
 import { readRequestBody } from './readRequestBody';
-import type { PlaceClient } from './placeClient';
-import type { RelayMetrics } from './relayMetrics';
-import type { RelaySite } from './relaySite';
-import type { AnswerFacts, CallFacts, RequestDialect } from './requestDialect';
+import type { AnswerFacts, CallFacts } from './requestDialect';
+import type { RequestParts } from './requestParts';
 import { UpstreamCall } from './upstreamCall';
-import type { UpstreamEnd, UpstreamHead } from './upstreamCall';
-import type { WorkerConnections } from './workerConnections';
-import { NO_TIMES } from './workerPicker';
-import type { PickedWorker, WorkerPicker } from './workerPicker';
-
-/** What all requests of an entry share. */
-export interface RequestParts {
-  readonly site: RelaySite;
-  readonly dialect: RequestDialect;
-  readonly connections: WorkerConnections;
-  readonly picker: WorkerPicker;
-  readonly placeClient: PlaceClient;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: RelayMetrics;
-}
-
-/** What came of one attempt. */
-type AttemptEnd = | { readonly kind: 'answered' }
-  /** Nobody waits for it any more. */
-  | { readonly kind: 'dropped'; readonly reason: string }
-  /** The server did not run it, or no byte reached it. */
-  | { readonly kind: 'unsent' | 'rejected'; readonly reason: string }
-  /** It may have run. */
-  | { readonly kind: 'broken' | 'failed'; readonly reason: string };
+import type { UpstreamEnd, UpstreamHead, UpstreamRequest } from './upstreamCall';
+import type { PickedWorker } from './workerPicker';
 
 /** Servers that a request is offered to without being run by any, at most. */
 const MAX_OFFERS = 4;
@@ -56,16 +28,10 @@
  * meanwhile are still answered on time.
  */
 const LEASE_WAIT_MS = 350;
-/** What the leader hears of each end. */
-const PLACED_PHASES: Record<AttemptEnd['kind'], string> = {
-  answered: 'ended', dropped: 'dropped', failed: 'failed', broken: 'unreached', rejected: 'rejected', unsent: 'unreached',
-};
 /** Silence of a server, in target latencies, after which it is taken for unwell. */
 const SILENCE_IN_TARGETS = 2.5;
 /** Shortest silence that says anything, in milliseconds. */
 const MIN_SILENCE_MS = 250;
-/** Events of a stream after which the pace of its server is learnt anew. */
-const PACE_PIECES = 8;
 const SERVER_ERROR = 500;
 
 const pickFlow = ({ kind, isResumable }: Route): AnswerFlow => {
@@ -94,9 +60,6 @@
 
   private deadlineAt = Infinity;
 
-  /** Prompt tokens that the server was still to read when the request was sent there. */
-  private pendingBefore = 0;
-
   private call: UpstreamCall | undefined;
 
   private writer: AnswerWriter;
@@ -154,7 +117,7 @@
       tried: [...this.tried],
     });
     if (this.writer.isOver) {
-      this.reportPlaced(picked, 'dropped');
+      this.dropPicked(admitted, picked);
       return;
     }
     this.offers += 1;
@@ -176,17 +139,14 @@
     body: Buffer,
   ): Promise<AttemptEnd> {
     const { worker } = picked;
-    const { connections, dialect, clock } = this.parts;
+    const { connections } = this.parts;
     const connection = connections.take(worker.address);
-    const promptTokens = this.facts.tokens?.prompt ?? 0;
-    const startedAt = clock.now();
+    const notes = this.makeNotes(admitted, picked);
     let verdict: AttemptEnd | undefined;
-    let isPending = true;
     this.writer.dropUnsent();
     const call: UpstreamCall = new UpstreamCall(connection, {
       onHead: (head) => {
-        worker.pendingTokens -= isPending ? promptTokens : 0;
-        isPending = false;
+        notes.noteHead();
         verdict = this.judgeHead(admitted, head);
         if (verdict) return false;
         this.writer.writeHead(head);
@@ -194,42 +154,60 @@
       },
       onData: (chunk) => {
         const isRoomy = this.writer.write(chunk);
-        this.notePiece(admitted, picked);
+        notes.notePiece();
         if (!isRoomy) this.writer.waitDrained(() => call.resume());
         return isRoomy;
       },
     });
     this.call = call;
-    this.pendingBefore = worker.pendingTokens + worker.othersPendingTokens;
-    worker.inFlight += 1;
-    if (picked.placeId !== '') worker.placed += 1;
-    worker.pendingTokens += promptTokens;
     const silence = setTimeout(
       () => this.noteSilence(admitted, worker, call),
       Math.max(MIN_SILENCE_MS, SILENCE_IN_TARGETS * admitted.route.targetLatencyMs),
     );
-    const end = await call.run({
+    const end = await call.run(this.buildUpstreamRequest(admitted, worker, body));
+    clearTimeout(silence);
+    notes.noteOver();
+    this.call = undefined;
+    if (call.isSent) this.sent += 1;
+    if (end.kind === 'whole') connections.give(connection);
+    else connection.end();
+    const settled = this.settle(worker, notes, end, verdict);
+    notes.noteEnd(settled.kind);
+    return settled;
+  }
+
+  private makeNotes({ route }: AdmittedRequest, picked: PickedWorker): AttemptNotes {
+    const { site, placeClient, clock } = this.parts;
+    const { writer, facts } = this;
+    return new AttemptNotes({
+      site, placeClient, clock, picked, writer, facts, isStream: route.kind === 'stream',
+    });
+  }
+
+  /** Gives a place back that came when nobody waited for it any more. */
+  private dropPicked(admitted: AdmittedRequest, picked: PickedWorker): void {
+    const notes = this.makeNotes(admitted, picked);
+    notes.noteOver();
+    notes.noteEnd('dropped');
+  }
+
+  private buildUpstreamRequest(
+    { account }: AdmittedRequest,
+    worker: RoutedWorker,
+    body: Buffer,
+  ): UpstreamRequest {
+    const { dialect, clock } = this.parts;
+    return {
       method: this.request.method ?? 'GET',
       path: this.target,
       headers: dialect.buildRequestHeaders(this.request.rawHeaders, {
         workerId: worker.id,
-        account: admitted.account,
+        account,
         remainingMs: Math.max(1, Math.floor(this.deadlineAt - clock.now())),
         lastEventId: this.writer.lastEventId,
       }),
       body,
-    });
-    clearTimeout(silence);
-    worker.inFlight -= 1;
-    if (picked.epoch !== '' && picked.epoch === this.parts.site.workersEpoch) worker.placed -= 1;
-    if (isPending) worker.pendingTokens -= promptTokens;
-    this.call = undefined;
-    if (call.isSent) this.sent += 1;
-    if (end.kind === 'whole') connections.give(connection);
-    else connection.end();
-    const settled = this.settle(worker, startedAt, end, verdict);
-    this.reportPlaced(picked, PLACED_PHASES[settled.kind], startedAt);
-    return settled;
+    };
   }
 
   /** Tells what is wrong with a head; undefined for one that is passed on. */
@@ -258,78 +236,31 @@
 
   private settle(
     worker: RoutedWorker,
-    startedAt: number,
+    notes: AttemptNotes,
     end: UpstreamEnd,
     verdict: AttemptEnd | undefined,
   ): AttemptEnd {
-    const { site, clock } = this.parts;
-    const now = clock.now();
+    const now = this.parts.clock.now();
     if (verdict?.kind === 'rejected') {
       suspendWorker(worker, now);
       return verdict;
     }
     if (verdict?.kind === 'failed') {
-      this.learn(worker, startedAt, true);
+      notes.learn(true);
       return verdict;
     }
     if (end.kind === 'whole') {
       noteReached(worker);
       this.writer.end();
-      this.learn(worker, startedAt, this.writer.statusCode >= SERVER_ERROR);
+      notes.learn(this.writer.statusCode >= SERVER_ERROR);
       return { kind: 'answered' };
     }
     if (this.writer.isOver) return { kind: 'dropped', reason: 'its time was over, or its caller has gone' };
     suspendWorker(worker, now);
-    learnAnswer(site.workers, worker, {
-      holdMs: 0, paceMs: 0, firstEvent: undefined, output: undefined, failed: true,
-    });
+    notes.learnSilence();
     return end.kind === 'unsent' ? end : verdict ?? end;
   }
 
-  private learn(worker: RoutedWorker, startedAt: number, failed: boolean): void {
-    const { site, clock } = this.parts;
-    const { firstAt, lastAt, pieces } = this.writer;
-    const { tokens } = this.facts;
-    const isStream = this.admitted?.route.kind === 'stream';
-    const isTimed = isStream && tokens !== undefined && pieces > 0;
-    const holdMs = clock.now() - startedAt;
-    learnAnswer(site.workers, worker, {
-      holdMs,
-      paceMs: isStream ? 0 : holdMs,
-      firstEvent: isTimed
-        ? { ms: firstAt - startedAt, tokens: tokens.prompt + this.pendingBefore }
-        : undefined,
-      output: isTimed ? { ms: lastAt - firstAt, tokens: tokens.output } : undefined,
-      failed,
-    });
-  }
-
-  /** Learns a server's pace from a stream that runs, each time so many events have come. */
-  private notePiece({ route }: AdmittedRequest, picked: PickedWorker): void {
-    const { firstAt, lastAt, pieces } = this.writer;
-    if (route.kind !== 'stream' || pieces === 0) return;
-    const isPaced = pieces % PACE_PIECES === 0;
-    const paceMs = isPaced ? (lastAt - firstAt) / (pieces - 1) : 0;
-    if (isPaced) learnPace(picked.worker, paceMs);
-    if (!isPaced && pieces > 1) return;
-    this.tellPlaced(picked, { phase: 'running', ...NO_TIMES, paceMs });
-  }
-
-  private tellPlaced({ placeId }: PickedWorker, news: Omit<PlacedReport, 'placeId'>): void {
-    if (placeId !== '') this.parts.placeClient.report({ placeId, ...news });
-  }
-
-  private reportPlaced(picked: PickedWorker, phase: string, startedAt = 0): void {
-    const { firstAt, lastAt, pieces } = this.writer;
-    const isTimed = phase === 'ended' && pieces > 0;
-    this.tellPlaced(picked, {
-      phase,
-      paceMs: 0,
-      firstEventMs: isTimed ? firstAt - startedAt : 0,
-      outputMs: isTimed ? lastAt - firstAt : 0,
-    });
-  }
-
   private isRepeatable(kind: AdmittedRequest['route']['kind']): boolean {
     const isResumable = this.admitted?.route.isResumable ?? false;
     return kind === 'idempotent' || (kind === 'stream' && isResumable);
--- a/tests/core/claims-model.spec.ts
+++ b/tests/core/claims-model.spec.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { ClaimHolder } from '../../src/control/claimHolder';
 import { ClaimStore } from '../../src/disk/claimStore';
-import { ClaimClient, isFree } from '../../src/entry/claimClient';
+import { ClaimClient, isFree } from '../../src/entry/sending/claimClient';
 import { ClaimValue } from '../../src/protocol/generated/beechlift';
 import type {
   AcceptClaimRequest, ControlClient, HolderSet, PrepareClaimRequest,
