--- /dev/null
+++ b/tests/platform/platform-site.spec.ts
@@ -0,0 +1,221 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { request } from 'undici';
+import {
+  afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import { findFreeAddress } from '../fakes/freeAddress';
+import { ScriptedServer } from '../fakes/scriptedServer';
+
+const PROGRAM = resolve('target/beechlift.cjs');
+const WAIT_MS = 20_000;
+
+const readPort = (address: string): string => address.slice(address.lastIndexOf(':') + 1);
+
+const waitFor = async (what: string, isDone: () => Promise<boolean>): Promise<void> => {
+  const until = performance.now() + WAIT_MS;
+  const poll = async (): Promise<void> => {
+    if (await isDone().catch(() => false)) return;
+    if (performance.now() > until) throw new Error(`not within ${WAIT_MS} ms: ${what}`);
+    await pause(25);
+    await poll();
+  };
+  await poll();
+};
+
+/** Three control replicas and two entries, as the platform starts them, one IP for each machine. */
+class PlatformSite {
+  readonly entryPort: string;
+
+  readonly operatorPort: string;
+
+  private readonly folder = mkdtempSync(join(tmpdir(), 'platform-'));
+
+  private readonly processes = new Map<string, ChildProcess>();
+
+  private constructor(private readonly ports: readonly string[]) {
+    [this.entryPort, this.operatorPort] = ports as [string, string];
+  }
+
+  static async open(): Promise<PlatformSite> {
+    const addresses = await Promise.all(Array.from({ length: 5 }, findFreeAddress));
+    return new PlatformSite(addresses.map(readPort));
+  }
+
+  startControl(machine: number, isFirstStart: boolean): void {
+    const ip = `127.0.0.${machine}`;
+    this.start(`control-${machine}`, 'control', {
+      ...this.buildCommon(ip),
+      operatorAddress: `${ip}:${this.operatorPort}`,
+      directoryAddress: `${ip}:${this.ports[2]}`,
+      dataFolder: join(this.folder, `data-${machine}`),
+      isFirstStart,
+      replicaLosses: 1,
+      revokeMs: 5_000,
+      limitSlack: 1_000,
+    });
+  }
+
+  startEntry(machine: number): void {
+    const ip = `127.0.0.${machine}`;
+    this.start(`entry-${machine}`, 'relay', {
+      ...this.buildCommon(ip),
+      callerAddress: `${ip}:${this.entryPort}`,
+      readinessAddress: `${ip}:${this.ports[3]}`,
+      graceSeconds: 5,
+      retryRatio: 0.2,
+      retrySlack: 50,
+      retryWindowSeconds: 10,
+    });
+  }
+
+  /** Ends a process and resolves with its exit code. */
+  end(name: string, signal: 'SIGTERM' | 'SIGKILL'): Promise<number | null> {
+    const child = this.processes.get(name);
+    this.processes.delete(name);
+    return new Promise((done) => {
+      child?.once('exit', (code) => done(code));
+      child?.kill(signal);
+    });
+  }
+
+  async askDirectory(machine: number): Promise<string[]> {
+    const { body } = await request(`http://127.0.0.${machine}:${this.ports[2]}/v1/resolution?name=a.example&zone=a`);
+    return (await body.json() as { addresses?: string[] }).addresses ?? [];
+  }
+
+  async isReady(machine: number): Promise<boolean> {
+    const { statusCode, body } = await request(`http://127.0.0.${machine}:${this.ports[3]}/v1/readyz`);
+    await body.dump();
+    return statusCode === 200;
+  }
+
+  async post(machine: number, path: string, body: object | string): Promise<number> {
+    const text = typeof body === 'string' ? body : JSON.stringify(body);
+    const answer = await request(`http://127.0.0.${machine}:${this.operatorPort}${path}`, {
+      method: 'POST', body: text, headers: { 'content-type': 'application/json' },
+    });
+    await answer.body.dump();
+    return answer.statusCode;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.processes.keys()].map((name) => this.end(name, 'SIGKILL')));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private buildCommon(ip: string): object {
+    return {
+      name: ip,
+      zone: 'a',
+      ip,
+      seeds: [1, 2, 3].map((machine) => `127.0.0.${machine}:${this.operatorPort}`).join(','),
+      internalPorts: `${this.ports[4]},${this.ports[4]}`,
+      logLevel: 'info',
+    };
+  }
+
+  private start(name: string, role: string, settings: object): void {
+    const file = join(this.folder, `${name}.jsonc`);
+    writeFileSync(file, JSON.stringify(settings));
+    this.processes.set(name, spawn(process.execPath, ['--max-old-space-size=200', PROGRAM, role], {
+      env: { ...process.env, BEECHLIFT_SETTINGS: file }, stdio: ['ignore', 'ignore', 'inherit'],
+    }));
+  }
+}
+
+const buildDocument = (version: number, keys: readonly string[] = ['k1']): object => ({
+  version,
+  routes: [{
+    name: 'r', host: 'a.example', path_prefix: '/x/', route_kind: 'non_idempotent', timeout_ms: 3000, target_latency_ms: 300, priority: 0, service: 's', max_attempts: 1,
+  }],
+  services: [{ name: 's', max_connections: 50 }],
+  tenants: [{ name: 'n', api_keys: keys, unit: 'requests' }],
+});
+
+describe('the programs on the platform', () => {
+  let site: PlatformSite;
+  let server: ScriptedServer;
+  let sequence = 0;
+
+  const beat = (machine: number): Promise<number> => {
+    sequence += 1;
+    return site.post(machine, '/v1/Instances.Heartbeat/i-1', {
+      service: 's', address: server.address, zone: 'a', slots: 4, state: 'ready', sequence,
+    });
+  };
+
+  const call = async (machine: number, key = 'k1') => {
+    const answer = await request(`http://127.0.0.${machine}:${site.entryPort}/x/1?y=2`, {
+      method: 'POST',
+      body: 'hello',
+      headers: {
+        host: 'a.example', 'attempt-id': 'ab12', 'deadline-ms': '3000', authorization: `Bearer ${key}`,
+      },
+    });
+    return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() };
+  };
+
+  beforeAll(async () => {
+    server = new ScriptedServer((socket, text) => {
+      const body = `got ${text.split('\r\n')[0]}`;
+      socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ab12\r\nServer-Stamp: 3e1b\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+    });
+    await server.listen();
+    site = await PlatformSite.open();
+    [1, 2, 3].forEach((machine) => site.startControl(machine, true));
+    [4, 5].forEach((machine) => site.startEntry(machine));
+    await waitFor('a document is accepted', async () => await site.post(2, '/v1/Configuration.Replace', buildDocument(1)) === 200);
+    await waitFor('a heartbeat is acknowledged', async () => await beat(3) === 200);
+    await waitFor('entries are ready', async () => await site.isReady(4) && site.isReady(5));
+  });
+
+  afterAll(async () => {
+    await site.close();
+    server.close();
+  });
+
+  it('should serve a request from end to end, and name its entries', async () => {
+    const { status, headers, text } = await call(4);
+    expect([status, text, headers['server-stamp']]).toEqual([200, 'got POST /x/1?y=2 HTTP/1.1', '3e1b']);
+    expect(server.requests.at(-1)).toMatch(/Expected-Instance: i-1/);
+    expect(server.requests.at(-1)).toMatch(/Tenant: n/);
+    expect(server.requests.at(-1)).not.toMatch(/k1/);
+    await waitFor('both entries are named', async () => (await site.askDirectory(1)).length === 2);
+  });
+
+  it('should refuse an invalid document and keep on serving', async () => {
+    expect(await site.post(1, '/v1/Configuration.Replace', '{"version": 9, "routes')).toBeGreaterThanOrEqual(400);
+    expect(await site.post(1, '/v1/Instances.Heartbeat/i-2', '{}')).toBe(400);
+    expect((await call(5)).status).toBe(200);
+  });
+
+  it('should let no key in that a newer document took away', async () => {
+    await waitFor('the key is replaced', async () => await site.post(3, '/v1/Configuration.Replace', buildDocument(5, ['k2'])) === 200);
+    await waitFor('the old key is refused', async () => (await call(4)).status === 401);
+    expect((await call(4, 'k2')).status).toBe(200);
+  });
+
+  // A control replica dies without a word: the site goes on, and takes it back.
+  it('should go on when a control replica is killed, and take it back', async () => {
+    await site.end('control-1', 'SIGKILL');
+    expect((await call(4, 'k2')).status).toBe(200);
+    await waitFor('a change is accepted', async () => await site.post(2, '/v1/Configuration.Replace', buildDocument(8, ['k2'])) === 200);
+    site.startControl(1, false);
+    await waitFor('the newest is read at it', async () => {
+      const answer = await request(`http://127.0.0.1:${site.operatorPort}/v1/Configuration.Read`);
+      return (await answer.body.json() as { version?: number }).version === 8;
+    });
+  });
+
+  it('should end an entry in order, named to nobody before it goes', async () => {
+    const ended = site.end('entry-5', 'SIGTERM');
+    await waitFor('it is named no more', async () => (await site.askDirectory(2)).length === 1);
+    expect((await call(5, 'k2')).status).toBe(200);
+    expect(await ended).toBe(0);
+  });
+});
