An answer without a length is passed on without one; entries load less of undici

Ruled out: a reset that was missed (a trial logged each end of such a connection). The test now wants the answer unframed and ending with the connection; it failed before, as the body came in chunks.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -33,7 +33,11 @@
   await mkdir('target', { recursive: true });
   const bundles = [['launcher', 'beechlift'], ['relay', 'relay'], ['control', 'control']];
   await Promise.all(bundles.map(([from, to]) => build({
-    ...shared, entryPoints: [`platform/${from}.ts`], outfile: `target/${to}.cjs`, minify: true,
+    ...shared,
+    entryPoints: [`platform/${from}.ts`],
+    outfile: `target/${to}.cjs`,
+    minify: true,
+    alias: { undici: './scripts/undiciParts.cjs' },
   })));
   ['relay', 'control'].forEach((name) => writeCache(resolve(`target/${name}.cjs`)));
   process.exit(0);
--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
 import { EventFramer } from './eventFramer';
-import { dropHeaders } from './rawHeaders';
+import { dropHeaders, findHeader } from './rawHeaders';
 import type { UpstreamHead } from './upstreamCall';
 
 const MS_PER_SECOND = 1_000;
@@ -9,6 +9,13 @@
 /** Plain answers up to this size are held until they are whole. */
 const MAX_HELD_BYTES = 65_536;
 
+/** Statuses whose answers have no body, with or without a length (RFC 9110, section 6.4.1). */
+const EMPTY_STATUSES: readonly number[] = [204, 304];
+
+const isFramed = ({ status, headers }: UpstreamHead): boolean => EMPTY_STATUSES.includes(status)
+  || findHeader(headers, 'content-length') !== undefined
+  || findHeader(headers, 'transfer-encoding') !== undefined;
+
 /**
  * How an answer is passed on: as it comes; event by event, so that it may go on elsewhere; or held
  * until it is whole, so that one which breaks off can be asked for anew, or be told of.
@@ -37,6 +44,12 @@
 
   private readonly framer: EventFramer | undefined;
 
+  /**
+   * Whether the answer has no length of its own. It is passed on as it came, so that its end tells
+   * the caller no more than it told us: framed anew, one that was cut short would look whole.
+   */
+  private endsWithConnection = false;
+
   private heldHead: UpstreamHead | undefined;
 
   private held: Buffer[] = [];
@@ -81,6 +94,9 @@
 
   private sendHead(head: UpstreamHead): void {
     this.response.sendDate = false;
+    this.endsWithConnection = !isFramed(head);
+    this.response.useChunkedEncodingByDefault = !this.endsWithConnection;
+    this.response.shouldKeepAlive &&= !this.endsWithConnection;
     this.response.writeHead(head.status, dropHeaders(head.headers, NO_NAMES));
     // The head of a stream is worth having before its first event.
     if (this.flow !== 'held') this.response.flushHeaders();
@@ -139,6 +155,8 @@
    * does not look whole.
    */
   breakOff(): void {
+    // An answer that ends with its connection looks whole unless the connection is reset.
+    if (this.endsWithConnection) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
--- a/tests/relay/routed-request.spec.ts
+++ b/tests/relay/routed-request.spec.ts
@@ -142,14 +142,18 @@
     expect(answer.status).toBe(502);
   });
 
-  it('should pass an answer without a length on when its connection ends in order', async () => {
+  // A server that crashes in the middle of an answer without a length may close its connection in
+  // order. Framed anew on its way, the half that came would be told to the caller as whole.
+  it('should pass an answer without a length on without one, ending with the connection', async () => {
     const endAll: ServerScript = (socket) => {
       socket.end('HTTP/1.1 200 OK\r\nx-id: r1\r\nconnection: close\r\n\r\nall of it');
     };
     await start({ kind: 'nonIdempotent' }, endAll);
     const answer = await callShop();
-    expect(answer.status).toBe(200);
-    expect(await answer.text()).toMatch(/all of it/);
+    const head = decodeURIComponent(answer.headers.get('x-head') ?? '');
+    expect([answer.status, await answer.text()]).toEqual([200, 'all of it']);
+    expect(head).not.toMatch(/transfer-encoding|content-length/i);
+    expect(head).toMatch(/connection: close/i);
   });
 
   it('should break a stream off that may not be resumed, so that it does not look whole', async () => {
