--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -111,10 +111,7 @@
   /** Offers the request to one server after another, until it is answered or given up. */
   private async offer(admitted: AdmittedRequest, body: Buffer): Promise<void> {
     const picked = await this.parts.picker.pick({
-      admitted,
-      facts: this.facts,
-      deadlineAt: this.deadlineAt,
-      tried: [...this.tried],
+      admitted, facts: this.facts, deadlineAt: this.deadlineAt, tried: [...this.tried],
     });
     if (this.writer.isOver) {
       this.dropPicked(admitted, picked);
