A request waits for the entry's lease by the time that its caller has

Cause: after a restart of all, entries serve 0.7 s before they have a lease, and refused after 350 ms what they could have answered 200 ms later; a caller has one more try. An eighth of the caller's time instead, 100 to 1,500 ms.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -23,17 +23,26 @@
 /** Time to come back after servers refused, in milliseconds: a slot or two later. */
 const MIN_RETRY_MS = 150;
 /**
- * How long a request waits for the entry's lease, in milliseconds: an entry that has just started,
- * or whose leader has just died, gets it within a fraction of a second, so most requests that come
- * meanwhile are still answered on time.
+ * How long a request waits for the entry's lease: a part of the time that its caller will wait, so
+ * that one which is refused after all has most of its time left to come back. An entry that has
+ * just started gets its lease within about a second, with the rest of a site that was killed: a
+ * caller that waits is then answered, one that was refused uses up its only other try.
  */
-const LEASE_WAIT_MS = 350;
+const LEASE_WAIT_PART = 1 / 8;
+/** Shortest and longest of these waits, in milliseconds. */
+const MIN_LEASE_WAIT_MS = 100;
+const MAX_LEASE_WAIT_MS = 1_500;
 /** Silence of a server, in target latencies, after which it is taken for unwell. */
 const SILENCE_IN_TARGETS = 2.5;
 /** Shortest silence that says anything, in milliseconds. */
 const MIN_SILENCE_MS = 250;
 const SERVER_ERROR = 500;
 
+const computeLeaseWaitMs = ({ patienceMs }: CallFacts): number => Math.min(
+  MAX_LEASE_WAIT_MS,
+  Math.max(MIN_LEASE_WAIT_MS, LEASE_WAIT_PART * (patienceMs ?? Infinity)),
+);
+
 const pickFlow = ({ kind, isResumable }: Route): AnswerFlow => {
   if (kind !== 'stream') return 'held';
   return isResumable ? 'framed' : 'direct';
@@ -90,7 +99,7 @@
   private async serve(): Promise<void> {
     const { site, clock } = this.parts;
     const host = this.request.headers.host ?? '';
-    if (!site.isServing) await site.waitServing(LEASE_WAIT_MS);
+    if (!site.isServing) await site.waitServing(computeLeaseWaitMs(this.facts));
     const admitted = admitRequest(site, this.facts, host, this.target, Math.random());
     this.admitted = admitted;
     const { route } = admitted;
