Entries tell callers where to connect too; control waits for an election under way

The leader now tells the entries the list by a revision, so it costs nothing while nothing changes; a leader that has just begun does not replace the list of the one before. Found on the way by the tests of control, once elections are over within some 50 ms: a change or an announcement that came to a replica in that time was refused. It waits now, as the entries' questions do.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import type {
   EntryRecord, WatchRequest, WorkerLoad,
 } from '../protocol/generated/beechlift';
@@ -25,11 +26,15 @@
  *
  * @example
  * entries.note(request, clock.now());
- * const records = entries.list(clock.now());
+ * const { records } = entries.list(clock.now());
  */
 export class EntryTable {
   private readonly entries = new Map<string, KnownEntry>();
 
+  private listed: readonly EntryRecord[] = [];
+
+  private listedRevision = 1;
+
   /** @param leaseMs an entry that was granted a lease counts for this long, heard or not */
   constructor(private readonly leaseMs: number) {}
 
@@ -40,16 +45,14 @@
     this.entries.set(request.entryId, { request, heardAt: now });
   }
 
-  /** Entries that callers may be sent to. */
-  list(now: number): EntryRecord[] {
-    return [...this.entries.values()]
-      .filter(({ request, heardAt }) => request.state === 'active' && now - heardAt <= SILENCE_MS)
-      .map(({ request }) => ({
-        id: request.entryId,
-        callerAddress: request.callerAddress,
-        zone: request.zone,
-        state: request.state,
-      }));
+  /** Entries that callers may be sent to, and a number that grows when these change. */
+  list(now: number): { readonly records: readonly EntryRecord[]; readonly revision: number } {
+    const records = this.selectActive(now);
+    if (!isDeepStrictEqual(records, this.listed)) {
+      this.listed = records;
+      this.listedRevision += 1;
+    }
+    return { records: this.listed, revision: this.listedRevision };
   }
 
   /** Entries that may hold a lease. */
@@ -83,6 +86,17 @@
       { ...sum, slowness: Math.round(sum.slowness / Math.max(1, observers)) }));
   }
 
+  private selectActive(now: number): EntryRecord[] {
+    return [...this.entries.values()]
+      .filter(({ request, heardAt }) => request.state === 'active' && now - heardAt <= SILENCE_MS)
+      .map(({ request }) => ({
+        id: request.entryId,
+        callerAddress: request.callerAddress,
+        zone: request.zone,
+        state: request.state,
+      }));
+  }
+
   /** A process that serves the address of another has taken its place. */
   private dropReborn({ entryId, callerAddress }: WatchRequest): void {
     this.entries.forEach(({ request }, id) => {
--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -2,6 +2,7 @@
   EntryRecord, PlacedReport, PlaceReply, PlaceRequest, WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
 import { AccountLedger } from '../core/routing/accountLedger';
+import { NO_LIST, OTHER_LIST } from '../core/routing/entryList';
 import { listChangedWorkers } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
 import type { RoutedAccount } from '../manifest/routing';
@@ -19,7 +20,13 @@
 }
 
 /** The part of an answer that only entries need. */
-export type EntryPart = Pick<WatchReply, 'entries' | 'loads' | 'grants' | 'entryCount'>;
+export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount'>;
+
+/** Time in which all entries ask a new leader, in milliseconds: two of the questions it holds. */
+const SETTLE_MS = 500;
+
+/** What a reply says of the entries that callers may be sent to. */
+export type EntryListPart = Pick<WatchReply, 'entries' | 'entriesRevision'>;
 
 /**
  * What a leader keeps for its time: the entries that it hears, what is left of limits, and who
@@ -39,7 +46,10 @@
   /** Revision of the table of backend servers that the desk knows. */
   private deskRevision = 0;
 
+  private readonly startedAt: number;
+
   constructor(private readonly parts: LeaderBookParts) {
+    this.startedAt = parts.clock.now();
     this.entries = new EntryTable(parts.leaseMs);
     this.ledger = new AccountLedger(parts.limitSlack);
     this.desk = new PlacementDesk(parts.clock);
@@ -58,8 +68,23 @@
   }
 
   /** Entries that callers may be sent to. */
-  listEntries(): EntryRecord[] {
-    return this.entries.list(this.parts.clock.now());
+  listEntries(): readonly EntryRecord[] {
+    return this.entries.list(this.parts.clock.now()).records;
+  }
+
+  /**
+   * The entries for an asker that holds a revision of their list; none when they are the same.
+   *
+   * Guards callers against a leader that has just begun and has heard from few entries: they would
+   * all be sent to these. Who holds the list of the leader before keeps it until all had the time
+   * to ask.
+   */
+  buildListPart(heldRevision: number): EntryListPart {
+    const now = this.parts.clock.now();
+    const isSettling = now - this.startedAt < SETTLE_MS;
+    if (isSettling && heldRevision === OTHER_LIST) return { entries: [], entriesRevision: NO_LIST };
+    const { records, revision } = this.entries.list(now);
+    return { entries: revision === heldRevision ? [] : [...records], entriesRevision: revision };
   }
 
   /** What an entry is told beside the document and the backend servers. */
@@ -67,7 +92,6 @@
     const now = this.parts.clock.now();
     const entryCount = this.entries.countLeased(now);
     return {
-      entries: [],
       loads: this.entries.sumLoads(entryId, now),
       grants: this.ledger.listGrants(entryId, entryCount, now),
       entryCount,
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -7,6 +7,7 @@
   WatchReply as WatchReplyCodec, WatchRequest as WatchRequestCodec,
 } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
+import { EntryList } from '../core/routing/entryList';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
 import { BeechliftError } from '../errors/beechliftError';
@@ -27,8 +28,17 @@
 const PUBLISH_TIMEOUT_MS = 3_000;
 /** Longest that a watch is held. */
 const MAX_HOLD_MS = 1_000;
+/**
+ * How long a change waits for an election that is under way, in milliseconds: most of the second
+ * after which operators ask another replica, which would know no leader either.
+ */
+const PUBLISH_LEADER_MS = 600;
+/** The same for an announcement, which still has to reach the leader within its second. */
+const ANNOUNCE_LEADER_MS = 250;
 /** How often a held question looks for a leader. */
 const LEADER_POLL_MS = 10;
+/** What a replica that follows is told in place of loads and loans. */
+const NO_ENTRY_PART: EntryPart = { loads: [], grants: [], entryCount: 0 };
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
@@ -46,7 +56,7 @@
   site: SiteDocument;
 
   /** Entries as the leader told of them, for a replica that follows. */
-  private followedEntries: readonly EntryRecord[] = [];
+  private readonly followedEntries = new EntryList();
 
   private readonly registry: WorkerRegistry;
 
@@ -113,7 +123,7 @@
 
   /** Entries that callers may be sent to. */
   listEntries(): readonly EntryRecord[] {
-    return this.isLeading ? this.book.listEntries() : this.followedEntries;
+    return this.isLeading ? this.book.listEntries() : this.followedEntries.records;
   }
 
   /** Runs the log and, on a leader, what keeps the site in order. */
@@ -146,21 +156,26 @@
    * processes were killed, callers wait for just that.
    */
   private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
-    const until = this.parts.clock.now() + Math.min(MAX_HOLD_MS, request.holdMs);
-    const poll = async (): Promise<WatchReply> => {
-      if (this.isLeading) return this.watch({ ...request, holdMs: 0 });
-      const isKnown = this.leaderAddress !== '' && this.leaderAddress !== this.parts.self.address;
-      if (isKnown || this.parts.clock.now() >= until) return this.answerNotLeading();
+    await this.waitLeader(Math.min(MAX_HOLD_MS, request.holdMs));
+    return this.isLeading ? this.watch({ ...request, holdMs: 0 }) : this.answerNotLeading();
+  }
+
+  /** Resolves once this replica leads or knows who does, and after the time also when neither. */
+  private async waitLeader(mostMs: number): Promise<void> {
+    const until = this.parts.clock.now() + mostMs;
+    const poll = async (): Promise<void> => {
+      const isOther = this.leaderAddress !== '' && this.leaderAddress !== this.parts.self.address;
+      if (this.isLeading || isOther || this.parts.clock.now() >= until) return;
       await this.watches.hold(LEADER_POLL_MS);
-      return poll();
+      await poll();
     };
-    return poll();
+    await poll();
   }
 
   /** Takes in what the leader told a replica that follows. */
   follow(reply: WatchReply): void {
     if (this.runner.holdsLease) return;
-    this.followedEntries = reply.entries;
+    this.followedEntries.apply(reply);
     this.registry.follow(reply);
   }
 
@@ -168,7 +183,11 @@
   buildFollowRequest(holdMs: number): WatchRequest {
     const { epoch, revision } = this.registry.table;
     return WatchRequestCodec.fromPartial({
-      documentDigest: this.site.digest, workersEpoch: epoch, workersRevision: revision, holdMs,
+      documentDigest: this.site.digest,
+      workersEpoch: epoch,
+      workersRevision: revision,
+      entriesRevision: this.followedEntries.readRevision(epoch),
+      holdMs,
     });
   }
 
@@ -180,6 +199,7 @@
       return { code: resultCodes.manifestInvalid.number, message: faults.join('\n'), version: 0 };
     }
     if (routing.version <= this.site.version) return this.acceptPublished(routing.version);
+    await this.waitLeader(PUBLISH_LEADER_MS);
     if (!this.isLeading) return this.forwardPublish(request);
     const operation = new Operation({ timeoutMs: PUBLISH_TIMEOUT_MS, clock: this.parts.clock });
     const command: DocumentCommand = { version: routing.version, document: request.document };
@@ -212,6 +232,7 @@
 
   /** Takes in what a backend server said of itself; false when no leader could be told. */
   async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
+    await this.waitLeader(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
       if (this.registry.take(said)) this.watches.release();
       return { taken: true };
@@ -261,9 +282,9 @@
   private buildWatchReply(request: WatchRequest): WatchReply {
     const { site } = this;
     const isEntry = request.entryId !== '';
-    const entryPart = isEntry ? this.book.buildEntryPart(request) : this.buildReplicaPart();
     return {
-      ...entryPart,
+      ...(isEntry ? this.book.buildEntryPart(request) : NO_ENTRY_PART),
+      ...this.book.buildListPart(request.entriesRevision),
       leaseMs: this.parts.leaseMs,
       leaderAddress: this.parts.self.address,
       controlAddresses: this.replicaAddresses,
@@ -275,13 +296,6 @@
     };
   }
 
-  /** A replica that follows is told the entries, for callers that ask it where to connect. */
-  private buildReplicaPart(): EntryPart {
-    return {
-      entries: this.book.listEntries(), loads: [], grants: [], entryCount: 0,
-    };
-  }
-
   private acceptPublished(version: number): PublishReply {
     this.parts.logger.info('document accepted', { version, inForce: this.site.version });
     return { code: 0, message: '', version: this.site.version };
--- /dev/null
+++ b/src/core/routing/entryList.ts
@@ -0,0 +1,65 @@
+import type { EntryRecord, WatchReply } from '../../protocol/generated/beechlift';
+
+/** The part of a leader's reply that tells the entries. */
+export type EntryNews = Pick<WatchReply, 'entries' | 'entriesRevision' | 'workersEpoch'>;
+
+/** Revision of an asker that holds no list, or of a leader that tells none yet. */
+export const NO_LIST = 0;
+/** Revision of an asker that holds the list of another leader. */
+export const OTHER_LIST = -1;
+
+/**
+ * The entries that callers may be sent to, as the leader of control last told them: held by the
+ * replicas that follow and by the entries, so that callers find the site while no leader is there.
+ *
+ * @example
+ * list.apply(reply);
+ * const addresses = pickEntries(list.records, 'az-1', 64);
+ */
+export class EntryList {
+  records: readonly EntryRecord[] = [];
+
+  private revision = NO_LIST;
+
+  /** The leader's tables that the revision counts in. */
+  private epoch = '';
+
+  /**
+   * What is held, for the next question to a leader: a revision of its own list, or that there is
+   * none, or one of another leader.
+   */
+  readRevision(workersEpoch: string): number {
+    if (this.revision === NO_LIST || workersEpoch === this.epoch) return this.revision;
+    return OTHER_LIST;
+  }
+
+  /** Takes in what the leader told; a reply without the list says that nothing changed. */
+  apply({ entries, entriesRevision, workersEpoch }: EntryNews): void {
+    if (entriesRevision === NO_LIST) return;
+    // Guards against a reply that was overtaken by a newer one of the same leader.
+    if (workersEpoch === this.epoch && entriesRevision <= this.revision) return;
+    this.epoch = workersEpoch;
+    this.revision = entriesRevision;
+    this.records = entries;
+  }
+}
+
+/** Fewest entries of the caller's own availability zone that are named without the others. */
+const MIN_NEAR = 2;
+
+/**
+ * Picks the entries that a caller is told of: those of its own availability zone when there are
+ * several, as that is where requests cost no bytes between zones, and otherwise all.
+ *
+ * @example
+ * const addresses = pickEntries(records, 'az-1', 64);
+ */
+export const pickEntries = (
+  entries: readonly EntryRecord[],
+  zone: string,
+  most: number,
+): string[] => {
+  const near = entries.filter((entry) => entry.zone === zone);
+  const picked = near.length >= MIN_NEAR ? near : entries;
+  return picked.slice(0, most).map(({ callerAddress }) => callerAddress);
+};
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,5 +1,6 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import { AccountBudget } from '../core/routing/accountBudget';
+import { EntryList } from '../core/routing/entryList';
 import { RetryAllowance } from '../core/routing/retryAllowance';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import {
@@ -45,6 +46,8 @@
 
   readonly budget = new AccountBudget();
 
+  private readonly entries = new EntryList();
+
   readonly retries: RetryAllowance;
 
   isLeaving = false;
@@ -113,6 +116,15 @@
     return this.isServing && this.workersEpoch !== '' ? 'active' : 'starting';
   }
 
+  /**
+   * Entries that callers may be sent to; none while this entry cannot tell. Not this one from the
+   * moment at which it begins to leave, before the leader has heard of it.
+   */
+  listEntries(): readonly EntryRecord[] {
+    if (!this.isServing) return [];
+    return this.entries.records.filter(({ id }) => !(this.isLeaving && id === this.entryId));
+  }
+
   /** What the leader of control is asked with. */
   buildRequest(holdMs: number): WatchRequest {
     const {
@@ -129,6 +141,7 @@
       holdMs,
       loads: listLoads(this.workers),
       spends: this.budget.listSpends(clock.now()),
+      entriesRevision: this.entries.readRevision(this.workersEpoch),
     };
   }
 
@@ -169,27 +182,8 @@
     applyRecords(this.workers, reply.workers);
     if (reply.workersEpoch !== this.workersEpoch) forgetPlaced(this.workers);
     applyLoads(this.workers, reply.loads);
+    this.entries.apply(reply);
     this.workersEpoch = reply.workersEpoch;
     this.workersRevision = reply.workersRevision;
   }
 }
-
-/** Fewest entries of the caller's own availability zone that are named without the others. */
-const MIN_NEAR = 2;
-
-/**
- * Picks the entries that a caller is told of: those of its own availability zone when there are
- * several, as that is where requests cost no bytes between zones, and otherwise all.
- *
- * @example
- * const addresses = pickEntries(records, 'az-1', 64);
- */
-export const pickEntries = (
-  entries: readonly EntryRecord[],
-  zone: string,
-  most: number,
-): string[] => {
-  const near = entries.filter((entry) => entry.zone === zone);
-  const picked = near.length >= MIN_NEAR ? near : entries;
-  return picked.slice(0, most).map(({ callerAddress }) => callerAddress);
-};
--- a/tests/platform/platform-site.spec.ts
+++ b/tests/platform/platform-site.spec.ts
@@ -51,7 +51,6 @@
     this.start(`control-${machine}`, 'control', {
       ...this.buildCommon(ip),
       operatorAddress: `${ip}:${this.operatorPort}`,
-      directoryAddress: `${ip}:${this.ports[2]}`,
       dataFolder: join(this.folder, `data-${machine}`),
       isFirstStart,
       replicaLosses: 1,
@@ -115,6 +114,7 @@
       ip,
       seeds: [1, 2, 3].map((machine) => `127.0.0.${machine}:${this.operatorPort}`).join(','),
       internalPorts: `${this.ports[4]},${this.ports[4]}`,
+      directoryAddress: `${ip}:${this.ports[2]}`,
       logLevel: 'info',
     };
   }
@@ -212,6 +212,19 @@
     });
   });
 
+  /*
+   * All control replicas lose power for seconds. The entries go on under their leases, but callers
+   * that have not asked yet find nobody to connect to, as control alone knew the entries.
+   */
+  it('should tell callers where to connect while control is gone', async () => {
+    await waitFor('the entry knows both', async () => (await site.askDirectory(4)).length === 2);
+    await Promise.all([1, 2, 3].map((machine) => site.end(`control-${machine}`, 'SIGKILL')));
+    expect(await site.askDirectory(4)).toHaveLength(2);
+    expect((await call(4, 'k2')).status).toBe(200);
+    [1, 2, 3].forEach((machine) => site.startControl(machine, false));
+    await waitFor('control is back', async () => (await site.askDirectory(2)).length === 2);
+  });
+
   it('should end an entry in order, named to nobody before it goes', async () => {
     const ended = site.end('entry-5', 'SIGTERM');
     await waitFor('it is named no more', async () => (await site.askDirectory(2)).length === 1);
--- a/tests/platform/platform-words.spec.ts
+++ b/tests/platform/platform-words.spec.ts
@@ -138,7 +138,7 @@
 
 describe('settings on the platform', () => {
   const common = {
-    name: 'n', zone: 'a', ip: '10.0.0.4', seeds: '10.0.0.1:8229,10.0.0.2:8229', internalPorts: '7600,7615',
+    name: 'n', zone: 'a', ip: '10.0.0.4', seeds: '10.0.0.1:8229,10.0.0.2:8229', internalPorts: '7600,7615', directoryAddress: '10.0.0.4:3',
   };
   const relay = {
     ...common, callerAddress: '10.0.0.4:1', readinessAddress: '10.0.0.4:2', graceSeconds: 8, retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10,
