An entry's requests of one moment go to the leader as one call

One call now carries all asks of one turn of the loop; a batch is placed in one pass, and a service found full is not searched again for each request that waits.

--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -8,7 +8,7 @@
 import type { RoutedAccount } from '../manifest/routing';
 import type { Clock } from '../utils/clock';
 import { EntryTable } from './entryTable';
-import { PlacementDesk, refuseLimited } from './placementDesk';
+import { PlacementDesk, refuseLimited, STILL_WAITING } from './placementDesk';
 
 /** What a book is made from. */
 export interface LeaderBookParts {
@@ -98,18 +98,42 @@
     };
   }
 
-  /** Decides which backend server takes a request; the reply may be that it still waits. */
-  async place(request: PlaceRequest, workers: WorkerTable): Promise<PlaceReply> {
-    const { account, cost, placeId } = request;
-    if (!this.desk.hasHeard(placeId)) {
-      const waitMs = this.ledger.charge(account, cost, this.parts.clock.now());
-      if (waitMs > 0) return refuseLimited(`account "${account}" is beyond its limit`, Math.ceil(waitMs));
-    }
+  /** Decides which backend servers take requests; a reply may be that it still waits. */
+  async place(
+    requests: readonly PlaceRequest[],
+    workers: WorkerTable,
+  ): Promise<PlaceReply[]> {
     this.informDesk(workers);
-    const reply = await this.desk.place(request);
-    // What is refused has used nothing.
-    if (reply.code !== 0) this.ledger.refund(account, cost);
-    return reply;
+    const limited = new Map(requests.flatMap((request) => {
+      const reply = this.charge(request);
+      return reply ? [[request.placeId, reply] as const] : [];
+    }));
+    const allowed = requests.filter(({ placeId }) => !limited.has(placeId));
+    const placed = await this.placeAllowed(allowed, limited.size > 0);
+    return requests.map(({ placeId }) => (
+      limited.get(placeId) ?? placed.get(placeId) ?? STILL_WAITING));
+  }
+
+  private async placeAllowed(
+    requests: readonly PlaceRequest[],
+    hasNews: boolean,
+  ): Promise<Map<string, PlaceReply>> {
+    if (requests.length === 0) return new Map();
+    const replies = await this.desk.place(requests, hasNews);
+    return new Map(requests.map((request, position) => {
+      const reply = replies[position] ?? STILL_WAITING;
+      // What is refused has used nothing.
+      if (reply.code !== 0) this.ledger.refund(request.account, request.cost);
+      return [request.placeId, reply];
+    }));
+  }
+
+  /** Charges a request that has not been heard of; the refusal when its limit does not allow it. */
+  private charge({ account, cost, placeId }: PlaceRequest): PlaceReply | undefined {
+    if (this.desk.hasHeard(placeId)) return undefined;
+    const waitMs = this.ledger.charge(account, cost, this.parts.clock.now());
+    if (waitMs <= 0) return undefined;
+    return refuseLimited(`account "${account}" is beyond its limit`, Math.ceil(waitMs));
   }
 
   /** Takes in how placed requests go. */
--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -2,9 +2,9 @@
   PlacedReport, PlaceReply, PlaceRequest, WorkerLoad, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import {
-  askPlace, expirePlaced, makePlacement, notePlaced, runPlacement,
+  askPlaces, expirePlaced, makePlacement, notePlaced, runPlacement,
 } from '../core/routing/placement';
-import type { PlaceDecision, PlacedNews } from '../core/routing/placement';
+import type { PlaceAsk, PlaceDecision, PlacedNews } from '../core/routing/placement';
 import { applyLoads, applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import { resultCodes } from '../errors/resultCodes';
 import type { Clock } from '../utils/clock';
@@ -22,10 +22,25 @@
 
 const isNews = (report: PlacedReport): boolean => PHASES.includes(report.phase);
 
-const STILL_WAITING: PlaceReply = {
+/** The reply to a request that is not decided yet. */
+export const STILL_WAITING: PlaceReply = {
   code: 0, message: '', workerId: '', retryAfterMs: 0, expectedMs: 0, waiting: true,
 };
 
+const toAsk = (request: PlaceRequest, now: number): PlaceAsk => ({
+  id: request.placeId,
+  entryId: request.entryId,
+  service: request.service,
+  rank: request.rank,
+  promptTokens: request.promptTokens,
+  outputTokens: request.outputTokens,
+  targetMs: request.targetMs,
+  deadlineAt: now + request.remainingMs,
+  zone: request.zone,
+  tried: request.tried,
+  askedAt: now,
+});
+
 const toReply = (decision: PlaceDecision): PlaceReply => (decision.kind === 'grant'
   ? {
     ...STILL_WAITING, workerId: decision.workerId, expectedMs: decision.expectedMs, waiting: false,
@@ -47,7 +62,7 @@
  * Where entries ask which model engine takes a request. Knows nothing of the wire.
  *
  * @example
- * const reply = await desk.place(request);
+ * const [reply] = await desk.place([request]);
  */
 export class PlacementDesk {
   private readonly workers = makeRoutedWorkers();
@@ -65,34 +80,37 @@
     return this.tables.waiting.has(placeId) || this.unfetched.has(placeId);
   }
 
-  /** Waits for a slot; the reply may be that it still waits. */
-  place(request: PlaceRequest): Promise<PlaceReply> {
+  /**
+   * Decides on requests that came together. Resolves as soon as one of them is decided, and after a
+   * while in any case; the reply to another may be that it still waits.
+   *
+   * @param hasNews whether the caller is answered at once in any case
+   */
+  place(requests: readonly PlaceRequest[], hasNews = false): Promise<PlaceReply[]> {
     const now = this.clock.now();
-    const { placeId } = request;
-    const decided = this.unfetched.get(placeId);
-    if (decided) {
-      this.unfetched.delete(placeId);
-      return Promise.resolve(decided.reply);
-    }
+    const replies = new Map<string, PlaceReply>();
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.answer(placeId, STILL_WAITING), PLACE_HOLD_MS);
-      this.held.set(placeId, (reply) => {
-        clearTimeout(timer);
-        resolve(reply);
-      });
-      this.settle(askPlace(this.tables, {
-        id: placeId,
-        entryId: request.entryId,
-        service: request.service,
-        rank: request.rank,
-        promptTokens: request.promptTokens,
-        outputTokens: request.outputTokens,
-        targetMs: request.targetMs,
-        deadlineAt: now + request.remainingMs,
-        zone: request.zone,
-        tried: request.tried,
-        askedAt: now,
-      }, now));
+      const answerAll = (): void => {
+        requests.forEach(({ placeId }) => this.held.delete(placeId));
+        resolve(requests.map(({ placeId }) => replies.get(placeId) ?? STILL_WAITING));
+      };
+      const timer = setTimeout(answerAll, PLACE_HOLD_MS);
+      let isComplete = false;
+      const hold = (placeId: string): void => {
+        this.held.set(placeId, (reply) => {
+          replies.set(placeId, reply);
+          if (!isComplete) return;
+          clearTimeout(timer);
+          answerAll();
+        });
+      };
+      requests.forEach(({ placeId }) => hold(placeId));
+      this.settle(askPlaces(this.tables, requests.map((request) => toAsk(request, now)), now));
+      requests.forEach(({ placeId }) => this.takeDecided(placeId));
+      isComplete = true;
+      if (replies.size === 0 && !hasNews) return;
+      clearTimeout(timer);
+      answerAll();
     });
   }
 
@@ -129,6 +147,14 @@
     [...this.held.keys()].forEach((id) => this.answer(id, STILL_WAITING));
   }
 
+  /** Hands on what was decided while its entry was not asking. */
+  private takeDecided(placeId: string): void {
+    const decided = this.unfetched.get(placeId);
+    if (!decided) return;
+    this.unfetched.delete(placeId);
+    this.answer(placeId, decided.reply);
+  }
+
   /** A slot that was given and never heard of goes back. */
   private dropUnfetched(id: string): void {
     this.unfetched.delete(id);
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -3,7 +3,7 @@
 import { LogStore } from '../disk/logStore';
 import { SiteClient, SiteService } from '../protocol/generated/beechlift';
 import type {
-  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceReply, PlaceRequest,
+  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceManyReply, PlaceManyRequest,
   PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest,
   WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
@@ -124,7 +124,9 @@
   announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
     (said) => requireNode(holder).announce(said),
   ),
-  place: handleUnary<PlaceRequest, PlaceReply>((request) => requireNode(holder).place(request)),
+  place: handleUnary<PlaceManyRequest, PlaceManyReply>(
+    (request) => requireNode(holder).place(request),
+  ),
   reportPlaced: handleUnary<ReportPlacedRequest, object>((request) => {
     requireNode(holder).reportPlaced(request);
     return {};
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -1,6 +1,6 @@
 import type {
-  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceReply,
-  PlaceRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply,
+  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceManyReply,
+  PlaceManyRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply,
   WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import {
@@ -219,10 +219,10 @@
     return this.reader.confirm();
   }
 
-  /** Decides which backend server takes a request; the reply may be that it still waits. */
-  async place(request: PlaceRequest): Promise<PlaceReply> {
+  /** Decides which backend servers take requests; a reply may be that one still waits. */
+  async place({ requests }: PlaceManyRequest): Promise<PlaceManyReply> {
     if (!this.isLeading) throw new BeechliftError('noQuorum', 'this replica does not lead');
-    return this.book.place(request, this.registry.table);
+    return { replies: await this.book.place(requests, this.registry.table) };
   }
 
   /** Takes in how placed requests go. */
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -189,13 +189,18 @@
   a.rank - b.rank || a.askedAt - b.askedAt
 );
 
+/** Services that have been found without a free slot, so that nobody else is tried in vain. */
+type FullServices = Set<string>;
+
 const decideWaiting = (
   tables: PlacementTables,
   ask: PlaceAsk,
+  full: FullServices,
   now: number,
 ): PlaceDecision | undefined => {
-  const choice = chooseFree(tables, ask, now);
+  const choice = full.has(ask.service) ? undefined : chooseFree(tables, ask, now);
   if (choice) return grant(tables, ask, choice, now);
+  full.add(ask.service);
   const isOver = now - ask.askedAt > computePatienceMs(tables, ask);
   return isOver ? refuse(tables, ask, now, 'no slot was free in time') : undefined;
 };
@@ -207,34 +212,55 @@
  * @example
  * const decisions = runPlacement(tables, clock.now());
  */
-export const runPlacement = (tables: PlacementTables, now: number): PlaceDecision[] => (
-  [...tables.waiting.values()]
+export const runPlacement = (tables: PlacementTables, now: number): PlaceDecision[] => {
+  const full: FullServices = new Set();
+  return [...tables.waiting.values()]
     .sort(compareWaiting)
-    .flatMap((ask) => decideWaiting(tables, ask, now) ?? [])
-);
+    .flatMap((ask) => decideWaiting(tables, ask, full, now) ?? []);
+};
+
+const addWaiting = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+): PlaceDecision | undefined => {
+  noteArrival(tables.arrivals, ask.service, ask.rank, now);
+  if (tables.waiting.size >= MAX_WAITING) return refuse(tables, ask, now, 'too many requests wait');
+  tables.waiting.set(ask.id, ask);
+  return undefined;
+};
+
+const refuseHopeless = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+): PlaceDecision | undefined => {
+  const isHopeless = tables.waiting.has(ask.id)
+    && estimateWaitMs(tables, ask, now) > computePatienceMs(tables, ask);
+  return isHopeless ? refuse(tables, ask, now, 'the wait for a slot would be too long') : undefined;
+};
 
 /**
- * Takes in a request. One that would wait too long is refused at once: its caller can come back
- * when the burst is over, and no time is spent on it meanwhile.
+ * Takes in requests that came together. One that would wait too long is refused at once: its caller
+ * can come back when the burst is over, and no time is spent on it meanwhile. The last in order are
+ * looked at first, as they leave room for those before them.
  *
  * @example
- * const decisions = askPlace(tables, ask, clock.now());
+ * const decisions = askPlaces(tables, [ask], clock.now());
  */
-export const askPlace = (
+export const askPlaces = (
   tables: PlacementTables,
-  ask: PlaceAsk,
+  asks: readonly PlaceAsk[],
   now: number,
 ): PlaceDecision[] => {
-  if (tables.waiting.has(ask.id) || tables.placed.has(ask.id)) return [];
-  noteArrival(tables.arrivals, ask.service, ask.rank, now);
-  if (tables.waiting.size >= MAX_WAITING) return [refuse(tables, ask, now, 'too many requests wait')];
-  tables.waiting.set(ask.id, ask);
+  const fresh = asks.filter(({ id }) => !tables.waiting.has(id) && !tables.placed.has(id));
+  const turnedAway = fresh.flatMap((ask) => addWaiting(tables, ask, now) ?? []);
   const decisions = runPlacement(tables, now);
-  const isWaiting = tables.waiting.has(ask.id);
-  if (!isWaiting || estimateWaitMs(tables, ask, now) <= computePatienceMs(tables, ask)) {
-    return decisions;
-  }
-  return [...decisions, refuse(tables, ask, now, 'the wait for a slot would be too long')];
+  const hopeless = [...fresh]
+    .sort(compareWaiting)
+    .reverse()
+    .flatMap((ask) => refuseHopeless(tables, ask, now) ?? []);
+  return [...turnedAway, ...decisions, ...hopeless];
 };
 
 const releaseSlot = (
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,5 +1,6 @@
 import type {
-  PlacedReport, PlaceReply, PlaceRequest, ReportPlacedRequest, SiteClient,
+  PlacedReport, PlaceManyReply, PlaceManyRequest, PlaceReply, PlaceRequest, ReportPlacedRequest,
+  SiteClient,
 } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
@@ -27,6 +28,12 @@
   readonly logger: Logger;
 }
 
+/** A request that is to be asked for with the next call. */
+interface PendingAsk {
+  readonly request: PlaceRequest;
+  readonly resolve: (reply: PlaceReply | undefined) => void;
+}
+
 /**
  * Asks the leader which model engine takes a request, and tells it how that goes.
  *
@@ -40,6 +47,8 @@
 export class PlaceClient {
   private suspectUntil = -Infinity;
 
+  private readonly asks: PendingAsk[] = [];
+
   private reports: PlacedReport[] = [];
 
   private timer: NodeJS.Timeout | undefined;
@@ -50,12 +59,36 @@
   async place(request: PlaceRequest, deadlineAt: number): Promise<PlaceReply | undefined> {
     const { clock, findLeader } = this.parts;
     const now = clock.now();
-    const leader = findLeader();
-    if (!leader || now < this.suspectUntil || now >= deadlineAt) return undefined;
-    const reply = await this.call(leader, request);
+    if (!findLeader() || now < this.suspectUntil || now >= deadlineAt) return undefined;
+    const reply = await this.enqueue(request);
     return reply?.waiting ? this.place(request, deadlineAt) : reply;
   }
 
+  /*
+   * Guards a leader that has just begun against what was held back until then: an entry's requests
+   * of one moment go as one call. Each as a call of its own, some hundred of them took the leader
+   * longer than the silence after which it counts as dead, and limits were then counted by loans
+   * alone: 33 requests of accounts within their limits were refused after a restart of all.
+   */
+  private enqueue(request: PlaceRequest): Promise<PlaceReply | undefined> {
+    return new Promise((resolve) => {
+      this.asks.push({ request, resolve });
+      if (this.asks.length === 1) setImmediate(() => this.askAll());
+    });
+  }
+
+  private askAll(): void {
+    const asks = this.asks.splice(0);
+    const leader = this.parts.findLeader();
+    if (!leader) {
+      asks.forEach(({ resolve }) => resolve(undefined));
+      return;
+    }
+    this.call(leader, asks.map(({ request }) => request))
+      .then((replies) => asks.forEach(({ resolve }, position) => resolve(replies?.[position])))
+      .catch((error: unknown) => this.parts.logger.error('placing failed', { reason: String(error) }));
+  }
+
   /** Tells how a placed request goes: at once when it has ended, as others wait for its slot. */
   report(report: PlacedReport): void {
     this.reports.push(report);
@@ -80,14 +113,15 @@
 
   private async call(
     leader: RpcLink<SiteClient>,
-    request: PlaceRequest,
-  ): Promise<PlaceReply | undefined> {
+    requests: PlaceRequest[],
+  ): Promise<readonly PlaceReply[] | undefined> {
     try {
-      return await leader.call<PlaceRequest, PlaceReply>(
+      const { replies } = await leader.call<PlaceManyRequest, PlaceManyReply>(
         (stub) => stub.place.bind(stub),
-        request,
+        { requests },
         new Operation({ timeoutMs: SILENCE_MS }),
       );
+      return replies;
     } catch (error) {
       const now = this.parts.clock.now();
       if (now >= this.suspectUntil) this.parts.logger.warn('requests are placed here: the leader is out of reach', { reason: (error as Error).message });
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import {
-  askPlace, expirePlaced, makePlacement, notePlaced, runPlacement,
+  askPlaces, expirePlaced, makePlacement, notePlaced, runPlacement,
 } from '../../src/core/routing/placement';
 import type {
   PlaceAsk, PlaceDecision, PlacedNews, PlacementTables,
@@ -35,6 +35,10 @@
   ...fields,
 });
 
+const askPlace = (tables: PlacementTables, one: PlaceAsk, now: number): PlaceDecision[] => (
+  askPlaces(tables, [one], now)
+);
+
 const makeNews = (id: string, phase: PlacedNews['phase'] = 'ended'): PlacedNews => (
   {
     id, phase, paceMs: 0, firstEventMs: 150, outputMs: 500,
@@ -54,6 +58,21 @@
     expect(['0', '1', '2'].map((id) => countHeld(tables, id))).toEqual([6, 6, 2]);
   });
 
+  /*
+   * After a restart of all, an entry asks for twenty held requests in one call. Counted against
+   * each other at once, each would find nineteen before it, and the whole batch would be refused.
+   */
+  it('should refuse of a batch only what would wait too long, the last first', () => {
+    const tables = makeTables([4]);
+    const batch = Array.from({ length: 12 }, (unused, count) => (
+      ask({ id: `r${count}`, rank: count < 8 ? 0 : 2, targetMs: 1_000 })));
+    const decisions = askPlaces(tables, batch, 0);
+    expect(listGranted(decisions)).toEqual(['r0', 'r1', 'r2', 'r3']);
+    expect(tables.waiting.has('r4')).toBe(true);
+    const refused = decisions.filter(({ kind }) => kind === 'refuse').map(({ id }) => id);
+    expect(refused.slice(0, 4)).toEqual(['r11', 'r10', 'r9', 'r8']);
+  });
+
   // A burst fills all engines with questions of the lowest rank; the digests that come behind them
   // are worth fifteen times as much and must get the next slots.
   it('should give the next slots to the highest rank that waits, then to who waits longest', () => {
