A refusal after a first try that may have run is answered 502, not "not run"

Cause: a request that may be repeated, whose first server broke off and which found no server for its second try, got the refusal of the second try alone: 503 says that it has not run. The new test fails without the guard. Ruled out for requests that may not be repeated: they are never offered again after a byte was sent.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -67,6 +67,9 @@
 
   private offers = 0;
 
+  /** Whether a backend server may have run it. */
+  private mayHaveRun = false;
+
   private deadlineAt = Infinity;
 
   private call: UpstreamCall | undefined;
@@ -92,7 +95,7 @@
     try {
       await this.serve();
     } catch (thrown) {
-      this.refuse(toBeechliftError(thrown));
+      this.refuse(this.judgeRefusal(toBeechliftError(thrown)));
     }
   }
 
@@ -130,6 +133,7 @@
     this.tried.push(picked.worker.id);
     const end = await this.attempt(admitted, picked, body);
     this.logAttempt(picked, end);
+    this.mayHaveRun ||= end.kind === 'broken' || end.kind === 'failed';
     if (end.kind === 'answered' || this.writer.isOver) return;
     if (!this.maySendAgain(admitted, end)) {
       this.giveUp(end);
@@ -288,6 +292,15 @@
     return isSafe && hasAttempts && site.retries.take(service, now);
   }
 
+  /*
+   * Guards a promise: a refusal says that the request has not run, and its caller may rely on that.
+   * One that was sent to a server before, and found none for its second try, may have run.
+   */
+  private judgeRefusal(error: BeechliftError): BeechliftError {
+    if (!this.mayHaveRun || error.run !== 'notRun') return error;
+    return new BeechliftError('outcomeUnknown', `a first try may have run, and then: ${error.message}`);
+  }
+
   private giveUp(end: AttemptEnd): void {
     const wasRun = end.kind === 'broken' || end.kind === 'failed';
     const reason = end.kind === 'answered' ? '' : end.reason;
--- a/tests/relay/routed-request.spec.ts
+++ b/tests/relay/routed-request.spec.ts
@@ -105,6 +105,19 @@
     expect(started.received).toHaveLength(2);
   });
 
+  /*
+   * An order was answered 503, which says that it has not run; the caller sent it anew elsewhere
+   * and it was carried out twice. Its first try had reached a server, which broke off, and for the
+   * second there was no server: the refusal told of the second try alone.
+   */
+  it('should not say of a request that it has not run when its first try may have', async () => {
+    const breakOff: ServerScript = (socket) => socket.destroy();
+    const started = await start({ kind: 'idempotent', maxAttempts: 2 }, breakOff);
+    const answer = await callShop();
+    expect(started.received).toHaveLength(1);
+    expect([answer.status, answer.headers.get('retry-after')]).toEqual([502, null]);
+  });
+
   it('should pass a failure on at once where the route may not be repeated', async () => {
     const started = await start({ kind: 'nonIdempotent', maxAttempts: 3 }, failAll, failAll);
     expect((await callShop()).status).toBe(500);
