Connections to a server within the entry's share; latency histogram and dropped lines in the metrics

Connections that a service allows were read and not kept to. A request's lines and counts have a module of their own (RequestLog); an unused field of the meeting of replicas is gone.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -101,7 +101,7 @@
   links: Links,
   address: string,
   self: Replica,
-): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', { from: self, founding: false }, MEET_TIMEOUT_MS)
+): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', { from: self }, MEET_TIMEOUT_MS)
   .catch(() => undefined); // One that does not answer is asked again.
 
 /** What serves calls, once the replica knows with whom it begins. */
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -50,6 +50,8 @@
   readonly byId: Map<string, RoutedWorker>;
   readonly byService: Map<string, RoutedWorker[]>;
   readonly work: Map<string, ServiceWork>;
+  /** Requests that this entry may have at one server at a time, by service; none: no bound. */
+  connectionShares: ReadonlyMap<string, number>;
 }
 
 /** How long some tokens took. */
@@ -87,7 +89,7 @@
 
 /** Makes empty tables. */
 export const makeRoutedWorkers = (): RoutedWorkers => ({
-  byId: new Map(), byService: new Map(), work: new Map(),
+  byId: new Map(), byService: new Map(), work: new Map(), connectionShares: new Map(),
 });
 
 const makeWorker = (id: string): RoutedWorker => ({
@@ -171,6 +173,33 @@
   });
 };
 
+/** A service, and the connections that each of its servers takes from all entries together. */
+export interface BoundedService {
+  readonly name: string;
+  /** 0 where there is no bound. */
+  readonly maxConnections: number;
+}
+
+/**
+ * Shares the connections that servers take among the entries.
+ *
+ * Guards against connections beyond a server's bound, which it resets: they carry one request each,
+ * so what an entry has at a server at a time is bounded by its share.
+ *
+ * @example
+ * setConnectionShares(workers, routing.services, 8); // 12 for each entry where servers take 96
+ */
+export const setConnectionShares = (
+  workers: RoutedWorkers,
+  services: readonly BoundedService[],
+  entryCount: number,
+): void => {
+  workers.connectionShares = new Map(services
+    .filter(({ maxConnections }) => maxConnections > 0)
+    .map(({ name, maxConnections }) => (
+      [name, Math.max(1, Math.floor(maxConnections / Math.max(1, entryCount)))])));
+};
+
 /** What is known of a service's work. */
 export const findWork = (workers: RoutedWorkers, service: string): ServiceWork => {
   const known = workers.work.get(service);
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -94,9 +94,13 @@
   inFlight + othersInFlight < slots
 );
 
-const isUsable = (worker: RoutedWorker, request: ChoiceRequest): boolean => (
-  worker.standing === 'ready' && (!request.mustBeFree || isFree(worker))
-);
+const isUsable = (
+  { connectionShares }: RoutedWorkers,
+  worker: RoutedWorker,
+  request: ChoiceRequest,
+): boolean => worker.standing === 'ready'
+  && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
+  && (!request.mustBeFree || isFree(worker));
 
 /**
  * Servers that may take a request, the best kind that there is: in reach and not tried yet; else in
@@ -109,7 +113,7 @@
   now: number,
 ): RoutedWorker[] => {
   const usable = (workers.byService.get(request.service) ?? [])
-    .filter((worker) => isUsable(worker, request));
+    .filter((worker) => isUsable(workers, worker, request));
   const inReach = usable.filter(({ suspendedUntil }) => now >= suspendedUntil);
   const fresh = inReach.filter(({ id }) => !request.tried.includes(id));
   if (fresh.length > 0) return fresh;
--- a/src/relay/relayMetrics.ts
+++ b/src/relay/relayMetrics.ts
@@ -1,4 +1,10 @@
-import { Counter, Gauge, Registry } from 'prom-client';
+import {
+  Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import { countDroppedLines } from '../telemetry/logger';
+
+/** Upper bounds in seconds: from a quick plain answer to the longest time that callers wait. */
+const LATENCY_BUCKETS = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20];
 
 /**
  * What an entry of a routed site counts.
@@ -21,6 +27,20 @@
     name: 'beechlift_repeats_total', help: 'Requests offered to another backend server, by what went before', labelNames: ['reason'], registers: [this.registry],
   });
 
+  /** To the first byte of the body for a stream, to the whole answer otherwise. */
+  readonly latency = new Histogram({
+    name: 'beechlift_answer_seconds', help: 'Time from a request to its answer, for a stream to its first event', labelNames: ['kind'], buckets: LATENCY_BUCKETS, registers: [this.registry],
+  });
+
+  readonly droppedLines = new Gauge({
+    name: 'beechlift_dropped_log_lines',
+    help: 'Log lines that were dropped since the start, as their reader was too slow',
+    registers: [this.registry],
+    collect() {
+      this.set(countDroppedLines());
+    },
+  });
+
   readonly open = new Gauge({
     name: 'beechlift_open_requests', help: 'Requests that wait for their answer', registers: [this.registry],
   });
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -4,7 +4,7 @@
 import { RetryAllowance } from '../core/routing/retryAllowance';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import {
-  applyLoads, applyRecords, forgetPlaced, listLoads, makeRoutedWorkers,
+  applyLoads, applyRecords, forgetPlaced, listLoads, makeRoutedWorkers, setConnectionShares,
 } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import type { RoutingReader } from '../manifest/routing';
@@ -155,6 +155,7 @@
     if (!this.applyDocument(reply)) return;
     this.applyWorkers(reply);
     this.entryCount = Math.max(1, reply.entryCount);
+    setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     this.budget.applyGrants(reply.grants, this.parts.clock.now());
     if (reply.documentVersion === 0) return;
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
--- /dev/null
+++ b/src/relay/requestLog.ts
@@ -0,0 +1,69 @@
+import type { BeechliftError } from '../errors/beechliftError';
+import type { AdmittedRequest } from './admitRequest';
+import type { AnswerWriter } from './answerWriter';
+import type { AttemptEnd } from './attemptNotes';
+import type { RequestParts } from './requestParts';
+import type { PickedWorker } from './workerPicker';
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * The lines and counts of one request: a line for each attempt that did not end well and for each
+ * answer of our own, under the request's id.
+ *
+ * @example
+ * const log = new RequestLog(parts, facts.requestId, clock.now());
+ * log.noteRefusal(error, admitted, 0);
+ */
+export class RequestLog {
+  constructor(
+    private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock'>,
+    private readonly requestId: string,
+    private readonly receivedAt: number,
+  ) {}
+
+  /** Notes what came of an attempt at a backend server. */
+  noteAttempt(
+    { route }: AdmittedRequest,
+    { worker, expectedMs, placeId }: PickedWorker,
+    end: AttemptEnd,
+    writer: Pick<AnswerWriter, 'statusCode' | 'firstAt' | 'pieces'>,
+  ): void {
+    const { metrics, logger, clock } = this.parts;
+    const now = clock.now();
+    metrics.attempts.inc({ outcome: end.kind });
+    if (end.kind === 'answered') {
+      const answeredAt = route.kind === 'stream' && writer.pieces > 0 ? writer.firstAt : now;
+      const seconds = (answeredAt - this.receivedAt) / MS_PER_SECOND;
+      metrics.latency.observe({ kind: route.kind }, seconds);
+    }
+    const level = end.kind === 'answered' ? 'debug' : 'info';
+    logger[level]('attempt ended', {
+      requestId: this.requestId,
+      route: route.name,
+      worker: worker.id,
+      placed: placeId !== '',
+      expectedMs: Math.round(expectedMs),
+      outcome: end.kind,
+      reason: end.kind === 'answered' ? undefined : end.reason,
+      status: writer.statusCode,
+      tookMs: Math.round(now - this.receivedAt),
+    });
+  }
+
+  /** Notes an answer of our own, and the document by which it was decided. */
+  noteRefusal(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
+    const { metrics, logger, clock } = this.parts;
+    metrics.refusals.inc({ code: error.number });
+    logger.info('request refused', {
+      requestId: this.requestId,
+      route: admitted?.route.name,
+      account: admitted?.account?.name,
+      version: admitted?.version,
+      code: error.number,
+      reason: error.message,
+      sent,
+      heldMs: Math.round(clock.now() - this.receivedAt),
+    });
+  }
+}
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -11,6 +11,7 @@
 import type { AttemptEnd } from './attemptNotes';
 import { readRequestBody } from './readRequestBody';
 import type { AnswerFacts, CallFacts } from './requestDialect';
+import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamEnd, UpstreamHead, UpstreamRequest } from './upstreamCall';
@@ -61,6 +62,8 @@
 
   private readonly facts: CallFacts;
 
+  private readonly log: RequestLog;
+
   private readonly tried: string[] = [];
 
   private sent = 0;
@@ -86,6 +89,7 @@
   ) {
     this.receivedAt = parts.clock.now();
     this.facts = parts.dialect.readCall(request.rawHeaders);
+    this.log = new RequestLog(parts, this.facts.requestId, this.receivedAt);
     this.writer = new AnswerWriter(response, 'direct', () => parts.clock.now());
   }
 
@@ -132,7 +136,7 @@
     this.offers += 1;
     this.tried.push(picked.worker.id);
     const end = await this.attempt(admitted, picked, body);
-    this.logAttempt(picked, end);
+    this.log.noteAttempt(admitted, picked, end, this.writer);
     this.mayHaveRun ||= end.kind === 'broken' || end.kind === 'failed';
     if (end.kind === 'answered' || this.writer.isOver) return;
     if (!this.maySendAgain(admitted, end)) {
@@ -333,38 +337,7 @@
   }
 
   private refuse(error: BeechliftError): void {
-    const {
-      metrics, logger, site, clock,
-    } = this.parts;
-    metrics.refusals.inc({ code: error.number });
-    logger.info('request refused', {
-      requestId: this.facts.requestId,
-      route: this.admitted?.route.name,
-      account: this.admitted?.account?.name,
-      version: this.admitted?.version,
-      code: error.number,
-      reason: error.message,
-      sent: this.sent,
-      heldMs: Math.round(clock.now() - this.receivedAt),
-    });
-    this.writer.fail(error, site.isLeaving);
-  }
-
-  private logAttempt({ worker, expectedMs, placeId }: PickedWorker, end: AttemptEnd): void {
-    const { metrics, logger, clock } = this.parts;
-    const tookMs = clock.now() - this.receivedAt;
-    metrics.attempts.inc({ outcome: end.kind });
-    const level = end.kind === 'answered' ? 'debug' : 'info';
-    logger[level]('attempt ended', {
-      requestId: this.facts.requestId,
-      route: this.admitted?.route.name,
-      worker: worker.id,
-      placed: placeId !== '',
-      expectedMs: Math.round(expectedMs),
-      outcome: end.kind,
-      reason: end.kind === 'answered' ? undefined : end.reason,
-      status: this.response.statusCode,
-      tookMs: Math.round(tookMs),
-    });
+    this.log.noteRefusal(error, this.admitted, this.sent);
+    this.writer.fail(error, this.parts.site.isLeaving);
   }
 }
