--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -136,6 +136,11 @@
     return refuseLimited(`account "${account}" is beyond its limit`, Math.ceil(waitMs));
   }
 
+  /** Requests that wait for a slot, and those that hold one. */
+  countRequests(): { readonly waiting: number; readonly placed: number } {
+    return this.desk.countRequests();
+  }
+
   /** Takes in how placed requests go. */
   report(reports: readonly PlacedReport[]): void {
     this.desk.report(reports);
--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -4,7 +4,8 @@
 import {
   askPlaces, expirePlaced, makePlacement, notePlaced, runPlacement,
 } from '../core/routing/placement';
-import type { PlaceAsk, PlaceDecision, PlacedNews } from '../core/routing/placement';
+import type { PlaceDecision, PlacedNews } from '../core/routing/placement';
+import type { PlaceAsk } from '../core/routing/placementTables';
 import { applyLoads, applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import { resultCodes } from '../errors/resultCodes';
 import type { Clock } from '../utils/clock';
@@ -75,6 +76,11 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** Requests that wait for a slot, and those that hold one. */
+  countRequests(): { readonly waiting: number; readonly placed: number } {
+    return { waiting: this.tables.waiting.size, placed: this.tables.placed.size };
+  }
+
   /** Whether a request waits here, or was decided on without its entry having heard. */
   hasHeard(placeId: string): boolean {
     return this.tables.waiting.has(placeId) || this.unfetched.has(placeId);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -10,6 +10,8 @@
 import { EntryList } from '../core/routing/entryList';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
+import { countByStanding } from '../core/routing/workerTable';
+import type { WorkerStanding } from '../core/routing/workerTable';
 import { BeechliftError } from '../errors/beechliftError';
 import { resultCodes } from '../errors/resultCodes';
 import { computeSha256 } from '../utils/canonicalJson';
@@ -232,6 +234,16 @@
     return { replies: await this.book.place(requests, this.registry.table) };
   }
 
+  /** Requests that wait for a slot here, and those that hold one; none on one that follows. */
+  countRequests(): { readonly waiting: number; readonly placed: number } {
+    return this.book.countRequests();
+  }
+
+  /** Backend servers that this replica knows, by where they stand. */
+  countWorkers(): ReadonlyMap<WorkerStanding, number> {
+    return countByStanding(this.registry.table);
+  }
+
   /** Takes in how placed requests go. */
   reportPlaced({ reports }: ReportPlacedRequest): void {
     this.book.report(reports);
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -5,52 +5,16 @@
  * all send to the same engine, where requests then wait in the order they came while another engine
  * idles. Here every slot is known, none is given twice, and what waits is served by rank.
  */
-import { makeArrivals, noteArrival, readHigherRate } from './arrivals';
-import type { Arrivals } from './arrivals';
-import { readLine } from './lineFit';
+import { makeArrivals, noteArrival } from './arrivals';
+import type { PlaceAsk, PlacedRequest, PlacementTables } from './placementTables';
+import { computePatienceMs, estimateWaitMs } from './placementWait';
 import {
-  findWork, learnAnswer, learnPace, noteReached, suspendWorker,
+  learnAnswer, learnPace, noteReached, suspendWorker,
 } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, TimedTokens } from './routedWorkers';
 import { chooseRoutedWorker } from './workerChoice';
 import type { WorkerChoice } from './workerChoice';
 
-/** A request that asks for a slot. */
-export interface PlaceAsk {
-  readonly id: string;
-  readonly entryId: string;
-  readonly service: string;
-  readonly rank: number;
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  readonly targetMs: number;
-  /** When its whole answer must have come, monotonic milliseconds. */
-  readonly deadlineAt: number;
-  readonly zone: string;
-  readonly tried: readonly string[];
-  readonly askedAt: number;
-}
-
-/** A request that holds a slot. */
-interface PlacedRequest {
-  readonly ask: PlaceAsk;
-  readonly workerId: string;
-  readonly placedAt: number;
-  /** Prompt tokens that its server was to read before its own when it was placed. */
-  readonly pendingBefore: number;
-  hasBegun: boolean;
-}
-
-/** All that placing rests on. */
-export interface PlacementTables {
-  readonly workers: RoutedWorkers;
-  readonly waiting: Map<string, PlaceAsk>;
-  readonly placed: Map<string, PlacedRequest>;
-  readonly arrivals: Arrivals;
-  /** Refusals so far, by which those that come back are spread. */
-  refusals: number;
-}
-
 /** What was decided of a request. */
 export type PlaceDecision = | {
   readonly kind: 'grant';
@@ -74,11 +38,6 @@
   readonly outputMs: number;
 }
 
-/**
- * How long a request may wait for a slot, as a part of its target latency, by rank. The rest of the
- * target is for its own beginning. The lowest rank gives up first, as it is served last.
- */
-const WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
 /**
  * Time after which a refused caller may come back, in milliseconds. One that comes back while the
  * burst lasts is refused again, which helps nobody, so it is told a time in the order of a burst;
@@ -98,40 +57,6 @@
   }
 );
 
-const countSlots = ({ workers }: PlacementTables, service: string, now: number): number => (
-  (workers.byService.get(service) ?? [])
-    .filter(({ standing, suspendedUntil }) => standing === 'ready' && suspendedUntil <= now)
-    .reduce((sum, { slots }) => sum + slots, 0)
-);
-
-const countAhead = ({ waiting }: PlacementTables, ask: PlaceAsk): number => (
-  [...waiting.values()].filter(({ service, rank, id }) => (
-    service === ask.service && rank <= ask.rank && id !== ask.id)).length
-);
-
-/** Part of all slots that a rank gets at least, however many requests of higher ranks come. */
-const LEAST_PART = 0.05;
-
-/**
- * Estimates how long a request waits for a slot: by what waits before it, how long slots are held,
- * and how many of the slots that become free go to higher ranks which arrive meanwhile. Without the
- * last, low ranks would be let in to wait and be refused late.
- */
-const estimateWaitMs = (tables: PlacementTables, ask: PlaceAsk, now: number): number => {
-  const slots = Math.max(1, countSlots(tables, ask.service, now));
-  const { holdMs } = findWork(tables.workers, ask.service);
-  const freedPerMs = slots / holdMs;
-  const higherPerMs = readHigherRate(tables.arrivals, ask.service, ask.rank, now);
-  const leftPerMs = Math.max(LEAST_PART * freedPerMs, freedPerMs - higherPerMs);
-  return (countAhead(tables, ask) + 1) / leftPerMs;
-};
-
-const computePatienceMs = (tables: PlacementTables, ask: PlaceAsk): number => {
-  const share = WAIT_SHARE_BY_RANK[Math.min(ask.rank, WAIT_SHARE_BY_RANK.length - 1)] ?? 0;
-  const ownMs = readLine(findWork(tables.workers, ask.service).firstEvent, ask.promptTokens);
-  return Math.max(0, share * ask.targetMs - Math.min(ownMs, ask.targetMs / 2));
-};
-
 const refuse = (
   tables: PlacementTables,
   ask: PlaceAsk,
--- /dev/null
+++ b/src/core/routing/placementTables.ts
@@ -0,0 +1,39 @@
+/** What placing requests on model engines rests on. */
+import type { Arrivals } from './arrivals';
+import type { RoutedWorkers } from './routedWorkers';
+
+/** A request that asks for a slot. */
+export interface PlaceAsk {
+  readonly id: string;
+  readonly entryId: string;
+  readonly service: string;
+  readonly rank: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly targetMs: number;
+  /** When its whole answer must have come, monotonic milliseconds. */
+  readonly deadlineAt: number;
+  readonly zone: string;
+  readonly tried: readonly string[];
+  readonly askedAt: number;
+}
+
+/** A request that holds a slot. */
+export interface PlacedRequest {
+  readonly ask: PlaceAsk;
+  readonly workerId: string;
+  readonly placedAt: number;
+  /** Prompt tokens that its server was to read before its own when it was placed. */
+  readonly pendingBefore: number;
+  hasBegun: boolean;
+}
+
+/** All that placing rests on. */
+export interface PlacementTables {
+  readonly workers: RoutedWorkers;
+  readonly waiting: Map<string, PlaceAsk>;
+  readonly placed: Map<string, PlacedRequest>;
+  readonly arrivals: Arrivals;
+  /** Refusals so far, by which those that come back are spread. */
+  refusals: number;
+}
--- /dev/null
+++ b/src/core/routing/placementWait.ts
@@ -0,0 +1,54 @@
+/** How long requests wait for a slot of a model engine, and how long they may. */
+import { readHigherRate } from './arrivals';
+import { readLine } from './lineFit';
+import type { PlaceAsk, PlacementTables } from './placementTables';
+import { findWork } from './routedWorkers';
+
+/**
+ * How long a request may wait for a slot, as a part of its target latency, by rank. The rest of the
+ * target is for its own beginning. The lowest rank gives up first, as it is served last.
+ */
+const WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
+const countSlots = ({ workers }: PlacementTables, service: string, now: number): number => (
+  (workers.byService.get(service) ?? [])
+    .filter(({ standing, suspendedUntil }) => standing === 'ready' && suspendedUntil <= now)
+    .reduce((sum, { slots }) => sum + slots, 0)
+);
+
+const countAhead = ({ waiting }: PlacementTables, ask: PlaceAsk): number => (
+  [...waiting.values()].filter(({ service, rank, id }) => (
+    service === ask.service && rank <= ask.rank && id !== ask.id)).length
+);
+
+/** Part of all slots that a rank gets at least, however many requests of higher ranks come. */
+const LEAST_PART = 0.05;
+
+/**
+ * Estimates how long a request waits for a slot: by what waits before it, how long slots are held,
+ * and how many of the slots that become free go to higher ranks which arrive meanwhile. Without the
+ * last, low ranks would be let in to wait and be refused late.
+ *
+ * @example
+ * if (estimateWaitMs(tables, ask, now) > computePatienceMs(tables, ask)) refuse();
+ */
+export const estimateWaitMs = (tables: PlacementTables, ask: PlaceAsk, now: number): number => {
+  const slots = Math.max(1, countSlots(tables, ask.service, now));
+  const { holdMs } = findWork(tables.workers, ask.service);
+  const freedPerMs = slots / holdMs;
+  const higherPerMs = readHigherRate(tables.arrivals, ask.service, ask.rank, now);
+  const leftPerMs = Math.max(LEAST_PART * freedPerMs, freedPerMs - higherPerMs);
+  return (countAhead(tables, ask) + 1) / leftPerMs;
+};
+
+/**
+ * How long a request may wait for a slot and still begin on time. What its own beginning takes is
+ * held back, half of its target at most: long requests are not turned away for being long.
+ *
+ * @example
+ * const isOver = now - ask.askedAt > computePatienceMs(tables, ask);
+ */
+export const computePatienceMs = (tables: PlacementTables, ask: PlaceAsk): number => {
+  const share = WAIT_SHARE_BY_RANK[Math.min(ask.rank, WAIT_SHARE_BY_RANK.length - 1)] ?? 0;
+  const ownMs = readLine(findWork(tables.workers, ask.service).firstEvent, ask.promptTokens);
+  return Math.max(0, share * ask.targetMs - Math.min(ownMs, ask.targetMs / 2));
+};
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -144,6 +144,19 @@
   });
 };
 
+/**
+ * Counts backend servers by where they stand.
+ *
+ * @example
+ * const ready = countByStanding(table).get('ready') ?? 0;
+ */
+export const countByStanding = ({ workers }: WorkerTable): ReadonlyMap<WorkerStanding, number> => (
+  [...workers.values()].reduce(
+    (counts, { standing }) => counts.set(standing, (counts.get(standing) ?? 0) + 1),
+    new Map<WorkerStanding, number>(),
+  )
+);
+
 /**
  * Lists what changed since a revision; all of it when the asker counts in another table.
  *
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -2,9 +2,8 @@
 import {
   askPlaces, expirePlaced, makePlacement, notePlaced, runPlacement,
 } from '../../src/core/routing/placement';
-import type {
-  PlaceAsk, PlaceDecision, PlacedNews, PlacementTables,
-} from '../../src/core/routing/placement';
+import type { PlaceDecision, PlacedNews } from '../../src/core/routing/placement';
+import type { PlaceAsk, PlacementTables } from '../../src/core/routing/placementTables';
 import { applyRecords, learnPace, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
 
--- a/tests/platform/platform-site.spec.ts
+++ b/tests/platform/platform-site.spec.ts
@@ -33,12 +33,17 @@
 
   readonly operatorPort: string;
 
+  readonly readinessPort: string;
+
   private readonly folder = mkdtempSync(join(tmpdir(), 'platform-'));
 
   private readonly processes = new Map<string, ChildProcess>();
 
   private constructor(private readonly ports: readonly string[]) {
-    [this.entryPort, this.operatorPort] = ports as [string, string];
+    const [entryPort = '', operatorPort = '', , readinessPort = ''] = ports;
+    this.entryPort = entryPort;
+    this.operatorPort = operatorPort;
+    this.readinessPort = readinessPort;
   }
 
   static async open(): Promise<PlatformSite> {
@@ -64,7 +69,7 @@
     this.start(`entry-${machine}`, 'relay', {
       ...this.buildCommon(ip),
       callerAddress: `${ip}:${this.entryPort}`,
-      readinessAddress: `${ip}:${this.ports[3]}`,
+      readinessAddress: `${ip}:${this.readinessPort}`,
       graceSeconds: 5,
       retryRatio: 0.2,
       retrySlack: 50,
@@ -88,7 +93,7 @@
   }
 
   async isReady(machine: number): Promise<boolean> {
-    const { statusCode, body } = await request(`http://127.0.0.${machine}:${this.ports[3]}/v1/readyz`);
+    const { statusCode, body } = await request(`http://127.0.0.${machine}:${this.readinessPort}/v1/readyz`);
     await body.dump();
     return statusCode === 200;
   }
@@ -188,6 +193,20 @@
     await waitFor('both entries are named', async () => (await site.askDirectory(1)).length === 2);
   });
 
+  it('should tell what it counts at entries and control', async () => {
+    const read = async (address: string): Promise<string> => (
+      (await request(`http://${address}/metrics`)).body.text());
+    const entry = await read(`127.0.0.4:${site.readinessPort}`);
+    expect(entry).toMatch(/beechlift_answer_seconds_count\{kind="nonIdempotent"\} [1-9]/);
+    expect(entry).toMatch(/beechlift_dropped_log_lines 0/);
+    const control = await Promise.all([1, 2, 3].map((machine) => (
+      read(`127.0.0.${machine}:${site.operatorPort}`))));
+    const leads = control.filter((text) => /^beechlift_control_leads 1$/m.test(text));
+    expect(leads).toHaveLength(1);
+    expect(leads[0]).toMatch(/beechlift_backend_servers\{standing="ready"\} 1/);
+    expect(leads[0]).toMatch(/beechlift_entries 2/);
+  });
+
   it('should refuse an invalid document and keep on serving', async () => {
     expect(await site.post(1, '/v1/Configuration.Replace', '{"version": 9, "routes')).toBeGreaterThanOrEqual(400);
     expect(await site.post(1, '/v1/Instances.Heartbeat/i-2', '{}')).toBe(400);
