An entry takes no server that leaves from a leader that has not heard of it

Cause, found by reading what placing without a lease allows: a leader that is cut off gives out slots of a server whose leaving another replica has acknowledged. The entry, which is told of it, looks before it sends; the slot goes back, and it chooses by itself. The test fails without the guard.

--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -111,13 +111,17 @@
       throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
     }
     const worker = site.workers.byId.get(reply.workerId);
-    if (worker) {
+    /*
+     * Guards a server that leaves against new work from a leader that has not heard of it, such as
+     * one that is cut off and does not know yet that another leads.
+     */
+    if (worker?.standing === 'ready') {
       return {
         worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch,
       };
     }
-    // The leader knows a server that this entry has not heard of yet.
-    placeClient.report({ placeId, phase: 'rejected', ...NO_TIMES });
+    // Or the leader knows a server that this entry has not heard of yet.
+    placeClient.report({ placeId, phase: worker ? 'dropped' : 'rejected', ...NO_TIMES });
     return undefined;
   }
 
--- /dev/null
+++ b/tests/relay/worker-picker.spec.ts
@@ -0,0 +1,79 @@
+import { describe, expect, it } from 'vitest';
+import type { Routing } from '../../src/manifest/routing';
+import { PlaceReply, WatchReply } from '../../src/protocol/generated/beechlift';
+import type { PlacedReport, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import type { PlaceClient } from '../../src/relay/placeClient';
+import { RelaySite } from '../../src/relay/relaySite';
+import { WorkerPicker } from '../../src/relay/workerPicker';
+import { makeLogger } from '../../src/telemetry/logger';
+import { SuspensionWatch } from '../../src/utils/clock';
+import { makeRoute, makeRouting } from '../fakes/routings';
+
+const clock = { now: () => 0 };
+
+const makeRecord = (workerId: string, standing: string): WorkerRecord => ({
+  said: {
+    workerId, service: 'rooms', address: `${workerId}:80`, zone: 'a', slots: 6, state: standing, sequence: 1, coldMs: 0, software: '',
+  },
+  standing,
+});
+
+const makeSite = (routing: Routing, workers: WorkerRecord[]): RelaySite => {
+  const suspension = new SuspensionWatch(clock, () => 0);
+  const site = new RelaySite({
+    entryId: 'e1',
+    callerAddress: '',
+    zone: 'a',
+    readRouting: () => ({ routing, faults: [] }),
+    clock,
+    suspension,
+    logger: makeLogger('test', 'silent'),
+    retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+  });
+  site.applyReply(WatchReply.fromPartial({
+    leaseMs: 4_000, documentDigest: 'd', documentVersion: 1, document: 'd', workersEpoch: 'x', workersRevision: 1, entryCount: 1, workers,
+  }), 0, suspension.readEpoch());
+  return site;
+};
+
+/** A leader that names one server for every request. */
+class StubbornLeader {
+  readonly reports: PlacedReport[] = [];
+
+  constructor(private readonly workerId: string) {}
+
+  async place(): Promise<PlaceReply> {
+    return PlaceReply.fromPartial({ workerId: this.workerId });
+  }
+
+  report(report: PlacedReport): void {
+    this.reports.push(report);
+  }
+}
+
+describe('picking a server for a request', () => {
+  /*
+   * A server that had said that it leaves got new requests and cut them off. A leader that was cut
+   * off from the others, and had not heard of it, still gave out its slots.
+   */
+  it('should not take a server that leaves from a leader that has not heard of it', async () => {
+    const routing = makeRouting({
+      services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
+    });
+    const site = makeSite(routing, [makeRecord('w1', 'draining'), makeRecord('w2', 'ready')]);
+    const leader = new StubbornLeader('w1');
+    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picked = await picker.pick({
+      admitted: {
+        route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
+      },
+      facts: {
+        requestId: 'r1', patienceMs: 5_000, key: '', tokens: undefined,
+      },
+      deadlineAt: 5_000,
+      tried: [],
+    });
+    expect([picked.worker.id, picked.placeId]).toEqual(['w2', '']);
+    expect(leader.reports.map(({ phase }) => phase)).toEqual(['dropped']);
+  });
+});
