--- a/src/control/routedMetrics.ts
+++ b/src/control/routedMetrics.ts
@@ -1,4 +1,5 @@
 import { Gauge, Registry } from 'prom-client';
+import { addGauge } from '../telemetry/addGauge';
 import { countDroppedLines } from '../telemetry/logger';
 import type { RoutedNode } from './routedNode';
 
@@ -12,28 +13,18 @@
   readonly registry = new Registry();
 
   constructor(node: RoutedNode) {
-    this.addGauge('beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.isLeading));
-    this.addGauge('beechlift_control_term', 'Term of the log', () => node.runner.state.term);
-    this.addGauge('beechlift_control_commit_index', 'Last committed index', () => node.runner.state.commitIndex);
-    this.addGauge('beechlift_document_version', 'Routing document in force here', () => node.site.version);
-    this.addGauge('beechlift_entries', 'Entries that callers are sent to', () => node.listEntries().length);
-    this.addGauge('beechlift_requests_waiting', 'Requests that wait for a slot; 0 on one that follows', () => node.countRequests().waiting);
-    this.addGauge('beechlift_requests_placed', 'Requests that hold a slot; 0 on one that follows', () => node.countRequests().placed);
-    this.addGauge('beechlift_dropped_log_lines', 'Log lines that were dropped since the start', countDroppedLines);
+    const { registry } = this;
+    addGauge(registry, 'beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.isLeading));
+    addGauge(registry, 'beechlift_control_term', 'Term of the log', () => node.runner.state.term);
+    addGauge(registry, 'beechlift_control_commit_index', 'Last committed index', () => node.runner.state.commitIndex);
+    addGauge(registry, 'beechlift_document_version', 'Routing document in force here', () => node.site.version);
+    addGauge(registry, 'beechlift_entries', 'Entries that callers are sent to', () => node.listEntries().length);
+    addGauge(registry, 'beechlift_requests_waiting', 'Requests that wait for a slot; 0 on one that follows', () => node.countRequests().waiting);
+    addGauge(registry, 'beechlift_requests_placed', 'Requests that hold a slot; 0 on one that follows', () => node.countRequests().placed);
+    addGauge(registry, 'beechlift_dropped_log_lines', 'Log lines that were dropped since the start', countDroppedLines);
     this.addWorkers(node);
   }
 
-  private addGauge(name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect: (): void => {
-        gauge.set(read());
-      },
-    });
-  }
-
   private addWorkers(node: RoutedNode): void {
     const gauge: Gauge<'standing'> = new Gauge({
       name: 'beechlift_backend_servers',
--- a/src/http/adminServer.ts
+++ b/src/http/adminServer.ts
@@ -1,7 +1,8 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
-import { collectDefaultMetrics, Gauge, Registry } from 'prom-client';
+import { collectDefaultMetrics, Registry } from 'prom-client';
 import type { RunningControl } from '../control/controlProcess';
 import { toBeechliftError } from '../errors/beechliftError';
+import { addGauge } from '../telemetry/addGauge';
 import { makeHttpServer, readBody } from './httpServer';
 
 const BEARER = /^Bearer\s+(\S.*)$/i;
@@ -14,21 +15,11 @@
 const makeRegistry = ({ node, holder }: RunningControl): Registry => {
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
-  const addGauge = (name: string, help: string, read: () => number): void => {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect: (): void => {
-        gauge.set(read());
-      },
-    });
-  };
-  addGauge('beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.runner.holdsLease));
-  addGauge('beechlift_control_term', 'Term of the log', () => node.runner.state.term);
-  addGauge('beechlift_control_commit_index', 'Last committed index', () => node.runner.state.commitIndex);
-  addGauge('beechlift_configuration_version', 'Manifest version accepted', () => node.site.manifest?.version ?? 0);
-  addGauge('beechlift_claims', 'Claims held', () => holder.table.claims.size);
+  addGauge(registry, 'beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.runner.holdsLease));
+  addGauge(registry, 'beechlift_control_term', 'Term of the log', () => node.runner.state.term);
+  addGauge(registry, 'beechlift_control_commit_index', 'Last committed index', () => node.runner.state.commitIndex);
+  addGauge(registry, 'beechlift_configuration_version', 'Manifest version accepted', () => node.site.manifest?.version ?? 0);
+  addGauge(registry, 'beechlift_claims', 'Claims held', () => holder.table.claims.size);
   return registry;
 };
 
--- a/src/relay/relayMetrics.ts
+++ b/src/relay/relayMetrics.ts
@@ -1,6 +1,7 @@
 import {
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import { addGauge } from '../telemetry/addGauge';
 import { countDroppedLines } from '../telemetry/logger';
 
 /** Upper bounds in seconds: from a quick plain answer to the longest time that callers wait. */
@@ -32,16 +33,11 @@
     name: 'beechlift_answer_seconds', help: 'Time from a request to its answer, for a stream to its first event', labelNames: ['kind'], buckets: LATENCY_BUCKETS, registers: [this.registry],
   });
 
-  readonly droppedLines = new Gauge({
-    name: 'beechlift_dropped_log_lines',
-    help: 'Log lines that were dropped since the start, as their reader was too slow',
-    registers: [this.registry],
-    collect() {
-      this.set(countDroppedLines());
-    },
-  });
-
   readonly open = new Gauge({
     name: 'beechlift_open_requests', help: 'Requests that wait for their answer', registers: [this.registry],
   });
+
+  constructor() {
+    addGauge(this.registry, 'beechlift_dropped_log_lines', 'Log lines that were dropped since the start, as their reader was too slow', countDroppedLines);
+  }
 }
--- /dev/null
+++ b/src/telemetry/addGauge.ts
@@ -0,0 +1,24 @@
+import { Gauge } from 'prom-client';
+import type { Registry } from 'prom-client';
+
+/**
+ * Adds a gauge that is read when it is asked for.
+ *
+ * @example
+ * addGauge(registry, 'beechlift_control_term', 'Term of the log', () => state.term);
+ */
+export const addGauge = (
+  registry: Registry,
+  name: string,
+  help: string,
+  read: () => number,
+): void => {
+  const gauge: Gauge = new Gauge({
+    name,
+    help,
+    registers: [registry],
+    collect: (): void => {
+      gauge.set(read());
+    },
+  });
+};
