--- /dev/null
+++ b/src/control/routedMetrics.ts
@@ -0,0 +1,40 @@
+import { Gauge, Registry } from 'prom-client';
+import { addGauge } from '../telemetry/addGauge';
+import { countDroppedLines } from '../telemetry/logger';
+import type { RoutedNode } from './routedNode';
+
+/**
+ * What a control replica of a routed site counts, read when it is asked for.
+ *
+ * @example
+ * const text = await new RoutedMetrics(node).registry.metrics();
+ */
+export class RoutedMetrics {
+  readonly registry = new Registry();
+
+  constructor(node: RoutedNode) {
+    const { registry } = this;
+    addGauge(registry, 'beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.isLeading));
+    addGauge(registry, 'beechlift_control_term', 'Term of the log', () => node.runner.state.term);
+    addGauge(registry, 'beechlift_control_commit_index', 'Last committed index', () => node.runner.state.commitIndex);
+    addGauge(registry, 'beechlift_document_version', 'Routing document in force here', () => node.site.version);
+    addGauge(registry, 'beechlift_entries', 'Entries that callers are sent to', () => node.listEntries().length);
+    addGauge(registry, 'beechlift_requests_waiting', 'Requests that wait for a slot; 0 on one that follows', () => node.countRequests().waiting);
+    addGauge(registry, 'beechlift_requests_placed', 'Requests that hold a slot; 0 on one that follows', () => node.countRequests().placed);
+    addGauge(registry, 'beechlift_dropped_log_lines', 'Log lines that were dropped since the start', countDroppedLines);
+    this.addWorkers(node);
+  }
+
+  private addWorkers(node: RoutedNode): void {
+    const gauge: Gauge<'standing'> = new Gauge({
+      name: 'beechlift_backend_servers',
+      help: 'Backend servers that this replica knows',
+      labelNames: ['standing'],
+      registers: [this.registry],
+      collect: (): void => {
+        gauge.reset();
+        node.countWorkers().forEach((count, standing) => gauge.set({ standing }, count));
+      },
+    });
+  }
+}
