A leader tells its entries to one that counts by another leader's list

Found by the tests beside a busy machine (2 of 8 runs: "the entry knows both"), traced with the replies in the log: an entry asked a new leader with revision 3 of the list before, the new list had revision 3 too, so it was left out, and the entry named nobody to callers until an entry came or left. Cause: the revision was compared without the leader that it counts by. Ruled out: a lost lease (the entry served all the while), a silent entry (the other one was heard each 0.2 s).

--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -276,6 +276,25 @@
     await expect(node.readNewest()).rejects.toThrow();
   });
 
+  /*
+   * Callers that asked one entry where to connect were told of nobody, for as long as no entry came
+   * or left. After a change of leaders it had asked with the revision of the list it held; the new
+   * leader's list had the same number by chance and was left out.
+   */
+  it('should tell its entries to one that counts by the list of another leader', async () => {
+    const started = await found();
+    await publish(0, formatDocument(2));
+    const leader = started.findNode(await started.waitLeader());
+    const ask = (workersEpoch: string, entriesRevision: number) => (
+      leader.watch(WatchRequest.fromPartial({
+        entryId: 'e1', callerAddress: 'e1:80', zone: 'a', state: 'active', workersEpoch, entriesRevision,
+      })));
+    const { workersEpoch, entriesRevision } = await ask('', 0);
+    await pause(600);
+    expect((await ask(workersEpoch, entriesRevision)).entries).toEqual([]);
+    expect((await ask('another', entriesRevision)).entries).toHaveLength(1);
+  });
+
   it('should read nothing without a majority', async () => {
     const started = await found();
     await publish(0, formatDocument(2));
