One set of calls that wait, for control and entries; one answer to "may it have run"

The entry's wait for its lease was the leader's held questions written again: the class moves from control to utils, and both use it. A request that is given up asked a second time whether its last try may have run, which the request notes already.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -15,8 +15,8 @@
 import { BeechliftError } from '../errors/beechliftError';
 import { resultCodes } from '../errors/resultCodes';
 import { computeSha256 } from '../utils/canonicalJson';
+import { HeldCalls } from '../utils/heldCalls';
 import { Operation } from '../utils/operation';
-import { HeldWatches } from './heldWatches';
 import { LeaderBook } from './leaderBook';
 import type { EntryPart } from './leaderBook';
 import { LogRunner } from './logRunner';
@@ -64,7 +64,7 @@
 
   private book: LeaderBook;
 
-  private readonly watches = new HeldWatches();
+  private readonly watches = new HeldCalls();
 
   private readonly keeper: ReplicaKeeper;
 
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -10,6 +10,7 @@
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionWatch } from '../utils/clock';
+import { HeldCalls } from '../utils/heldCalls';
 
 /** What an entry does at present, as control and the readiness check see it. */
 export type RelayState = 'starting' | 'active' | 'leaving';
@@ -65,7 +66,7 @@
 
   private entryCount = 1;
 
-  private readonly waiters = new Set<{ end: () => void }>();
+  private readonly waiters = new HeldCalls();
 
   constructor(private readonly parts: RelaySiteParts) {
     const readEntryCount = () => this.entryCount;
@@ -98,16 +99,7 @@
    */
   waitServing(mostMs: number): Promise<void> {
     if (this.isServing || this.waiters.size >= MAX_WAITERS) return Promise.resolve();
-    return new Promise((resolve) => {
-      const waiter = { end: (): void => undefined };
-      const timer = setTimeout(() => waiter.end(), mostMs);
-      waiter.end = () => {
-        clearTimeout(timer);
-        this.waiters.delete(waiter);
-        resolve();
-      };
-      this.waiters.add(waiter);
-    });
+    return this.waiters.hold(mostMs);
   }
 
   /** What control and readiness checks are told. */
@@ -160,7 +152,7 @@
     if (reply.documentVersion === 0) return;
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
     this.leaseEpoch = epoch;
-    [...this.waiters].forEach(({ end }) => end());
+    this.waiters.release();
   }
 
   private applyDocument(reply: WatchReply): boolean {
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -306,9 +306,8 @@
   }
 
   private giveUp(end: AttemptEnd): void {
-    const wasRun = end.kind === 'broken' || end.kind === 'failed';
     const reason = end.kind === 'answered' ? '' : end.reason;
-    if (wasRun) throw new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
+    if (this.mayHaveRun) throw new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
     throw new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs: MIN_RETRY_MS });
   }
 
--- a/src/control/heldWatches.ts
+++ b/src/utils/heldCalls.ts
@@ -2,22 +2,27 @@
  * Calls that wait for something to change.
  *
  * @example
- * await watches.hold(250, () => hasNews());
+ * await held.hold(250); // until `held.release()`, 250 ms at most
  */
-export class HeldWatches {
+export class HeldCalls {
   private readonly waiting = new Set<{ end: () => void }>();
 
+  /** Calls that wait. */
+  get size(): number {
+    return this.waiting.size;
+  }
+
   /** Resolves when something changed, or after the time. */
   hold(ms: number): Promise<void> {
     return new Promise((resolve) => {
-      const watch = { end: (): void => undefined };
-      const timer = setTimeout(() => watch.end(), ms);
-      watch.end = () => {
+      const call = { end: (): void => undefined };
+      const timer = setTimeout(() => call.end(), ms);
+      call.end = () => {
         clearTimeout(timer);
-        this.waiting.delete(watch);
+        this.waiting.delete(call);
         resolve();
       };
-      this.waiting.add(watch);
+      this.waiting.add(call);
     });
   }
 
