A question names the leader whose list of entries it holds

The revision of that list went without the table that it counts in: the asker guessed it from the table of backend servers, and the leader checked the guess in a function of its own, with a third kind of revision between them. The question carries the list's epoch now, as it does for backend servers, and one place compares both. Behaviour unchanged; the tests keep their assertions and are told the epoch instead of a code for "another".

--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -2,7 +2,8 @@
   EntryRecord, PlacedReport, PlaceReply, PlaceRequest, WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
 import { AccountLedger } from '../core/routing/accountLedger';
-import { NO_LIST, OTHER_LIST } from '../core/routing/entryList';
+import { NO_LIST } from '../core/routing/entryList';
+import type { EntryListHeld } from '../core/routing/entryList';
 import { listChangedWorkers } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
 import type { RoutedAccount } from '../manifest/routing';
@@ -73,18 +74,22 @@
   }
 
   /**
-   * The entries for an asker that holds a revision of their list; none when they are the same.
+   * The entries for an asker that holds a list; none when it holds the same.
    *
    * Guards callers against a leader that has just begun and has heard from few entries: they would
    * all be sent to these. Who holds the list of the leader before keeps it until all had the time
-   * to ask.
+   * to ask. The list's own epoch tells whose it is, as two leaders may come to the same revision.
+   *
+   * @param epoch names this leader's tables
    */
-  buildListPart(heldRevision: number): EntryListPart {
+  buildListPart({ entriesEpoch, entriesRevision }: EntryListHeld, epoch: string): EntryListPart {
     const now = this.parts.clock.now();
+    const isOwn = entriesEpoch === epoch;
     const isSettling = now - this.startedAt < SETTLE_MS;
-    if (isSettling && heldRevision === OTHER_LIST) return { entries: [], entriesRevision: NO_LIST };
+    if (isSettling && !isOwn && entriesEpoch !== '') return { entries: [], entriesRevision: NO_LIST };
     const { records, revision } = this.entries.list(now);
-    return { entries: revision === heldRevision ? [] : [...records], entriesRevision: revision };
+    const isSame = isOwn && revision === entriesRevision;
+    return { entries: isSame ? [] : [...records], entriesRevision: revision };
   }
 
   /** What an entry is told beside the document and the backend servers. */
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -7,7 +7,7 @@
   WatchReply as WatchReplyCodec, WatchRequest as WatchRequestCodec,
 } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
-import { EntryList, NO_LIST, OTHER_LIST } from '../core/routing/entryList';
+import { EntryList } from '../core/routing/entryList';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { DocumentCommand, SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
@@ -188,7 +188,7 @@
       documentDigest: this.site.digest,
       workersEpoch: epoch,
       workersRevision: revision,
-      entriesRevision: this.followedEntries.readRevision(epoch),
+      ...this.followedEntries.held,
       holdMs,
     });
   }
@@ -303,7 +303,7 @@
     const isEntry = request.entryId !== '';
     return {
       ...(isEntry ? this.book.buildEntryPart(request) : NO_ENTRY_PART),
-      ...this.book.buildListPart(this.readHeldList(request)),
+      ...this.book.buildListPart(request, this.registry.table.epoch),
       leaseMs: this.parts.leaseMs,
       leaderAddress: this.parts.self.address,
       controlAddresses: this.replicaAddresses,
@@ -315,16 +315,6 @@
     };
   }
 
-  /*
-   * Guards against two leaders whose lists happen to have the same revision: an entry that held the
-   * one of the leader before was told that nothing had changed, and then named nobody to callers
-   * until an entry came or left.
-   */
-  private readHeldList({ workersEpoch, entriesRevision }: WatchRequest): number {
-    const isOwn = workersEpoch === this.registry.table.epoch;
-    return isOwn || entriesRevision === NO_LIST ? entriesRevision : OTHER_LIST;
-  }
-
   private acceptPublished(version: number): PublishReply {
     this.parts.logger.info('document accepted', { version, inForce: this.site.version });
     return { code: 0, message: '', version: this.site.version };
--- a/src/core/routing/entryList.ts
+++ b/src/core/routing/entryList.ts
@@ -1,12 +1,13 @@
-import type { EntryRecord, WatchReply } from '../../protocol/generated/beechlift';
+import type { EntryRecord, WatchReply, WatchRequest } from '../../protocol/generated/beechlift';
 
 /** The part of a leader's reply that tells the entries. */
 export type EntryNews = Pick<WatchReply, 'entries' | 'entriesRevision' | 'workersEpoch'>;
 
-/** Revision of an asker that holds no list, or of a leader that tells none yet. */
+/** The part of a question that tells which list is held. */
+export type EntryListHeld = Pick<WatchRequest, 'entriesEpoch' | 'entriesRevision'>;
+
+/** Revision of a leader that tells no list yet. */
 export const NO_LIST = 0;
-/** Revision of an asker that holds the list of another leader. */
-export const OTHER_LIST = -1;
 
 /**
  * The entries that callers may be sent to, as the leader of control last told them: held by the
@@ -21,16 +22,12 @@
 
   private revision = NO_LIST;
 
-  /** The leader's tables that the revision counts in. */
+  /** The leader's tables that the revision counts in; empty before the first list. */
   private epoch = '';
 
-  /**
-   * What is held, for the next question to a leader: a revision of its own list, or that there is
-   * none, or one of another leader.
-   */
-  readRevision(workersEpoch: string): number {
-    if (this.revision === NO_LIST || workersEpoch === this.epoch) return this.revision;
-    return OTHER_LIST;
+  /** What is held, for the next question to a leader. */
+  get held(): EntryListHeld {
+    return { entriesEpoch: this.epoch, entriesRevision: this.revision };
   }
 
   /** Takes in what the leader told; a reply without the list says that nothing changed. */
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -133,7 +133,7 @@
       holdMs,
       loads: listLoads(this.workers),
       spends: this.budget.listSpends(clock.now()),
-      entriesRevision: this.entries.readRevision(this.workersEpoch),
+      ...this.entries.held,
     };
   }
 
--- a/tests/control/entry-list.spec.ts
+++ b/tests/control/entry-list.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { EntryTable } from '../../src/control/entryTable';
 import { LeaderBook } from '../../src/control/leaderBook';
-import { EntryList, NO_LIST, pickEntries } from '../../src/core/routing/entryList';
+import { EntryList, pickEntries } from '../../src/core/routing/entryList';
 import { EntryRecord, WatchRequest } from '../../src/protocol/generated/beechlift';
 
 const LEASE_MS = 4_000;
@@ -36,7 +36,8 @@
     list.apply({ workersEpoch: 'x', entriesRevision: 7, entries: [] });
     expect(list.records).toHaveLength(1);
     list.apply({ workersEpoch: 'y', entriesRevision: 2, entries: [makeRecord('e1'), makeRecord('e2')] });
-    expect([list.readRevision('y'), list.records.length]).toEqual([2, 2]);
+    expect([list.held, list.records.length])
+      .toEqual([{ entriesEpoch: 'y', entriesRevision: 2 }, 2]);
   });
 
   /*
@@ -61,14 +62,14 @@
     const list = new EntryList();
     list.apply({ workersEpoch: 'x', entriesRevision: 2, entries: [makeRecord('e1'), makeRecord('e2')] });
     const ask = () => list.apply({
-      workersEpoch: 'y', ...book.buildListPart(list.readRevision('y')),
+      workersEpoch: 'y', ...book.buildListPart(list.held, 'y'),
     });
     book.noteEntry(WatchRequest.fromPartial({
       entryId: 'e1', callerAddress: 'e1:1', zone: 'a', state: 'active',
     }));
     ask();
     expect(list.records).toHaveLength(2);
-    expect(book.buildListPart(NO_LIST).entries).toHaveLength(1);
+    expect(book.buildListPart(new EntryList().held, 'y').entries).toHaveLength(1);
     now += 600;
     ask();
     expect(list.records.map(({ id }) => id)).toEqual(['e1']);
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -285,9 +285,9 @@
     const started = await found();
     await publish(0, formatDocument(2));
     const leader = started.findNode(await started.waitLeader());
-    const ask = (workersEpoch: string, entriesRevision: number) => (
+    const ask = (entriesEpoch: string, entriesRevision: number) => (
       leader.watch(WatchRequest.fromPartial({
-        entryId: 'e1', callerAddress: 'e1:80', zone: 'a', state: 'active', workersEpoch, entriesRevision,
+        entryId: 'e1', callerAddress: 'e1:80', zone: 'a', state: 'active', entriesEpoch, entriesRevision,
       })));
     const { workersEpoch, entriesRevision } = await ask('', 0);
     await pause(600);
