--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -47,7 +47,8 @@
   /** Revision of the table of backend servers that the desk knows. */
   private deskRevision = 0;
 
-  private readonly startedAt: number;
+  /** When its replica began to lead, monotonic milliseconds. */
+  readonly startedAt: number;
 
   constructor(private readonly parts: LeaderBookParts) {
     this.startedAt = parts.clock.now();
--- a/src/control/replicaKeeper.ts
+++ b/src/control/replicaKeeper.ts
@@ -1,7 +1,9 @@
 import type { Replica } from '../protocol/generated/beechlift';
 import { planReplicas } from '../core/log/replicaPlan';
 import type { LogState, ReplicaSet } from '../core/log/logTypes';
+import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import type { LogRunner } from './logRunner';
 import { Newcomers } from './newcomers';
 
 /** Entries of the log that a learner may lack when it begins to vote. */
@@ -10,11 +12,10 @@
 const REPLICA_SILENCE_MS = 3_000;
 
 /**
- * What a leader knows of the other replicas, from which it plans how the replica set heals.
+ * What a leader knows of the other replicas, by which it heals the replica set step by step.
  *
  * @example
- * const next = keeper.plan(runner.state, leadingSince);
- * if (next) runner.changeReplicas(next);
+ * keeper.tend(runner, leadingSince);
  */
 export class ReplicaKeeper {
   private readonly newcomers = new Newcomers();
@@ -22,7 +23,11 @@
   private readonly heardAt = new Map<string, number>();
 
   /** @param voterCount voters that the site is to have */
-  constructor(private readonly voterCount: number, private readonly clock: Clock) {}
+  constructor(
+    private readonly voterCount: number,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
 
   /** Notes that a message of a replica came. */
   noteHeard(id: string): void {
@@ -34,8 +39,17 @@
     this.newcomers.note(replica, this.clock.now());
   }
 
-  /** Next step of the replica set, or undefined when none is due. */
-  plan(state: LogState, leadingSince: number): ReplicaSet | undefined {
+  /** Takes the next step of the replica set, when one is due. */
+  tend(runner: Pick<LogRunner<true>, 'state' | 'changeReplicas'>, leadingSince: number): void {
+    const next = this.plan(runner.state, leadingSince);
+    if (!next || !runner.changeReplicas(next)) return;
+    this.logger.info('replica set changes', {
+      voters: next.voters.map(({ id }) => id).join(' '),
+      learners: next.learners.map(({ id }) => id).join(' '),
+    });
+  }
+
+  private plan(state: LogState, leadingSince: number): ReplicaSet | undefined {
     const now = this.clock.now();
     return planReplicas({
       ownId: state.id,
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -13,12 +13,12 @@
 import { countByStanding } from '../core/routing/workerTable';
 import type { WorkerStanding } from '../core/routing/workerTable';
 import { BeechliftError } from '../errors/beechliftError';
-import { resultCodes } from '../errors/resultCodes';
 import { computeSha256 } from '../utils/canonicalJson';
 import { HeldCalls } from '../utils/heldCalls';
-import { Operation } from '../utils/operation';
+import { DocumentPublisher } from './documentPublisher';
 import { LeaderBook } from './leaderBook';
 import type { EntryPart } from './leaderBook';
+import { LeaderWait } from './leaderWait';
 import { LogRunner } from './logRunner';
 import { NewestReader } from './newestReader';
 import { ReplicaDirectory } from './replicaDirectory';
@@ -26,19 +26,13 @@
 import type { RoutedNodeParts } from './routedNodeParts';
 import { WorkerRegistry } from './workerRegistry';
 
-/** Most milliseconds that an operator's change may take. */
-const PUBLISH_TIMEOUT_MS = 3_000;
 /** Longest that a watch is held. */
 const MAX_HOLD_MS = 1_000;
 /**
- * How long a change waits for an election that is under way, in milliseconds: most of the second
- * after which operators ask another replica, which would know no leader either.
+ * How long an announcement waits for an election that is under way, in milliseconds: it still has
+ * to reach the leader within its second.
  */
-const PUBLISH_LEADER_MS = 600;
-/** The same for an announcement, which still has to reach the leader within its second. */
 const ANNOUNCE_LEADER_MS = 250;
-/** How often a held question looks for a leader. */
-const LEADER_POLL_MS = 10;
 /** What a replica that follows is told in place of loads and loans. */
 const NO_ENTRY_PART: EntryPart = { loads: [], grants: [], entryCount: 0 };
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
@@ -66,20 +60,24 @@
 
   private readonly watches = new HeldCalls();
 
+  private readonly leaderWait: LeaderWait;
+
   private readonly keeper: ReplicaKeeper;
 
   private readonly reader: NewestReader;
 
+  private readonly publisher: DocumentPublisher;
+
   private readonly directory: ReplicaDirectory;
 
   private suspensionEpoch: number;
 
-  private leadingSince = 0;
-
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.book = new LeaderBook(parts);
-    this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock);
+    this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
+    this.leaderWait = new LeaderWait(this.watches, parts.clock, () => (
+      this.isLeading || this.knowsOther));
     this.registry = new WorkerRegistry(parts);
     this.directory = new ReplicaDirectory(parts.founders);
     this.suspensionEpoch = parts.suspension.readEpoch();
@@ -97,6 +95,16 @@
       askLeader: (address) => parts.port.confirm(address),
       clock: parts.clock,
     });
+    this.publisher = new DocumentPublisher({
+      ...parts,
+      runner: this.runner,
+      readVersion: () => this.site.version,
+      readLeaderAddress: () => this.leaderAddress,
+      waitLeader: async (mostMs) => {
+        await this.leaderWait.wait(mostMs);
+        return this.isLeading;
+      },
+    });
   }
 
   /** gRPC address of the leader as this replica knows it; empty when there is none. */
@@ -110,6 +118,11 @@
     return this.runner.holdsLease;
   }
 
+  /** Whether another replica is known to lead. */
+  private get knowsOther(): boolean {
+    return this.leaderAddress !== '' && this.leaderAddress !== this.parts.self.address;
+  }
+
   /** gRPC addresses of all replicas of the site. */
   get replicaAddresses(): string[] {
     const { voters, learners } = this.runner.state.replicas;
@@ -136,7 +149,7 @@
     if (!this.runner.holdsLease) return;
     if (this.registry.expire()) this.watches.release();
     this.book.tend(this.registry.table);
-    this.tendReplicas();
+    this.keeper.tend(this.runner, this.book.startedAt);
   }
 
   /** Takes a message of another replica. */
@@ -153,27 +166,12 @@
     return this.isLeading ? this.buildWatchReply(request) : this.answerNotLeading();
   }
 
-  /**
-   * Holds a question while no leader is known, so that who asks learns of one at once: after all
-   * processes were killed, callers wait for just that.
-   */
+  /** Holds a question while no leader is known, so that who asks learns of one at once. */
   private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
-    await this.waitLeader(Math.min(MAX_HOLD_MS, request.holdMs));
+    await this.leaderWait.wait(Math.min(MAX_HOLD_MS, request.holdMs));
     return this.isLeading ? this.watch({ ...request, holdMs: 0 }) : this.answerNotLeading();
   }
 
-  /** Resolves once this replica leads or knows who does, and after the time also when neither. */
-  private async waitLeader(mostMs: number): Promise<void> {
-    const until = this.parts.clock.now() + mostMs;
-    const poll = async (): Promise<void> => {
-      const isOther = this.leaderAddress !== '' && this.leaderAddress !== this.parts.self.address;
-      if (this.isLeading || isOther || this.parts.clock.now() >= until) return;
-      await this.watches.hold(LEADER_POLL_MS);
-      await poll();
-    };
-    await poll();
-  }
-
   /** Takes in what the leader told a replica that follows. */
   follow(reply: WatchReply): void {
     if (this.runner.holdsLease) return;
@@ -194,19 +192,8 @@
   }
 
   /** Checks a document and has a majority accept it; on a replica that follows it is forwarded. */
-  async publish(request: PublishRequest): Promise<PublishReply> {
-    const { routing, faults } = this.parts.readRouting(request.document);
-    if (!routing) {
-      this.parts.logger.info('document refused', { faults: faults.slice(0, 3).join('; ') });
-      return { code: resultCodes.manifestInvalid.number, message: faults.join('\n'), version: 0 };
-    }
-    if (routing.version <= this.site.version) return this.acceptPublished(routing.version);
-    await this.waitLeader(PUBLISH_LEADER_MS);
-    if (!this.isLeading) return this.forwardPublish(request);
-    const operation = new Operation({ timeoutMs: PUBLISH_TIMEOUT_MS, clock: this.parts.clock });
-    const command: DocumentCommand = { version: routing.version, document: request.document };
-    await this.runner.propose(JSON.stringify(command), operation);
-    return this.acceptPublished(routing.version);
+  publish(request: PublishRequest): Promise<PublishReply> {
+    return this.publisher.publish(request);
   }
 
   /** The newest accepted document; throws when this replica cannot be sure which it is. */
@@ -251,7 +238,7 @@
 
   /** Takes in what a backend server said of itself; false when no leader could be told. */
   async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
-    await this.waitLeader(ANNOUNCE_LEADER_MS);
+    await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
       if (this.registry.take(said)) this.watches.release();
       return { taken: true };
@@ -294,7 +281,7 @@
   }
 
   private answerNotLeading(): WatchReply {
-    const leaderAddress = this.leaderAddress === this.parts.self.address ? '' : this.leaderAddress;
+    const leaderAddress = this.knowsOther ? this.leaderAddress : '';
     return WatchReplyCodec.fromPartial({ leaderAddress, controlAddresses: this.replicaAddresses });
   }
 
@@ -315,17 +302,6 @@
     };
   }
 
-  private acceptPublished(version: number): PublishReply {
-    this.parts.logger.info('document accepted', { version, inForce: this.site.version });
-    return { code: 0, message: '', version: this.site.version };
-  }
-
-  private forwardPublish(request: PublishRequest): Promise<PublishReply> {
-    const address = this.leaderAddress;
-    if (request.forwarded || address === '') throw new BeechliftError('noQuorum', 'no replica leads at the moment');
-    return this.parts.port.publish({ ...request, forwarded: true }, address);
-  }
-
   private applyCommand(text: string): true {
     const command = JSON.parse(text) as DocumentCommand;
     const before = this.site;
@@ -341,15 +317,6 @@
     this.watches.release();
   }
 
-  private tendReplicas(): void {
-    const next = this.keeper.plan(this.runner.state, this.leadingSince);
-    if (!next || !this.runner.changeReplicas(next)) return;
-    this.parts.logger.info('replica set changes', {
-      voters: next.voters.map(({ id }) => id).join(' '),
-      learners: next.learners.map(({ id }) => id).join(' '),
-    });
-  }
-
   /*
    * Guards the lease of a leader that was suspended: see the log's event. It is looked at before
    * each answer that rests on the lease, as the first call after a wake may come before any tick.
@@ -374,7 +341,6 @@
   private noteRole(role: LogRole, term: number): void {
     this.parts.logger.info('role changed', { role, term });
     if (role !== 'leader') return;
-    this.leadingSince = this.parts.clock.now();
     this.book.close();
     this.book = new LeaderBook(this.parts);
     if (this.site.version > 0) this.configureAccounts();
