An owner grants a request again whose grant was lost on the way

Cause: an entry that loses its connection to the owner of a pool asks again under the same request id. The owner took a request that it had granted for a duplicate and answered nothing: it counted as running, its entry kept it open until the caller gave up. The other way round, the late cancellation of the first call dropped the second question. Connections are closed for a missed ping, which happens when ten sites start on one machine.

Change: questions carry a number that grows. A newer one replaces the older, keeps its place where it waits, and frees the slot of a grant that was never heard; drops and reports of older ones are ignored. A call that was cancelled before it is handled is dropped after the question, not before.

--- a/src/core/schedule/grantSystem.ts
+++ b/src/core/schedule/grantSystem.ts
@@ -56,6 +56,7 @@
     tier: ask.tier,
     promptTokens: ask.promptTokens,
     cost: waiting.cost,
+    askNumber: ask.askNumber,
     grantedAt: now,
     batch: worker.running.size + 1,
     expectedFirstTokenMs: estimateChoiceFirstTokenMs(tables, choice),
--- a/src/core/schedule/poolSchedule.ts
+++ b/src/core/schedule/poolSchedule.ts
@@ -55,9 +55,41 @@
   });
 };
 
+/** @param unused tokens that were charged to the account and are given back */
+const freeRunning = ({ tables, now }: ScheduleStep, running: RunningEntity, unused = 0): void => {
+  removeRunning(tables, running.requestId, now);
+  releaseAccountUse(tables, running.account, unused);
+};
+
+/** Number of the newest question for a request; undefined for one that is not known here. */
+const findAskNumber = (
+  { waiting, running }: ScheduleTables,
+  requestId: string,
+): number | undefined => (
+  waiting.get(requestId)?.ask.askNumber ?? running.get(requestId)?.askNumber
+);
+
+/*
+ * Guards a request whose grant was lost with the connection that carried it: its entry asks again,
+ * and the slot that it never heard of would stay taken while the request is never answered. An
+ * entry asks only for what holds no slot there, so that slot is free. One that still waits keeps
+ * its place.
+ */
+const freeUnheardGrant = (step: ScheduleStep, { requestId }: AskRequest): void => {
+  const running = step.tables.running.get(requestId);
+  if (running) freeRunning(step, running, running.cost);
+};
+
 const handleAsk = (step: ScheduleStep, ask: AskRequest): void => {
   const { tables, now } = step;
-  if (tables.waiting.has(ask.requestId) || tables.running.has(ask.requestId)) return;
+  const known = findAskNumber(tables, ask.requestId);
+  if (known !== undefined && known >= ask.askNumber) return;
+  const placed = tables.waiting.get(ask.requestId);
+  if (placed) {
+    placed.ask = ask;
+    return;
+  }
+  freeUnheardGrant(step, ask);
   const waiting = makeWaiting(step, ask);
   const limit = findLimitReason(tables, ask.account, waiting.cost, now);
   if (limit !== undefined) {
@@ -143,7 +175,13 @@
   ['dropped', endRequest],
 ]);
 
+/*
+ * Guards a newer question against a report of the one before, which came later on another
+ * connection: it would end a slot that was granted since.
+ */
 const handleReport = (step: ScheduleStep, report: ReportRequest): void => {
+  const known = findAskNumber(step.tables, report.requestId);
+  if (known !== undefined && known > report.askNumber) return;
   phaseHandlers.get(report.phase)?.(step, report);
 };
 
@@ -161,6 +199,7 @@
     tier: item.tier,
     promptTokens: item.promptTokens,
     cost: item.promptTokens,
+    askNumber: 0,
     grantedAt: now,
     batch: 1,
     expectedFirstTokenMs: 0,
@@ -169,11 +208,6 @@
   });
 };
 
-const freeRunning = ({ tables, now }: ScheduleStep, running: RunningEntity): void => {
-  removeRunning(tables, running.requestId, now);
-  releaseAccountUse(tables, running.account, 0);
-};
-
 /*
  * Guards against slots that stay taken for good because the report of an end was lost: an entry
  * tells all that it runs every few seconds, and what it no longer names is over. A grant that is
--- a/src/core/schedule/scheduleTypes.ts
+++ b/src/core/schedule/scheduleTypes.ts
@@ -108,7 +108,8 @@
 
 /** A request that waits for a slot. */
 export interface WaitingEntity {
-  readonly ask: AskRequest;
+  /** The newest question for it. */
+  ask: AskRequest;
   readonly rank: number;
   readonly askedAt: number;
   /** When the whole answer is late, monotonic milliseconds. */
@@ -131,6 +132,8 @@
   readonly tier: string;
   readonly promptTokens: number;
   readonly cost: number;
+  /** Number of the question that was granted; 0 where an entry told of it later. */
+  readonly askNumber: number;
   readonly grantedAt: number;
   /** Requests on the worker when this one was granted, itself included. */
   readonly batch: number;
--- a/src/entry/choosing/poolOwner.ts
+++ b/src/entry/choosing/poolOwner.ts
@@ -54,8 +54,15 @@
   firstTokenMs: 0,
   totalMs: 0,
   outputTokens: 0,
+  askNumber: ask.askNumber,
 });
 
+/** A question that is not answered yet. */
+interface OpenAsk {
+  readonly askNumber: number;
+  readonly resolve: (reply: AskReply) => void;
+}
+
 /**
  * Owns one pool: the queue before it and the slots in it. Knows nothing of the wire.
  *
@@ -64,7 +71,7 @@
  * const reply = await owner.ask(request);
  */
 export class PoolOwner {
-  private readonly answers = new Map<string, (reply: AskReply) => void>();
+  private readonly open = new Map<string, OpenAsk>();
 
   constructor(
     readonly tables: ScheduleTables,
@@ -72,19 +79,31 @@
     private readonly sendOrder: (order: OrderEffect) => void,
   ) {}
 
-  /** Waits for a slot; resolves when the request is granted or refused. */
+  /**
+   * Waits for a slot; resolves when the request is granted or refused. An entry that lost the
+   * connection asks again with a higher number: the newest question alone is waited on.
+   */
   ask(ask: AskRequest): Promise<AskReply> {
+    const { requestId, askNumber } = ask;
+    const before = this.open.get(requestId);
+    const askedAnew = makeMovedReply(`request "${requestId}" was asked for again since`);
+    if (before && before.askNumber > askNumber) return Promise.resolve(askedAnew);
+    before?.resolve(askedAnew);
     return new Promise((resolve) => {
-      this.answers.set(ask.requestId, resolve);
+      this.open.set(requestId, { askNumber, resolve });
       this.run({ kind: 'ask', ask });
     });
   }
 
   /**
    * Takes a request out that its entry gave up; a grant that crossed it on the way is taken back.
+   *
+   * Guards a question that was asked again against the late end of the call before it, which stands
+   * for the earlier number only.
    */
   drop(ask: AskRequest): void {
-    this.answers.delete(ask.requestId);
+    const open = this.open.get(ask.requestId);
+    if (open?.askNumber === ask.askNumber) this.open.delete(ask.requestId);
     this.run({ kind: 'report', report: dropReport(ask) });
   }
 
@@ -119,15 +138,15 @@
 
   /** Answers all that wait, when another entry owns the pool. */
   close(): void {
-    const answers = [...this.answers.values()];
-    this.answers.clear();
+    const all = [...this.open.values()];
+    this.open.clear();
     const moved = makeMovedReply(`another entry VM owns pool "${this.tables.pool}"`);
-    answers.forEach((resolve) => resolve(moved));
+    all.forEach(({ resolve }) => resolve(moved));
   }
 
   private answer(effect: Decision): void {
-    const resolve = this.answers.get(effect.requestId);
-    this.answers.delete(effect.requestId);
-    resolve?.(buildReply(effect));
+    const open = this.open.get(effect.requestId);
+    this.open.delete(effect.requestId);
+    open?.resolve(buildReply(effect));
   }
 }
--- a/src/entry/choosing/scheduler.ts
+++ b/src/entry/choosing/scheduler.ts
@@ -65,6 +65,9 @@
 
   private readonly policy: PolicySettings;
 
+  /** Questions asked so far, over all requests: names the newest in asks and reports. */
+  private askNumber = 0;
+
   constructor(private readonly parts: SchedulerParts) {
     this.policy = parts.policy ?? DEFAULT_POLICY;
     parts.configuration.listen({
@@ -80,14 +83,16 @@
 
   /** Waits for a slot at the pool's owner; asks the new owner when the pool moves meanwhile. */
   async ask(
-    ask: AskRequest,
+    question: Omit<AskRequest, 'askNumber'>,
     operation: Operation,
     headers: Readonly<Record<string,
       string>> = {},
   ): Promise<AskReply> {
+    if (operation.signal.aborted) throw new BeechliftError('callerGone', 'the caller is gone');
+    this.askNumber += 1;
+    const ask = { ...question, askNumber: this.askNumber };
     const reply = await this.askOnce(ask, operation, headers);
     if (reply && reply.code !== resultCodes.ownerMoved.number) return reply;
-    if (operation.signal.aborted) throw new BeechliftError('callerGone', 'the caller is gone');
     if (operation.remainingMs <= MOVED_RETRY_MS) {
       throw new BeechliftError('noSlotInTime', `the owner of pool "${ask.pool}" did not answer in time`, { steps: operation.steps, retryAfterMs: SHORT_TIMEOUT_MS });
     }
@@ -101,16 +106,19 @@
   askHere(ask: AskRequest, onCancel: (listener: () => void) => void): Promise<AskReply> {
     const owner = this.findOwned(ask.pool);
     if (!owner) return Promise.resolve(this.answerMoved(ask.pool));
+    const reply = owner.ask(ask);
+    // After the question, as a call may be over before it is handled.
     onCancel(() => owner.drop(ask));
-    return owner.ask(ask);
+    return reply;
   }
 
   /**
    * Tells the owner how a granted request goes; what is lost on the way is made good by `register`.
    */
-  report(report: ReportRequest): void {
-    const owner = this.findOwnerOf(report.pool);
+  report(fields: Omit<ReportRequest, 'askNumber'>): void {
+    const owner = this.findOwnerOf(fields.pool);
     if (!owner) return;
+    const report = { ...fields, askNumber: this.askNumber };
     if (owner.id === this.parts.id) {
       this.findOwned(report.pool)?.report(report);
       return;
--- a/src/entry/choosing/slotKeeper.ts
+++ b/src/entry/choosing/slotKeeper.ts
@@ -1,5 +1,5 @@
 import type { Context } from '@opentelemetry/api';
-import type { AskReply, ReportRequest } from '../../protocol/generated/beechlift';
+import type { AskReply } from '../../protocol/generated/beechlift';
 import { makeErrorFromNumber } from '../../errors/beechliftError';
 import type { HopTracer } from '../../telemetry/tracing';
 import type { Operation } from '../../utils/operation';
@@ -100,7 +100,7 @@
     outcome: SlotOutcome,
     times: SlotTimes,
   ): void {
-    const report: ReportRequest = {
+    this.scheduler.report({
       requestId: request.id,
       entryId: this.id,
       pool: request.pool,
@@ -109,7 +109,6 @@
       firstTokenMs: Math.round(times.firstTokenMs),
       totalMs: Math.round(times.totalMs),
       outputTokens: times.outputTokens,
-    };
-    this.scheduler.report(report);
+    });
   }
 }
--- a/src/wire/rpcServer.ts
+++ b/src/wire/rpcServer.ts
@@ -28,9 +28,12 @@
     headers: call.metadata.getMap(),
     // The library also reports calls as cancelled that were answered and are over.
     onCancel: (listener) => {
-      call.on('cancelled', () => {
-        if (!answered) listener();
-      });
+      if (call.cancelled) listener();
+      else {
+        call.on('cancelled', () => {
+          if (!answered) listener();
+        });
+      }
     },
   };
   Promise.resolve()
--- /dev/null
+++ b/tests/entry/pool-owner.spec.ts
@@ -0,0 +1,99 @@
+import {
+  beforeEach, describe, expect, it,
+} from 'vitest';
+import { PoolOwner } from '../../src/entry/choosing/poolOwner';
+import { resultCodes } from '../../src/errors/resultCodes';
+import { AskRequest, ReportRequest } from '../../src/protocol/generated/beechlift';
+import type { AskReply } from '../../src/protocol/generated/beechlift';
+import { announce, makeTables } from '../core/scheduleModel';
+
+const makeAsk = (requestId: string, askNumber: number) => AskRequest.fromPartial({
+  requestId, askNumber, tier: 'door', account: 'a', target: 'guide', entryId: 'e1', promptTokens: 100, maxTokens: 20, deadlineMs: 5_000,
+});
+
+/** What a question has been answered; undefined while it waits. */
+const watchReply = (asked: Promise<AskReply>): { reply: AskReply | undefined } => {
+  const seen: { reply: AskReply | undefined } = { reply: undefined };
+  asked.then((reply) => {
+    seen.reply = reply;
+  }).catch(() => undefined);
+  return seen;
+};
+
+const settle = () => new Promise((resolve) => {
+  setImmediate(resolve);
+});
+
+describe('the owner of a pool, asked more than once for a request', () => {
+  let owner: PoolOwner;
+
+  beforeEach(() => {
+    const tables = makeTables();
+    announce(tables, 'w1', 1, 0);
+    owner = new PoolOwner(tables, { now: () => 0 }, () => undefined);
+  });
+
+  /*
+   * A door code with a key is never answered. The owner granted a slot, but the connection that
+   * carried the reply was closed for a missed ping on a busy machine. The entry asks again; the
+   * owner takes the request for one that runs, and answers nothing until the caller gives up.
+   */
+  it('should grant a request again whose grant was lost on the way', async () => {
+    const lost = watchReply(owner.ask(makeAsk('r1', 1)));
+    await settle();
+    expect(lost.reply?.workerId).toBe('w1');
+    const again = watchReply(owner.ask(makeAsk('r1', 2)));
+    await settle();
+    expect(again.reply).toMatchObject({ code: 0, workerId: 'w1' });
+    expect([owner.tables.running.size, owner.tables.waiting.size]).toEqual([1, 0]);
+  });
+
+  /*
+   * The same connection is closed while the request waits. The entry asks again over a fresh one,
+   * and only then does the owner hear that the first call is cancelled: it dropped the request, and
+   * the second question was never answered.
+   */
+  it('should keep a request that was asked for again when the earlier call is cancelled late', async () => {
+    await owner.ask(makeAsk('holder', 1));
+    const cancelled = makeAsk('r1', 2);
+    const first = watchReply(owner.ask(cancelled));
+    const second = watchReply(owner.ask(makeAsk('r1', 3)));
+    owner.drop(cancelled);
+    await settle();
+    // Nobody reads the first answer, but nothing waits for ever.
+    expect(first.reply?.code).toBe(resultCodes.ownerMoved.number);
+    expect(second.reply).toBeUndefined();
+    owner.report(ReportRequest.fromPartial({
+      requestId: 'holder', phase: 'finished', outcome: 'complete', askNumber: 3,
+    }));
+    await settle();
+    expect(second.reply).toMatchObject({ code: 0, workerId: 'w1' });
+  });
+
+  /*
+   * A dispatch that could not be sent is reported over a call that is slow, and its entry asks for
+   * another slot meanwhile. The report must not end the slot that was granted since.
+   */
+  it('should not end a newer grant by a report of the one before', async () => {
+    await owner.ask(makeAsk('r1', 1));
+    await owner.ask(makeAsk('r1', 2));
+    owner.report(ReportRequest.fromPartial({
+      requestId: 'r1', phase: 'finished', outcome: 'failed', askNumber: 1,
+    }));
+    expect(owner.tables.running.size).toBe(1);
+    owner.report(ReportRequest.fromPartial({
+      requestId: 'r1', phase: 'finished', outcome: 'complete', askNumber: 2,
+    }));
+    expect(owner.tables.running.size).toBe(0);
+  });
+
+  it('should leave a newer question alone when an older one comes late', async () => {
+    await owner.ask(makeAsk('holder', 1));
+    const newer = watchReply(owner.ask(makeAsk('r1', 3)));
+    const older = watchReply(owner.ask(makeAsk('r1', 2)));
+    await settle();
+    expect(older.reply?.code).toBe(resultCodes.ownerMoved.number);
+    expect(newer.reply).toBeUndefined();
+    expect(owner.tables.waiting.size).toBe(1);
+  });
+});
