A backend server is its id and its start; what another writer announces is refused

Cause: a server that starts again under the id that it had counts its announcements anew. The table took them for late ones until the count had passed the one before, and for good where the start before had left. What was learnt, suspended and counted as held stayed with the id.

Change: an announcement names its start by its time of birth. The table judges which start speaks; one that was superseded stays so, in a bounded list that followers, the memo on disk and the next leader take over. Entries and the desk take another start for another server: slots, pace, failures, pauses begin anew. A farewell that names no start pauses a server that has just started, and takes out any other. Announcements with missing fields, fields of another type, unreadable bytes or a service that no route knows change nothing, are answered with their code, logged and counted.

Ruled out: order of births alone (clocks go back here); ignoring farewells that name no start (all of those on the platform do, and work would go on to a server that leaves).

--- /dev/null
+++ b/src/control/announcementGate.ts
@@ -0,0 +1,66 @@
+import type { SiteDocument } from '../core/routing/siteDocument';
+import type { WorkerTable } from '../core/routing/workerTable';
+import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import type { ResultCode } from '../errors/resultCodes';
+import type { RoutingReader } from '../manifest/routing';
+import type { WorkerAnnouncement } from '../protocol/generated/beechlift';
+import type { Logger } from '../telemetry/logger';
+
+/** What the gate needs. */
+export interface AnnouncementGateParts {
+  readonly readSite: () => SiteDocument;
+  readonly readTable: () => WorkerTable;
+  readonly readRouting: RoutingReader;
+  readonly logger: Logger;
+}
+
+/**
+ * Keeps out announcements that no backend server of this site sends.
+ *
+ * Guards good servers against another writer: an announcement for a service that is not routed
+ * would otherwise take over the address of a server that works, which would then be taken for gone.
+ *
+ * @example
+ * gate.check(said); // throws 'unknownService'
+ */
+export class AnnouncementGate {
+  /** Announcements that were refused since the start, by code. */
+  readonly refused = new Map<ResultCode, number>();
+
+  /** Services of the document that was last looked at, and its digest. */
+  private services: ReadonlySet<string> = new Set();
+
+  private digest = '';
+
+  constructor(private readonly parts: AnnouncementGateParts) {}
+
+  /** Throws for a service that the document in force does not route, but for a server's own. */
+  check(said: WorkerAnnouncement): void {
+    const { readSite, readTable } = this.parts;
+    const site = readSite();
+    // Before the first document no service is known, and servers announce themselves already.
+    if (said.state === 'gone' || site.version === 0) return;
+    if (readTable().workers.get(said.workerId)?.said.service === said.service) return;
+    if (this.listServices(site).has(said.service)) return;
+    throw new BeechliftError('unknownService', `document ${site.version} routes to no service "${said.service.slice(0, 128)}"`);
+  }
+
+  /** Counts an announcement that was refused, and says why. */
+  noteRefused(thrown: unknown, workerId: string): void {
+    const error = toBeechliftError(thrown);
+    const count = (this.refused.get(error.code) ?? 0) + 1;
+    this.refused.set(error.code, count);
+    this.parts.logger.warn('announcement refused', {
+      worker: workerId.slice(0, 128), code: error.number, reason: error.message, count,
+    });
+  }
+
+  private listServices(site: SiteDocument): ReadonlySet<string> {
+    if (site.digest !== this.digest) {
+      const { routing } = this.parts.readRouting(site.document);
+      this.services = new Set(routing?.services.map(({ name }) => name));
+      this.digest = site.digest;
+    }
+    return this.services;
+  }
+}
--- a/src/control/routedMetrics.ts
+++ b/src/control/routedMetrics.ts
@@ -23,6 +23,19 @@
     addGauge(registry, 'beechlift_requests_placed', 'Requests that hold a slot; 0 on one that follows', () => node.countRequests().placed);
     addGauge(registry, 'beechlift_dropped_log_lines', 'Log lines that were dropped since the start', countDroppedLines);
     this.addWorkers(node);
+    this.addRefusals(node);
+  }
+
+  private addRefusals({ gate }: RoutedNode): void {
+    const gauge: Gauge<'code'> = new Gauge({
+      name: 'beechlift_announcements_refused',
+      help: 'Announcements of backend servers that were refused since the start',
+      labelNames: ['code'],
+      registers: [this.registry],
+      collect: (): void => {
+        gate.refused.forEach((count, code) => gauge.set({ code }, count));
+      },
+    });
   }
 
   private addWorkers(node: RoutedNode): void {
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -3,9 +3,7 @@
   PlaceManyRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply,
   WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import {
-  WatchReply as WatchReplyCodec, WatchRequest as WatchRequestCodec,
-} from '../protocol/generated/beechlift';
+import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
 import { EntryList } from '../core/routing/entryList';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
@@ -15,26 +13,23 @@
 import { BeechliftError } from '../errors/beechliftError';
 import { computeSha256 } from '../utils/canonicalJson';
 import { HeldCalls } from '../utils/heldCalls';
+import { AnnouncementGate } from './announcementGate';
 import { DocumentPublisher } from './documentPublisher';
 import { LeaderBook } from './leaderBook';
-import type { EntryPart } from './leaderBook';
 import { LeaderWait } from './leaderWait';
 import { LogRunner } from './logRunner';
 import { NewestReader } from './newestReader';
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
 import type { RoutedNodeParts } from './routedNodeParts';
+import { WatchDesk } from './watchDesk';
 import { WorkerRegistry } from './workerRegistry';
 
-/** Longest that a watch is held. */
-const MAX_HOLD_MS = 1_000;
 /**
  * How long an announcement waits for an election that is under way, in milliseconds: it still has
  * to reach the leader within its second.
  */
 const ANNOUNCE_LEADER_MS = 250;
-/** What a replica that follows is told in place of loads and loans. */
-const NO_ENTRY_PART: EntryPart = { loads: [], grants: [], entryCount: 0 };
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
@@ -56,6 +51,11 @@
 
   private readonly registry: WorkerRegistry;
 
+  /** Keeps out announcements that no backend server of this site sends. */
+  readonly gate: AnnouncementGate;
+
+  private readonly desk: WatchDesk;
+
   private book: LeaderBook;
 
   private readonly watches = new HeldCalls();
@@ -79,6 +79,23 @@
     this.leaderWait = new LeaderWait(this.watches, parts.clock, () => (
       this.isLeading || this.knowsOther));
     this.registry = new WorkerRegistry(parts);
+    this.gate = new AnnouncementGate({
+      ...parts, readSite: () => this.site, readTable: () => this.registry.table,
+    });
+    this.desk = new WatchDesk({
+      ...parts,
+      registry: this.registry,
+      watches: this.watches,
+      leaderWait: this.leaderWait,
+      address: parts.self.address,
+      readView: () => ({
+        isLeading: this.isLeading,
+        otherLeader: this.knowsOther ? this.leaderAddress : '',
+        replicaAddresses: this.replicaAddresses,
+        site: this.site,
+        book: this.book,
+      }),
+    });
     this.directory = new ReplicaDirectory(parts.founders);
     this.suspensionEpoch = parts.suspension.readEpoch();
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
@@ -159,17 +176,8 @@
   }
 
   /** Answers an entry or a replica that follows, held until there is news. */
-  async watch(request: WatchRequest): Promise<WatchReply> {
-    if (!this.isLeading) return this.awaitLeader(request);
-    if (request.entryId !== '') this.book.noteEntry(request);
-    if (!this.hasNews(request)) await this.watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
-    return this.isLeading ? this.buildWatchReply(request) : this.answerNotLeading();
-  }
-
-  /** Holds a question while no leader is known, so that who asks learns of one at once. */
-  private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
-    await this.leaderWait.wait(Math.min(MAX_HOLD_MS, request.holdMs));
-    return this.isLeading ? this.watch({ ...request, holdMs: 0 }) : this.answerNotLeading();
+  watch(request: WatchRequest): Promise<WatchReply> {
+    return this.desk.watch(request);
   }
 
   /** Takes in what the leader told a replica that follows. */
@@ -236,8 +244,12 @@
     this.book.report(reports);
   }
 
-  /** Takes in what a backend server said of itself; false when no leader could be told. */
+  /**
+   * Takes in what a backend server said of itself; false when no leader could be told. Throws for
+   * what no server of this site says.
+   */
   async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
+    this.gate.check(said);
     await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
       if (this.registry.take(said)) this.watches.release();
@@ -276,32 +288,6 @@
     if (routing) this.book.configureAccounts(routing.accounts);
   }
 
-  private hasNews(request: WatchRequest): boolean {
-    return request.documentDigest !== this.site.digest || this.registry.hasNews(request);
-  }
-
-  private answerNotLeading(): WatchReply {
-    const leaderAddress = this.knowsOther ? this.leaderAddress : '';
-    return WatchReplyCodec.fromPartial({ leaderAddress, controlAddresses: this.replicaAddresses });
-  }
-
-  private buildWatchReply(request: WatchRequest): WatchReply {
-    const { site } = this;
-    const isEntry = request.entryId !== '';
-    return {
-      ...(isEntry ? this.book.buildEntryPart(request) : NO_ENTRY_PART),
-      ...this.book.buildListPart(request, this.registry.table.epoch),
-      leaseMs: this.parts.leaseMs,
-      leaderAddress: this.parts.self.address,
-      controlAddresses: this.replicaAddresses,
-      documentDigest: site.digest,
-      documentVersion: site.version,
-      // A replica that follows has the document from the log.
-      document: isEntry && request.documentDigest !== site.digest ? site.document : '',
-      ...this.registry.buildPart(request),
-    };
-  }
-
   private applyCommand(text: string): true {
     const command = JSON.parse(text) as DocumentCommand;
     const before = this.site;
--- /dev/null
+++ b/src/control/watchDesk.ts
@@ -0,0 +1,95 @@
+import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
+import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import type { SiteDocument } from '../core/routing/siteDocument';
+import type { HeldCalls } from '../utils/heldCalls';
+import type { EntryPart, LeaderBook } from './leaderBook';
+import type { LeaderWait } from './leaderWait';
+import type { WorkerRegistry } from './workerRegistry';
+
+/** Longest that a question is held, in milliseconds. */
+const MAX_HOLD_MS = 1_000;
+
+/** What a replica that follows is told in place of loads and loans. */
+const NO_ENTRY_PART: EntryPart = { loads: [], grants: [], entryCount: 0 };
+
+/** What the replica knows at the moment of an answer. */
+export interface WatchView {
+  /** Whether this replica leads and no other can at this moment. */
+  readonly isLeading: boolean;
+  /** gRPC address of another replica that is known to lead; empty when there is none. */
+  readonly otherLeader: string;
+  /** gRPC addresses of all replicas of the site. */
+  readonly replicaAddresses: readonly string[];
+  readonly site: SiteDocument;
+  readonly book: LeaderBook;
+}
+
+/** What the desk needs. */
+export interface WatchDeskParts {
+  readonly readView: () => WatchView;
+  readonly registry: WorkerRegistry;
+  readonly watches: HeldCalls;
+  readonly leaderWait: LeaderWait;
+  /** gRPC address of this replica. */
+  readonly address: string;
+  /** How long an entry may rely on what it was told, in milliseconds. */
+  readonly leaseMs: number;
+}
+
+/**
+ * Where entries, and replicas that follow, ask the leader all the time. A question is held until
+ * there is news; its answer renews the lease of an entry.
+ *
+ * @example
+ * const reply = await desk.watch(request);
+ */
+export class WatchDesk {
+  constructor(private readonly parts: WatchDeskParts) {}
+
+  /** Answers a question; a replica that does not lead names the one that does. */
+  async watch(request: WatchRequest): Promise<WatchReply> {
+    const { readView, watches } = this.parts;
+    const view = readView();
+    if (!view.isLeading) return this.awaitLeader(request);
+    if (request.entryId !== '') view.book.noteEntry(request);
+    if (!this.hasNews(request)) await watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
+    return readView().isLeading ? this.buildReply(request) : this.answerNotLeading();
+  }
+
+  /** Holds a question while no leader is known, so that who asks learns of one at once. */
+  private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
+    const { readView, leaderWait } = this.parts;
+    await leaderWait.wait(Math.min(MAX_HOLD_MS, request.holdMs));
+    return readView().isLeading ? this.watch({ ...request, holdMs: 0 }) : this.answerNotLeading();
+  }
+
+  private hasNews(request: WatchRequest): boolean {
+    const { readView, registry } = this.parts;
+    return request.documentDigest !== readView().site.digest || registry.hasNews(request);
+  }
+
+  private answerNotLeading(): WatchReply {
+    const { otherLeader, replicaAddresses } = this.parts.readView();
+    return WatchReplyCodec.fromPartial({
+      leaderAddress: otherLeader, controlAddresses: [...replicaAddresses],
+    });
+  }
+
+  private buildReply(request: WatchRequest): WatchReply {
+    const { readView, registry, leaseMs } = this.parts;
+    const { site, book, replicaAddresses } = readView();
+    const isEntry = request.entryId !== '';
+    return {
+      ...(isEntry ? book.buildEntryPart(request) : NO_ENTRY_PART),
+      ...book.buildListPart(request, registry.table.epoch),
+      leaseMs,
+      leaderAddress: this.parts.address,
+      controlAddresses: [...replicaAddresses],
+      documentDigest: site.digest,
+      documentVersion: site.version,
+      // A replica that follows has the document from the log.
+      document: isEntry && request.documentDigest !== site.digest ? site.document : '',
+      ...registry.buildPart(request),
+    };
+  }
+}
--- a/src/control/workerMemo.ts
+++ b/src/control/workerMemo.ts
@@ -1,7 +1,7 @@
 import { join } from 'node:path';
 import type { FileSystem } from '../disk/fileSystem';
 import { RecordFile } from '../disk/recordFile';
-import type { WorkerRecord } from '../protocol/generated/beechlift';
+import { WorkerRecord } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 
 /** Shortest time between two writes, in milliseconds: what changes meanwhile goes into one. */
@@ -33,7 +33,9 @@
   /** What was remembered; nothing when that cannot be read, as nothing depends on it. */
   async load(): Promise<WorkerRecord[]> {
     try {
-      return await this.file.open() as WorkerRecord[];
+      // What an earlier version wrote may lack fields.
+      return (await this.file.open()).map((record) => (
+        WorkerRecord.fromPartial(record as Partial<WorkerRecord>)));
     } catch (error) {
       this.logger.warn('remembered backend servers cannot be read', { reason: (error as Error).message });
       return [];
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -98,7 +98,7 @@
   tables.waiting.delete(ask.id);
   tables.placed.set(ask.id, {
     ask,
-    workerId: worker.id,
+    worker,
     placedAt: now,
     pendingBefore: worker.pendingTokens + worker.othersPendingTokens,
     hasBegun: false,
@@ -190,20 +190,18 @@
 
 const releaseSlot = (
   tables: PlacementTables,
-  { ask, workerId, hasBegun }: PlacedRequest,
-): RoutedWorker | undefined => {
+  { ask, worker, hasBegun }: PlacedRequest,
+): RoutedWorker => {
   tables.placed.delete(ask.id);
-  const worker = tables.workers.byId.get(workerId);
-  if (!worker) return undefined;
   worker.inFlight -= 1;
   if (!hasBegun) worker.pendingTokens -= ask.promptTokens;
   return worker;
 };
 
-const noteBegun = (worker: RoutedWorker, placed: PlacedRequest): void => {
+const noteBegun = (placed: PlacedRequest): void => {
   if (placed.hasBegun) return;
   placed.hasBegun = true;
-  worker.pendingTokens -= placed.ask.promptTokens;
+  placed.worker.pendingTokens -= placed.ask.promptTokens;
 };
 
 const makeTimed = (ms: number, tokens: number): TimedTokens | undefined => (
@@ -217,7 +215,6 @@
 const learnEnd = (isFailed: boolean): NewsHandler => (tables, placed, news, now) => {
   const { ask, placedAt, pendingBefore } = placed;
   const worker = releaseSlot(tables, placed);
-  if (!worker) return;
   if (!isFailed) noteReached(worker);
   learnAnswer(tables.workers, worker, {
     holdMs: now - placedAt,
@@ -229,16 +226,13 @@
 };
 
 const suspend: NewsHandler = (tables, placed, news, now) => {
-  const worker = releaseSlot(tables, placed);
-  if (worker) suspendWorker(worker, now);
+  suspendWorker(releaseSlot(tables, placed), now);
 };
 
 const newsHandlers: Record<PlacedNews['phase'], NewsHandler> = {
   running: (tables, placed, news) => {
-    const worker = tables.workers.byId.get(placed.workerId);
-    if (!worker) return;
-    noteBegun(worker, placed);
-    if (news.paceMs > 0) learnPace(worker, news.paceMs);
+    noteBegun(placed);
+    if (news.paceMs > 0) learnPace(placed.worker, news.paceMs);
   },
   ended: learnEnd(false),
   failed: learnEnd(true),
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -1,6 +1,6 @@
 /** What placing requests on model engines rests on. */
 import type { Arrivals } from './arrivals';
-import type { RoutedWorkers } from './routedWorkers';
+import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 
 /** A request that asks for a slot. */
 export interface PlaceAsk {
@@ -21,7 +21,8 @@
 /** A request that holds a slot. */
 export interface PlacedRequest {
   readonly ask: PlaceAsk;
-  readonly workerId: string;
+  /** The start of the server that it was placed on; another one under the same id holds nothing. */
+  readonly worker: RoutedWorker;
   readonly placedAt: number;
   /** Prompt tokens that its server was to read before its own when it was placed. */
   readonly pendingBefore: number;
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -6,6 +6,8 @@
 /** A backend server as one entry sees it. */
 export interface RoutedWorker {
   readonly id: string;
+  /** Names its start: another start under the same id is another server here. */
+  readonly born: number;
   service: string;
   address: string;
   zone: string;
@@ -92,8 +94,9 @@
   byId: new Map(), byService: new Map(), work: new Map(), connectionShares: new Map(),
 });
 
-const makeWorker = (id: string): RoutedWorker => ({
+const makeWorker = (id: string, born: number): RoutedWorker => ({
   id,
+  born,
   service: '',
   address: '',
   zone: '',
@@ -123,9 +126,19 @@
   });
 };
 
+/*
+ * Guards a server that has started again under its id against what was learnt and counted of its
+ * start before: pace, failures, pauses and the requests that it held. Requests that are still
+ * open towards the earlier start go on counting at the entity they were sent to.
+ */
+const findStart = ({ byId }: RoutedWorkers, id: string, born: number): RoutedWorker => {
+  const known = byId.get(id);
+  return known?.born === born ? known : makeWorker(id, born);
+};
+
 const applyRecord = (workers: RoutedWorkers, { said, standing }: WorkerRecord): void => {
   if (!said) return;
-  const worker = workers.byId.get(said.workerId) ?? makeWorker(said.workerId);
+  const worker = findStart(workers, said.workerId, said.born);
   worker.service = said.service || worker.service;
   worker.address = said.address || worker.address;
   worker.zone = said.zone || worker.zone;
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -1,6 +1,10 @@
 import type {
   WorkerAnnouncement, WorkerRecord,
 } from '../../protocol/generated/beechlift';
+import {
+  addSuperseded, isProven, judgeStart, NO_BIRTH,
+} from './workerStart';
+import type { StartRelation, UnprovenStart } from './workerStart';
 
 /** Where a backend server stands: it takes work only when it is ready. */
 export type WorkerStanding = 'ready' | 'draining' | 'gone' | 'silent';
@@ -13,6 +17,12 @@
   heardAt: number;
   /** The table's revision at which it last changed. */
   revision: number;
+  /** When its present start was first heard, monotonic milliseconds. */
+  readonly startHeardAt: number;
+  /** Births of its earlier starts, oldest first. */
+  superseded: readonly number[];
+  /** A start that may be the later one although it was born earlier. */
+  unproven: UnprovenStart | undefined;
 }
 
 /** All backend servers that have announced themselves. */
@@ -34,6 +44,12 @@
 /** How long one that has left is remembered, so that a late announcement does not revive it. */
 const GONE_KEPT_MS = 300_000;
 
+/**
+ * How long after a new start of a server a farewell that names no start may be the one before's, in
+ * milliseconds: announcements come seconds late, and a server that has just started does not leave.
+ */
+const LATE_FAREWELL_MS = 10_000;
+
 /** Bounds the table, the ones that left included. */
 const MAX_WORKERS = 20_000;
 
@@ -61,11 +77,27 @@
   table.holders.set(address, workerId);
 };
 
-const addWorker = (table: WorkerTable, said: WorkerAnnouncement, now: number): void => {
-  if (table.workers.size >= MAX_WORKERS) return;
-  const worker: KnownWorker = {
-    said, standing: 'ready', heardAt: now, revision: 0,
-  };
+const makeKnown = (
+  said: WorkerAnnouncement,
+  superseded: readonly number[],
+  now: number,
+): KnownWorker => ({
+  said,
+  standing: 'ready',
+  heardAt: now,
+  revision: 0,
+  startHeardAt: now,
+  superseded,
+  unproven: undefined,
+});
+
+const addWorker = (
+  table: WorkerTable,
+  said: WorkerAnnouncement,
+  superseded: readonly number[],
+  now: number,
+): void => {
+  const worker = makeKnown(said, superseded, now);
   table.workers.set(said.workerId, worker);
   if (said.state !== 'gone') takeAddress(table, said);
   setStanding(table, worker, said.state as WorkerStanding);
@@ -84,11 +116,69 @@
     || (before.coldMs > 0) !== (said.coldMs > 0);
 };
 
+/** Leaving is announced by name alone: what was said before still tells the address. */
+const keepAddress = (before: WorkerAnnouncement, said: WorkerAnnouncement): WorkerAnnouncement => (
+  said.state === 'gone' ? { ...before, born: said.born || before.born, state: 'gone' } : said
+);
+
+/*
+ * Guards a server that has just started again against a farewell of its start before, where the
+ * farewell names none: no work goes there until it says again that it is ready, and it is not taken
+ * out for good.
+ */
+const isDoubtful = (worker: KnownWorker, said: WorkerAnnouncement, now: number): boolean => (
+  said.state === 'gone'
+  && said.born !== worker.said.born
+  && worker.superseded.length > 0
+  && now - worker.startHeardAt < LATE_FAREWELL_MS
+);
+
+type StartHandler = (
+  table: WorkerTable, worker: KnownWorker, said: WorkerAnnouncement, now: number,
+) => void;
+
+const noteSameStart: StartHandler = (table, worker, said, now) => {
+  if (worker.standing === 'gone' || isOlder(said, worker.said)) return;
+  if (isDoubtful(worker, said, now)) {
+    setStanding(table, worker, 'draining');
+    return;
+  }
+  worker.heardAt = now;
+  const changed = hasChanged(worker, said);
+  worker.said = keepAddress(worker.said, said);
+  if (changed) setStanding(table, worker, said.state as WorkerStanding);
+};
+
+/** A new start takes over: all that was known of the one before is over with it. */
+const noteNewStart: StartHandler = (table, worker, said, now) => {
+  const { address, born } = worker.said;
+  if (table.holders.get(address) === said.workerId) table.holders.delete(address);
+  const superseded = addSuperseded(worker.superseded, born);
+  addWorker(table, keepAddress(worker.said, said), superseded, now);
+};
+
+const noteUnprovenStart: StartHandler = (table, worker, said, now) => {
+  if (isProven(worker.unproven, said, worker.heardAt, now)) {
+    noteNewStart(table, worker, said, now);
+    return;
+  }
+  const { born, sequence } = said;
+  const isNew = worker.unproven?.born !== born || worker.heardAt >= worker.unproven.heardAt;
+  if (isNew) worker.unproven = { born, sequence, heardAt: now };
+};
+
+const startHandlers: Record<StartRelation, StartHandler> = {
+  same: noteSameStart,
+  newer: noteNewStart,
+  unproven: noteUnprovenStart,
+  older: () => undefined,
+};
+
 /**
  * Takes in what a backend server says of itself.
  *
- * Guards against announcements that arrive late: one with a lower number than the newest, or from a
- * server that is gone, changes nothing.
+ * Guards against announcements that arrive late: one with a lower number than the newest of its
+ * start, from a start that is over, or from a server that is gone, changes nothing.
  *
  * @example
  * noteAnnouncement(table, announcement, clock.now());
@@ -99,28 +189,38 @@
   now: number,
 ): void => {
   const worker = table.workers.get(said.workerId);
-  if (!worker) {
-    addWorker(table, said, now);
-    return;
+  if (worker) {
+    const known = { born: worker.said.born, superseded: worker.superseded };
+    startHandlers[judgeStart(known, said)](table, worker, said, now);
+  } else if (table.workers.size < MAX_WORKERS) {
+    addWorker(table, said, [], now);
   }
-  if (worker.standing === 'gone' || isOlder(said, worker.said)) return;
-  worker.heardAt = now;
-  const changed = hasChanged(worker, said);
-  // Leaving is announced by name alone: what was said before still tells the address.
-  worker.said = said.state === 'gone' ? { ...worker.said, state: 'gone' } : said;
-  if (changed) setStanding(table, worker, said.state as WorkerStanding);
+};
+
+/** Whether a record of another replica tells more than what is known here. */
+const isNews = (known: KnownWorker, said: WorkerAnnouncement): boolean => {
+  if (said.born === known.said.born) {
+    return known.standing !== 'gone' && known.said.sequence <= said.sequence;
+  }
+  return said.born !== NO_BIRTH && !known.superseded.includes(said.born);
 };
 
 /** Takes over a record that another replica's table held. */
-export const adoptRecord = (table: WorkerTable, record: WorkerRecord, now: number): void => {
-  const { said, standing } = record;
+export const adoptRecord = (
+  table: WorkerTable,
+  { said, standing, supersededStarts }: WorkerRecord,
+  now: number,
+): void => {
   if (!said) return;
   const known = table.workers.get(said.workerId);
-  if (known && (known.standing === 'gone' || known.said.sequence > said.sequence)) return;
+  if (known && !isNews(known, said)) {
+    known.superseded = supersededStarts.reduce(addSuperseded, known.superseded);
+    return;
+  }
   if (!known && table.workers.size >= MAX_WORKERS) return;
-  const worker: KnownWorker = {
-    said, standing: 'ready', heardAt: now, revision: 0,
-  };
+  const before = known && known.said.born !== said.born ? [known.said.born] : [];
+  const superseded = [...known?.superseded ?? [], ...supersededStarts, ...before];
+  const worker = makeKnown(said, superseded.reduce(addSuperseded, []), now);
   table.workers.set(said.workerId, worker);
   if (standing !== 'gone') table.holders.set(said.address, said.workerId);
   setStanding(table, worker, standing as WorkerStanding);
@@ -171,5 +271,6 @@
   const since = epoch === table.epoch ? revision : 0;
   return [...table.workers.values()]
     .filter((worker) => worker.revision > since)
-    .map(({ said, standing }) => ({ said, standing }));
+    .map(({ said, standing, superseded }) => (
+      { said, standing, supersededStarts: [...superseded] }));
 };
--- /dev/null
+++ b/tests/control/announcement-gate.spec.ts
@@ -0,0 +1,58 @@
+import { describe, expect, it } from 'vitest';
+import { AnnouncementGate } from '../../src/control/announcementGate';
+import { applyDocument, NO_DOCUMENT } from '../../src/core/routing/siteDocument';
+import { makeWorkerTable, noteAnnouncement } from '../../src/core/routing/workerTable';
+import { BeechliftError } from '../../src/errors/beechliftError';
+import { WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import { makeLogger } from '../../src/telemetry/logger';
+import { makeRouting } from '../fakes/routings';
+
+const say = (workerId: string, service: string): WorkerAnnouncement => (
+  WorkerAnnouncement.fromPartial({
+    workerId, service, address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', sequence: 1,
+  }));
+
+const makeGate = (site = NO_DOCUMENT) => {
+  const table = makeWorkerTable('e');
+  const gate = new AnnouncementGate({
+    readSite: () => site,
+    readTable: () => table,
+    readRouting: () => ({ routing: makeRouting({}), faults: [] }),
+    logger: makeLogger('test', 'silent'),
+  });
+  return { gate, table };
+};
+
+describe('announcements of another writer', () => {
+  const site = applyDocument(NO_DOCUMENT, { version: 3, document: 'any' }, 'digest');
+  const [{ name: routed } = { name: '' }] = makeRouting({}).services;
+
+  /*
+   * Another writer announces a server of a service that nobody routes to, at the address of one
+   * that works. The good one was taken for gone, as its address had passed on, and got no work.
+   */
+  it('should be refused for a service that no route knows, and leave its address alone', () => {
+    const { gate, table } = makeGate(site);
+    noteAnnouncement(table, say('good', routed), 0);
+    expect(() => gate.check(say('forged', 'elsewhere'))).toThrow(expect.objectContaining({ code: 'unknownService' }));
+    expect(() => gate.check(say('good', '__proto__'))).toThrow(expect.objectContaining({ code: 'unknownService' }));
+    expect(table.workers.get('good')?.standing).toBe('ready');
+    expect(() => gate.check(say('other', routed))).not.toThrow();
+  });
+
+  // A document drops a service; its servers must still be able to say that they leave.
+  it('should be taken from a server that is known with its service, and before any document', () => {
+    const { gate, table } = makeGate(site);
+    noteAnnouncement(table, say('good', 'dropped'), 0);
+    expect(() => gate.check(say('good', 'dropped'))).not.toThrow();
+    expect(() => makeGate().gate.check(say('early', 'not known yet'))).not.toThrow();
+  });
+
+  it('should be counted by code', () => {
+    const { gate } = makeGate(site);
+    gate.noteRefused(new BeechliftError('announcementInvalid', '/born: must be integer'), 'w1');
+    gate.noteRefused(new BeechliftError('announcementInvalid', '/slots: must be integer'), 'w1');
+    gate.noteRefused(new BeechliftError('malformedJson', 'no JSON'), 'w2');
+    expect([...gate.refused]).toEqual([['announcementInvalid', 2], ['malformedJson', 1]]);
+  });
+});
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -47,7 +47,7 @@
   .filter(({ kind }) => kind === 'grant').map(({ id }) => id);
 
 const countHeld = (tables: PlacementTables, id: string): number => (
-  [...tables.placed.values()].filter(({ workerId }) => workerId === id).length
+  [...tables.placed.values()].filter(({ worker }) => worker.id === id).length
 );
 
 describe('placing requests on model engines', () => {
@@ -113,16 +113,16 @@
       learnPace(tables.workers.byId.get('1') as never, 10);
     });
     askPlace(tables, ask({ id: 'long', outputTokens: 1_700 }), 0);
-    expect(tables.placed.get('long')?.workerId).toBe('1');
+    expect(tables.placed.get('long')?.worker.id).toBe('1');
   });
 
   it('should leave a server that does not answer alone for a while', () => {
     const tables = makeTables([6, 6]);
     askPlace(tables, ask({ id: 'a' }), 0);
-    const first = tables.placed.get('a')?.workerId;
+    const first = tables.placed.get('a')?.worker.id;
     notePlaced(tables, makeNews('a', 'unreached'), 10);
     askPlace(tables, ask({ id: 'b' }), 20);
-    expect(tables.placed.get('b')?.workerId).not.toBe(first);
+    expect(tables.placed.get('b')?.worker.id).not.toBe(first);
   });
 
   it('should send nothing to a server that leaves', () => {
--- a/tests/core/worker-table.spec.ts
+++ b/tests/core/worker-table.spec.ts
@@ -4,13 +4,16 @@
   WORKER_SILENCE_MS,
 } from '../../src/core/routing/workerTable';
 import type { WorkerTable } from '../../src/core/routing/workerTable';
-import { WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import { WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
 
 const say = (fields: Partial<WorkerAnnouncement>): WorkerAnnouncement => (
   WorkerAnnouncement.fromPartial({
     workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', sequence: 1, ...fields,
   }));
 
+const makeRecord = (fields: Partial<WorkerAnnouncement>, standing: string): WorkerRecord => (
+  WorkerRecord.fromPartial({ said: say(fields), standing }));
+
 const readStanding = (table: WorkerTable, id: string): string | undefined => (
   table.workers.get(id)?.standing
 );
@@ -79,8 +82,8 @@
     noteAnnouncement(table, say({
       workerId: 'w2', address: '10.0.0.2:80', state: 'draining', sequence: 8,
     }), 0);
-    adoptRecord(table, { said: say({ state: 'draining', sequence: 4 }), standing: 'draining' }, 0);
-    adoptRecord(table, { said: say({ workerId: 'w2', address: '10.0.0.2:80', sequence: 7 }), standing: 'ready' }, 0);
+    adoptRecord(table, makeRecord({ state: 'draining', sequence: 4 }, 'draining'), 0);
+    adoptRecord(table, makeRecord({ workerId: 'w2', address: '10.0.0.2:80', sequence: 7 }, 'ready'), 0);
     expect([readStanding(table, 'w1'), readStanding(table, 'w2')]).toEqual(['draining', 'draining']);
   });
 });
--- a/tests/platform/platform-words.spec.ts
+++ b/tests/platform/platform-words.spec.ts
@@ -4,7 +4,7 @@
   buildPeerAddress, listSeeds, parseControlSettings, parseRelaySettings,
 } from '../../platform/platformSettings';
 import { readRoutingDocument } from '../../platform/routingDocument';
-import { buildFarewell, decodeHeartbeat } from '../../platform/workerCalls';
+import { decodeFarewell, decodeHeartbeat } from '../../platform/workerCalls';
 
 const makeDocument = (changes: object = {}): Record<string, unknown> => ({
   version: 7,
@@ -122,17 +122,44 @@
 
 describe('what backend servers say on the platform', () => {
   it('should be decoded into an announcement', () => {
-    const said = decodeHeartbeat('i-7', JSON.stringify({
-      service: 's', address: '10.0.0.9:80', zone: 'a', version: 'v1', slots: 7, state: 'draining', cold_remaining_ms: 12.6, sequence: 4, phase: 'aggregated',
-    }));
+    const said = decodeHeartbeat('i-7', Buffer.from(JSON.stringify({
+      service: 's', address: '10.0.0.9:80', zone: 'a', version: 'v1', slots: 7, state: 'draining', cold_remaining_ms: 12.6, sequence: 4, phase: 'aggregated', born: 1_764_722_000_123,
+    })));
     expect(said).toMatchObject({
-      workerId: 'i-7', service: 's', address: '10.0.0.9:80', slots: 7, state: 'draining', coldMs: 13, sequence: 4,
+      workerId: 'i-7', service: 's', address: '10.0.0.9:80', slots: 7, state: 'draining', coldMs: 13, sequence: 4, born: 1_764_722_000_123,
     });
-    expect(buildFarewell('i-7').state).toBe('gone');
+    expect(decodeFarewell('i-7', Buffer.alloc(0))).toMatchObject({ workerId: 'i-7', state: 'gone', born: 0 });
+    expect(decodeFarewell('i-7', Buffer.from('{"born":7}')).born).toBe(7);
+  });
+
+  /*
+   * Another writer announces servers too: what it sends reads like an announcement, but a count is
+   * no whole number, a field is missing or of another type, or the address leads nowhere.
+   */
+  it.each([
+    { born: 1.5 }, { born: '1764722000123' }, { born: -1 }, { born: null }, { born: 1e300 },
+    { sequence: 1.25 }, { sequence: '4' }, { sequence: undefined }, { slots: 0 }, { slots: 'six' },
+    { slots: undefined }, { state: 'paused' }, { state: undefined }, { state: '__proto__' },
+    { service: '' }, { service: 7 }, { service: undefined }, { zone: 7 }, { zone: undefined },
+    { address: '10.0.0.9' }, { address: '10.0.0.999:80' }, { address: '10.0.0.9:99999' },
+    { address: '10.0.0.9:0' }, { address: ':::80' }, { address: undefined },
+    { cold_remaining_ms: 'long' }, { version: 3 },
+  ])('should be refused with its code where it holds %j', (fields) => {
+    const body = Buffer.from(JSON.stringify({
+      service: 's', address: '10.0.0.9:80', zone: 'a', version: 'v1', slots: 7, state: 'ready', cold_remaining_ms: 0, sequence: 4, born: 7, ...fields,
+    }));
+    expect(() => decodeHeartbeat('i-7', body)).toThrow(expect.objectContaining({ code: 'announcementInvalid' }));
+  });
+
+  it('should be refused where its bytes cannot be read', () => {
+    const bytes = Buffer.concat([Buffer.from('{"service":"'), Buffer.from([0xff, 0xfe]), Buffer.from('"}')]);
+    expect(() => decodeHeartbeat('i-7', bytes)).toThrow(expect.objectContaining({ code: 'malformedJson' }));
+    expect(() => decodeFarewell('i-7', bytes)).toThrow(expect.objectContaining({ code: 'malformedJson' }));
+    expect(() => decodeFarewell('i-7', Buffer.from('{"born":"soon"}'))).toThrow(expect.objectContaining({ code: 'announcementInvalid' }));
   });
 
   it.each(['', '{', '[]', '{"service":"s"}', '{"service":"s","address":"x","zone":"a","state":"ready","sequence":1}'])('should be refused when it is %s', (body) => {
-    expect(() => decodeHeartbeat('i-7', body)).toThrow();
+    expect(() => decodeHeartbeat('i-7', Buffer.from(body))).toThrow();
   });
 });
 
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { Routing } from '../../src/manifest/routing';
-import { PlaceReply, WatchReply } from '../../src/protocol/generated/beechlift';
-import type { PlacedReport, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import { PlaceReply, WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import type { PlacedReport } from '../../src/protocol/generated/beechlift';
 import type { PlaceClient } from '../../src/relay/placeClient';
 import { RelaySite } from '../../src/relay/relaySite';
 import { WorkerPicker } from '../../src/relay/workerPicker';
@@ -11,7 +11,7 @@
 
 const clock = { now: () => 0 };
 
-const makeRecord = (workerId: string, standing: string): WorkerRecord => ({
+const makeRecord = (workerId: string, standing: string) => WorkerRecord.fromPartial({
   said: {
     workerId, service: 'rooms', address: `${workerId}:80`, zone: 'a', slots: 6, state: standing, sequence: 1, coldMs: 0, software: '',
   },
