Placing goes over one stream for each entry: the leader keeps up in bursts

The leader's processor was full: each ask and each report was a call, and each decision was followed by a call that asked anew for all that still waited.

Change: a stream in both directions for each entry. What is said in one turn of the loop is one message, so the busier the leader, the fewer messages; a request that waits is asked for once. A sign of life each 100 ms while requests wait; what was not delivered is given back; a new stream tells what is held.

Ruled out: elections and freezes alone (suspicions go on for 12 s after them).

--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -1,15 +1,18 @@
 import type {
-  EntryRecord, PlacedReport, PlaceReply, PlaceRequest, WatchReply, WatchRequest,
+  EntryRecord, PlaceNews, PlaceRequest, WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
 import { AccountLedger } from '../core/routing/accountLedger';
 import { NO_LIST } from '../core/routing/entryList';
 import type { EntryListHeld } from '../core/routing/entryList';
 import { listChangedWorkers } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
+import { resultCodes } from '../errors/resultCodes';
 import type { RoutedAccount } from '../manifest/routing';
 import type { Clock } from '../utils/clock';
 import { EntryTable } from './entryTable';
-import { PlacementDesk, refuseLimited, STILL_WAITING } from './placementDesk';
+import { PlacementDesk } from './placementDesk';
+import { PlacementLine } from './placementLine';
+import type { PlacementStream } from './placementLine';
 
 /** What a book is made from. */
 export interface LeaderBookParts {
@@ -44,6 +47,8 @@
 
   private readonly desk: PlacementDesk;
 
+  private readonly lines = new Set<PlacementLine>();
+
   /** Revision of the table of backend servers that the desk knows. */
   private deskRevision = 0;
 
@@ -54,7 +59,10 @@
     this.startedAt = parts.clock.now();
     this.entries = new EntryTable(parts.leaseMs);
     this.ledger = new AccountLedger(parts.limitSlack);
-    this.desk = new PlacementDesk(parts.clock);
+    this.desk = new PlacementDesk({
+      clock: parts.clock,
+      noteUnplaced: ({ account, cost }) => this.ledger.refund(account, cost),
+    });
   }
 
   /** Puts the limits of accounts in force. */
@@ -104,42 +112,42 @@
     };
   }
 
-  /** Decides which backend servers take requests; a reply may be that it still waits. */
-  async place(
-    requests: readonly PlaceRequest[],
-    workers: WorkerTable,
-  ): Promise<PlaceReply[]> {
+  /** Opens the line to an entry that asks for places, for as long as its stream lasts. */
+  openLine(stream: PlacementStream): PlacementLine {
+    const line = new PlacementLine(stream, this.parts.clock);
+    this.lines.add(line);
+    return line;
+  }
+
+  /** Takes in a message of an entry's stream. */
+  takeNews(line: PlacementLine, news: PlaceNews, workers: WorkerTable): void {
+    if (!line.isOpen) return;
     this.informDesk(workers);
-    const limited = new Map(requests.flatMap((request) => {
-      const reply = this.charge(request);
-      return reply ? [[request.placeId, reply] as const] : [];
-    }));
-    const allowed = requests.filter(({ placeId }) => !limited.has(placeId));
-    const placed = await this.placeAllowed(allowed, limited.size > 0);
-    return requests.map(({ placeId }) => (
-      limited.get(placeId) ?? placed.get(placeId) ?? STILL_WAITING));
+    line.acknowledge(news.number);
+    this.desk.report(news.reports);
+    if (news.entryId !== '') this.desk.keep(news.entryId, news.held);
+    this.desk.ask(news.requests.filter((request) => this.charge(request, line)), line);
   }
 
-  private async placeAllowed(
-    requests: readonly PlaceRequest[],
-    hasNews: boolean,
-  ): Promise<Map<string, PlaceReply>> {
-    if (requests.length === 0) return new Map();
-    const replies = await this.desk.place(requests, hasNews);
-    return new Map(requests.map((request, position) => {
-      const reply = replies[position] ?? STILL_WAITING;
-      // What is refused has used nothing.
-      if (reply.code !== 0) this.ledger.refund(request.account, request.cost);
-      return [request.placeId, reply];
-    }));
+  /** Ends the line to an entry. */
+  closeLine(line: PlacementLine): void {
+    this.lines.delete(line);
+    this.desk.closeLine(line);
   }
 
-  /** Charges a request that has not been heard of; the refusal when its limit does not allow it. */
-  private charge({ account, cost, placeId }: PlaceRequest): PlaceReply | undefined {
-    if (this.desk.hasHeard(placeId)) return undefined;
+  /** Charges a request to its account; refuses it when the account's limit does not allow it. */
+  private charge({ account, cost, placeId }: PlaceRequest, line: PlacementLine): boolean {
     const waitMs = this.ledger.charge(account, cost, this.parts.clock.now());
-    if (waitMs <= 0) return undefined;
-    return refuseLimited(`account "${account}" is beyond its limit`, Math.ceil(waitMs));
+    if (waitMs <= 0) return true;
+    line.add({
+      placeId,
+      code: resultCodes.accountLimited.number,
+      message: `account "${account}" is beyond its limit`,
+      workerId: '',
+      retryAfterMs: Math.ceil(waitMs),
+      expectedMs: 0,
+    });
+    return false;
   }
 
   /** Requests that wait for a slot, and those that hold one. */
@@ -147,11 +155,6 @@
     return this.desk.countRequests();
   }
 
-  /** Takes in how placed requests go. */
-  report(reports: readonly PlacedReport[]): void {
-    this.desk.report(reports);
-  }
-
   /** Brings what is kept up to what is known of backend servers and entries. */
   tend(workers: WorkerTable): void {
     const now = this.parts.clock.now();
@@ -160,9 +163,9 @@
     this.desk.tick((entryId) => this.entries.has(entryId, now));
   }
 
-  /** Lets all go that wait, when another replica leads. */
+  /** Ends all lines, when another replica leads: the entries ask there. */
   close(): void {
-    this.desk.close();
+    [...this.lines].forEach((line) => this.closeLine(line));
   }
 
   private informDesk(workers: WorkerTable): void {
--- /dev/null
+++ b/src/control/placementLine.ts
@@ -0,0 +1,78 @@
+import type { PlaceDecisions, PlaceReply } from '../protocol/generated/beechlift';
+import type { Clock } from '../utils/clock';
+
+/** The leader's end of an entry's stream. */
+export interface PlacementStream {
+  readonly send: (decisions: PlaceDecisions) => void;
+  readonly end: () => void;
+}
+
+/**
+ * Longest silence towards an entry whose requests wait, in milliseconds: under half of the silence
+ * that an entry takes for the leader's death.
+ */
+const KEEP_ALIVE_MS = 100;
+
+/**
+ * How decisions reach one entry. What is decided in one turn of the loop goes as one message: the
+ * busier the leader, the more decisions share the cost of one.
+ *
+ * @example
+ * line.acknowledge(news.number);
+ * line.add(reply);
+ */
+export class PlacementLine {
+  private replies: PlaceReply[] = [];
+
+  private acknowledged = 0;
+
+  private isScheduled = false;
+
+  private sentAt: number;
+
+  isOpen = true;
+
+  constructor(private readonly stream: PlacementStream, private readonly clock: Clock) {
+    this.sentAt = clock.now();
+  }
+
+  /** Notes that a message of the entry was taken in. */
+  acknowledge(number: number): void {
+    this.acknowledged = number;
+    this.schedule();
+  }
+
+  /** Tells the entry a decision. */
+  add(reply: PlaceReply): void {
+    this.replies.push(reply);
+    this.schedule();
+  }
+
+  /** Shows an entry whose requests wait that the leader is there. */
+  keepAlive(): void {
+    if (this.clock.now() - this.sentAt >= KEEP_ALIVE_MS) this.schedule();
+  }
+
+  /** Ends the stream; what the entry was not told is returned. */
+  close(): readonly PlaceReply[] {
+    if (!this.isOpen) return [];
+    this.isOpen = false;
+    this.stream.end();
+    return this.replies;
+  }
+
+  private schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => this.flush());
+  }
+
+  private flush(): void {
+    this.isScheduled = false;
+    if (!this.isOpen) return;
+    const { replies, acknowledged } = this;
+    this.replies = [];
+    this.sentAt = this.clock.now();
+    this.stream.send({ acknowledged, replies });
+  }
+}
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -3,8 +3,8 @@
 import { LogStore } from '../disk/logStore';
 import { SiteClient, SiteService } from '../protocol/generated/beechlift';
 import type {
-  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceManyReply, PlaceManyRequest,
-  PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply, WatchRequest,
+  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceDecisions, PlaceNews,
+  PublishReply, PublishRequest, Replica, WatchReply, WatchRequest,
   WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
@@ -14,7 +14,7 @@
 import { Operation } from '../utils/operation';
 import { LinkTable } from '../wire/linkTable';
 import { toPeerError } from '../wire/peerError';
-import { handleUnary, RpcServer } from '../wire/rpcServer';
+import { handleStream, handleUnary, RpcServer } from '../wire/rpcServer';
 import { BirthRecord } from './birthRecord';
 import { RoutedNode } from './routedNode';
 import { SeedFounding } from './seedFounding';
@@ -124,13 +124,9 @@
   announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
     (said) => requireNode(holder).announce(said),
   ),
-  place: handleUnary<PlaceManyRequest, PlaceManyReply>(
-    (request) => requireNode(holder).place(request),
+  place: handleStream<PlaceNews, PlaceDecisions>(
+    (stream) => stream.listen(requireNode(holder).openLine(stream)),
   ),
-  reportPlaced: handleUnary<ReportPlacedRequest, object>((request) => {
-    requireNode(holder).reportPlaced(request);
-    return {};
-  }),
   confirm: handleUnary<object, ConfirmReply>(() => requireNode(holder).confirm()),
   step: handleUnary<LogMessage, object>((message) => {
     requireNode(holder).step(message);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -1,7 +1,6 @@
 import type {
-  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceManyReply,
-  PlaceManyRequest, PublishReply, PublishRequest, Replica, ReportPlacedRequest, WatchReply,
-  WatchRequest, WorkerAnnouncement,
+  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceNews,
+  PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
@@ -18,6 +17,7 @@
 import { LeaderBook } from './leaderBook';
 import { LeaderWait } from './leaderWait';
 import { LogRunner } from './logRunner';
+import type { PlacementStream } from './placementLine';
 import { NewestReader } from './newestReader';
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
@@ -30,6 +30,12 @@
  * to reach the leader within its second.
  */
 const ANNOUNCE_LEADER_MS = 250;
+/** The leader's side of an entry's stream. */
+export interface EntryLine {
+  readonly take: (news: PlaceNews) => void;
+  readonly close: () => void;
+}
+
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
@@ -217,16 +223,21 @@
   }
 
   /**
-   * Decides which backend servers take requests; a reply may be that one still waits.
+   * Opens the line by which an entry asks for places, until its stream ends or another leads.
    *
    * It needs no lease: slots and what accounts have left are counted here alone until another
    * replica leads, and entries that hear of one ask it. Over lossy links the lease lapses for some
    * hundred milliseconds at a time; entries that chose for themselves then refused requests of
    * accounts within their limits (43 in six seconds of a played day).
    */
-  async place({ requests }: PlaceManyRequest): Promise<PlaceManyReply> {
+  openLine(stream: PlacementStream): EntryLine {
     if (this.runner.state.role !== 'leader') throw new BeechliftError('noQuorum', 'this replica does not lead');
-    return { replies: await this.book.place(requests, this.registry.table) };
+    const { book } = this;
+    const line = book.openLine(stream);
+    return {
+      take: (news) => book.takeNews(line, news, this.registry.table),
+      close: () => book.closeLine(line),
+    };
   }
 
   /** Requests that wait for a slot here, and those that hold one; none on one that follows. */
@@ -239,11 +250,6 @@
     return countByStanding(this.registry.table);
   }
 
-  /** Takes in how placed requests go. */
-  reportPlaced({ reports }: ReportPlacedRequest): void {
-    this.book.report(reports);
-  }
-
   /**
    * Takes in what a backend server said of itself; false when no leader could be told. Throws for
    * what no server of this site says.
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -188,6 +188,11 @@
   return [...turnedAway, ...decisions, ...hopeless];
 };
 
+/** Takes a request out that nobody waits for any more. */
+export const dropWaiting = (tables: PlacementTables, id: string): void => {
+  tables.waiting.delete(id);
+};
+
 const releaseSlot = (
   tables: PlacementTables,
   { ask, worker, hasBegun }: PlacedRequest,
@@ -252,6 +257,24 @@
 export const notePlaced = (tables: PlacementTables, news: PlacedNews, now: number): void => {
   const placed = tables.placed.get(news.id);
   if (placed) newsHandlers[news.phase](tables, placed, news, now);
+  else if (news.phase === 'dropped') dropWaiting(tables, news.id);
+};
+
+/**
+ * Frees what an entry has placed and does not hold: the reply was lost with the connection that
+ * carried it. Without this its slot stays taken until the request's deadline.
+ *
+ * @example
+ * keepPlaced(tables, 'e1', new Set(['p7']));
+ */
+export const keepPlaced = (
+  tables: PlacementTables,
+  entryId: string,
+  held: ReadonlySet<string>,
+): void => {
+  [...tables.placed.values()]
+    .filter(({ ask }) => ask.entryId === entryId && !held.has(ask.id))
+    .forEach((placed) => releaseSlot(tables, placed));
 };
 
 /**
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,132 +1,238 @@
 import type {
-  PlacedReport, PlaceManyReply, PlaceManyRequest, PlaceReply, PlaceRequest, ReportPlacedRequest,
-  SiteClient,
+  PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
 } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
-import { Operation } from '../utils/operation';
-import type { RpcLink } from '../wire/rpcLink';
+import type { ClientStream, RpcLink } from '../wire/rpcLink';
 
 /**
- * Silence after which the leader counts as out of reach: it answers a request that waits each 150
- * ms, so this is one such hold and some twenty times a round trip.
+ * Silence of the leader after which an entry decides by itself, in milliseconds: the leader sends a
+ * sign of life each 100 ms while requests wait, and requests have a target of 400 ms or more.
  */
 const SILENCE_MS = 250;
-/** How long requests are placed here after the leader was out of reach. */
+/** How long an entry goes on deciding by itself, in milliseconds. */
 const SUSPECT_MS = 400;
-const REPORT_TIMEOUT_MS = 500;
-/** Reports that wait for one call, at most; the oldest are dropped, as slots expire anyway. */
+/** Reports kept for one message; the oldest go, as the leader expires what it does not hear of. */
 const MAX_REPORTS = 2_000;
 /** News of running streams go out together this often, in milliseconds. */
 const FLUSH_MS = 20;
 
+const NO_TIMES = { paceMs: 0, firstEventMs: 0, outputMs: 0 };
+
 /** What the place client needs. */
 export interface PlaceClientParts {
+  /** Names this start of the entry. */
+  readonly entryId: string;
   /** The leader of control; undefined while none is known. */
   readonly findLeader: () => RpcLink<SiteClient> | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
-/** A request that is to be asked for with the next call. */
-interface PendingAsk {
+/** A request whose decision has not come. */
+interface WaitingAsk {
   readonly request: PlaceRequest;
   readonly resolve: (reply: PlaceReply | undefined) => void;
 }
 
+/** The stream to one leader. */
+interface Line {
+  readonly link: RpcLink<SiteClient>;
+  readonly stream: ClientStream<PlaceNews>;
+  /** Number of the last message that was sent, and of the last that the leader has taken in. */
+  sent: number;
+  acknowledged: number;
+  /** Since when something is owed, monotonic milliseconds. */
+  owedSince: number;
+}
+
 /**
- * Asks the leader which model engine takes a request, and tells it how that goes.
+ * Asks the leader which model engine takes a request, and tells it how that goes, over one stream:
+ * what an entry has to say in one turn of its loop is one message, and a request that waits costs
+ * nothing until it is decided. As calls, one for each request and each report, they filled the
+ * leader's processor in a burst: it answered late, and entries chose for themselves (98 of 100
+ * requests in the worst second of a played day).
  *
  * Guards requests against a leader that is dead, frozen or cut off: after a short silence, and for
  * a while from then on, the entry chooses by itself.
  *
  * @example
- * const reply = await client.place(request, operation);
+ * const reply = await client.place(request, deadlineAt);
  * if (!reply) chooseHere();
  */
 export class PlaceClient {
   private suspectUntil = -Infinity;
 
-  private readonly asks: PendingAsk[] = [];
+  private readonly waiting = new Map<string, WaitingAsk>();
+
+  /** Places that the leader has given and that are in use. */
+  private readonly held = new Set<string>();
+
+  private requests: PlaceRequest[] = [];
 
   private reports: PlacedReport[] = [];
 
-  private timer: NodeJS.Timeout | undefined;
+  private line: Line | undefined;
+
+  private isScheduled = false;
+
+  private reportTimer: NodeJS.Timeout | undefined;
+
+  private watchdog: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: PlaceClientParts) {}
 
-  /** Asks until it is decided; undefined when the leader cannot be asked. */
-  async place(request: PlaceRequest, deadlineAt: number): Promise<PlaceReply | undefined> {
-    const { clock, findLeader } = this.parts;
-    const now = clock.now();
-    if (!findLeader() || now < this.suspectUntil || now >= deadlineAt) return undefined;
-    const reply = await this.enqueue(request);
-    return reply?.waiting ? this.place(request, deadlineAt) : reply;
-  }
-
-  /*
-   * Guards a leader that has just begun against what was held back until then: an entry's requests
-   * of one moment go as one call. Each as a call of its own, some hundred of them took the leader
-   * longer than the silence after which it counts as dead, and limits were then counted by loans
-   * alone: 33 requests of accounts within their limits were refused after a restart of all.
-   */
-  private enqueue(request: PlaceRequest): Promise<PlaceReply | undefined> {
+  /** Resolves when it is decided; with undefined when the leader cannot be asked. */
+  place(request: PlaceRequest, deadlineAt: number): Promise<PlaceReply | undefined> {
+    const now = this.parts.clock.now();
+    if (!this.canAsk(now) || now >= deadlineAt) return Promise.resolve(undefined);
     return new Promise((resolve) => {
-      this.asks.push({ request, resolve });
-      if (this.asks.length === 1) setImmediate(() => this.askAll());
+      this.waiting.set(request.placeId, { request, resolve });
+      this.requests.push(request);
+      this.schedule();
     });
   }
 
-  private askAll(): void {
-    const asks = this.asks.splice(0);
-    const leader = this.parts.findLeader();
-    if (!leader) {
-      asks.forEach(({ resolve }) => resolve(undefined));
-      return;
-    }
-    this.call(leader, asks.map(({ request }) => request))
-      .then((replies) => asks.forEach(({ resolve }, position) => resolve(replies?.[position])))
-      .catch((error: unknown) => this.parts.logger.error('placing failed', { reason: String(error) }));
+  /** Takes a request back that nobody waits for any more. */
+  cancel(placeId: string): void {
+    const asked = this.waiting.get(placeId);
+    if (!asked) return;
+    this.waiting.delete(placeId);
+    this.report({ placeId, phase: 'dropped', ...NO_TIMES });
+    asked.resolve(undefined);
   }
 
   /** Tells how a placed request goes: at once when it has ended, as others wait for its slot. */
   report(report: PlacedReport): void {
+    if (report.phase !== 'running') this.held.delete(report.placeId);
     this.reports.push(report);
     if (this.reports.length > MAX_REPORTS) this.reports.shift();
-    if (report.phase !== 'running') this.flush();
-    else this.timer ??= setTimeout(() => this.flush(), FLUSH_MS);
+    if (report.phase !== 'running') this.schedule();
+    else this.reportTimer ??= setTimeout(() => this.flush(), FLUSH_MS);
+  }
+
+  /** Ends the stream. */
+  close(): void {
+    this.dropLine();
+    this.giveUpWaiting();
+  }
+
+  private canAsk(now: number): boolean {
+    return now >= this.suspectUntil && this.parts.findLeader() !== undefined;
+  }
+
+  private schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.flush();
+    });
   }
 
   private flush(): void {
-    clearTimeout(this.timer);
-    this.timer = undefined;
-    const { reports } = this;
-    const leader = this.parts.findLeader();
+    clearTimeout(this.reportTimer);
+    this.reportTimer = undefined;
+    const link = this.parts.findLeader();
+    const now = this.parts.clock.now();
+    if (!link || now < this.suspectUntil) {
+      this.giveUpWaiting();
+      return;
+    }
+    const line = this.findLine(link);
+    const { requests, reports } = this;
+    if (requests.length === 0 && reports.length === 0) return;
+    this.requests = [];
     this.reports = [];
-    if (!leader || reports.length === 0) return;
-    leader.call<ReportPlacedRequest, object>(
-      (stub) => stub.reportPlaced.bind(stub),
-      { reports },
-      new Operation({ timeoutMs: REPORT_TIMEOUT_MS }),
-    ).catch((error: unknown) => this.parts.logger.debug('report lost', { reason: (error as Error).message }));
-  }
-
-  private async call(
-    leader: RpcLink<SiteClient>,
-    requests: PlaceRequest[],
-  ): Promise<readonly PlaceReply[] | undefined> {
-    try {
-      const { replies } = await leader.call<PlaceManyRequest, PlaceManyReply>(
-        (stub) => stub.place.bind(stub),
-        { requests },
-        new Operation({ timeoutMs: SILENCE_MS }),
-      );
-      return replies;
-    } catch (error) {
-      const now = this.parts.clock.now();
-      if (now >= this.suspectUntil) this.parts.logger.warn('requests are placed here: the leader is out of reach', { reason: (error as Error).message });
-      this.suspectUntil = now + SUSPECT_MS;
-      return undefined;
+    const isFirst = line.sent === 0;
+    if (!this.isOwed(line)) line.owedSince = now;
+    line.sent += 1;
+    line.stream.write({
+      number: line.sent,
+      requests,
+      reports,
+      entryId: isFirst ? this.parts.entryId : '',
+      held: isFirst ? [...this.held] : [],
+    });
+    this.watch();
+  }
+
+  /** The stream to the leader; another leader knows nothing of what the one before was asked. */
+  private findLine(link: RpcLink<SiteClient>): Line {
+    if (this.line?.link === link) return this.line;
+    this.dropLine();
+    this.requests = [...this.waiting.values()].map(({ request }) => request);
+    const stream = link.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), {
+      take: (decisions) => {
+        if (this.line?.stream === stream) this.takeDecisions(decisions);
+      },
+      close: (error) => {
+        if (this.line?.stream === stream) this.suspendLeader(error?.message ?? 'it ended the stream');
+      },
+    });
+    this.line = {
+      link, stream, sent: 0, acknowledged: 0, owedSince: this.parts.clock.now(),
+    };
+    return this.line;
+  }
+
+  private takeDecisions({ acknowledged, replies }: PlaceDecisions): void {
+    if (!this.line) return;
+    this.line.acknowledged = acknowledged;
+    this.line.owedSince = this.parts.clock.now();
+    replies.forEach((reply) => this.settle(reply));
+  }
+
+  private settle(reply: PlaceReply): void {
+    const asked = this.waiting.get(reply.placeId);
+    this.waiting.delete(reply.placeId);
+    if (reply.code === 0) this.held.add(reply.placeId);
+    if (asked) asked.resolve(reply);
+    // Guards a slot that was given to a request which had chosen by itself meanwhile.
+    else if (reply.code === 0) this.report({ placeId: reply.placeId, phase: 'dropped', ...NO_TIMES });
+  }
+
+  private isOwed(line: Line): boolean {
+    return line.acknowledged < line.sent || this.waiting.size > 0;
+  }
+
+  /** Looks after the leader while it owes an answer. */
+  private watch(): void {
+    this.watchdog ??= setTimeout(() => {
+      this.watchdog = undefined;
+      // What came while this process was busy is read first: it is no silence of the leader.
+      setImmediate(() => this.checkSilence());
+    }, SILENCE_MS / 2);
+  }
+
+  private checkSilence(): void {
+    const { line } = this;
+    if (!line || !this.isOwed(line)) return;
+    const silentMs = this.parts.clock.now() - line.owedSince;
+    if (silentMs < SILENCE_MS) {
+      this.watch();
+      return;
     }
+    line.stream.suspect();
+    this.suspendLeader(`silent for ${Math.round(silentMs)} ms`);
+  }
+
+  private suspendLeader(reason: string): void {
+    this.parts.logger.warn('requests are placed here: the leader is out of reach', { reason });
+    this.suspectUntil = this.parts.clock.now() + SUSPECT_MS;
+    this.dropLine();
+    this.giveUpWaiting();
+  }
+
+  private dropLine(): void {
+    this.line?.stream.cancel();
+    this.line = undefined;
+  }
+
+  private giveUpWaiting(): void {
+    const all = [...this.waiting.values()];
+    this.waiting.clear();
+    this.requests = [];
+    all.forEach(({ resolve }) => resolve(undefined));
   }
 }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -97,7 +97,7 @@
     site, readSeeds: settings.readSeeds, clock: systemClock, suspension, logger,
   });
   const placeClient = new PlaceClient({
-    findLeader: () => watch.findLeader(), clock: systemClock, logger,
+    entryId: site.entryId, findLeader: () => watch.findLeader(), clock: systemClock, logger,
   });
   const picker = new WorkerPicker({ site, placeClient, clock: systemClock });
   const app = makeRelayServer({
@@ -123,6 +123,7 @@
       const closing = app.close();
       await waitIdle(metrics, end);
       clearInterval(tending);
+      placeClient.close();
       watch.stop();
       connections.close();
       await Promise.race([closing, pause(Math.max(0, end - systemClock.now()))]);
--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -2,7 +2,8 @@
   credentials, Metadata, status,
 } from '@grpc/grpc-js';
 import type {
-  CallOptions, ChannelCredentials, ChannelOptions, Client, ClientUnaryCall, ServiceError,
+  CallOptions, ChannelCredentials, ChannelOptions, Client, ClientDuplexStream, ClientUnaryCall,
+  ServiceError,
 } from '@grpc/grpc-js';
 import type { Operation } from '../utils/operation';
 
@@ -39,6 +40,24 @@
   callback: (error: ServiceError | null, reply: Reply) => void,
 ) => ClientUnaryCall;
 
+/** A method of a generated client that streams in both directions. */
+export type StreamMethod<Message, Reply> = () => ClientDuplexStream<Message, Reply>;
+
+/** What is done with what comes over a stream; `close` is called once, with what broke it. */
+export interface StreamListener<Reply> {
+  readonly take: (reply: Reply) => void;
+  readonly close: (error: Error | undefined) => void;
+}
+
+/** The near end of a stream. */
+export interface ClientStream<Message> {
+  readonly write: (message: Message) => void;
+  /** Ends it without a further word to its listener. */
+  readonly cancel: () => void;
+  /** Its connection may have gone silent: what is opened next uses a fresh one. */
+  readonly suspect: () => void;
+}
+
 /** Statuses that tell of the connection and not of the peer. */
 const SUSPECT_STATUSES: readonly number[] = [status.DEADLINE_EXCEEDED, status.UNAVAILABLE];
 
@@ -87,6 +106,43 @@
     });
   }
 
+  /**
+   * Opens a stream in both directions. After one that broke the next goes over a fresh connection.
+   *
+   * @example
+   * const stream = link.openStream((stub) => stub.place.bind(stub), { take, close });
+   * stream.write(message);
+   */
+  openStream<Message, Reply>(
+    pickMethod: (stub: Stub) => StreamMethod<Message, Reply>,
+    { take, close }: StreamListener<Reply>,
+  ): ClientStream<Message> {
+    const used = this.stub;
+    const call = pickMethod(used).call(used);
+    let isOver = false;
+    const end = (error?: Error): void => {
+      if (isOver) return;
+      isOver = true;
+      if (error) this.renew(used);
+      close(error);
+    };
+    call.on('data', (reply: Reply) => {
+      if (!isOver) take(reply);
+    });
+    call.on('error', (error: Error) => end(error));
+    call.on('end', () => end());
+    return {
+      write: (message) => {
+        if (!isOver) call.write(message);
+      },
+      cancel: () => {
+        isOver = true;
+        call.cancel();
+      },
+      suspect: () => this.renew(used),
+    };
+  }
+
   /** Closes the connection. */
   close(): void {
     this.stub.close();
--- a/src/wire/rpcServer.ts
+++ b/src/wire/rpcServer.ts
@@ -1,6 +1,7 @@
 import { Server, ServerCredentials, status } from '@grpc/grpc-js';
 import type {
-  handleUnaryCall, ServerUnaryCall, ServiceDefinition, UntypedServiceImplementation,
+  handleBidiStreamingCall, handleUnaryCall, ServerDuplexStream, ServerUnaryCall, ServiceDefinition,
+  StatusObject, UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import { toBeechliftError } from '../errors/beechliftError';
 import { CHANNEL_OPTIONS } from './rpcLink';
@@ -13,6 +14,11 @@
   readonly onCancel: (listener: () => void) => void;
 }
 
+const toStatus = (thrown: unknown): Pick<StatusObject, 'code' | 'details'> => {
+  const error = toBeechliftError(thrown);
+  return { code: status.INTERNAL, details: `${error.number} ${error.code}: ${error.message}` };
+};
+
 /**
  * Turns an async function into a gRPC handler; whatever it throws becomes a status that names the
  * code.
@@ -42,10 +48,61 @@
       answered = true;
       callback(null, reply);
     })
-    .catch((thrown: unknown) => {
-      const error = toBeechliftError(thrown);
-      callback({ code: status.INTERNAL, details: `${error.number} ${error.code}: ${error.message}` });
+    .catch((thrown: unknown) => callback(toStatus(thrown)));
+};
+
+/** The near end of a stream in both directions. */
+export interface StreamEnd<Message, Reply> {
+  readonly send: (reply: Reply) => void;
+  readonly end: () => void;
+  /** Called for each message, and once when the stream is over. */
+  readonly listen: (handlers: StreamHandlers<Message>) => void;
+}
+
+/** What is done with what comes over a stream. */
+export interface StreamHandlers<Message> {
+  readonly take: (message: Message) => void;
+  readonly close: () => void;
+}
+
+const listenOnce = <Message, Reply>(
+  call: ServerDuplexStream<Message, Reply>,
+  { take, close }: StreamHandlers<Message>,
+): void => {
+  let isOver = false;
+  const end = (): void => {
+    if (isOver) return;
+    isOver = true;
+    close();
+    call.end();
+  };
+  call.on('data', (message: Message) => {
+    if (!isOver) take(message);
+  });
+  ['end', 'cancelled', 'error', 'close'].forEach((event) => call.on(event, end));
+};
+
+/**
+ * Turns a function into a gRPC handler of a stream; what it throws when a stream opens becomes a
+ * status that names the code.
+ *
+ * @example
+ * const handlers = { place: handleStream((stream) => stream.listen(openLine(stream))) };
+ */
+export const handleStream = <Message, Reply>(
+  open: (stream: StreamEnd<Message, Reply>) => void,
+): handleBidiStreamingCall<Message, Reply> => (call) => {
+  try {
+    open({
+      send: (reply) => {
+        if (call.writable) call.write(reply);
+      },
+      end: () => call.end(),
+      listen: (handlers) => listenOnce(call, handlers),
     });
+  } catch (thrown) {
+    call.emit('error', toStatus(thrown));
+  }
 };
 
 /**
--- /dev/null
+++ b/tests/control/placement-desk.spec.ts
@@ -0,0 +1,119 @@
+import { describe, expect, it } from 'vitest';
+import { PlacementDesk } from '../../src/control/placementDesk';
+import { PlacementLine } from '../../src/control/placementLine';
+import { PlaceRequest, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import type { PlaceDecisions } from '../../src/protocol/generated/beechlift';
+
+const makeRequest = (placeId: string, fields: Partial<PlaceRequest> = {}): PlaceRequest => (
+  PlaceRequest.fromPartial({
+    placeId, entryId: 'e1', service: 'm', account: 'shop', cost: 10, targetMs: 5_000, remainingMs: 20_000, ...fields,
+  }));
+
+const settle = () => new Promise((resolve) => {
+  setImmediate(resolve);
+});
+
+/** A desk before one engine, and what one entry is told. */
+class DeskRig {
+  now = 0;
+
+  readonly unplaced: string[] = [];
+
+  readonly messages: PlaceDecisions[] = [];
+
+  private readonly clock = { now: () => this.now };
+
+  readonly desk = new PlacementDesk({
+    clock: this.clock, noteUnplaced: ({ placeId }) => this.unplaced.push(placeId),
+  });
+
+  readonly line = new PlacementLine({
+    send: (message) => this.messages.push(message), end: () => undefined,
+  }, this.clock);
+
+  constructor(slots: number) {
+    this.desk.applyRecords([WorkerRecord.fromPartial({
+      standing: 'ready',
+      said: {
+        workerId: 'w1', service: 'm', address: '10.0.0.1:80', zone: 'a', slots, state: 'ready',
+      },
+    })]);
+  }
+
+  get granted(): string[] {
+    return this.messages.flatMap(({ replies }) => replies)
+      .filter(({ code }) => code === 0).map(({ placeId }) => placeId);
+  }
+}
+
+const report = (placeId: string, phase: string) => ({
+  placeId, phase, paceMs: 0, firstEventMs: 0, outputMs: 0,
+});
+
+describe('the desk that places requests', () => {
+  it('should tell what is decided in one turn of the loop in one message', async () => {
+    const rig = new DeskRig(4);
+    rig.desk.ask(['a', 'b', 'c'].map((id) => makeRequest(id)), rig.line);
+    rig.line.acknowledge(7);
+    await settle();
+    expect(rig.messages).toHaveLength(1);
+    expect(rig.messages[0]?.acknowledged).toBe(7);
+    expect(rig.granted).toEqual(['a', 'b', 'c']);
+  });
+
+  it('should grant what waits when a slot becomes free, without being asked again', async () => {
+    const rig = new DeskRig(1);
+    rig.desk.ask([makeRequest('a'), makeRequest('b')], rig.line);
+    rig.desk.report([report('a', 'ended')]);
+    await settle();
+    expect(rig.granted).toEqual(['a', 'b']);
+  });
+
+  /*
+   * An entry's process is killed with requests that wait and a grant that it was not told of. The
+   * slot stayed taken, and later ones were granted to nobody.
+   */
+  it('should give back what an entry never heard of when its stream ends', async () => {
+    const rig = new DeskRig(1);
+    rig.desk.ask([makeRequest('a'), makeRequest('b')], rig.line);
+    rig.desk.closeLine(rig.line);
+    expect(rig.desk.countRequests()).toEqual({ waiting: 0, placed: 0 });
+    expect(rig.unplaced).toEqual(['b']);
+  });
+
+  /*
+   * A connection goes silent with a grant on it. The entry chose by itself and opens a new stream;
+   * the slot it was never told of stayed taken until the deadline.
+   */
+  it('should free what an entry does not hold when it comes back over a new stream', async () => {
+    const rig = new DeskRig(4);
+    rig.desk.ask(['a', 'b'].map((id) => makeRequest(id)), rig.line);
+    rig.desk.ask([makeRequest('other', { entryId: 'e2' })], rig.line);
+    await settle();
+    rig.desk.keep('e1', ['b']);
+    expect(rig.desk.countRequests().placed).toBe(2);
+  });
+
+  // The caller has gone while its request waited: the slot it would have got goes to the next.
+  it('should take out what nobody waits for, and refund it', async () => {
+    const rig = new DeskRig(1);
+    rig.desk.ask(['a', 'b', 'c'].map((id) => makeRequest(id)), rig.line);
+    rig.desk.report([report('b', 'dropped')]);
+    rig.desk.report([report('a', 'ended')]);
+    await settle();
+    expect(rig.granted).toEqual(['a', 'c']);
+    expect(rig.unplaced).toEqual(['b']);
+  });
+
+  // An entry whose requests wait takes a silence of 250 ms for the leader's death.
+  it('should show an entry whose requests wait that it is there', async () => {
+    const rig = new DeskRig(1);
+    rig.desk.ask([makeRequest('a'), makeRequest('b', { targetMs: 60_000 })], rig.line);
+    await settle();
+    const before = rig.messages.length;
+    rig.now = 120;
+    rig.desk.tick(() => true);
+    await settle();
+    expect(rig.messages).toHaveLength(before + 1);
+  });
+});
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -9,7 +9,10 @@
 import type { RunningRoutedControl } from '../../src/control/routedControl';
 import { checkRouting } from '../../src/manifest/checkRouting';
 import type { RoutingReader, Routing } from '../../src/manifest/routing';
-import { PlaceRequest, WatchRequest, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import {
+  PlaceNews, PlaceRequest, WatchRequest, WorkerAnnouncement,
+} from '../../src/protocol/generated/beechlift';
+import type { PlaceReply } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
 import { findFreeAddress } from '../fakes/freeAddress';
 import { makeRoute, makeRouting } from '../fakes/routings';
@@ -271,8 +274,13 @@
     const request = PlaceRequest.fromPartial({
       placeId: 'p1', entryId: 'e1', service: 'rooms', targetMs: 500, remainingMs: 5_000,
     });
-    const { replies } = await node.place({ requests: [request] });
-    expect(replies.map(({ workerId }) => workerId)).toEqual(['w1']);
+    const replies: PlaceReply[] = [];
+    const line = node.openLine({
+      send: (decisions) => replies.push(...decisions.replies), end: () => undefined,
+    });
+    line.take(PlaceNews.fromPartial({ number: 1, entryId: 'e1', requests: [request] }));
+    await waitFor(() => replies.length > 0, 'a decision');
+    expect(replies.map(({ placeId, workerId }) => [placeId, workerId])).toEqual([['p1', 'w1']]);
     await expect(node.readNewest()).rejects.toThrow();
   });
 
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -1,69 +1,169 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
-import { PlaceReply, PlaceRequest } from '../../src/protocol/generated/beechlift';
-import type { PlaceManyReply, PlaceManyRequest, SiteClient } from '../../src/protocol/generated/beechlift';
+import { PlaceDecisions, PlaceReply, PlaceRequest } from '../../src/protocol/generated/beechlift';
+import type { PlaceNews, SiteClient } from '../../src/protocol/generated/beechlift';
 import { PlaceClient } from '../../src/relay/placeClient';
 import { makeLogger } from '../../src/telemetry/logger';
-import type { RpcLink } from '../../src/wire/rpcLink';
+import { systemClock } from '../../src/utils/clock';
+import type { RpcLink, StreamListener } from '../../src/wire/rpcLink';
 
-type Script = (request: PlaceManyRequest, call: number) => PlaceManyReply;
+type Script = (news: PlaceNews, leader: ScriptedLeader) => void;
 
-/** A leader that answers by a script and notes what it was asked. */
+/** A leader that answers by a script and notes what it was told. */
 class ScriptedLeader {
-  readonly calls: string[][] = [];
+  readonly heard: PlaceNews[] = [];
+
+  private listener: StreamListener<PlaceDecisions> | undefined;
+
+  /** The same for as long as this leader is known. */
+  readonly link = {
+    openStream: (unused: unknown, listener: StreamListener<PlaceDecisions>) => {
+      this.listener = listener;
+      return {
+        write: (news: PlaceNews) => {
+          this.heard.push(news);
+          this.script(news, this);
+        },
+        cancel: () => undefined,
+        suspect: () => undefined,
+      };
+    },
+  } as unknown as RpcLink<SiteClient>;
 
   constructor(private readonly script: Script) {}
 
-  /** The link as an entry uses it. */
-  get link(): RpcLink<SiteClient> {
-    const call = async (unused: unknown, request: PlaceManyRequest): Promise<PlaceManyReply> => {
-      this.calls.push(request.requests.map(({ placeId }) => placeId));
-      return this.script(request, this.calls.length);
-    };
-    return { call } as unknown as RpcLink<SiteClient>;
+  get asked(): string[][] {
+    return this.heard.map(({ requests }) => requests.map(({ placeId }) => placeId));
+  }
+
+  tell(acknowledged: number, granted: readonly string[] = []): void {
+    const replies = granted.map((placeId) => PlaceReply.fromPartial({ placeId, workerId: `for-${placeId}` }));
+    this.listener?.take(PlaceDecisions.fromPartial({ acknowledged, replies }));
+  }
+
+  end(): void {
+    this.listener?.close(undefined);
   }
 }
 
-const makeClient = (leader: ScriptedLeader): PlaceClient => new PlaceClient({
-  findLeader: () => leader.link, clock: { now: () => 0 }, logger: makeLogger('test', 'silent'),
+const grantAll: Script = ({ number, requests }, leader) => {
+  leader.tell(number, requests.map(({ placeId }) => placeId));
+};
+
+const makeClient = (findLeader: () => ScriptedLeader): PlaceClient => new PlaceClient({
+  entryId: 'e1', findLeader: () => findLeader().link, clock: systemClock, logger: makeLogger('test', 'silent'),
 });
 
 const makeAsk = (placeId: string): PlaceRequest => PlaceRequest.fromPartial({ placeId });
 
+const findDeadline = () => systemClock.now() + 10_000;
+
 describe('asking the leader for places', () => {
   /*
    * After a restart of all, a hundred requests that had been held came to the new leader at once,
    * each as a call of its own. It took longer over them than an entry waits for a sign of life.
    */
-  it('should ask for requests of one moment in one call, and give each its own answer', async () => {
-    const leader = new ScriptedLeader(({ requests }) => ({
-      replies: requests.map(({ placeId }) => PlaceReply.fromPartial({ workerId: `for-${placeId}` })),
-    }));
-    const client = makeClient(leader);
+  it('should ask for requests of one moment in one message, and give each its own answer', async () => {
+    const leader = new ScriptedLeader(grantAll);
+    const client = makeClient(() => leader);
     const ids = Array.from({ length: 20 }, (unused, count) => `p${count}`);
-    const replies = await Promise.all(ids.map((id) => client.place(makeAsk(id), 1_000)));
-    expect(leader.calls).toEqual([ids]);
+    const replies = await Promise.all(ids.map((id) => client.place(makeAsk(id), findDeadline())));
+    expect(leader.asked).toEqual([ids]);
     expect(replies.map((reply) => reply?.workerId)).toEqual(ids.map((id) => `for-${id}`));
   });
 
-  it('should ask again for those alone that still wait', async () => {
-    const leader = new ScriptedLeader(({ requests }, call) => ({
-      replies: requests.map(({ placeId }) => PlaceReply.fromPartial({
-        waiting: call === 1 && placeId === 'b', workerId: 'w',
-      })),
-    }));
-    const client = makeClient(leader);
-    await Promise.all(['a', 'b'].map((id) => client.place(makeAsk(id), 1_000)));
-    expect(leader.calls).toEqual([['a', 'b'], ['b']]);
+  /*
+   * In a burst each decision was followed by a call that asked anew for all that still waited. The
+   * leader's processor was full, it answered late, and entries chose engines that were full.
+   */
+  it('should ask once for what waits, however many others are decided meanwhile', async () => {
+    const leader = new ScriptedLeader(({ number, requests }, self) => {
+      self.tell(number, requests.map(({ placeId }) => placeId).filter((id) => id !== 'b'));
+    });
+    const client = makeClient(() => leader);
+    const waiting = client.place(makeAsk('b'), findDeadline());
+    const others = ['a', 'c', 'd'].map((id) => client.place(makeAsk(id), findDeadline()));
+    await Promise.all(others);
+    await client.place(makeAsk('e'), findDeadline());
+    leader.tell(leader.heard.length, ['b']);
+    expect((await waiting)?.workerId).toBe('for-b');
+    expect(leader.asked.flat().filter((id) => id === 'b')).toHaveLength(1);
   });
 
   it('should leave the choice to the entry when the leader does not answer', async () => {
-    const leader = new ScriptedLeader(() => {
-      throw new Error('no answer');
-    });
-    const client = makeClient(leader);
-    const replies = await Promise.all(['a', 'b'].map((id) => client.place(makeAsk(id), 1_000)));
+    const leader = new ScriptedLeader(() => undefined);
+    const client = makeClient(() => leader);
+    const from = systemClock.now();
+    const replies = await Promise.all(['a', 'b'].map((id) => client.place(makeAsk(id), findDeadline())));
     expect(replies).toEqual([undefined, undefined]);
-    expect(await client.place(makeAsk('c'), 1_000)).toBeUndefined();
-    expect(leader.calls).toHaveLength(1);
+    expect(systemClock.now() - from).toBeLessThan(1_000);
+    expect(await client.place(makeAsk('c'), findDeadline())).toBeUndefined();
+    expect(leader.heard).toHaveLength(1);
+  });
+
+  // The leader took the requests in and froze: without signs of life it would be waited for.
+  it('should leave the choice to the entry when a leader goes silent while requests wait', async () => {
+    const leader = new ScriptedLeader(({ number }, self) => self.tell(number));
+    const client = makeClient(() => leader);
+    expect(await client.place(makeAsk('a'), findDeadline())).toBeUndefined();
+  });
+
+  it('should wait for as long as the leader shows that it is there', async () => {
+    const leader = new ScriptedLeader(({ number }, self) => self.tell(number));
+    const client = makeClient(() => leader);
+    const waiting = client.place(makeAsk('a'), findDeadline());
+    await [1, 2, 3, 4, 5].reduce(async (before) => {
+      await before;
+      await pause(100);
+      leader.tell(1);
+    }, Promise.resolve());
+    leader.tell(1, ['a']);
+    expect((await waiting)?.workerId).toBe('for-a');
+  });
+
+  /*
+   * The leader's reply was on its way when the entry gave it up and chose by itself. The slot was
+   * taken until the request's deadline, and others were refused for want of it.
+   */
+  it('should give a place back that comes after it chose by itself', async () => {
+    const leader = new ScriptedLeader(({ number }, self) => self.tell(number));
+    const client = makeClient(() => leader);
+    const asked = client.place(makeAsk('a'), findDeadline());
+    await pause(10);
+    client.cancel('a');
+    expect(await asked).toBeUndefined();
+    leader.tell(1, ['a']);
+    await pause(10);
+    const phases = leader.heard.flatMap(({ reports }) => reports).map(({ placeId, phase }) => `${placeId} ${phase}`);
+    expect(new Set(phases)).toEqual(new Set(['a dropped']));
+  });
+
+  /*
+   * Another replica leads: it knows nothing of what waits and of what is held. What waited was not
+   * asked for again, and the slots in use counted as free.
+   */
+  it('should ask the next leader for what waits, and tell it what is held', async () => {
+    const first = new ScriptedLeader(({ number, requests }, self) => {
+      self.tell(number, requests.map(({ placeId }) => placeId).filter((id) => id !== 'b'));
+    });
+    const second = new ScriptedLeader(grantAll);
+    let leader = first;
+    const client = makeClient(() => leader);
+    await client.place(makeAsk('a'), findDeadline());
+    const waiting = client.place(makeAsk('b'), findDeadline());
+    await pause(10);
+    leader = second;
+    await client.place(makeAsk('c'), findDeadline());
+    expect((await waiting)?.workerId).toBe('for-b');
+    expect(second.heard[0]).toMatchObject({ entryId: 'e1', held: ['a'] });
+  });
+
+  it('should choose by itself at once when the leader ends the stream', async () => {
+    const leader = new ScriptedLeader(({ number }, self) => self.tell(number));
+    const client = makeClient(() => leader);
+    const asked = client.place(makeAsk('a'), findDeadline());
+    await pause(10);
+    leader.end();
+    expect(await asked).toBeUndefined();
   });
 });
