News of a stream's pace go out with the next message

Cause: a message to the leader each 20 ms for the pace of running streams: some 50 a second and entry, each answered by an acknowledgement, while placing itself needs half as many. Profile of an entry and of the leader with 27 requests and 730 events a second: 8 and 13 ms a second for these.

Change: the beginning of a stream is told within 20 ms as before, its pace within 250 ms or with any message that goes out earlier.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -14,8 +14,13 @@
 const SUSPECT_MS = 400;
 /** Reports kept for one message; the oldest go, as the leader expires what it does not hear of. */
 const MAX_REPORTS = 2_000;
-/** News of running streams go out together this often, in milliseconds. */
-const FLUSH_MS = 20;
+/**
+ * Longest that news of a running stream wait for a message that goes out anyway, in milliseconds:
+ * of its beginning, by which the leader knows what a server still has to read, and of its pace. At
+ * 20 ms for both, an entry took 2 to 6 % more processor time over a day.
+ */
+const BEGUN_FLUSH_MS = 20;
+const PACE_FLUSH_MS = 250;
 
 const NO_TIMES = { paceMs: 0, firstEventMs: 0, outputMs: 0 };
 
@@ -78,6 +83,9 @@
 
   private reportTimer: NodeJS.Timeout | undefined;
 
+  /** When the reports that wait go out, monotonic milliseconds. */
+  private reportAt = 0;
+
   private watchdog: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: PlaceClientParts) {}
@@ -108,7 +116,7 @@
     this.reports.push(report);
     if (this.reports.length > MAX_REPORTS) this.reports.shift();
     if (report.phase !== 'running') this.schedule();
-    else this.reportTimer ??= setTimeout(() => this.flush(), FLUSH_MS);
+    else this.flushWithin(report.paceMs > 0 ? PACE_FLUSH_MS : BEGUN_FLUSH_MS);
   }
 
   /** Ends the stream. */
@@ -121,6 +129,14 @@
     return now >= this.suspectUntil && this.parts.findLeader() !== undefined;
   }
 
+  private flushWithin(ms: number): void {
+    const at = this.parts.clock.now() + ms;
+    if (this.reportTimer && at >= this.reportAt) return;
+    clearTimeout(this.reportTimer);
+    this.reportAt = at;
+    this.reportTimer = setTimeout(() => this.flush(), ms);
+  }
+
   private schedule(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
