--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -137,6 +137,8 @@
 
   /** Charges a request to its account; refuses it when the account's limit does not allow it. */
   private charge({ account, cost, placeId }: PlaceRequest, line: PlacementLine): boolean {
+    // One that waits already was charged: its entry opened another stream before this one's end.
+    if (this.desk.isWaiting(placeId)) return true;
     const waitMs = this.ledger.charge(account, cost, this.parts.clock.now());
     if (waitMs <= 0) return true;
     line.add({
--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -82,6 +82,11 @@
     return { waiting: this.tables.waiting.size, placed: this.tables.placed.size };
   }
 
+  /** Whether a request waits for its decision. */
+  isWaiting(placeId: string): boolean {
+    return this.open.has(placeId);
+  }
+
   /** Decides on requests that came together, now or when a slot becomes free. */
   ask(requests: readonly PlaceRequest[], line: PlacementLine): void {
     const now = this.parts.clock.now();
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -9,6 +9,7 @@
 import type { AnswerFlow } from './answerWriter';
 import { AttemptNotes } from './attemptNotes';
 import type { AttemptEnd } from './attemptNotes';
+import { computeLeaseWaitMs } from './leaseWait';
 import { readRequestBody } from './readRequestBody';
 import type { AnswerFacts, CallFacts } from './requestDialect';
 import { RequestLog } from './requestLog';
@@ -23,27 +24,12 @@
 const BODY_MS = 30_000;
 /** Time to come back after servers refused, in milliseconds: a slot or two later. */
 const MIN_RETRY_MS = 150;
-/**
- * How long a request waits for the entry's lease: a part of the time that its caller will wait, so
- * that one which is refused after all has most of its time left to come back. An entry that has
- * just started gets its lease within about a second, with the rest of a site that was killed: a
- * caller that waits is then answered, one that was refused uses up its only other try.
- */
-const LEASE_WAIT_PART = 1 / 8;
-/** Shortest and longest of these waits, in milliseconds. */
-const MIN_LEASE_WAIT_MS = 100;
-const MAX_LEASE_WAIT_MS = 1_500;
 /** Silence of a server, in target latencies, after which it is taken for unwell. */
 const SILENCE_IN_TARGETS = 2.5;
 /** Shortest silence that says anything, in milliseconds. */
 const MIN_SILENCE_MS = 250;
 const SERVER_ERROR = 500;
 
-const computeLeaseWaitMs = ({ patienceMs }: CallFacts): number => Math.min(
-  MAX_LEASE_WAIT_MS,
-  Math.max(MIN_LEASE_WAIT_MS, LEASE_WAIT_PART * (patienceMs ?? Infinity)),
-);
-
 const pickFlow = ({ kind, isResumable }: Route): AnswerFlow => {
   if (kind !== 'stream') return 'held';
   return isResumable ? 'framed' : 'direct';
@@ -77,6 +63,9 @@
 
   private call: UpstreamCall | undefined;
 
+  /** Takes it back while it waits for a place, so that others get the slot it would have had. */
+  private cancelPick: (() => void) | undefined;
+
   private writer: AnswerWriter;
 
   private admitted: AdmittedRequest | undefined;
@@ -127,8 +116,16 @@
   /** Offers the request to one server after another, until it is answered or given up. */
   private async offer(admitted: AdmittedRequest, body: Buffer): Promise<void> {
     const picked = await this.parts.picker.pick({
-      admitted, facts: this.facts, deadlineAt: this.deadlineAt, tried: [...this.tried],
+      admitted,
+      facts: this.facts,
+      deadlineAt: this.deadlineAt,
+      tried: [...this.tried],
+      isOver: () => this.writer.isOver,
+      noteWaiting: (cancel) => {
+        this.cancelPick = cancel;
+      },
     });
+    if (!picked) return;
     if (this.writer.isOver) {
       this.dropPicked(admitted, picked);
       return;
@@ -327,12 +324,14 @@
     if (this.writer.isOver) return;
     this.refuse(new BeechliftError('routeTimeout', 'the answer was not whole when its time was over'));
     this.call?.abort('its time is over');
+    this.cancelPick?.();
   }
 
   /** A caller that has gone is waited for by nobody: its backend server is told by the close. */
   private noteClosed(): void {
     if (this.response.writableFinished) return;
     this.call?.abort('the caller has gone');
+    this.cancelPick?.();
   }
 
   private refuse(error: BeechliftError): void {
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -17,6 +17,10 @@
   readonly deadlineAt: number;
   /** Backend servers that it was at already. */
   readonly tried: readonly string[];
+  /** Whether nobody waits for it any more. */
+  readonly isOver: () => boolean;
+  /** Hears how to take the request back while it waits for a place. */
+  readonly noteWaiting: (cancel: () => void) => void;
 }
 
 /** The backend server that takes a request. */
@@ -63,12 +67,16 @@
 
   constructor(private readonly parts: WorkerPickerParts) {}
 
-  /** Resolves with the server; throws the refusal when there is none. */
-  async pick(request: PickRequest): Promise<PickedWorker> {
+  /**
+   * Resolves with the server, or with nothing where the request is over; throws the refusal when
+   * there is none.
+   */
+  async pick(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site } = this.parts;
     const isEngine = site.table?.findService(request.admitted.service)?.isEngine ?? false;
     const placed = isEngine ? await this.place(request) : undefined;
     if (placed) return placed;
+    if (request.isOver()) return undefined;
     if (request.tried.length === 0) {
       chargeAccount(site, request.admitted.account, request.facts, this.parts.clock.now());
     }
@@ -92,6 +100,7 @@
     } = admitted;
     this.counter += 1;
     const placeId = `${this.prefix}${this.counter}`;
+    request.noteWaiting(() => placeClient.cancel(placeId));
     const reply = await placeClient.place({
       placeId,
       entryId: site.entryId,
--- a/tests/control/placement-desk.spec.ts
+++ b/tests/control/placement-desk.spec.ts
@@ -94,6 +94,27 @@
     expect(rig.desk.countRequests().placed).toBe(2);
   });
 
+  /*
+   * A connection goes silent, and the entry asks over another stream before the first one's end is
+   * known here. The request was charged twice, and its first stream was told of the decision.
+   */
+  it('should tell the newest stream that asked, and know what it was asked for before', async () => {
+    const rig = new DeskRig(1);
+    const later: PlaceDecisions[] = [];
+    const line = new PlacementLine(
+      { send: (message) => later.push(message), end: () => undefined },
+      { now: () => 0 },
+    );
+    rig.desk.ask([makeRequest('a'), makeRequest('b')], rig.line);
+    expect([rig.desk.isWaiting('a'), rig.desk.isWaiting('b')]).toEqual([false, true]);
+    rig.desk.ask([makeRequest('b')], line);
+    rig.desk.closeLine(rig.line);
+    rig.desk.report([report('a', 'ended')]);
+    await settle();
+    expect(later.flatMap(({ replies }) => replies).map(({ placeId }) => placeId)).toEqual(['b']);
+    expect(rig.unplaced).toEqual([]);
+  });
+
   // The caller has gone while its request waited: the slot it would have got goes to the next.
   it('should take out what nobody waits for, and refund it', async () => {
     const rig = new DeskRig(1);
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -36,6 +36,23 @@
   return site;
 };
 
+const makePick = (isOver: () => boolean, noteWaiting: (cancel: () => void) => void) => ({
+  admitted: {
+    route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
+  },
+  facts: {
+    requestId: 'r1', patienceMs: 5_000, key: '', tokens: undefined,
+  },
+  deadlineAt: 5_000,
+  tried: [],
+  isOver,
+  noteWaiting,
+});
+
+const routing = makeRouting({
+  services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
+});
+
 /** A leader that names one server for every request. */
 class StubbornLeader {
   readonly reports: PlacedReport[] = [];
@@ -57,23 +74,38 @@
    * off from the others, and had not heard of it, still gave out its slots.
    */
   it('should not take a server that leaves from a leader that has not heard of it', async () => {
-    const routing = makeRouting({
-      services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
-    });
     const site = makeSite(routing, [makeRecord('w1', 'draining'), makeRecord('w2', 'ready')]);
     const leader = new StubbornLeader('w1');
     const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
-    const picked = await picker.pick({
-      admitted: {
-        route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
-      },
-      facts: {
-        requestId: 'r1', patienceMs: 5_000, key: '', tokens: undefined,
-      },
-      deadlineAt: 5_000,
-      tried: [],
-    });
-    expect([picked.worker.id, picked.placeId]).toEqual(['w2', '']);
+    const picked = await picker.pick(makePick(() => false, () => undefined));
+    expect([picked?.worker.id, picked?.placeId]).toEqual(['w2', '']);
     expect(leader.reports.map(({ phase }) => phase)).toEqual(['dropped']);
   });
+
+  /*
+   * Callers gave up while their requests waited for a slot. The requests kept their places before
+   * those of callers who still waited, and were then charged to their accounts for nothing.
+   */
+  it('should take a request back that waits for a place when its caller has gone', async () => {
+    const site = makeSite(routing, [makeRecord('w1', 'ready')]);
+    const cancelled: string[] = [];
+    let decide = (): void => undefined;
+    const leader = {
+      place: () => new Promise<undefined>((resolve) => {
+        decide = () => resolve(undefined);
+      }),
+      cancel: (placeId: string) => {
+        cancelled.push(placeId);
+        decide();
+      },
+    };
+    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    let cancel = (): void => undefined;
+    const picking = picker.pick(makePick(() => true, (taken) => {
+      cancel = taken;
+    }));
+    cancel();
+    expect(await picking).toBeUndefined();
+    expect(cancelled).toHaveLength(1);
+  });
 });
