A replica forwards announcements to another one only, and nothing that was forwarded to it

It forwarded each announcement to itself, from there again, until the calls ran out of time: 159 in six seconds, while its backend servers waited for each refusal.

Change: the address of another replica alone is forwarded to; what was forwarded is not forwarded again, which also ends the to and fro of two replicas that take each other for the leader.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -122,7 +122,7 @@
     (request) => requireNode(holder).publish(request),
   ),
   announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
-    (said) => requireNode(holder).announce(said),
+    (said) => requireNode(holder).announce(said, true),
   ),
   place: handleStream<PlaceNews, PlaceDecisions>(
     (stream) => stream.listen(requireNode(holder).openLine(stream)),
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -253,17 +253,19 @@
   /**
    * Takes in what a backend server said of itself; false when no leader could be told. Throws for
    * what no server of this site says.
+   *
+   * Guards a replica whose lease has lapsed, and two that take each other for the leader: neither
+   * forwards to itself, nor what was forwarded to it.
    */
-  async announce(said: WorkerAnnouncement): Promise<AnnounceReply> {
+  async announce(said: WorkerAnnouncement, isForwarded = false): Promise<AnnounceReply> {
     this.gate.check(said);
     await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
       if (this.registry.take(said)) this.watches.release();
       return { taken: true };
     }
-    const address = this.leaderAddress;
-    if (address === '') return { taken: false };
-    return this.parts.port.announce(said, address);
+    if (isForwarded || !this.knowsOther) return { taken: false };
+    return this.parts.port.announce(said, this.leaderAddress);
   }
 
   /** Notes who answered while this replica looked for the site. */
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import {
-  afterEach, describe, expect, it,
+  afterEach, describe, expect, it, vi,
 } from 'vitest';
 import { startRoutedControl } from '../../src/control/routedControl';
 import type { RunningRoutedControl } from '../../src/control/routedControl';
@@ -284,6 +284,41 @@
     await expect(node.readNewest()).rejects.toThrow();
   });
 
+  /*
+   * A leader is cut off from the other replicas, and backend servers report to it. It still counted
+   * as the leader in its own eyes, without a lease, and forwarded each announcement to itself, from
+   * there to itself again, until the calls ran out of time: 159 of them failed in six seconds.
+   */
+  it('should not forward announcements to itself while its lease has lapsed', async () => {
+    const started = await found();
+    await publish(0, formatDocument(2));
+    const leader = await started.waitLeader();
+    const node = started.findNode(leader);
+    const others = [0, 1, 2].filter((position) => position !== leader);
+    await Promise.all(others.map((position) => started.stop(position)));
+    await waitFor(() => !node.isLeading, 'the lease has lapsed');
+    const announce = vi.spyOn(node, 'announce');
+    const { taken } = await node.announce(WorkerAnnouncement.fromPartial({
+      workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 1, state: 'ready', sequence: 1,
+    }));
+    expect([taken, announce.mock.calls.length]).toEqual([false, 1]);
+  });
+
+  // Two replicas that each take the other for the leader would hand an announcement to and fro.
+  it('should not forward what another replica forwarded', async () => {
+    const started = await found();
+    await publish(0, formatDocument(2));
+    const leader = await started.waitLeader();
+    const follower = started.findNode((leader + 1) % 3);
+    const reaching = vi.spyOn(started.findNode(leader), 'announce');
+    const said = WorkerAnnouncement.fromPartial({
+      workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 1, state: 'ready', sequence: 1,
+    });
+    expect([await follower.announce(said, true), reaching.mock.calls.length])
+      .toEqual([{ taken: false }, 0]);
+    expect(await follower.announce(said)).toEqual({ taken: true });
+  });
+
   /*
    * Callers that asked one entry where to connect were told of nobody, for as long as no entry came
    * or left. After a change of leaders it had asked with the revision of the list it held; the new
