One copy of the part of a report without times; a server's start in the line that tells of its change

Read as a newcomer: the same constant stood in three files, and the log did not show that a server had started again.

--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -5,6 +5,7 @@
   askPlaces, dropWaiting, expirePlaced, keepPlaced, makePlacement, notePlaced, runPlacement,
 } from '../core/routing/placement';
 import type { PlaceDecision, PlacedNews } from '../core/routing/placement';
+import { NO_TIMES } from '../core/routing/placementTables';
 import type { PlaceAsk } from '../core/routing/placementTables';
 import { applyLoads, applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import { resultCodes } from '../errors/resultCodes';
@@ -15,8 +16,6 @@
 
 const isNews = (report: PlacedReport): boolean => PHASES.includes(report.phase);
 
-const NO_TIMES = { paceMs: 0, firstEventMs: 0, outputMs: 0 };
-
 const toAsk = (request: PlaceRequest, now: number): PlaceAsk => ({
   id: request.placeId,
   entryId: request.entryId,
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -44,6 +44,7 @@
       address: said.address,
       state: said.state,
       sequence: said.sequence,
+      born: said.born,
     });
     return true;
   }
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -29,6 +29,9 @@
   hasBegun: boolean;
 }
 
+/** Part of a report on a placed request that says nothing of times. */
+export const NO_TIMES = { paceMs: 0, firstEventMs: 0, outputMs: 0 } as const;
+
 /** All that placing rests on. */
 export interface PlacementTables {
   readonly workers: RoutedWorkers;
--- a/src/relay/attemptNotes.ts
+++ b/src/relay/attemptNotes.ts
@@ -1,11 +1,11 @@
 import type { PlacedReport } from '../protocol/generated/beechlift';
+import { NO_TIMES } from '../core/routing/placementTables';
 import { learnAnswer, learnPace } from '../core/routing/routedWorkers';
 import type { Clock } from '../utils/clock';
 import type { AnswerWriter } from './answerWriter';
 import type { PlaceClient } from './placeClient';
 import type { RelaySite } from './relaySite';
 import type { CallFacts } from './requestDialect';
-import { NO_TIMES } from './workerPicker';
 import type { PickedWorker } from './workerPicker';
 
 /** What came of one attempt. */
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,3 +1,4 @@
+import { NO_TIMES } from '../core/routing/placementTables';
 import type {
   PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
 } from '../protocol/generated/beechlift';
@@ -22,8 +23,6 @@
 const BEGUN_FLUSH_MS = 20;
 const PACE_FLUSH_MS = 250;
 
-const NO_TIMES = { paceMs: 0, firstEventMs: 0, outputMs: 0 };
-
 /** What the place client needs. */
 export interface PlaceClientParts {
   /** Names this start of the entry. */
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { PlacedReport } from '../protocol/generated/beechlift';
+import { NO_TIMES } from '../core/routing/placementTables';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
@@ -46,11 +46,6 @@
 /** Time to come back where no server is known at all: an announcement or two. */
 const NO_WORKER_RETRY_MS = 1_000;
 
-/** Part of a report that says nothing of times. */
-export const NO_TIMES: Pick<PlacedReport, 'paceMs' | 'firstEventMs' | 'outputMs'> = {
-  paceMs: 0, firstEventMs: 0, outputMs: 0,
-};
-
 /**
  * Finds the backend server for a request. Model engines, whose slots are dear, are given out by the
  * leader of control for all entries; plain services, and everything while no leader is in reach,
