That a backend server leaves is told to every entry before it is acknowledged

Change: the first word that a start of a server leaves goes to all members before it is acknowledged; who hears it hands it on once to the owner in its own view; "ready" of the same start is not kept within the longest way of an announcement; an entry that is no member keeps nothing for a take-over, and an owner takes over with what it kept at once.

Four new tests (leaving-announcements.spec.ts) fail on the code before, each at its own place.

--- a/src/core/schedule/announcements.ts
+++ b/src/core/schedule/announcements.ts
@@ -77,10 +77,10 @@
 };
 
 /**
- * Longest way of an announcement: kept by an entry for a new owner for three seconds, and forwarded
- * in less than one.
+ * Longest way of an announcement, in milliseconds: kept by an entry for a new owner for three
+ * seconds, and forwarded in less than one.
  */
-const ANNOUNCEMENT_FLIGHT_MS = 5_000;
+export const ANNOUNCEMENT_FLIGHT_MS = 5_000;
 
 /*
  * Guards against an announcement that was overtaken: a backend server tells its entries in turn,
--- /dev/null
+++ b/src/entry/choosing/announcementMemo.ts
@@ -0,0 +1,60 @@
+import { LRUCache } from 'lru-cache';
+import { ANNOUNCEMENT_FLIGHT_MS } from '../../core/schedule/announcements';
+import type { Announcement } from '../../protocol/generated/beechlift';
+
+/** How long an announcement is good for an owner that takes over. */
+const KEPT_MS = 3_000;
+
+/** Most announcements kept; more than a site's backend servers. */
+const MAX_KEPT = 10_000;
+
+interface KeptAnnouncement {
+  readonly announcement: Announcement;
+  readonly at: number;
+}
+
+const nameStart = ({ id, incarnation }: Announcement): string => JSON.stringify([id, incarnation]);
+
+/**
+ * What backend servers said here of late, for an entry that takes a pool over. Knows nothing of the
+ * wire; all times are monotonic milliseconds.
+ *
+ * Guards a server that leaves against an older "ready" of its own: it tells its entries in turn, so
+ * the newest word that one entry holds may be from before it said that it leaves. That word given
+ * to a new owner had the leaving server sent up to four new requests in the 70 ms until the owner
+ * heard the later one. A start that said that it leaves is remembered, and its "ready" is not kept
+ * within the longest way of an announcement.
+ *
+ * @example
+ * const isNews = memo.keep(announcement, clock.now());
+ */
+export class AnnouncementMemo {
+  private readonly kept = new LRUCache<string, KeptAnnouncement>({ max: MAX_KEPT });
+
+  /** When each start of a server was last heard to leave. */
+  private readonly leftAt = new LRUCache<string, number>({ max: MAX_KEPT });
+
+  /**
+   * Keeps an announcement.
+   *
+   * @returns whether it says for the first time here that this start of the server leaves
+   */
+  keep(announcement: Announcement, now: number): boolean {
+    const start = nameStart(announcement);
+    const leftAt = this.leftAt.get(start);
+    if (announcement.state === 'leaving') {
+      this.leftAt.set(start, now);
+    } else if (leftAt !== undefined && now - leftAt < ANNOUNCEMENT_FLIGHT_MS) {
+      return false;
+    }
+    this.kept.set(announcement.id, { announcement, at: now });
+    return announcement.state === 'leaving' && leftAt === undefined;
+  }
+
+  /** Lists what was said of late. */
+  list(now: number): readonly Announcement[] {
+    return [...this.kept.values()]
+      .filter(({ at }) => now - at <= KEPT_MS)
+      .map(({ announcement }) => announcement);
+  }
+}
--- a/src/entry/choosing/scheduler.ts
+++ b/src/entry/choosing/scheduler.ts
@@ -14,6 +14,7 @@
 import type { LinkTable } from '../../wire/linkTable';
 import { toPeerError } from '../../wire/peerError';
 import type { Configuration } from '../inForce/configuration';
+import { AnnouncementMemo } from './announcementMemo';
 import { makeMovedReply } from './movedReply';
 import type { OrderSender } from './orderSender';
 import { PoolOwner } from './poolOwner';
@@ -23,13 +24,6 @@
 const MOVED_RETRY_MS = 100;
 /** An earlier owner may go on granting until it hears of the view or its lease ends. */
 const HANDOVER_MS = GRANT_MS + 3_000;
-const ANNOUNCEMENT_KEPT_MS = 3_000;
-const MAX_ANNOUNCEMENTS = 10_000;
-
-interface KeptAnnouncement {
-  readonly announcement: Announcement;
-  readonly at: number;
-}
 
 /** A running request with its pool. */
 export interface PooledRequest {
@@ -58,7 +52,7 @@
 export class Scheduler {
   private readonly owners = new Map<string, PoolOwner>();
 
-  private readonly announcements = new Map<string, KeptAnnouncement>();
+  private readonly announcements = new AnnouncementMemo();
 
   /** View in which each pool's owner was last told that nothing runs here. */
   private readonly registeredEmpty = new Map<string, number>();
@@ -155,27 +149,37 @@
     this.findOwned(report.pool)?.report(report);
   }
 
-  /** Brings an announcement to the pool's owner, and keeps it for an owner that takes over. */
+  /**
+   * Brings an announcement to the pool's owner, and keeps it for an owner that takes over. That a
+   * server leaves is told to every member before it is acknowledged, so that whoever owns the pool
+   * next knows it.
+   */
   async announce(announcement: Announcement): Promise<void> {
-    this.keepAnnouncement(announcement);
+    const isNews = this.keepAnnouncement(announcement);
     const owner = this.findOwnerOf(announcement.pool);
     if (!owner) throw new BeechliftError('ownerMoved', `no entry VM owns pool "${announcement.pool}" yet`);
-    if (this.policy.name !== 'owner') this.announceHere(announcement);
-    else await this.forward(owner, announcement);
+    if (this.policy.name !== 'owner') {
+      this.takeAnnouncement(announcement);
+      return;
+    }
+    if (isNews) await this.tellOthers(announcement, owner);
+    await this.forward(owner, announcement);
   }
 
-  /** Takes in an announcement that another entry forwarded. */
-  announceHere(announcement: Announcement): void {
-    this.findOwned(announcement.pool)?.announce(announcement);
+  /**
+   * Takes in an announcement that another entry forwarded. One that leaves is handed on once to
+   * whom this entry takes for the owner, as the teller may know an older view.
+   */
+  async announceHere(announcement: Announcement): Promise<void> {
+    const isNews = announcement.state === 'leaving' && this.keepAnnouncement(announcement);
+    this.takeAnnouncement(announcement);
+    const owner = this.findOwnerOf(announcement.pool);
+    if (isNews && owner && owner.id !== this.parts.id) await this.forward(owner, announcement);
   }
 
   /** Runs the systems of all owned pools. */
   tick(): void {
     this.owners.forEach((owner) => owner.run({ kind: 'tick' }));
-    const oldest = this.parts.clock.now() - ANNOUNCEMENT_KEPT_MS;
-    [...this.announcements]
-      .filter(([, { at }]) => at < oldest)
-      .forEach(([id]) => this.announcements.delete(id));
   }
 
   /** Whether the owner knows already that nothing runs here; a new owner comes with a new view. */
@@ -210,6 +214,9 @@
     const tables = makeScheduleTables(pool, manifest, others, settledAt, this.policy);
     const owner = new PoolOwner(tables, clock, (order) => this.sendOrder(pool, order));
     this.owners.set(pool, owner);
+    this.listAnnouncements()
+      .filter((announcement) => announcement.pool === pool)
+      .forEach((announcement) => owner.announce(announcement));
     return owner;
   }
 
@@ -288,14 +295,34 @@
     else this.registeredEmpty.delete(pool);
   }
 
-  private keepAnnouncement(announcement: Announcement): void {
-    if (this.announcements.size >= MAX_ANNOUNCEMENTS) return;
-    this.announcements.set(announcement.id, { announcement, at: this.parts.clock.now() });
+  /*
+   * Guards a pool's new owner against what it heard before it was a member: nobody told it then
+   * who leaves.
+   */
+  private keepAnnouncement(announcement: Announcement): boolean {
+    const { configuration, id, clock } = this.parts;
+    if (!configuration.members.some((member) => member.id === id)) return false;
+    return this.announcements.keep(announcement, clock.now());
+  }
+
+  private listAnnouncements(): readonly Announcement[] {
+    return this.announcements.list(this.parts.clock.now());
+  }
+
+  private takeAnnouncement(announcement: Announcement): void {
+    this.findOwned(announcement.pool)?.announce(announcement);
+  }
+
+  /** An entry that doesn't answer in time is not waited for: its own view then ends soon. */
+  private async tellOthers(announcement: Announcement, owner: Member): Promise<void> {
+    const others = this.parts.configuration.members
+      .filter(({ id }) => id !== owner.id && id !== this.parts.id);
+    await Promise.allSettled(others.map((member) => this.forward(member, announcement)));
   }
 
   private async forward(owner: Member, announcement: Announcement): Promise<void> {
     if (owner.id === this.parts.id) {
-      this.announceHere(announcement);
+      this.takeAnnouncement(announcement);
       return;
     }
     await this.parts.peers.find(owner.peerAddress).call<Announcement, object>(
@@ -325,7 +352,7 @@
     this.parts.peers.keep(members.map(({ peerAddress }) => peerAddress));
     this.register().catch(() => undefined);
     // An owner that took over learns of the backend servers now and not at their next announcement.
-    this.announcements.forEach(({ announcement }) => {
+    this.listAnnouncements().forEach((announcement) => {
       this.announce(announcement).catch(() => undefined);
     });
   }
--- a/src/entry/peers/peerService.ts
+++ b/src/entry/peers/peerService.ts
@@ -31,8 +31,8 @@
     scheduler.registerHere(request);
     return {};
   }),
-  forwardAnnouncement: handleUnary((request) => {
-    scheduler.announceHere(request);
+  forwardAnnouncement: handleUnary(async (request) => {
+    await scheduler.announceHere(request);
     return {};
   }),
   readProof: handleUnary((request) => (
--- /dev/null
+++ b/tests/entry/leaving-announcements.spec.ts
@@ -0,0 +1,174 @@
+import {
+  beforeEach, describe, expect, it,
+} from 'vitest';
+import type { OrderSender } from '../../src/entry/choosing/orderSender';
+import { Scheduler } from '../../src/entry/choosing/scheduler';
+import { Configuration } from '../../src/entry/inForce/configuration';
+import { findOwner } from '../../src/core/membership/locate';
+import { checkManifest } from '../../src/manifest/checkManifest';
+import { computeDigest } from '../../src/manifest/manifestDelta';
+import { Announcement, AskRequest, HeartbeatReply } from '../../src/protocol/generated/beechlift';
+import type { AskReply, Member, PeerClient } from '../../src/protocol/generated/beechlift';
+import type { LinkTable } from '../../src/wire/linkTable';
+import { makeManifest } from '../fakes/testSite';
+
+const POOL = 'engines';
+const LEASE_MS = 60_000;
+const { manifest } = checkManifest(JSON.stringify(makeManifest(1)));
+
+const makeMember = (id: string): Member => ({
+  id, incarnation: '1', peerAddress: id, callerAddress: id, zone: 'az-1', state: 'active',
+});
+
+const makeAnnouncement = (id: string, state: string) => Announcement.fromPartial({
+  id, pool: POOL, kind: 'model', address: `${id}:1`, zone: 'az-1', hardware: 'fast', models: ['guide'], slots: 40, state, incarnation: '1',
+});
+
+/** An entry's scheduler; nothing reaches the entries that are cut off. */
+interface FakeEntry {
+  readonly scheduler: Scheduler;
+  readonly configuration: Configuration;
+}
+
+describe('entries that hear of a backend server that leaves', () => {
+  let entries: Map<string, FakeEntry>;
+  let cutOff: Set<string>;
+  let asked: number;
+
+  const makeLink = (id: string) => ({
+    call: (pick: unknown, request: Announcement): Promise<object> => {
+      if (cutOff.has(id) || !('state' in request)) return Promise.reject(new Error('cut off'));
+      return Promise.resolve(entries.get(id)?.scheduler.announceHere(request)).then(() => ({}));
+    },
+  });
+
+  const addEntry = (id: string): void => {
+    const clock = { now: () => 1_000 };
+    const configuration = new Configuration(clock);
+    const scheduler = new Scheduler({
+      id,
+      configuration,
+      peers: { find: makeLink, keep: () => undefined } as unknown as LinkTable<PeerClient>,
+      clock,
+      listRunning: () => [],
+      orders: {} as OrderSender,
+    });
+    entries.set(id, { scheduler, configuration });
+  };
+
+  const setView = (id: string, viewNumber: number, members: readonly string[]): void => {
+    entries.get(id)?.configuration.applyReply(HeartbeatReply.fromPartial({
+      leaseMs: LEASE_MS,
+      manifestVersion: 1,
+      manifest: JSON.stringify(manifest),
+      manifestDigest: manifest && computeDigest(manifest),
+      view: { number: viewNumber, members: members.map(makeMember) },
+      viewNumber,
+    }), 1_000);
+  };
+
+  const announce = (entryId: string, workerId: string, state: string): Promise<void> => (
+    entries.get(entryId)?.scheduler.announce(makeAnnouncement(workerId, state))
+    ?? Promise.reject(new Error('no such entry')));
+
+  const settle = () => new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+  /** The backend servers that an owner would send new requests to. */
+  const listTaken = async (owner: string): Promise<string[]> => {
+    const replies: AskReply[] = [];
+    Array.from({ length: 12 }, () => {
+      asked += 1;
+      return asked;
+    }).forEach((askNumber) => entries.get(owner)?.scheduler.askHere(
+      AskRequest.fromPartial({
+        requestId: `r${askNumber}`, askNumber, pool: POOL, tier: 'door', account: 'kiosks', target: 'guide', entryId: owner, promptTokens: 10, maxTokens: 5, deadlineMs: 5_000,
+      }),
+      () => undefined,
+    ).then((reply) => replies.push(reply)));
+    await settle();
+    return [...new Set(replies.filter(({ code }) => code === 0).map(({ workerId }) => workerId))];
+  };
+
+  /** The owner of the pool among all, and the owner without it. */
+  const findOwners = (): [string, string, string] => {
+    const all = ['e1', 'e2', 'e3'];
+    const last = findOwner(all.map(makeMember), POOL)?.id ?? '';
+    const others = all.filter((id) => id !== last);
+    const first = findOwner(others.map(makeMember), POOL)?.id ?? '';
+    return [first, others.find((id) => id !== first) ?? '', last];
+  };
+
+  beforeEach(() => {
+    entries = new Map();
+    cutOff = new Set();
+    asked = 0;
+    ['e1', 'e2', 'e3'].forEach(addEntry);
+  });
+
+  /*
+   * An entry joins and is to own the pool. Before it was a member it heard that g1 is ready; the
+   * members heard that g1 leaves. The entry took the pool over with what it had heard itself, and
+   * sent up to four requests to g1 until a member told it 70 ms later.
+   */
+  it('should not take over with what an entry heard before it was a member', async () => {
+    const [owner, other, joining] = findOwners();
+    [owner, other, joining].forEach((id) => setView(id, 1, [owner, other]));
+    await announce(joining, 'g1', 'ready');
+    await announce(owner, 'g1', 'leaving');
+    await announce(other, 'g2', 'ready');
+    cutOff.add(owner).add(other);
+    setView(joining, 2, [owner, other, joining]);
+    expect(await listTaken(joining)).toEqual([]);
+    cutOff.clear();
+    setView(owner, 2, [owner, other, joining]);
+    setView(other, 2, [owner, other, joining]);
+    await settle();
+    expect(await listTaken(joining)).toEqual(['g2']);
+  });
+
+  /*
+   * A server tells one entry that it is ready and the next one that it leaves. The owner of the
+   * pool dies, and the entry that only heard "ready" owns it now: it must know of the leaving.
+   */
+  it('should tell every member, so that whoever owns the pool next knows', async () => {
+    const [next, other, owner] = findOwners();
+    [owner, other, next].forEach((id) => setView(id, 1, [owner, other, next]));
+    await announce(next, 'g1', 'ready');
+    await announce(next, 'g2', 'ready');
+    await announce(other, 'g1', 'leaving');
+    cutOff.add(owner).add(other);
+    setView(next, 2, [other, next]);
+    expect(await listTaken(next)).toEqual(['g2']);
+  });
+
+  /*
+   * The entry that is told knows an older view, and takes an entry for the owner that is none any
+   * more. That one hands the word on to the owner that it knows.
+   */
+  it('should hand the word on to the owner of a newer view', async () => {
+    const [owner, other, joining] = findOwners();
+    setView(other, 1, [owner, other]);
+    [owner, joining].forEach((id) => setView(id, 2, [owner, other, joining]));
+    await announce(joining, 'g1', 'ready');
+    await announce(joining, 'g2', 'ready');
+    await announce(other, 'g1', 'leaving');
+    expect(await listTaken(joining)).toEqual(['g2']);
+  });
+
+  /*
+   * "Ready" and "leaving" of one server go to two entries, and "ready" comes last. The entry that
+   * kept it would give it to the next owner.
+   */
+  it('should not keep a "ready" that a later "leaving" has overtaken', async () => {
+    const [next, other, owner] = findOwners();
+    [owner, other, next].forEach((id) => setView(id, 1, [owner, other, next]));
+    await announce(other, 'g1', 'leaving');
+    await announce(next, 'g1', 'ready');
+    await announce(next, 'g2', 'ready');
+    cutOff.add(owner).add(other);
+    setView(next, 2, [other, next]);
+    expect(await listTaken(next)).toEqual(['g2']);
+  });
+});
