Each mechanism of routing has a switch, in one typed table of the settings for experiments

Change: thirteen mechanisms in core/routing/mechanisms.ts, all on where settings name none; entries and control replicas read `mechanismsOff`, checked against the table. Measured: nothing is decided otherwise with all on (the tests of routing pass unchanged).

--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -4,6 +4,7 @@
 import { AccountLedger } from '../core/routing/accountLedger';
 import { NO_LIST } from '../core/routing/entryList';
 import type { EntryListHeld } from '../core/routing/entryList';
+import type { Mechanisms } from '../core/routing/mechanisms';
 import { listChangedWorkers } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
 import { resultCodes } from '../errors/resultCodes';
@@ -21,6 +22,8 @@
   readonly leaseMs: number;
   /** What accounts may use beyond their limits, over all entries together. */
   readonly limitSlack: number;
+  /** All are on where none are named. */
+  readonly mechanisms?: Mechanisms | undefined;
 }
 
 /** The part of an answer that only entries need. */
@@ -61,6 +64,7 @@
     this.ledger = new AccountLedger(parts.limitSlack);
     this.desk = new PlacementDesk({
       clock: parts.clock,
+      mechanisms: parts.mechanisms,
       noteUnplaced: ({ account, cost }) => this.ledger.refund(account, cost),
     });
   }
--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -6,8 +6,10 @@
 } from '../core/routing/placement';
 import type { PlaceDecision, PlacedNews } from '../core/routing/placement';
 import { NO_TIMES } from '../core/routing/placementTables';
-import type { PlaceAsk } from '../core/routing/placementTables';
+import type { PlaceAsk, PlacementTables } from '../core/routing/placementTables';
+import type { Mechanisms } from '../core/routing/mechanisms';
 import { applyLoads, applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
+import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import { resultCodes } from '../errors/resultCodes';
 import type { Clock } from '../utils/clock';
 import type { PlacementLine } from './placementLine';
@@ -59,6 +61,8 @@
   readonly clock: Clock;
   /** Called for each request that gets no place: it has used nothing of its account's limit. */
   readonly noteUnplaced: (request: PlaceRequest) => void;
+  /** All are on where none are named. */
+  readonly mechanisms?: Mechanisms | undefined;
 }
 
 /**
@@ -68,13 +72,16 @@
  * desk.ask(requests, line); // each decision goes to the line when it is made
  */
 export class PlacementDesk {
-  private readonly workers = makeRoutedWorkers();
+  private readonly workers: RoutedWorkers;
 
-  private readonly tables = makePlacement(this.workers);
+  private readonly tables: PlacementTables;
 
   private readonly open = new Map<string, OpenAsk>();
 
-  constructor(private readonly parts: PlacementDeskParts) {}
+  constructor(private readonly parts: PlacementDeskParts) {
+    this.workers = makeRoutedWorkers(parts.mechanisms);
+    this.tables = makePlacement(this.workers);
+  }
 
   /** Requests that wait for a slot, and those that hold one. */
   countRequests(): { readonly waiting: number; readonly placed: number } {
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -1,4 +1,6 @@
 import { makeEmptyLog } from '../core/log/logState';
+import { makeMechanisms } from '../core/routing/mechanisms';
+import type { Mechanism } from '../core/routing/mechanisms';
 import { nodeFileSystem } from '../disk/fileSystem';
 import { LogStore } from '../disk/logStore';
 import { SiteClient, SiteService } from '../protocol/generated/beechlift';
@@ -47,6 +49,8 @@
   readonly voterCount: number;
   /** What accounts may use beyond their limits, over all entries together. */
   readonly limitSlack: number;
+  /** For experiments; deployments leave all on. */
+  readonly mechanismsOff?: readonly Mechanism[];
 }
 
 /** What a routed control process needs from outside. */
@@ -247,6 +251,7 @@
     leaseMs: settings.leaseMs,
     voterCount: settings.voterCount,
     limitSlack: settings.limitSlack,
+    mechanisms: makeMechanisms(settings.mechanismsOff),
   });
   holder.node = node;
   const ticking = setInterval(() => node.tick(), TICK_MS);
--- a/src/control/routedNodeParts.ts
+++ b/src/control/routedNodeParts.ts
@@ -3,6 +3,7 @@
   WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import type { StoredLog } from '../core/log/logTypes';
+import type { Mechanisms } from '../core/routing/mechanisms';
 import type { LogStore } from '../disk/logStore';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
@@ -40,4 +41,6 @@
   readonly voterCount: number;
   /** What accounts may use beyond their limits, over all entries together. */
   readonly limitSlack: number;
+  /** All are on where none are named. */
+  readonly mechanisms?: Mechanisms;
 }
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -160,7 +160,8 @@
   ask: PlaceAsk,
   now: number,
 ): PlaceDecision | undefined => {
-  const isHopeless = tables.waiting.has(ask.id)
+  const isHopeless = tables.workers.mechanisms.earlyRefusal
+    && tables.waiting.has(ask.id)
     && estimateWaitMs(tables, ask, now) > computePatienceMs(tables, ask);
   return isHopeless ? refuse(tables, ask, now, 'the wait for a slot would be too long') : undefined;
 };
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -2,16 +2,17 @@
 import { readHigherRate } from './arrivals';
 import { readLine } from './lineFit';
 import type { PlaceAsk, PlacementTables } from './placementTables';
-import { findWork } from './routedWorkers';
+import { findWork, isInReach } from './routedWorkers';
 
 /**
  * How long a request may wait for a slot, as a part of its target latency, by rank. The rest of the
  * target is for its own beginning. The lowest rank gives up first, as it is served last.
  */
 const WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
+
 const countSlots = ({ workers }: PlacementTables, service: string, now: number): number => (
   (workers.byService.get(service) ?? [])
-    .filter(({ standing, suspendedUntil }) => standing === 'ready' && suspendedUntil <= now)
+    .filter((worker) => worker.standing === 'ready' && isInReach(workers, worker, now))
     .reduce((sum, { slots }) => sum + slots, 0)
 );
 
@@ -35,7 +36,9 @@
   const slots = Math.max(1, countSlots(tables, ask.service, now));
   const { holdMs } = findWork(tables.workers, ask.service);
   const freedPerMs = slots / holdMs;
-  const higherPerMs = readHigherRate(tables.arrivals, ask.service, ask.rank, now);
+  const higherPerMs = tables.workers.mechanisms.higherRanks
+    ? readHigherRate(tables.arrivals, ask.service, ask.rank, now)
+    : 0;
   const leftPerMs = Math.max(LEAST_PART * freedPerMs, freedPerMs - higherPerMs);
   return (countAhead(tables, ask) + 1) / leftPerMs;
 };
@@ -48,7 +51,8 @@
  * const isOver = now - ask.askedAt > computePatienceMs(tables, ask);
  */
 export const computePatienceMs = (tables: PlacementTables, ask: PlaceAsk): number => {
-  const share = WAIT_SHARE_BY_RANK[Math.min(ask.rank, WAIT_SHARE_BY_RANK.length - 1)] ?? 0;
+  const rank = tables.workers.mechanisms.patienceByRank ? ask.rank : 0;
+  const share = WAIT_SHARE_BY_RANK[Math.min(rank, WAIT_SHARE_BY_RANK.length - 1)] ?? 0;
   const ownMs = readLine(findWork(tables.workers, ask.service).firstEvent, ask.promptTokens);
   return Math.max(0, share * ask.targetMs - Math.min(ownMs, ask.targetMs / 2));
 };
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -1,6 +1,8 @@
 import type { WorkerLoad, WorkerRecord } from '../../protocol/generated/beechlift';
 import { learnLine, makeLineFit } from './lineFit';
 import type { LineFit } from './lineFit';
+import { makeMechanisms } from './mechanisms';
+import type { Mechanisms } from './mechanisms';
 import type { WorkerStanding } from './workerTable';
 
 /** A backend server as one entry sees it. */
@@ -54,6 +56,7 @@
   readonly work: Map<string, ServiceWork>;
   /** Requests that this entry may have at one server at a time, by service; none: no bound. */
   connectionShares: ReadonlyMap<string, number>;
+  readonly mechanisms: Mechanisms;
 }
 
 /** How long some tokens took. */
@@ -90,8 +93,12 @@
 const smooth = (old: number, sample: number): number => old + SMOOTHING * (sample - old);
 
 /** Makes empty tables. */
-export const makeRoutedWorkers = (): RoutedWorkers => ({
-  byId: new Map(), byService: new Map(), work: new Map(), connectionShares: new Map(),
+export const makeRoutedWorkers = (mechanisms = makeMechanisms()): RoutedWorkers => ({
+  byId: new Map(),
+  byService: new Map(),
+  work: new Map(),
+  connectionShares: new Map(),
+  mechanisms,
 });
 
 const makeWorker = (id: string, born: number): RoutedWorker => ({
@@ -245,12 +252,15 @@
  * estimateSlowness(workers, worker); // 3 where a unit takes three times as long
  */
 export const estimateSlowness = (workers: RoutedWorkers, worker: RoutedWorker): number => {
+  const { mechanisms } = workers;
+  if (!mechanisms.learntSpeeds) return 1;
   const [fastest] = listPaces(workers, worker.service);
   const own = worker.paceSamples > 0 && fastest ? worker.paceMs / fastest : 0;
-  if (own === 0) return worker.othersSlowness || 1;
-  if (worker.othersSlowness === 0) return own;
+  const others = mechanisms.sharedSlowness ? worker.othersSlowness : 0;
+  if (own === 0) return others || 1;
+  if (others === 0) return own;
   const weight = worker.paceSamples / (worker.paceSamples + OWN_SAMPLES);
-  return weight * own + (1 - weight) * worker.othersSlowness;
+  return weight * own + (1 - weight) * others;
 };
 
 const learnTimed = (fit: LineFit, { ms, tokens }: TimedTokens, slowness: number): void => {
@@ -290,6 +300,13 @@
   worker.pauseMs = Math.min(MAX_PAUSE_MS, worker.pauseMs * 2);
 };
 
+/** Whether requests may be expected to arrive at a server. */
+export const isInReach = (
+  { mechanisms }: RoutedWorkers,
+  { suspendedUntil }: RoutedWorker,
+  now: number,
+): boolean => now >= suspendedUntil || !mechanisms.suspension;
+
 /** A request was answered by a server: it is in reach. */
 export const noteReached = (worker: RoutedWorker): void => {
   worker.suspendedUntil = 0;
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -3,7 +3,7 @@
  * those that may take it.
  */
 import { readLine, readSlope } from './lineFit';
-import { estimateSlowness, findWork } from './routedWorkers';
+import { estimateSlowness, findWork, isInReach } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceWork } from './routedWorkers';
 
 /** What the choice needs to know of a request. */
@@ -90,6 +90,19 @@
   1 + FAILURE_WEIGHT * Math.max(0, worker.failureShare - work.failureShare - 0.1)
 );
 
+const computeScore = (
+  { mechanisms }: RoutedWorkers,
+  work: ServiceWork,
+  worker: RoutedWorker,
+  expected: Expected,
+  request: ChoiceRequest,
+): number => {
+  const weight = mechanisms.failureWeight ? weighFailures(work, worker) : 1;
+  const isNear = !mechanisms.zoneAffinity || worker.zone === request.zone;
+  const overrunMs = mechanisms.overrunGuard ? computeOverrunMs(expected, request) : 0;
+  return (expected.waitMs + expected.ownMs) * weight + (isNear ? 0 : OTHER_ZONE_MS) + overrunMs;
+};
+
 const isFree = ({ inFlight, othersInFlight, slots }: RoutedWorker): boolean => (
   inFlight + othersInFlight < slots
 );
@@ -114,7 +127,7 @@
 ): RoutedWorker[] => {
   const usable = (workers.byService.get(request.service) ?? [])
     .filter((worker) => isUsable(workers, worker, request));
-  const inReach = usable.filter(({ suspendedUntil }) => now >= suspendedUntil);
+  const inReach = usable.filter((worker) => isInReach(workers, worker, now));
   const fresh = inReach.filter(({ id }) => !request.tried.includes(id));
   if (fresh.length > 0) return fresh;
   if (inReach.length > 0 || request.mustBeFree) return inReach;
@@ -136,9 +149,7 @@
   const scored = listCandidates(workers, request, now).map((worker) => {
     const expected = estimateStart(workers, work, worker, request);
     const { waitMs, ownMs } = expected;
-    const zoneMs = worker.zone === request.zone ? 0 : OTHER_ZONE_MS;
-    const startScore = (waitMs + ownMs) * weighFailures(work, worker) + zoneMs;
-    const score = startScore + computeOverrunMs(expected, request);
+    const score = computeScore(workers, work, worker, expected, request);
     return {
       worker, waitMs, ownMs, score,
     };
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -1,6 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { FastifyInstance } from 'fastify';
+import { makeMechanisms } from '../core/routing/mechanisms';
+import type { Mechanism } from '../core/routing/mechanisms';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
@@ -26,6 +28,8 @@
   readonly locateMs: number;
   /** How long a shutdown may take, in milliseconds. */
   readonly graceMs: number;
+  /** For experiments; deployments leave all on. */
+  readonly mechanismsOff?: readonly Mechanism[];
 }
 
 /** What an entry of a routed site needs from outside. */
@@ -92,6 +96,7 @@
     suspension,
     logger,
     retryBounds: settings.retryBounds,
+    mechanisms: makeMechanisms(settings.mechanismsOff),
   });
   const watch = new SiteWatch({
     site, readSeeds: settings.readSeeds, clock: systemClock, suspension, logger,
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,11 +1,13 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import { AccountBudget } from '../core/routing/accountBudget';
 import { EntryList } from '../core/routing/entryList';
+import type { Mechanisms } from '../core/routing/mechanisms';
 import { RetryAllowance } from '../core/routing/retryAllowance';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import {
   applyLoads, applyRecords, forgetPlaced, listLoads, makeRoutedWorkers, setConnectionShares,
 } from '../core/routing/routedWorkers';
+import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
@@ -28,6 +30,8 @@
   readonly suspension: SuspensionWatch;
   readonly logger: Logger;
   readonly retryBounds: RetryBounds;
+  /** All are on where none are named. */
+  readonly mechanisms?: Mechanisms;
 }
 
 /**
@@ -43,7 +47,7 @@
 export class RelaySite {
   table: RouteTable | undefined;
 
-  readonly workers = makeRoutedWorkers();
+  readonly workers: RoutedWorkers;
 
   readonly budget = new AccountBudget();
 
@@ -70,6 +74,7 @@
 
   constructor(private readonly parts: RelaySiteParts) {
     const readEntryCount = () => this.entryCount;
+    this.workers = makeRoutedWorkers(parts.mechanisms);
     this.retries = new RetryAllowance(parts.retryBounds, readEntryCount);
   }
 
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -95,7 +95,8 @@
   private async serve(): Promise<void> {
     const { site, clock } = this.parts;
     const host = this.request.headers.host ?? '';
-    if (!site.isServing) await site.waitServing(computeLeaseWaitMs(this.facts));
+    const { leaseWait } = site.workers.mechanisms;
+    if (leaseWait && !site.isServing) await site.waitServing(computeLeaseWaitMs(this.facts));
     const admitted = admitRequest(site, this.facts, host, this.target, Math.random());
     this.admitted = admitted;
     const { route } = admitted;
@@ -286,7 +287,8 @@
     const now = clock.now();
     if (now >= this.deadlineAt || this.offers >= MAX_OFFERS) return false;
     // What another server answers must not be put behind what the caller has of the first answer.
-    if (this.writer.hasBegun && !this.writer.canGoOn) return false;
+    const canGoOn = this.writer.canGoOn && site.workers.mechanisms.resumption;
+    if (this.writer.hasBegun && !canGoOn) return false;
     if (end.kind === 'unsent') return true;
     const isSafe = end.kind === 'rejected' || this.isRepeatable(route.kind);
     const hasAttempts = end.kind === 'rejected' || this.sent < route.maxAttempts;
@@ -313,7 +315,7 @@
    * on, and what may be repeated is taken elsewhere at once.
    */
   private noteSilence(admitted: AdmittedRequest, worker: RoutedWorker, call: UpstreamCall): void {
-    if (this.writer.hasBegun) return;
+    if (this.writer.hasBegun || !this.parts.site.workers.mechanisms.silence) return;
     suspendWorker(worker, this.parts.clock.now());
     const { route } = admitted;
     const canRepeat = this.isRepeatable(route.kind) && this.sent + 1 < route.maxAttempts;
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { NO_TIMES } from '../core/routing/placementTables';
+import { isInReach } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
@@ -69,7 +70,8 @@
   async pick(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site } = this.parts;
     const isEngine = site.table?.findService(request.admitted.service)?.isEngine ?? false;
-    const placed = isEngine ? await this.place(request) : undefined;
+    const isPlaced = isEngine && site.workers.mechanisms.leaderPlacing;
+    const placed = isPlaced ? await this.place(request) : undefined;
     if (placed) return placed;
     if (request.isOver()) return undefined;
     if (request.tried.length === 0) {
@@ -81,8 +83,9 @@
   /** Whether any server of a service may take a request at the moment. */
   hasChoice(service: string): boolean {
     const now = this.parts.clock.now();
-    return (this.parts.site.workers.byService.get(service) ?? [])
-      .some(({ standing, suspendedUntil }) => standing === 'ready' && now >= suspendedUntil);
+    const { workers } = this.parts.site;
+    return (workers.byService.get(service) ?? [])
+      .some((worker) => worker.standing === 'ready' && isInReach(workers, worker, now));
   }
 
   private async place(request: PickRequest): Promise<PickedWorker | undefined> {
--- /dev/null
+++ b/tests/core/mechanisms.spec.ts
@@ -0,0 +1,167 @@
+import { describe, expect, it } from 'vitest';
+import { MECHANISMS, makeMechanisms } from '../../src/core/routing/mechanisms';
+import type { Mechanism } from '../../src/core/routing/mechanisms';
+import { askPlaces, makePlacement } from '../../src/core/routing/placement';
+import type { PlaceAsk, PlacementTables } from '../../src/core/routing/placementTables';
+import { computePatienceMs, estimateWaitMs } from '../../src/core/routing/placementWait';
+import {
+  applyLoads, applyRecords, learnAnswer, learnPace, makeRoutedWorkers, suspendWorker,
+} from '../../src/core/routing/routedWorkers';
+import type { RoutedWorker } from '../../src/core/routing/routedWorkers';
+import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
+import { WorkerLoad, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import { parseRelaySettings } from '../../platform/platformSettings';
+
+const NOW = 1_000;
+
+const makeAsk = (id: string, fields: Partial<PlaceAsk> = {}): PlaceAsk => ({
+  id,
+  entryId: 'e1',
+  service: 'lm',
+  rank: 0,
+  promptTokens: 1_000,
+  outputTokens: 100,
+  targetMs: 1_000,
+  deadlineAt: 15_000,
+  zone: 'b',
+  tried: [],
+  askedAt: NOW,
+  ...fields,
+});
+
+/** Two servers, of which the first is in another zone, and one server of the second kind. */
+const makeTables = (off: readonly Mechanism[], slots = 4): PlacementTables => {
+  const workers = makeRoutedWorkers(makeMechanisms(off));
+  applyRecords(workers, ['a', 'b'].map((zone) => WorkerRecord.fromPartial({
+    said: {
+      workerId: `w-${zone}`, service: 'lm', address: `10.0.0.1:${zone}`, zone, slots, state: 'ready', sequence: 1,
+    },
+    standing: 'ready',
+  })));
+  return makePlacement(workers);
+};
+
+const findWorker = ({ workers }: PlacementTables, id: string): RoutedWorker => (
+  workers.byId.get(id) as RoutedWorker);
+
+const chooseId = (tables: PlacementTables, fields: Partial<PlaceAsk> = {}): string => {
+  const ask = makeAsk('r', fields);
+  return chooseRoutedWorker(tables.workers, {
+    ...ask, remainingMs: ask.deadlineAt - NOW, mustBeFree: false,
+  }, NOW)?.worker.id ?? '';
+};
+
+const learnFailures = (tables: PlacementTables, id: string): void => {
+  Array.from({ length: 10 }).forEach(() => {
+    learnAnswer(tables.workers, findWorker(tables, id), {
+      holdMs: 0, paceMs: 0, firstEvent: undefined, output: undefined, failed: true,
+    });
+    tables.workers.work.forEach((work) => {
+      work.failureShare = 0;
+    });
+  });
+};
+
+/** What is decided with all mechanisms and without one, in a case that it is there for. */
+interface Case {
+  readonly decide: (tables: PlacementTables) => unknown;
+  readonly slots?: number;
+  readonly on: unknown;
+  readonly off: unknown;
+}
+
+const cases: Readonly<Partial<Record<Mechanism, Case>>> = {
+  zoneAffinity: { decide: (tables) => chooseId(tables), on: 'w-b', off: 'w-a' },
+  failureWeight: {
+    decide: (tables) => {
+      learnFailures(tables, 'w-b');
+      return chooseId(tables);
+    },
+    on: 'w-a',
+    off: 'w-b',
+  },
+  overrunGuard: {
+    decide: (tables) => {
+      learnPace(findWorker(tables, 'w-a'), 10);
+      learnPace(findWorker(tables, 'w-b'), 30);
+      findWorker(tables, 'w-a').pendingTokens = 20_000;
+      return chooseId(tables, { outputTokens: 1_000, deadlineAt: NOW + 8_000 });
+    },
+    on: 'w-a',
+    off: 'w-b',
+  },
+  learntSpeeds: {
+    decide: (tables) => {
+      learnPace(findWorker(tables, 'w-a'), 10);
+      learnPace(findWorker(tables, 'w-b'), 30);
+      return chooseId(tables);
+    },
+    on: 'w-a',
+    off: 'w-b',
+  },
+  sharedSlowness: {
+    decide: (tables) => {
+      applyLoads(tables.workers, [WorkerLoad.fromPartial({ workerId: 'w-b', slowness: 4_000 })]);
+      return chooseId(tables);
+    },
+    on: 'w-a',
+    off: 'w-b',
+  },
+  suspension: {
+    decide: (tables) => {
+      suspendWorker(findWorker(tables, 'w-b'), NOW);
+      return chooseId(tables);
+    },
+    on: 'w-a',
+    off: 'w-b',
+  },
+  higherRanks: {
+    decide: (tables) => {
+      const fresh = estimateWaitMs(tables, makeAsk('r', { rank: 2 }), NOW);
+      askPlaces(tables, Array.from({ length: 6 }, (unused, count) => makeAsk(`r${count}`)), NOW);
+      return estimateWaitMs(tables, makeAsk('r', { rank: 2 }), NOW) > fresh;
+    },
+    on: true,
+    off: false,
+  },
+  patienceByRank: {
+    decide: (tables) => computePatienceMs(tables, makeAsk('r', { rank: 2 }))
+      < computePatienceMs(tables, makeAsk('r')),
+    on: true,
+    off: false,
+  },
+  earlyRefusal: {
+    decide: (tables) => askPlaces(
+      tables,
+      Array.from({ length: 30 }, (unused, count) => makeAsk(`r${count}`)),
+      NOW,
+    ).some(({ kind }) => kind === 'refuse'),
+    slots: 1,
+    on: true,
+    off: false,
+  },
+};
+
+/** Switched at an entry's door; its tests are those of the relay. */
+const AT_ENTRIES: readonly Mechanism[] = ['silence', 'leaderPlacing', 'resumption', 'leaseWait'];
+
+describe('mechanisms that can be switched off', () => {
+  it.each(Object.entries(cases))('should decide otherwise without %s, in the case it is there for', (name, one) => {
+    expect(one.decide(makeTables([], one.slots))).toEqual(one.on);
+    expect(one.decide(makeTables([name as Mechanism], one.slots))).toEqual(one.off);
+  });
+
+  it('should have a case for each mechanism', () => {
+    expect([...Object.keys(cases), ...AT_ENTRIES].sort()).toEqual([...MECHANISMS].sort());
+  });
+
+  it('should be on where settings name none, and refuse an unknown name', () => {
+    const settings = {
+      name: 'n', zone: 'a', ip: '10.0.0.1', seeds: '10.0.0.2:1', internalPorts: '1,2', directoryAddress: 'x', callerAddress: 'x', readinessAddress: 'x', graceSeconds: 1, retryRatio: 0.2, retrySlack: 5, retryWindowSeconds: 10,
+    };
+    expect(parseRelaySettings(JSON.stringify(settings)).mechanismsOff).toEqual([]);
+    const named = JSON.stringify({ ...settings, mechanismsOff: ['suspension'] });
+    expect(parseRelaySettings(named).mechanismsOff).toEqual(['suspension']);
+    expect(() => parseRelaySettings(JSON.stringify({ ...settings, mechanismsOff: ['x'] }))).toThrow(/mechanismsOff/u);
+  });
+});
