Each switch at an entry has its case: resumption, silence, wait for a lease, the leader's placing

Cause: the test of the table named these four as the relay's, whose tests played them switched on alone. Change: the relay rig takes the names of mechanisms to go without; each case is played with and without.

--- a/tests/core/mechanisms.spec.ts
+++ b/tests/core/mechanisms.spec.ts
@@ -158,7 +158,7 @@
   },
 };
 
-/** Switched at an entry's door; its tests are those of the relay. */
+/** Switched at an entry; `entry-mechanisms.spec.ts` has their cases. */
 const AT_ENTRIES: readonly Mechanism[] = ['silence', 'leaderPlacing', 'resumption', 'leaseWait'];
 
 describe('mechanisms that can be switched off', () => {
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -1,6 +1,8 @@
 import { Socket } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import type { FastifyInstance } from 'fastify';
+import { makeMechanisms } from '../../src/core/routing/mechanisms';
+import type { Mechanism } from '../../src/core/routing/mechanisms';
 import type { Routing } from '../../src/manifest/routing';
 import { WatchReply } from '../../src/protocol/generated/beechlift';
 import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
@@ -42,16 +44,7 @@
 export class RelayRig {
   readonly metrics = new RelayMetrics();
 
-  readonly site = new RelaySite({
-    entryId: 'e1',
-    callerAddress: '',
-    zone: 'a',
-    readRouting: () => ({ routing: this.routing, faults: [] }),
-    clock: systemClock,
-    suspension: new SuspensionWatch(),
-    logger: makeLogger('test', 'silent'),
-    retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
-  });
+  readonly site: RelaySite;
 
   private readonly connections = new WorkerConnections();
 
@@ -60,13 +53,33 @@
   private constructor(
     private readonly routing: Routing,
     private readonly servers: readonly ScriptedServer[],
-  ) {}
+    off: readonly Mechanism[],
+  ) {
+    this.site = new RelaySite({
+      entryId: 'e1',
+      callerAddress: '',
+      zone: 'a',
+      readRouting: () => ({ routing: this.routing, faults: [] }),
+      clock: systemClock,
+      suspension: new SuspensionWatch(),
+      logger: makeLogger('test', 'silent'),
+      retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+      mechanisms: makeMechanisms(off),
+    });
+  }
 
-  /** Starts servers with the scripts, named w0, w1 and so on, and an entry before them. */
-  static async start(routing: Routing, scripts: readonly ServerScript[]): Promise<RelayRig> {
+  /**
+   * Starts servers with the scripts, named w0, w1 and so on, and an entry before them that may go
+   * without some mechanisms.
+   */
+  static async start(
+    routing: Routing,
+    scripts: readonly ServerScript[],
+    off: readonly Mechanism[] = [],
+  ): Promise<RelayRig> {
     const servers = scripts.map((script) => new ScriptedServer(script));
     await Promise.all(servers.map((server) => server.listen()));
-    const rig = new RelayRig(routing, servers);
+    const rig = new RelayRig(routing, servers, off);
     await rig.open();
     return rig;
   }
