A server that is ready after all and leaves again is news to all members once more

Cause: reading the change again. The memo remembered that a start had left for good, so that its second leaving would be told to the owner alone. Seen by reading, not in a run; the test fails first (false in place of true). Change: "ready" after the longest way of an announcement forgets the leaving. An owner that takes over takes in what it kept as an event, which a full pool passes over, in place of the call that throws for one server too many. The platform's programs don't hold this module.

--- a/src/entry/choosing/announcementMemo.ts
+++ b/src/entry/choosing/announcementMemo.ts
@@ -42,13 +42,14 @@
   keep(announcement: Announcement, now: number): boolean {
     const start = nameStart(announcement);
     const leftAt = this.leftAt.get(start);
-    if (announcement.state === 'leaving') {
-      this.leftAt.set(start, now);
-    } else if (leftAt !== undefined && now - leftAt < ANNOUNCEMENT_FLIGHT_MS) {
-      return false;
-    }
+    const isLeaving = announcement.state === 'leaving';
+    const isOvertaken = leftAt !== undefined && now - leftAt < ANNOUNCEMENT_FLIGHT_MS;
+    if (!isLeaving && isOvertaken) return false;
+    // A server that is ready after all may leave again: that is news once more.
+    if (isLeaving) this.leftAt.set(start, now);
+    else this.leftAt.delete(start);
     this.kept.set(announcement.id, { announcement, at: now });
-    return announcement.state === 'leaving' && leftAt === undefined;
+    return isLeaving && leftAt === undefined;
   }
 
   /** Lists what was said of late. */
--- a/src/entry/choosing/scheduler.ts
+++ b/src/entry/choosing/scheduler.ts
@@ -216,7 +216,7 @@
     this.owners.set(pool, owner);
     this.listAnnouncements()
       .filter((announcement) => announcement.pool === pool)
-      .forEach((announcement) => owner.announce(announcement));
+      .forEach((announcement) => owner.run({ kind: 'announce', announcement }));
     return owner;
   }
 
--- a/tests/entry/leaving-announcements.spec.ts
+++ b/tests/entry/leaving-announcements.spec.ts
@@ -1,6 +1,7 @@
 import {
   beforeEach, describe, expect, it,
 } from 'vitest';
+import { AnnouncementMemo } from '../../src/entry/choosing/announcementMemo';
 import type { OrderSender } from '../../src/entry/choosing/orderSender';
 import { Scheduler } from '../../src/entry/choosing/scheduler';
 import { Configuration } from '../../src/entry/inForce/configuration';
@@ -172,3 +173,15 @@
     expect(await listTaken(next)).toEqual(['g2']);
   });
 });
+
+describe('what an entry keeps of announcements', () => {
+  // A server says that it leaves, is ready after all, and leaves again: all must hear it again.
+  it('should take it for news when a server leaves once more', () => {
+    const memo = new AnnouncementMemo();
+    expect(memo.keep(makeAnnouncement('g1', 'leaving'), 0)).toBe(true);
+    expect(memo.keep(makeAnnouncement('g1', 'leaving'), 1_000)).toBe(false);
+    expect(memo.keep(makeAnnouncement('g1', 'ready'), 20_000)).toBe(false);
+    expect(memo.list(20_000).map(({ state }) => state)).toEqual(['ready']);
+    expect(memo.keep(makeAnnouncement('g1', 'leaving'), 30_000)).toBe(true);
+  });
+});
