--- a/src/entry/choosing/scheduler.ts
+++ b/src/entry/choosing/scheduler.ts
@@ -12,9 +12,8 @@
 import type { Clock } from '../../utils/clock';
 import { Operation } from '../../utils/operation';
 import type { LinkTable } from '../../wire/linkTable';
-import { toPeerError } from '../../wire/peerError';
 import type { Configuration } from '../inForce/configuration';
-import { AnnouncementMemo } from './announcementMemo';
+import { AnnouncementSpread } from './announcementSpread';
 import { makeMovedReply } from './movedReply';
 import type { OrderSender } from './orderSender';
 import { PoolOwner } from './poolOwner';
@@ -52,7 +51,7 @@
 export class Scheduler {
   private readonly owners = new Map<string, PoolOwner>();
 
-  private readonly announcements = new AnnouncementMemo();
+  private readonly spread: AnnouncementSpread;
 
   /** View in which each pool's owner was last told that nothing runs here. */
   private readonly registeredEmpty = new Map<string, number>();
@@ -64,6 +63,12 @@
 
   constructor(private readonly parts: SchedulerParts) {
     this.policy = parts.policy ?? DEFAULT_POLICY;
+    this.spread = new AnnouncementSpread({
+      ...parts,
+      isShared: this.policy.name === 'owner',
+      findOwner: (pool) => this.findOwnerOf(pool),
+      take: (announcement) => this.findOwned(announcement.pool)?.announce(announcement),
+    });
     parts.configuration.listen({
       noteManifest: () => this.updateOwners(),
       noteMembers: (members) => this.handleView(members),
@@ -149,32 +154,14 @@
     this.findOwned(report.pool)?.report(report);
   }
 
-  /**
-   * Brings an announcement to the pool's owner, and keeps it for an owner that takes over. That a
-   * server leaves is told to every member before it is acknowledged, so that whoever owns the pool
-   * next knows it.
-   */
-  async announce(announcement: Announcement): Promise<void> {
-    const isNews = this.keepAnnouncement(announcement);
-    const owner = this.findOwnerOf(announcement.pool);
-    if (!owner) throw new BeechliftError('ownerMoved', `no entry VM owns pool "${announcement.pool}" yet`);
-    if (this.policy.name !== 'owner') {
-      this.takeAnnouncement(announcement);
-      return;
-    }
-    if (isNews) await this.tellOthers(announcement, owner);
-    await this.forward(owner, announcement);
+  /** Brings an announcement of a backend server to the pool's owner. */
+  announce(announcement: Announcement): Promise<void> {
+    return this.spread.announce(announcement);
   }
 
-  /**
-   * Takes in an announcement that another entry forwarded. One that leaves is handed on once to
-   * whom this entry takes for the owner, as the teller may know an older view.
-   */
-  async announceHere(announcement: Announcement): Promise<void> {
-    const isNews = announcement.state === 'leaving' && this.keepAnnouncement(announcement);
-    this.takeAnnouncement(announcement);
-    const owner = this.findOwnerOf(announcement.pool);
-    if (isNews && owner && owner.id !== this.parts.id) await this.forward(owner, announcement);
+  /** Takes in an announcement that another entry forwarded. */
+  announceHere(announcement: Announcement): Promise<void> {
+    return this.spread.announceHere(announcement);
   }
 
   /** Runs the systems of all owned pools. */
@@ -214,7 +201,7 @@
     const tables = makeScheduleTables(pool, manifest, others, settledAt, this.policy);
     const owner = new PoolOwner(tables, clock, (order) => this.sendOrder(pool, order));
     this.owners.set(pool, owner);
-    this.listAnnouncements()
+    this.spread.listKept()
       .filter((announcement) => announcement.pool === pool)
       .forEach((announcement) => owner.run({ kind: 'announce', announcement }));
     return owner;
@@ -295,45 +282,6 @@
     else this.registeredEmpty.delete(pool);
   }
 
-  /*
-   * Guards a pool's new owner against what it heard before it was a member: nobody told it then
-   * who leaves.
-   */
-  private keepAnnouncement(announcement: Announcement): boolean {
-    const { configuration, id, clock } = this.parts;
-    if (!configuration.members.some((member) => member.id === id)) return false;
-    return this.announcements.keep(announcement, clock.now());
-  }
-
-  private listAnnouncements(): readonly Announcement[] {
-    return this.announcements.list(this.parts.clock.now());
-  }
-
-  private takeAnnouncement(announcement: Announcement): void {
-    this.findOwned(announcement.pool)?.announce(announcement);
-  }
-
-  /** An entry that doesn't answer in time is not waited for: its own view then ends soon. */
-  private async tellOthers(announcement: Announcement, owner: Member): Promise<void> {
-    const others = this.parts.configuration.members
-      .filter(({ id }) => id !== owner.id && id !== this.parts.id);
-    await Promise.allSettled(others.map((member) => this.forward(member, announcement)));
-  }
-
-  private async forward(owner: Member, announcement: Announcement): Promise<void> {
-    if (owner.id === this.parts.id) {
-      this.takeAnnouncement(announcement);
-      return;
-    }
-    await this.parts.peers.find(owner.peerAddress).call<Announcement, object>(
-      (stub) => stub.forwardAnnouncement.bind(stub),
-      announcement,
-      new Operation({ timeoutMs: SHORT_TIMEOUT_MS }),
-    ).catch((thrown: unknown) => {
-      throw toPeerError(thrown, 'ownerMoved');
-    });
-  }
-
   private updateOwners(): void {
     const { manifest } = this.parts.configuration;
     if (!manifest) return;
@@ -352,9 +300,7 @@
     this.parts.peers.keep(members.map(({ peerAddress }) => peerAddress));
     this.register().catch(() => undefined);
     // An owner that took over learns of the backend servers now and not at their next announcement.
-    this.listAnnouncements().forEach((announcement) => {
-      this.announce(announcement).catch(() => undefined);
-    });
+    this.spread.repeat();
   }
 
   private giveUp(pool: string): void {
