A server's leaving is told to the members of now: the entry that hears it asks control first

An entry that has joined and owns the pool hears "ready" as a member; the entry told next that the server leaves, and those it tells, don't know the new member until their next heartbeat. Ruled out: a "ready" from before the entry was a member, which isn't kept.

--- a/src/entry/choosing/announcementSpread.ts
+++ b/src/entry/choosing/announcementSpread.ts
@@ -20,6 +20,8 @@
   /** Whether a pool has one owner for all entries; without, each takes in what it hears itself. */
   readonly isShared: boolean;
   readonly findOwner: (pool: string) => Member | undefined;
+  /** Asks control for the members as they are now. */
+  readonly refreshView: () => Promise<unknown>;
   /** Gives an announcement to the pool's owner, where that is this entry. */
   readonly take: (announcement: Announcement) => void;
 }
@@ -38,11 +40,15 @@
   /**
    * Brings an announcement to the pool's owner, and keeps it for an owner that takes over. That a
    * server leaves is told to every member before it is acknowledged, so that whoever owns the pool
-   * next knows it.
+   * next knows it. The members are asked for first: an entry that joined within the last heartbeat
+   * may own the pool already, with a "ready" that it heard since.
    */
   async announce(announcement: Announcement): Promise<void> {
     const isNews = this.keep(announcement);
-    const { findOwner, isShared, take } = this.parts;
+    const {
+      findOwner, isShared, refreshView, take,
+    } = this.parts;
+    if (isNews && isShared) await refreshView();
     const owner = findOwner(announcement.pool);
     if (!owner) throw new BeechliftError('ownerMoved', `no entry VM owns pool "${announcement.pool}" yet`);
     if (!isShared) {
--- a/src/entry/choosing/scheduler.ts
+++ b/src/entry/choosing/scheduler.ts
@@ -39,6 +39,8 @@
   /** All that this entry has dispatched and not finished. */
   readonly listRunning: () => readonly PooledRequest[];
   readonly orders: OrderSender;
+  /** Asks control for the members as they are now; resolves as well when it does not answer. */
+  readonly refreshView: () => Promise<unknown>;
   readonly policy?: PolicySettings;
 }
 
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -83,6 +83,14 @@
   const readMember = (): Member => ({
     id: settings.id, incarnation, peerAddress, callerAddress, zone: settings.zone, state,
   });
+  const heartbeat = new Heartbeat({
+    configuration,
+    controlAddresses: settings.control.map(({ address }) => address),
+    control,
+    peers,
+    readMember,
+    clock,
+  });
   const scheduler = new Scheduler({
     id: settings.id,
     configuration,
@@ -90,6 +98,7 @@
     clock,
     listRunning: () => active.listRunning(),
     orders: new OrderSender(metrics, logger),
+    refreshView: () => heartbeat.tellState(),
     policy: policy ?? DEFAULT_POLICY,
   });
   const claims = new ClaimClient(
@@ -132,14 +141,6 @@
     clock,
     isLeaving: () => state !== 'active',
   });
-  const heartbeat = new Heartbeat({
-    configuration,
-    controlAddresses: settings.control.map(({ address }) => address),
-    control,
-    peers,
-    readMember,
-    clock,
-  });
   const server = new RpcServer();
   server.add(PeerService, makePeerService(scheduler, configuration, tracer));
   peerAddress = await server.listen(settings.peerAddress);
--- a/tests/entry/leaving-announcements.spec.ts
+++ b/tests/entry/leaving-announcements.spec.ts
@@ -35,6 +35,8 @@
   let entries: Map<string, FakeEntry>;
   let cutOff: Set<string>;
   let asked: number;
+  /** The view that control answers with; of number 0 it changes nothing. */
+  let newest: { viewNumber: number; members: readonly string[] };
 
   const makeLink = (id: string) => ({
     call: (pick: unknown, request: Announcement): Promise<object> => {
@@ -43,6 +45,17 @@
     },
   });
 
+  const setView = (id: string, viewNumber: number, members: readonly string[]): void => {
+    entries.get(id)?.configuration.applyReply(HeartbeatReply.fromPartial({
+      leaseMs: LEASE_MS,
+      manifestVersion: 1,
+      manifest: JSON.stringify(manifest),
+      manifestDigest: manifest && computeDigest(manifest),
+      view: { number: viewNumber, members: members.map(makeMember) },
+      viewNumber,
+    }), 1_000);
+  };
+
   const addEntry = (id: string): void => {
     const clock = { now: () => 1_000 };
     const configuration = new Configuration(clock);
@@ -53,21 +66,11 @@
       clock,
       listRunning: () => [],
       orders: {} as OrderSender,
+      refreshView: async () => setView(id, newest.viewNumber, newest.members),
     });
     entries.set(id, { scheduler, configuration });
   };
 
-  const setView = (id: string, viewNumber: number, members: readonly string[]): void => {
-    entries.get(id)?.configuration.applyReply(HeartbeatReply.fromPartial({
-      leaseMs: LEASE_MS,
-      manifestVersion: 1,
-      manifest: JSON.stringify(manifest),
-      manifestDigest: manifest && computeDigest(manifest),
-      view: { number: viewNumber, members: members.map(makeMember) },
-      viewNumber,
-    }), 1_000);
-  };
-
   const announce = (entryId: string, workerId: string, state: string): Promise<void> => (
     entries.get(entryId)?.scheduler.announce(makeAnnouncement(workerId, state))
     ?? Promise.reject(new Error('no such entry')));
@@ -105,6 +108,7 @@
     entries = new Map();
     cutOff = new Set();
     asked = 0;
+    newest = { viewNumber: 0, members: [] };
     ['e1', 'e2', 'e3'].forEach(addEntry);
   });
 
@@ -158,6 +162,22 @@
     expect(await listTaken(joining)).toEqual(['g2']);
   });
 
+  /*
+   * An entry has joined and owns the pool; it is a member and hears that g1 is ready. The entry
+   * that hears next that g1 leaves, and those it tells, do not know the new member yet: the new
+   * owner sent three requests to g1 until the next heartbeat of the others.
+   */
+  it('should tell an entry that joined since the last heartbeat', async () => {
+    const [owner, other, joining] = findOwners();
+    [owner, other].forEach((id) => setView(id, 1, [owner, other]));
+    newest = { viewNumber: 2, members: [owner, other, joining] };
+    setView(joining, newest.viewNumber, newest.members);
+    await announce(joining, 'g1', 'ready');
+    await announce(joining, 'g2', 'ready');
+    await announce(other, 'g1', 'leaving');
+    expect(await listTaken(joining)).toEqual(['g2']);
+  });
+
   /*
    * "Ready" and "leaving" of one server go to two entries, and "ready" comes last. The entry that
    * kept it would give it to the next owner.
