A leader counts what it works on, and an entry tells for how long it went unanswered

Change: time and count by kind of work (watch, place, announce, tend) as a metric and a line every 5 s; the longest delay of the loop; unansweredMs in "document in force".

--- a/src/control/placementLine.ts
+++ b/src/control/placementLine.ts
@@ -1,4 +1,4 @@
-import type { PlaceDecisions, PlaceReply } from '../protocol/generated/beechlift';
+import type { PlaceDecisions, PlaceNews, PlaceReply } from '../protocol/generated/beechlift';
 import type { Clock } from '../utils/clock';
 
 /** The leader's end of an entry's stream. */
@@ -7,6 +7,12 @@
   readonly end: () => void;
 }
 
+/** The leader's side of an entry's stream. */
+export interface EntryLine {
+  readonly take: (news: PlaceNews) => void;
+  readonly close: () => void;
+}
+
 /**
  * Longest silence towards an entry whose requests wait, in milliseconds: under half of the silence
  * that an entry takes for the leader's death.
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -18,12 +18,10 @@
 import { toPeerError } from '../wire/peerError';
 import { handleStream, handleUnary, RpcServer } from '../wire/rpcServer';
 import { BirthRecord } from './birthRecord';
-import { RoutedNode } from './routedNode';
+import { RoutedNode, TICK_MS } from './routedNode';
 import { SeedFounding } from './seedFounding';
 import { WorkerMemo } from './workerMemo';
 
-/** How often the log looks at its timers, in milliseconds. */
-const TICK_MS = 25;
 const STEP_TIMEOUT_MS = 1_000;
 const MEET_TIMEOUT_MS = 400;
 const PUBLISH_TIMEOUT_MS = 3_000;
--- a/src/control/routedMetrics.ts
+++ b/src/control/routedMetrics.ts
@@ -2,6 +2,9 @@
 import { addGauge } from '../telemetry/addGauge';
 import { countDroppedLines } from '../telemetry/logger';
 import type { RoutedNode } from './routedNode';
+import { WORK_KINDS } from './workMeter';
+
+const MS_PER_SECOND = 1_000;
 
 /**
  * What a control replica of a routed site counts, read when it is asked for.
@@ -24,6 +27,20 @@
     addGauge(registry, 'beechlift_dropped_log_lines', 'Log lines that were dropped since the start', countDroppedLines);
     this.addWorkers(node);
     this.addRefusals(node);
+    this.addWork(node);
+  }
+
+  private addWork({ work }: RoutedNode): void {
+    const gauge: Gauge<'work'> = new Gauge({
+      name: 'beechlift_control_work_seconds',
+      help: 'Time that each kind of work took since the start',
+      labelNames: ['work'],
+      registers: [this.registry],
+      collect: (): void => {
+        const counts = work.read();
+        WORK_KINDS.forEach((kind) => gauge.set({ work: kind }, counts[kind].ms / MS_PER_SECOND));
+      },
+    });
   }
 
   private addRefusals({ gate }: RoutedNode): void {
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -1,5 +1,5 @@
 import type {
-  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest, PlaceNews,
+  AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
@@ -17,12 +17,13 @@
 import { LeaderBook } from './leaderBook';
 import { LeaderWait } from './leaderWait';
 import { LogRunner } from './logRunner';
-import type { PlacementStream } from './placementLine';
+import type { EntryLine, PlacementStream } from './placementLine';
 import { NewestReader } from './newestReader';
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
 import type { RoutedNodeParts } from './routedNodeParts';
 import { WatchDesk } from './watchDesk';
+import { WorkMeter } from './workMeter';
 import { WorkerRegistry } from './workerRegistry';
 
 /**
@@ -30,12 +31,8 @@
  * to reach the leader within its second.
  */
 const ANNOUNCE_LEADER_MS = 250;
-/** The leader's side of an entry's stream. */
-export interface EntryLine {
-  readonly take: (news: PlaceNews) => void;
-  readonly close: () => void;
-}
-
+/** How often the log looks at its timers, in milliseconds. */
+export const TICK_MS = 25;
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
@@ -45,7 +42,7 @@
  *
  * @example
  * const node = new RoutedNode(parts);
- * setInterval(() => node.tick(), 25);
+ * setInterval(() => node.tick(), TICK_MS);
  */
 export class RoutedNode {
   readonly runner: LogRunner<true>;
@@ -78,8 +75,12 @@
 
   private suspensionEpoch: number;
 
+  /** What this replica works on. */
+  readonly work: WorkMeter;
+
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
+    this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
     this.book = new LeaderBook(parts);
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(this.watches, parts.clock, () => (
@@ -93,6 +94,7 @@
       registry: this.registry,
       watches: this.watches,
       leaderWait: this.leaderWait,
+      work: this.work,
       address: parts.self.address,
       readView: () => ({
         isLeading: this.isLeading,
@@ -167,12 +169,14 @@
   /** Runs the log and, on a leader, what keeps the site in order. */
   tick(): void {
     this.noteSuspension();
+    this.work.noteTick();
     this.runner.handle({ kind: 'tick' });
     this.registry.save();
     if (!this.runner.holdsLease) return;
     if (this.registry.expire()) this.watches.release();
-    this.book.tend(this.registry.table);
+    this.work.measure('tend', () => this.book.tend(this.registry.table));
     this.keeper.tend(this.runner, this.book.startedAt);
+    this.work.tell();
   }
 
   /** Takes a message of another replica. */
@@ -235,7 +239,7 @@
     const { book } = this;
     const line = book.openLine(stream);
     return {
-      take: (news) => book.takeNews(line, news, this.registry.table),
+      take: (news) => this.work.measure('place', () => book.takeNews(line, news, this.registry.table)),
       close: () => book.closeLine(line),
     };
   }
@@ -261,7 +265,7 @@
     this.gate.check(said);
     await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
-      if (this.registry.take(said)) this.watches.release();
+      if (this.work.measure('announce', () => this.registry.take(said))) this.watches.release();
       return { taken: true };
     }
     if (isForwarded || !this.knowsOther) return { taken: false };
--- a/src/control/watchDesk.ts
+++ b/src/control/watchDesk.ts
@@ -5,6 +5,7 @@
 import type { EntryPart, LeaderBook } from './leaderBook';
 import type { LeaderWait } from './leaderWait';
 import type { WorkerRegistry } from './workerRegistry';
+import type { WorkMeter } from './workMeter';
 
 /** Longest that a question is held, in milliseconds. */
 const MAX_HOLD_MS = 1_000;
@@ -30,6 +31,7 @@
   readonly registry: WorkerRegistry;
   readonly watches: HeldCalls;
   readonly leaderWait: LeaderWait;
+  readonly work: WorkMeter;
   /** gRPC address of this replica. */
   readonly address: string;
   /** How long an entry may rely on what it was told, in milliseconds. */
@@ -48,12 +50,13 @@
 
   /** Answers a question; a replica that does not lead names the one that does. */
   async watch(request: WatchRequest): Promise<WatchReply> {
-    const { readView, watches } = this.parts;
+    const { readView, watches, work } = this.parts;
     const view = readView();
     if (!view.isLeading) return this.awaitLeader(request);
-    if (request.entryId !== '') view.book.noteEntry(request);
+    if (request.entryId !== '') work.measure('watch', () => view.book.noteEntry(request));
     if (!this.hasNews(request)) await watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
-    return readView().isLeading ? this.buildReply(request) : this.answerNotLeading();
+    if (!readView().isLeading) return this.answerNotLeading();
+    return work.measure('watch', () => this.buildReply(request));
   }
 
   /** Holds a question while no leader is known, so that who asks learns of one at once. */
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -66,6 +66,9 @@
 
   private leaseUntil = 0;
 
+  /** When the last question left that was answered, monotonic milliseconds. */
+  private answeredAt = 0;
+
   private leaseEpoch = -1;
 
   private entryCount = 1;
@@ -150,6 +153,7 @@
    */
   applyReply(reply: WatchReply, sentAt: number, epoch: number): void {
     if (!this.applyDocument(reply)) return;
+    this.answeredAt = Math.max(this.answeredAt, sentAt);
     this.applyWorkers(reply);
     this.entryCount = Math.max(1, reply.entryCount);
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
@@ -172,7 +176,12 @@
     }
     this.table = new RouteTable(routing);
     this.digest = reply.documentDigest;
-    this.parts.logger.info('document in force', { version: routing.version, routes: routing.routes.length });
+    this.parts.logger.info('document in force', {
+      version: routing.version,
+      routes: routing.routes.length,
+      // Long where answers came late; short where they came without the document.
+      unansweredMs: Math.round(this.parts.clock.now() - this.answeredAt),
+    });
     return true;
   }
 
--- /dev/null
+++ b/tests/control/work-meter.spec.ts
@@ -0,0 +1,33 @@
+import { describe, expect, it } from 'vitest';
+import { WorkMeter } from '../../src/control/workMeter';
+import type { Logger } from '../../src/telemetry/logger';
+
+describe('the work of a leader', () => {
+  it('should be told by kind, each time since the line before, with the longest delay', () => {
+    let now = 0;
+    const lines: object[] = [];
+    const logger = {
+      info: (message: string, fields: object) => lines.push(fields),
+    } as unknown as Logger;
+    const meter = new WorkMeter({ now: () => now }, logger, 25);
+    const advance = (ms: number) => meter.measure('watch', () => {
+      now += ms;
+    });
+    advance(7);
+    advance(5);
+    now = 5_000;
+    meter.noteTick();
+    meter.tell();
+    advance(3);
+    meter.tell();
+    now = 10_000;
+    meter.tell();
+    expect(lines).toMatchObject([
+      {
+        watchCount: 2, watchMs: 12, placeCount: 0, mostLateMs: 4_975,
+      },
+      { watchCount: 1, watchMs: 3, mostLateMs: 0 },
+    ]);
+    expect(meter.read().watch).toEqual({ count: 3, ms: 15 });
+  });
+});
