--- a/tests/platform/platform-site.spec.ts
+++ b/tests/platform/platform-site.spec.ts
@@ -13,6 +13,8 @@
 
 const PROGRAM = resolve('target/beechlift.cjs');
 const WAIT_MS = 20_000;
+/** Milliseconds after its acknowledgement in which a change must be in force everywhere. */
+const APPLY_MS = 2_500;
 
 const readPort = (address: string): string => address.slice(address.lastIndexOf(':') + 1);
 
@@ -60,6 +62,7 @@
       isFirstStart,
       replicaLosses: 1,
       revokeMs: 5_000,
+      applyMs: APPLY_MS,
       limitSlack: 1_000,
     });
   }
@@ -87,6 +90,23 @@
     });
   }
 
+  /** Stops processes where they are. */
+  freeze(names: readonly string[]): void {
+    names.forEach((name) => this.processes.get(name)?.kill('SIGSTOP'));
+  }
+
+  /** Lets frozen processes go on. */
+  resume(names: readonly string[]): void {
+    names.forEach((name) => this.processes.get(name)?.kill('SIGCONT'));
+  }
+
+  /** Machine of the control replica that leads. */
+  async findLeader(): Promise<number> {
+    const texts = await Promise.all([1, 2, 3].map(async (machine) => (
+      (await request(`http://127.0.0.${machine}:${this.operatorPort}/metrics`)).body.text())));
+    return 1 + texts.findIndex((text) => /^beechlift_control_leads 1$/m.test(text));
+  }
+
   async askDirectory(machine: number): Promise<string[]> {
     const { body } = await request(`http://127.0.0.${machine}:${this.ports[2]}/v1/resolution?name=a.example&zone=a`);
     return (await body.json() as { addresses?: string[] }).addresses ?? [];
@@ -244,6 +264,30 @@
     await waitFor('control is back', async () => (await site.askDirectory(2)).length === 2);
   });
 
+  /*
+   * A confirmed change adds a key; 2.6 s later an entry turns the key away, as the document before
+   * says. Nobody answered its questions meanwhile: it and the leader had stopped, another leader
+   * took the change. Its lease counted from the time in which a key must be dead, not from the one
+   * in which a change must be in force. Proof: it stopped serving by itself, at the lease's end.
+   */
+  it('should not serve by an older document when a change must be in force', async () => {
+    await waitFor('a leader leads', async () => await site.findLeader() > 0);
+    const leader = `control-${await site.findLeader()}`;
+    const others = ['control-1', 'control-2', 'control-3'].filter((name) => name !== leader);
+    const other = Number(others[0]?.slice(-1));
+    try {
+      site.freeze([leader, 'entry-4']);
+      await waitFor('a change is accepted', async () => await site.post(other, '/v1/Configuration.Replace', buildDocument(9, ['k2', 'k3'])) === 200);
+      site.freeze(others);
+      await pause(APPLY_MS + 100);
+      site.resume(['entry-4']);
+      expect((await call(4, 'k3')).status).toBe(503);
+    } finally {
+      site.resume([leader, ...others, 'entry-4']);
+    }
+    await waitFor('the key opens', async () => (await call(4, 'k3')).status === 200);
+  });
+
   it('should end an entry in order, named to nobody before it goes', async () => {
     const ended = site.end('entry-5', 'SIGTERM');
     await waitFor('it is named no more', async () => (await site.askDirectory(2)).length === 1);
--- /dev/null
+++ b/tests/wire/rpc-link.spec.ts
@@ -0,0 +1,55 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import {
+  PlaceDecisions, SiteClient, SiteService, WatchReply, WatchRequest,
+} from '../../src/protocol/generated/beechlift';
+import type { PlaceNews } from '../../src/protocol/generated/beechlift';
+import { Operation } from '../../src/utils/operation';
+import { RpcLink } from '../../src/wire/rpcLink';
+import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
+import type { StreamEnd } from '../../src/wire/rpcServer';
+
+const ANSWER_MS = 300;
+
+describe('a link to a peer', () => {
+  const server = new RpcServer();
+  let link: RpcLink<SiteClient> | undefined;
+
+  afterEach(() => {
+    link?.close();
+    server.close();
+  });
+
+  /*
+   * Entries gave a connection up for a late decision, and their question, on the same connection,
+   * ended within milliseconds: one seemed to end the other. It does not once a call has begun.
+   */
+  it('should let a call end that is under way on a connection which is given up', async () => {
+    server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>(async () => {
+        await pause(ANSWER_MS);
+        return WatchReply.fromPartial({ leaseMs: 7 });
+      }),
+      place: handleStream((stream: StreamEnd<PlaceNews, PlaceDecisions>) => (
+        stream.listen({ take: () => undefined, close: () => undefined }))),
+    });
+    const address = await server.listen('127.0.0.1:0');
+    link = new RpcLink(SiteClient, address);
+    const ask = () => (link as RpcLink<SiteClient>).call<WatchRequest, WatchReply>(
+      (stub) => stub.watch.bind(stub),
+      WatchRequest.fromPartial({}),
+      new Operation({ timeoutMs: 2_000 }),
+    );
+    await ask();
+    const answer = ask();
+    const closed: (Error | undefined)[] = [];
+    const stream = link.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), {
+      take: () => undefined, close: (error) => closed.push(error),
+    });
+    await pause(50);
+    stream.suspect();
+    expect((await answer).leaseMs).toBe(7);
+  });
+});
