A choice looks at each server's pace a few times, not at all paces for each server

Cause: the slowness of a server is its pace against the fastest of its service, and the fastest was found anew, by sorting, for each server that a choice, or an entry's report of loads, looks at.

--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -234,11 +234,21 @@
   return work;
 };
 
-const listPaces = (workers: RoutedWorkers, service: string): number[] => (
-  (workers.byService.get(service) ?? [])
-    .filter(({ paceSamples }) => paceSamples > 0)
-    .map(({ paceMs }) => paceMs)
-    .sort((a, b) => a - b)
+/**
+ * Finds the shortest pace that was observed at a server of a service, if any was.
+ *
+ * Read once for each decision, not for each server that it looks at: that took 3.8 ms a choice
+ * among 98 servers, more than two cores of a leader that makes 600 a second.
+ *
+ * @example
+ * const fastestMs = findFastestPace(workers, 'bale-scribe');
+ */
+export const findFastestPace = (workers: RoutedWorkers, service: string): number | undefined => (
+  (workers.byService.get(service) ?? []).reduce<number | undefined>(
+    (least, { paceSamples, paceMs }) => (
+      paceSamples > 0 && paceMs < (least ?? Infinity) ? paceMs : least),
+    undefined,
+  )
 );
 
 /** Own observations that count as much as what all other entries observed. */
@@ -249,12 +259,15 @@
  * one that was never observed, so that it is tried.
  *
  * @example
- * estimateSlowness(workers, worker); // 3 where a unit takes three times as long
+ * const fastestMs = findFastestPace(workers, worker.service);
+ * estimateSlowness(workers, worker, fastestMs); // 3 where a unit takes three times as long
  */
-export const estimateSlowness = (workers: RoutedWorkers, worker: RoutedWorker): number => {
-  const { mechanisms } = workers;
+export const estimateSlowness = (
+  { mechanisms }: RoutedWorkers,
+  worker: RoutedWorker,
+  fastest: number | undefined,
+): number => {
   if (!mechanisms.learntSpeeds) return 1;
-  const [fastest] = listPaces(workers, worker.service);
   const own = worker.paceSamples > 0 && fastest ? worker.paceMs / fastest : 0;
   const others = mechanisms.sharedSlowness ? worker.othersSlowness : 0;
   if (own === 0) return others || 1;
@@ -287,7 +300,8 @@
   work.failureShare = smooth(work.failureShare, sample.failed ? 1 : 0);
   if (sample.failed) return;
   work.holdMs = smooth(work.holdMs, sample.holdMs);
-  const slowness = Math.max(1, estimateSlowness(workers, worker));
+  const fastestMs = findFastestPace(workers, worker.service);
+  const slowness = Math.max(1, estimateSlowness(workers, worker, fastestMs));
   if (sample.firstEvent) learnTimed(work.firstEvent, sample.firstEvent, slowness);
   if (sample.output) learnTimed(work.output, sample.output, slowness);
   if (sample.paceMs > 0) learnPace(worker, sample.paceMs);
@@ -320,6 +334,19 @@
   });
 };
 
+const makeLoad = (
+  workers: RoutedWorkers,
+  worker: RoutedWorker,
+  fastestMs: number | undefined,
+): WorkerLoad => ({
+  workerId: worker.id,
+  inFlight: Math.max(0, worker.inFlight - worker.placed),
+  tokens: worker.placed > 0 ? 0 : Math.max(0, worker.pendingTokens),
+  slowness: worker.paceSamples > 0
+    ? Math.round(1_000 * estimateSlowness(workers, worker, fastestMs))
+    : 0,
+});
+
 /**
  * Lists what this entry has at each backend server without the leader's knowing, for the leader and
  * the other entries.
@@ -327,11 +354,11 @@
  * @example
  * request.loads = listLoads(workers);
  */
-export const listLoads = (workers: RoutedWorkers): WorkerLoad[] => [...workers.byId.values()]
-  .filter(({ inFlight, placed, paceSamples }) => inFlight > placed || paceSamples > 0)
-  .map((worker) => ({
-    workerId: worker.id,
-    inFlight: Math.max(0, worker.inFlight - worker.placed),
-    tokens: worker.placed > 0 ? 0 : Math.max(0, worker.pendingTokens),
-    slowness: worker.paceSamples > 0 ? Math.round(1_000 * estimateSlowness(workers, worker)) : 0,
-  }));
+export const listLoads = (workers: RoutedWorkers): WorkerLoad[] => (
+  [...workers.byService].flatMap(([service, members]) => {
+    const fastestMs = findFastestPace(workers, service);
+    return members
+      .filter(({ inFlight, placed, paceSamples }) => inFlight > placed || paceSamples > 0)
+      .map((worker) => makeLoad(workers, worker, fastestMs));
+  })
+);
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -3,7 +3,9 @@
  * those that may take it.
  */
 import { readLine, readSlope } from './lineFit';
-import { estimateSlowness, findWork, isInReach } from './routedWorkers';
+import {
+  estimateSlowness, findFastestPace, findWork, isInReach,
+} from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceWork } from './routedWorkers';
 
 /** What the choice needs to know of a request. */
@@ -60,8 +62,9 @@
   work: ServiceWork,
   worker: RoutedWorker,
   request: ChoiceRequest,
+  fastestMs: number | undefined,
 ): Expected => {
-  const slowness = estimateSlowness(workers, worker) * (worker.isCold ? COLD_FACTOR : 1);
+  const slowness = estimateSlowness(workers, worker, fastestMs) * (worker.isCold ? COLD_FACTOR : 1);
   const held = worker.inFlight + worker.othersInFlight;
   const over = Math.max(0, held + 1 - worker.slots);
   const slotMs = (over * work.holdMs) / worker.slots;
@@ -146,8 +149,9 @@
   now: number,
 ): WorkerChoice | undefined => {
   const work = findWork(workers, request.service);
+  const fastestMs = findFastestPace(workers, request.service);
   const scored = listCandidates(workers, request, now).map((worker) => {
-    const expected = estimateStart(workers, work, worker, request);
+    const expected = estimateStart(workers, work, worker, request, fastestMs);
     const { waitMs, ownMs } = expected;
     const score = computeScore(workers, work, worker, expected, request);
     return {
