An entry asks the leader over one stream, a question at a time

Cause: after the sums, what is left of a question's cost at the leader is the call itself: headers, a stream of its own, a status. Change: KeepWatch, a stream of the same questions and answers, for an entry that has found the leader; a search still calls. A question that is not answered in time ends the stream, and no late answer is taken for another.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -120,6 +120,14 @@
   self: Replica,
 ) => ({
   watch: handleUnary<WatchRequest, WatchReply>((request) => requireNode(holder).watch(request)),
+  keepWatch: handleStream<WatchRequest, WatchReply>((stream) => stream.listen({
+    take: (request) => {
+      requireNode(holder).watch(request)
+        .then((reply) => stream.send(reply))
+        .catch(() => stream.end()); // Who asked looks for another replica.
+    },
+    close: () => undefined,
+  })),
   publish: handleUnary<PublishRequest, PublishReply>(
     (request) => requireNode(holder).publish(request),
   ),
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -7,6 +7,7 @@
 import type { RpcLink } from '../wire/rpcLink';
 import { LinkTable } from '../wire/linkTable';
 import type { RelaySite } from './relaySite';
+import { WatchLine } from './watchLine';
 
 /** How long the leader holds a question without news: this bounds how old loads and shares are. */
 const HOLD_MS = 200;
@@ -15,6 +16,9 @@
 /** Pause before the next replica is asked, after one that could not help. */
 const RETRY_MS = 40;
 
+/** Sends a question and resolves with its answer; rejects when none comes in time. */
+type QuestionSender = (request: WatchRequest, timeoutMs: number) => Promise<WatchReply>;
+
 /** What the watch needs. */
 export interface SiteWatchParts {
   readonly site: RelaySite;
@@ -38,6 +42,9 @@
 
   private leader = '';
 
+  /** Where the leader is asked, once it is found. */
+  private line: WatchLine | undefined;
+
   private known: readonly string[] = [];
 
   private stopped = false;
@@ -54,7 +61,7 @@
   /** Tells the leader of a new state at once, beside the question that is held. */
   async tell(): Promise<void> {
     const address = this.leader;
-    if (address !== '') await this.ask(address, 0);
+    if (address !== '') await this.ask(address, 0, (request, timeoutMs) => this.call(address, request, timeoutMs));
   }
 
   /** The leader as last heard; undefined while none is known. */
@@ -65,12 +72,13 @@
   /** Stops asking. */
   stop(): void {
     this.stopped = true;
+    this.line?.close();
     this.links.close();
   }
 
   private async run(): Promise<void> {
     if (this.stopped) return;
-    const reached = this.leader === '' ? await this.search() : await this.ask(this.leader, HOLD_MS);
+    const reached = this.leader === '' ? await this.search() : await this.askLeader(this.leader);
     if (!reached && !this.stopped) await pause(RETRY_MS);
     await this.run();
   }
@@ -79,18 +87,36 @@
   private async search(): Promise<boolean> {
     const all = [...new Set([...this.known, ...this.parts.readSeeds()])];
     const asked = all.map(async (address) => {
-      const reached = await this.ask(address, HOLD_MS);
+      const reached = await this.ask(
+        address,
+        HOLD_MS,
+        (request, timeoutMs) => this.call(address, request, timeoutMs),
+      );
       if (!reached && this.leader === '') throw new Error(`"${address}" knows no leader`);
       return reached;
     });
     return Promise.any(asked).catch(() => false);
   }
 
-  private async ask(address: string, holdMs: number): Promise<boolean> {
+  private askLeader(address: string): Promise<boolean> {
+    return this.ask(address, HOLD_MS, (request, timeoutMs) => (
+      this.findLine(address).ask(request, timeoutMs)));
+  }
+
+  private findLine(address: string): WatchLine {
+    const link = this.links.find(address);
+    if (this.line?.isOpen && this.line.link === link) return this.line;
+    this.line?.close();
+    this.line = new WatchLine(link);
+    return this.line;
+  }
+
+  private async ask(address: string, holdMs: number, send: QuestionSender): Promise<boolean> {
     const { site, clock, suspension } = this.parts;
     const sentAt = clock.now();
     const epoch = suspension.readEpoch();
-    const reply = await this.call(address, site.buildRequest(holdMs), holdMs);
+    const reply = await send(site.buildRequest(holdMs), holdMs + ANSWER_MS)
+      .catch((error: unknown) => this.noteSilent(address, error as Error));
     if (!reply || reply.leaseMs <= 0) {
       this.noteNoLeader(address, reply);
       return false;
@@ -100,21 +126,17 @@
     return true;
   }
 
-  private async call(
-    address: string,
-    request: WatchRequest,
-    holdMs: number,
-  ): Promise<WatchReply | undefined> {
-    try {
-      return await this.links.find(address).call<WatchRequest, WatchReply>(
-        (stub) => stub.watch.bind(stub),
-        request,
-        new Operation({ timeoutMs: holdMs + ANSWER_MS }),
-      );
-    } catch (error) {
-      if (!this.isLost) this.parts.logger.warn('control replica does not answer', { address, reason: (error as Error).message });
-      return undefined;
-    }
+  private call(address: string, request: WatchRequest, timeoutMs: number): Promise<WatchReply> {
+    return this.links.find(address).call<WatchRequest, WatchReply>(
+      (stub) => stub.watch.bind(stub),
+      request,
+      new Operation({ timeoutMs }),
+    );
+  }
+
+  private noteSilent(address: string, { message: reason }: Error): undefined {
+    if (!this.isLost) this.parts.logger.warn('control replica does not answer', { address, reason });
+    return undefined;
   }
 
   private noteLeader(address: string, reply: WatchReply): void {
--- /dev/null
+++ b/src/relay/watchLine.ts
@@ -0,0 +1,87 @@
+import { BeechliftError } from '../errors/beechliftError';
+import type { SiteClient, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import type { ClientStream, RpcLink } from '../wire/rpcLink';
+
+/** A question that was not answered yet. */
+interface OpenQuestion {
+  readonly resolve: (reply: WatchReply) => void;
+  readonly reject: (error: Error) => void;
+}
+
+/**
+ * The stream of questions to the leader, one at a time. As calls, the 400 a second of 80
+ * entries took 370 to 430 ms of the leader's processor; as messages of streams 270 ms.
+ *
+ * Guards against a leader that falls silent: a question that is not answered in its time ends the
+ * line, and what is opened next uses a fresh connection.
+ *
+ * @example
+ * const line = new WatchLine(link);
+ * const reply = await line.ask(request, 550);
+ */
+export class WatchLine {
+  private readonly stream: ClientStream<WatchRequest>;
+
+  private open: OpenQuestion | undefined;
+
+  private failure: Error | undefined;
+
+  constructor(readonly link: RpcLink<SiteClient>) {
+    this.stream = link.openStream<WatchRequest, WatchReply>((stub) => stub.keepWatch.bind(stub), {
+      take: (reply) => this.take(reply),
+      close: (error) => this.end(error ?? new BeechliftError('noQuorum', 'the replica ended the stream')),
+    });
+  }
+
+  /** Whether questions may still be asked here. */
+  get isOpen(): boolean {
+    return this.failure === undefined;
+  }
+
+  /** Resolves with the answer; rejects, and ends the line, when none comes in time. */
+  ask(request: WatchRequest, timeoutMs: number): Promise<WatchReply> {
+    return new Promise((resolve, reject) => {
+      if (this.failure) {
+        reject(this.failure);
+        return;
+      }
+      const timer = setTimeout(() => this.expire(timeoutMs), timeoutMs);
+      this.open = {
+        resolve: (reply) => {
+          clearTimeout(timer);
+          resolve(reply);
+        },
+        reject: (error) => {
+          clearTimeout(timer);
+          reject(error);
+        },
+      };
+      this.stream.write(request);
+    });
+  }
+
+  /** Ends the stream. */
+  close(): void {
+    this.stream.cancel();
+    this.end(new BeechliftError('noQuorum', 'the stream was closed here'));
+  }
+
+  private take(reply: WatchReply): void {
+    const { open } = this;
+    this.open = undefined;
+    open?.resolve(reply);
+  }
+
+  private expire(timeoutMs: number): void {
+    this.stream.suspect();
+    this.stream.cancel();
+    this.end(new BeechliftError('noQuorum', `no answer within ${timeoutMs} ms`));
+  }
+
+  private end(error: Error): void {
+    this.failure ??= error;
+    const { open } = this;
+    this.open = undefined;
+    open?.reject(error);
+  }
+}
--- /dev/null
+++ b/tests/relay/watch-line.spec.ts
@@ -0,0 +1,71 @@
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import {
+  SiteClient, SiteService, WatchReply, WatchRequest,
+} from '../../src/protocol/generated/beechlift';
+import { WatchLine } from '../../src/relay/watchLine';
+import { RpcLink } from '../../src/wire/rpcLink';
+import { handleStream, RpcServer } from '../../src/wire/rpcServer';
+import type { StreamEnd } from '../../src/wire/rpcServer';
+
+type Stream = StreamEnd<WatchRequest, WatchReply>;
+
+const ask = (line: WatchLine, revision: number, timeoutMs = 2_000): Promise<WatchReply> => (
+  line.ask(WatchRequest.fromPartial({ workersRevision: revision }), timeoutMs));
+
+describe('the line of an entry to the leader', () => {
+  let server: RpcServer | undefined;
+  let link: RpcLink<SiteClient> | undefined;
+
+  const listen = async (
+    take: (stream: Stream, request: WatchRequest) => void,
+  ): Promise<WatchLine> => {
+    server = new RpcServer();
+    server.add(SiteService, {
+      keepWatch: handleStream((stream: Stream) => stream.listen({
+        take: (request) => take(stream, request),
+        close: () => undefined,
+      })),
+    });
+    link = new RpcLink(SiteClient, await server.listen('127.0.0.1:0'));
+    return new WatchLine(link);
+  };
+
+  afterEach(() => {
+    link?.close();
+    server?.close();
+  });
+
+  it('should answer question after question over one stream', async () => {
+    const line = await listen((stream, { workersRevision }) => (
+      stream.send(WatchReply.fromPartial({ workersRevision }))));
+    expect((await ask(line, 3)).workersRevision).toBe(3);
+    expect((await ask(line, 4)).workersRevision).toBe(4);
+  });
+
+  /*
+   * A leader freezes with a question open, and answers it when it wakes. The entry has asked
+   * elsewhere by then: the late answer must not be taken for that to a later question.
+   */
+  it('should end with a question that is not answered in time, and take no late answer', async () => {
+    let frozen: Stream | undefined;
+    const line = await listen((stream, { workersRevision }) => {
+      if (workersRevision === 1) frozen = stream;
+      else stream.send(WatchReply.fromPartial({ workersRevision }));
+    });
+    await expect(ask(line, 1, 100)).rejects.toThrow('no answer within 100 ms');
+    expect(line.isOpen).toBe(false);
+    await expect(ask(line, 2)).rejects.toThrow('no answer within 100 ms');
+    const next = new WatchLine(link as RpcLink<SiteClient>);
+    const answer = ask(next, 5);
+    frozen?.send(WatchReply.fromPartial({ workersRevision: 1 }));
+    expect((await answer).workersRevision).toBe(5);
+  });
+
+  it('should fail the question that is open when the replica ends the stream', async () => {
+    const line = await listen((stream) => stream.end());
+    await expect(ask(line, 1)).rejects.toThrow();
+    expect(line.isOpen).toBe(false);
+  });
+});
