A lease of an entry ends before a change must be in force

Cause: a lease counted from the bound of a revoked key alone (5 s, less one); a change has to be in force in half of that. An entry that the leader's answers did not reach went by the older document until its lease was over: the two requests of the incident. Ruled out: waiting with the acknowledgement until all entries have the document: an entry that is cut off would hold every change up, and a change that is sent again is acknowledged by replicas that know nothing of the entries.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -18,6 +18,8 @@
 import { toPeerError } from '../wire/peerError';
 import { handleStream, handleUnary, RpcServer } from '../wire/rpcServer';
 import { BirthRecord } from './birthRecord';
+import { computeLeaseMs } from './entryLease';
+import type { LeaseBounds } from './entryLease';
 import { RoutedNode, TICK_MS } from './routedNode';
 import { SeedFounding } from './seedFounding';
 import { WorkerMemo } from './workerMemo';
@@ -43,7 +45,7 @@
   readonly readSeeds: () => readonly string[];
   readonly isFirstStart: boolean;
   readonly dataFolder: string;
-  readonly leaseMs: number;
+  readonly bounds: LeaseBounds;
   readonly voterCount: number;
   /** What accounts may use beyond their limits, over all entries together. */
   readonly limitSlack: number;
@@ -254,7 +256,7 @@
     startedAt: PROCESS_START,
     suspension: new SuspensionWatch(),
     logger,
-    leaseMs: settings.leaseMs,
+    leaseMs: computeLeaseMs(settings.bounds),
     voterCount: settings.voterCount,
     limitSlack: settings.limitSlack,
     mechanisms: makeMechanisms(settings.mechanismsOff),
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -64,7 +64,7 @@
         readSeeds: () => [0, 1, 2].map((seed) => this.readAddress(seed)),
         isFirstStart,
         dataFolder: folder,
-        leaseMs: 4_000,
+        bounds: { revokeMs: 5_000, applyMs: 5_000 },
         voterCount: 3,
         limitSlack: 1_000,
       },
