--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -85,7 +85,7 @@
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(this.watches, parts.clock, () => (
       this.isLeading || this.knowsOther));
-    this.registry = new WorkerRegistry(parts);
+    this.registry = new WorkerRegistry({ ...parts, watches: this.watches });
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
     });
@@ -173,7 +173,7 @@
     this.runner.handle({ kind: 'tick' });
     this.registry.save();
     if (!this.runner.holdsLease) return;
-    if (this.registry.expire()) this.watches.release();
+    this.registry.expire();
     this.work.measure('tend', () => this.book.tend(this.registry.table));
     this.keeper.tend(this.runner, this.book.startedAt);
     this.work.tell();
@@ -265,7 +265,7 @@
     this.gate.check(said);
     await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
-      if (this.work.measure('announce', () => this.registry.take(said))) this.watches.release();
+      this.work.measure('announce', () => this.registry.take(said));
       return { taken: true };
     }
     if (isForwarded || !this.knowsOther) return { taken: false };
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -8,8 +8,16 @@
 import type { WorkerTable } from '../core/routing/workerTable';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import type { HeldCalls } from '../utils/heldCalls';
 import type { WorkerMemo } from './workerMemo';
 
+/**
+ * How long news of a backend server wait for others, in milliseconds. Each answers the questions
+ * of all entries: where a hundred servers start together, or go down and up by turns, one by one
+ * they were answered some hundred times over. A document is told at once.
+ */
+const WORKER_NEWS_MS = 50;
+
 /** What the registry needs. */
 export interface WorkerRegistryParts {
   /** Backend servers that were known before a restart. */
@@ -17,6 +25,8 @@
   readonly memo: Pick<WorkerMemo, 'note'>;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Questions that are held until there is news. */
+  readonly watches: HeldCalls;
 }
 
 /**
@@ -24,7 +34,7 @@
  * follow its table, and all remember it over a restart.
  *
  * @example
- * if (registry.take(announcement)) watches.release();
+ * registry.take(announcement); // whoever asks for news hears of it
  */
 export class WorkerRegistry {
   table: WorkerTable = makeWorkerTable(randomUUID());
@@ -33,11 +43,12 @@
     this.adopt(parts.remembered);
   }
 
-  /** Takes in what a backend server said of itself; tells whether anything changed. */
-  take(said: WorkerAnnouncement): boolean {
+  /** Takes in what a backend server said of itself. */
+  take(said: WorkerAnnouncement): void {
     const { revision } = this.table;
     noteAnnouncement(this.table, said, this.parts.clock.now());
-    if (this.table.revision === revision) return false;
+    if (this.table.revision === revision) return;
+    this.parts.watches.releaseWithin(WORKER_NEWS_MS);
     this.parts.logger.info('backend server changed', {
       worker: said.workerId,
       service: said.service,
@@ -46,14 +57,13 @@
       sequence: said.sequence,
       born: said.born,
     });
-    return true;
   }
 
-  /** Sets silent servers aside; tells whether anything changed. */
-  expire(): boolean {
+  /** Sets silent servers aside. */
+  expire(): void {
     const { revision } = this.table;
     expireWorkers(this.table, this.parts.clock.now());
-    return this.table.revision !== revision;
+    if (this.table.revision !== revision) this.parts.watches.releaseWithin(WORKER_NEWS_MS);
   }
 
   /** Writes what changed to the disk, now and then. */
--- a/src/utils/heldCalls.ts
+++ b/src/utils/heldCalls.ts
@@ -7,6 +7,8 @@
 export class HeldCalls {
   private readonly waiting = new Set<{ end: () => void }>();
 
+  private timer: NodeJS.Timeout | undefined;
+
   /** Calls that wait. */
   get size(): number {
     return this.waiting.size;
@@ -28,6 +30,13 @@
 
   /** Lets all go that wait. */
   release(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
     [...this.waiting].forEach(({ end }) => end());
   }
+
+  /** Lets all go within a time, once for all that changes until then. */
+  releaseWithin(ms: number): void {
+    this.timer ??= setTimeout(() => this.release(), ms);
+  }
 }
--- a/tests/core/worker-starts.spec.ts
+++ b/tests/core/worker-starts.spec.ts
@@ -9,6 +9,7 @@
 import { applyRecords, makeRoutedWorkers, suspendWorker } from '../../src/core/routing/routedWorkers';
 import { WatchReply, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
+import { HeldCalls } from '../../src/utils/heldCalls';
 
 const BIRTH = 1_764_722_000_000;
 
@@ -254,6 +255,7 @@
       memo: { note: () => undefined },
       clock: { now: () => this.now },
       logger: makeLogger('test', 'silent'),
+      watches: new HeldCalls(),
     });
   }
 }
