An entry's questions to the leader keep no memory

Cause: found while reading: each question waited for the next one, so all promises since the start were held. Tests of the entry and the programs pass (124).

--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -60,8 +60,7 @@
 
   /** Tells the leader of a new state at once, beside the question that is held. */
   async tell(): Promise<void> {
-    const address = this.leader;
-    if (address !== '') await this.ask(address, 0, (request, timeoutMs) => this.call(address, request, timeoutMs));
+    if (this.leader !== '') await this.askOnce(this.leader, 0);
   }
 
   /** The leader as last heard; undefined while none is known. */
@@ -80,24 +79,27 @@
     if (this.stopped) return;
     const reached = this.leader === '' ? await this.search() : await this.askLeader(this.leader);
     if (!reached && !this.stopped) await pause(RETRY_MS);
-    await this.run();
+    // Begun anew, not waited for: each question that is waited for keeps some 0.4 KB until the
+    // process ends, 190 MB a day at five a second (300,000 in a row, after a collection).
+    this.start();
   }
 
   /** Asks all replicas at once; the first that leads, or that names who does, ends the search. */
   private async search(): Promise<boolean> {
     const all = [...new Set([...this.known, ...this.parts.readSeeds()])];
     const asked = all.map(async (address) => {
-      const reached = await this.ask(
-        address,
-        HOLD_MS,
-        (request, timeoutMs) => this.call(address, request, timeoutMs),
-      );
+      const reached = await this.askOnce(address, HOLD_MS);
       if (!reached && this.leader === '') throw new Error(`"${address}" knows no leader`);
       return reached;
     });
     return Promise.any(asked).catch(() => false);
   }
 
+  private askOnce(address: string, holdMs: number): Promise<boolean> {
+    return this.ask(address, holdMs, (request, timeoutMs) => (
+      this.call(address, request, timeoutMs)));
+  }
+
   private askLeader(address: string): Promise<boolean> {
     return this.ask(address, HOLD_MS, (request, timeoutMs) => (
       this.findLine(address).ask(request, timeoutMs)));
