A large document goes to entries packed, once for all of them

Change: from 16 KB on the document goes compressed, once for each version. A document that cannot be unpacked is logged, renews no lease and is not taken. Measured (test): 1,800 routes take under 87,500 bytes, a tenth of a second of such a link; over 350,000 as text.

--- /dev/null
+++ b/src/control/documentPacker.ts
@@ -0,0 +1,41 @@
+import { gzipSync } from 'node:zlib';
+import type { SiteDocument } from '../core/routing/siteDocument';
+import type { WatchReply } from '../protocol/generated/beechlift';
+
+/** The part of a reply that brings the document, as it is or packed. */
+export type DocumentPart = Pick<WatchReply, 'document' | 'packedDocument'>;
+
+/** Characters of a document from which on it is packed: below, packing saves less than it costs. */
+const PACKED_FROM = 16_384;
+
+const NOTHING = Buffer.alloc(0);
+
+/** What brings no document. */
+export const NO_DOCUMENT_PART: DocumentPart = { document: '', packedDocument: NOTHING };
+
+/**
+ * Packs the document in force, once for all entries.
+ *
+ * Guards changes that add many routes: a document of 1,800 routes has 470 KB, half a second of an
+ * entry's link of 7 Mbit/s and, eighty times over, more than that of the leader's processor. Most
+ * entries gave the question up before the answer had come whole, and asked for it again. Packed it
+ * has a tenth.
+ *
+ * @example
+ * const part = packer.build(site); // the same buffer until the document changes
+ */
+export class DocumentPacker {
+  private digest = '';
+
+  private packed: Buffer = NOTHING;
+
+  /** The part of a reply that brings a document. */
+  build({ digest, document }: SiteDocument): DocumentPart {
+    if (document.length < PACKED_FROM) return { document, packedDocument: NOTHING };
+    if (this.digest !== digest) {
+      this.packed = gzipSync(document);
+      this.digest = digest;
+    }
+    return { document: '', packedDocument: this.packed };
+  }
+}
--- a/src/control/watchDesk.ts
+++ b/src/control/watchDesk.ts
@@ -2,6 +2,7 @@
 import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import type { HeldCalls } from '../utils/heldCalls';
+import { DocumentPacker, NO_DOCUMENT_PART } from './documentPacker';
 import type { EntryPart, LeaderBook } from './leaderBook';
 import type { LeaderWait } from './leaderWait';
 import type { WorkerRegistry } from './workerRegistry';
@@ -46,6 +47,8 @@
  * const reply = await desk.watch(request);
  */
 export class WatchDesk {
+  private readonly packer = new DocumentPacker();
+
   constructor(private readonly parts: WatchDeskParts) {}
 
   /** Answers a question; a replica that does not lead names the one that does. */
@@ -91,7 +94,9 @@
       documentDigest: site.digest,
       documentVersion: site.version,
       // A replica that follows has the document from the log.
-      document: isEntry && request.documentDigest !== site.digest ? site.document : '',
+      ...(isEntry && request.documentDigest !== site.digest
+        ? this.packer.build(site)
+        : NO_DOCUMENT_PART),
       ...registry.buildPart(request),
     };
   }
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -13,6 +13,7 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionWatch } from '../utils/clock';
 import { HeldCalls } from '../utils/heldCalls';
+import { readDocument } from './readDocument';
 
 /** What an entry does at present, as control and the readiness check see it. */
 export type RelayState = 'starting' | 'active' | 'leaving';
@@ -168,8 +169,10 @@
     const inForce = this.table?.routing.version ?? 0;
     // Guards against a reply that was overtaken: versions only go up.
     if (reply.documentVersion < inForce) return false;
-    if (reply.documentDigest === this.digest || reply.document === '') return reply.documentDigest === this.digest;
-    const { routing, faults } = this.parts.readRouting(reply.document);
+    if (reply.documentDigest === this.digest) return true;
+    const document = this.unpackDocument(reply);
+    if (document === '') return false;
+    const { routing, faults } = this.parts.readRouting(document);
     if (!routing) {
       this.parts.logger.error('accepted document cannot be read', { faults: faults.slice(0, 3).join('; ') });
       return false;
@@ -185,6 +188,15 @@
     return true;
   }
 
+  private unpackDocument(reply: WatchReply): string {
+    try {
+      return readDocument(reply);
+    } catch (error) {
+      this.parts.logger.error('document cannot be unpacked', { reason: (error as Error).message });
+      return '';
+    }
+  }
+
   private applyWorkers(reply: WatchReply): void {
     applyRecords(this.workers, reply.workers);
     if (reply.workersEpoch !== this.workersEpoch) forgetPlaced(this.workers);
--- /dev/null
+++ b/tests/control/document-packer.spec.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from 'vitest';
+import { DocumentPacker } from '../../src/control/documentPacker';
+import { WatchReply } from '../../src/protocol/generated/beechlift';
+import { readDocument } from '../../src/relay/readDocument';
+import { RelaySite } from '../../src/relay/relaySite';
+import { makeLogger } from '../../src/telemetry/logger';
+import { SuspensionWatch } from '../../src/utils/clock';
+import { makeRoute, makeRouting } from '../fakes/routings';
+
+/** What a link of 7 Mbit/s carries in a tenth of a second. */
+const MOST_BYTES = 87_500;
+
+const makeDocument = (routes: number): string => JSON.stringify(makeRouting({
+  routes: Array.from({ length: routes }, (unused, position) => makeRoute({
+    name: `route-${(position * 7_919).toString(36)}`,
+    host: `${(position % 9).toString(36)}x.example`,
+    pathPrefix: `/${(position * 104_729).toString(36)}/`,
+  })),
+}));
+
+const build = (packer: DocumentPacker, document: string): WatchReply => WatchReply.fromPartial({
+  ...packer.build({ version: 7, digest: `d${document.length}`, document }),
+  documentDigest: 'd',
+  documentVersion: 7,
+  leaseMs: 2_000,
+});
+
+describe('the document on its way to entries', () => {
+  /*
+   * A change adds 1,740 routes, and entries answer 404 to them for seconds: the document takes half
+   * a second of an entry's link, the entry gives its question up after half a second, and asks for
+   * all of it again. Cause: it went out as text, 340 bytes a route.
+   */
+  it('should take a tenth of a second of a slow link with 1,800 routes', () => {
+    const document = makeDocument(1_800);
+    expect(document.length).toBeGreaterThan(4 * MOST_BYTES);
+    const reply = build(new DocumentPacker(), document);
+    expect(WatchReply.encode(reply).finish().length).toBeLessThan(MOST_BYTES);
+    expect(readDocument(reply)).toBe(document);
+  });
+
+  it('should be packed once for all entries, and anew when it changes', () => {
+    const packer = new DocumentPacker();
+    const document = makeDocument(200);
+    const { packedDocument } = build(packer, document);
+    expect(build(packer, document).packedDocument).toBe(packedDocument);
+    expect(readDocument(build(packer, makeDocument(300)))).toBe(makeDocument(300));
+  });
+
+  it('should go as it is where it is small', () => {
+    const reply = build(new DocumentPacker(), makeDocument(3));
+    expect([reply.document, reply.packedDocument.length]).toEqual([makeDocument(3), 0]);
+  });
+
+  it('should not be taken, and renew no lease, where it cannot be unpacked', () => {
+    const clock = { now: () => 0 };
+    const site = new RelaySite({
+      entryId: 'e1',
+      callerAddress: '',
+      zone: 'a',
+      readRouting: () => ({ routing: makeRouting({}), faults: [] }),
+      clock,
+      suspension: new SuspensionWatch(clock, () => 0),
+      logger: makeLogger('test', 'silent'),
+      retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+    });
+    const reply = build(new DocumentPacker(), makeDocument(200));
+    site.applyReply({ ...reply, packedDocument: Buffer.from('not packed') }, 0, 0);
+    expect(site.isServing).toBe(false);
+    site.applyReply(reply, 0, 0);
+    expect(site.isServing).toBe(true);
+  });
+});
