A stream to a replica that still looks for the others ends, and not the replica

Cause, found in the last reading of the new stream: what is thrown while a message is taken in ends the process; a replica that starts again is asked by entries that were told it leads. The test shows the unhandled error without the change, and passes with it. Change: the node is asked for when the stream opens; an answer that fails is logged and ends the stream. An entry that cannot take an answer in begins anew, and logs it, in place of asking no more.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -120,16 +120,22 @@
   holder: NodeHolder,
   record: BirthRecord,
   self: Replica,
+  logger: Logger,
 ) => ({
   watch: handleUnary<WatchRequest, WatchReply>((request) => requireNode(holder).watch(request)),
-  keepWatch: handleStream<WatchRequest, WatchReply>((stream) => stream.listen({
-    take: (request) => {
-      requireNode(holder).watch(request)
-        .then((reply) => stream.send(reply))
-        .catch(() => stream.end()); // Who asked looks for another replica.
-    },
-    close: () => undefined,
-  })),
+  keepWatch: handleStream<WatchRequest, WatchReply>((stream) => {
+    // Asked for when the stream opens: what is thrown then ends the stream, not the process.
+    const node = requireNode(holder);
+    stream.listen({
+      take: (request) => {
+        node.watch(request).then((reply) => stream.send(reply)).catch((thrown: unknown) => {
+          logger.error('question not answered', { entry: request.entryId, reason: toBeechliftError(thrown).message });
+          stream.end(); // Who asked looks for another replica.
+        });
+      },
+      close: () => undefined,
+    });
+  }),
   publish: handleUnary<PublishRequest, PublishReply>(
     (request) => requireNode(holder).publish(request),
   ),
@@ -213,7 +219,7 @@
   const self: Replica = { id: record.id, address: settings.address, zone: settings.zone };
   const holder: NodeHolder = { node: undefined };
   const server = new RpcServer();
-  server.add(SiteService, makeService(holder, record, self));
+  server.add(SiteService, makeService(holder, record, self, logger));
   await server.listen(settings.address);
   const founders = await new SeedFounding({
     record,
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -55,7 +55,16 @@
 
   /** Begins to ask. */
   start(): void {
-    this.run().catch((error: unknown) => this.parts.logger.error('watch ended', { reason: String(error) }));
+    this.run().catch((error: unknown) => this.resume(error));
+  }
+
+  /*
+   * Guards an entry against an answer that it cannot take in, whatever is wrong with it: one that
+   * asked no more would serve nobody until it is restarted.
+   */
+  private resume(error: unknown): void {
+    this.parts.logger.error('asking control failed, and is begun anew', { reason: String(error) });
+    setTimeout(() => this.start(), RETRY_MS).unref();
   }
 
   /** Tells the leader of a new state at once, beside the question that is held. */
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -10,10 +10,12 @@
 import { checkRouting } from '../../src/manifest/checkRouting';
 import type { RoutingReader, Routing } from '../../src/manifest/routing';
 import {
-  PlaceNews, PlaceRequest, WatchRequest, WorkerAnnouncement,
+  PlaceNews, PlaceRequest, SiteClient, WatchRequest, WorkerAnnouncement,
 } from '../../src/protocol/generated/beechlift';
 import type { PlaceReply } from '../../src/protocol/generated/beechlift';
+import { WatchLine } from '../../src/relay/watchLine';
 import { makeLogger } from '../../src/telemetry/logger';
+import { RpcLink } from '../../src/wire/rpcLink';
 import { findFreeAddress } from '../fakes/freeAddress';
 import { makeRoute, makeRouting } from '../fakes/routings';
 
@@ -106,7 +108,7 @@
       rm(folder, { recursive: true, force: true }))));
   }
 
-  private readAddress(position: number): string {
+  readAddress(position: number): string {
     return this.addresses[position] ?? '';
   }
 }
@@ -131,6 +133,24 @@
     site = undefined;
   });
 
+  /*
+   * A replica that starts again is asked, over a stream, by entries that were told it leads. It does
+   * not know the others yet, and the error of that ended its process, each time it was asked.
+   */
+  it('should end the stream of who asks a replica that still looks for the others', async () => {
+    const started = await ControlSite.open(3);
+    site = started;
+    const starting = started.start(0, true);
+    const link = new RpcLink(SiteClient, started.readAddress(0));
+    const ask = () => new WatchLine(link).ask(WatchRequest.fromPartial({ entryId: 'e1' }), 1_000);
+    const isRefused = async () => /still looking/.test(await ask().then(() => '', String));
+    await waitFor(isRefused, 'it is reached and looks for the others');
+    link.close();
+    await Promise.all([1, 2].map((position) => started.start(position, true)));
+    await starting;
+    await started.waitLeader();
+  });
+
   it('should take a document at any replica and read the newest at every one', async () => {
     const started = await found();
     expect((await publish(1, formatDocument(4))).code).toBe(0);
