--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -134,8 +134,8 @@
   });
 
   /*
-   * A replica that starts again is asked, over a stream, by entries that were told it leads. It does
-   * not know the others yet, and the error of that ended its process, each time it was asked.
+   * A replica that starts again is asked, over a stream, by entries that were told it leads. It
+   * does not know the others yet, and the error of that ended its process, each time it was asked.
    */
   it('should end the stream of who asks a replica that still looks for the others', async () => {
     const started = await ControlSite.open(3);
