--- a/src/control/documentPacker.ts
+++ b/src/control/documentPacker.ts
@@ -16,10 +16,9 @@
 /**
  * Packs the document in force, once for all entries.
  *
- * Guards changes that add many routes: a document of 1,800 routes has 470 KB, half a second of an
- * entry's link of 7 Mbit/s and, eighty times over, more than that of the leader's processor. Most
- * entries gave the question up before the answer had come whole, and asked for it again. Packed it
- * has a tenth.
+ * Guards changes that add many routes: as text, a document of 1,800 routes takes 0.4 s and more of
+ * an entry's link of 7 Mbit/s, and an entry gives a question up half a second after it asked; then
+ * it asks for all of it again. Packed, it takes under 0.1 s.
  *
  * @example
  * const part = packer.build(site); // the same buffer until the document changes
