--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -3,10 +3,9 @@
  * those that may take it.
  */
 import { readLine, readSlope } from './lineFit';
-import {
-  estimateSlowness, findFastestPace, findWork, isInReach,
-} from './routedWorkers';
+import { findWork, isInReach } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceWork } from './routedWorkers';
+import { estimateSlowness, findFastestPace } from './workerSlowness';
 
 /** What the choice needs to know of a request. */
 export interface ChoiceRequest {
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -1,117 +1,15 @@
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
-import { startRoutedControl } from '../../src/control/routedControl';
-import type { RunningRoutedControl } from '../../src/control/routedControl';
-import { checkRouting } from '../../src/manifest/checkRouting';
-import type { RoutingReader, Routing } from '../../src/manifest/routing';
 import {
   PlaceNews, PlaceRequest, SiteClient, WatchRequest, WorkerAnnouncement,
 } from '../../src/protocol/generated/beechlift';
 import type { PlaceReply } from '../../src/protocol/generated/beechlift';
 import { WatchLine } from '../../src/relay/watchLine';
-import { makeLogger } from '../../src/telemetry/logger';
 import { RpcLink } from '../../src/wire/rpcLink';
-import { findFreeAddress } from '../fakes/freeAddress';
-import { makeRoute, makeRouting } from '../fakes/routings';
-
-const readRouting: RoutingReader = (document) => {
-  try {
-    const routing = JSON.parse(document) as Routing;
-    const faults = checkRouting(routing);
-    return faults.length > 0 ? { routing: undefined, faults } : { routing, faults: [] };
-  } catch (error) {
-    return { routing: undefined, faults: [(error as Error).message] };
-  }
-};
-
-const waitFor = async (isDone: () => boolean | Promise<boolean>, what: string): Promise<void> => {
-  const until = performance.now() + 15_000;
-  const poll = async (): Promise<void> => {
-    if (await isDone()) return;
-    if (performance.now() > until) throw new Error(`not within 15 s: ${what}`);
-    await pause(20);
-    await poll();
-  };
-  await poll();
-};
-
-const formatDocument = (version: number, changes: Partial<Routing> = {}): string => (
-  JSON.stringify(makeRouting({ version, ...changes })));
-
-/** Control replicas of one site, as real servers on loopback with data folders of their own. */
-class ControlSite {
-  readonly running = new Map<number, RunningRoutedControl>();
-
-  private readonly folders = new Map<number, string>();
-
-  private constructor(private readonly addresses: readonly string[]) {}
-
-  static async open(count: number): Promise<ControlSite> {
-    const addresses = await Promise.all(Array.from({ length: count }, findFreeAddress));
-    return new ControlSite(addresses);
-  }
-
-  async start(position: number, isFirstStart: boolean): Promise<void> {
-    const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
-    this.folders.set(position, folder);
-    this.running.set(position, await startRoutedControl({
-      settings: {
-        zone: 'a',
-        address: this.readAddress(position),
-        readSeeds: () => [0, 1, 2].map((seed) => this.readAddress(seed)),
-        isFirstStart,
-        dataFolder: folder,
-        bounds: { revokeMs: 5_000, applyMs: 5_000 },
-        voterCount: 3,
-        limitSlack: 1_000,
-      },
-      readRouting,
-      logger: makeLogger(`control/${position}`, (process.env.BEECHLIFT_LOGS ? 'info' : 'silent')),
-      failStorage: () => undefined,
-    }));
-  }
-
-  async stop(position: number): Promise<void> {
-    await this.running.get(position)?.stop();
-    this.running.delete(position);
-  }
-
-  async dropDisk(position: number): Promise<void> {
-    await this.stop(position);
-    await rm(this.folders.get(position) ?? '', { recursive: true, force: true });
-    this.folders.delete(position);
-  }
-
-  findNode(position: number) {
-    const running = this.running.get(position);
-    if (!running) throw new Error(`replica ${position} does not run`);
-    return running.node;
-  }
-
-  findLeader(): number | undefined {
-    return [...this.running].find(([, { node }]) => node.isLeading)?.[0];
-  }
-
-  async waitLeader(): Promise<number> {
-    await waitFor(() => this.findLeader() !== undefined, 'a leader');
-    return this.findLeader() ?? -1;
-  }
-
-  async close(): Promise<void> {
-    await Promise.all([...this.running.keys()].map((position) => this.stop(position)));
-    await Promise.all([...this.folders.values()].map((folder) => (
-      rm(folder, { recursive: true, force: true }))));
-  }
-
-  readAddress(position: number): string {
-    return this.addresses[position] ?? '';
-  }
-}
+import { ControlSite, formatDocument, waitFor } from '../fakes/controlSite';
+import { makeRoute } from '../fakes/routings';
 
 describe('control of a routed site', () => {
   let site: ControlSite | undefined;
