Whether a document is packed is decided in one place; an open question carries its own timer

Cause: read once more, the bound above which a document is packed stood in the log's command and in the entries' part, and the timer of a question was cleared in two wrappers around its promise. Behaviour is the same. Measured: tests of control, relay and the programs pass (167), linter and types clean.

--- a/src/control/documentCommand.ts
+++ b/src/control/documentCommand.ts
@@ -1,5 +1,5 @@
 import type { DocumentCommand } from '../core/routing/siteDocument';
-import { PACKED_FROM, packText, unpackText } from '../utils/packedText';
+import { packLarge, unpackText } from '../utils/packedText';
 
 /** A command as it stands in the log: with the document itself, or packed, in base64. */
 interface StoredCommand {
@@ -20,10 +20,8 @@
  * runner.propose(encodeCommand({ version: 7, document }), operation);
  */
 export const encodeCommand = ({ version, document }: DocumentCommand): string => {
-  const isLarge = document.length >= PACKED_FROM;
-  const stored: StoredCommand = isLarge
-    ? { version, packed: packText(document).toString('base64') }
-    : { version, document };
+  const packed = packLarge(document)?.toString('base64');
+  const stored: StoredCommand = packed === undefined ? { version, document } : { version, packed };
   return JSON.stringify(stored);
 };
 
--- a/src/control/documentPacker.ts
+++ b/src/control/documentPacker.ts
@@ -1,6 +1,6 @@
 import type { SiteDocument } from '../core/routing/siteDocument';
 import type { WatchReply } from '../protocol/generated/beechlift';
-import { PACKED_FROM, packText } from '../utils/packedText';
+import { packLarge } from '../utils/packedText';
 
 /** The part of a reply that brings the document, as it is or packed. */
 export type DocumentPart = Pick<WatchReply, 'document' | 'packedDocument'>;
@@ -23,15 +23,15 @@
 export class DocumentPacker {
   private digest = '';
 
-  private packed: Buffer = NOTHING;
+  private part = NO_DOCUMENT_PART;
 
   /** The part of a reply that brings a document. */
   build({ digest, document }: SiteDocument): DocumentPart {
-    if (document.length < PACKED_FROM) return { document, packedDocument: NOTHING };
     if (this.digest !== digest) {
-      this.packed = packText(document);
+      const packed = packLarge(document);
+      this.part = packed ? { document: '', packedDocument: packed } : { document, packedDocument: NOTHING };
       this.digest = digest;
     }
-    return { document: '', packedDocument: this.packed };
+    return this.part;
   }
 }
--- a/src/relay/watchLine.ts
+++ b/src/relay/watchLine.ts
@@ -6,6 +6,8 @@
 interface OpenQuestion {
   readonly resolve: (reply: WatchReply) => void;
   readonly reject: (error: Error) => void;
+  /** Ends the line when no answer comes in time. */
+  readonly timer: NodeJS.Timeout;
 }
 
 /**
@@ -45,17 +47,7 @@
         reject(this.failure);
         return;
       }
-      const timer = setTimeout(() => this.expire(timeoutMs), timeoutMs);
-      this.open = {
-        resolve: (reply) => {
-          clearTimeout(timer);
-          resolve(reply);
-        },
-        reject: (error) => {
-          clearTimeout(timer);
-          reject(error);
-        },
-      };
+      this.open = { resolve, reject, timer: setTimeout(() => this.expire(timeoutMs), timeoutMs) };
       this.stream.write(request);
     });
   }
@@ -67,9 +59,7 @@
   }
 
   private take(reply: WatchReply): void {
-    const { open } = this;
-    this.open = undefined;
-    open?.resolve(reply);
+    this.settle()?.resolve(reply);
   }
 
   private expire(timeoutMs: number): void {
@@ -80,8 +70,14 @@
 
   private end(error: Error): void {
     this.failure ??= error;
+    this.settle()?.reject(error);
+  }
+
+  /** Takes the question that is open, whose time no longer counts. */
+  private settle(): OpenQuestion | undefined {
     const { open } = this;
     this.open = undefined;
-    open?.reject(error);
+    clearTimeout(open?.timer);
+    return open;
   }
 }
--- a/src/utils/packedText.ts
+++ b/src/utils/packedText.ts
@@ -4,18 +4,19 @@
 const MAX_BYTES = 67_108_864;
 
 /** Characters of a text from which on it is packed: below, packing saves less than it costs. */
-export const PACKED_FROM = 16_384;
+const PACKED_FROM = 16_384;
 
 /**
- * Packs a text by gzip.
+ * Packs a text by gzip where it is large; a small one is better sent as it is.
  *
  * @example
- * const bytes = packText(document); // a tenth of a document of many routes
+ * const packed = packLarge(document); // a tenth of a document of many routes; undefined of few
  */
-export const packText = (text: string): Buffer => gzipSync(text);
+export const packLarge = (text: string): Buffer | undefined => (
+  text.length < PACKED_FROM ? undefined : gzipSync(text));
 
 /**
- * Unpacks what `packText` made; throws for anything else, and beyond 64 MiB.
+ * Unpacks what `packLarge` made; throws for anything else, and beyond 64 MiB.
  *
  * @example
  * const text = unpackText(bytes);
