A replica looks for a leader once for all who wait for one

Cause: each question that waited for a leader looked for itself every 10 ms. With 200 entries that ask a replica without a leader this is 20,000 timers and looks a second, in the process that has to elect the next one. Shown by a test that counts looks (it failed: its looks grow with who waits). After: one look a tick and a message of the log.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -84,8 +84,7 @@
     this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
     this.book = new LeaderBook(parts);
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
-    this.leaderWait = new LeaderWait(this.watches, parts.clock, () => (
-      this.isLeading || this.knowsOther));
+    this.leaderWait = new LeaderWait(() => this.isLeading || this.knowsOther);
     this.registry = new WorkerRegistry({ ...parts, watches: this.watches });
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
@@ -172,6 +171,7 @@
     this.noteSuspension();
     this.work.noteTick();
     this.runner.handle({ kind: 'tick' });
+    this.leaderWait.check();
     this.registry.save();
     if (!this.runner.holdsLease) return;
     this.registry.expire();
@@ -184,6 +184,7 @@
   step(message: LogMessage): void {
     this.keeper.noteHeard(message.from);
     this.runner.handle({ kind: 'message', message });
+    this.leaderWait.check();
   }
 
   /** Answers an entry or a replica that follows, held until there is news. */
@@ -291,6 +292,7 @@
 
   /** Ends all that wait. */
   stop(): Promise<void> {
+    this.leaderWait.release();
     this.watches.release();
     return this.runner.stop();
   }
--- /dev/null
+++ b/tests/control/leader-wait.spec.ts
@@ -0,0 +1,57 @@
+import {
+  afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import { LeaderWait } from '../../src/control/leaderWait';
+
+describe('the wait for a leader', () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /*
+   * A leader is lost, and two hundred entries ask each replica who leads. Each question looked for
+   * itself every 10 ms: 20,000 looks a second filled the replicas that had to elect the next one.
+   */
+  it('should look for a leader once for all who wait', async () => {
+    let looks = 0;
+    let isSettled = false;
+    const wait = new LeaderWait(() => {
+      looks += 1;
+      return isSettled;
+    });
+    let ended = 0;
+    const waiting = Promise.all(Array.from({ length: 200 }, () => wait.wait(1_000).then(() => {
+      ended += 1;
+    })));
+    for (let turn = 0; turn < 20; turn += 1) {
+      wait.check();
+      // eslint-disable-next-line no-await-in-loop -- one turn after the other
+      await vi.advanceTimersByTimeAsync(25);
+    }
+    expect(ended).toBe(0);
+    expect(looks).toBeLessThanOrEqual(200 + 20);
+    isSettled = true;
+    wait.check();
+    await waiting;
+    expect(ended).toBe(200);
+  });
+
+  it('should end after its time where no leader is found', async () => {
+    const wait = new LeaderWait(() => false);
+    const waiting = wait.wait(300);
+    await vi.advanceTimersByTimeAsync(300);
+    await expect(waiting).resolves.toBeUndefined();
+  });
+
+  it('should not wait where a leader is known, and end when the replica stops', async () => {
+    await expect(new LeaderWait(() => true).wait(1_000)).resolves.toBeUndefined();
+    const wait = new LeaderWait(() => false);
+    const waiting = wait.wait(1_000);
+    wait.release();
+    await expect(waiting).resolves.toBeUndefined();
+  });
+});
