Entries ask few replicas for the leader, and the leader less often the more they are

Cause: while no leader was known, each entry asked all replicas four to five times a second (40 questions in 2 s before five replicas, now 9 at most): at 191 entries some 800 a second for each replica that had to elect the next leader. Replicas that are down were tried every 40 ms over a fresh connection each (135 calls in 2 s before three, now 36). With a leader, an entry of 200 asked it 10 times in 2 s, now 5 at most: 400 questions a second in all, whatever the number of entries up to 240. The silence that sets an entry aside goes with it: 900 ms up to 80 entries as before, 1.45 s at 191. Four tests, three failed before.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -2,6 +2,7 @@
 import type {
   EntryRecord, WatchRequest, WorkerLoad,
 } from '../protocol/generated/beechlift';
+import { computeSilenceMs } from '../core/routing/questionPace';
 import { LoadSums } from './loadSums';
 
 /** What the leader knows of an entry. */
@@ -16,12 +17,6 @@
 /** Bounds the table. */
 const MAX_ENTRIES = 2_000;
 
-/**
- * Silence after which callers are not sent to an entry, in milliseconds: three askings, each held
- * for a quarter of a second.
- */
-const SILENCE_MS = 900;
-
 /** Silence after which what an entry holds is given to others, in milliseconds. */
 const GONE_MS = 2_000;
 
@@ -119,10 +114,11 @@
   private expire(now: number): void {
     if (now - this.expiredAt < EXPIRE_MS) return;
     this.expiredAt = now;
+    const mostSilentMs = computeSilenceMs(this.entries.size);
     this.entries.forEach((entry, id) => {
       const silentMs = now - entry.heardAt;
       if (silentMs > this.leaseMs) this.drop(id);
-      else if (entry.isHeard && silentMs > SILENCE_MS) this.setAside(id, entry);
+      else if (entry.isHeard && silentMs > mostSilentMs) this.setAside(id, entry);
     });
   }
 
--- /dev/null
+++ b/src/core/routing/questionPace.ts
@@ -0,0 +1,33 @@
+/** How often entries ask the leader of control, and what their silence means. */
+
+/** Questions that one leader gets from all entries together, a second, where nothing is new. */
+const QUESTIONS_PER_SECOND = 400;
+/** Bounds on how long a question without news is held, in milliseconds. */
+const MIN_HOLD_MS = 200;
+/** A lease lasts 1.8 s or more: three questions may fail before it ends. */
+const MAX_HOLD_MS = 600;
+/** Beyond what two questions take, in milliseconds: a pause of either end, and the way. */
+const SLACK_MS = 500;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Computes how long the leader may hold the question of an entry that has no news, in milliseconds.
+ *
+ * Guards the leader of a large site: standing questions cost it the same beside fifty entries and
+ * beside two hundred. Whatever changes is told at once, held or not.
+ *
+ * @example
+ * const holdMs = computeHoldMs(191); // 477.5
+ */
+export const computeHoldMs = (entryCount: number): number => Math.min(
+  MAX_HOLD_MS,
+  Math.max(MIN_HOLD_MS, (entryCount * MS_PER_SECOND) / QUESTIONS_PER_SECOND),
+);
+
+/**
+ * Computes the silence after which callers are not sent to an entry, in milliseconds: it missed two
+ * of its questions.
+ */
+export const computeSilenceMs = (entryCount: number): number => (
+  2 * computeHoldMs(entryCount) + SLACK_MS
+);
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -2,6 +2,7 @@
 import { AccountBudget } from '../core/routing/accountBudget';
 import { EntryList } from '../core/routing/entryList';
 import type { Mechanisms } from '../core/routing/mechanisms';
+import { computeHoldMs } from '../core/routing/questionPace';
 import { RetryAllowance } from '../core/routing/retryAllowance';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import {
@@ -126,6 +127,11 @@
     return this.entries.records.filter(({ id }) => !(this.isLeaving && id === this.entryId));
   }
 
+  /** How long the leader may hold a question of this entry, in milliseconds. */
+  get questionHoldMs(): number {
+    return Math.round(computeHoldMs(this.entryCount));
+  }
+
   /** What the leader of control is asked with. */
   buildRequest(holdMs: number): WatchRequest {
     const {
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -9,12 +9,21 @@
 import type { RelaySite } from './relaySite';
 import { WatchLine } from './watchLine';
 
-/** How long the leader holds a question without news: this bounds how old loads and shares are. */
-const HOLD_MS = 200;
 /** Silence beyond the hold after which another replica is asked. */
 const ANSWER_MS = 350;
-/** Pause before the next replica is asked, after one that could not help. */
+/** Replicas that are asked at once who leads: one answers where two of them are lost. */
+const SEARCH_WIDTH = 3;
+/** How long a replica holds the question who leads, while it knows no leader. */
+const SEARCH_HOLD_MS = 1_000;
+/** Bounds on the pause before replicas are asked again, after none could be reached. */
 const RETRY_MS = 40;
+const MAX_RETRY_MS = 250;
+
+const pickSome = (addresses: readonly string[]): string[] => addresses
+  .map((address) => ({ address, order: Math.random() }))
+  .sort((a, b) => a.order - b.order)
+  .slice(0, SEARCH_WIDTH)
+  .map(({ address }) => address);
 
 /** Sends a question and resolves with its answer; rejects when none comes in time. */
 type QuestionSender = (request: WatchRequest, timeoutMs: number) => Promise<WatchReply>;
@@ -51,6 +60,8 @@
 
   private isLost = false;
 
+  private retryMs = RETRY_MS;
+
   constructor(private readonly parts: SiteWatchParts) {}
 
   /** Begins to ask. */
@@ -87,17 +98,32 @@
   private async run(): Promise<void> {
     if (this.stopped) return;
     const reached = this.leader === '' ? await this.search() : await this.askLeader(this.leader);
-    if (!reached && !this.stopped) await pause(RETRY_MS);
+    if (!reached && !this.stopped) await this.pauseRetry();
     // Begun anew, not waited for: each question that is waited for keeps some 0.4 KB until the
     // process ends, 190 MB a day at five a second (300,000 in a row, after a collection).
     this.start();
   }
 
-  /** Asks all replicas at once; the first that leads, or that names who does, ends the search. */
+  /*
+   * Guards replicas that are down, and the entry itself, which a fresh connection costs a
+   * millisecond each: they are tried less and less often until one answers.
+   */
+  private async pauseRetry(): Promise<void> {
+    const ms = this.retryMs;
+    this.retryMs = Math.min(MAX_RETRY_MS, 2 * ms);
+    await pause(ms);
+  }
+
+  /**
+   * Asks some replicas at once; the first that leads, or that names who does, ends the search.
+   *
+   * Guards the election of the next leader against the entries that wait for it: one that knows
+   * none holds the question until it does.
+   */
   private async search(): Promise<boolean> {
     const all = [...new Set([...this.known, ...this.parts.readSeeds()])];
-    const asked = all.map(async (address) => {
-      const reached = await this.askOnce(address, HOLD_MS);
+    const asked = pickSome(all).map(async (address) => {
+      const reached = await this.askOnce(address, SEARCH_HOLD_MS);
       if (!reached && this.leader === '') throw new Error(`"${address}" knows no leader`);
       return reached;
     });
@@ -110,7 +136,7 @@
   }
 
   private askLeader(address: string): Promise<boolean> {
-    return this.ask(address, HOLD_MS, (request, timeoutMs) => (
+    return this.ask(address, this.parts.site.questionHoldMs, (request, timeoutMs) => (
       this.findLine(address).ask(request, timeoutMs)));
   }
 
@@ -128,6 +154,7 @@
     const epoch = suspension.readEpoch();
     const reply = await send(site.buildRequest(holdMs), holdMs + ANSWER_MS)
       .catch((error: unknown) => this.noteSilent(address, error as Error));
+    if (reply) this.retryMs = RETRY_MS;
     if (!reply || reply.leaseMs <= 0) {
       this.noteNoLeader(address, reply);
       return false;
--- /dev/null
+++ b/tests/relay/site-watch.spec.ts
@@ -0,0 +1,177 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it, vi,
+} from 'vitest';
+import { SiteService, WatchReply, WatchRequest } from '../../src/protocol/generated/beechlift';
+import { RelaySite } from '../../src/relay/relaySite';
+import { SiteWatch } from '../../src/relay/siteWatch';
+import { makeLogger } from '../../src/telemetry/logger';
+import { SuspensionWatch, systemClock } from '../../src/utils/clock';
+import { HeldCalls } from '../../src/utils/heldCalls';
+import { RpcLink } from '../../src/wire/rpcLink';
+import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
+import type { StreamEnd } from '../../src/wire/rpcServer';
+import { waitFor } from '../fakes/controlSite';
+import { findFreeAddress } from '../fakes/freeAddress';
+import { makeRouting } from '../fakes/routings';
+
+const REPLICAS = 5;
+const LEASE_MS = 2_300;
+const HOST = '127.0.0.1';
+
+/** Replicas that hold a question until they know a leader, as long as who asks allows. */
+class FakeReplicas {
+  /** Questions that any of them got. */
+  questions = 0;
+
+  /** Milliseconds for which the latest question allowed to be held. */
+  holdMs = 0;
+
+  private readonly servers: RpcServer[] = [];
+
+  private readonly held = new HeldCalls();
+
+  private leader = '';
+
+  addresses: string[] = [];
+
+  async listen(): Promise<void> {
+    this.addresses = await Promise.all(Array.from({ length: REPLICAS }, () => this.serve()));
+  }
+
+  lead(position: number): void {
+    this.leader = this.addresses[position] ?? '';
+    this.held.release();
+  }
+
+  close(): void {
+    this.held.release();
+    this.servers.forEach((server) => server.close());
+  }
+
+  private async serve(): Promise<string> {
+    const server = new RpcServer();
+    this.servers.push(server);
+    let own = '';
+    const answer = async ({ holdMs }: WatchRequest): Promise<WatchReply> => {
+      this.questions += 1;
+      this.holdMs = holdMs;
+      if (this.leader === '') await this.held.hold(holdMs);
+      const isLeading = this.leader === own;
+      return WatchReply.fromPartial({
+        leaseMs: isLeading ? LEASE_MS : 0,
+        leaderAddress: this.leader,
+        controlAddresses: this.addresses,
+        ...(isLeading ? {
+          documentDigest: 'd', documentVersion: 1, document: 'd', workersEpoch: 'e', entryCount: 200,
+        } : {}),
+      });
+    };
+    server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>(answer),
+      keepWatch: handleStream((stream: StreamEnd<WatchRequest, WatchReply>) => stream.listen({
+        take: (request) => {
+          // As the leader: what is new to who asks is told at once.
+          const isHeld = request.documentDigest !== '';
+          (isHeld ? this.held.hold(request.holdMs) : Promise.resolve())
+            .then(() => answer(request))
+            .then((reply) => stream.send(reply))
+            .catch(() => undefined); // The test is over.
+        },
+        close: () => undefined,
+      })),
+    });
+    own = await server.listen(`${HOST}:0`);
+    return own;
+  }
+}
+
+describe('the search of an entry for the leader of control', () => {
+  let replicas: FakeReplicas | undefined;
+  let watch: SiteWatch | undefined;
+
+  const start = (seeds: readonly string[]): RelaySite => {
+    const suspension = new SuspensionWatch();
+    const logger = makeLogger('test', 'silent');
+    const site = new RelaySite({
+      entryId: 'e1',
+      callerAddress: '10.0.0.1:80',
+      zone: 'a',
+      readRouting: () => ({ routing: makeRouting({}), faults: [] }),
+      clock: systemClock,
+      suspension,
+      logger,
+      retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+    });
+    watch = new SiteWatch({
+      site, readSeeds: () => seeds, clock: systemClock, suspension, logger,
+    });
+    watch.start();
+    return site;
+  };
+
+  const listen = async (): Promise<FakeReplicas> => {
+    replicas = new FakeReplicas();
+    await replicas.listen();
+    return replicas;
+  };
+
+  afterEach(() => {
+    watch?.stop();
+    replicas?.close();
+    vi.restoreAllMocks();
+  });
+
+  /*
+   * The leader of a site of two hundred entries dies. Each entry asked all five replicas, four to
+   * five times a second: 800 questions a second for each replica that had to elect the next leader,
+   * which took its whole share of a processor, and the election failed again and again.
+   */
+  it('should ask few replicas, and seldom, while they know no leader either', async () => {
+    const asked = await listen();
+    start(asked.addresses);
+    await pause(2_000);
+    // Three replicas, so that one answers where two are lost; once a second; and the first time.
+    expect(asked.questions).toBeLessThanOrEqual(9);
+  });
+
+  it('should hear of a leader at once from those that it asks, and be served by it', async () => {
+    const asked = await listen();
+    const site = start(asked.addresses);
+    await pause(500);
+    const startedAt = systemClock.now();
+    asked.lead(4);
+    await waitFor(() => site.isServing, 'the entry has a lease');
+    expect(systemClock.now() - startedAt).toBeLessThan(250);
+  });
+
+  /*
+   * All processes lose power together. An entry that is back before the replicas opened a fresh
+   * connection to each of them every 40 ms, for as long as it had started itself.
+   */
+  it('should try replicas that are down less and less often', async () => {
+    const calls = vi.spyOn(RpcLink.prototype, 'call');
+    const addresses = await Promise.all(Array.from({ length: 3 }, findFreeAddress));
+    start(addresses);
+    await pause(2_000);
+    // Pauses of 40, 80, 160 ms and so on: some ten rounds in two seconds, in place of fifty.
+    expect(calls.mock.calls.length).toBeLessThanOrEqual(3 * 12);
+  });
+
+  /*
+   * Two hundred entries asked the leader of control five times a second each, which filled it
+   * without a single request. The more entries ask, the longer each lets its question be held.
+   */
+  it('should let its question be held longer, the more entries ask the same leader', async () => {
+    const asked = await listen();
+    asked.lead(0);
+    const site = start(asked.addresses);
+    await waitFor(() => site.isServing, 'the entry has a lease');
+    await pause(300);
+    const before = asked.questions;
+    await pause(2_000);
+    // 400 questions a second of 200 entries: two a second of each.
+    expect(asked.questions - before).toBeLessThanOrEqual(5);
+    expect(asked.holdMs).toBeLessThan(LEASE_MS / 3);
+  });
+});
