Ends of a connection that are watched by themselves no longer ping each other every second

Cause: an entry that stood by woke 33 times a second (strace), as each end of its connections to all replicas pinged the other each second. What the pings guarded is looked after by itself: the leader ends the line of an entry that has gone (its requests waited on; the test of it failed before).

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -18,7 +18,7 @@
 const MAX_ENTRIES = 2_000;
 
 /** Silence after which what an entry holds is given to others, in milliseconds. */
-const GONE_MS = 2_000;
+export const GONE_MS = 2_000;
 
 /** How often silent entries are looked for, in milliseconds: a small part of the silence. */
 const EXPIRE_MS = 25;
--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -10,7 +10,7 @@
 import { resultCodes } from '../errors/resultCodes';
 import type { RoutedAccount } from '../manifest/routing';
 import type { Clock } from '../utils/clock';
-import { EntryTable } from './entryTable';
+import { EntryTable, GONE_MS } from './entryTable';
 import { PlacementDesk } from './placementDesk';
 import { PlacementLine } from './placementLine';
 import type { PlacementStream } from './placementLine';
@@ -129,7 +129,10 @@
     this.informDesk(workers);
     line.acknowledge(news.number);
     this.desk.report(news.reports);
-    if (news.entryId !== '') this.desk.keep(news.entryId, news.held);
+    if (news.entryId !== '') {
+      line.register(news.entryId);
+      this.desk.keep(news.entryId, news.held);
+    }
     this.desk.ask(news.requests.filter((request) => this.charge(request, line)), line);
   }
 
@@ -168,6 +171,9 @@
   tend(workers: WorkerTable): void {
     const now = this.parts.clock.now();
     this.informDesk(workers);
+    [...this.lines]
+      .filter((line) => this.isGone(line, now))
+      .forEach((line) => this.closeLine(line));
     this.desk.applyLoads(this.entries.sumLoads('', now));
     this.desk.tick((entryId) => this.entries.has(entryId, now));
   }
@@ -177,6 +183,14 @@
     [...this.lines].forEach((line) => this.closeLine(line));
   }
 
+  /*
+   * Guards the slots of engines against an entry that lost its power: its connection stays open,
+   * and its requests that wait would be given the slots that become free.
+   */
+  private isGone({ entryId, silentMs }: PlacementLine, now: number): boolean {
+    return entryId !== '' && silentMs > GONE_MS && !this.entries.has(entryId, now);
+  }
+
   private informDesk(workers: WorkerTable): void {
     const { epoch, revision } = workers;
     if (this.deskRevision === revision) return;
--- a/src/control/placementLine.ts
+++ b/src/control/placementLine.ts
@@ -36,15 +36,36 @@
 
   private sentAt: number;
 
+  private heardAt: number;
+
   isOpen = true;
 
+  private entry = '';
+
   constructor(private readonly stream: PlacementStream, private readonly clock: Clock) {
     this.sentAt = clock.now();
+    this.heardAt = this.sentAt;
+  }
+
+  /** The entry at its other end; empty before its first message. */
+  get entryId(): string {
+    return this.entry;
+  }
+
+  /** Notes which entry is at the other end. */
+  register(entryId: string): void {
+    this.entry = entryId;
+  }
+
+  /** For how long nothing came from the entry, in milliseconds. */
+  get silentMs(): number {
+    return this.clock.now() - this.heardAt;
   }
 
   /** Notes that a message of the entry was taken in. */
   acknowledge(number: number): void {
     this.acknowledged = number;
+    this.heardAt = this.clock.now();
     this.schedule();
   }
 
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -218,7 +218,8 @@
   await record.open();
   const self: Replica = { id: record.id, address: settings.address, zone: settings.zone };
   const holder: NodeHolder = { node: undefined };
-  const server = new RpcServer();
+  // Replicas bound each of their calls, and the leader looks for entries that have gone.
+  const server = new RpcServer('calm');
   server.add(SiteService, makeService(holder, record, self, logger));
   await server.listen(settings.address);
   const founders = await new SeedFounding({
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -47,7 +47,7 @@
  * watch.start();
  */
 export class SiteWatch {
-  private readonly links = new LinkTable(SiteClient);
+  private readonly links = new LinkTable(SiteClient, 'calm');
 
   private leader = '';
 
--- /dev/null
+++ b/src/wire/channelOptions.ts
@@ -0,0 +1,36 @@
+import type { ChannelOptions } from '@grpc/grpc-js';
+
+/**
+ * How often the ends of a connection ping one another. `calm` is for connections whose users see
+ * for themselves, by a bound on each answer, that the other end has gone: there pings only find
+ * connections that nobody uses any more. Each ping wakes both processes, also where hundreds of
+ * entries stand by.
+ */
+export type PingPace = 'brisk' | 'calm';
+
+const PINGS: Record<PingPace, ChannelOptions> = {
+  brisk: { 'grpc.keepalive_time_ms': 1_000, 'grpc.keepalive_timeout_ms': 700 },
+  calm: { 'grpc.keepalive_time_ms': 10_000, 'grpc.keepalive_timeout_ms': 3_000 },
+};
+
+/** Options that both ends share: nothing of the library's balancing or retrying. */
+const SHARED_OPTIONS: ChannelOptions = {
+  'grpc.keepalive_permit_without_calls': 1,
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.enable_http_proxy': 0,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 500,
+  'grpc.max_receive_message_length': 67_108_864,
+  'grpc.max_send_message_length': 67_108_864,
+};
+
+/**
+ * Builds the options of a gRPC channel or server.
+ *
+ * @example
+ * const server = new Server(buildChannelOptions('calm'));
+ */
+export const buildChannelOptions = (pace: PingPace): ChannelOptions => (
+  { ...SHARED_OPTIONS, ...PINGS[pace] });
--- a/src/wire/linkTable.ts
+++ b/src/wire/linkTable.ts
@@ -1,4 +1,5 @@
 import type { Client } from '@grpc/grpc-js';
+import type { PingPace } from './channelOptions';
 import { RpcLink } from './rpcLink';
 import type { ClientConstructor } from './rpcLink';
 
@@ -12,13 +13,16 @@
 export class LinkTable<Stub extends Client> {
   private readonly links = new Map<string, RpcLink<Stub>>();
 
-  constructor(private readonly Constructor: ClientConstructor<Stub>) {}
+  constructor(
+    private readonly Constructor: ClientConstructor<Stub>,
+    private readonly pace: PingPace = 'brisk',
+  ) {}
 
   /** The link to an address. */
   find(address: string): RpcLink<Stub> {
     const known = this.links.get(address);
     if (known) return known;
-    const link = new RpcLink(this.Constructor, address);
+    const link = new RpcLink(this.Constructor, address, this.pace);
     this.links.set(address, link);
     return link;
   }
--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -6,24 +6,8 @@
   ServiceError,
 } from '@grpc/grpc-js';
 import type { Operation } from '../utils/operation';
-
-/**
- * Options that both ends share: pings of their own, and nothing of the library's balancing or
- * retrying.
- */
-export const CHANNEL_OPTIONS: ChannelOptions = {
-  'grpc.keepalive_time_ms': 1_000,
-  'grpc.keepalive_timeout_ms': 700,
-  'grpc.keepalive_permit_without_calls': 1,
-  'grpc.use_local_subchannel_pool': 1,
-  'grpc.enable_retries': 0,
-  'grpc.service_config_disable_resolution': 1,
-  'grpc.enable_http_proxy': 0,
-  'grpc.initial_reconnect_backoff_ms': 100,
-  'grpc.max_reconnect_backoff_ms': 500,
-  'grpc.max_receive_message_length': 67_108_864,
-  'grpc.max_send_message_length': 67_108_864,
-};
+import { buildChannelOptions } from './channelOptions';
+import type { PingPace } from './channelOptions';
 
 /** Makes a client for an address. */
 export type ClientConstructor<Stub extends Client> = new (
@@ -78,6 +62,7 @@
   constructor(
     private readonly Constructor: ClientConstructor<Stub>,
     readonly address: string,
+    private readonly pace: PingPace = 'brisk',
   ) {
     this.stub = this.open();
   }
@@ -149,7 +134,11 @@
   }
 
   private open(): Stub {
-    return new this.Constructor(this.address, credentials.createInsecure(), CHANNEL_OPTIONS);
+    return new this.Constructor(
+      this.address,
+      credentials.createInsecure(),
+      buildChannelOptions(this.pace),
+    );
   }
 
   /**
--- a/src/wire/rpcServer.ts
+++ b/src/wire/rpcServer.ts
@@ -4,7 +4,8 @@
   StatusObject, UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import { toBeechliftError } from '../errors/beechliftError';
-import { CHANNEL_OPTIONS } from './rpcLink';
+import { buildChannelOptions } from './channelOptions';
+import type { PingPace } from './channelOptions';
 
 /** What a handler may know of its call beside the request. */
 export interface CallContext {
@@ -114,7 +115,11 @@
  * const address = await server.listen('127.0.0.1:0');
  */
 export class RpcServer {
-  private readonly server = new Server(CHANNEL_OPTIONS);
+  private readonly server: Server;
+
+  constructor(pace: PingPace = 'brisk') {
+    this.server = new Server(buildChannelOptions(pace));
+  }
 
   /** Adds a service. */
   add(service: ServiceDefinition, handlers: UntypedServiceImplementation): void {
--- /dev/null
+++ b/tests/control/leader-book.spec.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest';
+import { LeaderBook } from '../../src/control/leaderBook';
+import { makeWorkerTable, noteAnnouncement } from '../../src/core/routing/workerTable';
+import { PlaceNews, WatchRequest, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import type { PlaceDecisions } from '../../src/protocol/generated/beechlift';
+
+/** A leader's book over one engine with one slot. */
+class BookRig {
+  now = 0;
+
+  ended = 0;
+
+  readonly told: PlaceDecisions[] = [];
+
+  readonly workers = makeWorkerTable('t');
+
+  readonly book = new LeaderBook({
+    clock: { now: () => this.now }, leaseMs: 2_300, limitSlack: 1_000,
+  });
+
+  constructor() {
+    noteAnnouncement(this.workers, WorkerAnnouncement.fromPartial({
+      workerId: 'w1', service: 'm', address: '10.0.0.1:80', zone: 'a', slots: 1, state: 'ready', sequence: 1,
+    }), 0);
+  }
+
+  openLine() {
+    return this.book.openLine({
+      send: (message) => this.told.push(message),
+      end: () => {
+        this.ended += 1;
+      },
+    });
+  }
+
+  note(entryId: string): void {
+    this.book.noteEntry(WatchRequest.fromPartial({ entryId, callerAddress: entryId, state: 'active' }));
+  }
+}
+
+const buildNews = (
+  entryId: string,
+  placeIds: readonly string[],
+): PlaceNews => PlaceNews.fromPartial({
+  number: 1,
+  entryId,
+  requests: placeIds.map((placeId) => ({
+    placeId, entryId, service: 'm', targetMs: 30_000, remainingMs: 30_000,
+  })),
+});
+
+describe('the book of a leader', () => {
+  /*
+   * An entry loses its power: its connection is not closed. Its requests went on to wait, and the
+   * slots that became free were given to callers who had gone.
+   */
+  it('should end the line of an entry that has gone, and forget what waits there', () => {
+    const rig = new BookRig();
+    rig.note('e1');
+    rig.book.takeNews(rig.openLine(), buildNews('e1', ['a', 'b']), rig.workers);
+    expect(rig.book.countRequests()).toEqual({ waiting: 1, placed: 1 });
+    rig.now = 2_500;
+    rig.book.tend(rig.workers);
+    expect(rig.ended).toBe(1);
+    expect(rig.book.countRequests()).toEqual({ waiting: 0, placed: 0 });
+  });
+
+  it('should keep the line of an entry that asks, and of one that sends news', () => {
+    const rig = new BookRig();
+    const line = rig.openLine();
+    rig.note('e1');
+    rig.book.takeNews(line, buildNews('e1', ['a', 'b']), rig.workers);
+    rig.now = 2_500;
+    rig.note('e1');
+    rig.book.tend(rig.workers);
+    expect(rig.book.countRequests().waiting).toBe(1);
+    rig.now = 5_500;
+    rig.book.takeNews(line, PlaceNews.fromPartial({ number: 2 }), rig.workers);
+    rig.book.tend(rig.workers);
+    expect(rig.ended).toBe(0);
+  });
+});
--- /dev/null
+++ b/tests/fakes/fakeReplicas.ts
@@ -0,0 +1,90 @@
+import { SiteService, WatchReply } from '../../src/protocol/generated/beechlift';
+import type { WatchRequest } from '../../src/protocol/generated/beechlift';
+import { HeldCalls } from '../../src/utils/heldCalls';
+import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
+import type { StreamEnd } from '../../src/wire/rpcServer';
+import { CountingProxy } from './countingProxy';
+
+const HOST = '127.0.0.1';
+const REPLICAS = 5;
+/** Lease that the leader of the fakes gives, in milliseconds. */
+export const LEASE_MS = 2_300;
+
+/** Replicas that hold a question until they know a leader, as long as who asks allows. */
+export class FakeReplicas {
+  /** Questions that any of them got. */
+  questions = 0;
+
+  /** Milliseconds for which the latest question allowed to be held. */
+  holdMs = 0;
+
+  private readonly servers: RpcServer[] = [];
+
+  private readonly held = new HeldCalls();
+
+  private leader = '';
+
+  addresses: string[] = [];
+
+  /** One before each replica, in no order. */
+  readonly proxies: CountingProxy[] = [];
+
+  /** Pieces of bytes between the entry and all replicas. */
+  countPieces(): number {
+    return this.proxies.reduce((sum, { pieces }) => sum + pieces, 0);
+  }
+
+  async listen(): Promise<void> {
+    this.addresses = await Promise.all(Array.from({ length: REPLICAS }, () => this.serve()));
+  }
+
+  lead(position: number): void {
+    this.leader = this.addresses[position] ?? '';
+    this.held.release();
+  }
+
+  close(): void {
+    this.held.release();
+    this.servers.forEach((server) => server.close());
+    this.proxies.forEach((proxy) => proxy.close());
+  }
+
+  private async serve(): Promise<string> {
+    const server = new RpcServer('calm');
+    this.servers.push(server);
+    let own = '';
+    const answer = async ({ holdMs }: WatchRequest): Promise<WatchReply> => {
+      this.questions += 1;
+      this.holdMs = holdMs;
+      if (this.leader === '') await this.held.hold(holdMs);
+      const isLeading = this.leader === own;
+      return WatchReply.fromPartial({
+        leaseMs: isLeading ? LEASE_MS : 0,
+        leaderAddress: this.leader,
+        controlAddresses: this.addresses,
+        ...(isLeading ? {
+          documentDigest: 'd', documentVersion: 1, document: 'd', workersEpoch: 'e', entryCount: 200,
+        } : {}),
+      });
+    };
+    server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>(answer),
+      keepWatch: handleStream((stream: StreamEnd<WatchRequest, WatchReply>) => stream.listen({
+        take: (request) => {
+          // As the leader: what is new to who asks is told at once.
+          const isHeld = request.documentDigest !== '';
+          (isHeld ? this.held.hold(request.holdMs) : Promise.resolve())
+            .then(() => answer(request))
+            .then((reply) => stream.send(reply))
+            .catch(() => undefined); // The test is over.
+        },
+        close: () => undefined,
+      })),
+    });
+    const direct = await server.listen(`${HOST}:0`);
+    const proxy = new CountingProxy(() => direct);
+    this.proxies.push(proxy);
+    own = await proxy.listen();
+    return own;
+  }
+}
--- a/tests/relay/site-watch.spec.ts
+++ b/tests/relay/site-watch.spec.ts
@@ -2,90 +2,16 @@
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
-import { SiteService, WatchReply, WatchRequest } from '../../src/protocol/generated/beechlift';
 import { RelaySite } from '../../src/relay/relaySite';
 import { SiteWatch } from '../../src/relay/siteWatch';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionWatch, systemClock } from '../../src/utils/clock';
-import { HeldCalls } from '../../src/utils/heldCalls';
 import { RpcLink } from '../../src/wire/rpcLink';
-import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
-import type { StreamEnd } from '../../src/wire/rpcServer';
 import { waitFor } from '../fakes/controlSite';
+import { FakeReplicas, LEASE_MS } from '../fakes/fakeReplicas';
 import { findFreeAddress } from '../fakes/freeAddress';
 import { makeRouting } from '../fakes/routings';
 
-const REPLICAS = 5;
-const LEASE_MS = 2_300;
-const HOST = '127.0.0.1';
-
-/** Replicas that hold a question until they know a leader, as long as who asks allows. */
-class FakeReplicas {
-  /** Questions that any of them got. */
-  questions = 0;
-
-  /** Milliseconds for which the latest question allowed to be held. */
-  holdMs = 0;
-
-  private readonly servers: RpcServer[] = [];
-
-  private readonly held = new HeldCalls();
-
-  private leader = '';
-
-  addresses: string[] = [];
-
-  async listen(): Promise<void> {
-    this.addresses = await Promise.all(Array.from({ length: REPLICAS }, () => this.serve()));
-  }
-
-  lead(position: number): void {
-    this.leader = this.addresses[position] ?? '';
-    this.held.release();
-  }
-
-  close(): void {
-    this.held.release();
-    this.servers.forEach((server) => server.close());
-  }
-
-  private async serve(): Promise<string> {
-    const server = new RpcServer();
-    this.servers.push(server);
-    let own = '';
-    const answer = async ({ holdMs }: WatchRequest): Promise<WatchReply> => {
-      this.questions += 1;
-      this.holdMs = holdMs;
-      if (this.leader === '') await this.held.hold(holdMs);
-      const isLeading = this.leader === own;
-      return WatchReply.fromPartial({
-        leaseMs: isLeading ? LEASE_MS : 0,
-        leaderAddress: this.leader,
-        controlAddresses: this.addresses,
-        ...(isLeading ? {
-          documentDigest: 'd', documentVersion: 1, document: 'd', workersEpoch: 'e', entryCount: 200,
-        } : {}),
-      });
-    };
-    server.add(SiteService, {
-      watch: handleUnary<WatchRequest, WatchReply>(answer),
-      keepWatch: handleStream((stream: StreamEnd<WatchRequest, WatchReply>) => stream.listen({
-        take: (request) => {
-          // As the leader: what is new to who asks is told at once.
-          const isHeld = request.documentDigest !== '';
-          (isHeld ? this.held.hold(request.holdMs) : Promise.resolve())
-            .then(() => answer(request))
-            .then((reply) => stream.send(reply))
-            .catch(() => undefined); // The test is over.
-        },
-        close: () => undefined,
-      })),
-    });
-    own = await server.listen(`${HOST}:0`);
-    return own;
-  }
-}
-
 describe('the search of an entry for the leader of control', () => {
   let replicas: FakeReplicas | undefined;
   let watch: SiteWatch | undefined;
@@ -174,4 +100,20 @@
     expect(asked.questions - before).toBeLessThanOrEqual(5);
     expect(asked.holdMs).toBeLessThan(LEASE_MS / 3);
   });
+
+  /*
+   * An entry without a request woke 33 times a second: each end of its five connections pinged the
+   * other every second, though four of them carry nothing and the fifth is watched by itself.
+   */
+  it('should exchange nothing but its questions while it stands by', async () => {
+    const asked = await listen();
+    asked.lead(0);
+    const site = start(asked.addresses);
+    await waitFor(() => site.isServing, 'the entry has a lease');
+    await pause(1_500);
+    const before = asked.countPieces();
+    await pause(2_000);
+    // Two questions a second, each a piece either way, and what the protocol says in between.
+    expect(asked.countPieces() - before).toBeLessThanOrEqual(2 * (2 * 2 + 2));
+  });
 });
