The platform's programs start with their validators compiled ahead

Cause: 40 of 310 ms of a start (profile of an entry until it serves) compiled the schemas of settings and document. They are code of the repository now, written by npm run validators; a test compares it with the schemas, another that no bundle's own code compiles one. Ruled out: the library's optimizer and its check of schemas were off already.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
 const MAX_LINE = 100;
 
 export default [
-  { ignores: ['dist/', 'target/', 'journal/', 'node_modules/', 'src/protocol/generated/'] },
+  { ignores: ['dist/', 'target/', 'journal/', 'node_modules/', 'src/protocol/generated/', 'platform/generated/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/settings/settingsFile.ts
+++ b/src/settings/settingsFile.ts
@@ -2,7 +2,7 @@
 import { parse, printParseErrorCode } from 'jsonc-parser';
 import type { ParseError } from 'jsonc-parser';
 import { BeechliftError } from '../errors/beechliftError';
-import type { SchemaFault } from '../utils/schemaValidator';
+import type { SchemaFault } from '../utils/schemaFaults';
 
 /** Lists the faults of a document. */
 export type Validator = (value: unknown) => readonly SchemaFault[];
--- a/tests/platform/start-cost.spec.ts
+++ b/tests/platform/start-cost.spec.ts
@@ -1,7 +1,13 @@
 import { execFileSync } from 'node:child_process';
 import { readFileSync } from 'node:fs';
 import { resolve } from 'node:path';
+import { build } from 'esbuild';
 import { describe, expect, it } from 'vitest';
+import { validateHeartbeat } from '../../platform/generated/validators';
+import { formatValidators } from '../../platform/validators';
+import { heartbeatSchema } from '../../platform/workerCallSchemas';
+import { listFaults } from '../../src/utils/schemaFaults';
+import { buildValidator } from '../../src/utils/schemaValidator';
 
 /** Flags of Node.js with which the platform starts a role, as the deploy file says. */
 const readFlags = (role: string): string[] => {
@@ -35,4 +41,31 @@
     const told = execFileSync(process.execPath, [...flags, '-e', SCRIPT, bundle], { encoding: 'utf8' });
     expect(told).toBe('false');
   });
+
+  /*
+   * A process that was killed compiled the schemas of its settings and of the document before it
+   * served anybody: a sixth of the processor time of its start.
+   */
+  it('should compile no schema', async () => {
+    const { metafile } = await build({
+      entryPoints: [`platform/${role}.ts`], bundle: true, platform: 'node', packages: 'external', write: false, metafile: true,
+    });
+    const sources = Object.keys(metafile.inputs);
+    expect(sources).toContain('platform/generated/validators.js');
+    expect(sources).not.toContain('src/utils/schemaValidator.ts');
+  });
+});
+
+describe('the validators of the programs', () => {
+  it('should be those of the schemas', () => {
+    expect(readFileSync('platform/generated/validators.js', 'utf8')).toBe(formatValidators());
+  });
+
+  it('should name what is wrong as before they were compiled ahead', () => {
+    expect(listFaults(validateHeartbeat, { service: '', address: 'x', slots: 0 })
+      .map(({ path, message }) => `${path}: ${message}`)).toEqual(
+      buildValidator(heartbeatSchema)({ service: '', address: 'x', slots: 0 })
+        .map(({ path, message }) => `${path}: ${message}`),
+    );
+  });
 });
