--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -81,6 +81,11 @@
     this.ledger.noteSpends(request.entryId, request.spends, now);
   }
 
+  /** Entries that may hold a lease, which ask here all the time. */
+  countEntries(): number {
+    return this.entries.countLeased(this.parts.clock.now());
+  }
+
   /** Entries that callers may be sent to. */
   listEntries(): readonly EntryRecord[] {
     return this.entries.list(this.parts.clock.now()).records;
@@ -108,7 +113,7 @@
   /** What an entry is told beside the document and the backend servers. */
   buildEntryPart({ entryId }: WatchRequest): EntryPart {
     const now = this.parts.clock.now();
-    const entryCount = this.entries.countLeased(now);
+    const entryCount = this.countEntries();
     return {
       loads: this.entries.sumLoads(entryId, now),
       grants: this.ledger.listGrants(entryId, entryCount, now),
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -85,7 +85,9 @@
     this.book = new LeaderBook(parts);
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(() => this.isLeading || this.knowsOther);
-    this.registry = new WorkerRegistry({ ...parts, watches: this.watches });
+    this.registry = new WorkerRegistry({
+      ...parts, watches: this.watches, countEntries: () => this.book.countEntries(),
+    });
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
     });
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -2,6 +2,7 @@
 import type {
   WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
+import { computeNewsWaitMs } from '../core/routing/questionPace';
 import {
   adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, noteAnnouncement,
 } from '../core/routing/workerTable';
@@ -11,13 +12,6 @@
 import type { HeldCalls } from '../utils/heldCalls';
 import type { WorkerMemo } from './workerMemo';
 
-/**
- * How long news of a backend server wait for others, in milliseconds. Each answers the questions
- * of all entries: where a hundred servers start together, or go down and up by turns, one by one
- * they were answered some hundred times over. A document is told at once.
- */
-const WORKER_NEWS_MS = 50;
-
 /** What the registry needs. */
 export interface WorkerRegistryParts {
   /** Backend servers that were known before a restart. */
@@ -27,6 +21,8 @@
   readonly logger: Logger;
   /** Questions that are held until there is news. */
   readonly watches: HeldCalls;
+  /** Entries that ask. */
+  readonly countEntries: () => number;
 }
 
 /**
@@ -48,7 +44,7 @@
     const { revision } = this.table;
     noteAnnouncement(this.table, said, this.parts.clock.now());
     if (this.table.revision === revision) return;
-    this.parts.watches.releaseWithin(WORKER_NEWS_MS);
+    this.tellSoon();
     this.parts.logger.info('backend server changed', {
       worker: said.workerId,
       service: said.service,
@@ -63,7 +59,7 @@
   expire(): void {
     const { revision } = this.table;
     expireWorkers(this.table, this.parts.clock.now());
-    if (this.table.revision !== revision) this.parts.watches.releaseWithin(WORKER_NEWS_MS);
+    if (this.table.revision !== revision) this.tellSoon();
   }
 
   /** Writes what changed to the disk, now and then. */
@@ -101,6 +97,11 @@
     };
   }
 
+  private tellSoon(): void {
+    const { watches, countEntries } = this.parts;
+    watches.releaseWithin(computeNewsWaitMs(countEntries()));
+  }
+
   private adopt(records: readonly WorkerRecord[]): void {
     const now = this.parts.clock.now();
     records.forEach((record) => adoptRecord(this.table, record, now));
--- a/src/core/routing/questionPace.ts
+++ b/src/core/routing/questionPace.ts
@@ -6,6 +6,11 @@
 const MIN_HOLD_MS = 200;
 /** A lease lasts 1.8 s or more: three questions may fail before it ends. */
 const MAX_HOLD_MS = 600;
+/** Answers that news of backend servers may cost the leader, a second. */
+const NEWS_ANSWERS_PER_SECOND = 1_000;
+/** Bounds on how long such news wait for others, in milliseconds. */
+const MIN_NEWS_MS = 50;
+const MAX_NEWS_MS = 250;
 /** Beyond what two questions take, in milliseconds: a pause of either end, and the way. */
 const SLACK_MS = 500;
 const MS_PER_SECOND = 1_000;
@@ -31,3 +36,15 @@
 export const computeSilenceMs = (entryCount: number): number => (
   2 * computeHoldMs(entryCount) + SLACK_MS
 );
+
+/**
+ * Computes how long news of a backend server wait for others, in milliseconds: they answer the
+ * questions of all entries at once.
+ *
+ * Guards the leader where a hundred servers start together, or go down and up by turns: told one by
+ * one they were answered some hundred times over, by each entry. A document is told at once.
+ */
+export const computeNewsWaitMs = (entryCount: number): number => Math.min(
+  MAX_NEWS_MS,
+  Math.max(MIN_NEWS_MS, (entryCount * MS_PER_SECOND) / NEWS_ANSWERS_PER_SECOND),
+);
--- a/tests/core/worker-starts.spec.ts
+++ b/tests/core/worker-starts.spec.ts
@@ -256,6 +256,7 @@
       clock: { now: () => this.now },
       logger: makeLogger('test', 'silent'),
       watches: new HeldCalls(),
+      countEntries: () => 6,
     });
   }
 }
