--- a/src/control/documentCommand.ts
+++ b/src/control/documentCommand.ts
@@ -12,9 +12,9 @@
  * Encodes a command for the log.
  *
  * Guards the leader against documents of many routes. The log repeats to each replica what it has
- * not acknowledged yet, every 75 ms: with 470 KB for 1,449 routes and four replicas that filled the
- * leader's processor, the others missed it and elected another, which did the same. On a played day
- * five leaders followed one another and the change was accepted by none. Packed it has a tenth.
+ * not acknowledged yet, with each heartbeat. That filled the leader's processor; the others missed
+ * it and elected another, which did the same, and the change was accepted by none. Packed, a
+ * document has a tenth of its size.
  *
  * @example
  * runner.propose(encodeCommand({ version: 7, document }), operation);
--- a/src/control/loadSums.ts
+++ b/src/control/loadSums.ts
@@ -17,8 +17,8 @@
 /**
  * What entries have at each backend server, added up as it is told.
  *
- * Guards the leader of a large site: adding all reports up for each answer took 1.3 to 1.5 s of the
- * 2.0 s of processor that it has in five, with 79 entries and before the first request.
+ * Guards the leader of a large site: adding all reports up for each answer grows with the square of
+ * the entries, and fills its processor before the first request.
  *
  * @example
  * sums.set('e1', request.loads);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -235,8 +235,8 @@
    *
    * It needs no lease: slots and what accounts have left are counted here alone until another
    * replica leads, and entries that hear of one ask it. Over lossy links the lease lapses for some
-   * hundred milliseconds at a time; entries that chose for themselves then refused requests of
-   * accounts within their limits (43 in six seconds of a played day).
+   * hundred milliseconds at a time; entries that choose for themselves then refuse requests of
+   * accounts within their limits.
    */
   openLine(stream: PlacementStream): EntryLine {
     if (this.runner.state.role !== 'leader') throw new BeechliftError('noQuorum', 'this replica does not lead');
--- a/src/core/log/logState.ts
+++ b/src/core/log/logState.ts
@@ -100,7 +100,7 @@
      * Guards the lease of a leader that this replica acknowledged before it restarted: it counts
      * the start of its process as a contact, so that it takes part in no election until that lease
      * is over. A process that needed longer to start need not wait any more, which is the rule
-     * after all of a site was killed: counted from here, callers waited 0.4 s longer (played days).
+     * after all of a site was killed.
      */
     lastLeaderContactAt: startedAt,
     heartbeatAt: 0,
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -39,7 +39,7 @@
 const OVERDRAFT_SLACK = 0.05;
 /**
  * Part of the slack that entries are lent below that. With more, small requests at entries that
- * were cut off took an account beyond its limit in a window (200 random floods, none with these).
+ * are cut off can take an account beyond its limit in a window.
  */
 const SMALL_SLACK = 0.2;
 /** Part of an account's burst that is kept for its higher ranks, at most. */
@@ -52,8 +52,8 @@
 /** An entry that is silent for this long holds nothing any more: its lease is over. */
 const ENTRY_KEPT_MS = 10_000;
 /**
- * How often silent entries are looked for, in milliseconds: a tenth of what they are kept for. With
- * each question and request it was 15 % of the work of a leader of 80 entries and 16 accounts.
+ * How often silent entries are looked for, in milliseconds: a tenth of what they are kept for. Done
+ * with each question, it would grow with the square of the entries.
  */
 const EXPIRE_MS = 1_000;
 
@@ -134,12 +134,10 @@
    * rest is owed by those after it.
    *
    * Guards the large requests of an account beyond its limit. Let through only where all of their
-   * cost was left, they hardly ever were, as small ones used up each unit before: at four times
-   * the limit 1 of 100 large requests passed and 90 of 100 small ones, ten times smaller, which
-   * then filled the engines. Within a rank the order of arrival decides, whatever the size.
+   * cost was left, they hardly ever are, as small ones use up each unit before and then fill the
+   * engines. Within a rank the order of arrival decides, whatever the size.
    *
    * Above a rank go the ranks before it, as everywhere: a lower one leaves them what they ask for.
-   * On a calm day with one account at six times its usual that serves 0.02 to 0.04 of worth more.
    *
    * @returns 0 when it was charged, otherwise milliseconds until it may be
    */
--- a/src/core/routing/placementOrder.ts
+++ b/src/core/routing/placementOrder.ts
@@ -13,9 +13,8 @@
  * Makes the order: higher ranks first, then the shorter request, then the one that came first.
  *
  * It answers bursts in which slots are short. Lengths differ by 1 to 100 within a rank, and a few
- * of the longest hold slots in whose time many others are served: in a model of a burst at twice
- * the usual, 12 of 100 more are answered on time; on played heavy days of the restorers 1 to 6 of
- * 100. Nobody waits for ever: patience is bounded, and who is refused comes back after the burst.
+ * of the longest hold slots in whose time many others are served. Nobody waits for ever: patience
+ * is bounded, and who is refused comes back after the burst.
  *
  * @example
  * waiting.sort(makeOrder(tables));
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -56,9 +56,8 @@
 /**
  * Asks the leader which model engine takes a request, and tells it how that goes, over one stream:
  * what an entry has to say in one turn of its loop is one message, and a request that waits costs
- * nothing until it is decided. As calls, one for each request and each report, they filled the
- * leader's processor in a burst: it answered late, and entries chose for themselves (98 of 100
- * requests in the worst second of a played day).
+ * nothing until it is decided. As calls, one for each request and each report, they would fill the
+ * leader's processor in a burst: it answers late, and entries choose for themselves.
  *
  * Guards requests against a leader that is dead, frozen or cut off: after a short silence, and for
  * a while from then on, the entry chooses by itself.
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -99,8 +99,8 @@
     if (this.stopped) return;
     const reached = this.leader === '' ? await this.search() : await this.askLeader(this.leader);
     if (!reached && !this.stopped) await this.pauseRetry();
-    // Begun anew, not waited for: each question that is waited for keeps some 0.4 KB until the
-    // process ends, 190 MB a day at five a second (300,000 in a row, after a collection).
+    // Begun anew, not waited for: each question that is waited for would keep its memory until the
+    // process ends.
     this.start();
   }
 
--- a/src/relay/watchLine.ts
+++ b/src/relay/watchLine.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * The stream of questions to the leader, one at a time. As calls, the 400 a second of 80
- * entries took 370 to 430 ms of the leader's processor; as messages of streams 270 ms.
+ * The stream of questions to the leader, one at a time: as messages of a stream they cost the
+ * leader two thirds of what they do as calls.
  *
  * Guards against a leader that falls silent: a question that is not answered in its time ends the
  * line, and what is opened next uses a fresh connection.
