--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -2,7 +2,7 @@
 import type {
   EntryRecord, WatchRequest, WorkerLoad,
 } from '../protocol/generated/beechlift';
-import { computeSilenceMs } from '../core/routing/questionPace';
+import { computeSilenceMs } from '../core/routing/messagePace';
 import { LoadSums } from './loadSums';
 
 /** What the leader knows of an entry. */
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -2,7 +2,7 @@
 import type {
   WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
-import { computeNewsWaitMs } from '../core/routing/questionPace';
+import { computeNewsWaitMs } from '../core/routing/messagePace';
 import {
   adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, noteAnnouncement,
 } from '../core/routing/workerTable';
--- a/src/core/routing/questionPace.ts
+++ b/src/core/routing/messagePace.ts
@@ -4,8 +4,10 @@
 const QUESTIONS_PER_SECOND = 400;
 /** Bounds on how long a question without news is held, in milliseconds. */
 const MIN_HOLD_MS = 200;
-/** A lease lasts 1.8 s or more: three questions may fail before it ends. */
+/** A lease lasts 1.8 s or more: one question may fail, and the leader be found anew, within it. */
 const MAX_HOLD_MS = 600;
+/** Held back beyond two questions before an entry is taken for silent: a pause of either end. */
+const SILENCE_SLACK_MS = 500;
 /** Answers that news of backend servers may cost the leader, a second. */
 const NEWS_ANSWERS_PER_SECOND = 1_000;
 /** Bounds on how long such news wait for others, in milliseconds. */
@@ -16,8 +18,6 @@
 /** Bounds on how long news of a pace wait for a message that goes out anyway, in milliseconds. */
 const MIN_PACE_MS = 250;
 const MAX_PACE_MS = 1_000;
-/** Beyond what two questions take, in milliseconds: a pause of either end, and the way. */
-const SLACK_MS = 500;
 const MS_PER_SECOND = 1_000;
 
 /**
@@ -39,7 +39,7 @@
  * of its questions.
  */
 export const computeSilenceMs = (entryCount: number): number => (
-  2 * computeHoldMs(entryCount) + SLACK_MS
+  2 * computeHoldMs(entryCount) + SILENCE_SLACK_MS
 );
 
 /**
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,5 +1,5 @@
 import { NO_TIMES } from '../core/routing/placementTables';
-import { computePaceWaitMs } from '../core/routing/questionPace';
+import { computePaceWaitMs } from '../core/routing/messagePace';
 import type {
   PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
 } from '../protocol/generated/beechlift';
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -2,7 +2,7 @@
 import { AccountBudget } from '../core/routing/accountBudget';
 import { EntryList } from '../core/routing/entryList';
 import type { Mechanisms } from '../core/routing/mechanisms';
-import { computeHoldMs } from '../core/routing/questionPace';
+import { computeHoldMs } from '../core/routing/messagePace';
 import { RetryAllowance } from '../core/routing/retryAllowance';
 import type { RetryBounds } from '../core/routing/retryAllowance';
 import {
