A leader's heartbeats go between its answers to many entries

Cause: at a change all entries were answered in one turn of the loop, and all that ask a new leader at once likewise. Answers are now built in portions, with timers and the other replicas in between. Test: 200 answers of 2 ms each kept the loop for 425 ms, others take a leader for dead after 300; now under 200.

--- a/src/control/watchDesk.ts
+++ b/src/control/watchDesk.ts
@@ -2,6 +2,7 @@
 import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import type { HeldCalls } from '../utils/heldCalls';
+import { LoopTurns } from '../utils/loopTurns';
 import { DocumentPacker, NO_DOCUMENT_PART } from './documentPacker';
 import type { EntryPart, LeaderBook } from './leaderBook';
 import type { LeaderWait } from './leaderWait';
@@ -49,6 +50,8 @@
 export class WatchDesk {
   private readonly packer = new DocumentPacker();
 
+  private readonly turns = new LoopTurns();
+
   constructor(private readonly parts: WatchDeskParts) {}
 
   /** Answers a question; a replica that does not lead names the one that does. */
@@ -58,6 +61,8 @@
     if (!view.isLeading) return this.awaitLeader(request);
     if (request.entryId !== '') work.measure('watch', () => view.book.noteEntry(request));
     if (!this.hasNews(request)) await watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
+    // All entries are answered at a change, and all ask a new leader: its heartbeats go in between.
+    await this.turns.wait();
     if (!readView().isLeading) return this.answerNotLeading();
     return work.measure('watch', () => this.buildReply(request));
   }
