Work once in the next turn of the loop stands in one place

Cause: the same guard of a setImmediate stood in the entry's place client, the leader's placement line and, new, in the turns that spread answers. TurnTask serves all three. The line's entry is a plain field in place of a getter, a private copy and a method. No behaviour changes; tests unchanged.

--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -135,7 +135,7 @@
     line.acknowledge(news.number, news.requests.length > 0);
     this.desk.report(news.reports);
     if (news.entryId !== '') {
-      line.register(news.entryId);
+      line.entryId = news.entryId;
       this.desk.keep(news.entryId, news.held);
     }
     this.desk.ask(news.requests.filter((request) => this.charge(request, line)), line);
--- a/src/control/placementLine.ts
+++ b/src/control/placementLine.ts
@@ -1,5 +1,6 @@
 import type { PlaceDecisions, PlaceNews, PlaceReply } from '../protocol/generated/beechlift';
 import type { Clock } from '../utils/clock';
+import { TurnTask } from '../utils/turnTask';
 
 /** The leader's end of an entry's stream. */
 export interface PlacementStream {
@@ -32,7 +33,7 @@
 
   private acknowledged = 0;
 
-  private isScheduled = false;
+  private readonly flushing = new TurnTask(() => this.flush());
 
   private sentAt: number;
 
@@ -40,23 +41,14 @@
 
   isOpen = true;
 
-  private entry = '';
+  /** The entry at its other end; empty before its first message. */
+  entryId = '';
 
   constructor(private readonly stream: PlacementStream, private readonly clock: Clock) {
     this.sentAt = clock.now();
     this.heardAt = this.sentAt;
   }
 
-  /** The entry at its other end; empty before its first message. */
-  get entryId(): string {
-    return this.entry;
-  }
-
-  /** Notes which entry is at the other end. */
-  register(entryId: string): void {
-    this.entry = entryId;
-  }
-
   /** For how long nothing came from the entry, in milliseconds. */
   get silentMs(): number {
     return this.clock.now() - this.heardAt;
@@ -69,18 +61,18 @@
   acknowledge(number: number, isAsking: boolean): void {
     this.acknowledged = number;
     this.heardAt = this.clock.now();
-    if (isAsking) this.schedule();
+    if (isAsking) this.flushing.schedule();
   }
 
   /** Tells the entry a decision. */
   add(reply: PlaceReply): void {
     this.replies.push(reply);
-    this.schedule();
+    this.flushing.schedule();
   }
 
   /** Shows an entry whose requests wait that the leader is there. */
   keepAlive(): void {
-    if (this.clock.now() - this.sentAt >= KEEP_ALIVE_MS) this.schedule();
+    if (this.clock.now() - this.sentAt >= KEEP_ALIVE_MS) this.flushing.schedule();
   }
 
   /** Ends the stream; what the entry was not told is returned. */
@@ -91,14 +83,7 @@
     return this.replies;
   }
 
-  private schedule(): void {
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    setImmediate(() => this.flush());
-  }
-
   private flush(): void {
-    this.isScheduled = false;
     if (!this.isOpen) return;
     const { replies, acknowledged } = this;
     this.replies = [];
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -5,6 +5,7 @@
 } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import { TurnTask } from '../utils/turnTask';
 import type { ClientStream, RpcLink } from '../wire/rpcLink';
 
 /**
@@ -80,7 +81,7 @@
 
   private line: Line | undefined;
 
-  private isScheduled = false;
+  private readonly flushing = new TurnTask(() => this.flush());
 
   private reportTimer: NodeJS.Timeout | undefined;
 
@@ -98,7 +99,7 @@
     return new Promise((resolve) => {
       this.waiting.set(request.placeId, { request, resolve });
       this.requests.push(request);
-      this.schedule();
+      this.flushing.schedule();
     });
   }
 
@@ -116,7 +117,7 @@
     if (report.phase !== 'running') this.held.delete(report.placeId);
     this.reports.push(report);
     if (this.reports.length > MAX_REPORTS) this.reports.shift();
-    if (report.phase !== 'running') this.schedule();
+    if (report.phase !== 'running') this.flushing.schedule();
     else if (report.paceMs === 0) this.flushWithin(BEGUN_FLUSH_MS);
     else this.flushWithin(computePaceWaitMs(this.parts.countEntries()));
   }
@@ -139,15 +140,6 @@
     this.reportTimer = setTimeout(() => this.flush(), ms);
   }
 
-  private schedule(): void {
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    setImmediate(() => {
-      this.isScheduled = false;
-      this.flush();
-    });
-  }
-
   private flush(): void {
     clearTimeout(this.reportTimer);
     this.reportTimer = undefined;
--- a/src/utils/loopTurns.ts
+++ b/src/utils/loopTurns.ts
@@ -1,3 +1,5 @@
+import { TurnTask } from './turnTask';
+
 /** Pieces of work that are done in one turn of the loop, at most. */
 const PORTION = 8;
 
@@ -14,25 +16,18 @@
 export class LoopTurns {
   private readonly waiting: (() => void)[] = [];
 
-  private isScheduled = false;
+  private readonly next = new TurnTask(() => this.run());
 
   /** Resolves when it is the caller's turn, in the order of the calls. */
   wait(): Promise<void> {
     return new Promise((resolve) => {
       this.waiting.push(resolve);
-      this.schedule();
+      this.next.schedule();
     });
   }
 
-  private schedule(): void {
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    setImmediate(() => this.run());
-  }
-
   private run(): void {
-    this.isScheduled = false;
     this.waiting.splice(0, PORTION).forEach((resolve) => resolve());
-    if (this.waiting.length > 0) this.schedule();
+    if (this.waiting.length > 0) this.next.schedule();
   }
 }
