--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -2,9 +2,7 @@
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
-import { EntryList } from '../core/routing/entryList';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
@@ -16,6 +14,7 @@
 import { decodeCommand } from './documentCommand';
 import { DocumentPublisher } from './documentPublisher';
 import { LeaderBook } from './leaderBook';
+import { LeaderFollower } from './leaderFollower';
 import { LeaderWait } from './leaderWait';
 import { LogRunner } from './logRunner';
 import type { EntryLine, PlacementStream } from './placementLine';
@@ -50,11 +49,10 @@
 
   site: SiteDocument;
 
-  /** Entries as the leader told of them, for a replica that follows. */
-  private readonly followedEntries = new EntryList();
-
   private readonly registry: WorkerRegistry;
 
+  private readonly follower: LeaderFollower;
+
   /** Keeps out announcements that no backend server of this site sends. */
   readonly gate: AnnouncementGate;
 
@@ -88,6 +86,7 @@
     this.registry = new WorkerRegistry({
       ...parts, watches: this.watches, countEntries: () => this.book.countEntries(),
     });
+    this.follower = new LeaderFollower(this.registry);
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
     });
@@ -165,7 +164,7 @@
 
   /** Entries that callers may be sent to. */
   listEntries(): readonly EntryRecord[] {
-    return this.isLeading ? this.book.listEntries() : this.followedEntries.records;
+    return this.isLeading ? this.book.listEntries() : this.follower.listEntries();
   }
 
   /** Runs the log and, on a leader, what keeps the site in order. */
@@ -196,21 +195,12 @@
 
   /** Takes in what the leader told a replica that follows. */
   follow(reply: WatchReply): void {
-    if (this.runner.holdsLease) return;
-    this.followedEntries.apply(reply);
-    this.registry.follow(reply);
+    if (!this.runner.holdsLease) this.follower.take(reply);
   }
 
   /** What a replica that follows asks the leader with. */
   buildFollowRequest(holdMs: number): WatchRequest {
-    const { epoch, revision } = this.registry.table;
-    return WatchRequestCodec.fromPartial({
-      documentDigest: this.site.digest,
-      workersEpoch: epoch,
-      workersRevision: revision,
-      ...this.followedEntries.held,
-      holdMs,
-    });
+    return this.follower.buildRequest(this.site.digest, holdMs);
   }
 
   /** Checks a document and has a majority accept it; on a replica that follows it is forwarded. */
