Three waits by the number of entries share one computation

Cause: the same clamp of entries over a rate was written three times in one module. The results are the same.

--- a/src/core/routing/messagePace.ts
+++ b/src/core/routing/messagePace.ts
@@ -20,6 +20,14 @@
 const MAX_PACE_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 
+/** Computes how long each entry waits so that all together keep to a rate, within bounds. */
+const computeWaitMs = (
+  entryCount: number,
+  perSecond: number,
+  leastMs: number,
+  mostMs: number,
+): number => Math.min(mostMs, Math.max(leastMs, (entryCount * MS_PER_SECOND) / perSecond));
+
 /**
  * Computes how long the leader may hold the question of an entry that has no news, in milliseconds.
  *
@@ -29,10 +37,8 @@
  * @example
  * const holdMs = computeHoldMs(191); // 477.5
  */
-export const computeHoldMs = (entryCount: number): number => Math.min(
-  MAX_HOLD_MS,
-  Math.max(MIN_HOLD_MS, (entryCount * MS_PER_SECOND) / QUESTIONS_PER_SECOND),
-);
+export const computeHoldMs = (entryCount: number): number => (
+  computeWaitMs(entryCount, QUESTIONS_PER_SECOND, MIN_HOLD_MS, MAX_HOLD_MS));
 
 /**
  * Computes the silence after which callers are not sent to an entry, in milliseconds: it missed two
@@ -49,17 +55,13 @@
  * Guards the leader where a hundred servers start together, or go down and up by turns: told one by
  * one they were answered some hundred times over, by each entry. A document is told at once.
  */
-export const computeNewsWaitMs = (entryCount: number): number => Math.min(
-  MAX_NEWS_MS,
-  Math.max(MIN_NEWS_MS, (entryCount * MS_PER_SECOND) / NEWS_ANSWERS_PER_SECOND),
-);
+export const computeNewsWaitMs = (entryCount: number): number => (
+  computeWaitMs(entryCount, NEWS_ANSWERS_PER_SECOND, MIN_NEWS_MS, MAX_NEWS_MS));
 
 /**
  * Computes how long an entry keeps news of the pace of its running streams, in milliseconds, for a
  * message that goes out anyway: the more entries tell of the same servers, the less each message
  * adds to what the leader knows of them.
  */
-export const computePaceWaitMs = (entryCount: number): number => Math.min(
-  MAX_PACE_MS,
-  Math.max(MIN_PACE_MS, (entryCount * MS_PER_SECOND) / PACE_MESSAGES_PER_SECOND),
-);
+export const computePaceWaitMs = (entryCount: number): number => (
+  computeWaitMs(entryCount, PACE_MESSAGES_PER_SECOND, MIN_PACE_MS, MAX_PACE_MS));
--- a/src/core/routing/workerSlowness.ts
+++ b/src/core/routing/workerSlowness.ts
@@ -4,8 +4,8 @@
 /**
  * Finds the shortest pace that was observed at a server of a service, if any was.
  *
- * Read once for each decision, not for each server that it looks at: that took 3.8 ms a choice
- * among 98 servers, more than two cores of a leader that makes 600 a second.
+ * Read once for each decision: read for each server that it looks at, a choice would cost the
+ * square of the servers.
  *
  * @example
  * const fastestMs = findFastestPace(workers, 'bale-scribe');
