One proxy stands between processes of tests

Cause: the proxy that counts pieces repeated the accepting and forwarding of SilentProxy. It counts there now; the assertions and bounds of site-watch.spec.ts are as they were.

--- a/tests/fakes/fakeReplicas.ts
+++ b/tests/fakes/fakeReplicas.ts
@@ -3,7 +3,7 @@
 import { HeldCalls } from '../../src/utils/heldCalls';
 import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
 import type { StreamEnd } from '../../src/wire/rpcServer';
-import { CountingProxy } from './countingProxy';
+import { SilentProxy } from './silentProxy';
 
 const HOST = '127.0.0.1';
 const REPLICAS = 5;
@@ -27,7 +27,7 @@
   addresses: string[] = [];
 
   /** One before each replica, in no order. */
-  readonly proxies: CountingProxy[] = [];
+  readonly proxies: SilentProxy[] = [];
 
   /** Pieces of bytes between the entry and all replicas. */
   countPieces(): number {
@@ -46,7 +46,7 @@
   close(): void {
     this.held.release();
     this.servers.forEach((server) => server.close());
-    this.proxies.forEach((proxy) => proxy.close());
+    this.proxies.forEach((proxy) => proxy.stop());
   }
 
   private async serve(): Promise<string> {
@@ -82,9 +82,10 @@
       })),
     });
     const direct = await server.listen(`${HOST}:0`);
-    const proxy = new CountingProxy(() => direct);
+    const proxy = new SilentProxy(direct);
     this.proxies.push(proxy);
-    own = await proxy.listen();
+    await proxy.start();
+    own = proxy.address;
     return own;
   }
 }
--- a/tests/fakes/silentProxy.ts
+++ b/tests/fakes/silentProxy.ts
@@ -1,13 +1,16 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 
-/** A device between two ends that loses track of open connections, while new ones work. */
+/** A device between two ends that counts, and loses track of open connections on demand. */
 export class SilentProxy {
   address = '';
 
   /** Connections since the start. */
   connections = 0;
 
+  /** Pieces of bytes that passed either way. */
+  pieces = 0;
+
   /** Refuses everything: the two ends are cut off from one another. */
   isCut = false;
 
@@ -60,6 +63,9 @@
       this.sockets.add(end);
       end.on('error', () => end.destroy());
       end.on('close', () => this.sockets.delete(end));
+      end.on('data', () => {
+        this.pieces += 1;
+      });
     });
     socket.pipe(other);
     other.pipe(socket);
