Lines of broken attempts name the request's fingerprint

Callers saw streams cut and servers away for seconds, in waves. Our output named only ids, which change with each resend: it could not tell whether one request was under all servers that ended, or whether servers ended for reasons of their own.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -105,6 +105,9 @@
     this.writer = new AnswerWriter(this.response, pickFlow(route), () => clock.now());
     const limits = site.table?.routing.limits;
     const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0, BODY_MS);
+    this.log.content = {
+      method: this.request.method ?? 'GET', host, target: this.target, account: admitted.account?.name ?? '', body,
+    };
     site.retries.noteRequest(admitted.service, clock.now());
     const timer = setTimeout(() => this.expire(), this.deadlineAt - clock.now());
     try {
