A failing test: one request ends server after server

Callers saw engines go away for seconds in waves, with all streams on them. The test is a site of three control replicas, three entries and five servers of which each ends under a marked request and is back after half a second under another id; the request comes again under another id, 30 times in 2.2 s, at the entries in turn.

Servers that end for a reason of their own are not needed for it.

--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -10,7 +10,8 @@
 import { findFreeAddress } from './freeAddress';
 import { makeRouting } from './routings';
 
-const readRouting: RoutingReader = (document) => {
+/** Reads documents of the tests' own form. */
+export const readRouting: RoutingReader = (document) => {
   try {
     const routing = JSON.parse(document) as Routing;
     const faults = checkRouting(routing);
--- /dev/null
+++ b/tests/fakes/fragileServer.ts
@@ -0,0 +1,118 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+import { WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import { findFreeAddress } from './freeAddress';
+import { readBody } from './readBody';
+
+/** A body with this text ends every server that begins to run it. */
+export const FATAL_TEXT = 'fatal';
+const RUN_MS = 30;
+const DOWN_MS = 500;
+const ANNOUNCE_MS = 200;
+
+/** Takes what a server says of itself. */
+export type AnnouncementTaker = (said: WorkerAnnouncement) => Promise<unknown>;
+
+/** A backend server that ends under a marked request; its next start comes a moment later. */
+export class FragileServer {
+  /** Marked requests that arrived. */
+  fatalCount = 0;
+
+  /** Times that it ended. */
+  endCount = 0;
+
+  private server: Server | undefined;
+
+  private starts = 0;
+
+  private sequence = 0;
+
+  private announcing: NodeJS.Timeout | undefined;
+
+  private isClosed = false;
+
+  private constructor(
+    private readonly name: string,
+    private readonly address: string,
+    private readonly service: string,
+    private readonly announce: AnnouncementTaker,
+    private readonly keepsId: boolean,
+  ) {}
+
+  /** @param keepsId whether its next start has the same id, told apart by its birth alone */
+  static async start(
+    name: string,
+    service: string,
+    announce: AnnouncementTaker,
+    keepsId = false,
+  ): Promise<FragileServer> {
+    const server = new FragileServer(name, await findFreeAddress(), service, announce, keepsId);
+    await server.open();
+    return server;
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.end();
+  }
+
+  /** Ends it as a crash does, for a reason that is no request's; it is back a moment later. */
+  async crash(): Promise<void> {
+    if (!this.server) return;
+    this.end();
+    this.endCount += 1;
+    await pause(DOWN_MS);
+    if (!this.isClosed) await this.open();
+  }
+
+  private async open(): Promise<void> {
+    this.starts += 1;
+    const born = Date.now();
+    this.server = createServer((request, response) => {
+      this.serve(request, response).catch(() => response.destroy());
+    });
+    const [host, port] = this.address.split(':');
+    await new Promise<void>((resolve) => {
+      this.server?.listen(Number(port), host, resolve);
+    });
+    await this.say(born);
+    this.announcing = setInterval(() => {
+      this.say(born).catch(() => undefined); // Said again in a moment.
+    }, ANNOUNCE_MS);
+  }
+
+  private end(): void {
+    clearInterval(this.announcing);
+    this.server?.closeAllConnections();
+    this.server?.close();
+    this.server = undefined;
+  }
+
+  private async say(born: number): Promise<void> {
+    this.sequence += 1;
+    await this.announce(WorkerAnnouncement.fromPartial({
+      workerId: this.keepsId ? this.name : `${this.name}.${this.starts}`,
+      service: this.service,
+      address: this.address,
+      zone: 'a',
+      slots: 6,
+      state: 'ready',
+      sequence: this.sequence,
+      born,
+    }));
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { server } = this;
+    const isFatal = (await readBody(request)).includes(FATAL_TEXT);
+    if (isFatal) this.fatalCount += 1;
+    await pause(RUN_MS);
+    if (server !== this.server) return;
+    if (isFatal) {
+      this.crash().catch(() => undefined); // Its port is held by nobody else.
+      return;
+    }
+    response.writeHead(200, { 'x-id': request.headers['x-id'] ?? '' }).end('fine');
+  }
+}
--- /dev/null
+++ b/tests/fakes/routedSite.ts
@@ -0,0 +1,120 @@
+import { randomUUID } from 'node:crypto';
+import { request } from 'undici';
+import type { Routing } from '../../src/manifest/routing';
+import { startRelay } from '../../src/relay/relayProcess';
+import type { RunningRelay } from '../../src/relay/relayProcess';
+import { makeLogger } from '../../src/telemetry/logger';
+import {
+  ControlSite, formatDocument, readRouting, waitFor,
+} from './controlSite';
+import { FragileServer } from './fragileServer';
+import { findFreeAddress } from './freeAddress';
+import { testDialect } from './relayRig';
+import { makeRoute } from './routings';
+
+const REPLICAS = [0, 1, 2];
+const SERVICE = 'rooms';
+
+/** What a caller of the site got. */
+export interface SiteAnswer {
+  readonly status: number;
+  /** Name of the result code; empty for an answer of a server. */
+  readonly code: string;
+  /** Milliseconds after which to come back; 0 where none was told. */
+  readonly retryMs: number;
+}
+
+/** Control, entries and fragile servers of one routed site, in one process, on loopback. */
+export class RoutedSite {
+  readonly control: ControlSite;
+
+  readonly servers: FragileServer[] = [];
+
+  private readonly entries: { readonly relay: RunningRelay; readonly address: string }[] = [];
+
+  private constructor(control: ControlSite) {
+    this.control = control;
+  }
+
+  static async start(changes: Partial<Routing>, entryCount: number): Promise<RoutedSite> {
+    const site = new RoutedSite(await ControlSite.open(REPLICAS.length));
+    await Promise.all(REPLICAS.map((position) => site.control.start(position, true)));
+    const leader = await site.control.waitLeader();
+    const document = formatDocument(1, {
+      routes: [makeRoute({ timeoutMs: 2_000 })], accounts: [], ...changes,
+    });
+    await site.control.findNode(leader)
+      .publish({ document, deadlineMs: 3_000, forwarded: false });
+    await Promise.all(Array.from({ length: entryCount }, () => site.addEntry()));
+    return site;
+  }
+
+  /** Requests that end servers and arrived at one. */
+  get fatalCount(): number {
+    return this.servers.reduce((sum, server) => sum + server.fatalCount, 0);
+  }
+
+  get endCount(): number {
+    return this.servers.reduce((sum, server) => sum + server.endCount, 0);
+  }
+
+  get entryCount(): number {
+    return this.entries.length;
+  }
+
+  async addServers(count: number, keepsId = false): Promise<void> {
+    const announce = async (said: Parameters<FragileServer['announce']>[0]) => {
+      const leader = this.control.findLeader();
+      if (leader !== undefined) await this.control.findNode(leader).announce(said);
+    };
+    this.servers.push(...await Promise.all(Array.from(
+      { length: count },
+      (unused, position) => FragileServer.start(`w${position}`, SERVICE, announce, keepsId),
+    )));
+    await waitFor(() => this.entries.every(({ relay }) => (
+      (relay.site.workers.byService.get(SERVICE)?.length ?? 0) >= count)), 'entries know the servers');
+  }
+
+  /** Starts one more entry, and resolves with its number once it serves. */
+  async addEntry(): Promise<number> {
+    const address = await findFreeAddress();
+    const relay = startRelay({
+      settings: {
+        zone: 'a',
+        callerAddress: address,
+        readSeeds: () => REPLICAS.map((position) => this.control.readAddress(position)),
+        retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+        locateMs: 0,
+        graceMs: 100,
+      },
+      readRouting,
+      dialect: testDialect,
+      logger: makeLogger('relay', process.env.BEECHLIFT_LOGS ? 'info' : 'silent'),
+    });
+    const [host = '', port] = address.split(':');
+    await relay.app.listen({ host, port: Number(port) });
+    await waitFor(() => relay.site.state === 'active', 'the entry serves');
+    return this.entries.push({ relay, address }) - 1;
+  }
+
+  /** Sends a request to an entry, under an id of its own. */
+  async send(entry: number, body: string): Promise<SiteAnswer> {
+    const address = this.entries[entry % this.entryCount]?.address ?? '';
+    const answer = await request(`http://${address}/orders/7`, {
+      method: 'POST', headers: { host: 'shop.example', 'x-id': randomUUID() }, body,
+    });
+    const text = await answer.body.text();
+    const isOwn = answer.headers['content-type'] === 'application/json';
+    const { error } = isOwn ? JSON.parse(text) as { error: { name: string; retryAfterMs?: number } } : { error: { name: '' } };
+    return { status: answer.statusCode, code: error.name, retryMs: error.retryAfterMs ?? 0 };
+  }
+
+  async close(): Promise<void> {
+    this.servers.forEach((server) => server.close());
+    await Promise.all(this.entries.map(async ({ relay }) => {
+      relay.app.server.closeAllConnections();
+      await relay.shutDown();
+    }));
+    await this.control.close();
+  }
+}
