--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -1,6 +1,7 @@
 import type {
   EntryRecord, PlaceNews, PlaceRequest, WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
+import { NO_CAUTION } from '../core/quarantine/placementCaution';
 import { AccountLedger } from '../core/routing/accountLedger';
 import { NO_LIST } from '../core/routing/entryList';
 import type { EntryListHeld } from '../core/routing/entryList';
@@ -14,6 +15,7 @@
 import { PlacementDesk } from './placementDesk';
 import { PlacementLine } from './placementLine';
 import type { PlacementStream } from './placementLine';
+import type { SuspectKeeper } from './suspectKeeper';
 
 /** What a book is made from. */
 export interface LeaderBookParts {
@@ -22,6 +24,8 @@
   readonly leaseMs: number;
   /** What accounts may use beyond their limits, over all entries together. */
   readonly limitSlack: number;
+  /** Hears which servers ended under which requests; without it none is suspected. */
+  readonly suspects?: Pick<SuspectKeeper, 'take' | 'findCaution'> | undefined;
   /** All are on where none are named. */
   readonly mechanisms?: Mechanisms | undefined;
 }
@@ -65,6 +69,7 @@
     this.desk = new PlacementDesk({
       clock: parts.clock,
       mechanisms: parts.mechanisms,
+      findCaution: (fingerprint) => parts.suspects?.findCaution(fingerprint) ?? NO_CAUTION,
       noteUnplaced: ({ account, cost }) => this.ledger.refund(account, cost),
     });
   }
@@ -133,6 +138,8 @@
     if (!line.isOpen) return;
     this.informDesk(workers);
     line.acknowledge(news.number, news.requests.length > 0);
+    // Before the slots that became free are given out anew.
+    this.parts.suspects?.take(news);
     this.desk.report(news.reports);
     if (news.entryId !== '') {
       line.entryId = news.entryId;
--- a/src/control/leaderFollower.ts
+++ b/src/control/leaderFollower.ts
@@ -1,11 +1,12 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import { EntryList } from '../core/routing/entryList';
+import type { SuspectKeeper } from './suspectKeeper';
 import type { WorkerRegistry } from './workerRegistry';
 
 /**
- * What a replica that follows takes over from the leader beside the log: the entries, and the
- * backend servers.
+ * What a replica that follows takes over from the leader beside the log: the entries, the
+ * backend servers, and the suspect requests.
  *
  * @example
  * const request = follower.buildRequest(site.digest, 250);
@@ -14,7 +15,10 @@
 export class LeaderFollower {
   private readonly entries = new EntryList();
 
-  constructor(private readonly registry: WorkerRegistry) {}
+  constructor(
+    private readonly registry: WorkerRegistry,
+    private readonly suspects: SuspectKeeper,
+  ) {}
 
   /** Entries that callers may be sent to, as the leader told of them. */
   listEntries(): readonly EntryRecord[] {
@@ -29,6 +33,7 @@
       workersEpoch: epoch,
       workersRevision: revision,
       ...this.entries.held,
+      ...this.suspects.held,
       holdMs,
     });
   }
@@ -37,5 +42,6 @@
   take(reply: WatchReply): void {
     this.entries.apply(reply);
     this.registry.follow(reply);
+    this.suspects.follow(reply);
   }
 }
--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -4,6 +4,7 @@
 import {
   askPlaces, dropWaiting, expirePlaced, keepPlaced, makePlacement, notePlaced, runPlacement,
 } from '../core/routing/placement';
+import type { CautionFinder } from '../core/quarantine/placementCaution';
 import type { PlaceDecision, PlacedNews } from '../core/routing/placement';
 import { NO_TIMES } from '../core/routing/placementTables';
 import type { PlaceAsk, PlacementTables } from '../core/routing/placementTables';
@@ -29,6 +30,7 @@
   deadlineAt: now + request.remainingMs,
   zone: request.zone,
   tried: request.tried,
+  fingerprint: request.fingerprint,
   askedAt: now,
 });
 
@@ -43,7 +45,7 @@
   }
   : {
     placeId: decision.id,
-    code: resultCodes.noSlotInTime.number,
+    code: resultCodes[decision.code].number,
     message: decision.reason,
     workerId: '',
     retryAfterMs: decision.retryAfterMs,
@@ -61,6 +63,8 @@
   readonly clock: Clock;
   /** Called for each request that gets no place: it has used nothing of its account's limit. */
   readonly noteUnplaced: (request: PlaceRequest) => void;
+  /** Tells what is known against a request; nothing where it is left out. */
+  readonly findCaution?: CautionFinder | undefined;
   /** All are on where none are named. */
   readonly mechanisms?: Mechanisms | undefined;
 }
@@ -80,7 +84,7 @@
 
   constructor(private readonly parts: PlacementDeskParts) {
     this.workers = makeRoutedWorkers(parts.mechanisms);
-    this.tables = makePlacement(this.workers);
+    this.tables = makePlacement(this.workers, parts.findCaution);
   }
 
   /** Requests that wait for a slot, and those that hold one. */
--- /dev/null
+++ b/src/control/recordMemo.ts
@@ -0,0 +1,68 @@
+import type { FileSystem } from '../disk/fileSystem';
+import { RecordFile } from '../disk/recordFile';
+import type { Logger } from '../telemetry/logger';
+
+/** Shortest time between two writes, in milliseconds: what changes meanwhile goes into one. */
+const WRITE_MS = 500;
+
+/** What a memo is made from. */
+export interface RecordMemoParts<Item> {
+  readonly files: FileSystem;
+  readonly path: string;
+  /** Reads a record; what an earlier version wrote may lack fields. */
+  readonly parse: (record: Partial<Item>) => Item;
+  readonly logger: Logger;
+}
+
+/**
+ * Remembers over a restart what would be heard again only later, such as the backend servers: until
+ * their next announcements a site whose processes were all killed at once would have nowhere to
+ * send requests. What is remembered may be old, and nothing depends on its being there.
+ *
+ * @example
+ * const records = await memo.load();
+ * memo.note(revision, clock.now(), () => listRecords());
+ */
+export class RecordMemo<Item> {
+  private readonly file: RecordFile;
+
+  private writtenRevision = -1;
+
+  private writtenAt = -Infinity;
+
+  private isWriting = false;
+
+  constructor(private readonly parts: RecordMemoParts<Item>) {
+    this.file = new RecordFile(parts.files, parts.path);
+  }
+
+  /** What was remembered; nothing when that cannot be read. */
+  async load(): Promise<Item[]> {
+    const { path, parse, logger } = this.parts;
+    try {
+      return (await this.file.open()).map((record) => parse(record as Partial<Item>));
+    } catch (error) {
+      logger.warn('remembered records cannot be read', { path, reason: (error as Error).message });
+      return [];
+    }
+  }
+
+  /** Writes what changed, when the last write is long enough ago and done. */
+  note(revision: number, now: number, listRecords: () => readonly Item[]): void {
+    const isDue = revision !== this.writtenRevision && now - this.writtenAt >= WRITE_MS;
+    if (!isDue || this.isWriting) return;
+    this.writtenRevision = revision;
+    this.writtenAt = now;
+    this.isWriting = true;
+    this.file.replace(listRecords)
+      .catch((error: unknown) => this.parts.logger.warn('records cannot be remembered', { path: this.parts.path, reason: (error as Error).message }))
+      .finally(() => {
+        this.isWriting = false;
+      });
+  }
+
+  /** Closes the file. */
+  close(): Promise<void> {
+    return this.file.close();
+  }
+}
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -1,9 +1,12 @@
+import { join } from 'node:path';
 import { makeEmptyLog } from '../core/log/logState';
 import { makeMechanisms } from '../core/routing/mechanisms';
 import type { Mechanism } from '../core/routing/mechanisms';
 import { nodeFileSystem } from '../disk/fileSystem';
 import { LogStore } from '../disk/logStore';
-import { SiteClient, SiteService } from '../protocol/generated/beechlift';
+import {
+  SiteClient, SiteService, SuspectRecord, WorkerRecord,
+} from '../protocol/generated/beechlift';
 import type {
   AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceDecisions, PlaceNews,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest,
@@ -20,9 +23,9 @@
 import { BirthRecord } from './birthRecord';
 import { computeLeaseMs } from './entryLease';
 import type { LeaseBounds } from './entryLease';
+import { RecordMemo } from './recordMemo';
 import { RoutedNode, TICK_MS } from './routedNode';
 import { SeedFounding } from './seedFounding';
-import { WorkerMemo } from './workerMemo';
 
 const STEP_TIMEOUT_MS = 1_000;
 const MEET_TIMEOUT_MS = 400;
@@ -203,6 +206,15 @@
   });
 };
 
+const makeMemo = <Item>(
+  folder: string,
+  name: string,
+  codec: { readonly fromPartial: (record: Partial<Item>) => Item },
+  logger: Logger,
+): RecordMemo<Item> => new RecordMemo({
+  files: nodeFileSystem, path: join(folder, name), parse: codec.fromPartial, logger,
+});
+
 /**
  * Starts a replica that serves control of a routed site.
  *
@@ -232,8 +244,9 @@
   logger.info('site found', { birth: self.id, founders: founders.length });
   const store = new LogStore(nodeFileSystem, settings.dataFolder);
   const stored = await store.load(makeEmptyLog({ voters: founders, learners: [], leaving: [] }));
-  const memo = new WorkerMemo(nodeFileSystem, settings.dataFolder, logger);
-  const remembered = await memo.load();
+  const memo = makeMemo(settings.dataFolder, 'workers.log', WorkerRecord, logger);
+  const suspectMemo = makeMemo(settings.dataFolder, 'suspects.log', SuspectRecord, logger);
+  const [remembered, rememberedSuspects] = await Promise.all([memo.load(), suspectMemo.load()]);
   const node = new RoutedNode({
     self,
     founders,
@@ -241,6 +254,8 @@
     store,
     remembered,
     memo,
+    rememberedSuspects,
+    suspectMemo,
     readRouting: parts.readRouting,
     port: {
       sendMessage: makeStepSender(links),
@@ -284,7 +299,7 @@
       server.close();
       links.close();
       await node.stop();
-      await memo.close();
+      await Promise.all([memo.close(), suspectMemo.close()]);
       await record.close();
     },
   };
--- a/src/control/routedMetrics.ts
+++ b/src/control/routedMetrics.ts
@@ -26,6 +26,7 @@
     addGauge(registry, 'beechlift_requests_placed', 'Requests that hold a slot; 0 on one that follows', () => node.countRequests().placed);
     addGauge(registry, 'beechlift_dropped_log_lines', 'Log lines that were dropped since the start', countDroppedLines);
     this.addWorkers(node);
+    this.addSuspects(node);
     this.addRefusals(node);
     this.addWork(node);
   }
@@ -43,6 +44,20 @@
     });
   }
 
+  private addSuspects({ suspects }: RoutedNode): void {
+    const gauge: Gauge<'stage'> = new Gauge({
+      name: 'beechlift_suspect_requests',
+      help: 'Requests under which backend servers ended, as this replica knows them',
+      labelNames: ['stage'],
+      registers: [this.registry],
+      collect: (): void => {
+        const refused = suspects.listSuspects().filter(({ refusedMs }) => refusedMs > 0).length;
+        gauge.set({ stage: 'refused' }, refused);
+        gauge.set({ stage: 'watched' }, suspects.listSuspects().length - refused);
+      },
+    });
+  }
+
   private addRefusals({ gate }: RoutedNode): void {
     const gauge: Gauge<'code'> = new Gauge({
       name: 'beechlift_announcements_refused',
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -22,6 +22,7 @@
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
 import type { RoutedNodeParts } from './routedNodeParts';
+import { SuspectKeeper } from './suspectKeeper';
 import { WatchDesk } from './watchDesk';
 import { WorkMeter } from './workMeter';
 import { WorkerRegistry } from './workerRegistry';
@@ -51,6 +52,9 @@
 
   private readonly registry: WorkerRegistry;
 
+  /** Requests that are known to end backend servers. */
+  readonly suspects: SuspectKeeper;
+
   private readonly follower: LeaderFollower;
 
   /** Keeps out announcements that no backend server of this site sends. */
@@ -80,19 +84,23 @@
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
-    this.book = new LeaderBook(parts);
+    this.suspects = new SuspectKeeper({
+      ...parts, watches: this.watches, countEntries: () => this.book.countEntries(),
+    });
+    this.book = this.openBook();
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(() => this.isLeading || this.knowsOther);
     this.registry = new WorkerRegistry({
       ...parts, watches: this.watches, countEntries: () => this.book.countEntries(),
     });
-    this.follower = new LeaderFollower(this.registry);
+    this.follower = new LeaderFollower(this.registry, this.suspects);
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
     });
     this.desk = new WatchDesk({
       ...parts,
       registry: this.registry,
+      suspects: this.suspects,
       watches: this.watches,
       leaderWait: this.leaderWait,
       work: this.work,
@@ -174,8 +182,10 @@
     this.runner.handle({ kind: 'tick' });
     this.leaderWait.check();
     this.registry.save();
+    this.suspects.save();
     if (!this.runner.holdsLease) return;
     this.registry.expire();
+    this.suspects.tick();
     this.work.measure('tend', () => this.book.tend(this.registry.table));
     this.keeper.tend(this.runner, this.book.startedAt);
     this.work.tell();
@@ -259,7 +269,10 @@
     this.gate.check(said);
     await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
     if (this.isLeading) {
-      this.work.measure('announce', () => this.registry.take(said));
+      this.work.measure('announce', () => {
+        this.registry.take(said);
+        this.suspects.noteAnnounced(said);
+      });
       return { taken: true };
     }
     if (isForwarded || !this.knowsOther) return { taken: false };
@@ -289,6 +302,10 @@
     return this.runner.stop();
   }
 
+  private openBook(): LeaderBook {
+    return new LeaderBook({ ...this.parts, suspects: this.suspects });
+  }
+
   /** Puts the limits of the document in force, which only a leader counts. */
   private configureAccounts(): void {
     const { routing } = this.parts.readRouting(this.site.document);
@@ -335,7 +352,7 @@
     this.parts.logger.info('role changed', { role, term });
     if (role !== 'leader') return;
     this.book.close();
-    this.book = new LeaderBook(this.parts);
+    this.book = this.openBook();
     if (this.site.version > 0) this.configureAccounts();
     this.registry.lead();
   }
--- a/src/control/routedNodeParts.ts
+++ b/src/control/routedNodeParts.ts
@@ -1,6 +1,6 @@
 import type {
   AnnounceReply, ConfirmReply, LogMessage, PublishReply, PublishRequest, Replica,
-  WorkerAnnouncement, WorkerRecord,
+  SuspectRecord, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import type { StoredLog } from '../core/log/logTypes';
 import type { Mechanisms } from '../core/routing/mechanisms';
@@ -8,7 +8,7 @@
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionWatch } from '../utils/clock';
-import type { WorkerMemo } from './workerMemo';
+import type { RecordMemo } from './recordMemo';
 
 /** How a node reaches the other replicas. */
 export interface RoutedPort {
@@ -27,7 +27,10 @@
   readonly store: LogStore;
   /** Backend servers that were known before a restart. */
   readonly remembered: readonly WorkerRecord[];
-  readonly memo: Pick<WorkerMemo, 'note'>;
+  readonly memo: Pick<RecordMemo<WorkerRecord>, 'note'>;
+  /** Requests that were suspected before a restart of having ended servers. */
+  readonly rememberedSuspects: readonly SuspectRecord[];
+  readonly suspectMemo: Pick<RecordMemo<SuspectRecord>, 'note'>;
   readonly readRouting: RoutingReader;
   readonly port: RoutedPort;
   readonly clock: Clock;
--- /dev/null
+++ b/src/control/suspectKeeper.ts
@@ -0,0 +1,154 @@
+import type {
+  PlaceNews, SuspectRecord, WatchReply, WatchRequest, WorkerAnnouncement,
+} from '../protocol/generated/beechlift';
+import {
+  expireSuspects, findStage, FIRST_REVISION, isUnsettled, judgeEnds, makeCrashTable, noteAlive,
+  noteEnd, noteServed, weighSuspect,
+} from '../core/quarantine/crashTable';
+import type { StageChange, SuspectStage } from '../core/quarantine/crashTable';
+import { NO_CAUTION } from '../core/quarantine/placementCaution';
+import type { CautionKind, PlacementCaution } from '../core/quarantine/placementCaution';
+import { SuspectList } from '../core/quarantine/suspectList';
+import type { SuspectListHeld } from '../core/quarantine/suspectList';
+import { adoptSuspect, listSuspects } from '../core/quarantine/suspectRecords';
+import { computeNewsWaitMs } from '../core/routing/messagePace';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import type { HeldCalls } from '../utils/heldCalls';
+import type { RecordMemo } from './recordMemo';
+
+/** How often what is old is forgotten, in milliseconds. */
+const EXPIRE_MS = 1_000;
+
+/** What the keeper needs. */
+export interface SuspectKeeperParts {
+  /** Requests that were suspected before a restart. */
+  readonly rememberedSuspects: readonly SuspectRecord[];
+  readonly suspectMemo: Pick<RecordMemo<SuspectRecord>, 'note'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Questions that are held until there is news. */
+  readonly watches: HeldCalls;
+  /** Entries that ask. */
+  readonly countEntries: () => number;
+}
+
+/** What a reply says of suspect requests. */
+export type SuspectPart = Pick<WatchReply, 'suspects' | 'suspectsRevision'>;
+
+/** Names one start of a server. */
+const nameStart = (workerId: string, born: number): string => `${workerId}@${born}`;
+
+/**
+ * The requests that end backend servers, as one replica knows them: the leader hears of each end
+ * and judges, the others follow its list, and all remember it over a restart.
+ *
+ * @example
+ * keeper.take(news); // entries hear of whoever is refused from then on
+ */
+export class SuspectKeeper {
+  private table = makeCrashTable();
+
+  /** The leader's list, while this replica follows. */
+  private readonly list = new SuspectList();
+
+  private expiredAt = 0;
+
+  constructor(private readonly parts: SuspectKeeperParts) {
+    this.adopt(parts.rememberedSuspects);
+  }
+
+  /** What this replica holds of the leader's list. */
+  get held(): SuspectListHeld {
+    return this.list.held;
+  }
+
+  /** Takes in which servers ended under which requests, and which requests were served. */
+  take({ sightings, served }: Pick<PlaceNews, 'sightings' | 'served'>): void {
+    const now = this.parts.clock.now();
+    sightings.forEach(({
+      fingerprint, workerId, born, ageMs,
+    }) => noteEnd(this.table, fingerprint, nameStart(workerId, born), now - ageMs, now));
+    this.tell(served.flatMap((fingerprint) => noteServed(this.table, fingerprint, now)));
+  }
+
+  /** Notes that a server announced itself: whatever broke off there, it lives. */
+  noteAnnounced({ workerId, born, state }: WorkerAnnouncement): void {
+    if (state === 'gone') return;
+    this.tell(noteAlive(this.table, nameStart(workerId, born), this.parts.clock.now()));
+  }
+
+  /** Judges what has come in, and forgets what is old. */
+  tick(): void {
+    const now = this.parts.clock.now();
+    this.tell(judgeEnds(this.table, now));
+    if (now - this.expiredAt < EXPIRE_MS) return;
+    this.expiredAt = now;
+    expireSuspects(this.table, now);
+  }
+
+  /** Tells how a request that asks for a place is to be treated. */
+  findCaution(fingerprint: string): PlacementCaution {
+    const suspect = this.table.suspects.get(fingerprint);
+    if (!suspect) return NO_CAUTION;
+    const now = this.parts.clock.now();
+    const kinds: Record<SuspectStage, CautionKind> = {
+      noted: 'none',
+      watched: isUnsettled(this.table, fingerprint) ? 'held' : 'alone',
+      refused: 'refused',
+    };
+    return {
+      kind: kinds[findStage(this.table, fingerprint, now)],
+      refusedMs: Math.max(0, Math.ceil(suspect.refusedUntil - now)),
+    };
+  }
+
+  /** Requests that are watched or refused. */
+  listSuspects(): readonly SuspectRecord[] {
+    return listSuspects(this.table, this.parts.clock.now());
+  }
+
+  /** Writes what changed to the disk, now and then. */
+  save(): void {
+    const { suspectMemo, clock } = this.parts;
+    if (this.table.revision === FIRST_REVISION) return;
+    suspectMemo.note(this.table.revision, clock.now(), () => this.listSuspects());
+  }
+
+  /** Takes over what the leader told a replica that follows. */
+  follow(reply: WatchReply): void {
+    if (!this.list.apply(reply, this.parts.clock.now())) return;
+    this.table = makeCrashTable();
+    this.table.revision = reply.suspectsRevision;
+    this.adopt(reply.suspects);
+  }
+
+  /** Whether an asker that holds a list of this leader lacks something. */
+  hasNews({ suspectsEpoch, suspectsRevision }: WatchRequest, epoch: string): boolean {
+    return suspectsEpoch === epoch && suspectsRevision !== this.table.revision;
+  }
+
+  /** What an asker lacks. */
+  buildPart({ suspectsEpoch, suspectsRevision }: WatchRequest, epoch: string): SuspectPart {
+    const { revision } = this.table;
+    const isSame = suspectsEpoch === epoch && suspectsRevision === revision;
+    return { suspectsRevision: revision, suspects: isSame ? [] : [...this.listSuspects()] };
+  }
+
+  private tell(changes: readonly StageChange[]): void {
+    const { clock, logger, watches } = this.parts;
+    const now = clock.now();
+    changes.forEach(({ kind, suspect }) => logger.info(`request ${kind}`, {
+      fingerprint: suspect.fingerprint,
+      weight: Number(weighSuspect(suspect).toFixed(2)),
+      servers: [...suspect.servers].join(' '),
+      refusedMs: Math.max(0, Math.ceil(suspect.refusedUntil - now)),
+    }));
+    if (changes.length > 0) watches.releaseWithin(computeNewsWaitMs(this.parts.countEntries()));
+  }
+
+  private adopt(records: readonly SuspectRecord[]): void {
+    const now = this.parts.clock.now();
+    records.forEach((record) => adoptSuspect(this.table, record, now));
+  }
+}
--- a/src/control/watchDesk.ts
+++ b/src/control/watchDesk.ts
@@ -6,6 +6,7 @@
 import { DocumentPacker, NO_DOCUMENT_PART } from './documentPacker';
 import type { EntryPart, LeaderBook } from './leaderBook';
 import type { LeaderWait } from './leaderWait';
+import type { SuspectKeeper } from './suspectKeeper';
 import type { WorkerRegistry } from './workerRegistry';
 import type { WorkMeter } from './workMeter';
 
@@ -31,6 +32,7 @@
 export interface WatchDeskParts {
   readonly readView: () => WatchView;
   readonly registry: WorkerRegistry;
+  readonly suspects: SuspectKeeper;
   readonly watches: HeldCalls;
   readonly leaderWait: LeaderWait;
   readonly work: WorkMeter;
@@ -75,8 +77,10 @@
   }
 
   private hasNews(request: WatchRequest): boolean {
-    const { readView, registry } = this.parts;
-    return request.documentDigest !== readView().site.digest || registry.hasNews(request);
+    const { readView, registry, suspects } = this.parts;
+    return request.documentDigest !== readView().site.digest
+      || registry.hasNews(request)
+      || suspects.hasNews(request, registry.table.epoch);
   }
 
   private answerNotLeading(): WatchReply {
@@ -87,7 +91,9 @@
   }
 
   private buildReply(request: WatchRequest): WatchReply {
-    const { readView, registry, leaseMs } = this.parts;
+    const {
+      readView, registry, suspects, leaseMs,
+    } = this.parts;
     const { site, book, replicaAddresses } = readView();
     const isEntry = request.entryId !== '';
     return {
@@ -103,6 +109,7 @@
         ? this.packer.build(site)
         : NO_DOCUMENT_PART),
       ...registry.buildPart(request),
+      ...suspects.buildPart(request, registry.table.epoch),
     };
   }
 }
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -10,13 +10,13 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import type { HeldCalls } from '../utils/heldCalls';
-import type { WorkerMemo } from './workerMemo';
+import type { RecordMemo } from './recordMemo';
 
 /** What the registry needs. */
 export interface WorkerRegistryParts {
   /** Backend servers that were known before a restart. */
   readonly remembered: readonly WorkerRecord[];
-  readonly memo: Pick<WorkerMemo, 'note'>;
+  readonly memo: Pick<RecordMemo<WorkerRecord>, 'note'>;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Questions that are held until there is news. */
--- /dev/null
+++ b/src/core/quarantine/crashTable.ts
@@ -0,0 +1,320 @@
+/**
+ * Which requests end the backend servers that run them, judged from what entries saw.
+ *
+ * Whoever was open at a server when it ended is a suspect, and all but one of them are innocent. A
+ * request becomes certain by being there each time: its weight is the sum of the ends under it.
+ * Servers that end at the same moment share one cause, so each of them counts for a part of one
+ * end: requests of a rack that fails are not condemned. Being served clears a request.
+ */
+
+/** Servers that ended within a moment of one another, and the requests under each. */
+export interface EndMoment {
+  /** When the first of them ended, monotonic milliseconds. */
+  readonly at: number;
+  readonly servers: Map<string, Set<string>>;
+  isSettled: boolean;
+}
+
+/** A request under which servers ended. */
+export interface Suspect {
+  readonly fingerprint: string;
+  /** Starts of the servers that ended under it. */
+  readonly servers: Set<string>;
+  /** Weight that an earlier leader came to. */
+  carried: number;
+  readonly moments: Set<EndMoment>;
+  /** Weight at which it is refused, or refused again. */
+  bound: number;
+  refusals: number;
+  /** Until when it is refused, monotonic milliseconds. */
+  refusedUntil: number;
+  /** When something was last heard against it, monotonic milliseconds. */
+  notedAt: number;
+}
+
+/**
+ * - `noted`: treated as any other request.
+ * - `watched`: one copy at a time, apart from other suspects, and not sent again by an entry.
+ * - `refused`: reaches no server.
+ */
+export type SuspectStage = 'noted' | 'watched' | 'refused';
+
+/** What is kept of suspect requests. */
+export interface CrashTable {
+  /** Grows when what entries are told changes. */
+  revision: number;
+  readonly suspects: Map<string, Suspect>;
+  /** Moments by each server that ended in them. */
+  readonly ends: Map<string, EndMoment>;
+}
+
+/** A change of how a request is treated. */
+export interface StageChange {
+  readonly kind: 'watched' | 'refused' | 'cleared';
+  readonly suspect: Suspect;
+}
+
+/** Ends within this of one another have one cause, in milliseconds. */
+export const JOINT_END_MS = 100;
+
+/** Announcements that were on their way when a server ended arrive within this, in milliseconds. */
+const LATE_NEWS_MS = 500;
+
+/** Ends of servers, one at a time, after which a request is watched, and refused. */
+const WATCH_WEIGHT = 2;
+const REFUSE_WEIGHT = 3;
+
+/** How long a request is refused at first, and at most, in milliseconds. */
+const FIRST_REFUSAL_MS = 60_000;
+const MAX_REFUSAL_MS = 3_600_000;
+/** How many times as long it is refused when it has ended another server after that. */
+const REFUSAL_FACTOR = 4;
+
+/** How long a suspect is remembered after the last end, or the end of its refusal. */
+const SUSPECT_KEPT_MS = 600_000;
+
+/** Bounds on suspects, and on those under the end of one server. */
+const MAX_SUSPECTS = 4_096;
+const MAX_PER_SERVER = 256;
+
+/** Sums of thirds and sevenths are compared with whole numbers. */
+const EPSILON = 1e-6;
+
+/** Revision of a table in which nothing that is told has changed. */
+export const FIRST_REVISION = 1;
+
+/** Makes an empty table. */
+export const makeCrashTable = (): CrashTable => ({
+  revision: FIRST_REVISION, suspects: new Map(), ends: new Map(),
+});
+
+const weighMoment = ({ servers }: EndMoment, fingerprint: string): number => {
+  const under = [...servers.values()].filter((fingerprints) => fingerprints.has(fingerprint));
+  return servers.size === 0 ? 0 : under.length / servers.size;
+};
+
+/**
+ * Weighs what speaks against a request: 1 for each server that ended alone under it.
+ *
+ * @example
+ * weighSuspect(suspect); // 2.25 after two servers alone, and one of four that ended together
+ */
+export const weighSuspect = ({ fingerprint, carried, moments }: Suspect): number => (
+  [...moments].reduce((sum, moment) => sum + weighMoment(moment, fingerprint), carried)
+);
+
+/** Tells how a request is to be treated. */
+export const findStage = (
+  { suspects }: CrashTable,
+  fingerprint: string,
+  now: number,
+): SuspectStage => {
+  const suspect = suspects.get(fingerprint);
+  if (!suspect) return 'noted';
+  if (now < suspect.refusedUntil) return 'refused';
+  return weighSuspect(suspect) >= WATCH_WEIGHT - EPSILON ? 'watched' : 'noted';
+};
+
+/**
+ * Tells whether a watched request waits until an end under it has been judged: which other servers
+ * ended with it is known a moment later.
+ */
+export const isUnsettled = ({ suspects }: CrashTable, fingerprint: string): boolean => (
+  [...suspects.get(fingerprint)?.moments ?? []].some(({ isSettled }) => !isSettled)
+);
+
+const makeSuspect = (fingerprint: string, now: number): Suspect => ({
+  fingerprint,
+  servers: new Set(),
+  carried: 0,
+  moments: new Set(),
+  bound: REFUSE_WEIGHT,
+  refusals: 0,
+  refusedUntil: -Infinity,
+  notedAt: now,
+});
+
+/** The oldest that is not watched, else the oldest that is: a flood frees nobody. */
+const findLeast = (table: CrashTable, now: number): Suspect | undefined => {
+  const isAt = (stage: SuspectStage) => ({ fingerprint }: Suspect): boolean => (
+    findStage(table, fingerprint, now) === stage);
+  const suspects = [...table.suspects.values()];
+  return suspects.find(isAt('noted')) ?? suspects.find(isAt('watched'));
+};
+
+const dropSuspect = (table: CrashTable, suspect: Suspect): void => {
+  table.suspects.delete(suspect.fingerprint);
+  suspect.moments.forEach(({ servers }) => (
+    servers.forEach((fingerprints) => fingerprints.delete(suspect.fingerprint))));
+};
+
+/** The suspect of a fingerprint, made anew where it is not known; none where there is no room. */
+export const findSuspect = (
+  table: CrashTable,
+  fingerprint: string,
+  now: number,
+): Suspect | undefined => {
+  const known = table.suspects.get(fingerprint);
+  if (known) return known;
+  if (table.suspects.size >= MAX_SUSPECTS) {
+    const least = findLeast(table, now);
+    if (!least) return undefined;
+    dropSuspect(table, least);
+  }
+  const suspect = makeSuspect(fingerprint, now);
+  table.suspects.set(fingerprint, suspect);
+  return suspect;
+};
+
+const findMoment = ({ ends }: CrashTable, server: string, at: number): EndMoment => {
+  const known = ends.get(server)
+    ?? [...ends.values()].find((moment) => Math.abs(moment.at - at) <= JOINT_END_MS);
+  const moment = known ?? { at, servers: new Map<string, Set<string>>(), isSettled: false };
+  ends.set(server, moment);
+  return moment;
+};
+
+/**
+ * Notes that a server ended under a request.
+ *
+ * @param server names one start of it
+ * @param at when it ended, monotonic milliseconds
+ * @example
+ * noteEnd(table, fingerprint, 'w1@0', clock.now(), clock.now());
+ */
+export const noteEnd = (
+  table: CrashTable,
+  fingerprint: string,
+  server: string,
+  at: number,
+  now: number,
+): void => {
+  if (table.suspects.get(fingerprint)?.servers.has(server)) return;
+  const moment = findMoment(table, server, at);
+  const under = moment.servers.get(server) ?? new Set<string>();
+  moment.servers.set(server, under);
+  if (under.size >= MAX_PER_SERVER) return;
+  const suspect = findSuspect(table, fingerprint, now);
+  if (!suspect) return;
+  under.add(fingerprint);
+  suspect.servers.add(server);
+  suspect.moments.add(moment);
+  suspect.notedAt = now;
+  moment.isSettled = false;
+};
+
+const releaseSuspect = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
+  const wasTold = findStage(table, suspect.fingerprint, now) !== 'noted';
+  dropSuspect(table, suspect);
+  if (!wasTold) return [];
+  table.revision += 1;
+  return [{ kind: 'cleared', suspect }];
+};
+
+/**
+ * Notes that a request was served whole, which one that ends servers never is.
+ *
+ * @example
+ * const changes = noteServed(table, fingerprint, clock.now());
+ */
+export const noteServed = (
+  table: CrashTable,
+  fingerprint: string,
+  now: number,
+): StageChange[] => {
+  const suspect = table.suspects.get(fingerprint);
+  return suspect ? releaseSuspect(table, suspect, now) : [];
+};
+
+/** Takes back what an end said against a request, as its server lives. */
+const removeEnd = (
+  table: CrashTable,
+  suspect: Suspect,
+  server: string,
+  now: number,
+): StageChange[] => {
+  const { fingerprint, moments, servers } = suspect;
+  if (servers.size === 1) return releaseSuspect(table, suspect, now);
+  const stage = findStage(table, fingerprint, now);
+  servers.delete(server);
+  [...moments]
+    .filter((moment) => weighMoment(moment, fingerprint) === 0)
+    .forEach((moment) => moments.delete(moment));
+  if (weighSuspect(suspect) < REFUSE_WEIGHT - EPSILON) {
+    suspect.refusedUntil = Math.min(suspect.refusedUntil, now);
+    suspect.bound = REFUSE_WEIGHT;
+  }
+  if (findStage(table, fingerprint, now) === stage) return [];
+  table.revision += 1;
+  return [{ kind: 'cleared', suspect }];
+};
+
+/**
+ * Notes that a server was heard: a connection that broke off was no end of it.
+ *
+ * @example
+ * const changes = noteAlive(table, 'w1@0', clock.now());
+ */
+export const noteAlive = (table: CrashTable, server: string, now: number): StageChange[] => {
+  const moment = table.ends.get(server);
+  if (!moment || now - moment.at < LATE_NEWS_MS) return [];
+  const under = [...moment.servers.get(server) ?? []];
+  table.ends.delete(server);
+  moment.servers.delete(server);
+  return under
+    .flatMap((fingerprint) => table.suspects.get(fingerprint) ?? [])
+    .flatMap((suspect) => removeEnd(table, suspect, server, now));
+};
+
+const refuse = (suspect: Suspect, weight: number, now: number): StageChange => {
+  const refusalMs = Math.min(MAX_REFUSAL_MS, FIRST_REFUSAL_MS * REFUSAL_FACTOR ** suspect.refusals);
+  suspect.refusals += 1;
+  suspect.refusedUntil = now + refusalMs;
+  suspect.bound = weight + 1;
+  return { kind: 'refused', suspect };
+};
+
+const judge = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
+  const weight = weighSuspect(suspect);
+  if (now < suspect.refusedUntil || weight < WATCH_WEIGHT - EPSILON) return [];
+  table.revision += 1;
+  if (weight >= suspect.bound - EPSILON) return [refuse(suspect, weight, now)];
+  return [{ kind: 'watched', suspect }];
+};
+
+const settleMoment = (table: CrashTable, moment: EndMoment, now: number): StageChange[] => {
+  moment.isSettled = true;
+  const fingerprints = new Set([...moment.servers.values()].flatMap((under) => [...under]));
+  return [...fingerprints].flatMap((fingerprint) => {
+    const suspect = table.suspects.get(fingerprint);
+    return suspect ? judge(table, suspect, now) : [];
+  });
+};
+
+/**
+ * Judges the requests under ends that are no longer news, and returns what changed for them.
+ *
+ * @example
+ * const changes = judgeEnds(table, clock.now());
+ */
+export const judgeEnds = (table: CrashTable, now: number): StageChange[] => {
+  const due = [...table.ends.values()]
+    .filter(({ at, isSettled }) => !isSettled && now - at > JOINT_END_MS);
+  return [...new Set(due)].flatMap((moment) => settleMoment(table, moment, now));
+};
+
+/**
+ * Forgets what nothing was heard against for long.
+ *
+ * @example
+ * expireSuspects(table, clock.now());
+ */
+export const expireSuspects = (table: CrashTable, now: number): void => {
+  [...table.suspects.values()]
+    .filter(({ notedAt, refusedUntil }) => (
+      now - Math.max(notedAt, refusedUntil) > SUSPECT_KEPT_MS))
+    .forEach((suspect) => dropSuspect(table, suspect));
+  [...table.ends]
+    .filter(([, { at }]) => now - at > SUSPECT_KEPT_MS)
+    .forEach(([server]) => table.ends.delete(server));
+};
--- /dev/null
+++ b/src/core/quarantine/suspectList.ts
@@ -0,0 +1,71 @@
+import type { SuspectRecord, WatchReply, WatchRequest } from '../../protocol/generated/beechlift';
+
+/** The part of a leader's reply that tells the suspect requests. */
+export type SuspectNews = Pick<WatchReply, 'suspects' | 'suspectsRevision' | 'workersEpoch'>;
+
+/** The part of a question that tells which list is held. */
+export type SuspectListHeld = Pick<WatchRequest, 'suspectsEpoch' | 'suspectsRevision'>;
+
+/** A request that the leader watches or refuses. */
+export interface ListedSuspect {
+  /** Servers that ended under it. */
+  readonly ends: number;
+  /** What is left of its refusal, in milliseconds; 0 while it is only watched. */
+  readonly refusedMs: number;
+}
+
+interface HeldSuspect {
+  readonly record: SuspectRecord;
+  readonly refusedUntil: number;
+}
+
+/** Revision of a leader that tells no list. */
+const NO_LIST = 0;
+
+/**
+ * The suspect requests as the leader of control last told them: held by entries, which refuse them
+ * also while no leader is there, and by replicas that follow.
+ *
+ * @example
+ * list.apply(reply, clock.now());
+ * const suspect = list.find(fingerprint, clock.now());
+ */
+export class SuspectList {
+  private suspects: ReadonlyMap<string, HeldSuspect> = new Map();
+
+  private revision = NO_LIST;
+
+  /** The leader's tables that the revision counts in; empty before the first list. */
+  private epoch = '';
+
+  /** What is held, for the next question to a leader. */
+  get held(): SuspectListHeld {
+    return { suspectsEpoch: this.epoch, suspectsRevision: this.revision };
+  }
+
+  /** How many there are. */
+  get size(): number {
+    return this.suspects.size;
+  }
+
+  /** Takes in what the leader told; false when nothing changed. */
+  apply({ suspects, suspectsRevision, workersEpoch }: SuspectNews, now: number): boolean {
+    if (suspectsRevision === NO_LIST) return false;
+    // Guards against a reply that was overtaken by a newer one of the same leader.
+    if (workersEpoch === this.epoch && suspectsRevision <= this.revision) return false;
+    this.epoch = workersEpoch;
+    this.revision = suspectsRevision;
+    this.suspects = new Map(suspects.map((record) => (
+      [record.fingerprint, { record, refusedUntil: now + record.refusedMs }])));
+    return true;
+  }
+
+  /** Finds a request; undefined for one that nothing is known against. */
+  find(fingerprint: string, now: number): ListedSuspect | undefined {
+    const known = this.suspects.get(fingerprint);
+    return known && {
+      ends: known.record.servers.length,
+      refusedMs: Math.max(0, known.refusedUntil - now),
+    };
+  }
+}
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -5,6 +5,8 @@
  * all send to the same engine, where requests then wait in the order they came while another engine
  * idles. Here every slot is known, none is given twice, and what waits is served by rank.
  */
+import { NO_CAUTION } from '../quarantine/placementCaution';
+import type { CautionFinder, CautionKind, PlacementCaution } from '../quarantine/placementCaution';
 import { makeArrivals, noteArrival } from './arrivals';
 import type { PlaceAsk, PlacedRequest, PlacementTables } from './placementTables';
 import { makeOrder } from './placementOrder';
@@ -26,6 +28,7 @@
   | {
     readonly kind: 'refuse';
     readonly id: string;
+    readonly code: 'noSlotInTime' | 'requestQuarantined';
     readonly reason: string;
     readonly retryAfterMs: number;
   };
@@ -50,13 +53,20 @@
 const RETRY_STEP_MS = 250;
 /** Bounds what waits, over all services. */
 const MAX_WAITING = 4_096;
+const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** Makes empty tables over the backend servers. */
-export const makePlacement = (workers: RoutedWorkers): PlacementTables => (
-  {
-    workers, waiting: new Map(), placed: new Map(), arrivals: makeArrivals(), refusals: 0,
-  }
-);
+export const makePlacement = (
+  workers: RoutedWorkers,
+  findCaution: CautionFinder = () => NO_CAUTION,
+): PlacementTables => ({
+  workers,
+  waiting: new Map(),
+  placed: new Map(),
+  arrivals: makeArrivals(),
+  findCaution,
+  refusals: 0,
+});
 
 const refuse = (
   tables: PlacementTables,
@@ -71,6 +81,7 @@
   return {
     kind: 'refuse',
     id: ask.id,
+    code: 'noSlotInTime',
     reason,
     retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs) + spreadMs)),
   };
@@ -80,6 +91,7 @@
   tables: PlacementTables,
   ask: PlaceAsk,
   now: number,
+  avoided: ReadonlySet<string> = NO_SERVERS,
 ): WorkerChoice | undefined => chooseRoutedWorker(tables.workers, {
   service: ask.service,
   promptTokens: ask.promptTokens,
@@ -87,6 +99,7 @@
   remainingMs: ask.deadlineAt - now,
   zone: ask.zone,
   tried: ask.tried,
+  avoided,
   mustBeFree: true,
 }, now);
 
@@ -114,15 +127,67 @@
 /** Services that have been found without a free slot, so that nobody else is tried in vain. */
 type FullServices = Set<string>;
 
+const readCaution = (tables: PlacementTables, { fingerprint }: PlaceAsk): PlacementCaution => (
+  fingerprint ? tables.findCaution(fingerprint) : NO_CAUTION);
+
+const refuseQuarantined = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  { refusedMs }: PlacementCaution,
+): PlaceDecision => {
+  tables.waiting.delete(ask.id);
+  return {
+    kind: 'refuse',
+    id: ask.id,
+    code: 'requestQuarantined',
+    reason: `backend servers ended under request "${ask.fingerprint ?? ''}" each time`,
+    retryAfterMs: refusedMs,
+  };
+};
+
+/**
+ * Chooses for a suspect: one copy at a time, so that what it does is known before the next runs,
+ * and never beside another suspect, so that an end tells which of them it was.
+ */
+const chooseAlone = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  now: number,
+): WorkerChoice | undefined => {
+  const suspects = [...tables.placed.values()]
+    .filter((placed) => readCaution(tables, placed.ask).kind !== 'none');
+  if (suspects.some((placed) => placed.ask.fingerprint === ask.fingerprint)) return undefined;
+  return chooseFree(tables, ask, now, new Set(suspects.map(({ worker }) => worker.id)));
+};
+
+const chooseUnlessFull = (
+  tables: PlacementTables,
+  ask: PlaceAsk,
+  full: FullServices,
+  now: number,
+): WorkerChoice | undefined => {
+  if (full.has(ask.service)) return undefined;
+  const choice = chooseFree(tables, ask, now);
+  if (!choice) full.add(ask.service);
+  return choice;
+};
+
 const decideWaiting = (
   tables: PlacementTables,
   ask: PlaceAsk,
   full: FullServices,
   now: number,
 ): PlaceDecision | undefined => {
-  const choice = full.has(ask.service) ? undefined : chooseFree(tables, ask, now);
+  const caution = readCaution(tables, ask);
+  if (caution.kind === 'refused') return refuseQuarantined(tables, ask, caution);
+  const choosers: Record<CautionKind, () => WorkerChoice | undefined> = {
+    none: () => chooseUnlessFull(tables, ask, full, now),
+    alone: () => chooseAlone(tables, ask, now),
+    held: () => undefined,
+    refused: () => undefined,
+  };
+  const choice = choosers[caution.kind]();
   if (choice) return grant(tables, ask, choice, now);
-  full.add(ask.service);
   const isOver = now - ask.askedAt > computePatienceMs(tables, ask);
   return isOver ? refuse(tables, ask, now, 'no slot was free in time') : undefined;
 };
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -1,4 +1,5 @@
 /** What placing requests on model engines rests on. */
+import type { CautionFinder } from '../quarantine/placementCaution';
 import type { Arrivals } from './arrivals';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 
@@ -16,6 +17,8 @@
   readonly deadlineAt: number;
   readonly zone: string;
   readonly tried: readonly string[];
+  /** The same for each resend of the request; empty where its entry tells none. */
+  readonly fingerprint?: string;
   readonly askedAt: number;
 }
 
@@ -39,6 +42,7 @@
   readonly waiting: Map<string, PlaceAsk>;
   readonly placed: Map<string, PlacedRequest>;
   readonly arrivals: Arrivals;
+  readonly findCaution: CautionFinder;
   /** Refusals so far, by which those that come back are spread. */
   refusals: number;
 }
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -19,6 +19,8 @@
   readonly zone: string;
   /** Backend servers that this request was at already. */
   readonly tried: readonly string[];
+  /** Backend servers that must not take it. */
+  readonly avoided?: ReadonlySet<string>;
   /** Whether only a server with a free slot will do. */
   readonly mustBeFree: boolean;
 }
@@ -115,6 +117,7 @@
   request: ChoiceRequest,
 ): boolean => worker.standing === 'ready'
   && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
+  && !request.avoided?.has(worker.id)
   && (!request.mustBeFree || isFree(worker));
 
 /**
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -89,6 +89,9 @@
   starting: {
     number: 2008, status: 503, run: 'notRun', action: 'Use another replica, or ask again in a moment; this one has just started.',
   },
+  requestQuarantined: {
+    number: 2009, status: 503, run: 'notRun', action: 'Do not send this request again before Retry-After: backend servers ended under it each time. Change it, or report it with its fingerprint.',
+  },
   outcomeUnknown: {
     number: 3001, status: 502, run: 'unknown', action: 'Ask again with the same key; do not use a new one.',
   },
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -7,6 +7,8 @@
 import type { Clock } from '../utils/clock';
 import { TurnTask } from '../utils/turnTask';
 import type { ClientStream, RpcLink } from '../wire/rpcLink';
+import { CrashNotes } from './crashNotes';
+import type { SeenEnd } from './crashNotes';
 
 /**
  * Silence of the leader after which an entry decides by itself, in milliseconds: the leader sends a
@@ -79,6 +81,11 @@
 
   private reports: PlacedReport[] = [];
 
+  private readonly crashes = new CrashNotes();
+
+  /** Suspect requests that were served, which the leader has not heard of. */
+  private served: string[] = [];
+
   private line: Line | undefined;
 
   private readonly flushing = new TurnTask(() => this.flush());
@@ -122,6 +129,19 @@
     else this.flushWithin(computePaceWaitMs(this.parts.countEntries()));
   }
 
+  /** Tells that a server ended under a request. */
+  reportEnd(end: SeenEnd): void {
+    this.crashes.add(end, this.parts.clock.now());
+    this.flushing.schedule();
+  }
+
+  /** Tells that a request was served under which a server had ended before. */
+  reportServed(fingerprint: string): void {
+    this.crashes.forget(fingerprint);
+    this.served = [...this.served, fingerprint].slice(-MAX_REPORTS);
+    this.flushing.schedule();
+  }
+
   /** Ends the stream. */
   close(): void {
     this.dropLine();
@@ -150,10 +170,12 @@
       return;
     }
     const line = this.findLine(link);
-    const { requests, reports } = this;
-    if (requests.length === 0 && reports.length === 0) return;
+    const { requests, reports, served } = this;
+    const isEmpty = requests.length + reports.length + served.length === 0;
+    if (isEmpty && !this.crashes.hasUntold) return;
     this.requests = [];
     this.reports = [];
+    this.served = [];
     const isFirst = line.sent === 0;
     if (!this.isOwed(line)) line.owedSince = now;
     line.sent += 1;
@@ -164,6 +186,8 @@
       reports,
       entryId: isFirst ? this.parts.entryId : '',
       held: isFirst ? [...this.held] : [],
+      sightings: this.crashes.takeUntold(now),
+      served,
     });
     this.watch();
   }
@@ -172,6 +196,7 @@
   private findLine(link: RpcLink<SiteClient>): Line {
     if (this.line?.link === link) return this.line;
     this.dropLine();
+    this.crashes.markUntold();
     this.requests = [...this.waiting.values()].map(({ request }) => request);
     const stream = link.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), {
       take: (decisions) => {
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,4 +1,5 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import { SuspectList } from '../core/quarantine/suspectList';
 import { AccountBudget } from '../core/routing/accountBudget';
 import { EntryList } from '../core/routing/entryList';
 import type { Mechanisms } from '../core/routing/mechanisms';
@@ -57,6 +58,9 @@
 
   readonly retries: RetryAllowance;
 
+  /** Requests that are known to end backend servers. */
+  readonly suspects = new SuspectList();
+
   isLeaving = false;
 
   private digest = '';
@@ -153,6 +157,7 @@
       loads: listLoads(this.workers),
       spends: this.budget.listSpends(clock.now()),
       ...this.entries.held,
+      ...this.suspects.held,
     };
   }
 
@@ -212,6 +217,7 @@
     if (reply.workersEpoch !== this.workersEpoch) forgetPlaced(this.workers);
     applyLoads(this.workers, reply.loads);
     this.entries.apply(reply);
+    this.suspects.apply(reply, this.parts.clock.now());
     this.workersEpoch = reply.workersEpoch;
     this.workersRevision = reply.workersRevision;
   }
--- /dev/null
+++ b/src/relay/repeatRules.ts
@@ -0,0 +1,93 @@
+import { BeechliftError } from '../errors/beechliftError';
+import type { AdmittedRequest } from './admitRequest';
+import type { AnswerWriter } from './answerWriter';
+import type { AttemptEnd } from './attemptNotes';
+import type { RequestGuard } from './requestGuard';
+import type { RequestParts } from './requestParts';
+
+/** Servers that a request is offered to without being run by any, at most. */
+const MAX_OFFERS = 4;
+
+/**
+ * When one request may be sent to another server, and what is true of a request that is not: only
+ * where nothing can run twice, and where no server is put at risk.
+ *
+ * @example
+ * rules.noteAttempt(end);
+ * if (rules.maySendAgain(end, writer)) offerElsewhere();
+ */
+export class RepeatRules {
+  /** Times that bytes of the request may have left. */
+  sent = 0;
+
+  private offers = 0;
+
+  /** Whether a backend server may have run it. */
+  private mayHaveRun = false;
+
+  constructor(
+    private readonly parts: Pick<RequestParts, 'site' | 'clock' | 'picker'>,
+    private readonly admitted: AdmittedRequest,
+    private readonly guard: RequestGuard,
+  ) {}
+
+  /** Notes that a server was chosen for it. */
+  noteOffer(): void {
+    this.offers += 1;
+  }
+
+  /** Notes what came of an attempt. */
+  noteAttempt({ kind }: AttemptEnd): void {
+    this.mayHaveRun ||= kind === 'broken' || kind === 'failed';
+  }
+
+  /** Whether the route lets it run more than once. */
+  get isRepeatable(): boolean {
+    const { kind, isResumable } = this.admitted.route;
+    return kind === 'idempotent' || (kind === 'stream' && isResumable);
+  }
+
+  /** Whether one that is at a server now may be taken to another one. */
+  get mayMove(): boolean {
+    return this.isRepeatable && this.sent + 1 < this.admitted.route.maxAttempts;
+  }
+
+  /** Whether an answer that failed is worth asking another server instead. */
+  get mayReplaceFailure(): boolean {
+    return this.mayMove && this.parts.picker.hasChoice(this.admitted.service);
+  }
+
+  /*
+   * Guards against running twice what may run once: after a byte was sent, only a server that says
+   * that it did not run the request, or a route that may be repeated, allows another send.
+   */
+  maySendAgain(end: AttemptEnd, writer: AnswerWriter, deadlineAt: number): boolean {
+    const { site, clock } = this.parts;
+    const now = clock.now();
+    if (now >= deadlineAt || this.offers >= MAX_OFFERS) return false;
+    // What another server answers must not be put behind what the caller has of the first answer.
+    const canGoOn = writer.canGoOn && site.workers.mechanisms.resumption;
+    if (writer.hasBegun && !canGoOn) return false;
+    if (end.kind === 'unsent') return true;
+    if (!this.guard.mayRepeat) return false;
+    const { route, service } = this.admitted;
+    const isSafe = end.kind === 'rejected' || this.isRepeatable;
+    const hasAttempts = end.kind === 'rejected' || this.sent < route.maxAttempts;
+    return isSafe && hasAttempts && site.retries.take(service, now);
+  }
+
+  /*
+   * Guards a promise: a refusal says that the request has not run, and its caller may rely on that.
+   * One that was sent to a server before, and found none for its second try, may have run.
+   */
+  judgeRefusal(error: BeechliftError): BeechliftError {
+    if (!this.mayHaveRun || error.run !== 'notRun') return error;
+    return new BeechliftError('outcomeUnknown', `a first try may have run, and then: ${error.message}`);
+  }
+
+  /** Makes the answer to a request that is sent nowhere else. */
+  makeFailure(reason: string, retryAfterMs: number): BeechliftError {
+    if (this.mayHaveRun) return new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
+    return new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs });
+  }
+}
--- /dev/null
+++ b/src/relay/requestGuard.ts
@@ -0,0 +1,73 @@
+import type { ListedSuspect } from '../core/quarantine/suspectList';
+import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { BeechliftError } from '../errors/beechliftError';
+import { computeFingerprint } from './requestFingerprint';
+import type { RequestContent } from './requestFingerprint';
+import type { RequestParts } from './requestParts';
+
+/** Ends of servers under one request after which its entry does not send it again by itself. */
+const MOST_ENDS = 2;
+const SUCCESS = 200;
+const REDIRECT = 300;
+
+/**
+ * Guards backend servers against one request that ends each of them: it comes again under other
+ * ids, at any entry, and takes all that runs beside it along.
+ *
+ * @example
+ * const guard = new RequestGuard(parts, content);
+ * guard.check(); // throws requestQuarantined
+ */
+export class RequestGuard {
+  private computed: string | undefined;
+
+  /** Servers that ended under it here. */
+  private ends = 0;
+
+  constructor(
+    private readonly parts: Pick<RequestParts, 'site' | 'placeClient' | 'clock'>,
+    private readonly content: RequestContent,
+  ) {}
+
+  /** The same for each resend of the request. */
+  get fingerprint(): string {
+    this.computed ??= computeFingerprint(this.content);
+    return this.computed;
+  }
+
+  /** Whether the entry may send the request to another server by itself. */
+  get mayRepeat(): boolean {
+    return this.ends < MOST_ENDS && this.findSuspect() === undefined;
+  }
+
+  /** Throws for a request that the leader has found to end servers. */
+  check(): void {
+    const suspect = this.findSuspect();
+    if (!suspect || suspect.refusedMs <= 0) return;
+    throw new BeechliftError('requestQuarantined', `${suspect.ends} backend servers ended under request "${this.fingerprint}"`, {
+      retryAfterMs: Math.ceil(suspect.refusedMs),
+    });
+  }
+
+  /** Notes that a server broke off while it had the request, which was to go on. */
+  noteEnd({ id, born, standing }: RoutedWorker): void {
+    // A server that leaves ends in order.
+    if (standing !== 'ready') return;
+    this.ends += 1;
+    this.parts.placeClient.reportEnd({ fingerprint: this.fingerprint, workerId: id, born });
+  }
+
+  /** Notes that a server answered it whole. */
+  noteAnswered(status: number): void {
+    const isServed = status >= SUCCESS && status < REDIRECT;
+    if (!isServed || (this.ends === 0 && !this.findSuspect())) return;
+    this.parts.placeClient.reportServed(this.fingerprint);
+  }
+
+  /** Looked up only where there are suspects: most requests need no fingerprint. */
+  private findSuspect(): ListedSuspect | undefined {
+    const { site, clock } = this.parts;
+    if (site.suspects.size === 0) return undefined;
+    return site.suspects.find(this.fingerprint, clock.now());
+  }
+}
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -2,8 +2,7 @@
 import type { AdmittedRequest } from './admitRequest';
 import type { AnswerWriter } from './answerWriter';
 import type { AttemptEnd } from './attemptNotes';
-import { computeFingerprint } from './requestFingerprint';
-import type { RequestContent } from './requestFingerprint';
+import type { RequestGuard } from './requestGuard';
 import type { RequestParts } from './requestParts';
 import type { PickedWorker } from './workerPicker';
 
@@ -18,8 +17,8 @@
  * log.noteRefusal(error, admitted, 0);
  */
 export class RequestLog {
-  /** What the request is, once its body is whole. */
-  content: RequestContent | undefined;
+  /** What the request shares with its resends, once its body is whole. */
+  identity: Pick<RequestGuard, 'fingerprint'> | undefined;
 
   constructor(
     private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock'>,
@@ -45,7 +44,7 @@
     const level = end.kind === 'answered' ? 'debug' : 'info';
     logger[level]('attempt ended', {
       requestId: this.requestId,
-      fingerprint: end.kind === 'broken' ? this.computeFingerprint() : undefined,
+      fingerprint: end.kind === 'broken' ? this.identity?.fingerprint : undefined,
       route: route.name,
       worker: worker.id,
       placed: placeId !== '',
@@ -57,11 +56,6 @@
     });
   }
 
-  /** The same for each resend of the request, whatever its id; undefined before it is read. */
-  private computeFingerprint(): string | undefined {
-    return this.content && computeFingerprint(this.content);
-  }
-
   /** Notes an answer of our own, and the document by which it was decided. */
   noteRefusal(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
     const { metrics, logger, clock } = this.parts;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -12,14 +12,14 @@
 import { computeLeaseWaitMs } from './leaseWait';
 import { readRequestBody } from './readRequestBody';
 import type { AnswerFacts, CallFacts } from './requestDialect';
+import { RepeatRules } from './repeatRules';
+import { RequestGuard } from './requestGuard';
 import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamEnd, UpstreamHead, UpstreamRequest } from './upstreamCall';
 import type { PickedWorker } from './workerPicker';
 
-/** Servers that a request is offered to without being run by any, at most. */
-const MAX_OFFERS = 4;
 /** Longest time that a caller may take for its body, in milliseconds. */
 const BODY_MS = 30_000;
 /** Time to come back after servers refused, in milliseconds: a slot or two later. */
@@ -35,6 +35,14 @@
   return isResumable ? 'framed' : 'direct';
 };
 
+/** A request that is admitted and read, and what is decided by. */
+interface OfferedRequest {
+  readonly admitted: AdmittedRequest;
+  readonly body: Buffer;
+  readonly guard: RequestGuard;
+  readonly rules: RepeatRules;
+}
+
 /**
  * One request of a caller: admitted, sent to a backend server, and answered once. It is sent again
  * only where nothing can run twice: the server did not run it, or its route says that it may be
@@ -52,13 +60,6 @@
 
   private readonly tried: string[] = [];
 
-  private sent = 0;
-
-  private offers = 0;
-
-  /** Whether a backend server may have run it. */
-  private mayHaveRun = false;
-
   private deadlineAt = Infinity;
 
   private call: UpstreamCall | undefined;
@@ -70,6 +71,9 @@
 
   private admitted: AdmittedRequest | undefined;
 
+  /** Known once the request is admitted and read. */
+  private rules: RepeatRules | undefined;
+
   constructor(
     private readonly parts: RequestParts,
     private readonly request: IncomingMessage,
@@ -88,7 +92,8 @@
     try {
       await this.serve();
     } catch (thrown) {
-      this.refuse(this.judgeRefusal(toBeechliftError(thrown)));
+      const error = toBeechliftError(thrown);
+      this.refuse(this.rules?.judgeRefusal(error) ?? error);
     }
   }
 
@@ -105,25 +110,38 @@
     this.writer = new AnswerWriter(this.response, pickFlow(route), () => clock.now());
     const limits = site.table?.routing.limits;
     const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0, BODY_MS);
-    this.log.content = {
-      method: this.request.method ?? 'GET', host, target: this.target, account: admitted.account?.name ?? '', body,
-    };
+    const guard = this.makeGuard(host, admitted, body);
+    this.log.identity = guard;
+    guard.check();
+    const rules = new RepeatRules(this.parts, admitted, guard);
+    this.rules = rules;
     site.retries.noteRequest(admitted.service, clock.now());
     const timer = setTimeout(() => this.expire(), this.deadlineAt - clock.now());
     try {
-      await this.offer(admitted, body);
+      await this.offer({
+        admitted, body, guard, rules,
+      });
     } finally {
       clearTimeout(timer);
     }
   }
 
+  private makeGuard(host: string, { account }: AdmittedRequest, body: Buffer): RequestGuard {
+    const { request: { method = 'GET' }, target } = this;
+    return new RequestGuard(this.parts, {
+      method, host, target, account: account?.name ?? '', body,
+    });
+  }
+
   /** Offers the request to one server after another, until it is answered or given up. */
-  private async offer(admitted: AdmittedRequest, body: Buffer): Promise<void> {
+  private async offer(offered: OfferedRequest): Promise<void> {
+    const { admitted, guard, rules } = offered;
     const picked = await this.parts.picker.pick({
       admitted,
       facts: this.facts,
       deadlineAt: this.deadlineAt,
       tried: [...this.tried],
+      fingerprint: guard.fingerprint,
       isOver: () => this.writer.isOver,
       noteWaiting: (cancel) => {
         this.cancelPick = cancel;
@@ -134,24 +152,24 @@
       this.dropPicked(admitted, picked);
       return;
     }
-    this.offers += 1;
+    rules.noteOffer();
     this.tried.push(picked.worker.id);
-    const end = await this.attempt(admitted, picked, body);
+    const end = await this.attempt(offered, picked);
     this.log.noteAttempt(admitted, picked, end, this.writer);
-    this.mayHaveRun ||= end.kind === 'broken' || end.kind === 'failed';
+    rules.noteAttempt(end);
     if (end.kind === 'answered' || this.writer.isOver) return;
-    if (!this.maySendAgain(admitted, end)) {
-      this.giveUp(end);
-      return;
+    if (!rules.maySendAgain(end, this.writer, this.deadlineAt)) {
+      throw rules.makeFailure(end.reason, MIN_RETRY_MS);
     }
     this.parts.metrics.repeats.inc({ reason: end.kind });
-    await this.offer(admitted, body);
+    await this.offer(offered);
   }
 
   private async attempt(
-    admitted: AdmittedRequest,
+    {
+      admitted, body, guard, rules,
+    }: OfferedRequest,
     picked: PickedWorker,
-    body: Buffer,
   ): Promise<AttemptEnd> {
     const { worker } = picked;
     const { connections } = this.parts;
@@ -162,7 +180,7 @@
     const call: UpstreamCall = new UpstreamCall(connection, {
       onHead: (head) => {
         notes.noteHead();
-        verdict = this.judgeHead(admitted, head);
+        verdict = this.judgeHead(rules, head);
         if (verdict) return false;
         this.writer.writeHead(head);
         return true;
@@ -176,17 +194,19 @@
     });
     this.call = call;
     const silence = setTimeout(
-      () => this.noteSilence(admitted, worker, call),
+      () => this.noteSilence(rules, worker, call),
       Math.max(MIN_SILENCE_MS, SILENCE_IN_TARGETS * admitted.route.targetLatencyMs),
     );
     const end = await call.run(this.buildUpstreamRequest(admitted, worker, body));
     clearTimeout(silence);
     notes.noteOver();
     this.call = undefined;
-    if (call.isSent) this.sent += 1;
+    if (call.isSent) rules.sent += 1;
     if (end.kind === 'whole') connections.give(connection);
     else connection.end();
     const settled = this.settle(worker, notes, end, verdict);
+    if (settled.kind === 'broken' && !verdict && !call.isAborted) guard.noteEnd(worker);
+    if (settled.kind === 'answered') guard.noteAnswered(this.writer.statusCode);
     notes.noteEnd(settled.kind);
     return settled;
   }
@@ -227,7 +247,7 @@
 
   /** Tells what is wrong with a head; undefined for one that is passed on. */
   private judgeHead(
-    { route, service }: AdmittedRequest,
+    rules: RepeatRules,
     { status, headers }: UpstreamHead,
   ): AttemptEnd | undefined {
     const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
@@ -237,10 +257,7 @@
     }
     if (status < SERVER_ERROR) return this.judgeResumed(status);
     const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
-    const repeats = route.maxAttempts > this.sent + 1
-      && this.isRepeatable(route.kind)
-      && this.parts.picker.hasChoice(service);
-    return repeats || this.writer.hasBegun ? end : undefined;
+    return rules.mayReplaceFailure || this.writer.hasBegun ? end : undefined;
   }
 
   /** A stream that goes on elsewhere can only go on with a success. */
@@ -276,53 +293,14 @@
     return end.kind === 'unsent' ? end : verdict ?? end;
   }
 
-  private isRepeatable(kind: AdmittedRequest['route']['kind']): boolean {
-    const isResumable = this.admitted?.route.isResumable ?? false;
-    return kind === 'idempotent' || (kind === 'stream' && isResumable);
-  }
-
-  /*
-   * Guards against running twice what may run once: after a byte was sent, only a server that says
-   * that it did not run the request, or a route that may be repeated, allows another send.
-   */
-  private maySendAgain({ route, service }: AdmittedRequest, end: AttemptEnd): boolean {
-    const { site, clock } = this.parts;
-    const now = clock.now();
-    if (now >= this.deadlineAt || this.offers >= MAX_OFFERS) return false;
-    // What another server answers must not be put behind what the caller has of the first answer.
-    const canGoOn = this.writer.canGoOn && site.workers.mechanisms.resumption;
-    if (this.writer.hasBegun && !canGoOn) return false;
-    if (end.kind === 'unsent') return true;
-    const isSafe = end.kind === 'rejected' || this.isRepeatable(route.kind);
-    const hasAttempts = end.kind === 'rejected' || this.sent < route.maxAttempts;
-    return isSafe && hasAttempts && site.retries.take(service, now);
-  }
-
-  /*
-   * Guards a promise: a refusal says that the request has not run, and its caller may rely on that.
-   * One that was sent to a server before, and found none for its second try, may have run.
-   */
-  private judgeRefusal(error: BeechliftError): BeechliftError {
-    if (!this.mayHaveRun || error.run !== 'notRun') return error;
-    return new BeechliftError('outcomeUnknown', `a first try may have run, and then: ${error.message}`);
-  }
-
-  private giveUp(end: AttemptEnd): void {
-    const reason = end.kind === 'answered' ? '' : end.reason;
-    if (this.mayHaveRun) throw new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
-    throw new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs: MIN_RETRY_MS });
-  }
-
   /*
    * Guards against a server that accepts requests and stays silent: others are preferred from now
    * on, and what may be repeated is taken elsewhere at once.
    */
-  private noteSilence(admitted: AdmittedRequest, worker: RoutedWorker, call: UpstreamCall): void {
+  private noteSilence(rules: RepeatRules, worker: RoutedWorker, call: UpstreamCall): void {
     if (this.writer.hasBegun || !this.parts.site.workers.mechanisms.silence) return;
     suspendWorker(worker, this.parts.clock.now());
-    const { route } = admitted;
-    const canRepeat = this.isRepeatable(route.kind) && this.sent + 1 < route.maxAttempts;
-    if (canRepeat) call.abort('the backend server is silent');
+    if (rules.mayMove) call.abort('the backend server is silent');
   }
 
   private expire(): void {
@@ -340,7 +318,7 @@
   }
 
   private refuse(error: BeechliftError): void {
-    this.log.noteRefusal(error, this.admitted, this.sent);
+    this.log.noteRefusal(error, this.admitted, this.rules?.sent ?? 0);
     this.writer.fail(error, this.parts.site.isLeaving);
   }
 }
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -58,6 +58,11 @@
     private readonly listener: UpstreamListener,
   ) {}
 
+  /** Whether it was given up here. */
+  get isAborted(): boolean {
+    return this.abortReason !== undefined;
+  }
+
   /** Sends the request; resolves once its answer has ended, whole or not. */
   run({
     method, path, headers, body,
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -18,6 +18,7 @@
   readonly deadlineAt: number;
   /** Backend servers that it was at already. */
   readonly tried: readonly string[];
+  readonly fingerprint: string;
   /** Whether nobody waits for it any more. */
   readonly isOver: () => boolean;
   /** Hears how to take the request back while it waits for a place. */
@@ -91,7 +92,7 @@
   private async place(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const {
-      admitted, facts, tried, deadlineAt,
+      admitted, facts, tried, fingerprint, deadlineAt,
     } = request;
     const {
       account, service, rank, route,
@@ -112,6 +113,7 @@
       remainingMs: Math.max(1, Math.round(deadlineAt - clock.now())),
       zone: site.zone,
       tried: [...tried],
+      fingerprint,
     }, deadlineAt);
     if (!reply) return undefined;
     if (reply.code !== 0) {
--- a/tests/control/watch-desk.spec.ts
+++ b/tests/control/watch-desk.spec.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { LeaderBook } from '../../src/control/leaderBook';
 import { LeaderWait } from '../../src/control/leaderWait';
+import { SuspectKeeper } from '../../src/control/suspectKeeper';
 import { WatchDesk } from '../../src/control/watchDesk';
 import { WorkerRegistry } from '../../src/control/workerRegistry';
 import { WorkMeter } from '../../src/control/workMeter';
@@ -28,6 +29,14 @@
   });
   const desk = new WatchDesk({
     registry,
+    suspects: new SuspectKeeper({
+      rememberedSuspects: [],
+      suspectMemo: { note: () => undefined },
+      clock: systemClock,
+      logger,
+      watches,
+      countEntries: () => ENTRIES,
+    }),
     watches,
     leaderWait: new LeaderWait(() => true),
     work: new WorkMeter(systemClock, logger, BEAT_MS),
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -17,7 +17,7 @@
       metrics: new RelayMetrics(), logger: logger as unknown as Logger, clock: { now: () => 0 },
     };
     const log = new RequestLog(parts, requestId, 0);
-    log.content = content;
+    log.identity = { fingerprint: computeFingerprint(content) };
     log.noteAttempt(
       {
         route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -45,6 +45,7 @@
   },
   deadlineAt: 5_000,
   tried: [],
+  fingerprint: '',
   isOver,
   noteWaiting,
 });
