A server that only closed a connection is no longer taken for one that ended

Cause: a connection that broke off stood for the end of its server, and the proof of life came with announcements, seconds later.

Now the entry opens a connection to that server before it tells of an end: only a process that is gone refuses it. Requests that broke off together share one look; it takes a millisecond where the server answers or refuses, and the attempt waits 50 ms for it at most. The proof by announcements stays behind it, and takes three, as one may have been on its way for seconds.

--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -2,8 +2,8 @@
   PlaceNews, SuspectRecord, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import {
-  expireSuspects, findStage, FIRST_REVISION, isUnsettled, judgeEnds, makeCrashTable, noteAlive,
-  noteEnd, noteServed, weighSuspect,
+  expireSuspects, findStage, FIRST_REVISION, isUnsettled, judgeEnds, makeCrashTable, noteEnd,
+  noteHeard, noteServed, weighSuspect,
 } from '../core/quarantine/crashTable';
 import type { StageChange, SuspectStage } from '../core/quarantine/crashTable';
 import { NO_CAUTION } from '../core/quarantine/placementCaution';
@@ -72,10 +72,13 @@
     this.tell(served.flatMap((fingerprint) => noteServed(this.table, fingerprint, now)));
   }
 
-  /** Notes that a server announced itself: whatever broke off there, it lives. */
-  noteAnnounced({ workerId, born, state }: WorkerAnnouncement): void {
+  /** Notes that a server announced itself: one that goes on did not end. */
+  noteAnnounced({
+    workerId, born, state, sequence,
+  }: WorkerAnnouncement): void {
     if (state === 'gone') return;
-    this.tell(noteAlive(this.table, nameStart(workerId, born), this.parts.clock.now()));
+    const now = this.parts.clock.now();
+    this.tell(noteHeard(this.table, nameStart(workerId, born), sequence, now));
   }
 
   /** Judges what has come in, and forgets what is old. */
--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -12,9 +12,18 @@
   /** When the first of them ended, monotonic milliseconds. */
   readonly at: number;
   readonly servers: Map<string, Set<string>>;
+  /** What was heard of each of them since. */
+  readonly heard: Map<string, SignsOfLife>;
   isSettled: boolean;
 }
 
+/** Announcements of a server after connections to it broke off. */
+interface SignsOfLife {
+  readonly count: number;
+  /** Number of the newest; the same one may come over several ways. */
+  readonly sequence: number;
+}
+
 /** A request under which servers ended. */
 export interface Suspect {
   readonly fingerprint: string;
@@ -57,8 +66,10 @@
 /** Ends within this of one another have one cause, in milliseconds. */
 export const JOINT_END_MS = 100;
 
-/** Announcements that were on their way when a server ended arrive within this, in milliseconds. */
+/** Announcements that were on their way when a server ended mostly arrive within this, in ms. */
 const LATE_NEWS_MS = 500;
+/** Later announcements by which a server is known to live: one or two may have been held up. */
+const LIFE_SIGNS = 3;
 
 /** Ends of servers, one at a time, after which a request is watched, and refused. */
 const WATCH_WEIGHT = 2;
@@ -169,7 +180,9 @@
 const findMoment = ({ ends }: CrashTable, server: string, at: number): EndMoment => {
   const known = ends.get(server)
     ?? [...ends.values()].find((moment) => Math.abs(moment.at - at) <= JOINT_END_MS);
-  const moment = known ?? { at, servers: new Map<string, Set<string>>(), isSettled: false };
+  const moment = known ?? {
+    at, servers: new Map<string, Set<string>>(), heard: new Map(), isSettled: false,
+  };
   ends.set(server, moment);
   return moment;
 };
@@ -244,20 +257,36 @@
     suspect.refusedUntil = Math.min(suspect.refusedUntil, now);
     suspect.bound = REFUSE_WEIGHT;
   }
-  if (findStage(table, fingerprint, now) === stage) return [];
+  const left = findStage(table, fingerprint, now);
+  if (left === stage) return [];
   table.revision += 1;
-  return [{ kind: 'cleared', suspect }];
+  return [{ kind: left === 'noted' ? 'cleared' : left, suspect }];
+};
+
+const addSign = (moment: EndMoment, server: string, sequence: number): number => {
+  const before = moment.heard.get(server) ?? { count: 0, sequence: -1 };
+  if (sequence <= before.sequence) return before.count;
+  moment.heard.set(server, { count: before.count + 1, sequence });
+  return before.count + 1;
 };
 
 /**
- * Notes that a server was heard: a connection that broke off was no end of it.
+ * Notes that a server was heard. One that goes on announcing itself did not end: the connections to
+ * it broke off for another reason.
  *
+ * @param sequence number of the announcement, which grows with each
  * @example
- * const changes = noteAlive(table, 'w1@0', clock.now());
+ * const changes = noteHeard(table, 'w1@0', 17, clock.now());
  */
-export const noteAlive = (table: CrashTable, server: string, now: number): StageChange[] => {
+export const noteHeard = (
+  table: CrashTable,
+  server: string,
+  sequence: number,
+  now: number,
+): StageChange[] => {
   const moment = table.ends.get(server);
   if (!moment || now - moment.at < LATE_NEWS_MS) return [];
+  if (addSign(moment, server, sequence) < LIFE_SIGNS) return [];
   const under = [...moment.servers.get(server) ?? []];
   table.ends.delete(server);
   moment.servers.delete(server);
--- a/src/relay/requestGuard.ts
+++ b/src/relay/requestGuard.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import type { ListedSuspect } from '../core/quarantine/suspectList';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { BeechliftError } from '../errors/beechliftError';
@@ -7,6 +8,8 @@
 
 /** Ends of servers under one request after which its entry does not send it again by itself. */
 const MOST_ENDS = 2;
+/** Longest that a broken attempt waits for news of its server, in milliseconds. */
+const CHECK_WAIT_MS = 50;
 const SUCCESS = 200;
 const REDIRECT = 300;
 
@@ -25,7 +28,7 @@
   private ends = 0;
 
   constructor(
-    private readonly parts: Pick<RequestParts, 'site' | 'placeClient' | 'clock'>,
+    private readonly parts: Pick<RequestParts, 'site' | 'connections' | 'placeClient' | 'clock'>,
     private readonly content: RequestContent,
   ) {}
 
@@ -49,12 +52,17 @@
     });
   }
 
-  /** Notes that a server broke off while it had the request, which was to go on. */
-  noteEnd({ id, born, standing }: RoutedWorker): void {
+  /**
+   * Notes that a server broke off while it had the request. Resolves once it is known whether the
+   * server has ended, or a moment later: whoever waits for its slot is decided on after that.
+   */
+  async noteBroken(worker: RoutedWorker): Promise<void> {
     // A server that leaves ends in order.
-    if (standing !== 'ready') return;
-    this.ends += 1;
-    this.parts.placeClient.reportEnd({ fingerprint: this.fingerprint, workerId: id, born });
+    if (worker.standing !== 'ready') return;
+    const checked = this.parts.connections.hasEnded(worker.address).then((hasEnded) => {
+      if (hasEnded) this.noteEnd(worker);
+    });
+    await Promise.race([checked, pause(CHECK_WAIT_MS)]);
   }
 
   /** Notes that a server answered it whole. */
@@ -64,6 +72,11 @@
     this.parts.placeClient.reportServed(this.fingerprint);
   }
 
+  private noteEnd({ id, born }: RoutedWorker): void {
+    this.ends += 1;
+    this.parts.placeClient.reportEnd({ fingerprint: this.fingerprint, workerId: id, born });
+  }
+
   /** Looked up only where there are suspects: most requests need no fingerprint. */
   private findSuspect(): ListedSuspect | undefined {
     const { site, clock } = this.parts;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -205,7 +205,7 @@
     if (end.kind === 'whole') connections.give(connection);
     else connection.end();
     const settled = this.settle(worker, notes, end, verdict);
-    if (settled.kind === 'broken' && !verdict && !call.isAborted) guard.noteEnd(worker);
+    if (settled.kind === 'broken' && !verdict && !call.isAborted) await guard.noteBroken(worker);
     if (settled.kind === 'answered') guard.noteAnswered(this.writer.statusCode);
     notes.noteEnd(settled.kind);
     return settled;
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -1,3 +1,4 @@
+import { ConnectCheck } from './connectCheck';
 import { WorkerConnection } from './workerConnection';
 
 /**
@@ -11,6 +12,8 @@
 export class WorkerConnections {
   private readonly idle = new Map<string, WorkerConnection[]>();
 
+  private readonly check = new ConnectCheck();
+
   /** A connection that is free, the one used last first, or a new one. */
   take(address: string): WorkerConnection {
     const free = this.idle.get(address) ?? [];
@@ -37,6 +40,11 @@
       });
   }
 
+  /** Whether a server that broke a connection off has ended; a silent network says no. */
+  hasEnded(address: string): Promise<boolean> {
+    return this.check.isRefused(address);
+  }
+
   /** Closes all. */
   close(): void {
     this.keep(new Set());
--- a/tests/core/crash-table.spec.ts
+++ b/tests/core/crash-table.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import {
-  expireSuspects, findStage, isUnsettled, JOINT_END_MS, judgeEnds, makeCrashTable, noteAlive,
-  noteEnd, noteServed,
+  expireSuspects, findStage, isUnsettled, JOINT_END_MS, judgeEnds, makeCrashTable, noteEnd,
+  noteHeard, noteServed,
 } from '../../src/core/quarantine/crashTable';
 import type { StageChange, SuspectStage } from '../../src/core/quarantine/crashTable';
 import { adoptSuspect, listSuspects } from '../../src/core/quarantine/suspectRecords';
@@ -110,18 +110,22 @@
   });
 
   // Guards a request whose connections were cut, by a network or a proxy, while its servers live.
-  it('should take an end back when its server is heard afterwards, not by late news', () => {
+  it('should take an end back when its server goes on announcing itself, not by late news', () => {
     const rig = new TableRig();
     rig.end(['a']);
     rig.end(['a']);
     rig.end(['a']);
-    noteAlive(rig.table, 's3', rig.now);
-    expect(rig.read('a')).toBe('refused');
+    const sayAlive = (server: string, ...sequences: number[]) => sequences.forEach((sequence) => {
+      noteHeard(rig.table, server, sequence, rig.now);
+    });
+    sayAlive('s3', 1, 2, 3);
     rig.now += 1_000;
-    noteAlive(rig.table, 's3', rig.now);
+    sayAlive('s3', 4, 4, 4, 5);
+    expect(rig.read('a')).toBe('refused');
+    sayAlive('s3', 6);
     expect(rig.read('a')).toBe('watched');
-    noteAlive(rig.table, 's2', rig.now);
-    noteAlive(rig.table, 's1', rig.now);
+    sayAlive('s2', 1, 2, 3);
+    sayAlive('s1', 1, 2, 3);
     expect(rig.table.suspects.size).toBe(0);
   });
 
--- a/tests/fakes/fragileServer.ts
+++ b/tests/fakes/fragileServer.ts
@@ -7,6 +7,8 @@
 
 /** A body with this text ends every server that begins to run it. */
 export const FATAL_TEXT = 'fatal';
+/** The connection of a body with this text is reset, and its server lives. */
+export const RESET_TEXT = 'reset';
 const RUN_MS = 30;
 const DOWN_MS = 500;
 const ANNOUNCE_MS = 200;
@@ -105,7 +107,12 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { server } = this;
-    const isFatal = (await readBody(request)).includes(FATAL_TEXT);
+    const body = await readBody(request);
+    if (body.includes(RESET_TEXT)) {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    const isFatal = body.includes(FATAL_TEXT);
     if (isFatal) this.fatalCount += 1;
     await pause(RUN_MS);
     if (server !== this.server) return;
--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { request } from 'undici';
 import type { Routing } from '../../src/manifest/routing';
+import type { SuspectRecord } from '../../src/protocol/generated/beechlift';
 import { startRelay } from '../../src/relay/relayProcess';
 import type { RunningRelay } from '../../src/relay/relayProcess';
 import { makeLogger } from '../../src/telemetry/logger';
@@ -62,6 +63,11 @@
     return this.entries.length;
   }
 
+  /** Requests that the leader watches or refuses. */
+  async listSuspects(): Promise<readonly SuspectRecord[]> {
+    return this.control.findNode(await this.control.waitLeader()).suspects.listSuspects();
+  }
+
   async addServers(count: number, keepsId = false): Promise<void> {
     const announce = async (said: Parameters<FragileServer['announce']>[0]) => {
       const leader = this.control.findLeader();
--- a/tests/relay/crashing-requests.spec.ts
+++ b/tests/relay/crashing-requests.spec.ts
@@ -2,7 +2,7 @@
 import {
   afterEach, describe, expect, it,
 } from 'vitest';
-import { FATAL_TEXT } from '../fakes/fragileServer';
+import { FATAL_TEXT, RESET_TEXT } from '../fakes/fragileServer';
 import { RoutedSite } from '../fakes/routedSite';
 
 const SERVERS = 5;
@@ -58,4 +58,12 @@
   it('should reach few plain servers, and none once three have ended under it', async () => {
     await judgeSends(await start(false));
   });
+
+  // Guards honest requests against connections that are reset by servers which live.
+  it('should suspect no request whose connections were reset at servers that live', async () => {
+    const started = await start(true);
+    await sendInTurn(started, RESET_TEXT, 6);
+    expect(await started.listSuspects()).toEqual([]);
+    expect((await started.send(0, RESET_TEXT)).code).toBe('outcomeUnknown');
+  });
 });
