Tests: requests that end servers, over lost leaders, restarts and new entries

Each stands for a way in which callers' servers would be ended again after a request was found: the leader is lost, an entry starts, all replicas start again with their disks, a server comes back under its old id, or an honest request is beside it. With one guard taken out at a time the test of that guard fails: the followers' list, the memory on the disks, the birth in a start's name, the look at whether a server refuses connections, and telling a new leader of ends anew (this one in place-client.spec, as the site's test passes without it: two ends of one attempt are in the list already).

--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -78,6 +78,14 @@
     this.running.delete(position);
   }
 
+  /** Stops all replicas before any starts again, with its disk. */
+  async restartAll(): Promise<void> {
+    const positions = [...this.running.keys()];
+    await Promise.all(positions.map((position) => this.stop(position)));
+    await Promise.all(positions.map((position) => this.start(position, false)));
+    await this.waitLeader();
+  }
+
   async dropDisk(position: number): Promise<void> {
     await this.stop(position);
     await rm(this.folders.get(position) ?? '', { recursive: true, force: true });
--- a/tests/relay/crashing-requests.spec.ts
+++ b/tests/relay/crashing-requests.spec.ts
@@ -4,6 +4,7 @@
 } from 'vitest';
 import { FATAL_TEXT, RESET_TEXT } from '../fakes/fragileServer';
 import { RoutedSite } from '../fakes/routedSite';
+import type { SiteAnswer } from '../fakes/routedSite';
 
 const SERVERS = 5;
 const ENTRIES = 3;
@@ -11,6 +12,8 @@
 const GAP_MS = 75;
 /** Three that end servers, those under way while news of the third travel, and three repeats. */
 const MOST_SENDS = 8;
+/** Time in which what is known reaches the disks. */
+const REMEMBER_MS = 700;
 
 describe('a request that ends every server that runs it', () => {
   let site: RoutedSite | undefined;
@@ -66,4 +69,62 @@
     expect(await started.listSuspects()).toEqual([]);
     expect((await started.send(0, RESET_TEXT)).code).toBe('outcomeUnknown');
   });
+
+  // Guards against servers that start again under their old id, told apart by their birth alone.
+  it('should count the starts of a server that keeps its id', async () => {
+    await judgeSends(await start(true, true));
+  });
+
+  // Guards against a new leader, or a new entry, that would let a refused request end servers.
+  it('should go on refusing it when the leader is lost, and at an entry that starts then', async () => {
+    const started = await start(true);
+    await sendInTurn(started, FATAL_TEXT, SENDS);
+    const before = started.fatalCount;
+    await started.control.stop(await started.control.waitLeader());
+    await started.control.waitLeader();
+    await started.addEntry();
+    const codes = await Promise.all(
+      Array.from({ length: started.entryCount }, async (unused, entry) => (
+        (await started.send(entry, FATAL_TEXT)).code)),
+    );
+    expect(codes).toEqual(Array.from({ length: ENTRIES + 1 }, () => 'requestQuarantined'));
+    expect(started.fatalCount).toBe(before);
+  });
+
+  // Guards against a leader that is lost in the middle, with what it knew of single ends.
+  it('should add ends up over a change of leaders', async () => {
+    const started = await start(true);
+    await started.send(0, FATAL_TEXT);
+    await started.control.stop(await started.control.waitLeader());
+    await started.control.waitLeader();
+    await sendInTurn(started, FATAL_TEXT, SENDS);
+    expect(started.fatalCount).toBeLessThanOrEqual(MOST_SENDS);
+    expect((await started.listSuspects())[0]?.refusedMs).toBeGreaterThan(0);
+  });
+
+  // Guards against a loss of power of all replicas after which everything begins anew.
+  it('should still be refused when all control replicas have started again', async () => {
+    const started = await start(true);
+    await sendInTurn(started, FATAL_TEXT, SENDS);
+    await pause(REMEMBER_MS);
+    await started.control.restartAll();
+    const before = started.fatalCount;
+    const entry = await started.addEntry();
+    expect((await started.send(entry, FATAL_TEXT)).code).toBe('requestQuarantined');
+    expect(started.fatalCount).toBe(before);
+  });
+
+  // Guards the requests that run beside it: all but one of those under each end are innocent.
+  it('should refuse nobody else, and serve them once it is refused', async () => {
+    const started = await start(true);
+    const answers: SiteAnswer[] = [];
+    const sendHonest = Array.from({ length: 4 * SENDS }, async (unused, position) => {
+      await pause(position * (GAP_MS / 4));
+      answers[position] = await started.send(position, `honest ${position}`);
+    });
+    await Promise.all([sendInTurn(started, FATAL_TEXT, SENDS), ...sendHonest]);
+    expect(answers.filter(({ code }) => code === 'requestQuarantined')).toHaveLength(0);
+    expect(answers.slice(-SENDS).map(({ status }) => status))
+      .toEqual(Array.from({ length: SENDS }, () => 200));
+  });
 });
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -199,4 +199,23 @@
     leader.end();
     expect(await asked).toBeUndefined();
   });
+
+  // Guards against an end of a server that only a leader knew which is lost.
+  it('should tell each leader once which servers ended, but not of a request served since', async () => {
+    const leaders = [new ScriptedLeader(grantAll), new ScriptedLeader(grantAll)];
+    let position = 0;
+    const client = makeClient(() => leaders[position] as ScriptedLeader);
+    const end = { workerId: 'w1', born: 0 };
+    client.reportEnd({ fingerprint: 'a', ...end });
+    client.reportEnd({ fingerprint: 'b', ...end });
+    await pause(20);
+    client.reportServed('b');
+    await client.place(makeAsk('p1'), findDeadline());
+    position = 1;
+    await client.place(makeAsk('p2'), findDeadline());
+    const told = leaders.map(({ heard }) => heard.flatMap(({ sightings }) => (
+      sightings.map(({ fingerprint }) => fingerprint))));
+    expect(told).toEqual([['a', 'b'], ['a']]);
+    expect(leaders[0]?.heard.flatMap(({ served }) => served)).toEqual(['b']);
+  });
 });
