Where backend servers announce themselves is a module of its own

No change of behaviour: the check, the wait for a leader, the taking in and the forwarding moved together, and both desks read the same view of the replica.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -10,6 +10,7 @@
 import { BeechliftError } from '../errors/beechliftError';
 import { computeSha256 } from '../utils/canonicalJson';
 import { HeldCalls } from '../utils/heldCalls';
+import { AnnouncementDesk } from './announcementDesk';
 import { AnnouncementGate } from './announcementGate';
 import { decodeCommand } from './documentCommand';
 import { DocumentPublisher } from './documentPublisher';
@@ -24,14 +25,10 @@
 import type { RoutedNodeParts } from './routedNodeParts';
 import { SuspectKeeper } from './suspectKeeper';
 import { WatchDesk } from './watchDesk';
+import type { WatchView } from './watchDesk';
 import { WorkMeter } from './workMeter';
 import { WorkerRegistry } from './workerRegistry';
 
-/**
- * How long an announcement waits for an election that is under way, in milliseconds: it still has
- * to reach the leader within its second.
- */
-const ANNOUNCE_LEADER_MS = 250;
 /** How often the log looks at its timers, in milliseconds. */
 export const TICK_MS = 25;
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
@@ -60,6 +57,8 @@
   /** Keeps out announcements that no backend server of this site sends. */
   readonly gate: AnnouncementGate;
 
+  private readonly announcements: AnnouncementDesk;
+
   private readonly desk: WatchDesk;
 
   private book: LeaderBook;
@@ -84,35 +83,27 @@
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
-    this.suspects = new SuspectKeeper({
-      ...parts, watches: this.watches, countEntries: () => this.book.countEntries(),
-    });
+    const countEntries = () => this.book.countEntries();
+    this.suspects = new SuspectKeeper({ ...parts, watches: this.watches, countEntries });
     this.book = this.openBook();
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(() => this.isLeading || this.knowsOther);
-    this.registry = new WorkerRegistry({
-      ...parts, watches: this.watches, countEntries: () => this.book.countEntries(),
-    });
+    this.registry = new WorkerRegistry({ ...parts, watches: this.watches, countEntries });
     this.follower = new LeaderFollower(this.registry, this.suspects);
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
     });
-    this.desk = new WatchDesk({
+    const deskParts = {
       ...parts,
       registry: this.registry,
       suspects: this.suspects,
       watches: this.watches,
       leaderWait: this.leaderWait,
       work: this.work,
-      address: parts.self.address,
-      readView: () => ({
-        isLeading: this.isLeading,
-        otherLeader: this.knowsOther ? this.leaderAddress : '',
-        replicaAddresses: this.replicaAddresses,
-        site: this.site,
-        book: this.book,
-      }),
-    });
+      readView: () => this.readView(),
+    };
+    this.announcements = new AnnouncementDesk({ ...deskParts, gate: this.gate });
+    this.desk = new WatchDesk({ ...deskParts, address: parts.self.address });
     this.directory = new ReplicaDirectory(parts.founders);
     this.suspensionEpoch = parts.suspension.readEpoch();
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
@@ -249,7 +240,7 @@
   }
 
   /** Requests that wait for a slot here, and those that hold one; none on one that follows. */
-  countRequests(): { readonly waiting: number; readonly placed: number } {
+  countRequests(): ReturnType<LeaderBook['countRequests']> {
     return this.book.countRequests();
   }
 
@@ -258,25 +249,9 @@
     return countByStanding(this.registry.table);
   }
 
-  /**
-   * Takes in what a backend server said of itself; false when no leader could be told. Throws for
-   * what no server of this site says.
-   *
-   * Guards a replica whose lease has lapsed, and two that take each other for the leader: neither
-   * forwards to itself, nor what was forwarded to it.
-   */
-  async announce(said: WorkerAnnouncement, isForwarded = false): Promise<AnnounceReply> {
-    this.gate.check(said);
-    await this.leaderWait.wait(ANNOUNCE_LEADER_MS);
-    if (this.isLeading) {
-      this.work.measure('announce', () => {
-        this.registry.take(said);
-        this.suspects.noteAnnounced(said);
-      });
-      return { taken: true };
-    }
-    if (isForwarded || !this.knowsOther) return { taken: false };
-    return this.parts.port.announce(said, this.leaderAddress);
+  /** Takes in what a backend server said of itself; false when no leader could be told. */
+  announce(said: WorkerAnnouncement, isForwarded = false): Promise<AnnounceReply> {
+    return this.announcements.announce(said, isForwarded);
   }
 
   /** Notes who answered while this replica looked for the site. */
@@ -302,6 +277,16 @@
     return this.runner.stop();
   }
 
+  private readView(): WatchView {
+    return {
+      isLeading: this.isLeading,
+      otherLeader: this.knowsOther ? this.leaderAddress : '',
+      replicaAddresses: this.replicaAddresses,
+      site: this.site,
+      book: this.book,
+    };
+  }
+
   private openBook(): LeaderBook {
     return new LeaderBook({ ...this.parts, suspects: this.suspects });
   }
