Copies of one request that run at the same time count in full against it

Callers: a request that came again quickly could end all servers of a service at once, and that counted as one end of three; the next copies did it twice more.

Traced in its log: five servers ended within 78 ms under copies of the same request and weighed 1, as servers that end together had one cause; entries that did not know the next starts yet chose servers by themselves, four more ended within 110 ms and weighed nothing.

Now a request under k of n servers that end together weighs k * k / n: copies count in full, honest requests of a rack that fails still 1 / n. Nobody is refused for one moment alone, so a popular request under a whole rack is watched, and cleared by the first copy that is served. A request with something against it is not placed by an entry alone when the leader gives no place.

What the leader concludes stands in judgement.ts, what it keeps in crashTable.ts.

--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -2,10 +2,10 @@
   PlaceNews, SuspectRecord, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import {
-  expireSuspects, findStage, FIRST_REVISION, isUnsettled, judgeEnds, makeCrashTable, noteEnd,
-  noteHeard, noteServed, weighSuspect,
+  findStage, FIRST_REVISION, isUnsettled, makeCrashTable, noteEnd, noteServed, weighSuspect,
 } from '../core/quarantine/crashTable';
 import type { StageChange, SuspectStage } from '../core/quarantine/crashTable';
+import { expireSuspects, judgeEnds, noteHeard } from '../core/quarantine/judgement';
 import { NO_CAUTION } from '../core/quarantine/placementCaution';
 import type { CautionKind, PlacementCaution } from '../core/quarantine/placementCaution';
 import { SuspectList } from '../core/quarantine/suspectList';
--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -3,8 +3,8 @@
  *
  * Whoever was open at a server when it ended is a suspect, and all but one of them are innocent. A
  * request becomes certain by being there each time: its weight is the sum of the ends under it.
- * Servers that end at the same moment share one cause, so each of them counts for a part of one
- * end: requests of a rack that fails are not condemned. Being served clears a request.
+ * Servers that end at the same moment share one cause, so an end counts by the part of these that
+ * the request explains: those of a rack that fails are not condemned. Being served clears it.
  */
 
 /** Servers that ended within a moment of one another, and the requests under each. */
@@ -66,30 +66,16 @@
 /** Ends within this of one another have one cause, in milliseconds. */
 export const JOINT_END_MS = 100;
 
-/** Announcements that were on their way when a server ended mostly arrive within this, in ms. */
-const LATE_NEWS_MS = 500;
-/** Later announcements by which a server is known to live: one or two may have been held up. */
-const LIFE_SIGNS = 3;
-
 /** Ends of servers, one at a time, after which a request is watched, and refused. */
-const WATCH_WEIGHT = 2;
-const REFUSE_WEIGHT = 3;
-
-/** How long a request is refused at first, and at most, in milliseconds. */
-const FIRST_REFUSAL_MS = 60_000;
-const MAX_REFUSAL_MS = 3_600_000;
-/** How many times as long it is refused when it has ended another server after that. */
-const REFUSAL_FACTOR = 4;
-
-/** How long a suspect is remembered after the last end, or the end of its refusal. */
-const SUSPECT_KEPT_MS = 600_000;
+export const WATCH_WEIGHT = 2;
+export const REFUSE_WEIGHT = 3;
 
 /** Bounds on suspects, and on those under the end of one server. */
 const MAX_SUSPECTS = 4_096;
 const MAX_PER_SERVER = 256;
 
 /** Sums of thirds and sevenths are compared with whole numbers. */
-const EPSILON = 1e-6;
+export const EPSILON = 1e-6;
 
 /** Revision of a table in which nothing that is told has changed. */
 export const FIRST_REVISION = 1;
@@ -99,9 +85,10 @@
   revision: FIRST_REVISION, suspects: new Map(), ends: new Map(),
 });
 
-const weighMoment = ({ servers }: EndMoment, fingerprint: string): number => {
-  const under = [...servers.values()].filter((fingerprints) => fingerprints.has(fingerprint));
-  return servers.size === 0 ? 0 : under.length / servers.size;
+/** What a moment says against a request: its ends, by the part of the moment that it explains. */
+export const weighMoment = ({ servers }: EndMoment, fingerprint: string): number => {
+  const ends = [...servers.values()].filter((under) => under.has(fingerprint)).length;
+  return ends === 0 ? 0 : (ends * ends) / servers.size;
 };
 
 /**
@@ -153,7 +140,8 @@
   return suspects.find(isAt('noted')) ?? suspects.find(isAt('watched'));
 };
 
-const dropSuspect = (table: CrashTable, suspect: Suspect): void => {
+/** Takes a suspect out, with all that was said against it. */
+export const dropSuspect = (table: CrashTable, suspect: Suspect): void => {
   table.suspects.delete(suspect.fingerprint);
   suspect.moments.forEach(({ servers }) => (
     servers.forEach((fingerprints) => fingerprints.delete(suspect.fingerprint))));
@@ -216,7 +204,8 @@
   moment.isSettled = false;
 };
 
-const releaseSuspect = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
+/** Takes a suspect out that is innocent, and returns what changed for it. */
+export const releaseSuspect = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
   const wasTold = findStage(table, suspect.fingerprint, now) !== 'noted';
   dropSuspect(table, suspect);
   if (!wasTold) return [];
@@ -238,112 +227,3 @@
   const suspect = table.suspects.get(fingerprint);
   return suspect ? releaseSuspect(table, suspect, now) : [];
 };
-
-/** Takes back what an end said against a request, as its server lives. */
-const removeEnd = (
-  table: CrashTable,
-  suspect: Suspect,
-  server: string,
-  now: number,
-): StageChange[] => {
-  const { fingerprint, moments, servers } = suspect;
-  if (servers.size === 1) return releaseSuspect(table, suspect, now);
-  const stage = findStage(table, fingerprint, now);
-  servers.delete(server);
-  [...moments]
-    .filter((moment) => weighMoment(moment, fingerprint) === 0)
-    .forEach((moment) => moments.delete(moment));
-  if (weighSuspect(suspect) < REFUSE_WEIGHT - EPSILON) {
-    suspect.refusedUntil = Math.min(suspect.refusedUntil, now);
-    suspect.bound = REFUSE_WEIGHT;
-  }
-  const left = findStage(table, fingerprint, now);
-  if (left === stage) return [];
-  table.revision += 1;
-  return [{ kind: left === 'noted' ? 'cleared' : left, suspect }];
-};
-
-const addSign = (moment: EndMoment, server: string, sequence: number): number => {
-  const before = moment.heard.get(server) ?? { count: 0, sequence: -1 };
-  if (sequence <= before.sequence) return before.count;
-  moment.heard.set(server, { count: before.count + 1, sequence });
-  return before.count + 1;
-};
-
-/**
- * Notes that a server was heard. One that goes on announcing itself did not end: the connections to
- * it broke off for another reason.
- *
- * @param sequence number of the announcement, which grows with each
- * @example
- * const changes = noteHeard(table, 'w1@0', 17, clock.now());
- */
-export const noteHeard = (
-  table: CrashTable,
-  server: string,
-  sequence: number,
-  now: number,
-): StageChange[] => {
-  const moment = table.ends.get(server);
-  if (!moment || now - moment.at < LATE_NEWS_MS) return [];
-  if (addSign(moment, server, sequence) < LIFE_SIGNS) return [];
-  const under = [...moment.servers.get(server) ?? []];
-  table.ends.delete(server);
-  moment.servers.delete(server);
-  return under
-    .flatMap((fingerprint) => table.suspects.get(fingerprint) ?? [])
-    .flatMap((suspect) => removeEnd(table, suspect, server, now));
-};
-
-const refuse = (suspect: Suspect, weight: number, now: number): StageChange => {
-  const refusalMs = Math.min(MAX_REFUSAL_MS, FIRST_REFUSAL_MS * REFUSAL_FACTOR ** suspect.refusals);
-  suspect.refusals += 1;
-  suspect.refusedUntil = now + refusalMs;
-  suspect.bound = weight + 1;
-  return { kind: 'refused', suspect };
-};
-
-const judge = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
-  const weight = weighSuspect(suspect);
-  if (now < suspect.refusedUntil || weight < WATCH_WEIGHT - EPSILON) return [];
-  table.revision += 1;
-  if (weight >= suspect.bound - EPSILON) return [refuse(suspect, weight, now)];
-  return [{ kind: 'watched', suspect }];
-};
-
-const settleMoment = (table: CrashTable, moment: EndMoment, now: number): StageChange[] => {
-  moment.isSettled = true;
-  const fingerprints = new Set([...moment.servers.values()].flatMap((under) => [...under]));
-  return [...fingerprints].flatMap((fingerprint) => {
-    const suspect = table.suspects.get(fingerprint);
-    return suspect ? judge(table, suspect, now) : [];
-  });
-};
-
-/**
- * Judges the requests under ends that are no longer news, and returns what changed for them.
- *
- * @example
- * const changes = judgeEnds(table, clock.now());
- */
-export const judgeEnds = (table: CrashTable, now: number): StageChange[] => {
-  const due = [...table.ends.values()]
-    .filter(({ at, isSettled }) => !isSettled && now - at > JOINT_END_MS);
-  return [...new Set(due)].flatMap((moment) => settleMoment(table, moment, now));
-};
-
-/**
- * Forgets what nothing was heard against for long.
- *
- * @example
- * expireSuspects(table, clock.now());
- */
-export const expireSuspects = (table: CrashTable, now: number): void => {
-  [...table.suspects.values()]
-    .filter(({ notedAt, refusedUntil }) => (
-      now - Math.max(notedAt, refusedUntil) > SUSPECT_KEPT_MS))
-    .forEach((suspect) => dropSuspect(table, suspect));
-  [...table.ends]
-    .filter(([, { at }]) => now - at > SUSPECT_KEPT_MS)
-    .forEach(([server]) => table.ends.delete(server));
-};
--- a/src/relay/repeatRules.ts
+++ b/src/relay/repeatRules.ts
@@ -69,7 +69,7 @@
     const canGoOn = writer.canGoOn && site.workers.mechanisms.resumption;
     if (writer.hasBegun && !canGoOn) return false;
     if (end.kind === 'unsent') return true;
-    if (!this.guard.mayRepeat) return false;
+    if (!this.guard.isFree) return false;
     const { route, service } = this.admitted;
     const isSafe = end.kind === 'rejected' || this.isRepeatable;
     const hasAttempts = end.kind === 'rejected' || this.sent < route.maxAttempts;
--- a/src/relay/requestGuard.ts
+++ b/src/relay/requestGuard.ts
@@ -38,8 +38,8 @@
     return this.computed;
   }
 
-  /** Whether the entry may send the request to another server by itself. */
-  get mayRepeat(): boolean {
+  /** Whether nothing is known against it, so that the entry may choose servers by itself. */
+  get isFree(): boolean {
     return this.ends < MOST_ENDS && this.findSuspect() === undefined;
   }
 
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -141,7 +141,7 @@
       facts: this.facts,
       deadlineAt: this.deadlineAt,
       tried: [...this.tried],
-      fingerprint: guard.fingerprint,
+      guard,
       isOver: () => this.writer.isOver,
       noteWaiting: (cancel) => {
         this.cancelPick = cancel;
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -10,6 +10,7 @@
 import type { PlaceClient } from './placeClient';
 import type { RelaySite } from './relaySite';
 import type { CallFacts } from './requestDialect';
+import type { RequestGuard } from './requestGuard';
 
 /** A request that needs a backend server. */
 export interface PickRequest {
@@ -18,7 +19,8 @@
   readonly deadlineAt: number;
   /** Backend servers that it was at already. */
   readonly tried: readonly string[];
-  readonly fingerprint: string;
+  /** What is known of it beside servers that ended under it. */
+  readonly guard: Pick<RequestGuard, 'fingerprint' | 'isFree'>;
   /** Whether nobody waits for it any more. */
   readonly isOver: () => boolean;
   /** Hears how to take the request back while it waits for a place. */
@@ -75,6 +77,8 @@
     const placed = isPlaced ? await this.place(request) : undefined;
     if (placed) return placed;
     if (request.isOver()) return undefined;
+    // One copy at a time, which only the leader sees to.
+    if (isPlaced && !request.guard.isFree) throw new BeechliftError('noSlotInTime', 'backend servers ended under this request, and the leader of control is out of reach', { retryAfterMs: NO_WORKER_RETRY_MS });
     if (request.tried.length === 0) {
       chargeAccount(site, request.admitted.account, request.facts, this.parts.clock.now());
     }
@@ -92,7 +96,7 @@
   private async place(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const {
-      admitted, facts, tried, fingerprint, deadlineAt,
+      admitted, facts, tried, guard, deadlineAt,
     } = request;
     const {
       account, service, rank, route,
@@ -113,7 +117,7 @@
       remainingMs: Math.max(1, Math.round(deadlineAt - clock.now())),
       zone: site.zone,
       tried: [...tried],
-      fingerprint,
+      fingerprint: guard.fingerprint,
     }, deadlineAt);
     if (!reply) return undefined;
     if (reply.code !== 0) {
