A stream that ends servers in its middle is played too

Such requests came as streams that may be resumed: the caller has the head and some events when the server ends, and the entry goes on elsewhere by itself.

--- a/tests/fakes/fragileServer.ts
+++ b/tests/fakes/fragileServer.ts
@@ -9,6 +9,8 @@
 export const FATAL_TEXT = 'fatal';
 /** The connection of a body with this text is reset, and its server lives. */
 export const RESET_TEXT = 'reset';
+/** A body with this text is answered by a stream of events. */
+export const STREAM_TEXT = 'stream';
 const RUN_MS = 30;
 const DOWN_MS = 500;
 const ANNOUNCE_MS = 200;
@@ -114,12 +116,16 @@
     }
     const isFatal = body.includes(FATAL_TEXT);
     if (isFatal) this.fatalCount += 1;
+    const isStream = body.includes(STREAM_TEXT);
+    const head = { 'x-id': request.headers['x-id'] ?? '' };
+    if (isStream) response.writeHead(200, { ...head, 'content-type': 'text/event-stream' }).write('id: 1\ndata: x\n\n');
     await pause(RUN_MS);
     if (server !== this.server) return;
     if (isFatal) {
       this.crash().catch(() => undefined); // Its port is held by nobody else.
       return;
     }
-    response.writeHead(200, { 'x-id': request.headers['x-id'] ?? '' }).end('fine');
+    if (isStream) response.end('id: 2\ndata: x\n\n');
+    else response.writeHead(200, head).end('fine');
   }
 }
--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -11,7 +11,6 @@
 import { FragileServer } from './fragileServer';
 import { findFreeAddress } from './freeAddress';
 import { testDialect } from './relayRig';
-import { makeRoute } from './routings';
 
 const REPLICAS = [0, 1, 2];
 const SERVICE = 'rooms';
@@ -42,7 +41,7 @@
     await Promise.all(REPLICAS.map((position) => site.control.start(position, true)));
     const leader = await site.control.waitLeader();
     const document = formatDocument(1, {
-      routes: [makeRoute({ timeoutMs: 2_000 })], accounts: [], ...changes,
+      accounts: [], ...changes,
     });
     await site.control.findNode(leader)
       .publish({ document, deadlineMs: 3_000, forwarded: false });
@@ -109,7 +108,7 @@
     const answer = await request(`http://${address}/orders/7`, {
       method: 'POST', headers: { host: 'shop.example', 'x-id': randomUUID() }, body,
     });
-    const text = await answer.body.text();
+    const text = await answer.body.text().catch(() => '');
     const isOwn = answer.headers['content-type'] === 'application/json';
     const { error } = isOwn ? JSON.parse(text) as { error: { name: string; retryAfterMs?: number } } : { error: { name: '' } };
     return { status: answer.statusCode, code: error.name, retryMs: error.retryAfterMs ?? 0 };
--- a/tests/relay/crashing-requests.spec.ts
+++ b/tests/relay/crashing-requests.spec.ts
@@ -2,9 +2,11 @@
 import {
   afterEach, describe, expect, it,
 } from 'vitest';
-import { FATAL_TEXT, RESET_TEXT } from '../fakes/fragileServer';
+import { FATAL_TEXT, RESET_TEXT, STREAM_TEXT } from '../fakes/fragileServer';
+import type { Route } from '../../src/manifest/routing';
 import { RoutedSite } from '../fakes/routedSite';
 import type { SiteAnswer } from '../fakes/routedSite';
+import { makeRoute } from '../fakes/routings';
 
 const SERVERS = 5;
 const ENTRIES = 3;
@@ -18,9 +20,14 @@
 describe('a request that ends every server that runs it', () => {
   let site: RoutedSite | undefined;
 
-  const start = async (isEngine: boolean, keepsId = false): Promise<RoutedSite> => {
+  const start = async (
+    isEngine: boolean,
+    keepsId = false,
+    route: Partial<Route> = {},
+  ): Promise<RoutedSite> => {
     site = await RoutedSite.start({
       services: [{ name: 'rooms', maxConnections: 100, isEngine }],
+      routes: [makeRoute({ timeoutMs: 2_000, ...route })],
     }, ENTRIES);
     await site.addServers(SERVERS, keepsId);
     return site;
@@ -39,12 +46,12 @@
     site = undefined;
   });
 
-  const judgeSends = async (started: RoutedSite): Promise<void> => {
-    await sendInTurn(started, FATAL_TEXT, SENDS);
+  const judgeSends = async (started: RoutedSite, body = FATAL_TEXT): Promise<void> => {
+    await sendInTurn(started, body, SENDS);
     const before = started.fatalCount;
     expect(before).toBeLessThanOrEqual(MOST_SENDS);
     const answers = await Promise.all(
-      Array.from({ length: ENTRIES }, (unused, entry) => started.send(entry, FATAL_TEXT)),
+      Array.from({ length: ENTRIES }, (unused, entry) => started.send(entry, body)),
     );
     expect(answers.map(({ status, code }) => `${status} ${code}`))
       .toEqual(Array.from({ length: ENTRIES }, () => '503 requestQuarantined'));
@@ -62,6 +69,12 @@
     await judgeSends(await start(false));
   });
 
+  // Guards against ends in the middle of a stream, which the entry would resume elsewhere.
+  it('should reach few engines with a stream that may be resumed', async () => {
+    const started = await start(true, false, { kind: 'stream', isResumable: true });
+    await judgeSends(started, `${FATAL_TEXT} ${STREAM_TEXT}`);
+  });
+
   // Guards honest requests against connections that are reset by servers which live.
   it('should suspect no request whose connections were reset at servers that live', async () => {
     const started = await start(true);
