What is forgotten of suspect requests is told, and ends are bounded

An entry went on treating a request with care that the leader had forgotten ten minutes after the last end (no repeats by the entry, no engine while the leader was away), as nothing told it. And the ends of servers were kept for ten minutes without a bound: thousands of servers that restart over and over would have made each new end slower to place. Both found by reading the change again.

Forgetting now counts as a change that entries hear of, and 4,096 ends are kept, the oldest go. The leader's lines say `suspect watched`, `refused`, `cleared`: `request refused` was the entries' line already.

--- a/src/control/routedMetrics.ts
+++ b/src/control/routedMetrics.ts
@@ -51,9 +51,10 @@
       labelNames: ['stage'],
       registers: [this.registry],
       collect: (): void => {
-        const refused = suspects.listSuspects().filter(({ refusedMs }) => refusedMs > 0).length;
+        const all = suspects.listSuspects();
+        const refused = all.filter(({ refusedMs }) => refusedMs > 0).length;
         gauge.set({ stage: 'refused' }, refused);
-        gauge.set({ stage: 'watched' }, suspects.listSuspects().length - refused);
+        gauge.set({ stage: 'watched' }, all.length - refused);
       },
     });
   }
--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -87,7 +87,7 @@
     this.tell(judgeEnds(this.table, now));
     if (now - this.expiredAt < EXPIRE_MS) return;
     this.expiredAt = now;
-    expireSuspects(this.table, now);
+    this.tell(expireSuspects(this.table, now));
   }
 
   /** Tells how a request that asks for a place is to be treated. */
@@ -141,7 +141,7 @@
   private tell(changes: readonly StageChange[]): void {
     const { clock, logger, watches } = this.parts;
     const now = clock.now();
-    changes.forEach(({ kind, suspect }) => logger.info(`request ${kind}`, {
+    changes.forEach(({ kind, suspect }) => logger.info(`suspect ${kind}`, {
       fingerprint: suspect.fingerprint,
       weight: Number(weighSuspect(suspect).toFixed(2)),
       servers: [...suspect.servers].join(' '),
--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -70,8 +70,9 @@
 export const WATCH_WEIGHT = 2;
 export const REFUSE_WEIGHT = 3;
 
-/** Bounds on suspects, and on those under the end of one server. */
+/** Bounds on suspects, on ends, and on the suspects under the end of one server. */
 const MAX_SUSPECTS = 4_096;
+const MAX_ENDS = 4_096;
 const MAX_PER_SERVER = 256;
 
 /** Sums of thirds and sevenths are compared with whole numbers. */
@@ -140,8 +141,7 @@
   return suspects.find(isAt('noted')) ?? suspects.find(isAt('watched'));
 };
 
-/** Takes a suspect out, with all that was said against it. */
-export const dropSuspect = (table: CrashTable, suspect: Suspect): void => {
+const dropSuspect = (table: CrashTable, suspect: Suspect): void => {
   table.suspects.delete(suspect.fingerprint);
   suspect.moments.forEach(({ servers }) => (
     servers.forEach((fingerprints) => fingerprints.delete(suspect.fingerprint))));
@@ -171,6 +171,8 @@
   const moment = known ?? {
     at, servers: new Map<string, Set<string>>(), heard: new Map(), isSettled: false,
   };
+  const [oldest] = ends.keys();
+  if (ends.size >= MAX_ENDS && oldest !== undefined) ends.delete(oldest);
   ends.set(server, moment);
   return moment;
 };
--- a/src/core/quarantine/judgement.ts
+++ b/src/core/quarantine/judgement.ts
@@ -1,6 +1,6 @@
 /** What the leader concludes from the ends of servers, and when it takes that back. */
 import {
-  dropSuspect, EPSILON, findStage, JOINT_END_MS, REFUSE_WEIGHT, releaseSuspect, WATCH_WEIGHT,
+  EPSILON, findStage, JOINT_END_MS, REFUSE_WEIGHT, releaseSuspect, WATCH_WEIGHT,
   weighMoment, weighSuspect,
 } from './crashTable';
 import type {
@@ -120,17 +120,18 @@
 };
 
 /**
- * Forgets what nothing was heard against for long.
+ * Forgets what nothing was heard against for long, and returns what changed for it.
  *
  * @example
- * expireSuspects(table, clock.now());
+ * const changes = expireSuspects(table, clock.now());
  */
-export const expireSuspects = (table: CrashTable, now: number): void => {
-  [...table.suspects.values()]
+export const expireSuspects = (table: CrashTable, now: number): StageChange[] => {
+  const changes = [...table.suspects.values()]
     .filter(({ notedAt, refusedUntil }) => (
       now - Math.max(notedAt, refusedUntil) > SUSPECT_KEPT_MS))
-    .forEach((suspect) => dropSuspect(table, suspect));
+    .flatMap((suspect) => releaseSuspect(table, suspect, now));
   [...table.ends]
     .filter(([, { at }]) => now - at > SUSPECT_KEPT_MS)
     .forEach(([server]) => table.ends.delete(server));
+  return changes;
 };
--- a/src/relay/repeatRules.ts
+++ b/src/relay/repeatRules.ts
@@ -14,7 +14,7 @@
  *
  * @example
  * rules.noteAttempt(end);
- * if (rules.maySendAgain(end, writer)) offerElsewhere();
+ * if (rules.maySendAgain(end, writer, deadlineAt)) offerElsewhere();
  */
 export class RepeatRules {
   /** Times that bytes of the request may have left. */
@@ -41,12 +41,6 @@
     this.mayHaveRun ||= kind === 'broken' || kind === 'failed';
   }
 
-  /** Whether the route lets it run more than once. */
-  get isRepeatable(): boolean {
-    const { kind, isResumable } = this.admitted.route;
-    return kind === 'idempotent' || (kind === 'stream' && isResumable);
-  }
-
   /** Whether one that is at a server now may be taken to another one. */
   get mayMove(): boolean {
     return this.isRepeatable && this.sent + 1 < this.admitted.route.maxAttempts;
@@ -90,4 +84,10 @@
     if (this.mayHaveRun) return new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
     return new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs });
   }
+
+  /** Whether the route lets it run more than once. */
+  private get isRepeatable(): boolean {
+    const { kind, isResumable } = this.admitted.route;
+    return kind === 'idempotent' || (kind === 'stream' && isResumable);
+  }
 }
--- a/tests/core/crash-table.spec.ts
+++ b/tests/core/crash-table.spec.ts
@@ -161,11 +161,22 @@
     expect(rig.read(FATAL)).toBe('refused');
   });
 
-  it('should forget what nothing is heard against for long', () => {
+  it('should bound the ends that it keeps', () => {
     const rig = new TableRig();
+    list(5_000, 'a').forEach((name) => rig.end([name]));
+    expect(rig.table.ends.size).toBeLessThanOrEqual(4_096);
+  });
+
+  // Guards against entries that go on watching a request which the leader has forgotten.
+  it('should forget what nothing is heard against for long, and tell so', () => {
+    const rig = new TableRig();
+    rig.end(['a', 'b']);
     rig.end(['a']);
+    const { revision } = rig.table;
     rig.now += 11 * MINUTE_MS;
-    expireSuspects(rig.table, rig.now);
+    const changes = expireSuspects(rig.table, rig.now);
+    expect(changes.map(({ kind, suspect }) => `${suspect.fingerprint} ${kind}`)).toEqual(['a cleared']);
+    expect(rig.table.revision).toBeGreaterThan(revision);
     expect(rig.table.suspects.size + rig.table.ends.size).toBe(0);
   });
 
