The test of a claim that was taken over tells why a request never waited

It failed once, before this work, with nothing but that the request did not wait within 25 s: an answer that came first would have been swallowed. It now fails at once with that answer.

--- a/tests/site/entry-failures.spec.ts
+++ b/tests/site/entry-failures.spec.ts
@@ -54,10 +54,13 @@
       'issue a room',
       { key: 'room-18', tokens: 8 },
     ).catch(() => undefined);
-    await waitUntil('the request waits', async () => {
+    const waits = waitUntil('the request waits', async () => {
       const all = await Promise.all(site.entries.map((entry) => site.readStatus(entry)));
       return all.flatMap(({ owned }) => owned).some(({ waiting }) => waiting === 1);
     });
+    // An answer that comes first tells why it never waited.
+    expect(await Promise.race([waits, paused.then((answer) => answer?.body ?? 'no answer')]))
+      .toBeUndefined();
     site.freeze(first, true);
     const answer = await site.ask(second, 'issue a room', { key: 'room-18', tokens: 8 });
     expect(answer.text).toBe(makeExpectedText('issue a room', 8));
