Which free slot a request gets is a module of its own, with tests

Choosing among free slots, with and without servers that are to be avoided, moved to freeSlot.ts; no change of behaviour. Three tests of what the leader does with suspects, which only the site's tests showed so far: one copy at a time and no two suspects on one engine, others get slots while one waits, a quarantined one is refused at once with its code. With each of three guards taken out one of them fails.

--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -9,13 +9,13 @@
 import type { CautionFinder, CautionKind, PlacementCaution } from '../quarantine/placementCaution';
 import { makeArrivals, noteArrival } from './arrivals';
 import type { PlaceAsk, PlacedRequest, PlacementTables } from './placementTables';
+import { chooseAlone, chooseFree, readCaution } from './freeSlot';
 import { makeOrder } from './placementOrder';
 import { computePatienceMs, estimateWaitMs } from './placementWait';
 import {
   learnAnswer, learnPace, noteReached, suspendWorker,
 } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, TimedTokens } from './routedWorkers';
-import { chooseRoutedWorker } from './workerChoice';
 import type { WorkerChoice } from './workerChoice';
 
 /** What was decided of a request. */
@@ -53,7 +53,6 @@
 const RETRY_STEP_MS = 250;
 /** Bounds what waits, over all services. */
 const MAX_WAITING = 4_096;
-const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** Makes empty tables over the backend servers. */
 export const makePlacement = (
@@ -87,22 +86,6 @@
   };
 };
 
-const chooseFree = (
-  tables: PlacementTables,
-  ask: PlaceAsk,
-  now: number,
-  avoided: ReadonlySet<string> = NO_SERVERS,
-): WorkerChoice | undefined => chooseRoutedWorker(tables.workers, {
-  service: ask.service,
-  promptTokens: ask.promptTokens,
-  outputTokens: ask.outputTokens,
-  remainingMs: ask.deadlineAt - now,
-  zone: ask.zone,
-  tried: ask.tried,
-  avoided,
-  mustBeFree: true,
-}, now);
-
 const grant = (
   tables: PlacementTables,
   ask: PlaceAsk,
@@ -127,9 +110,6 @@
 /** Services that have been found without a free slot, so that nobody else is tried in vain. */
 type FullServices = Set<string>;
 
-const readCaution = (tables: PlacementTables, { fingerprint }: PlaceAsk): PlacementCaution => (
-  fingerprint ? tables.findCaution(fingerprint) : NO_CAUTION);
-
 const refuseQuarantined = (
   tables: PlacementTables,
   ask: PlaceAsk,
@@ -145,21 +125,6 @@
   };
 };
 
-/**
- * Chooses for a suspect: one copy at a time, so that what it does is known before the next runs,
- * and never beside another suspect, so that an end tells which of them it was.
- */
-const chooseAlone = (
-  tables: PlacementTables,
-  ask: PlaceAsk,
-  now: number,
-): WorkerChoice | undefined => {
-  const suspects = [...tables.placed.values()]
-    .filter((placed) => readCaution(tables, placed.ask).kind !== 'none');
-  if (suspects.some((placed) => placed.ask.fingerprint === ask.fingerprint)) return undefined;
-  return chooseFree(tables, ask, now, new Set(suspects.map(({ worker }) => worker.id)));
-};
-
 const chooseUnlessFull = (
   tables: PlacementTables,
   ask: PlaceAsk,
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import type { CautionFinder, CautionKind } from '../../src/core/quarantine/placementCaution';
 import {
   askPlaces, expirePlaced, makePlacement, notePlaced, runPlacement,
 } from '../../src/core/routing/placement';
@@ -14,12 +15,17 @@
   standing,
 });
 
-const makeTables = (slots: readonly number[]): PlacementTables => {
+const makeTables = (slots: readonly number[], findCaution?: CautionFinder): PlacementTables => {
   const workers = makeRoutedWorkers();
   applyRecords(workers, slots.map((count, position) => makeRecord(String(position), count)));
-  return makePlacement(workers);
+  return makePlacement(workers, findCaution);
 };
 
+/** Tells of requests what stands before the colon of their fingerprint. */
+const readKind: CautionFinder = (fingerprint) => ({
+  kind: fingerprint.split(':')[0] as CautionKind, refusedMs: 60_000,
+});
+
 const ask = (fields: Partial<PlaceAsk> & { id: string }): PlaceAsk => ({
   entryId: 'e1',
   service: 'lm',
@@ -191,4 +197,34 @@
     const served = asked.filter(({ id }) => began.has(id)).length;
     expect(served).toBeGreaterThan((10_000 / lasts) * 18 * 0.9);
   });
+
+  // Guards against copies of a request that ends servers which run before the first is known.
+  it('should place one copy of a suspect at a time, and no two suspects on one engine', () => {
+    const tables = makeTables([6, 6], readKind);
+    const copies = ['a1', 'a2', 'b1', 'c1'].map((id) => (
+      ask({ id, fingerprint: `alone:${id.charAt(0)}`, targetMs: 5_000 })));
+    expect(listGranted(askPlaces(tables, copies, 0))).toEqual(['a1', 'b1']);
+    expect(['0', '1'].map((id) => countHeld(tables, id))).toEqual([1, 1]);
+    notePlaced(tables, makeNews('a1'), 10);
+    expect(listGranted(runPlacement(tables, 10))).toEqual(['a2']);
+  });
+
+  it('should keep slots for others while a suspect waits', () => {
+    const tables = makeTables([6], readKind);
+    const decisions = askPlaces(tables, [
+      ask({ id: 'held', fingerprint: 'held:a', targetMs: 5_000 }),
+      ask({ id: 'other', fingerprint: 'none:b' }),
+      ask({ id: 'plain' }),
+    ], 0);
+    expect(listGranted(decisions)).toEqual(['other', 'plain']);
+    expect(tables.waiting.has('held')).toBe(true);
+  });
+
+  it('should refuse what is quarantined at once, by its own code and with its time', () => {
+    const tables = makeTables([6], readKind);
+    expect(askPlaces(tables, [ask({ id: 'a', fingerprint: 'refused:a' })], 0)).toMatchObject([
+      { kind: 'refuse', code: 'requestQuarantined', retryAfterMs: 60_000 },
+    ]);
+    expect(tables.waiting.size).toBe(0);
+  });
 });
