--- a/src/control/leaderBook.ts
+++ b/src/control/leaderBook.ts
@@ -3,8 +3,8 @@
 } from '../protocol/generated/beechlift';
 import { NO_CAUTION } from '../core/quarantine/placementCaution';
 import { AccountLedger } from '../core/routing/accountLedger';
-import { NO_LIST } from '../core/routing/entryList';
 import type { EntryListHeld } from '../core/routing/entryList';
+import { NO_LIST } from '../core/routing/listVersion';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import { listChangedWorkers } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -2,7 +2,8 @@
   PlaceNews, SuspectRecord, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import {
-  findStage, FIRST_REVISION, isUnsettled, makeCrashTable, noteEnd, noteServed, weighSuspect,
+  computeRefusedMs, findStage, FIRST_REVISION, isUnsettled, makeCrashTable, noteEnd, noteServed,
+  weighSuspect,
 } from '../core/quarantine/crashTable';
 import type { StageChange, SuspectStage } from '../core/quarantine/crashTable';
 import { expireSuspects, judgeEnds, noteHeard } from '../core/quarantine/judgement';
@@ -102,7 +103,7 @@
     };
     return {
       kind: kinds[findStage(this.table, fingerprint, now)],
-      refusedMs: Math.max(0, Math.ceil(suspect.refusedUntil - now)),
+      refusedMs: computeRefusedMs(suspect, now),
     };
   }
 
@@ -145,7 +146,7 @@
       fingerprint: suspect.fingerprint,
       weight: Number(weighSuspect(suspect).toFixed(2)),
       servers: [...suspect.servers].join(' '),
-      refusedMs: Math.max(0, Math.ceil(suspect.refusedUntil - now)),
+      refusedMs: computeRefusedMs(suspect, now),
     }));
     if (changes.length > 0) watches.releaseWithin(computeNewsWaitMs(this.parts.countEntries()));
   }
--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -102,6 +102,10 @@
   [...moments].reduce((sum, moment) => sum + weighMoment(moment, fingerprint), carried)
 );
 
+/** What is left of the time for which a request is refused, in milliseconds. */
+export const computeRefusedMs = ({ refusedUntil }: Suspect, now: number): number => (
+  Math.max(0, Math.ceil(refusedUntil - now)));
+
 /** Tells how a request is to be treated. */
 export const findStage = (
   { suspects }: CrashTable,
--- a/src/core/quarantine/suspectList.ts
+++ b/src/core/quarantine/suspectList.ts
@@ -1,4 +1,5 @@
 import type { SuspectRecord, WatchReply, WatchRequest } from '../../protocol/generated/beechlift';
+import { ListVersion } from '../routing/listVersion';
 
 /** The part of a leader's reply that tells the suspect requests. */
 export type SuspectNews = Pick<WatchReply, 'suspects' | 'suspectsRevision' | 'workersEpoch'>;
@@ -19,9 +20,6 @@
   readonly refusedUntil: number;
 }
 
-/** Revision of a leader that tells no list. */
-const NO_LIST = 0;
-
 /**
  * The suspect requests as the leader of control last told them: held by entries, which refuse them
  * also while no leader is there, and by replicas that follow.
@@ -33,14 +31,11 @@
 export class SuspectList {
   private suspects: ReadonlyMap<string, HeldSuspect> = new Map();
 
-  private revision = NO_LIST;
-
-  /** The leader's tables that the revision counts in; empty before the first list. */
-  private epoch = '';
+  private readonly version = new ListVersion();
 
   /** What is held, for the next question to a leader. */
   get held(): SuspectListHeld {
-    return { suspectsEpoch: this.epoch, suspectsRevision: this.revision };
+    return { suspectsEpoch: this.version.epoch, suspectsRevision: this.version.revision };
   }
 
   /** How many there are. */
@@ -50,11 +45,7 @@
 
   /** Takes in what the leader told; false when nothing changed. */
   apply({ suspects, suspectsRevision, workersEpoch }: SuspectNews, now: number): boolean {
-    if (suspectsRevision === NO_LIST) return false;
-    // Guards against a reply that was overtaken by a newer one of the same leader.
-    if (workersEpoch === this.epoch && suspectsRevision <= this.revision) return false;
-    this.epoch = workersEpoch;
-    this.revision = suspectsRevision;
+    if (!this.version.advance(workersEpoch, suspectsRevision)) return false;
     this.suspects = new Map(suspects.map((record) => (
       [record.fingerprint, { record, refusedUntil: now + record.refusedMs }])));
     return true;
--- a/src/core/quarantine/suspectRecords.ts
+++ b/src/core/quarantine/suspectRecords.ts
@@ -1,6 +1,8 @@
 /** How suspect requests travel: to entries, to replicas that follow, and to the disk. */
 import type { SuspectRecord } from '../../protocol/generated/beechlift';
-import { findStage, findSuspect, weighSuspect } from './crashTable';
+import {
+  computeRefusedMs, findStage, findSuspect, weighSuspect,
+} from './crashTable';
 import type { CrashTable, Suspect } from './crashTable';
 
 /** Suspects that are told of, at most. */
@@ -12,7 +14,7 @@
   weight: weighSuspect(suspect),
   bound: suspect.bound,
   refusals: suspect.refusals,
-  refusedMs: Math.max(0, Math.ceil(suspect.refusedUntil - now)),
+  refusedMs: computeRefusedMs(suspect, now),
 });
 
 /**
--- a/src/core/routing/entryList.ts
+++ b/src/core/routing/entryList.ts
@@ -1,4 +1,5 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../../protocol/generated/beechlift';
+import { ListVersion } from './listVersion';
 
 /** The part of a leader's reply that tells the entries. */
 export type EntryNews = Pick<WatchReply, 'entries' | 'entriesRevision' | 'workersEpoch'>;
@@ -6,9 +7,6 @@
 /** The part of a question that tells which list is held. */
 export type EntryListHeld = Pick<WatchRequest, 'entriesEpoch' | 'entriesRevision'>;
 
-/** Revision of a leader that tells no list yet. */
-export const NO_LIST = 0;
-
 /**
  * The entries that callers may be sent to, as the leader of control last told them: held by the
  * replicas that follow and by the entries, so that callers find the site while no leader is there.
@@ -20,24 +18,16 @@
 export class EntryList {
   records: readonly EntryRecord[] = [];
 
-  private revision = NO_LIST;
-
-  /** The leader's tables that the revision counts in; empty before the first list. */
-  private epoch = '';
+  private readonly version = new ListVersion();
 
   /** What is held, for the next question to a leader. */
   get held(): EntryListHeld {
-    return { entriesEpoch: this.epoch, entriesRevision: this.revision };
+    return { entriesEpoch: this.version.epoch, entriesRevision: this.version.revision };
   }
 
   /** Takes in what the leader told; a reply without the list says that nothing changed. */
   apply({ entries, entriesRevision, workersEpoch }: EntryNews): void {
-    if (entriesRevision === NO_LIST) return;
-    // Guards against a reply that was overtaken by a newer one of the same leader.
-    if (workersEpoch === this.epoch && entriesRevision <= this.revision) return;
-    this.epoch = workersEpoch;
-    this.revision = entriesRevision;
-    this.records = entries;
+    if (this.version.advance(workersEpoch, entriesRevision)) this.records = entries;
   }
 }
 
