A stopping entry: what becomes of its requests and answers, as tests

Callers saw, when an entry was stopped: connections closed without an answer (plain requests at a server, requests that waited for a place or a lease), streams begun after the signal and cut by the end, the tail of a finished answer missing for a slow reader, the framework's own 503 without Retry-After behind a stream on a kept connection, and refusals destroyed by a reset while the body still arrived.

The rig starts real entries with startRelay before paced servers, over raw connections, and destroys all sockets once the stop says that it has ended, as the end of the process does.

--- /dev/null
+++ b/tests/fakes/holdingLeader.ts
@@ -0,0 +1,64 @@
+import { SiteService } from '../../src/protocol/generated/beechlift';
+import type {
+  PlaceDecisions, PlaceNews, WatchReply, WatchRequest,
+} from '../../src/protocol/generated/beechlift';
+import { HeldCalls } from '../../src/utils/heldCalls';
+import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
+import type { StreamEnd } from '../../src/wire/rpcServer';
+
+const HOST = '127.0.0.1';
+/** How often it says that it still holds what it was asked, in milliseconds. */
+const SIGN_MS = 50;
+
+/** A leader of control that takes questions for places in, shows signs of life, and gives none. */
+export class HoldingLeader {
+  address = '';
+
+  private readonly server = new RpcServer('calm');
+
+  private readonly held = new HeldCalls();
+
+  private readonly signs = new Set<NodeJS.Timeout>();
+
+  /** @param makeReply what it tells entries that ask it */
+  constructor(private readonly makeReply: (leaderAddress: string) => WatchReply) {}
+
+  async listen(): Promise<void> {
+    this.server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>((request) => this.answer(request)),
+      keepWatch: handleStream((stream: StreamEnd<WatchRequest, WatchReply>) => stream.listen({
+        take: (request) => {
+          this.answer(request)
+            .then((reply) => stream.send(reply))
+            .catch(() => undefined); // The test is over.
+        },
+        close: () => undefined,
+      })),
+      place: handleStream((stream: StreamEnd<PlaceNews, PlaceDecisions>) => this.hold(stream)),
+    });
+    this.address = await this.server.listen(`${HOST}:0`);
+  }
+
+  close(): void {
+    this.signs.forEach((sign) => clearInterval(sign));
+    this.held.release();
+    this.server.close();
+  }
+
+  private async answer({ documentDigest, holdMs }: WatchRequest): Promise<WatchReply> {
+    if (documentDigest !== '') await this.held.hold(holdMs);
+    return this.makeReply(this.address);
+  }
+
+  private hold(stream: StreamEnd<PlaceNews, PlaceDecisions>): void {
+    let acknowledged = 0;
+    const sign = setInterval(() => stream.send({ acknowledged, replies: [] }), SIGN_MS);
+    this.signs.add(sign);
+    stream.listen({
+      take: ({ number }) => {
+        acknowledged = number;
+      },
+      close: () => clearInterval(sign),
+    });
+  }
+}
--- /dev/null
+++ b/tests/fakes/pacedServer.ts
@@ -0,0 +1,130 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import { readBody } from './readBody';
+
+const HOST = '127.0.0.1';
+/** Pace of the events of a stream, in milliseconds. */
+const EVENT_MS = 25;
+/** Piece of a bulk answer: less than a socket counts as too much to hold. */
+const BULK_BYTES = 12_000;
+const BULK_MS = 1;
+/** How long a reader takes nothing until it is taken for full, in milliseconds. */
+const FULL_MS = 10;
+
+/** What a request of a test asks of the server that runs it. */
+export type AnswerForm = 'plain' | 'stream' | 'bulk';
+
+const readNumber = ({ headers }: IncomingMessage, name: string): number => (
+  Number(headers[name] ?? 0));
+
+const formatEvent = (number: number): string => `id: ${number}\ndata: x\n\n`;
+
+/** The body of a stream of so many events. */
+export const formatEvents = (count: number): string => (
+  Array.from({ length: count }, (unused, position) => formatEvent(position + 1)).join('')
+);
+
+/** Events of a stream that lasts so long. */
+export const countEvents = (lastsMs: number): number => Math.max(1, Math.ceil(lastsMs / EVENT_MS));
+
+/**
+ * A backend server that answers in the form and after the time that a request names in its headers
+ * x-form, x-lasts and x-bytes, and notes what it ran.
+ */
+export class PacedServer {
+  /** Ids of the requests that it began to run, in order. */
+  readonly runs: string[] = [];
+
+  /** Whether the reader of a bulk answer takes no more at the moment. */
+  isFull = (): boolean => true;
+
+  /** Resolves once a bulk answer was ended. */
+  readonly whenFilled: Promise<void>;
+
+  private noteFilled: () => void = () => undefined;
+
+  private readonly server: Server;
+
+  constructor() {
+    this.whenFilled = new Promise((resolve) => {
+      this.noteFilled = resolve;
+    });
+    this.server = createServer((request, response) => {
+      this.serve(request, response).catch(() => response.destroy());
+    });
+  }
+
+  /** Where it listens. */
+  get address(): string {
+    return `${HOST}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.listen(0, HOST, () => resolve());
+    });
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    await readBody(request);
+    this.runs.push(String(request.headers['x-id']));
+    const forms: Record<AnswerForm, () => Promise<void>> = {
+      plain: () => this.answerPlain(request, response),
+      stream: () => this.answerStream(request, response),
+      bulk: () => this.answerBulk(request, response),
+    };
+    await forms[request.headers['x-form'] as AnswerForm | undefined ?? 'plain']();
+  }
+
+  private async answerPlain(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    await pause(readNumber(request, 'x-lasts'));
+    const bytes = Math.max(1, readNumber(request, 'x-bytes'));
+    response.writeHead(200, {
+      'x-id': String(request.headers['x-id']), 'content-length': bytes,
+    }).end('x'.repeat(bytes));
+  }
+
+  /** A stream that was begun elsewhere goes on behind the last event that its caller has. */
+  private async answerStream(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    await pause(readNumber(request, 'x-head-after'));
+    response.writeHead(200, {
+      'x-id': String(request.headers['x-id']), 'content-type': 'text/event-stream',
+    });
+    const last = countEvents(readNumber(request, 'x-lasts'));
+    const sendFrom = async (number: number): Promise<void> => {
+      if (number > last || response.destroyed) return;
+      response.write(formatEvent(number));
+      await pause(EVENT_MS);
+      await sendFrom(number + 1);
+    };
+    await sendFrom(readNumber(request, 'x-last') + 1);
+    response.end();
+  }
+
+  /** As long as its reader takes more, and ended once it takes none. */
+  private async answerBulk(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.writeHead(200, { 'x-id': String(request.headers['x-id']) });
+    const sendMore = async (): Promise<void> => {
+      response.write('x'.repeat(BULK_BYTES));
+      await pause(BULK_MS);
+      if (response.destroyed || await this.waitFull()) return;
+      await sendMore();
+    };
+    await sendMore();
+    response.end();
+    this.noteFilled();
+  }
+
+  private async waitFull(): Promise<boolean> {
+    if (!this.isFull()) return false;
+    await pause(FULL_MS);
+    return this.isFull();
+  }
+}
--- /dev/null
+++ b/tests/fakes/parseAnswer.ts
@@ -0,0 +1,68 @@
+/** An answer as it came over a connection. */
+export interface ParsedAnswer {
+  readonly status: number;
+  /** By name in lower case. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/** An answer that is whole, and how many bytes it took. */
+export interface WholeAnswer {
+  readonly answer: ParsedAnswer;
+  readonly length: number;
+}
+
+const HEAD_END = '\r\n\r\n';
+
+const parseHeaders = (lines: readonly string[]): Record<string, string> => Object.fromEntries(
+  lines.map((line): [string, string] => {
+    const colon = line.indexOf(':');
+    return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+  }),
+);
+
+interface ReadBody {
+  readonly body: string;
+  readonly end: number;
+}
+
+const readSized = (bytes: Buffer, from: number, size: number): ReadBody | undefined => {
+  if (bytes.length < from + size) return undefined;
+  return { body: bytes.toString('latin1', from, from + size), end: from + size };
+};
+
+const readChunks = (
+  bytes: Buffer,
+  from: number,
+  pieces: readonly string[] = [],
+): ReadBody | undefined => {
+  const lineEnd = bytes.indexOf('\r\n', from);
+  if (lineEnd < 0) return undefined;
+  const size = parseInt(bytes.toString('latin1', from, lineEnd), 16);
+  const chunk = readSized(bytes, lineEnd + 2, size + 2);
+  if (!chunk) return undefined;
+  if (size === 0) return { body: pieces.join(''), end: chunk.end };
+  return readChunks(bytes, chunk.end, [...pieces, chunk.body.slice(0, size)]);
+};
+
+/**
+ * Reads the first answer of what came over a connection; undefined while it is not whole.
+ *
+ * @example
+ * const whole = parseAnswer(bytes);
+ */
+export const parseAnswer = (bytes: Buffer): WholeAnswer | undefined => {
+  const headEnd = bytes.indexOf(HEAD_END);
+  if (headEnd < 0) return undefined;
+  const [statusLine = '', ...lines] = bytes.toString('latin1', 0, headEnd).split('\r\n');
+  const headers = parseHeaders(lines);
+  const from = headEnd + HEAD_END.length;
+  const read = headers['transfer-encoding'] === 'chunked'
+    ? readChunks(bytes, from)
+    : readSized(bytes, from, Number(headers['content-length'] ?? 0));
+  if (!read) return undefined;
+  return {
+    answer: { status: Number(statusLine.split(' ')[1]), headers, body: read.body },
+    length: read.end,
+  };
+};
--- /dev/null
+++ b/tests/fakes/stoppingSite.ts
@@ -0,0 +1,168 @@
+import type { Socket } from 'node:net';
+import type { Routing } from '../../src/manifest/routing';
+import { WatchReply } from '../../src/protocol/generated/beechlift';
+import { startRelay } from '../../src/relay/relayProcess';
+import type { RunningRelay } from '../../src/relay/relayProcess';
+import { makeLogger } from '../../src/telemetry/logger';
+import { SuspensionWatch, systemClock } from '../../src/utils/clock';
+import { readRouting, waitFor } from './controlSite';
+import { findFreeAddress } from './freeAddress';
+import { HoldingLeader } from './holdingLeader';
+import { PacedServer } from './pacedServer';
+import { RawCaller } from './rawCaller';
+import { testDialect } from './relayRig';
+import { makeRouting } from './routings';
+
+/** How long callers are served after the signal as before, in milliseconds. */
+export const LOCATE_MS = 300;
+/** How long a stop may take, in milliseconds. */
+export const GRACE_MS = 1_200;
+const LEASE_MS = 60_000;
+const SLOTS = 100;
+
+/** How a site of entries that stop is made. */
+export interface StoppingSiteOptions {
+  readonly routing?: Partial<Routing>;
+  readonly entries?: number;
+  readonly servers?: number;
+  /** Whether entries have a lease from the beginning. */
+  readonly isLeased?: boolean;
+  /** Whether there is a leader that holds all questions for places. */
+  readonly isHeld?: boolean;
+  /** How long a stop may take, in milliseconds. */
+  readonly graceMs?: number;
+}
+
+/** Entries before paced servers, each of which can be ended as a signal to its process ends it. */
+export class StoppingSite {
+  readonly servers: PacedServer[] = [];
+
+  readonly relays: RunningRelay[] = [];
+
+  private readonly addresses: string[] = [];
+
+  private readonly sockets: Set<Socket>[] = [];
+
+  private readonly callers: RawCaller[] = [];
+
+  private readonly leader: HoldingLeader | undefined;
+
+  private version = 1;
+
+  private constructor(private options: StoppingSiteOptions) {
+    if (options.isHeld) this.leader = new HoldingLeader((address) => this.makeReply(address));
+  }
+
+  static async start(options: StoppingSiteOptions = {}): Promise<StoppingSite> {
+    const site = new StoppingSite(options);
+    const { entries = 1, servers = 1 } = options;
+    site.servers.push(...Array.from({ length: servers }, () => new PacedServer()));
+    await Promise.all(site.servers.map((server) => server.listen()));
+    await site.leader?.listen();
+    await Promise.all(Array.from({ length: entries }, () => site.addEntry()));
+    return site;
+  }
+
+  /** Ids of the requests that the servers began to run. */
+  get runs(): string[] {
+    return this.servers.flatMap(({ runs }) => runs);
+  }
+
+  /** Times that the servers began to run a request. */
+  countRuns(id: string): number {
+    return this.runs.filter((run) => run === id).length;
+  }
+
+  /** A new connection of a caller to an entry. */
+  async open(entry = 0): Promise<RawCaller> {
+    const caller = await RawCaller.open(this.addresses[entry] ?? '');
+    this.callers.push(caller);
+    return caller;
+  }
+
+  /** Bytes that wait in an entry's connections to callers. */
+  countWaitingBytes(entry = 0): number {
+    return [...this.sockets[entry] ?? []]
+      .reduce((sum, { writableLength }) => sum + writableLength, 0);
+  }
+
+  /** Puts a changed document in force. */
+  change(routing: Partial<Routing>): void {
+    this.version += 1;
+    this.options = { ...this.options, routing };
+    this.relays.forEach((relay) => this.grantLease(relay));
+  }
+
+  /** Stops an entry, and ends all that is left of it once it says that it has ended. */
+  async stop(entry = 0): Promise<void> {
+    await this.relays[entry]?.shutDown();
+    this.sockets[entry]?.forEach((socket) => socket.destroy());
+    this.relays[entry]?.app.server.close();
+  }
+
+  /** Ends all that the test left. */
+  async close(): Promise<void> {
+    this.callers.forEach((caller) => caller.close());
+    this.servers.forEach((server) => server.close());
+    this.sockets.flatMap((all) => [...all]).forEach((socket) => socket.destroy());
+    await Promise.all(this.relays
+      .filter(({ site }) => !site.isLeaving)
+      .map((relay) => relay.shutDown()));
+    this.leader?.close();
+  }
+
+  /** Gives an entry its lease on the document. */
+  grantLease({ site }: RunningRelay): void {
+    site.applyReply(this.makeReply(''), systemClock.now(), new SuspensionWatch().readEpoch());
+  }
+
+  private async addEntry(): Promise<void> {
+    const address = await findFreeAddress();
+    const relay = startRelay({
+      settings: {
+        zone: 'a',
+        callerAddress: address,
+        readSeeds: () => (this.leader ? [this.leader.address] : []),
+        retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+        locateMs: LOCATE_MS,
+        graceMs: this.options.graceMs ?? GRACE_MS,
+      },
+      readRouting,
+      dialect: testDialect,
+      logger: makeLogger('relay', process.env.BEECHLIFT_LOGS ? 'info' : 'silent'),
+    });
+    const sockets = new Set<Socket>();
+    relay.app.server.on('connection', (socket: Socket) => {
+      sockets.add(socket);
+      socket.on('close', () => sockets.delete(socket));
+    });
+    const [host = '', port] = address.split(':');
+    await relay.app.listen({ host, port: Number(port) });
+    if (this.options.isLeased ?? true) this.grantLease(relay);
+    if (this.leader) await waitFor(() => relay.site.state === 'active', 'the entry serves');
+    this.addresses.push(address);
+    this.sockets.push(sockets);
+    this.relays.push(relay);
+  }
+
+  private makeReply(leaderAddress: string): WatchReply {
+    const { version, options: { routing } } = this;
+    return WatchReply.fromPartial({
+      leaseMs: LEASE_MS,
+      leaderAddress,
+      controlAddresses: leaderAddress === '' ? [] : [leaderAddress],
+      documentDigest: `d${version}`,
+      documentVersion: version,
+      document: JSON.stringify(makeRouting({ ...routing, version, accounts: [] })),
+      workersEpoch: 'e',
+      workersRevision: 1,
+      entryCount: this.options.entries ?? 1,
+      workers: this.servers.map(({ address }, position) => ({
+        said: {
+          workerId: `w${position}`, service: 'rooms', address, zone: 'a', slots: SLOTS, state: 'ready', sequence: 1,
+        },
+        standing: 'ready',
+      })),
+    });
+  }
+}
--- /dev/null
+++ b/tests/relay/stopping-entry.spec.ts
@@ -0,0 +1,286 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import type { ParsedAnswer } from '../fakes/parseAnswer';
+import type { CallerResult, RawCaller } from '../fakes/rawCaller';
+import { GRACE_MS, LOCATE_MS, StoppingSite } from '../fakes/stoppingSite';
+import type { StoppingSiteOptions } from '../fakes/stoppingSite';
+import { findPath, makeStoppingRouting } from '../fakes/stoppingRoutes';
+import type { StoppingRoute } from '../fakes/stoppingRoutes';
+
+/** An answer that outlasts the grace, and one that is soon whole. */
+const LONG_MS = 1_500;
+const BRIEF_MS = 20;
+/** Time in which a request that was sent has reached a server. */
+const REACH_MS = 100;
+const PATIENCE_MS = 20_000;
+/** More than the limit of the document, and more than is on its way at once. */
+const BODY_BYTES = 600_000;
+const BODY_LIMIT = 100_000;
+
+let site: StoppingSite;
+let counter = 0;
+
+const start = async (options: StoppingSiteOptions = {}): Promise<void> => {
+  site = await StoppingSite.start({ routing: makeStoppingRouting(), ...options });
+};
+
+type Headers = Readonly<Record<string, string | number>>;
+
+const makeRequest = (route: StoppingRoute, headers: Headers = {}) => {
+  counter += 1;
+  return {
+    id: `r${counter}`,
+    path: findPath(route),
+    headers: { 'x-patience': PATIENCE_MS, 'x-lasts': BRIEF_MS, ...headers },
+  };
+};
+
+const askFor = async (
+  route: StoppingRoute,
+  headers: Headers = {},
+  caller?: RawCaller,
+): Promise<CallerResult> => (
+  (caller ?? await site.open()).ask(makeRequest(route, headers)));
+
+/** A refusal that is the entry's own, whole and true: it says when to come back and to go. */
+const checkRefused = ({ answer, ...rest }: CallerResult): void => {
+  expect(answer, JSON.stringify(rest)).toBeDefined();
+  const { status, headers, body } = answer as ParsedAnswer;
+  expect(status).toBe(503);
+  expect(JSON.parse(body)).toMatchObject({ error: { run: 'notRun' } });
+  expect(headers).toMatchObject({ connection: 'close', 'retry-after': expect.any(String) });
+};
+
+const checkStatus = ({ answer, ...rest }: CallerResult, status: number): void => {
+  expect(answer?.status, JSON.stringify(rest)).toBe(status);
+};
+
+afterEach(() => site.close());
+
+describe('a request that comes while an entry leaves', () => {
+  // Guards against an answer that was begun though it could not end, and is cut by the end.
+  it.each<[StoppingRoute, Headers]>([
+    ['long', {}],
+    ['longOnce', {}],
+    ['stream', { 'x-form': 'stream' }],
+    ['resumable', { 'x-form': 'stream' }],
+  ])('should be refused as not run on a route whose answers outlast the entry: %s', async (route, form) => {
+    await start();
+    const kept = await site.open();
+    const headers = { ...form, 'x-lasts': LONG_MS };
+    checkStatus(await askFor(route, headers, kept), 200);
+    const stopping = site.stop();
+    await pause(REACH_MS);
+    const results = await Promise.all([
+      askFor(route, headers, kept), askFor(route, headers),
+    ]);
+    results.forEach(checkRefused);
+    expect(site.runs).toHaveLength(1);
+    await stopping;
+  });
+
+  // Guards against refusals of all that comes, though callers are still sent here for a while.
+  it.each<StoppingRoute>(['brief', 'briefOnce'])('should be served where its answer ends in time: %s', async (route) => {
+    await start();
+    const kept = await site.open();
+    checkStatus(await askFor(route, {}, kept), 200);
+    const stopping = site.stop();
+    await pause(REACH_MS);
+    const results = await Promise.all([askFor(route, {}, kept), askFor(route)]);
+    results.forEach((result) => {
+      checkStatus(result, 200);
+      expect(result.answer?.headers.connection).toBe('close');
+    });
+    await stopping;
+  });
+});
+
+describe('requests that are open when the grace is over', () => {
+  // Guards against callers who see their connection closed and cannot know whether it ran.
+  it.each<[string, StoppingRoute, Headers]>([
+    ['plain', 'long', { 'x-lasts': 4 * LONG_MS }],
+    ['plain, which may run once', 'longOnce', { 'x-lasts': 4 * LONG_MS }],
+    ['stream without a head', 'stream', { 'x-form': 'stream', 'x-head-after': 4 * LONG_MS }],
+    ['resumable stream without a head', 'resumable', { 'x-form': 'stream', 'x-head-after': 4 * LONG_MS }],
+  ])('should be told that they may have run, at a server: %s', async (name, route, headers) => {
+    await start();
+    const asked = askFor(route, headers);
+    await pause(REACH_MS);
+    await site.stop();
+    const result = await asked;
+    checkStatus(result, 502);
+    expect(JSON.parse(result.answer?.body ?? '')).toMatchObject({ error: { run: 'unknown' } });
+    expect(result.answer?.headers.connection).toBe('close');
+    expect(site.runs).toHaveLength(1);
+  });
+
+  /*
+   * Guards requests that were held for a place: with the stream to the leader closed, they were
+   * sent to a server that the entry chose by itself, and ended with the process a moment later.
+   */
+  it.each<StoppingRoute>(['long', 'longOnce', 'stream'])('should be refused as not run, and not run, while they wait for a place: %s', async (route) => {
+    await start({
+      isHeld: true,
+      routing: makeStoppingRouting({
+        services: [{ name: 'rooms', maxConnections: 100, isEngine: true }],
+      }),
+    });
+    const asked = askFor(route, { 'x-lasts': LONG_MS });
+    await pause(REACH_MS);
+    await site.stop();
+    const result = await asked;
+    await pause(REACH_MS);
+    expect(site.runs).toEqual([]);
+    checkRefused(result);
+  });
+
+  // Guards requests that were held until the entry has a lease.
+  it('should be refused as not run while they wait for a lease', async () => {
+    await start({ isLeased: false });
+    const asked = askFor('long');
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    await pause(LOCATE_MS / 2);
+    const late = askFor('long');
+    await stopping;
+    checkRefused(await asked);
+    checkRefused(await late);
+  });
+
+  // Guards against a stream that is broken off and looks whole.
+  it('should be broken off in the middle of a stream that runs on', async () => {
+    await start();
+    const asked = askFor('stream', { 'x-form': 'stream', 'x-lasts': 4 * LONG_MS });
+    await pause(REACH_MS);
+    await site.stop();
+    const { answer, partial } = await asked;
+    expect(answer).toBeUndefined();
+    expect(partial).toContain('200');
+  });
+});
+
+describe('answers that are finished, for slow readers', () => {
+  const fill = async (route: StoppingRoute): Promise<[RawCaller, Promise<CallerResult>]> => {
+    const [server] = site.servers;
+    if (server) server.isFull = () => site.countWaitingBytes() > 0;
+    const caller = await site.open();
+    const asked = caller.askHeld(makeRequest(route, { 'x-form': 'bulk' }));
+    await server?.whenFilled;
+    await pause(REACH_MS);
+    expect(site.countWaitingBytes()).toBeGreaterThan(0);
+    return [caller, asked];
+  };
+
+  // Guards the tail of an answer: a connection whose answer was ended counted as idle.
+  it.each<StoppingRoute>(['stream', 'long'])('should be written to the end after the port is closed: %s', async (route) => {
+    await start();
+    const [caller, asked] = await fill(route);
+    const stopping = site.stop();
+    await pause(LOCATE_MS + REACH_MS);
+    caller.resumeReading();
+    checkStatus(await asked, 200);
+    await stopping;
+  });
+
+  // Guards against a process that ends once no request is open, with bytes still in its sockets.
+  it('should be written to the end while the grace lasts', async () => {
+    await start({ graceMs: 4 * GRACE_MS });
+    const stopping = site.stop();
+    const [caller, asked] = await fill('stream');
+    await pause(GRACE_MS);
+    caller.resumeReading();
+    checkStatus(await asked, 200);
+    await stopping;
+  });
+});
+
+describe('a kept connection of an entry that leaves', () => {
+  // Guards callers against an answer that is not the entry's own and says not when to come back.
+  it.each<[string, number]>([
+    ['before the port is closed', LOCATE_MS / 2],
+    ['after the port is closed', LOCATE_MS + REACH_MS],
+  ])('should answer the next request behind a stream that ends %s', async (name, lastsMs) => {
+    await start();
+    const kept = await site.open();
+    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs + REACH_MS }, kept);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    checkStatus(await streamed, 200);
+    const next = await askFor('brief', {}, kept);
+    if (next.answer?.status === 200) expect(next.answer.headers.connection).toBe('close');
+    else checkRefused(next);
+    await stopping;
+  });
+
+  // Guards against callers who send one more request on a connection that is about to end.
+  it.each<[StoppingRoute, Headers]>([
+    ['long', { 'x-lasts': LOCATE_MS }],
+    ['stream', { 'x-form': 'stream', 'x-head-after': LOCATE_MS }],
+  ])('should be announced as closing by an answer whose head comes after the signal: %s', async (route, headers) => {
+    await start();
+    const asked = askFor(route, headers);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    const result = await asked;
+    checkStatus(result, 200);
+    expect(result.answer?.headers.connection).toBe('close');
+    await stopping;
+  });
+
+  // Guards what is open against an operator, or a supervisor, that asks twice.
+  it('should end as the first signal says when a second one comes', async () => {
+    await start();
+    const asked = askFor('long', { 'x-lasts': 2 * LOCATE_MS });
+    await pause(REACH_MS);
+    const first = site.stop();
+    await pause(REACH_MS);
+    await Promise.all([first, site.stop()]);
+    checkStatus(await asked, 200);
+  });
+});
+
+describe('a refusal that closes its connection while the body still arrives', () => {
+  const longBody = 'x'.repeat(BODY_BYTES);
+
+  const limits = {
+    headerBytes: 16_384, bodyBytes: BODY_LIMIT, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+  };
+
+  // Guards the refusal against a reset: bytes that nobody reads destroy what was sent before.
+  it.each<[string, string, number]>([
+    ['too long a body', findPath('brief'), 413],
+    ['no route', '/nowhere/7', 404],
+  ])('should reach the caller whole: %s', async (name, path, status) => {
+    await start({ routing: makeStoppingRouting({ limits }) });
+    const stopping = site.stop();
+    const caller = await site.open();
+    checkStatus(await caller.askSlowly({ id: 'e', path, body: longBody }), status);
+    await stopping;
+  });
+
+  // Guards the same where too long a head is refused, at any time.
+  it('should reach the caller whole: too long a head', async () => {
+    await start();
+    const caller = await site.open();
+    const headers = { 'x-long': 'x'.repeat(20_000) };
+    checkStatus(await caller.askSlowly({
+      id: 'e', path: findPath('brief'), headers, body: longBody,
+    }), 431);
+  });
+
+  // Guards the same for what a kept connection brings after the port is closed.
+  it('should reach the caller whole: the entry leaves', async () => {
+    await start();
+    const kept = await site.open();
+    const lastsMs = LOCATE_MS + 2 * REACH_MS;
+    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs }, kept);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    checkStatus(await streamed, 200);
+    const result = await kept.askSlowly({ ...makeRequest('brief'), body: longBody });
+    if (result.answer?.status !== 200) checkRefused(result);
+    await stopping;
+  });
+});
