Tests of a stopping entry: a leader that is known, and an answer begun before the signal

Two of the tests did not test what they say. Requests that wait for a place were sent before the entry had found its leader, so that none waited: the lease now comes from that leader alone, and the three tests still fail on the code as it is.

--- a/tests/fakes/stoppingSite.ts
+++ b/tests/fakes/stoppingSite.ts
@@ -138,7 +138,7 @@
     });
     const [host = '', port] = address.split(':');
     await relay.app.listen({ host, port: Number(port) });
-    if (this.options.isLeased ?? true) this.grantLease(relay);
+    if (!this.leader && (this.options.isLeased ?? true)) this.grantLease(relay);
     if (this.leader) await waitFor(() => relay.site.state === 'active', 'the entry serves');
     this.addresses.push(address);
     this.sockets.push(sockets);
--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -187,8 +187,8 @@
   // Guards against a process that ends once no request is open, with bytes still in its sockets.
   it('should be written to the end while the grace lasts', async () => {
     await start({ graceMs: 4 * GRACE_MS });
-    const stopping = site.stop();
     const [caller, asked] = await fill('stream');
+    const stopping = site.stop();
     await pause(GRACE_MS);
     caller.resumeReading();
     checkStatus(await asked, 200);
