A refusal that closes its connection waits for the rest of the body

Callers that were refused while their body was still on its way (an entry that leaves, a head beyond its limit at any time) saw their connection reset, and often not the refusal. Cause: the connection was closed with unread bytes of the caller in it, which makes the operating system reset it and drop what was not read at the other end.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
 import { EventFramer } from './eventFramer';
+import { endAfterBody } from './endAfterBody';
 import { dropHeaders, findHeader } from './rawHeaders';
 import type { UpstreamHead } from './upstreamCall';
 
@@ -56,6 +57,8 @@
 
   private heldBytes = 0;
 
+  private hasFailed = false;
+
   constructor(
     private readonly response: ServerResponse,
     private flow: AnswerFlow,
@@ -76,7 +79,7 @@
 
   /** Whether the caller has gone, or has its whole answer. */
   get isOver(): boolean {
-    return this.response.destroyed || this.response.writableEnded;
+    return this.hasFailed || this.response.destroyed || this.response.writableEnded;
   }
 
   /** Last event that the caller has; empty when there is none. */
@@ -163,6 +166,7 @@
   /** Answers with an error of our own; one that comes after a head breaks the answer off. */
   fail(error: BeechliftError, isClosing: boolean): void {
     if (this.isOver) return;
+    this.hasFailed = true;
     if (this.hasBegun) {
       this.breakOff();
       return;
@@ -175,6 +179,8 @@
       ...(retryAfterMs === undefined ? {} : { 'retry-after': (retryAfterMs / MS_PER_SECOND).toFixed(3) }),
       ...(isClosing ? { connection: 'close' } : {}),
     });
-    this.response.end(body);
+    this.response.write(body);
+    if (isClosing) endAfterBody(this.response.req, this.response);
+    else this.response.end();
   }
 }
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -4,6 +4,7 @@
 import type { FastifyInstance } from 'fastify';
 import { NO_SCHEMAS } from '../utils/noSchemas';
 import type { CallerLimits } from '../manifest/routing';
+import { endAfterBody } from './endAfterBody';
 import { RoutedRequest } from './routedRequest';
 import type { RequestParts } from './requestParts';
 
@@ -66,7 +67,8 @@
     const target = targets.get(raw) ?? '/';
     const most = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
     if (measureHead(raw) > most) {
-      reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).end();
+      reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).flushHeaders();
+      endAfterBody(raw, reply.raw);
       return;
     }
     if (parts.site.isLeaving) reply.raw.setHeader('connection', 'close');
