Answers of an entry that leaves say that the connection ends, by when their head is sent

Callers whose stream had begun before the signal kept their connection, and the next request on it met the framework's own refusal, without a time to come back. Cause: whether the connection ends was decided when a request came, so answers whose head was sent after the signal did not announce it; and what came after the port was closed never reached our code. It is decided by the head now, and every request on a connection that outlasts the port is answered like any other.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -59,10 +59,12 @@
 
   private hasFailed = false;
 
+  /** @param isClosing whether the caller is to send nothing more on its connection */
   constructor(
     private readonly response: ServerResponse,
     private flow: AnswerFlow,
     private readonly readNow: () => number,
+    private readonly isClosing: () => boolean,
   ) {
     this.framer = flow === 'framed' ? new EventFramer() : undefined;
   }
@@ -99,7 +101,7 @@
     this.response.sendDate = false;
     this.endsWithConnection = !isFramed(head);
     this.response.useChunkedEncodingByDefault = !this.endsWithConnection;
-    this.response.shouldKeepAlive &&= !this.endsWithConnection;
+    this.response.shouldKeepAlive &&= !this.endsWithConnection && !this.isClosing();
     this.response.writeHead(head.status, dropHeaders(head.headers, NO_NAMES));
     // The head of a stream is worth having before its first event.
     if (this.flow !== 'held') this.response.flushHeaders();
@@ -164,7 +166,7 @@
   }
 
   /** Answers with an error of our own; one that comes after a head breaks the answer off. */
-  fail(error: BeechliftError, isClosing: boolean): void {
+  fail(error: BeechliftError): void {
     if (this.isOver) return;
     this.hasFailed = true;
     if (this.hasBegun) {
@@ -173,6 +175,7 @@
     }
     const body = JSON.stringify(error.buildBody());
     const { retryAfterMs } = error.detail;
+    const isClosing = this.isClosing();
     this.response.writeHead(error.status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -53,6 +53,8 @@
     },
     clientErrorHandler: answerUnreadable,
     forceCloseConnections: 'idle',
+    // A request on a connection that outlasts the port is answered like any other.
+    return503OnClosing: false,
     // The framework's own router knows one path; the target that came is kept beside.
     rewriteUrl: (request) => {
       targets.set(request, request.url ?? '/');
@@ -71,7 +73,6 @@
       endAfterBody(raw, reply.raw);
       return;
     }
-    if (parts.site.isLeaving) reply.raw.setHeader('connection', 'close');
     parts.metrics.open.inc();
     await new RoutedRequest(parts, raw, reply.raw, target).run();
     parts.metrics.open.dec();
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -83,7 +83,7 @@
     this.receivedAt = parts.clock.now();
     this.facts = parts.dialect.readCall(request.rawHeaders);
     this.log = new RequestLog(parts, this.facts.requestId, this.receivedAt);
-    this.writer = new AnswerWriter(response, 'direct', () => parts.clock.now());
+    this.writer = this.makeWriter('direct');
   }
 
   /** Serves the request; never rejects. */
@@ -97,6 +97,11 @@
     }
   }
 
+  private makeWriter(flow: AnswerFlow): AnswerWriter {
+    const { site, clock } = this.parts;
+    return new AnswerWriter(this.response, flow, () => clock.now(), () => site.isLeaving);
+  }
+
   private async serve(): Promise<void> {
     const { site, clock } = this.parts;
     const host = this.request.headers.host ?? '';
@@ -107,7 +112,7 @@
     const { route } = admitted;
     const patienceMs = Math.min(route.timeoutMs, this.facts.patienceMs ?? Infinity);
     this.deadlineAt = this.receivedAt + patienceMs;
-    this.writer = new AnswerWriter(this.response, pickFlow(route), () => clock.now());
+    this.writer = this.makeWriter(pickFlow(route));
     const limits = site.table?.routing.limits;
     const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0, BODY_MS);
     const guard = this.makeGuard(host, admitted, body);
@@ -319,6 +324,6 @@
 
   private refuse(error: BeechliftError): void {
     this.log.noteRefusal(error, this.admitted, this.rules?.sent ?? 0);
-    this.writer.fail(error, this.parts.site.isLeaving);
+    this.writer.fail(error);
   }
 }
