An entry ends with every request answered and every answer written

Callers of an entry that was stopped saw their connection close without an answer 7.2 s after the signal: requests at a backend server, requests that waited for a place or for a lease. Those that waited for a place were even sent to a server in that moment, as the stream to the leader was closed first and the entry then chose by itself; what may run once ran for nobody. The tail of an answer was missing for callers that read slowly.

Cause: the end went by a count of requests and by a clock, and whoever was left was cut by the process's end. Closing the port destroys connections whose answer was ended, though its bytes may still wait.

Open requests are kept until the last byte of their answer is handed over. When the answers' part of the grace is over, whoever has no answer gets one that is true: not run, or unknown where a server has it. Streams run on a little longer, and are then broken off so that they do not look whole. The port is closed without touching connections; they are closed once no request has come for 0.2 s. A grace shorter than the time for which callers are still sent here, and a second signal, end in the same order.

--- /dev/null
+++ b/src/relay/openRequests.ts
@@ -0,0 +1,74 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HeldCalls } from '../utils/heldCalls';
+import type { RelayMetrics } from './relayMetrics';
+
+/** A request that is under way. */
+export interface OpenRequest {
+  /** Serves it; never rejects. */
+  readonly run: () => Promise<void>;
+  /** Answers it finally, unless its caller has the beginning of an answer already. */
+  readonly endWithEntry: () => void;
+  /** Ends an answer that has begun, so that what came of it does not look whole. */
+  readonly breakOff: () => void;
+}
+
+/** The connection that an answer goes out on. */
+interface AnswerPath {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Resolves once an answer has been handed over to the network, or its connection has ended. */
+const waitWritten = ({ request: { socket }, response }: AnswerPath): Promise<void> => (
+  response.writableFinished || response.destroyed || socket.destroyed
+    ? Promise.resolve()
+    : new Promise((resolve) => {
+      response.once('close', resolve);
+      socket.once('close', resolve);
+    })
+);
+
+/**
+ * The requests that an entry has taken and whose answers have not been written to the last byte.
+ *
+ * @example
+ * await openRequests.serve(request, { request: raw, response });
+ * await openRequests.waitIdle(3_000);
+ */
+export class OpenRequests {
+  private readonly open = new Set<OpenRequest>();
+
+  private readonly idle = new HeldCalls();
+
+  /** Requests that were taken so far. */
+  taken = 0;
+
+  constructor(private readonly metrics: Pick<RelayMetrics, 'open'>) {}
+
+  /** Serves a request, which is open until its answer is written. */
+  async serve(request: OpenRequest, path: AnswerPath): Promise<void> {
+    this.open.add(request);
+    this.taken += 1;
+    this.metrics.open.inc();
+    await request.run();
+    await waitWritten(path);
+    this.open.delete(request);
+    this.metrics.open.dec();
+    if (this.open.size === 0) this.idle.release();
+  }
+
+  /** Resolves when no request is open, after the time at the latest. */
+  waitIdle(mostMs: number): Promise<void> {
+    return this.open.size === 0 ? Promise.resolve() : this.idle.hold(Math.max(0, mostMs));
+  }
+
+  /** Answers all that have no answer yet. */
+  endAll(): void {
+    [...this.open].forEach((request) => request.endWithEntry());
+  }
+
+  /** Breaks off the answers that are under way. */
+  breakOffAll(): void {
+    [...this.open].forEach((request) => request.breakOff());
+  }
+}
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from 'node:crypto';
-import { setTimeout as pause } from 'node:timers/promises';
 import type { FastifyInstance } from 'fastify';
 import { makeMechanisms } from '../core/routing/mechanisms';
 import type { Mechanism } from '../core/routing/mechanisms';
@@ -7,9 +6,11 @@
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import { SuspensionWatch, systemClock } from '../utils/clock';
+import { OpenRequests } from './openRequests';
 import { PlaceClient } from './placeClient';
 import { RelayMetrics } from './relayMetrics';
 import { applyCallerLimits, makeRelayServer } from './relayServer';
+import { RelayShutdown } from './relayShutdown';
 import { RelaySite } from './relaySite';
 import type { RequestDialect } from './requestDialect';
 import { SiteWatch } from './siteWatch';
@@ -51,9 +52,6 @@
 
 /** How often idle connections to servers that left are closed, and limits are put in force. */
 const TEND_MS = 500;
-/** Part of the grace that is used: what is left is for the process to end. */
-const GRACE_PART = 0.9;
-const POLL_OPEN_MS = 25;
 
 const tend = (site: RelaySite, app: FastifyInstance, connections: WorkerConnections): void => {
   const limits = site.table?.routing.limits;
@@ -64,16 +62,6 @@
   connections.keep(new Set(addresses));
 };
 
-const countOpen = async (metrics: RelayMetrics): Promise<number> => (
-  (await metrics.open.get()).values[0]?.value ?? 0
-);
-
-const waitIdle = async (metrics: RelayMetrics, until: number): Promise<void> => {
-  if (systemClock.now() >= until || await countOpen(metrics) === 0) return;
-  await pause(POLL_OPEN_MS);
-  await waitIdle(metrics, until);
-};
-
 /**
  * Starts an entry of a routed site; its caller port is still to be opened.
  *
@@ -109,34 +97,47 @@
     logger,
   });
   const picker = new WorkerPicker({ site, placeClient, clock: systemClock });
+  const openRequests = new OpenRequests(metrics);
   const app = makeRelayServer({
-    site, dialect, connections, picker, placeClient, clock: systemClock, logger, metrics,
+    site,
+    dialect,
+    connections,
+    picker,
+    placeClient,
+    clock: systemClock,
+    logger,
+    metrics,
+    openRequests,
   });
   watch.start();
   const tending = setInterval(() => tend(site, app, connections), TEND_MS);
+  const shutdown = new RelayShutdown({
+    site,
+    server: app.server,
+    openRequests,
+    tellLeaving: () => watch.tell(),
+    locateMs: settings.locateMs,
+    graceMs: settings.graceMs,
+    clock: systemClock,
+    logger,
+  });
+  const close = async (): Promise<void> => {
+    await shutdown.run();
+    clearInterval(tending);
+    placeClient.close();
+    watch.stop();
+    connections.close();
+    await app.close();
+    logger.info('entry ended');
+  };
+  let closing: Promise<void> | undefined;
   return {
     site,
     app,
     metrics,
-    /*
-     * Guards against requests that are cut off by a planned end. Callers are no longer sent here
-     * from the first moment, those that were keep what they were told for a while and are served
-     * meanwhile, and only then is the port closed.
-     */
-    shutDown: async () => {
-      const end = systemClock.now() + settings.graceMs * GRACE_PART;
-      site.isLeaving = true;
-      logger.info('entry leaves', { graceMs: settings.graceMs });
-      await watch.tell();
-      await pause(settings.locateMs);
-      const closing = app.close();
-      await waitIdle(metrics, end);
-      clearInterval(tending);
-      placeClient.close();
-      watch.stop();
-      connections.close();
-      await Promise.race([closing, pause(Math.max(0, end - systemClock.now()))]);
-      logger.info('entry ended');
+    shutDown: () => {
+      closing ??= close();
+      return closing;
     },
   };
 };
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -73,9 +73,8 @@
       endAfterBody(raw, reply.raw);
       return;
     }
-    parts.metrics.open.inc();
-    await new RoutedRequest(parts, raw, reply.raw, target).run();
-    parts.metrics.open.dec();
+    const routed = new RoutedRequest(parts, raw, reply.raw, target);
+    await parts.openRequests.serve(routed, { request: raw, response: reply.raw });
   });
   app.all('/', async () => undefined);
   return app;
--- /dev/null
+++ b/src/relay/relayShutdown.ts
@@ -0,0 +1,76 @@
+import { Server as NetServer } from 'node:net';
+import type { Server } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import type { OpenRequests } from './openRequests';
+import type { RelaySite } from './relaySite';
+
+/** Part of the grace after which callers that were told of this entry are taken no more. */
+const LOCATE_PART = 0.5;
+/** Part of the grace after which requests without the beginning of an answer are given up. */
+const ANSWER_PART = 0.9;
+/** Part of the grace after which streams are broken off; the rest is for the process to end. */
+const STREAM_PART = 0.95;
+/** How long no request must come before the connections that callers keep are closed. */
+const QUIET_MS = 200;
+
+/** What a shutdown needs. */
+export interface RelayShutdownParts {
+  readonly site: Pick<RelaySite, 'beginLeaving'>;
+  /** Takes callers. */
+  readonly server: Server;
+  readonly openRequests: OpenRequests;
+  /** Tells the leader of control that this entry leaves. */
+  readonly tellLeaving: () => Promise<void>;
+  /** How long callers may use an answer to where they should connect, in milliseconds. */
+  readonly locateMs: number;
+  /** How long the shutdown may take, in milliseconds. */
+  readonly graceMs: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Ends an entry without leaving a request unanswered. Callers are no longer sent here from the
+ * first moment; those that were keep what they were told for a while, and are served meanwhile as
+ * far as their answers end in time. Whoever has no answer when the grace runs out is told so.
+ *
+ * @example
+ * await new RelayShutdown(parts).run();
+ */
+export class RelayShutdown {
+  constructor(private readonly parts: RelayShutdownParts) {}
+
+  /** Resolves when no request is open. */
+  async run(): Promise<void> {
+    const {
+      site, server, openRequests, tellLeaving, locateMs, graceMs, clock, logger,
+    } = this.parts;
+    const startedAt = clock.now();
+    const readLeftMs = (part: number): number => startedAt + part * graceMs - clock.now();
+    site.beginLeaving(startedAt + ANSWER_PART * graceMs);
+    logger.info('entry leaves', { graceMs });
+    await tellLeaving();
+    await pause(Math.max(0, Math.min(locateMs, readLeftMs(LOCATE_PART))));
+    // The server's own close would destroy connections whose answers are ended, but not written.
+    NetServer.prototype.close.call(server);
+    await this.waitQuiet(() => readLeftMs(ANSWER_PART));
+    openRequests.endAll();
+    await openRequests.waitIdle(readLeftMs(STREAM_PART));
+    openRequests.breakOffAll();
+    server.closeAllConnections();
+  }
+
+  /*
+   * Guards callers whose answers did not announce that the connection ends: their next request is
+   * answered rather than met by the close.
+   */
+  private async waitQuiet(readLeftMs: () => number): Promise<void> {
+    const { openRequests } = this.parts;
+    await openRequests.waitIdle(readLeftMs());
+    const { taken } = openRequests;
+    await pause(Math.max(0, Math.min(QUIET_MS, readLeftMs())));
+    if (openRequests.taken > taken && readLeftMs() > 0) await this.waitQuiet(readLeftMs);
+  }
+}
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -61,7 +61,8 @@
   /** Requests that are known to end backend servers. */
   readonly suspects = new SuspectList();
 
-  isLeaving = false;
+  /** When this entry ends, monotonic milliseconds. */
+  private endsAt = Infinity;
 
   private digest = '';
 
@@ -115,6 +116,20 @@
     return this.waiters.hold(mostMs);
   }
 
+  /** Whether this entry shuts down: callers are sent elsewhere. */
+  get isLeaving(): boolean {
+    return this.endsAt !== Infinity;
+  }
+
+  /**
+   * Begins to shut down.
+   *
+   * @param endsAt when the last answer must have ended, monotonic milliseconds
+   */
+  beginLeaving(endsAt: number): void {
+    this.endsAt = endsAt;
+  }
+
   /** What control and readiness checks are told. */
   get state(): RelayState {
     if (this.isLeaving) return 'leaving';
--- a/src/relay/requestParts.ts
+++ b/src/relay/requestParts.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import type { OpenRequests } from './openRequests';
 import type { PlaceClient } from './placeClient';
 import type { RelayMetrics } from './relayMetrics';
 import type { RelaySite } from './relaySite';
@@ -17,4 +18,5 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
+  readonly openRequests: OpenRequests;
 }
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -10,6 +10,8 @@
 import { AttemptNotes } from './attemptNotes';
 import type { AttemptEnd } from './attemptNotes';
 import { computeLeaseWaitMs } from './leaseWait';
+import { makeLeavingError } from './leavingEntry';
+import type { OpenRequest } from './openRequests';
 import { readRequestBody } from './readRequestBody';
 import type { AnswerFacts, CallFacts } from './requestDialect';
 import { RepeatRules } from './repeatRules';
@@ -51,7 +53,7 @@
  * @example
  * await new RoutedRequest(parts, request, response).run();
  */
-export class RoutedRequest {
+export class RoutedRequest implements OpenRequest {
   private readonly receivedAt: number;
 
   private readonly facts: CallFacts;
@@ -97,6 +99,18 @@
     }
   }
 
+  /** Answers finally, unless the caller has the beginning of an answer. */
+  endWithEntry(): void {
+    if (this.writer.hasBegun) return;
+    this.giveUp(makeLeavingError(), 'the entry ends');
+  }
+
+  /** Ends an answer that has begun and is not whole. */
+  breakOff(): void {
+    if (this.response.writableEnded) return;
+    this.writer.breakOff();
+  }
+
   private makeWriter(flow: AnswerFlow): AnswerWriter {
     const { site, clock } = this.parts;
     return new AnswerWriter(this.response, flow, () => clock.now(), () => site.isLeaving);
@@ -309,9 +323,15 @@
   }
 
   private expire(): void {
+    const error = new BeechliftError('routeTimeout', 'the answer was not whole when its time was over');
+    this.giveUp(error, 'its time is over');
+  }
+
+  private giveUp(error: BeechliftError, reason: string): void {
     if (this.writer.isOver) return;
-    this.refuse(new BeechliftError('routeTimeout', 'the answer was not whole when its time was over'));
-    this.call?.abort('its time is over');
+    if (this.call?.isSent) this.rules?.noteAttempt({ kind: 'broken', reason });
+    this.refuse(this.rules?.judgeRefusal(error) ?? error);
+    this.call?.abort(reason);
     this.cancelPick?.();
   }
 
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -7,6 +7,7 @@
 import { WatchReply } from '../../src/protocol/generated/beechlift';
 import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
 import { PlaceClient } from '../../src/relay/placeClient';
+import { OpenRequests } from '../../src/relay/openRequests';
 import { RelayMetrics } from '../../src/relay/relayMetrics';
 import { makeRelayServer } from '../../src/relay/relayServer';
 import { RelaySite } from '../../src/relay/relaySite';
@@ -152,6 +153,7 @@
       clock: systemClock,
       logger,
       metrics: this.metrics,
+      openRequests: new OpenRequests(this.metrics),
     });
     await this.app.listen({ host: HOST, port: 0 });
   }
