An entry that leaves takes only what it can still answer whole

Callers that came while an entry left were served as ever, and those with long answers were cut in their middle when it ended: a stream sent 3.1 s after the signal had 4.1 s.

Cause: nothing compared the time an answer needs with the time that the entry has. Now a request is refused at once as not run, to be sent to another entry, unless its own time limits end before the entry does, or the greatest length of its answer fits at the learnt speed of the server that it would go to. Asked before a place is sought, and again when a place is given, as waiting uses up time.

--- a/src/core/routing/lineFit.ts
+++ b/src/core/routing/lineFit.ts
@@ -42,9 +42,12 @@
   fit.covariance = (1 - part) * (fit.covariance + part * dx * dy);
 };
 
+/** Whether enough was observed for the line to be believed. */
+export const isLearnt = ({ weight }: LineFit): boolean => weight >= MIN_WEIGHT;
+
 /** Slope of the line, never below zero: more work takes no less time. */
 export const readSlope = (fit: LineFit): number => (
-  fit.weight < MIN_WEIGHT || fit.varianceX === 0
+  !isLearnt(fit) || fit.varianceX === 0
     ? fit.first.slope
     : Math.max(0, fit.covariance / fit.varianceX)
 );
@@ -56,7 +59,7 @@
  * const expectedMs = readLine(fit, 3_700);
  */
 export const readLine = (fit: LineFit, x: number): number => (
-  fit.weight < MIN_WEIGHT
+  !isLearnt(fit)
     ? fit.first.base + fit.first.slope * x
     : Math.max(0, fit.meanY + readSlope(fit) * (x - fit.meanX))
 );
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -1,5 +1,10 @@
-/** What an entry that shuts down tells its callers. */
+/** What an entry that shuts down still takes. */
+import { canEndWithin } from '../core/routing/answerTime';
 import { BeechliftError } from '../errors/beechliftError';
+import type { AdmittedRequest } from './admitRequest';
+import type { RelaySite } from './relaySite';
+import type { CallFacts } from './requestDialect';
+import type { PickedWorker } from './workerPicker';
 
 /** Time after which a caller may ask another entry, in milliseconds. */
 const OTHER_ENTRY_MS = 50;
@@ -8,3 +13,24 @@
 export const makeLeavingError = (): BeechliftError => new BeechliftError('entryLeaving', 'this entry shuts down before the answer could end', {
   retryAfterMs: OTHER_ENTRY_MS,
 });
+
+/**
+ * Tells whether an entry ends late enough to answer a request whole; one that stays always does.
+ *
+ * @param picked where the request goes; without it, the fastest backend server is assumed
+ * @example
+ * if (!canAnswerInTime(site, admitted, facts)) throw makeLeavingError();
+ */
+export const canAnswerInTime = (
+  site: RelaySite,
+  { service, route }: AdmittedRequest,
+  { tokens, patienceMs }: CallFacts,
+  picked?: PickedWorker,
+): boolean => {
+  if (!site.isLeaving) return true;
+  const { leftMs } = site;
+  if (Math.min(route.timeoutMs, patienceMs ?? Infinity) <= leftMs) return true;
+  if (!tokens) return false;
+  const size = { service, promptTokens: tokens.prompt, outputTokens: tokens.output };
+  return canEndWithin(site.workers, size, leftMs, picked?.worker);
+};
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -121,6 +121,11 @@
     return this.endsAt !== Infinity;
   }
 
+  /** Milliseconds that are left for answers; Infinity unless this entry shuts down. */
+  get leftMs(): number {
+    return this.endsAt - this.parts.clock.now();
+  }
+
   /**
    * Begins to shut down.
    *
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -10,7 +10,7 @@
 import { AttemptNotes } from './attemptNotes';
 import type { AttemptEnd } from './attemptNotes';
 import { computeLeaseWaitMs } from './leaseWait';
-import { makeLeavingError } from './leavingEntry';
+import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest } from './openRequests';
 import { readRequestBody } from './readRequestBody';
 import type { AnswerFacts, CallFacts } from './requestDialect';
@@ -134,6 +134,7 @@
     guard.check();
     const rules = new RepeatRules(this.parts, admitted, guard);
     this.rules = rules;
+    if (!canAnswerInTime(site, admitted, this.facts)) throw makeLeavingError();
     site.retries.noteRequest(admitted.service, clock.now());
     const timer = setTimeout(() => this.expire(), this.deadlineAt - clock.now());
     try {
@@ -171,6 +172,10 @@
       this.dropPicked(admitted, picked);
       return;
     }
+    if (!this.writer.hasBegun && !canAnswerInTime(this.parts.site, admitted, this.facts, picked)) {
+      this.dropPicked(admitted, picked);
+      throw makeLeavingError();
+    }
     rules.noteOffer();
     this.tried.push(picked.worker.id);
     const end = await this.attempt(offered, picked);
--- /dev/null
+++ b/tests/core/answer-time.spec.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from 'vitest';
+import { canEndWithin } from '../../src/core/routing/answerTime';
+import {
+  applyRecords, learnAnswer, learnPace, makeRoutedWorkers,
+} from '../../src/core/routing/routedWorkers';
+import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
+import { WorkerRecord } from '../../src/protocol/generated/beechlift';
+
+const SERVICE = 'scribe';
+
+const makeWorkers = (): RoutedWorkers => {
+  const workers = makeRoutedWorkers();
+  applyRecords(workers, ['fast', 'slow'].map((workerId) => WorkerRecord.fromPartial({
+    said: { workerId, service: SERVICE, slots: 4 }, standing: 'ready',
+  })));
+  return workers;
+};
+
+const findWorker = (workers: RoutedWorkers, id: string) => {
+  const worker = workers.byId.get(id);
+  if (!worker) throw new Error(`no worker "${id}"`);
+  return worker;
+};
+
+const learnStreams = (workers: RoutedWorkers): void => {
+  const fast = findWorker(workers, 'fast');
+  learnPace(fast, 10);
+  Array.from({ length: 20 }, (unused, position) => 100 + 10 * position).forEach((tokens) => {
+    learnAnswer(workers, fast, {
+      holdMs: 100 + 10 * tokens,
+      paceMs: 0,
+      firstEvent: { ms: 100, tokens: 1_000 },
+      output: { ms: 10 * tokens, tokens },
+      failed: false,
+    });
+  });
+};
+
+describe('time that an answer needs', () => {
+  it('should allow a stream for the most tokens that it may have', () => {
+    const workers = makeWorkers();
+    learnStreams(workers);
+    const size = { service: SERVICE, promptTokens: 1_000, outputTokens: 300 };
+    expect(canEndWithin(workers, size, 4_500)).toBe(true);
+    expect(canEndWithin(workers, size, 3_500)).toBe(false);
+    expect(canEndWithin(workers, { ...size, outputTokens: 100 }, 3_500)).toBe(true);
+  });
+
+  it('should count how slow a backend server is', () => {
+    const workers = makeWorkers();
+    learnStreams(workers);
+    learnPace(findWorker(workers, 'slow'), 30);
+    const size = { service: SERVICE, promptTokens: 1_000, outputTokens: 300 };
+    expect(canEndWithin(workers, size, 4_500, findWorker(workers, 'fast'))).toBe(true);
+    expect(canEndWithin(workers, size, 4_500, findWorker(workers, 'slow'))).toBe(false);
+  });
+
+  it('should promise nothing while too little is known', () => {
+    const size = { service: SERVICE, promptTokens: 10, outputTokens: 10 };
+    expect(canEndWithin(makeWorkers(), size, 60_000)).toBe(false);
+  });
+});
