Test: what a replica found in its file is not synced

A process that is killed between a write and its sync starts again and reads the record from its file as if it were on disk. It acknowledges an entry of the log that it holds already without another write, so nothing syncs it. When the machine then loses power, a document can be gone that operators were told is accepted: its acknowledgement counted this copy.

Fails on the current code: expected [1, 2, 3] after a power loss, got [1, 2].

--- a/tests/disk/record-file.spec.ts
+++ b/tests/disk/record-file.spec.ts
@@ -98,4 +98,17 @@
     files.restart();
     expect((await openFile(files)).records).toContainEqual({ n: 8 });
   });
+
+  // A process is killed while it syncs and starts again; it acknowledges what its file holds, its
+  // machine loses power, and what it acknowledged is gone.
+  it('should hold what it found when it was opened, after a power loss', async () => {
+    const { files, file } = await fillFile();
+    files.failAt = 'beforeSync';
+    await expect(file.append([{ n: 3 }])).rejects.toMatchObject({ code: 'storageFailed' });
+    files.failAt = undefined;
+    const { records } = await openFile(files);
+    expect(records).toEqual([{ n: 1 }, { n: 2 }, { n: 3 }]);
+    files.restart();
+    expect((await openFile(files)).records).toEqual(records);
+  });
 });
