A file of records is synced when it is opened

A replica that was killed in the middle of a sync trusted what its file held after its restart, and counted it as synced (makeLogState). The leader sent the entry again, the replica held it already and acknowledged it without a write. After a power loss of its machine the entry was gone, though a majority had counted it.

The file is now synced whenever it is opened with something in it, before any record of it is handed on. A sync covers all writes of a file, also those of the process before. It costs one sync for each file at a start.

--- a/src/disk/recordFile.ts
+++ b/src/disk/recordFile.ts
@@ -91,12 +91,12 @@
     this.file = await this.files.openAppend(this.path);
     if (soundBytes < content.length) {
       await this.file.truncate(soundBytes);
-      await this.file.sync();
     } else if (content.length > 0 && content.at(-1) !== NEWLINE) {
       // The last record is whole but its line end was torn off.
       await this.file.append(Buffer.from('\n'));
-      await this.file.sync();
     }
+    // A process that was killed in the middle of a sync leaves records that are not on the disk.
+    if (content.length > 0) await this.file.sync();
     await this.files.syncFolder(dirname(this.path));
     this.bytesWritten = soundBytes;
     return records;
