Test: a batch that a power loss tore in its middle stops a replica for good

Records that come while a sync is under way are written together. Beyond 512 KiB that takes several writes, of which a power loss may leave a later one and not an earlier one. The replica then finds a bad record that sound ones follow, takes it for damage, and never starts again, though none of these records was acknowledged: with the disks that a site may lose, one replica more is missing than it can do without.

Fails on the current code: logCorrupt.

--- a/tests/disk/record-file.spec.ts
+++ b/tests/disk/record-file.spec.ts
@@ -1,7 +1,10 @@
+import { setImmediate } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { RecordFile } from '../../src/disk/recordFile';
 import { MemoryFileSystem } from '../fakes/memoryFileSystem';
 import type { FailurePoint } from '../fakes/memoryFileSystem';
+import { PowerLossFiles } from '../fakes/powerLossFiles';
+import type { WriteFate } from '../fakes/powerLossFiles';
 
 const PATH = 'data/log';
 
@@ -111,4 +114,21 @@
     files.restart();
     expect((await openFile(files)).records).toEqual(records);
   });
+
+  // Power is lost while several records are written; of the two writes that they take the first is
+  // missing and the second is there, and the replica refuses to start ever after.
+  it('should cut a batch off whose beginning is missing', async () => {
+    const files = new PowerLossFiles();
+    files.isFast = true;
+    const file = new RecordFile(files, PATH);
+    await file.open();
+    await file.append([{ n: 1 }]);
+    files.isFast = false;
+    file.append([{ text: 'a'.repeat(600_000) }, { n: 3 }]).catch(() => undefined);
+    await setImmediate();
+    const fates: WriteFate[] = ['present', 'missing', 'present'];
+    files.cutPower(() => fates.shift() ?? 'present');
+    files.isFast = true;
+    expect(await new RecordFile(files, PATH).open()).toEqual([{ n: 1 }]);
+  });
 });
