Records that are written together are one line of their file

What callers would see: a replica that doesn't start again after a power loss, so that a site which lost its two disks has no majority and answers no read of the document.

Cause: each record of a batch had a line and a checksum of its own. A power loss keeps or drops each unsynced write on its own, so the first could be bad and the next sound, which was taken for damage to what had been answered.

A batch is now one line with one checksum: it is there whole or not at all, and a sound line after a bad one can only be damage, as before. Files that earlier versions wrote are read as they are.

--- a/src/disk/recordFile.ts
+++ b/src/disk/recordFile.ts
@@ -6,15 +6,17 @@
 const CHECKSUM_DIGITS = 8;
 const NEWLINE = 0x0a;
 
-const formatRecord = (record: unknown): string => {
-  const text = JSON.stringify(record);
+/** One line for records that are written together, each of them as JSON. */
+const formatBatch = (records: readonly string[]): string => {
+  const text = `[${records.join(',')}]`;
   return `${crc32(text).toString(16).padStart(CHECKSUM_DIGITS, '0')} ${text}\n`;
 };
 
-const parseLine = (line: string): unknown => {
+/** Records of a line; one that an earlier version wrote holds a single record, and no list. */
+const parseLine = (line: string): unknown[] | undefined => {
   const text = line.slice(CHECKSUM_DIGITS + 1);
   const sum = crc32(text).toString(16).padStart(CHECKSUM_DIGITS, '0');
-  return line.slice(0, CHECKSUM_DIGITS) === sum ? JSON.parse(text) as unknown : undefined;
+  return line.slice(0, CHECKSUM_DIGITS) === sum ? [JSON.parse(text) as unknown].flat() : undefined;
 };
 
 /** What a file held: its records, and how many bytes of it are sound. */
@@ -29,25 +31,26 @@
 };
 
 /*
- * Guards against a torn write: a crash may leave the end of the last records missing or mixed up.
- * Nothing there was answered yet, as answers wait for the sync, so it is cut off. A bad record with
- * a sound one after it is no torn write but damage to what was answered, and is refused.
+ * Guards against a torn write: a crash may leave any part of the last batch missing or mixed up.
+ * Nothing there was answered yet, as answers wait for the sync, so it is cut off. All of a batch is
+ * one line, so a bad line with a sound one after it is no torn write but damage to what was
+ * answered, and is refused.
  */
 const parseContent = (path: string, content: Buffer): ParsedFile => {
-  const lines = splitLines(content).map((line) => ({ line, record: parseLine(line) }));
-  const firstBad = lines.findIndex(({ record }) => record === undefined);
+  const lines = splitLines(content).map((line) => ({ line, records: parseLine(line) }));
+  const firstBad = lines.findIndex(({ records }) => records === undefined);
   if (firstBad < 0) {
     return {
-      records: lines.map(({ record }) => record), soundBytes: content.length,
+      records: lines.flatMap(({ records }) => records ?? []), soundBytes: content.length,
     };
   }
-  const soundAfter = lines.slice(firstBad).some(({ record }) => record !== undefined);
+  const soundAfter = lines.slice(firstBad).some(({ records }) => records !== undefined);
   if (soundAfter) {
-    throw new BeechliftError('logCorrupt', `record ${firstBad + 1} of "${path}" does not match its checksum, and sound records follow it`);
+    throw new BeechliftError('logCorrupt', `line ${firstBad + 1} of "${path}" does not match its checksum, and sound lines follow it`);
   }
   const sound = lines.slice(0, firstBad);
   return {
-    records: sound.map(({ record }) => record),
+    records: sound.flatMap(({ records }) => records ?? []),
     soundBytes: sound.reduce((sum, { line }) => sum + Buffer.byteLength(line) + 1, 0),
   };
 };
@@ -57,8 +60,8 @@
 );
 
 /**
- * A file of checksummed records, one a line. Writers that come while a sync is under way share the
- * next one.
+ * A file of checksummed lines, one for all records that are written together. Writers that come
+ * while a sync is under way share the next one.
  *
  * @example
  * const file = new RecordFile(nodeFileSystem, 'data/log');
@@ -68,6 +71,7 @@
 export class RecordFile {
   private file: AppendFile | undefined;
 
+  /** Records that wait to be written, each as JSON. */
   private pending: string[] = [];
 
   private queue: Promise<void> = Promise.resolve();
@@ -104,7 +108,7 @@
 
   /** Adds records; resolves once they are synced. */
   append(records: readonly unknown[]): Promise<void> {
-    this.pending.push(...records.map(formatRecord));
+    this.pending.push(...records.map((record) => JSON.stringify(record)));
     return this.enqueue(() => this.flush());
   }
 
@@ -115,7 +119,10 @@
    * out.
    */
   replace(listRecords: () => readonly unknown[]): Promise<void> {
-    return this.enqueue(() => this.rewrite(Buffer.from(listRecords().map(formatRecord).join(''))));
+    return this.enqueue(() => {
+      const lines = listRecords().map((record) => formatBatch([JSON.stringify(record)]));
+      return this.rewrite(Buffer.from(lines.join('')));
+    });
   }
 
   /** Waits for what is being written and closes the file. */
@@ -145,7 +152,7 @@
 
   private async flush(): Promise<void> {
     if (this.pending.length === 0) return;
-    const bytes = Buffer.from(this.pending.join(''));
+    const bytes = Buffer.from(formatBatch(this.pending));
     this.pending = [];
     if (!this.file) throw new Error('the file is not open');
     await this.file.append(bytes);
