Test: a leader doesn't count its own copy of what a rewrite put on disk

A change that is proposed while a batch is being synced, in the moment in which the log is compacted, stands in the rewritten file. Nothing tells the log that it is synced, so the leader waits for all the others: with one replica of three down the change isn't acknowledged before its time is over.

Fails on the current code: the third change is not acknowledged within 1 s by a replica that is alone.

--- a/tests/control/log-runner.spec.ts
+++ b/tests/control/log-runner.spec.ts
@@ -76,4 +76,21 @@
     expect(seen.every(Boolean)).toBe(true);
     expect(runner.appliedIndex).toBe(52);
   });
+
+  // An operator's change gets no answer while one replica of three is down: the leader rewrote its
+  // log with the change in it, and went on without counting its own copy.
+  it('should count a command as synced that a rewrite of the log put on disk', async () => {
+    const files = new MemoryFileSystem();
+    const { runner, lead, readApplied } = await startReplica(files);
+    await lead();
+    await propose(runner, 'first');
+    const both = [propose(runner, 'second'), propose(runner, 'third')];
+    runner.handle({ kind: 'snapshotTaken', index: runner.appliedIndex, data: JSON.stringify(readApplied()) });
+    const isDone = await Promise.race([Promise.all(both).then(() => true), pause(1_000, false)]);
+    expect(isDone).toBe(true);
+    await runner.stop();
+    const again = await startReplica(files);
+    await again.lead();
+    expect(again.readApplied()).toEqual(['first', 'second', 'third']);
+  });
 });
