What a rewrite of the log put on disk counts as synced

What operators saw: a change that gets no answer for 3 s, and has to be sent again, while one replica of three (two of five) can't be reached.

Cause: after a batch the runner told the log only of entries that were appended.

The last entry of the rewrite counts now, too. It is looked up before the write, as the log may add to the list meanwhile.

--- a/src/control/logRunner.ts
+++ b/src/control/logRunner.ts
@@ -43,6 +43,9 @@
   (effect: LogEffect): effect is EffectOf<Kind> => effect.kind === kind
 );
 
+const listLastEntry = (effect: LogEffect | undefined): readonly LogEntry[] => (
+  effect && 'entries' in effect ? effect.entries.slice(-1) : []);
+
 /**
  * Drives the pure log of one replica: feeds it events, syncs what it wants synced, and only then
  * does what it wants done.
@@ -174,13 +177,15 @@
    */
   private async persist(batch: readonly LogEffect[]): Promise<void> {
     const position = batch.findLastIndex(isOfKind('persistSnapshot'));
+    const writes = batch.slice(position + 1).filter(isOfKind('persist'));
     const snapshot = batch[position];
+    // Looked up before the write: the log goes on adding to the entries of its snapshot.
+    const last = [snapshot, ...writes].flatMap(listLastEntry).at(-1);
     if (snapshot?.kind === 'persistSnapshot') {
       await this.store.replace(snapshot.snapshot, snapshot.hardState, snapshot.entries);
     }
-    const writes = batch.slice(position + 1).filter(isOfKind('persist'));
     if (writes.length > 0) await this.store.append(writes);
-    this.noteSynced(writes.flatMap(({ entries }) => entries.slice(-1)).at(-1));
+    this.noteSynced(last);
   }
 
   private noteSynced(entry: LogEntry | undefined): void {
