Test: a learner that is gone is made a voter

Whoever has caught up is made a voter when one is missing, also one that has been silent since, or whose machine came back with an empty disk. The set then counts one more that can't answer: on a site of three, three of four have to answer while two are gone, and no change is accepted until one is back.

--- a/tests/core/replica-plan.spec.ts
+++ b/tests/core/replica-plan.spec.ts
@@ -68,6 +68,27 @@
     expect(next?.learners).toEqual([]);
   });
 
+  // Two machines lose power at once, a voter and the one that stands by. Were that one to vote,
+  // three of four would have to answer, and no change would be accepted until it is back.
+  it('should not let one that fell silent vote', () => {
+    const replicas = { voters: [a, b, c], learners: [makeReplica('d'), makeReplica('e')], leaving: [] };
+    const next = planReplicas(makeSituation({
+      replicas, silent: new Set(['c', 'd']), caughtUp: new Set(['d', 'e']),
+    }));
+    expect(listIds(next?.voters ?? [])).toBe('a b c e');
+  });
+
+  // The one that stands by lost its disk too, and is back under a new birth.
+  it('should not let a birth vote that another one at its address replaces', () => {
+    const replicas = { voters: [a, b, c], learners: [makeReplica('d')], leaving: [] };
+    const start = makeSituation({
+      replicas, newcomers: [makeReplica('d2', 'd')], silent: new Set(['c']), caughtUp: new Set(['d']),
+    });
+    expect(listIds(planReplicas(start)?.voters ?? [])).toBe('a b c');
+    const settled = settle(start);
+    expect([listIds(settled.voters), listIds(settled.learners)]).toEqual(['a b d2', '']);
+  });
+
   it('should retire nobody while there is no successor', () => {
     expect(planReplicas(makeSituation({ silent: new Set(['b', 'c']) }))).toBeUndefined();
   });
