Of two births at one address the leader remembers the newer

Cause: newcomers were remembered by birth alone, for two seconds each. The plan takes a replica for lost when another birth stands at its address, so a birth that was gone could put the one that followed it out of the set.

As in the replica directory, a birth that asks now puts out the one that asked at its address before. The test failed with c2 in the list and passes.

--- a/src/control/newcomers.ts
+++ b/src/control/newcomers.ts
@@ -17,6 +17,7 @@
 
   /** Notes that a replica asked. */
   note(replica: Replica, now: number): void {
+    this.forgetOlder(replica);
     if (!this.heard.has(replica.id) && this.heard.size >= MAX_NEWCOMERS) return;
     this.heard.set(replica.id, { replica, at: now });
   }
@@ -28,4 +29,11 @@
     });
     return [...this.heard.values()].map(({ replica }) => replica);
   }
+
+  /** One replica at an address: a birth whose disk is gone asks for nothing. */
+  private forgetOlder({ id, address }: Replica): void {
+    this.heard.forEach(({ replica }) => {
+      if (replica.address === address && replica.id !== id) this.heard.delete(replica.id);
+    });
+  }
 }
