A learner that is silent or replaced does not become a voter

What operators see: on a site of three control replicas, no change is accepted while a voter and a replica that stands by are out at once, though two of three voters and another one that stands by answer.

Cause: the plan asked of a learner only that it had caught up, by the last that it ever acknowledged. One that had been silent since for three seconds, or whose machine was back under another birth, was made a voter: three of four had to answer.

Only learners that are heard are considered now; one whose birth is replaced is dropped at once, as a silent one was.

--- a/src/core/log/replicaPlan.ts
+++ b/src/core/log/replicaPlan.ts
@@ -22,8 +22,8 @@
  * A replica that lost its disk comes back under a new birth at the same address: the birth that
  * stood there before is lost for certain, without any wait.
  */
-const isReplaced = (voter: Replica, others: readonly Replica[]): boolean => (
-  others.some(({ id, address }) => address === voter.address && id !== voter.id)
+const isReplaced = (replica: Replica, others: readonly Replica[]): boolean => (
+  others.some(({ id, address }) => address === replica.address && id !== replica.id)
 );
 
 const listLost = ({
@@ -45,14 +45,20 @@
   return replaceLearners(replicas, [...replicas.learners, newcomer]);
 };
 
-const dropSilentLearner = ({ replicas, silent }: ReplicaSituation): ReplicaSet | undefined => {
-  const heard = replicas.learners.filter(({ id }) => !silent.has(id));
+const listHeardLearners = ({ replicas, newcomers, silent }: ReplicaSituation): Replica[] => (
+  replicas.learners.filter((learner) => (
+    !silent.has(learner.id) && !isReplaced(learner, newcomers)))
+);
+
+const dropLostLearner = (situation: ReplicaSituation): ReplicaSet | undefined => {
+  const { replicas } = situation;
+  const heard = listHeardLearners(situation);
   return heard.length === replicas.learners.length ? undefined : replaceLearners(replicas, heard);
 };
 
 const promoteLearner = (situation: ReplicaSituation): ReplicaSet | undefined => {
   const { replicas, caughtUp, voterCount } = situation;
-  const learner = replicas.learners.find(({ id }) => caughtUp.has(id));
+  const learner = listHeardLearners(situation).find(({ id }) => caughtUp.has(id));
   if (!learner || replicas.voters.length > voterCount) return undefined;
   const isNeeded = replicas.voters.length < voterCount || listLost(situation).length > 0;
   if (!isNeeded) return undefined;
@@ -82,6 +88,6 @@
 export const planReplicas = (situation: ReplicaSituation): ReplicaSet | undefined => (
   retireLost(situation)
     ?? promoteLearner(situation)
-    ?? dropSilentLearner(situation)
+    ?? dropLostLearner(situation)
     ?? admitNewcomer(situation)
 );
