Test: a model of acknowledged changes over disks that lose what was not synced

The model of the log had crashes of single replicas with the loss of what was not flushed, and a fixed set of replicas. The new one runs the births, the log, its runner and store, and the keeper of the replica set as they are, on sites of 5 replicas (one loss borne) and 6 (two), founded by three seeds. Disks sync when the model says so; an unsynced write is present, missing or torn on its own, and names go back to the last sync of their folder. Machines lose power or their disk, are killed in the middle of a sync, freeze, and come back as newcomers. The site must come back with what was acknowledged, every replica must start, and no leader may count fewer voters than 2n + 1 once the site is founded.

--- /dev/null
+++ b/tests/control/acknowledgedModel.ts
@@ -0,0 +1,451 @@
+import { BirthRecord } from '../../src/control/birthRecord';
+import { LogRunner } from '../../src/control/logRunner';
+import { ReplicaKeeper } from '../../src/control/replicaKeeper';
+import { makeEmptyLog, REPLICAS_COMMAND } from '../../src/core/log/logState';
+import type { LogState } from '../../src/core/log/logTypes';
+import { LogStore } from '../../src/disk/logStore';
+import type { LogMessage, Replica } from '../../src/protocol/generated/beechlift';
+import { makeLogger } from '../../src/telemetry/logger';
+import { Operation } from '../../src/utils/operation';
+import { PowerLossFiles } from '../fakes/powerLossFiles';
+import type { WriteFate } from '../fakes/powerLossFiles';
+
+type MachineEvent = | 'sync' | 'compact' | 'kill' | 'restartBusy' | 'cutPower' | 'dropDisk' | 'freeze' | 'start';
+
+/** What happens to one machine, or to the site. */
+export type SiteEvent = | { readonly kind: 'advance'; readonly ms: number }
+  | { readonly kind: 'round'; readonly ms: number; readonly count: number }
+  | { readonly kind: 'deliver' | 'lose'; readonly pick: number }
+  | { readonly kind: MachineEvent; readonly machine: number }
+  | { readonly kind: 'publish' | 'cutPowerOfAll' | 'killAll' | 'startAll' };
+
+/** What the last fault of a day does to those that keep their disk. */
+export type LastFault = 'killAll' | 'cutPower' | 'nothing';
+
+/** One process of a replica. */
+interface Life {
+  readonly self: Replica;
+  readonly runner: LogRunner<true>;
+  readonly keeper: ReplicaKeeper;
+  version: number;
+  leadingSince: number;
+}
+
+interface Machine {
+  readonly address: string;
+  files: PowerLossFiles;
+  life: Life | undefined;
+  /** Counts the processes; what one that is gone still wanted is dropped. */
+  start: number;
+  /** Birth of the disk; empty while it is not known. */
+  birth: string;
+  isFrozen: boolean;
+  isUp: boolean;
+}
+
+interface Letter {
+  readonly message: LogMessage;
+  readonly address: string;
+}
+
+/** Sizes of a site. */
+export interface SiteSize {
+  readonly machines: number;
+  /** Disks whose loss at once is borne. */
+  readonly losses: number;
+}
+
+const FOLDER = 'data';
+/** Replicas that found a site. */
+const SEEDS = 3;
+const SILENCE_MS = 1_000;
+const ROUND_MS = 60;
+const logger = makeLogger('model', 'silent');
+
+const isReplicaSetCommitted = ({ entries, commitIndex }: LogState): boolean => !entries.some(
+  ({ index, command }) => index > commitIndex && command.startsWith(REPLICAS_COMMAND),
+);
+
+const settleTasks = async (): Promise<void> => {
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+};
+
+const startSeries = async <Item>(
+  items: readonly Item[],
+  run: (item: Item) => Promise<void>,
+): Promise<void> => items.reduce(async (before, item) => {
+  await before;
+  await run(item);
+}, Promise.resolve());
+
+/**
+ * Replicas of a site as they run, over disks that lose what was not synced: their births, the log,
+ * its store and the keeper of the replica set are the real ones.
+ */
+export class AcknowledgedModel {
+  now = 0;
+
+  /** Highest version that was acknowledged. */
+  acknowledged = 0;
+
+  acknowledgements = 0;
+
+  readonly machines: Machine[];
+
+  /** Fewest voters that a leader counted since the site was founded. */
+  leastVoters = Infinity;
+
+  /** Machines that could not start, or whose disk failed. */
+  readonly failures: string[] = [];
+
+  private network: Letter[] = [];
+
+  private published = 0;
+
+  private isOver = false;
+
+  private readonly unhealed = new Map<string, string>();
+
+  /** Births that are gone, and where they were. */
+  private readonly lostBirths = new Map<string, string>();
+
+  constructor(
+    private readonly size: SiteSize,
+    private readonly drawRandom: () => number,
+    private readonly onAcknowledged: () => void,
+  ) {
+    this.machines = Array.from({ length: size.machines }, (unused, position) => ({
+      address: `m${position}`,
+      files: new PowerLossFiles(),
+      life: undefined,
+      start: 0,
+      birth: '',
+      isFrozen: false,
+      isUp: false,
+    }));
+  }
+
+  /** Founds the site, and waits until it has as many voters as it wants. */
+  async found(): Promise<void> {
+    const seeds = this.machines.slice(0, SEEDS);
+    const records = await Promise.all(this.machines.map(async (machine) => {
+      machine.files.isFast = true;
+      const record = new BirthRecord(machine.files, FOLDER);
+      await record.open();
+      machine.birth = record.id;
+      return record;
+    }));
+    const founders = seeds.map(({ address, birth }) => ({ id: birth, address, zone: '' }));
+    await Promise.all(records.map((record, position) => (
+      record.foundSite(position < seeds.length ? founders : []))));
+    this.machines.forEach((machine) => {
+      machine.files.isFast = false;
+      this.start(machine);
+    });
+    await this.runRounds(60, ROUND_MS);
+    const voters = this.findLeader()?.runner.state.replicas.voters.length;
+    if (voters !== this.voterCount) throw new Error(`founded with ${voters} voters`);
+    this.leastVoters = Infinity;
+  }
+
+  async run(event: SiteEvent): Promise<void> {
+    if (this.isOver) return;
+    const runners: { [Kind in SiteEvent['kind']]: (
+      event: Extract<SiteEvent, { kind: Kind }>,
+    ) => Promise<void> | void } = {
+      advance: ({ ms }) => this.advance(ms),
+      round: ({ ms, count }) => this.runRounds(count, ms),
+      deliver: ({ pick }) => this.deliver(this.takeLetter(pick)),
+      lose: ({ pick }) => {
+        this.takeLetter(pick);
+      },
+      publish: () => this.machines.forEach((machine) => this.publish(machine)),
+      sync: ({ machine }) => this.pickMachine(machine).files.finishSyncs(),
+      compact: ({ machine }) => this.compact(this.pickMachine(machine)),
+      kill: ({ machine }) => this.kill(this.pickMachine(machine)),
+      restartBusy: () => this.restartBusy(),
+      cutPower: ({ machine }) => this.cutPower(this.pickMachine(machine)),
+      dropDisk: ({ machine }) => this.dropDisk(this.pickMachine(machine)),
+      freeze: ({ machine }) => {
+        const picked = this.pickMachine(machine);
+        picked.isFrozen = !picked.isFrozen;
+      },
+      start: ({ machine }) => this.start(this.pickMachine(machine)),
+      cutPowerOfAll: () => this.machines.forEach((machine) => this.cutPower(machine)),
+      killAll: () => this.machines.forEach((machine) => this.kill(machine)),
+      startAll: () => this.machines.forEach((machine) => this.start(machine)),
+    };
+    await (runners[event.kind] as (event: SiteEvent) => Promise<void> | void)(event);
+    await settleTasks();
+  }
+
+  /** Takes disks of voters, first of those that hold the newest or by lot. */
+  endDay(fault: LastFault, isAimed: boolean): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    const left = this.size.losses - this.listUnhealed().size;
+    const order = this.machines
+      .filter(({ birth }) => this.listVoters().has(birth))
+      .map((machine) => ({
+        machine,
+        rank: (isAimed && this.holdsNewest(machine) ? 0 : 1) + this.drawRandom(),
+      }))
+      .sort((a, b) => a.rank - b.rank);
+    order.slice(0, Math.max(0, left)).forEach(({ machine }) => this.takeDisk(machine));
+    if (fault === 'killAll') this.machines.forEach((machine) => this.kill(machine));
+    if (fault === 'cutPower') this.machines.forEach((machine) => this.cutPower(machine));
+  }
+
+  /** Brings all machines back; resolves with the version that the site then answers with. */
+  async recover(): Promise<number> {
+    this.isOver = true;
+    this.machines.forEach((machine) => {
+      machine.isFrozen = false;
+      this.start(machine);
+    });
+    await settleTasks();
+    return this.readBack(40);
+  }
+
+  private async readBack(tries: number): Promise<number> {
+    await this.runRounds(10, ROUND_MS);
+    const leader = this.findLeader();
+    if (leader) return leader.version;
+    if (tries === 0) throw new Error(`nobody leads: ${this.formatState()}`);
+    return this.readBack(tries - 1);
+  }
+
+  private findLeader(): Life | undefined {
+    return this.machines.map(({ life }) => life).find((life) => life?.runner.holdsLease);
+  }
+
+  /** What each machine believes; births that are gone are marked. */
+  private formatState(): string {
+    const formatIds = (replicas: readonly Replica[]) => replicas.map(({ id }) => (
+      `${this.findAddress(id)}${this.lostBirths.has(id) ? ' gone' : ''}`)).join(', ');
+    return this.machines.map(({ address, life }) => {
+      if (!life) return `${address} down`;
+      const { role, term, replicas } = life.runner.state;
+      const sets = `voters ${formatIds(replicas.voters)}; learners ${formatIds(replicas.learners)}`;
+      return `${address} ${role} of term ${term}; ${sets}`;
+    }).join('\n');
+  }
+
+  private get voterCount(): number {
+    return 2 * this.size.losses + 1;
+  }
+
+  private pickMachine(position: number): Machine {
+    return this.machines[position % this.machines.length] as Machine;
+  }
+
+  private takeLetter(pick: number): Letter | undefined {
+    return this.network.splice(pick % Math.max(1, this.network.length), 1)[0];
+  }
+
+  private listVoters(): Set<string> {
+    return new Set(this.machines.flatMap(({ life }) => (
+      life?.runner.state.replicas.voters.map(({ id }) => id) ?? [])));
+  }
+
+  /** Machines whose lost disk is not made up for: its birth may still count. */
+  private listUnhealed(): Set<string> {
+    const state = this.findLeader()?.runner.state;
+    if (state && isReplicaSetCommitted(state)) {
+      const { voters, learners } = state.replicas;
+      const ids = new Set([...voters, ...learners].map(({ id }) => id));
+      this.unhealed.forEach((address, birth) => {
+        if (!ids.has(birth)) this.unhealed.delete(birth);
+      });
+    }
+    return new Set(this.unhealed.values());
+  }
+
+  private findAddress(id: string): string {
+    const machine = this.machines.find(({ birth }) => birth === id);
+    return machine?.address ?? this.lostBirths.get(id) ?? id;
+  }
+
+  private advance(ms: number): void {
+    this.now += ms;
+    this.machines.filter(({ isFrozen }) => !isFrozen).forEach((machine) => this.tick(machine));
+  }
+
+  private tick({ life }: Machine): void {
+    if (!life) return;
+    life.runner.handle({ kind: 'tick' });
+    if (!life.runner.holdsLease) {
+      this.askToTakePart(life);
+      return;
+    }
+    const count = life.runner.state.replicas.voters.length;
+    this.leastVoters = Math.min(this.leastVoters, count);
+    life.keeper.tend(life.runner, life.leadingSince);
+    this.listUnhealed();
+  }
+
+  private askToTakePart({ self, runner: { state } }: Life): void {
+    if (state.role === 'leader' || this.now - state.lastLeaderContactAt <= SILENCE_MS) return;
+    const leaders = this.machines.filter(({ life, isFrozen }) => (
+      !isFrozen && life?.runner.state.role === 'leader'));
+    leaders.forEach(({ life }) => life?.keeper.noteNewcomer(self));
+  }
+
+  private async runRounds(count: number, ms: number): Promise<void> {
+    await startSeries(Array.from({ length: count }), async () => {
+      this.advance(ms);
+      await this.deliverAll();
+    });
+  }
+
+  /** Syncs end and messages arrive, with the answers to them. */
+  private async deliverAll(): Promise<void> {
+    await startSeries([1, 2, 3, 4], async () => {
+      await settleTasks();
+      this.machines.forEach(({ files, isFrozen }) => !isFrozen && files.finishSyncs());
+      await settleTasks();
+      this.network.splice(0).forEach((letter) => this.deliver(letter));
+    });
+    await settleTasks();
+  }
+
+  private deliver(letter: Letter | undefined): void {
+    const machine = this.machines.find(({ address }) => address === letter?.address);
+    if (!letter || !machine?.life || machine.isFrozen) return;
+    machine.life.keeper.noteHeard(letter.message.from);
+    machine.life.runner.handle({ kind: 'message', message: letter.message });
+  }
+
+  private publish({ life, isFrozen }: Machine): void {
+    if (isFrozen || !life?.runner.holdsLease) return;
+    this.published += 1;
+    const version = this.published;
+    life.runner.propose(
+      JSON.stringify({ version, text: 'x'.repeat(50) }),
+      new Operation({ timeoutMs: 3_000, clock: { now: () => this.now } }),
+    ).then(() => {
+      if (this.isOver) return;
+      this.acknowledged = Math.max(this.acknowledged, version);
+      this.acknowledgements += 1;
+      this.onAcknowledged();
+    }).catch(() => undefined); // Not acknowledged.
+  }
+
+  /** Whether a machine has got the newest that was acknowledged. */
+  private holdsNewest({ life }: Machine): boolean {
+    if (!life) return false;
+    const text = `"version":${this.acknowledged},`;
+    return life.version >= this.acknowledged
+      || life.runner.state.entries.some(({ command }) => command.includes(text));
+  }
+
+  private compact({ life }: Machine): void {
+    if (!life) return;
+    const { runner, version } = life;
+    runner.handle({ kind: 'snapshotTaken', index: runner.appliedIndex, data: String(version) });
+  }
+
+  private kill(machine: Machine): void {
+    machine.files.kill();
+    machine.life = undefined;
+    machine.isUp = false;
+    machine.isFrozen = false;
+    machine.start += 1;
+  }
+
+  /** Ends a process in the middle of a sync, and starts it again. */
+  private restartBusy(): void {
+    const busy = this.machines.filter(({ files }) => files.isSyncing);
+    const machine = busy[Math.floor(this.drawRandom() * busy.length)];
+    if (!machine) return;
+    this.kill(machine);
+    this.start(machine);
+  }
+
+  private cutPower(machine: Machine): void {
+    this.kill(machine);
+    machine.files.cutPower(() => this.drawFate());
+  }
+
+  private dropDisk(machine: Machine): void {
+    const unhealed = this.listUnhealed();
+    if (unhealed.size >= this.size.losses && !unhealed.has(machine.address)) return;
+    this.takeDisk(machine);
+  }
+
+  private takeDisk(machine: Machine): void {
+    this.kill(machine);
+    if (machine.birth !== '') {
+      this.lostBirths.set(machine.birth, machine.address);
+      this.unhealed.set(machine.birth, machine.address);
+    }
+    machine.birth = '';
+    machine.files = new PowerLossFiles();
+  }
+
+  private drawFate(): WriteFate {
+    const draw = this.drawRandom();
+    if (draw < 0.4) return 'missing';
+    return draw < 0.7 ? 'torn' : 'present';
+  }
+
+  private start(machine: Machine): void {
+    if (machine.isUp) return;
+    machine.isUp = true;
+    this.startLife(machine, machine.start).catch((error: unknown) => {
+      this.failures.push(`${machine.address} does not start: ${(error as Error).message}`);
+    });
+  }
+
+  private async startLife(machine: Machine, start: number): Promise<void> {
+    const { files, address } = machine;
+    const record = new BirthRecord(files, FOLDER);
+    await record.open();
+    if (!record.founders) await record.foundSite([]);
+    const store = new LogStore(files, FOLDER);
+    const voters = record.founders ?? [];
+    const stored = await store.load(makeEmptyLog({ voters, learners: [], leaving: [] }));
+    if (machine.start !== start) return;
+    const self = { id: record.id, address, zone: '' };
+    machine.birth = record.id;
+    machine.life = this.makeLife(machine, self, start, store, stored);
+  }
+
+  private makeLife(
+    machine: Machine,
+    self: Replica,
+    start: number,
+    store: LogStore,
+    stored: ConstructorParameters<typeof LogRunner>[1],
+  ): Life {
+    const isGone = () => machine.start !== start;
+    const clock = { now: () => this.now };
+    const life: Life = {
+      self,
+      keeper: new ReplicaKeeper(this.voterCount, clock, logger),
+      version: Number(stored.snapshot.data),
+      leadingSince: 0,
+      runner: new LogRunner<true>(self.id, stored, store, {
+        applyCommand: (command) => {
+          const { version } = JSON.parse(command) as { version: number };
+          life.version = Math.max(life.version, version);
+          return true;
+        },
+        restoreSnapshot: ({ data }) => {
+          life.version = Number(data);
+        },
+        takeSnapshot: () => String(life.version),
+        sendMessage: (message) => {
+          if (!isGone()) this.network.push({ message, address: this.findAddress(message.to) });
+        },
+        noteRole: (role) => {
+          if (role === 'leader') life.leadingSince = this.now;
+        },
+        failStorage: (error) => this.failures.push(`${self.address}: ${String(error)}`),
+      }, clock, { startedAt: this.now }),
+    };
+    return life;
+  }
+}
