Test: a message that can't be taken in ends the process

What a listener of a stream throws is thrown in an event of the library, and nothing catches it: on the side that serves (the leader, for each entry's news and questions) and on the side that opened the stream (an entry, for decisions and answers). An entry that ends so takes all its kept connections with it.

A record that can't be decoded and bytes that are no calls end nothing; these two pass.

--- /dev/null
+++ b/tests/wire/failing-listeners.spec.ts
@@ -0,0 +1,133 @@
+import { connect } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import { Client, credentials } from '@grpc/grpc-js';
+import { SiteClient, SiteService } from '../../src/protocol/generated/beechlift';
+import type { PlaceDecisions, PlaceNews } from '../../src/protocol/generated/beechlift';
+import { RpcLink } from '../../src/wire/rpcLink';
+import { handleStream, RpcServer } from '../../src/wire/rpcServer';
+import type { StreamEnd } from '../../src/wire/rpcServer';
+
+const NEWS: PlaceNews = {
+  number: 1, requests: [], reports: [], entryId: '', held: [], sightings: [], served: [],
+};
+const DECISIONS: PlaceDecisions = { acknowledged: 1, replies: [] };
+const GARBLED = Buffer.from([0x0a, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01]);
+/** Long enough for a message there and back. */
+const SETTLE_MS = 200;
+
+const failNow = (): never => {
+  throw new Error('cannot take this in');
+};
+
+/** Errors that would have ended the process. */
+const uncaught: Error[] = [];
+const noteUncaught = (error: Error): void => {
+  uncaught.push(error);
+};
+
+/** A stream whose messages are no records at all. */
+const sendGarbled = async (address: string): Promise<string> => {
+  const client = new Client(address, credentials.createInsecure());
+  const call = client.makeBidiStreamRequest<Buffer, Buffer>(
+    SiteService.place.path,
+    (bytes) => bytes,
+    (bytes) => bytes,
+  );
+  const ended = new Promise<string>((resolve) => {
+    call.on('error', ({ message }) => resolve(message));
+    call.on('data', () => undefined);
+  });
+  call.write(GARBLED);
+  const reason = await Promise.race([ended, pause(SETTLE_MS, 'still open')]);
+  client.close();
+  return reason;
+};
+
+describe('a stream whose listener fails', () => {
+  let server: RpcServer;
+  let link: RpcLink<SiteClient> | undefined;
+  let former: NodeJS.UncaughtExceptionListener[] = [];
+
+  beforeEach(() => {
+    server = new RpcServer();
+    uncaught.length = 0;
+    former = process.listeners('uncaughtException');
+    process.removeAllListeners('uncaughtException');
+    process.on('uncaughtException', noteUncaught);
+  });
+
+  afterEach(() => {
+    link?.close();
+    server.close();
+    process.removeAllListeners('uncaughtException');
+    former.forEach((listener) => process.on('uncaughtException', listener));
+  });
+
+  const open = async (
+    takeNews: () => void,
+    listener: { take: () => void; close: (error: Error | undefined) => void },
+  ) => {
+    server.add(SiteService, {
+      place: handleStream((stream: StreamEnd<PlaceNews, PlaceDecisions>) => stream.listen({
+        take: () => {
+          takeNews();
+          stream.send(DECISIONS);
+        },
+        close: () => undefined,
+      })),
+    });
+    const address = await server.listen('127.0.0.1:0');
+    link = new RpcLink(SiteClient, address);
+    return link.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), listener);
+  };
+
+  // All entries of a site lost their connections at once, as a message that could not be taken in
+  // ended the process of the leader.
+  it('should end with a status that names the failure, and not the process that serves it', async () => {
+    const close = vi.fn<(error: Error | undefined) => void>();
+    const stream = await open(failNow, { take: () => undefined, close });
+    stream.write(NEWS);
+    await vi.waitFor(() => expect(close).toHaveBeenCalled());
+    expect(close.mock.calls[0]?.[0]?.message).toMatch(/cannot take this in/);
+    expect(uncaught).toEqual([]);
+  });
+
+  // An entry ended with all its callers' connections, as it could not take an answer in.
+  it('should tell its owner, and not end the process that opened it', async () => {
+    const close = vi.fn<(error: Error | undefined) => void>();
+    const stream = await open(() => undefined, { take: failNow, close });
+    stream.write(NEWS);
+    await vi.waitFor(() => expect(close).toHaveBeenCalledOnce());
+    await pause(SETTLE_MS);
+    expect(close.mock.calls[0]?.[0]?.message).toBe('cannot take this in');
+    expect(close).toHaveBeenCalledOnce();
+    expect(uncaught).toEqual([]);
+  });
+
+  // A record that was garbled on its way.
+  it('should refuse a record that cannot be decoded', async () => {
+    server.add(SiteService, {
+      place: handleStream((stream: StreamEnd<PlaceNews, PlaceDecisions>) => (
+        stream.listen({ take: () => stream.send(DECISIONS), close: () => undefined }))),
+    });
+    const address = await server.listen('127.0.0.1:0');
+    expect(await sendGarbled(address)).toMatch(/deserializing/);
+    expect(uncaught).toEqual([]);
+  });
+
+  // Somebody speaks another protocol to the port of control.
+  it('should bear bytes that are no calls', async () => {
+    const address = await server.listen('127.0.0.1:0');
+    const [host = '', port] = address.split(':');
+    const socket = connect({ host, port: Number(port) });
+    socket.on('error', () => undefined); // Closed by the server.
+    socket.write(Buffer.alloc(4_096, 0x7f));
+    await pause(SETTLE_MS);
+    socket.resetAndDestroy();
+    await pause(SETTLE_MS);
+    expect(uncaught).toEqual([]);
+  });
+});
