What a stream's listener throws ends the stream, not the process

What callers see: all kept connections of an entry close at once without an answer; or a leader goes, and all entries choose for themselves until the next.

Cause: take() ran in an event of the library with nothing around it.

Now the side that serves logs the failure and ends the stream with a status that names it; the side that opened the stream cancels it and hands the error to the listener's close(), whose owners (places, questions) log it and go on: an entry chooses by itself, or asks another replica. A close() that throws is logged.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -20,6 +20,7 @@
 import { LinkTable } from '../wire/linkTable';
 import { toPeerError } from '../wire/peerError';
 import { handleStream, handleUnary, RpcServer } from '../wire/rpcServer';
+import type { FailureListener } from '../wire/rpcServer';
 import { BirthRecord } from './birthRecord';
 import { computeLeaseMs } from './entryLease';
 import type { LeaseBounds } from './entryLease';
@@ -119,6 +120,10 @@
   return node;
 };
 
+const makeFailureListener = (logger: Logger): FailureListener => ({ message: reason }) => {
+  logger.error('message not taken in, its stream ends', { reason });
+};
+
 const makeService = (
   holder: NodeHolder,
   record: BirthRecord,
@@ -138,7 +143,7 @@
       },
       close: () => undefined,
     });
-  }),
+  }, makeFailureListener(logger)),
   publish: handleUnary<PublishRequest, PublishReply>(
     (request) => requireNode(holder).publish(request),
   ),
@@ -147,6 +152,7 @@
   ),
   place: handleStream<PlaceNews, PlaceDecisions>(
     (stream) => stream.listen(requireNode(holder).openLine(stream)),
+    makeFailureListener(logger),
   ),
   confirm: handleUnary<object, ConfirmReply>(() => requireNode(holder).confirm()),
   step: handleUnary<LogMessage, object>((message) => {
--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -27,7 +27,10 @@
 /** A method of a generated client that streams in both directions. */
 export type StreamMethod<Message, Reply> = () => ClientDuplexStream<Message, Reply>;
 
-/** What is done with what comes over a stream; `close` is called once, with what broke it. */
+/**
+ * What is done with what comes over a stream; `close` is called once, with what broke it, which may
+ * be what `take` threw.
+ */
 export interface StreamListener<Reply> {
   readonly take: (reply: Reply) => void;
   readonly close: (error: Error | undefined) => void;
@@ -112,7 +115,14 @@
       close(error);
     };
     call.on('data', (reply: Reply) => {
-      if (!isOver) take(reply);
+      if (isOver) return;
+      try {
+        take(reply);
+      } catch (thrown) {
+        // Thrown in an event of the library, it would end the process.
+        end(thrown as Error);
+        call.cancel();
+      }
     });
     call.on('error', (error: Error) => end(error));
     call.on('end', () => end());
--- a/src/wire/rpcServer.ts
+++ b/src/wire/rpcServer.ts
@@ -66,32 +66,51 @@
   readonly close: () => void;
 }
 
+/** Hears of a failure that ended a stream, beside the status that goes to the other end. */
+export type FailureListener = (error: Error) => void;
+
 const listenOnce = <Message, Reply>(
   call: ServerDuplexStream<Message, Reply>,
   { take, close }: StreamHandlers<Message>,
+  noteFailure: FailureListener,
 ): void => {
   let isOver = false;
   const end = (): void => {
     if (isOver) return;
     isOver = true;
-    close();
+    try {
+      close();
+    } catch (thrown) {
+      noteFailure(toBeechliftError(thrown));
+    }
     call.end();
   };
+  // What is thrown in an event of the library would end the process.
+  const fail = (thrown: unknown): void => {
+    noteFailure(toBeechliftError(thrown));
+    call.emit('error', toStatus(thrown));
+  };
   call.on('data', (message: Message) => {
-    if (!isOver) take(message);
+    if (isOver) return;
+    try {
+      take(message);
+    } catch (thrown) {
+      fail(thrown);
+    }
   });
   ['end', 'cancelled', 'error', 'close'].forEach((event) => call.on(event, end));
 };
 
 /**
- * Turns a function into a gRPC handler of a stream; what it throws when a stream opens becomes a
- * status that names the code.
+ * Turns a function into a gRPC handler of a stream; what it throws when a stream opens, or when a
+ * message is taken in, becomes a status that names the code.
  *
  * @example
  * const handlers = { place: handleStream((stream) => stream.listen(openLine(stream))) };
  */
 export const handleStream = <Message, Reply>(
   open: (stream: StreamEnd<Message, Reply>) => void,
+  noteFailure: FailureListener = () => undefined,
 ): handleBidiStreamingCall<Message, Reply> => (call) => {
   try {
     open({
@@ -99,7 +118,7 @@
         if (call.writable) call.write(reply);
       },
       end: () => call.end(),
-      listen: (handlers) => listenOnce(call, handlers),
+      listen: (handlers) => listenOnce(call, handlers, noteFailure),
     });
   } catch (thrown) {
     call.emit('error', toStatus(thrown));
