A search for what entries that stop do to requests around the signal

Callers saw answers cut, and refusals without a time to come back, around the stop of an entry; tests of one moment each do not show which other moments lose.

Schedules are drawn: one to three entries that stop at once or one behind another, requests of every kind and length before, at and after the signal, on new and kept connections, slow readers, answers larger than sockets hold, a changed idle limit or dropped routes in the middle. Each result is judged: read whole, then answered whole or refused; a refusal that says not run is true; no 502 before the end; nothing runs twice that may run once; only streams that began before the signal are broken off, at the end.

A search that fails now also tells why, beside the schedule that made it fail.

--- a/tests/fakes/runSearch.ts
+++ b/tests/fakes/runSearch.ts
@@ -17,7 +17,9 @@
 
 /** Throws the counterexample, or tells how far a search came. */
 const judge = <Arguments>(details: RunDetails<Arguments>): number => {
-  if (details.counterexample !== null) throw new Error(fc.defaultReportMessage(details));
+  if (details.counterexample !== null) {
+    throw new Error(fc.defaultReportMessage(details), { cause: details.errorInstance });
+  }
   const { numRuns, seed } = details;
   if (SECONDS > 0) console.log(`searched ${numRuns} runs in ${SECONDS} s, seed ${seed}`);
   return numRuns;
--- /dev/null
+++ b/tests/fakes/stoppingPlan.ts
@@ -0,0 +1,93 @@
+import type { Route, Routing } from '../../src/manifest/routing';
+import { makeRoute } from './routings';
+
+/** Services by how long their answers take. */
+export type Length = 'quick' | 'medium' | 'slow';
+
+/** Kinds of requests by whether and where they may run again. */
+export type Kind = 'plain' | 'once' | 'stream' | 'resumable';
+
+/** One request of a schedule. */
+export interface PlannedRequest {
+  /** Relative to the signal to its entry, in milliseconds. */
+  readonly at: number;
+  readonly entry: number;
+  readonly length: Length;
+  readonly kind: Kind;
+  /** Place of its answer between the shortest and the longest of its service, 0 to 1. */
+  readonly share: number;
+  /** Number of a connection that is kept; undefined for a new one. */
+  readonly kept: number | undefined;
+  /** How long its caller reads nothing, in milliseconds. */
+  readonly holdMs: number;
+  /** Size of a plain answer. */
+  readonly bytes: number;
+}
+
+/** What becomes of the document in the middle. */
+export type Change = 'none' | 'idleTimeout' | 'dropRoutes';
+
+/** A schedule around the stop of some entries. */
+export interface StoppingPlan {
+  readonly entries: number;
+  /** Between the signal to one entry and to the next, in milliseconds. */
+  readonly staggerMs: number;
+  readonly change: Change;
+  /** When the document changes, relative to the first signal, in milliseconds. */
+  readonly changeAt: number;
+  readonly requests: readonly PlannedRequest[];
+}
+
+/** Services of a schedule. */
+export const LENGTHS: readonly Length[] = ['quick', 'medium', 'slow'];
+/** Kinds of a schedule. */
+export const KINDS: readonly Kind[] = ['plain', 'once', 'stream', 'resumable'];
+
+/** Shortest and longest answer of each service, in milliseconds. */
+const bounds: Record<Length, readonly [number, number]> = {
+  quick: [20, 60], medium: [400, 480], slow: [1_300, 1_600],
+};
+
+const targets: Record<Length, number> = { quick: 400, medium: 2_000, slow: 5_000 };
+
+const kinds: Record<Kind, Partial<Route>> = {
+  plain: { kind: 'idempotent' },
+  once: { kind: 'nonIdempotent' },
+  stream: { kind: 'stream' },
+  resumable: { kind: 'stream', isResumable: true },
+};
+
+const TIMEOUT_MS = 20_000;
+const SHORT_IDLE_MS = 200;
+const limits = {
+  headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+};
+
+/** How long a server takes over a request. */
+export const computeLasts = ({ length, share }: Pick<PlannedRequest, 'length' | 'share'>): number => {
+  const [shortest, longest] = bounds[length];
+  return Math.round(shortest + share * (longest - shortest));
+};
+
+/** The path of a request. */
+export const formatPath = ({ length, kind }: Pick<PlannedRequest, 'length' | 'kind'>): string => (
+  `/${length}-${kind}/7`);
+
+/** Whether a service is dropped by a change of the document. */
+export const isDropped = (change: Change, length: Length): boolean => (
+  change === 'dropRoutes' && length === 'medium');
+
+/** The routing that is in force after a change; the first one after none. */
+export const makePlanRouting = (change: Change): Partial<Routing> => ({
+  routes: LENGTHS.filter((length) => !isDropped(change, length)).flatMap((length) => (
+    KINDS.map((kind) => makeRoute({
+      name: `${length}-${kind}`,
+      pathPrefix: `/${length}-${kind}/`,
+      timeoutMs: TIMEOUT_MS,
+      targetLatencyMs: targets[length],
+      targets: [{ service: length, weight: 1 }],
+      ...kinds[kind],
+    })))),
+  services: LENGTHS.map((name) => ({ name, maxConnections: 1_000, isEngine: false })),
+  limits: change === 'idleTimeout' ? { ...limits, idleTimeoutMs: SHORT_IDLE_MS } : limits,
+});
--- /dev/null
+++ b/tests/fakes/stoppingRun.ts
@@ -0,0 +1,216 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import { countEvents, formatEvents } from './pacedServer';
+import type { CallerResult, RawCaller } from './rawCaller';
+import {
+  computeLasts, formatPath, isDropped, KINDS, LENGTHS, makePlanRouting,
+} from './stoppingPlan';
+import type { Kind, PlannedRequest, StoppingPlan } from './stoppingPlan';
+import { GRACE_MS, StoppingSite } from './stoppingSite';
+
+const SERVERS = 2;
+const PATIENCE_MS = 15_000;
+/** Time before the first signal in which the entries learn and requests may come. */
+const LEAD_MS = 450;
+/** A connection that ends so soon after a request has crossed its close, in milliseconds. */
+const SLACK_MS = 200;
+/** Time in which a request that was sent reaches the entry, on a busy machine. */
+const REACH_MS = 30;
+/** Parts of the grace before which no answer ends, and until which slow readers hold. */
+const END_PART = 0.8;
+const HOLD_PART = 0.7;
+/** Time in which a server would still receive what was refused, in milliseconds. */
+const LATE_MS = 150;
+
+/** What came of one request. */
+interface Outcome {
+  readonly planned: PlannedRequest;
+  readonly id: string;
+  /** Undefined where nobody took the connection. */
+  readonly result: CallerResult | undefined;
+}
+
+/** Names what is wrong with an outcome; empty where nothing is. */
+type Judge = (outcome: Outcome, result: CallerResult) => string;
+
+const isStream = (kind: Kind): boolean => kind === 'stream' || kind === 'resumable';
+
+/** One schedule around the stop of entries, and what must hold of its answers. */
+export class StoppingRun {
+  private readonly outcomes: Outcome[] = [];
+
+  /** When each entry got its signal, monotonic milliseconds. */
+  private readonly stopTimes: number[] = [];
+
+  private readonly kept = new Map<string, Promise<RawCaller | undefined>>();
+
+  private constructor(private readonly plan: StoppingPlan, private readonly site: StoppingSite) {}
+
+  /** Performs a schedule; resolves with all that is wrong. */
+  static async perform(plan: StoppingPlan): Promise<string[]> {
+    const site = await StoppingSite.start({
+      routing: makePlanRouting('none'), entries: plan.entries, servers: SERVERS, services: LENGTHS,
+    });
+    try {
+      const run = new StoppingRun(plan, site);
+      await run.warm();
+      await run.run();
+      return run.listFaults();
+    } finally {
+      await site.close();
+    }
+  }
+
+  /** Lets each entry learn how long the answers of each service take. */
+  private async warm(): Promise<void> {
+    const entries = Array.from({ length: this.plan.entries }, (unused, entry) => entry);
+    await Promise.all(entries.flatMap((entry) => LENGTHS.flatMap((length) => (
+      KINDS.map(async (kind) => {
+        const planned: PlannedRequest = {
+          at: 0, entry, length, kind, share: 0.5, kept: undefined, holdMs: 0, bytes: 1,
+        };
+        const caller = await this.site.open(entry);
+        await caller.ask(this.makeRequest(planned, `warm-${entry}-${formatPath(planned)}`));
+        caller.close();
+      })))));
+  }
+
+  private async run(): Promise<void> {
+    const { plan, site } = this;
+    const zero = performance.now() + LEAD_MS;
+    this.stopTimes.push(...Array.from({ length: plan.entries }, (unused, entry) => (
+      zero + entry * plan.staggerMs)));
+    const requests = plan.requests.map((planned, number) => this.send(planned, `r${number}`));
+    const stops = this.stopTimes.map(async (at, entry) => {
+      await this.waitUntil(at);
+      this.stopTimes[entry] = performance.now();
+      await site.stop(entry);
+    });
+    await this.waitUntil(zero + plan.changeAt);
+    if (plan.change !== 'none') site.change(makePlanRouting(plan.change));
+    await Promise.all([...requests, ...stops]);
+    await pause(LATE_MS);
+  }
+
+  private async waitUntil(at: number): Promise<void> {
+    await pause(Math.max(0, at - performance.now()));
+  }
+
+  private findStop({ entry }: PlannedRequest): number {
+    return this.stopTimes[entry] ?? 0;
+  }
+
+  private async send(planned: PlannedRequest, id: string): Promise<void> {
+    await this.waitUntil(this.findStop(planned) + planned.at);
+    const place = `${planned.entry}/${planned.kept ?? id}`;
+    const before = this.kept.get(place) ?? Promise.resolve(undefined);
+    const asked = before.then((caller) => this.askOn(caller, planned, id));
+    this.kept.set(place, asked);
+    await asked;
+  }
+
+  /** Asks on a connection, or on a new one where that has ended. */
+  private async askOn(
+    caller: RawCaller | undefined,
+    planned: PlannedRequest,
+    id: string,
+  ): Promise<RawCaller | undefined> {
+    const isOpen = caller !== undefined && !caller.isEnded;
+    const used = isOpen ? caller : await this.site.open(planned.entry).catch(() => undefined);
+    const result = used && await this.ask(used, planned, id);
+    this.outcomes.push({ planned, id, result });
+    return result?.answer?.headers.connection === 'close' ? undefined : used;
+  }
+
+  private async ask(
+    caller: RawCaller,
+    planned: PlannedRequest,
+    id: string,
+  ): Promise<CallerResult> {
+    const request = this.makeRequest(planned, id);
+    if (planned.holdMs === 0) return caller.ask(request);
+    const asked = caller.askHeld(request);
+    const latest = this.findStop(planned) + HOLD_PART * GRACE_MS;
+    await this.waitUntil(Math.min(performance.now() + planned.holdMs, latest));
+    caller.resumeReading();
+    return asked;
+  }
+
+  private makeRequest(planned: PlannedRequest, id: string) {
+    return {
+      id,
+      path: formatPath(planned),
+      headers: {
+        'x-patience': PATIENCE_MS,
+        'x-form': isStream(planned.kind) ? 'stream' : 'plain',
+        'x-lasts': computeLasts(planned),
+        'x-bytes': planned.bytes,
+      },
+    };
+  }
+
+  private listFaults(): string[] {
+    return this.outcomes.flatMap((outcome) => {
+      const { planned, id, result } = outcome;
+      const faults = [this.judgeRuns(outcome), result ? this.judgeResult(outcome, result) : '']
+        .filter((fault) => fault !== '');
+      const times = result && {
+        sent: Math.round(result.sentAt - this.findStop(planned)),
+        ended: Math.round(result.endedAt - this.findStop(planned)),
+        status: result.answer?.status,
+        cut: result.cut,
+        partial: result.partial.slice(0, 40),
+      };
+      return faults.map((fault) => `${fault}: ${JSON.stringify({ id, ...planned, ...times })}`);
+    });
+  }
+
+  private judgeRuns({ planned: { kind }, id }: Outcome): string {
+    const isOnce = kind === 'once' || kind === 'stream';
+    return isOnce && this.site.countRuns(id) > 1 ? 'ran twice' : '';
+  }
+
+  private judgeResult(outcome: Outcome, result: CallerResult): string {
+    if (!result.answer) return this.judgeCut(outcome, result);
+    const judges: Record<number, Judge> = {
+      200: this.judgeWhole,
+      404: this.judgeUnknown,
+      502: this.judgeMayHaveRun,
+      503: this.judgeRefusal,
+    };
+    const judge = judges[result.answer.status];
+    return judge ? judge(outcome, result) : `status ${result.answer.status} without a reason`;
+  }
+
+  private readonly judgeWhole: Judge = ({ planned }, { answer }) => {
+    const expected = isStream(planned.kind)
+      ? formatEvents(countEvents(computeLasts(planned)))
+      : 'x'.repeat(planned.bytes);
+    return answer?.body === expected ? '' : 'another body';
+  };
+
+  private readonly judgeUnknown: Judge = ({ planned: { length } }) => (
+    isDropped(this.plan.change, length) ? '' : 'no route');
+
+  private readonly judgeMayHaveRun: Judge = ({ planned }, { endedAt }) => (
+    endedAt >= this.findStop(planned) + END_PART * GRACE_MS ? '' : 'given up before the end');
+
+  private readonly judgeRefusal: Judge = ({ planned, id }, { answer, sentAt, endedAt }) => {
+    if (this.site.countRuns(id) > 0) return 'refused as not run, and ran';
+    if (answer?.headers['retry-after'] === undefined) return 'refused without a time to come back';
+    const stop = this.findStop(planned);
+    const isLate = endedAt > stop + REACH_MS;
+    if (isLate && answer.headers.connection !== 'close') return 'refused on a connection that is kept';
+    return sentAt < stop - REACH_MS ? 'refused before the signal' : '';
+  };
+
+  /** Nothing is cut but what crosses a close, and streams that began before the signal. */
+  private judgeCut({ planned, id }: Outcome, { sentAt, endedAt, partial }: CallerResult): string {
+    const hasRun = this.site.countRuns(id) > 0;
+    if (!hasRun && partial === '' && endedAt - sentAt <= SLACK_MS) return '';
+    const stop = this.findStop(planned);
+    const isOld = sentAt <= stop + REACH_MS;
+    const isAtEnd = endedAt >= stop + END_PART * GRACE_MS;
+    const hasBegun = isStream(planned.kind) && partial !== '';
+    return isOld && isAtEnd && hasBegun ? '' : 'cut';
+  }
+}
--- a/tests/fakes/stoppingSite.ts
+++ b/tests/fakes/stoppingSite.ts
@@ -19,12 +19,15 @@
 export const GRACE_MS = 1_200;
 const LEASE_MS = 60_000;
 const SLOTS = 100;
+const SERVICE = 'rooms';
 
 /** How a site of entries that stop is made. */
 export interface StoppingSiteOptions {
   readonly routing?: Partial<Routing>;
   readonly entries?: number;
+  /** Backend servers of each service. */
   readonly servers?: number;
+  readonly services?: readonly string[];
   /** Whether entries have a lease from the beginning. */
   readonly isLeased?: boolean;
   /** Whether there is a leader that holds all questions for places. */
@@ -55,8 +58,9 @@
 
   static async start(options: StoppingSiteOptions = {}): Promise<StoppingSite> {
     const site = new StoppingSite(options);
-    const { entries = 1, servers = 1 } = options;
-    site.servers.push(...Array.from({ length: servers }, () => new PacedServer()));
+    const { entries = 1, servers = 1, services = [SERVICE] } = options;
+    const count = servers * services.length;
+    site.servers.push(...Array.from({ length: count }, () => new PacedServer()));
     await Promise.all(site.servers.map((server) => server.listen()));
     await site.leader?.listen();
     await Promise.all(Array.from({ length: entries }, () => site.addEntry()));
@@ -146,7 +150,7 @@
   }
 
   private makeReply(leaderAddress: string): WatchReply {
-    const { version, options: { routing } } = this;
+    const { version, options: { routing, services = [SERVICE] } } = this;
     return WatchReply.fromPartial({
       leaseMs: LEASE_MS,
       leaderAddress,
@@ -159,7 +163,13 @@
       entryCount: this.options.entries ?? 1,
       workers: this.servers.map(({ address }, position) => ({
         said: {
-          workerId: `w${position}`, service: 'rooms', address, zone: 'a', slots: SLOTS, state: 'ready', sequence: 1,
+          workerId: `w${position}`,
+          service: services[position % services.length],
+          address,
+          zone: 'a',
+          slots: SLOTS,
+          state: 'ready',
+          sequence: 1,
         },
         standing: 'ready',
       })),
--- /dev/null
+++ b/tests/relay/stopping-entry-search.spec.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { runSearchAsync } from '../fakes/runSearch';
+import { KINDS, LENGTHS } from '../fakes/stoppingPlan';
+import type { PlannedRequest, StoppingPlan } from '../fakes/stoppingPlan';
+import { StoppingRun } from '../fakes/stoppingRun';
+
+const MOST_ENTRIES = 3;
+const KEPT = 6;
+/** When requests are sent, relative to the signal to their entry, in milliseconds. */
+const FIRST_AT = -400;
+const LAST_AT = 900;
+const MOST_HOLD_MS = 600;
+/** Held until they are whole, passed on as they come, and more than sockets take. */
+const SIZES = [1, 60_000, 200_000, 4_000_000] as const;
+const REQUESTS = 40;
+/** Schedules that are played beside each other, as most of each is waiting. */
+const SCHEDULES = 4;
+
+/** Evenly, as each moment around the signal is one to look at. */
+const drawTime = fc.noBias(fc.integer({ min: FIRST_AT, max: LAST_AT }));
+
+const drawRequest: fc.Arbitrary<PlannedRequest> = fc.record({
+  at: drawTime,
+  entry: fc.nat(MOST_ENTRIES - 1),
+  length: fc.constantFrom(...LENGTHS),
+  kind: fc.constantFrom(...KINDS),
+  share: fc.noBias(fc.integer({ min: 0, max: 100 })).map((percent) => percent / 100),
+  kept: fc.option(fc.nat(KEPT - 1), { nil: undefined }),
+  holdMs: fc.oneof(fc.constant(0), fc.noBias(fc.integer({ min: 1, max: MOST_HOLD_MS }))),
+  bytes: fc.constantFrom(...SIZES),
+});
+
+const drawPlan: fc.Arbitrary<StoppingPlan> = fc.record({
+  entries: fc.integer({ min: 1, max: MOST_ENTRIES }),
+  staggerMs: fc.constantFrom(0, 0, 50, 300),
+  change: fc.constantFrom('none' as const, 'idleTimeout' as const, 'dropRoutes' as const),
+  changeAt: drawTime,
+  requests: fc.array(drawRequest, { minLength: REQUESTS, maxLength: REQUESTS }),
+}).map(({ requests, ...plan }) => ({
+  ...plan,
+  requests: requests.map(({ entry, ...request }) => ({ ...request, entry: entry % plan.entries })),
+}));
+
+const drawPlans = fc.noShrink(fc.array(drawPlan, { minLength: SCHEDULES, maxLength: SCHEDULES }));
+
+describe('entries that stop under requests of every kind', () => {
+  // Guards against requests that are cut, refused untruly or run twice by a planned end.
+  it('should answer whole, or refuse as not run, all that they read whole', async () => {
+    const property = fc.asyncProperty(drawPlans, async (plans) => {
+      const faults = await Promise.all(plans.map((plan) => StoppingRun.perform(plan)));
+      expect(faults.flat()).toEqual([]);
+    });
+    await runSearchAsync(property, { runs: 3, seed: 41 });
+  });
+});
