A stopping entry: the tests notice when a request does not wait, or is refused

The test of requests that wait for a place passed over an entry that had sent them at once: it now checks that nothing has run before the signal. The tests of slow readers hung for a minute where the entry refused their request; they now fail with the refusal.

--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -129,6 +129,7 @@
     });
     const asked = askFor(route, { 'x-lasts': LONG_MS });
     await pause(REACH_MS);
+    expect(site.runs).toEqual([]);
     await site.stop();
     const result = await asked;
     await pause(REACH_MS);
@@ -167,7 +168,7 @@
     if (server) server.isFull = () => site.countWaitingBytes() > 0;
     const caller = await site.open();
     const asked = caller.askHeld(makeRequest(route, { 'x-form': 'bulk' }));
-    await server?.whenFilled;
+    await Promise.race([server?.whenFilled, asked]);
     await pause(REACH_MS);
     expect(site.countWaitingBytes()).toBeGreaterThan(0);
     return [caller, asked];
