The search over stopping entries has routes whose answers end in time, and told lengths

All its routes allowed twenty seconds, so that an entry which refuses whatever may outlast it refused all of them, and nothing was served after the signal. Two services now have timeouts that end before the entry does, some streams tell their length, and what uses up its route's time is judged by that time.

--- a/tests/fakes/stoppingPlan.ts
+++ b/tests/fakes/stoppingPlan.ts
@@ -20,6 +20,8 @@
   readonly kept: number | undefined;
   /** How long its caller reads nothing, in milliseconds. */
   readonly holdMs: number;
+  /** Whether its caller tells the length of a stream. */
+  readonly tellsLength: boolean;
   /** Size of a plain answer. */
   readonly bytes: number;
 }
@@ -57,7 +59,9 @@
   resumable: { kind: 'stream', isResumable: true },
 };
 
-const TIMEOUT_MS = 20_000;
+/** Some end before the entry does, so that their requests are taken after the signal too. */
+const timeouts: Record<Length, number> = { quick: 700, medium: 900, slow: 20_000 };
+
 const SHORT_IDLE_MS = 200;
 const limits = {
   headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
@@ -69,6 +73,10 @@
   return Math.round(shortest + share * (longest - shortest));
 };
 
+/** Whether a request has used up the time that its route allows. */
+export const isExpired = ({ length }: Pick<PlannedRequest, 'length'>, tookMs: number): boolean => (
+  tookMs >= timeouts[length]);
+
 /** The path of a request. */
 export const formatPath = ({ length, kind }: Pick<PlannedRequest, 'length' | 'kind'>): string => (
   `/${length}-${kind}/7`);
@@ -83,7 +91,7 @@
     KINDS.map((kind) => makeRoute({
       name: `${length}-${kind}`,
       pathPrefix: `/${length}-${kind}/`,
-      timeoutMs: TIMEOUT_MS,
+      timeoutMs: timeouts[length],
       targetLatencyMs: targets[length],
       targets: [{ service: length, weight: 1 }],
       ...kinds[kind],
--- a/tests/fakes/stoppingRun.ts
+++ b/tests/fakes/stoppingRun.ts
@@ -2,13 +2,14 @@
 import { countEvents, formatEvents } from './pacedServer';
 import type { CallerResult, RawCaller } from './rawCaller';
 import {
-  computeLasts, formatPath, isDropped, KINDS, LENGTHS, makePlanRouting,
+  computeLasts, formatPath, isDropped, isExpired, KINDS, LENGTHS, makePlanRouting,
 } from './stoppingPlan';
 import type { Kind, PlannedRequest, StoppingPlan } from './stoppingPlan';
-import { GRACE_MS, StoppingSite } from './stoppingSite';
+import { GRACE_MS, StoppingSite, TOKENS_HEADER } from './stoppingSite';
 
 const SERVERS = 2;
 const PATIENCE_MS = 15_000;
+const WARM_SHARES = [0, 0.3, 0.7, 1];
 /** Time before the first signal in which the entries learn and requests may come. */
 const LEAD_MS = 450;
 /** A connection that ends so soon after a request has crossed its close, in milliseconds. */
@@ -63,15 +64,15 @@
   /** Lets each entry learn how long the answers of each service take. */
   private async warm(): Promise<void> {
     const entries = Array.from({ length: this.plan.entries }, (unused, entry) => entry);
-    await Promise.all(entries.flatMap((entry) => LENGTHS.flatMap((length) => (
-      KINDS.map(async (kind) => {
-        const planned: PlannedRequest = {
-          at: 0, entry, length, kind, share: 0.5, kept: undefined, holdMs: 0, bytes: 1,
-        };
-        const caller = await this.site.open(entry);
-        await caller.ask(this.makeRequest(planned, `warm-${entry}-${formatPath(planned)}`));
-        caller.close();
-      })))));
+    const asked = entries.flatMap((entry) => LENGTHS.flatMap((length) => (
+      KINDS.flatMap((kind) => WARM_SHARES.map((share) => ({
+        at: 0, entry, length, kind, share, kept: undefined, holdMs: 0, tellsLength: true, bytes: 1,
+      }))))));
+    await Promise.all(asked.map(async (planned, number) => {
+      const caller = await this.site.open(planned.entry);
+      await caller.ask(this.makeRequest(planned, `warm${number}`));
+      caller.close();
+    }));
   }
 
   private async run(): Promise<void> {
@@ -136,6 +137,7 @@
   }
 
   private makeRequest(planned: PlannedRequest, id: string) {
+    const isTold = isStream(planned.kind) && planned.tellsLength;
     return {
       id,
       path: formatPath(planned),
@@ -144,6 +146,7 @@
         'x-form': isStream(planned.kind) ? 'stream' : 'plain',
         'x-lasts': computeLasts(planned),
         'x-bytes': planned.bytes,
+        ...(isTold ? { [TOKENS_HEADER]: countEvents(computeLasts(planned)) } : {}),
       },
     };
   }
@@ -176,6 +179,7 @@
       404: this.judgeUnknown,
       502: this.judgeMayHaveRun,
       503: this.judgeRefusal,
+      504: this.judgeTimeout,
     };
     const judge = judges[result.answer.status];
     return judge ? judge(outcome, result) : `status ${result.answer.status} without a reason`;
@@ -194,6 +198,9 @@
   private readonly judgeMayHaveRun: Judge = ({ planned }, { endedAt }) => (
     endedAt >= this.findStop(planned) + END_PART * GRACE_MS ? '' : 'given up before the end');
 
+  private readonly judgeTimeout: Judge = ({ planned }, { sentAt, endedAt }) => (
+    isExpired(planned, endedAt - sentAt) ? '' : 'given up before its time was over');
+
   private readonly judgeRefusal: Judge = ({ planned, id }, { answer, sentAt, endedAt }) => {
     if (this.site.countRuns(id) > 0) return 'refused as not run, and ran';
     if (answer?.headers['retry-after'] === undefined) return 'refused without a time to come back';
@@ -203,8 +210,9 @@
     return sentAt < stop - REACH_MS ? 'refused before the signal' : '';
   };
 
-  /** Nothing is cut but what crosses a close, and streams that began before the signal. */
+  /** Nothing is cut but what crosses a close, late answers, and streams of before the signal. */
   private judgeCut({ planned, id }: Outcome, { sentAt, endedAt, partial }: CallerResult): string {
+    if (partial !== '' && isExpired(planned, endedAt - sentAt)) return '';
     const hasRun = this.site.countRuns(id) > 0;
     if (!hasRun && partial === '' && endedAt - sentAt <= SLACK_MS) return '';
     const stop = this.findStop(planned);
--- a/tests/fakes/stoppingSite.ts
+++ b/tests/fakes/stoppingSite.ts
@@ -1,8 +1,10 @@
 import type { Socket } from 'node:net';
 import type { Routing } from '../../src/manifest/routing';
 import { WatchReply } from '../../src/protocol/generated/beechlift';
+import { findHeader } from '../../src/relay/rawHeaders';
 import { startRelay } from '../../src/relay/relayProcess';
 import type { RunningRelay } from '../../src/relay/relayProcess';
+import type { CallTokens, RawHeaders, RequestDialect } from '../../src/relay/requestDialect';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionWatch, systemClock } from '../../src/utils/clock';
 import { readRouting, waitFor } from './controlSite';
@@ -20,6 +22,21 @@
 const LEASE_MS = 60_000;
 const SLOTS = 100;
 const SERVICE = 'rooms';
+/** Header that tells how many events a stream will have. */
+export const TOKENS_HEADER = 'x-tokens';
+const PROMPT_TOKENS = 10;
+
+const readTokens = (headers: RawHeaders): CallTokens | undefined => {
+  const told = findHeader(headers, TOKENS_HEADER);
+  return told === undefined
+    ? undefined
+    : { prompt: PROMPT_TOKENS, output: Number(told), expected: Number(told) };
+};
+
+const dialect: RequestDialect = {
+  ...testDialect,
+  readCall: (headers) => ({ ...testDialect.readCall(headers), tokens: readTokens(headers) }),
+};
 
 /** How a site of entries that stop is made. */
 export interface StoppingSiteOptions {
@@ -132,7 +149,7 @@
         graceMs: this.options.graceMs ?? GRACE_MS,
       },
       readRouting,
-      dialect: testDialect,
+      dialect,
       logger: makeLogger('relay', process.env.BEECHLIFT_LOGS ? 'info' : 'silent'),
     });
     const sockets = new Set<Socket>();
--- a/tests/relay/stopping-entry-search.spec.ts
+++ b/tests/relay/stopping-entry-search.spec.ts
@@ -28,6 +28,7 @@
   share: fc.noBias(fc.integer({ min: 0, max: 100 })).map((percent) => percent / 100),
   kept: fc.option(fc.nat(KEPT - 1), { nil: undefined }),
   holdMs: fc.oneof(fc.constant(0), fc.noBias(fc.integer({ min: 1, max: MOST_HOLD_MS }))),
+  tellsLength: fc.boolean(),
   bytes: fc.constantFrom(...SIZES),
 });
 
