--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -4,12 +4,12 @@
 import { makeMechanisms } from '../../src/core/routing/mechanisms';
 import type { Mechanism } from '../../src/core/routing/mechanisms';
 import type { Routing } from '../../src/manifest/routing';
-import { WatchReply } from '../../src/protocol/generated/beechlift';
+import { WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
 import { PlaceClient } from '../../src/relay/placeClient';
 import { OpenRequests } from '../../src/relay/openRequests';
 import { RelayMetrics } from '../../src/relay/relayMetrics';
-import { makeRelayServer } from '../../src/relay/relayServer';
+import { applyCallerLimits, makeRelayServer } from '../../src/relay/relayServer';
 import { RelaySite } from '../../src/relay/relaySite';
 import type { RequestDialect } from '../../src/relay/requestDialect';
 import { WorkerConnections } from '../../src/relay/workerConnections';
@@ -47,12 +47,21 @@
 
   readonly site: RelaySite;
 
+  /** Asks no leader: the entry chooses by itself unless a test says otherwise. */
+  readonly placeClient = new PlaceClient({
+    entryId: 'e1',
+    findLeader: () => undefined,
+    countEntries: () => 1,
+    clock: systemClock,
+    logger: makeLogger('test', 'silent'),
+  });
+
   private readonly connections = new WorkerConnections();
 
   private app: FastifyInstance | undefined;
 
   private constructor(
-    private readonly routing: Routing,
+    private routing: Routing,
     private readonly servers: readonly ScriptedServer[],
     off: readonly Mechanism[],
   ) {
@@ -123,27 +132,54 @@
     await this.app?.close();
   }
 
-  private async open(): Promise<void> {
-    const { site } = this;
-    site.applyReply(WatchReply.fromPartial({
-      leaseMs: LEASE_MS,
-      documentDigest: 'd',
-      documentVersion: 1,
-      document: 'd',
-      workersEpoch: 'e',
-      workersRevision: 1,
-      entryCount: 1,
-      workers: this.servers.map(({ address }, position) => ({
+  /** Puts another routing in force, with the limits for callers that it sets. */
+  replaceRouting(routing: Routing): void {
+    this.routing = routing;
+    this.tellDocument(routing.version);
+    if (this.app) applyCallerLimits(this.app, routing.limits);
+  }
+
+  /** Tells the entry of a new standing of all servers, and closes connections as it does then. */
+  setStanding(standing: string): void {
+    this.tellServers(standing);
+    this.connections.keep(new Set(standing === 'gone' ? [] : this.servers.map(({ address }) => address)));
+  }
+
+  /** Requests that wait for their answer. */
+  async countOpen(): Promise<number> {
+    return (await this.metrics.open.get()).values[0]?.value ?? 0;
+  }
+
+  private tellDocument(version: number): void {
+    this.tell({ documentDigest: `d${version}`, documentVersion: version, document: 'd' });
+  }
+
+  private tellServers(standing: string): void {
+    this.tell({
+      documentDigest: `d${this.routing.version}`,
+      documentVersion: this.routing.version,
+      workers: this.servers.map(({ address }, position) => WorkerRecord.fromPartial({
         said: {
           workerId: `w${position}`, service: 'rooms', address, zone: 'a', slots: 6, state: 'ready', sequence: 1,
         },
-        standing: 'ready',
+        standing,
       })),
-    }), systemClock.now(), new SuspensionWatch().readEpoch());
-    const logger = makeLogger('test', 'silent');
-    const placeClient = new PlaceClient({
-      entryId: 'e1', findLeader: () => undefined, countEntries: () => 1, clock: systemClock, logger,
     });
+  }
+
+  private tell(news: Partial<WatchReply>): void {
+    this.site.applyReply({
+      ...WatchReply.fromPartial({
+        leaseMs: LEASE_MS, workersEpoch: 'e', workersRevision: 1, entryCount: 1,
+      }),
+      ...news,
+    }, systemClock.now(), new SuspensionWatch().readEpoch());
+  }
+
+  private async open(): Promise<void> {
+    const { site, placeClient } = this;
+    this.tellDocument(this.routing.version);
+    this.tellServers('ready');
     this.app = makeRelayServer({
       site,
       dialect: testDialect,
@@ -151,10 +187,11 @@
       picker: new WorkerPicker({ site, placeClient, clock: systemClock }),
       placeClient,
       clock: systemClock,
-      logger,
+      logger: makeLogger('test', 'silent'),
       metrics: this.metrics,
       openRequests: new OpenRequests(this.metrics),
     });
+    applyCallerLimits(this.app, this.routing.limits);
     await this.app.listen({ host: HOST, port: 0 });
   }
 }
