A silent server is given up only once another one has a place for its request

What callers saw: 502 for a request whose server was sound and at work.

Cause: after a silence of two and a half target latencies the entry aborted the call of a request that may be repeated, and looked only then whether the second send was possible: whether the service had a repeat left, whether another server was there, whether the leader had a slot. In a burst, when answers begin late, it is just these that are short. A plain answer that had begun, and was held until it was whole, counted as silence too.

Now the second send is made certain first. The repeat is taken off the allowance and held, and the next server is picked while the first still works. The call is aborted when that server's place is there. A refusal, or the beginning of an answer, leaves the request where it is; a place that is not needed any more goes back to the leader, and a repeat that was not made goes back to the allowance.

--- a/src/core/routing/retryAllowance.ts
+++ b/src/core/routing/retryAllowance.ts
@@ -48,6 +48,12 @@
     return true;
   }
 
+  /** Gives back a repeat that was taken and not made. */
+  refund(service: string, now: number): void {
+    const allowance = this.refill(service, now);
+    allowance.left = Math.min(this.most, allowance.left + 1);
+  }
+
   private get most(): number {
     return Math.max(1, (this.bounds.slack * USED_PART) / Math.max(1, this.readEntryCount()));
   }
--- a/src/relay/repeatRules.ts
+++ b/src/relay/repeatRules.ts
@@ -22,6 +22,9 @@
 
   private offers = 0;
 
+  /** Whether a repeat was taken off the allowance and not made so far. */
+  private holdsRepeat = false;
+
   /** Whether a backend server may have run it. */
   private mayHaveRun = false;
 
@@ -46,6 +49,25 @@
     return this.isRepeatable && this.sent + 1 < this.admitted.route.maxAttempts;
   }
 
+  /**
+   * Whether one that is at a server now is certain to be allowed another send. The repeat is held
+   * from then on, so that the server is not given up for a send that is not allowed.
+   */
+  holdRepeat(deadlineAt: number): boolean {
+    const now = this.parts.clock.now();
+    const isAllowed = this.mayMove && this.guard.isFree && this.hasOffers(now, deadlineAt);
+    if (!isAllowed || !this.parts.picker.hasChoice(this.admitted.service)) return false;
+    this.holdsRepeat ||= this.parts.site.retries.take(this.admitted.service, now);
+    return this.holdsRepeat;
+  }
+
+  /** Gives a repeat back that was held and not made. */
+  refundRepeat(): void {
+    const { site, clock } = this.parts;
+    if (this.holdsRepeat) site.retries.refund(this.admitted.service, clock.now());
+    this.holdsRepeat = false;
+  }
+
   /** Whether an answer that failed is worth asking another server instead. */
   get mayReplaceFailure(): boolean {
     return this.mayMove && this.parts.picker.hasChoice(this.admitted.service);
@@ -58,7 +80,7 @@
   maySendAgain(end: AttemptEnd, writer: AnswerWriter, deadlineAt: number): boolean {
     const { site, clock } = this.parts;
     const now = clock.now();
-    if (now >= deadlineAt || this.offers >= MAX_OFFERS) return false;
+    if (!this.hasOffers(now, deadlineAt)) return false;
     // What another server answers must not be put behind what the caller has of the first answer.
     const canGoOn = writer.canGoOn && site.workers.mechanisms.resumption;
     if (writer.hasBegun && !canGoOn) return false;
@@ -67,7 +89,7 @@
     const { route, service } = this.admitted;
     const isSafe = end.kind === 'rejected' || this.isRepeatable;
     const hasAttempts = end.kind === 'rejected' || this.sent < route.maxAttempts;
-    return isSafe && hasAttempts && site.retries.take(service, now);
+    return isSafe && hasAttempts && this.takeRepeat(service, now);
   }
 
   /*
@@ -85,6 +107,16 @@
     return new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs });
   }
 
+  private hasOffers(now: number, deadlineAt: number): boolean {
+    return now < deadlineAt && this.offers < MAX_OFFERS;
+  }
+
+  private takeRepeat(service: string, now: number): boolean {
+    const wasHeld = this.holdsRepeat;
+    this.holdsRepeat = false;
+    return wasHeld || this.parts.site.retries.take(service, now);
+  }
+
   /** Whether the route lets it run more than once. */
   private get isRepeatable(): boolean {
     const { kind, isResumable } = this.admitted.route;
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -56,6 +56,12 @@
     });
   }
 
+  /** Notes that a request stays at a silent server, as no other one takes it. */
+  noteStay(error: unknown): undefined {
+    this.parts.logger.info('a silent server is waited for', { requestId: this.requestId, reason: String(error) });
+    return undefined;
+  }
+
   /** Notes an answer of our own, and the document by which it was decided. */
   noteRefusal(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
     const { metrics, logger, clock } = this.parts;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -69,6 +69,9 @@
   /** Takes it back while it waits for a place, so that others get the slot it would have had. */
   private cancelPick: (() => void) | undefined;
 
+  /** The server that takes it over from a silent one; none where it stays. */
+  private move: Promise<PickedWorker | undefined> | undefined;
+
   private writer: AnswerWriter;
 
   private admitted: AdmittedRequest | undefined;
@@ -143,6 +146,8 @@
       });
     } finally {
       clearTimeout(timer);
+      await this.dropMove(admitted);
+      rules.refundRepeat();
     }
   }
 
@@ -155,18 +160,8 @@
 
   /** Offers the request to one server after another, until it is answered or given up. */
   private async offer(offered: OfferedRequest): Promise<void> {
-    const { admitted, guard, rules } = offered;
-    const picked = await this.parts.picker.pick({
-      admitted,
-      facts: this.facts,
-      deadlineAt: this.deadlineAt,
-      tried: [...this.tried],
-      guard,
-      isOver: () => this.writer.isOver,
-      noteWaiting: (cancel) => {
-        this.cancelPick = cancel;
-      },
-    });
+    const { admitted, rules } = offered;
+    const picked = await this.takeMove() ?? await this.pickWorker(offered);
     if (!picked) return;
     if (this.writer.isOver) {
       this.dropPicked(admitted, picked);
@@ -189,12 +184,28 @@
     await this.offer(offered);
   }
 
-  private async attempt(
-    {
+  private async pickWorker(
+    { admitted, guard }: OfferedRequest,
+    isSettled = (): boolean => false,
+  ): Promise<PickedWorker | undefined> {
+    if (this.writer.isOver) return undefined;
+    return this.parts.picker.pick({
+      admitted,
+      facts: this.facts,
+      deadlineAt: this.deadlineAt,
+      tried: [...this.tried],
+      guard,
+      isOver: () => this.writer.isOver || isSettled(),
+      noteWaiting: (cancel) => {
+        this.cancelPick = cancel;
+      },
+    });
+  }
+
+  private async attempt(offered: OfferedRequest, picked: PickedWorker): Promise<AttemptEnd> {
+    const {
       admitted, body, guard, rules,
-    }: OfferedRequest,
-    picked: PickedWorker,
-  ): Promise<AttemptEnd> {
+    } = offered;
     const { worker } = picked;
     const { connections } = this.parts;
     const connection = connections.take(worker.address);
@@ -206,6 +217,7 @@
         notes.noteHead();
         verdict = this.judgeHead(rules, head);
         if (verdict) return false;
+        this.cancelPick?.();
         this.writer.writeHead(head);
         return true;
       },
@@ -218,7 +230,7 @@
     });
     this.call = call;
     const silence = setTimeout(
-      () => this.noteSilence(rules, worker, call),
+      () => this.noteSilence(offered, worker, call),
       Math.max(MIN_SILENCE_MS, SILENCE_IN_TARGETS * admitted.route.targetLatencyMs),
     );
     const end = await call.run(this.buildUpstreamRequest(admitted, worker, body));
@@ -319,12 +331,43 @@
 
   /*
    * Guards against a server that accepts requests and stays silent: others are preferred from now
-   * on, and what may be repeated is taken elsewhere at once.
+   * on, and what may be repeated goes to another one as soon as that has a place for it. Until
+   * then the server may still answer: its silence alone ends no request.
    */
-  private noteSilence(rules: RepeatRules, worker: RoutedWorker, call: UpstreamCall): void {
-    if (this.writer.hasBegun || !this.parts.site.workers.mechanisms.silence) return;
+  private noteSilence(offered: OfferedRequest, worker: RoutedWorker, call: UpstreamCall): void {
+    const isSilent = !this.writer.hasBegun && !call.isAnswering;
+    if (!isSilent || !this.parts.site.workers.mechanisms.silence) return;
     suspendWorker(worker, this.parts.clock.now());
-    if (rules.mayMove) call.abort('the backend server is silent');
+    if (offered.rules.holdRepeat(this.deadlineAt)) this.move = this.prepareMove(offered, call);
+  }
+
+  /** Resolves with a server that has a place, once the silent one is given up; never rejects. */
+  private async prepareMove(
+    offered: OfferedRequest,
+    call: UpstreamCall,
+  ): Promise<PickedWorker | undefined> {
+    const picked = await this.pickWorker(offered, () => call.isAnswering)
+      .catch((error: unknown) => this.log.noteStay(error));
+    if (!picked) return undefined;
+    const isWanted = !call.isAnswering && !this.writer.isOver;
+    if (!isWanted || this.tried.includes(picked.worker.id)) {
+      this.dropPicked(offered.admitted, picked);
+      return undefined;
+    }
+    if (this.call === call) call.abort('the backend server is silent');
+    return picked;
+  }
+
+  private takeMove(): Promise<PickedWorker | undefined> | undefined {
+    const { move } = this;
+    this.move = undefined;
+    return move;
+  }
+
+  private async dropMove(admitted: AdmittedRequest): Promise<void> {
+    this.cancelPick?.();
+    const picked = await this.takeMove();
+    if (picked) this.dropPicked(admitted, picked);
   }
 
   private expire(): void {
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -47,6 +47,9 @@
   /** Whether bytes of the request may have left. */
   isSent = false;
 
+  /** Whether the head of an answer has come that is passed on. */
+  isAnswering = false;
+
   private controller: Dispatcher.DispatchController | undefined;
 
   private abortReason: Error | undefined;
@@ -134,6 +137,7 @@
     // Answers below 200 only announce the one that follows.
     if (status < 200) return;
     this.isRefused = !this.listener.onHead({ status, headers: readRawHeaders(controller) });
+    this.isAnswering = !this.isRefused;
     if (this.isRefused) controller.abort(new Error('the answer was refused'));
   }
 }
