Test of a server's failure that is replaced though nothing may be asked instead

What callers saw: 502 with an outcome that is not known, where the backend server had answered with a failure of its own. The service had no repeats left; the entry refused the answer first and found that out after. The test fails on the present code (502 in place of 500).

--- /dev/null
+++ b/tests/relay/failed-answers.spec.ts
@@ -0,0 +1,30 @@
+import {
+  afterEach, describe, expect, it, vi,
+} from 'vitest';
+import type { Routing } from '../../src/manifest/routing';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import { sendAnswer } from '../fakes/scriptedServer';
+import type { ServerScript } from '../fakes/scriptedServer';
+
+const REQUEST = 'GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\nconnection: close\r\n\r\n';
+
+const fail: ServerScript = (socket) => sendAnswer(socket, 'r1', 'broken', 500);
+
+describe('a failure that a server answered', () => {
+  let rig: RelayRig;
+
+  const start = async (changes: Partial<Routing>, ...scripts: ServerScript[]): Promise<void> => {
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute({ kind: 'idempotent' })], ...changes }), scripts);
+  };
+
+  afterEach(() => rig.close());
+
+  // A server's answer is refused, as another may be asked, and then the repeat isn't allowed.
+  it('should be passed on where the service has no repeats left', async () => {
+    await start({}, fail, fail);
+    vi.spyOn(rig.site.retries, 'take').mockReturnValue(false);
+    expect(await rig.send(REQUEST, 2_500)).toMatch(/^HTTP\/1.1 500 [^]*broken$/);
+    expect(rig.received).toHaveLength(1);
+  });
+});
