A server's failure is refused only once a repeat is held for the request

What callers saw: 502 with an unknown outcome in place of the failure that the server had answered.

Cause: the head of a failure was refused where the route and the servers allowed another send. The retry allowance and the bound on offers were looked at afterwards, when the answer was gone.

The repeat is now held before the answer is refused, as for a silent server. Evidence: the test of tests/relay/failed-answers.spec.ts failed before and passes now, as do all of tests/relay (72).

--- a/src/relay/repeatRules.ts
+++ b/src/relay/repeatRules.ts
@@ -44,14 +44,14 @@
     this.mayHaveRun ||= kind === 'broken' || kind === 'failed';
   }
 
-  /** Whether one that is at a server now may be taken to another one. */
-  get mayMove(): boolean {
+  /** Whether the route allows one that is at a server now another send. */
+  private get mayMove(): boolean {
     return this.isRepeatable && this.sent + 1 < this.admitted.route.maxAttempts;
   }
 
   /**
    * Whether one that is at a server now is certain to be allowed another send. The repeat is held
-   * from then on, so that the server is not given up for a send that is not allowed.
+   * from then on, so that neither a server nor its answer is given up for a send that is refused.
    */
   holdRepeat(deadlineAt: number): boolean {
     const now = this.parts.clock.now();
@@ -68,11 +68,6 @@
     this.holdsRepeat = false;
   }
 
-  /** Whether an answer that failed is worth asking another server instead. */
-  get mayReplaceFailure(): boolean {
-    return this.mayMove && this.parts.picker.hasChoice(this.admitted.service);
-  }
-
   /*
    * Guards against running twice what may run once: after a byte was sent, only a server that says
    * that it did not run the request, or a route that may be repeated, allows another send.
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -293,7 +293,7 @@
     }
     if (status < SERVER_ERROR) return this.judgeResumed(status);
     const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
-    return rules.mayReplaceFailure || this.writer.hasBegun ? end : undefined;
+    return this.writer.hasBegun || rules.holdRepeat(this.deadlineAt) ? end : undefined;
   }
 
   /** A stream that goes on elsewhere can only go on with a success. */
