A caller's connection is looked at once more after reading before its time is up

What callers saw: 400 to a request that was sent whole and in time, or a kept connection that was closed without an answer, when the entry's process had been held up.

Cause: the limits on heads and on idle connections are timers, and timers run before the sockets are read. After a stall longer than what was left of a limit, the timer ended connections whose request lay unread in the kernel.

What a timer ends is now looked at once more after the next reading, as for the silence of the leader: a connection on which a head, or for an idle one any byte, has come goes on. How connections of callers are closed is a class of its own. Evidence: two of three tests of tests/relay/busy-process.spec.ts failed before and pass now; tests/relay passes (75).

--- /dev/null
+++ b/src/relay/callerConnections.ts
@@ -0,0 +1,55 @@
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
+const HEAD_TOO_LARGE = 'HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** Answers what cannot be read as a request, and closes: nothing of it was passed on. */
+const answerUnreadable = (error: Error & { code?: string }, socket: Socket): void => {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? HEAD_TOO_LARGE : BAD_REQUEST);
+};
+
+/**
+ * Decides when connections of callers are closed that are idle, or on which no request can be read.
+ *
+ * Guards callers against time that this process was held up: timers run before what has come
+ * meanwhile is read, so a limit that seems to be passed is looked at once more after the reading.
+ *
+ * @example
+ * server.on('request', ({ socket }, response) => callers.noteRequest(socket, response));
+ * server.on('timeout', (socket) => callers.closeIdle(socket));
+ */
+export class CallerConnections {
+  /** The newest request's response on each. */
+  private readonly newest = new WeakMap<Socket, ServerResponse>();
+
+  /** Notes a request whose head has come. */
+  noteRequest(socket: Socket, response: ServerResponse): void {
+    this.newest.set(socket, response);
+  }
+
+  /** Closes a connection after its idle time, unless something has come on it. */
+  closeIdle(socket: Socket): void {
+    const { bytesRead } = socket;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  }
+
+  /** Answers an error in the reading of a connection, and closes it. */
+  handleError(error: Error & { code?: string }, socket: Socket): void {
+    if (error.code !== HEAD_TIMEOUT) {
+      answerUnreadable(error, socket);
+      return;
+    }
+    const known = this.newest.get(socket);
+    setImmediate(() => {
+      if (this.newest.get(socket) === known) answerUnreadable(error, socket);
+    });
+  }
+}
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { NO_SCHEMAS } from '../utils/noSchemas';
 import type { CallerLimits } from '../manifest/routing';
+import { CallerConnections } from './callerConnections';
 import { endAfterBody } from './endAfterBody';
 import { RoutedRequest } from './routedRequest';
 import type { RequestParts } from './requestParts';
@@ -15,17 +15,6 @@
 const FIRST_HEAD_MS = 3_000;
 /** How often connections are looked at whose heads take too long. */
 const CHECK_MS = 1_000;
-const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
-const HEAD_TOO_LARGE = 'HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
-
-/** Answers what cannot be read as a request, and closes: nothing of it was passed on. */
-const answerUnreadable = (error: Error & { code?: string }, socket: Socket): void => {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? HEAD_TOO_LARGE : BAD_REQUEST);
-};
 
 const measureHead = (request: IncomingMessage): number => (
   request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0)
@@ -41,6 +30,7 @@
  */
 export const makeRelayServer = (parts: RequestParts): FastifyInstance => {
   const targets = new WeakMap<IncomingMessage, string>();
+  const callers = new CallerConnections();
   const app = Fastify({
     ...NO_SCHEMAS,
     keepAliveTimeout: FIRST_IDLE_MS,
@@ -51,7 +41,7 @@
       headersTimeout: FIRST_HEAD_MS,
       connectionsCheckingInterval: CHECK_MS,
     },
-    clientErrorHandler: answerUnreadable,
+    clientErrorHandler: (error, socket) => callers.handleError(error, socket),
     forceCloseConnections: 'idle',
     // A request on a connection that outlasts the port is answered like any other.
     return503OnClosing: false,
@@ -61,6 +51,8 @@
       return '/';
     },
   });
+  app.server.on('request', ({ socket }, response) => callers.noteRequest(socket, response));
+  app.server.on('timeout', (socket) => callers.closeIdle(socket));
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', (request, payload, done) => done(null, payload));
   app.addHook('onRequest', async (request, reply) => {
