A head that takes too long is answered 408

What callers saw: 400 to a request that was only late. 400 says that a request is wrong and is not sent again; 408 says that it was not run, and that it may be.

Cause: all errors in reading a connection but one were answered alike. The status line is now looked up by the error.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -1,9 +1,14 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
-const HEAD_TOO_LARGE = 'HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+const BAD_REQUEST = '400 Bad Request';
+
+/** What callers are told, by the error that ended the reading. */
+const STATUS_LINES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  [HEAD_TIMEOUT]: '408 Request Timeout',
+};
 
 /** Answers what cannot be read as a request, and closes: nothing of it was passed on. */
 const answerUnreadable = (error: Error & { code?: string }, socket: Socket): void => {
@@ -11,7 +16,8 @@
     socket.destroy();
     return;
   }
-  socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? HEAD_TOO_LARGE : BAD_REQUEST);
+  const status = STATUS_LINES[error.code ?? ''] ?? BAD_REQUEST;
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
 };
 
 /**
