An answer that is under way ends before its connection is closed for what came behind

What callers saw: a stream that broke off after an event, with the text of a 400 in its middle.

Cause: an error in reading a connection was answered at once, whatever was being written on it. A head that takes too long behind a request, or bytes that are no request, ended the answer to a request that had been read whole.

The error is now answered once the response of the newest request there has closed; a connection fails once, however many errors its bytes make. An error in the newest request's own body, and the end of the caller's side, are answered at once as before.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -1,6 +1,10 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+type ReadError = Error & { readonly code?: string };
+
+/** Nothing more comes from the caller, in the middle of a request. */
+const CALLER_ENDED = 'HPE_INVALID_EOF_STATE';
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const BAD_REQUEST = '400 Bad Request';
 
@@ -11,7 +15,7 @@
 };
 
 /** Answers what cannot be read as a request, and closes: nothing of it was passed on. */
-const answerUnreadable = (error: Error & { code?: string }, socket: Socket): void => {
+const answerUnreadable = (error: ReadError, socket: Socket): void => {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy();
     return;
@@ -20,6 +24,11 @@
   socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
 };
 
+/** Whether an answer is under way that the error does not concern. */
+const isUnderWay = ({ destroyed, req }: ServerResponse, { code }: ReadError): boolean => (
+  !destroyed && req.complete && code !== CALLER_ENDED
+);
+
 /**
  * Decides when connections of callers are closed that are idle, or on which no request can be read.
  *
@@ -34,6 +43,9 @@
   /** The newest request's response on each. */
   private readonly newest = new WeakMap<Socket, ServerResponse>();
 
+  /** Those that end, or are looked at once more before. */
+  private readonly failed = new WeakSet<Socket>();
+
   /** Notes a request whose head has come. */
   noteRequest(socket: Socket, response: ServerResponse): void {
     this.newest.set(socket, response);
@@ -47,15 +59,27 @@
     });
   }
 
-  /** Answers an error in the reading of a connection, and closes it. */
-  handleError(error: Error & { code?: string }, socket: Socket): void {
-    if (error.code !== HEAD_TIMEOUT) {
-      answerUnreadable(error, socket);
-      return;
-    }
-    const known = this.newest.get(socket);
+  /**
+   * Answers an error in the reading of a connection, and closes it: after the answer that is under
+   * way there, which belongs to a request that was read whole.
+   */
+  handleError(error: ReadError, socket: Socket): void {
+    if (this.failed.has(socket)) return;
+    this.failed.add(socket);
+    this.settle(error, socket);
+  }
+
+  private settle(error: ReadError, socket: Socket): void {
+    const newest = this.newest.get(socket);
+    if (newest && isUnderWay(newest, error)) newest.once('close', () => this.settle(error, socket));
+    else if (error.code === HEAD_TIMEOUT) this.checkHead(error, socket, newest);
+    else answerUnreadable(error, socket);
+  }
+
+  private checkHead(error: ReadError, socket: Socket, known: ServerResponse | undefined): void {
     setImmediate(() => {
       if (this.newest.get(socket) === known) answerUnreadable(error, socket);
+      else this.failed.delete(socket);
     });
   }
 }
--- a/tests/relay/caller-connections.spec.ts
+++ b/tests/relay/caller-connections.spec.ts
@@ -27,9 +27,8 @@
 
   const start = async (): Promise<void> => {
     const routing = makeRouting({ routes: [makeRoute({ kind: 'stream', timeoutMs: 4_000 })] });
-    rig = await RelayRig.start({ ...routing, limits: { ...routing.limits, headerTimeoutMs: 300 } }, [
-      answerSlowly,
-    ]);
+    const limits = { ...routing.limits, headerTimeoutMs: 300 };
+    rig = await RelayRig.start({ ...routing, limits }, [answerSlowly]);
     text = '';
     socket = new Socket();
     socket.on('data', (piece) => {
