Tests of requests that stay open at an entry

What was seen: a caller that left while its request waited for a lease left the request open for half a minute. Nothing was lost by it, but a shutdown waits for open requests until its time is used up.

--- /dev/null
+++ b/tests/relay/open-requests.spec.ts
@@ -0,0 +1,97 @@
+import { Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import { sendAnswer } from '../fakes/scriptedServer';
+
+const HOST = '127.0.0.1';
+const HEAD = 'Host: shop.example\r\nx-id: r1\r\nx-key: k1\r\n';
+const SETTLE_MS = 3_500;
+
+describe('the requests that an entry counts as open', () => {
+  let rig: RelayRig;
+
+  const sockets: Socket[] = [];
+
+  const openConnection = async (text: string): Promise<Socket> => {
+    const socket = new Socket();
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    await new Promise<void>((resolve) => {
+      socket.connect(rig.port, HOST, resolve);
+    });
+    socket.write(text);
+    return socket;
+  };
+
+  beforeEach(async () => {
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute({ timeoutMs: 1_000 })] }), [
+      (server) => sendAnswer(server, 'r1', 'fine'),
+    ]);
+  });
+
+  afterEach(async () => {
+    sockets.splice(0).forEach((socket) => socket.destroy());
+    await rig.close();
+  });
+
+  const waitNone = (): Promise<void> => vi.waitFor(async () => {
+    expect(await rig.countOpen()).toBe(0);
+  }, { timeout: SETTLE_MS });
+
+  // A caller left while its request waited for a lease; the entry waited for its body, and a
+  // shutdown for the request, for half a minute.
+  it('should hold none whose caller left while it waited for a lease', async () => {
+    vi.spyOn(rig.site, 'isServing', 'get').mockReturnValue(false);
+    const socket = await openConnection(`POST /orders/7 HTTP/1.1\r\n${HEAD}content-length: 1\r\n\r\nx`);
+    await pause(50);
+    expect(await rig.countOpen()).toBe(1);
+    socket.destroy();
+    await pause(50);
+    vi.restoreAllMocks();
+    await waitNone();
+  });
+
+  it('should hold none whose caller left in the middle of its body', async () => {
+    const socket = await openConnection(`POST /orders/7 HTTP/1.1\r\n${HEAD}content-length: 9\r\n\r\nx`);
+    await pause(50);
+    socket.destroy();
+    await waitNone();
+  });
+
+  // Requests behind one another on a connection, whose caller leaves while the first is served.
+  it('should hold none of several whose caller left', async () => {
+    const socket = await openConnection(`GET /orders/7 HTTP/1.1\r\n${HEAD}\r\n`.repeat(5));
+    socket.destroy();
+    await waitNone();
+  });
+
+  it.each([
+    ['two hosts', `GET /orders/7 HTTP/1.1\r\n${HEAD}Host: b.example\r\n\r\n`],
+    ['no host', 'GET /orders/7 HTTP/1.1\r\nx-id: r1\r\n\r\n'],
+    ['bytes beyond ASCII in a path', `GET /orders/\xe4\xff HTTP/1.1\r\n${HEAD}\r\n`],
+    ['a tab in a path', `GET /orders/a\tb HTTP/1.1\r\n${HEAD}\r\n`],
+    ['bytes beyond ASCII in a header', `GET /orders/7 HTTP/1.1\r\n${HEAD}x-a: \xe4\xff\x80\r\n\r\n`],
+    ['a control character in a header', `GET /orders/7 HTTP/1.1\r\n${HEAD}x-a: \x01\r\n\r\n`],
+    ['an empty header', `GET /orders/7 HTTP/1.1\r\n${HEAD}x-a:\r\n\r\n`],
+    ['a length for no body', `GET /orders/7 HTTP/1.1\r\n${HEAD}content-length: 0\r\n\r\n`],
+    ['a body of a GET', `GET /orders/7 HTTP/1.1\r\n${HEAD}content-length: 1\r\n\r\nx`],
+    ['a chunked body', `POST /orders/7 HTTP/1.1\r\n${HEAD}transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n`],
+    ['an upgrade', `GET /orders/7 HTTP/1.1\r\n${HEAD}connection: upgrade\r\nupgrade: websocket\r\n\r\n`],
+    ['an unusual method', `PURGE /orders/7 HTTP/1.1\r\n${HEAD}\r\n`],
+    ['a whole address', `GET http://shop.example/orders/7 HTTP/1.1\r\n${HEAD}\r\n`],
+    ['an expectation', `POST /orders/7 HTTP/1.1\r\n${HEAD}expect: 100-continue\r\ncontent-length: 1\r\n\r\nx`],
+    ['the old protocol', `GET /orders/7 HTTP/1.0\r\n${HEAD}\r\n`],
+    ['a trace', `TRACE /orders/7 HTTP/1.1\r\n${HEAD}\r\n`],
+    ['a head only', `HEAD /orders/7 HTTP/1.1\r\n${HEAD}\r\n`],
+    ['options of the server', `OPTIONS * HTTP/1.1\r\n${HEAD}\r\n`],
+  ])('should answer each, whatever its head: %s', async (name, text) => {
+    const answer = await rig.send(text, 200);
+    expect(answer).toMatch(/^HTTP\/1.1 \d{3} /);
+    await waitNone();
+    expect(rig.site.workers.byId.get('w0')?.inFlight).toBe(0);
+  });
+});
