A request whose caller has left is not waited for when its body is due

Cause: the reader of bodies waited for the end or an error of a request. One that was destroyed before, while it waited for a lease, gives neither, so it stayed open until the longest time for a body was up.

Evidence: the first test of tests/relay/open-requests.spec.ts failed before and passes now; tests/relay passes (99).

--- a/src/relay/readRequestBody.ts
+++ b/src/relay/readRequestBody.ts
@@ -19,6 +19,11 @@
     reject(new BeechliftError('bodyTooLarge', `the body has ${declared} bytes, at most ${mostBytes} are taken`));
     return;
   }
+  // One that is destroyed tells nothing any more: neither its end nor an error would come.
+  if (request.destroyed) {
+    reject(new BeechliftError('callerGone', 'the caller left before its body was read'));
+    return;
+  }
   const pieces: Buffer[] = [];
   let length = 0;
   const timer = setTimeout(() => reject(new BeechliftError('bodyTooSlow', `the body was not whole after ${timeoutMs} ms`)), timeoutMs);
