--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -22,6 +22,8 @@
   readonly code: string;
   /** Milliseconds after which to come back; 0 where none was told. */
   readonly retryMs: number;
+  /** Whether the body came to its end. */
+  readonly isWhole: boolean;
 }
 
 /** Control, entries and fragile servers of one routed site, in one process, on loopback. */
@@ -108,10 +110,16 @@
     const answer = await request(`http://${address}/orders/7`, {
       method: 'POST', headers: { host: 'shop.example', 'x-id': randomUUID() }, body,
     });
-    const text = await answer.body.text().catch(() => '');
+    let isWhole = true;
+    const text = await answer.body.text().catch(() => {
+      isWhole = false;
+      return '';
+    });
     const isOwn = answer.headers['content-type'] === 'application/json';
-    const { error } = isOwn ? JSON.parse(text) as { error: { name: string; retryAfterMs?: number } } : { error: { name: '' } };
-    return { status: answer.statusCode, code: error.name, retryMs: error.retryAfterMs ?? 0 };
+    const { error } = isOwn && isWhole ? JSON.parse(text) as { error: { name: string; retryAfterMs?: number } } : { error: { name: '' } };
+    return {
+      status: answer.statusCode, code: error.name, retryMs: error.retryAfterMs ?? 0, isWhole,
+    };
   }
 
   async close(): Promise<void> {
