The model of claims takes a holder without power out of the network

Trace: the model left the holder that had lost power in the network until the restarted one had read its file, and let it go on answering from memory whose disk was gone; since reading now waits for a sync, that was long enough to matter. A machine without power answers nothing.

--- a/tests/core/claims-model.spec.ts
+++ b/tests/core/claims-model.spec.ts
@@ -39,6 +39,7 @@
 
   /** Power is lost at a holder and comes back; only what was synced is there. */
   async restart(id: string): Promise<void> {
+    this.holders.delete(id);
     this.files.get(id)?.restart();
     await this.start(id);
   }
@@ -53,7 +54,8 @@
       ) => {
         await scheduler.schedule(Promise.resolve(), `to ${id}`);
         const holder = this.holders.get(id);
-        const reply = await holder?.[pick(stub)](request);
+        if (!holder) throw new Error('starts again');
+        const reply = await holder[pick(stub)](request);
         if (holder !== this.holders.get(id)) throw new Error('lost power before it answered');
         await scheduler.schedule(Promise.resolve(), `from ${id}`);
         if (isLost()) throw new Error('lost');
