A stopping entry: a grace shorter than callers' time, and answers of a length nobody knows

An entry waited for as long as callers may use an old answer even where its grace is shorter: it ended 302 ms after the signal with a grace of 150 ms, and a supervisor would have killed it with requests open. An entry that has learnt nothing of a service took streams that outlast it, told of their length or not, and cut them.

--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -4,7 +4,9 @@
 } from 'vitest';
 import type { ParsedAnswer } from '../fakes/parseAnswer';
 import type { CallerResult, RawCaller } from '../fakes/rawCaller';
-import { GRACE_MS, LOCATE_MS, StoppingSite } from '../fakes/stoppingSite';
+import {
+  GRACE_MS, LOCATE_MS, StoppingSite, TOKENS_HEADER,
+} from '../fakes/stoppingSite';
 import type { StoppingSiteOptions } from '../fakes/stoppingSite';
 import { findPath, makeStoppingRouting } from '../fakes/stoppingRoutes';
 import type { StoppingRoute } from '../fakes/stoppingRoutes';
@@ -15,6 +17,7 @@
 /** Time in which a request that was sent has reached a server. */
 const REACH_MS = 100;
 const PATIENCE_MS = 20_000;
+const LONG_EVENTS = 60;
 /** More than the limit of the document, and more than is on its way at once. */
 const BODY_BYTES = 600_000;
 const BODY_LIMIT = 100_000;
@@ -81,6 +84,21 @@
     await stopping;
   });
 
+  // Guards against a first guess at the pace of servers, which is not what the entry has seen.
+  it.each<[string, Headers]>([
+    ['which is not told', {}],
+    ['which is told', { [TOKENS_HEADER]: LONG_EVENTS }],
+  ])('should be refused as not run where nothing is known of how long it takes but its length, %s', async (name, told) => {
+    await start();
+    const kept = await site.open();
+    checkStatus(await askFor('brief', {}, kept), 200);
+    const stopping = site.stop();
+    await pause(REACH_MS);
+    const headers = { ...told, 'x-form': 'stream', 'x-lasts': LONG_MS };
+    checkRefused(await askFor('stream', headers, kept));
+    await stopping;
+  });
+
   // Guards against refusals of all that comes, though callers are still sent here for a while.
   it.each<StoppingRoute>(['brief', 'briefOnce'])('should be served where its answer ends in time: %s', async (route) => {
     await start();
@@ -162,6 +180,20 @@
   });
 });
 
+describe('an entry whose grace is shorter than callers may use an old answer', () => {
+  // Guards against a process that is killed while it still serves callers as before.
+  it('should answer what is open, and end, within the grace', async () => {
+    const graceMs = LOCATE_MS / 2;
+    await start({ graceMs });
+    const asked = askFor('longOnce', { 'x-lasts': LONG_MS });
+    await pause(REACH_MS);
+    const signalAt = performance.now();
+    await site.stop();
+    expect(performance.now() - signalAt).toBeLessThan(graceMs + REACH_MS / 2);
+    checkStatus(await asked, 502);
+  });
+});
+
 describe('answers that are finished, for slow readers', () => {
   const fill = async (route: StoppingRoute): Promise<[RawCaller, Promise<CallerResult>]> => {
     const [server] = site.servers;
