Test of an answer's time at a service that gives streams and whole answers

The time of a whole answer is learnt as the time of one event, the server that gave it seems slow by their ratio, and what its streams take is divided by that before it is learnt. The test learns streams of 10 ms an event at a server that gave whole answers of 1.5 s: 3.1 s are then thought to end within 1.5 s.

--- a/tests/core/answer-time.spec.ts
+++ b/tests/core/answer-time.spec.ts
@@ -22,11 +22,11 @@
   return worker;
 };
 
-const learnStreams = (workers: RoutedWorkers): void => {
-  const fast = findWorker(workers, 'fast');
-  learnPace(fast, 10);
+const learnStreams = (workers: RoutedWorkers, id = 'fast'): void => {
+  const worker = findWorker(workers, id);
+  learnPace(worker, 10);
   Array.from({ length: 20 }, (unused, position) => 100 + 10 * position).forEach((tokens) => {
-    learnAnswer(workers, fast, {
+    learnAnswer(workers, worker, {
       holdMs: 100 + 10 * tokens,
       paceMs: 0,
       firstEvent: { ms: 100, tokens: 1_000 },
@@ -55,6 +55,22 @@
     expect(canEndWithin(workers, size, 4_500, findWorker(workers, 'slow'))).toBe(false);
   });
 
+  /*
+   * Guards streams of a service that gives whole answers too: the time of a whole answer counted as
+   * that of one event, so that the server seemed slow, and what its streams take was divided by it.
+   */
+  it('should not depend on whole answers of the same service', () => {
+    const workers = makeWorkers();
+    learnPace(findWorker(workers, 'fast'), 10);
+    Array.from({ length: 20 }, () => learnAnswer(workers, findWorker(workers, 'slow'), {
+      holdMs: 1_500, paceMs: 1_500, firstEvent: undefined, output: undefined, failed: false,
+    }));
+    learnStreams(workers, 'slow');
+    const size = { service: SERVICE, promptTokens: 1_000, outputTokens: 300 };
+    expect(canEndWithin(workers, size, 1_500)).toBe(false);
+    expect(canEndWithin(workers, size, 1_500, findWorker(workers, 'fast'))).toBe(false);
+  });
+
   it('should promise nothing while too little is known', () => {
     const size = { service: SERVICE, promptTokens: 10, outputTokens: 10 };
     expect(canEndWithin(makeWorkers(), size, 60_000)).toBe(false);
