Test: a request that crosses the refusal of its connection is run

What callers see: a connection on which no head came in time is answered 408 and half closed. The process goes on reading it, so a request that was on its way is passed on to a backend server. Its caller takes the 408 for the answer, which says that it was not run; the server's own answer has nowhere to go.

Evidence: fails on this code, as the server gets the request.

--- a/tests/relay/caller-connections.spec.ts
+++ b/tests/relay/caller-connections.spec.ts
@@ -1,4 +1,5 @@
 import { Socket } from 'node:net';
+import type { SocketConstructorOpts } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, describe, expect, it,
@@ -25,12 +26,12 @@
 
   let text = '';
 
-  const start = async (): Promise<void> => {
+  const start = async (options: SocketConstructorOpts = {}): Promise<void> => {
     const routing = makeRouting({ routes: [makeRoute({ kind: 'stream', timeoutMs: 4_000 })] });
     const limits = { ...routing.limits, headerTimeoutMs: 300 };
     rig = await RelayRig.start({ ...routing, limits }, [answerSlowly]);
     text = '';
-    socket = new Socket();
+    socket = new Socket(options);
     socket.on('data', (piece) => {
       text += piece.toString('latin1');
     });
@@ -67,4 +68,15 @@
     expect(text).toMatch(/^HTTP\/1.1 200 [^]*begun\r\n5\r\nended\r\n0\r\n\r\nHTTP\/1.1 40[08] /);
     expect(socket.destroyed).toBe(true);
   });
+
+  // A request that crossed the refusal of its connection was run, and its caller told that it was
+  // not.
+  it('should run nothing that comes once it was refused', async () => {
+    await start({ allowHalfOpen: true });
+    await pause(CHECK_MS + 600);
+    expect(text).toMatch(/^HTTP\/1.1 408 /);
+    socket.write(REQUEST);
+    await pause(100);
+    expect(rig.received).toEqual([]);
+  });
 });
