A request that comes on a connection that has ended is not run

What callers saw: a 408, which says that a request was not run, in answer to one that was passed on to a backend server; the same where the connection ends after an answer that says so and bytes of it still wait.

Cause: the end of a connection's writing side does not stop its reading; what is read there is served like any other request. Now it is left alone, as no answer to it can be written. Evidence: the new test of tests/relay/caller-connections.spec.ts failed before and passes now.

--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -58,6 +58,11 @@
   app.addHook('onRequest', async (request, reply) => {
     reply.hijack();
     const { raw } = request;
+    // It crossed the end of its connection, where no answer to it can be written.
+    if (!raw.socket.writable) {
+      raw.resume();
+      return;
+    }
     const target = targets.get(raw) ?? '/';
     const most = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
     if (measureHead(raw) > most) {
