Test: a request under which a server broke off is refused as not run

What callers see: 503, which says that a request was not run, in answer to one that a backend server had and broke off. It happens where the entry ends while it is looked up whether that server has ended, up to 50 ms after the break.

Evidence: fails on this code with 503 in place of 502.

--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -45,6 +45,8 @@
 export class RelayRig {
   readonly metrics = new RelayMetrics();
 
+  readonly openRequests = new OpenRequests(this.metrics);
+
   readonly site: RelaySite;
 
   /** Asks no leader: the entry chooses by itself unless a test says otherwise. */
@@ -189,7 +191,7 @@
       clock: systemClock,
       logger: makeLogger('test', 'silent'),
       metrics: this.metrics,
-      openRequests: new OpenRequests(this.metrics),
+      openRequests: this.openRequests,
     });
     applyCallerLimits(this.app, this.routing.limits);
     await this.app.listen({ host: HOST, port: 0 });
--- a/tests/relay/failed-answers.spec.ts
+++ b/tests/relay/failed-answers.spec.ts
@@ -2,6 +2,7 @@
   afterEach, describe, expect, it, vi,
 } from 'vitest';
 import type { Routing } from '../../src/manifest/routing';
+import { WorkerConnections } from '../../src/relay/workerConnections';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 import { sendAnswer } from '../fakes/scriptedServer';
@@ -28,3 +29,25 @@
     expect(rig.received).toHaveLength(1);
   });
 });
+
+describe('a request under which a server broke off', () => {
+  let rig: RelayRig;
+
+  afterEach(async () => {
+    vi.restoreAllMocks();
+    await rig.close();
+  });
+
+  // While it was looked up whether the server had ended, the entry's end refused it as not run.
+  it('should never be refused as not run', async () => {
+    const routing = makeRouting({ routes: [makeRoute({ kind: 'nonIdempotent' })] });
+    rig = await RelayRig.start(routing, [(socket) => socket.destroy()]);
+    const lookedUp = vi.spyOn(WorkerConnections.prototype, 'hasEnded')
+      .mockReturnValue(new Promise(() => {}));
+    const asked = rig.send(REQUEST, 500);
+    await vi.waitFor(() => expect(lookedUp).toHaveBeenCalled(), { interval: 2 });
+    rig.site.beginLeaving(0);
+    rig.openRequests.endAll();
+    expect(await asked).toMatch(/^HTTP\/1.1 502 /);
+  });
+});
