What a server broke off counts as possibly run from that moment on

What callers saw: 503, which says that a request was not run, in answer to one that a server broke off at the time at which the entry ended.

Cause: that a server may have run a request was noted after the look-up whether that server has ended, which takes up to 50 ms; the end of the entry judged its refusal without it. Now it is noted before the wait. Evidence: the new test of tests/relay/failed-answers.spec.ts failed before and passes now.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -175,7 +175,6 @@
     this.tried.push(picked.worker.id);
     const end = await this.attempt(offered, picked);
     this.log.noteAttempt(admitted, picked, end, this.writer);
-    rules.noteAttempt(end);
     if (end.kind === 'answered' || this.writer.isOver) return;
     if (!rules.maySendAgain(end, this.writer, this.deadlineAt)) {
       throw rules.makeFailure(end.reason, MIN_RETRY_MS);
@@ -241,6 +240,8 @@
     if (end.kind === 'whole') connections.give(connection);
     else connection.end();
     const settled = this.settle(worker, notes, end, verdict);
+    // Before any wait, in which the request may be given up.
+    rules.noteAttempt(settled);
     if (settled.kind === 'broken' && !verdict && !call.isAborted) await guard.noteBroken(worker);
     if (settled.kind === 'answered') guard.noteAnswered(this.writer.statusCode);
     notes.noteEnd(settled.kind);
