Tests: what a stopping entry leaves without an answer

What callers see: a closed connection. First, a request that was read whole in the time between the end of requests without an answer (nine tenths of the grace) and that of streams waits for a lease and is cut. Second, a leader's answer that cannot be taken in, while it is told that the entry leaves, ends the shutdown with an error, and the process with all that is open.

--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -1,7 +1,8 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import {
-  afterEach, describe, expect, it,
+  afterEach, describe, expect, it, vi,
 } from 'vitest';
+import { RelaySite } from '../../src/relay/relaySite';
 import type { ParsedAnswer } from '../fakes/parseAnswer';
 import type { CallerResult, RawCaller } from '../fakes/rawCaller';
 import {
@@ -14,6 +15,8 @@
 /** An answer that outlasts the grace, and one that is soon whole. */
 const LONG_MS = 1_500;
 const BRIEF_MS = 20;
+/** One whose last moments are long enough to send a request in them. */
+const LONG_GRACE_MS = 4 * GRACE_MS;
 /** Time in which a request that was sent has reached a server. */
 const REACH_MS = 100;
 const PATIENCE_MS = 20_000;
@@ -60,7 +63,10 @@
   expect(answer?.status, JSON.stringify(rest)).toBe(status);
 };
 
-afterEach(() => site.close());
+afterEach(async () => {
+  vi.restoreAllMocks();
+  await site.close();
+});
 
 describe('a request that comes while an entry leaves', () => {
   // Guards against an answer that was begun though it could not end, and is cut by the end.
@@ -168,6 +174,33 @@
     checkRefused(await late);
   });
 
+  // Guards what comes after the others were given up: it was cut while it waited for a lease.
+  it('should be refused as not run when they come in the last moments', async () => {
+    await start({ graceMs: LONG_GRACE_MS });
+    const kept = await site.open();
+    checkStatus(await askFor('brief', {}, kept), 200);
+    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': 2 * LONG_GRACE_MS });
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    await pause(0.92 * LONG_GRACE_MS);
+    vi.spyOn(RelaySite.prototype, 'isServing', 'get').mockReturnValue(false);
+    const result = await askFor('long', {}, kept);
+    await Promise.all([stopping, streamed]);
+    checkRefused(result);
+  });
+
+  // Guards all that is open against a leader whose answer cannot be taken in.
+  it('should be answered where the leader cannot be told', async () => {
+    await start({ isHeld: true });
+    const asked = askFor('long', { 'x-lasts': LOCATE_MS });
+    await pause(REACH_MS);
+    vi.spyOn(RelaySite.prototype, 'applyReply').mockImplementation(() => {
+      throw new Error('no such answer');
+    });
+    await site.stop();
+    checkStatus(await asked, 200);
+  });
+
   // Guards against a stream that is broken off and looks whole.
   it('should be broken off in the middle of a stream that runs on', async () => {
     await start();
