A stopping entry tells requests of its last moments that it ends

What callers saw: their connection closed without an answer, to a request that was read whole after nine tenths of the grace and waited for a lease.

Cause: requests without an answer were given up once, before the time that is left to streams; what came in that time was broken off with the streams. Now it is given up before. Evidence: the test "in the last moments" of tests/relay/stopping-entry.spec.ts failed before and passes now.

--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -58,6 +58,8 @@
     await this.waitQuiet(() => readLeftMs(ANSWER_PART));
     openRequests.endAll();
     await openRequests.waitIdle(readLeftMs(STREAM_PART));
+    // Requests that came meanwhile are told as well.
+    openRequests.endAll();
     openRequests.breakOffAll();
     server.closeAllConnections();
   }
