A stopping entry goes on where the leader cannot be told

What callers would see: all connections closed at the signal, with what was open on them.

Cause: an error in taking in the leader's answer to the news that the entry leaves rejected the shutdown, on which the process ends. It is logged now, and the shutdown goes on. Evidence: the test "where the leader cannot be told" of tests/relay/stopping-entry.spec.ts failed before and passes now.

--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -51,7 +51,7 @@
     const readLeftMs = (part: number): number => startedAt + part * graceMs - clock.now();
     site.beginLeaving(startedAt + ANSWER_PART * graceMs);
     logger.info('entry leaves', { graceMs });
-    await tellLeaving();
+    await tellLeaving().catch((error: unknown) => logger.error('the leader was not told', { reason: String(error) }));
     await pause(Math.max(0, Math.min(locateMs, readLeftMs(LOCATE_PART))));
     // The server's own close would destroy connections whose answers are ended, but not written.
     NetServer.prototype.close.call(server);
