Test of a request with two hosts

What was seen: it was answered 503, and the servers that it was offered to were left alone for a while, as if they had been out of reach. The test fails on the present code.

--- a/tests/relay/open-requests.spec.ts
+++ b/tests/relay/open-requests.spec.ts
@@ -94,4 +94,11 @@
     await waitNone();
     expect(rig.site.workers.byId.get('w0')?.inFlight).toBe(0);
   });
+
+  // No server was asked, as the request cannot be written, and each of them was taken for lost.
+  it('should refuse two hosts, and blame no server for them', async () => {
+    const answer = await rig.send(`GET /orders/7 HTTP/1.1\r\n${HEAD}Host: b.example\r\n\r\n`);
+    expect(answer).toMatch(/^HTTP\/1.1 400 /);
+    expect(rig.site.workers.byId.get('w0')).toMatchObject({ suspendedUntil: 0, failureShare: 0 });
+  });
 });
