A request with several hosts is answered 400 before a server is chosen

Cause: the library that writes requests refuses a second Host header. The entry took that for a server that could not be reached, left it alone for a while, and offered the request to the next one, four in all. The head is now judged before. Evidence: the test in tests/relay/open-requests.spec.ts failed before and passes now; tests/relay and tests/core pass (311).

--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -15,11 +15,28 @@
 const FIRST_HEAD_MS = 3_000;
 /** How often connections are looked at whose heads take too long. */
 const CHECK_MS = 1_000;
+const BAD_REQUEST = 400;
+const HEAD_TOO_LARGE = 431;
+const HOST = 'host';
 
 const measureHead = (request: IncomingMessage): number => (
   request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0)
 );
 
+/*
+ * Guards backend servers against a request that cannot be written to any of them: each would be
+ * taken for out of reach. One with several hosts is to be answered 400 (RFC 9112, section 3.2).
+ */
+const hasManyHosts = ({ rawHeaders }: IncomingMessage): boolean => (
+  rawHeaders.filter((text, index) => (
+    index % 2 === 0 && text.length === HOST.length && text.toLowerCase() === HOST)).length > 1
+);
+
+const judgeHead = (request: IncomingMessage, mostBytes: number): number | undefined => {
+  if (measureHead(request) > mostBytes) return HEAD_TOO_LARGE;
+  return hasManyHosts(request) ? BAD_REQUEST : undefined;
+};
+
 /**
  * Makes the server that callers connect to: every request, whatever its method and path, goes to
  * the routing, with its body unread.
@@ -65,8 +82,9 @@
     }
     const target = targets.get(raw) ?? '/';
     const most = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
-    if (measureHead(raw) > most) {
-      reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).flushHeaders();
+    const status = judgeHead(raw, most);
+    if (status !== undefined) {
+      reply.raw.writeHead(status, { connection: 'close', 'content-length': 0 }).flushHeaders();
       endAfterBody(raw, reply.raw);
       return;
     }
