--- a/tests/fakes/fragileServer.ts
+++ b/tests/fakes/fragileServer.ts
@@ -11,7 +11,10 @@
 export const RESET_TEXT = 'reset';
 /** A body with this text is answered by a stream of events. */
 export const STREAM_TEXT = 'stream';
+/** A body with this text is answered late. */
+export const SLOW_TEXT = 'slow';
 const RUN_MS = 30;
+const SLOW_RUN_MS = 900;
 const DOWN_MS = 500;
 const ANNOUNCE_MS = 200;
 
@@ -119,7 +122,7 @@
     const isStream = body.includes(STREAM_TEXT);
     const head = { 'x-id': request.headers['x-id'] ?? '' };
     if (isStream) response.writeHead(200, { ...head, 'content-type': 'text/event-stream' }).write('id: 1\ndata: x\n\n');
-    await pause(RUN_MS);
+    await pause(body.includes(SLOW_TEXT) ? SLOW_RUN_MS : RUN_MS);
     if (server !== this.server) return;
     if (isFatal) {
       this.crash().catch(() => undefined); // Its port is held by nobody else.
