Test: a piece that comes after an answer's end ends the entry

A write to a response that has ended fails in an 'error' event of the response. Nobody listens to it (the framework does only where it logs), so Node.js ends the process. No way to it was found in RoutedRequest: its call is given up whenever its answer ends early, and the library then hands nothing on.

Fails on the current code: the response emits ERR_STREAM_WRITE_AFTER_END.

--- /dev/null
+++ b/tests/relay/answer-writer.spec.ts
@@ -0,0 +1,31 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { request } from 'undici';
+import { describe, expect, it } from 'vitest';
+import { BeechliftError } from '../../src/errors/beechliftError';
+import { AnswerWriter } from '../../src/relay/answerWriter';
+
+describe('writing an answer', () => {
+  // A piece came from a server after the caller had been refused: the write failed in an event of
+  // the response that nobody listened to, which ends the process and all its callers' connections.
+  it('should drop what comes after its end', async () => {
+    const failures: Error[] = [];
+    const rooms: boolean[] = [];
+    const server = createServer((incoming, response) => {
+      response.on('error', (error) => failures.push(error));
+      const writer = new AnswerWriter(response, 'direct', () => 0);
+      writer.fail(new BeechliftError('routeTimeout', 'its time is over'), false);
+      writer.writeHead({ status: 200, headers: ['content-length', '4'] });
+      rooms.push(writer.write(Buffer.from('late')));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const { statusCode, body } = await request(`http://127.0.0.1:${port}`);
+    expect([statusCode, (await body.text()).includes('late')]).toEqual([504, false]);
+    server.closeAllConnections();
+    server.close();
+    expect([failures, rooms]).toEqual([[], [true]]);
+  });
+});
