Nothing is written to an answer that has ended

What callers would see: all connections of an entry closed without an answer.

The writer drops pieces that come after the end of an answer, and tells who reads them that there is room.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -115,7 +115,12 @@
     this.lastAt = this.readNow();
     if (this.pieces === 0) this.firstAt = this.lastAt;
     this.pieces = this.framer ? this.framer.count : this.pieces + 1;
-    return this.response.write(bytes);
+    return this.send(bytes);
+  }
+
+  /** Writes nothing after the end: that fails in an event, which would end the process. */
+  private send(bytes: Buffer): boolean {
+    return this.response.writableEnded || this.response.write(bytes);
   }
 
   /** Forgets what the caller does not have yet, before another server is asked. */
@@ -135,7 +140,7 @@
   end(): void {
     this.sendHeld();
     const rest = this.framer?.takeRest();
-    if (rest && rest.length > 0) this.response.write(rest);
+    if (rest && rest.length > 0) this.send(rest);
     this.response.end();
   }
 
@@ -152,7 +157,7 @@
     if (this.heldHead) this.sendHead(this.heldHead);
     const bytes = Buffer.concat(this.held);
     this.dropUnsent();
-    return bytes.length === 0 || this.response.write(bytes);
+    return bytes.length === 0 || this.send(bytes);
   }
 
   /**
