Test: a follower asks no more after an answer that it can't take in

The loop by which a replica follows the leader's table of backend servers goes on only after an answer was taken in. What is thrown there ends it without a line in the log, until the process is started again.

--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -49,6 +49,17 @@
     await started.waitLeader();
   });
 
+  // A replica could not take in one answer of the leader and asked no more: it knew no backend
+  // server and no entry that came later, and led with those when the leader was lost.
+  it('should go on following after an answer that it cannot take in', async () => {
+    const started = await found();
+    const position = [0, 1, 2].find((other) => other !== started.findLeader()) ?? 0;
+    const follow = vi.spyOn(started.findNode(position), 'follow').mockImplementationOnce(() => {
+      throw new Error('cannot take this in');
+    });
+    await waitFor(() => follow.mock.calls.length > 2, 'it asks again');
+  });
+
   it('should take a document at any replica and read the newest at every one', async () => {
     const started = await found();
     expect((await publish(1, formatDocument(4))).code).toBe(0);
