A follower goes on asking after an answer that it can't take in

What callers would see: a leader that knows no backend server of the time before, and sends nobody anywhere until they have announced themselves again.

Cause: the next question was put after the answer was taken in, in the same function, whose failure was dropped without a line in the log.

The failure is logged and the next question follows after a pause.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -167,22 +167,31 @@
   }),
 });
 
-const startFollowing = (node: RoutedNode, links: Links): (() => void) => {
+/** Asks the leader once for what changed; tells whether it was the leader that answered. */
+const followOnce = async (node: RoutedNode, links: Links): Promise<boolean> => {
+  const address = node.leaderAddress;
+  const canAsk = !node.isLeading && address !== '' && node.runner.state.role !== 'leader';
+  if (!canAsk) return false;
+  const reply = await callSite<WatchRequest, WatchReply>(links, address, 'watch', node.buildFollowRequest(FOLLOW_HOLD_MS), FOLLOW_TIMEOUT_MS)
+    .catch(() => undefined); // One that does not answer is asked again.
+  if (!reply || reply.leaseMs <= 0) return false;
+  node.follow(reply);
+  return true;
+};
+
+const startFollowing = (node: RoutedNode, links: Links, logger: Logger): (() => void) => {
   let stopped = false;
   const ask = async (): Promise<void> => {
     if (stopped) return;
-    const address = node.leaderAddress;
-    const canAsk = !node.isLeading && address !== '' && node.runner.state.role !== 'leader';
-    const reply = canAsk
-      ? await callSite<WatchRequest, WatchReply>(links, address, 'watch', node.buildFollowRequest(FOLLOW_HOLD_MS), FOLLOW_TIMEOUT_MS).catch(() => undefined)
-      : undefined;
-    if (reply && reply.leaseMs > 0) node.follow(reply);
-    const wait = reply && reply.leaseMs > 0 ? 0 : FOLLOW_HOLD_MS;
+    const isTold = await followOnce(node, links).catch((thrown: unknown) => {
+      logger.error('answer of the leader not taken in', { reason: toBeechliftError(thrown).message });
+      return false;
+    });
     setTimeout(() => {
-      ask().catch(() => undefined);
-    }, wait).unref();
+      ask().catch(() => undefined); // Never rejects.
+    }, isTold ? 0 : FOLLOW_HOLD_MS).unref();
   };
-  ask().catch(() => undefined);
+  ask().catch(() => undefined); // Never rejects.
   return () => {
     stopped = true;
   };
@@ -295,7 +304,7 @@
     () => searchSite(node, links, self, settings.readSeeds),
     SEARCH_MS,
   );
-  const stopFollowing = startFollowing(node, links);
+  const stopFollowing = startFollowing(node, links, logger);
   return {
     node,
     stop: async () => {
