--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -154,6 +154,21 @@
     expect((await waiting)?.workerId).toBe('for-a');
   });
 
+  // The leader decides on what was never asked, refuses without a reason, and says things twice.
+  it('should bear decisions that answer nothing, and still hear its own', async () => {
+    const leader = new ScriptedLeader(({ number }, told) => {
+      told.tell(number + 7, ['unknown', '', '__proto__']);
+      told.tell(-1);
+      told.tell(number, ['p1', 'p1']);
+    });
+    const client = makeClient(() => leader);
+    const reply = await client.place(makeAsk('p1'), findDeadline());
+    expect(reply?.workerId).toBe('for-p1');
+    client.close();
+    leader.tell(9, ['p1']);
+    leader.end();
+  });
+
   /*
    * The leader's reply was on its way when the entry gave it up and chose by itself. The slot was
    * taken until the request's deadline, and others were refused for want of it.
--- a/tests/relay/site-watch.spec.ts
+++ b/tests/relay/site-watch.spec.ts
@@ -2,9 +2,11 @@
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
+import type { RoutingReader } from '../../src/manifest/routing';
 import { RelaySite } from '../../src/relay/relaySite';
 import { SiteWatch } from '../../src/relay/siteWatch';
 import { makeLogger } from '../../src/telemetry/logger';
+import type { Logger } from '../../src/telemetry/logger';
 import { SuspensionWatch, systemClock } from '../../src/utils/clock';
 import { RpcLink } from '../../src/wire/rpcLink';
 import { waitFor } from '../fakes/controlSite';
@@ -16,14 +18,17 @@
   let replicas: FakeReplicas | undefined;
   let watch: SiteWatch | undefined;
 
-  const start = (seeds: readonly string[]): RelaySite => {
+  const start = (
+    seeds: readonly string[],
+    readRouting: RoutingReader = () => ({ routing: makeRouting({}), faults: [] }),
+    logger: Logger = makeLogger('test', 'silent'),
+  ): RelaySite => {
     const suspension = new SuspensionWatch();
-    const logger = makeLogger('test', 'silent');
     const site = new RelaySite({
       entryId: 'e1',
       callerAddress: '10.0.0.1:80',
       zone: 'a',
-      readRouting: () => ({ routing: makeRouting({}), faults: [] }),
+      readRouting,
       clock: systemClock,
       suspension,
       logger,
@@ -71,6 +76,22 @@
     expect(systemClock.now() - startedAt).toBeLessThan(250);
   });
 
+  // An entry ended, or asked no more, as a document could not be read.
+  it('should go on asking after a document whose reading fails, and log it', async () => {
+    const asked = await listen();
+    const error = vi.fn<Logger['error']>();
+    let left = 5;
+    const site = start(asked.addresses, () => {
+      left -= 1;
+      if (left >= 0) throw new Error('cannot be read');
+      return { routing: makeRouting({}), faults: [] };
+    }, { ...makeLogger('test', 'silent'), error });
+    asked.lead(2);
+    await waitFor(() => site.isServing, 'the entry has a lease');
+    expect(left).toBeLessThan(0);
+    expect(error.mock.calls.map(([, fields]) => fields?.reason)).toContain('Error: cannot be read');
+  });
+
   /*
    * All processes lose power together. An entry that is back before the replicas opened a fresh
    * connection to each of them every 40 ms, for as long as it had started itself.
