Log and metric: what a backend server says of itself in an answer

The dialect reads both facts now; a line names the server and the time that it asked for, right before the line of the attempt, and a counter adds them up. Leaving is said in every answer and gets one line for each start of a server. Nothing is decided by either yet.

--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -37,6 +37,8 @@
   suspendedUntil: number;
   /** How long the next suspension lasts. */
   pauseMs: number;
+  /** Whether it said in an answer that it leaves. */
+  isLeaving: boolean;
 }
 
 /** What is known of the work of a service, over all its backend servers. */
@@ -122,6 +124,7 @@
   failureShare: 0,
   suspendedUntil: 0,
   pauseMs: FIRST_PAUSE_MS,
+  isLeaving: false,
 });
 
 const indexByService = (workers: RoutedWorkers): void => {
--- a/src/relay/relayMetrics.ts
+++ b/src/relay/relayMetrics.ts
@@ -28,6 +28,10 @@
     name: 'beechlift_repeats_total', help: 'Requests offered to another backend server, by what went before', labelNames: ['reason'], registers: [this.registry],
   });
 
+  readonly notices = new Counter({
+    name: 'beechlift_server_notices_total', help: 'What backend servers said of themselves in answers', labelNames: ['notice'], registers: [this.registry],
+  });
+
   /** To the first byte of the body for a stream, to the whole answer otherwise. */
   readonly latency = new Histogram({
     name: 'beechlift_answer_seconds', help: 'Time from a request to its answer, for a stream to its first event', labelNames: ['kind'], buckets: LATENCY_BUCKETS, registers: [this.registry],
--- a/src/relay/requestDialect.ts
+++ b/src/relay/requestDialect.ts
@@ -32,6 +32,10 @@
   readonly isNotExecuted: boolean;
   /** Whether something on the way changed the body, which no backend server was asked to do. */
   readonly isEncoded: boolean;
+  /** Milliseconds for which the backend server wants no more requests; 0 where it names none. */
+  readonly restMs: number;
+  /** Whether the backend server says that it leaves. */
+  readonly isLeaving: boolean;
 }
 
 /** What the entry adds to a request that it passes on. */
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -20,6 +20,7 @@
 import type { RequestParts } from './requestParts';
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamEnd, UpstreamHead, UpstreamRequest } from './upstreamCall';
+import { noteNotices } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
 /** Longest time that a caller may take for its body, in milliseconds. */
@@ -214,7 +215,7 @@
     const call: UpstreamCall = new UpstreamCall(connection, {
       onHead: (head) => {
         notes.noteHead();
-        verdict = this.judgeHead(rules, head);
+        verdict = this.judgeHead(rules, worker, head);
         if (verdict) return false;
         this.cancelPick?.();
         this.writer.writeHead(head);
@@ -285,9 +286,11 @@
   /** Tells what is wrong with a head; undefined for one that is passed on. */
   private judgeHead(
     rules: RepeatRules,
+    worker: RoutedWorker,
     { status, headers }: UpstreamHead,
   ): AttemptEnd | undefined {
     const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
+    noteNotices(this.parts, worker, { ...answer, status, requestId: this.facts.requestId });
     if (answer.isNotExecuted) return { kind: 'rejected', reason: `status ${status}, not executed` };
     if (answer.requestId !== this.facts.requestId || answer.isEncoded) {
       return { kind: 'broken', reason: 'the answer belongs to another request' };
--- /dev/null
+++ b/src/relay/workerNotices.ts
@@ -0,0 +1,50 @@
+import type { RoutedWorker } from '../core/routing/routedWorkers';
+import type { AnswerFacts } from './requestDialect';
+import type { RequestParts } from './requestParts';
+
+const SERVICE_UNAVAILABLE = 503;
+
+/** An answer's head, as far as the backend server speaks of itself in it. */
+export interface WorkerNotice extends Pick<AnswerFacts, 'restMs' | 'isLeaving'> {
+  readonly status: number;
+  /** The caller's id of the request that was answered. */
+  readonly requestId: string;
+}
+
+type NoticeParts = Pick<RequestParts, 'metrics' | 'logger'>;
+
+const noteRest = (
+  { metrics, logger }: NoticeParts,
+  worker: RoutedWorker,
+  { status, restMs, requestId }: WorkerNotice,
+): void => {
+  if (status !== SERVICE_UNAVAILABLE || restMs === 0) return;
+  metrics.notices.inc({ notice: 'rest' });
+  logger.info('backend server asks for rest', { requestId, worker: worker.id, restMs });
+};
+
+const noteLeaving = (
+  { metrics, logger }: NoticeParts,
+  worker: RoutedWorker,
+  { status, isLeaving, requestId }: WorkerNotice,
+): void => {
+  if (!isLeaving || worker.isLeaving) return;
+  worker.isLeaving = true;
+  metrics.notices.inc({ notice: 'leaving' });
+  logger.info('backend server says that it leaves', { requestId, worker: worker.id, status });
+};
+
+/**
+ * Takes in what a backend server says of itself in an answer, whichever request it answers.
+ *
+ * @example
+ * noteNotices(parts, worker, { status, requestId, restMs, isLeaving });
+ */
+export const noteNotices = (
+  parts: NoticeParts,
+  worker: RoutedWorker,
+  notice: WorkerNotice,
+): void => {
+  noteRest(parts, worker, notice);
+  noteLeaving(parts, worker, notice);
+};
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -34,6 +34,8 @@
     requestId: findHeader(headers, 'x-id') ?? '',
     isNotExecuted: findHeader(headers, 'x-not-run') !== undefined,
     isEncoded: false,
+    restMs: Number(findHeader(headers, 'x-rest-ms') ?? 0),
+    isLeaving: findHeader(headers, 'x-leaving') !== undefined,
   }),
   buildRequestHeaders: (headers, { workerId, remainingMs, lastEventId }) => [
     ...dropHeaders(headers, new Set(['x-key', 'x-patience', 'content-length'])),
