Failing tests: servers that asked for rest go on getting requests

A backend server answers 503 and names a time for which it wants nothing from this entry; the entry goes on after a pause of its own, which an answer to another request ends.

--- a/src/relay/workerNotices.ts
+++ b/src/relay/workerNotices.ts
@@ -11,7 +11,7 @@
   readonly requestId: string;
 }
 
-type NoticeParts = Pick<RequestParts, 'metrics' | 'logger'>;
+type NoticeParts = Pick<RequestParts, 'site' | 'clock' | 'metrics' | 'logger'>;
 
 const noteRest = (
   { metrics, logger }: NoticeParts,
--- /dev/null
+++ b/tests/relay/resting-servers.spec.ts
@@ -0,0 +1,158 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import fc from 'fast-check';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import type { Route } from '../../src/manifest/routing';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import { runSearchAsync } from '../fakes/runSearch';
+import { sendAnswer } from '../fakes/scriptedServer';
+import type { ServerScript } from '../fakes/scriptedServer';
+import { SheddingServer } from '../fakes/sheddingServer';
+import type { ShedAnswer } from '../fakes/sheddingServer';
+
+/** Requests that may reach a server within a rest. */
+const MOST_IN_REST = 2;
+const GAP_MS = 15;
+
+interface CallerAnswer {
+  readonly status: number;
+  /** Milliseconds after which to come back; 0 where none was told. */
+  readonly retryMs: number;
+}
+
+const readAnswer = (text: string): CallerAnswer => ({
+  status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0),
+  retryMs: 1_000 * Number(/retry-after: ([\d.]+)/i.exec(text)?.[1] ?? 0),
+});
+
+const serveAll = (): ShedAnswer => ({});
+
+describe('a server that asked for rest', () => {
+  let rig: RelayRig | undefined;
+
+  const start = async (
+    route: Partial<Route>,
+    ...scripts: readonly ServerScript[]
+  ): Promise<RelayRig> => {
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), scripts);
+    return rig;
+  };
+
+  const startServers = async (...servers: readonly SheddingServer[]): Promise<RelayRig> => (
+    start({}, ...servers.map(({ script }) => script)));
+
+  const call = async (started: RelayRig): Promise<CallerAnswer> => readAnswer(await started.send('GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\nconnection: close\r\n\r\n', 2_500));
+
+  /** Sends requests at an even pace, whatever becomes of those before. */
+  const callFor = (started: RelayRig, ms: number, gapMs = GAP_MS): Promise<CallerAnswer[]> => (
+    Promise.all(Array.from({ length: Math.floor(ms / gapMs) }, async (unused, position) => {
+      await pause(position * gapMs);
+      return call(started);
+    })));
+
+  afterEach(async () => {
+    await rig?.close();
+    rig = undefined;
+  });
+
+  // Guards against a pause of the entry's own, shorter than the rest, after which requests go on.
+  it('should get nothing until its rest is over while another server takes requests', async () => {
+    const resting = new SheddingServer(() => ({ status: 503, restMs: 1_800 }));
+    const other = new SheddingServer(serveAll);
+    const answers = await callFor(await startServers(resting, other), 1_600);
+    expect(resting.arrivals).toHaveLength(1);
+    expect(answers.filter(({ status }) => status !== 200)).toEqual([]);
+  });
+
+  // Guards against the end of a rest by an answer to a request that was sent before it.
+  it('should be left alone although it answers a request that it had taken before', async () => {
+    const resting = new SheddingServer((count) => (
+      count === 1 ? { delayMs: 120 } : { status: 503, restMs: 1_500 }));
+    const started = await startServers(resting, new SheddingServer(() => ({ delayMs: 200 })));
+    await callFor(started, 1_400, 25);
+    expect(resting.arrivals.length).toBe(2);
+    expect(resting.mostInRest).toBe(0);
+  });
+
+  // Guards against the last resort of a service whose servers all rest, retries among it.
+  it('should get two requests within its rest at most where all servers of a service rest', async () => {
+    const servers = [1_200, 1_500].map((restMs) => (
+      new SheddingServer(() => ({ status: 503, restMs }))));
+    const answers = await callFor(await startServers(...servers), 1_400);
+    expect(servers.map(({ mostInRest }) => mostInRest <= MOST_IN_REST)).toEqual([true, true]);
+    expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([503]));
+  });
+
+  // Guards against a wait that its caller can't use, and against callers who come too early.
+  it('should let callers be refused at once with the shortest rest where all rest', async () => {
+    const servers = [2_000, 3_000].map((restMs) => (
+      new SheddingServer(() => ({ status: 503, restMs }))));
+    const started = await startServers(...servers);
+    await call(started);
+    const sentAt = performance.now();
+    const answers = await Promise.all(Array.from({ length: 20 }, () => call(started)));
+    expect(performance.now() - sentAt).toBeLessThan(300);
+    const times = answers.map(({ retryMs }) => retryMs);
+    expect(Math.min(...times)).toBeGreaterThan(1_600);
+    expect(Math.max(...times)).toBeLessThan(2_600);
+    expect(new Set(times).size).toBeGreaterThan(10);
+  });
+
+  // Guards a service against an outage of the entry's making, where each server sheds a part.
+  it('should keep no service from being served whose servers shed by lot', async () => {
+    const servers = [0, 1, 2].map((offset) => new SheddingServer((count) => (
+      (7 * count + 3 * offset) % 10 < 3 ? { status: 503, restMs: 600 } : {})));
+    const answers = await callFor(await startServers(...servers), 3_000, 250);
+    expect(servers.map(({ mostInRest }) => mostInRest <= MOST_IN_REST)).toEqual([true, true, true]);
+    const served = answers.filter(({ status }) => status === 200).length;
+    expect(served / answers.length).toBeGreaterThan(0.8);
+  });
+
+  // Guards against a stream that breaks and goes on at a server that rests.
+  it('should not get the rest of a stream that another server broke off', async () => {
+    const resting = new SheddingServer(() => ({ status: 503, restMs: 1_500 }));
+    const event = 'id: 1\ndata: x\n\n';
+    const breakOff: ServerScript = (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n`);
+      setTimeout(() => socket.destroy(), 500);
+    };
+    const started = await start({ kind: 'stream', isResumable: true, maxAttempts: 3 }, resting.script, breakOff);
+    await call(started);
+    expect(resting.arrivals).toHaveLength(1);
+  });
+
+  // Guards against a rest that is told beside a failure of the server's own.
+  it('should be left alone also where its answer does not say that it did not run the request', async () => {
+    const resting = { arrivals: 0 };
+    const failOnce: ServerScript = (socket) => {
+      resting.arrivals += 1;
+      sendAnswer(socket, 'r1', 'full', 503, 'x-rest-ms: 1200\r\n');
+    };
+    const started = await start({}, failOnce, new SheddingServer(serveAll).script);
+    await callFor(started, 1_000, 50);
+    expect(resting.arrivals).toBe(1);
+  });
+
+  // Guards against any other order of answers and rests that lets a third request through.
+  it('should get two requests within any rest at most whatever servers answer', async () => {
+    const answer = fc.record({
+      status: fc.constantFrom(200, 200, 200, 500, 503, 503),
+      restMs: fc.constantFrom(0, 200, 500, 900, 1_500),
+      delayMs: fc.constantFrom(0, 0, 5, 40, 150),
+    }).map((drawn) => ({ ...drawn, restMs: drawn.status === 503 ? drawn.restMs : 0 }));
+    const plan = fc.array(answer, { minLength: 8, maxLength: 40 });
+    const all = fc.array(plan, { minLength: 1, maxLength: 3 });
+    const property = fc.asyncProperty(all, async (plans) => {
+      const servers = plans.map((answers) => (
+        new SheddingServer((count) => answers[count % answers.length] as ShedAnswer)));
+      const started = await startServers(...servers);
+      await callFor(started, 1_600, 10);
+      await started.close();
+      const most = Math.max(...servers.map(({ mostInRest }) => mostInRest));
+      if (most > MOST_IN_REST) throw new Error(`${most} requests within a rest`);
+    });
+    expect(await runSearchAsync(property, { runs: 4, seed: 4_711 })).toBeGreaterThan(0);
+  });
+});
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -3,7 +3,9 @@
 import { PlaceReply, WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import type { PlacedReport } from '../../src/protocol/generated/beechlift';
 import type { PlaceClient } from '../../src/relay/placeClient';
+import { RelayMetrics } from '../../src/relay/relayMetrics';
 import { RelaySite } from '../../src/relay/relaySite';
+import { noteNotices } from '../../src/relay/workerNotices';
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionWatch } from '../../src/utils/clock';
@@ -54,13 +56,26 @@
   services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
 });
 
+const askForRest = (site: RelaySite, workerId: string, restMs: number): void => {
+  const worker = site.workers.byId.get(workerId);
+  if (!worker) throw new Error(`no server ${workerId}`);
+  noteNotices({
+    site, clock, metrics: new RelayMetrics(), logger: makeLogger('test', 'silent'),
+  }, worker, {
+    status: 503, requestId: 'r0', restMs, isLeaving: false,
+  });
+};
+
 /** A leader that names one server for every request. */
 class StubbornLeader {
   readonly reports: PlacedReport[] = [];
 
+  asked = 0;
+
   constructor(private readonly workerId: string) {}
 
   async place(): Promise<PlaceReply> {
+    this.asked += 1;
     return PlaceReply.fromPartial({ workerId: this.workerId });
   }
 
@@ -109,4 +124,26 @@
     expect(await picking).toBeUndefined();
     expect(cancelled).toHaveLength(1);
   });
+
+  // Guards a server that asked this entry for rest against places that the leader gives there.
+  it('should not take a place at a server that asked for rest', async () => {
+    const site = makeSite(routing, [makeRecord('w1', 'ready'), makeRecord('w2', 'ready')]);
+    const leader = new StubbornLeader('w1');
+    askForRest(site, 'w1', 3_000);
+    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picked = await picker.pick(makePick(() => false, () => undefined));
+    expect(picked?.worker.id).toBe('w2');
+    expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['dropped']));
+  });
+
+  // Guards callers against a wait at the leader for a place that this entry may not take.
+  it('should ask for no place at engines that all asked for rest', async () => {
+    const site = makeSite(routing, [makeRecord('w1', 'ready')]);
+    const leader = new StubbornLeader('w1');
+    askForRest(site, 'w1', 3_000);
+    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    await expect(picker.pick(makePick(() => false, () => undefined)))
+      .rejects.toMatchObject({ run: 'notRun' });
+    expect(leader.asked).toBe(0);
+  });
 });
