A server that asked an entry for rest is left alone until the rest is over

Callers' requests reached servers that had answered 503 with a Retry-After of 3 s three times in that time. Nothing read the time that the server named: after a refusal the entry held a pause of its own, 300 ms at first, which any whole answer to another request ended.

The rest is kept beside that pause now, by start of a server, from when the answer came, on the monotonic clock. Every way out asks the same tables: the choice at the entry, its last resort, retries, streams that go on elsewhere, and places of the leader, which are given back and asked for anew once.

--- /dev/null
+++ b/src/core/routing/restingWorkers.ts
@@ -0,0 +1,54 @@
+/** Which backend servers of a service an entry leaves alone, as they asked it for rest. */
+import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
+import { addProbe, isResting, mayProbe } from './workerRest';
+
+const listReady = ({ byService }: RoutedWorkers, service: string): RoutedWorker[] => (
+  (byService.get(service) ?? []).filter(({ standing }) => standing === 'ready')
+);
+
+/**
+ * Milliseconds until the first server of a service has had its rest; 0 where one that is ready does
+ * not rest, or none is ready.
+ *
+ * @example
+ * const restMs = readShortestRest(workers, 'rooms', clock.now());
+ */
+export const readShortestRest = (
+  workers: RoutedWorkers,
+  service: string,
+  now: number,
+): number => {
+  const ready = listReady(workers, service);
+  if (ready.length === 0) return 0;
+  return Math.max(0, Math.min(...ready.map(({ rest }) => rest.until)) - now);
+};
+
+/**
+ * Lists servers of a service that must get nothing: those that rest, less those that may be asked
+ * all the same because all rest.
+ *
+ * @example
+ * const avoided = listResting(workers, 'rooms', clock.now());
+ */
+export const listResting = (workers: RoutedWorkers, service: string, now: number): string[] => {
+  const doAllRest = readShortestRest(workers, service, now) > 0;
+  return listReady(workers, service)
+    .filter(({ rest }) => isResting(rest, now) && !(doAllRest && mayProbe(rest, now)))
+    .map(({ id }) => id);
+};
+
+/**
+ * Whether every server of a service that is ready must get nothing, as it rests.
+ *
+ * @example
+ * if (holdsAllBack(workers, 'rooms', clock.now())) refuse('backendsResting');
+ */
+export const holdsAllBack = (workers: RoutedWorkers, service: string, now: number): boolean => (
+  readShortestRest(workers, service, now) > 0
+    && listResting(workers, service, now).length === listReady(workers, service).length
+);
+
+/** Counts a request that goes to a server, where the server rests. */
+export const noteSent = (worker: RoutedWorker, now: number): void => {
+  if (isResting(worker.rest, now)) worker.rest = addProbe(worker.rest);
+};
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -3,6 +3,8 @@
 import type { LineFit } from './lineFit';
 import { makeMechanisms } from './mechanisms';
 import type { Mechanisms } from './mechanisms';
+import { NO_REST } from './workerRest';
+import type { WorkerRest } from './workerRest';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 import type { WorkerStanding } from './workerTable';
 
@@ -37,6 +39,8 @@
   suspendedUntil: number;
   /** How long the next suspension lasts. */
   pauseMs: number;
+  /** What it asked this entry for. */
+  rest: WorkerRest;
   /** Whether it said in an answer that it leaves. */
   isLeaving: boolean;
 }
@@ -124,6 +128,7 @@
   failureShare: 0,
   suspendedUntil: 0,
   pauseMs: FIRST_PAUSE_MS,
+  rest: NO_REST,
   isLeaving: false,
 });
 
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -5,6 +5,7 @@
 import { readLine, readSlope } from './lineFit';
 import { findWork, isInReach } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceWork } from './routedWorkers';
+import { isResting, mayProbe } from './workerRest';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 
 /** What the choice needs to know of a request. */
@@ -122,8 +123,8 @@
 
 /**
  * Servers that may take a request, the best kind that there is: in reach and not tried yet; else in
- * reach; and for requests that are not placed, else any that is ready. A last server that failed a
- * request is better than a refusal.
+ * reach; and for requests that are not placed, else any that is ready, and last one that rests and
+ * may be asked all the same. A last server that failed a request is better than a refusal.
  */
 const listCandidates = (
   workers: RoutedWorkers,
@@ -132,11 +133,14 @@
 ): RoutedWorker[] => {
   const usable = (workers.byService.get(request.service) ?? [])
     .filter((worker) => isUsable(workers, worker, request));
-  const inReach = usable.filter((worker) => isInReach(workers, worker, now));
+  const willing = usable.filter(({ rest }) => !isResting(rest, now));
+  const inReach = willing.filter((worker) => isInReach(workers, worker, now));
   const fresh = inReach.filter(({ id }) => !request.tried.includes(id));
   if (fresh.length > 0) return fresh;
   if (inReach.length > 0 || request.mustBeFree) return inReach;
-  return usable.filter(({ id }) => !request.tried.includes(id));
+  const untried = willing.filter(({ id }) => !request.tried.includes(id));
+  if (untried.length > 0) return untried;
+  return usable.filter(({ id, rest }) => !request.tried.includes(id) && mayProbe(rest, now));
 };
 
 /**
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -92,6 +92,9 @@
   requestQuarantined: {
     number: 2009, status: 503, run: 'notRun', action: 'Do not send this request again before Retry-After: backend servers ended under it each time. Change it, or report it with its fingerprint.',
   },
+  backendsResting: {
+    number: 2010, status: 503, run: 'notRun', action: 'Send the request again after Retry-After; all backend servers of the service asked this entry VM for rest.',
+  },
   outcomeUnknown: {
     number: 3001, status: 502, run: 'unknown', action: 'Ask again with the same key; do not use a new one.',
   },
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -2,6 +2,7 @@
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import { noteReached, suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { isResting } from '../core/routing/workerRest';
 import type { Route } from '../manifest/routing';
 import { admitRequest } from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
@@ -314,7 +315,8 @@
   ): AttemptEnd {
     const now = this.parts.clock.now();
     if (verdict?.kind === 'rejected') {
-      suspendWorker(worker, now);
+      // What the server asked for goes before a pause of our own.
+      if (!isResting(worker.rest, now)) suspendWorker(worker, now);
       return verdict;
     }
     if (verdict?.kind === 'failed') {
--- a/src/relay/workerNotices.ts
+++ b/src/relay/workerNotices.ts
@@ -1,4 +1,5 @@
 import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { noteRest } from '../core/routing/workerRest';
 import type { AnswerFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
 
@@ -11,14 +12,15 @@
   readonly requestId: string;
 }
 
-type NoticeParts = Pick<RequestParts, 'site' | 'clock' | 'metrics' | 'logger'>;
+type NoticeParts = Pick<RequestParts, 'clock' | 'metrics' | 'logger'>;
 
-const noteRest = (
-  { metrics, logger }: NoticeParts,
+const noteAskedRest = (
+  { clock, metrics, logger }: NoticeParts,
   worker: RoutedWorker,
   { status, restMs, requestId }: WorkerNotice,
 ): void => {
   if (status !== SERVICE_UNAVAILABLE || restMs === 0) return;
+  worker.rest = noteRest(worker.rest, restMs, clock.now());
   metrics.notices.inc({ notice: 'rest' });
   logger.info('backend server asks for rest', { requestId, worker: worker.id, restMs });
 };
@@ -45,6 +47,6 @@
   worker: RoutedWorker,
   notice: WorkerNotice,
 ): void => {
-  noteRest(parts, worker, notice);
+  noteAskedRest(parts, worker, notice);
   noteLeaving(parts, worker, notice);
 };
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,8 +1,12 @@
 import { randomUUID } from 'node:crypto';
 import { NO_TIMES } from '../core/routing/placementTables';
+import {
+  holdsAllBack, listResting, noteSent, readShortestRest,
+} from '../core/routing/restingWorkers';
 import { isInReach } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
+import { computeRestRetryMs, isResting } from '../core/routing/workerRest';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
 import type { Clock } from '../utils/clock';
 import { chargeAccount, computeCost } from './admitRequest';
@@ -49,6 +53,8 @@
 const MAX_RETRY_MS = 3_000;
 /** Time to come back where no server is known at all: an announcement or two. */
 const NO_WORKER_RETRY_MS = 1_000;
+/** Times that one offer asks the leader, where its places are at servers that rest. */
+const MAX_ASKS = 2;
 
 /**
  * Finds the backend server for a request. Model engines, whose slots are dear, are given out by the
@@ -71,8 +77,10 @@
    * there is none.
    */
   async pick(request: PickRequest): Promise<PickedWorker | undefined> {
-    const { site } = this.parts;
-    const isEngine = site.table?.findService(request.admitted.service)?.isEngine ?? false;
+    const { site, clock } = this.parts;
+    const { service } = request.admitted;
+    if (holdsAllBack(site.workers, service, clock.now())) throw this.makeNoChoice(service);
+    const isEngine = site.table?.findService(service)?.isEngine ?? false;
     const isPlaced = isEngine && site.workers.mechanisms.leaderPlacing;
     const placed = isPlaced ? await this.place(request) : undefined;
     if (placed) return placed;
@@ -80,7 +88,7 @@
     // One copy at a time, which only the leader sees to.
     if (isPlaced && !request.guard.isFree) throw new BeechliftError('noSlotInTime', 'backend servers ended under this request, and the leader of control is out of reach', { retryAfterMs: NO_WORKER_RETRY_MS });
     if (request.tried.length === 0) {
-      chargeAccount(site, request.admitted.account, request.facts, this.parts.clock.now());
+      chargeAccount(site, request.admitted.account, request.facts, clock.now());
     }
     return this.choose(request);
   }
@@ -90,10 +98,12 @@
     const now = this.parts.clock.now();
     const { workers } = this.parts.site;
     return (workers.byService.get(service) ?? [])
-      .some((worker) => worker.standing === 'ready' && isInReach(workers, worker, now));
+      .some((worker) => worker.standing === 'ready'
+        && !isResting(worker.rest, now)
+        && isInReach(workers, worker, now));
   }
 
-  private async place(request: PickRequest): Promise<PickedWorker | undefined> {
+  private async place(request: PickRequest, asks = 1): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const {
       admitted, facts, tried, guard, deadlineAt,
@@ -109,7 +119,7 @@
       entryId: site.entryId,
       service,
       account: account?.name ?? '',
-      cost: account && tried.length === 0 ? computeCost(account, facts) : 0,
+      cost: account && tried.length === 0 && asks === 1 ? computeCost(account, facts) : 0,
       rank,
       promptTokens: facts.tokens?.prompt ?? 0,
       outputTokens: facts.tokens?.expected ?? 0,
@@ -128,14 +138,31 @@
      * Guards a server that leaves against new work from a leader that has not heard of it, such as
      * one that is cut off and does not know yet that another leads.
      */
-    if (worker?.standing === 'ready') {
+    if (worker?.standing === 'ready' && this.mayTake(worker)) {
+      noteSent(worker, clock.now());
       return {
         worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch,
       };
     }
     // Or the leader knows a server that this entry has not heard of yet.
     placeClient.report({ placeId, phase: worker ? 'dropped' : 'rejected', ...NO_TIMES });
-    return undefined;
+    if (worker?.standing !== 'ready' || asks >= MAX_ASKS || request.isOver()) return undefined;
+    return this.place(request, asks + 1);
+  }
+
+  /** Whether a server that the leader chose may take a request of this entry. */
+  private mayTake({ id, service }: RoutedWorker): boolean {
+    const { site, clock } = this.parts;
+    return !listResting(site.workers, service, clock.now()).includes(id);
+  }
+
+  private makeNoChoice(service: string): BeechliftError {
+    const { site, clock } = this.parts;
+    const restMs = readShortestRest(site.workers, service, clock.now());
+    if (restMs === 0) return new BeechliftError('noBackend', `no backend server of service "${service}" can take the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
+    return new BeechliftError('backendsResting', `all backend servers of service "${service}" asked for rest, the first for ${Math.round(restMs)} ms more`, {
+      retryAfterMs: Math.round(computeRestRetryMs(restMs, Math.random())),
+    });
   }
 
   private choose({
@@ -153,12 +180,13 @@
       tried,
       mustBeFree: false,
     }, now);
-    if (!choice) throw new BeechliftError('noBackend', `no backend server of service "${service}" can take the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
+    if (!choice) throw this.makeNoChoice(service);
     if (tried.length === 0 && !isWorthSending(choice, route.targetLatencyMs, rank)) {
       throw new BeechliftError('noSlotInTime', `the wait at service "${service}" is about ${Math.round(choice.waitMs)} ms, the target is ${route.targetLatencyMs} ms`, {
         retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, choice.waitMs)),
       });
     }
+    noteSent(choice.worker, now);
     return {
       worker: choice.worker, expectedMs: choice.waitMs + choice.ownMs, placeId: '', epoch: '',
     };
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -60,7 +60,7 @@
   const worker = site.workers.byId.get(workerId);
   if (!worker) throw new Error(`no server ${workerId}`);
   noteNotices({
-    site, clock, metrics: new RelayMetrics(), logger: makeLogger('test', 'silent'),
+    clock, metrics: new RelayMetrics(), logger: makeLogger('test', 'silent'),
   }, worker, {
     status: 503, requestId: 'r0', restMs, isLeaving: false,
   });
