The leader gives an entry no slot of an engine that asked this entry for rest

An entry gives such a place back and asks anew. Each of these requests cost the leader two more messages, held a slot that others waited for, and where the leader named the same engine again, the entry chose by itself beside the leader's count of slots.

A request for a place names the servers that take nothing from its entry, in the message that goes out anyway. The leader leaves them out, in the estimate of the wait too. A service without a free slot for one such request is not taken for full for requests of other entries: the test of this failed when `full` was kept by service alone, as the first to be looked at kept the slot from those behind it.

--- a/src/control/placementDesk.ts
+++ b/src/control/placementDesk.ts
@@ -31,6 +31,7 @@
   zone: request.zone,
   tried: request.tried,
   fingerprint: request.fingerprint,
+  avoidedIds: request.avoided,
   askedAt: now,
 });
 
--- a/src/core/routing/freeSlot.ts
+++ b/src/core/routing/freeSlot.ts
@@ -5,20 +5,18 @@
 import { chooseRoutedWorker } from './workerChoice';
 import type { WorkerChoice } from './workerChoice';
 
-const NO_SERVERS: ReadonlySet<string> = new Set();
-
 /** What is known against a request. */
 export const readCaution = (
   { findCaution }: PlacementTables,
   { fingerprint }: PlaceAsk,
 ): PlacementCaution => (fingerprint ? findCaution(fingerprint) : NO_CAUTION);
 
-/** Chooses among the servers with a free slot, less those to be avoided. */
+/** Chooses among the servers with a free slot, less those to be avoided and those of its entry. */
 export const chooseFree = (
   tables: PlacementTables,
   ask: PlaceAsk,
   now: number,
-  avoided: ReadonlySet<string> = NO_SERVERS,
+  avoided: readonly string[] = [],
 ): WorkerChoice | undefined => chooseRoutedWorker(tables.workers, {
   service: ask.service,
   promptTokens: ask.promptTokens,
@@ -26,7 +24,7 @@
   remainingMs: ask.deadlineAt - now,
   zone: ask.zone,
   tried: ask.tried,
-  avoided,
+  avoided: new Set([...avoided, ...ask.avoidedIds ?? []]),
   mustBeFree: true,
 }, now);
 
@@ -42,5 +40,5 @@
   const suspects = [...tables.placed.values()]
     .filter((placed) => readCaution(tables, placed.ask).kind !== 'none');
   if (suspects.some((placed) => placed.ask.fingerprint === ask.fingerprint)) return undefined;
-  return chooseFree(tables, ask, now, new Set(suspects.map(({ worker }) => worker.id)));
+  return chooseFree(tables, ask, now, suspects.map(({ worker }) => worker.id));
 };
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -107,9 +107,14 @@
   };
 };
 
-/** Services that have been found without a free slot, so that nobody else is tried in vain. */
+/**
+ * Services that have been found without a free slot, so that nobody else is tried in vain; with
+ * the servers that were left out, as others may have free slots there.
+ */
 type FullServices = Set<string>;
 
+const nameFull = ({ service, avoidedIds = [] }: PlaceAsk): string => [service, ...avoidedIds].join(' ');
+
 const refuseQuarantined = (
   tables: PlacementTables,
   ask: PlaceAsk,
@@ -131,9 +136,9 @@
   full: FullServices,
   now: number,
 ): WorkerChoice | undefined => {
-  if (full.has(ask.service)) return undefined;
+  if (full.has(ask.service) || full.has(nameFull(ask))) return undefined;
   const choice = chooseFree(tables, ask, now);
-  if (!choice) full.add(ask.service);
+  if (!choice) full.add(nameFull(ask));
   return choice;
 };
 
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -19,6 +19,8 @@
   readonly tried: readonly string[];
   /** The same for each resend of the request; empty where its entry tells none. */
   readonly fingerprint?: string;
+  /** Backend servers that take nothing from its entry at the moment. */
+  readonly avoidedIds?: readonly string[];
   readonly askedAt: number;
 }
 
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -11,9 +11,14 @@
  */
 const WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
 
-const countSlots = ({ workers }: PlacementTables, service: string, now: number): number => (
+const countSlots = (
+  { workers }: PlacementTables,
+  { service, avoidedIds }: PlaceAsk,
+  now: number,
+): number => (
   (workers.byService.get(service) ?? [])
     .filter((worker) => worker.standing === 'ready' && isInReach(workers, worker, now))
+    .filter(({ id }) => !avoidedIds?.includes(id))
     .reduce((sum, { slots }) => sum + slots, 0)
 );
 
@@ -35,7 +40,7 @@
  * if (estimateWaitMs(tables, ask, now) > computePatienceMs(tables, ask)) refuse();
  */
 export const estimateWaitMs = (tables: PlacementTables, ask: PlaceAsk, now: number): number => {
-  const slots = Math.max(1, countSlots(tables, ask.service, now));
+  const slots = Math.max(1, countSlots(tables, ask, now));
   const { holdMs } = findWork(tables.workers, ask.service);
   const freedPerMs = slots / holdMs;
   const higherPerMs = tables.workers.mechanisms.higherRanks
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -128,6 +128,7 @@
       zone: site.zone,
       tried: [...tried],
       fingerprint: guard.fingerprint,
+      avoided: listResting(site.workers, service, clock.now()),
     }, deadlineAt);
     if (!reply) return undefined;
     if (reply.code !== 0) {
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -4,6 +4,7 @@
   askPlaces, expirePlaced, makePlacement, notePlaced, runPlacement,
 } from '../../src/core/routing/placement';
 import type { PlaceDecision, PlacedNews } from '../../src/core/routing/placement';
+import { estimateWaitMs } from '../../src/core/routing/placementWait';
 import type { PlaceAsk, PlacementTables } from '../../src/core/routing/placementTables';
 import { applyRecords, learnPace, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
@@ -131,6 +132,31 @@
     expect(tables.placed.get('b')?.worker.id).not.toBe(first);
   });
 
+  /*
+   * An engine had asked one entry for rest. Its slots went to that entry's requests all the same,
+   * and each place was given back while requests of other entries waited.
+   */
+  it('should give slots that an entry avoids to the requests of others, in their order', () => {
+    const tables = makeTables([1, 1]);
+    askPlace(tables, ask({ id: 'busy', avoidedIds: ['0'] }), 0);
+    const decisions = askPlaces(tables, [
+      ask({ id: 'a', avoidedIds: ['0'], targetMs: 5_000 }),
+      ask({ id: 'b', entryId: 'e2', targetMs: 5_000 }),
+      ask({ id: 'c', entryId: 'e2', targetMs: 5_000 }),
+    ], 1);
+    expect(tables.placed.get('busy')?.worker.id).toBe('1');
+    expect(listGranted(decisions)).toEqual(['b']);
+    notePlaced(tables, makeNews('busy'), 10);
+    expect(listGranted(runPlacement(tables, 10))).toEqual(['a']);
+  });
+
+  it('should estimate a wait by the slots that the entry of the request may have', () => {
+    const tables = makeTables([6, 6]);
+    const [all = 0, half] = [[], ['0']]
+      .map((avoidedIds) => estimateWaitMs(tables, ask({ id: 'a', avoidedIds }), 0));
+    expect(half).toBe(2 * all);
+  });
+
   it('should send nothing to a server that leaves', () => {
     const tables = makeTables([6]);
     applyRecords(tables.workers, [makeRecord('0', 6, 'draining')]);
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { Routing } from '../../src/manifest/routing';
 import { PlaceReply, WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
-import type { PlacedReport } from '../../src/protocol/generated/beechlift';
+import type { PlacedReport, PlaceRequest } from '../../src/protocol/generated/beechlift';
 import type { PlaceClient } from '../../src/relay/placeClient';
 import { RelayMetrics } from '../../src/relay/relayMetrics';
 import { RelaySite } from '../../src/relay/relaySite';
@@ -70,12 +70,12 @@
 class StubbornLeader {
   readonly reports: PlacedReport[] = [];
 
-  asked = 0;
+  readonly avoided: string[][] = [];
 
   constructor(private readonly workerId: string) {}
 
-  async place(): Promise<PlaceReply> {
-    this.asked += 1;
+  async place({ avoided }: PlaceRequest): Promise<PlaceReply> {
+    this.avoided.push(avoided);
     return PlaceReply.fromPartial({ workerId: this.workerId });
   }
 
@@ -133,6 +133,7 @@
     const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect(picked?.worker.id).toBe('w2');
+    expect(leader.avoided).toEqual([['w1'], ['w1']]);
     expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['dropped']));
   });
 
@@ -144,6 +145,6 @@
     const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
     await expect(picker.pick(makePick(() => false, () => undefined)))
       .rejects.toMatchObject({ run: 'notRun' });
-    expect(leader.asked).toBe(0);
+    expect(leader.avoided).toEqual([]);
   });
 });
