Failing tests: servers that say in answers that they leave go on getting requests

A server that leaves says so in all its answers, before its announcement has come round by control, and where entry and control are out of touch the announcement never comes. Two that pass have to go on passing: what such a server has ends in peace, and it is told of once.

--- /dev/null
+++ b/tests/relay/leaving-servers.spec.ts
@@ -0,0 +1,113 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import { applyRecords } from '../../src/core/routing/routedWorkers';
+import type { Route } from '../../src/manifest/routing';
+import { WorkerRecord } from '../../src/protocol/generated/beechlift';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import type { ServerScript } from '../fakes/scriptedServer';
+import { SheddingServer } from '../fakes/sheddingServer';
+import type { ShedAnswer } from '../fakes/sheddingServer';
+
+const CALL = 'GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\nconnection: close\r\n\r\n';
+
+const serveAll = (): ShedAnswer => ({});
+
+describe('a server that says in an answer that it leaves', () => {
+  let rig: RelayRig | undefined;
+
+  const start = async (
+    route: Partial<Route>,
+    ...scripts: readonly ServerScript[]
+  ): Promise<RelayRig> => {
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), scripts);
+    return rig;
+  };
+
+  const call = async (started: RelayRig): Promise<number> => (
+    Number(/^HTTP\/1.1 (\d+)/.exec(await started.send(CALL, 2_500))?.[1] ?? 0));
+
+  const callInTurn = (started: RelayRig, count: number): Promise<number[]> => (
+    Array.from({ length: count }).reduce<Promise<number[]>>(
+      async (before) => [...await before, await call(started)],
+      Promise.resolve([]),
+    ));
+
+  /** Control says again what it said at first: it has not heard that a server leaves. */
+  const announceReady = (started: RelayRig, born = 0): void => applyRecords(started.site.workers, [
+    WorkerRecord.fromPartial({
+      said: {
+        workerId: 'w0', service: 'rooms', address: started.findServer(0).address, zone: 'a', slots: 6, state: 'ready', sequence: 9, born,
+      },
+      standing: 'ready',
+    }),
+  ]);
+
+  afterEach(async () => {
+    await rig?.close();
+    rig = undefined;
+  });
+
+  // Guards against requests to a server that leaves, until control has told of its announcement.
+  it.each([200, 404, 500, 503])('should get no request after an answer of status %i', async (status) => {
+    const leaving = new SheddingServer(() => ({ status, isLeaving: true }));
+    const started = await start({}, leaving.script, new SheddingServer(serveAll).script);
+    await callInTurn(started, 6);
+    // Longer than what a failed request costs its server.
+    await pause(350);
+    announceReady(started);
+    expect(await callInTurn(started, 6)).toEqual([200, 200, 200, 200, 200, 200]);
+    expect(leaving.arrivals).toHaveLength(1);
+  });
+
+  // Guards against the last resort of a service: a server that leaves is none.
+  it('should get no request, nor the retry of one, where it is the only one', async () => {
+    const leaving = new SheddingServer(() => ({ status: 503, isLeaving: true }));
+    const started = await start({}, leaving.script);
+    expect(await callInTurn(started, 3)).toEqual([503, 503, 503]);
+    expect(leaving.arrivals).toHaveLength(1);
+  });
+
+  it('should end in peace what it has, streams that began before among it', async () => {
+    const leaving = new SheddingServer((count) => (
+      count === 1 ? { delayMs: 300 } : { isLeaving: true }));
+    const other = new SheddingServer(() => ({ delayMs: 50 }));
+    const started = await start({}, leaving.script, other.script);
+    const first = call(started);
+    await pause(20);
+    const others = await Promise.all([call(started), call(started), call(started)]);
+    expect(leaving.leftAt).toBeLessThan(performance.now());
+    expect([await first, ...others]).toEqual([200, 200, 200, 200]);
+  });
+
+  // Guards against a stream that breaks and goes on at a server that leaves.
+  it('should not be where a stream goes on that another server broke off', async () => {
+    const leaving = new SheddingServer(() => ({ status: 503, isLeaving: true }));
+    const event = 'id: 1\ndata: x\n\n';
+    const breakOff: ServerScript = (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n`);
+      setTimeout(() => socket.destroy(), 500);
+    };
+    const started = await start({ kind: 'stream', isResumable: true, maxAttempts: 3 }, leaving.script, breakOff);
+    await call(started);
+    expect(leaving.arrivals).toHaveLength(1);
+  });
+
+  it('should get requests again at its next start', async () => {
+    const leaving = new SheddingServer((count) => ({ isLeaving: count === 1 }));
+    const started = await start({}, leaving.script);
+    expect(await callInTurn(started, 2)).toEqual([200, 503]);
+    announceReady(started, 1);
+    expect(await call(started)).toBe(200);
+  });
+
+  it('should be told of once for each start, in the log and the counts', async () => {
+    const leaving = new SheddingServer(() => ({ isLeaving: true, delayMs: 30 }));
+    const started = await start({}, leaving.script);
+    await Promise.all([call(started), call(started), call(started)]);
+    const { values } = await started.metrics.notices.get();
+    expect(values.map(({ labels, value }) => [labels.notice, value])).toEqual([['leaving', 1]]);
+  });
+});
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -6,6 +6,7 @@
 import { RelayMetrics } from '../../src/relay/relayMetrics';
 import { RelaySite } from '../../src/relay/relaySite';
 import { noteNotices } from '../../src/relay/workerNotices';
+import type { WorkerNotice } from '../../src/relay/workerNotices';
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionWatch } from '../../src/utils/clock';
@@ -56,16 +57,23 @@
   services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
 });
 
-const askForRest = (site: RelaySite, workerId: string, restMs: number): void => {
+const noteNotice = (
+  site: RelaySite,
+  workerId: string,
+  notice: Pick<WorkerNotice, 'restMs' | 'isLeaving'>,
+): void => {
   const worker = site.workers.byId.get(workerId);
   if (!worker) throw new Error(`no server ${workerId}`);
   noteNotices({
     clock, metrics: new RelayMetrics(), logger: makeLogger('test', 'silent'),
   }, worker, {
-    status: 503, requestId: 'r0', restMs, isLeaving: false,
+    status: 503, requestId: 'r0', ...notice,
   });
 };
 
+const askForRest = (site: RelaySite, workerId: string, restMs: number): void => (
+  noteNotice(site, workerId, { restMs, isLeaving: false }));
+
 /** A leader that names one server for every request. */
 class StubbornLeader {
   readonly reports: PlacedReport[] = [];
@@ -147,4 +155,16 @@
       .rejects.toMatchObject({ run: 'notRun' });
     expect(leader.avoided).toEqual([]);
   });
+
+  // Guards against a leader that hears of a server's leaving later than its entries do.
+  it('should not take a place at a server that said in an answer that it leaves', async () => {
+    const site = makeSite(routing, [makeRecord('w1', 'ready'), makeRecord('w2', 'ready')]);
+    const leader = new StubbornLeader('w1');
+    noteNotice(site, 'w1', { restMs: 0, isLeaving: true });
+    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picked = await picker.pick(makePick(() => false, () => undefined));
+    expect(picked?.worker.id).toBe('w2');
+    expect(leader.avoided[0]).toEqual(['w1']);
+    expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['dropped']));
+  });
 });
