A server that says in an answer that it leaves gets no new request at this start

Callers' requests went on reaching a server that leaves until its announcement had come round by control: some hundred milliseconds, and for good where the entry is out of touch with control. Nothing read what the server said in its answers.

From the first answer that says so, whatever its status and whichever request it belongs to, the entry sends that start of the server nothing new, at once. It holds by the entry's own record of the start, so no later word of control that the server is ready takes it back; another start is another server. What runs there is not touched. The leader hears of it with the requests for places that go out anyway, and gives this entry no slot there. It is not told for the sake of other entries: the server announces the same to control itself, and says it in its answers to each of them.

--- a/src/core/routing/restingWorkers.ts
+++ b/src/core/routing/restingWorkers.ts
@@ -1,9 +1,10 @@
-/** Which backend servers of a service an entry leaves alone, as they asked it for rest. */
+/** Which backend servers of a service an entry leaves alone, by what they said in answers. */
+import { isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 import { addProbe, isResting, mayProbe } from './workerRest';
 
 const listReady = ({ byService }: RoutedWorkers, service: string): RoutedWorker[] => (
-  (byService.get(service) ?? []).filter(({ standing }) => standing === 'ready')
+  (byService.get(service) ?? []).filter(isReady)
 );
 
 /**
@@ -23,18 +24,26 @@
   return Math.max(0, Math.min(...ready.map(({ rest }) => rest.until)) - now);
 };
 
+/** Those that rest, less those that may be asked all the same because all rest. */
+const listResting = (workers: RoutedWorkers, service: string, now: number): string[] => {
+  const doAllRest = readShortestRest(workers, service, now) > 0;
+  return listReady(workers, service)
+    .filter(({ rest }) => isResting(rest, now) && !(doAllRest && mayProbe(rest, now)))
+    .map(({ id }) => id);
+};
+
 /**
- * Lists servers of a service that must get nothing: those that rest, less those that may be asked
- * all the same because all rest.
+ * Lists servers of a service that must get nothing of this entry although control holds them ready:
+ * those that rest, and those that leave.
  *
  * @example
- * const avoided = listResting(workers, 'rooms', clock.now());
+ * const avoided = listAvoided(workers, 'rooms', clock.now());
  */
-export const listResting = (workers: RoutedWorkers, service: string, now: number): string[] => {
-  const doAllRest = readShortestRest(workers, service, now) > 0;
-  return listReady(workers, service)
-    .filter(({ rest }) => isResting(rest, now) && !(doAllRest && mayProbe(rest, now)))
+export const listAvoided = (workers: RoutedWorkers, service: string, now: number): string[] => {
+  const leaving = (workers.byService.get(service) ?? [])
+    .filter(({ standing, isLeaving }) => standing === 'ready' && isLeaving)
     .map(({ id }) => id);
+  return [...leaving, ...listResting(workers, service, now)];
 };
 
 /**
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -281,6 +281,11 @@
   worker.pauseMs = Math.min(MAX_PAUSE_MS, worker.pauseMs * 2);
 };
 
+/** Whether a server takes new requests, by what control told and by its own answers. */
+export const isReady = ({ standing, isLeaving }: RoutedWorker): boolean => (
+  standing === 'ready' && !isLeaving
+);
+
 /** Whether requests may be expected to arrive at a server. */
 export const isInReach = (
   { mechanisms }: RoutedWorkers,
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -3,7 +3,7 @@
  * those that may take it.
  */
 import { readLine, readSlope } from './lineFit';
-import { findWork, isInReach } from './routedWorkers';
+import { findWork, isInReach, isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceWork } from './routedWorkers';
 import { isResting, mayProbe } from './workerRest';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
@@ -116,7 +116,7 @@
   { connectionShares }: RoutedWorkers,
   worker: RoutedWorker,
   request: ChoiceRequest,
-): boolean => worker.standing === 'ready'
+): boolean => isReady(worker)
   && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
   && !request.avoided?.has(worker.id)
   && (!request.mustBeFree || isFree(worker));
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto';
 import { NO_TIMES } from '../core/routing/placementTables';
 import {
-  holdsAllBack, listResting, noteSent, readShortestRest,
+  holdsAllBack, listAvoided, noteSent, readShortestRest,
 } from '../core/routing/restingWorkers';
-import { isInReach } from '../core/routing/routedWorkers';
+import { isInReach, isReady } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { chooseRoutedWorker, isWorthSending } from '../core/routing/workerChoice';
 import { computeRestRetryMs, isResting } from '../core/routing/workerRest';
@@ -53,7 +53,7 @@
 const MAX_RETRY_MS = 3_000;
 /** Time to come back where no server is known at all: an announcement or two. */
 const NO_WORKER_RETRY_MS = 1_000;
-/** Times that one offer asks the leader, where its places are at servers that rest. */
+/** Times that one offer asks the leader, where its places are at servers that take nothing. */
 const MAX_ASKS = 2;
 
 /**
@@ -98,7 +98,7 @@
     const now = this.parts.clock.now();
     const { workers } = this.parts.site;
     return (workers.byService.get(service) ?? [])
-      .some((worker) => worker.standing === 'ready'
+      .some((worker) => isReady(worker)
         && !isResting(worker.rest, now)
         && isInReach(workers, worker, now));
   }
@@ -128,7 +128,7 @@
       zone: site.zone,
       tried: [...tried],
       fingerprint: guard.fingerprint,
-      avoided: listResting(site.workers, service, clock.now()),
+      avoided: listAvoided(site.workers, service, clock.now()),
     }, deadlineAt);
     if (!reply) return undefined;
     if (reply.code !== 0) {
@@ -154,7 +154,7 @@
   /** Whether a server that the leader chose may take a request of this entry. */
   private mayTake({ id, service }: RoutedWorker): boolean {
     const { site, clock } = this.parts;
-    return !listResting(site.workers, service, clock.now()).includes(id);
+    return !listAvoided(site.workers, service, clock.now()).includes(id);
   }
 
   private makeNoChoice(service: string): BeechliftError {
--- a/tests/core/worker-rest.spec.ts
+++ b/tests/core/worker-rest.spec.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { holdsAllBack, listResting, readShortestRest } from '../../src/core/routing/restingWorkers';
+import { holdsAllBack, listAvoided, readShortestRest } from '../../src/core/routing/restingWorkers';
 import { applyRecords, makeRoutedWorkers, noteReached } from '../../src/core/routing/routedWorkers';
 import type { RoutedWorker, RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
@@ -113,7 +113,7 @@
       .toEqual([undefined, 'w0', undefined]);
     expect([holdsAllBack(workers, 'rooms', 500), holdsAllBack(workers, 'rooms', 1_500)])
       .toEqual([true, false]);
-    expect(listResting(workers, 'rooms', 1_500)).toEqual(['w1']);
+    expect(listAvoided(workers, 'rooms', 1_500)).toEqual(['w1']);
     expect(readShortestRest(workers, 'rooms', 1_500)).toBe(1_500);
   });
 
