A request is refused at once when another one took what a rest allows

All engines of a service rest, and one of them may be asked once more: each request that waits for a place asks the leader for it. One gets it; the others got the same engine, gave it back and asked anew with every engine left out, which the leader answers after their patience, with "no slot was free". They are refused as not run with the shortest rest now, before they ask again. The test failed before: a third question was asked.

--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -79,7 +79,7 @@
   async pick(request: PickRequest): Promise<PickedWorker | undefined> {
     const { site, clock } = this.parts;
     const { service } = request.admitted;
-    if (holdsAllBack(site.workers, service, clock.now())) throw this.makeNoChoice(service);
+    this.checkRests(service);
     const isEngine = site.table?.findService(service)?.isEngine ?? false;
     const isPlaced = isEngine && site.workers.mechanisms.leaderPlacing;
     const placed = isPlaced ? await this.place(request) : undefined;
@@ -148,6 +148,7 @@
     // Or the leader knows a server that this entry has not heard of yet.
     placeClient.report({ placeId, phase: worker ? 'dropped' : 'rejected', ...NO_TIMES });
     if (worker?.standing !== 'ready' || asks >= MAX_ASKS || request.isOver()) return undefined;
+    this.checkRests(service);
     return this.place(request, asks + 1);
   }
 
@@ -157,6 +158,12 @@
     return !listAvoided(site.workers, service, clock.now()).includes(id);
   }
 
+  /** Throws the refusal where no server of a service may be asked, as all that are ready rest. */
+  private checkRests(service: string): void {
+    const { site, clock } = this.parts;
+    if (holdsAllBack(site.workers, service, clock.now())) throw this.makeNoChoice(service);
+  }
+
   private makeNoChoice(service: string): BeechliftError {
     const { site, clock } = this.parts;
     const restMs = readShortestRest(site.workers, service, clock.now());
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -167,4 +167,19 @@
     expect(leader.avoided[0]).toEqual(['w1']);
     expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['dropped']));
   });
+
+  // Guards callers against a wait at the leader after another request took what the rest allows.
+  it('should refuse at once what is left over when a place at a server that rests is taken', async () => {
+    const site = makeSite(routing, [makeRecord('w1', 'ready')]);
+    const leader = new StubbornLeader('w1');
+    askForRest(site, 'w1', 3_000);
+    const picker = new WorkerPicker({
+      site, placeClient: leader as unknown as PlaceClient, clock: { now: () => 1_500 },
+    });
+    const [first, second] = await Promise.allSettled([0, 1].map(() => (
+      picker.pick(makePick(() => false, () => undefined)))));
+    expect(first).toMatchObject({ status: 'fulfilled', value: { worker: { id: 'w1' } } });
+    expect(second).toMatchObject({ status: 'rejected', reason: { code: 'backendsResting' } });
+    expect(leader.avoided).toHaveLength(2);
+  });
 });
