Nothing is written behind a final answer that waits for the caller's body

A refusal on a connection that closes is ended once the body has come; a piece of a server's answer that came until then would have been written behind it. The writer drops it by whether the answer is over, not by whether its stream has ended. The test of the writer is adapted to its constructor, which learns from a callback whether the connection closes.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -118,9 +118,9 @@
     return this.send(bytes);
   }
 
-  /** Writes nothing after the end: that fails in an event, which would end the process. */
+  /** Writes nothing after the final answer: past its end, that would end the process. */
   private send(bytes: Buffer): boolean {
-    return this.response.writableEnded || this.response.write(bytes);
+    return this.isOver || this.response.write(bytes);
   }
 
   /** Forgets what the caller does not have yet, before another server is asked. */
--- a/tests/relay/answer-writer.spec.ts
+++ b/tests/relay/answer-writer.spec.ts
@@ -13,8 +13,8 @@
     const rooms: boolean[] = [];
     const server = createServer((incoming, response) => {
       response.on('error', (error) => failures.push(error));
-      const writer = new AnswerWriter(response, 'direct', () => 0);
-      writer.fail(new BeechliftError('routeTimeout', 'its time is over'), false);
+      const writer = new AnswerWriter(response, 'direct', () => 0, () => false);
+      writer.fail(new BeechliftError('routeTimeout', 'its time is over'));
       writer.writeHead({ status: 200, headers: ['content-length', '4'] });
       rooms.push(writer.write(Buffer.from('late')));
     });
