Test: answers leave listeners on connections that are kept

Each answer that is not written at once when it ends, such as one to a caller that reads slowly, leaves a listener on its connection, and with it the memory of its request, until the connection ends.

--- a/tests/relay/open-requests.spec.ts
+++ b/tests/relay/open-requests.spec.ts
@@ -1,8 +1,11 @@
+import { EventEmitter } from 'node:events';
 import { Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import { OpenRequests } from '../../src/relay/openRequests';
+import { RelayMetrics } from '../../src/relay/relayMetrics';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 import { sendAnswer } from '../fakes/scriptedServer';
@@ -102,3 +105,19 @@
     expect(rig.site.workers.byId.get('w0')).toMatchObject({ suspendedUntil: 0, failureShare: 0 });
   });
 });
+
+describe('a connection that is kept', () => {
+  // Each answer whose bytes had to wait left a listener on its connection, until that ended.
+  it('should have no listener left once its answer is written', async () => {
+    const open = new OpenRequests(new RelayMetrics());
+    const socket = new EventEmitter();
+    const response = new EventEmitter();
+    const run = vi.fn().mockResolvedValue(undefined);
+    const request = { run, endWithEntry: run, breakOff: run };
+    const served = open.serve(request, { request: { socket }, response } as never);
+    await pause(1);
+    response.emit('close');
+    await served;
+    expect(socket.listenerCount('close')).toBe(0);
+  });
+});
