An answer leaves no listener on its connection

Cause: the end of an answer is waited for at two places, the answer and its connection; only the one that came was taken off. On a connection that is kept the other stayed. Both are taken off now. Evidence: the new test of tests/relay/open-requests.spec.ts failed before and passes now.

--- a/src/relay/openRequests.ts
+++ b/src/relay/openRequests.ts
@@ -23,8 +23,13 @@
   response.writableFinished || response.destroyed || socket.destroyed
     ? Promise.resolve()
     : new Promise((resolve) => {
-      response.once('close', resolve);
-      socket.once('close', resolve);
+      const settle = (): void => {
+        response.off('close', settle);
+        socket.off('close', settle);
+        resolve();
+      };
+      response.once('close', settle);
+      socket.once('close', settle);
     })
 );
 
