A server's close waits for answers that are not written yet

What callers saw: half an answer, then the end of the connection, where they read slowly while the product's entry, or a control replica, ended.

Cause: the library's close takes connections for idle once their answers are ended, though bytes of them still wait.

--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -6,6 +6,7 @@
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { ResultCode } from '../errors/resultCodes';
 import { NO_SCHEMAS } from '../utils/noSchemas';
+import { closeInOrder } from './closeInOrder';
 
 const MAX_BODY_BYTES = 67_108_864;
 const MAX_HEADER_BYTES = 32_768;
@@ -55,18 +56,6 @@
   socket.end(`HTTP/1.1 ${coded.status} Refused\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
 };
 
-/** Closes connections that have brought nothing, for which the server's own close would wait. */
-const closeSilentAtEnd = (app: FastifyInstance): void => {
-  const open = new Set<Socket>();
-  app.server.on('connection', (socket: Socket) => {
-    open.add(socket);
-    socket.once('close', () => open.delete(socket));
-  });
-  app.addHook('preClose', async () => {
-    [...open].filter(({ bytesRead }) => bytesRead === 0).forEach((socket) => socket.destroy());
-  });
-};
-
 /**
  * Makes an HTTP server whose errors all carry a code.
  *
@@ -82,7 +71,7 @@
     forceCloseConnections: 'idle',
     clientErrorHandler: answerUnreadable,
   });
-  closeSilentAtEnd(app);
+  closeInOrder(app);
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', { parseAs: 'buffer' }, (request, body, done) => {
     done(null, body);
