Tests: a silent server is given up for a send that is refused

What callers see: 502 to a request that a sound server works on and answers in its time. It is given up for another server, and then the other send is refused: because the entry shuts down too soon for it, or because the request became suspect while it waited for the place.

Evidence: both tests fail on this code with 502 after half a second.

--- a/tests/relay/slow-servers.spec.ts
+++ b/tests/relay/slow-servers.spec.ts
@@ -6,6 +6,7 @@
 import { resultCodes } from '../../src/errors/resultCodes';
 import { PlaceReply } from '../../src/protocol/generated/beechlift';
 import type { PlaceRequest } from '../../src/protocol/generated/beechlift';
+import { RequestGuard } from '../../src/relay/requestGuard';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 import { sendAnswer } from '../fakes/scriptedServer';
@@ -46,7 +47,10 @@
         : placeAgain(request)));
   };
 
-  afterEach(() => rig.close());
+  afterEach(async () => {
+    vi.restoreAllMocks();
+    await rig.close();
+  });
 
   // The only server of a service works on a request; it is given up, and no other is there.
   it('should wait for it where no other server is there', async () => {
@@ -94,6 +98,26 @@
     expect(rig.findServer(1).requests).toHaveLength(0);
   });
 
+  // A request is given up at a server that works on it, and the entry ends too soon for its repeat.
+  it('should wait for it where the entry leaves', async () => {
+    await start({}, answerLate, answerLate);
+    const asked = callShop();
+    await pause(100);
+    rig.site.beginLeaving(performance.now() + SLOW_MS);
+    expect(await asked).toMatch(/^HTTP\/1.1 200 [^]*late$/);
+    expect(rig.received).toHaveLength(1);
+  });
+
+  // A request is given up at an engine that works on it, and became suspect while it waited.
+  it('should wait for it where it may not be repeated by the time that it has a place', async () => {
+    await start(engines, answerLate, answerAtOnce);
+    placeFirst(({ placeId }) => {
+      vi.spyOn(RequestGuard.prototype, 'isFree', 'get').mockReturnValue(false);
+      return Promise.resolve(PlaceReply.fromPartial({ placeId, workerId: 'w1' }));
+    });
+    expect(await callShop()).toMatch(/^HTTP\/1.1 200 [^]*late$/);
+  });
+
   it('should go to another server as soon as it has a place there', async () => {
     await start(engines, answerLate, answerAtOnce);
     placeFirst(({ placeId }) => Promise.resolve(PlaceReply.fromPartial({ placeId, workerId: 'w1' })));
