A server is given up only where the other send is certain

What callers saw: 502 to a request that a sound server was at work on, at an entry that shuts down, or where the request became suspect meanwhile.

Cause: what was asked before a silent server is given up, or its failure refused, left out that an entry which shuts down takes no server whose answer would come too late; and it was not asked again when the place came, after a wait. Both are asked now at both moments.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -216,7 +216,7 @@
     const call: UpstreamCall = new UpstreamCall(connection, {
       onHead: (head) => {
         notes.noteHead();
-        verdict = this.judgeHead(rules, worker, head);
+        verdict = this.judgeHead(offered, worker, head);
         if (verdict) return false;
         this.cancelPick?.();
         this.writer.writeHead(head);
@@ -286,7 +286,7 @@
 
   /** Tells what is wrong with a head; undefined for one that is passed on. */
   private judgeHead(
-    rules: RepeatRules,
+    offered: OfferedRequest,
     worker: RoutedWorker,
     { status, headers }: UpstreamHead,
   ): AttemptEnd | undefined {
@@ -298,7 +298,7 @@
     }
     if (status < SERVER_ERROR) return this.judgeResumed(status);
     const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
-    return this.writer.hasBegun || rules.holdRepeat(this.deadlineAt) ? end : undefined;
+    return this.writer.hasBegun || this.holdRepeat(offered) ? end : undefined;
   }
 
   /** A stream that goes on elsewhere can only go on with a success. */
@@ -344,7 +344,7 @@
     const isSilent = !this.writer.hasBegun && !call.isAnswering;
     if (!isSilent || !this.parts.site.workers.mechanisms.silence) return;
     suspendWorker(worker, this.parts.clock.now());
-    if (offered.rules.holdRepeat(this.deadlineAt)) this.move = this.prepareMove(offered, call);
+    if (this.holdRepeat(offered)) this.move = this.prepareMove(offered, call);
   }
 
   /** Resolves with a server that has a place, once the silent one is given up; never rejects. */
@@ -356,7 +356,9 @@
       .catch((error: unknown) => this.log.noteStay(error));
     if (!picked) return undefined;
     const isWanted = !call.isAnswering && !this.writer.isOver;
-    if (!isWanted || this.tried.includes(picked.worker.id)) {
+    // Looked at again: what allowed another send may have changed while the place was waited for.
+    const mayLeave = this.call !== call || this.holdRepeat(offered, picked);
+    if (!isWanted || !mayLeave || this.tried.includes(picked.worker.id)) {
       this.dropPicked(offered.admitted, picked);
       return undefined;
     }
@@ -364,6 +366,12 @@
     return picked;
   }
 
+  /** Whether one that is at a server now is certain to be sent to another, if it is given up. */
+  private holdRepeat({ admitted, rules }: OfferedRequest, picked?: PickedWorker): boolean {
+    return canAnswerInTime(this.parts.site, admitted, this.facts, picked)
+      && rules.holdRepeat(this.deadlineAt);
+  }
+
   private takeMove(): Promise<PickedWorker | undefined> | undefined {
     const { move } = this;
     this.move = undefined;
