Which servers rest is read once for each question

Whether all servers of a service hold back was asked by listing those that rest, which asked first whether all do and listed the ready ones twice more, before every request. When all rest, none holds back that may be asked in its rest: that is now the question itself. No change of behaviour.

--- a/src/core/routing/restingWorkers.ts
+++ b/src/core/routing/restingWorkers.ts
@@ -24,14 +24,6 @@
   return Math.max(0, Math.min(...ready.map(({ rest }) => rest.until)) - now);
 };
 
-/** Those that rest, less those that may be asked all the same because all rest. */
-const listResting = (workers: RoutedWorkers, service: string, now: number): string[] => {
-  const doAllRest = readShortestRest(workers, service, now) > 0;
-  return listReady(workers, service)
-    .filter(({ rest }) => isResting(rest, now) && !(doAllRest && mayProbe(rest, now)))
-    .map(({ id }) => id);
-};
-
 /**
  * Lists servers of a service that must get nothing of this entry although control holds them ready:
  * those that rest, and those that leave.
@@ -40,10 +32,12 @@
  * const avoided = listAvoided(workers, 'rooms', clock.now());
  */
 export const listAvoided = (workers: RoutedWorkers, service: string, now: number): string[] => {
-  const leaving = (workers.byService.get(service) ?? [])
-    .filter(({ standing, isLeaving }) => standing === 'ready' && isLeaving)
+  const doAllRest = readShortestRest(workers, service, now) > 0;
+  return (workers.byService.get(service) ?? [])
+    .filter(({ standing }) => standing === 'ready')
+    .filter(({ isLeaving, rest }) => isLeaving
+      || (isResting(rest, now) && !(doAllRest && mayProbe(rest, now))))
     .map(({ id }) => id);
-  return [...leaving, ...listResting(workers, service, now)];
 };
 
 /**
@@ -54,7 +48,7 @@
  */
 export const holdsAllBack = (workers: RoutedWorkers, service: string, now: number): boolean => (
   readShortestRest(workers, service, now) > 0
-    && listResting(workers, service, now).length === listReady(workers, service).length
+    && !listReady(workers, service).some(({ rest }) => mayProbe(rest, now))
 );
 
 /** Counts a request that goes to a server, where the server rests. */
