--- /dev/null
+++ b/src/relay/attemptVerdict.ts
@@ -0,0 +1,94 @@
+/** What came of an attempt at a server, by the head of its answer and the end of its call. */
+import { noteReached, suspendWorker } from '../core/routing/routedWorkers';
+import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { isResting } from '../core/routing/workerRest';
+import type { AnswerWriter } from './answerWriter';
+import type { AttemptEnd, AttemptNotes } from './attemptNotes';
+import type { AnswerFacts } from './requestDialect';
+import type { UpstreamEnd } from './upstreamCall';
+
+const OK = 200;
+const SERVER_ERROR = 500;
+
+/** An answer's head, beside the request that it is to answer. */
+export interface JudgedAnswer {
+  readonly status: number;
+  readonly answer: AnswerFacts;
+  /** The caller's id of the request. */
+  readonly requestId: string;
+  /** Whether the caller has the beginning of an answer already. */
+  readonly hasBegun: boolean;
+}
+
+/** A stream that goes on elsewhere can only go on with a success. */
+const judgeResumed = ({ status, hasBegun }: JudgedAnswer): AttemptEnd | undefined => {
+  if (!hasBegun || status === OK) return undefined;
+  return { kind: 'failed', reason: `status ${status} in place of the rest of a stream` };
+};
+
+/**
+ * Tells what is wrong with an answer's head; undefined for one that is passed on.
+ *
+ * @param holdRepeat whether the request is certain to be sent again where this answer is refused
+ * @example
+ * const verdict = judgeAnswer(judged, () => rules.holdRepeat(deadlineAt));
+ */
+export const judgeAnswer = (
+  judged: JudgedAnswer,
+  holdRepeat: () => boolean,
+): AttemptEnd | undefined => {
+  const {
+    status, answer, requestId, hasBegun,
+  } = judged;
+  if (answer.isNotExecuted) return { kind: 'rejected', reason: `status ${status}, not executed` };
+  if (answer.requestId !== requestId || answer.isEncoded) {
+    return { kind: 'broken', reason: 'the answer belongs to another request' };
+  }
+  if (status < SERVER_ERROR) return judgeResumed(judged);
+  const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
+  return hasBegun || holdRepeat() ? end : undefined;
+};
+
+/** An attempt whose call has ended. */
+export interface EndedAttempt {
+  readonly worker: RoutedWorker;
+  readonly notes: AttemptNotes;
+  readonly writer: AnswerWriter;
+  /** Monotonic milliseconds. */
+  readonly now: number;
+}
+
+/**
+ * Settles an attempt: ends an answer that is whole, and learns of the server from how it went.
+ *
+ * @param verdict what was wrong with the answer's head
+ * @example
+ * const settled = settleAttempt({ worker, notes, writer, now }, end, verdict);
+ */
+export const settleAttempt = (
+  {
+    worker, notes, writer, now,
+  }: EndedAttempt,
+  end: UpstreamEnd,
+  verdict: AttemptEnd | undefined,
+): AttemptEnd => {
+  if (verdict?.kind === 'rejected') {
+    // What the server asked for goes before a pause of our own.
+    if (!isResting(worker.rest, now)) suspendWorker(worker, now);
+    return verdict;
+  }
+  if (verdict?.kind === 'failed') {
+    notes.learn(true);
+    return verdict;
+  }
+  if (end.kind === 'whole') {
+    noteReached(worker);
+    writer.end();
+    notes.learn(writer.statusCode >= SERVER_ERROR);
+    return { kind: 'answered' };
+  }
+  if (writer.isOver) return { kind: 'dropped', reason: 'its time was over, or its caller has gone' };
+  suspendWorker(worker, now);
+  notes.learnSilence();
+  return end.kind === 'unsent' ? end : verdict ?? end;
+};
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -1,8 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
-import { noteReached, suspendWorker } from '../core/routing/routedWorkers';
+import { suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
-import { isResting } from '../core/routing/workerRest';
 import type { Route } from '../manifest/routing';
 import { admitRequest } from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
@@ -10,6 +9,7 @@
 import type { AnswerFlow } from './answerWriter';
 import { AttemptNotes } from './attemptNotes';
 import type { AttemptEnd } from './attemptNotes';
+import { judgeAnswer, settleAttempt } from './attemptVerdict';
 import { computeLeaseWaitMs } from './leaseWait';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest } from './openRequests';
@@ -20,7 +20,7 @@
 import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
 import { UpstreamCall } from './upstreamCall';
-import type { UpstreamEnd, UpstreamHead, UpstreamRequest } from './upstreamCall';
+import type { UpstreamHead, UpstreamRequest } from './upstreamCall';
 import { noteNotices } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
@@ -32,7 +32,6 @@
 const SILENCE_IN_TARGETS = 2.5;
 /** Shortest silence that says anything, in milliseconds. */
 const MIN_SILENCE_MS = 250;
-const SERVER_ERROR = 500;
 
 const pickFlow = ({ kind, isResumable }: Route): AnswerFlow => {
   if (kind !== 'stream') return 'held';
@@ -241,7 +240,9 @@
     if (call.isSent) rules.sent += 1;
     if (end.kind === 'whole') connections.give(connection);
     else connection.end();
-    const settled = this.settle(worker, notes, end, verdict);
+    const settled = settleAttempt({
+      worker, notes, writer: this.writer, now: this.parts.clock.now(),
+    }, end, verdict);
     // Before any wait, in which the request may be given up.
     rules.noteAttempt(settled);
     if (settled.kind === 'broken' && !verdict && !call.isAborted) await guard.noteBroken(worker);
@@ -291,48 +292,12 @@
     { status, headers }: UpstreamHead,
   ): AttemptEnd | undefined {
     const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
-    noteNotices(this.parts, worker, { ...answer, status, requestId: this.facts.requestId });
-    if (answer.isNotExecuted) return { kind: 'rejected', reason: `status ${status}, not executed` };
-    if (answer.requestId !== this.facts.requestId || answer.isEncoded) {
-      return { kind: 'broken', reason: 'the answer belongs to another request' };
-    }
-    if (status < SERVER_ERROR) return this.judgeResumed(status);
-    const end: AttemptEnd = { kind: 'failed', reason: `status ${status}` };
-    return this.writer.hasBegun || this.holdRepeat(offered) ? end : undefined;
-  }
-
-  /** A stream that goes on elsewhere can only go on with a success. */
-  private judgeResumed(status: number): AttemptEnd | undefined {
-    if (!this.writer.hasBegun || status === 200) return undefined;
-    return { kind: 'failed', reason: `status ${status} in place of the rest of a stream` };
-  }
-
-  private settle(
-    worker: RoutedWorker,
-    notes: AttemptNotes,
-    end: UpstreamEnd,
-    verdict: AttemptEnd | undefined,
-  ): AttemptEnd {
-    const now = this.parts.clock.now();
-    if (verdict?.kind === 'rejected') {
-      // What the server asked for goes before a pause of our own.
-      if (!isResting(worker.rest, now)) suspendWorker(worker, now);
-      return verdict;
-    }
-    if (verdict?.kind === 'failed') {
-      notes.learn(true);
-      return verdict;
-    }
-    if (end.kind === 'whole') {
-      noteReached(worker);
-      this.writer.end();
-      notes.learn(this.writer.statusCode >= SERVER_ERROR);
-      return { kind: 'answered' };
-    }
-    if (this.writer.isOver) return { kind: 'dropped', reason: 'its time was over, or its caller has gone' };
-    suspendWorker(worker, now);
-    notes.learnSilence();
-    return end.kind === 'unsent' ? end : verdict ?? end;
+    const { requestId } = this.facts;
+    noteNotices(this.parts, worker, { ...answer, status, requestId });
+    const { hasBegun } = this.writer;
+    return judgeAnswer({
+      status, answer, requestId, hasBegun,
+    }, () => this.holdRepeat(offered));
   }
 
   /*
