--- a/src/entry/sending/claimClient.ts
+++ b/src/entry/sending/claimClient.ts
@@ -88,6 +88,7 @@
     private readonly proposer: string,
     private readonly links: LinkTable<ControlClient>,
     private readonly readHolders: () => HolderSet,
+    private readonly wait: (ms: number) => Promise<unknown> = pause,
   ) {}
 
   /** Takes a claim over from whoever has it, and tells what was agreed on before. */
@@ -142,7 +143,7 @@
      * entry still knows, until its next heartbeat brings the newer one. Trying again at once used
      * up all attempts within 20 ms.
      */
-    await pause(computePauseMs(attempts));
+    await this.wait(computePauseMs(attempts));
     const next = raiseBallot(ballot.proposer, round.replies.values(), ballot);
     return this.tryPrepare(key, next, operation, attempts - 1);
   }
--- a/src/entry/sending/requestClaim.ts
+++ b/src/entry/sending/requestClaim.ts
@@ -106,6 +106,20 @@
     }
   }
 
+  /**
+   * Takes the claim anew for another dispatch, after it was given back; fails when somebody else
+   * has dispatched meanwhile.
+   *
+   * Guards against two runs: a ballot stands for one dispatch. A holder that has heard of the first
+   * but not of the second would tell the next entry of the first, with the same ballot.
+   */
+  async takeAnew(operation: Operation): Promise<void> {
+    await this.take(operation);
+    if (this.bound) {
+      throw new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM');
+    }
+  }
+
   private async write(
     state: ClaimState,
     operation: Operation,
--- a/src/entry/sending/startOver.ts
+++ b/src/entry/sending/startOver.ts
@@ -14,7 +14,7 @@
 
 /**
  * Makes a request ready to start over after a dispatch that provably did no work: gives its claim
- * back and takes a retry from the budget. Throws the final answer when it may not.
+ * back, takes a retry from the budget and the claim anew. Throws the final answer when it may not.
  *
  * @example
  * await startOver(parts, job, 'backend server "g1" could not be reached');
@@ -37,4 +37,5 @@
     });
   }
   metrics.retries.inc();
+  await job.claim.takeAnew(job.waiting);
 };
--- a/tests/core/claims-model.spec.ts
+++ b/tests/core/claims-model.spec.ts
@@ -2,7 +2,9 @@
 import { describe, expect, it } from 'vitest';
 import { ClaimHolder } from '../../src/control/claimHolder';
 import { ClaimStore } from '../../src/disk/claimStore';
+import type { CallerRequest } from '../../src/entry/callers/callerRequest';
 import { ClaimClient, isFree } from '../../src/entry/sending/claimClient';
+import { RequestClaim } from '../../src/entry/sending/requestClaim';
 import { ClaimValue } from '../../src/protocol/generated/beechlift';
 import type {
   AcceptClaimRequest, ControlClient, HolderSet, PrepareClaimRequest,
@@ -14,6 +16,7 @@
 import { runSearchAsync } from '../fakes/runSearch';
 
 const SEARCH = { runs: 200, seed: 4_711 };
+const ANEW_SEARCH = { runs: 2_000, seed: 4_711 };
 const IDS = ['c1', 'c2', 'c3'];
 const HOLDERS: HolderSet = {
   number: 1, previous: [], current: IDS.map((id) => ({ id, address: id, zone: id })),
@@ -82,6 +85,38 @@
   }
 };
 
+const KEYED = {
+  account: 'kiosks', idempotencyKey: 'room-17', bodyHash: 'b', target: 'guide',
+} as CallerRequest;
+
+const makeDispatch = (streamId: string) => ({
+  workerId: 'g1', workerAddress: 'g1:80', workerIncarnation: 'i', streamId, canResume: true,
+});
+
+/** Dispatches after it has given some dispatches back; whether the last one went through. */
+const tryAnew = async (
+  client: ClaimClient,
+  streamId: string,
+  given: number,
+): Promise<boolean> => {
+  const operation = new Operation({ timeoutMs: 5_000 });
+  const claim = new RequestClaim(KEYED, client);
+  const tryNext = async (left: number): Promise<boolean> => {
+    await claim.markDispatched(makeDispatch(`${streamId}-${left}`), operation);
+    if (left === 0) return true;
+    const failure = await claim.release();
+    if (failure) throw failure;
+    await claim.takeAnew(operation);
+    return tryNext(left - 1);
+  };
+  try {
+    await claim.take(operation);
+    return claim.bound === undefined && await tryNext(given);
+  } catch {
+    return false;
+  }
+};
+
 describe('claims', () => {
   /*
    * A tired guest presses twice, and two rooms are issued. The same key reaches several entry VMs
@@ -120,4 +155,35 @@
     // The check would pass if nobody ever dispatched.
     expect(dispatches).toBeGreaterThan(runs / 3);
   });
+
+  /*
+   * Guards against two runs where an entry gave a dispatch back and made another: a holder that had
+   * heard of the first but not of the second told the next entry that the claim was free.
+   */
+  it('should let at most one entry dispatch a key where attempts are given back and made anew', async () => {
+    let dispatches = 0;
+    const runs = await runSearchAsync(fc.asyncProperty(
+      fc.scheduler(),
+      fc.infiniteStream(fc.nat({ max: 9 })),
+      fc.tuple(fc.nat({ max: 2 }), fc.nat({ max: 2 }), fc.nat({ max: 1 })),
+      async (scheduler, losses, given) => {
+        const site = new HolderSite();
+        await Promise.all(IDS.map((id) => site.start(id)));
+        site.scheduler = scheduler;
+        const links = site.makeLinks(scheduler, () => losses.next().value === 0);
+        const wait = () => scheduler.schedule(Promise.resolve(), 'pause');
+        const tries = Promise.all(given.map((count, position) => tryAnew(
+          new ClaimClient(`e${position}`, links, () => HOLDERS, wait),
+          `s${position}`,
+          count,
+        )));
+        await scheduler.waitFor(tries);
+        const won = (await tries).filter(Boolean).length;
+        dispatches += won;
+        return won <= 1;
+      },
+    ), ANEW_SEARCH);
+    // The check would pass if nobody ever dispatched.
+    expect(dispatches).toBeGreaterThan(runs / 3);
+  });
 });
