--- a/src/entry/sending/claimClient.ts
+++ b/src/entry/sending/claimClient.ts
@@ -103,6 +103,20 @@
    * no majority answers. After a failure nothing may be sent on the strength of this ticket.
    */
   async accept(ticket: ClaimTicket, value: ClaimValue, operation: Operation): Promise<void> {
+    await this.tryAccept(ticket, value, operation, MAX_ATTEMPTS);
+  }
+
+  /*
+   * Guards a request against holders that are slow for a moment, as their votes wait for a disk:
+   * they are asked again, which changes nothing for those that took the value. Whoever took the
+   * claim over meanwhile has a higher ballot, and the next attempt fails.
+   */
+  private async tryAccept(
+    ticket: ClaimTicket,
+    value: ClaimValue,
+    operation: Operation,
+    attempts: number,
+  ): Promise<void> {
     const groups = findHolderGroups(this.readHolders(), ticket.key);
     const round = await askRound(groups, (holder) => this.call<AcceptClaimRequest>(
       holder,
@@ -117,7 +131,8 @@
     if (wasOutbid(round)) {
       throw new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM', { steps: operation.steps });
     }
-    throw new BeechliftError('claimUnavailable', 'no majority of claim holders agreed', { steps: operation.steps });
+    await this.pauseBeforeNext(operation, attempts);
+    await this.tryAccept(ticket, value, operation, attempts - 1);
   }
 
   private async tryPrepare(
@@ -135,17 +150,23 @@
     ));
     if (round.won) return { key, ballot, bound: findBoundValue(round.replies.values()) };
     operation.note(`claim: ballot ${ballot.round} lost: ${formatRound(round)}`);
-    if (attempts <= 1 || operation.remainingMs === 0) {
+    await this.pauseBeforeNext(operation, attempts);
+    const next = raiseBallot(ballot.proposer, round.replies.values(), ballot);
+    return this.tryPrepare(key, next, operation, attempts - 1);
+  }
+
+  /**
+   * Waits before the next attempt; throws where none is left.
+   *
+   * Guards a request that comes while claim holders are replaced: they refuse the set that this
+   * entry still knows, until its next heartbeat brings the newer one. Trying again at once used up
+   * all attempts within 20 ms.
+   */
+  private async pauseBeforeNext(operation: Operation, attempts: number): Promise<void> {
+    if (attempts <= 1 || operation.remainingMs === 0 || operation.signal.aborted) {
       throw new BeechliftError('claimUnavailable', 'no majority of claim holders agreed', { steps: operation.steps });
     }
-    /*
-     * Guards a request that comes while claim holders are replaced: they refuse the set that this
-     * entry still knows, until its next heartbeat brings the newer one. Trying again at once used
-     * up all attempts within 20 ms.
-     */
     await this.wait(computePauseMs(attempts));
-    const next = raiseBallot(ballot.proposer, round.replies.values(), ballot);
-    return this.tryPrepare(key, next, operation, attempts - 1);
   }
 
   private call<Request>(
