--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -45,6 +45,12 @@
   readonly suspect: () => void;
 }
 
+/** A connection to the peer, and how many calls and streams are under way on it. */
+interface PeerConnection<Stub> {
+  readonly stub: Stub;
+  users: number;
+}
+
 /** Statuses that tell of the connection and not of the peer. */
 const SUSPECT_STATUSES: readonly number[] = [status.DEADLINE_EXCEEDED, status.UNAVAILABLE];
 
@@ -60,14 +66,17 @@
  * const reply = await link.call((stub) => stub.ask.bind(stub), request, operation);
  */
 export class RpcLink<Stub extends Client> {
-  private stub: Stub;
+  private current: PeerConnection<Stub>;
+
+  /** Those that nothing new goes over, while something is under way on them. */
+  private readonly suspects = new Set<PeerConnection<Stub>>();
 
   constructor(
     private readonly Constructor: ClientConstructor<Stub>,
     readonly address: string,
     private readonly pace: PingPace = 'brisk',
   ) {
-    this.stub = this.open();
+    this.current = this.open();
   }
 
   /** Calls a method; fails when the operation's deadline passes or it is cancelled. */
@@ -79,12 +88,14 @@
   ): Promise<Reply> {
     const metadata = new Metadata();
     Object.entries(headers).forEach(([key, value]) => metadata.set(key, value));
-    const used = this.stub;
+    const used = this.take();
     return new Promise((resolve, reject) => {
       // eslint-disable-next-line no-restricted-globals -- the library turns it into a span at once
       const deadline = Date.now() + operation.remainingMs;
-      const call = pickMethod(used).call(used, request, metadata, { deadline }, (error, reply) => {
+      const method = pickMethod(used.stub);
+      const call = method.call(used.stub, request, metadata, { deadline }, (error, reply) => {
         if (error && SUSPECT_STATUSES.includes(error.code)) this.renew(used);
+        this.release(used);
         if (error) reject(error);
         else resolve(reply);
       });
@@ -105,13 +116,17 @@
     pickMethod: (stub: Stub) => StreamMethod<Message, Reply>,
     { take, close }: StreamListener<Reply>,
   ): ClientStream<Message> {
-    const used = this.stub;
-    const call = pickMethod(used).call(used);
+    const used = this.take();
+    const call = pickMethod(used.stub).call(used.stub);
     let isOver = false;
+    const settle = (): void => {
+      isOver = true;
+      this.release(used);
+    };
     const end = (error?: Error): void => {
       if (isOver) return;
-      isOver = true;
       if (error) this.renew(used);
+      settle();
       close(error);
     };
     call.on('data', (reply: Reply) => {
@@ -131,33 +146,53 @@
         if (!isOver) call.write(message);
       },
       cancel: () => {
-        isOver = true;
+        if (!isOver) settle();
         call.cancel();
       },
       suspect: () => this.renew(used),
     };
   }
 
-  /** Closes the connection. */
+  /** Closes all connections. */
   close(): void {
-    this.stub.close();
+    [this.current, ...this.suspects].forEach(({ stub }) => stub.close());
+    this.suspects.clear();
   }
 
-  private open(): Stub {
-    return new this.Constructor(
+  private open(): PeerConnection<Stub> {
+    const stub = new this.Constructor(
       this.address,
       credentials.createInsecure(),
       buildChannelOptions(this.pace),
     );
+    return { stub, users: 0 };
+  }
+
+  private take(): PeerConnection<Stub> {
+    this.current.users += 1;
+    return this.current;
+  }
+
+  private release(used: PeerConnection<Stub>): void {
+    used.users -= 1;
+    this.closeUnused(used);
   }
 
   /**
-   * Opens a fresh connection in place of one that gave no answer; calls on the old one may still
-   * end.
+   * Opens a fresh connection in place of one that gave no answer.
+   *
+   * Guards what is under way on the old one, whose peer may only be slow: the library ends it with
+   * the next ping after a close, so the connection is closed once nothing uses it.
    */
-  private renew(suspect: Stub): void {
-    if (this.stub !== suspect) return;
-    this.stub = this.open();
-    suspect.close();
+  private renew(suspect: PeerConnection<Stub>): void {
+    if (this.current !== suspect) return;
+    this.current = this.open();
+    this.suspects.add(suspect);
+    this.closeUnused(suspect);
+  }
+
+  private closeUnused(connection: PeerConnection<Stub>): void {
+    if (connection.users > 0 || !this.suspects.delete(connection)) return;
+    connection.stub.close();
   }
 }
--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -1,6 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import {
-  afterEach, describe, expect, it,
+  afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {
   PlaceDecisions, SiteClient, SiteService, WatchReply, WatchRequest,
@@ -12,11 +12,17 @@
 import type { StreamEnd } from '../../src/wire/rpcServer';
 
 const ANSWER_MS = 300;
+/** Longer than a connection goes without a ping. */
+const SLOW_MS = 2_500;
+const PATIENCE_MS = 10_000;
 
 describe('a link to a peer', () => {
-  const server = new RpcServer();
+  let server: RpcServer;
   let link: RpcLink<SiteClient> | undefined;
 
+  beforeEach(() => {
+    server = new RpcServer();
+  });
   afterEach(() => {
     link?.close();
     server.close();
@@ -52,4 +58,26 @@
     stream.suspect();
     expect((await answer).leaseMs).toBe(7);
   });
+
+  // Guards calls that are answered late against a shorter call on the same connection: its time was
+  // over, and the connection was closed under all that waited on it.
+  it('should let calls end that are under way beside one whose time is over', async () => {
+    server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>(async () => {
+        await pause(SLOW_MS);
+        return WatchReply.fromPartial({ leaseMs: 7 });
+      }),
+    });
+    const address = await server.listen('127.0.0.1:0');
+    link = new RpcLink(SiteClient, address);
+    const ask = (timeoutMs: number) => (link as RpcLink<SiteClient>).call<WatchRequest, WatchReply>(
+      (stub) => stub.watch.bind(stub),
+      WatchRequest.fromPartial({}),
+      new Operation({ timeoutMs }),
+    );
+    const patient = [ask(PATIENCE_MS), pause(ANSWER_MS).then(() => ask(PATIENCE_MS))];
+    await expect(ask(SLOW_MS / 3)).rejects.toThrow('DEADLINE_EXCEEDED');
+    const answers = await Promise.all([...patient, ask(PATIENCE_MS)]);
+    expect(answers.map(({ leaseMs }) => leaseMs)).toEqual([7, 7, 7]);
+  });
 });
