--- a/src/control/recordMemo.ts
+++ b/src/control/recordMemo.ts
@@ -21,12 +21,13 @@
  *
  * @example
  * const records = await memo.load();
- * memo.note(revision, clock.now(), () => listRecords());
+ * memo.note(`${epoch}/${revision}`, clock.now(), () => listRecords());
  */
 export class RecordMemo<Item> {
   private readonly file: RecordFile;
 
-  private writtenRevision = -1;
+  /** State that is on the disk, or on its way there. */
+  private writtenState = '';
 
   private writtenAt = -Infinity;
 
@@ -47,11 +48,15 @@
     }
   }
 
-  /** Writes what changed, when the last write is long enough ago and done. */
-  note(revision: number, now: number, listRecords: () => readonly Item[]): void {
-    const isDue = revision !== this.writtenRevision && now - this.writtenAt >= WRITE_MS;
+  /**
+   * Writes what changed, when the last write is long enough ago and done.
+   *
+   * @param state names the content: the table that it comes from, and its revision there
+   */
+  note(state: string, now: number, listRecords: () => readonly Item[]): void {
+    const isDue = state !== this.writtenState && now - this.writtenAt >= WRITE_MS;
     if (!isDue || this.isWriting) return;
-    this.writtenRevision = revision;
+    this.writtenState = state;
     this.writtenAt = now;
     this.isWriting = true;
     this.file.replace(listRecords)
--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -116,7 +116,7 @@
   save(): void {
     const { suspectMemo, clock } = this.parts;
     if (this.table.revision === FIRST_REVISION) return;
-    suspectMemo.note(this.table.revision, clock.now(), () => this.listSuspects());
+    suspectMemo.note(`${this.list.held.suspectsEpoch}/${this.table.revision}`, clock.now(), () => this.listSuspects());
   }
 
   /** Takes over what the leader told a replica that follows. */
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -65,7 +65,7 @@
   /** Writes what changed to the disk, now and then. */
   save(): void {
     const { memo, clock } = this.parts;
-    memo.note(this.table.revision, clock.now(), () => listChangedWorkers(this.table, '', 0));
+    memo.note(`${this.table.epoch}/${this.table.revision}`, clock.now(), () => listChangedWorkers(this.table, '', 0));
   }
 
   /** Takes over what the leader told a replica that follows. */
