--- a/src/control/leaderFollower.ts
+++ b/src/control/leaderFollower.ts
@@ -1,12 +1,32 @@
-import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import type {
+  EntryRecord, SuspectRecord, WatchReply, WatchRequest, WorkerRecord,
+} from '../protocol/generated/beechlift';
 import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import { EntryList } from '../core/routing/entryList';
+import { needsRecord } from '../core/routing/workerTable';
+import type { Clock } from '../utils/clock';
+import type { RecallWindow } from './recallWindow';
 import type { SuspectKeeper } from './suspectKeeper';
 import type { WorkerRegistry } from './workerRegistry';
 
+/** How long a leader is told what was remembered over a restart, in milliseconds. */
+const TELL_MS = 1_000;
+
+/** What a follower is made from. */
+export interface LeaderFollowerParts {
+  readonly registry: WorkerRegistry;
+  readonly suspects: SuspectKeeper;
+  readonly recall: RecallWindow;
+  /** What this replica had on its disk when it started. */
+  readonly remembered: readonly WorkerRecord[];
+  readonly rememberedSuspects: readonly SuspectRecord[];
+  readonly clock: Clock;
+}
+
 /**
  * What a replica that follows takes over from the leader beside the log: the entries, the
- * backend servers, and the suspect requests.
+ * backend servers, and the suspect requests. A leader that has just started hears in return what
+ * this replica remembered of them.
  *
  * @example
  * const request = follower.buildRequest(site.digest, 250);
@@ -15,10 +35,16 @@
 export class LeaderFollower {
   private readonly entries = new EntryList();
 
-  constructor(
-    private readonly registry: WorkerRegistry,
-    private readonly suspects: SuspectKeeper,
-  ) {}
+  private untoldWorkers: readonly WorkerRecord[];
+
+  private untoldSuspects: readonly SuspectRecord[];
+
+  private followsSince: number | undefined;
+
+  constructor(private readonly parts: LeaderFollowerParts) {
+    this.untoldWorkers = parts.remembered;
+    this.untoldSuspects = parts.rememberedSuspects;
+  }
 
   /** Entries that callers may be sent to, as the leader told of them. */
   listEntries(): readonly EntryRecord[] {
@@ -27,21 +53,40 @@
 
   /** What the leader is asked with. */
   buildRequest(documentDigest: string, holdMs: number): WatchRequest {
-    const { epoch, revision } = this.registry.table;
+    const { registry, suspects } = this.parts;
+    const { epoch, revision } = registry.table;
     return WatchRequestCodec.fromPartial({
       documentDigest,
       workersEpoch: epoch,
       workersRevision: revision,
       ...this.entries.held,
-      ...this.suspects.held,
+      ...suspects.held,
+      rememberedWorkers: [...this.untoldWorkers],
+      rememberedSuspects: [...this.untoldSuspects],
       holdMs,
     });
   }
 
   /** Takes in what the leader told. */
   take(reply: WatchReply): void {
+    const { registry, suspects, recall } = this.parts;
+    recall.noteFollowing();
     this.entries.apply(reply);
-    this.registry.follow(reply);
-    this.suspects.follow(reply);
+    registry.follow(reply);
+    suspects.follow(reply);
+    this.noteTold();
+  }
+
+  /** Leaves out what the leader knows; all of it once the leader had time to hear it. */
+  private noteTold(): void {
+    const { registry, suspects, clock } = this.parts;
+    this.followsSince ??= clock.now();
+    const isOver = clock.now() - this.followsSince > TELL_MS;
+    this.untoldWorkers = isOver
+      ? []
+      : this.untoldWorkers.filter((record) => needsRecord(registry.table, record));
+    this.untoldSuspects = isOver
+      ? []
+      : this.untoldSuspects.filter((record) => suspects.needsSuspect(record));
   }
 }
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -2,7 +2,7 @@
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import type { LogRole, Snapshot } from '../core/log/logTypes';
+import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
 import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
@@ -20,6 +20,7 @@
 import { LogRunner } from './logRunner';
 import type { EntryLine, PlacementStream } from './placementLine';
 import { NewestReader } from './newestReader';
+import { RecallWindow } from './recallWindow';
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
 import type { RoutedNodeParts } from './routedNodeParts';
@@ -34,6 +35,9 @@
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
+const hasLog = ({ entries, snapshot }: StoredLog): boolean => (
+  entries.length > 0 || snapshot.data !== '');
+
 /**
  * One replica that serves control of a routed site: the replicated routing document, the backend
  * servers that announced themselves, and the entries that watch. It knows nothing of the wire.
@@ -52,6 +56,8 @@
   /** Requests that are known to end backend servers. */
   readonly suspects: SuspectKeeper;
 
+  private readonly recall: RecallWindow;
+
   private readonly follower: LeaderFollower;
 
   /** Keeps out announcements that no backend server of this site sends. */
@@ -89,7 +95,10 @@
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(() => this.isLeading || this.knowsOther);
     this.registry = new WorkerRegistry({ ...parts, watches: this.watches, countEntries });
-    this.follower = new LeaderFollower(this.registry, this.suspects);
+    this.recall = new RecallWindow(parts.clock, hasLog(parts.stored));
+    this.follower = new LeaderFollower({
+      ...parts, registry: this.registry, suspects: this.suspects, recall: this.recall,
+    });
     this.gate = new AnnouncementGate({
       ...parts, readSite: () => this.site, readTable: () => this.registry.table,
     });
@@ -97,6 +106,7 @@
       ...parts,
       registry: this.registry,
       suspects: this.suspects,
+      recall: this.recall,
       watches: this.watches,
       leaderWait: this.leaderWait,
       work: this.work,
@@ -340,5 +350,6 @@
     this.book = this.openBook();
     if (this.site.version > 0) this.configureAccounts();
     this.registry.lead();
+    this.recall.noteLeading();
   }
 }
--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -127,6 +127,21 @@
     this.adopt(reply.suspects);
   }
 
+  /** Whether nothing is known of a request that was suspected before a restart. */
+  needsSuspect({ fingerprint }: SuspectRecord): boolean {
+    return !this.table.suspects.has(fingerprint);
+  }
+
+  /** Takes in what another replica remembered over a restart and this one did not. */
+  recover(records: readonly SuspectRecord[]): void {
+    const missing = records.filter((record) => this.needsSuspect(record));
+    if (missing.length === 0) return;
+    this.adopt(missing);
+    this.table.revision += 1;
+    this.parts.watches.releaseWithin(computeNewsWaitMs(this.parts.countEntries()));
+    this.parts.logger.info('suspects recalled', { count: missing.length });
+  }
+
   /** Whether an asker that holds a list of this leader lacks something. */
   hasNews({ suspectsEpoch, suspectsRevision }: WatchRequest, epoch: string): boolean {
     return suspectsEpoch === epoch && suspectsRevision !== this.table.revision;
--- a/src/control/watchDesk.ts
+++ b/src/control/watchDesk.ts
@@ -6,6 +6,7 @@
 import { DocumentPacker, NO_DOCUMENT_PART } from './documentPacker';
 import type { EntryPart, LeaderBook } from './leaderBook';
 import type { LeaderWait } from './leaderWait';
+import type { RecallWindow } from './recallWindow';
 import type { SuspectKeeper } from './suspectKeeper';
 import type { WorkerRegistry } from './workerRegistry';
 import type { WorkMeter } from './workMeter';
@@ -33,6 +34,7 @@
   readonly readView: () => WatchView;
   readonly registry: WorkerRegistry;
   readonly suspects: SuspectKeeper;
+  readonly recall: RecallWindow;
   readonly watches: HeldCalls;
   readonly leaderWait: LeaderWait;
   readonly work: WorkMeter;
@@ -62,6 +64,8 @@
     const view = readView();
     if (!view.isLeading) return this.awaitLeader(request);
     if (request.entryId !== '') work.measure('watch', () => view.book.noteEntry(request));
+    else this.takeRemembered(request);
+    if (request.entryId !== '') await this.awaitRecall();
     if (!this.hasNews(request)) await watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
     // All entries are answered at a change, and all ask a new leader: its heartbeats go in between.
     await this.turns.wait();
@@ -69,6 +73,25 @@
     return work.measure('watch', () => this.buildReply(request));
   }
 
+  private takeRemembered({ rememberedWorkers, rememberedSuspects }: WatchRequest): void {
+    const { registry, suspects, recall } = this.parts;
+    if (recall.leftMs === 0) return;
+    registry.recover(rememberedWorkers);
+    suspects.recover(rememberedSuspects);
+  }
+
+  /*
+   * Guards entries against a leader that knows no backend server after a restart: they would refuse
+   * all requests, while another replica is about to tell the servers that it remembers.
+   */
+  private async awaitRecall(): Promise<void> {
+    const { registry, recall, watches } = this.parts;
+    const { leftMs } = recall;
+    if (leftMs === 0 || registry.table.workers.size > 0) return;
+    await watches.hold(leftMs);
+    await this.awaitRecall();
+  }
+
   /** Holds a question while no leader is known, so that who asks learns of one at once. */
   private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
     const { readView, leaderWait } = this.parts;
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -4,7 +4,7 @@
 } from '../protocol/generated/beechlift';
 import { computeNewsWaitMs } from '../core/routing/messagePace';
 import {
-  adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, noteAnnouncement,
+  adoptRecord, expireWorkers, needsRecord, listChangedWorkers, makeWorkerTable, noteAnnouncement,
 } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
 import type { Logger } from '../telemetry/logger';
@@ -82,6 +82,15 @@
     this.adopt(records);
   }
 
+  /** Takes in what another replica remembered over a restart and this one did not. */
+  recover(records: readonly WorkerRecord[]): void {
+    const missing = records.filter((record) => needsRecord(this.table, record));
+    if (missing.length === 0) return;
+    this.adopt(missing);
+    this.tellSoon();
+    this.parts.logger.info('backend servers recalled', { count: missing.length });
+  }
+
   /** Whether an asker lacks something. */
   hasNews({ workersEpoch, workersRevision }: WatchRequest): boolean {
     return workersEpoch !== this.table.epoch || workersRevision !== this.table.revision;
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -205,6 +205,26 @@
   return said.born !== NO_BIRTH && !known.superseded.includes(said.born);
 };
 
+/**
+ * Whether a record that was remembered over a restart tells what a table lacks: a server that it
+ * does not know, an end, or a later word of a start.
+ *
+ * @example
+ * const missing = records.filter((record) => needsRecord(table, record));
+ */
+export const needsRecord = (
+  { workers }: WorkerTable,
+  { said, standing }: WorkerRecord,
+): boolean => {
+  if (!said) return false;
+  const known = workers.get(said.workerId);
+  if (!known) return true;
+  const relation = judgeStart({ born: known.said.born, superseded: known.superseded }, said);
+  if (relation !== 'same') return relation === 'newer';
+  return known.standing !== 'gone'
+    && (standing === 'gone' || known.said.sequence < said.sequence);
+};
+
 /** Takes over a record that another replica's table held. */
 export const adoptRecord = (
   table: WorkerTable,
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -178,6 +178,8 @@
       spends: this.budget.listSpends(clock.now()),
       ...this.entries.held,
       ...this.suspects.held,
+      rememberedWorkers: [],
+      rememberedSuspects: [],
     };
   }
 
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -166,6 +166,22 @@
     expect([worker?.said?.workerId, worker?.standing]).toEqual(['w1', 'ready']);
   });
 
+  // Guards what one disk still holds against a leader whose own disk has lost it.
+  it('should come back with what one replica remembered where another one leads', async () => {
+    const started = await found();
+    await publish(0, formatDocument(7));
+    const leader = started.findNode(await started.waitLeader());
+    await leader.announce(WorkerAnnouncement.fromPartial({
+      workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', sequence: 1,
+    }));
+    await waitFor(() => started.holdsFile('workers.log', 'w1'), 'all replicas remember it');
+    await started.restartForgetful('workers.log');
+    const reply = await started.findNode(await started.waitLeader())
+      .watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
+    const [worker] = reply.workers;
+    expect([worker?.said?.workerId, worker?.standing]).toEqual(['w1', 'ready']);
+  });
+
   // A founder is killed before the others knew of it, and is started again: one site, not two.
   it('should found one site when a founder is restarted in the middle', async () => {
     site = await ControlSite.open(3);
--- a/tests/control/watch-desk.spec.ts
+++ b/tests/control/watch-desk.spec.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { LeaderBook } from '../../src/control/leaderBook';
 import { LeaderWait } from '../../src/control/leaderWait';
+import { RecallWindow } from '../../src/control/recallWindow';
 import { SuspectKeeper } from '../../src/control/suspectKeeper';
 import { WatchDesk } from '../../src/control/watchDesk';
 import { WorkerRegistry } from '../../src/control/workerRegistry';
@@ -37,6 +38,7 @@
       watches,
       countEntries: () => ENTRIES,
     }),
+    recall: new RecallWindow(systemClock, false),
     watches,
     leaderWait: new LeaderWait(() => true),
     work: new WorkMeter(systemClock, logger, BEAT_MS),
--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, rm } from 'node:fs/promises';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -86,6 +86,27 @@
     await this.waitLeader();
   }
 
+  /** The same where one replica alone still has a file, and another one leads at first. */
+  async restartForgetful(name: string): Promise<void> {
+    const [keeper = 0, ...others] = [...this.running.keys()];
+    await Promise.all([keeper, ...others].map((position) => this.stop(position)));
+    await Promise.all(others.map((position) => this.dropFile(position, name)));
+    await Promise.all(others.map((position) => this.start(position, false)));
+    await Promise.all([this.waitLeader(), this.start(keeper, false)]);
+  }
+
+  /** Whether a file of each replica holds a text. */
+  async holdsFile(name: string, text: string): Promise<boolean> {
+    const contents = await Promise.all([...this.folders.values()].map((folder) => (
+      readFile(join(folder, name), 'utf8').catch(() => ''))));
+    return contents.every((content) => content.includes(text));
+  }
+
+  /** Loses a file of a replica that is stopped. */
+  async dropFile(position: number, name: string): Promise<void> {
+    await rm(join(this.folders.get(position) ?? '', name));
+  }
+
   async dropDisk(position: number): Promise<void> {
     await this.stop(position);
     await rm(this.folders.get(position) ?? '', { recursive: true, force: true });
--- a/tests/relay/crashing-requests.spec.ts
+++ b/tests/relay/crashing-requests.spec.ts
@@ -2,6 +2,7 @@
 import {
   afterEach, describe, expect, it,
 } from 'vitest';
+import { waitFor } from '../fakes/controlSite';
 import { FATAL_TEXT, RESET_TEXT, STREAM_TEXT } from '../fakes/fragileServer';
 import type { Route } from '../../src/manifest/routing';
 import { RoutedSite } from '../fakes/routedSite';
@@ -127,6 +128,20 @@
     expect(started.fatalCount).toBe(before);
   });
 
+  // Guards what one disk still holds against a leader whose own disk has lost it.
+  it('should still be refused where one replica alone remembers it after a loss of power', async () => {
+    const started = await start(true);
+    await sendInTurn(started, FATAL_TEXT, SENDS);
+    const [{ fingerprint = '' } = {}] = await started.listSuspects();
+    await waitFor(() => started.control.holdsFile('suspects.log', fingerprint), 'all replicas remember it');
+    await started.control.restartForgetful('suspects.log');
+    const before = started.fatalCount;
+    await waitFor(async () => (await started.listSuspects()).length > 0, 'the leader hears of it');
+    const entry = await started.addEntry();
+    expect((await started.send(entry, FATAL_TEXT)).code).toBe('requestQuarantined');
+    expect(started.fatalCount).toBe(before);
+  });
+
   // Guards the requests that run beside it: all but one of those under each end are innocent.
   it('should refuse nobody else, and serve them once it is refused', async () => {
     const started = await start(true);
