--- a/src/entry/choosing/slotKeeper.ts
+++ b/src/entry/choosing/slotKeeper.ts
@@ -36,7 +36,12 @@
     private readonly readViewNumber: () => number,
   ) {}
 
-  /** Waits for a slot; throws the refusal when there is none. */
+  /**
+   * Waits for a slot; throws the refusal when there is none.
+   *
+   * Guards a slot whose grant crosses the cancellation of its question: neither end of the call
+   * hears of the other, so the owner is told that nobody uses it.
+   */
   async take(request: CallerRequest, operation: Operation, parent: Context): Promise<AskReply> {
     const { span, below } = this.tracer.startHop(
       'owner',
@@ -55,6 +60,9 @@
       span.setAttribute('worker', reply.workerId);
       this.active.markRunning(request, reply.workerId);
       return reply;
+    } catch (error) {
+      if (operation.signal.aborted) this.drop(request);
+      throw error;
     } finally {
       span.end();
     }
--- /dev/null
+++ b/tests/entry/slot-keeper.spec.ts
@@ -0,0 +1,46 @@
+import { ROOT_CONTEXT } from '@opentelemetry/api';
+import { describe, expect, it } from 'vitest';
+import { ActiveTable } from '../../src/entry/callers/activeTable';
+import type { CallerRequest } from '../../src/entry/callers/callerRequest';
+import { PoolOwner } from '../../src/entry/choosing/poolOwner';
+import type { Scheduler } from '../../src/entry/choosing/scheduler';
+import { SlotKeeper } from '../../src/entry/choosing/slotKeeper';
+import { BeechliftError } from '../../src/errors/beechliftError';
+import { AskRequest, ReportRequest } from '../../src/protocol/generated/beechlift';
+import { HopTracer } from '../../src/telemetry/tracing';
+import { Operation } from '../../src/utils/operation';
+import { announce, makeTables } from '../core/scheduleModel';
+
+const REQUEST = {
+  id: 'r1', pool: 'engines', target: 'guide', tier: 'door', account: 'a', promptTokens: 100, maxTokens: 20, deadlineMs: 5_000, prefixes: [],
+} as unknown as CallerRequest;
+
+const makeOwner = (): PoolOwner => {
+  const tables = makeTables();
+  announce(tables, 'w1', 1, 0);
+  return new PoolOwner(tables, { now: () => 0 }, () => undefined);
+};
+
+/** Brings questions and reports to an owner; each reply is lost, as its call is cancelled first. */
+const makeCrossing = (owner: PoolOwner): Scheduler => {
+  const askNumber = 1;
+  return {
+    ask: async (question: object, operation: Operation) => {
+      await owner.ask(AskRequest.fromPartial({ ...question, askNumber }));
+      operation.cancel('an earlier attempt is taken up');
+      throw new BeechliftError('callerGone', 'the caller is gone');
+    },
+    report: (fields: object) => owner.report(ReportRequest.fromPartial({ ...fields, askNumber })),
+  } as unknown as Scheduler;
+};
+
+describe('a slot that an entry asks for', () => {
+  // Guards slots against a grant that crosses the cancellation of its question, and is never used.
+  it('should be free again where its grant crosses the end of the question', async () => {
+    const owner = makeOwner();
+    const slots = new SlotKeeper('e1', 'a', makeCrossing(owner), new ActiveTable(), new HopTracer('entry/e1', ''), () => 1);
+    const operation = new Operation({ timeoutMs: 5_000 });
+    await expect(slots.take(REQUEST, operation, ROOT_CONTEXT)).rejects.toThrow('gone');
+    expect([owner.tables.running.size, owner.tables.waiting.size]).toEqual([0, 0]);
+  });
+});
