--- a/src/relay/crashNotes.ts
+++ b/src/relay/crashNotes.ts
@@ -32,6 +32,18 @@
     ].slice(-MAX_KEPT);
   }
 
+  /** Whether a server ended under any request of late. */
+  get hasEnds(): boolean {
+    return this.kept.length > 0;
+  }
+
+  /** Counts the servers that ended here of late under a request. */
+  countServers(wanted: string, now: number): number {
+    return new Set(this.kept
+      .filter(({ end, at }) => end.fingerprint === wanted && now - at <= KEPT_MS)
+      .map(({ end: { workerId, born } }) => `${workerId}@${born}`)).size;
+  }
+
   /** Whether the leader is to hear of something. */
   get hasUntold(): boolean {
     return this.kept.some(({ isTold }) => !isTold);
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -135,6 +135,16 @@
     this.flushing.schedule();
   }
 
+  /** Whether servers ended here of late, under any request. */
+  get hasEnds(): boolean {
+    return this.crashes.hasEnds;
+  }
+
+  /** Counts the servers that ended here of late under a request. */
+  countEnds(fingerprint: string): number {
+    return this.crashes.countServers(fingerprint, this.parts.clock.now());
+  }
+
   /** Tells that a request was served under which a server had ended before. */
   reportServed(fingerprint: string): void {
     this.crashes.forget(fingerprint);
--- a/src/relay/requestGuard.ts
+++ b/src/relay/requestGuard.ts
@@ -6,7 +6,10 @@
 import type { RequestContent } from './requestFingerprint';
 import type { RequestParts } from './requestParts';
 
-/** Ends of servers under one request after which its entry does not send it again by itself. */
+/**
+ * Ends of servers under one request, in whichever attempts of its callers, after which its entry
+ * does not send it again by itself.
+ */
 const MOST_ENDS = 2;
 /** Longest that a broken attempt waits for news of its server, in milliseconds. */
 const CHECK_WAIT_MS = 50;
@@ -24,9 +27,6 @@
 export class RequestGuard {
   private computed: string | undefined;
 
-  /** Servers that ended under it here. */
-  private ends = 0;
-
   constructor(
     private readonly parts: Pick<RequestParts, 'site' | 'connections' | 'placeClient' | 'clock'>,
     private readonly content: RequestContent,
@@ -40,7 +40,7 @@
 
   /** Whether nothing is known against it, so that the entry may choose servers by itself. */
   get isFree(): boolean {
-    return this.ends < MOST_ENDS && this.findSuspect() === undefined;
+    return this.countEnds() < MOST_ENDS && this.findSuspect() === undefined;
   }
 
   /** Throws for a request that the leader has found to end servers. */
@@ -68,15 +68,23 @@
   /** Notes that a server answered it whole. */
   noteAnswered(status: number): void {
     const isServed = status >= SUCCESS && status < REDIRECT;
-    if (!isServed || (this.ends === 0 && !this.findSuspect())) return;
+    if (!isServed || (this.countEnds() === 0 && !this.findSuspect())) return;
     this.parts.placeClient.reportServed(this.fingerprint);
   }
 
   private noteEnd({ id, born }: RoutedWorker): void {
-    this.ends += 1;
     this.parts.placeClient.reportEnd({ fingerprint: this.fingerprint, workerId: id, born });
   }
 
+  /*
+   * Guards against a request that comes again while the leader, who adds its ends up, is out of
+   * reach: each of its attempts would be the first.
+   */
+  private countEnds(): number {
+    const { placeClient } = this.parts;
+    return placeClient.hasEnds ? placeClient.countEnds(this.fingerprint) : 0;
+  }
+
   /** Looked up only where there are suspects: most requests need no fingerprint. */
   private findSuspect(): ListedSuspect | undefined {
     const { site, clock } = this.parts;
--- a/tests/relay/crashing-requests.spec.ts
+++ b/tests/relay/crashing-requests.spec.ts
@@ -15,6 +15,8 @@
 const GAP_MS = 75;
 /** Three that end servers, those under way while news of the third travel, and three repeats. */
 const MOST_SENDS = 8;
+/** As many as come before entries are without a lease. */
+const LEADERLESS_SENDS = 18;
 /** Time in which what is known reaches the disks. */
 const REMEMBER_MS = 700;
 
@@ -70,6 +72,16 @@
     await judgeSends(await start(false));
   });
 
+  // Guards against entries that choose by themselves, each attempt as if it were the first.
+  it('should reach few engines while no leader is in reach', async () => {
+    const started = await start(true, false, { kind: 'stream', isResumable: true });
+    await Promise.all([0, 1].map((position) => started.control.stop(position)));
+    await waitFor(() => started.control.findLeader() === undefined, 'nobody leads');
+    await sendInTurn(started, `${FATAL_TEXT} ${STREAM_TEXT}`, LEADERLESS_SENDS);
+    expect(started.fatalCount).toBeGreaterThan(0);
+    expect(started.fatalCount).toBeLessThanOrEqual(MOST_SENDS);
+  });
+
   // Guards against ends in the middle of a stream, which the entry would resume elsewhere.
   it('should reach few engines with a stream that may be resumed', async () => {
     const started = await start(true, false, { kind: 'stream', isResumable: true });
