--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -1,6 +1,6 @@
 import { Server as NetServer } from 'node:net';
 import type { Server } from 'node:http';
-import { setTimeout as pause } from 'node:timers/promises';
+import { setImmediate as readWaiting, setTimeout as pause } from 'node:timers/promises';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import type { OpenRequests } from './openRequests';
@@ -66,13 +66,15 @@
 
   /*
    * Guards callers whose answers did not announce that the connection ends: their next request is
-   * answered rather than met by the close.
+   * answered rather than met by the close. What came while this process was held up is read first,
+   * as timers run before sockets.
    */
   private async waitQuiet(readLeftMs: () => number): Promise<void> {
     const { openRequests } = this.parts;
     await openRequests.waitIdle(readLeftMs());
     const { taken } = openRequests;
     await pause(Math.max(0, Math.min(QUIET_MS, readLeftMs())));
+    await readWaiting();
     if (openRequests.taken > taken && readLeftMs() > 0) await this.waitQuiet(readLeftMs);
   }
 }
--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -1,4 +1,4 @@
-import { setTimeout as pause } from 'node:timers/promises';
+import { setImmediate as endTurn, setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
@@ -20,6 +20,8 @@
 /** Time in which a request that was sent has reached a server. */
 const REACH_MS = 100;
 const PATIENCE_MS = 20_000;
+/** Longer than an entry that leaves waits for another request. */
+const HELD_UP_MS = 400;
 const LONG_EVENTS = 60;
 /** More than the limit of the document, and more than is on its way at once. */
 const BODY_BYTES = 600_000;
@@ -50,6 +52,12 @@
 ): Promise<CallerResult> => (
   (caller ?? await site.open()).ask(makeRequest(route, headers)));
 
+/** Keeps this process from anything else, as a machine that is busy or paused does. */
+const holdUp = (ms: number): void => {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+};
+
 /** A refusal that is the entry's own, whole and true: it says when to come back and to go. */
 const checkRefused = ({ answer, ...rest }: CallerResult): void => {
   expect(answer, JSON.stringify(rest)).toBeDefined();
@@ -263,6 +271,26 @@
 });
 
 describe('a kept connection of an entry that leaves', () => {
+  // Guards a request that came while the process was held up: its time to be quiet was over before
+  // anything was read.
+  it('should answer a request that was written while the entry was held up', async () => {
+    await start();
+    const kept = await site.open();
+    const lastsMs = LOCATE_MS + 2 * REACH_MS;
+    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs }, kept);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    checkStatus(await streamed, 200);
+    await pause(REACH_MS);
+    // Timers come next in the loop, and sockets after them.
+    await endTurn();
+    const asked = askFor('brief', {}, kept);
+    holdUp(HELD_UP_MS);
+    const next = await asked;
+    if (next.answer?.status !== 200) checkRefused(next);
+    await stopping;
+  });
+
   // Guards callers against an answer that is not the entry's own and says not when to come back.
   it.each<[string, number]>([
     ['before the port is closed', LOCATE_MS / 2],
