--- a/src/relay/openRequests.ts
+++ b/src/relay/openRequests.ts
@@ -50,6 +50,11 @@
 
   constructor(private readonly metrics: Pick<RelayMetrics, 'open'>) {}
 
+  /** Requests that are open. */
+  get count(): number {
+    return this.open.size;
+  }
+
   /** Serves a request, which is open until its answer is written. */
   async serve(request: OpenRequest, path: AnswerPath): Promise<void> {
     this.open.add(request);
--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -56,6 +56,8 @@
     // The server's own close would destroy connections whose answers are ended, but not written.
     NetServer.prototype.close.call(server);
     await this.waitQuiet(() => readLeftMs(ANSWER_PART));
+    // Those that are open now are given up as the grace runs out.
+    logger.info('entry closes its connections', { tookMs: Math.round(clock.now() - startedAt), open: openRequests.count });
     openRequests.endAll();
     await openRequests.waitIdle(readLeftMs(STREAM_PART));
     // Requests that came meanwhile are told as well.
