--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -51,6 +51,11 @@
     this.newest.set(socket, response);
   }
 
+  /** Whether no request has come on a connection behind the one that a response answers. */
+  isNewest(socket: Socket, response: ServerResponse): boolean {
+    return this.newest.get(socket) === response;
+  }
+
   /** Closes a connection after its idle time, unless something has come on it. */
   closeIdle(socket: Socket): void {
     const { bytesRead } = socket;
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -88,7 +88,8 @@
       endAfterBody(raw, reply.raw);
       return;
     }
-    const routed = new RoutedRequest(parts, raw, reply.raw, target);
+    const isNewest = (): boolean => callers.isNewest(raw.socket, reply.raw);
+    const routed = new RoutedRequest(parts, raw, reply.raw, target, isNewest);
     await parts.openRequests.serve(routed, { request: raw, response: reply.raw });
   });
   app.all('/', async () => undefined);
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -85,6 +85,8 @@
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly target: string,
+    /** Whether the caller has written nothing behind it on its connection. */
+    private readonly isNewest: () => boolean = () => true,
   ) {
     this.receivedAt = parts.clock.now();
     this.facts = parts.dialect.readCall(request.rawHeaders);
@@ -117,7 +119,9 @@
 
   private makeWriter(flow: AnswerFlow): AnswerWriter {
     const { site, clock } = this.parts;
-    return new AnswerWriter(this.response, flow, () => clock.now(), () => site.isLeaving);
+    // A request behind it may run already: its answer closes the connection.
+    const isClosing = (): boolean => site.isLeaving && this.isNewest();
+    return new AnswerWriter(this.response, flow, () => clock.now(), isClosing);
   }
 
   private async serve(): Promise<void> {
--- a/tests/fakes/rawCaller.ts
+++ b/tests/fakes/rawCaller.ts
@@ -97,7 +97,13 @@
     return this.takeAnswer(performance.now());
   }
 
-  /** The same with a body that is written piece by piece, and nothing read before it is out. */
+  /** Sends some requests in one write, and waits for the answer to the first. */
+  async askTogether(requests: readonly CallerRequest[]): Promise<CallerResult> {
+    this.socket.write(requests.map((request) => formatRequest(request) + (request.body ?? '')).join(''));
+    return this.takeAnswer(performance.now());
+  }
+
+  /** Sends one with a body that is written piece by piece, and nothing read before it is out. */
   async askSlowly(request: CallerRequest): Promise<CallerResult> {
     this.holdReading();
     this.socket.write(formatRequest(request));
--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -323,6 +323,23 @@
     await stopping;
   });
 
+  // Guards against a request that runs for nobody, behind one whose answer closed the connection.
+  it('should answer each of two requests that are written at once', async () => {
+    await start();
+    const kept = await site.open();
+    checkStatus(await askFor('brief', {}, kept), 200);
+    const stopping = site.stop();
+    await pause(REACH_MS);
+    const requests = [makeRequest('briefOnce'), makeRequest('briefOnce')];
+    const first = await kept.askTogether(requests);
+    const second = await kept.takeAnswer(first.sentAt);
+    [first, second].forEach((result) => checkStatus(result, 200));
+    expect([first, second].map(({ answer }) => answer?.headers['x-id']))
+      .toEqual(requests.map(({ id }) => id));
+    expect(second.answer?.headers.connection).toBe('close');
+    await stopping;
+  });
+
   // Guards what is open against an operator, or a supervisor, that asks twice.
   it('should end as the first signal says when a second one comes', async () => {
     await start();
