--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -127,9 +127,9 @@
     this.adopt(reply.suspects);
   }
 
-  /** Whether nothing is known of a request that was suspected before a restart. */
+  /** Whether a request that was suspected before a restart is treated here as any other. */
   needsSuspect({ fingerprint }: SuspectRecord): boolean {
-    return !this.table.suspects.has(fingerprint);
+    return findStage(this.table, fingerprint, this.parts.clock.now()) === 'noted';
   }
 
   /** Takes in what another replica remembered over a restart and this one did not. */
--- a/src/control/watchDesk.ts
+++ b/src/control/watchDesk.ts
@@ -63,9 +63,12 @@
     const { readView, watches, work } = this.parts;
     const view = readView();
     if (!view.isLeading) return this.awaitLeader(request);
-    if (request.entryId !== '') work.measure('watch', () => view.book.noteEntry(request));
-    else this.takeRemembered(request);
-    if (request.entryId !== '') await this.awaitRecall();
+    if (request.entryId === '') {
+      this.takeRemembered(request);
+    } else {
+      work.measure('watch', () => view.book.noteEntry(request));
+      await this.awaitRecall();
+    }
     if (!this.hasNews(request)) await watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
     // All entries are answered at a change, and all ask a new leader: its heartbeats go in between.
     await this.turns.wait();
@@ -73,9 +76,10 @@
     return work.measure('watch', () => this.buildReply(request));
   }
 
+  /** Takes in what a replica that follows remembered over a restart. */
   private takeRemembered({ rememberedWorkers, rememberedSuspects }: WatchRequest): void {
     const { registry, suspects, recall } = this.parts;
-    if (recall.leftMs === 0) return;
+    if (!recall.isOpen) return;
     registry.recover(rememberedWorkers);
     suspects.recover(rememberedSuspects);
   }
@@ -86,9 +90,9 @@
    */
   private async awaitRecall(): Promise<void> {
     const { registry, recall, watches } = this.parts;
-    const { leftMs } = recall;
-    if (leftMs === 0 || registry.table.workers.size > 0) return;
-    await watches.hold(leftMs);
+    const { holdMs } = recall;
+    if (holdMs === 0 || registry.table.workers.size > 0) return;
+    await watches.hold(holdMs);
     await this.awaitRecall();
   }
 
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -4,7 +4,7 @@
 } from '../protocol/generated/beechlift';
 import { computeNewsWaitMs } from '../core/routing/messagePace';
 import {
-  adoptRecord, expireWorkers, needsRecord, listChangedWorkers, makeWorkerTable, noteAnnouncement,
+  adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, needsRecord, noteAnnouncement,
 } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
 import type { Logger } from '../telemetry/logger';
--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -86,12 +86,13 @@
     await this.waitLeader();
   }
 
-  /** The same where one replica alone still has a file, and another one leads at first. */
-  async restartForgetful(name: string): Promise<void> {
+  /** The same where one replica alone still has a file, which starts some time after the others. */
+  async restartForgetful(name: string, lateMs = 0): Promise<void> {
     const [keeper = 0, ...others] = [...this.running.keys()];
     await Promise.all([keeper, ...others].map((position) => this.stop(position)));
     await Promise.all(others.map((position) => this.dropFile(position, name)));
     await Promise.all(others.map((position) => this.start(position, false)));
+    await pause(lateMs);
     await Promise.all([this.waitLeader(), this.start(keeper, false)]);
   }
 
--- a/tests/relay/crashing-requests.spec.ts
+++ b/tests/relay/crashing-requests.spec.ts
@@ -17,6 +17,8 @@
 const MOST_SENDS = 8;
 /** As many as come before entries are without a lease. */
 const LEADERLESS_SENDS = 18;
+/** How much later than the others a replica starts. */
+const LATE_MS = 1_000;
 /** Time in which what is known reaches the disks. */
 const REMEMBER_MS = 700;
 
@@ -146,7 +148,7 @@
     await sendInTurn(started, FATAL_TEXT, SENDS);
     const [{ fingerprint = '' } = {}] = await started.listSuspects();
     await waitFor(() => started.control.holdsFile('suspects.log', fingerprint), 'all replicas remember it');
-    await started.control.restartForgetful('suspects.log');
+    await started.control.restartForgetful('suspects.log', LATE_MS);
     const before = started.fatalCount;
     await waitFor(async () => (await started.listSuspects()).length > 0, 'the leader hears of it');
     const entry = await started.addEntry();
