--- a/src/relay/crashNotes.ts
+++ b/src/relay/crashNotes.ts
@@ -33,8 +33,8 @@
   }
 
   /** Whether a server ended under any request of late. */
-  get hasEnds(): boolean {
-    return this.kept.length > 0;
+  hasEnds(now: number): boolean {
+    return this.kept.some(({ at }) => now - at <= KEPT_MS);
   }
 
   /** Counts the servers that ended here of late under a request. */
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -137,7 +137,7 @@
 
   /** Whether servers ended here of late, under any request. */
   get hasEnds(): boolean {
-    return this.crashes.hasEnds;
+    return this.crashes.hasEnds(this.parts.clock.now());
   }
 
   /** Counts the servers that ended here of late under a request. */
