--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -77,6 +77,8 @@
     const { taken } = openRequests;
     await pause(Math.max(0, Math.min(QUIET_MS, readLeftMs())));
     await readWaiting();
-    if (openRequests.taken > taken && readLeftMs() > 0) await this.waitQuiet(readLeftMs);
+    // One that came in the turn in which the last one ended is open, and was counted before.
+    const isQuiet = openRequests.count === 0 && openRequests.taken === taken;
+    if (!isQuiet && readLeftMs() > 0) await this.waitQuiet(readLeftMs);
   }
 }
--- /dev/null
+++ b/tests/relay/relay-shutdown.spec.ts
@@ -0,0 +1,44 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+import { expect, it, vi } from 'vitest';
+import { OpenRequests } from '../../src/relay/openRequests';
+import { RelayShutdown } from '../../src/relay/relayShutdown';
+import { makeLogger } from '../../src/telemetry/logger';
+import { systemClock } from '../../src/utils/clock';
+
+const GRACE_MS = 3_000;
+/** Longer than an entry that leaves waits for another request. */
+const RUN_MS = 600;
+
+/** An answer that is written as soon as its request has run. */
+const WRITTEN = {
+  request: { socket: { destroyed: false } } as IncomingMessage,
+  response: { writableFinished: true } as ServerResponse,
+};
+
+// Guards a request that is taken in the turn in which the last one before it ends: it was neither
+// waited for nor counted as having come, and was given up with most of the grace left.
+it('should wait for a request that comes as the entry becomes idle', async () => {
+  const openRequests = new OpenRequests({ open: { inc: vi.fn(), dec: vi.fn() } as never });
+  const request = { run: () => pause(RUN_MS), endWithEntry: vi.fn(), breakOff: vi.fn() };
+  const waitIdle = openRequests.waitIdle.bind(openRequests);
+  const serving: Promise<void>[] = [];
+  vi.spyOn(openRequests, 'waitIdle').mockImplementationOnce(async (mostMs) => {
+    await waitIdle(mostMs);
+    serving.push(openRequests.serve(request, WRITTEN));
+  });
+  await new RelayShutdown({
+    site: { beginLeaving: () => undefined },
+    server: createServer(),
+    openRequests,
+    tellLeaving: async () => undefined,
+    locateMs: 0,
+    graceMs: GRACE_MS,
+    clock: systemClock,
+    logger: makeLogger('relay', 'silent'),
+  }).run();
+  expect(request.endWithEntry).not.toHaveBeenCalled();
+  expect(request.breakOff).not.toHaveBeenCalled();
+  await Promise.all(serving);
+});
