--- a/src/entry/sending/claimClient.ts
+++ b/src/entry/sending/claimClient.ts
@@ -11,6 +11,7 @@
 import { resultCodes } from '../../errors/resultCodes';
 import { Operation } from '../../utils/operation';
 import type { LinkTable } from '../../wire/linkTable';
+import { makeSupersededError } from './supersededError';
 
 /** A claim that this entry has taken. */
 export interface ClaimTicket {
@@ -129,7 +130,7 @@
     if (round.won) return;
     operation.note(`claim "${value.state}" lost: ${formatRound(round)}`);
     if (wasOutbid(round)) {
-      throw new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM', { steps: operation.steps });
+      throw makeSupersededError(operation.steps);
     }
     await this.pauseBeforeNext(operation, attempts);
     await this.tryAccept(ticket, value, operation, attempts - 1);
--- a/src/entry/sending/modelSteps.ts
+++ b/src/entry/sending/modelSteps.ts
@@ -4,6 +4,7 @@
 import { EngineFailure } from './engineFailure';
 import type { EngineRefusal } from './engineRefusal';
 import type { ClaimedDispatch } from './requestClaim';
+import { makeSupersededError } from './supersededError';
 
 /**
  * Judges a dispatch that failed: one that may have arrived is taken up again as a stream, which
@@ -33,7 +34,7 @@
  */
 export const toBackendError = ({ status, body }: EngineRefusal): BeechliftError => (
   status === BARRED_STATUS
-    ? new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM')
+    ? makeSupersededError()
     : new BeechliftError('backendFailed', `the engine answered with status ${status}: ${body.slice(0, MAX_SHOWN_BODY)}`, { run: 'unknown' })
 );
 
--- a/src/entry/sending/requestClaim.ts
+++ b/src/entry/sending/requestClaim.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from '../callers/callerRequest';
 import type { ClaimClient, ClaimTicket } from './claimClient';
 import { isFree } from './claimClient';
+import { makeSupersededError } from './supersededError';
 
 const RELEASE_TIMEOUT_MS = 1_500;
 const FINISH_TIMEOUT_MS = 5_000;
@@ -115,9 +116,7 @@
    */
   async takeAnew(operation: Operation): Promise<void> {
     await this.take(operation);
-    if (this.bound) {
-      throw new BeechliftError('superseded', 'the same key was sent again and taken over by another entry VM');
-    }
+    if (this.bound) throw makeSupersededError();
   }
 
   private async write(
