--- a/src/control/suspectKeeper.ts
+++ b/src/control/suspectKeeper.ts
@@ -2,8 +2,8 @@
   PlaceNews, SuspectRecord, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import {
-  computeRefusedMs, findStage, FIRST_REVISION, isUnsettled, makeCrashTable, noteEnd, noteServed,
-  weighSuspect,
+  computeRefusedMs, findStage, FIRST_REVISION, isUnsettled, makeCrashTable, nameStart, noteEnd,
+  noteServed, weighSuspect,
 } from '../core/quarantine/crashTable';
 import type { StageChange, SuspectStage } from '../core/quarantine/crashTable';
 import { expireSuspects, judgeEnds, noteHeard } from '../core/quarantine/judgement';
@@ -37,9 +37,6 @@
 /** What a reply says of suspect requests. */
 export type SuspectPart = Pick<WatchReply, 'suspects' | 'suspectsRevision'>;
 
-/** Names one start of a server. */
-const nameStart = (workerId: string, born: number): string => `${workerId}@${born}`;
-
 /**
  * The requests that end backend servers, as one replica knows them: the leader hears of each end
  * and judges, the others follow its list, and all remember it over a restart.
@@ -67,19 +64,18 @@
   /** Takes in which servers ended under which requests, and which requests were served. */
   take({ sightings, served }: Pick<PlaceNews, 'sightings' | 'served'>): void {
     const now = this.parts.clock.now();
-    sightings.forEach(({
-      fingerprint, workerId, born, ageMs,
-    }) => noteEnd(this.table, fingerprint, nameStart(workerId, born), now - ageMs, now));
+    sightings.forEach((sighting) => {
+      const { fingerprint, ageMs } = sighting;
+      noteEnd(this.table, fingerprint, nameStart(sighting), now - ageMs, now);
+    });
     this.tell(served.flatMap((fingerprint) => noteServed(this.table, fingerprint, now)));
   }
 
   /** Notes that a server announced itself: one that goes on did not end. */
-  noteAnnounced({
-    workerId, born, state, sequence,
-  }: WorkerAnnouncement): void {
-    if (state === 'gone') return;
+  noteAnnounced(said: WorkerAnnouncement): void {
+    if (said.state === 'gone') return;
     const now = this.parts.clock.now();
-    this.tell(noteHeard(this.table, nameStart(workerId, born), sequence, now));
+    this.tell(noteHeard(this.table, nameStart(said), said.sequence, now));
   }
 
   /** Judges what has come in, and forgets what is old. */
--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -6,6 +6,7 @@
  * Servers that end at the same moment share one cause, so an end counts by the part of these that
  * the request explains: those of a rack that fails are not condemned. Being served clears it.
  */
+import type { CrashSighting } from '../../protocol/generated/beechlift';
 
 /** Servers that ended within a moment of one another, and the requests under each. */
 export interface EndMoment {
@@ -81,6 +82,15 @@
 /** Revision of a table in which nothing that is told has changed. */
 export const FIRST_REVISION = 1;
 
+/**
+ * Names one start of a server.
+ *
+ * @example
+ * nameStart({ workerId: 'w1', born: 0 }); // 'w1@0'
+ */
+export const nameStart = ({ workerId, born }: Pick<CrashSighting, 'workerId' | 'born'>): string => (
+  `${workerId}@${born}`);
+
 /** Makes an empty table. */
 export const makeCrashTable = (): CrashTable => ({
   revision: FIRST_REVISION, suspects: new Map(), ends: new Map(),
--- a/src/relay/crashNotes.ts
+++ b/src/relay/crashNotes.ts
@@ -1,3 +1,4 @@
+import { nameStart } from '../core/quarantine/crashTable';
 import type { CrashSighting } from '../protocol/generated/beechlift';
 
 /** How long a leader that is new is told of an end, in milliseconds. */
@@ -41,7 +42,7 @@
   countServers(wanted: string, now: number): number {
     return new Set(this.kept
       .filter(({ end, at }) => end.fingerprint === wanted && now - at <= KEPT_MS)
-      .map(({ end: { workerId, born } }) => `${workerId}@${born}`)).size;
+      .map(({ end }) => nameStart(end))).size;
   }
 
   /** Whether the leader is to hear of something. */
