--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -52,7 +52,7 @@
  * repeated.
  *
  * @example
- * await new RoutedRequest(parts, request, response).run();
+ * await new RoutedRequest(parts, request, response, target, isNewest).run();
  */
 export class RoutedRequest implements OpenRequest {
   private readonly receivedAt: number;
@@ -86,7 +86,7 @@
     private readonly response: ServerResponse,
     private readonly target: string,
     /** Whether the caller has written nothing behind it on its connection. */
-    private readonly isNewest: () => boolean = () => true,
+    private readonly isNewest: () => boolean,
   ) {
     this.receivedAt = parts.clock.now();
     this.facts = parts.dialect.readCall(request.rawHeaders);
