--- a/src/control/leaderFollower.ts
+++ b/src/control/leaderFollower.ts
@@ -4,14 +4,10 @@
 import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import { EntryList } from '../core/routing/entryList';
 import { needsRecord } from '../core/routing/workerTable';
-import type { Clock } from '../utils/clock';
 import type { RecallWindow } from './recallWindow';
 import type { SuspectKeeper } from './suspectKeeper';
 import type { WorkerRegistry } from './workerRegistry';
 
-/** How long a leader is told what was remembered over a restart, in milliseconds. */
-const TELL_MS = 1_000;
-
 /** What a follower is made from. */
 export interface LeaderFollowerParts {
   readonly registry: WorkerRegistry;
@@ -20,7 +16,6 @@
   /** What this replica had on its disk when it started. */
   readonly remembered: readonly WorkerRecord[];
   readonly rememberedSuspects: readonly SuspectRecord[];
-  readonly clock: Clock;
 }
 
 /**
@@ -39,8 +34,6 @@
 
   private untoldSuspects: readonly SuspectRecord[];
 
-  private followsSince: number | undefined;
-
   constructor(private readonly parts: LeaderFollowerParts) {
     this.untoldWorkers = parts.remembered;
     this.untoldSuspects = parts.rememberedSuspects;
@@ -79,14 +72,11 @@
 
   /** Leaves out what the leader knows; all of it once the leader had time to hear it. */
   private noteTold(): void {
-    const { registry, suspects, clock } = this.parts;
-    this.followsSince ??= clock.now();
-    const isOver = clock.now() - this.followsSince > TELL_MS;
-    this.untoldWorkers = isOver
-      ? []
-      : this.untoldWorkers.filter((record) => needsRecord(registry.table, record));
-    this.untoldSuspects = isOver
-      ? []
-      : this.untoldSuspects.filter((record) => suspects.needsSuspect(record));
+    const { registry, suspects, recall } = this.parts;
+    const { isTelling } = recall;
+    this.untoldWorkers = this.untoldWorkers
+      .filter((record) => isTelling && needsRecord(registry.table, record));
+    this.untoldSuspects = this.untoldSuspects
+      .filter((record) => isTelling && suspects.needsSuspect(record));
   }
 }
