--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -2,8 +2,8 @@
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
-import { applyDocument, NO_DOCUMENT, parseSiteDocument } from '../core/routing/siteDocument';
+import type { LogRole, Snapshot } from '../core/log/logTypes';
+import { applyDocument, parseSiteDocument } from '../core/routing/siteDocument';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
 import type { WorkerStanding } from '../core/routing/workerTable';
@@ -14,30 +14,25 @@
 import { AnnouncementGate } from './announcementGate';
 import { decodeCommand } from './documentCommand';
 import { DocumentPublisher } from './documentPublisher';
+import { KnownSite } from './knownSite';
 import { LeaderBook } from './leaderBook';
-import { LeaderFollower } from './leaderFollower';
 import { LeaderWait } from './leaderWait';
 import { LogRunner } from './logRunner';
 import type { EntryLine, PlacementStream } from './placementLine';
 import { NewestReader } from './newestReader';
-import { RecallWindow } from './recallWindow';
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaKeeper } from './replicaKeeper';
 import type { RoutedNodeParts } from './routedNodeParts';
-import { SuspectKeeper } from './suspectKeeper';
+import type { SuspectKeeper } from './suspectKeeper';
 import { WatchDesk } from './watchDesk';
 import type { WatchView } from './watchDesk';
 import { WorkMeter } from './workMeter';
-import { WorkerRegistry } from './workerRegistry';
 
 /** How often the log looks at its timers, in milliseconds. */
 export const TICK_MS = 25;
 /** Silence of the leader after which a replica looks for the site, in milliseconds. */
 const LOST_CONTACT_MS = 1_000;
 
-const hasLog = ({ entries, snapshot }: StoredLog): boolean => (
-  entries.length > 0 || snapshot.data !== '');
-
 /**
  * One replica that serves control of a routed site: the replicated routing document, the backend
  * servers that announced themselves, and the entries that watch. It knows nothing of the wire.
@@ -51,14 +46,7 @@
 
   site: SiteDocument;
 
-  private readonly registry: WorkerRegistry;
-
-  /** Requests that are known to end backend servers. */
-  readonly suspects: SuspectKeeper;
-
-  private readonly recall: RecallWindow;
-
-  private readonly follower: LeaderFollower;
+  private readonly known: KnownSite;
 
   /** Keeps out announcements that no backend server of this site sends. */
   readonly gate: AnnouncementGate;
@@ -90,23 +78,19 @@
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
     const countEntries = () => this.book.countEntries();
-    this.suspects = new SuspectKeeper({ ...parts, watches: this.watches, countEntries });
+    this.known = new KnownSite({ ...parts, watches: this.watches, countEntries });
+    const { registry, suspects, recall } = this.known;
     this.book = this.openBook();
     this.keeper = new ReplicaKeeper(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(() => this.isLeading || this.knowsOther);
-    this.registry = new WorkerRegistry({ ...parts, watches: this.watches, countEntries });
-    this.recall = new RecallWindow(parts.clock, hasLog(parts.stored));
-    this.follower = new LeaderFollower({
-      ...parts, registry: this.registry, suspects: this.suspects, recall: this.recall,
-    });
     this.gate = new AnnouncementGate({
-      ...parts, readSite: () => this.site, readTable: () => this.registry.table,
+      ...parts, readSite: () => this.site, readTable: () => registry.table,
     });
     const deskParts = {
       ...parts,
-      registry: this.registry,
-      suspects: this.suspects,
-      recall: this.recall,
+      registry,
+      suspects,
+      recall,
       watches: this.watches,
       leaderWait: this.leaderWait,
       work: this.work,
@@ -142,6 +126,11 @@
     });
   }
 
+  /** Requests that are known to end backend servers. */
+  get suspects(): SuspectKeeper {
+    return this.known.suspects;
+  }
+
   /** gRPC address of the leader as this replica knows it; empty when there is none. */
   get leaderAddress(): string {
     return this.findAddress(this.runner.state.leaderId);
@@ -173,7 +162,7 @@
 
   /** Entries that callers may be sent to. */
   listEntries(): readonly EntryRecord[] {
-    return this.isLeading ? this.book.listEntries() : this.follower.listEntries();
+    return this.isLeading ? this.book.listEntries() : this.known.listEntries();
   }
 
   /** Runs the log and, on a leader, what keeps the site in order. */
@@ -182,12 +171,10 @@
     this.work.noteTick();
     this.runner.handle({ kind: 'tick' });
     this.leaderWait.check();
-    this.registry.save();
-    this.suspects.save();
+    this.known.save();
     if (!this.runner.holdsLease) return;
-    this.registry.expire();
-    this.suspects.tick();
-    this.work.measure('tend', () => this.book.tend(this.registry.table));
+    this.known.tend();
+    this.work.measure('tend', () => this.book.tend(this.known.registry.table));
     this.keeper.tend(this.runner, this.book.startedAt);
     this.work.tell();
   }
@@ -206,12 +193,12 @@
 
   /** Takes in what the leader told a replica that follows. */
   follow(reply: WatchReply): void {
-    if (!this.runner.holdsLease) this.follower.take(reply);
+    if (!this.runner.holdsLease) this.known.follow(reply);
   }
 
   /** What a replica that follows asks the leader with. */
   buildFollowRequest(holdMs: number): WatchRequest {
-    return this.follower.buildRequest(this.site.digest, holdMs);
+    return this.known.buildRequest(this.site.digest, holdMs);
   }
 
   /** Checks a document and has a majority accept it; on a replica that follows it is forwarded. */
@@ -241,10 +228,10 @@
    */
   openLine(stream: PlacementStream): EntryLine {
     if (this.runner.state.role !== 'leader') throw new BeechliftError('noQuorum', 'this replica does not lead');
-    const { book } = this;
+    const { book, known: { registry } } = this;
     const line = book.openLine(stream);
     return {
-      take: (news) => this.work.measure('place', () => book.takeNews(line, news, this.registry.table)),
+      take: (news) => this.work.measure('place', () => book.takeNews(line, news, registry.table)),
       close: () => book.closeLine(line),
     };
   }
@@ -256,7 +243,7 @@
 
   /** Backend servers that this replica knows, by where they stand. */
   countWorkers(): ReadonlyMap<WorkerStanding, number> {
-    return countByStanding(this.registry.table);
+    return countByStanding(this.known.registry.table);
   }
 
   /** Takes in what a backend server said of itself; false when no leader could be told. */
@@ -318,7 +305,7 @@
   }
 
   private restoreSnapshot(snapshot: Snapshot): void {
-    this.site = snapshot.data === '' ? NO_DOCUMENT : parseSiteDocument(snapshot.data);
+    this.site = parseSiteDocument(snapshot.data);
     this.watches.release();
   }
 
@@ -349,7 +336,6 @@
     this.book.close();
     this.book = this.openBook();
     if (this.site.version > 0) this.configureAccounts();
-    this.registry.lead();
-    this.recall.noteLeading();
+    this.known.lead();
   }
 }
