--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
+import type { Route } from '../manifest/routing';
 import { EventFramer } from './eventFramer';
 import { endAfterBody } from './endAfterBody';
 import { dropHeaders, findHeader } from './rawHeaders';
@@ -23,6 +24,17 @@
  */
 export type AnswerFlow = 'direct' | 'framed' | 'held';
 
+/**
+ * Tells how the answers of a route are passed on.
+ *
+ * @example
+ * const writer = new AnswerWriter(response, pickFlow(route), readNow, isClosing);
+ */
+export const pickFlow = ({ kind, isResumable }: Route): AnswerFlow => {
+  if (kind !== 'stream') return 'held';
+  return isResumable ? 'framed' : 'direct';
+};
+
 /**
  * Writes one answer to a caller: what a backend server sent, unchanged, or an error of our own.
  *
--- a/src/relay/readRequestBody.ts
+++ b/src/relay/readRequestBody.ts
@@ -1,18 +1,20 @@
 import type { IncomingMessage } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
 
+/** Longest time that a caller may take for its body, in milliseconds. */
+const BODY_MS = 30_000;
+
 /**
  * Reads a whole body. Nothing is sent on before it is whole, so a request whose caller breaks off
  * in the middle has not run.
  *
  * @param mostBytes a longer body is refused without being kept
  * @example
- * const body = await readRequestBody(request, 4_194_304, 30_000);
+ * const body = await readRequestBody(request, 4_194_304);
  */
 export const readRequestBody = (
   request: IncomingMessage,
   mostBytes: number,
-  timeoutMs: number,
 ): Promise<Buffer> => new Promise((resolve, reject) => {
   const declared = Number(request.headers['content-length'] ?? 0);
   if (declared > mostBytes) {
@@ -26,7 +28,7 @@
   }
   const pieces: Buffer[] = [];
   let length = 0;
-  const timer = setTimeout(() => reject(new BeechliftError('bodyTooSlow', `the body was not whole after ${timeoutMs} ms`)), timeoutMs);
+  const timer = setTimeout(() => reject(new BeechliftError('bodyTooSlow', `the body was not whole after ${BODY_MS} ms`)), BODY_MS);
   const settle = (run: () => void): void => {
     clearTimeout(timer);
     run();
--- a/src/relay/repeatRules.ts
+++ b/src/relay/repeatRules.ts
@@ -7,6 +7,8 @@
 
 /** Servers that a request is offered to without being run by any, at most. */
 const MAX_OFFERS = 4;
+/** Time to come back after servers refused, in milliseconds: a slot or two later. */
+const RETRY_MS = 150;
 
 /**
  * When one request may be sent to another server, and what is true of a request that is not: only
@@ -97,9 +99,9 @@
   }
 
   /** Makes the answer to a request that is sent nowhere else. */
-  makeFailure(reason: string, retryAfterMs: number): BeechliftError {
+  makeFailure(reason: string): BeechliftError {
     if (this.mayHaveRun) return new BeechliftError('outcomeUnknown', `no whole answer came: ${reason}`);
-    return new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs });
+    return new BeechliftError('noBackend', `no backend server took the request: ${reason}`, { retryAfterMs: RETRY_MS });
   }
 
   private hasOffers(now: number, deadlineAt: number): boolean {
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -2,10 +2,9 @@
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import { suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
-import type { Route } from '../manifest/routing';
 import { admitRequest } from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
-import { AnswerWriter } from './answerWriter';
+import { AnswerWriter, pickFlow } from './answerWriter';
 import type { AnswerFlow } from './answerWriter';
 import { AttemptNotes } from './attemptNotes';
 import type { AttemptEnd } from './attemptNotes';
@@ -19,25 +18,12 @@
 import { RequestGuard } from './requestGuard';
 import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
+import { computeSilenceMs, ServerMove } from './serverMove';
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamHead, UpstreamRequest } from './upstreamCall';
 import { noteNotices } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
-/** Longest time that a caller may take for its body, in milliseconds. */
-const BODY_MS = 30_000;
-/** Time to come back after servers refused, in milliseconds: a slot or two later. */
-const MIN_RETRY_MS = 150;
-/** Silence of a server, in target latencies, after which it is taken for unwell. */
-const SILENCE_IN_TARGETS = 2.5;
-/** Shortest silence that says anything, in milliseconds. */
-const MIN_SILENCE_MS = 250;
-
-const pickFlow = ({ kind, isResumable }: Route): AnswerFlow => {
-  if (kind !== 'stream') return 'held';
-  return isResumable ? 'framed' : 'direct';
-};
-
 /** A request that is admitted and read, and what is decided by. */
 interface OfferedRequest {
   readonly admitted: AdmittedRequest;
@@ -70,8 +56,7 @@
   /** Takes it back while it waits for a place, so that others get the slot it would have had. */
   private cancelPick: (() => void) | undefined;
 
-  /** The server that takes it over from a silent one; none where it stays. */
-  private move: Promise<PickedWorker | undefined> | undefined;
+  private readonly move = new ServerMove();
 
   private writer: AnswerWriter;
 
@@ -136,7 +121,7 @@
     this.deadlineAt = this.receivedAt + patienceMs;
     this.writer = this.makeWriter(pickFlow(route));
     const limits = site.table?.routing.limits;
-    const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0, BODY_MS);
+    const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0);
     const guard = this.makeGuard(host, admitted, body);
     this.log.identity = guard;
     guard.check();
@@ -166,7 +151,7 @@
   /** Offers the request to one server after another, until it is answered or given up. */
   private async offer(offered: OfferedRequest): Promise<void> {
     const { admitted, rules } = offered;
-    const picked = await this.takeMove() ?? await this.pickWorker(offered);
+    const picked = await this.move.take() ?? await this.pickWorker(offered);
     if (!picked) return;
     if (this.writer.isOver) {
       this.dropPicked(admitted, picked);
@@ -182,7 +167,7 @@
     this.log.noteAttempt(admitted, picked, end, this.writer);
     if (end.kind === 'answered' || this.writer.isOver) return;
     if (!rules.maySendAgain(end, this.writer, this.deadlineAt)) {
-      throw rules.makeFailure(end.reason, MIN_RETRY_MS);
+      throw rules.makeFailure(end.reason);
     }
     this.parts.metrics.repeats.inc({ reason: end.kind });
     await this.offer(offered);
@@ -235,7 +220,7 @@
     this.call = call;
     const silence = setTimeout(
       () => this.noteSilence(offered, worker, call),
-      Math.max(MIN_SILENCE_MS, SILENCE_IN_TARGETS * admitted.route.targetLatencyMs),
+      computeSilenceMs(admitted.route),
     );
     const end = await call.run(this.buildUpstreamRequest(admitted, worker, body));
     clearTimeout(silence);
@@ -313,26 +298,16 @@
     const isSilent = !this.writer.hasBegun && !call.isAnswering;
     if (!isSilent || !this.parts.site.workers.mechanisms.silence) return;
     suspendWorker(worker, this.parts.clock.now());
-    if (this.holdRepeat(offered)) this.move = this.prepareMove(offered, call);
-  }
-
-  /** Resolves with a server that has a place, once the silent one is given up; never rejects. */
-  private async prepareMove(
-    offered: OfferedRequest,
-    call: UpstreamCall,
-  ): Promise<PickedWorker | undefined> {
-    const picked = await this.pickWorker(offered, () => call.isAnswering)
-      .catch((error: unknown) => this.log.noteStay(error));
-    if (!picked) return undefined;
-    const isWanted = !call.isAnswering && !this.writer.isOver;
-    // Looked at again: what allowed another send may have changed while the place was waited for.
-    const mayLeave = this.call !== call || this.holdRepeat(offered, picked);
-    if (!isWanted || !mayLeave || this.tried.includes(picked.worker.id)) {
-      this.dropPicked(offered.admitted, picked);
-      return undefined;
-    }
-    if (this.call === call) call.abort('the backend server is silent');
-    return picked;
+    if (!this.holdRepeat(offered)) return;
+    this.move.begin(call, {
+      log: this.log,
+      pickWorker: (isSettled) => this.pickWorker(offered, isSettled),
+      dropPicked: (picked) => this.dropPicked(offered.admitted, picked),
+      holdRepeat: (picked) => this.holdRepeat(offered, picked),
+      isAt: (other) => this.call === other,
+      isOver: () => this.writer.isOver,
+      wasAt: (workerId) => this.tried.includes(workerId),
+    });
   }
 
   /** Whether one that is at a server now is certain to be sent to another, if it is given up. */
@@ -341,15 +316,9 @@
       && rules.holdRepeat(this.deadlineAt);
   }
 
-  private takeMove(): Promise<PickedWorker | undefined> | undefined {
-    const { move } = this;
-    this.move = undefined;
-    return move;
-  }
-
   private async dropMove(admitted: AdmittedRequest): Promise<void> {
     this.cancelPick?.();
-    const picked = await this.takeMove();
+    const picked = await this.move.take();
     if (picked) this.dropPicked(admitted, picked);
   }
 
