--- /dev/null
+++ b/tests/fakes/sheddingCalls.ts
@@ -0,0 +1,34 @@
+import type { Route } from '../../src/manifest/routing';
+import { RelayRig } from './relayRig';
+import { makeRoute, makeRouting } from './routings';
+import type { ServerScript } from './scriptedServer';
+import type { ShedAnswer } from './sheddingServer';
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  /** Milliseconds after which to come back; 0 where none was told. */
+  readonly retryMs: number;
+}
+
+const CALL = 'GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\nconnection: close\r\n\r\n';
+const PATIENCE_MS = 2_500;
+
+const readAnswer = (text: string): CallerAnswer => ({
+  status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0),
+  retryMs: 1_000 * Number(/retry-after: ([\d.]+)/i.exec(text)?.[1] ?? 0),
+});
+
+/** Answers of a server that takes all. */
+export const serveAll = (): ShedAnswer => ({});
+
+/** Starts servers with the scripts, and an entry whose one route leads to them. */
+export const startRig = (
+  route: Partial<Route>,
+  scripts: readonly ServerScript[],
+): Promise<RelayRig> => (
+  RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), scripts));
+
+/** Sends one request to the entry. */
+export const callRig = async (rig: RelayRig): Promise<CallerAnswer> => (
+  readAnswer(await rig.send(CALL, PATIENCE_MS)));
--- a/tests/relay/leaving-servers.spec.ts
+++ b/tests/relay/leaving-servers.spec.ts
@@ -5,15 +5,10 @@
 import { applyRecords } from '../../src/core/routing/routedWorkers';
 import type { Route } from '../../src/manifest/routing';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
-import { RelayRig } from '../fakes/relayRig';
-import { makeRoute, makeRouting } from '../fakes/routings';
+import type { RelayRig } from '../fakes/relayRig';
 import type { ServerScript } from '../fakes/scriptedServer';
+import { callRig, serveAll, startRig } from '../fakes/sheddingCalls';
 import { SheddingServer } from '../fakes/sheddingServer';
-import type { ShedAnswer } from '../fakes/sheddingServer';
-
-const CALL = 'GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\nconnection: close\r\n\r\n';
-
-const serveAll = (): ShedAnswer => ({});
 
 describe('a server that says in an answer that it leaves', () => {
   let rig: RelayRig | undefined;
@@ -22,12 +17,11 @@
     route: Partial<Route>,
     ...scripts: readonly ServerScript[]
   ): Promise<RelayRig> => {
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), scripts);
+    rig = await startRig(route, scripts);
     return rig;
   };
 
-  const call = async (started: RelayRig): Promise<number> => (
-    Number(/^HTTP\/1.1 (\d+)/.exec(await started.send(CALL, 2_500))?.[1] ?? 0));
+  const call = async (started: RelayRig): Promise<number> => (await callRig(started)).status;
 
   const callInTurn = (started: RelayRig, count: number): Promise<number[]> => (
     Array.from({ length: count }).reduce<Promise<number[]>>(
--- a/tests/relay/resting-servers.spec.ts
+++ b/tests/relay/resting-servers.spec.ts
@@ -4,11 +4,12 @@
   afterEach, describe, expect, it,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
-import { RelayRig } from '../fakes/relayRig';
-import { makeRoute, makeRouting } from '../fakes/routings';
+import type { RelayRig } from '../fakes/relayRig';
 import { runSearchAsync } from '../fakes/runSearch';
 import { sendAnswer } from '../fakes/scriptedServer';
 import type { ServerScript } from '../fakes/scriptedServer';
+import { callRig, serveAll, startRig } from '../fakes/sheddingCalls';
+import type { CallerAnswer } from '../fakes/sheddingCalls';
 import { SheddingServer } from '../fakes/sheddingServer';
 import type { ShedAnswer } from '../fakes/sheddingServer';
 
@@ -16,19 +17,6 @@
 const MOST_IN_REST = 2;
 const GAP_MS = 15;
 
-interface CallerAnswer {
-  readonly status: number;
-  /** Milliseconds after which to come back; 0 where none was told. */
-  readonly retryMs: number;
-}
-
-const readAnswer = (text: string): CallerAnswer => ({
-  status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0),
-  retryMs: 1_000 * Number(/retry-after: ([\d.]+)/i.exec(text)?.[1] ?? 0),
-});
-
-const serveAll = (): ShedAnswer => ({});
-
 describe('a server that asked for rest', () => {
   let rig: RelayRig | undefined;
 
@@ -36,20 +24,18 @@
     route: Partial<Route>,
     ...scripts: readonly ServerScript[]
   ): Promise<RelayRig> => {
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), scripts);
+    rig = await startRig(route, scripts);
     return rig;
   };
 
   const startServers = async (...servers: readonly SheddingServer[]): Promise<RelayRig> => (
     start({}, ...servers.map(({ script }) => script)));
 
-  const call = async (started: RelayRig): Promise<CallerAnswer> => readAnswer(await started.send('GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\nconnection: close\r\n\r\n', 2_500));
-
   /** Sends requests at an even pace, whatever becomes of those before. */
   const callFor = (started: RelayRig, ms: number, gapMs = GAP_MS): Promise<CallerAnswer[]> => (
     Promise.all(Array.from({ length: Math.floor(ms / gapMs) }, async (unused, position) => {
       await pause(position * gapMs);
-      return call(started);
+      return callRig(started);
     })));
 
   afterEach(async () => {
@@ -62,7 +48,7 @@
     const resting = new SheddingServer(() => ({ status: 503, restMs: 1_800 }));
     const other = new SheddingServer(serveAll);
     const started = await startServers(resting, other);
-    const answers = [await call(started), ...await callFor(started, 1_600)];
+    const answers = [await callRig(started), ...await callFor(started, 1_600)];
     expect(resting.arrivals).toHaveLength(1);
     expect(answers.filter(({ status }) => status !== 200)).toEqual([]);
   });
@@ -91,9 +77,9 @@
     const servers = [2_000, 3_000].map((restMs) => (
       new SheddingServer(() => ({ status: 503, restMs }))));
     const started = await startServers(...servers);
-    await call(started);
+    await callRig(started);
     const sentAt = performance.now();
-    const answers = await Promise.all(Array.from({ length: 20 }, () => call(started)));
+    const answers = await Promise.all(Array.from({ length: 20 }, () => callRig(started)));
     expect(performance.now() - sentAt).toBeLessThan(300);
     const times = answers.map(({ retryMs }) => retryMs);
     expect(Math.min(...times)).toBeGreaterThan(1_600);
@@ -120,7 +106,7 @@
       setTimeout(() => socket.destroy(), 500);
     };
     const started = await start({ kind: 'stream', isResumable: true, maxAttempts: 3 }, resting.script, breakOff);
-    await call(started);
+    await callRig(started);
     expect(resting.arrivals).toHaveLength(1);
   });
 
@@ -132,7 +118,7 @@
       sendAnswer(socket, 'r1', 'full', 503, 'x-rest-ms: 1200\r\n');
     };
     const started = await start({}, failOnce, new SheddingServer(serveAll).script);
-    await call(started);
+    await callRig(started);
     await callFor(started, 1_000, 50);
     expect(resting.arrivals).toBe(1);
   });
