--- /dev/null
+++ b/tests/relay/stopping-connections.spec.ts
@@ -0,0 +1,112 @@
+import { setImmediate as endTurn, setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import {
+  checkRefused, checkStatus, makeStoppingCalls, REACH_MS,
+} from '../fakes/stoppingCalls';
+import type { Headers } from '../fakes/stoppingCalls';
+import { LOCATE_MS, StoppingSite } from '../fakes/stoppingSite';
+import { makeStoppingRouting } from '../fakes/stoppingRoutes';
+import type { StoppingRoute } from '../fakes/stoppingRoutes';
+
+/** Longer than an entry that leaves waits for another request. */
+const HELD_UP_MS = 400;
+
+let site: StoppingSite;
+
+const start = async (): Promise<void> => {
+  site = await StoppingSite.start({ routing: makeStoppingRouting() });
+};
+
+const { askFor, makeRequest } = makeStoppingCalls(() => site);
+
+/** Keeps this process from anything else, as a machine that is busy or paused does. */
+const holdUp = (ms: number): void => {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+};
+
+afterEach(() => site.close());
+
+describe('a kept connection of an entry that leaves', () => {
+  // Guards a request that came while the process was held up: its time to be quiet was over before
+  // anything was read.
+  it('should answer a request that was written while the entry was held up', async () => {
+    await start();
+    const kept = await site.open();
+    const lastsMs = LOCATE_MS + 2 * REACH_MS;
+    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs }, kept);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    checkStatus(await streamed, 200);
+    await pause(REACH_MS);
+    // Timers come next in the loop, and sockets after them.
+    await endTurn();
+    const asked = askFor('brief', {}, kept);
+    holdUp(HELD_UP_MS);
+    const next = await asked;
+    if (next.answer?.status !== 200) checkRefused(next);
+    await stopping;
+  });
+
+  // Guards callers against an answer that is not the entry's own and says not when to come back.
+  it.each<[string, number]>([
+    ['before the port is closed', LOCATE_MS / 2],
+    ['after the port is closed', LOCATE_MS + REACH_MS],
+  ])('should answer the next request behind a stream that ends %s', async (name, lastsMs) => {
+    await start();
+    const kept = await site.open();
+    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs + REACH_MS }, kept);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    checkStatus(await streamed, 200);
+    const next = await askFor('brief', {}, kept);
+    if (next.answer?.status === 200) expect(next.answer.headers.connection).toBe('close');
+    else checkRefused(next);
+    await stopping;
+  });
+
+  // Guards against callers who send one more request on a connection that is about to end.
+  it.each<[StoppingRoute, Headers]>([
+    ['long', { 'x-lasts': LOCATE_MS }],
+    ['stream', { 'x-form': 'stream', 'x-head-after': LOCATE_MS }],
+  ])('should be announced as closing by an answer whose head comes after the signal: %s', async (route, headers) => {
+    await start();
+    const asked = askFor(route, headers);
+    await pause(REACH_MS);
+    const stopping = site.stop();
+    const result = await asked;
+    checkStatus(result, 200);
+    expect(result.answer?.headers.connection).toBe('close');
+    await stopping;
+  });
+
+  // Guards against a request that runs for nobody, behind one whose answer closed the connection.
+  it('should answer each of two requests that are written at once', async () => {
+    await start();
+    const kept = await site.open();
+    checkStatus(await askFor('brief', {}, kept), 200);
+    const stopping = site.stop();
+    await pause(REACH_MS);
+    const requests = [makeRequest('briefOnce'), makeRequest('briefOnce')];
+    const first = await kept.askTogether(requests);
+    const second = await kept.takeAnswer(first.sentAt);
+    [first, second].forEach((result) => checkStatus(result, 200));
+    expect([first, second].map(({ answer }) => answer?.headers['x-id']))
+      .toEqual(requests.map(({ id }) => id));
+    expect(second.answer?.headers.connection).toBe('close');
+    await stopping;
+  });
+
+  // Guards what is open against an operator, or a supervisor, that asks twice.
+  it('should end as the first signal says when a second one comes', async () => {
+    await start();
+    const asked = askFor('long', { 'x-lasts': 2 * LOCATE_MS });
+    await pause(REACH_MS);
+    const first = site.stop();
+    await pause(REACH_MS);
+    await Promise.all([first, site.stop()]);
+    checkStatus(await asked, 200);
+  });
+});
--- a/tests/relay/stopping-entry.spec.ts
+++ b/tests/relay/stopping-entry.spec.ts
@@ -1,10 +1,13 @@
-import { setImmediate as endTurn, setTimeout as pause } from 'node:timers/promises';
+import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
 import { RelaySite } from '../../src/relay/relaySite';
-import type { ParsedAnswer } from '../fakes/parseAnswer';
 import type { CallerResult, RawCaller } from '../fakes/rawCaller';
+import {
+  checkRefused, checkStatus, makeStoppingCalls, REACH_MS,
+} from '../fakes/stoppingCalls';
+import type { Headers } from '../fakes/stoppingCalls';
 import {
   GRACE_MS, LOCATE_MS, StoppingSite, TOKENS_HEADER,
 } from '../fakes/stoppingSite';
@@ -12,64 +15,22 @@
 import { findPath, makeStoppingRouting } from '../fakes/stoppingRoutes';
 import type { StoppingRoute } from '../fakes/stoppingRoutes';
 
-/** An answer that outlasts the grace, and one that is soon whole. */
+/** An answer that outlasts the grace. */
 const LONG_MS = 1_500;
-const BRIEF_MS = 20;
 /** One whose last moments are long enough to send a request in them. */
 const LONG_GRACE_MS = 4 * GRACE_MS;
-/** Time in which a request that was sent has reached a server. */
-const REACH_MS = 100;
-const PATIENCE_MS = 20_000;
-/** Longer than an entry that leaves waits for another request. */
-const HELD_UP_MS = 400;
 const LONG_EVENTS = 60;
 /** More than the limit of the document, and more than is on its way at once. */
 const BODY_BYTES = 600_000;
 const BODY_LIMIT = 100_000;
 
 let site: StoppingSite;
-let counter = 0;
 
 const start = async (options: StoppingSiteOptions = {}): Promise<void> => {
   site = await StoppingSite.start({ routing: makeStoppingRouting(), ...options });
 };
 
-type Headers = Readonly<Record<string, string | number>>;
-
-const makeRequest = (route: StoppingRoute, headers: Headers = {}) => {
-  counter += 1;
-  return {
-    id: `r${counter}`,
-    path: findPath(route),
-    headers: { 'x-patience': PATIENCE_MS, 'x-lasts': BRIEF_MS, ...headers },
-  };
-};
-
-const askFor = async (
-  route: StoppingRoute,
-  headers: Headers = {},
-  caller?: RawCaller,
-): Promise<CallerResult> => (
-  (caller ?? await site.open()).ask(makeRequest(route, headers)));
-
-/** Keeps this process from anything else, as a machine that is busy or paused does. */
-const holdUp = (ms: number): void => {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-};
-
-/** A refusal that is the entry's own, whole and true: it says when to come back and to go. */
-const checkRefused = ({ answer, ...rest }: CallerResult): void => {
-  expect(answer, JSON.stringify(rest)).toBeDefined();
-  const { status, headers, body } = answer as ParsedAnswer;
-  expect(status).toBe(503);
-  expect(JSON.parse(body)).toMatchObject({ error: { run: 'notRun' } });
-  expect(headers).toMatchObject({ connection: 'close', 'retry-after': expect.any(String) });
-};
-
-const checkStatus = ({ answer, ...rest }: CallerResult, status: number): void => {
-  expect(answer?.status, JSON.stringify(rest)).toBe(status);
-};
+const { askFor, makeRequest } = makeStoppingCalls(() => site);
 
 afterEach(async () => {
   vi.restoreAllMocks();
@@ -270,88 +231,6 @@
   });
 });
 
-describe('a kept connection of an entry that leaves', () => {
-  // Guards a request that came while the process was held up: its time to be quiet was over before
-  // anything was read.
-  it('should answer a request that was written while the entry was held up', async () => {
-    await start();
-    const kept = await site.open();
-    const lastsMs = LOCATE_MS + 2 * REACH_MS;
-    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs }, kept);
-    await pause(REACH_MS);
-    const stopping = site.stop();
-    checkStatus(await streamed, 200);
-    await pause(REACH_MS);
-    // Timers come next in the loop, and sockets after them.
-    await endTurn();
-    const asked = askFor('brief', {}, kept);
-    holdUp(HELD_UP_MS);
-    const next = await asked;
-    if (next.answer?.status !== 200) checkRefused(next);
-    await stopping;
-  });
-
-  // Guards callers against an answer that is not the entry's own and says not when to come back.
-  it.each<[string, number]>([
-    ['before the port is closed', LOCATE_MS / 2],
-    ['after the port is closed', LOCATE_MS + REACH_MS],
-  ])('should answer the next request behind a stream that ends %s', async (name, lastsMs) => {
-    await start();
-    const kept = await site.open();
-    const streamed = askFor('stream', { 'x-form': 'stream', 'x-lasts': lastsMs + REACH_MS }, kept);
-    await pause(REACH_MS);
-    const stopping = site.stop();
-    checkStatus(await streamed, 200);
-    const next = await askFor('brief', {}, kept);
-    if (next.answer?.status === 200) expect(next.answer.headers.connection).toBe('close');
-    else checkRefused(next);
-    await stopping;
-  });
-
-  // Guards against callers who send one more request on a connection that is about to end.
-  it.each<[StoppingRoute, Headers]>([
-    ['long', { 'x-lasts': LOCATE_MS }],
-    ['stream', { 'x-form': 'stream', 'x-head-after': LOCATE_MS }],
-  ])('should be announced as closing by an answer whose head comes after the signal: %s', async (route, headers) => {
-    await start();
-    const asked = askFor(route, headers);
-    await pause(REACH_MS);
-    const stopping = site.stop();
-    const result = await asked;
-    checkStatus(result, 200);
-    expect(result.answer?.headers.connection).toBe('close');
-    await stopping;
-  });
-
-  // Guards against a request that runs for nobody, behind one whose answer closed the connection.
-  it('should answer each of two requests that are written at once', async () => {
-    await start();
-    const kept = await site.open();
-    checkStatus(await askFor('brief', {}, kept), 200);
-    const stopping = site.stop();
-    await pause(REACH_MS);
-    const requests = [makeRequest('briefOnce'), makeRequest('briefOnce')];
-    const first = await kept.askTogether(requests);
-    const second = await kept.takeAnswer(first.sentAt);
-    [first, second].forEach((result) => checkStatus(result, 200));
-    expect([first, second].map(({ answer }) => answer?.headers['x-id']))
-      .toEqual(requests.map(({ id }) => id));
-    expect(second.answer?.headers.connection).toBe('close');
-    await stopping;
-  });
-
-  // Guards what is open against an operator, or a supervisor, that asks twice.
-  it('should end as the first signal says when a second one comes', async () => {
-    await start();
-    const asked = askFor('long', { 'x-lasts': 2 * LOCATE_MS });
-    await pause(REACH_MS);
-    const first = site.stop();
-    await pause(REACH_MS);
-    await Promise.all([first, site.stop()]);
-    checkStatus(await asked, 200);
-  });
-});
-
 describe('a refusal that closes its connection while the body still arrives', () => {
   const longBody = 'x'.repeat(BODY_BYTES);
 
