--- a/tests/control/acknowledgedModel.ts
+++ b/tests/control/acknowledgedModel.ts
@@ -1,14 +1,10 @@
-import { BirthRecord } from '../../src/control/birthRecord';
-import { LogRunner } from '../../src/control/logRunner';
-import { ReplicaKeeper } from '../../src/control/replicaKeeper';
-import { makeEmptyLog, REPLICAS_COMMAND } from '../../src/core/log/logState';
+import { REPLICAS_COMMAND } from '../../src/core/log/logState';
 import type { LogState } from '../../src/core/log/logTypes';
-import { LogStore } from '../../src/disk/logStore';
 import type { LogMessage, Replica } from '../../src/protocol/generated/beechlift';
-import { makeLogger } from '../../src/telemetry/logger';
 import { Operation } from '../../src/utils/operation';
-import { PowerLossFiles } from '../fakes/powerLossFiles';
 import type { WriteFate } from '../fakes/powerLossFiles';
+import { ModelMachine } from './modelMachine';
+import type { Life } from './modelMachine';
 
 type MachineEvent = | 'sync' | 'compact' | 'kill' | 'restartBusy' | 'cutPower' | 'dropDisk' | 'freeze' | 'start';
 
@@ -22,27 +18,6 @@
 /** What the last fault of a day does to those that keep their disk. */
 export type LastFault = 'killAll' | 'cutPower' | 'nothing';
 
-/** One process of a replica. */
-interface Life {
-  readonly self: Replica;
-  readonly runner: LogRunner<true>;
-  readonly keeper: ReplicaKeeper;
-  version: number;
-  leadingSince: number;
-}
-
-interface Machine {
-  readonly address: string;
-  files: PowerLossFiles;
-  life: Life | undefined;
-  /** Counts the processes; what one that is gone still wanted is dropped. */
-  start: number;
-  /** Birth of the disk; empty while it is not known. */
-  birth: string;
-  isFrozen: boolean;
-  isUp: boolean;
-}
-
 interface Letter {
   readonly message: LogMessage;
   readonly address: string;
@@ -55,12 +30,10 @@
   readonly losses: number;
 }
 
-const FOLDER = 'data';
 /** Replicas that found a site. */
 const SEEDS = 3;
 const SILENCE_MS = 1_000;
 const ROUND_MS = 60;
-const logger = makeLogger('model', 'silent');
 
 const isReplicaSetCommitted = ({ entries, commitIndex }: LogState): boolean => !entries.some(
   ({ index, command }) => index > commitIndex && command.startsWith(REPLICAS_COMMAND),
@@ -92,7 +65,7 @@
 
   acknowledgements = 0;
 
-  readonly machines: Machine[];
+  readonly machines: ModelMachine[];
 
   /** Fewest voters that a leader counted since the site was founded. */
   leastVoters = Infinity;
@@ -116,33 +89,30 @@
     private readonly drawRandom: () => number,
     private readonly onAcknowledged: () => void,
   ) {
-    this.machines = Array.from({ length: size.machines }, (unused, position) => ({
-      address: `m${position}`,
-      files: new PowerLossFiles(),
-      life: undefined,
-      start: 0,
-      birth: '',
-      isFrozen: false,
-      isUp: false,
-    }));
+    const site = {
+      clock: { now: () => this.now },
+      voterCount: this.voterCount,
+      send: (message: LogMessage) => {
+        this.network.push({ message, address: this.findAddress(message.to) });
+      },
+      noteFailure: (failure: string) => {
+        this.failures.push(failure);
+      },
+    };
+    this.machines = Array.from({ length: size.machines }, (unused, position) => (
+      new ModelMachine(`m${position}`, site)));
   }
 
   /** Founds the site, and waits until it has as many voters as it wants. */
   async found(): Promise<void> {
     const seeds = this.machines.slice(0, SEEDS);
-    const records = await Promise.all(this.machines.map(async (machine) => {
-      machine.files.isFast = true;
-      const record = new BirthRecord(machine.files, FOLDER);
-      await record.open();
-      machine.birth = record.id;
-      return record;
-    }));
+    const records = await Promise.all(this.machines.map((machine) => machine.prepareDisk()));
     const founders = seeds.map(({ address, birth }) => ({ id: birth, address, zone: '' }));
     await Promise.all(records.map((record, position) => (
       record.foundSite(position < seeds.length ? founders : []))));
     this.machines.forEach((machine) => {
       machine.files.isFast = false;
-      this.start(machine);
+      machine.start();
     });
     await this.runRounds(60, ROUND_MS);
     const voters = this.findLeader()?.runner.state.replicas.voters.length;
@@ -163,8 +133,8 @@
       },
       publish: () => this.machines.forEach((machine) => this.publish(machine)),
       sync: ({ machine }) => this.pickMachine(machine).files.finishSyncs(),
-      compact: ({ machine }) => this.compact(this.pickMachine(machine)),
-      kill: ({ machine }) => this.kill(this.pickMachine(machine)),
+      compact: ({ machine }) => this.pickMachine(machine).compact(),
+      kill: ({ machine }) => this.pickMachine(machine).kill(),
       restartBusy: () => this.restartBusy(),
       cutPower: ({ machine }) => this.cutPower(this.pickMachine(machine)),
       dropDisk: ({ machine }) => this.dropDisk(this.pickMachine(machine)),
@@ -172,10 +142,10 @@
         const picked = this.pickMachine(machine);
         picked.isFrozen = !picked.isFrozen;
       },
-      start: ({ machine }) => this.start(this.pickMachine(machine)),
+      start: ({ machine }) => this.pickMachine(machine).start(),
       cutPowerOfAll: () => this.machines.forEach((machine) => this.cutPower(machine)),
-      killAll: () => this.machines.forEach((machine) => this.kill(machine)),
-      startAll: () => this.machines.forEach((machine) => this.start(machine)),
+      killAll: () => this.machines.forEach((machine) => machine.kill()),
+      startAll: () => this.machines.forEach((machine) => machine.start()),
     };
     await (runners[event.kind] as (event: SiteEvent) => Promise<void> | void)(event);
     await settleTasks();
@@ -190,11 +160,11 @@
       .filter(({ birth }) => this.listVoters().has(birth))
       .map((machine) => ({
         machine,
-        rank: (isAimed && this.holdsNewest(machine) ? 0 : 1) + this.drawRandom(),
+        rank: (isAimed && machine.holds(this.acknowledged) ? 0 : 1) + this.drawRandom(),
       }))
       .sort((a, b) => a.rank - b.rank);
     order.slice(0, Math.max(0, left)).forEach(({ machine }) => this.takeDisk(machine));
-    if (fault === 'killAll') this.machines.forEach((machine) => this.kill(machine));
+    if (fault === 'killAll') this.machines.forEach((machine) => machine.kill());
     if (fault === 'cutPower') this.machines.forEach((machine) => this.cutPower(machine));
   }
 
@@ -203,7 +173,7 @@
     this.isOver = true;
     this.machines.forEach((machine) => {
       machine.isFrozen = false;
-      this.start(machine);
+      machine.start();
     });
     await settleTasks();
     return this.readBack(40);
@@ -237,8 +207,8 @@
     return 2 * this.size.losses + 1;
   }
 
-  private pickMachine(position: number): Machine {
-    return this.machines[position % this.machines.length] as Machine;
+  private pickMachine(position: number): ModelMachine {
+    return this.machines[position % this.machines.length] as ModelMachine;
   }
 
   private takeLetter(pick: number): Letter | undefined {
@@ -273,7 +243,7 @@
     this.machines.filter(({ isFrozen }) => !isFrozen).forEach((machine) => this.tick(machine));
   }
 
-  private tick({ life }: Machine): void {
+  private tick({ life }: ModelMachine): void {
     if (!life) return;
     life.runner.handle({ kind: 'tick' });
     if (!life.runner.holdsLease) {
@@ -318,7 +288,7 @@
     machine.life.runner.handle({ kind: 'message', message: letter.message });
   }
 
-  private publish({ life, isFrozen }: Machine): void {
+  private publish({ life, isFrozen }: ModelMachine): void {
     if (isFrozen || !life?.runner.holdsLease) return;
     this.published += 1;
     const version = this.published;
@@ -333,56 +303,31 @@
     }).catch(() => undefined); // Not acknowledged.
   }
 
-  /** Whether a machine has got the newest that was acknowledged. */
-  private holdsNewest({ life }: Machine): boolean {
-    if (!life) return false;
-    const text = `"version":${this.acknowledged},`;
-    return life.version >= this.acknowledged
-      || life.runner.state.entries.some(({ command }) => command.includes(text));
-  }
-
-  private compact({ life }: Machine): void {
-    if (!life) return;
-    const { runner, version } = life;
-    runner.handle({ kind: 'snapshotTaken', index: runner.appliedIndex, data: String(version) });
-  }
-
-  private kill(machine: Machine): void {
-    machine.files.kill();
-    machine.life = undefined;
-    machine.isUp = false;
-    machine.isFrozen = false;
-    machine.start += 1;
-  }
-
   /** Ends a process in the middle of a sync, and starts it again. */
   private restartBusy(): void {
     const busy = this.machines.filter(({ files }) => files.isSyncing);
     const machine = busy[Math.floor(this.drawRandom() * busy.length)];
     if (!machine) return;
-    this.kill(machine);
-    this.start(machine);
+    machine.kill();
+    machine.start();
   }
 
-  private cutPower(machine: Machine): void {
-    this.kill(machine);
-    machine.files.cutPower(() => this.drawFate());
+  private cutPower(machine: ModelMachine): void {
+    machine.cutPower(() => this.drawFate());
   }
 
-  private dropDisk(machine: Machine): void {
+  private dropDisk(machine: ModelMachine): void {
     const unhealed = this.listUnhealed();
     if (unhealed.size >= this.size.losses && !unhealed.has(machine.address)) return;
     this.takeDisk(machine);
   }
 
-  private takeDisk(machine: Machine): void {
-    this.kill(machine);
+  private takeDisk(machine: ModelMachine): void {
     if (machine.birth !== '') {
       this.lostBirths.set(machine.birth, machine.address);
       this.unhealed.set(machine.birth, machine.address);
     }
-    machine.birth = '';
-    machine.files = new PowerLossFiles();
+    machine.replaceDisk();
   }
 
   private drawFate(): WriteFate {
@@ -390,62 +335,4 @@
     if (draw < 0.4) return 'missing';
     return draw < 0.7 ? 'torn' : 'present';
   }
-
-  private start(machine: Machine): void {
-    if (machine.isUp) return;
-    machine.isUp = true;
-    this.startLife(machine, machine.start).catch((error: unknown) => {
-      this.failures.push(`${machine.address} does not start: ${(error as Error).message}`);
-    });
-  }
-
-  private async startLife(machine: Machine, start: number): Promise<void> {
-    const { files, address } = machine;
-    const record = new BirthRecord(files, FOLDER);
-    await record.open();
-    if (!record.founders) await record.foundSite([]);
-    const store = new LogStore(files, FOLDER);
-    const voters = record.founders ?? [];
-    const stored = await store.load(makeEmptyLog({ voters, learners: [], leaving: [] }));
-    if (machine.start !== start) return;
-    const self = { id: record.id, address, zone: '' };
-    machine.birth = record.id;
-    machine.life = this.makeLife(machine, self, start, store, stored);
-  }
-
-  private makeLife(
-    machine: Machine,
-    self: Replica,
-    start: number,
-    store: LogStore,
-    stored: ConstructorParameters<typeof LogRunner>[1],
-  ): Life {
-    const isGone = () => machine.start !== start;
-    const clock = { now: () => this.now };
-    const life: Life = {
-      self,
-      keeper: new ReplicaKeeper(this.voterCount, clock, logger),
-      version: Number(stored.snapshot.data),
-      leadingSince: 0,
-      runner: new LogRunner<true>(self.id, stored, store, {
-        applyCommand: (command) => {
-          const { version } = JSON.parse(command) as { version: number };
-          life.version = Math.max(life.version, version);
-          return true;
-        },
-        restoreSnapshot: ({ data }) => {
-          life.version = Number(data);
-        },
-        takeSnapshot: () => String(life.version),
-        sendMessage: (message) => {
-          if (!isGone()) this.network.push({ message, address: this.findAddress(message.to) });
-        },
-        noteRole: (role) => {
-          if (role === 'leader') life.leadingSince = this.now;
-        },
-        failStorage: (error) => this.failures.push(`${self.address}: ${String(error)}`),
-      }, clock, { startedAt: this.now }),
-    };
-    return life;
-  }
 }
