--- a/src/core/routing/restingWorkers.ts
+++ b/src/core/routing/restingWorkers.ts
@@ -24,6 +24,26 @@
   return Math.max(0, Math.min(...ready.map(({ rest }) => rest.until)) - now);
 };
 
+/**
+ * Whether a server must get nothing of this entry: it leaves, or it rests.
+ *
+ * @param doAllRest whether no server of its service that is ready does without a rest
+ */
+const isAvoided = (
+  { isLeaving, rest }: RoutedWorker,
+  doAllRest: boolean,
+  now: number,
+): boolean => isLeaving || (isResting(rest, now) && !(doAllRest && mayProbe(rest, now)));
+
+/**
+ * Whether a server may get a request of this entry.
+ *
+ * @example
+ * if (!mayTake(workers, worker, clock.now())) askAgain();
+ */
+export const mayTake = (workers: RoutedWorkers, worker: RoutedWorker, now: number): boolean => (
+  !isAvoided(worker, readShortestRest(workers, worker.service, now) > 0, now));
+
 /**
  * Lists servers of a service that must get nothing of this entry although control holds them ready:
  * those that rest, and those that leave.
@@ -35,8 +55,7 @@
   const doAllRest = readShortestRest(workers, service, now) > 0;
   return (workers.byService.get(service) ?? [])
     .filter(({ standing }) => standing === 'ready')
-    .filter(({ isLeaving, rest }) => isLeaving
-      || (isResting(rest, now) && !(doAllRest && mayProbe(rest, now))))
+    .filter((worker) => isAvoided(worker, doAllRest, now))
     .map(({ id }) => id);
 };
 
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { NO_TIMES } from '../core/routing/placementTables';
 import {
-  holdsAllBack, listAvoided, noteSent, readShortestRest,
+  holdsAllBack, listAvoided, mayTake, noteSent, readShortestRest,
 } from '../core/routing/restingWorkers';
 import { isInReach, isReady } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
@@ -139,7 +139,7 @@
      * Guards a server that leaves against new work from a leader that has not heard of it, such as
      * one that is cut off and does not know yet that another leads.
      */
-    if (worker?.standing === 'ready' && this.mayTake(worker)) {
+    if (worker?.standing === 'ready' && mayTake(site.workers, worker, clock.now())) {
       noteSent(worker, clock.now());
       return {
         worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch,
@@ -152,12 +152,6 @@
     return this.place(request, asks + 1);
   }
 
-  /** Whether a server that the leader chose may take a request of this entry. */
-  private mayTake({ id, service }: RoutedWorker): boolean {
-    const { site, clock } = this.parts;
-    return !listAvoided(site.workers, service, clock.now()).includes(id);
-  }
-
   /** Throws the refusal where no server of a service may be asked, as all that are ready rest. */
   private checkRests(service: string): void {
     const { site, clock } = this.parts;
