Log and count answers that are cut off, and say why an attempt was dropped

A cut was logged as "request refused" and counted as a refusal; an attempt that was dropped had one reason for a deadline, a caller that left and a shutdown; "the connection was reset" stood for a reset under an incomplete answer and for an answer that had ended. Change: "answer aborted" and beechlift_aborted_answers_total for a cut, also for those at the end of a shutdown; "attempt ended" tells whether the caller has the head and how many chunks; a dropped attempt has the reason for which its call was aborted; a reset names the socket on which the answer had ended. No decision depends on the new fields.

--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -87,7 +87,7 @@
     tracker.recordResult(writer.statusCode >= SERVER_ERROR);
     return { kind: 'answered' };
   }
-  if (writer.isFinished) return { kind: 'dropped', reason: 'the deadline passed or the caller disconnected' };
+  if (writer.isFinished) return { kind: 'dropped', reason: callOutcome.reason };
   suspendWorker(worker, now);
   tracker.recordFailure();
   return callOutcome.kind === 'unsent' ? callOutcome : headOutcome ?? callOutcome;
--- a/src/relay/relayMetrics.ts
+++ b/src/relay/relayMetrics.ts
@@ -24,6 +24,10 @@
     name: 'beechlift_refusals_total', help: 'Requests that the entry answered with an error, by result code', labelNames: ['code'], registers: [this.registry],
   });
 
+  readonly abortedAnswers = new Counter({
+    name: 'beechlift_aborted_answers_total', help: 'Answers that the entry cut off after their head was sent, by result code', labelNames: ['code'], registers: [this.registry],
+  });
+
   readonly repeats = new Counter({
     name: 'beechlift_repeats_total', help: 'Retries at another backend server, by outcome of the previous attempt', labelNames: ['reason'], registers: [this.registry],
   });
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -31,7 +31,7 @@
     { route }: AdmittedRequest,
     { worker, expectedMs, placeId }: PickedWorker,
     outcome: AttemptOutcome,
-    writer: Pick<AnswerWriter, 'statusCode' | 'firstChunkAt' | 'chunkCount'>,
+    writer: Pick<AnswerWriter, 'statusCode' | 'hasStarted' | 'firstChunkAt' | 'chunkCount'>,
   ): void {
     const { metrics, logger, clock } = this.parts;
     const now = clock.now();
@@ -52,6 +52,8 @@
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       status: writer.statusCode,
+      hasStarted: writer.hasStarted,
+      chunks: writer.chunkCount,
       tookMs: Math.round(now - this.receivedAt),
     });
   }
@@ -62,11 +64,27 @@
     return undefined;
   }
 
-  /** Logs an error of the entry, with the version of the routing document that was in force. */
+  /** Logs an error of the entry that answers the request. */
   logRefusal(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
-    const { metrics, logger, clock } = this.parts;
-    metrics.refusals.inc({ code: error.number });
-    logger.info('request refused', {
+    this.parts.metrics.refusals.inc({ code: error.number });
+    this.logError('request refused', error, admitted, sent);
+  }
+
+  /** Logs an error of the entry that cuts off an answer whose head was sent. */
+  logAbort(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
+    this.parts.metrics.abortedAnswers.inc({ code: error.number });
+    this.logError('answer aborted', error, admitted, sent);
+  }
+
+  /** Logs an error with the version of the routing document that was in force. */
+  private logError(
+    message: string,
+    error: BeechliftError,
+    admitted: AdmittedRequest | undefined,
+    sent: number,
+  ): void {
+    const { logger, clock } = this.parts;
+    logger.info(message, {
       requestId: this.requestId,
       route: admitted?.route.name,
       account: admitted?.account?.name,
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -98,6 +98,7 @@
   /** Aborts an answer that has started and is incomplete. */
   abortAnswer(): void {
     if (this.response.writableEnded) return;
+    this.log.logAbort(makeLeavingError(), this.admitted, this.retryPolicy?.sendCount ?? 0);
     this.writer.abort();
   }
 
@@ -344,7 +345,9 @@
   }
 
   private refuse(error: BeechliftError): void {
-    this.log.logRefusal(error, this.admitted, this.retryPolicy?.sendCount ?? 0);
+    const sent = this.retryPolicy?.sendCount ?? 0;
+    if (this.writer.hasStarted) this.log.logAbort(error, this.admitted, sent);
+    else this.log.logRefusal(error, this.admitted, sent);
     this.writer.fail(error);
   }
 }
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -129,7 +129,8 @@
 
   private makeOutcome(): UpstreamOutcome {
     if (this.isRefused) return { kind: 'broken', reason: 'the answer was refused' };
-    if (this.connection.wasReset) return { kind: 'broken', reason: 'the connection was reset' };
+    const { wasReset, socketCount } = this.connection;
+    if (wasReset) return { kind: 'broken', reason: `the connection was reset, and the answer ended on socket ${socketCount} of the connection` };
     return { kind: 'complete' };
   }
 
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -34,6 +34,9 @@
   /** Whether the server or the network reset the connection. */
   wasReset = false;
 
+  /** Number of sockets that were opened: the HTTP client replaces one that closed while idle. */
+  socketCount = 0;
+
   /** @param onEnd called once the connection has closed */
   constructor(readonly address: string, onEnd: (connection: WorkerConnection) => void) {
     this.client = new Client(`http://${address}`, {
@@ -71,6 +74,7 @@
    * listener is registered before the library's own.
    */
   private watchForReset(socket: Socket): void {
+    this.socketCount += 1;
     socket.once('error', () => {
       this.wasReset = true;
     });
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -26,7 +26,9 @@
         worker: { id: 'w1' } as never, expectedMs: 0, placeId: '', epoch: '',
       },
       { kind: 'broken', reason: 'other side closed' },
-      { statusCode: 0, firstChunkAt: 0, chunkCount: 0 },
+      {
+        statusCode: 0, hasStarted: false, firstChunkAt: 0, chunkCount: 0,
+      },
     );
   });
   return lines.map(({ fingerprint }) => fingerprint);
