Known red: complete answers are discarded on a connection that was reopened

A server drops an idle connection while a request takes it: the HTTP client opens another socket below the same WorkerConnection, and the end of the first socket condemns the answer on the second. A stream that may run once is cut off after its last event; one that may be resumed and an idempotent request run a second time, or are refused with 503; a request that may run once is answered 502 although its server has answered 200.

--- /dev/null
+++ b/tests/relay/reused-connections.spec.ts
@@ -0,0 +1,84 @@
+import type { Socket } from 'node:net';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import type { Route } from '../../src/manifest/routing';
+import { UpstreamCall } from '../../src/relay/upstreamCall';
+import type { UpstreamOutcome } from '../../src/relay/upstreamCall';
+import { WorkerConnections } from '../../src/relay/workerConnections';
+import { RawCaller } from '../fakes/rawCaller';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import { ScriptedServer } from '../fakes/scriptedServer';
+
+const REQUEST = { id: 'r1', path: '/orders/7', headers: { 'x-key': 'k1' } };
+const EVENT = 'id: 1\ndata: a\n\n';
+const ANSWER = `HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n0\r\n\r\n`;
+
+const kinds: readonly [string, Partial<Route>][] = [
+  ['a stream that may run once', { kind: 'stream', isResumable: false, maxAttempts: 1 }],
+  ['a stream that may be resumed', { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['an idempotent request', { kind: 'idempotent', maxAttempts: 2 }],
+  ['a request that may run once', { kind: 'nonIdempotent', maxAttempts: 1 }],
+];
+
+const drops: readonly [string, (socket: Socket) => void][] = [
+  ['closes', (socket) => socket.destroy()],
+  ['resets', (socket) => socket.resetAndDestroy()],
+];
+
+const cases = kinds.flatMap(([kind, route]) => (
+  drops.map(([verb, drop]) => [kind, verb, route, drop] as const)));
+
+describe('a request that takes an open connection to a server', () => {
+  let rig: RelayRig;
+
+  let caller: RawCaller;
+
+  afterEach(async () => {
+    caller.close();
+    await rig.close();
+  });
+
+  // Fault: the end of the dropped socket was attributed to the socket that replaced it, so a
+  // complete answer was cut off before its end or replaced by a failure.
+  it.each(cases)('should get its complete answer and run once: %s, the server %s the connection', async (kind, verb, route, drop) => {
+    const sockets = new Set<Socket>();
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
+      sockets.add(socket);
+      socket.write(ANSWER);
+    }]);
+    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200 } });
+    // The entry reads the request first and the end of its connection to the server after it.
+    const asked = caller.send(REQUEST);
+    sockets.forEach(drop);
+    expect(await asked).toMatchObject({ answer: { status: 200 } });
+    expect([rig.received.length, sockets.size]).toEqual([2, 2]);
+  });
+});
+
+describe('a connection whose server announces its end', () => {
+  const connections = new WorkerConnections();
+
+  const sendTo = async (address: string): Promise<UpstreamOutcome> => {
+    const connection = connections.acquire(address);
+    const call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
+    const outcome = await call.run({
+      method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0),
+    });
+    connections.release(connection);
+    return outcome;
+  };
+
+  // Fault: the complete answer to a request that took the connection before its socket had closed
+  // was taken for an incomplete one.
+  it('should not affect the next answer', async () => {
+    const server = new ScriptedServer((socket) => socket.write(ANSWER.replace('\r\n', '\r\nconnection: close\r\n')));
+    await server.listen();
+    const outcomes = [await sendTo(server.address), await sendTo(server.address)];
+    connections.close();
+    server.close();
+    expect(outcomes).toEqual([{ kind: 'complete' }, { kind: 'complete' }]);
+  });
+});
