Fix complete answers that are discarded on a connection that was reopened

What callers saw: a stream cut off after its last event; 502 or 503 for a request that its server had answered with 200; a second run of requests that may be repeated. Cause: WorkerConnection marked itself as reset at the first error of any of its sockets and kept the mark. The HTTP client replaces a socket below the same object: when a server ends an idle connection in the turn in which a request takes it, the request waits for a new socket and is answered there, and UpstreamCall then took the complete answer for a broken one. The same happens to a request that takes a connection between the end of an answer with Connection: close and the end of its socket. The client reports each of its own closes as an error too, so no server or network needs to fail. Class: a fact about one socket that is kept on an object which outlives it. Change: a connection remembers its latest socket, and whether it was reset is asked of that socket. Why it works: the answer is judged by the socket on which it came; an earlier socket has closed before the client opens the next.

--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -31,18 +31,18 @@
 export class WorkerConnection {
   readonly client: Client;
 
-  /** Whether the server or the network reset the connection. */
-  wasReset = false;
-
   /** Number of sockets that were opened: the HTTP client replaces one that closed while idle. */
   socketCount = 0;
 
+  /** The latest socket. */
+  private socket: Socket | undefined;
+
   /** @param onEnd called once the connection has closed */
   constructor(readonly address: string, onEnd: (connection: WorkerConnection) => void) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (options, callback) => connect(options, (error, socket) => {
-        if (socket) this.watchForReset(socket);
+        if (socket) this.adoptSocket(socket);
         // The callback's type needs separate calls for the two cases.
         if (error) callback(error, null);
         else callback(null, socket);
@@ -58,6 +58,14 @@
     this.client.on('disconnect', () => onEnd(this));
   }
 
+  /**
+   * Whether the latest socket was reset. An answer without a length ends with its socket, and the
+   * HTTP library treats a reset as a normal end, so a partial answer would look complete.
+   */
+  get wasReset(): boolean {
+    return Boolean(this.socket?.errored);
+  }
+
   /** Whether the connection can no longer be used. */
   get isEnded(): boolean {
     return this.client.destroyed;
@@ -68,15 +76,8 @@
     this.client.destroy().catch(() => undefined); // Nobody awaits the result.
   }
 
-  /*
-   * Detects resets: an answer without a length ends with its connection, and the HTTP library
-   * treats a reset as a normal end, so a partial answer would be passed on as complete. This
-   * listener is registered before the library's own.
-   */
-  private watchForReset(socket: Socket): void {
+  private adoptSocket(socket: Socket): void {
     this.socketCount += 1;
-    socket.once('error', () => {
-      this.wasReset = true;
-    });
+    this.socket = socket;
   }
 }
