Fix requests that are refused because an open connection had been dropped

What callers saw: 503 "no backend server accepted the request" where one server is left, otherwise a request that moves to another server; and a server that is passed over for a while although it serves. Cause: a reset that is pending on an idle connection fails the request that takes it, before any byte is sent. The entry counted that as a failed attempt at the server: one of the four tries was used up, and the server was suspended. A connection that the server closes in order is replaced by the HTTP client without a word; only resets fail the request. Class: the state of one connection is taken for the state of its server. Change: a call that has sent nothing on an open connection, and for which no other socket was tried, is sent over a new one. Sockets are counted when they are tried, so that a server that is down is tried once. Why it works: nothing was sent, so a second dispatch cannot run the request twice, and a new socket tells whether the server is there.

--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -66,8 +66,20 @@
     return this.abortReason !== undefined;
   }
 
-  /** Sends the request; resolves once its answer has ended, complete or not. */
-  run({
+  /**
+   * Sends the request; resolves once its answer has ended, complete or not. If an open connection
+   * fails before a byte was sent, the request is sent over a new one: servers may drop idle
+   * connections.
+   */
+  async run(request: UpstreamRequest): Promise<UpstreamOutcome> {
+    const { socketCount } = this.connection;
+    const outcome = await this.dispatch(request);
+    const hasTriedNewSocket = socketCount === 0 || this.connection.socketCount > socketCount;
+    if (outcome.kind !== 'unsent' || hasTriedNewSocket || this.isAborted) return outcome;
+    return this.dispatch(request);
+  }
+
+  private dispatch({
     method, path, headers, body,
   }: UpstreamRequest): Promise<UpstreamOutcome> {
     return new Promise((resolve) => {
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -31,7 +31,7 @@
 export class WorkerConnection {
   readonly client: Client;
 
-  /** Number of sockets that were opened: the HTTP client replaces one that closed while idle. */
+  /** Number of sockets so far: the HTTP client replaces one that closed while idle. */
   socketCount = 0;
 
   /** The latest socket. */
@@ -41,12 +41,15 @@
   constructor(readonly address: string, onEnd: (connection: WorkerConnection) => void) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: (options, callback) => connect(options, (error, socket) => {
-        if (socket) this.adoptSocket(socket);
-        // The callback's type needs separate calls for the two cases.
-        if (error) callback(error, null);
-        else callback(null, socket);
-      }),
+      connect: (options, callback) => {
+        this.socketCount += 1;
+        connect(options, (error, socket) => {
+          this.socket = socket ?? undefined;
+          // The callback's type needs separate calls for the two cases.
+          if (error) callback(error, null);
+          else callback(null, socket);
+        });
+      },
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
@@ -75,9 +78,4 @@
   end(): void {
     this.client.destroy().catch(() => undefined); // Nobody awaits the result.
   }
-
-  private adoptSocket(socket: Socket): void {
-    this.socketCount += 1;
-    this.socket = socket;
-  }
 }
--- a/tests/relay/reused-connections.spec.ts
+++ b/tests/relay/reused-connections.spec.ts
@@ -1,10 +1,12 @@
 import type { Socket } from 'node:net';
+import { setImmediate as endTurn } from 'node:timers/promises';
 import {
   afterEach, describe, expect, it,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
 import { UpstreamCall } from '../../src/relay/upstreamCall';
 import type { UpstreamOutcome } from '../../src/relay/upstreamCall';
+import type { WorkerConnection } from '../../src/relay/workerConnection';
 import { WorkerConnections } from '../../src/relay/workerConnections';
 import { RawCaller } from '../fakes/rawCaller';
 import { RelayRig } from '../fakes/relayRig';
@@ -58,11 +60,15 @@
   });
 });
 
-describe('a connection whose server announces its end', () => {
+describe('a connection to a server', () => {
   const connections = new WorkerConnections();
 
+  let connection: WorkerConnection;
+
+  let server: ScriptedServer;
+
   const sendTo = async (address: string): Promise<UpstreamOutcome> => {
-    const connection = connections.acquire(address);
+    connection = connections.acquire(address);
     const call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
     const outcome = await call.run({
       method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0),
@@ -71,14 +77,39 @@
     return outcome;
   };
 
-  // Fault: the complete answer to a request that took the connection before its socket had closed
-  // was taken for an incomplete one.
-  it('should not affect the next answer', async () => {
-    const server = new ScriptedServer((socket) => socket.write(ANSWER.replace('\r\n', '\r\nconnection: close\r\n')));
+  const startServer = async (answer: string): Promise<Set<Socket>> => {
+    const sockets = new Set<Socket>();
+    server = new ScriptedServer((socket) => {
+      sockets.add(socket);
+      socket.write(answer);
+    });
     await server.listen();
-    const outcomes = [await sendTo(server.address), await sendTo(server.address)];
+    return sockets;
+  };
+
+  afterEach(() => {
     connections.close();
     server.close();
+  });
+
+  // Fault: the complete answer to a request that took the connection before its socket had closed
+  // was taken for an incomplete one.
+  it('should not affect the next answer after one that announced its end', async () => {
+    await startServer(ANSWER.replace('\r\n', '\r\nconnection: close\r\n'));
+    const outcomes = [await sendTo(server.address), await sendTo(server.address)];
     expect(outcomes).toEqual([{ kind: 'complete' }, { kind: 'complete' }]);
   });
+
+  // Each further attempt would cost a request up to the time limit of a connection.
+  it.each(drops)('should be opened once more if the server is down and %s it', async (verb, drop) => {
+    const sockets = await startServer(ANSWER);
+    expect(await sendTo(server.address)).toEqual({ kind: 'complete' });
+    const { address } = server;
+    // The connection is chosen before the event loop reads that it has ended.
+    await endTurn();
+    sockets.forEach(drop);
+    server.close();
+    expect(await sendTo(address)).toMatchObject({ kind: 'unsent' });
+    expect(connection.socketCount).toBe(2);
+  });
 });
