Log what the entry read of each answer, and how its connection had been used

Cause: a reset under an answer that was complete looked in the logs like one under an incomplete answer, and nothing told whether the HTTP client had opened another socket meanwhile. Change: "attempt ended" has isSent, hasAnswerEnd, and how many requests and sockets the connection has had; they replace the socket in the reason of a reset.

--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -4,6 +4,7 @@
 import type { AttemptOutcome } from './attemptTracker';
 import type { RequestGuard } from './requestGuard';
 import type { RequestParts } from './requestParts';
+import type { CallSummary } from './upstreamCall';
 import type { PickedWorker } from './workerPicker';
 
 const MS_PER_SECOND = 1_000;
@@ -20,6 +21,9 @@
   /** Identifies the request and its resends; set once the body is read. */
   identity: Pick<RequestGuard, 'fingerprint'> | undefined;
 
+  /** Summary of the latest call; set when it ends. */
+  call: CallSummary | undefined;
+
   constructor(
     private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock'>,
     private readonly requestId: string,
@@ -54,6 +58,7 @@
       status: writer.statusCode,
       hasStarted: writer.hasStarted,
       chunks: writer.chunkCount,
+      ...this.call,
       tookMs: Math.round(now - this.receivedAt),
     });
   }
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -225,6 +225,7 @@
       computeSilenceMs(admitted.route),
     );
     const callOutcome = await call.run(this.buildUpstreamRequest(admitted, worker, body));
+    this.log.call = call.summarize();
     clearTimeout(silence);
     tracker.releaseWorker();
     this.call = undefined;
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -23,6 +23,10 @@
   readonly headers: RawHeaders;
 }
 
+/** What the log tells about a call. */
+export type CallSummary = Pick<UpstreamCall, 'isSent' | 'hasAnswerEnd'>
+  & Pick<WorkerConnection, 'requestCount' | 'socketCount'>;
+
 /** Receives an answer. */
 export interface UpstreamListener {
   /** Returns false to refuse the answer, which closes the connection. */
@@ -50,6 +54,9 @@
   /** Whether the head of an answer was received and accepted. */
   hasAnswerHead = false;
 
+  /** Whether the HTTP client has read an answer to its end. */
+  hasAnswerEnd = false;
+
   private controller: Dispatcher.DispatchController | undefined;
 
   private abortReason: Error | undefined;
@@ -73,6 +80,7 @@
    */
   async run(request: UpstreamRequest): Promise<UpstreamOutcome> {
     const { socketCount } = this.connection;
+    this.connection.requestCount += 1;
     const outcome = await this.dispatch(request);
     const hasTriedNewSocket = socketCount === 0 || this.connection.socketCount > socketCount;
     if (outcome.kind !== 'unsent' || hasTriedNewSocket || this.isAborted) return outcome;
@@ -109,6 +117,14 @@
     });
   }
 
+  /** Summarizes the call and its connection for the log. */
+  summarize(): CallSummary {
+    const { isSent, hasAnswerEnd, connection: { requestCount, socketCount } } = this;
+    return {
+      isSent, hasAnswerEnd, requestCount, socketCount,
+    };
+  }
+
   /** Resumes an answer that `onData` paused. */
   resume(): void {
     this.controller?.resume();
@@ -140,9 +156,9 @@
   }
 
   private makeOutcome(): UpstreamOutcome {
+    this.hasAnswerEnd = true;
     if (this.isRefused) return { kind: 'broken', reason: 'the answer was refused' };
-    const { wasReset, socketCount } = this.connection;
-    if (wasReset) return { kind: 'broken', reason: `the connection was reset, and the answer ended on socket ${socketCount} of the connection` };
+    if (this.connection.wasReset) return { kind: 'broken', reason: 'the connection was reset' };
     return { kind: 'complete' };
   }
 
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -31,6 +31,9 @@
 export class WorkerConnection {
   readonly client: Client;
 
+  /** Number of requests that were dispatched so far. */
+  requestCount = 0;
+
   /** Number of sockets so far: the HTTP client replaces one that closed while idle. */
   socketCount = 0;
 
--- a/tests/relay/reused-connections.spec.ts
+++ b/tests/relay/reused-connections.spec.ts
@@ -6,7 +6,6 @@
 import type { Route } from '../../src/manifest/routing';
 import { UpstreamCall } from '../../src/relay/upstreamCall';
 import type { UpstreamOutcome } from '../../src/relay/upstreamCall';
-import type { WorkerConnection } from '../../src/relay/workerConnection';
 import { WorkerConnections } from '../../src/relay/workerConnections';
 import { RawCaller } from '../fakes/rawCaller';
 import { RelayRig } from '../fakes/relayRig';
@@ -63,13 +62,13 @@
 describe('a connection to a server', () => {
   const connections = new WorkerConnections();
 
-  let connection: WorkerConnection;
+  let call: UpstreamCall;
 
   let server: ScriptedServer;
 
   const sendTo = async (address: string): Promise<UpstreamOutcome> => {
-    connection = connections.acquire(address);
-    const call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
+    const connection = connections.acquire(address);
+    call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
     const outcome = await call.run({
       method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0),
     });
@@ -98,6 +97,9 @@
     await startServer(ANSWER.replace('\r\n', '\r\nconnection: close\r\n'));
     const outcomes = [await sendTo(server.address), await sendTo(server.address)];
     expect(outcomes).toEqual([{ kind: 'complete' }, { kind: 'complete' }]);
+    expect(call.summarize()).toEqual({
+      isSent: true, hasAnswerEnd: true, requestCount: 2, socketCount: 2,
+    });
   });
 
   // Each further attempt would cost a request up to the time limit of a connection.
@@ -110,6 +112,8 @@
     sockets.forEach(drop);
     server.close();
     expect(await sendTo(address)).toMatchObject({ kind: 'unsent' });
-    expect(connection.socketCount).toBe(2);
+    expect(call.summarize()).toEqual({
+      isSent: false, hasAnswerEnd: false, requestCount: 2, socketCount: 2,
+    });
   });
 });
