Fix the end of answers that is lost where streams may be resumed

What callers saw: on a route whose streams may be resumed, a complete answer without its last bytes, if these are not a complete event: a failure of the server with a body, a last event without a blank line, lines that end with CR and LF. Where the answer had a length, the caller waited for the rest until it gave up. Cause: AnswerWriter.end sent what was buffered before it took the bytes after the last complete event, and sending discards what is unsent. Class: a step that also resets the state which the next step needs. Change: the two lines change places. Why it works: the bytes are taken while they are still there; an answer that breaks off still discards them.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -155,8 +155,8 @@
 
   /** Ends a complete answer. */
   end(): void {
-    this.flushBuffered();
     const rest = this.framer?.takeRemainder();
+    this.flushBuffered();
     if (rest && rest.length > 0) this.send(rest);
     this.response.end();
   }
