Fix answers that came in time and are cut off after the entry was busy

What callers saw: a stream cut off, or 504, although the server's last byte had reached the entry before the time limit of the request. Cause: the timer of the limit runs before the sockets are read. If the process was held up, an answer that has arrived waits unread while the limit is judged. Change: startInputTimer calls a step only after the sockets were read once more; its stop function also takes back a step that waits for that. Why it works: the immediate queue comes after the poll that reads the sockets, and an answer that is complete by then stops the timer.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -19,6 +19,7 @@
 import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
 import { computeSilenceMs, RequestFailover } from './requestFailover';
+import { startInputTimer } from './startInputTimer';
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamHead, UpstreamRequest } from './upstreamCall';
 import { applyNotice } from './workerNotices';
@@ -130,13 +131,13 @@
     this.retryPolicy = retryPolicy;
     if (!canAnswerInTime(site, admitted, this.facts)) throw makeLeavingError();
     site.retries.recordRequest(admitted.service, clock.now());
-    const timer = setTimeout(() => this.expire(), this.deadlineAt - clock.now());
+    const stopTimer = startInputTimer(() => this.expire(), this.deadlineAt - clock.now());
     try {
       await this.tryServers({
         admitted, body, guard, retryPolicy,
       });
     } finally {
-      clearTimeout(timer);
+      stopTimer();
       await this.cancelFailover(admitted);
       retryPolicy.releaseRetry();
     }
--- /dev/null
+++ b/tests/relay/unread-answers.spec.ts
@@ -0,0 +1,67 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import type { Route } from '../../src/manifest/routing';
+import { RawCaller } from '../fakes/rawCaller';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import { sendAnswer } from '../fakes/scriptedServer';
+import type { ServerScript } from '../fakes/scriptedServer';
+
+const REQUEST = { id: 'r1', path: '/orders/7', headers: { 'x-key': 'k1' } };
+/** Time limit of a request, and the time after which its server sends the end of its answer. */
+const LIMIT_MS = 300;
+const ANSWER_MS = 200;
+const BUSY_MS = 200;
+
+const STREAM_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
+
+/** Blocks the event loop, as in a process that gets no processor time. */
+const keepBusy = (ms: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+};
+
+/** Runs a step after a while and then blocks: timers run next, and sockets are read after them. */
+const performThenBlock = (step: () => void): void => {
+  setTimeout(() => setImmediate(() => {
+    step();
+    keepBusy(BUSY_MS);
+  }), ANSWER_MS);
+};
+
+const sendStream: ServerScript = (socket) => {
+  socket.write(`${STREAM_HEAD}5\r\nbegun\r\n`);
+  performThenBlock(() => socket.write('5\r\nended\r\n0\r\n\r\n'));
+};
+
+const sendPlain: ServerScript = (socket) => (
+  performThenBlock(() => sendAnswer(socket, 'r1', 'begunended')));
+
+const cases: readonly [string, Partial<Route>, ServerScript][] = [
+  ['a stream', { kind: 'stream' }, sendStream],
+  ['a stream that may be resumed', { kind: 'stream', isResumable: true }, sendStream],
+  ['an idempotent request', { kind: 'idempotent' }, sendPlain],
+  ['a request that may run once', { kind: 'nonIdempotent' }, sendPlain],
+];
+
+describe('an answer that came in time while the entry was busy', () => {
+  let rig: RelayRig;
+
+  let caller: RawCaller;
+
+  afterEach(async () => {
+    caller.close();
+    await rig.close();
+    await pause(BUSY_MS);
+  });
+
+  // Fault: the timer of the time limit ran before the sockets were read, so an answer whose last
+  // byte had come was cut off or replaced by 504.
+  it.each(cases)('should be passed on whole although the time limit has passed: %s', async (name, route, script) => {
+    const routes = [makeRoute({ ...route, timeoutMs: LIMIT_MS, targetLatencyMs: LIMIT_MS })];
+    rig = await RelayRig.start(makeRouting({ routes }), [script]);
+    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'begunended' } });
+  });
+});
