Fix answers that are dropped as if their server were silent after the entry was busy

What callers saw: a request that may be repeated ran twice, and a server that had answered was passed over for a while. Cause: the timer that detects silent servers runs before the sockets are read, as the time limit of requests did. Change: it uses startInputTimer too. Why it works: as for the time limit; a call that ended meanwhile stops the timer.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -221,13 +221,13 @@
       },
     });
     this.call = call;
-    const silence = setTimeout(
+    const stopSilenceTimer = startInputTimer(
       () => this.handleSilence(prepared, worker, call),
       computeSilenceMs(admitted.route),
     );
     const callOutcome = await call.run(this.buildUpstreamRequest(admitted, worker, body));
     this.log.call = call.summarize();
-    clearTimeout(silence);
+    stopSilenceTimer();
     tracker.releaseWorker();
     this.call = undefined;
     if (call.isSent) retryPolicy.sendCount += 1;
--- a/tests/relay/unread-answers.spec.ts
+++ b/tests/relay/unread-answers.spec.ts
@@ -64,4 +64,14 @@
     caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
     expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'begunended' } });
   });
+
+  // Fault: the timer that detects silent servers ran before the sockets were read, so an answer
+  // that had come was dropped and the request was run again by another server.
+  it('should not be dropped as if its server were silent', async () => {
+    const routes = [makeRoute({ targetLatencyMs: 1 })];
+    rig = await RelayRig.start(makeRouting({ routes }), [sendPlain, sendPlain]);
+    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'begunended' } });
+    expect(rig.received.length).toBe(1);
+  });
 });
