Fix processes that end, and answers that are cut off, when a paused answer's connection ends

What callers saw: while one caller read slowly, its server closed the connection: the process of the entry ended, and with it every open request of all its callers. Where the connection would have stayed open by its head, or was reset behind a complete answer, the rest of the answer was discarded. When the connection ends with all of its bytes parsed, the library fails assert(!this.paused) in Parser.finish, thrown from a socket's event, which nothing catches. A reset destroys the socket together with the bytes in its buffer. Class: a library's object is stopped, and what it stands on goes on. Change: one class for one socket, WorkerSocket, holds back the bytes of a paused answer and its end, and stops reading from the network at the next chunk, so the parser is never paused and sees the end after the bytes. UpstreamCall pauses its connection instead of the library's controller, and resumes it once the answer has ended, as the connection may carry another request. Why it works: bytes, end and reset of a socket come in the order of the network, whenever the caller reads on. Processor time was not measured.

--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -63,6 +63,8 @@
 
   private isRefused = false;
 
+  private isPaused = false;
+
   constructor(
     private readonly connection: WorkerConnection,
     private readonly listener: UpstreamListener,
@@ -82,6 +84,8 @@
     const { socketCount } = this.connection;
     this.connection.requestCount += 1;
     const outcome = await this.dispatch(request);
+    // The connection may carry another request next.
+    this.resume();
     const hasTriedNewSocket = socketCount === 0 || this.connection.socketCount > socketCount;
     if (outcome.kind !== 'unsent' || hasTriedNewSocket || this.isAborted) return outcome;
     return this.dispatch(request);
@@ -106,7 +110,7 @@
           onRequestStart: (controller) => this.start(controller),
           onResponseStart: (controller, status) => this.readHead(controller, status),
           onResponseData: (controller, chunk) => {
-            if (!this.isRefused && !this.listener.onData(chunk)) controller.pause();
+            if (!this.isRefused && !this.listener.onData(chunk)) this.pause();
           },
           onResponseEnd: () => resolve(this.makeOutcome()),
           onResponseError: (controller, error) => fail(error),
@@ -125,9 +129,16 @@
     };
   }
 
-  /** Resumes an answer that `onData` paused. */
+  /** Resumes an answer that `onData` paused; does nothing once the answer has ended. */
   resume(): void {
-    this.controller?.resume();
+    if (!this.isPaused) return;
+    this.isPaused = false;
+    this.connection.resume();
+  }
+
+  private pause(): void {
+    this.isPaused = true;
+    this.connection.pause();
   }
 
   /** Aborts the request and closes its connection, which cancels it at the backend server. */
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -1,5 +1,5 @@
-import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
+import { WorkerSocket } from './workerSocket';
 
 /**
  * Idle time after which a connection is closed, in milliseconds, unless the server announces a
@@ -38,7 +38,7 @@
   socketCount = 0;
 
   /** The latest socket. */
-  private socket: Socket | undefined;
+  private socket: WorkerSocket | undefined;
 
   /** @param onEnd called once the connection has closed */
   constructor(readonly address: string, onEnd: (connection: WorkerConnection) => void) {
@@ -47,7 +47,7 @@
       connect: (options, callback) => {
         this.socketCount += 1;
         connect(options, (error, socket) => {
-          this.socket = socket ?? undefined;
+          this.socket = socket ? new WorkerSocket(socket) : undefined;
           // The callback's type needs separate calls for the two cases.
           if (error) callback(error, null);
           else callback(null, socket);
@@ -69,7 +69,7 @@
    * HTTP library treats a reset as a normal end, so a partial answer would look complete.
    */
   get wasReset(): boolean {
-    return Boolean(this.socket?.errored);
+    return this.socket?.wasReset ?? false;
   }
 
   /** Whether the connection can no longer be used. */
@@ -77,6 +77,16 @@
     return this.client.destroyed;
   }
 
+  /** Pauses the answer that is being received. */
+  pause(): void {
+    this.socket?.pause();
+  }
+
+  /** Resumes a paused answer. */
+  resume(): void {
+    this.socket?.resume();
+  }
+
   /** Closes the connection. */
   end(): void {
     this.client.destroy().catch(() => undefined); // Nobody awaits the result.
