Notice a reset that is reported as the end of a connection

What callers saw: a part of an answer without a length, passed on as a complete one. Cause: libuv reports the end of a connection, and no error, if a reset and the bytes in front of it are found in the same poll. The entry relied on the error alone. No load is needed: a server that resets right behind its bytes is enough. Class: the absence of an error taken for a normal end. Change: at the end of a socket WorkerSocket asks for its peer: the kernel forgets the peer of a connection that was reset, and keeps that of one that was closed. Why it works: the peer is gone exactly when the kernel has processed the reset, whichever way the library reports it.

--- a/src/relay/workerSocket.ts
+++ b/src/relay/workerSocket.ts
@@ -13,6 +13,9 @@
 export class WorkerSocket {
   private isPaused = false;
 
+  /** Whether the socket had no peer when it ended. */
+  private hasLostPeer = false;
+
   constructor(private readonly socket: Socket) {
     const read = socket.read.bind(socket);
     const push = socket.push.bind(socket);
@@ -22,11 +25,16 @@
       // only after the bytes in front of it: it would discard those that are in the buffer.
       push: (chunk: unknown): boolean => push(chunk) && !this.isPaused,
     });
+    // A reset that is found together with the bytes in front of it is reported as an end. A socket
+    // that was reset has no peer any more, unlike one whose peer has closed it.
+    socket.once('end', () => {
+      this.hasLostPeer = socket.remoteAddress === undefined;
+    });
   }
 
   /** Whether the server or the network reset the socket. */
   get wasReset(): boolean {
-    return Boolean(this.socket.errored);
+    return this.hasLostPeer || Boolean(this.socket.errored);
   }
 
   /** Stops the delivery after the chunk that is being delivered. */
