Fix requests that count as sent although the first write was refused

What callers saw: 502, "may have run", for a request of which no byte had left the entry; the request was not sent again if it may run once. Cause: a reset that arrives on an idle connection after the event loop has looked for input is found by the write of the next request. The call counted as sent from the moment in which the HTTP client began to write. Class: the state of one connection taken for the fate of the request. Change: right after the library has written, the call looks whether the socket has failed: the operating system then took no byte, so the call is not sent, and goes over a new connection. Why it works: Node.js reports a first write that fails at once in the same turn and without a partial result; one that was taken in part fails later, when the check is over. What remains: a connection that the server closed in order takes the write, and the reset that answers it says nothing of whether the server ran the request; that stays 502.

--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -164,6 +164,15 @@
       return;
     }
     this.isSent = true;
+    process.nextTick(() => this.checkFirstWrite());
+  }
+
+  /*
+   * The library writes the request right after `start`. If the operating system refuses that write,
+   * it takes no byte of it, and the error is known before it is reported.
+   */
+  private checkFirstWrite(): void {
+    if (this.connection.wasReset) this.isSent = false;
   }
 
   private makeOutcome(): UpstreamOutcome {
--- a/tests/relay/reused-connections.spec.ts
+++ b/tests/relay/reused-connections.spec.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { setImmediate as endTurn } from 'node:timers/promises';
 import {
-  afterEach, describe, expect, it,
+  afterEach, describe, expect, it, vi,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
 import { UpstreamCall } from '../../src/relay/upstreamCall';
@@ -16,6 +16,9 @@
 const EVENT = 'id: 1\ndata: a\n\n';
 const ANSWER = `HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n0\r\n\r\n`;
 
+/** More than the buffers of a connection hold. */
+const LARGE_BODY_BYTES = 50_000_000;
+
 const kinds: readonly [string, Partial<Route>][] = [
   ['a stream that may run once', { kind: 'stream', isResumable: false, maxAttempts: 1 }],
   ['a stream that may be resumed', { kind: 'stream', isResumable: true, maxAttempts: 2 }],
@@ -37,6 +40,7 @@
   let caller: RawCaller;
 
   afterEach(async () => {
+    vi.restoreAllMocks();
     caller.close();
     await rig.close();
   });
@@ -57,6 +61,25 @@
     expect(await asked).toMatchObject({ answer: { status: 200 } });
     expect([rig.received.length, sockets.size]).toEqual([2, 2]);
   });
+
+  // Fault: the operating system had refused the first byte, and the request counted as sent.
+  it.each(kinds)('should be sent over a new one if it was reset before the first write: %s', async (kind, route) => {
+    const sockets = new Set<Socket>();
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
+      sockets.add(socket);
+      socket.write(ANSWER);
+    }]);
+    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200 } });
+    const { acquire } = WorkerConnections.prototype;
+    // The reset comes after this turn of the event loop has looked for input.
+    vi.spyOn(WorkerConnections.prototype, 'acquire').mockImplementationOnce(function acquireAndReset(this: WorkerConnections, address) {
+      sockets.forEach((socket) => socket.resetAndDestroy());
+      return acquire.call(this, address);
+    });
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200 } });
+    expect([rig.received.length, sockets.size]).toEqual([2, 2]);
+  });
 });
 
 describe('a connection to a server', () => {
@@ -66,11 +89,11 @@
 
   let server: ScriptedServer;
 
-  const sendTo = async (address: string): Promise<UpstreamOutcome> => {
+  const sendTo = async (address: string, body = Buffer.alloc(0)): Promise<UpstreamOutcome> => {
     const connection = connections.acquire(address);
     call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
     const outcome = await call.run({
-      method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0),
+      method: 'POST', path: '/', headers: ['host', 'x'], body,
     });
     connections.release(connection);
     return outcome;
@@ -116,4 +139,16 @@
       isSent: false, hasAnswerEnd: false, requestCount: 2, socketCount: 2,
     });
   });
+
+  // Guards against a request that may have run and counts as not sent.
+  it('should count a request as sent if the server resets it after a part of its body', async () => {
+    server = new ScriptedServer((socket, request, count) => {
+      if (count === 1) socket.write(ANSWER);
+      else socket.resetAndDestroy();
+    });
+    await server.listen();
+    expect(await sendTo(server.address)).toEqual({ kind: 'complete' });
+    expect(await sendTo(server.address, Buffer.alloc(LARGE_BODY_BYTES))).toMatchObject({ kind: 'broken' });
+    expect(call.isSent).toBe(true);
+  });
 });
