Wait once for a caller, however many chunks come with the one that fills it

What callers saw: nothing yet; a warning of too many listeners in the output, and memory for each. A paused parser stopped within the bytes that were read together; a paused socket delivers them to their end, up to 128 KB, and each chunk of them added a listener for the caller's drain. Change: a request waits only if its call is not paused yet. Why it works: one drain resumes the call, whatever came meanwhile.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -216,7 +216,7 @@
       onData: (chunk) => {
         const canWriteMore = this.writer.write(chunk);
         tracker.recordChunk();
-        if (!canWriteMore) this.writer.waitDrained(() => call.resume());
+        if (!canWriteMore && !call.isPaused) this.writer.waitDrained(() => call.resume());
         return canWriteMore;
       },
     });
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -57,14 +57,15 @@
   /** Whether the HTTP client has read an answer to its end. */
   hasAnswerEnd = false;
 
+  /** Whether the answer is paused; chunks that were read together with the last one still come. */
+  isPaused = false;
+
   private controller: Dispatcher.DispatchController | undefined;
 
   private abortReason: Error | undefined;
 
   private isRefused = false;
 
-  private isPaused = false;
-
   constructor(
     private readonly connection: WorkerConnection,
     private readonly listener: UpstreamListener,
--- a/tests/relay/paused-answers.spec.ts
+++ b/tests/relay/paused-answers.spec.ts
@@ -145,6 +145,7 @@
 /** Size of a chunk of a large answer. */
 const CHUNK = 'id: 1\ndata: x\n\n'.repeat(1_000);
 const CHUNK_MS = 1;
+const CHUNK_COUNT = 200_000;
 const READING_STARTS_MS = 200;
 
 const kinds: readonly [string, Partial<Route>][] = [
@@ -171,30 +172,56 @@
     await rig.close();
   });
 
-  // Fault: the process of the entry ended.
-  it.each(kinds)('should be complete: %s', async (name, route) => {
-    let waiting = 0;
+  /** Counts the waits for the caller that have not ended. */
+  const countWaits = (): { now: number; most: number } => {
+    const waits = { now: 0, most: 0 };
     const { waitDrained } = AnswerWriter.prototype;
     vi.spyOn(AnswerWriter.prototype, 'waitDrained').mockImplementation(function wait(this: AnswerWriter, resume) {
-      waiting += 1;
+      waits.now += 1;
+      waits.most = Math.max(waits.most, waits.now);
       waitDrained.call(this, () => {
-        waiting -= 1;
+        waits.now -= 1;
         resume();
       });
     });
-    let filled: Promise<number> | undefined;
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
-      socket.write('HTTP/1.1 200 X\r\nx-id: r1\r\n\r\n');
-      filled = fillCaller(socket, () => waiting > 0);
-    }]);
+    return waits;
+  };
+
+  /** Sends a request whose answer is not read yet. */
+  const callShop = async (): Promise<IncomingMessage> => {
     const request = get({
       port: rig.port, path: '/orders/7', headers: { host: 'shop.example', 'x-id': 'r1', 'x-key': 'k1' },
     });
     const [response] = await once(request, 'response') as [IncomingMessage];
+    return response;
+  };
+
+  // Fault: the process of the entry ended.
+  it.each(kinds)('should be complete: %s', async (name, route) => {
+    const waits = countWaits();
+    let filled: Promise<number> | undefined;
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
+      socket.write('HTTP/1.1 200 X\r\nx-id: r1\r\n\r\n');
+      filled = fillCaller(socket, () => waits.now > 0);
+    }]);
+    const response = await callShop();
     const sent = await filled;
     await pause(READING_STARTS_MS);
     const body = await readBody(response);
     expect([body.length, response.complete]).toEqual([sent, true]);
     expect(rig.received).toHaveLength(1);
   });
+
+  // Guards against a listener for each of the many chunks that are read at once.
+  it.each(kinds)('should wait once for its caller: %s', async (name, route) => {
+    const waits = countWaits();
+    const chunk = 'f\r\nid: 1\ndata: x\n\n\r\n'.repeat(CHUNK_COUNT);
+    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
+      socket.end(`HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n${chunk}0\r\n\r\n`);
+    }]);
+    const response = await callShop();
+    await pause(READING_STARTS_MS);
+    expect(await readBody(response)).toHaveLength(15 * CHUNK_COUNT);
+    expect(waits.most).toBe(1);
+  });
 });
