Fix answers that are cut off by an error in the next request of their connection

What callers saw: a caller that writes requests without waiting for answers got "400 Bad Request" in the middle of the answer before, if the body of its latest request was invalid, and the connection closed. Cause: after an error in its input the entry finished the answer to the latest request only, and only if that request was read whole. Class: an end that does not go by what is owed. Change: CallerConnections keeps the open responses of each connection, and waits for the last one whose request was read whole. Why it works: the refusal is written once nothing that is owed stands before it.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -43,12 +43,19 @@
   /** Response to the latest request of each connection. */
   private readonly latestResponse = new WeakMap<Socket, ServerResponse>();
 
+  /** Responses of each connection that are not fully written, in the order of their requests. */
+  private readonly openResponses = new WeakMap<Socket, readonly ServerResponse[]>();
+
   /** Connections that have failed and will be closed, unless a second check clears them. */
   private readonly failed = new WeakSet<Socket>();
 
   /** Registers a request whose head was received. */
   registerRequest(socket: Socket, response: ServerResponse): void {
     this.latestResponse.set(socket, response);
+    this.openResponses.set(socket, [...this.listOpen(socket), response]);
+    response.once('close', () => {
+      this.openResponses.set(socket, this.listOpen(socket).filter((other) => other !== response));
+    });
   }
 
   /** Whether a response answers the latest request of its connection. */
@@ -65,8 +72,8 @@
   }
 
   /**
-   * Answers an error in the input of a connection and closes the connection. An answer in progress
-   * to a request that was read completely is finished first.
+   * Answers an error in the input of a connection and closes the connection. Answers in progress
+   * to requests that were read completely are finished first.
    */
   handleError(error: ReadError, socket: Socket): void {
     if (this.failed.has(socket)) return;
@@ -76,11 +83,16 @@
 
   private closeAfterError(error: ReadError, socket: Socket): void {
     const latest = this.latestResponse.get(socket);
-    if (latest && isInProgress(latest, error)) latest.once('close', () => this.closeAfterError(error, socket));
+    const inProgress = this.listOpen(socket).findLast((response) => isInProgress(response, error));
+    if (inProgress) inProgress.once('close', () => this.closeAfterError(error, socket));
     else if (error.code === HEAD_TIMEOUT) this.checkHeadTimeout(error, socket, latest);
     else refuseUnreadable(error, socket);
   }
 
+  private listOpen(socket: Socket): readonly ServerResponse[] {
+    return this.openResponses.get(socket) ?? [];
+  }
+
   private checkHeadTimeout(
     error: ReadError,
     socket: Socket,
--- /dev/null
+++ b/tests/relay/pipelined-requests.spec.ts
@@ -0,0 +1,67 @@
+import { Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import type { Route } from '../../src/manifest/routing';
+import { RelayRig } from '../fakes/relayRig';
+import { makeRoute, makeRouting } from '../fakes/routings';
+import { sendAnswer } from '../fakes/scriptedServer';
+import type { ServerScript } from '../fakes/scriptedServer';
+
+const HOST = '127.0.0.1';
+const HEADERS = 'Host: shop.example\r\nx-id: r1\r\nx-key: k1\r\n';
+const FIRST = `GET /orders/1 HTTP/1.1\r\n${HEADERS}\r\n`;
+const BAD_BODY = `POST /orders/2 HTTP/1.1\r\n${HEADERS}transfer-encoding: chunked\r\n\r\nno chunk\r\n`;
+const STEP_MS = 150;
+
+const BEGIN = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nbegun\r\n';
+const END = '5\r\nended\r\n0\r\n\r\n';
+
+/** Answers the second request at once, and the first one with a stream. */
+const makeScript = (streamMs: number): ServerScript => (socket, request) => {
+  if (request.includes('/orders/2')) {
+    sendAnswer(socket, 'r1', 'second');
+    return;
+  }
+  socket.write(BEGIN);
+  setTimeout(() => socket.write(END), streamMs);
+};
+
+describe('requests that are written without waiting for the answer before', () => {
+  let rig: RelayRig;
+
+  let socket: Socket;
+
+  let text = '';
+
+  const start = async (script: ServerScript, route: Partial<Route> = {}): Promise<void> => {
+    const routes = [makeRoute({ kind: 'stream', timeoutMs: 9_000, ...route })];
+    rig = await RelayRig.start(makeRouting({ routes }), [script]);
+    text = '';
+    socket = new Socket();
+    socket.on('data', (piece) => {
+      text += piece.toString('latin1');
+    });
+    socket.on('error', () => undefined);
+    await new Promise<void>((resolve) => {
+      socket.connect(rig.port, HOST, resolve);
+    });
+  };
+
+  afterEach(async () => {
+    socket.destroy();
+    await rig.close();
+  });
+
+  // Fault: the refusal of a body was written into the answer in progress, and cut it off.
+  it('should not cut off an answer in progress by an invalid body', async () => {
+    await start(makeScript(2 * STEP_MS));
+    socket.write(FIRST);
+    await pause(STEP_MS);
+    socket.write(BAD_BODY);
+    await pause(2 * STEP_MS);
+    expect(text).toMatch(/^HTTP\/1.1 200 [^]*begun\r\n5\r\nended\r\n0\r\n\r\nHTTP\/1.1 400 /);
+    expect(rig.received).toHaveLength(1);
+  });
+});
