Refuse a head that took long only if it is still incomplete

What callers saw: an unasked 408 and a closed connection after both answers, where a head had come slowly behind an answer in progress and was complete before that answer ended. Cause: the check after the answer compared with the latest request of that moment, not with that of the error. Change: the latest request is noted when the error comes, and the check clears the connection if a newer one has come since. Why it works: a head that is complete has become a request, which is newer than the one noted.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -78,13 +78,17 @@
   handleError(error: ReadError, socket: Socket): void {
     if (this.failed.has(socket)) return;
     this.failed.add(socket);
-    this.closeAfterError(error, socket);
+    this.closeAfterError(error, socket, this.latestResponse.get(socket));
   }
 
-  private closeAfterError(error: ReadError, socket: Socket): void {
-    const latest = this.latestResponse.get(socket);
+  /** @param latest response to the latest request when the error occurred */
+  private closeAfterError(
+    error: ReadError,
+    socket: Socket,
+    latest: ServerResponse | undefined,
+  ): void {
     const inProgress = this.listOpen(socket).findLast((response) => isInProgress(response, error));
-    if (inProgress) inProgress.once('close', () => this.closeAfterError(error, socket));
+    if (inProgress) inProgress.once('close', () => this.closeAfterError(error, socket, latest));
     else if (error.code === HEAD_TIMEOUT) this.checkHeadTimeout(error, socket, latest);
     else refuseUnreadable(error, socket);
   }
--- a/tests/relay/pipelined-requests.spec.ts
+++ b/tests/relay/pipelined-requests.spec.ts
@@ -3,7 +3,7 @@
 import {
   afterEach, describe, expect, it,
 } from 'vitest';
-import type { Route } from '../../src/manifest/routing';
+import type { CallerLimits, Route } from '../../src/manifest/routing';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 import { sendAnswer } from '../fakes/scriptedServer';
@@ -12,8 +12,11 @@
 const HOST = '127.0.0.1';
 const HEADERS = 'Host: shop.example\r\nx-id: r1\r\nx-key: k1\r\n';
 const FIRST = `GET /orders/1 HTTP/1.1\r\n${HEADERS}\r\n`;
+const SECOND = `GET /orders/2 HTTP/1.1\r\n${HEADERS}\r\n`;
 const BAD_BODY = `POST /orders/2 HTTP/1.1\r\n${HEADERS}transfer-encoding: chunked\r\n\r\nno chunk\r\n`;
 const STEP_MS = 150;
+/** Interval of the check for request heads that take too long. */
+const HEAD_CHECK_MS = 1_000;
 
 const BEGIN = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nbegun\r\n';
 const END = '5\r\nended\r\n0\r\n\r\n';
@@ -35,9 +38,14 @@
 
   let text = '';
 
-  const start = async (script: ServerScript, route: Partial<Route> = {}): Promise<void> => {
+  const start = async (
+    script: ServerScript,
+    route: Partial<Route> = {},
+    limits: Partial<CallerLimits> = {},
+  ): Promise<void> => {
     const routes = [makeRoute({ kind: 'stream', timeoutMs: 9_000, ...route })];
-    rig = await RelayRig.start(makeRouting({ routes }), [script]);
+    const routing = makeRouting({ routes });
+    rig = await RelayRig.start({ ...routing, limits: { ...routing.limits, ...limits } }, [script]);
     text = '';
     socket = new Socket();
     socket.on('data', (piece) => {
@@ -64,4 +72,19 @@
     expect(text).toMatch(/^HTTP\/1.1 200 [^]*begun\r\n5\r\nended\r\n0\r\n\r\nHTTP\/1.1 400 /);
     expect(rig.received).toHaveLength(1);
   });
+
+  // Fault: a head that had taken long was refused after its request had been answered, and the
+  // connection was closed.
+  it('should keep the connection if a head that took long was complete before the refusal', async () => {
+    await start(makeScript(2 * HEAD_CHECK_MS), {}, { headerTimeoutMs: STEP_MS });
+    socket.write(FIRST);
+    await pause(STEP_MS);
+    const [line = '', ...lines] = SECOND.split('\r\n');
+    socket.write(`${line}\r\n`);
+    await pause(1.5 * HEAD_CHECK_MS);
+    socket.write(lines.join('\r\n'));
+    await pause(HEAD_CHECK_MS);
+    expect(text).toMatch(/ended\r\n0\r\n\r\nHTTP\/1.1 200 [^]*\r\n\r\nsecond$/);
+    expect(socket.readyState).toBe('open');
+  });
 });
