Serve the requests of a connection one after another

What callers saw: of requests written without waiting for answers, the second ran and got no answer, if the first answer closed the connection (it has no length, its server broke it off, or its head was refused); after the caller had left, the second one was run on. Cause: the requests of a connection were run at once, and answered in order. Class: work is passed on whose answer can't be owed yet. Change: a request waits until the answers before it on its connection are written, and is not begun if the connection has closed by then. The wait counts towards its time limit. Nothing changes for callers that wait for their answers. Why it works: the answer before has decided whether the connection stays open when the request is passed on. What remains: while a request waits, its body is read up to Node.js' buffer only, so with a longer one the entry notices late that its caller has left.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -29,6 +29,22 @@
   !destroyed && req.complete && code !== CALLER_ENDED
 );
 
+/** Resolves once an answer was handed to the operating system, or its connection has closed. */
+const waitClosed = (socket: Socket, response: ServerResponse): Promise<void> => (
+  response.closed || socket.destroyed
+    ? Promise.resolve()
+    : new Promise((resolve) => {
+      const settle = (): void => {
+        response.off('close', settle);
+        socket.off('close', settle);
+        resolve();
+      };
+      response.once('close', settle);
+      // A response whose turn has not come yet is not closed with its connection.
+      socket.once('close', settle);
+    })
+);
+
 /**
  * Closes connections of callers that are idle or on which no request can be read.
  *
@@ -46,6 +62,9 @@
   /** Responses of each connection that are not fully written, in the order of their requests. */
   private readonly openResponses = new WeakMap<Socket, readonly ServerResponse[]>();
 
+  /** Resolves once the answer to the latest request of each connection was written. */
+  private readonly turns = new WeakMap<Socket, Promise<void>>();
+
   /** Connections that have failed and will be closed, unless a second check clears them. */
   private readonly failed = new WeakSet<Socket>();
 
@@ -58,6 +77,16 @@
     });
   }
 
+  /**
+   * Waits until the answers to earlier requests of a connection are written, or it has closed: an
+   * earlier answer may close the connection, and the request would then run without an answer.
+   */
+  waitTurn(socket: Socket, response: ServerResponse): Promise<void> {
+    const turn = this.turns.get(socket) ?? Promise.resolve();
+    this.turns.set(socket, turn.then(() => waitClosed(socket, response)));
+    return turn;
+  }
+
   /** Whether a response answers the latest request of its connection. */
   isNewest(socket: Socket, response: ServerResponse): boolean {
     return this.latestResponse.get(socket) === response;
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -75,12 +75,16 @@
   app.addHook('onRequest', async (request, reply) => {
     reply.hijack();
     const { raw } = request;
+    const target = targets.get(raw) ?? '/';
+    const isNewest = (): boolean => callerConnections.isNewest(raw.socket, reply.raw);
+    // Made before the wait, which counts towards the time limit of the request.
+    const routed = new RoutedRequest(parts, raw, reply.raw, target, isNewest);
+    await callerConnections.waitTurn(raw.socket, reply.raw);
     // The connection was ended before the request arrived: no answer can be written.
     if (!raw.socket.writable) {
       raw.resume();
       return;
     }
-    const target = targets.get(raw) ?? '/';
     const maxHeadBytes = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
     const status = checkHead(raw, maxHeadBytes);
     if (status !== undefined) {
@@ -88,8 +92,6 @@
       endAfterBody(raw, reply.raw);
       return;
     }
-    const isNewest = (): boolean => callerConnections.isNewest(raw.socket, reply.raw);
-    const routed = new RoutedRequest(parts, raw, reply.raw, target, isNewest);
     await parts.openRequests.serve(routed, { request: raw, response: reply.raw });
   });
   app.all('/', async () => undefined);
--- a/tests/relay/pipelined-requests.spec.ts
+++ b/tests/relay/pipelined-requests.spec.ts
@@ -87,4 +87,34 @@
     expect(text).toMatch(/ended\r\n0\r\n\r\nHTTP\/1.1 200 [^]*\r\n\r\nsecond$/);
     expect(socket.readyState).toBe('open');
   });
+
+  // Fault: a request was run although the answer before it closed the connection, so its caller
+  // got no answer and could not tell whether it had run.
+  it.each([
+    ['an answer without a length', FIRST, 'HTTP/1.1 200 X\r\nx-id: r1\r\n\r\nfirst'],
+    ['an answer that its server breaks off', FIRST, `${BEGIN}5\r\nbr`],
+    ['a refusal of its head', FIRST.replace('Host', 'Host: other.example\r\nHost'), ''],
+  ])('should run no request behind one that closes the connection: %s', async (name, first, answer) => {
+    await start((server, request) => {
+      if (request.includes('/orders/2')) sendAnswer(server, 'r1', 'second');
+      else setTimeout(() => server.end(answer), STEP_MS);
+    });
+    socket.write(first + SECOND);
+    await pause(3 * STEP_MS);
+    expect(socket.destroyed).toBe(true);
+    expect(rig.received.filter((request) => request.includes('/orders/2'))).toEqual([]);
+  });
+
+  // Fault: the second request was run on after its caller had left.
+  it('should run no request whose caller has left', async () => {
+    await start((server) => {
+      server.write(BEGIN);
+    });
+    socket.write(FIRST + SECOND);
+    await pause(STEP_MS);
+    socket.destroy();
+    await pause(STEP_MS);
+    const runningCount = rig.received.length - rig.findServer(0).closedCount;
+    expect([runningCount, await rig.countOpenRequests()]).toEqual([0, 0]);
+  });
 });
