Keep a connection for the idle time that its last answer announced

What callers saw: a connection that closed sooner than the Keep-Alive header of its last answer had said, after a change of the idle limit during that answer; the next request could cross the close. Cause: the head announces the idle time in force when the request came, and Node.js closes after the one in force when the answer ends. Class: a promise kept by the state of another moment. Change: CallerConnections notes the announced end of the idle time with each answer; a connection whose idle timer ends sooner gets a timer for the rest. Why it works: no connection closes before the time that its caller was told, whichever limit is in force.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -1,11 +1,14 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { systemClock } from '../utils/clock';
 
 type ReadError = Error & { readonly code?: string };
 
 /** Error code if the caller ended the connection in the middle of a request. */
 const CALLER_ENDED = 'HPE_INVALID_EOF_STATE';
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Time beyond its idle time in which a connection stays open, as in Node.js, in milliseconds. */
+const IDLE_MARGIN_MS = 1_000;
 const BAD_REQUEST = '400 Bad Request';
 
 /** Status line for each error code of the HTTP parser. */
@@ -52,7 +55,8 @@
  * seems to be exceeded is therefore checked again after that input was read.
  *
  * @example
- * server.on('request', ({ socket }, response) => callers.registerRequest(socket, response));
+ * server.on('request', ({ socket }, response) => (
+ *   callers.registerRequest(socket, response, server.keepAliveTimeout)));
  * server.on('timeout', (socket) => callers.closeIdle(socket));
  */
 export class CallerConnections {
@@ -62,17 +66,25 @@
   /** Responses of each connection that are not fully written, in the order of their requests. */
   private readonly openResponses = new WeakMap<Socket, readonly ServerResponse[]>();
 
+  /** End of the idle time that the last answer announced, monotonic milliseconds. */
+  private readonly announcedUntil = new WeakMap<Socket, number>();
+
   /** Resolves once the answer to the latest request of each connection was written. */
   private readonly turns = new WeakMap<Socket, Promise<void>>();
 
   /** Connections that have failed and will be closed, unless a second check clears them. */
   private readonly failed = new WeakSet<Socket>();
 
-  /** Registers a request whose head was received. */
-  registerRequest(socket: Socket, response: ServerResponse): void {
+  /**
+   * Registers a request whose head was received.
+   *
+   * @param idleMs idle time that the answer announces
+   */
+  registerRequest(socket: Socket, response: ServerResponse, idleMs: number): void {
     this.latestResponse.set(socket, response);
     this.openResponses.set(socket, [...this.listOpen(socket), response]);
     response.once('close', () => {
+      this.announcedUntil.set(socket, systemClock.now() + idleMs);
       this.openResponses.set(socket, this.listOpen(socket).filter((other) => other !== response));
     });
   }
@@ -92,8 +104,16 @@
     return this.latestResponse.get(socket) === response;
   }
 
-  /** Closes a connection after its idle time, unless input is waiting to be read. */
+  /**
+   * Closes a connection after its idle time, unless input is waiting to be read. The time in force
+   * may be lower than the one that the last answer announced, which the caller relies on.
+   */
   closeIdle(socket: Socket): void {
+    const announcedMs = (this.announcedUntil.get(socket) ?? 0) - systemClock.now();
+    if (announcedMs > 0) {
+      socket.setTimeout(announcedMs + IDLE_MARGIN_MS);
+      return;
+    }
     const { bytesRead } = socket;
     setImmediate(() => {
       if (socket.bytesRead === bytesRead) socket.destroy();
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -68,7 +68,8 @@
       return '/';
     },
   });
-  app.server.on('request', ({ socket }, response) => callerConnections.registerRequest(socket, response));
+  app.server.on('request', ({ socket }, response) => (
+    callerConnections.registerRequest(socket, response, app.server.keepAliveTimeout)));
   app.server.on('timeout', (socket) => callerConnections.closeIdle(socket));
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', (request, payload, done) => done(null, payload));
