Bound the timers of a request by what a timer accepts

What callers saw: with a time limit or a target latency of 24.8 days and more, 504 at once for every request, or a second run. Cause: Node.js treats durations beyond 2^31 - 1 ms as 1 ms. Change: startInputTimer, which both timers use, bounds its duration. Why it works: a limit that is longer than a timer can be is not due while the request lasts.

--- a/src/relay/startInputTimer.ts
+++ b/src/relay/startInputTimer.ts
@@ -1,3 +1,6 @@
+/** Longest duration of a timer; Node.js would treat a longer one as 1 ms. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /**
  * Calls `run` after a time, but only once the input that arrived until then was read.
  *
@@ -12,7 +15,7 @@
   let immediate: NodeJS.Immediate | undefined;
   const timer = setTimeout(() => {
     immediate = setImmediate(run);
-  }, ms);
+  }, Math.min(ms, MAX_TIMER_MS));
   return () => {
     clearTimeout(timer);
     clearImmediate(immediate);
