Bound the idle limit of callers by what a timer accepts

What callers saw: with an idle limit in the document that is negative or infinite (1e400 in JSON), the process of each entry ended with its first answer, and again after each start. No document seen has such limits. Cause: Node.js throws for such a timer at the end of the answer, where nothing catches it; the document's schema accepts any number. Change: applyCallerLimits bounds the limit; a negative one counts as 0, which is no limit. Why it works: Node.js gets only durations that it accepts.

--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -15,6 +15,8 @@
 const DEFAULT_HEAD_TIMEOUT_MS = 3_000;
 /** Interval of the check for request heads that take too long. */
 const HEAD_CHECK_INTERVAL_MS = 1_000;
+/** Longest idle time: a timer must accept it with the second that Node.js adds. */
+const MAX_IDLE_MS = 2_147_000_000;
 const BAD_REQUEST = 400;
 const HEAD_TOO_LARGE = 431;
 const HOST = 'host';
@@ -103,9 +105,10 @@
  * Applies the limits of a routing document to the connections of callers.
  *
  * Callers may reuse a connection that was idle for almost the whole limit. An idle connection is
- * therefore closed shortly after the limit, never before it.
+ * therefore closed shortly after the limit, never before it. Node.js would throw for a limit that a
+ * timer does not accept, at the end of the next answer, where nothing could catch it.
  */
 export const applyCallerLimits = (app: FastifyInstance, limits: CallerLimits): void => {
-  app.server.keepAliveTimeout = limits.idleTimeoutMs;
+  app.server.keepAliveTimeout = Math.min(MAX_IDLE_MS, Math.max(0, limits.idleTimeoutMs));
   app.server.headersTimeout = limits.headerTimeoutMs;
 };
--- a/tests/relay/extreme-limits.spec.ts
+++ b/tests/relay/extreme-limits.spec.ts
@@ -1,5 +1,6 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import {
-  afterEach, describe, expect, it,
+  afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
 import { RawCaller } from '../fakes/rawCaller';
@@ -17,14 +18,31 @@
   setTimeout(() => sendAnswer(socket, 'r1', 'fine'), ANSWER_MS);
 };
 
+/** Errors that would have ended the process. */
+const uncaught: Error[] = [];
+const addUncaught = (error: Error): void => {
+  uncaught.push(error);
+};
+
 describe('an entry whose document has extreme limits', () => {
   let rig: RelayRig;
 
   let caller: RawCaller;
 
+  let former: NodeJS.UncaughtExceptionListener[] = [];
+
+  beforeEach(() => {
+    uncaught.length = 0;
+    former = process.listeners('uncaughtException');
+    process.removeAllListeners('uncaughtException');
+    process.on('uncaughtException', addUncaught);
+  });
+
   afterEach(async () => {
     caller.close();
     await rig.close();
+    process.removeAllListeners('uncaughtException');
+    former.forEach((listener) => process.on('uncaughtException', listener));
   });
 
   // Fault: a duration that a timer does not accept counted as 1 ms, so each request was answered
@@ -40,4 +58,15 @@
     expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'fine' } });
     expect(rig.received).toHaveLength(1);
   });
+
+  // Fault: the end of the first answer crashed the process, and all callers lost their connections.
+  it.each([-5_000, 1e300, Infinity])('should keep running with an idle limit of %s ms', async (idleTimeoutMs) => {
+    const routing = makeRouting({});
+    const limits = { ...routing.limits, idleTimeoutMs };
+    rig = await RelayRig.start({ ...routing, limits }, [answerLater]);
+    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'fine' } });
+    await pause(ANSWER_MS);
+    expect(uncaught).toEqual([]);
+  });
 });
