Fix orders that fail because their idle connection has been dropped

What operators saw: an order to an engine that came five seconds late, while the engine stayed out of service. Cause: OrderSender uses the HTTP client's shared pool; a reset that is pending on an idle connection fails the order before a byte is sent, and the retry waits 5 s. Class: the state of one connection taken for the state of its server. Change: each order closes its connection, as calls to plain services already use one each; orders are rare. Evidence: dropped-connections.spec.ts, 1 of 2 failed before, three runs of three; 2 of 2 pass with tests/entry. Why it works: no order takes a connection that has been idle.

--- a/src/entry/choosing/orderSender.ts
+++ b/src/entry/choosing/orderSender.ts
@@ -39,6 +39,8 @@
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(order),
       signal: AbortSignal.timeout(MAX_ORDER_DELAY_MS),
+      // Closes the connection afterwards: one that breaks while idle would fail the next order.
+      reset: true,
     });
     await response.body.dump();
     return response;
