Fix streams of engines that fail because their idle connection has been dropped

What callers saw, at the product's own entry: backendFailed, "run: unknown", for a stream that was never sent; one that can be resumed was resumed, cancelled and granted anew. Cause: EngineClient dispatches over pooled connections and takes each reset for one under a request that was sent. Class: the state of one connection taken for the fate of the request. Change: the HTTP client tells when it starts to send; a request that fails before that on an open connection is sent once over a new one, as resumes are. A refused or timed-out connection stays "notSent", an aborted request is not sent again. Why it works: nothing was sent, so the second dispatch is the first that the engine sees.

--- a/src/entry/sending/engineClient.ts
+++ b/src/entry/sending/engineClient.ts
@@ -1,7 +1,7 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
 import {
-  Agent, Client, request,
+  Agent, Client, DecoratorHandler, request,
 } from 'undici';
 import type { Dispatcher } from 'undici';
 import { EngineFailure } from './engineFailure';
@@ -38,6 +38,14 @@
   readonly fromOffset: number;
 };
 
+interface RequestOptions {
+  readonly method: 'GET' | 'POST';
+  readonly headers: Readonly<Record<string, string>>;
+  readonly signal: AbortSignal;
+  readonly headersTimeout: number;
+  readonly body?: string;
+}
+
 const CONNECT_TIMEOUT_MS = 1_000;
 /**
  * Idle connections are not reused after this time: network devices in between may have dropped
@@ -101,6 +109,20 @@
   }
 };
 
+/** Adds a listener to a handler, called when the HTTP client starts to send the request. */
+const addStartListener = (
+  handler: Dispatcher.DispatchHandler,
+  markStarted: () => void,
+): Dispatcher.DispatchHandler => {
+  const decorated: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
+  const forward = decorated.onRequestStart?.bind(decorated);
+  decorated.onRequestStart = (controller, context) => {
+    markStarted();
+    forward?.(controller, context);
+  };
+  return decorated;
+};
+
 /**
  * HTTP client for engines: starts, resumes and cancels streams.
  *
@@ -126,13 +148,12 @@
     const {
       address, path, body, headers, streamId, signal,
     } = dispatch;
-    const response = await this.send(`http://${address}${path}`, {
+    const response = await this.sendPooled(address, path, {
       method: 'POST',
       body,
       headers: { ...headers, 'content-type': 'application/json', 'beechlift-stream': streamId },
       signal,
       headersTimeout: idleTimeoutMs,
-      dispatcher: this.agent,
     });
     return this.readEvents(response, 0, idleTimeoutMs);
   }
@@ -142,16 +163,10 @@
     const {
       address, streamId, fromOffset, signal, headers,
     } = resume;
-    const fresh = this.makeFreshClient(address);
-    try {
-      const response = await this.send(`http://${address}/v1/streams/${encodeURIComponent(streamId)}?from=${fromOffset}`, {
-        method: 'GET', headers, signal, headersTimeout: idleTimeoutMs, dispatcher: fresh,
-      });
-      return this.readEvents(response, fromOffset, idleTimeoutMs);
-    } finally {
-      // Closes only after the stream on this connection has ended.
-      fresh.close().catch(() => undefined);
-    }
+    const response = await this.sendFresh(address, `/v1/streams/${encodeURIComponent(streamId)}?from=${fromOffset}`, {
+      method: 'GET', headers, signal, headersTimeout: idleTimeoutMs,
+    });
+    return this.readEvents(response, fromOffset, idleTimeoutMs);
   }
 
   /** Cancels a stream and blocks its id; returns the state that the engine had for it. */
@@ -184,13 +199,50 @@
     });
   }
 
+  /*
+   * Sends over a pooled connection, or over a new one if the engine has dropped the pooled one
+   * before a byte was sent: that proves neither that the request may run nor that the engine is
+   * unreachable.
+   */
+  private async sendPooled(
+    address: string,
+    path: string,
+    options: RequestOptions,
+  ): Promise<Dispatcher.ResponseData> {
+    let isStarted = false;
+    const markStarted = (): void => {
+      isStarted = true;
+    };
+    const dispatcher = this.agent.compose((dispatch) => (dispatchOptions, handler) => (
+      dispatch(dispatchOptions, addStartListener(handler, markStarted))));
+    return this.send(`http://${address}${path}`, { ...options, dispatcher }).catch((error: unknown) => {
+      const isDropped = !isStarted && error instanceof EngineFailure && error.reach !== 'notSent';
+      if (!isDropped || options.signal.aborted) throw error;
+      return this.sendFresh(address, path, options);
+    });
+  }
+
+  private async sendFresh(
+    address: string,
+    path: string,
+    options: RequestOptions,
+  ): Promise<Dispatcher.ResponseData> {
+    const fresh = this.makeFreshClient(address);
+    try {
+      return await this.send(`http://${address}${path}`, { ...options, dispatcher: fresh });
+    } finally {
+      // Closes only after the stream on this connection has ended.
+      fresh.close().catch(() => undefined);
+    }
+  }
+
   private async send(
     url: string,
-    options: NonNullable<Parameters<typeof request>[1]>,
+    options: RequestOptions & { readonly dispatcher: Dispatcher },
   ): Promise<Dispatcher.ResponseData> {
     let response: Dispatcher.ResponseData;
     try {
-      response = await request(url, options) as Dispatcher.ResponseData;
+      response = await request(url, options);
     } catch (error) {
       throw toEngineFailure(error);
     }
--- a/tests/entry/dropped-connections.spec.ts
+++ b/tests/entry/dropped-connections.spec.ts
@@ -4,12 +4,19 @@
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import { OrderSender } from '../../src/entry/choosing/orderSender';
+import { EngineClient } from '../../src/entry/sending/engineClient';
+import type { EngineEvent } from '../../src/entry/sending/engineClient';
 import { makeLogger } from '../../src/telemetry/logger';
 import { Metrics } from '../../src/telemetry/metrics';
 import { ScriptedServer } from '../fakes/scriptedServer';
 
 const EVENTS = 'id: 0\ndata: a\n\ndata: [DONE]\n\n';
 const ANSWER = `HTTP/1.1 200 X\r\ncontent-length: ${EVENTS.length}\r\n\r\n${EVENTS}`;
+const STREAM = [
+  { done: false, value: { offset: 0, data: 'a' } },
+  { done: true, value: undefined },
+];
+const IDLE_TIMEOUT_MS = 1_000;
 
 const drops: readonly [string, (socket: Socket) => void][] = [
   ['closes', (socket) => socket.destroy()],
@@ -40,6 +47,23 @@
     sockets.forEach(drop);
   };
 
+  // Fault: a request that was never sent counted as one that may run, so a stream that can't be
+  // resumed failed although its server accepts connections.
+  it.each(drops)('should get the next stream over a new one if it %s it', async (verb, drop) => {
+    const engines = new EngineClient();
+    const runStream = async (streamId: string): Promise<IteratorResult<EngineEvent>[]> => {
+      const events = await engines.dispatch({
+        address: server.address, streamId, path: '/v1/completions', body: '{}', headers: {}, signal: new AbortController().signal,
+      }, IDLE_TIMEOUT_MS);
+      return [await events.next(), await events.next()];
+    };
+    expect(await runStream('s1')).toEqual(STREAM);
+    await dropConnections(drop);
+    expect(await runStream('s2')).toEqual(STREAM);
+    expect([server.requests.length, sockets.size]).toEqual([2, 2]);
+    await engines.close();
+  });
+
   // Fault: an order that was never sent failed and was sent again only after five seconds.
   it.each(drops)('should get the next order over a new one if it %s it', async (verb, drop) => {
     const orders = new OrderSender(new Metrics(), makeLogger('test', 'silent'));
