Fix half answers of a service that count as whole if their connection is reset

What callers saw, at the product's own entry: a half of an answer without a length, passed on as a complete one with a length, and stored with its claim. Cause: callService left the end of an answer without a length to the HTTP client, which treats a reset as a normal end. The routed sites' connections guard against this, these did not. Found by the reviewer. Change: the connection of a call turns a reset into an error that the HTTP client doesn't take for an end, so the call fails as "may have been sent". Why it works: the client decides by the code of the error, and this listener comes before its own. What remains: a reset that the library reports as an end, as it is found together with bytes, is not noticed here.

--- a/src/entry/sending/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -1,4 +1,4 @@
-import { Client, request } from 'undici';
+import { buildConnector, Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { BeechliftError } from '../../errors/beechliftError';
 import { toEngineFailure } from './toEngineFailure';
@@ -37,6 +37,24 @@
     .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? '']),
 );
 
+const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+/*
+ * Opens a connection whose reset fails the call. The HTTP client would treat it as the normal end
+ * of an answer without a length, and half an answer would look complete. This listener is
+ * registered before the library's own, which decides by the code of the error.
+ */
+const openConnection: buildConnector.connector = (options, callback) => {
+  openSocket(options, (error, socket) => {
+    socket?.once('error', (reset: NodeJS.ErrnoException) => {
+      if (reset.code === 'ECONNRESET') Object.assign(reset, { code: 'UND_ERR_SOCKET' });
+    });
+    // The callback's type needs separate calls for the two cases.
+    if (error) callback(error, null);
+    else callback(null, socket);
+  });
+};
+
 const readBody = async (
   body: Dispatcher.ResponseData['body'],
   maxBytes: number,
@@ -66,9 +84,7 @@
  */
 export const callService = async (call: ServiceCall): Promise<ServiceAnswer> => {
   const client = new Client(`http://${call.address}`, {
-    connect: {
-      timeout: CONNECT_TIMEOUT_MS,
-    },
+    connect: openConnection,
     headersTimeout: call.timeoutMs,
     bodyTimeout: call.timeoutMs,
   });
