Read what has arrived before a request moves to another server

What callers saw: a request that may be repeated ran a second time, and the answer that had come was discarded unread. Cause: once a request of a silent server had a slot elsewhere, its attempt was aborted at once, although the answer may have arrived in the same turn of the event loop. Class: an end that goes by a clock, not by what has arrived. Change: RequestFailover lets the input that is waiting be read before it decides. Why it works: an answer that is read in that turn has its head when the decision is made.

--- a/src/relay/requestFailover.ts
+++ b/src/relay/requestFailover.ts
@@ -1,3 +1,4 @@
+import { setImmediate as readPendingInput } from 'node:timers/promises';
 import type { Route } from '../manifest/routing';
 import type { RequestLog } from './requestLog';
 import type { UpstreamCall } from './upstreamCall';
@@ -66,6 +67,8 @@
     const picked = await parts.pickWorker(() => call.hasAnswerHead)
       .catch((error: unknown) => parts.log.logSilentWait(error));
     if (!picked) return undefined;
+    // The answer may have arrived meanwhile.
+    await readPendingInput();
     const isWanted = !call.hasAnswerHead && !parts.isFinished();
     // Checked again: the retry may no longer be allowed after the wait for a slot.
     const mayMove = !parts.isCurrentCall(call) || parts.reserveRetry(picked);
--- a/tests/relay/unread-answers.spec.ts
+++ b/tests/relay/unread-answers.spec.ts
@@ -1,8 +1,9 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import {
-  afterEach, describe, expect, it,
+  afterEach, describe, expect, it, vi,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
+import { PlaceReply } from '../../src/protocol/generated/beechlift';
 import { RawCaller } from '../fakes/rawCaller';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
@@ -14,6 +15,8 @@
 const LIMIT_MS = 300;
 const ANSWER_MS = 200;
 const BUSY_MS = 200;
+/** Longer than the time after which a server counts as silent. */
+const SILENT_MS = 600;
 
 const STREAM_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
 
@@ -51,6 +54,7 @@
   let caller: RawCaller;
 
   afterEach(async () => {
+    vi.restoreAllMocks();
     caller.close();
     await rig.close();
     await pause(BUSY_MS);
@@ -74,4 +78,26 @@
     expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'begunended' } });
     expect(rig.received.length).toBe(1);
   });
+
+  // Fault: the request moved as soon as another slot was granted. The answer that had come was
+  // discarded unread, and the request ran a second time.
+  it('should be passed on although another slot is granted in the same turn', async () => {
+    let grantSlot: (workerId: string) => void;
+    const slot = new Promise<string>((resolve) => {
+      grantSlot = resolve;
+    });
+    rig = await RelayRig.start(
+      makeRouting({ services: [{ name: 'rooms', maxConnections: 0, isEngine: true }] }),
+      [async (socket) => {
+        await pause(SILENT_MS);
+        sendAnswer(socket, 'r1', 'late');
+        grantSlot('w1');
+      }, (socket) => sendAnswer(socket, 'r1', 'other')],
+    );
+    vi.spyOn(rig.placeClient, 'place').mockImplementation(async ({ placeId, tried }) => (
+      PlaceReply.fromPartial({ placeId, workerId: tried.length === 0 ? 'w0' : await slot })));
+    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'late' } });
+    expect(rig.received).toHaveLength(1);
+  });
 });
