Test: wider margins between an answer and the limits it is held against

Cause: the tests of unread answers had 50 and 100 ms between the answer and the limit that runs out while the process is blocked. On a machine that is held up, the limit could run out before the answer. Change: the limits run out 500 ms after the answer, and the process is blocked for 600 ms. What is checked is the same.

--- a/tests/relay/unread-answers.spec.ts
+++ b/tests/relay/unread-answers.spec.ts
@@ -12,10 +12,12 @@
 
 const REQUEST = { id: 'r1', path: '/orders/7', headers: { 'x-key': 'k1' } };
 /** Time limit of a request, and the time after which its server sends the end of its answer. */
-const LIMIT_MS = 300;
+const LIMIT_MS = 700;
 const ANSWER_MS = 200;
-const BUSY_MS = 200;
-/** Longer than the time after which a server counts as silent. */
+const BUSY_MS = 600;
+/** Target latency after 2.5 times which a server counts as silent, within the busy time. */
+const TARGET_MS = 280;
+/** Longer than the time after which a server counts as silent with a target latency of 200 ms. */
 const SILENT_MS = 600;
 
 const STREAM_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
@@ -72,7 +74,7 @@
   // Fault: the timer that detects silent servers ran before the sockets were read, so an answer
   // that had come was dropped and the request was run again by another server.
   it('should not be dropped as if its server were silent', async () => {
-    const routes = [makeRoute({ targetLatencyMs: 1 })];
+    const routes = [makeRoute({ targetLatencyMs: TARGET_MS })];
     rig = await RelayRig.start(makeRouting({ routes }), [sendPlain, sendPlain]);
     caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
     expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200, body: 'begunended' } });
