Notice that an idle connection has ended before a request is written to it

What callers saw: 502, or a second run, for a request whose open connection its server had closed while the entry handled other input. Cause: the HTTP client waits for setImmediate before it reuses a connection, so that a pending end is read first. A request of a caller is sent from the poll phase, where the check phase follows without another poll: what arrived after the poll began is not read. Change: a call on an open connection first lets the input that is waiting be read; a call that is aborted meanwhile is not sent. hasAnswerEnd is no longer set for an answer that was ended by a reset. Why it works: the wait ends in the check phase, so the client's own check follows a poll.

--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -1,3 +1,4 @@
+import { setImmediate as readPendingInput } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
 import type { RawHeaders } from './requestDialect';
 import type { WorkerConnection } from './workerConnection';
@@ -84,6 +85,9 @@
   async run(request: UpstreamRequest): Promise<UpstreamOutcome> {
     const { socketCount } = this.connection;
     this.connection.requestCount += 1;
+    // Finds out whether the open connection has ended while this process handled other input.
+    if (socketCount > 0) await readPendingInput();
+    if (this.abortReason) return { kind: 'unsent', reason: this.abortReason.message };
     const outcome = await this.dispatch(request);
     // The connection may carry another request next.
     this.resume();
@@ -177,9 +181,9 @@
   }
 
   private makeOutcome(): UpstreamOutcome {
-    this.hasAnswerEnd = true;
     if (this.isRefused) return { kind: 'broken', reason: 'the answer was refused' };
     if (this.connection.wasReset) return { kind: 'broken', reason: 'the connection was reset' };
+    this.hasAnswerEnd = true;
     return { kind: 'complete' };
   }
 
