Continue only streams that another server can continue

What callers saw, on a route whose streams may be resumed, after a server broke off: events twice, where they had no ids or a block was larger than 1 MB; a stream behind the head of a 404. Cause: an answer that broke off was always continued, and another server starts from the beginning if there is no event to continue after. Class: a fact about the route taken for one about the answer. Change: AnswerWriter.canResume needs a success, and a framer whose last event has an id and that has passed on nothing but events. Why it works: what can't be continued is cut off, and the caller sees that it is incomplete. What remains: a stream with a content-length that is continued to another total length.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -6,6 +6,7 @@
 import { dropHeaders, findHeader } from './rawHeaders';
 import type { UpstreamHead } from './upstreamCall';
 
+const OK = 200;
 const MS_PER_SECOND = 1_000;
 const NO_EXTRA_HEADERS: ReadonlySet<string> = new Set();
 /** Answers of up to this size that are not streams are buffered until they are complete. */
@@ -93,7 +94,7 @@
 
   /** Whether another server can send the rest of an answer that has started. */
   get canResume(): boolean {
-    return this.framer !== undefined;
+    return this.statusCode === OK && this.framer?.canResume === true;
   }
 
   /** Whether the caller disconnected, or the answer is complete or failed. */
--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -20,8 +20,16 @@
   /** Number of complete events so far. */
   eventCount = 0;
 
+  private hasPartialBlocks = false;
+
   private remainder: Buffer = Buffer.alloc(0);
 
+  /** Whether another stream can continue after the last complete event. */
+  get canResume(): boolean {
+    const hasId = this.eventCount === 0 || this.lastEventId !== '';
+    return hasId && !this.hasPartialBlocks;
+  }
+
   /** Adds bytes; returns the events that are complete now. */
   push(chunk: Buffer): Buffer {
     const bytes = this.remainder.length > 0 ? Buffer.concat([this.remainder, chunk]) : chunk;
@@ -30,9 +38,9 @@
     this.remainder = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
     this.readEvents(completeEvents);
-    return this.remainder.length > MAX_BLOCK_BYTES
-      ? Buffer.concat([completeEvents, this.takeRemainder()])
-      : completeEvents;
+    if (this.remainder.length <= MAX_BLOCK_BYTES) return completeEvents;
+    this.hasPartialBlocks = true;
+    return Buffer.concat([completeEvents, this.takeRemainder()]);
   }
 
   /** Takes the bytes after the last complete event, for an answer that has ended normally. */
--- a/tests/relay/framed-answers.spec.ts
+++ b/tests/relay/framed-answers.spec.ts
@@ -1,3 +1,5 @@
+import type { Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, describe, expect, it,
 } from 'vitest';
@@ -7,6 +9,8 @@
 
 const REQUEST = { id: 'r1', path: '/orders/7', headers: { 'x-key': 'k1' } };
 const PATIENCE_MS = 500;
+const STEP_MS = 20;
+const FAILURE = '{"error":"x"}';
 const EVENT = 'id: 1\ndata: a\n\n';
 const CHUNKED_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
 
@@ -44,3 +48,30 @@
     expect(result).toMatchObject({ answer: { body } });
   });
 });
+
+const broken = [
+  ['a failure', makeSized(404, FAILURE).slice(0, -1)],
+  ['events without ids', `${CHUNKED_HEAD}${makeChunk('data: a\n\n')}${makeChunk('data: b\n\n')}`],
+  ['a block that is too large for an event', `${CHUNKED_HEAD}${makeChunk('x'.repeat(1_100_000))}`],
+] as const;
+
+describe('an answer that breaks off where no other server can continue it', () => {
+  let rig: RelayRig;
+
+  afterEach(() => rig.close());
+
+  // Fault: the answer of another server was appended to it from the start.
+  it.each(broken)('should be cut off: %s', async (name, bytes) => {
+    const serve = async (socket: Socket): Promise<void> => {
+      socket.write(bytes);
+      await pause(STEP_MS);
+      socket.destroy();
+    };
+    rig = await RelayRig.start(
+      makeRouting({ routes: [makeRoute({ kind: 'stream', isResumable: true })] }),
+      [serve, serve],
+    );
+    await rig.send('GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\n\r\n');
+    expect(rig.received).toHaveLength(1);
+  });
+});
