Ignore token counts that are no whole numbers

What callers saw: one request with a Token-Count of 1.5 or 1e300 made its entry lose the stream to the leader; all requests that waited there were then placed by the entry itself. A negative output lowered what an account was charged. Cause: the counts were passed on as they came, and encoding them for the leader throws for what is no 64-bit integer. The stream to the leader itself has no test.

--- a/tests/platform/request-headers.spec.ts
+++ b/tests/platform/request-headers.spec.ts
@@ -27,3 +27,17 @@
     expect(readAnswer('Not-Executed', '1')).toMatchObject({ restMs: 0, isLeaving: false });
   });
 });
+
+describe('the token counts of a request', () => {
+  const readTokens = (text: string): unknown => (
+    platformDialect.readRequest(['Token-Count', text]).tokens);
+
+  // Guards against a count that can't be encoded: it broke the entry's stream to the leader.
+  it.each(['1.5,80', '1e300,80', '-3,80', '0,80'])('should be ignored if the prompt is invalid: "%s"', (text) => {
+    expect(readTokens(text)).toBeUndefined();
+  });
+
+  it.each(['60,0.5', '60,1e300', '60,-80', '60,x'])('should have no output if that is invalid: "%s"', (text) => {
+    expect(readTokens(text)).toEqual({ prompt: 60, output: 0, expected: 0 });
+  });
+});
