Count a call that is aborted in the turn of its first write as sent

Cause: read in the whole change: an abort ends the socket with an error, so one that comes between the write and the check of that write looked like a write that was refused, and the call counted as not sent. Its caller has been answered or has gone by then, so only the count of sends in the log was wrong. Change: the check passes over calls that are aborted. No test: no way was found to bring an abort into that turn.

--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -177,7 +177,8 @@
    * it takes no byte of it, and the error is known before it is reported.
    */
   private checkFirstWrite(): void {
-    if (this.connection.wasReset) this.isSent = false;
+    // An abort ends the socket too, after the write.
+    if (this.connection.wasReset && !this.isAborted) this.isSent = false;
   }
 
   private makeOutcome(): UpstreamOutcome {
