Use one function that waits until an answer is written

Cause: the wait for the turn of a request had its own copy of what the open requests wait for. Change: waitWritten stands in a module of its own, and both use it.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { systemClock } from '../utils/clock';
+import { waitWritten } from './waitWritten';
 
 type ReadError = Error & { readonly code?: string };
 
@@ -32,22 +33,6 @@
   !destroyed && req.complete && code !== CALLER_ENDED
 );
 
-/** Resolves once an answer was handed to the operating system, or its connection has closed. */
-const waitClosed = (socket: Socket, response: ServerResponse): Promise<void> => (
-  response.closed || socket.destroyed
-    ? Promise.resolve()
-    : new Promise((resolve) => {
-      const settle = (): void => {
-        response.off('close', settle);
-        socket.off('close', settle);
-        resolve();
-      };
-      response.once('close', settle);
-      // A response whose turn has not come yet is not closed with its connection.
-      socket.once('close', settle);
-    })
-);
-
 /**
  * Closes connections of callers that are idle or on which no request can be read.
  *
@@ -95,7 +80,7 @@
    */
   waitTurn(socket: Socket, response: ServerResponse): Promise<void> {
     const turn = this.turns.get(socket) ?? Promise.resolve();
-    this.turns.set(socket, turn.then(() => waitClosed(socket, response)));
+    this.turns.set(socket, turn.then(() => waitWritten(socket, response)));
     return turn;
   }
 
--- a/src/relay/openRequests.ts
+++ b/src/relay/openRequests.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { HeldCalls } from '../utils/heldCalls';
 import type { RelayMetrics } from './relayMetrics';
+import { waitWritten } from './waitWritten';
 
 /** A request in progress. */
 export interface OpenRequest {
@@ -18,21 +19,6 @@
   readonly response: ServerResponse;
 }
 
-/** Resolves once an answer was handed to the operating system, or its connection has closed. */
-const waitWritten = ({ request: { socket }, response }: AnswerConnection): Promise<void> => (
-  response.writableFinished || response.destroyed || socket.destroyed
-    ? Promise.resolve()
-    : new Promise((resolve) => {
-      const settle = (): void => {
-        response.off('close', settle);
-        socket.off('close', settle);
-        resolve();
-      };
-      response.once('close', settle);
-      socket.once('close', settle);
-    })
-);
-
 /**
  * The accepted requests of an entry whose answers are not fully written.
  *
@@ -61,7 +47,7 @@
     this.acceptedCount += 1;
     this.metrics.open.inc();
     await request.run();
-    await waitWritten(connection);
+    await waitWritten(connection.request.socket, connection.response);
     this.open.delete(request);
     this.metrics.open.dec();
     if (this.open.size === 0) this.idle.release();
