Test: one set-up for requests that take an open connection

Cause: the set-up of an open connection stood twice in reused-connections.spec.ts. Change: one function for both; what is checked is the same.

--- a/tests/relay/reused-connections.spec.ts
+++ b/tests/relay/reused-connections.spec.ts
@@ -45,9 +45,8 @@
     await rig.close();
   });
 
-  // Fault: the end of the dropped socket was attributed to the socket that replaced it, so a
-  // complete answer was cut off before its end or replaced by a failure.
-  it.each(cases)('should get its complete answer and run once: %s, the server %s the connection', async (kind, verb, route, drop) => {
+  /** Answers one request; returns the server's connections, of which one is open then. */
+  const openConnections = async (route: Partial<Route>): Promise<ReadonlySet<Socket>> => {
     const sockets = new Set<Socket>();
     rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
       sockets.add(socket);
@@ -55,6 +54,13 @@
     }]);
     caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
     expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200 } });
+    return sockets;
+  };
+
+  // Fault: the end of the dropped socket was attributed to the socket that replaced it, so a
+  // complete answer was cut off before its end or replaced by a failure.
+  it.each(cases)('should get its complete answer and run once: %s, the server %s the connection', async (kind, verb, route, drop) => {
+    const sockets = await openConnections(route);
     // The entry reads the request first and the end of its connection to the server after it.
     const asked = caller.send(REQUEST);
     sockets.forEach(drop);
@@ -64,13 +70,7 @@
 
   // Fault: the operating system had refused the first byte, and the request counted as sent.
   it.each(kinds)('should be sent over a new one if it was reset before the first write: %s', async (kind, route) => {
-    const sockets = new Set<Socket>();
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
-      sockets.add(socket);
-      socket.write(ANSWER);
-    }]);
-    caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
-    expect(await caller.send(REQUEST)).toMatchObject({ answer: { status: 200 } });
+    const sockets = await openConnections(route);
     const { acquire } = WorkerConnections.prototype;
     // The reset comes after the HTTP client has looked for input, and right before it writes.
     vi.spyOn(WorkerConnections.prototype, 'acquire').mockImplementationOnce(function acquireAndReset(this: WorkerConnections, address) {
