--- /dev/null
+++ b/src/relay/prepareRequest.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage } from 'node:http';
+import type { AdmittedRequest } from './admitRequest';
+import { readRequestBody } from './readRequestBody';
+import { RequestGuard } from './requestGuard';
+import type { RequestParts } from './requestParts';
+import { RetryPolicy } from './retryPolicy';
+
+/** An admitted request with its body, and the checks and the policy that apply to it. */
+export interface PreparedRequest {
+  readonly admitted: AdmittedRequest;
+  readonly body: Buffer;
+  readonly guard: RequestGuard;
+  readonly retryPolicy: RetryPolicy;
+}
+
+/**
+ * Reads the body of an admitted request, and makes what decides over its sends. Rejects if the body
+ * exceeds the limit of the routing document or is incomplete.
+ *
+ * @param target path and query as received
+ * @example
+ * const { guard, retryPolicy } = await prepareRequest(parts, request, '/orders/7', admitted);
+ */
+export const prepareRequest = async (
+  parts: RequestParts,
+  request: IncomingMessage,
+  target: string,
+  admitted: AdmittedRequest,
+): Promise<PreparedRequest> => {
+  const { method = 'GET', headers: { host = '' } } = request;
+  const limits = parts.site.table?.routing.limits;
+  const body = await readRequestBody(request, limits?.bodyBytes ?? 0);
+  const guard = new RequestGuard(parts, {
+    method, host, target, account: admitted.account?.name ?? '', body,
+  });
+  const retryPolicy = new RetryPolicy(parts, admitted, guard);
+  return {
+    admitted, body, guard, retryPolicy,
+  };
+};
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -12,10 +12,10 @@
 import { computeLeaseWaitMs } from './leaseWait';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest } from './openRequests';
-import { readRequestBody } from './readRequestBody';
+import { prepareRequest } from './prepareRequest';
+import type { PreparedRequest } from './prepareRequest';
 import type { AnswerFacts, RequestFacts } from './requestDialect';
-import { RetryPolicy } from './retryPolicy';
-import { RequestGuard } from './requestGuard';
+import type { RetryPolicy } from './retryPolicy';
 import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
 import { computeSilenceMs, RequestFailover } from './requestFailover';
@@ -25,14 +25,6 @@
 import { applyNotice } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
-/** An admitted request with its body, and the checks and the policy that apply to it. */
-interface PreparedRequest {
-  readonly admitted: AdmittedRequest;
-  readonly body: Buffer;
-  readonly guard: RequestGuard;
-  readonly retryPolicy: RetryPolicy;
-}
-
 /**
  * Admits a request, sends it to a backend server and answers it once. Sends it to another server
  * only if it cannot run twice by mistake: the first did not run it, or its route allows repeats.
@@ -105,8 +97,8 @@
 
   private makeWriter(mode: AnswerMode): AnswerWriter {
     const { site, clock } = this.parts;
-    // Only the answer to the latest request may close the connection: an earlier one would cut off
-    // the requests that follow it, which may be running already.
+    // Only the answer to the latest request may close the connection: an earlier one would leave
+    // the requests that wait behind it without an answer.
     const isClosing = (): boolean => site.isLeaving && this.isNewest();
     return new AnswerWriter(this.response, mode, () => clock.now(), isClosing);
   }
@@ -122,20 +114,16 @@
     const maxWaitMs = Math.min(route.timeoutMs, this.facts.maxWaitMs ?? Infinity);
     this.deadlineAt = this.receivedAt + maxWaitMs;
     this.writer = this.makeWriter(pickAnswerMode(route));
-    const limits = site.table?.routing.limits;
-    const body = await readRequestBody(this.request, limits?.bodyBytes ?? 0);
-    const guard = this.makeGuard(host, admitted, body);
+    const prepared = await prepareRequest(this.parts, this.request, this.target, admitted);
+    const { guard, retryPolicy } = prepared;
     this.log.identity = guard;
     guard.check();
-    const retryPolicy = new RetryPolicy(this.parts, admitted, guard);
     this.retryPolicy = retryPolicy;
     if (!canAnswerInTime(site, admitted, this.facts)) throw makeLeavingError();
     site.retries.recordRequest(admitted.service, clock.now());
     const stopTimer = startInputTimer(() => this.expire(), this.deadlineAt - clock.now());
     try {
-      await this.tryServers({
-        admitted, body, guard, retryPolicy,
-      });
+      await this.tryServers(prepared);
     } finally {
       stopTimer();
       await this.cancelFailover(admitted);
@@ -143,13 +131,6 @@
     }
   }
 
-  private makeGuard(host: string, { account }: AdmittedRequest, body: Buffer): RequestGuard {
-    const { request: { method = 'GET' }, target } = this;
-    return new RequestGuard(this.parts, {
-      method, host, target, account: account?.name ?? '', body,
-    });
-  }
-
   /** Tries one server after another until the request is answered or refused. */
   private async tryServers(prepared: PreparedRequest): Promise<void> {
     const { admitted, retryPolicy } = prepared;
