Log which version and lease decided a refusal, and who could answer entries

Cause: a refusal for a missing route or key named no version (only admitted requests did), and nothing told when a replica applied a document or held the leader lease.

Change: every refusal names the version in force and what is left of the entry's lease; an entry logs a lease that comes after a gap, and who gave the document; a replica logs when it applies a document, and when the leader lease is gained and lost. Bounded: one line a change.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -17,6 +17,7 @@
 import { SoftState } from './softState';
 import { LeaderState } from './leaderState';
 import { LeaderWait } from './leaderWait';
+import { LeaseLog } from './leaseLog';
 import { LogRunner } from './logRunner';
 import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
 import { ReadBarrier } from './readBarrier';
@@ -71,14 +72,16 @@
 
   private suspensionEpoch: number;
 
-  /** Measures the work of this replica by kind. */
+  private readonly leaseLog: LeaseLog;
+
   readonly work: WorkMeter;
 
   constructor(private readonly parts: RoutedNodeParts) {
     this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
-    const countEntries = () => this.leaderState.countEntries();
-    this.softState = new SoftState({ ...parts, watches: this.watches, countEntries });
+    this.softState = new SoftState({
+      ...parts, watches: this.watches, countEntries: () => this.leaderState.countEntries(),
+    });
     const { registry, suspects, recoveryWindow } = this.softState;
     this.leaderState = this.makeLeaderState();
     this.replicaSetManager = new ReplicaSetManager(parts.voterCount, parts.clock, parts.logger);
@@ -110,6 +113,7 @@
       handleRoleChange: (role, term) => this.handleRoleChange(role, term),
       failStorage: (error) => parts.port.failStorage(error),
     }, parts.clock, { startedAt: parts.startedAt });
+    this.leaseLog = new LeaseLog(this.runner, parts);
     this.readBarrier = new ReadBarrier({
       runner: this.runner,
       readLeaderAddress: () => this.leaderAddress,
@@ -172,6 +176,7 @@
     this.checkSuspension();
     this.work.recordTick();
     this.runner.handle({ kind: 'tick' });
+    this.leaseLog.record();
     this.leaderWait.check();
     this.softState.save();
     if (!this.runner.holdsLease) return;
@@ -225,9 +230,8 @@
    * leads.
    *
    * It needs no lease: only this replica counts slots and remaining account limits until another
-   * one leads, and entries that learn of a new leader connect to it. On lossy links the lease
-   * lapses for some hundred milliseconds at a time. If placement stopped meanwhile, entries would
-   * choose servers themselves and refuse requests of accounts that are within their limits.
+   * one leads. On lossy links the lease lapses for some hundred milliseconds at a time; entries
+   * would choose servers themselves meanwhile, and refuse accounts that are within their limits.
    */
   openPlacementStream(sink: PlacementSink): PlacementMessageHandlers {
     if (this.runner.state.role !== 'leader') throw new BeechliftError('noQuorum', 'this replica does not lead');
@@ -302,6 +306,7 @@
     const previous = this.site;
     this.site = applyDocument(this.site, command, computeSha256(command.document));
     if (this.site === previous) return true;
+    this.parts.logger.info('routing document applied', { version: this.site.version, role: this.runner.state.role });
     if (this.runner.state.role === 'leader') this.configureAccounts();
     this.watches.release();
     return true;
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -97,12 +97,16 @@
     return this.parts.zone;
   }
 
+  /** Time until the lease ends, in milliseconds; negative once it has ended. */
+  get leaseLeftMs(): number {
+    return this.leaseUntil - this.parts.clock.now();
+  }
+
   /** Whether new requests may be accepted. */
   get isServing(): boolean {
-    const { clock, suspension } = this.parts;
     return this.table !== undefined
-      && clock.now() < this.leaseUntil
-      && suspension.readEpoch() === this.leaseEpoch;
+      && this.leaseLeftMs > 0
+      && this.parts.suspension.readEpoch() === this.leaseEpoch;
   }
 
   /**
@@ -197,11 +201,18 @@
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     this.budget.applyGrants(reply.grants, this.parts.clock.now());
     if (reply.documentVersion === 0) return;
+    if (!this.isServing) this.logLeaseGap(reply);
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
     this.leaseEpoch = epoch;
     this.leaseWaiters.release();
   }
 
+  private logLeaseGap({ leaderAddress: leader, documentVersion: version }: WatchReply): void {
+    this.parts.logger.info('lease on the routing document granted after a gap', {
+      leader, version, gapMs: Math.round(-this.leaseLeftMs),
+    });
+  }
+
   private applyDocument(reply: WatchReply): boolean {
     const currentVersion = this.table?.routing.version ?? 0;
     // Versions only increase: this reply was overtaken by a newer one.
@@ -219,6 +230,7 @@
     this.parts.logger.info('routing document in force', {
       version: routing.version,
       routes: routing.routes.length,
+      leader: reply.leaderAddress,
       // If it is long, replies were late; if it is short, earlier replies lacked this document.
       unansweredMs: Math.round(this.parts.clock.now() - this.lastAnsweredSentAt),
     });
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -25,7 +25,7 @@
   call: CallSummary | undefined;
 
   constructor(
-    private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock'>,
+    private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock' | 'site'>,
     private readonly requestId: string,
     private readonly receivedAt: number,
   ) {}
@@ -81,19 +81,20 @@
     this.logError('answer aborted', error, admitted, sent);
   }
 
-  /** Logs an error with the version of the routing document that was in force. */
+  /** Logs an error with the routing document's version in force and what is left of the lease. */
   private logError(
     message: string,
     error: BeechliftError,
     admitted: AdmittedRequest | undefined,
     sent: number,
   ): void {
-    const { logger, clock } = this.parts;
+    const { logger, clock, site } = this.parts;
     logger.info(message, {
       requestId: this.requestId,
       route: admitted?.route.name,
       account: admitted?.account?.name,
-      version: admitted?.version,
+      version: admitted?.version ?? site.table?.routing.version,
+      leaseLeftMs: Math.round(site.leaseLeftMs),
       code: error.number,
       reason: error.message,
       sent,
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { computeFingerprint } from '../../src/relay/requestFingerprint';
+import type { RelaySite } from '../../src/relay/relaySite';
 import { RequestLog } from '../../src/relay/requestLog';
 import { RelayMetrics } from '../../src/relay/relayMetrics';
 import type { Logger } from '../../src/telemetry/logger';
@@ -14,7 +15,10 @@
   const logger = { info: (message: string, line: Record<string, unknown>) => lines.push(line) };
   requestIds.forEach((requestId) => {
     const parts = {
-      metrics: new RelayMetrics(), logger: logger as unknown as Logger, clock: { now: () => 0 },
+      metrics: new RelayMetrics(),
+      logger: logger as unknown as Logger,
+      clock: { now: () => 0 },
+      site: {} as RelaySite,
     };
     const log = new RequestLog(parts, requestId, 0);
     log.identity = { fingerprint: computeFingerprint(content) };
