Test: a new leader that answers for the site before it has applied what it inherited

Cause: callers of a grown site got 404 for a route of a change that had been acknowledged 2.6 s before. LogRunner.holdsLease asks the core of the log, whose commit index is ahead of what the state machine has applied: effects wait for the sync of the batch in front of them. Watch requests are answered from the applied state, so a new leader can grant a lease of 2.3 s on a document that is older than the acknowledged one.

--- a/tests/control/acknowledgedModel.ts
+++ b/tests/control/acknowledgedModel.ts
@@ -148,7 +148,17 @@
       startAll: () => this.machines.forEach((machine) => machine.start()),
     };
     await (runners[event.kind] as (event: SiteEvent) => Promise<void> | void)(event);
+    this.checkLeaseHolders();
     await settleTasks();
+    this.checkLeaseHolders();
+  }
+
+  /** Records a replica that may answer for the site, and would answer with an older version. */
+  private checkLeaseHolders(): void {
+    this.machines.forEach(({ address, replica, isFrozen }) => {
+      if (isFrozen || !replica?.runner.holdsLease || replica.version >= this.acknowledged) return;
+      this.failures.push(`${address} holds the lease with version ${replica.version} after ${this.acknowledged} was acknowledged`);
+    });
   }
 
   /** Removes disks of voters: at random, or first those with the latest acknowledged version. */
--- a/tests/control/log-runner.spec.ts
+++ b/tests/control/log-runner.spec.ts
@@ -5,6 +5,7 @@
 import { LogStore } from '../../src/disk/logStore';
 import { Operation } from '../../src/utils/operation';
 import { systemClock } from '../../src/utils/clock';
+import { LogMessage } from '../../src/protocol/generated/beechlift';
 import { MemoryFileSystem } from '../fakes/memoryFileSystem';
 
 const EMPTY = makeEmptyLog({ voters: [{ id: 'a', address: 'a', zone: '' }], learners: [], leaving: [] });
@@ -36,7 +37,73 @@
 const propose = (runner: LogRunner<true>, command: string): Promise<true | undefined> => (
   runner.propose(command, new Operation({ timeoutMs: 10_000 })));
 
+const VOTERS = ['a', 'b', 'c'].map((id) => ({ id, address: id, zone: '' }));
+
+/** Starts a replica that has an entry of its predecessor in its log, not known as committed. */
+const startSuccessor = async (files: MemoryFileSystem) => {
+  const store = new LogStore(files, 'data');
+  const stored = await store.load(makeEmptyLog({ voters: VOTERS, learners: [], leaving: [] }));
+  const applied: string[] = [];
+  const runner = new LogRunner<true>('a', stored, store, {
+    applyCommand: (command) => {
+      applied.push(command);
+      return true;
+    },
+    restoreSnapshot: () => undefined,
+    takeSnapshot: () => JSON.stringify(applied),
+    sendMessage: () => undefined,
+    handleRoleChange: () => undefined,
+    failStorage: () => undefined,
+  }, systemClock);
+  const handleMessage = async (message: Partial<LogMessage>): Promise<void> => {
+    runner.handle({ kind: 'message', message: LogMessage.fromPartial({ from: 'c', to: 'a', ...message }) });
+    await pause(5);
+  };
+  await handleMessage({
+    kind: 'append', from: 'b', term: 1, entries: [{ index: 1, term: 1, command: 'acknowledged' }],
+  });
+  return { runner, applied, handleMessage };
+};
+
+/** Elects it, up to the acknowledgement of its first entry by a majority. */
+const electSuccessor = async ({ runner, handleMessage }: Awaited<ReturnType<typeof startSuccessor>>) => {
+  runner.state.electionAt = 0;
+  runner.handle({ kind: 'tick' });
+  await handleMessage({ kind: 'preVoteReply', term: 2, granted: true });
+  await handleMessage({ kind: 'voteReply', term: 2, granted: true });
+};
+
 describe('the log runner', () => {
+  // Callers got 404 for a route of an acknowledged change: a new leader granted leases on the older
+  // document, as it held the leader lease before it had applied what it inherited.
+  it('should hold the lease only after it applied all that its predecessors acknowledged', async () => {
+    const files = new MemoryFileSystem();
+    const successor = await startSuccessor(files);
+    const { runner, applied, handleMessage } = successor;
+    await electSuccessor(successor);
+    expect(runner.state.role).toBe('leader');
+    let endSync = (): void => undefined;
+    files.waitForSync = () => new Promise((resolve) => {
+      endSync = resolve;
+    });
+    const proposal = propose(runner, 'next');
+    await pause(5);
+    await handleMessage({
+      kind: 'appendReply', term: 2, granted: true, matchIndex: 2, round: runner.state.round,
+    });
+    expect(runner.state.commitIndex).toBe(2);
+    expect(applied).toEqual([]);
+    expect(runner.holdsLease).toBe(false);
+    files.waitForSync = async () => undefined;
+    endSync();
+    await handleMessage({
+      kind: 'appendReply', term: 2, granted: true, matchIndex: 3, round: runner.state.round,
+    });
+    await proposal;
+    expect(applied).toEqual(['acknowledged', 'next']);
+    expect(runner.holdsLease).toBe(true);
+  });
+
   // A change that was acknowledged was lost after all processes were killed: the log was compacted
   // up to the change before the change was applied, so neither the snapshot nor the entries had it.
   it('should keep every acknowledged command in the snapshot or in later entries', async () => {
