Hold the leader lease only once the state machine has applied what it inherited

Cause: LogRunner.holdsLease trusted the commit index of the log's core; the state that watch requests, the account limits and the check of a document's version read is applied later, after the sync of the batch in front of it. A new leader could grant entries a lease on an older document than its predecessor had acknowledged.

Change: the lease counts once the state machine has applied an entry of the leader's own term.

Why it works: entries of earlier terms come before the first one of the own term, and effects are run in order, so the applied state then includes all that was acknowledged. What this leader commits later it acknowledges itself, after applying it.

--- a/src/control/logRunner.ts
+++ b/src/control/logRunner.ts
@@ -2,7 +2,7 @@
 import type { LogEntry, LogMessage } from '../protocol/generated/beechlift';
 import { BeechliftError } from '../errors/beechliftError';
 import { handleLogEvent, holdsLeaderLease, isRoundConfirmed } from '../core/log/replicatedLog';
-import { makeLogState, REPLICAS_COMMAND_PREFIX } from '../core/log/logState';
+import { findTerm, makeLogState, REPLICAS_COMMAND_PREFIX } from '../core/log/logState';
 import type { ReplicaStart } from '../core/log/logState';
 import type {
   LogEffect, LogEvent, LogRole, LogState, LogTimings, ReplicaSet, Snapshot, StoredLog,
@@ -86,9 +86,14 @@
     this.appliedIndex = stored.snapshot.index;
   }
 
-  /** Whether this replica holds the leader lease and may answer for the whole site. */
+  /**
+   * Whether this replica holds the leader lease and may answer for the whole site. Its state
+   * machine has then applied an entry of its own term, and all that earlier leaders acknowledged.
+   */
   get holdsLease(): boolean {
-    return !this.isStopped && holdsLeaderLease(this.state, this.clock.now());
+    return !this.isStopped
+      && holdsLeaderLease(this.state, this.clock.now())
+      && findTerm(this.state, this.appliedIndex) === this.state.term;
   }
 
   /** Handles one event of the log. */
--- a/tests/control/log-runner.spec.ts
+++ b/tests/control/log-runner.spec.ts
@@ -56,7 +56,9 @@
     failStorage: () => undefined,
   }, systemClock);
   const handleMessage = async (message: Partial<LogMessage>): Promise<void> => {
-    runner.handle({ kind: 'message', message: LogMessage.fromPartial({ from: 'c', to: 'a', ...message }) });
+    runner.handle({
+      kind: 'message', message: LogMessage.fromPartial({ from: 'c', to: 'a', ...message }),
+    });
     await pause(5);
   };
   await handleMessage({
@@ -66,7 +68,9 @@
 };
 
 /** Elects it, up to the acknowledgement of its first entry by a majority. */
-const electSuccessor = async ({ runner, handleMessage }: Awaited<ReturnType<typeof startSuccessor>>) => {
+const electSuccessor = async (
+  { runner, handleMessage }: Awaited<ReturnType<typeof startSuccessor>>,
+): Promise<void> => {
   runner.state.electionAt = 0;
   runner.handle({ kind: 'tick' });
   await handleMessage({ kind: 'preVoteReply', term: 2, granted: true });
