Test: a connection that opens for longer than its calls may wait

RpcLink gives a connection up with each call that is late on it. A leader whose processor is full accepts a new connection later than a call may wait (0.35 to 0.7 s), so every attempt is given up before it can carry a call, and costs the leader another one.

The proxy of the tests can open a connection late.

--- a/tests/fakes/silentProxy.ts
+++ b/tests/fakes/silentProxy.ts
@@ -14,6 +14,9 @@
   /** Whether it closes all new connections: simulates a network partition. */
   isPartitioned = false;
 
+  /** Time until a new connection carries data, in milliseconds: simulates an overloaded target. */
+  openDelayMs = 0;
+
   private readonly server: Server;
 
   private readonly sockets = new Set<Socket>();
@@ -57,6 +60,13 @@
       socket.destroy();
       return;
     }
+    socket.on('error', () => socket.destroy());
+    if (this.openDelayMs > 0) setTimeout(() => this.forward(socket), this.openDelayMs);
+    else this.forward(socket);
+  }
+
+  private forward(socket: Socket): void {
+    if (socket.destroyed) return;
     const [host, port] = this.target.split(':');
     const other = connect(Number(port), host);
     [socket, other].forEach((end) => {
--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -10,21 +10,40 @@
 import { RpcLink } from '../../src/wire/rpcLink';
 import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
 import type { ServerStream } from '../../src/wire/rpcServer';
+import { SilentProxy } from '../fakes/silentProxy';
 
 const ANSWER_MS = 300;
 /** Longer than the interval between pings. */
 const SLOW_ANSWER_MS = 2_500;
 const CALL_TIMEOUT_MS = 10_000;
 
+const answerAtOnce = handleUnary<WatchRequest, WatchReply>(() => (
+  WatchReply.fromPartial({ leaseMs: 7 })));
+
 describe('a link to a peer', () => {
   let server: RpcServer;
   let link: RpcLink<SiteClient> | undefined;
+  let proxy: SilentProxy | undefined;
+
+  /** Calls the peer until it answers, or until `maxMs` are over; resolves with whether it did. */
+  const askUntilAnswered = async (timeoutMs: number, maxMs: number): Promise<boolean> => {
+    if (maxMs <= 0) return false;
+    const startedAt = performance.now();
+    const isAnswered = await (link as RpcLink<SiteClient>).call<WatchRequest, WatchReply>(
+      (stub) => stub.watch.bind(stub),
+      WatchRequest.fromPartial({}),
+      new Operation({ timeoutMs }),
+    ).then(() => true, () => false);
+    return isAnswered || askUntilAnswered(timeoutMs, maxMs - (performance.now() - startedAt));
+  };
 
   beforeEach(() => {
     server = new RpcServer();
   });
   afterEach(() => {
     link?.close();
+    proxy?.stop();
+    proxy = undefined;
     server.close();
   });
 
@@ -81,4 +100,27 @@
     const answers = await Promise.all([...slowCalls, ask(CALL_TIMEOUT_MS)]);
     expect(answers.map(({ leaseMs }) => leaseMs)).toEqual([7, 7, 7]);
   });
+
+  // No entry reached an overloaded leader again: each gave up its new connection with the first late
+  // call on it, before the leader had accepted it, and the next connection waited as long.
+  it('should let a new connection open for longer than its calls may wait', async () => {
+    server.add(SiteService, { watch: answerAtOnce });
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    proxy.openDelayMs = 900;
+    expect(await askUntilAnswered(300, 5_000)).toBe(true);
+    expect(proxy.connectionCount).toBeLessThanOrEqual(3);
+  });
+
+  // A connection that something between both ends has dropped must be replaced at once.
+  it('should use a new connection after the first call that is not answered', async () => {
+    server.add(SiteService, { watch: answerAtOnce });
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
+    proxy.dropTraffic();
+    expect(await askUntilAnswered(300, 900)).toBe(true);
+  });
 });
