Replace a connection less and less often while its peer does not answer

Cause: a call that is late gives its connection up, so that the next one uses a new connection: the old one may have been dropped in silence. A peer whose processor is full accepts the new connection later than a call may wait. Every attempt was given up before it could carry a call, by every entry and replica, and each cost the peer another handshake: an overloaded leader was never reached again.

Why it works: one new connection is all that a dropped one needs. A new connection that is not answered tells of the peer, not of the connection, and may now open; calls on it wait for it in turn.

--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -6,8 +6,10 @@
   ServiceError,
 } from '@grpc/grpc-js';
 import type { Operation } from '../utils/operation';
+import { systemClock } from '../utils/clock';
 import { buildChannelOptions } from './channelOptions';
 import type { KeepaliveMode } from './channelOptions';
+import { ReplacementBackoff } from './replacementBackoff';
 
 /** Constructor of a generated client. */
 export type ClientConstructor<Stub extends Client> = new (
@@ -58,7 +60,8 @@
  * Calls one peer over gRPC.
  *
  * A connection may stop carrying data for good while new ones work. Pings detect this, and after a
- * call that was not answered in time, the next call uses a new connection.
+ * call that was not answered in time, the next call uses a new connection. If the peer does not
+ * answer on that one either, further replacements back off.
  *
  * @example
  * const link = new RpcLink(PeerClient, '10.0.0.2:7100');
@@ -67,6 +70,8 @@
 export class RpcLink<Stub extends Client> {
   private current: PeerConnection<Stub>;
 
+  private readonly backoff = new ReplacementBackoff();
+
   /** Replaced connections on which calls or streams are still open. */
   private readonly replacedConnections = new Set<PeerConnection<Stub>>();
 
@@ -94,6 +99,7 @@
       const method = pickMethod(connection.stub);
       const call = method.call(connection.stub, request, metadata, { deadline }, (error, reply) => {
         if (error && CONNECTION_ERRORS.includes(error.code)) this.replaceConnection(connection);
+        else this.recordAnswer(connection);
         this.release(connection);
         if (error) reject(error);
         else resolve(reply);
@@ -129,6 +135,7 @@
       close(error);
     };
     call.on('data', (reply: Reply) => {
+      this.recordAnswer(connection);
       if (isClosed) return;
       try {
         take(reply);
@@ -184,12 +191,16 @@
    * the library would abort open calls with the next ping after a close.
    */
   private replaceConnection(connection: PeerConnection<Stub>): void {
-    if (this.current !== connection) return;
+    if (this.current !== connection || !this.backoff.tryReplace(systemClock.now())) return;
     this.current = this.open();
     this.replacedConnections.add(connection);
     this.closeUnused(connection);
   }
 
+  private recordAnswer(connection: PeerConnection<Stub>): void {
+    if (this.current === connection) this.backoff.recordAnswer();
+  }
+
   private closeUnused(connection: PeerConnection<Stub>): void {
     if (connection.activeCalls > 0 || !this.replacedConnections.delete(connection)) return;
     connection.stub.close();
--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -101,8 +101,8 @@
     expect(answers.map(({ leaseMs }) => leaseMs)).toEqual([7, 7, 7]);
   });
 
-  // No entry reached an overloaded leader again: each gave up its new connection with the first late
-  // call on it, before the leader had accepted it, and the next connection waited as long.
+  // No entry reached an overloaded leader again: each gave up its new connection with the first
+  // late call, before the leader had accepted it, and the next connection waited as long.
   it('should let a new connection open for longer than its calls may wait', async () => {
     server.add(SiteService, { watch: answerAtOnce });
     proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
