Keep the rate limit that a backend server names, over all entries together

Cause: a server names in its answers how many requests a second it takes from all entries. Nothing read it: two servers that had named 1.4 and 1.7 got 21 requests in 4 s where 13 and 15 are allowed.

Change: entries read the limit beside the other notices of a server and tell the leader, at once where it begins, ends or changes much. The leader counts the requests that it places there, and tells all entries the limits in force; what entries send by themselves takes an equal share each, in turn. Waits and refusals count the limits (result code 2011).

Why it works: one process counts what is placed, and the shares of all others add up to the limit. Unused allowance is lost after a second, so that many small shares never come together. A limit ends only by an answer to a request that was sent after it was known, of several the latest, and a new leader hears it from all entries with their next watch requests.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -31,7 +31,7 @@
 }
 
 /** Fields of a watch reply that only entries need. */
-export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount'>;
+export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount' | 'limits'>;
 
 /** Time in which all entries reach a new leader, in milliseconds: two held watch requests. */
 const SETTLE_MS = 500;
@@ -80,11 +80,12 @@
     this.ledger.configure(accounts, this.parts.clock.now());
   }
 
-  /** Records that an entry sent a watch request, and what its accounts spent. */
+  /** Records that an entry sent a watch request, and what it tells of accounts and servers. */
   recordEntry(request: WatchRequest): void {
     const now = this.parts.clock.now();
     this.entries.record(request, now);
     this.ledger.recordSpends(request.entryId, request.spends, now);
+    this.placementService.applyNamedRates(request.limits);
   }
 
   /** Counts the entries that may hold a lease. */
@@ -128,6 +129,7 @@
       loads: this.entries.sumLoads(entryId, now),
       grants: this.ledger.listGrants(entryId, entryCount, now),
       entryCount,
+      limits: this.placementService.listRateLimits(),
     };
   }
 
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -1,5 +1,5 @@
 import type {
-  PlacedReport, PlaceReply, PlaceRequest, WorkerLoad, WorkerRecord,
+  PlacedReport, PlaceReply, PlaceRequest, WorkerLoad, WorkerRateLimit, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import {
   requestSlots, removeAbandonedRequest, expirePlaced, retainPlaced, makePlacementTables,
@@ -12,6 +12,7 @@
 import type { Mechanisms } from '../core/routing/mechanisms';
 import { applyLoads, applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
+import { applyNamedRates, listRateLimits } from '../core/routing/workerRateLimit';
 import { resultCodes } from '../errors/resultCodes';
 import type { Clock } from '../utils/clock';
 import type { PlacementStream } from './placementStream';
@@ -134,6 +135,16 @@
     applyLoads(this.workers, loads);
   }
 
+  /** Applies the rate limits that backend servers named to an entry. */
+  applyNamedRates(records: readonly WorkerRateLimit[]): void {
+    applyNamedRates(this.workers, records, this.parts.clock.now());
+  }
+
+  /** Lists the rate limits of backend servers that are in force. */
+  listRateLimits(): WorkerRateLimit[] {
+    return listRateLimits(this.workers);
+  }
+
   /** Frees the slots of disconnected entries, decides on waiting requests, sends keepalives. */
   tick(isConnected: (entryId: string) => boolean): void {
     const now = this.parts.clock.now();
--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -15,7 +15,9 @@
 const MAX_HOLD_MS = 1_000;
 
 /** Sent to followers, which need neither loads nor grants. */
-const NO_ENTRY_PART: EntryPart = { loads: [], grants: [], entryCount: 0 };
+const NO_ENTRY_PART: EntryPart = {
+  loads: [], grants: [], entryCount: 0, limits: [],
+};
 
 /** State of this replica that a reply depends on. */
 export interface ReplicaView {
--- a/src/core/routing/entryList.ts
+++ b/src/core/routing/entryList.ts
@@ -7,6 +7,9 @@
 /** The part of a watch request that names the held version of the list. */
 export type EntryListVersion = Pick<WatchRequest, 'entriesEpoch' | 'entriesRevision'>;
 
+/** Phase of an entry that is not in the list yet. */
+const UNLISTED_PHASE = 0.5;
+
 /**
  * The latest list of entries received from the leader of control. Follower replicas and entries
  * hold it, so that callers can be directed to entries also without a leader.
@@ -25,6 +28,15 @@
     return { entriesEpoch: this.version.epoch, entriesRevision: this.version.revision };
   }
 
+  /**
+   * Computes the position of an entry in the list, from 0 to 1, by which entries take turns. All
+   * entries hold the same list.
+   */
+  computePhase(entryId: string): number {
+    const position = this.records.findIndex(({ id }) => id === entryId);
+    return position < 0 ? UNLISTED_PHASE : position / this.records.length;
+  }
+
   /** Applies a leader's update; a reply without the list means that nothing changed. */
   apply({ entries, entriesRevision, workersEpoch }: EntryUpdate): void {
     if (this.version.advance(workersEpoch, entriesRevision)) this.records = entries;
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -20,6 +20,7 @@
 } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, TimedTokens } from './routedWorkers';
 import type { WorkerChoice } from './workerChoice';
+import { takeWorkerAllowance } from './workerRateLimit';
 
 /** Decision on a request. */
 export type PlacementDecision = | {
@@ -105,6 +106,7 @@
   });
   worker.inFlight += 1;
   worker.pendingTokens += request.promptTokens;
+  takeWorkerAllowance(worker, now);
   return {
     kind: 'grant', id: request.id, workerId: worker.id, expectedMs: Math.round(waitMs + ownMs),
   };
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -11,16 +11,22 @@
  */
 const MAX_WAIT_SHARE_BY_RANK = [0.8, 0.7, 0.6];
 
-const countSlots = (
+const MS_PER_SECOND = 1_000;
+
+/** Sums the slots that become free per millisecond, as far as rate limits allow to use them. */
+const sumFreedPerMs = (
   { workers }: PlacementTables,
   { service, avoidedIds }: SlotRequest,
   now: number,
-): number => (
-  (workers.byService.get(service) ?? [])
+): number => {
+  const { holdMs } = findServiceStats(workers, service);
+  const freedPerMs = (workers.byService.get(service) ?? [])
     .filter((worker) => worker.standing === 'ready' && isReachable(workers, worker, now))
     .filter(({ id }) => !avoidedIds?.includes(id))
-    .reduce((sum, { slots }) => sum + slots, 0)
-);
+    .reduce((sum, { slots, rateLimit: { allowance } }) => (
+      sum + Math.min(slots / holdMs, allowance.perSecond / MS_PER_SECOND)), 0);
+  return freedPerMs > 0 ? freedPerMs : 1 / holdMs;
+};
 
 const countAhead = (tables: PlacementTables, request: SlotRequest): number => {
   const compare = makeComparator(tables);
@@ -46,9 +52,7 @@
   request: SlotRequest,
   now: number,
 ): number => {
-  const slots = Math.max(1, countSlots(tables, request, now));
-  const { holdMs } = findServiceStats(tables.workers, request.service);
-  const freedPerMs = slots / holdMs;
+  const freedPerMs = sumFreedPerMs(tables, request, now);
   const higherPerMs = tables.workers.mechanisms.higherRanks
     ? sumHigherRates(tables.arrivalRates, request.service, request.rank, now)
     : 0;
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -5,6 +5,8 @@
 import type { Mechanisms } from './mechanisms';
 import { NO_BACKOFF } from './workerBackoff';
 import type { WorkerBackoff } from './workerBackoff';
+import { NO_RATE_LIMIT } from './workerRateLimit';
+import type { WorkerRateLimit } from './workerRateLimit';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 import type { WorkerStanding } from './workerTable';
 
@@ -44,6 +46,7 @@
   backoff: WorkerBackoff;
   /** Whether it reported in an answer that it is leaving. */
   isLeaving: boolean;
+  rateLimit: WorkerRateLimit;
 }
 
 /** Statistics of a service over all its backend servers. */
@@ -131,6 +134,7 @@
   suspensionMs: MIN_SUSPENSION_MS,
   backoff: NO_BACKOFF,
   isLeaving: false,
+  rateLimit: NO_RATE_LIMIT,
 });
 
 const indexByService = (workers: RoutedWorkers): void => {
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -3,6 +3,7 @@
  * to start its answer first.
  */
 import { estimateAt, estimateSlope } from './linearFit';
+import { hasAllowance } from './rateAllowance';
 import { findServiceStats, isReachable, isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceStats } from './routedWorkers';
 import { isBackingOff, mayProbe } from './workerBackoff';
@@ -128,7 +129,9 @@
   { connectionShares }: RoutedWorkers,
   worker: RoutedWorker,
   request: ChoiceRequest,
+  now: number,
 ): boolean => isReady(worker)
+  && hasAllowance(worker.rateLimit.allowance, now)
   && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
   && !request.avoided?.has(worker.id)
   && (!request.requiresFreeSlot || hasFreeSlot(worker));
@@ -145,7 +148,7 @@
   now: number,
 ): RoutedWorker[] => {
   const usable = (workers.byService.get(request.service) ?? [])
-    .filter((worker) => isUsable(workers, worker, request));
+    .filter((worker) => isUsable(workers, worker, request, now));
   const available = usable.filter(({ backoff }) => !isBackingOff(backoff, now));
   const reachable = available.filter((worker) => isReachable(workers, worker, now));
   const untriedReachable = reachable.filter(({ id }) => !request.tried.includes(id));
--- a/src/core/routing/workerEligibility.ts
+++ b/src/core/routing/workerEligibility.ts
@@ -1,4 +1,5 @@
 /** Which backend servers of a service an entry must avoid, according to their own answers. */
+import { computeAllowanceWaitMs } from './rateAllowance';
 import { isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 import { countProbe, isBackingOff, mayProbe } from './workerBackoff';
@@ -24,6 +25,23 @@
   return Math.max(0, Math.min(...ready.map(({ backoff }) => backoff.until)) - now);
 };
 
+/**
+ * Milliseconds until a service's ready servers accept a request under their rate limits; 0 when one
+ * of them does now, or none is ready.
+ *
+ * @example
+ * const limitedMs = computeShortestAllowanceMs(workers, 'rooms', clock.now());
+ */
+export const computeShortestAllowanceMs = (
+  workers: RoutedWorkers,
+  service: string,
+  now: number,
+): number => {
+  const waits = listReadyWorkers(workers, service)
+    .map(({ rateLimit }) => computeAllowanceWaitMs(rateLimit.allowance, now));
+  return waits.length === 0 ? 0 : Math.min(...waits);
+};
+
 /**
  * Whether this entry must not send requests to a server, because it is leaving or backing off.
  *
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -95,6 +95,9 @@
   backendsResting: {
     number: 2010, status: 503, run: 'notRun', action: 'Retry after the time in Retry-After; all backend servers of the service asked this entry VM to back off.',
   },
+  backendsLimited: {
+    number: 2011, status: 503, run: 'notRun', action: 'Retry after the time in Retry-After; all backend servers of the service have named a rate limit that is used up.',
+  },
   outcomeUnknown: {
     number: 3001, status: 502, run: 'unknown', action: 'Retry with the same key; do not use a new one.',
   },
--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -51,7 +51,8 @@
  * tracker.reportOutcome('answered');
  */
 export class AttemptTracker {
-  private readonly startedAt: number;
+  /** When the request was sent, monotonic milliseconds. */
+  readonly startedAt: number;
 
   /** Prompt tokens that the server had not processed yet when the request was sent. */
   private readonly pendingTokensBefore: number;
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -112,6 +112,9 @@
     logger,
     metrics,
     openRequests,
+    reportState: () => {
+      watch.sendState().catch((error: unknown) => logger.warn('state could not be reported', { reason: String(error) }));
+    },
   });
   watch.start();
   const refreshTimer = setInterval(
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -11,6 +11,8 @@
 } from '../core/routing/routedWorkers';
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
+import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
+import type { RateSharing } from '../core/routing/workerRateLimit';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionDetector } from '../utils/clock';
@@ -159,6 +161,21 @@
     return this.leasedEntryCount;
   }
 
+  /** How the entries divide the rate limits of backend servers. */
+  get rateSharing(): RateSharing {
+    return {
+      entryCount: this.entryCount,
+      isPlaced: (service) => this.isPlaced(service),
+      phase: this.entries.computePhase(this.entryId),
+    };
+  }
+
+  /** Whether the leader places the requests of a service. */
+  isPlaced(service: string): boolean {
+    return (this.table?.findService(service)?.isEngine ?? false)
+      && this.workers.mechanisms.leaderPlacing;
+  }
+
   /** How long the leader may hold a watch request of this entry, in milliseconds. */
   get watchHoldMs(): number {
     return Math.round(computeWatchHoldMs(this.entryCount));
@@ -184,6 +201,7 @@
       ...this.suspects.heldVersion,
       rememberedWorkers: [],
       rememberedSuspects: [],
+      limits: listNamedRates(this.workers, clock.now()),
     };
   }
 
@@ -199,6 +217,7 @@
     this.applyWorkers(reply);
     this.leasedEntryCount = Math.max(1, reply.entryCount);
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
+    applyRateLimits(this.workers, reply.limits, sentAt, this.rateSharing, this.parts.clock.now());
     this.budget.applyGrants(reply.grants, this.parts.clock.now());
     if (reply.documentVersion === 0) return;
     if (!this.isServing) this.logLeaseGap(reply);
--- a/src/relay/requestDialect.ts
+++ b/src/relay/requestDialect.ts
@@ -36,6 +36,8 @@
   readonly restMs: number;
   /** Whether the backend server reports that it is leaving. */
   readonly isLeaving: boolean;
+  /** Rate limit that it names, in requests per second; 0 if it names none, NaN if unreadable. */
+  readonly limitPerSecond: number;
 }
 
 /** Values that the entry adds to a forwarded request. */
--- a/src/relay/requestParts.ts
+++ b/src/relay/requestParts.ts
@@ -19,4 +19,6 @@
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly openRequests: OpenRequests;
+  /** Tells the leader the state of this entry at once. */
+  readonly reportState: () => void;
 }
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -188,7 +188,7 @@
     const call: UpstreamCall = new UpstreamCall(connection, {
       onHead: (head) => {
         tracker.recordHead();
-        headOutcome = this.checkHead(prepared, worker, head);
+        headOutcome = this.checkHead(prepared, worker, head, tracker.startedAt);
         if (headOutcome) return false;
         this.cancelPick?.();
         this.writer.writeHead(head);
@@ -264,10 +264,13 @@
     prepared: PreparedRequest,
     worker: RoutedWorker,
     { status, headers }: UpstreamHead,
+    sentAt: number,
   ): AttemptOutcome | undefined {
     const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
     const { requestId } = this.facts;
-    applyNotice(this.parts, worker, { ...answer, status, requestId });
+    applyNotice(this.parts, worker, {
+      ...answer, status, requestId, sentAt,
+    });
     const { hasStarted } = this.writer;
     return checkAnswerHead({
       status, answer, requestId, hasStarted,
--- a/src/relay/workerNotices.ts
+++ b/src/relay/workerNotices.ts
@@ -1,18 +1,22 @@
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { extendBackoff } from '../core/routing/workerBackoff';
+import { recordNamedRate } from '../core/routing/workerRateLimit';
 import type { AnswerFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
 
 const SERVICE_UNAVAILABLE = 503;
+const MISDIRECTED = 421;
 
 /** The part of an answer's head in which the backend server reports its own state. */
-export interface WorkerNotice extends Pick<AnswerFacts, 'restMs' | 'isLeaving'> {
+export interface WorkerNotice extends Pick<AnswerFacts, 'restMs' | 'isLeaving' | 'limitPerSecond'> {
   readonly status: number;
   /** The caller's id of the answered request. */
   readonly requestId: string;
+  /** When the request was sent, monotonic milliseconds. */
+  readonly sentAt: number;
 }
 
-type NoticeParts = Pick<RequestParts, 'clock' | 'metrics' | 'logger'>;
+type NoticeParts = Pick<RequestParts, 'clock' | 'metrics' | 'logger' | 'site' | 'reportState'>;
 
 const applyBackoff = (
   { clock, metrics, logger }: NoticeParts,
@@ -36,11 +40,29 @@
   logger.info('backend server reports that it is leaving', { requestId, worker: worker.id, status });
 };
 
+const applyRateLimit = (
+  {
+    clock, metrics, logger, site, reportState,
+  }: NoticeParts,
+  worker: RoutedWorker,
+  {
+    status, limitPerSecond, requestId, sentAt,
+  }: WorkerNotice,
+): void => {
+  // A misdirected request was answered by another server, and an unreadable limit says nothing.
+  if (status === MISDIRECTED || Number.isNaN(limitPerSecond)) return;
+  const isUrgent = recordNamedRate(worker, limitPerSecond, sentAt, site.rateSharing, clock.now());
+  if (!isUrgent) return;
+  metrics.notices.inc({ notice: 'limit' });
+  logger.info('backend server named a rate limit', { requestId, worker: worker.id, limitPerSecond });
+  reportState();
+};
+
 /**
  * Applies the state that a backend server reports in an answer, whichever request it answers.
  *
  * @example
- * applyNotice(parts, worker, { status, requestId, restMs, isLeaving });
+ * applyNotice(parts, worker, { ...answer, status, requestId, sentAt });
  */
 export const applyNotice = (
   parts: NoticeParts,
@@ -49,4 +71,5 @@
 ): void => {
   applyBackoff(parts, worker, notice);
   applyLeaving(parts, worker, notice);
+  applyRateLimit(parts, worker, notice);
 };
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,12 +1,15 @@
 import { randomUUID } from 'node:crypto';
 import { NO_TIMINGS } from '../core/routing/placementTables';
 import {
-  isServiceBlocked, listAvoidedIds, isEligible, recordProbe, computeShortestBackoffMs,
+  isServiceBlocked, listAvoidedIds, isEligible, recordProbe, computeShortestAllowanceMs,
+  computeShortestBackoffMs,
 } from '../core/routing/workerEligibility';
+import { hasAllowance } from '../core/routing/rateAllowance';
 import { isReachable, isReady } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { chooseRoutedWorker, isWaitAcceptable } from '../core/routing/workerChoice';
 import { computeBackoffRetryAfterMs, isBackingOff } from '../core/routing/workerBackoff';
+import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
 import type { Clock } from '../utils/clock';
 import { chargeAccount, computeCost } from './admitRequest';
@@ -80,8 +83,7 @@
     const { site, clock } = this.parts;
     const { service } = request.admitted;
     this.checkBackoff(service);
-    const isEngine = site.table?.findService(service)?.isEngine ?? false;
-    const usesLeader = isEngine && site.workers.mechanisms.leaderPlacing;
+    const usesLeader = site.isPlaced(service);
     const placed = usesLeader ? await this.place(request) : undefined;
     if (placed) return placed;
     if (request.isAbandoned()) return undefined;
@@ -100,6 +102,7 @@
     return (workers.byService.get(service) ?? [])
       .some((worker) => isReady(worker)
         && !isBackingOff(worker.backoff, now)
+        && hasAllowance(worker.rateLimit.allowance, now)
         && isReachable(workers, worker, now));
   }
 
@@ -160,7 +163,14 @@
 
   private makeNoWorkerError(service: string): BeechliftError {
     const { site, clock } = this.parts;
-    const restMs = computeShortestBackoffMs(site.workers, service, clock.now());
+    const now = clock.now();
+    const restMs = computeShortestBackoffMs(site.workers, service, now);
+    const limitedMs = computeShortestAllowanceMs(site.workers, service, now);
+    if (restMs === 0 && limitedMs > 0) {
+      return new BeechliftError('backendsLimited', `all backend servers of service "${service}" have named a rate limit, the first accepts a request in ${Math.round(limitedMs)} ms`, {
+        retryAfterMs: Math.round(computeBackoffRetryAfterMs(limitedMs, Math.random())),
+      });
+    }
     if (restMs === 0) return new BeechliftError('noBackend', `no backend server of service "${service}" can accept the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
     return new BeechliftError('backendsResting', `all backend servers of service "${service}" are backing off, the first for ${Math.round(restMs)} ms more`, {
       retryAfterMs: Math.round(computeBackoffRetryAfterMs(restMs, Math.random())),
@@ -189,6 +199,7 @@
       });
     }
     recordProbe(choice.worker, now);
+    takeWorkerAllowance(choice.worker, now);
     return {
       worker: choice.worker, expectedMs: choice.waitMs + choice.ownMs, placeId: '', epoch: '',
     };
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -8,6 +8,7 @@
 import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
 import { PlaceClient } from '../../src/relay/placeClient';
 import { OpenRequests } from '../../src/relay/openRequests';
+import { readRateLimit } from '../../src/relay/rateLimit';
 import { RelayMetrics } from '../../src/relay/relayMetrics';
 import { applyCallerLimits, makeRelayServer } from '../../src/relay/relayServer';
 import { RelaySite } from '../../src/relay/relaySite';
@@ -36,6 +37,7 @@
     isEncoded: false,
     restMs: Number(findHeader(headers, 'x-rest-ms') ?? 0),
     isLeaving: findHeader(headers, 'x-leaving') !== undefined,
+    limitPerSecond: readRateLimit(findHeader(headers, 'x-limit')),
   }),
   buildRequestHeaders: (headers, { workerId, remainingMs, lastEventId }) => [
     ...dropHeaders(headers, new Set(['x-key', 'x-patience', 'content-length'])),
@@ -195,6 +197,7 @@
       logger: makeLogger('test', 'silent'),
       metrics: this.metrics,
       openRequests: this.openRequests,
+      reportState: () => undefined,
     });
     applyCallerLimits(this.app, this.routing.limits);
     await this.app.listen({ host: HOST, port: 0 });
--- a/tests/platform/request-headers.spec.ts
+++ b/tests/platform/request-headers.spec.ts
@@ -23,8 +23,17 @@
       .toEqual([false, false, false]);
   });
 
+  it.each([['1.4', 1.4], [' 12 ', 12], ['0', 0]])('should report a rate limit in requests per second: "%s"', (text, perSecond) => {
+    expect(readAnswer('Server-Limit', text).limitPerSecond).toBe(perSecond);
+  });
+
+  // A limit that can't be read must neither begin a limit nor end the one in force.
+  it.each(['-1', '1e3', 'many', '', '1.'])('should report a rate limit as unreadable: "%s"', (text) => {
+    expect(readAnswer('Server-Limit', text).limitPerSecond).toBeNaN();
+  });
+
   it('should report nothing if an answer has neither header', () => {
-    expect(readAnswer('Not-Executed', '1')).toMatchObject({ restMs: 0, isLeaving: false });
+    expect(readAnswer('Not-Executed', '1')).toMatchObject({ restMs: 0, isLeaving: false, limitPerSecond: 0 });
   });
 });
 
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -65,9 +65,13 @@
   const worker = site.workers.byId.get(workerId);
   if (!worker) throw new Error(`no server ${workerId}`);
   applyNotice({
-    clock, metrics: new RelayMetrics(), logger: makeLogger('test', 'silent'),
+    clock,
+    metrics: new RelayMetrics(),
+    logger: makeLogger('test', 'silent'),
+    site,
+    reportState: () => undefined,
   }, worker, {
-    status: 503, requestId: 'r0', ...notice,
+    status: 503, requestId: 'r0', limitPerSecond: 0, sentAt: clock.now(), ...notice,
   });
 };
 
