Wait for the own lease before entries are sent away

Change: a held request waits up to 200 ms for the lease to come back before it is answered without one.

Why it works: the reply is built once the lease is held again, from the state of that moment, and the lease of an entry counts from before its request, so no bound moves. A leader that was replaced answers as before, within the time that an entry waits for a late reply.

--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -14,6 +14,12 @@
 /** Longest time that a watch request is held, in milliseconds. */
 const MAX_HOLD_MS = 1_000;
 
+/**
+ * How long a held request waits for this leader to regain its lease, in milliseconds: less than the
+ * time that an entry waits for a late reply.
+ */
+const LEASE_WAIT_MS = 200;
+
 /** Sent to followers, which need neither loads nor grants. */
 const NO_ENTRY_PART: EntryPart = {
   loads: [], grants: [], entryCount: 0, limits: [],
@@ -62,7 +68,9 @@
 
   /** Answers a watch request; a replica that does not lead returns the address of the leader. */
   async watch(request: WatchRequest): Promise<WatchReply> {
-    const { readView, watches, work } = this.parts;
+    const {
+      readView, watches, leaderWait, work,
+    } = this.parts;
     const view = readView();
     if (!view.isLeading) return this.awaitLeader(request);
     if (request.entryId === '') {
@@ -75,6 +83,7 @@
     // A change answers the requests of all entries at once, and a new leader gets requests of all
     // entries at once: yielding between replies lets the log send its heartbeats.
     await this.turns.wait();
+    if (!readView().isLeading) await leaderWait.wait(LEASE_WAIT_MS);
     if (!readView().isLeading) return this.buildNotLeadingReply();
     return work.measure('watch', () => this.buildReply(request));
   }
--- a/tests/control/watch-service.spec.ts
+++ b/tests/control/watch-service.spec.ts
@@ -17,7 +17,18 @@
 /** Interval at which a leader sends heartbeats, in milliseconds. */
 const HEARTBEAT_MS = 25;
 
-const makeService = (watches: HeldCalls, countAnswer: () => void) => {
+/** The lease of a leader, and the wait for it. */
+interface LeaseRig {
+  isHeld: boolean;
+  readonly wait: LeaderWait;
+}
+
+const makeLease = (): LeaseRig => {
+  const lease: LeaseRig = { isHeld: true, wait: new LeaderWait(() => lease.isHeld) };
+  return lease;
+};
+
+const makeService = (watches: HeldCalls, countAnswer: () => void, lease = makeLease()) => {
   const logger = makeLogger('test', 'silent');
   const leaderState = new LeaderState({ clock: systemClock, leaseMs: 2_300, limitSlack: 0 });
   const registry = new WorkerRegistry({
@@ -40,12 +51,12 @@
     }),
     recoveryWindow: new RecoveryWindow(systemClock, false),
     watches,
-    leaderWait: new LeaderWait(() => true),
+    leaderWait: lease.wait,
     work: new WorkMeter(systemClock, logger, HEARTBEAT_MS),
     address: '10.0.0.1:7100',
     leaseMs: 2_300,
     readView: () => ({
-      isLeading: true,
+      isLeading: lease.isHeld,
       otherLeaderAddress: '',
       // Read once for each reply.
       get replicaAddresses() {
@@ -94,4 +105,34 @@
     // Followers start an election after 300 ms; all replies in one turn take 400 ms.
     expect(maxGapMs).toBeLessThan(200);
   });
+
+  // An overloaded leader lost its lease for a moment, and sent all entries away: each searched for
+  // another leader, which cost the leader and all other replicas more time.
+  it('should grant the lease of an entry once the leader has its own again', async () => {
+    const watches = new HeldCalls();
+    const lease = makeLease();
+    const { desk: service, workersEpoch } = makeService(watches, () => undefined, lease);
+    const reply = service.watch(WatchRequest.fromPartial({
+      entryId: 'e1', state: 'active', holdMs: 20, workersEpoch,
+    }));
+    lease.isHeld = false;
+    await pause(120);
+    lease.isHeld = true;
+    lease.wait.check();
+    expect((await reply).leaseMs).toBe(2_300);
+  });
+
+  it('should send an entry away if another replica leads', async () => {
+    const watches = new HeldCalls();
+    const lease = makeLease();
+    const { desk: service, workersEpoch } = makeService(watches, () => undefined, lease);
+    const startedAt = performance.now();
+    const reply = service.watch(WatchRequest.fromPartial({
+      entryId: 'e1', state: 'active', holdMs: 20, workersEpoch,
+    }));
+    lease.isHeld = false;
+    expect((await reply).leaseMs).toBe(0);
+    // An entry waits for 350 ms beyond the hold time before it asks another replica.
+    expect(performance.now() - startedAt).toBeLessThan(350);
+  });
 });
