Test: no time limit ends the answers whose pauses are tested

Cause: 'should wait once for its caller' reads 3 MB in small chunks within the 2 s of its route. 'should stay with its server while it is paused' gave the first bytes of 16 MB 80 ms to arrive.

Change: these requests have a limit of 30 s, at the route and of the caller. The bytes before and after the pause are waited for, and none more may come within the same 80 ms after each. What is checked is unchanged: one wait, all bytes, one chunk a pause, at most 131,072 bytes.

--- a/tests/relay/paused-answers.spec.ts
+++ b/tests/relay/paused-answers.spec.ts
@@ -6,11 +6,12 @@
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
-import type { Route } from '../../src/manifest/routing';
+import type { Route, Routing } from '../../src/manifest/routing';
 import { AnswerWriter } from '../../src/relay/answerWriter';
 import { UpstreamCall } from '../../src/relay/upstreamCall';
 import type { UpstreamOutcome } from '../../src/relay/upstreamCall';
 import { WorkerConnections } from '../../src/relay/workerConnections';
+import { waitFor } from '../fakes/controlSite';
 import { readBody } from '../fakes/readBody';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
@@ -109,9 +110,11 @@
     const outcome = call.run({
       method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0),
     });
+    await waitFor(() => lengths.length >= 1, 'the first bytes');
     await pause(PAUSED_MS);
     expect(lengths).toHaveLength(1);
     call.resume();
+    await waitFor(() => lengths.length >= 2, 'the bytes after the pause');
     await pause(PAUSED_MS);
     expect(lengths).toHaveLength(2);
     expect(Math.max(...lengths)).toBeLessThanOrEqual(MOST_TAKEN_BYTES);
@@ -147,6 +150,8 @@
 const CHUNK_MS = 1;
 const CHUNK_COUNT = 200_000;
 const READING_STARTS_MS = 200;
+/** Far longer than the answers take, so that no time limit ends them. */
+const TIME_LIMIT_MS = 30_000;
 
 const kinds: readonly [string, Partial<Route>][] = [
   ['a stream that may run once', { kind: 'stream', isResumable: false, maxAttempts: 1 }],
@@ -155,6 +160,9 @@
   ['a request that may run once', { kind: 'nonIdempotent', maxAttempts: 1 }],
 ];
 
+const makeLongRouting = (route: Partial<Route>): Routing => (
+  makeRouting({ routes: [makeRoute({ ...route, timeoutMs: TIME_LIMIT_MS })] }));
+
 /** Sends chunks until the caller's connection is full, and ends the answer with its connection. */
 const fillCaller = async (socket: Socket, isFull: () => boolean, sent = 0): Promise<number> => {
   socket.write(CHUNK);
@@ -190,7 +198,11 @@
   /** Sends a request whose answer is not read yet. */
   const callShop = async (): Promise<IncomingMessage> => {
     const request = get({
-      port: rig.port, path: '/orders/7', headers: { host: 'shop.example', 'x-id': 'r1', 'x-key': 'k1' },
+      port: rig.port,
+      path: '/orders/7',
+      headers: {
+        host: 'shop.example', 'x-id': 'r1', 'x-key': 'k1', 'x-patience': TIME_LIMIT_MS,
+      },
     });
     const [response] = await once(request, 'response') as [IncomingMessage];
     return response;
@@ -200,7 +212,7 @@
   it.each(kinds)('should be complete: %s', async (name, route) => {
     const waits = countWaits();
     let filled: Promise<number> | undefined;
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
+    rig = await RelayRig.start(makeLongRouting(route), [(socket) => {
       socket.write('HTTP/1.1 200 X\r\nx-id: r1\r\n\r\n');
       filled = fillCaller(socket, () => waits.now > 0);
     }]);
@@ -216,7 +228,7 @@
   it.each(kinds)('should wait once for its caller: %s', async (name, route) => {
     const waits = countWaits();
     const chunk = 'f\r\nid: 1\ndata: x\n\n\r\n'.repeat(CHUNK_COUNT);
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [(socket) => {
+    rig = await RelayRig.start(makeLongRouting(route), [(socket) => {
       socket.end(`HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n${chunk}0\r\n\r\n`);
     }]);
     const response = await callShop();
