--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -9,6 +9,7 @@
 import { estimateWaitMs } from '../../src/core/routing/placementWait';
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
 import { applyRecords, makeRoutedWorkers, recordPace } from '../../src/core/routing/routedWorkers';
+import { applyNamedRates } from '../../src/core/routing/workerRateLimit';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
 
 const makeRecord = (workerId: string, slots: number, standing = 'ready'): WorkerRecord => WorkerRecord.fromPartial({
@@ -66,6 +67,58 @@
   [...tables.placed.values()].filter(({ worker }) => worker.id === id).length
 );
 
+/** Applies a rate limit to all engines. */
+const setAllLimits = (tables: PlacementTables, perSecond: number): void => applyNamedRates(
+  tables.workers,
+  [...tables.workers.byId.values()].map(({ id, born }) => (
+    {
+      workerId: id, born, perSecond, ageMs: 0,
+    })),
+  0,
+);
+
+/** Lets time pass in steps of 25 ms; returns the decisions. */
+const advance = (tables: PlacementTables, from: number, to: number): PlacementDecision[] => (
+  Array.from({ length: (to - from) / 25 }, (unused, step) => (
+    placeWaiting(tables, from + 25 * (step + 1)))).flat());
+
+describe('placement under rate limits of engines', () => {
+  // Free slots were granted although the engine had named fewer requests per second.
+  it('should grant no more than the limit, to higher ranks first', () => {
+    const tables = makeTables([20]);
+    setAllLimits(tables, 2);
+    const requests = Array.from({ length: 8 }, (unused, count) => (
+      makeRequest({ id: `r${count}`, rank: count < 4 ? 2 : 0, targetMs: 4_000 })));
+    const decisions = [...requestSlots(tables, requests, 0), ...advance(tables, 0, 2_000)];
+    expect(listGranted(decisions)).toEqual(['r4', 'r5', 'r6', 'r7']);
+  });
+
+  // With free slots and a used-up limit, requests waited in vain instead of being refused at once.
+  it('should refuse at once what would wait too long for the limit, with a time to retry', () => {
+    const tables = makeTables([20]);
+    setAllLimits(tables, 2);
+    const requests = Array.from({ length: 12 }, (unused, count) => (
+      makeRequest({ id: `r${count}`, targetMs: 2_000 })));
+    const refused = requestSlots(tables, requests, 0).filter(({ kind }) => kind === 'refuse');
+    expect(refused.length).toBeGreaterThanOrEqual(8);
+    expect(refused.every((decision) => 'retryAfterMs' in decision && decision.retryAfterMs >= 2_000)).toBe(true);
+  });
+
+  it('should prefer engines without a limit', () => {
+    const tables = makeTables([20, 20]);
+    applyNamedRates(tables.workers, [{
+      workerId: '0', born: 0, perSecond: 1, ageMs: 0,
+    }], 0);
+    Array.from({ length: 16 }, (unused, count) => requestSlot(
+      tables,
+      makeRequest({ id: `r${count}` }),
+      100 * count,
+    ));
+    expect(countPlaced(tables, '0')).toBeLessThanOrEqual(2);
+    expect(countPlaced(tables, '0') + countPlaced(tables, '1')).toBe(16);
+  });
+});
+
 describe('placement of requests on model engines', () => {
   it('should never grant a slot twice, and fill all slots', () => {
     const tables = makeTables([6, 6, 2]);
