Reach a peer at once that starts again after it refused connections

Cause: found by reading again. A peer that is down refuses a connection at once, which costs it nothing; backing off then leaves the next attempt to the library's own delay, up to half a second after the port is open again. After a kill of all processes entries would have come back later than their leader.

Change: a refused or ended connection may be replaced at once again, as before. Only calls that time out back off.

Why it works: what keeps an overloaded peer slow is an attempt that is given up before it is accepted; a refusal ends the attempt by itself.

--- a/src/wire/replacementBackoff.ts
+++ b/src/wire/replacementBackoff.ts
@@ -26,8 +26,8 @@
     return true;
   }
 
-  /** Records that the peer answered on the current connection: it may be replaced at once again. */
-  recordAnswer(): void {
+  /** Allows the next replacement at once, because the peer has answered or refused. */
+  reset(): void {
     this.delayMs = 0;
   }
 }
--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -98,8 +98,8 @@
       const deadline = Date.now() + operation.remainingMs;
       const method = pickMethod(connection.stub);
       const call = method.call(connection.stub, request, metadata, { deadline }, (error, reply) => {
-        if (error && CONNECTION_ERRORS.includes(error.code)) this.replaceConnection(connection);
-        else this.recordAnswer(connection);
+        if (error && CONNECTION_ERRORS.includes(error.code)) this.handleFailure(connection, error);
+        else this.resetBackoff(connection);
         this.release(connection);
         if (error) reject(error);
         else resolve(reply);
@@ -130,12 +130,12 @@
     };
     const end = (error?: Error): void => {
       if (isClosed) return;
-      if (error) this.replaceConnection(connection);
+      if (error) this.handleFailure(connection, error);
       finish();
       close(error);
     };
     call.on('data', (reply: Reply) => {
-      this.recordAnswer(connection);
+      this.resetBackoff(connection);
       if (isClosed) return;
       try {
         take(reply);
@@ -184,8 +184,19 @@
     this.closeUnused(connection);
   }
 
+  /*
+   * A peer that refuses connections, or has ended one, may accept a new one at any time, and an
+   * attempt costs it little. A peer that does not answer may be overloaded.
+   */
+  private handleFailure(connection: PeerConnection<Stub>, error: Error): void {
+    const { code } = error as Partial<ServiceError>;
+    if (code === status.UNAVAILABLE) this.resetBackoff(connection);
+    this.replaceConnection(connection);
+  }
+
   /**
-   * Opens a new connection in place of one that gave no answer.
+   * Opens a new connection in place of one that gave no answer, unless the last one was replaced
+   * recently.
    *
    * The old one stays open until its last call or stream has ended: its peer may only be slow, and
    * the library would abort open calls with the next ping after a close.
@@ -197,8 +208,8 @@
     this.closeUnused(connection);
   }
 
-  private recordAnswer(connection: PeerConnection<Stub>): void {
-    if (this.current === connection) this.backoff.recordAnswer();
+  private resetBackoff(connection: PeerConnection<Stub>): void {
+    if (this.current === connection) this.backoff.reset();
   }
 
   private closeUnused(connection: PeerConnection<Stub>): void {
--- a/tests/wire/replacement-backoff.spec.ts
+++ b/tests/wire/replacement-backoff.spec.ts
@@ -11,10 +11,10 @@
     expect(listReplacements(backoff, 0, 12_000)).toEqual([0, 1_000, 3_000, 7_000, 11_000]);
   });
 
-  it('should allow a replacement at once after an answer', () => {
+  it('should allow a replacement at once after a reset', () => {
     const backoff = new ReplacementBackoff();
     listReplacements(backoff, 0, 4_000);
-    backoff.recordAnswer();
+    backoff.reset();
     expect(listReplacements(backoff, 4_000, 5_500)).toEqual([4_000, 5_000]);
   });
 });
--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -16,6 +16,7 @@
 /** Longer than the interval between pings. */
 const SLOW_ANSWER_MS = 2_500;
 const CALL_TIMEOUT_MS = 10_000;
+const RETRY_MS = 20;
 
 const answerAtOnce = handleUnary<WatchRequest, WatchReply>(() => (
   WatchReply.fromPartial({ leaseMs: 7 })));
@@ -33,7 +34,7 @@
       (stub) => stub.watch.bind(stub),
       WatchRequest.fromPartial({}),
       new Operation({ timeoutMs }),
-    ).then(() => true, () => false);
+    ).then(() => true, () => pause(RETRY_MS, false));
     return isAnswered || askUntilAnswered(timeoutMs, maxMs - (performance.now() - startedAt));
   };
 
@@ -123,4 +124,20 @@
     proxy.dropTraffic();
     expect(await askUntilAnswered(300, 900)).toBe(true);
   });
+
+  // After all processes of a site were killed, entries came back later than their leader: their
+  // connections to it waited between two attempts although the port was open again.
+  it('should reach a peer at once that refused connections before', async () => {
+    server.add(SiteService, { watch: answerAtOnce });
+    const address = await server.listen('127.0.0.1:0');
+    link = new RpcLink(SiteClient, address);
+    server.close();
+    expect(await askUntilAnswered(300, 2_000)).toBe(false);
+    server = new RpcServer();
+    server.add(SiteService, { watch: answerAtOnce });
+    await server.listen(address);
+    const startedAt = performance.now();
+    expect(await askUntilAnswered(300, 2_000)).toBe(true);
+    expect(performance.now() - startedAt).toBeLessThan(100);
+  });
 });
