Read a server's limit only where one is named or in force

Cause: the share of an entry, which looks itself up in the list of entries, was computed for each answer of a server without a limit; and an entry that retries took an engine for full by its own small share, though the leader places there.

Change: an answer without a limit of a server that has none is done with at once; where the leader places requests, the entry's share decides nothing.

--- a/src/core/routing/workerRateLimit.ts
+++ b/src/core/routing/workerRateLimit.ts
@@ -48,6 +48,10 @@
  */
 const UNPLACED_SHARE = 0.4;
 
+/** Whether a limit of a server is in force here. */
+export const isRateLimited = ({ rateLimit }: RoutedWorker): boolean => (
+  rateLimit.allowance.perSecond !== Infinity);
+
 const setRate = (
   worker: RoutedWorker,
   perSecond: number,
@@ -55,11 +59,10 @@
   now: number,
 ): void => {
   const { allowance, limitedSince } = worker.rateLimit;
-  const wasLimited = allowance.perSecond !== Infinity;
   worker.rateLimit = {
     ...worker.rateLimit,
     allowance: changeRate(allowance, perSecond, firstTokens, now),
-    limitedSince: wasLimited ? limitedSince : now,
+    limitedSince: isRateLimited(worker) ? limitedSince : now,
   };
 };
 
@@ -104,8 +107,8 @@
   sharing: RateSharing,
   now: number,
 ): boolean => {
-  const { named, allowance, limitedSince } = worker.rateLimit;
-  const isKnown = allowance.perSecond !== Infinity;
+  const { named, limitedSince } = worker.rateLimit;
+  const isKnown = isRateLimited(worker);
   if (perSecond <= 0 && (!isKnown || sentAt <= limitedSince)) return false;
   const bounded = perSecond <= 0
     ? 0
@@ -155,7 +158,7 @@
 /** Lists the limits in force on the leader, for the entries. */
 export const listRateLimits = ({ byId }: RoutedWorkers): RateLimitRecord[] => (
   [...byId.values()]
-    .filter(({ rateLimit }) => rateLimit.allowance.perSecond !== Infinity)
+    .filter(isRateLimited)
     .map(({ id, born, rateLimit: { allowance: { perSecond } } }) => (
       {
         workerId: id, born, perSecond, ageMs: 0,
@@ -178,11 +181,11 @@
 ): void => {
   const limits = new Map(records.map((record) => [record.workerId, record]));
   byId.forEach((worker) => {
-    const { named, allowance } = worker.rateLimit;
+    const { named } = worker.rateLimit;
     const record = limits.get(worker.id);
     const perSecond = record?.born === worker.born ? record.perSecond : 0;
-    const isUnlimited = perSecond === 0 && allowance.perSecond === Infinity;
-    if (isUnlimited || (named && named.heardAt >= sentAt)) return;
+    const isUnchanged = perSecond === 0 && !isRateLimited(worker);
+    if (isUnchanged || (named && named.heardAt >= sentAt)) return;
     setShare(worker, perSecond, sharing, now);
   });
 };
--- a/src/relay/workerNotices.ts
+++ b/src/relay/workerNotices.ts
@@ -1,6 +1,6 @@
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { extendBackoff } from '../core/routing/workerBackoff';
-import { recordNamedRate } from '../core/routing/workerRateLimit';
+import { isRateLimited, recordNamedRate } from '../core/routing/workerRateLimit';
 import type { AnswerFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
 
@@ -51,6 +51,7 @@
 ): void => {
   // A misdirected request was answered by another server, and an unreadable limit says nothing.
   if (status === MISDIRECTED || Number.isNaN(limitPerSecond)) return;
+  if (limitPerSecond === 0 && !isRateLimited(worker)) return;
   const isUrgent = recordNamedRate(worker, limitPerSecond, sentAt, site.rateSharing, clock.now());
   if (!isUrgent) return;
   metrics.notices.inc({ notice: 'limit' });
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -95,14 +95,14 @@
     return this.chooseLocally(request);
   }
 
-  /** Whether any server of a service can accept a request now. */
+  /** Whether any server of a service can accept a request now; the leader keeps limits itself. */
   hasAvailableWorker(service: string): boolean {
     const now = this.parts.clock.now();
-    const { workers } = this.parts.site;
+    const { site, site: { workers } } = this.parts;
     return (workers.byService.get(service) ?? [])
       .some((worker) => isReady(worker)
         && !isBackingOff(worker.backoff, now)
-        && hasAllowance(worker.rateLimit.allowance, now)
+        && (site.isPlaced(service) || hasAllowance(worker.rateLimit.allowance, now))
         && isReachable(workers, worker, now));
   }
 
