Read decimal numbers of headers in one place

Cause: the rate limit of a server brought the pattern for plain decimals a second time, beside the one of Retry-After.

Change: readDecimal serves both; what is accepted is the same.

--- a/src/relay/rateLimit.ts
+++ b/src/relay/rateLimit.ts
@@ -1,4 +1,4 @@
-const DECIMAL = /^\d+(\.\d+)?$/;
+import { readDecimal } from './readDecimal';
 
 /**
  * Parses a rate limit in requests per second; returns 0 if there is none, and NaN if the text is
@@ -7,8 +7,5 @@
  * @example
  * readRateLimit('1.4'); // 1.4
  */
-export const readRateLimit = (text: string | undefined): number => {
-  if (text === undefined) return 0;
-  const digits = text.trim();
-  return DECIMAL.test(digits) ? Number(digits) : NaN;
-};
+export const readRateLimit = (text: string | undefined): number => (
+  text === undefined ? 0 : readDecimal(text));
--- a/src/relay/retryAfter.ts
+++ b/src/relay/retryAfter.ts
@@ -1,5 +1,6 @@
+import { readDecimal } from './readDecimal';
+
 const MS_PER_SECOND = 1_000;
-const SECONDS = /^\d+(\.\d+)?$/;
 
 /**
  * Parses a `Retry-After` in seconds, which may have a fraction; returns milliseconds, or 0 if there
@@ -9,6 +10,6 @@
  * readRetryAfterMs('2.5'); // 2500
  */
 export const readRetryAfterMs = (text: string | undefined): number => {
-  const seconds = text?.trim() ?? '';
-  return SECONDS.test(seconds) ? Number(seconds) * MS_PER_SECOND : 0;
+  const seconds = readDecimal(text ?? '');
+  return Number.isNaN(seconds) ? 0 : seconds * MS_PER_SECOND;
 };
