Log why an entry finds no leader, and what the leader's replies wait for

An entry logged the first call to control that failed and then nothing until it had a leader; a leader logged how many replies it built, not how long they waited nor whether anyone still read them. So a leader that answers too late and one that is not reached looked alike.

Now an entry logs a line each second while it has no leader, with the count of failed calls and the last reason. The leader's line on its work has the longest wait of a due reply, the replies whose request had been given up, and the processor time of its process. No logic is changed.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -130,20 +130,27 @@
   self: Replica,
   logger: Logger,
 ) => ({
-  watch: handleUnary<WatchRequest, WatchReply>(
-    (request) => requireNode(nodeReference).watch(request),
-  ),
+  watch: handleUnary<WatchRequest, WatchReply>((request, { onCancel }) => {
+    let isCancelled = false;
+    onCancel(() => {
+      isCancelled = true;
+    });
+    return requireNode(nodeReference).watch(request, () => isCancelled);
+  }),
   keepWatch: handleStream<WatchRequest, WatchReply>((stream) => {
     // Looked up when the stream opens: an error here ends the stream, not the process.
     const node = requireNode(nodeReference);
+    let isClosed = false;
     stream.listen({
       take: (request) => {
-        node.watch(request).then((reply) => stream.send(reply)).catch((thrown: unknown) => {
+        node.watch(request, () => isClosed).then((reply) => stream.send(reply)).catch((thrown: unknown) => {
           logger.error('watch request failed', { entry: request.entryId, reason: toBeechliftError(thrown).message });
           stream.end(); // The client then tries another replica.
         });
       },
-      close: () => undefined,
+      close: () => {
+        isClosed = true;
+      },
     });
   }, makeFailureListener(logger)),
   publish: handleUnary<PublishRequest, PublishReply>(
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -193,9 +193,13 @@
     this.leaderWait.check();
   }
 
-  /** Answers an entry or a follower; the request is held until there is an update. */
-  watch(request: WatchRequest): Promise<WatchReply> {
-    return this.watchService.watch(request);
+  /**
+   * Answers an entry or a follower; the request is held until there is an update.
+   *
+   * @param isAbandoned returns whether the client has given the request up
+   */
+  watch(request: WatchRequest, isAbandoned?: () => boolean): Promise<WatchReply> {
+    return this.watchService.watch(request, isAbandoned);
   }
 
   /** Applies a watch reply of the leader on a follower. */
--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -1,6 +1,7 @@
 import { WatchReply as WatchReplyCodec } from '../protocol/generated/beechlift';
 import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import type { SiteDocument } from '../core/routing/siteDocument';
+import type { Clock } from '../utils/clock';
 import type { HeldCalls } from '../utils/heldCalls';
 import { ImmediateQueue } from '../utils/immediateQueue';
 import { DocumentPacker, NO_DOCUMENT_PART } from './documentPacker';
@@ -46,6 +47,7 @@
   readonly watches: HeldCalls;
   readonly leaderWait: LeaderWait;
   readonly work: WorkMeter;
+  readonly clock: Clock;
   /** gRPC address of this replica. */
   readonly address: string;
   /** Duration of the lease that a reply grants to an entry, in milliseconds. */
@@ -66,13 +68,17 @@
 
   constructor(private readonly parts: WatchServiceParts) {}
 
-  /** Answers a watch request; a replica that does not lead returns the address of the leader. */
-  async watch(request: WatchRequest): Promise<WatchReply> {
+  /**
+   * Answers a watch request; a replica that does not lead returns the address of the leader.
+   *
+   * @param isAbandoned returns whether the client has given the request up
+   */
+  async watch(request: WatchRequest, isAbandoned = (): boolean => false): Promise<WatchReply> {
     const {
-      readView, watches, leaderWait, work,
+      readView, watches, leaderWait, work, clock,
     } = this.parts;
     const view = readView();
-    if (!view.isLeading) return this.awaitLeader(request);
+    if (!view.isLeading) return this.awaitLeader(request, isAbandoned);
     if (request.entryId === '') {
       this.recoverRecords(request);
     } else {
@@ -82,7 +88,9 @@
     if (!this.hasUpdates(request)) await watches.hold(Math.min(MAX_HOLD_MS, request.holdMs));
     // A change answers the requests of all entries at once, and a new leader gets requests of all
     // entries at once: yielding between replies lets the log send its heartbeats.
+    const dueAt = clock.now();
     await this.turns.wait();
+    work.recordWatchTurn(clock.now() - dueAt, isAbandoned());
     if (!readView().isLeading) await leaderWait.wait(LEASE_WAIT_MS);
     if (!readView().isLeading) return this.buildNotLeadingReply();
     return work.measure('watch', () => this.buildReply(request));
@@ -109,11 +117,14 @@
   }
 
   /** Holds a request while no leader is known, so that the client gets its address at once. */
-  private async awaitLeader(request: WatchRequest): Promise<WatchReply> {
+  private async awaitLeader(
+    request: WatchRequest,
+    isAbandoned: () => boolean,
+  ): Promise<WatchReply> {
     const { readView, leaderWait } = this.parts;
     await leaderWait.wait(Math.min(MAX_HOLD_MS, request.holdMs));
     return readView().isLeading
-      ? this.watch({ ...request, holdMs: 0 })
+      ? this.watch({ ...request, holdMs: 0 }, isAbandoned)
       : this.buildNotLeadingReply();
   }
 
--- a/src/control/workMeter.ts
+++ b/src/control/workMeter.ts
@@ -20,6 +20,14 @@
 
 const NO_WORK: WorkCount = { count: 0, ms: 0 };
 
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Reads the processor time of this process since its start, in milliseconds. */
+const readProcessorMs = (): number => {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_MS;
+};
+
 const makeCounts = (count: (kind: WorkKind) => WorkCount): WorkCounts => (
   Object.fromEntries(WORK_KINDS.map((kind) => [kind, count(kind)])) as Record<WorkKind, WorkCount>
 );
@@ -39,6 +47,14 @@
   /** Longest delay of the timer since the last log line, in milliseconds. */
   private mostLateMs = 0;
 
+  /** Longest wait of a due watch reply for its turn since the last log line, in milliseconds. */
+  private mostWatchWaitMs = 0;
+
+  /** Watch replies since the last log line whose client had given up the request. */
+  private unreadCount = 0;
+
+  private loggedProcessorMs: number;
+
   private tickedAt: number;
 
   private loggedAt: number;
@@ -48,7 +64,9 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly tickMs: number,
+    private readonly readProcessor: () => number = readProcessorMs,
   ) {
+    this.loggedProcessorMs = readProcessor();
     this.tickedAt = clock.now();
     this.loggedAt = this.tickedAt;
   }
@@ -71,6 +89,14 @@
     this.tickedAt = now;
   }
 
+  /**
+   * Records how long a watch reply waited for its turn, and whether its client still waits for it.
+   */
+  recordWatchTurn(waitMs: number, isAbandoned: boolean): void {
+    this.mostWatchWaitMs = Math.max(this.mostWatchWaitMs, waitMs);
+    if (isAbandoned) this.unreadCount += 1;
+  }
+
   /** Returns the totals since the start. */
   read(): WorkCounts {
     return makeCounts((kind) => this.counts.get(kind) ?? NO_WORK);
@@ -80,15 +106,28 @@
   logCounts(): void {
     const now = this.clock.now();
     if (now - this.loggedAt < LOG_INTERVAL_MS) return;
-    const { loggedCounts, mostLateMs } = this;
+    const {
+      loggedCounts, mostLateMs, mostWatchWaitMs, unreadCount,
+    } = this;
     const counts = this.read();
+    const processorMs = this.readProcessor();
     const fields = WORK_KINDS.flatMap((kind): [string, number][] => [
       [`${kind}Count`, counts[kind].count - loggedCounts[kind].count],
       [`${kind}Ms`, Math.round(counts[kind].ms - loggedCounts[kind].ms)],
     ]);
-    this.logger.info('work of the leader', { ...Object.fromEntries(fields), mostLateMs: Math.round(mostLateMs) });
+    this.logger.info('work of the leader', {
+      ...Object.fromEntries(fields),
+      mostLateMs: Math.round(mostLateMs),
+      mostWatchWaitMs: Math.round(mostWatchWaitMs),
+      unreadCount,
+      processorMs: Math.round(processorMs - this.loggedProcessorMs),
+      elapsedMs: Math.round(now - this.loggedAt),
+    });
     this.loggedCounts = counts;
     this.loggedAt = now;
     this.mostLateMs = 0;
+    this.mostWatchWaitMs = 0;
+    this.unreadCount = 0;
+    this.loggedProcessorMs = processorMs;
   }
 }
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -25,6 +25,9 @@
   .slice(0, SEARCH_WIDTH)
   .map(({ address }) => address);
 
+/** Shortest time between two log lines on failed calls while the leader is lost, in milliseconds. */
+const FAILURE_LOG_MS = 1_000;
+
 /** Sends a watch request and resolves with its reply; rejects if none is received in time. */
 type WatchSender = (request: WatchRequest, timeoutMs: number) => Promise<WatchReply>;
 
@@ -60,6 +63,11 @@
 
   private isLeaderLost = false;
 
+  /** Failed calls to control since the last log line on one. */
+  private failedCalls = 0;
+
+  private failureLoggedAt = -Infinity;
+
   private retryDelayMs = MIN_RETRY_DELAY_MS;
 
   constructor(private readonly parts: SiteWatchParts) {}
@@ -176,7 +184,12 @@
   }
 
   private logUnreachable(address: string, { message: reason }: Error): undefined {
-    if (!this.isLeaderLost) this.parts.logger.warn('control replica did not answer', { address, reason });
+    const now = this.parts.clock.now();
+    this.failedCalls += 1;
+    if (this.isLeaderLost && now - this.failureLoggedAt < FAILURE_LOG_MS) return undefined;
+    this.parts.logger.warn('control replica did not answer', { address, reason, failedCalls: this.failedCalls });
+    this.failedCalls = 0;
+    this.failureLoggedAt = now;
     return undefined;
   }
 
--- a/tests/control/watch-service.spec.ts
+++ b/tests/control/watch-service.spec.ts
@@ -51,6 +51,7 @@
     }),
     recoveryWindow: new RecoveryWindow(systemClock, false),
     watches,
+    clock: systemClock,
     leaderWait: lease.wait,
     work: new WorkMeter(systemClock, logger, HEARTBEAT_MS),
     address: '10.0.0.1:7100',
--- a/tests/control/work-meter.spec.ts
+++ b/tests/control/work-meter.spec.ts
@@ -9,12 +9,14 @@
     const logger = {
       info: (message: string, fields: object) => lines.push(fields),
     } as unknown as Logger;
-    const meter = new WorkMeter({ now: () => now }, logger, 25);
+    const meter = new WorkMeter({ now: () => now }, logger, 25, () => now / 10);
     const advance = (ms: number) => meter.measure('watch', () => {
       now += ms;
     });
     advance(7);
     advance(5);
+    meter.recordWatchTurn(900, true);
+    meter.recordWatchTurn(20, false);
     now = 5_000;
     meter.recordTick();
     meter.logCounts();
@@ -24,9 +26,18 @@
     meter.logCounts();
     expect(lines).toMatchObject([
       {
-        watchCount: 2, watchMs: 12, placeCount: 0, mostLateMs: 4_975,
+        watchCount: 2,
+        watchMs: 12,
+        placeCount: 0,
+        mostLateMs: 4_975,
+        mostWatchWaitMs: 900,
+        unreadCount: 1,
+        processorMs: 500,
+        elapsedMs: 5_000,
+      },
+      {
+        watchCount: 1, watchMs: 3, mostLateMs: 0, mostWatchWaitMs: 0, unreadCount: 0,
       },
-      { watchCount: 1, watchMs: 3, mostLateMs: 0 },
     ]);
     expect(meter.read().watch).toEqual({ count: 3, ms: 15 });
   });
