--- a/tests/relay/site-watch.spec.ts
+++ b/tests/relay/site-watch.spec.ts
@@ -12,6 +12,7 @@
 import { waitFor } from '../fakes/controlSite';
 import { FakeReplicas, LEASE_MS } from '../fakes/fakeReplicas';
 import { findFreeAddress } from '../fakes/freeAddress';
+import { SlowLeader } from '../fakes/slowLeader';
 import { makeRouting } from '../fakes/routings';
 
 describe('the search of an entry for the control leader', () => {
@@ -76,6 +77,21 @@
     expect(systemClock.now() - startedAt).toBeLessThan(250);
   });
 
+  // Fault: after a change of leader, entries gave up requests that the new leader was about to
+  // answer and sent them again. It never caught up, and entries had no lease for seconds.
+  it('should wait for the late reply of a slow leader instead of asking again', async () => {
+    const leader = new SlowLeader(800);
+    await leader.listen();
+    const site = start([leader.address]);
+    await waitFor(() => site.isServing, 'the entry has a lease');
+    const startedAt = systemClock.now();
+    await waitFor(() => !site.isServing || systemClock.now() - startedAt > 4_000, '4 s are over');
+    leader.close();
+    expect(leader.unreadCount).toBe(0);
+    expect(leader.requestCount).toBeLessThanOrEqual(7);
+    expect(systemClock.now() - startedAt).toBeGreaterThan(4_000);
+  });
+
   // Fault: an entry crashed or stopped its watch because a document could not be read.
   it('should continue after a document that cannot be read, and log the failure', async () => {
     const asked = await listen();
