Wait for the late reply of a slow leader instead of asking again

What callers saw: 503 for want of a lease, for seconds after a change of leader on a large site.

Cause: an entry gave up a watch request 350 ms after it was due, closed its stream, asked three replicas, opened a connection and asked anew. A leader with 0.4 of a core cannot give 190 entries all its tables within that time. What it had built was thrown away, and connections, streams and searches took most of its processor: in a profile of such a leader building replies is 5 %, transport nearly all of the rest. It never caught up.

Now a late reply still lets other replicas be asked for the leader, but the request stays open for as long again, and a reply that comes is used. The replica that has the request is left out of the search.

Why it works: a reply that comes late still renews the lease, which counts from before the request, and nothing that the leader has done is done again.

--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -2,6 +2,7 @@
 import { SiteClient } from '../protocol/generated/beechlift';
 import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
+import { BeechliftError } from '../errors/beechliftError';
 import type { Clock, SuspensionDetector } from '../utils/clock';
 import { Operation } from '../utils/operation';
 import type { RpcLink } from '../wire/rpcLink';
@@ -11,6 +12,11 @@
 
 /** Wait for a reply beyond the hold time, in milliseconds, before another replica is asked. */
 const REPLY_TIMEOUT_MS = 350;
+/**
+ * Time limit of a watch request to the leader, in multiples of the time after which its reply is
+ * late. A slow leader has done most of the work for it by then, and would do all of it again.
+ */
+const LATE_REPLY_FACTOR = 2;
 /** Replicas that are asked for the leader at once: one still answers if two of them are down. */
 const SEARCH_WIDTH = 3;
 /** How long a replica that knows no leader holds a request for the leader, in milliseconds. */
@@ -19,6 +25,13 @@
 const MIN_RETRY_DELAY_MS = 40;
 const MAX_RETRY_DELAY_MS = 250;
 
+/** A watch request to the leader that was not answered yet. */
+interface OpenWatch {
+  readonly address: string;
+  /** Resolves with whether the leader answered. */
+  readonly answered: Promise<boolean>;
+}
+
 const pickReplicas = (addresses: readonly string[]): string[] => addresses
   .map((address) => ({ address, order: Math.random() }))
   .sort((a, b) => a.order - b.order)
@@ -57,6 +70,9 @@
   /** Stream to the leader; undefined until it is found. */
   private watchStream: WatchStream | undefined;
 
+  /** The watch request on that stream, until it is answered or given up. */
+  private openWatch: OpenWatch | undefined;
+
   private knownReplicas: readonly string[] = [];
 
   private stopped = false;
@@ -105,7 +121,9 @@
 
   private async run(): Promise<void> {
     if (this.stopped) return;
-    const reached = this.leader === '' ? await this.searchLeader() : await this.watchLeader(this.leader);
+    const reached = this.leader === ''
+      ? await Promise.race([this.searchLeader(), this.waitForLateReply()])
+      : await this.watchLeader(this.leader);
     if (!reached && !this.stopped) await this.waitBeforeRetry();
     // Started without await: an unending chain of awaited calls would never release its memory.
     this.start();
@@ -129,7 +147,10 @@
    */
   private async searchLeader(): Promise<boolean> {
     const all = [...new Set([...this.knownReplicas, ...this.parts.readSeeds()])];
-    const searches = pickReplicas(all).map(async (address) => {
+    const { openWatch } = this;
+    const others = all.filter((address) => address !== openWatch?.address);
+    if (openWatch && others.length === 0) return openWatch.answered;
+    const searches = pickReplicas(others).map(async (address) => {
       const reached = await this.watchOnce(address, SEARCH_HOLD_MS);
       if (!reached && this.leader === '') throw new Error(`replica "${address}" knows no leader`);
       return reached;
@@ -142,9 +163,38 @@
       this.callWatch(address, request, timeoutMs)));
   }
 
-  private watchLeader(address: string): Promise<boolean> {
-    return this.sendWatch(address, this.parts.site.watchHoldMs, (request, timeoutMs) => (
-      this.findStream(address).sendRequest(request, timeoutMs)));
+  /**
+   * Sends a watch request to the leader, or waits on for the reply to the last one. A late reply
+   * lets other replicas be asked for the leader, but the request stays open: it is not repeated.
+   */
+  private async watchLeader(address: string): Promise<boolean> {
+    const lateMs = this.parts.site.watchHoldMs + REPLY_TIMEOUT_MS;
+    if (this.openWatch?.address !== address) this.openWatch = this.beginWatch(address, lateMs);
+    const isLate = pause(lateMs, undefined, { ref: false }).then(() => undefined);
+    const reached = await Promise.race([this.openWatch.answered, isLate]);
+    if (reached !== undefined) return reached;
+    this.logUnreachable(address, new BeechliftError('noQuorum', `no answer within ${lateMs} ms`));
+    this.handleNoLeader(address, undefined);
+    return true;
+  }
+
+  private beginWatch(address: string, lateMs: number): OpenWatch {
+    const answered = this.sendWatch(address, this.parts.site.watchHoldMs, (request) => (
+      this.findStream(address).sendRequest(request, LATE_REPLY_FACTOR * lateMs)));
+    const openWatch = { address, answered };
+    answered.finally(() => {
+      if (this.openWatch === openWatch) this.openWatch = undefined;
+    });
+    return openWatch;
+  }
+
+  /** Resolves once the open watch request is answered; never if it is given up. */
+  private waitForLateReply(): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.openWatch?.answered.then((reached) => {
+        if (reached) resolve(true);
+      });
+    });
   }
 
   private findStream(address: string): WatchStream {
