Build no reply for a watch request that was given up

Cause: replies to entries are built in portions, in the order in which they became due. By its turn a request may have been given up; the leader built and encoded the reply all the same.

Now a stream that has ended or a call that was cancelled is skipped at its turn. The test counted two replies for one reader before.

--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -90,7 +90,9 @@
     // entries at once: yielding between replies lets the log send its heartbeats.
     const dueAt = clock.now();
     await this.turns.wait();
-    work.recordWatchTurn(clock.now() - dueAt, isAbandoned());
+    const isUnread = isAbandoned();
+    work.recordWatchTurn(clock.now() - dueAt, isUnread);
+    if (isUnread) return WatchReplyCodec.fromPartial({});
     if (!readView().isLeading) await leaderWait.wait(LEASE_WAIT_MS);
     if (!readView().isLeading) return this.buildNotLeadingReply();
     return work.measure('watch', () => this.buildReply(request));
--- a/tests/control/watch-service.spec.ts
+++ b/tests/control/watch-service.spec.ts
@@ -107,6 +107,22 @@
     expect(maxGapMs).toBeLessThan(200);
   });
 
+  // Fault: an overloaded leader built replies for requests that had been given up before their turn.
+  it('should build no reply for a request that was given up', async () => {
+    let answers = 0;
+    const { desk: service } = makeService(new HeldCalls(), () => {
+      answers += 1;
+    });
+    const makeRequest = (entryId: string) => WatchRequest.fromPartial({ entryId, state: 'active' });
+    const [answered, abandoned] = await Promise.all([
+      service.watch(makeRequest('e1'), () => false),
+      service.watch(makeRequest('e2'), () => true),
+    ]);
+    expect(answered.leaseMs).toBeGreaterThan(0);
+    expect(abandoned.leaseMs).toBe(0);
+    expect(answers).toBe(1);
+  });
+
   // An overloaded leader lost its lease for a moment, and sent all entries away: each searched for
   // another leader, which cost the leader and all other replicas more time.
   it('should grant the lease of an entry once the leader has its own again', async () => {
