--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -143,7 +143,8 @@
     let isClosed = false;
     stream.listen({
       take: (request) => {
-        node.watch(request, () => isClosed).then((reply) => stream.send(reply)).catch((thrown: unknown) => {
+        const answered = node.watch(request, () => isClosed);
+        answered.then((reply) => stream.send(reply)).catch((thrown: unknown) => {
           logger.error('watch request failed', { entry: request.entryId, reason: toBeechliftError(thrown).message });
           stream.end(); // The client then tries another replica.
         });
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -38,7 +38,7 @@
   .slice(0, SEARCH_WIDTH)
   .map(({ address }) => address);
 
-/** Shortest time between two log lines on failed calls while the leader is lost, in milliseconds. */
+/** Shortest time between two log lines on failed calls while the leader is lost, in ms. */
 const FAILURE_LOG_MS = 1_000;
 
 /** Sends a watch request and resolves with its reply; rejects if none is received in time. */
--- a/tests/control/watch-service.spec.ts
+++ b/tests/control/watch-service.spec.ts
@@ -107,7 +107,7 @@
     expect(maxGapMs).toBeLessThan(200);
   });
 
-  // Fault: an overloaded leader built replies for requests that had been given up before their turn.
+  // Fault: an overloaded leader built replies for requests that were given up before their turn.
   it('should build no reply for a request that was given up', async () => {
     let answers = 0;
     const { desk: service } = makeService(new HeldCalls(), () => {
