Keep the placement stream of an entry to a slow leader

What callers saw: streams that start late, and refusals, for seconds after a change of leader on a large site; entries chose engines themselves although a leader ran.

Cause: after 250 ms without a message an entry closed its stream, and opened a new one over a new connection 400 ms later. To an overloaded leader this is an extra connection and stream for each entry each 0.65 s.

Now the entry only places the waiting requests itself and cancels them at the leader; the stream stays. The first message of the leader ends the wait. After a second without one the stream and its connection are replaced, as they may be dead.

Why it works: the leader pays nothing for being late.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -16,8 +16,10 @@
  * latency of a request is 400 ms or more.
  */
 const LEADER_SILENCE_MS = 250;
-/** How long an entry then keeps placing requests itself, in milliseconds. */
+/** How long an entry then places requests itself unless the leader sends a message, in ms. */
 const SUSPENSION_MS = 400;
+/** Time without a message after which the stream and its connection are replaced, in ms. */
+const STREAM_SILENCE_MS = 1_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
 /**
@@ -177,7 +179,7 @@
     this.flushTimer = undefined;
     const link = this.parts.findLeader();
     const now = this.parts.clock.now();
-    if (!link || now < this.suspendedUntil) {
+    if (!link || (!this.leaderStream && now < this.suspendedUntil)) {
       this.resolveWaiting();
       return;
     }
@@ -233,6 +235,7 @@
     if (!this.leaderStream) return;
     this.leaderStream.lastAcknowledged = acknowledged;
     this.leaderStream.replyDueSince = this.parts.clock.now();
+    this.suspendedUntil = -Infinity;
     replies.forEach((reply) => this.settle(reply));
   }
 
@@ -263,12 +266,25 @@
     const { leaderStream } = this;
     if (!leaderStream || !this.isReplyDue(leaderStream)) return;
     const silentMs = this.parts.clock.now() - leaderStream.replyDueSince;
-    if (silentMs < LEADER_SILENCE_MS) {
-      this.startWatchdog();
+    if (silentMs >= STREAM_SILENCE_MS) {
+      leaderStream.stream.replaceConnection();
+      this.suspendLeader(`no message for ${Math.round(silentMs)} ms`);
       return;
     }
-    leaderStream.stream.replaceConnection();
-    this.suspendLeader(`no message for ${Math.round(silentMs)} ms`);
+    if (silentMs >= LEADER_SILENCE_MS) this.handleSilence(silentMs);
+    this.startWatchdog();
+  }
+
+  /*
+   * Places the waiting requests at this entry. The stream stays open: a slow leader would have to
+   * accept another one, which makes it slower. Slots that it grants late are released.
+   */
+  private handleSilence(silentMs: number): void {
+    const now = this.parts.clock.now();
+    if (now < this.suspendedUntil) return;
+    this.parts.logger.warn('control leader is slow, this entry places requests itself', { silentMs: Math.round(silentMs) });
+    this.suspendedUntil = now + SUSPENSION_MS;
+    [...this.waiting.keys()].forEach((placeId) => this.cancel(placeId));
   }
 
   private suspendLeader(reason: string): void {
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -13,12 +13,16 @@
 class ScriptedLeader {
   readonly received: PlaceNews[] = [];
 
+  /** Number of streams that were opened. */
+  streamCount = 0;
+
   private listener: StreamListener<PlaceDecisions> | undefined;
 
   /** The same object for the whole life of this leader. */
   readonly link = {
     openStream: (unused: unknown, listener: StreamListener<PlaceDecisions>) => {
       this.listener = listener;
+      this.streamCount += 1;
       return {
         write: (message: PlaceNews) => {
           this.received.push(message);
@@ -107,6 +111,34 @@
     expect(leader.received).toHaveLength(1);
   });
 
+  // Fault: entries gave up their streams to a slow leader and opened new ones. It spent its
+  // processor time on these, became slower, and entries placed nearly all requests themselves.
+  it('should keep its stream to a leader that replies late, and release the late slots', async () => {
+    const leader = new ScriptedLeader(({ number, requests }, self) => {
+      const granted = requests.map(({ placeId }) => placeId);
+      setTimeout(() => self.sendReply(number, granted), 600);
+    });
+    const client = makeClient(() => leader);
+    expect(await client.place(makeRequest('a'), findDeadline())).toBeUndefined();
+    await pause(400);
+    expect(await client.place(makeRequest('b'), findDeadline())).toBeUndefined();
+    await pause(400);
+    expect(leader.streamCount).toBe(1);
+    expect(leader.requestedIds.flat()).toEqual(['a', 'b']);
+    const dropped = leader.received.flatMap(({ reports }) => reports).filter(({ phase }) => phase === 'dropped');
+    expect(dropped.map(({ placeId }) => placeId)).toEqual(expect.arrayContaining(['a', 'b']));
+  });
+
+  // Fault: a connection that carries nothing any more was used for good.
+  it('should open another stream to a leader that stays silent', async () => {
+    const leader = new ScriptedLeader(() => undefined);
+    const client = makeClient(() => leader);
+    await client.place(makeRequest('a'), findDeadline());
+    await pause(1_300);
+    await client.place(makeRequest('b'), findDeadline());
+    expect(leader.streamCount).toBe(2);
+  });
+
   // The leader acknowledged the requests and froze: without a timeout the entry would wait for it.
   it('should let the entry choose when the leader stops answering while requests wait', async () => {
     const leader = new ScriptedLeader(({ number }, self) => self.sendReply(number));
