Log on whose report the leader suspends a backend server

When entries are cut off from the servers, other entries' requests were refused for their wait. Whether the leader had taken servers away from all entries on the word of those could be seen by its effect only. Now each suspension names the server, the entry and the phase it reported.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -10,6 +10,7 @@
 import type { WorkerTable } from '../core/routing/workerTable';
 import { resultCodes } from '../errors/resultCodes';
 import type { RoutedAccount } from '../manifest/routing';
+import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import { EntryTable, ENTRY_TIMEOUT_MS } from './entryTable';
 import { PlacementService } from './placementService';
@@ -28,6 +29,8 @@
   readonly suspects?: Pick<SuspectRegistry, 'applyReports' | 'findRestriction'> | undefined;
   /** Defaults to all mechanisms on. */
   readonly mechanisms?: Mechanisms | undefined;
+  /** If it is missing, nothing is logged. */
+  readonly logger?: Logger | undefined;
 }
 
 /** Fields of a watch reply that only entries need. */
@@ -68,6 +71,7 @@
     this.ledger = new AccountLedger(parts.limitSlack);
     this.placementService = new PlacementService({
       clock: parts.clock,
+      logger: parts.logger,
       mechanisms: parts.mechanisms,
       findRestriction: (fingerprint) => parts.suspects?.findRestriction(fingerprint)
         ?? NO_RESTRICTION,
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -14,11 +14,15 @@
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import { applyNamedRates, listRateLimits } from '../core/routing/workerRateLimit';
 import { resultCodes } from '../errors/resultCodes';
+import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import type { PlacementStream } from './placementStream';
 
 const REPORT_PHASES: readonly string[] = ['running', 'ended', 'failed', 'dropped', 'rejected', 'unreached'];
 
+/** Phases after which the leader grants no slot at the server for some time. */
+const SUSPENDING_PHASES: readonly string[] = ['rejected', 'unreached'];
+
 const hasKnownPhase = (report: PlacedReport): boolean => REPORT_PHASES.includes(report.phase);
 
 const toSlotRequest = (request: PlaceRequest, now: number): SlotRequest => ({
@@ -70,6 +74,8 @@
   readonly findRestriction?: RestrictionFinder | undefined;
   /** Defaults to all mechanisms on. */
   readonly mechanisms?: Mechanisms | undefined;
+  /** If it is missing, nothing is logged. */
+  readonly logger?: Logger | undefined;
 }
 
 /**
@@ -114,6 +120,7 @@
     if (reports.length === 0) return;
     const now = this.parts.clock.now();
     reports.filter(hasKnownPhase).forEach(({ placeId, phase, ...rest }) => {
+      if (SUSPENDING_PHASES.includes(phase)) this.logSuspension(placeId, phase);
       applyPlacementUpdate(this.tables, { id: placeId, phase: phase as PlacementUpdate['phase'], ...rest }, now);
       if (phase === 'dropped') this.cancelPending(placeId);
     });
@@ -167,6 +174,14 @@
       });
   }
 
+  private logSuspension(placeId: string, phase: string): void {
+    const placed = this.tables.placed.get(placeId);
+    if (!placed) return;
+    this.parts.logger?.info('backend server suspended on the report of an entry', {
+      worker: placed.worker.id, entry: placed.request.entryId, phase,
+    });
+  }
+
   private cancelPending(placeId: string): void {
     const pending = this.pending.get(placeId);
     this.pending.delete(placeId);
