--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -14,6 +14,7 @@
 import { RelaySite } from './relaySite';
 import type { RequestDialect } from './requestDialect';
 import { SiteWatch } from './siteWatch';
+import type { Connector } from './workerConnection';
 import { WorkerConnections } from './workerConnections';
 import { WorkerPicker } from './workerPicker';
 
@@ -39,6 +40,8 @@
   readonly readRouting: RoutingReader;
   readonly dialect: RequestDialect;
   readonly logger: Logger;
+  /** Opens sockets to backend servers; defaults to the network. */
+  readonly connect?: Connector | undefined;
 }
 
 /** A running entry of a routed site. */
@@ -74,11 +77,11 @@
  * await listenOn(relay.app, settings.callerAddress);
  */
 export const startRelay = ({
-  settings, readRouting, dialect, logger,
+  settings, readRouting, dialect, logger, connect,
 }: RelayParts): RunningRelay => {
   const suspension = new SuspensionDetector();
   const metrics = new RelayMetrics();
-  const connections = new WorkerConnections();
+  const connections = new WorkerConnections(connect);
   const site = new RelaySite({
     entryId: randomUUID(),
     callerAddress: settings.callerAddress,
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -19,7 +19,11 @@
 /** Largest head of an answer that is accepted. */
 const MAX_HEAD_BYTES = 65_536;
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+/** Opens a socket to a backend server; the HTTP client defines its type. */
+export type Connector = ReturnType<typeof buildConnector>;
+
+/** Opens sockets over the network. */
+export const networkConnector: Connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
 /**
  * One connection to a backend server. It carries one request at a time.
@@ -41,7 +45,11 @@
   private socket: WorkerSocket | undefined;
 
   /** @param onEnd called once the connection has closed */
-  constructor(readonly address: string, onEnd: (connection: WorkerConnection) => void) {
+  constructor(
+    readonly address: string,
+    onEnd: (connection: WorkerConnection) => void,
+    connect = networkConnector,
+  ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (options, callback) => {
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -1,5 +1,6 @@
 import { ConnectionProbe } from './connectionProbe';
-import { WorkerConnection } from './workerConnection';
+import { networkConnector, WorkerConnection } from './workerConnection';
+import type { Connector } from './workerConnection';
 
 /**
  * Pool of connections to backend servers. Each connection carries one request at a time and is
@@ -14,12 +15,18 @@
 
   private readonly probe = new ConnectionProbe();
 
+  constructor(private readonly connect: Connector = networkConnector) {}
+
   /** Returns the most recently used idle connection, or a new one. */
   acquire(address: string): WorkerConnection {
     const free = this.idle.get(address) ?? [];
     const position = free.findLastIndex(({ isEnded }) => !isEnded);
     const [connection] = position < 0 ? [] : free.splice(position);
-    return connection ?? new WorkerConnection(address, (ended) => this.remove(ended));
+    return connection ?? new WorkerConnection(
+      address,
+      (ended) => this.remove(ended),
+      this.connect,
+    );
   }
 
   /** Returns a connection to the pool after a complete answer. */
--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -5,6 +5,7 @@
 import type { SuspectRecord } from '../../src/protocol/generated/beechlift';
 import { startRelay } from '../../src/relay/relayProcess';
 import type { RunningRelay } from '../../src/relay/relayProcess';
+import type { Connector } from '../../src/relay/workerConnection';
 import { makeLogger } from '../../src/telemetry/logger';
 import {
   ControlSite, formatDocument, readRouting, waitFor,
@@ -74,6 +75,14 @@
     return this.entries.length;
   }
 
+  /** Lists the entries that callers are sent to, by position. */
+  async listEntries(): Promise<number[]> {
+    const records = this.control.findNode(await this.control.waitForLeader()).listEntries();
+    const listed = records.map(({ callerAddress }) => callerAddress);
+    return this.entries.flatMap(({ address }, position) => (
+      listed.includes(address) ? [position] : []));
+  }
+
   /** Lists the requests that the leader watches or refuses. */
   async listSuspects(): Promise<readonly SuspectRecord[]> {
     return this.control.findNode(await this.control.waitForLeader()).suspects.listSuspects();
@@ -102,7 +111,7 @@
   }
 
   /** Starts another entry; resolves with its position when it is active. */
-  async addEntry(): Promise<number> {
+  async addEntry(connect?: Connector): Promise<number> {
     const address = await findFreeAddress();
     const relay = startRelay({
       settings: {
@@ -116,6 +125,7 @@
       readRouting,
       dialect: testDialect,
       logger: makeLogger('relay', process.env.BEECHLIFT_LOGS ? 'info' : 'silent'),
+      connect,
     });
     const [host = '', port] = address.split(':');
     await relay.app.listen({ host, port: Number(port) });
