Send callers to other entries while one reaches no backend server

Cause: whether an entry was named to callers depended on its way to control alone; its way to the servers played no part. Class: health that is judged by one dependency and promised for another.

Now an entry that fails to connect to two servers probes up to four others at once. If none accepts a connection, it tells the leader, which leaves it out of the addresses; it probes each half second and returns with the first connection that opens. New connections alone count, as open ones may live on. Meanwhile it serves over open connections where new ones are refused, and refuses at once as not run, to come back after 0.25 s, where nothing is even refused. If no entry reaches a server, all stay listed; readiness does not change.

Why it works: callers drop an address that is missing from an answer, which they ask for each second. The entry decides from its own connections, so a server that crashed is told apart by the others that accept one.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -96,14 +96,20 @@
 
   private buildList(): void {
     this.isListStale = false;
-    const records = [...this.entries.values()]
-      .filter(({ record, isResponsive }) => isResponsive && record.state === 'active')
-      .map(({ record }) => record);
+    const listed = this.listByState('active');
+    // If no entry reaches a server, the servers are down: callers still need addresses.
+    const records = listed.length > 0 ? listed : this.listByState('cutOff');
     if (isDeepStrictEqual(records, this.activeRecords)) return;
     this.activeRecords = records;
     this.activeRevision += 1;
   }
 
+  private listByState(state: string): EntryRecord[] {
+    return [...this.entries.values()]
+      .filter(({ record, isResponsive }) => isResponsive && record.state === state)
+      .map(({ record }) => record);
+  }
+
   /** Removes an earlier process that served the same address. */
   private removePredecessor(callerAddress: string): void {
     this.entries.forEach(({ record }, id) => {
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -98,6 +98,9 @@
   backendsLimited: {
     number: 2011, status: 503, run: 'notRun', action: 'Retry after the time in Retry-After; all backend servers of the service have named a rate limit that is used up.',
   },
+  backendsUnreachable: {
+    number: 2012, status: 503, run: 'notRun', action: 'Use another entry VM; this one has lost its links to the backend servers.',
+  },
   outcomeUnknown: {
     number: 3001, status: 502, run: 'unknown', action: 'Retry with the same key; do not use a new one.',
   },
--- /dev/null
+++ b/src/relay/reachMonitor.ts
@@ -0,0 +1,108 @@
+import { ServerReach } from '../core/routing/serverReach';
+import type { ConnectResult } from '../core/routing/serverReach';
+import { isReady } from '../core/routing/routedWorkers';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import type { RelaySite } from './relaySite';
+import type { Connector } from './workerConnection';
+
+/** Interval of the check whether probes are due, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Codes of the errors of a connection that got no answer. */
+const TIMEOUT_CODES: readonly unknown[] = ['ETIMEDOUT', 'UND_ERR_CONNECT_TIMEOUT'];
+
+const classifyResult = (error: Error | null): ConnectResult => {
+  if (!error) return 'opened';
+  return TIMEOUT_CODES.includes((error as NodeJS.ErrnoException).code) ? 'timedOut' : 'refused';
+};
+
+const splitAddress = (address: string): { readonly hostname: string; readonly port: string } => {
+  const colon = address.lastIndexOf(':');
+  return { hostname: address.slice(0, colon), port: address.slice(colon + 1) };
+};
+
+/** Dependencies of the monitor. */
+export interface ReachMonitorParts {
+  readonly site: RelaySite;
+  /** Opens sockets to backend servers. */
+  readonly connect: Connector;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called when the entry was cut off from the backend servers, or reaches one again. */
+  readonly reportChange: () => void;
+}
+
+/**
+ * Watches which connections to backend servers open, and finds out whether this entry is cut off
+ * from all of them. Then callers are sent to other entries.
+ *
+ * @example
+ * const connections = new WorkerConnections(monitor.connect);
+ * monitor.start();
+ */
+export class ReachMonitor {
+  private readonly reach = new ServerReach();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly parts: ReachMonitorParts) {}
+
+  /** Opens a socket and records the result. */
+  readonly connect: Connector = (options, callback) => {
+    this.parts.connect(options, (...result) => {
+      const [error] = result;
+      this.reach.recordConnect(`${options.hostname}:${options.port}`, classifyResult(error), this.parts.clock.now());
+      callback(...result);
+      if (error) this.probe();
+    });
+  };
+
+  /** Starts to check whether probes are due. */
+  start(): void {
+    this.timer = setInterval(() => this.probe(), CHECK_INTERVAL_MS);
+  }
+
+  /** Ends all checks. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private probe(): void {
+    const { site, clock } = this.parts;
+    const ready = [...site.workers.byId.values()].filter(isReady).map(({ address }) => address);
+    const shuffled = ready
+      .map((address) => ({ address, order: Math.random() }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ address }) => address);
+    const addresses = this.reach.takeProbes(shuffled, clock.now());
+    if (addresses.length === 0) return;
+    Promise.all(addresses.map((address) => this.probeAddress(address)))
+      .then((results) => this.handleResults(addresses, results))
+      .catch((error: unknown) => this.parts.logger.error('probing backend servers failed', { reason: String(error) }));
+  }
+
+  private probeAddress(address: string): Promise<ConnectResult> {
+    const { hostname, port } = splitAddress(address);
+    return new Promise((resolve) => {
+      this.parts.connect({
+        hostname, port, protocol: 'http:', host: address,
+      }, (...[error, socket]) => {
+        (socket)?.destroy();
+        resolve(classifyResult(error));
+      });
+    });
+  }
+
+  private handleResults(addresses: readonly string[], results: readonly ConnectResult[]): void {
+    const { site, clock, logger } = this.parts;
+    const hasChanged = this.reach.recordProbes(results, clock.now());
+    const { isCutOff, isSilent } = this.reach;
+    site.setReach({ isCutOff, isSilent });
+    if (!hasChanged) return;
+    logger.warn(isCutOff ? 'this entry reaches no backend server' : 'this entry reaches backend servers again', {
+      probed: addresses.join(', '), results: results.join(', '),
+    });
+    this.parts.reportChange();
+  }
+}
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -8,12 +8,14 @@
 import { SuspensionDetector, systemClock } from '../utils/clock';
 import { OpenRequests } from './openRequests';
 import { PlaceClient } from './placeClient';
+import { ReachMonitor } from './reachMonitor';
 import { RelayMetrics } from './relayMetrics';
 import { applyCallerLimits, makeRelayServer } from './relayServer';
 import { RelayShutdown } from './relayShutdown';
 import { RelaySite } from './relaySite';
 import type { RequestDialect } from './requestDialect';
 import { SiteWatch } from './siteWatch';
+import { networkConnector } from './workerConnection';
 import type { Connector } from './workerConnection';
 import { WorkerConnections } from './workerConnections';
 import { WorkerPicker } from './workerPicker';
@@ -77,11 +79,10 @@
  * await listenOn(relay.app, settings.callerAddress);
  */
 export const startRelay = ({
-  settings, readRouting, dialect, logger, connect,
+  settings, readRouting, dialect, logger, connect = networkConnector,
 }: RelayParts): RunningRelay => {
   const suspension = new SuspensionDetector();
   const metrics = new RelayMetrics();
-  const connections = new WorkerConnections(connect);
   const site = new RelaySite({
     entryId: randomUUID(),
     callerAddress: settings.callerAddress,
@@ -103,7 +104,16 @@
     clock: systemClock,
     logger,
   });
-  const picker = new WorkerPicker({ site, placeClient, clock: systemClock });
+  const reportState = (): void => {
+    watch.sendState().catch((error: unknown) => logger.warn('state could not be reported', { reason: String(error) }));
+  };
+  const reachMonitor = new ReachMonitor({
+    site, connect, clock: systemClock, logger, reportChange: reportState,
+  });
+  const connections = new WorkerConnections(reachMonitor.connect);
+  const picker = new WorkerPicker({
+    site, placeClient, connections, clock: systemClock,
+  });
   const openRequests = new OpenRequests(metrics);
   const app = makeRelayServer({
     site,
@@ -115,11 +125,10 @@
     logger,
     metrics,
     openRequests,
-    reportState: () => {
-      watch.sendState().catch((error: unknown) => logger.warn('state could not be reported', { reason: String(error) }));
-    },
+    reportState,
   });
   watch.start();
+  reachMonitor.start();
   const refreshTimer = setInterval(
     () => refreshConnections(site, app, connections),
     REFRESH_INTERVAL_MS,
@@ -137,6 +146,7 @@
   const close = async (): Promise<void> => {
     await shutdown.run();
     clearInterval(refreshTimer);
+    reachMonitor.stop();
     placeClient.close();
     watch.stop();
     connections.close();
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -20,7 +20,15 @@
 import { readDocument } from './readDocument';
 
 /** State of an entry, as reported to control and by the readiness check. */
-export type RelayState = 'starting' | 'active' | 'leaving';
+export type RelayState = 'starting' | 'active' | 'cutOff' | 'leaving';
+
+/** Whether an entry reaches the backend servers. */
+export interface SiteReach {
+  /** Whether no server accepts a new connection of this entry. */
+  readonly isCutOff: boolean;
+  /** Whether open connections are expected to carry nothing either. */
+  readonly isSilent: boolean;
+}
 
 /** Most requests that wait for a lease; more are refused at once. */
 const MAX_LEASE_WAITERS = 500;
@@ -82,6 +90,8 @@
 
   private leasedEntryCount = 1;
 
+  private currentReach: SiteReach = { isCutOff: false, isSilent: false };
+
   private readonly leaseWaiters = new HeldCalls();
 
   constructor(private readonly parts: RelaySiteParts) {
@@ -144,7 +154,18 @@
   /** State that is reported to control and to readiness checks. */
   get state(): RelayState {
     if (this.isLeaving) return 'leaving';
-    return this.isServing && this.workersEpoch !== '' ? 'active' : 'starting';
+    if (!this.isServing || this.workersEpoch === '') return 'starting';
+    return this.currentReach.isCutOff ? 'cutOff' : 'active';
+  }
+
+  /** Whether this entry reaches the backend servers. */
+  get reach(): SiteReach {
+    return this.currentReach;
+  }
+
+  /** Sets whether this entry reaches the backend servers. */
+  setReach(reach: SiteReach): void {
+    this.currentReach = reach;
   }
 
   /**
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -29,6 +29,11 @@
     );
   }
 
+  /** Whether an idle connection to a server is open. */
+  hasIdle(address: string): boolean {
+    return this.idle.get(address)?.some(({ isEnded }) => !isEnded) ?? false;
+  }
+
   /** Returns a connection to the pool after a complete answer. */
   release(connection: WorkerConnection): void {
     if (connection.isEnded) return;
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -18,6 +18,7 @@
 import type { RelaySite } from './relaySite';
 import type { RequestFacts } from './requestDialect';
 import type { RequestGuard } from './requestGuard';
+import type { WorkerConnections } from './workerConnections';
 
 /** A request that needs a backend server. */
 export interface PickRequest {
@@ -48,6 +49,7 @@
 export interface WorkerPickerParts {
   readonly site: RelaySite;
   readonly placeClient: PlaceClient;
+  readonly connections: Pick<WorkerConnections, 'hasIdle'>;
   readonly clock: Clock;
 }
 
@@ -56,6 +58,8 @@
 const MAX_RETRY_MS = 3_000;
 /** Retry-After if no server is known, in milliseconds: one or two announcement intervals. */
 const NO_WORKER_RETRY_MS = 1_000;
+/** Retry-After of an entry that is cut off, in milliseconds: other entries can serve at once. */
+const CUT_OFF_RETRY_MS = 250;
 /** Most slot requests to the leader for one choice, if it grants slots at unusable servers. */
 const MAX_PLACE_REQUESTS = 2;
 
@@ -83,12 +87,13 @@
     const { site, clock } = this.parts;
     const { service } = request.admitted;
     this.checkBackoff(service);
-    const usesLeader = site.isPlaced(service);
+    const { isCutOff } = site.reach;
+    const usesLeader = site.isPlaced(service) && !isCutOff;
     const placed = usesLeader ? await this.place(request) : undefined;
     if (placed) return placed;
     if (request.isAbandoned()) return undefined;
     // A suspect request may run only one copy at a time, which only the leader can ensure.
-    if (usesLeader && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader is unreachable', { retryAfterMs: NO_WORKER_RETRY_MS });
+    if (site.isPlaced(service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader is unreachable', { retryAfterMs: NO_WORKER_RETRY_MS });
     if (request.tried.length === 0) {
       chargeAccount(site, request.admitted.account, request.facts, clock.now());
     }
@@ -99,6 +104,7 @@
   hasAvailableWorker(service: string): boolean {
     const now = this.parts.clock.now();
     const { site, site: { workers } } = this.parts;
+    if (site.reach.isCutOff) return false;
     return (workers.byService.get(service) ?? [])
       .some((worker) => isReady(worker)
         && !isBackingOff(worker.backoff, now)
@@ -177,6 +183,15 @@
     });
   }
 
+  /** Lists the servers to which an entry that is cut off has no open connection. */
+  private listUnreachable(service: string): ReadonlySet<string> {
+    const { site: { reach, workers }, connections } = this.parts;
+    if (!reach.isCutOff) return new Set();
+    return new Set((workers.byService.get(service) ?? [])
+      .filter(({ address }) => reach.isSilent || !connections.hasIdle(address))
+      .map(({ id }) => id));
+  }
+
   private chooseLocally({
     admitted, facts, deadlineAt, tried,
   }: PickRequest): PickedWorker {
@@ -190,8 +205,10 @@
       remainingMs: deadlineAt - now,
       zone: site.zone,
       tried,
+      avoided: this.listUnreachable(service),
       requiresFreeSlot: false,
     }, now);
+    if (!choice && site.reach.isCutOff) throw new BeechliftError('backendsUnreachable', 'this entry reaches no backend server, others may', { retryAfterMs: CUT_OFF_RETRY_MS });
     if (!choice) throw this.makeNoWorkerError(service);
     if (tried.length === 0 && !isWaitAcceptable(choice, route.targetLatencyMs, rank)) {
       throw new BeechliftError('noSlotInTime', `the estimated wait at service "${service}" is ${Math.round(choice.waitMs)} ms, the target latency is ${route.targetLatencyMs} ms`, {
--- a/tests/control/entry-list.spec.ts
+++ b/tests/control/entry-list.spec.ts
@@ -30,6 +30,18 @@
     expect(table.listActive(2_000)).toEqual({ revision: revision + 2, records: [] });
   });
 
+  // Fault: callers were sent to an entry that reached no server, or to none if no entry did.
+  it('should leave out entries that are cut off from the servers, unless all are', () => {
+    const table = new EntryTable(LEASE_MS);
+    recordEntry(table, 'e1', 'cutOff', 0);
+    recordEntry(table, 'e2', 'active', 0);
+    expect(table.listActive(0).records.map(({ id }) => id)).toEqual(['e2']);
+    recordEntry(table, 'e2', 'cutOff', 10);
+    expect(table.listActive(10).records.map(({ id }) => id)).toEqual(['e1', 'e2']);
+    recordEntry(table, 'e2', 'leaving', 20);
+    expect(table.listActive(20).records.map(({ id }) => id)).toEqual(['e1']);
+  });
+
   it('should be kept when a reply omits it, and replaced by the list of another leader', () => {
     const list = new EntryList();
     list.apply({ workersEpoch: 'x', entriesRevision: 7, entries: [makeRecord('e1')] });
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -45,6 +45,9 @@
   ],
 };
 
+/** Connections of an entry that has none open. */
+export const NO_CONNECTIONS = { hasIdle: (): boolean => false };
+
 /** An entry with scripted backend servers and without control. */
 export class RelayRig {
   readonly metrics = new RelayMetrics();
@@ -184,14 +187,16 @@
   }
 
   private async open(): Promise<void> {
-    const { site, placeClient } = this;
+    const { site, placeClient, connections } = this;
     this.applyDocument(this.routing.version);
     this.applyServers('ready');
     this.app = makeRelayServer({
       site,
       dialect: testDialect,
-      connections: this.connections,
-      picker: new WorkerPicker({ site, placeClient, clock: systemClock }),
+      connections,
+      picker: new WorkerPicker({
+        site, placeClient, connections, clock: systemClock,
+      }),
       placeClient,
       clock: systemClock,
       logger: makeLogger('test', 'silent'),
--- a/tests/fakes/severableNetwork.ts
+++ b/tests/fakes/severableNetwork.ts
@@ -19,7 +19,8 @@
     };
     if (this.mode !== 'open') {
       const [reason, delayMs] = failures[this.mode];
-      setTimeout(() => callback(new Error(reason), null), delayMs);
+      const code = this.mode === 'silent' ? 'ETIMEDOUT' : 'ECONNREFUSED';
+      setTimeout(() => callback(Object.assign(new Error(reason), { code }), null), delayMs);
       return;
     }
     networkConnector(options, (...result) => {
--- a/tests/relay/entry-mechanisms.spec.ts
+++ b/tests/relay/entry-mechanisms.spec.ts
@@ -8,7 +8,7 @@
 import type { PlaceClient } from '../../src/relay/placeClient';
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { systemClock } from '../../src/utils/clock';
-import { RelayRig } from '../fakes/relayRig';
+import { NO_CONNECTIONS, RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 import { sendAnswer } from '../fakes/scriptedServer';
 import type { ServerScript } from '../fakes/scriptedServer';
@@ -78,7 +78,9 @@
     const placeClient = {
       place: () => Promise.resolve(PlaceReply.fromPartial({ workerId: 'w0' })), cancel: () => undefined,
     } as unknown as PlaceClient;
-    const picker = new WorkerPicker({ site: rig.site, placeClient, clock: systemClock });
+    const picker = new WorkerPicker({
+      site: rig.site, placeClient, connections: NO_CONNECTIONS, clock: systemClock,
+    });
     const picked = await picker.pick({
       admitted: {
         route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -10,6 +10,7 @@
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionDetector } from '../../src/utils/clock';
+import { NO_CONNECTIONS } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 
 const clock = { now: () => 0 };
@@ -104,7 +105,9 @@
   it('should not use a leaving server that the leader does not know to be leaving', async () => {
     const site = makeSite(routing, [makeRecord('w1', 'draining'), makeRecord('w2', 'ready')]);
     const leader = new FixedLeader('w1');
-    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picker = new WorkerPicker({
+      site, placeClient: leader as unknown as PlaceClient, connections: NO_CONNECTIONS, clock,
+    });
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect([picked?.worker.id, picked?.placeId]).toEqual(['w2', '']);
     expect(leader.reports.map(({ phase }) => phase)).toEqual(['dropped']);
@@ -127,7 +130,9 @@
         decide();
       },
     };
-    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picker = new WorkerPicker({
+      site, placeClient: leader as unknown as PlaceClient, connections: NO_CONNECTIONS, clock,
+    });
     let cancel = (): void => undefined;
     const picking = picker.pick(makePick(() => true, (taken) => {
       cancel = taken;
@@ -142,7 +147,9 @@
     const site = makeSite(routing, [makeRecord('w1', 'ready'), makeRecord('w2', 'ready')]);
     const leader = new FixedLeader('w1');
     askForBackoff(site, 'w1', 3_000);
-    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picker = new WorkerPicker({
+      site, placeClient: leader as unknown as PlaceClient, connections: NO_CONNECTIONS, clock,
+    });
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect(picked?.worker.id).toBe('w2');
     expect(leader.avoided).toEqual([['w1'], ['w1']]);
@@ -154,7 +161,9 @@
     const site = makeSite(routing, [makeRecord('w1', 'ready')]);
     const leader = new FixedLeader('w1');
     askForBackoff(site, 'w1', 3_000);
-    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picker = new WorkerPicker({
+      site, placeClient: leader as unknown as PlaceClient, connections: NO_CONNECTIONS, clock,
+    });
     await expect(picker.pick(makePick(() => false, () => undefined)))
       .rejects.toMatchObject({ run: 'notRun' });
     expect(leader.avoided).toEqual([]);
@@ -165,7 +174,9 @@
     const site = makeSite(routing, [makeRecord('w1', 'ready'), makeRecord('w2', 'ready')]);
     const leader = new FixedLeader('w1');
     reportNotice(site, 'w1', { restMs: 0, isLeaving: true });
-    const picker = new WorkerPicker({ site, placeClient: leader as unknown as PlaceClient, clock });
+    const picker = new WorkerPicker({
+      site, placeClient: leader as unknown as PlaceClient, connections: NO_CONNECTIONS, clock,
+    });
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect(picked?.worker.id).toBe('w2');
     expect(leader.avoided[0]).toEqual(['w1']);
@@ -178,7 +189,10 @@
     const leader = new FixedLeader('w1');
     askForBackoff(site, 'w1', 3_000);
     const picker = new WorkerPicker({
-      site, placeClient: leader as unknown as PlaceClient, clock: { now: () => 1_500 },
+      site,
+      placeClient: leader as unknown as PlaceClient,
+      connections: NO_CONNECTIONS,
+      clock: { now: () => 1_500 },
     });
     const [first, second] = await Promise.allSettled([0, 1].map(() => (
       picker.pick(makePick(() => false, () => undefined)))));
@@ -186,4 +200,25 @@
     expect(second).toMatchObject({ status: 'rejected', reason: { code: 'backendsResting' } });
     expect(leader.avoided).toHaveLength(2);
   });
+
+  // Fault: an entry that was cut off tried one server after another before it refused a request.
+  it.each([
+    ['refuse if no connection is open', { isCutOff: true, isSilent: false }, [], 'backendsUnreachable'],
+    ['use an open connection', { isCutOff: true, isSilent: false }, ['w2:80'], 'w2'],
+    ['refuse if open connections are dead too', { isCutOff: true, isSilent: true }, ['w2:80'], 'backendsUnreachable'],
+  ])('should %s once the entry is cut off from the servers', async (name, reach, open, expected) => {
+    const site = makeSite(routing, [makeRecord('w1', 'ready'), makeRecord('w2', 'ready')]);
+    site.setReach(reach);
+    const leader = new FixedLeader('w1');
+    const picker = new WorkerPicker({
+      site,
+      placeClient: leader as unknown as PlaceClient,
+      connections: { hasIdle: (address) => open.includes(address) },
+      clock,
+    });
+    const picked = await picker.pick(makePick(() => false, () => undefined))
+      .then((result) => result?.worker.id, ({ code }: { code: string }) => code);
+    expect(picked).toBe(expected);
+    expect(leader.avoided).toHaveLength(0);
+  });
 });
