Keep a server for the other entries when one entry does not reach it

Cause: a report that a request did not reach its server made the leader suspend the server for the whole site, for up to 5 s. Class: a failure of a pair taken for a failure of one side.

Now such a report pauses the server for the entry that sent it. It is suspended for all once two entries have failed there and no request has made progress at it in between; progress of any request ends that. A server that turns requests away itself is suspended for all as before.

Why it works: requests of entries that reach a server report progress there several times a second, which a server that crashed never does.

The test failed before: the second entry waited.

--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -11,6 +11,7 @@
   PlacementRestriction, RestrictionFinder, RestrictionKind,
 } from '../quarantine/placementRestriction';
 import { makeArrivalRates, recordArrival } from './arrivalRates';
+import { PairReach } from './pairReach';
 import type { PlacedRequest, PlacementTables, SlotRequest } from './placementTables';
 import { chooseFreeWorker, chooseIsolatedWorker, readRestriction } from './freeSlot';
 import { makeComparator } from './placementOrder';
@@ -68,6 +69,7 @@
   placed: new Map(),
   arrivalRates: makeArrivalRates(),
   findRestriction,
+  reach: new PairReach(),
   refusals: 0,
 });
 
@@ -149,12 +151,24 @@
   return choice;
 };
 
+/** Adds the servers that the entry of a request does not reach to those that it avoids. */
+const addUnreached = (
+  { reach }: PlacementTables,
+  request: SlotRequest,
+  now: number,
+): SlotRequest => {
+  const unreached = reach.listPaused(request.entryId, now);
+  if (unreached.length === 0) return request;
+  return { ...request, avoidedIds: [...request.avoidedIds ?? [], ...unreached] };
+};
+
 const decideWaiting = (
   tables: PlacementTables,
-  request: SlotRequest,
+  waiting: SlotRequest,
   full: FullServices,
   now: number,
 ): PlacementDecision | undefined => {
+  const request = addUnreached(tables, waiting, now);
   const restriction = readRestriction(tables, request);
   if (restriction.kind === 'refused') return refuseQuarantined(tables, request, restriction);
   const choosers: Record<RestrictionKind, () => WorkerChoice | undefined> = {
@@ -196,9 +210,10 @@
 
 const refuseLongWait = (
   tables: PlacementTables,
-  request: SlotRequest,
+  waiting: SlotRequest,
   now: number,
 ): PlacementDecision | undefined => {
+  const request = addUnreached(tables, waiting, now);
   const isTooLong = tables.workers.mechanisms.earlyRefusal
     && tables.waiting.has(request.id)
     && estimateWaitMs(tables, request, now) > computeMaxWaitMs(tables, request);
@@ -244,6 +259,12 @@
   return worker;
 };
 
+/** Records that a server works on a request, so that it is up and its entry reaches it. */
+const recordProgress = (tables: PlacementTables, { request, worker }: PlacedRequest): void => {
+  tables.reach.recordSuccess(request.entryId, worker.id);
+  clearSuspension(worker);
+};
+
 const markStarted = (placed: PlacedRequest): void => {
   if (placed.hasStarted) return;
   placed.hasStarted = true;
@@ -261,7 +282,7 @@
 const makeEndHandler = (isFailed: boolean): UpdateHandler => (tables, placed, update, now) => {
   const { request, placedAt, pendingTokensBefore } = placed;
   const worker = releaseSlot(tables, placed);
-  if (!isFailed) clearSuspension(worker);
+  if (!isFailed) recordProgress(tables, placed);
   recordAnswer(tables.workers, worker, {
     holdMs: now - placedAt,
     paceMs: 0,
@@ -271,13 +292,13 @@
   });
 };
 
-const suspend: UpdateHandler = (tables, placed, update, now) => {
-  suspendWorker(releaseSlot(tables, placed), now);
-};
+/** Entries that must fail at a server before it is suspended for all of them. */
+const MIN_FAILED_ENTRIES = 2;
 
 const updateHandlers: Record<PlacementUpdate['phase'], UpdateHandler> = {
   running: (tables, placed, update) => {
     markStarted(placed);
+    recordProgress(tables, placed);
     if (update.paceMs > 0) recordPace(placed.worker, update.paceMs);
   },
   ended: makeEndHandler(false),
@@ -285,8 +306,14 @@
   dropped: (tables, placed) => {
     releaseSlot(tables, placed);
   },
-  rejected: suspend,
-  unreached: suspend,
+  rejected: (tables, placed, update, now) => {
+    suspendWorker(releaseSlot(tables, placed), now);
+  },
+  unreached: (tables, placed, update, now) => {
+    const worker = releaseSlot(tables, placed);
+    const failedEntries = tables.reach.recordFailure(placed.request.entryId, worker.id, now);
+    if (failedEntries >= MIN_FAILED_ENTRIES) suspendWorker(worker, now);
+  },
 };
 
 /**
@@ -341,4 +368,5 @@
   [...tables.waiting.values()]
     .filter(({ entryId }) => !isPresent(entryId))
     .forEach(({ id }) => tables.waiting.delete(id));
+  tables.reach.retain(isPresent, (id) => tables.workers.byId.has(id));
 };
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -1,6 +1,7 @@
 /** State on which the placement of requests on model engines is based. */
 import type { RestrictionFinder } from '../quarantine/placementRestriction';
 import type { ArrivalRates } from './arrivalRates';
+import type { PairReach } from './pairReach';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 
 /** A request for a slot. */
@@ -49,6 +50,8 @@
   readonly placed: Map<string, PlacedRequest>;
   readonly arrivalRates: ArrivalRates;
   readonly findRestriction: RestrictionFinder;
+  /** Which entries do not reach which servers. */
+  readonly reach: PairReach;
   /** Number of refusals so far, by which the retries of refused callers are spread. */
   refusals: number;
 }
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -198,6 +198,29 @@
     expect(tables.placed.get('b')?.worker.id).not.toBe(first);
   });
 
+  // Fault: the leader took a server away from all entries on the report of one that was cut off.
+  it('should avoid a server for all entries only once two have not reached it', () => {
+    const tables = makeTables([9]);
+    const requestOf = (entryId: string, now: number): string => {
+      const id = `${entryId} at ${now}`;
+      requestSlots(tables, [makeRequest({ id, entryId, targetMs: 5_000 })], now);
+      const isPlaced = tables.placed.has(id);
+      tables.waiting.delete(id);
+      return isPlaced ? 'placed' : 'waits';
+    };
+    expect(requestOf('e1', 0)).toBe('placed');
+    applyPlacementUpdate(tables, makeUpdate('e1 at 0', 'unreached'), 10);
+    expect([requestOf('e1', 20), requestOf('e2', 20)]).toEqual(['waits', 'placed']);
+    applyPlacementUpdate(tables, makeUpdate('e2 at 20', 'running'), 30);
+    expect(requestOf('e1', 400)).toBe('placed');
+    applyPlacementUpdate(tables, makeUpdate('e1 at 400', 'unreached'), 410);
+    expect([requestOf('e1', 900), requestOf('e2', 900), requestOf('e3', 900)]).toEqual(['waits', 'placed', 'placed']);
+    applyPlacementUpdate(tables, makeUpdate('e2 at 900', 'unreached'), 910);
+    expect(requestOf('e3', 920)).toBe('waits');
+    applyPlacementUpdate(tables, makeUpdate('e3 at 900', 'running'), 930);
+    expect(requestOf('e3', 940)).toBe('placed');
+  });
+
   /*
    * An engine requests backoff from one entry. If its slots are still granted to that entry, each
    * grant is returned unused while requests of other entries wait.
