--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -20,8 +20,8 @@
 
 const REPORT_PHASES: readonly string[] = ['running', 'ended', 'failed', 'dropped', 'rejected', 'unreached'];
 
-/** Phases after which the leader grants no slot at the server for some time. */
-const SUSPENDING_PHASES: readonly string[] = ['rejected', 'unreached'];
+/** Phases of requests that their servers did not work on. */
+const UNUSED_PHASES: readonly string[] = ['rejected', 'unreached'];
 
 const hasKnownPhase = (report: PlacedReport): boolean => REPORT_PHASES.includes(report.phase);
 
@@ -120,7 +120,7 @@
     if (reports.length === 0) return;
     const now = this.parts.clock.now();
     reports.filter(hasKnownPhase).forEach(({ placeId, phase, ...rest }) => {
-      if (SUSPENDING_PHASES.includes(phase)) this.logSuspension(placeId, phase);
+      if (UNUSED_PHASES.includes(phase)) this.logUnused(placeId, phase);
       applyPlacementUpdate(this.tables, { id: placeId, phase: phase as PlacementUpdate['phase'], ...rest }, now);
       if (phase === 'dropped') this.cancelPending(placeId);
     });
@@ -174,10 +174,10 @@
       });
   }
 
-  private logSuspension(placeId: string, phase: string): void {
+  private logUnused(placeId: string, phase: string): void {
     const placed = this.tables.placed.get(placeId);
     if (!placed) return;
-    this.parts.logger?.info('backend server suspended on the report of an entry', {
+    this.parts.logger?.info('entry could not use the backend server of its slot', {
       worker: placed.worker.id, entry: placed.request.entryId, phase,
     });
   }
