Let the leader place the requests of servers that bear few rejections

Entries choose the servers of plain services by themselves, on loads that are half a second old; in bursts of 60 requests at three entries a server of six slots turned 77 away in a second. Now an answer that says so makes the leader place the requests of the service, as it does for engines, so that no server gets more than it has slots. Without a leader an entry uses only slots that look free. An answer without the header, to a request that was sent after the last one with it, ends it.

Why it works: the leader counts all slots and grants none twice, so nothing is left to be turned away.

--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,6 +1,7 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import { SuspectList } from '../core/quarantine/suspectList';
 import { AccountBudget } from '../core/routing/accountBudget';
+import { BrittleServices } from '../core/routing/brittleServices';
 import { EntryList } from '../core/routing/entryList';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import { computeWatchHoldMs } from '../core/routing/messageIntervals';
@@ -68,6 +69,9 @@
 
   readonly retries: ServiceRetryBudget;
 
+  /** Services whose servers fail if they must turn many requests away. */
+  readonly brittleServices = new BrittleServices();
+
   /** Requests that are known to crash backend servers. */
   readonly suspects = new SuspectList();
 
@@ -193,8 +197,13 @@
 
   /** Whether the leader places the requests of a service. */
   isPlaced(service: string): boolean {
-    return (this.table?.findService(service)?.isEngine ?? false)
-      && this.workers.mechanisms.leaderPlacing;
+    const isEngine = this.table?.findService(service)?.isEngine ?? false;
+    return (isEngine || this.isBrittle(service)) && this.workers.mechanisms.leaderPlacing;
+  }
+
+  /** Whether no server of a service may get more requests than it has slots. */
+  isBrittle(service: string): boolean {
+    return this.brittleServices.isBrittle(service, this.parts.clock.now());
   }
 
   /** How long the leader may hold a watch request of this entry, in milliseconds. */
--- a/src/relay/requestDialect.ts
+++ b/src/relay/requestDialect.ts
@@ -38,6 +38,10 @@
   readonly isLeaving: boolean;
   /** Rate limit that it names, in requests per second; 0 if it names none, NaN if unreadable. */
   readonly limitPerSecond: number;
+  /**
+   * Requests a second that it can turn away before it fails; 0 if it names none, NaN if unreadable.
+   */
+  readonly turnAwayLimit: number;
 }
 
 /** Values that the entry adds to a forwarded request. */
--- a/src/relay/workerNotices.ts
+++ b/src/relay/workerNotices.ts
@@ -8,7 +8,7 @@
 const MISDIRECTED = 421;
 
 /** The part of an answer's head in which the backend server reports its own state. */
-export interface WorkerNotice extends Pick<AnswerFacts, 'restMs' | 'isLeaving' | 'limitPerSecond'> {
+export interface WorkerNotice extends Pick<AnswerFacts, | 'restMs' | 'isLeaving' | 'limitPerSecond' | 'turnAwayLimit'> {
   readonly status: number;
   /** The caller's id of the answered request. */
   readonly requestId: string;
@@ -59,6 +59,23 @@
   reportState();
 };
 
+const applyBrittleness = (
+  {
+    clock, metrics, logger, site,
+  }: NoticeParts,
+  worker: RoutedWorker,
+  {
+    status, turnAwayLimit, requestId, sentAt,
+  }: WorkerNotice,
+): void => {
+  if (status === MISDIRECTED || Number.isNaN(turnAwayLimit)) return;
+  if (!site.brittleServices.record(worker.service, turnAwayLimit, sentAt, clock.now())) return;
+  metrics.notices.inc({ notice: 'brittle' });
+  logger.info('backend server is brittle, the leader places the requests of its service', {
+    requestId, worker: worker.id, service: worker.service, turnAwayLimit,
+  });
+};
+
 /**
  * Applies the state that a backend server reports in an answer, whichever request it answers.
  *
@@ -73,4 +90,5 @@
   applyBackoff(parts, worker, notice);
   applyLeaving(parts, worker, notice);
   applyRateLimit(parts, worker, notice);
+  applyBrittleness(parts, worker, notice);
 };
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -206,9 +206,10 @@
       zone: site.zone,
       tried,
       avoided: this.listUnreachable(service),
-      requiresFreeSlot: false,
+      requiresFreeSlot: site.isBrittle(service),
     }, now);
     if (!choice && site.reach.isCutOff) throw new BeechliftError('backendsUnreachable', 'this entry reaches no backend server, others may', { retryAfterMs: CUT_OFF_RETRY_MS });
+    if (!choice && site.isBrittle(service)) throw new BeechliftError('noSlotInTime', `no server of service "${service}" has a free slot, and they bear few requests that they turn away`, { retryAfterMs: MAX_RETRY_MS });
     if (!choice) throw this.makeNoWorkerError(service);
     if (tried.length === 0 && !isWaitAcceptable(choice, route.targetLatencyMs, rank)) {
       throw new BeechliftError('noSlotInTime', `the estimated wait at service "${service}" is ${Math.round(choice.waitMs)} ms, the target latency is ${route.targetLatencyMs} ms`, {
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -38,6 +38,7 @@
     restMs: Number(findHeader(headers, 'x-rest-ms') ?? 0),
     isLeaving: findHeader(headers, 'x-leaving') !== undefined,
     limitPerSecond: readRateLimit(findHeader(headers, 'x-limit')),
+    turnAwayLimit: readRateLimit(findHeader(headers, 'x-brittle')),
   }),
   buildRequestHeaders: (headers, { workerId, remainingMs, lastEventId }) => [
     ...dropHeaders(headers, new Set(['x-key', 'x-patience', 'content-length'])),
--- a/tests/platform/request-headers.spec.ts
+++ b/tests/platform/request-headers.spec.ts
@@ -32,8 +32,15 @@
     expect(readAnswer('Server-Limit', text).limitPerSecond).toBeNaN();
   });
 
-  it('should report nothing if an answer has neither header', () => {
-    expect(readAnswer('Not-Executed', '1')).toMatchObject({ restMs: 0, isLeaving: false, limitPerSecond: 0 });
+  it('should report how many requests a second a brittle server can turn away', () => {
+    expect(readAnswer('Server-Brittle', '12').turnAwayLimit).toBe(12);
+    expect(readAnswer('server-brittle', 'few').turnAwayLimit).toBeNaN();
+  });
+
+  it('should report nothing if an answer has none of these headers', () => {
+    expect(readAnswer('Not-Executed', '1')).toMatchObject({
+      restMs: 0, isLeaving: false, limitPerSecond: 0, turnAwayLimit: 0,
+    });
   });
 });
 
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -72,7 +72,12 @@
     site,
     reportState: () => undefined,
   }, worker, {
-    status: 503, requestId: 'r0', limitPerSecond: 0, sentAt: clock.now(), ...notice,
+    status: 503,
+    requestId: 'r0',
+    limitPerSecond: 0,
+    turnAwayLimit: 0,
+    sentAt: clock.now(),
+    ...notice,
   });
 };
 
