--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -98,10 +98,14 @@
    * entry would serve nobody until it is restarted.
    */
   private restart(error: unknown): void {
-    this.parts.logger.error('watching control failed and is restarted', { reason: String(error) });
+    this.logFailure(error);
     setTimeout(() => this.start(), MIN_RETRY_DELAY_MS).unref();
   }
 
+  private logFailure(error: unknown): void {
+    this.parts.logger.error('watching control failed and goes on', { reason: String(error) });
+  }
+
   /** Sends a new state to the leader at once, in addition to the watch request that it holds. */
   async sendState(): Promise<void> {
     if (this.leader !== '') await this.watchOnce(this.leader, 0);
@@ -182,9 +186,10 @@
     const answered = this.sendWatch(address, this.parts.site.watchHoldMs, (request) => (
       this.findStream(address).sendRequest(request, LATE_REPLY_FACTOR * lateMs)));
     const openWatch = { address, answered };
-    answered.finally(() => {
+    const clear = (): void => {
       if (this.openWatch === openWatch) this.openWatch = undefined;
-    });
+    };
+    answered.then(clear, clear);
     return openWatch;
   }
 
@@ -193,7 +198,7 @@
     return new Promise((resolve) => {
       this.openWatch?.answered.then((reached) => {
         if (reached) resolve(true);
-      });
+      }, (error: unknown) => this.logFailure(error));
     });
   }
 
