Refuse as not run what no server was sent until its deadline

What callers saw: 504, outcome unknown, for requests that never left the entry, because no connection to a server opened in time. Callers must not send such a request again if it may run only once.

Cause: the deadline was answered alike for requests that were sent and for those that waited for a slot or a connection.

Now a request of which no server may have got a byte is refused with 503, not run, to come back after half a second; what still waits is cancelled before it is sent, as before.

--- a/src/relay/retryPolicy.ts
+++ b/src/relay/retryPolicy.ts
@@ -30,8 +30,8 @@
   /** Whether a retry was taken from the retry budget and is not used yet. */
   private hasReservedRetry = false;
 
-  /** Whether a backend server may have run the request. */
-  private mayHaveRun = false;
+  /** Whether a backend server may have run the request, as far as attempts have ended. */
+  mayHaveRun = false;
 
   constructor(
     private readonly parts: Pick<RequestParts, 'site' | 'clock' | 'picker'>,
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -25,6 +25,9 @@
 import { applyNotice } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
+/** Retry-After of a request that reached no server until its deadline, in milliseconds. */
+const UNSENT_RETRY_MS = 500;
+
 /**
  * Admits a request, sends it to a backend server and answers it once. Sends it to another server
  * only if it cannot run twice by mistake: the first did not run it, or its route allows repeats.
@@ -311,7 +314,10 @@
   }
 
   private expire(): void {
-    const error = new BeechliftError('routeTimeout', 'the answer was not complete at the deadline of the request');
+    const mayHaveRun = this.call?.isSent || this.retryPolicy?.mayHaveRun;
+    const error = mayHaveRun
+      ? new BeechliftError('routeTimeout', 'the answer was not complete at the deadline of the request')
+      : new BeechliftError('noBackend', 'no backend server was reached before the deadline of the request', { retryAfterMs: UNSENT_RETRY_MS });
     this.giveUp(error, 'the deadline of the request has passed');
   }
 
