Give up a connection to a server at its time limit

What callers saw: requests to a server that is down or cut off waited 0.7 to 1 s for a connection where 0.3 s are meant, with their slots.

Cause: the HTTP client measures the limit in steps of half a second. Now the socket is opened by the entry itself, with a timer that first reads the input that has arrived, so that a process that was busy takes no connection for late that opened in time.

--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -15,7 +15,7 @@
 import { RelaySite } from './relaySite';
 import type { RequestDialect } from './requestDialect';
 import { SiteWatch } from './siteWatch';
-import { networkConnector } from './workerConnection';
+import { openNetworkSocket } from './workerConnection';
 import type { Connector } from './workerConnection';
 import { WorkerConnections } from './workerConnections';
 import { WorkerPicker } from './workerPicker';
@@ -79,7 +79,7 @@
  * await listenOn(relay.app, settings.callerAddress);
  */
 export const startRelay = ({
-  settings, readRouting, dialect, logger, connect = networkConnector,
+  settings, readRouting, dialect, logger, connect = openNetworkSocket,
 }: RelayParts): RunningRelay => {
   const suspension = new SuspensionDetector();
   const metrics = new RelayMetrics();
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -1,4 +1,7 @@
-import { buildConnector, Client } from 'undici';
+import { connect } from 'node:net';
+import { Client } from 'undici';
+import type { buildConnector } from 'undici';
+import { startInputTimer } from './startInputTimer';
 import { WorkerSocket } from './workerSocket';
 
 /**
@@ -16,14 +19,41 @@
  * request to a server that is down or partitioned is soon sent to another one.
  */
 const CONNECT_TIMEOUT_MS = 300;
+/** Idle time before TCP keep-alive probes, in milliseconds. */
+const KEEP_ALIVE_DELAY_MS = 60_000;
 /** Largest head of an answer that is accepted. */
 const MAX_HEAD_BYTES = 65_536;
 
 /** Opens a socket to a backend server; the HTTP client defines its type. */
 export type Connector = ReturnType<typeof buildConnector>;
 
-/** Opens sockets over the network. */
-export const networkConnector: Connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+/**
+ * Opens sockets over the network. The time limit has a timer of its own: the HTTP client measures
+ * its limit in steps of half a second.
+ */
+export const openNetworkSocket: Connector = ({ hostname, port }, callback) => {
+  const socket = connect({
+    host: hostname,
+    port: Number(port),
+    noDelay: true,
+    keepAlive: true,
+    keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
+  });
+  const stopTimer = startInputTimer(() => {
+    socket.destroy(Object.assign(new Error('connect ETIMEDOUT'), { code: 'ETIMEDOUT' }));
+  }, CONNECT_TIMEOUT_MS);
+  let isSettled = false;
+  socket.once('connect', () => {
+    stopTimer();
+    isSettled = true;
+    callback(null, socket);
+  });
+  socket.on('error', (error) => {
+    stopTimer();
+    if (!isSettled) callback(error, null);
+    isSettled = true;
+  });
+};
 
 /**
  * One connection to a backend server. It carries one request at a time.
@@ -48,13 +78,13 @@
   constructor(
     readonly address: string,
     onEnd: (connection: WorkerConnection) => void,
-    connect = networkConnector,
+    openSocket = openNetworkSocket,
   ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (options, callback) => {
         this.socketCount += 1;
-        connect(options, (error, socket) => {
+        openSocket(options, (error, socket) => {
           this.socket = socket ? new WorkerSocket(socket) : undefined;
           // The callback's type needs separate calls for the two cases.
           if (error) callback(error, null);
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -1,5 +1,5 @@
 import { ConnectionProbe } from './connectionProbe';
-import { networkConnector, WorkerConnection } from './workerConnection';
+import { openNetworkSocket, WorkerConnection } from './workerConnection';
 import type { Connector } from './workerConnection';
 
 /**
@@ -15,7 +15,7 @@
 
   private readonly probe = new ConnectionProbe();
 
-  constructor(private readonly connect: Connector = networkConnector) {}
+  constructor(private readonly connect: Connector = openNetworkSocket) {}
 
   /** Returns the most recently used idle connection, or a new one. */
   acquire(address: string): WorkerConnection {
--- a/tests/fakes/severableNetwork.ts
+++ b/tests/fakes/severableNetwork.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net';
-import { networkConnector } from '../../src/relay/workerConnection';
+import { openNetworkSocket } from '../../src/relay/workerConnection';
 import type { Connector } from '../../src/relay/workerConnection';
 
 /** What becomes of new connections: opened, refused at once, or never answered. */
@@ -23,7 +23,7 @@
       setTimeout(() => callback(Object.assign(new Error(reason), { code }), null), delayMs);
       return;
     }
-    networkConnector(options, (...result) => {
+    openNetworkSocket(options, (...result) => {
       const [, socket] = result;
       if (socket) this.sockets.add(socket);
       callback(...result);
