Take silent servers for a sign that an entry is cut off

What callers saw: where connections hang in a cut, the entry learnt that it reached no server after 2 to 3.5 s, as it first used up its open connections, and refused or held requests until then.

Cause: only new connections counted as signs. Now a server that does not answer a request in time counts as well; the probes of other servers decide, as before, so a server that is silent for a second costs a few connections at most.

--- a/src/relay/reachMonitor.ts
+++ b/src/relay/reachMonitor.ts
@@ -58,6 +58,15 @@
     });
   };
 
+  /**
+   * Records that a server does not answer a request: where connections hang, those that are open
+   * fall silent before a new one is needed.
+   */
+  recordSilence(address: string): void {
+    this.reach.recordConnect(address, 'timedOut', this.parts.clock.now());
+    this.probe();
+  }
+
   /** Starts to check whether probes are due. */
   start(): void {
     this.timer = setInterval(() => this.probe(), CHECK_INTERVAL_MS);
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -126,6 +126,7 @@
     metrics,
     openRequests,
     reportState,
+    reportSilence: (address) => reachMonitor.recordSilence(address),
   });
   watch.start();
   reachMonitor.start();
--- a/src/relay/requestParts.ts
+++ b/src/relay/requestParts.ts
@@ -21,4 +21,6 @@
   readonly openRequests: OpenRequests;
   /** Tells the leader the state of this entry at once. */
   readonly reportState: () => void;
+  /** Reports that the server at an address does not answer a request. */
+  readonly reportSilence: (address: string) => void;
 }
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -289,6 +289,7 @@
     const isSilent = !this.writer.hasStarted && !call.hasAnswerHead;
     if (!isSilent || !this.parts.site.workers.mechanisms.silence) return;
     suspendWorker(worker, this.parts.clock.now());
+    this.parts.reportSilence(worker.address);
     if (!this.reserveRetry(prepared)) return;
     this.failover.start(call, {
       log: this.log,
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -204,6 +204,7 @@
       metrics: this.metrics,
       openRequests: this.openRequests,
       reportState: () => undefined,
+      reportSilence: () => undefined,
     });
     applyCallerLimits(this.app, this.routing.limits);
     await this.app.listen({ host: HOST, port: 0 });
