--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -93,7 +93,7 @@
     if (placed) return placed;
     if (request.isAbandoned()) return undefined;
     // A suspect request may run only one copy at a time, which only the leader can ensure.
-    if (site.isPlaced(service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader is unreachable', { retryAfterMs: NO_WORKER_RETRY_MS });
+    if (site.isPlaced(service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader cannot place it', { retryAfterMs: NO_WORKER_RETRY_MS });
     if (request.tried.length === 0) {
       chargeAccount(site, request.admitted.account, request.facts, clock.now());
     }
