Probe backend servers only on a failure or while cut off

Cause: the check whether probes are due ran ten times a second at every entry and sorted all servers each time, also while nothing had failed. An idle entry must not wake up for it.

Now a failure starts the check, a timer only while the entry is cut off, and the servers are listed only once a round may be due.

--- a/src/core/routing/serverReach.ts
+++ b/src/core/routing/serverReach.ts
@@ -53,6 +53,11 @@
     this.failed = [...others.slice(1 - MAX_PROBES), { id, at: now }];
   }
 
+  /** Whether `takeProbes` may return servers. */
+  canProbe(now: number): boolean {
+    return !this.probing && now >= this.probeDueAt && (this.isCutOff || this.failed.length > 0);
+  }
+
   /**
    * Returns the servers to probe now, none if no round is due. Those that have not failed go first.
    *
@@ -61,8 +66,8 @@
   takeProbes(readyIds: readonly string[], now: number): readonly string[] {
     this.failed = this.failed.filter(({ at }) => now - at < FAILURE_MS);
     const isSuspected = this.failed.length >= Math.min(MIN_FAILED_SERVERS, readyIds.length);
-    const isDue = (this.isCutOff || isSuspected) && now >= this.probeDueAt;
-    if (this.probing || !isDue || readyIds.length === 0) return [];
+    const isNeeded = this.isCutOff || isSuspected;
+    if (!this.canProbe(now) || !isNeeded || readyIds.length === 0) return [];
     this.probing = true;
     const hasFailed = (id: string): boolean => this.failed.some((server) => server.id === id);
     const others = readyIds.filter((id) => !hasFailed(id));
--- a/src/relay/reachMonitor.ts
+++ b/src/relay/reachMonitor.ts
@@ -6,7 +6,7 @@
 import type { RelaySite } from './relaySite';
 import type { Connector } from './workerConnection';
 
-/** Interval of the check whether probes are due, in milliseconds. */
+/** Interval of the check whether probes are due while the entry is cut off, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
 /** Codes of the errors of a connection that got no answer. */
@@ -39,12 +39,12 @@
  *
  * @example
  * const connections = new WorkerConnections(monitor.connect);
- * monitor.start();
  */
 export class ReachMonitor {
   private readonly reach = new ServerReach();
 
-  private timer: NodeJS.Timeout | undefined;
+  /** Set while the entry is cut off. */
+  private probeTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: ReachMonitorParts) {}
 
@@ -67,18 +67,14 @@
     this.probe();
   }
 
-  /** Starts to check whether probes are due. */
-  start(): void {
-    this.timer = setInterval(() => this.probe(), CHECK_INTERVAL_MS);
-  }
-
-  /** Ends all checks. */
+  /** Ends the probes. */
   stop(): void {
-    clearInterval(this.timer);
+    clearInterval(this.probeTimer);
   }
 
   private probe(): void {
     const { site, clock } = this.parts;
+    if (!this.reach.canProbe(clock.now())) return;
     const ready = [...site.workers.byId.values()].filter(isReady).map(({ address }) => address);
     const shuffled = ready
       .map((address) => ({ address, order: Math.random() }))
@@ -97,7 +93,7 @@
       this.parts.connect({
         hostname, port, protocol: 'http:', host: address,
       }, (...[error, socket]) => {
-        (socket)?.destroy();
+        socket?.destroy();
         resolve(classifyResult(error));
       });
     });
@@ -109,6 +105,8 @@
     const { isCutOff, isSilent } = this.reach;
     site.setReach({ isCutOff, isSilent });
     if (!hasChanged) return;
+    this.stop();
+    if (isCutOff) this.probeTimer = setInterval(() => this.probe(), CHECK_INTERVAL_MS);
     logger.warn(isCutOff ? 'this entry reaches no backend server' : 'this entry reaches backend servers again', {
       probed: addresses.join(', '), results: results.join(', '),
     });
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -129,7 +129,6 @@
     reportSilence: (address) => reachMonitor.recordSilence(address),
   });
   watch.start();
-  reachMonitor.start();
   const refreshTimer = setInterval(
     () => refreshConnections(site, app, connections),
     REFRESH_INTERVAL_MS,
