Keep pauses of pairs with the suspension that servers have, and tidy them rarely

The pause of a server for one entry wrote the suspension of a server again: the same 300 ms, doubled up to 5 s, with the same rule for failures that come together. Now one type and its functions serve both.

--- a/src/core/routing/pairReach.ts
+++ b/src/core/routing/pairReach.ts
@@ -1,12 +1,8 @@
-/** Shortest and longest time in which an entry gets no slot at a server it did not reach, in ms. */
-const MIN_PAUSE_MS = 300;
-const MAX_PAUSE_MS = 5_000;
+import { makeSuspension, suspendWorker } from './routedWorkers';
+import type { Suspension } from './routedWorkers';
 
-/** The pause of one entry at one server. */
-interface Pause {
-  readonly until: number;
-  readonly lengthMs: number;
-}
+/** Interval at which what is gone is forgotten, in milliseconds. */
+const PRUNE_INTERVAL_MS = 1_000;
 
 /**
  * Which entries do not reach which model engines.
@@ -20,20 +16,20 @@
  * const avoided = reach.listPaused('e1', now); // ['w1']
  */
 export class PairReach {
-  private readonly pauses = new Map<string, Map<string, Pause>>();
+  /** Suspensions of servers for one entry, by the ids of both. */
+  private readonly pauses = new Map<string, Map<string, Suspension>>();
 
   /** Entries that have failed at a server since the last success there. */
   private readonly failedEntries = new Map<string, Set<string>>();
 
+  private prunedAt = -Infinity;
+
   /** Records a failure; returns how many entries have failed there since the last success. */
   recordFailure(entryId: string, workerId: string, now: number): number {
-    const servers = this.pauses.get(entryId) ?? new Map<string, Pause>();
-    const previous = servers.get(workerId);
-    // Requests that were on the way to the server together fail together and count once.
-    if (!previous || now >= previous.until) {
-      const lengthMs = Math.min(MAX_PAUSE_MS, 2 * (previous?.lengthMs ?? MIN_PAUSE_MS / 2));
-      servers.set(workerId, { until: now + lengthMs, lengthMs });
-    }
+    const servers = this.pauses.get(entryId) ?? new Map<string, Suspension>();
+    const pause = servers.get(workerId) ?? makeSuspension();
+    suspendWorker(pause, now);
+    servers.set(workerId, pause);
     this.pauses.set(entryId, servers);
     const entries = (this.failedEntries.get(workerId) ?? new Set()).add(entryId);
     this.failedEntries.set(workerId, entries);
@@ -50,11 +46,17 @@
   listPaused(entryId: string, now: number): readonly string[] {
     const servers = this.pauses.get(entryId);
     if (!servers) return [];
-    return [...servers].filter(([, { until }]) => now < until).map(([id]) => id);
+    return [...servers].filter(([, { suspendedUntil }]) => now < suspendedUntil).map(([id]) => id);
   }
 
   /** Forgets the entries and servers that are gone. */
-  retain(isEntry: (entryId: string) => boolean, isServer: (workerId: string) => boolean): void {
+  forgetGone(
+    isEntry: (entryId: string) => boolean,
+    isServer: (workerId: string) => boolean,
+    now: number,
+  ): void {
+    if (now - this.prunedAt < PRUNE_INTERVAL_MS) return;
+    this.prunedAt = now;
     this.pauses.forEach((servers, entryId) => {
       if (!isEntry(entryId)) this.pauses.delete(entryId);
       [...servers.keys()].filter((id) => !isServer(id)).forEach((id) => servers.delete(id));
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -368,5 +368,5 @@
   [...tables.waiting.values()]
     .filter(({ entryId }) => !isPresent(entryId))
     .forEach(({ id }) => tables.waiting.delete(id));
-  tables.reach.retain(isPresent, (id) => tables.workers.byId.has(id));
+  tables.reach.forgetGone(isPresent, (id) => tables.workers.byId.has(id), now);
 };
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -10,8 +10,16 @@
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 import type { WorkerStanding } from './workerTable';
 
+/** A time without requests that doubles each time it is needed again. */
+export interface Suspension {
+  /** Its end, monotonic milliseconds. */
+  suspendedUntil: number;
+  /** Length of the next one. */
+  suspensionMs: number;
+}
+
 /** A backend server from the point of view of one entry. */
-export interface RoutedWorker {
+export interface RoutedWorker extends Suspension {
   readonly id: string;
   /** Identifies its incarnation: another one under the same id counts as another server. */
   readonly born: number;
@@ -38,10 +46,6 @@
   othersSlowness: number;
   /** Smoothed share of failures among its answers. */
   failureShare: number;
-  /** End of its suspension, monotonic milliseconds. */
-  suspendedUntil: number;
-  /** Length of the next suspension. */
-  suspensionMs: number;
   /** Backoff that it requested from this entry. */
   backoff: WorkerBackoff;
   /** Whether it reported in an answer that it is leaving. */
@@ -103,6 +107,11 @@
 
 const smooth = (old: number, sample: number): number => old + SMOOTHING * (sample - old);
 
+/** Makes the suspension of what was never suspended. */
+export const makeSuspension = (): Suspension => ({
+  suspendedUntil: 0, suspensionMs: MIN_SUSPENSION_MS,
+});
+
 /** Makes empty tables. */
 export const makeRoutedWorkers = (mechanisms = makeMechanisms()): RoutedWorkers => ({
   byId: new Map(),
@@ -130,8 +139,7 @@
   paceSamples: 0,
   othersSlowness: 0,
   failureShare: 0,
-  suspendedUntil: 0,
-  suspensionMs: MIN_SUSPENSION_MS,
+  ...makeSuspension(),
   backoff: NO_BACKOFF,
   isLeaving: false,
   rateLimit: NO_RATE_LIMIT,
@@ -283,10 +291,10 @@
 };
 
 /** Suspends a server that a request did not reach, or whose connection broke. */
-export const suspendWorker = (worker: RoutedWorker, now: number): void => {
-  if (now < worker.suspendedUntil) return;
-  worker.suspendedUntil = now + worker.suspensionMs;
-  worker.suspensionMs = Math.min(MAX_SUSPENSION_MS, worker.suspensionMs * 2);
+export const suspendWorker = (suspension: Suspension, now: number): void => {
+  if (now < suspension.suspendedUntil) return;
+  suspension.suspendedUntil = now + suspension.suspensionMs;
+  suspension.suspensionMs = Math.min(MAX_SUSPENSION_MS, suspension.suspensionMs * 2);
 };
 
 /** Whether a server accepts new requests, according to control and to its own answers. */
@@ -302,9 +310,8 @@
 ): boolean => now >= suspendedUntil || !mechanisms.suspension;
 
 /** Ends the suspension of a server, because it answered a request. */
-export const clearSuspension = (worker: RoutedWorker): void => {
-  worker.suspendedUntil = 0;
-  worker.suspensionMs = MIN_SUSPENSION_MS;
+export const clearSuspension = (suspension: Suspension): void => {
+  Object.assign(suspension, makeSuspension());
 };
 
 /** Resets the placed counts, because a new leader does not know the earlier leader's placements. */
