Read the reach of an entry where it is decided

The site kept a copy of two fields of the reach that the monitor set after each round of probes. Now the site has the reach itself, as it has the brittle services, and the monitor feeds it. No behaviour changes; a test sets the fields in place of calling the setter that is gone.

--- a/src/core/routing/serverReach.ts
+++ b/src/core/routing/serverReach.ts
@@ -37,10 +37,10 @@
 
   private probing = false;
 
-  /** Whether no server is reached. */
+  /** Whether no server accepts a new connection. */
   isCutOff = false;
 
-  /** Whether connections are not even refused, so that open ones carry nothing either. */
+  /** Whether new ones are not even refused, so that open ones carry nothing either. */
   isSilent = false;
 
   /** Records a connection that was opened, or failed, for a request. */
--- a/src/relay/reachMonitor.ts
+++ b/src/relay/reachMonitor.ts
@@ -1,4 +1,3 @@
-import { ServerReach } from '../core/routing/serverReach';
 import type { ConnectResult } from '../core/routing/serverReach';
 import { isReady } from '../core/routing/routedWorkers';
 import type { Logger } from '../telemetry/logger';
@@ -41,8 +40,6 @@
  * const connections = new WorkerConnections(monitor.connect);
  */
 export class ReachMonitor {
-  private readonly reach = new ServerReach();
-
   /** Set while the entry is cut off. */
   private probeTimer: NodeJS.Timeout | undefined;
 
@@ -52,7 +49,7 @@
   readonly connect: Connector = (options, callback) => {
     this.parts.connect(options, (...result) => {
       const [error] = result;
-      this.reach.recordConnect(`${options.hostname}:${options.port}`, classifyResult(error), this.parts.clock.now());
+      this.parts.site.reach.recordConnect(`${options.hostname}:${options.port}`, classifyResult(error), this.parts.clock.now());
       callback(...result);
       if (error) this.probe();
     });
@@ -63,7 +60,8 @@
    * fall silent before a new one is needed.
    */
   recordSilence(address: string): void {
-    this.reach.recordConnect(address, 'timedOut', this.parts.clock.now());
+    const { site, clock } = this.parts;
+    site.reach.recordConnect(address, 'timedOut', clock.now());
     this.probe();
   }
 
@@ -74,13 +72,13 @@
 
   private probe(): void {
     const { site, clock } = this.parts;
-    if (!this.reach.canProbe(clock.now())) return;
+    if (!site.reach.canProbe(clock.now())) return;
     const ready = [...site.workers.byId.values()].filter(isReady).map(({ address }) => address);
     const shuffled = ready
       .map((address) => ({ address, order: Math.random() }))
       .sort((a, b) => a.order - b.order)
       .map(({ address }) => address);
-    const addresses = this.reach.takeProbes(shuffled, clock.now());
+    const addresses = site.reach.takeProbes(shuffled, clock.now());
     if (addresses.length === 0) return;
     Promise.all(addresses.map((address) => this.probeAddress(address)))
       .then((results) => this.handleResults(addresses, results))
@@ -100,11 +98,9 @@
   }
 
   private handleResults(addresses: readonly string[], results: readonly ConnectResult[]): void {
-    const { site, clock, logger } = this.parts;
-    const hasChanged = this.reach.recordProbes(results, clock.now());
-    const { isCutOff, isSilent } = this.reach;
-    site.setReach({ isCutOff, isSilent });
-    if (!hasChanged) return;
+    const { site: { reach }, clock, logger } = this.parts;
+    if (!reach.recordProbes(results, clock.now())) return;
+    const { isCutOff } = reach;
     this.stop();
     if (isCutOff) this.probeTimer = setInterval(() => this.probe(), CHECK_INTERVAL_MS);
     logger.warn(isCutOff ? 'this entry reaches no backend server' : 'this entry reaches backend servers again', {
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -5,6 +5,7 @@
 import { EntryList } from '../core/routing/entryList';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import { computeWatchHoldMs } from '../core/routing/messageIntervals';
+import { ServerReach } from '../core/routing/serverReach';
 import { ServiceRetryBudget } from '../core/routing/serviceRetryBudget';
 import type { RetryBounds } from '../core/routing/serviceRetryBudget';
 import {
@@ -23,14 +24,6 @@
 /** State of an entry, as reported to control and by the readiness check. */
 export type RelayState = 'starting' | 'active' | 'cutOff' | 'leaving';
 
-/** Whether an entry reaches the backend servers. */
-export interface SiteReach {
-  /** Whether no server accepts a new connection of this entry. */
-  readonly isCutOff: boolean;
-  /** Whether open connections are expected to carry nothing either. */
-  readonly isSilent: boolean;
-}
-
 /** Most requests that wait for a lease; more are refused at once. */
 const MAX_LEASE_WAITERS = 500;
 
@@ -69,6 +62,9 @@
 
   readonly retries: ServiceRetryBudget;
 
+  /** Whether this entry reaches the backend servers. */
+  readonly reach = new ServerReach();
+
   /** Services whose servers fail if they must turn many requests away. */
   readonly brittleServices = new BrittleServices();
 
@@ -94,8 +90,6 @@
 
   private leasedEntryCount = 1;
 
-  private currentReach: SiteReach = { isCutOff: false, isSilent: false };
-
   private readonly leaseWaiters = new HeldCalls();
 
   constructor(private readonly parts: RelaySiteParts) {
@@ -159,17 +153,7 @@
   get state(): RelayState {
     if (this.isLeaving) return 'leaving';
     if (!this.isServing || this.workersEpoch === '') return 'starting';
-    return this.currentReach.isCutOff ? 'cutOff' : 'active';
-  }
-
-  /** Whether this entry reaches the backend servers. */
-  get reach(): SiteReach {
-    return this.currentReach;
-  }
-
-  /** Sets whether this entry reaches the backend servers. */
-  setReach(reach: SiteReach): void {
-    this.currentReach = reach;
+    return this.reach.isCutOff ? 'cutOff' : 'active';
   }
 
   /**
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -213,7 +213,7 @@
     ['refuse if open connections are dead too', { isCutOff: true, isSilent: true }, ['w2:80'], 'backendsUnreachable'],
   ])('should %s once the entry is cut off from the servers', async (name, reach, open, expected) => {
     const site = makeSite(routing, [makeRecord('w1', 'ready'), makeRecord('w2', 'ready')]);
-    site.setReach(reach);
+    Object.assign(site.reach, reach);
     const leader = new FixedLeader('w1');
     const picker = new WorkerPicker({
       site,
