Stop the timer of a watch request once it is answered

The wait for a late reply left its timer running after each answer, two or three at a time, and woke an idle entry up for nothing. The time after which a reply is late was computed twice; the sender of a watch request is given it. No behaviour changes; the tests of the watch pass unchanged.

--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -172,18 +172,22 @@
    * lets other replicas be asked for the leader, but the request stays open: it is not repeated.
    */
   private async watchLeader(address: string): Promise<boolean> {
+    if (this.openWatch?.address !== address) this.openWatch = this.beginWatch(address);
     const lateMs = this.parts.site.watchHoldMs + REPLY_TIMEOUT_MS;
-    if (this.openWatch?.address !== address) this.openWatch = this.beginWatch(address, lateMs);
-    const isLate = pause(lateMs, undefined, { ref: false }).then(() => undefined);
-    const reached = await Promise.race([this.openWatch.answered, isLate]);
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<undefined>((resolve) => {
+      timer = setTimeout(() => resolve(undefined), lateMs);
+    });
+    const reached = await Promise.race([this.openWatch.answered, late])
+      .finally(() => clearTimeout(timer));
     if (reached !== undefined) return reached;
     this.logUnreachable(address, new BeechliftError('noQuorum', `no answer within ${lateMs} ms`));
     this.handleNoLeader(address, undefined);
     return true;
   }
 
-  private beginWatch(address: string, lateMs: number): OpenWatch {
-    const answered = this.sendWatch(address, this.parts.site.watchHoldMs, (request) => (
+  private beginWatch(address: string): OpenWatch {
+    const answered = this.sendWatch(address, this.parts.site.watchHoldMs, (request, lateMs) => (
       this.findStream(address).sendRequest(request, LATE_REPLY_FACTOR * lateMs)));
     const openWatch = { address, answered };
     const clear = (): void => {
