Probe servers in one place

The check whether a server's process has ended opened a socket of its own, with the same time limit and the same reading of an address as the probes of an entry that may be cut off. Now both use one function, over the sockets that the entry opens. The code of a time limit that the HTTP client no longer keeps is gone.

One difference: a refused check now counts as a failed connection of the entry, as any other; the probes of other servers decide as before. Tests of crashes, cuts and reopened connections pass unchanged.

--- a/src/relay/reachMonitor.ts
+++ b/src/relay/reachMonitor.ts
@@ -2,23 +2,16 @@
 import { isReady } from '../core/routing/routedWorkers';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import { probeAddress } from './probeAddress';
 import type { RelaySite } from './relaySite';
 import type { Connector } from './workerConnection';
 
 /** Interval of the check whether probes are due while the entry is cut off, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
-/** Codes of the errors of a connection that got no answer. */
-const TIMEOUT_CODES: readonly unknown[] = ['ETIMEDOUT', 'UND_ERR_CONNECT_TIMEOUT'];
-
-const classifyResult = (error: Error | null): ConnectResult => {
+const classifyResult = (error: NodeJS.ErrnoException | null | undefined): ConnectResult => {
   if (!error) return 'opened';
-  return TIMEOUT_CODES.includes((error as NodeJS.ErrnoException).code) ? 'timedOut' : 'refused';
-};
-
-const splitAddress = (address: string): { readonly hostname: string; readonly port: string } => {
-  const colon = address.lastIndexOf(':');
-  return { hostname: address.slice(0, colon), port: address.slice(colon + 1) };
+  return error.code === 'ETIMEDOUT' ? 'timedOut' : 'refused';
 };
 
 /** Dependencies of the monitor. */
@@ -80,23 +73,11 @@
       .map(({ address }) => address);
     const addresses = site.reach.takeProbes(shuffled, clock.now());
     if (addresses.length === 0) return;
-    Promise.all(addresses.map((address) => this.probeAddress(address)))
-      .then((results) => this.handleResults(addresses, results))
+    Promise.all(addresses.map((address) => probeAddress(this.parts.connect, address)))
+      .then((errors) => this.handleResults(addresses, errors.map(classifyResult)))
       .catch((error: unknown) => this.parts.logger.error('probing backend servers failed', { reason: String(error) }));
   }
 
-  private probeAddress(address: string): Promise<ConnectResult> {
-    const { hostname, port } = splitAddress(address);
-    return new Promise((resolve) => {
-      this.parts.connect({
-        hostname, port, protocol: 'http:', host: address,
-      }, (...[error, socket]) => {
-        socket?.destroy();
-        resolve(classifyResult(error));
-      });
-    });
-  }
-
   private handleResults(addresses: readonly string[], results: readonly ConnectResult[]): void {
     const { site: { reach }, clock, logger } = this.parts;
     if (!reach.recordProbes(results, clock.now())) return;
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -13,9 +13,11 @@
 export class WorkerConnections {
   private readonly idle = new Map<string, WorkerConnection[]>();
 
-  private readonly probe = new ConnectionProbe();
+  private readonly probe: ConnectionProbe;
 
-  constructor(private readonly connect: Connector = openNetworkSocket) {}
+  constructor(private readonly connect: Connector = openNetworkSocket) {
+    this.probe = new ConnectionProbe(connect);
+  }
 
   /** Returns the most recently used idle connection, or a new one. */
   acquire(address: string): WorkerConnection {
