Split what becomes of placed requests off the placement

Who gets a slot stays; reports on placed requests and the release of their slots are in a module of their own. Code moved as it is; tests change in where they import from alone.

--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -1,12 +1,13 @@
 import type {
   PlacedReport, PlaceReply, PlaceRequest, WorkerLoad, WorkerRateLimit, WorkerRecord,
 } from '../protocol/generated/beechlift';
+import { requestSlots, makePlacementTables, placeWaiting } from '../core/routing/placement';
 import {
-  requestSlots, removeAbandonedRequest, expirePlaced, retainPlaced, makePlacementTables,
-  applyPlacementUpdate, placeWaiting,
-} from '../core/routing/placement';
+  applyPlacementUpdate, expirePlaced, removeAbandonedRequest, retainPlaced,
+} from '../core/routing/placementUpdates';
 import type { RestrictionFinder } from '../core/quarantine/placementRestriction';
-import type { PlacementDecision, PlacementUpdate } from '../core/routing/placement';
+import type { PlacementDecision } from '../core/routing/placement';
+import type { PlacementUpdate } from '../core/routing/placementUpdates';
 import { NO_TIMINGS } from '../core/routing/placementTables';
 import type { SlotRequest, PlacementTables } from '../core/routing/placementTables';
 import type { Mechanisms } from '../core/routing/mechanisms';
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -2,10 +2,10 @@
 import type {
   RestrictionFinder, RestrictionKind,
 } from '../../src/core/quarantine/placementRestriction';
-import {
-  applyPlacementUpdate, expirePlaced, makePlacementTables, placeWaiting, requestSlots,
-} from '../../src/core/routing/placement';
-import type { PlacementDecision, PlacementUpdate } from '../../src/core/routing/placement';
+import { makePlacementTables, placeWaiting, requestSlots } from '../../src/core/routing/placement';
+import { applyPlacementUpdate, expirePlaced } from '../../src/core/routing/placementUpdates';
+import type { PlacementDecision } from '../../src/core/routing/placement';
+import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
 import { estimateWaitMs } from '../../src/core/routing/placementWait';
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
 import { applyRecords, makeRoutedWorkers, recordPace } from '../../src/core/routing/routedWorkers';
--- a/tests/core/placementModel.ts
+++ b/tests/core/placementModel.ts
@@ -6,10 +6,10 @@
 import type { RandomGenerator } from 'pure-rand';
 import { makeMechanisms } from '../../src/core/routing/mechanisms';
 import type { Mechanism } from '../../src/core/routing/mechanisms';
-import {
-  applyPlacementUpdate, makePlacementTables, placeWaiting, requestSlots,
-} from '../../src/core/routing/placement';
-import type { PlacementDecision, PlacementUpdate } from '../../src/core/routing/placement';
+import { makePlacementTables, placeWaiting, requestSlots } from '../../src/core/routing/placement';
+import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
+import type { PlacementDecision } from '../../src/core/routing/placement';
+import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
 import { applyRecords, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
--- a/tests/core/worker-incarnations.spec.ts
+++ b/tests/core/worker-incarnations.spec.ts
@@ -5,9 +5,8 @@
   adoptRecord, applyAnnouncement, listChangedWorkers, makeWorkerTable,
 } from '../../src/core/routing/workerTable';
 import type { WorkerTable } from '../../src/core/routing/workerTable';
-import {
-  applyPlacementUpdate, makePlacementTables, requestSlots,
-} from '../../src/core/routing/placement';
+import { makePlacementTables, requestSlots } from '../../src/core/routing/placement';
+import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
 import { applyRecords, makeRoutedWorkers, suspendWorker } from '../../src/core/routing/routedWorkers';
 import { WatchReply, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
