Split the check for suspensions off the control replica

What notices that the VM was suspended, and makes the log renew its lease, is a class of its own now.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -15,6 +15,7 @@
 import { decodeCommand } from './documentCommand';
 import { DocumentPublisher } from './documentPublisher';
 import { SoftState } from './softState';
+import { SuspensionGuard } from './suspensionGuard';
 import { LeaderState } from './leaderState';
 import { LeaderWait } from './leaderWait';
 import { LeaseLog } from './leaseLog';
@@ -70,7 +71,7 @@
 
   private readonly directory: ReplicaDirectory;
 
-  private suspensionEpoch: number;
+  private readonly suspensionGuard: SuspensionGuard;
 
   private readonly leaseLog: LeaseLog;
 
@@ -104,7 +105,9 @@
     });
     this.watchService = new WatchService({ ...serviceParts, address: parts.self.address });
     this.directory = new ReplicaDirectory(parts.founders);
-    this.suspensionEpoch = parts.suspension.readEpoch();
+    this.suspensionGuard = new SuspensionGuard({
+      ...parts, handleSuspension: () => this.runner.handle({ kind: 'suspended' }),
+    });
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
       applyCommand: (command) => this.applyCommand(command),
       restoreSnapshot: (snapshot) => this.restoreSnapshot(snapshot),
@@ -144,7 +147,7 @@
 
   /** Whether this replica leads and holds the lease, so that no other replica can lead. */
   get isLeading(): boolean {
-    this.checkSuspension();
+    this.suspensionGuard.check();
     return this.runner.holdsLease;
   }
 
@@ -173,7 +176,7 @@
 
   /** Runs the timers of the log and, on a leader, the periodic tasks of the site. */
   tick(): void {
-    this.checkSuspension();
+    this.suspensionGuard.check();
     this.work.recordTick();
     this.runner.handle({ kind: 'tick' });
     this.leaseLog.record();
@@ -321,19 +324,6 @@
     this.watches.release();
   }
 
-  /*
-   * After a suspension of the VM the lease is not valid until it is renewed: see the `suspended`
-   * event of the log. This is checked before every answer that depends on the lease, because the
-   * first call after the VM resumes may be handled before any tick.
-   */
-  private checkSuspension(): void {
-    const epoch = this.parts.suspension.readEpoch();
-    if (epoch === this.suspensionEpoch) return;
-    this.suspensionEpoch = epoch;
-    this.runner.handle({ kind: 'suspended' });
-    this.parts.logger.warn('clocks diverged, possibly after a suspension: leases are renewed before use');
-  }
-
   private findAddress(id: string): string {
     return this.directory.find(id, this.runner.state.replicas)?.address ?? '';
   }
