Log the version of a server's software and the stream that a request takes up

Whether an entry or a caller had joined streams of two versions could not be told from the logs: an attempt named its server alone, a request that takes a stream up looked like a new one, and an answered one was logged at debug only. Now each attempt names the server's version, a request that goes on names the attempt that began the stream, both are logged at info, and the leader's line of a changed server has its version.

No change of logic.

--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -49,6 +49,7 @@
       worker: announcement.workerId,
       service: announcement.service,
       address: announcement.address,
+      software: announcement.software,
       state: announcement.state,
       sequence: announcement.sequence,
       born: announcement.born,
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -23,6 +23,8 @@
   readonly id: string;
   /** Identifies its incarnation: another one under the same id counts as another server. */
   readonly born: number;
+  /** Version of its software; empty if it announces none. */
+  software: string;
   service: string;
   address: string;
   zone: string;
@@ -124,6 +126,7 @@
 const makeWorker = (id: string, born: number): RoutedWorker => ({
   id,
   born,
+  software: '',
   service: '',
   address: '',
   zone: '',
@@ -171,6 +174,7 @@
 ): void => {
   if (!announcement) return;
   const worker = findOrMakeWorker(workers, announcement.workerId, announcement.born);
+  worker.software = announcement.software || worker.software;
   worker.service = announcement.service || worker.service;
   worker.address = announcement.address || worker.address;
   worker.zone = announcement.zone || worker.zone;
--- a/src/relay/requestDialect.ts
+++ b/src/relay/requestDialect.ts
@@ -20,6 +20,10 @@
   readonly maxWaitMs: number | undefined;
   /** The caller's key; empty if it sent none. */
   readonly key: string;
+  /** Id of the last event that the caller of a stream has; empty unless it takes a stream up. */
+  readonly lastEventId: string;
+  /** Id of the attempt that began the stream which the caller takes up; empty if it names none. */
+  readonly resumedId: string;
   /** Undefined if the caller sent none. */
   readonly tokens: RequestTokens | undefined;
 }
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -3,6 +3,7 @@
 import type { AnswerWriter } from './answerWriter';
 import type { AttemptOutcome } from './attemptTracker';
 import type { RequestGuard } from './requestGuard';
+import type { RequestFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
 import type { CallSummary } from './upstreamCall';
 import type { PickedWorker } from './workerPicker';
@@ -10,11 +11,11 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Logs and counts one request: a line with the request's id for each attempt, at level `debug` for
- * an answered one, and for a refusal.
+ * Logs and counts one request: a line with the request's id for a refusal and for each attempt. The
+ * level is `debug` for a first attempt that is answered, unless the request takes up a stream.
  *
  * @example
- * const log = new RequestLog(parts, facts.requestId, clock.now());
+ * const log = new RequestLog(parts, facts, clock.now());
  * log.logRefusal(error, admitted, 0);
  */
 export class RequestLog {
@@ -24,9 +25,11 @@
   /** Summary of the latest call; set when it ends. */
   call: CallSummary | undefined;
 
+  private attemptCount = 0;
+
   constructor(
     private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock' | 'site'>,
-    private readonly requestId: string,
+    private readonly facts: Pick<RequestFacts, 'requestId' | 'lastEventId' | 'resumedId'>,
     private readonly receivedAt: number,
   ) {}
 
@@ -45,12 +48,16 @@
       const seconds = (answeredAt - this.receivedAt) / MS_PER_SECOND;
       metrics.latency.observe({ kind: route.kind }, seconds);
     }
-    const level = outcome.kind === 'answered' ? 'debug' : 'info';
+    this.attemptCount += 1;
+    const isOrdinary = outcome.kind === 'answered' && this.attemptCount === 1 && this.facts.lastEventId === '';
+    const level = isOrdinary ? 'debug' : 'info';
     logger[level]('attempt ended', {
-      requestId: this.requestId,
+      requestId: this.facts.requestId,
       fingerprint: outcome.kind === 'broken' ? this.identity?.fingerprint : undefined,
       route: route.name,
       worker: worker.id,
+      software: worker.software,
+      takesUp: this.facts.lastEventId !== '' ? this.facts.resumedId || 'unnamed' : undefined,
       placed: placeId !== '',
       expectedMs: Math.round(expectedMs),
       outcome: outcome.kind,
@@ -65,7 +72,7 @@
 
   /** Logs that a request stays at an unresponsive server because no other one accepts it. */
   logSilentWait(error: unknown): undefined {
-    this.parts.logger.info('request stays at an unresponsive server', { requestId: this.requestId, reason: String(error) });
+    this.parts.logger.info('request stays at an unresponsive server', { requestId: this.facts.requestId, reason: String(error) });
     return undefined;
   }
 
@@ -90,7 +97,7 @@
   ): void {
     const { logger, clock, site } = this.parts;
     logger.info(message, {
-      requestId: this.requestId,
+      requestId: this.facts.requestId,
       route: admitted?.route.name,
       account: admitted?.account?.name,
       version: admitted?.version ?? site.table?.routing.version,
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -70,7 +70,7 @@
   ) {
     this.receivedAt = parts.clock.now();
     this.facts = parts.dialect.readRequest(request.rawHeaders);
-    this.log = new RequestLog(parts, this.facts.requestId, this.receivedAt);
+    this.log = new RequestLog(parts, this.facts, this.receivedAt);
     this.writer = this.makeWriter('direct');
   }
 
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -29,6 +29,8 @@
     requestId: findHeader(headers, 'x-id') ?? '',
     maxWaitMs: Number(findHeader(headers, 'x-patience') ?? 5_000),
     key: findHeader(headers, 'x-key') ?? '',
+    lastEventId: findHeader(headers, 'x-last-event') ?? '',
+    resumedId: findHeader(headers, 'x-resumes') ?? '',
     tokens: undefined,
   }),
   readAnswer: (headers) => ({
@@ -41,8 +43,8 @@
     turnAwayLimit: readRateLimit(findHeader(headers, 'x-brittle')),
   }),
   buildRequestHeaders: (headers, { workerId, remainingMs, lastEventId }) => [
-    ...dropHeaders(headers, new Set(['x-key', 'x-patience', 'content-length'])),
-    'x-worker', workerId, 'x-left', String(remainingMs), 'x-last', lastEventId,
+    ...dropHeaders(headers, new Set(['x-key', 'x-patience', 'x-last-event', 'content-length'])),
+    'x-worker', workerId, 'x-left', String(remainingMs), 'x-last', lastEventId || (findHeader(headers, 'x-last-event') ?? ''),
   ],
 };
 
--- a/tests/platform/platform-decoding.spec.ts
+++ b/tests/platform/platform-decoding.spec.ts
@@ -73,24 +73,24 @@
     'Host', 'a.example', 'Attempt-Id', '9c41', 'Model', 'm', 'Token-Count', '1460,80', 'Prompt-Prefix', '5c:800',
     'Deadline-Ms', '15000', 'Authorization', 'Bearer k1', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1',
     'Tenant', 'forged', 'Kv-Retention', 'forged', 'Pin-Ms', '9', 'Kv-Backup', 'forged', 'Kv-From', 'forged',
-    'Kv-Fetch', 'forged', 'Expected-Instance', 'forged', 'X-Own', 'kept', 'Last-Event-Id', '3',
+    'Kv-Fetch', 'forged', 'Expected-Instance', 'forged', 'X-Own', 'kept', 'Last-Event-Id', '3', 'Resumes', '77af',
   ];
 
   it('should be decoded into request id, maximum wait, key and tokens', () => {
     expect(platformDialect.readRequest(headers)).toEqual({
-      requestId: '9c41', maxWaitMs: 15000, key: 'k1', tokens: { prompt: 1460, output: 80, expected: 80 },
+      requestId: '9c41', maxWaitMs: 15000, key: 'k1', lastEventId: '3', resumedId: '77af', tokens: { prompt: 1460, output: 80, expected: 80 },
     });
   });
 
   it.each([
     [[], {
-      requestId: '', maxWaitMs: undefined, key: '', tokens: undefined,
+      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: undefined,
     }],
     [['Deadline-Ms', 'soon', 'Token-Count', 'x', 'Authorization', 'Basic k1'], {
-      requestId: '', maxWaitMs: undefined, key: '', tokens: undefined,
+      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: undefined,
     }],
     [['Token-Count', '12'], {
-      requestId: '', maxWaitMs: undefined, key: '', tokens: { prompt: 12, output: 0, expected: 0 },
+      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: { prompt: 12, output: 0, expected: 0 },
     }],
   ])('should be ignored if their values are invalid: %j', (raw, expected) => {
     expect(platformDialect.readRequest(raw)).toEqual(expected);
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -20,7 +20,7 @@
       clock: { now: () => 0 },
       site: {} as RelaySite,
     };
-    const log = new RequestLog(parts, requestId, 0);
+    const log = new RequestLog(parts, { requestId, lastEventId: '', resumedId: '' }, 0);
     log.identity = { fingerprint: computeFingerprint(content) };
     log.logAttempt(
       {
