Test: streams go on at servers of another software version

Callers got streams whose parts were written by two versions of the engines, which do not fit together. The test makes the versions itself: servers of a routed site announce v1 or v1.1 and name it in each event. It breaks streams by the servers, the callers, the entry, the entry with the leader, and begins some while nobody leads; two tests expect a refusal where no server of the version is left or nobody knows which it was.

The callers take their streams up in reverse order: in the same order, the loads of idle servers lead each stream to the same server again.

--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -15,6 +15,7 @@
 import { testDialect } from './relayRig';
 import { ScriptedServer } from './scriptedServer';
 import type { ServerScript } from './scriptedServer';
+import { VersionedServer } from './versionedServer';
 
 const REPLICAS = [0, 1, 2];
 const SERVICE = 'rooms';
@@ -37,6 +38,8 @@
 
   readonly servers: FragileServer[] = [];
 
+  readonly versioned: VersionedServer[] = [];
+
   private readonly scripted: ScriptedServer[] = [];
 
   private announceTimer: NodeJS.Timeout | undefined;
@@ -110,6 +113,31 @@
     await this.waitForServers(count);
   }
 
+  /** Adds a server for each version, named v0, v1 and so on. */
+  async addVersioned(...versions: readonly string[]): Promise<void> {
+    const servers = versions.map((software, position) => new VersionedServer({
+      id: `v${this.versioned.length + position}`,
+      service: SERVICE,
+      software,
+      announce: (announcement) => this.announce(announcement),
+    }));
+    this.versioned.push(...servers);
+    await Promise.all(servers.map((server) => server.open()));
+    await this.waitForServers(this.versioned.length);
+  }
+
+  /** Address at which an entry serves callers. */
+  getEntryAddress(entry: number): string {
+    return this.entries[entry]?.address ?? '';
+  }
+
+  /** Ends an entry and breaks off the answers that it carries. */
+  async stopEntry(entry: number): Promise<void> {
+    const [stopped] = this.entries.splice(entry, 1);
+    stopped?.relay.app.server.closeAllConnections();
+    await stopped?.relay.shutDown();
+  }
+
   /** Starts another entry; resolves with its position when it is active. */
   async addEntry(connect?: Connector): Promise<number> {
     const address = await findFreeAddress();
@@ -158,6 +186,7 @@
   async close(): Promise<void> {
     clearInterval(this.announceTimer);
     [...this.servers, ...this.scripted].forEach((server) => server.close());
+    this.versioned.forEach((server) => server.crash());
     await Promise.all(this.entries.map(async ({ relay }) => {
       relay.app.server.closeAllConnections();
       await relay.shutDown();
