Continue a stream within an answer only at the version that began it

What callers saw: streams whose first events one software version of the engines wrote and whose later events another, in one whole answer.

Cause: a continued stream was routed like a new request, as if all servers of a service were alike. The version was announced, copied to all and used by nothing.

Change: the entry keeps the version from the first head that it passes on (StreamOrigin), asks the leader for a slot at that version, checks the server that it is granted (a leader of an older release ignores the field), and chooses at that version itself without a leader. Such a request waits for a slot for up to 2 s, about the gap after which its caller gives up, as a refusal would lose all that the caller has. Where no server of the version accepts requests the answer ends at once (2013). A version without a free slot does not keep others of the service from theirs.

Why it works: every way to a server passes through the leader's choice or the entry's own, and both filter by the version.

--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -39,6 +39,7 @@
   tried: request.tried,
   fingerprint: request.fingerprint,
   avoidedIds: request.avoided,
+  origin: request.origin,
   askedAt: now,
 });
 
--- a/src/core/routing/freeSlot.ts
+++ b/src/core/routing/freeSlot.ts
@@ -26,6 +26,7 @@
   tried: request.tried,
   avoided: new Set([...avoided, ...request.avoidedIds ?? []]),
   requiresFreeSlot: true,
+  origin: request.origin,
 }, now);
 
 /**
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -17,6 +17,8 @@
 import { makeComparator } from './placementOrder';
 import { computeMaxWaitMs, estimateWaitMs } from './placementWait';
 import type { RoutedWorkers } from './routedWorkers';
+import { explainVersionGone, hasOriginServer, VERSION_GONE_RETRY_MS } from './streamOrigin';
+import type { StreamOrigin } from './streamOrigin';
 import type { WorkerChoice } from './workerChoice';
 import { takeWorkerAllowance } from './workerRateLimit';
 
@@ -30,7 +32,7 @@
   | {
     readonly kind: 'refuse';
     readonly id: string;
-    readonly code: 'noSlotInTime' | 'requestQuarantined';
+    readonly code: 'noSlotInTime' | 'requestQuarantined' | 'streamVersionGone';
     readonly reason: string;
     readonly retryAfterMs: number;
   };
@@ -104,14 +106,29 @@
 
 /**
  * Services without a free slot, so that further requests need not be tried. Keyed together with the
- * avoided servers, because requests that avoid other servers may still find free slots.
+ * avoided servers and the version, because other requests may still find free slots.
  */
 type FullServices = Set<string>;
 
-const formatFullKey = ({ service, avoidedIds = [] }: SlotRequest): string => [
-  service, ...avoidedIds,
+const formatFullKey = ({ service, avoidedIds = [], origin }: SlotRequest): string => [
+  service, ...avoidedIds, ...(origin ? [JSON.stringify(origin.software)] : []),
 ].join(' ');
 
+const refuseVersionGone = (
+  tables: PlacementTables,
+  { id }: SlotRequest,
+  origin: StreamOrigin,
+): PlacementDecision => {
+  tables.waiting.delete(id);
+  return {
+    kind: 'refuse',
+    id,
+    code: 'streamVersionGone',
+    reason: explainVersionGone(origin),
+    retryAfterMs: VERSION_GONE_RETRY_MS,
+  };
+};
+
 const refuseQuarantined = (
   tables: PlacementTables,
   request: SlotRequest,
@@ -157,6 +174,10 @@
   now: number,
 ): PlacementDecision | undefined => {
   const request = addUnreached(tables, waiting, now);
+  const { origin } = request;
+  if (origin && !hasOriginServer(tables.workers, origin)) {
+    return refuseVersionGone(tables, request, origin);
+  }
   const restriction = readRestriction(tables, request);
   if (restriction.kind === 'refused') return refuseQuarantined(tables, request, restriction);
   const choosers: Record<RestrictionKind, () => WorkerChoice | undefined> = {
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -3,6 +3,7 @@
 import type { ArrivalRates } from './arrivalRates';
 import type { PairReach } from './pairReach';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
+import type { StreamOrigin } from './streamOrigin';
 
 /** A request for a slot. */
 export interface SlotRequest {
@@ -24,6 +25,8 @@
   readonly fingerprint?: string;
   /** Backend servers that do not accept requests from its entry at the moment. */
   readonly avoidedIds?: readonly string[];
+  /** Set if the request continues a stream: only servers of this version may do so. */
+  readonly origin?: StreamOrigin | undefined;
   /** When it arrived at the leader, monotonic milliseconds. */
   readonly askedAt: number;
 }
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -4,6 +4,7 @@
 import { makeComparator } from './placementOrder';
 import type { PlacementTables, SlotRequest } from './placementTables';
 import { findServiceStats, isReachable } from './routedWorkers';
+import { canContinue } from './streamOrigin';
 
 /**
  * Longest wait of a request for a slot, as a share of its target latency, by rank. The rest of the
@@ -16,13 +17,13 @@
 /** Sums the slots that become free per millisecond, as far as rate limits allow to use them. */
 const sumFreedPerMs = (
   { workers }: PlacementTables,
-  { service, avoidedIds }: SlotRequest,
+  { service, avoidedIds, origin }: SlotRequest,
   now: number,
 ): number => {
   const { holdMs } = findServiceStats(workers, service);
   const freedPerMs = (workers.byService.get(service) ?? [])
     .filter((worker) => worker.standing === 'ready' && isReachable(workers, worker, now))
-    .filter(({ id }) => !avoidedIds?.includes(id))
+    .filter((worker) => !avoidedIds?.includes(worker.id) && canContinue(worker, origin))
     .reduce((sum, { slots, rateLimit: { allowance } }) => (
       sum + Math.min(slots / holdMs, allowance.perSecond / MS_PER_SECOND)), 0);
   return freedPerMs > 0 ? freedPerMs : 1 / holdMs;
@@ -60,6 +61,12 @@
   return (countAhead(tables, request) + 1) / remainingPerMs;
 };
 
+/**
+ * Longest wait of a request that continues a stream, in milliseconds. Its caller loses all that it
+ * has received if it is refused, and gives the stream up after a gap of about this length.
+ */
+const MAX_CONTINUATION_WAIT_MS = 2_000;
+
 /**
  * Computes how long a request may wait for a slot and still start on time. The time until its own
  * answer starts is deducted, up to half of its target: long requests are not refused for being
@@ -69,6 +76,7 @@
  * const isOver = now - request.askedAt > computeMaxWaitMs(tables, request);
  */
 export const computeMaxWaitMs = (tables: PlacementTables, request: SlotRequest): number => {
+  if (request.origin) return MAX_CONTINUATION_WAIT_MS;
   const rank = tables.workers.mechanisms.patienceByRank ? request.rank : 0;
   const share = MAX_WAIT_SHARE_BY_RANK[Math.min(rank, MAX_WAIT_SHARE_BY_RANK.length - 1)] ?? 0;
   const ownMs = estimateAt(
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -6,6 +6,8 @@
 import { hasAllowance } from './rateAllowance';
 import { findServiceStats, isReachable, isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceStats } from './routedWorkers';
+import { canContinue } from './streamOrigin';
+import type { StreamOrigin } from './streamOrigin';
 import { isBackingOff, mayProbe } from './workerBackoff';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 
@@ -25,6 +27,8 @@
   readonly avoided?: ReadonlySet<string>;
   /** Whether only a server with a free slot may be chosen. */
   readonly requiresFreeSlot: boolean;
+  /** Set if the request continues a stream: only servers of this version may be chosen. */
+  readonly origin?: StreamOrigin | undefined;
 }
 
 /** A chosen backend server with its estimates. */
@@ -134,6 +138,7 @@
   && hasAllowance(worker.rateLimit.allowance, now)
   && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
   && !request.avoided?.has(worker.id)
+  && canContinue(worker, request.origin)
   && (!request.requiresFreeSlot || hasFreeSlot(worker));
 
 /**
--- a/src/errors/resultCodes.ts
+++ b/src/errors/resultCodes.ts
@@ -101,6 +101,9 @@
   backendsUnreachable: {
     number: 2012, status: 503, run: 'notRun', action: 'Use another entry VM; this one has lost its links to the backend servers.',
   },
+  streamVersionGone: {
+    number: 2013, status: 503, run: 'notRun', action: 'Begin the stream anew; no backend server of the software version that began it accepts requests.',
+  },
   outcomeUnknown: {
     number: 3001, status: 502, run: 'unknown', action: 'Retry with the same key; do not use a new one.',
   },
--- a/src/relay/retryPolicy.ts
+++ b/src/relay/retryPolicy.ts
@@ -1,3 +1,4 @@
+import type { StreamOrigin } from '../core/routing/streamOrigin';
 import { BeechliftError } from '../errors/beechliftError';
 import type { AdmittedRequest } from './admitRequest';
 import type { AnswerWriter } from './answerWriter';
@@ -9,6 +10,8 @@
 const MAX_TRIES = 4;
 /** Retry-After once all tried servers refused, in milliseconds: a slot or two is free by then. */
 const REFUSED_RETRY_MS = 150;
+/** Retry-After of a request that reached no server until its deadline, in milliseconds. */
+const UNSENT_RETRY_MS = 500;
 
 /**
  * Decides whether a request may be sent to another server, and which error answers it if not. A
@@ -57,13 +60,16 @@
   /**
    * Reserves a retry while an attempt is in progress; returns whether another send is certain to be
    * allowed. Without the reservation, an attempt could be aborted for a retry that is then refused.
+   *
+   * @param origin set if the request continues a stream, which only servers of this version can do
    */
-  reserveRetry(deadlineAt: number): boolean {
+  reserveRetry(deadlineAt: number, origin?: StreamOrigin): boolean {
     const now = this.parts.clock.now();
     const isAllowed = this.canSendAgain
       && this.guard.isUnsuspected
       && this.hasTriesLeft(now, deadlineAt);
-    if (!isAllowed || !this.parts.picker.hasAvailableWorker(this.admitted.service)) return false;
+    const { picker } = this.parts;
+    if (!isAllowed || !picker.hasAvailableWorker(this.admitted.service, origin)) return false;
     this.hasReservedRetry ||= this.parts.site.retries.take(this.admitted.service, now);
     return this.hasReservedRetry;
   }
@@ -105,6 +111,16 @@
     return new BeechliftError('outcomeUnknown', `an earlier attempt may have run the request, and the next one failed: ${error.message}`);
   }
 
+  /**
+   * Makes the error that answers a request at its deadline.
+   *
+   * @param isSent whether bytes of it may have reached a server in the attempt in progress
+   */
+  makeTimeoutError(isSent: boolean): BeechliftError {
+    if (isSent || this.mayHaveRun) return new BeechliftError('routeTimeout', 'the answer was not complete at the deadline of the request');
+    return new BeechliftError('noBackend', 'no backend server was reached before the deadline of the request', { retryAfterMs: UNSENT_RETRY_MS });
+  }
+
   /** Makes the error that answers a request which is not sent again. */
   makeFailure(reason: string): BeechliftError {
     if (this.mayHaveRun) return new BeechliftError('outcomeUnknown', `no complete answer was received: ${reason}`);
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -1,7 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { toBeechliftError } from '../errors/beechliftError';
+import type { BeechliftError } from '../errors/beechliftError';
 import { suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
+import { readOrigin } from '../core/routing/streamOrigin';
+import type { StreamOrigin } from '../core/routing/streamOrigin';
 import { admitRequest } from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
 import { AnswerWriter, pickAnswerMode } from './answerWriter';
@@ -25,9 +28,6 @@
 import { applyNotice } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
-/** Retry-After of a request that reached no server until its deadline, in milliseconds. */
-const UNSENT_RETRY_MS = 500;
-
 /**
  * Admits a request, sends it to a backend server and answers it once. Sends it to another server
  * only if it cannot run twice by mistake: the first did not run it, or its route allows repeats.
@@ -55,6 +55,9 @@
 
   private writer: AnswerWriter;
 
+  /** Version that began the stream, once its head was passed on. */
+  private origin: StreamOrigin | undefined;
+
   private admitted: AdmittedRequest | undefined;
 
   /** Set once the request is admitted and its body is read. */
@@ -124,7 +127,8 @@
     this.retryPolicy = retryPolicy;
     if (!canAnswerInTime(site, admitted, this.facts)) throw makeLeavingError();
     site.retries.recordRequest(admitted.service, clock.now());
-    const stopTimer = startInputTimer(() => this.expire(), this.deadlineAt - clock.now());
+    const remainingMs = this.deadlineAt - clock.now();
+    const stopTimer = startInputTimer(() => this.expire(retryPolicy), remainingMs);
     try {
       await this.tryServers(prepared);
     } finally {
@@ -170,6 +174,7 @@
       facts: this.facts,
       deadlineAt: this.deadlineAt,
       tried: [...this.tried],
+      origin: this.origin,
       guard,
       isAbandoned: () => this.writer.isFinished || isUnneeded(),
       onWaiting: (cancel) => {
@@ -195,6 +200,7 @@
         if (headOutcome) return false;
         this.cancelPick?.();
         this.writer.writeHead(head);
+        if (this.writer.canResume) this.origin ??= readOrigin(worker);
         return true;
       },
       onData: (chunk) => {
@@ -305,7 +311,7 @@
   /** Reserves another send; returns whether it is certain to be allowed if this one is aborted. */
   private reserveRetry({ admitted, retryPolicy }: PreparedRequest, picked?: PickedWorker): boolean {
     return canAnswerInTime(this.parts.site, admitted, this.facts, picked)
-      && retryPolicy.reserveRetry(this.deadlineAt);
+      && retryPolicy.reserveRetry(this.deadlineAt, this.origin);
   }
 
   private async cancelFailover(admitted: AdmittedRequest): Promise<void> {
@@ -314,11 +320,8 @@
     if (picked) this.releasePicked(admitted, picked);
   }
 
-  private expire(): void {
-    const mayHaveRun = this.call?.isSent || this.retryPolicy?.mayHaveRun;
-    const error = mayHaveRun
-      ? new BeechliftError('routeTimeout', 'the answer was not complete at the deadline of the request')
-      : new BeechliftError('noBackend', 'no backend server was reached before the deadline of the request', { retryAfterMs: UNSENT_RETRY_MS });
+  private expire(retryPolicy: RetryPolicy): void {
+    const error = retryPolicy.makeTimeoutError(this.call?.isSent ?? false);
     this.giveUp(error, 'the deadline of the request has passed');
   }
 
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -7,6 +7,10 @@
 import { hasAllowance } from '../core/routing/rateAllowance';
 import { isReachable, isReady } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
+import {
+  explainVersionGone, hasOriginServer, canContinue, VERSION_GONE_RETRY_MS,
+} from '../core/routing/streamOrigin';
+import type { StreamOrigin } from '../core/routing/streamOrigin';
 import { chooseRoutedWorker, isWaitAcceptable } from '../core/routing/workerChoice';
 import { computeBackoffRetryAfterMs, isBackingOff } from '../core/routing/workerBackoff';
 import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
@@ -27,6 +31,8 @@
   readonly deadlineAt: number;
   /** Ids of backend servers that were tried before. */
   readonly tried: readonly string[];
+  /** Set if the request continues a stream: only servers of this version may be chosen. */
+  readonly origin?: StreamOrigin | undefined;
   /** Identifies the request, and knows whether it is suspected of crashing servers. */
   readonly guard: Pick<RequestGuard, 'fingerprint' | 'isUnsuspected'>;
   /** Returns whether the request no longer needs a server. */
@@ -100,13 +106,18 @@
     return this.chooseLocally(request);
   }
 
-  /** Whether any server of a service can accept a request now; the leader keeps limits itself. */
-  hasAvailableWorker(service: string): boolean {
+  /**
+   * Whether any server of a service can accept a request now; the leader keeps limits itself.
+   *
+   * @param origin set if the request continues a stream: only servers of this version count
+   */
+  hasAvailableWorker(service: string, origin?: StreamOrigin): boolean {
     const now = this.parts.clock.now();
     const { site, site: { workers } } = this.parts;
     if (site.reach.isCutOff) return false;
     return (workers.byService.get(service) ?? [])
       .some((worker) => isReady(worker)
+        && canContinue(worker, origin)
         && !isBackingOff(worker.backoff, now)
         && (site.isPlaced(service) || hasAllowance(worker.rateLimit.allowance, now))
         && isReachable(workers, worker, now));
@@ -115,7 +126,7 @@
   private async place(request: PickRequest, requestCount = 1): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const {
-      admitted, facts, tried, guard, deadlineAt,
+      admitted, facts, tried, guard, deadlineAt, origin,
     } = request;
     const {
       account, service, rank, route,
@@ -138,6 +149,7 @@
       tried: [...tried],
       fingerprint: guard.fingerprint,
       avoided: listAvoidedIds(site.workers, service, clock.now()),
+      origin,
     }, deadlineAt);
     if (!reply) return undefined;
     if (reply.code !== 0) {
@@ -148,7 +160,8 @@
      * A server that is leaving must get no new requests. A partitioned leader that was replaced may
      * not know that it is leaving.
      */
-    if (worker?.standing === 'ready' && isEligible(site.workers, worker, clock.now())) {
+    const isUsable = worker?.standing === 'ready' && canContinue(worker, origin);
+    if (isUsable && isEligible(site.workers, worker, clock.now())) {
       recordProbe(worker, clock.now());
       return {
         worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch,
@@ -193,7 +206,7 @@
   }
 
   private chooseLocally({
-    admitted, facts, deadlineAt, tried,
+    admitted, facts, deadlineAt, tried, origin,
   }: PickRequest): PickedWorker {
     const { site, clock } = this.parts;
     const { service, route, rank } = admitted;
@@ -207,9 +220,13 @@
       tried,
       avoided: this.listUnreachable(service),
       requiresFreeSlot: site.isBrittle(service),
+      origin,
     }, now);
     if (!choice && site.reach.isCutOff) throw new BeechliftError('backendsUnreachable', 'this entry reaches no backend server, others may', { retryAfterMs: CUT_OFF_RETRY_MS });
     if (!choice && site.isBrittle(service)) throw new BeechliftError('noSlotInTime', `no server of service "${service}" has a free slot, and they bear few requests that they turn away`, { retryAfterMs: MAX_RETRY_MS });
+    if (!choice && origin && !hasOriginServer(site.workers, origin)) {
+      throw new BeechliftError('streamVersionGone', explainVersionGone(origin), { retryAfterMs: VERSION_GONE_RETRY_MS });
+    }
     if (!choice) throw this.makeNoWorkerError(service);
     if (tried.length === 0 && !isWaitAcceptable(choice, route.targetLatencyMs, rank)) {
       throw new BeechliftError('noSlotInTime', `the estimated wait at service "${service}" is ${Math.round(choice.waitMs)} ms, the target latency is ${route.targetLatencyMs} ms`, {
