Count a server whose software changes under its id as another one

Could happen to callers: where servers keep their id over a restart and report no start time, one that comes back with newer software was taken for the process before it. Its new version was not even told to entries, as a change of the version alone changed no record; a stream of the earlier version would have continued at it.

Cause: the version belongs to an incarnation and was not part of its identity. Now it is: a record changes with it, and the server gets a new object with counts and statistics of its own, so that streams that are open at the earlier one keep the version that they began at.

The test fails before (both objects have version v2).

--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -1,4 +1,4 @@
-import type { WorkerLoad, WorkerRecord } from '../../protocol/generated/beechlift';
+import type { WorkerAnnouncement, WorkerLoad, WorkerRecord } from '../../protocol/generated/beechlift';
 import { addSample, makeLinearFit } from './linearFit';
 import type { LinearFit } from './linearFit';
 import { makeMechanisms } from './mechanisms';
@@ -24,8 +24,8 @@
   readonly id: string;
   /** Identifies its incarnation: another one under the same id counts as another server. */
   readonly born: number;
-  /** Version of its software; empty if it announces none. */
-  software: string;
+  /** Version of its software, empty if it announces none; another one is another incarnation. */
+  readonly software: string;
   service: string;
   address: string;
   zone: string;
@@ -126,10 +126,11 @@
   mechanisms,
 });
 
-const makeWorker = (id: string, born: number): RoutedWorker => ({
-  id,
-  born,
-  software: '',
+/** What identifies an incarnation of a server. */
+type WorkerIdentity = Pick<RoutedWorker, 'id' | 'born' | 'software'>;
+
+const makeWorker = (identity: WorkerIdentity): RoutedWorker => ({
+  ...identity,
   service: '',
   address: '',
   zone: '',
@@ -166,9 +167,13 @@
  * pace, failures, suspension and open requests. Requests that are still open at the earlier
  * incarnation remain counted on its own object.
  */
-const findOrMakeWorker = ({ byId }: RoutedWorkers, id: string, born: number): RoutedWorker => {
+const findOrMakeWorker = (
+  { byId }: RoutedWorkers,
+  { workerId: id, born, software }: WorkerAnnouncement,
+): RoutedWorker => {
   const existing = byId.get(id);
-  return existing?.born === born ? existing : makeWorker(id, born);
+  const isSame = existing?.born === born && existing.software === software;
+  return isSame ? existing : makeWorker({ id, born, software });
 };
 
 const applyRecord = (
@@ -177,8 +182,7 @@
   now: number,
 ): void => {
   if (!announcement) return;
-  const worker = findOrMakeWorker(workers, announcement.workerId, announcement.born);
-  worker.software = announcement.software || worker.software;
+  const worker = findOrMakeWorker(workers, announcement);
   worker.service = announcement.service || worker.service;
   worker.address = announcement.address || worker.address;
   worker.zone = announcement.zone || worker.zone;
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -123,6 +123,7 @@
     || previous.address !== announcement.address
     || previous.slots !== announcement.slots
     || previous.service !== announcement.service
+    || previous.software !== announcement.software
     || (previous.coldMs > 0) !== (announcement.coldMs > 0);
 };
 
--- a/tests/core/worker-incarnations.spec.ts
+++ b/tests/core/worker-incarnations.spec.ts
@@ -24,6 +24,25 @@
   return worker && [worker.said.born - START_TIME, worker.standing];
 };
 
+describe('a server whose software changes under the same id', () => {
+  // Without a start time, only the version tells that another process runs. A stream of the earlier
+  // one must not continue at it, nor count as begun by the later version.
+  it('should count as another server', () => {
+    const table = makeWorkerTable('e');
+    const workers = makeRoutedWorkers();
+    const announce = (software: string, sequence: number) => {
+      applyAnnouncement(table, makeAnnouncement({ software, sequence, born: 0 }), sequence);
+      applyRecords(workers, listChangedWorkers(table, '', 0), sequence);
+      return [...workers.byId.values()][0];
+    };
+    const earlier = announce('v1', 1);
+    const later = announce('v2', 2);
+    expect([earlier?.software, later?.software]).toEqual(['v1', 'v2']);
+    expect(later).not.toBe(earlier);
+    expect(table.revision).toBe(2);
+  });
+});
+
 describe('backend server that restarts under its id', () => {
   /*
    * A server crashes and restarts a second later under the same id. It numbers its announcements
