Draw the service of a taken-up stream as for the attempt that began it

What callers would see: on a route that is split between services by weight, a stream that they take up went to the other service as often as its weight says. Since streams continue only at the version that began them, it is refused there (2013); before, what two programs wrote was joined.

Cause: the draw was a random number for each attempt. Now it is computed from the id of the attempt that began the stream, or from the request's own. It costs no state and stays right as long as the weights do; where a new document moves the route meanwhile, the stream is refused, as the new service cannot continue it.

Found by looking for the same cause elsewhere.

--- a/src/core/routing/routeTable.ts
+++ b/src/core/routing/routeTable.ts
@@ -102,11 +102,11 @@
   kind === 'stream' && isResumable);
 
 /**
- * Picks the target service of a request at random, by weight.
+ * Picks the target service of a request by weight.
  *
- * @param draw a random number from 0 (inclusive) to 1 (exclusive)
+ * @param draw a number from 0 (inclusive) to 1 (exclusive)
  * @example
- * const service = pickTarget(route.targets, Math.random());
+ * const service = pickTarget(route.targets, drawTargetShare(facts));
  */
 export const pickTarget = (targets: readonly RouteTarget[], draw: number): string => {
   const total = targets.reduce((sum, { weight }) => sum + weight, 0);
--- a/src/entry/callers/callerApi.ts
+++ b/src/entry/callers/callerApi.ts
@@ -10,6 +10,7 @@
 import { failHop } from '../../telemetry/tracing';
 import { isKeyOf } from '../../utils/secretKey';
 import { computeSha256 } from '../../utils/canonicalJson';
+import { computeHashFraction } from '../../utils/hashFraction';
 import type { Clock } from '../../utils/clock';
 import { Operation } from '../../utils/operation';
 import type { ActiveTable } from './activeTable';
@@ -336,7 +337,7 @@
     manifest: Manifest,
     { name, account }: KnownAccount,
   ): readonly string[] | undefined {
-    const hashFraction = parseInt(computeSha256(`migration:${name}`).slice(0, 8), 16) / 0x1_0000_0000;
+    const hashFraction = computeHashFraction(`migration:${name}`);
     const rules = [
       manifest.migration[name], ...account.tiers.map((tier) => manifest.migration[tier]),
     ];
--- a/src/relay/admitRequest.ts
+++ b/src/relay/admitRequest.ts
@@ -57,16 +57,16 @@
 /**
  * Decides whether a request may be sent, and to which service; throws the refusal otherwise.
  *
- * @param randomValue a random number in [0, 1) that selects one of several targets of a route
+ * @param draw a number from 0 to 1 that selects one of several targets of a route
  * @example
- * const admitted = admitRequest(site, facts, 'shop.example', '/orders/7', Math.random());
+ * const admitted = admitRequest(site, facts, 'shop.example', '/orders/7', drawTargetShare(facts));
  */
 export const admitRequest = (
   site: RelaySite,
   facts: RequestFacts,
   host: string,
   target: string,
-  randomValue: number,
+  draw: number,
 ): AdmittedRequest => {
   const table = requireTable(site);
   const route = table.findRoute(host, target);
@@ -74,7 +74,7 @@
   const account = findAccount(table, route, facts);
   return {
     route,
-    service: pickTarget(route.targets, randomValue),
+    service: pickTarget(route.targets, draw),
     account,
     rank: table.computeRank(route, account),
     version: table.routing.version,
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -10,6 +10,7 @@
 import { AttemptTracker } from './attemptTracker';
 import type { AttemptOutcome } from './attemptTracker';
 import { checkAnswerHead, settleAttempt } from './attemptOutcome';
+import { drawTargetShare } from './drawTargetShare';
 import { computeLeaseWaitMs } from './leaseWait';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest } from './openRequests';
@@ -113,7 +114,7 @@
     const host = this.request.headers.host ?? '';
     const { leaseWait } = site.workers.mechanisms;
     if (leaseWait && !site.isServing) await site.waitServing(computeLeaseWaitMs(this.facts));
-    const admitted = admitRequest(site, this.facts, host, this.target, Math.random());
+    const admitted = admitRequest(site, this.facts, host, this.target, drawTargetShare(this.facts));
     this.admitted = admitted;
     const { route } = admitted;
     const maxWaitMs = Math.min(route.timeoutMs, this.facts.maxWaitMs ?? Infinity);
@@ -184,9 +185,7 @@
   }
 
   private async attempt(prepared: PreparedRequest, picked: PickedWorker): Promise<AttemptOutcome> {
-    const {
-      admitted, body, guard, retryPolicy,
-    } = prepared;
+    const { admitted, guard, retryPolicy } = prepared;
     const { worker } = picked;
     const { connections } = this.parts;
     const connection = connections.acquire(worker.address);
@@ -216,7 +215,7 @@
       () => this.handleSilence(prepared, worker, call),
       computeSilenceMs(admitted.route),
     );
-    const callOutcome = await call.run(this.buildUpstreamRequest(admitted, worker, body));
+    const callOutcome = await call.run(this.buildUpstreamRequest(admitted, worker, prepared.body));
     this.log.call = call.summarize();
     stopSilenceTimer();
     tracker.releaseWorker();
