Do not count failures of entries that are cut off against servers

What callers saw: where some entries lost their links to the engines, all entries refused for want of a slot, also those that reached every engine.

Cause: a server was suspended for the whole site once two entries had failed there, and two entries that reach no server fail everywhere. An entry that fails at three servers of a service in a row, with no progress there in between, now counts as cut off from it, and against none of its servers. Its own pauses stay.

--- a/src/core/routing/placementUpdates.ts
+++ b/src/core/routing/placementUpdates.ts
@@ -32,7 +32,7 @@
 
 /** Records that a server works on a request, so that it is up and its entry reaches it. */
 const recordProgress = (tables: PlacementTables, { request, worker }: PlacedRequest): void => {
-  tables.reach.recordSuccess(request.entryId, worker.id);
+  tables.reach.recordSuccess(request.entryId, worker);
   clearSuspension(worker);
 };
 
@@ -83,7 +83,7 @@
   },
   unreached: (tables, placed, update, now) => {
     const worker = releaseSlot(tables, placed);
-    const failedEntries = tables.reach.recordFailure(placed.request.entryId, worker.id, now);
+    const failedEntries = tables.reach.recordFailure(placed.request.entryId, worker, now);
     if (failedEntries >= MIN_FAILED_ENTRIES) suspendWorker(worker, now);
   },
 };
