Pause a pair of entry and server for a second at most

What callers saw: three seconds after a cut between entries and engines had ended, the entries still refused for want of a slot.

Cause: the pause of a pair doubled with each failure, up to the 5 s of a suspended server, so a cut of six seconds kept its entries away for up to five more. A pair that is tried once a second costs its entry one request that is sent elsewhere; more than that is not gained by waiting longer.

The test fails before.

--- a/src/core/routing/pairReach.ts
+++ b/src/core/routing/pairReach.ts
@@ -4,6 +4,8 @@
 /** Interval at which what is gone is forgotten, in milliseconds. */
 const PRUNE_INTERVAL_MS = 1_000;
 
+/** Longest time for which an entry gets no slot at a server that it did not reach, in ms. */
+const MAX_PAUSE_MS = 1_000;
 /** Servers at which an entry fails in a row before it counts as cut off from their service. */
 const MIN_FAILED_SERVERS = 3;
 
@@ -44,7 +46,7 @@
   recordFailure(entryId: string, { id: workerId, service }: ServiceMember, now: number): number {
     const servers = this.pauses.get(entryId) ?? new Map<string, Suspension>();
     const pause = servers.get(workerId) ?? makeSuspension();
-    suspendWorker(pause, now);
+    suspendWorker(pause, now, MAX_PAUSE_MS);
     servers.set(workerId, pause);
     this.pauses.set(entryId, servers);
     const entries = (this.failedEntries.get(workerId) ?? new Set()).add(entryId);
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -304,11 +304,19 @@
   if (sample.paceMs > 0) recordPace(worker, sample.paceMs);
 };
 
-/** Suspends a server that a request did not reach, or whose connection broke. */
-export const suspendWorker = (suspension: Suspension, now: number): void => {
+/**
+ * Suspends a server that a request did not reach, or whose connection broke.
+ *
+ * @param maxMs longest suspension, in milliseconds
+ */
+export const suspendWorker = (
+  suspension: Suspension,
+  now: number,
+  maxMs = MAX_SUSPENSION_MS,
+): void => {
   if (now < suspension.suspendedUntil) return;
   suspension.suspendedUntil = now + suspension.suspensionMs;
-  suspension.suspensionMs = Math.min(MAX_SUSPENSION_MS, suspension.suspensionMs * 2);
+  suspension.suspensionMs = Math.min(maxMs, suspension.suspensionMs * 2);
 };
 
 /** Whether a server accepts new requests, according to control and to its own answers. */
--- a/tests/core/pair-reach.spec.ts
+++ b/tests/core/pair-reach.spec.ts
@@ -24,6 +24,18 @@
     expect(counts).toEqual([1, 2]);
   });
 
+  // A cut of seconds must not keep an entry from servers for seconds after it.
+  it('should keep an entry from a server for a second at most', () => {
+    const reach = new PairReach();
+    const server = { id: 'w0', service: SERVICE };
+    const failAgain = (now: number): number => {
+      if (reach.listPaused('e1', now).length === 0) reach.recordFailure('e1', server, now);
+      return now;
+    };
+    const lastAt = Array.from({ length: 700 }, (unused, step) => failAgain(10 * step)).at(-1) ?? 0;
+    expect(reach.listPaused('e1', lastAt + 1_000)).toEqual([]);
+  });
+
   // An entry may lose the servers of one service and reach those of another.
   it('should count for each service by itself', () => {
     const reach = new PairReach();
