Refuse a request whose entry reaches no server as such

What callers saw: an entry that had lost the engines told its callers to come back after 2 to 5 s, as in a burst, while other entries served at once; and the same while all engines were down for three.

Cause: a service without a server that the entry reaches, and one that is full, were the same to the leader: both have no free slot.

--- a/src/core/routing/pairReach.ts
+++ b/src/core/routing/pairReach.ts
@@ -6,6 +6,8 @@
 
 /** Longest time for which an entry gets no slot at a server that it did not reach, in ms. */
 const MAX_PAUSE_MS = 1_000;
+/** How long the progress of a request shows that its service can be reached, in milliseconds. */
+const REACHED_MS = 1_000;
 /** Servers at which an entry fails in a row before it counts as cut off from their service. */
 const MIN_FAILED_SERVERS = 3;
 
@@ -37,8 +39,16 @@
   /** Servers at which an entry has failed since its last success at its service, by both. */
   private readonly failedServers = new Map<string, Set<string>>();
 
+  /** When a request of any entry last made progress, by service. */
+  private readonly reachedAt = new Map<string, number>();
+
   private prunedAt = -Infinity;
 
+  /** Whether any entry has recently reached a server of a service. */
+  isReachedByAny(service: string, now: number): boolean {
+    return now - (this.reachedAt.get(service) ?? -Infinity) < REACHED_MS;
+  }
+
   /**
    * Records a failure; returns how many entries have failed there since the last success, without
    * those that are cut off from its service.
@@ -57,7 +67,8 @@
   }
 
   /** Records that a request of an entry made progress at a server. */
-  recordSuccess(entryId: string, { id: workerId, service }: ServiceMember): void {
+  recordSuccess(entryId: string, { id: workerId, service }: ServiceMember, now: number): void {
+    this.reachedAt.set(service, now);
     this.failedEntries.delete(workerId);
     this.failedServers.delete(formatPair(entryId, service));
     this.pauses.get(entryId)?.delete(workerId);
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -16,6 +16,7 @@
 import { chooseFreeWorker, chooseIsolatedWorker, readRestriction } from './freeSlot';
 import { makeComparator } from './placementOrder';
 import { computeMaxWaitMs, estimateWaitMs } from './placementWait';
+import { isReady } from './routedWorkers';
 import type { RoutedWorkers } from './routedWorkers';
 import {
   explainVersionGone, ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_RETRY_MS, VERSION_GONE_RETRY_MS,
@@ -38,7 +39,8 @@
   | {
     readonly kind: 'refuse';
     readonly id: string;
-    readonly code: 'noSlotInTime' | 'requestQuarantined' | 'streamVersionGone' | 'streamOriginUnknown';
+    readonly code: 'noSlotInTime' | 'requestQuarantined' | 'streamVersionGone' | 'streamOriginUnknown'
+      | 'backendsUnreachable';
     readonly reason: string;
     readonly retryAfterMs: number;
   };
@@ -52,6 +54,10 @@
 const MAX_RETRY_MS = 5_000;
 const RETRY_SPREAD_STEPS = 8;
 const RETRY_SPREAD_STEP_MS = 250;
+/** Retry-After if an entry reaches no server, in milliseconds: other entries can serve at once. */
+const OTHER_ENTRY_RETRY_MS = 250;
+/** Least Retry-After if no entry reaches a server, in milliseconds: a crashed one may restart. */
+const OUTAGE_RETRY_MS = 1_000;
 /** Limit on waiting requests over all services. */
 const MAX_WAITING = 4_096;
 
@@ -72,6 +78,9 @@
   refusals: 0,
 });
 
+const computeRetrySpreadMs = ({ refusals }: PlacementTables): number => (
+  (refusals % RETRY_SPREAD_STEPS) * RETRY_SPREAD_STEP_MS);
+
 const refuse = (
   tables: PlacementTables,
   request: SlotRequest,
@@ -81,7 +90,7 @@
   tables.waiting.delete(request.id);
   tables.refusals += 1;
   const waitMs = estimateWaitMs(tables, request, now);
-  const spreadMs = (tables.refusals % RETRY_SPREAD_STEPS) * RETRY_SPREAD_STEP_MS;
+  const spreadMs = computeRetrySpreadMs(tables);
   return {
     kind: 'refuse',
     id: request.id,
@@ -194,6 +203,37 @@
   return { ...request, avoidedIds: [...request.avoidedIds ?? [], ...unreached] };
 };
 
+/** Whether the entry of a request does not reach any server of its service. */
+const isEntryCutOff = (
+  { workers, reach }: PlacementTables,
+  { service, entryId }: SlotRequest,
+  now: number,
+): boolean => {
+  const unreached = reach.listPaused(entryId, now);
+  if (unreached.length === 0) return false;
+  const ready = (workers.byService.get(service) ?? []).filter(isReady);
+  return ready.length > 0 && ready.every(({ id }) => unreached.includes(id));
+};
+
+const refuseUnreached = (
+  tables: PlacementTables,
+  { id, service }: SlotRequest,
+  now: number,
+): PlacementDecision => {
+  tables.waiting.delete(id);
+  tables.refusals += 1;
+  const isReachedByOthers = tables.reach.isReachedByAny(service, now);
+  return {
+    kind: 'refuse',
+    id,
+    code: 'backendsUnreachable',
+    reason: `this entry reaches no server of service "${service}", ${isReachedByOthers ? 'others do' : 'nor does any other'}`,
+    retryAfterMs: isReachedByOthers
+      ? OTHER_ENTRY_RETRY_MS
+      : OUTAGE_RETRY_MS + computeRetrySpreadMs(tables),
+  };
+};
+
 const decideWaiting = (
   tables: PlacementTables,
   waiting: SlotRequest,
@@ -204,6 +244,7 @@
   if (kind === 'learning') return undefined;
   if (kind === 'unknown') return refuseOriginUnknown(tables, waiting);
   if (kind === 'gone') return refuseVersionGone(tables, checked);
+  if (isEntryCutOff(tables, checked, now)) return refuseUnreached(tables, checked, now);
   const request = addUnreached(tables, checked, now);
   const restriction = readRestriction(tables, request);
   if (restriction.kind === 'refused') return refuseQuarantined(tables, request, restriction);
--- a/src/core/routing/placementUpdates.ts
+++ b/src/core/routing/placementUpdates.ts
@@ -31,8 +31,12 @@
 };
 
 /** Records that a server works on a request, so that it is up and its entry reaches it. */
-const recordProgress = (tables: PlacementTables, { request, worker }: PlacedRequest): void => {
-  tables.reach.recordSuccess(request.entryId, worker);
+const recordProgress = (
+  tables: PlacementTables,
+  { request, worker }: PlacedRequest,
+  now: number,
+): void => {
+  tables.reach.recordSuccess(request.entryId, worker, now);
   clearSuspension(worker);
 };
 
@@ -53,7 +57,7 @@
 const makeEndHandler = (isFailed: boolean): UpdateHandler => (tables, placed, update, now) => {
   const { request, placedAt, pendingTokensBefore } = placed;
   const worker = releaseSlot(tables, placed);
-  if (!isFailed) recordProgress(tables, placed);
+  if (!isFailed) recordProgress(tables, placed, now);
   recordAnswer(tables.workers, worker, {
     holdMs: now - placedAt,
     paceMs: 0,
@@ -67,10 +71,10 @@
 const MIN_FAILED_ENTRIES = 2;
 
 const updateHandlers: Record<PlacementUpdate['phase'], UpdateHandler> = {
-  running: (tables, placed, update) => {
+  running: (tables, placed, update, now) => {
     markStarted(placed);
     recordStreamStart(tables, placed.request, placed.worker);
-    recordProgress(tables, placed);
+    recordProgress(tables, placed, now);
     if (update.paceMs > 0) recordPace(placed.worker, update.paceMs);
   },
   ended: makeEndHandler(false),
--- a/tests/core/pair-reach.spec.ts
+++ b/tests/core/pair-reach.spec.ts
@@ -18,7 +18,7 @@
     const reach = new PairReach();
     const counts = ['e1', 'e2'].map((entryId) => {
       SERVERS.slice(1).forEach((id) => reach.recordFailure(entryId, { id, service: SERVICE }, 0));
-      reach.recordSuccess(entryId, { id: 'w5', service: SERVICE });
+      reach.recordSuccess(entryId, { id: 'w5', service: SERVICE }, 0);
       return reach.recordFailure(entryId, { id: 'w0', service: SERVICE }, 0);
     });
     expect(counts).toEqual([1, 2]);
@@ -40,7 +40,7 @@
   it('should count for each service by itself', () => {
     const reach = new PairReach();
     SERVERS.forEach((id) => reach.recordFailure('e1', { id, service: SERVICE }, 0));
-    reach.recordSuccess('e1', { id: 'd0', service: 'desk' });
+    reach.recordSuccess('e1', { id: 'd0', service: 'desk' }, 0);
     expect(reach.recordFailure('e1', { id: 'w6', service: SERVICE }, 0)).toBe(0);
     expect(reach.recordFailure('e1', { id: 'd1', service: 'desk' }, 0)).toBe(1);
   });
