Copy origins of streams to followers soon only while versions differ

While all servers of each service have one version, nobody needs an origin at once: a stream that nobody knows continues at that version.

Tests of both are new.

--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -2,6 +2,7 @@
 import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { NO_REVISION } from '../core/routing/listVersion';
+import { hasMixedService } from '../core/routing/workerTable';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import type { Clock } from '../utils/clock';
 import type { HeldCalls } from '../utils/heldCalls';
@@ -163,9 +164,11 @@
     if (!isDue) await this.holdFollower(request, holdMs - stepMs);
   }
 
+  /** Whether a follower lacks origins; they matter while the versions of a service differ. */
   private hasNewOrigins(request: WatchRequest): boolean {
-    const { origins, registry } = this.parts;
-    return origins.revision > readOriginsRevision(request, registry.table.epoch);
+    const { origins, registry: { table } } = this.parts;
+    const isNew = origins.revision > readOriginsRevision(request, table.epoch);
+    return isNew && hasMixedService(table);
   }
 
   private hasUpdates(request: WatchRequest): boolean {
--- a/src/core/routing/streamOrigins.ts
+++ b/src/core/routing/streamOrigins.ts
@@ -5,7 +5,7 @@
 /** Most records in one list, so that a message stays far below the limit of the transport. */
 const MAX_LISTED = 5_000;
 /** Interval at which expired records are dropped, in milliseconds. */
-const EXPIRE_INTERVAL_MS = 1_000;
+const EXPIRE_INTERVAL_MS = 5_000;
 /** How long the origin of a stream is kept after its deadline, in milliseconds. */
 export const ORIGIN_RETENTION_MS = 5_000;
 
@@ -46,6 +46,9 @@
   /** By id, in the order of their last change. */
   private readonly records = new Map<string, StoredRecord>();
 
+  /** The latest changes, one for each revision. */
+  private recentChanges: StoredRecord[] = [];
+
   private lastRevision = 0;
 
   private expiredAt = -Infinity;
@@ -83,10 +86,8 @@
 
   /** Lists the records that changed after a revision, oldest change first. */
   listChanged(sinceRevision: number): OriginChanges {
-    const changed = [...this.records.values()]
-      .filter(({ revision }) => revision > sinceRevision)
-      .slice(0, MAX_LISTED);
-    return { records: changed, revision: changed.at(-1)?.revision ?? this.lastRevision };
+    const records = this.listNewer(sinceRevision).slice(0, MAX_LISTED);
+    return { records, revision: records.at(-1)?.revision ?? this.lastRevision };
   }
 
   /** Adopts a record of another process. */
@@ -103,10 +104,24 @@
     });
   }
 
+  /** Searches all records only for a client that lacks more than the recent changes. */
+  private listNewer(sinceRevision: number): readonly StoredRecord[] {
+    const [oldest] = this.recentChanges;
+    if (oldest && oldest.revision <= sinceRevision + 1) {
+      return this.recentChanges.slice(sinceRevision + 1 - oldest.revision);
+    }
+    return [...this.records.values()].filter(({ revision }) => revision > sinceRevision);
+  }
+
   private store(record: OriginRecord, hasBegun: boolean): void {
     this.lastRevision += 1;
+    const stored = { ...record, hasBegun, revision: this.lastRevision };
     this.records.delete(record.id);
-    this.records.set(record.id, { ...record, hasBegun, revision: this.lastRevision });
+    this.records.set(record.id, stored);
+    this.recentChanges.push(stored);
+    if (this.recentChanges.length > 2 * MAX_LISTED) {
+      this.recentChanges = this.recentChanges.slice(-MAX_LISTED);
+    }
     if (this.records.size <= MAX_RECORDS) return;
     const [oldest = ''] = this.records.keys();
     this.records.delete(oldest);
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -300,6 +300,21 @@
   )
 );
 
+/**
+ * Whether servers of one service have or had recently several software versions.
+ *
+ * @example
+ * if (hasMixedService(table)) copyStreamOriginsSoon();
+ */
+export const hasMixedService = ({ workers }: WorkerTable): boolean => {
+  const versions = new Map<string, string>();
+  return [...workers.values()].some(({ said: { service, software } }) => {
+    const other = versions.get(service);
+    versions.set(service, software);
+    return other !== undefined && other !== software;
+  });
+};
+
 /**
  * Lists the servers that changed since a revision, or all of them when the revision belongs to
  * another table.
--- a/tests/control/watch-service.spec.ts
+++ b/tests/control/watch-service.spec.ts
@@ -9,12 +9,14 @@
 import { WorkMeter } from '../../src/control/workMeter';
 import { NO_DOCUMENT } from '../../src/core/routing/siteDocument';
 import { StreamOrigins } from '../../src/core/routing/streamOrigins';
-import { WatchRequest } from '../../src/protocol/generated/beechlift';
+import { WatchRequest, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
 import { systemClock } from '../../src/utils/clock';
 import { HeldCalls } from '../../src/utils/heldCalls';
 
 const ENTRIES = 200;
+/** How long a follower lets its watch request be held, in milliseconds. */
+const FOLLOW_HOLD_MS = 900;
 /** Interval at which a leader sends heartbeats, in milliseconds. */
 const HEARTBEAT_MS = 25;
 
@@ -40,6 +42,7 @@
     watches,
     countEntries: () => ENTRIES,
   });
+  const origins = new StreamOrigins();
   const service = new WatchService({
     registry,
     suspects: new SuspectRegistry({
@@ -50,7 +53,7 @@
       watches,
       countEntries: () => ENTRIES,
     }),
-    origins: new StreamOrigins(),
+    origins,
     recoveryWindow: new RecoveryWindow(systemClock, false),
     watches,
     clock: systemClock,
@@ -70,10 +73,33 @@
       leaderState,
     }),
   });
-  return { desk: service, workersEpoch: registry.table.epoch };
+  return {
+    desk: service, workersEpoch: registry.table.epoch, registry, origins,
+  };
 };
 
 describe('the watch service of a leader', () => {
+  // While all servers of a service have one version, followers need no origins of streams at once:
+  // each reply costs both sides processor time.
+  it.each([[['v1', 'v1'], false], [['v1', 'v2'], true]] as const)('should give followers new origins of streams soon if versions differ: %j', async (versions, isSoon) => {
+    const { desk: service, registry, origins } = makeService(new HeldCalls(), () => undefined);
+    versions.forEach((software, position) => registry.applyAnnouncement(
+      WorkerAnnouncement.fromPartial({
+        workerId: `w${position}`, service: 'rooms', software, address: `10.0.0.${position}:80`, state: 'ready', sequence: 1,
+      }),
+    ));
+    const { epoch: workersEpoch, revision: workersRevision } = registry.table;
+    const watched = service.watch(WatchRequest.fromPartial({
+      holdMs: FOLLOW_HOLD_MS, workersEpoch, workersRevision, documentDigest: NO_DOCUMENT.digest,
+    }));
+    const from = performance.now();
+    origins.recordGrant('9c41', { service: 'rooms', software: 'v1' }, Infinity);
+    const reply = await watched;
+    const tookMs = performance.now() - from;
+    expect(reply.origins.map(({ requestId }) => requestId)).toEqual(['9c41']);
+    expect(tookMs < FOLLOW_HOLD_MS / 2).toBe(isSoon);
+  });
+
   /*
    * Four changes were accepted within half a second. After each, the leader answered two hundred
    * entries in one turn of its event loop and sent no heartbeat meanwhile. Two leaders were
--- a/tests/core/stream-origins.spec.ts
+++ b/tests/core/stream-origins.spec.ts
@@ -47,6 +47,17 @@
       .toEqual([100_000, undefined, V1]);
   });
 
+  it('should be copied to a follower that has none, or lacks more than the recent changes', () => {
+    const origins = new StreamOrigins();
+    Array.from({ length: 10_500 }, (unused, number) => (
+      origins.recordGrant(`s${number}`, V1, EXPIRES_AT)));
+    [0, 100, 10_400].forEach((revision) => {
+      const { records } = origins.listChanged(revision);
+      expect(records[0]?.id).toBe(`s${revision}`);
+      expect(records).toHaveLength(Math.min(5_000, 10_500 - revision));
+    });
+  });
+
   it('should be copied in portions, with every later change', () => {
     const [leader, follower] = [new StreamOrigins(), new StreamOrigins()];
     let revision = 0;
