--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -8,11 +8,10 @@
 import { ServerReach } from '../core/routing/serverReach';
 import { ServiceRetryBudget } from '../core/routing/serviceRetryBudget';
 import type { RetryBounds } from '../core/routing/serviceRetryBudget';
-import {
-  applyLoads, applyRecords, resetPlaced, listLoads, makeRoutedWorkers, setConnectionShares,
-} from '../core/routing/routedWorkers';
+import { applyRecords, makeRoutedWorkers, setConnectionShares } from '../core/routing/routedWorkers';
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
+import { applyLoads, listLoads, resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
 import type { RateSharing } from '../core/routing/workerRateLimit';
 import type { RoutingReader } from '../manifest/routing';
--- a/tests/core/mechanisms.spec.ts
+++ b/tests/core/mechanisms.spec.ts
@@ -6,8 +6,9 @@
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
 import { computeMaxWaitMs, estimateWaitMs } from '../../src/core/routing/placementWait';
 import {
-  applyLoads, applyRecords, makeRoutedWorkers, recordAnswer, recordPace, suspendWorker,
+  applyRecords, makeRoutedWorkers, recordAnswer, recordPace, suspendWorker,
 } from '../../src/core/routing/routedWorkers';
+import { applyLoads } from '../../src/core/routing/workerLoads';
 import type { RoutedWorker } from '../../src/core/routing/routedWorkers';
 import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
 import { WorkerLoad, WorkerRecord } from '../../src/protocol/generated/beechlift';
--- a/tests/core/work-per-decision.spec.ts
+++ b/tests/core/work-per-decision.spec.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import { LeaderState } from '../../src/control/leaderState';
 import {
-  applyRecords, listLoads, makeRoutedWorkers, recordPace,
+  applyRecords, makeRoutedWorkers, recordPace,
 } from '../../src/core/routing/routedWorkers';
+import { listLoads } from '../../src/core/routing/workerLoads';
 import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
 import { WatchRequest, WorkerLoad, WorkerRecord } from '../../src/protocol/generated/beechlift';
