Bound the streams that an entry without a leader has to report

Found by reading the change: the list of streams for the next leader had no bound while there was none. Now the 5,000 latest wait. Imports sorted where the change had put them at the end.

--- a/src/control/leaderFollower.ts
+++ b/src/control/leaderFollower.ts
@@ -4,10 +4,10 @@
 import { WatchRequest as WatchRequestCodec } from '../protocol/generated/beechlift';
 import { EntryList } from '../core/routing/entryList';
 import { ListVersion } from '../core/routing/listVersion';
+import { toOriginRecord } from '../core/routing/originRecords';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import { needsRecord } from '../core/routing/workerTable';
 import type { Clock } from '../utils/clock';
-import { toOriginRecord } from '../core/routing/originRecords';
 import type { RecoveryWindow } from './recoveryWindow';
 import type { SuspectRegistry } from './suspectRegistry';
 import type { WorkerRegistry } from './workerRegistry';
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -12,15 +12,15 @@
 import { NO_TIMINGS } from '../core/routing/placementTables';
 import type { SlotRequest, PlacementTables } from '../core/routing/placementTables';
 import type { Mechanisms } from '../core/routing/mechanisms';
+import { toOriginRecord } from '../core/routing/originRecords';
 import { applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
-import { applyLoads } from '../core/routing/workerLoads';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
+import { applyLoads } from '../core/routing/workerLoads';
 import { applyNamedRates, listRateLimits } from '../core/routing/workerRateLimit';
 import { resultCodes } from '../errors/resultCodes';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
-import { toOriginRecord } from '../core/routing/originRecords';
 import type { PlacementStream } from './placementStream';
 
 const REPORT_PHASES: readonly string[] = ['running', 'ended', 'failed', 'dropped', 'rejected', 'unreached'];
--- a/src/relay/begunStreams.ts
+++ b/src/relay/begunStreams.ts
@@ -4,8 +4,8 @@
 import type { OriginRecord } from '../core/routing/streamOrigins';
 import type { StreamOriginRecord } from '../protocol/generated/beechlift';
 
-/** Most streams in one message to the leader. */
-const MAX_REPORTED = 5_000;
+/** Most streams that wait to be reported to a leader; the oldest are dropped. */
+const MAX_UNREPORTED = 5_000;
 
 /** A stream that this entry carries. */
 export interface BegunStream {
@@ -34,7 +34,7 @@
     ids.forEach((id) => {
       const record = { id, origin, expiresAt: deadlineAt + ORIGIN_RETENTION_MS };
       this.origins.recordStart(record);
-      if (!isKnown) this.unreported.set(id, record);
+      if (!isKnown) this.addUnreported(record);
     });
   }
 
@@ -62,8 +62,14 @@
   /** Returns the streams that the leader does not know and marks them as reported. */
   takeUnreported(now: number): StreamOriginRecord[] {
     this.origins.expire(now);
-    const records = [...this.unreported.values()].slice(-MAX_REPORTED);
+    const records = [...this.unreported.values()];
     this.unreported.clear();
     return records.map((record) => formatOriginRecord(record, now));
   }
+
+  private addUnreported(record: OriginRecord): void {
+    this.unreported.set(record.id, record);
+    const [oldest = ''] = this.unreported.keys();
+    if (this.unreported.size > MAX_UNREPORTED) this.unreported.delete(oldest);
+  }
 }
