Test: streams go on at their version when processes are killed

The tests of the fix ran one site in a process, whose entries end in an orderly way. This one starts the programs as on the platform and kills an entry, alone and with the leader, by SIGKILL: 12 streams of two versions each, taken up at the other entry with the platform's own headers.

--- /dev/null
+++ b/tests/fakes/platformSite.ts
@@ -0,0 +1,145 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { request } from 'undici';
+import { findFreeAddress } from './freeAddress';
+
+const PROGRAM = resolve('target/beechlift.cjs');
+/** Time after its acknowledgement in which all entries must apply a change, in milliseconds. */
+export const APPLY_MS = 2_500;
+
+const parsePort = (address: string): string => address.slice(address.lastIndexOf(':') + 1);
+
+/**
+ * A site of three control replicas and two entries, started like on the platform. Each machine has
+ * an IP address of its own.
+ */
+export class PlatformSite {
+  readonly entryPort: string;
+
+  readonly operatorPort: string;
+
+  readonly readinessPort: string;
+
+  private readonly folder = mkdtempSync(join(tmpdir(), 'platform-'));
+
+  private readonly processes = new Map<string, ChildProcess>();
+
+  private constructor(private readonly ports: readonly string[]) {
+    const [entryPort = '', operatorPort = '', , readinessPort = ''] = ports;
+    this.entryPort = entryPort;
+    this.operatorPort = operatorPort;
+    this.readinessPort = readinessPort;
+  }
+
+  static async open(): Promise<PlatformSite> {
+    const addresses = await Promise.all(Array.from({ length: 5 }, findFreeAddress));
+    return new PlatformSite(addresses.map(parsePort));
+  }
+
+  startControl(machine: number, isFirstStart: boolean): void {
+    const ip = `127.0.0.${machine}`;
+    this.startProcess(`control-${machine}`, 'control', {
+      ...this.buildCommon(ip),
+      operatorAddress: `${ip}:${this.operatorPort}`,
+      dataFolder: join(this.folder, `data-${machine}`),
+      isFirstStart,
+      replicaLosses: 1,
+      revokeMs: 5_000,
+      applyMs: APPLY_MS,
+      limitSlack: 1_000,
+    });
+  }
+
+  startEntry(machine: number): void {
+    const ip = `127.0.0.${machine}`;
+    this.startProcess(`entry-${machine}`, 'relay', {
+      ...this.buildCommon(ip),
+      callerAddress: `${ip}:${this.entryPort}`,
+      readinessAddress: `${ip}:${this.readinessPort}`,
+      graceSeconds: 5,
+      retryRatio: 0.2,
+      retrySlack: 50,
+      retryWindowSeconds: 10,
+    });
+  }
+
+  /** Address at which an entry serves callers. */
+  getCallerAddress(machine: number): string {
+    return `127.0.0.${machine}:${this.entryPort}`;
+  }
+
+  /** Ends a process and resolves with its exit code. */
+  endProcess(name: string, signal: 'SIGTERM' | 'SIGKILL'): Promise<number | null> {
+    const child = this.processes.get(name);
+    this.processes.delete(name);
+    return new Promise((done) => {
+      child?.once('exit', (code) => done(code));
+      child?.kill(signal);
+    });
+  }
+
+  /** Suspends processes. */
+  freeze(names: readonly string[]): void {
+    names.forEach((name) => this.processes.get(name)?.kill('SIGSTOP'));
+  }
+
+  /** Resumes suspended processes. */
+  resume(names: readonly string[]): void {
+    names.forEach((name) => this.processes.get(name)?.kill('SIGCONT'));
+  }
+
+  /** Returns the machine of the leading control replica, or 0 if there is none. */
+  async findLeader(): Promise<number> {
+    const texts = await Promise.all([1, 2, 3].map(async (machine) => (
+      (await request(`http://127.0.0.${machine}:${this.operatorPort}/metrics`)).body.text())));
+    return 1 + texts.findIndex((text) => /^beechlift_control_leads 1$/m.test(text));
+  }
+
+  async queryDirectory(machine: number): Promise<string[]> {
+    const { body } = await request(`http://127.0.0.${machine}:${this.ports[2]}/v1/resolution?name=a.example&zone=a`);
+    return (await body.json() as { addresses?: string[] }).addresses ?? [];
+  }
+
+  async isReady(machine: number): Promise<boolean> {
+    const { statusCode, body } = await request(`http://127.0.0.${machine}:${this.readinessPort}/v1/readyz`);
+    await body.dump();
+    return statusCode === 200;
+  }
+
+  async post(machine: number, path: string, body: object | string): Promise<number> {
+    const text = typeof body === 'string' ? body : JSON.stringify(body);
+    const answer = await request(`http://127.0.0.${machine}:${this.operatorPort}${path}`, {
+      method: 'POST', body: text, headers: { 'content-type': 'application/json' },
+    });
+    await answer.body.dump();
+    return answer.statusCode;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.processes.keys()].map((name) => this.endProcess(name, 'SIGKILL')));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private buildCommon(ip: string): object {
+    return {
+      name: ip,
+      zone: 'a',
+      ip,
+      seeds: [1, 2, 3].map((machine) => `127.0.0.${machine}:${this.operatorPort}`).join(','),
+      internalPorts: `${this.ports[4]},${this.ports[4]}`,
+      directoryAddress: `${ip}:${this.ports[2]}`,
+      logLevel: 'info',
+    };
+  }
+
+  private startProcess(name: string, role: string, settings: object): void {
+    const file = join(this.folder, `${name}.jsonc`);
+    writeFileSync(file, JSON.stringify(settings));
+    this.processes.set(name, spawn(process.execPath, [PROGRAM, role], {
+      env: { ...process.env, BEECHLIFT_SETTINGS: file }, stdio: ['ignore', 'ignore', 'inherit'],
+    }));
+  }
+}
--- a/tests/fakes/streamCaller.ts
+++ b/tests/fakes/streamCaller.ts
@@ -13,6 +13,15 @@
   readonly lastEventId?: number;
 }
 
+/** Headers in which a caller names its attempt, its last event and the attempt before. */
+export interface CallerHeaders {
+  readonly id: string;
+  readonly lastEventId: string;
+  readonly resumes: string;
+}
+
+const TEST_HEADERS: CallerHeaders = { id: 'x-id', lastEventId: 'x-last-event', resumes: 'x-resumes' };
+
 /** One attempt of a caller at an entry, and what was received of its stream. */
 export class StreamCaller {
   readonly id = randomUUID();
@@ -26,15 +35,15 @@
   private readonly call;
 
   /** @param begun the stream that this attempt takes up; a new one without it */
-  constructor(address: string, begun: BegunStream = {}) {
+  constructor(address: string, begun: BegunStream = {}, names = TEST_HEADERS) {
     const { id, lastEventId = 0 } = begun;
     this.call = request(`http://${address}/orders/7`, {
       method: 'POST',
       headers: {
         host: 'shop.example',
-        'x-id': this.id,
-        ...(lastEventId > 0 ? { 'x-last-event': String(lastEventId) } : {}),
-        ...(id ? { 'x-resumes': id } : {}),
+        [names.id]: this.id,
+        ...(lastEventId > 0 ? { [names.lastEventId]: String(lastEventId) } : {}),
+        ...(id ? { [names.resumes]: id } : {}),
       },
     }, (response) => {
       this.status = response.statusCode ?? 0;
--- a/tests/fakes/versionedServer.ts
+++ b/tests/fakes/versionedServer.ts
@@ -13,12 +13,22 @@
 /** Number of events of each complete stream. */
 export const EVENT_COUNT = 40;
 
+/** Names of the headers from which a server reads the id of a request and its last event. */
+export interface ServerHeaders {
+  readonly id: string;
+  readonly last: string;
+}
+
+const TEST_HEADERS: ServerHeaders = { id: 'x-id', last: 'x-last' };
+
 /** Identity that a versioned server announces. */
 export interface VersionedServerParts {
   readonly id: string;
   readonly service: string;
   readonly software: string;
   readonly announce: AnnouncementSender;
+  /** Defaults to those of the test dialect. */
+  readonly headers?: ServerHeaders;
 }
 
 /** A backend server that streams events which name the version of its software. */
@@ -80,9 +90,10 @@
   /** Streams the events after the last one that the caller has. */
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     await readBody(request);
-    const { 'x-id': id = '', 'x-last': last = '0' } = request.headers;
+    const names = this.parts.headers ?? TEST_HEADERS;
+    const { [names.id]: id = '', [names.last]: last = '0' } = request.headers;
     this.runs.push(String(id));
-    response.writeHead(200, { 'x-id': String(id), 'content-type': 'text/event-stream' });
+    response.writeHead(200, { [names.id]: String(id), 'content-type': 'text/event-stream' });
     const sendFrom = async (number: number): Promise<void> => {
       if (number > EVENT_COUNT || response.destroyed) return;
       response.write(`id: ${number}\ndata: ${this.software}\n\n`);
--- /dev/null
+++ b/tests/platform/platform-streams.spec.ts
@@ -0,0 +1,88 @@
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import type { WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import { waitFor } from '../fakes/controlSite';
+import { PlatformSite } from '../fakes/platformSite';
+import { StreamCaller } from '../fakes/streamCaller';
+import { VersionedServer } from '../fakes/versionedServer';
+
+const REPLICAS = [1, 2, 3];
+const ENTRIES = [4, 5];
+const VERSIONS = ['v1', 'v1', 'v1.1', 'v1.1'];
+const STREAMS = 12;
+const EVENTS_BEFORE_KILL = 4;
+const CALLER_HEADERS = { id: 'attempt-id', lastEventId: 'last-event-id', resumes: 'resumes' };
+const SERVER_HEADERS = { id: 'attempt-id', last: 'last-event-id' };
+
+const DOCUMENT = {
+  version: 1,
+  routes: [{
+    name: 'r', host: 'shop.example', path_prefix: '/', route_kind: 'streaming', resumable: true, timeout_ms: 8_000, target_latency_ms: 800, priority: 0, service: 's', max_attempts: 2, public: true,
+  }],
+  services: [{
+    name: 's', max_connections: 100, inference_engine: { slots: 6, kv_capacity: 1_000_000 },
+  }],
+};
+
+describe('streams that callers take up when processes are killed', () => {
+  let site: PlatformSite;
+  let servers: VersionedServer[] = [];
+
+  const sendHeartbeat = (announcement: WorkerAnnouncement): Promise<unknown> => {
+    const { workerId, software: version, ...fields } = announcement;
+    return Promise.any(REPLICAS.map((machine) => site.post(machine, `/v1/Instances.Heartbeat/${workerId}`, { ...fields, version })));
+  };
+
+  const begin = (machine: number): StreamCaller => (
+    new StreamCaller(site.getCallerAddress(machine), {}, CALLER_HEADERS));
+
+  const takeUp = async (machine: number, begun: readonly StreamCaller[]) => {
+    const address = site.getCallerAddress(machine);
+    const callers = begun.toReversed()
+      .map((caller) => new StreamCaller(address, caller, CALLER_HEADERS)).reverse();
+    await Promise.all(callers.map((caller) => caller.waitClosed()));
+    return callers.map(({ isWhole, versions }, position) => (isWhole
+      ? [...new Set([...begun[position]?.versions ?? [], ...versions])] : []));
+  };
+
+  beforeEach(async () => {
+    site = await PlatformSite.open();
+    REPLICAS.forEach((machine) => site.startControl(machine, true));
+    ENTRIES.forEach((machine) => site.startEntry(machine));
+    const publish = async (): Promise<boolean> => await site.post(1, '/v1/Configuration.Replace', DOCUMENT) === 200;
+    await waitFor(() => publish().catch(() => false), 'the document is accepted');
+    servers = VERSIONS.map((software, position) => new VersionedServer({
+      id: `i-${position}`, service: 's', software, announce: sendHeartbeat, headers: SERVER_HEADERS,
+    }));
+    await Promise.all(servers.map((server) => server.open()));
+    const hasBothVersions = async (machine: number): Promise<boolean> => {
+      const callers = VERSIONS.map(() => begin(machine));
+      await Promise.all(callers.map((caller) => caller.waitClosed()));
+      return callers.every(({ isWhole }) => isWhole)
+        && new Set(callers.flatMap(({ versions }) => versions)).size === 2;
+    };
+    await waitFor(() => hasBothVersions(4), 'the first entry uses both versions');
+    await waitFor(() => hasBothVersions(5), 'the second entry uses both versions');
+  });
+
+  afterEach(async () => {
+    servers.forEach((server) => server.crash());
+    await site.close();
+  });
+
+  // A killed process reports nothing more, neither of its streams nor that it leaves.
+  it.each([false, true])('should go on at the version that began them when their entry is killed, with the leader: %s', async (withLeader) => {
+    const begun = Array.from({ length: STREAMS }, () => begin(4));
+    await Promise.all(begun.map((caller) => caller.waitEvents(EVENTS_BEFORE_KILL)));
+    const leader = await site.findLeader();
+    await Promise.all([
+      site.endProcess('entry-4', 'SIGKILL'),
+      ...(withLeader ? [site.endProcess(`control-${leader}`, 'SIGKILL')] : []),
+    ]);
+    await Promise.all(begun.map((caller) => caller.waitClosed()));
+    const versions = await takeUp(5, begun);
+    expect(versions.filter((names) => names.length > 1)).toEqual([]);
+    expect(versions.filter((names) => names.length === 1)).toHaveLength(STREAMS);
+  });
+});
