--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -27,6 +27,14 @@
 import type { WorkerChoice } from './workerChoice';
 import { takeWorkerAllowance } from './workerRateLimit';
 
+/** Why a request gets no slot. */
+export interface PlacementRefusal {
+  readonly code: 'noSlotInTime' | 'requestQuarantined' | 'streamVersionGone' | 'streamOriginUnknown'
+    | 'backendsUnreachable';
+  readonly reason: string;
+  readonly retryAfterMs: number;
+}
+
 /** Decision on a request. */
 export type PlacementDecision = | {
   readonly kind: 'grant';
@@ -36,14 +44,7 @@
   /** Version that the server was required to have; undefined if the request begins a stream. */
   readonly origin: StreamOrigin | undefined;
 }
-  | {
-    readonly kind: 'refuse';
-    readonly id: string;
-    readonly code: 'noSlotInTime' | 'requestQuarantined' | 'streamVersionGone' | 'streamOriginUnknown'
-      | 'backendsUnreachable';
-    readonly reason: string;
-    readonly retryAfterMs: number;
-  };
+  | ({ readonly kind: 'refuse'; readonly id: string } & PlacementRefusal);
 
 /**
  * Time after which a refused caller may retry, in milliseconds. A retry during the same burst would
@@ -81,23 +82,29 @@
 const computeRetrySpreadMs = ({ refusals }: PlacementTables): number => (
   (refusals % RETRY_SPREAD_STEPS) * RETRY_SPREAD_STEP_MS);
 
+const refuseAs = (
+  tables: PlacementTables,
+  { id }: SlotRequest,
+  refusal: PlacementRefusal,
+): PlacementDecision => {
+  tables.waiting.delete(id);
+  return { kind: 'refuse', id, ...refusal };
+};
+
 const refuse = (
   tables: PlacementTables,
   request: SlotRequest,
   now: number,
   reason: string,
 ): PlacementDecision => {
-  tables.waiting.delete(request.id);
   tables.refusals += 1;
   const waitMs = estimateWaitMs(tables, request, now);
   const spreadMs = computeRetrySpreadMs(tables);
-  return {
-    kind: 'refuse',
-    id: request.id,
+  return refuseAs(tables, request, {
     code: 'noSlotInTime',
     reason,
     retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs) + spreadMs)),
-  };
+  });
 };
 
 const grant = (
@@ -139,46 +146,31 @@
 
 const refuseVersionGone = (
   tables: PlacementTables,
-  { id, service, origin = { service, software: '' } }: SlotRequest,
-): PlacementDecision => {
-  tables.waiting.delete(id);
-  return {
-    kind: 'refuse',
-    id,
-    code: 'streamVersionGone',
-    reason: explainVersionGone(origin),
-    retryAfterMs: VERSION_GONE_RETRY_MS,
-  };
-};
+  request: SlotRequest,
+): PlacementDecision => refuseAs(tables, request, {
+  code: 'streamVersionGone',
+  reason: explainVersionGone(request.origin),
+  retryAfterMs: VERSION_GONE_RETRY_MS,
+});
 
 const refuseOriginUnknown = (
   tables: PlacementTables,
-  { id }: SlotRequest,
-): PlacementDecision => {
-  tables.waiting.delete(id);
-  return {
-    kind: 'refuse',
-    id,
-    code: 'streamOriginUnknown',
-    reason: ORIGIN_UNKNOWN,
-    retryAfterMs: ORIGIN_UNKNOWN_RETRY_MS,
-  };
-};
+  request: SlotRequest,
+): PlacementDecision => refuseAs(tables, request, {
+  code: 'streamOriginUnknown',
+  reason: ORIGIN_UNKNOWN,
+  retryAfterMs: ORIGIN_UNKNOWN_RETRY_MS,
+});
 
 const refuseQuarantined = (
   tables: PlacementTables,
   request: SlotRequest,
   { refusedMs }: PlacementRestriction,
-): PlacementDecision => {
-  tables.waiting.delete(request.id);
-  return {
-    kind: 'refuse',
-    id: request.id,
-    code: 'requestQuarantined',
-    reason: `backend servers crashed repeatedly while they ran request "${request.fingerprint ?? ''}"`,
-    retryAfterMs: refusedMs,
-  };
-};
+): PlacementDecision => refuseAs(tables, request, {
+  code: 'requestQuarantined',
+  reason: `backend servers crashed repeatedly while they ran request "${request.fingerprint ?? ''}"`,
+  retryAfterMs: refusedMs,
+});
 
 const chooseIfNotFull = (
   tables: PlacementTables,
@@ -217,21 +209,19 @@
 
 const refuseUnreached = (
   tables: PlacementTables,
-  { id, service }: SlotRequest,
+  request: SlotRequest,
   now: number,
 ): PlacementDecision => {
-  tables.waiting.delete(id);
+  const { service } = request;
   tables.refusals += 1;
   const isReachedByOthers = tables.reach.isReachedByAny(service, now);
-  return {
-    kind: 'refuse',
-    id,
+  return refuseAs(tables, request, {
     code: 'backendsUnreachable',
     reason: `this entry reaches no server of service "${service}", ${isReachedByOthers ? 'others do' : 'nor does any other'}`,
     retryAfterMs: isReachedByOthers
       ? OTHER_ENTRY_RETRY_MS
       : OUTAGE_RETRY_MS + computeRetrySpreadMs(tables),
-  };
+  });
 };
 
 const decideWaiting = (
