Check a stream's version and an entry's reach once for each decision

Found by reading the change: paused pairs were listed twice for each waiting request, the start of a stream was recorded with each report on it, a type allowed a missing origin, and a comment had left its line. No behaviour changes; tests/core, control and relay pass (658).

--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -147,9 +147,10 @@
 const refuseVersionGone = (
   tables: PlacementTables,
   request: SlotRequest,
+  origin: StreamOrigin,
 ): PlacementDecision => refuseAs(tables, request, {
   code: 'streamVersionGone',
-  reason: explainVersionGone(request.origin),
+  reason: explainVersionGone(origin),
   retryAfterMs: VERSION_GONE_RETRY_MS,
 });
 
@@ -185,23 +186,17 @@
 };
 
 /** Adds the servers that the entry of a request does not reach to those that it avoids. */
-const addUnreached = (
-  { reach }: PlacementTables,
-  request: SlotRequest,
-  now: number,
-): SlotRequest => {
-  const unreached = reach.listPaused(request.entryId, now);
+const addUnreached = (request: SlotRequest, unreached: readonly string[]): SlotRequest => {
   if (unreached.length === 0) return request;
   return { ...request, avoidedIds: [...request.avoidedIds ?? [], ...unreached] };
 };
 
 /** Whether the entry of a request does not reach any server of its service. */
 const isEntryCutOff = (
-  { workers, reach }: PlacementTables,
-  { service, entryId }: SlotRequest,
-  now: number,
+  { workers }: PlacementTables,
+  { service }: SlotRequest,
+  unreached: readonly string[],
 ): boolean => {
-  const unreached = reach.listPaused(entryId, now);
   if (unreached.length === 0) return false;
   const ready = (workers.byService.get(service) ?? []).filter(isReady);
   return ready.length > 0 && ready.every(({ id }) => unreached.includes(id));
@@ -230,12 +225,13 @@
   full: FullServices,
   now: number,
 ): PlacementDecision | undefined => {
-  const { kind, request: checked } = checkStream(tables, waiting, now);
-  if (kind === 'learning') return undefined;
-  if (kind === 'unknown') return refuseOriginUnknown(tables, waiting);
-  if (kind === 'gone') return refuseVersionGone(tables, checked);
-  if (isEntryCutOff(tables, checked, now)) return refuseUnreached(tables, checked, now);
-  const request = addUnreached(tables, checked, now);
+  const stream = checkStream(tables, waiting, now);
+  if (stream.kind === 'learning') return undefined;
+  if (stream.kind === 'unknown') return refuseOriginUnknown(tables, waiting);
+  if (stream.kind === 'gone') return refuseVersionGone(tables, waiting, stream.origin);
+  const unreached = tables.reach.listPaused(waiting.entryId, now);
+  if (isEntryCutOff(tables, waiting, unreached)) return refuseUnreached(tables, waiting, now);
+  const request = addUnreached(stream.request, unreached);
   const restriction = readRestriction(tables, request);
   if (restriction.kind === 'refused') return refuseQuarantined(tables, request, restriction);
   const choosers: Record<RestrictionKind, () => WorkerChoice | undefined> = {
@@ -280,7 +276,7 @@
   waiting: SlotRequest,
   now: number,
 ): PlacementDecision | undefined => {
-  const request = addUnreached(tables, waiting, now);
+  const request = addUnreached(waiting, tables.reach.listPaused(waiting.entryId, now));
   const isTooLong = tables.workers.mechanisms.earlyRefusal
     && tables.waiting.has(request.id)
     && estimateWaitMs(tables, request, now) > computeMaxWaitMs(tables, request);
--- a/src/core/routing/placementUpdates.ts
+++ b/src/core/routing/placementUpdates.ts
@@ -40,9 +40,10 @@
   clearSuspension(worker);
 };
 
-const markStarted = (placed: PlacedRequest): void => {
+const markStarted = (tables: PlacementTables, placed: PlacedRequest): void => {
   if (placed.hasStarted) return;
   placed.hasStarted = true;
+  recordStreamStart(tables, placed.request, placed.worker);
   placed.worker.pendingTokens -= placed.request.promptTokens;
 };
 
@@ -72,8 +73,7 @@
 
 const updateHandlers: Record<PlacementUpdate['phase'], UpdateHandler> = {
   running: (tables, placed, update, now) => {
-    markStarted(placed);
-    recordStreamStart(tables, placed.request, placed.worker);
+    markStarted(tables, placed);
     recordProgress(tables, placed, now);
     if (update.paceMs > 0) recordPace(placed.worker, update.paceMs);
   },
--- a/src/core/routing/streamOrigin.ts
+++ b/src/core/routing/streamOrigin.ts
@@ -20,8 +20,8 @@
 ): boolean => !origin || (origin.service === service && origin.software === software);
 
 /** Explains why a stream cannot continue. */
-export const explainVersionGone = (origin: StreamOrigin | undefined): string => (
-  `software "${origin?.software}" of service "${origin?.service}" began the stream, and no such server accepts requests of this route`);
+export const explainVersionGone = ({ service, software }: StreamOrigin): string => (
+  `software "${software}" of service "${service}" began the stream, and no such server accepts requests of this route`);
 
 /** Explains why a stream cannot continue that nobody knows. */
 export const ORIGIN_UNKNOWN = 'servers of several versions run, and it is not known which one began the stream';
--- a/src/core/routing/streamPlacement.ts
+++ b/src/core/routing/streamPlacement.ts
@@ -3,15 +3,18 @@
 import type { PlacementTables, SlotRequest } from './placementTables';
 import type { RoutedWorker } from './routedWorkers';
 import { hasOriginServer, readOrigin } from './streamOrigin';
+import type { StreamOrigin } from './streamOrigin';
 import { ORIGIN_RETENTION_MS } from './streamOrigins';
 
-/** Result of the check of a waiting request. */
-export interface StreamCheck {
-  /** `unknown` and `gone`: no server may get the request; `learning`: a report may still arrive. */
-  readonly kind: 'placeable' | 'gone' | 'unknown' | 'learning';
-  /** The request, with the origin of its stream if it is known. */
-  readonly request: SlotRequest;
-}
+/**
+ * Result of the check of a waiting request. `unknown` and `gone`: no server may get it; `learning`:
+ * a report may still arrive.
+ */
+export type StreamCheck = | { readonly kind: 'unknown' }
+  | { readonly kind: 'learning' }
+  | { readonly kind: 'gone'; readonly origin: StreamOrigin }
+  /** The request, with the origin of its stream if it continues one. */
+  | { readonly kind: 'placeable'; readonly request: SlotRequest };
 
 /**
  * Checks whether a waiting request may be placed, and at which version.
@@ -27,11 +30,11 @@
   const { kind, origin } = findOrigin(tables.workers, tables.origins, request, now);
   if (kind === 'unknown') {
     const mayBeReported = request.resumedId !== '' && now < tables.learnsUntil;
-    return { kind: mayBeReported ? 'learning' : kind, request };
+    return mayBeReported ? { kind: 'learning' } : { kind: 'unknown' };
   }
   if (!origin) return { kind: 'placeable', request };
-  const isPlaceable = hasOriginServer(tables.workers, request.service, origin);
-  return { kind: isPlaceable ? 'placeable' : 'gone', request: { ...request, origin } };
+  if (!hasOriginServer(tables.workers, request.service, origin)) return { kind: 'gone', origin };
+  return { kind: 'placeable', request: { ...request, origin } };
 };
 
 /** Records which version may begin the stream of a request that gets a slot, or continues it. */
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -204,13 +204,13 @@
       throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
     }
     const worker = site.workers.byId.get(reply.workerId);
+    // A leader of an earlier release does not restrict the version.
+    const origin = reply.origin ?? lookup.origin;
+    const isProven = origin !== undefined || lookup.kind === 'free';
     /*
      * A server that is leaving must get no new requests. A partitioned leader that was replaced may
      * not know that it is leaving.
      */
-    // A leader of an earlier release does not restrict the version.
-    const origin = reply.origin ?? lookup.origin;
-    const isProven = origin !== undefined || lookup.kind === 'free';
     const isUsable = worker?.standing === 'ready' && isProven && canContinue(worker, origin);
     if (isUsable && isEligible(site.workers, worker, clock.now())) {
       recordProbe(worker, clock.now());
