Log how far replicas that join have come, and how much they were sent

Change: the leader logs each second for each learner its match index, the last index, the bytes that were sent to it, repeats included, and the rounds that it has not acknowledged.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -18,6 +18,7 @@
 import { SuspensionGuard } from './suspensionGuard';
 import { LeaderState } from './leaderState';
 import { LeaderWait } from './leaderWait';
+import { LearnerLog } from './learnerLog';
 import { LeaseLog } from './leaseLog';
 import { LogRunner } from './logRunner';
 import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
@@ -75,6 +76,8 @@
 
   private readonly leaseLog: LeaseLog;
 
+  private readonly learnerLog: LearnerLog;
+
   readonly work: WorkMeter;
 
   constructor(private readonly parts: RoutedNodeParts) {
@@ -120,6 +123,7 @@
       failStorage: (error) => parts.port.failStorage(error),
     }, parts.clock, { startedAt: parts.startedAt });
     this.leaseLog = new LeaseLog(this.runner, parts);
+    this.learnerLog = new LearnerLog(this.runner, parts);
     this.readBarrier = new ReadBarrier({
       runner: this.runner,
       readLeaderAddress: () => this.leaderAddress,
@@ -189,6 +193,7 @@
     this.softState.expire();
     this.work.measure('tend', () => this.leaderState.refresh(this.softState.registry.table));
     this.replicaSetManager.reconcile(this.runner, this.leaderState.startedAt);
+    this.learnerLog.record();
     this.work.logCounts();
   }
 
--- a/src/core/log/logTypes.ts
+++ b/src/core/log/logTypes.ts
@@ -47,6 +47,8 @@
   ackedRound: number;
   /** Bytes of the snapshot that the peer has received; -1 when no transfer is in progress. */
   snapshotOffset: number;
+  /** Bytes of entries and snapshots that were sent to the peer, repeats included. */
+  bytesSent: number;
 }
 
 /** Durations of the log in milliseconds. */
--- a/src/core/log/replication.ts
+++ b/src/core/log/replication.ts
@@ -19,7 +19,11 @@
 export const NOOP_COMMAND = '';
 
 const makeProgress = (state: LogState): PeerProgress => ({
-  nextIndex: readLastIndex(state) + 1, matchIndex: 0, ackedRound: 0, snapshotOffset: -1,
+  nextIndex: readLastIndex(state) + 1,
+  matchIndex: 0,
+  ackedRound: 0,
+  snapshotOffset: -1,
+  bytesSent: 0,
 });
 
 const findProgress = (state: LogState, id: string): PeerProgress => {
@@ -30,6 +34,11 @@
   return progress;
 };
 
+const countBytes = (entries: readonly LogEntry[]): number => entries.reduce(
+  (bytes, { command }) => bytes + command.length,
+  0,
+);
+
 const pickBatch = (state: LogState, from: number): LogEntry[] => {
   const entries = state.entries.slice(from - state.snapshot.index - 1).slice(0, MAX_BATCH_ENTRIES);
   let bytes = 0;
@@ -63,6 +72,7 @@
     entries,
     round: state.round,
   });
+  progress.bytesSent += countBytes(entries);
   // Advanced before the acknowledgement; a rejection or the next heartbeat resets it.
   progress.nextIndex += entries.length;
 };
--- a/src/core/log/snapshotSender.ts
+++ b/src/core/log/snapshotSender.ts
@@ -14,11 +14,13 @@
   if (progress.snapshotOffset < 0) progress.snapshotOffset = 0;
   const bytes = encodeSnapshot(snapshot);
   const end = progress.snapshotOffset + SNAPSHOT_CHUNK_BYTES;
+  const chunk = bytes.subarray(progress.snapshotOffset, end);
+  progress.bytesSent += chunk.length;
   sendMessage(step, 'snapshot', id, {
     lastIndex: snapshot.index,
     lastTerm: snapshot.term,
     offset: progress.snapshotOffset,
-    chunk: bytes.subarray(progress.snapshotOffset, end),
+    chunk,
     done: end >= bytes.length,
     round,
   });
