Send a peer open entries again only after a growing wait

Seen: a site lost its log and the newest acknowledged change with the second of two disks, ten seconds apart, and nobody led any more. The replacement of the first had been a learner for all that time.

Cause: a leader sent all entries that a peer had not acknowledged again with each heartbeat, up to 1 MB each 75 ms, and once more with each rejection of a heartbeat that had overtaken them. These calls share one connection, so each copy slows the others; beyond a batch for each heartbeat none ends within its second, the calls and with them the connection are given up, and the transfer begins anew.

Change: at most 256 KiB of entries, or one chunk, are on their way to a peer. They are sent again after twice the time that the last acknowledgement took, and each repetition doubles the wait (75 ms to 1.2 s). Meanwhile heartbeats are empty, and a rejection for entries on their way changes nothing. New entries follow without waiting.

Why it works: the number of copies in flight no longer grows with the slowness of the peer, so the first copy gets the whole connection.

--- a/src/core/log/logTypes.ts
+++ b/src/core/log/logTypes.ts
@@ -1,4 +1,5 @@
 import type { LogEntry, LogMessage, Replica } from '../../protocol/generated/beechlift';
+import type { ResendTimer } from './resendTimer';
 
 /** Role of a replica in its term. */
 export type LogRole = 'follower' | 'preCandidate' | 'candidate' | 'leader';
@@ -43,6 +44,14 @@
 export interface PeerProgress {
   nextIndex: number;
   matchIndex: number;
+  /**
+   * First and last index of the entries that were sent in a row. Those above `matchIndex` are open:
+   * they may still arrive.
+   */
+  sentFrom: number;
+  sentIndex: number;
+  /** When open entries, or the open chunk of a snapshot, may be sent again. */
+  readonly resend: ResendTimer;
   /** Newest round that the peer acknowledged. */
   ackedRound: number;
   /** Bytes of the snapshot that the peer has received; -1 when no transfer is in progress. */
--- a/src/core/log/replication.ts
+++ b/src/core/log/replication.ts
@@ -1,5 +1,8 @@
 import type { LogEntry, LogMessage } from '../../protocol/generated/beechlift';
-import { sendSnapshotChunk } from './snapshotSender';
+import {
+  findProgress, isOnItsWay, restartFromOpen, sendMissing, sendRound,
+} from './appendSender';
+import { markAcknowledged } from './resendTimer';
 import {
   addEffect, becomeFollower, findEntry, findReplicaSet, findTerm, followLeader, hasMajority,
   isVoter, listPeers, persistState, readLastIndex, REPLICAS_COMMAND_PREFIX, sendMessage,
@@ -8,75 +11,11 @@
   LogState, LogStep, PeerProgress, ReplicaSet,
 } from './logTypes';
 
-const MAX_BATCH_ENTRIES = 256;
-const MAX_BATCH_BYTES = 1_048_576;
 /** Number of recent rounds whose send times are stored. */
 const MAX_ROUNDS_KEPT = 256;
-/** Number of unacknowledged rounds above which a peer counts as unresponsive. */
-const MAX_UNACKED_ROUNDS = 4;
-
 /** Command that a new leader appends to commit the entries of earlier terms. */
 export const NOOP_COMMAND = '';
 
-const makeProgress = (state: LogState): PeerProgress => ({
-  nextIndex: readLastIndex(state) + 1,
-  matchIndex: 0,
-  ackedRound: 0,
-  snapshotOffset: -1,
-  bytesSent: 0,
-});
-
-const findProgress = (state: LogState, id: string): PeerProgress => {
-  const known = state.peers.get(id);
-  if (known) return known;
-  const progress = makeProgress(state);
-  state.peers.set(id, progress);
-  return progress;
-};
-
-const countBytes = (entries: readonly LogEntry[]): number => entries.reduce(
-  (bytes, { command }) => bytes + command.length,
-  0,
-);
-
-const pickBatch = (state: LogState, from: number): LogEntry[] => {
-  const entries = state.entries.slice(from - state.snapshot.index - 1).slice(0, MAX_BATCH_ENTRIES);
-  let bytes = 0;
-  const end = entries.findIndex((entry, position) => {
-    bytes += entry.command.length;
-    return position > 0 && bytes > MAX_BATCH_BYTES;
-  });
-  return end === -1 ? entries : entries.slice(0, end);
-};
-
-/*
- * Limits the traffic to a peer that is down: it receives empty appends until it acknowledges one.
- */
-const isUnresponsive = (state: LogState, progress: PeerProgress): boolean => (
-  state.round - progress.ackedRound > MAX_UNACKED_ROUNDS
-);
-
-const sendAppend = (step: LogStep, id: string): void => {
-  const { state } = step;
-  const progress = findProgress(state, id);
-  if (progress.nextIndex <= state.snapshot.index) {
-    sendSnapshotChunk(step, id, progress);
-    return;
-  }
-  const previous = progress.nextIndex - 1;
-  const entries = isUnresponsive(state, progress) ? [] : pickBatch(state, progress.nextIndex);
-  sendMessage(step, 'append', id, {
-    lastIndex: previous,
-    lastTerm: findTerm(state, previous) ?? 0,
-    commitIndex: state.commitIndex,
-    entries,
-    round: state.round,
-  });
-  progress.bytesSent += countBytes(entries);
-  // Advanced before the acknowledgement; a rejection or the next heartbeat resets it.
-  progress.nextIndex += entries.length;
-};
-
 const removeOldRounds = (state: LogState): void => {
   const oldest = state.round - MAX_ROUNDS_KEPT;
   [...state.roundSentAt.keys()]
@@ -119,15 +58,13 @@
   state.roundSentAt.set(state.round, now);
   removeOldRounds(state);
   state.nextHeartbeatAt = now + state.timings.heartbeatMs;
-  listPeers(state).forEach((id) => sendAppend(step, id));
+  listPeers(state).forEach((id) => sendRound(step, id));
   renewLeaderLease(step);
 };
 
-/** Sends a round from the acknowledged index of each peer, in case earlier appends were lost. */
+/** Sends a round, and again what may have been lost. */
 export const resendAppends = (step: LogStep): void => {
-  step.state.peers.forEach((progress) => {
-    if (progress.matchIndex > 0) progress.nextIndex = progress.matchIndex + 1;
-  });
+  step.state.peers.forEach((progress) => restartFromOpen(progress, step.now));
   broadcastAppend(step);
 };
 
@@ -286,10 +223,13 @@
   matchIndex: number,
 ): void => {
   const { state } = step;
-  progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
+  if (matchIndex > progress.matchIndex) {
+    progress.matchIndex = matchIndex;
+    markAcknowledged(progress.resend, step.now, progress.sentIndex > matchIndex);
+  }
   progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
   advanceCommit(step);
-  if (state.role === 'leader' && progress.nextIndex <= readLastIndex(state)) sendAppend(step, id);
+  if (state.role === 'leader') sendMissing(step, id);
 };
 
 /** Handles the reply of a peer: advances its progress, or steps back after a rejection. */
@@ -307,9 +247,12 @@
     updateMatchIndex(step, message.from, progress, message.matchIndex);
     return;
   }
-  progress.nextIndex = Math.max(
+  const missingIndex = Math.max(
     progress.matchIndex,
     Math.min(progress.nextIndex - 1, message.matchIndex),
   ) + 1;
-  sendAppend(step, message.from);
+  // A heartbeat may overtake entries: the peer rejects it and lacks nothing.
+  if (isOnItsWay(progress, missingIndex, step.now)) return;
+  progress.nextIndex = missingIndex;
+  sendMissing(step, message.from);
 };
--- a/src/core/log/snapshotTransfer.ts
+++ b/src/core/log/snapshotTransfer.ts
@@ -1,5 +1,6 @@
 import type { LogMessage } from '../../protocol/generated/beechlift';
 import { handleAppendReply } from './replication';
+import { markAcknowledged } from './resendTimer';
 import { sendSnapshotChunk } from './snapshotSender';
 import {
   addEffect, findReplicaSet, followLeader, findTerm, readHardState, readLastIndex, sendMessage,
@@ -82,8 +83,13 @@
     handleAppendReply(step, { ...message, granted: true });
     return;
   }
+  if (progress.snapshotOffset < 0) return;
   // The reply belongs to an older snapshot: the transfer restarts with the newest one.
-  progress.snapshotOffset = message.matchIndex === state.snapshot.index ? message.offset : 0;
+  const offset = message.matchIndex === state.snapshot.index ? message.offset : 0;
+  // A chunk that was sent twice has two replies: only the first one is followed by a chunk.
+  if (offset > 0 && offset === progress.snapshotOffset) return;
+  progress.snapshotOffset = offset;
+  markAcknowledged(progress.resend, step.now, false);
   sendSnapshotChunk(step, message.from, progress);
 };
 
--- a/tests/control/learner-log.spec.ts
+++ b/tests/control/learner-log.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { LearnerLog } from '../../src/control/learnerLog';
 import { makeEmptyLog, makeLogState } from '../../src/core/log/logState';
+import { makeResendTimer } from '../../src/core/log/resendTimer';
 import type { Logger } from '../../src/telemetry/logger';
 
 const LEARNER = { id: 'c2', address: 'c2', zone: '' };
@@ -12,7 +13,14 @@
     const state = makeLogState('c1', makeEmptyLog({ voters: [], learners: [LEARNER], leaving: [] }), () => 0, 0);
     state.round = 9;
     state.peers.set('c2', {
-      nextIndex: 8, matchIndex: 7, ackedRound: 6, snapshotOffset: -1, bytesSent: 5,
+      nextIndex: 8,
+      matchIndex: 7,
+      sentFrom: 1,
+      sentIndex: 7,
+      resend: makeResendTimer(),
+      ackedRound: 6,
+      snapshotOffset: -1,
+      bytesSent: 5,
     });
     const clock = { time: 0, now: () => clock.time };
     const learnerLog = new LearnerLog(
