Name the table of servers by which an entry chose, in the log

Cause: the record of a request to a leaving server does not tell whether the entry had not been told, or had been told and forgot.

Result: tests of requests and of their log pass; no change of behaviour.

--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -53,6 +53,7 @@
       state: announcement.state,
       sequence: announcement.sequence,
       born: announcement.born,
+      table: `${this.table.epoch.slice(0, 8)}/${this.table.revision}`,
     });
   }
 
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -78,7 +78,8 @@
   /** Epoch of the leader's server table that this entry has a copy of; empty before the first. */
   workersEpoch = '';
 
-  private workersRevision = 0;
+  /** Revision of that table; a later one knows more announcements. */
+  workersRevision = 0;
 
   private leaseUntil = 0;
 
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -40,7 +40,9 @@
     outcome: AttemptOutcome,
     writer: Pick<AnswerWriter, 'statusCode' | 'hasStarted' | 'firstChunkAt' | 'chunkCount'>,
   ): void {
-    const { metrics, logger, clock } = this.parts;
+    const {
+      metrics, logger, clock, site,
+    } = this.parts;
     const now = clock.now();
     metrics.attempts.inc({ outcome: outcome.kind });
     if (outcome.kind === 'answered') {
@@ -59,6 +61,7 @@
       software: worker.software,
       takesUp: this.facts.lastEventId !== '' ? this.facts.resumedId || 'unnamed' : undefined,
       placed: placeId !== '',
+      table: `${site.workersEpoch.slice(0, 8)}/${site.workersRevision}`,
       expectedMs: Math.round(expectedMs),
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
