Apply replies of control only to the table of servers that they are for

Seen: a request reached a server 2.6 s after its word that it leaves had been acknowledged, from one of 78 entries, which had a valid lease.

Cause: an entry has several watch requests open: a late one, those of its search for a leader, one that reports its state. It applied the replies in the order of their arrival. An earlier reply made a leaving server ready again; the next one held only what had changed since the revision that its request named, so the entry never heard of the server's word again.

Change: a reply of the same leader with a lower revision does not change the table. One of another leader whose request was sent before that of the held table, or that holds changes of a table that the entry no longer has, is dropped with its lease: the next request gets the whole table.

Why it works: what an entry holds is then always one leader's table at a revision, whole, and its lease begins no later than that table.

--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -81,6 +81,9 @@
   /** Revision of that table; a later one knows more announcements. */
   workersRevision = 0;
 
+  /** When the watch request was sent whose reply brought the held table. */
+  private tableSentAt = -Infinity;
+
   private leaseUntil = 0;
 
   /** When the latest answered watch request was sent, monotonic milliseconds. */
@@ -225,11 +228,19 @@
    *
    * @param sentAt when the request was sent, monotonic milliseconds; the lease starts there
    * @param epoch epoch of the suspension detector when the request was sent
+   * @param askedEpoch epoch of the server table that the request named
    */
-  applyReply(reply: WatchReply, sentAt: number, epoch: number): void {
+  applyReply(
+    reply: WatchReply,
+    sentAt: number,
+    epoch: number,
+    askedEpoch = this.workersEpoch,
+  ): void {
     if (!this.applyDocument(reply)) return;
     this.lastAnsweredSentAt = Math.max(this.lastAnsweredSentAt, sentAt);
-    this.applyWorkers(reply);
+    // No lease either: it would be granted for a table that is not applied.
+    if (this.isOfOtherTable(reply, sentAt, askedEpoch)) return;
+    if (!this.isOvertaken(reply)) this.applyWorkers(reply, sentAt);
     this.leasedEntryCount = Math.max(1, reply.entryCount);
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     applyRateLimits(this.workers, reply.limits, sentAt, this.rateSharing, this.parts.clock.now());
@@ -280,7 +291,27 @@
     }
   }
 
-  private applyWorkers(reply: WatchReply): void {
+  /*
+   * Guards against an older table that makes a leaving server ready again: requests overlap, so
+   * replies may arrive in another order than they were built, and from an earlier leader. Changes
+   * since a revision apply only to the table that the request named.
+   */
+  private isOfOtherTable(
+    { workersEpoch }: WatchReply,
+    sentAt: number,
+    askedEpoch: string,
+  ): boolean {
+    if (workersEpoch === this.workersEpoch) return false;
+    const isChange = workersEpoch === askedEpoch;
+    return isChange || sentAt < this.tableSentAt;
+  }
+
+  /** Whether a later reply of the same leader was applied before. */
+  private isOvertaken({ workersEpoch, workersRevision }: WatchReply): boolean {
+    return workersEpoch === this.workersEpoch && workersRevision < this.workersRevision;
+  }
+
+  private applyWorkers(reply: WatchReply, sentAt: number): void {
     applyRecords(this.workers, reply.workers, this.parts.clock.now());
     if (reply.workersEpoch !== this.workersEpoch) resetPlaced(this.workers);
     applyLoads(this.workers, reply.loads);
@@ -288,5 +319,6 @@
     this.suspects.apply(reply, this.parts.clock.now());
     this.workersEpoch = reply.workersEpoch;
     this.workersRevision = reply.workersRevision;
+    this.tableSentAt = Math.max(this.tableSentAt, sentAt);
   }
 }
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -218,7 +218,8 @@
     const { site, clock, suspension } = this.parts;
     const sentAt = clock.now();
     const epoch = suspension.readEpoch();
-    const reply = await send(site.buildWatchRequest(holdMs), holdMs + REPLY_TIMEOUT_MS)
+    const request = site.buildWatchRequest(holdMs);
+    const reply = await send(request, holdMs + REPLY_TIMEOUT_MS)
       .catch((error: unknown) => this.logUnreachable(address, error as Error));
     if (reply) this.retryDelayMs = MIN_RETRY_DELAY_MS;
     if (!reply || reply.leaseMs <= 0) {
@@ -226,7 +227,7 @@
       return false;
     }
     this.setLeader(address, reply);
-    site.applyReply(reply, sentAt, epoch);
+    site.applyReply(reply, sentAt, epoch, request.workersEpoch);
     return true;
   }
 
--- a/tests/relay/late-watch-replies.spec.ts
+++ b/tests/relay/late-watch-replies.spec.ts
@@ -53,7 +53,9 @@
   });
   return {
     request: () => site.buildWatchRequest(0),
-    apply: (reply: WatchReply, sentAt: number): void => site.applyReply(reply, sentAt, 0),
+    apply: (reply: WatchReply, sentAt: number, asked?: WatchRequest): void => (
+      site.applyReply(reply, sentAt, 0, asked?.workersEpoch)),
+    readLeaseMs: () => site.leaseLeftMs,
     readStanding: (workerId = LEAVING) => site.workers.byId.get(workerId)?.standing,
   };
 };
@@ -71,7 +73,7 @@
     const openRequest = request();
     apply(lateReply, 0);
     later.announce(OTHER, 'ready', 1);
-    apply(later.answer(openRequest), 2);
+    apply(later.answer(openRequest), 2, openRequest);
     expect(readStanding()).toBe('draining');
     expect(readStanding(OTHER)).toBe('ready');
   });
@@ -87,11 +89,27 @@
     const openRequest = request();
     apply(lateReply, 0);
     leader.announce(OTHER, 'ready', 1);
-    apply(leader.answer(openRequest), 2);
+    apply(leader.answer(openRequest), 2, openRequest);
     expect(readStanding()).toBe('draining');
     expect(readStanding(OTHER)).toBe('ready');
   });
 
+  // An entry had a lease for a table that it did not hold: changes since a revision of a table that
+  // was replaced meanwhile can't be applied.
+  it('should get no lease for changes of a table that it no longer holds', () => {
+    const [earlier, later] = [new FakeLeader('x'), new FakeLeader('y')];
+    const { apply, request, readLeaseMs } = makeEntry();
+    earlier.announce(LEAVING, 'ready', 1);
+    apply(earlier.answer(request()), 0);
+    const openRequest = request();
+    later.announce(OTHER, 'ready', 1);
+    apply(later.answer(request()), 2);
+    earlier.announce(LEAVING, 'draining', 2);
+    apply(earlier.answer(openRequest), 5_000, openRequest);
+    expect(readLeaseMs()).toBe(2_302);
+    expect(request().workersEpoch).toBe('y');
+  });
+
   // The same with a new leader whose copy of the table is older than what the entry holds.
   it.each(['draining', 'gone'])('should keep a server from new requests when a new leader does not know it as %s', (state) => {
     const [earlier, later] = [new FakeLeader('x'), new FakeLeader('y')];
