Give the log of a request a site with a table in its test

Cause: since each attempt names the table of servers, the test's empty site lacks a field that a real one always has.

Change: the double has epoch and revision; no check changed.

--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -18,7 +18,7 @@
       metrics: new RelayMetrics(),
       logger: logger as unknown as Logger,
       clock: { now: () => 0 },
-      site: {} as RelaySite,
+      site: { workersEpoch: 'e', workersRevision: 1 } as RelaySite,
     };
     const log = new RequestLog(parts, { requestId, lastEventId: '', resumedId: '' }, 0);
     log.identity = { fingerprint: computeFingerprint(content) };
