Keep an entry's knowledge that a server leaves across leaders

Seen: on an overloaded site that changes its leader by itself, servers that had said that they leave were ready again at entries.

Cause: a new leader's copy of the table may be older than what its entries hold, and entries took its word that a server is ready for newer.

Change: an entry keeps which incarnation it was told is draining, up to which sequence number, or gone.

Why it works: sequence numbers are the server's own, so they order its words whichever leader passes them on. Other standings are left out, as silence is the leader's judgement and has no number.

--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -1,4 +1,5 @@
 import type { WorkerAnnouncement, WorkerRecord } from '../../protocol/generated/beechlift';
+import { DepartedWorkers } from './departedWorkers';
 import { addSample, makeLinearFit } from './linearFit';
 import type { LinearFit } from './linearFit';
 import { makeMechanisms } from './mechanisms';
@@ -73,6 +74,7 @@
   readonly byService: Map<string, RoutedWorker[]>;
   readonly serviceStats: Map<string, ServiceStats>;
   readonly versions: ServiceVersions;
+  readonly departures: DepartedWorkers;
   /** Most open requests of this entry per server, by service; a missing service has no limit. */
   connectionShares: ReadonlyMap<string, number>;
   readonly mechanisms: Mechanisms;
@@ -122,6 +124,7 @@
   byService: new Map(),
   serviceStats: new Map(),
   versions: new ServiceVersions(),
+  departures: new DepartedWorkers(),
   connectionShares: new Map(),
   mechanisms,
 });
@@ -182,6 +185,9 @@
   now: number,
 ): void => {
   if (!announcement) return;
+  const { departures } = workers;
+  if (standing === 'ready' && departures.isOutdated(announcement, now)) return;
+  departures.record(announcement, standing as WorkerStanding, now);
   const worker = findOrMakeWorker(workers, announcement);
   worker.service = announcement.service || worker.service;
   worker.address = announcement.address || worker.address;
--- a/tests/relay/late-watch-replies.spec.ts
+++ b/tests/relay/late-watch-replies.spec.ts
@@ -19,9 +19,9 @@
     this.table = makeWorkerTable(epoch);
   }
 
-  announce(workerId: string, state: string, sequence: number): void {
+  announce(workerId: string, state: string, sequence: number, born = 5): void {
     applyAnnouncement(this.table, WorkerAnnouncement.fromPartial({
-      workerId, service: 'rooms', address: `${workerId}:80`, slots: 1, state, sequence, born: 5,
+      workerId, service: 'rooms', address: `${workerId}:80`, slots: 1, state, sequence, born,
     }), 0);
   }
 
@@ -122,6 +122,17 @@
     expect(readStanding()).not.toBe('ready');
   });
 
+  it('should take a new start under the id of a server that is gone as ready', () => {
+    const leader = new FakeLeader('x');
+    const { apply, request, readStanding } = makeEntry();
+    leader.announce(LEAVING, 'ready', 1);
+    leader.announce(LEAVING, 'gone', 2);
+    apply(leader.answer(request()), 0);
+    leader.announce(LEAVING, 'ready', 1, 6);
+    apply(leader.answer(request()), 1);
+    expect(readStanding()).toBe('ready');
+  });
+
   it('should take a server that has come back under its id as ready', () => {
     const leader = new FakeLeader('x');
     const { apply, request, readStanding } = makeEntry();
