Acknowledge that a server leaves once a majority of replicas knows it

Seen: servers got requests up to 5.4 s after their word that they leave had been acknowledged, where the leader that heard it was lost or slow.

Cause: the leader acknowledged the word as soon as it stood in its own memory. Followers copy the table up to 250 ms later and the disk half a second later, so the next leader listed the server as ready; one that had deregistered announces itself no more, and stayed so until it fell silent. Class: an acknowledgement that is one process's and not the site's.

Change: the first word that a server leaves, and that it is gone, is a command of the replicated log; the acknowledgement waits for it, 550 ms at most, then it is refused and the server asks again. The state of the log keeps the last 1,000 departures; a new leader corrects its table by them. Earlier releases take the command for a document of version 0.

Why it works: a leader has applied all that was agreed before it answers entries, so none grants a lease for a table without the server's word.

--- a/src/control/announcementService.ts
+++ b/src/control/announcementService.ts
@@ -1,5 +1,6 @@
 import type { AnnounceReply, WorkerAnnouncement } from '../protocol/generated/beechlift';
 import type { AnnouncementValidator } from './announcementValidator';
+import type { DepartureLog } from './departureLog';
 import type { LeaderWait } from './leaderWait';
 import type { RoutedPort } from './routedNodeParts';
 import type { SuspectRegistry } from './suspectRegistry';
@@ -18,6 +19,7 @@
   readonly validator: Pick<AnnouncementValidator, 'check'>;
   readonly registry: Pick<WorkerRegistry, 'applyAnnouncement'>;
   readonly suspects: Pick<SuspectRegistry, 'handleAnnouncement'>;
+  readonly departures: Pick<DepartureLog, 'ensureAgreed' | 'restoreMissing'>;
   readonly leaderWait: Pick<LeaderWait, 'wait'>;
   readonly work: Pick<WorkMeter, 'measure'>;
   readonly readView: () => Pick<ReplicaView, 'isLeading' | 'otherLeaderAddress'>;
@@ -34,25 +36,28 @@
   constructor(private readonly parts: AnnouncementServiceParts) {}
 
   /**
-   * Applies or forwards an announcement; `taken` is false if no leader received it. Throws if the
-   * announcement cannot be from a server of this site.
+   * Applies or forwards an announcement; `taken` is false if no leader received it, or if it says
+   * that the server leaves and no majority knows that. Throws if the announcement cannot be from a
+   * server of this site.
    *
    * To prevent loops, a replica never forwards to itself, even if its lease has lapsed, and never
    * forwards what was forwarded to it, as two replicas may each consider the other the leader.
    */
   async announce(announcement: WorkerAnnouncement, isForwarded: boolean): Promise<AnnounceReply> {
     const {
-      validator, registry, suspects, leaderWait, work, readView, port,
+      validator, registry, suspects, departures, leaderWait, work, readView, port,
     } = this.parts;
     validator.check(announcement);
     await leaderWait.wait(LEADER_WAIT_MS);
     const { isLeading, otherLeaderAddress } = readView();
     if (isLeading) {
+      const { workerId } = announcement;
       work.measure('announce', () => {
+        departures.restoreMissing(workerId);
         registry.applyAnnouncement(announcement);
         suspects.handleAnnouncement(announcement);
       });
-      return { taken: true };
+      return { taken: await departures.ensureAgreed(workerId) };
     }
     if (isForwarded || otherLeaderAddress === '') return { taken: false };
     return port.announce(announcement, otherLeaderAddress);
--- a/src/control/documentCommand.ts
+++ b/src/control/documentCommand.ts
@@ -1,11 +1,17 @@
 import type { DocumentCommand } from '../core/routing/siteDocument';
+import { WorkerRecord } from '../protocol/generated/beechlift';
 import { packLarge, unpackText } from '../utils/packedText';
 
-/** A command in the log: with the plain document, or with the packed document in base64. */
+/**
+ * A command in the log: with the plain document, with the packed document in base64, or with the
+ * departure of a server.
+ */
 interface StoredCommand {
   readonly version: number;
   readonly document?: string;
   readonly packed?: string;
+  /** A server that leaves; the other fields then change nothing. */
+  readonly departure?: WorkerRecord;
 }
 
 /**
@@ -30,3 +36,13 @@
   const { version, document, packed } = JSON.parse(text) as StoredCommand;
   return { version, document: document ?? unpackText(Buffer.from(packed ?? '', 'base64')) };
 };
+
+/** Encodes the departure of a server for the log; earlier releases ignore its version 0. */
+export const encodeDeparture = (departure: WorkerRecord): string => (
+  JSON.stringify({ version: 0, document: '', departure } satisfies StoredCommand));
+
+/** Decodes the departure of a server; undefined for a command with a document. */
+export const decodeDeparture = (text: string): WorkerRecord | undefined => {
+  const { departure } = JSON.parse(text) as StoredCommand;
+  return departure && WorkerRecord.fromPartial(departure);
+};
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -3,6 +3,7 @@
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
+import { parseDepartures } from '../core/routing/departures';
 import { applyDocument, parseSiteDocument } from '../core/routing/siteDocument';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
@@ -12,7 +13,8 @@
 import { HeldCalls } from '../utils/heldCalls';
 import { AnnouncementService } from './announcementService';
 import { AnnouncementValidator } from './announcementValidator';
-import { decodeCommand } from './documentCommand';
+import { DepartureLog } from './departureLog';
+import { decodeCommand, decodeDeparture } from './documentCommand';
 import { DocumentPublisher } from './documentPublisher';
 import { SoftState } from './softState';
 import { SuspensionGuard } from './suspensionGuard';
@@ -66,6 +68,8 @@
 
   private readonly replicaSetManager: ReplicaSetManager;
 
+  private readonly departureLog: DepartureLog;
+
   private readonly readBarrier: ReadBarrier;
 
   private readonly publisher: DocumentPublisher;
@@ -106,9 +110,6 @@
       work: this.work,
       readView: () => this.readView(),
     };
-    this.announcementService = new AnnouncementService({
-      ...serviceParts, validator: this.announcementValidator,
-    });
     this.watchService = new WatchService({ ...serviceParts, address: parts.self.address });
     this.directory = new ReplicaDirectory(parts.founders);
     this.suspensionGuard = new SuspensionGuard({
@@ -117,11 +118,16 @@
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
       applyCommand: (command) => this.applyCommand(command),
       restoreSnapshot: (snapshot) => this.restoreSnapshot(snapshot),
-      takeSnapshot: () => JSON.stringify(this.site),
+      takeSnapshot: () => this.formatSnapshot(),
       sendMessage: (message) => this.sendMessage(message),
       handleRoleChange: (role, term) => this.handleRoleChange(role, term),
       failStorage: (error) => parts.port.failStorage(error),
     }, parts.clock, { startedAt: parts.startedAt });
+    this.departureLog = new DepartureLog({ ...parts, runner: this.runner, registry });
+    this.departureLog.reset(parseDepartures(parts.stored.snapshot.data));
+    this.announcementService = new AnnouncementService({
+      ...serviceParts, validator: this.announcementValidator, departures: this.departureLog,
+    });
     this.leaseLog = new LeaseLog(this.runner, parts);
     this.learnerLog = new LearnerLog(this.runner, parts);
     this.readBarrier = new ReadBarrier({
@@ -317,6 +323,11 @@
   }
 
   private applyCommand(text: string): true {
+    const departure = decodeDeparture(text);
+    if (departure) {
+      this.departureLog.apply(departure);
+      return true;
+    }
     const command = decodeCommand(text);
     const previous = this.site;
     this.site = applyDocument(this.site, command, computeSha256(command.document));
@@ -329,9 +340,14 @@
 
   private restoreSnapshot(snapshot: Snapshot): void {
     this.site = parseSiteDocument(snapshot.data);
+    this.departureLog.reset(parseDepartures(snapshot.data));
     this.watches.release();
   }
 
+  private formatSnapshot(): string {
+    return JSON.stringify({ ...this.site, departures: [...this.departureLog.agreed.values()] });
+  }
+
   private findAddress(id: string): string {
     return this.directory.find(id, this.runner.state.replicas)?.address ?? '';
   }
@@ -348,5 +364,6 @@
     this.leaderState = this.makeLeaderState();
     if (this.site.version > 0) this.configureAccounts();
     this.softState.startLeading();
+    this.departureLog.restoreKnown();
   }
 }
--- a/src/core/routing/siteDocument.ts
+++ b/src/core/routing/siteDocument.ts
@@ -38,6 +38,8 @@
  * @example
  * state = parseSiteDocument(snapshot.data);
  */
-export const parseSiteDocument = (data: string): SiteDocument => (
-  data === '' ? NO_DOCUMENT : JSON.parse(data) as SiteDocument
-);
+export const parseSiteDocument = (data: string): SiteDocument => {
+  if (data === '') return NO_DOCUMENT;
+  const { version, digest, document } = JSON.parse(data) as SiteDocument;
+  return { version, digest, document };
+};
--- a/tests/control/departures-site.spec.ts
+++ b/tests/control/departures-site.spec.ts
@@ -63,8 +63,7 @@
     const leader = await found();
     await announce(leader, 'draining', 2);
     await announce(leader, 'ready', 3);
-    await waitFor(() => REPLICAS.every((position) => (
-      site.findNode(position).countWorkers().get('ready') === 1)), 'all replicas know it as ready');
+    await waitFor(() => site.hasTextInAllFiles('workers.log', '"sequence":3'), 'all replicas know it as ready');
     await site.stop(leader);
     expect(await readStanding()).toBe('ready');
   });
