Choose no server once the lease of the entry has ended

Cause: the lease was checked when a request was admitted. It then waits for a slot, a quarter of a second and more while the leader is slow, and the server was chosen by a table of any age.

Change: an entry without a lease waits for one when it is to choose or to use a slot, as long as at admission, and refuses the request as not run.

Why it works: each choice rests on a table that a lease stands for.

Evidence: two tests of worker-picker.spec.ts failed before and pass; tests of choice, changes of leader, streams and crashes pass (61).

--- a/src/relay/admitRequest.ts
+++ b/src/relay/admitRequest.ts
@@ -19,10 +19,16 @@
 /** Retry-After while the entry has no lease, in milliseconds. */
 const NO_LEASE_RETRY_MS = 500;
 
+/** Makes the refusal of an entry without a lease; it does not know the routes and keys in force. */
+export const makeNoLeaseError = (): BeechliftError => new BeechliftError(
+  'configurationStale',
+  'this entry has no lease on the routing document',
+  { retryAfterMs: NO_LEASE_RETRY_MS },
+);
+
 const requireTable = (site: RelaySite): RouteTable => {
   if (site.table && site.isServing) return site.table;
-  // Without a lease the routes and keys in force are unknown, so the error does not mention them.
-  throw new BeechliftError('configurationStale', 'this entry has no lease on the routing document', { retryAfterMs: NO_LEASE_RETRY_MS });
+  throw makeNoLeaseError();
 };
 
 const findAccount = (
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -22,8 +22,9 @@
 import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
 import type { Clock } from '../utils/clock';
-import { chargeAccount, computeCost } from './admitRequest';
+import { chargeAccount, computeCost, makeNoLeaseError } from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
+import { computeLeaseWaitMs } from './leaseWait';
 import type { PlaceClient } from './placeClient';
 import type { RelaySite } from './relaySite';
 import type { RequestFacts } from './requestDialect';
@@ -110,6 +111,7 @@
     const placed = usesLeader ? await this.place(request, lookup) : undefined;
     if (placed) return placed;
     if (request.isAbandoned()) return undefined;
+    await this.requireLease(request);
     // A suspect request may run only one copy at a time, which only the leader can ensure.
     if (site.isPlaced(service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader cannot place it', { retryAfterMs: NO_WORKER_RETRY_MS });
     if (request.tried.length === 0) {
@@ -203,6 +205,10 @@
     if (reply.code !== 0) {
       throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
     }
+    await this.requireLease(request).catch((error: unknown) => {
+      placeClient.report({ placeId, phase: 'dropped', ...NO_TIMINGS });
+      throw error;
+    });
     const worker = site.workers.byId.get(reply.workerId);
     // A leader of an earlier release does not restrict the version.
     const origin = reply.origin ?? lookup.origin;
@@ -225,6 +231,17 @@
     return this.place(request, lookup, requestCount + 1);
   }
 
+  /*
+   * Guards against requests to servers that left while the request waited for a slot. Without a
+   * lease, the table of this entry may lack what they announced.
+   */
+  private async requireLease({ facts }: PickRequest): Promise<void> {
+    const { site } = this.parts;
+    if (site.isServing) return;
+    await site.waitServing(computeLeaseWaitMs(facts));
+    if (!site.isServing) throw makeNoLeaseError();
+  }
+
   /** Throws the refusal if all ready servers of a service are backing off. */
   private checkBackoff(service: string): void {
     const { site, clock } = this.parts;
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -10,6 +10,7 @@
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionDetector } from '../../src/utils/clock';
+import type { Clock } from '../../src/utils/clock';
 import { NO_CONNECTIONS } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
 
@@ -22,14 +23,18 @@
   standing,
 });
 
-const makeSite = (routing: Routing, workers: WorkerRecord[]): RelaySite => {
-  const suspension = new SuspensionDetector(clock, () => 0);
+const makeSite = (
+  routing: Routing,
+  workers: WorkerRecord[],
+  siteClock: Clock = clock,
+): RelaySite => {
+  const suspension = new SuspensionDetector(siteClock, () => siteClock.now());
   const site = new RelaySite({
     entryId: 'e1',
     callerAddress: '',
     zone: 'a',
     readRouting: () => ({ routing, faults: [] }),
-    clock,
+    clock: siteClock,
     suspension,
     logger: makeLogger('test', 'silent'),
     retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
@@ -58,6 +63,12 @@
   services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
 });
 
+/** Makes a site whose clock can be set. */
+const makeMovingSite = (workers: WorkerRecord[]) => {
+  const movingClock = { time: 0, now: () => movingClock.time };
+  return { movingClock, site: makeSite(routing, workers, movingClock) };
+};
+
 const reportNotice = (
   site: RelaySite,
   workerId: string,
@@ -118,6 +129,31 @@
     expect(leader.reports.map(({ phase }) => phase)).toEqual(['dropped']);
   });
 
+  // Fault: a server that had left got requests that had waited for a slot. The entry chose
+  // it by a table that was older than its lease allows.
+  it.each([
+    ['by the leader', PlaceReply.fromPartial({ workerId: 'w1' })],
+    ['by the entry', undefined],
+  ])('should choose no server after the lease has ended, %s', async (name, reply) => {
+    const { movingClock, site } = makeMovingSite([makeRecord('w1', 'ready')]);
+    const leader = {
+      place: () => {
+        movingClock.time = 5_000;
+        return Promise.resolve(reply);
+      },
+      report: () => undefined,
+    };
+    const picker = new WorkerPicker({
+      site,
+      placeClient: leader as unknown as PlaceClient,
+      connections: NO_CONNECTIONS,
+      clock: movingClock,
+    });
+    const request = makePick(() => false, () => undefined);
+    await expect(picker.pick({ ...request, facts: { ...request.facts, maxWaitMs: 10 } }))
+      .rejects.toMatchObject({ code: 'configurationStale' });
+  });
+
   /*
    * Fault: requests whose callers had disconnected while they waited for a slot stayed in the queue
    * before those of other callers, and were then charged to their accounts.
