Read the shared parts of a prompt, and log them with broken attempts

Cause: Prompt-Prefix was read nowhere, and the log could not tell which requests under a crash had a part of their prompts in common.

No change of behaviour.

--- a/src/relay/requestDialect.ts
+++ b/src/relay/requestDialect.ts
@@ -26,6 +26,8 @@
   readonly resumedId: string;
   /** Undefined if the caller sent none. */
   readonly tokens: RequestTokens | undefined;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly promptParts: readonly string[];
 }
 
 /** Fields that are read from the headers of an answer. */
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -29,7 +29,7 @@
 
   constructor(
     private readonly parts: Pick<RequestParts, 'metrics' | 'logger' | 'clock' | 'site'>,
-    private readonly facts: Pick<RequestFacts, 'requestId' | 'lastEventId' | 'resumedId'>,
+    private readonly facts: Pick<RequestFacts, 'requestId' | 'lastEventId' | 'resumedId' | 'promptParts'>,
     private readonly receivedAt: number,
   ) {}
 
@@ -52,10 +52,12 @@
     }
     this.attemptCount += 1;
     const isOrdinary = outcome.kind === 'answered' && this.attemptCount === 1 && this.facts.lastEventId === '';
+    const isBroken = outcome.kind === 'broken';
     const level = isOrdinary ? 'debug' : 'info';
     logger[level]('attempt ended', {
       requestId: this.facts.requestId,
-      fingerprint: outcome.kind === 'broken' ? this.identity?.fingerprint : undefined,
+      fingerprint: isBroken ? this.identity?.fingerprint : undefined,
+      promptParts: isBroken ? this.facts.promptParts.join(' ') : undefined,
       route: route.name,
       worker: worker.id,
       software: worker.software,
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -32,6 +32,7 @@
     lastEventId: findHeader(headers, 'x-last-event') ?? '',
     resumedId: findHeader(headers, 'x-resumes') ?? '',
     tokens: undefined,
+    promptParts: (findHeader(headers, 'x-parts') ?? '').split(',').filter((part) => part !== ''),
   }),
   readAnswer: (headers) => ({
     requestId: findHeader(headers, 'x-id') ?? '',
--- a/tests/platform/platform-decoding.spec.ts
+++ b/tests/platform/platform-decoding.spec.ts
@@ -78,19 +78,19 @@
 
   it('should be decoded into request id, maximum wait, key and tokens', () => {
     expect(platformDialect.readRequest(headers)).toEqual({
-      requestId: '9c41', maxWaitMs: 15000, key: 'k1', lastEventId: '3', resumedId: '77af', tokens: { prompt: 1460, output: 80, expected: 80 },
+      requestId: '9c41', maxWaitMs: 15000, key: 'k1', lastEventId: '3', resumedId: '77af', tokens: { prompt: 1460, output: 80, expected: 80 }, promptParts: [],
     });
   });
 
   it.each([
     [[], {
-      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: undefined,
+      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
     }],
     [['Deadline-Ms', 'soon', 'Token-Count', 'x', 'Authorization', 'Basic k1'], {
-      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: undefined,
+      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
     }],
     [['Token-Count', '12'], {
-      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: { prompt: 12, output: 0, expected: 0 },
+      requestId: '', maxWaitMs: undefined, key: '', lastEventId: '', resumedId: '', tokens: { prompt: 12, output: 0, expected: 0 }, promptParts: [],
     }],
   ])('should be ignored if their values are invalid: %j', (raw, expected) => {
     expect(platformDialect.readRequest(raw)).toEqual(expected);
--- a/tests/platform/request-headers.spec.ts
+++ b/tests/platform/request-headers.spec.ts
@@ -44,6 +44,23 @@
   });
 });
 
+describe('the parts of a prompt', () => {
+  const readParts = (value?: string): readonly string[] => platformDialect
+    .readRequest(value === undefined ? [] : ['Prompt-Prefix', value]).promptParts;
+
+  it('should be read without the last one, which belongs to the request', () => {
+    expect(readParts('5c1e07a2:800,91BD3F06:410,e4402b7d:250')).toEqual(['5c1e07a2', '91bd3f06']);
+    expect(readParts(' 5c , 91:4 ,e4')).toEqual(['5c', '91']);
+    expect(readParts('5c1e07a2:800')).toEqual([]);
+  });
+
+  it('should be bounded, and left out if they cannot be read', () => {
+    expect(readParts()).toEqual([]);
+    expect(readParts('zz:1,,5c:x,91:4,e4:1')).toEqual(['91']);
+    expect(readParts(Array.from({ length: 5_000 }, (unused, id) => id.toString(16)).join(','))).toHaveLength(32);
+  });
+});
+
 describe('the token counts of a request', () => {
   const readTokens = (text: string): unknown => (
     platformDialect.readRequest(['Token-Count', text]).tokens);
--- a/tests/relay/entry-mechanisms.spec.ts
+++ b/tests/relay/entry-mechanisms.spec.ts
@@ -86,7 +86,7 @@
         route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
       },
       facts: {
-        requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined,
+        requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
       },
       deadlineAt: systemClock.now() + 5_000,
       tried: [],
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -20,7 +20,9 @@
       clock: { now: () => 0 },
       site: { workersEpoch: 'e', workersRevision: 1 } as RelaySite,
     };
-    const log = new RequestLog(parts, { requestId, lastEventId: '', resumedId: '' }, 0);
+    const log = new RequestLog(parts, {
+      requestId, lastEventId: '', resumedId: '', promptParts: [],
+    }, 0);
     log.identity = { fingerprint: computeFingerprint(content) };
     log.logAttempt(
       {
--- a/tests/relay/request-log.spec.ts
+++ b/tests/relay/request-log.spec.ts
@@ -17,7 +17,9 @@
       } as unknown as Logger,
       clock: { now: () => 0 },
       site: { table: new RouteTable(makeRouting({ version: 7 })), leaseLeftMs: 812.4 } as RelaySite,
-    }, { requestId: 'r1', lastEventId: '', resumedId: '' }, 0);
+    }, {
+      requestId: 'r1', lastEventId: '', resumedId: '', promptParts: [],
+    }, 0);
     log.logRefusal(new BeechliftError('unknownRoute', 'no route matches'), undefined, 0);
     expect(lines).toEqual([expect.objectContaining({ code: 1_014, version: 7, leaseLeftMs: 812 })]);
   });
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -50,7 +50,7 @@
     route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
   },
   facts: {
-    requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined,
+    requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
   },
   deadlineAt: 5_000,
   tried: [],
