--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -164,12 +164,19 @@
   }
 
   /** Sends a request with a unique id to an entry. */
-  async send(entry: number, body: string): Promise<SiteAnswer> {
+  async send(
+    entry: number,
+    body: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<SiteAnswer> {
     const address = this.entries[entry % this.entryCount]?.address ?? '';
     const answer = await request(`http://${address}/orders/7`, {
       method: 'POST',
       headers: {
-        host: 'shop.example', 'x-id': randomUUID(), 'x-entry': String(entry % this.entryCount),
+        host: 'shop.example',
+        'x-id': randomUUID(),
+        'x-entry': String(entry % this.entryCount),
+        ...headers,
       },
       body,
     });
