Quarantine parts of prompts that crash servers

Seen: requests with one part in their prompts crashed 33 to 40 engines in half a minute, two for each request, and went on reaching them.

Cause: a request was known by a digest of its whole content. No two of these were alike, so each counted as new and only its last crash with it. Class: an identity that is narrower than the cause.

Change: each shared part of a prompt, by service, is a suspect beside the request. Parts are only noted, and told to entries, until three servers crashed one after the other; then they are refused as requests are, also for requests that wait for a slot. The first whole answer with a part clears it, and an entry that has just passed one on does not accuse the part at all. Of several parts with the same evidence the last is refused, as fewest requests share it; its crashes then no longer count against what was open beside it. A part restricts nobody before it is refused.

Why it works: the part is what comes again; what honest requests share is answered all the time. List, leader changes and disks are those of the quarantine, so that entries without a leader refuse by it too.

--- a/src/core/quarantine/crashEvaluation.ts
+++ b/src/core/quarantine/crashEvaluation.ts
@@ -3,6 +3,7 @@
   clearSuspect, computeGroupWeight, computeSuspectWeight, CRASH_GROUP_WINDOW_MS, findStage,
   REFUSAL_THRESHOLD, WATCH_THRESHOLD, WEIGHT_EPSILON,
 } from './crashTable';
+import { isPartKey } from './promptPart';
 import type {
   CrashTable, CrashGroup, StageChange, Suspect,
 } from './crashTable';
@@ -77,6 +78,22 @@
     .flatMap((suspect) => removeCrash(table, suspect, server, now));
 };
 
+/*
+ * Clears the others that were open at the servers which a refused part has crashed: at most one of
+ * them is the cause, and it is known.
+ */
+const explainCrashes = (table: CrashTable, part: Suspect, now: number): StageChange[] => {
+  const crashes = [...part.crashGroups].flatMap(({ servers }) => [...servers])
+    .filter(([, fingerprints]) => fingerprints.has(part.fingerprint));
+  return crashes.flatMap(([server, fingerprints]) => {
+    const others = [...fingerprints].filter((fingerprint) => fingerprint !== part.fingerprint);
+    others.forEach((fingerprint) => fingerprints.delete(fingerprint));
+    return others
+      .flatMap((fingerprint) => table.suspects.get(fingerprint) ?? [])
+      .flatMap((other) => removeCrash(table, other, server, now));
+  });
+};
+
 const refuse = (suspect: Suspect, weight: number, now: number): StageChange => {
   const refusalMs = Math.min(
     MAX_REFUSAL_MS,
@@ -94,18 +111,23 @@
 
 const evaluateSuspect = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
   const weight = computeSuspectWeight(suspect);
-  if (now < suspect.refusedUntil || weight < WATCH_THRESHOLD - WEIGHT_EPSILON) return [];
+  const isPart = isPartKey(suspect.fingerprint);
+  const isListed = isPart || weight >= WATCH_THRESHOLD - WEIGHT_EPSILON;
+  if (now < suspect.refusedUntil || !isListed) return [];
   table.revision += 1;
   const isCertain = weight >= suspect.refusalThreshold - WEIGHT_EPSILON
     && hasSeveralGroups(suspect);
-  if (isCertain) return [refuse(suspect, weight, now)];
-  return [{ kind: 'watched', suspect }];
+  if (!isCertain) return [{ kind: isPart ? 'noted' : 'watched', suspect }];
+  const change = refuse(suspect, weight, now);
+  return isPart ? [change, ...explainCrashes(table, suspect, now)] : [change];
 };
 
 const settleGroup = (table: CrashTable, group: CrashGroup, now: number): StageChange[] => {
   group.isSettled = true;
   const fingerprints = new Set([...group.servers.values()].flatMap((requests) => [...requests]));
-  return [...fingerprints].flatMap((fingerprint) => {
+  // The later a part stands in its prompt, the fewer requests share it: if several have the same
+  // evidence against them, the last one is refused.
+  return [...fingerprints].reverse().flatMap((fingerprint) => {
     const suspect = table.suspects.get(fingerprint);
     return suspect ? evaluateSuspect(table, suspect, now) : [];
   });
--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -9,6 +9,7 @@
  * completely is no longer a suspect.
  */
 import type { CrashSighting } from '../../protocol/generated/beechlift';
+import { isPartKey } from './promptPart';
 
 /** Servers that crashed within a short time of one another, and the open requests of each. */
 export interface CrashGroup {
@@ -47,7 +48,8 @@
 }
 
 /**
- * - `noted`: treated like any other request.
+ * - `noted`: treated like any other request. Entries are told of noted parts, so that they report
+ *   the first answer with one.
  * - `watched`: one copy at a time, apart from other suspects, and not retried by an entry.
  * - `refused`: sent to no server.
  */
@@ -64,7 +66,7 @@
 
 /** A change in how a request is treated. */
 export interface StageChange {
-  readonly kind: 'watched' | 'refused' | 'cleared';
+  readonly kind: SuspectStage | 'cleared';
   readonly suspect: Suspect;
 }
 
@@ -136,7 +138,9 @@
   const suspect = suspects.get(fingerprint);
   if (!suspect) return 'noted';
   if (now < suspect.refusedUntil) return 'refused';
-  return computeSuspectWeight(suspect) >= WATCH_THRESHOLD - WEIGHT_EPSILON ? 'watched' : 'noted';
+  const isWatched = !isPartKey(fingerprint)
+    && computeSuspectWeight(suspect) >= WATCH_THRESHOLD - WEIGHT_EPSILON;
+  return isWatched ? 'watched' : 'noted';
 };
 
 /**
@@ -241,7 +245,7 @@
 
 /** Removes a suspect, and returns the change if it was watched or refused. */
 export const clearSuspect = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
-  const wasListed = findStage(table, suspect.fingerprint, now) !== 'noted';
+  const wasListed = isPartKey(suspect.fingerprint) || findStage(table, suspect.fingerprint, now) !== 'noted';
   removeSuspect(table, suspect);
   if (!wasListed) return [];
   table.revision += 1;
--- a/src/core/quarantine/suspectRecords.ts
+++ b/src/core/quarantine/suspectRecords.ts
@@ -4,6 +4,7 @@
   computeRemainingRefusalMs, computeSuspectWeight, findOrMakeSuspect, findStage,
 } from './crashTable';
 import type { CrashTable, Suspect } from './crashTable';
+import { isPartKey } from './promptPart';
 
 /** Maximum number of records in a list. */
 const MAX_RECORDS = 512;
@@ -18,14 +19,15 @@
 });
 
 /**
- * Lists the requests that are watched or refused, longest remaining refusal first.
+ * Lists the requests that are watched or refused and all suspect parts of prompts, longest
+ * remaining refusal first.
  *
  * @example
  * reply.suspects = listSuspects(table, clock.now());
  */
 export const listSuspects = (table: CrashTable, now: number): SuspectRecord[] => (
   [...table.suspects.values()]
-    .filter(({ fingerprint }) => findStage(table, fingerprint, now) !== 'noted')
+    .filter(({ fingerprint }) => isPartKey(fingerprint) || findStage(table, fingerprint, now) !== 'noted')
     .map((suspect) => toRecord(suspect, now))
     .sort((a, b) => b.refusedMs - a.refusedMs)
     .slice(0, MAX_RECORDS)
--- a/src/relay/crashRecords.ts
+++ b/src/relay/crashRecords.ts
@@ -4,7 +4,7 @@
 /** How long a crash is kept and reported to new leaders, in milliseconds. */
 const RETENTION_MS = 60_000;
 /** Most crashes that are kept; the oldest are dropped. */
-const MAX_RECORDS = 256;
+const MAX_RECORDS = 1_024;
 
 /** A crash of a server that ran a request, as this entry saw it. */
 export type ServerCrash = Omit<CrashSighting, 'ageMs'>;
--- a/src/relay/prepareRequest.ts
+++ b/src/relay/prepareRequest.ts
@@ -2,6 +2,7 @@
 import type { AdmittedRequest } from './admitRequest';
 import { readRequestBody } from './readRequestBody';
 import { RequestGuard } from './requestGuard';
+import type { RequestFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
 import { RetryPolicy } from './retryPolicy';
 
@@ -19,20 +20,21 @@
  *
  * @param target path and query as received
  * @example
- * const { guard, retryPolicy } = await prepareRequest(parts, request, '/orders/7', admitted);
+ * const prepared = await prepareRequest(parts, request, '/orders/7', admitted, facts);
  */
 export const prepareRequest = async (
   parts: RequestParts,
   request: IncomingMessage,
   target: string,
   admitted: AdmittedRequest,
+  { promptParts }: Pick<RequestFacts, 'promptParts'>,
 ): Promise<PreparedRequest> => {
   const { method = 'GET', headers: { host = '' } } = request;
   const limits = parts.site.table?.routing.limits;
   const body = await readRequestBody(request, limits?.bodyBytes ?? 0);
   const guard = new RequestGuard(parts, {
     method, host, target, account: admitted.account?.name ?? '', body,
-  });
+  }, { service: admitted.service, promptParts });
   const retryPolicy = new RetryPolicy(parts, admitted, guard);
   return {
     admitted, body, guard, retryPolicy,
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -18,6 +18,7 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionDetector } from '../utils/clock';
 import { HeldCalls } from '../utils/heldCalls';
+import { AnsweredParts } from './answeredParts';
 import { readDocument } from './readDocument';
 
 /** State of an entry, as reported to control and by the readiness check. */
@@ -70,6 +71,9 @@
   /** Requests that are known to crash backend servers. */
   readonly suspects = new SuspectList();
 
+  /** Parts of prompts that crash no server. */
+  readonly answeredParts = new AnsweredParts();
+
   /** When answers must have ended if this entry shuts down, monotonic milliseconds. */
   private endsAt = Infinity;
 
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -120,7 +120,13 @@
     const maxWaitMs = Math.min(route.timeoutMs, this.facts.maxWaitMs ?? Infinity);
     this.deadlineAt = this.receivedAt + maxWaitMs;
     this.writer = this.makeWriter(pickAnswerMode(route));
-    const prepared = await prepareRequest(this.parts, this.request, this.target, admitted);
+    const prepared = await prepareRequest(
+      this.parts,
+      this.request,
+      this.target,
+      admitted,
+      this.facts,
+    );
     const { guard, retryPolicy } = prepared;
     this.log.identity = guard;
     guard.check();
@@ -152,6 +158,7 @@
       this.releasePicked(admitted, picked);
       throw makeLeavingError();
     }
+    this.checkQuarantine(prepared, picked);
     retryPolicy.countTry();
     this.stream.adoptOrigin(picked);
     this.tried.push(picked.worker.id);
@@ -165,6 +172,16 @@
     await this.tryServers(prepared);
   }
 
+  /** Throws if the request was quarantined while it waited for its slot, which is released. */
+  private checkQuarantine({ admitted, guard }: PreparedRequest, picked: PickedWorker): void {
+    try {
+      guard.check();
+    } catch (thrown) {
+      this.releasePicked(admitted, picked);
+      throw thrown;
+    }
+  }
+
   private async pickWorker(
     { admitted, guard }: PreparedRequest,
     isUnneeded = (): boolean => false,
