Count only entries that are not compacted as on their way to a peer

Cause: read while the change was read as a newcomer would: after a compaction, the first open entry of a peer may lie before the log, and a negative position counts from the end of a list.

Change: such entries are left out.

--- a/src/core/log/appendSender.ts
+++ b/src/core/log/appendSender.ts
@@ -56,8 +56,11 @@
 export const isOnItsWay = (progress: PeerProgress, index: number, now: number): boolean => (
   isOpen(progress, index) && !isResendDue(progress.resend, now));
 
-const listEntries = (state: LogState, first: number, last: number): LogEntry[] => (
-  state.entries.slice(first - state.snapshot.index - 1, last - state.snapshot.index));
+/** Lists the entries from one index to another, without those that are compacted. */
+const listEntries = (state: LogState, first: number, last: number): LogEntry[] => {
+  const { index } = state.snapshot;
+  return state.entries.slice(Math.max(0, first - index - 1), Math.max(0, last - index));
+};
 
 const countBytes = (entries: readonly LogEntry[]): number => entries.reduce(
   (bytes, { command }) => bytes + command.length,
@@ -134,7 +137,7 @@
  * Sends a peer what it lacks, if anything may be sent now; returns whether it did.
  *
  * @example
- * if (!sendMissing(step, id)) sendHeartbeat(step, id);
+ * const isSent = sendMissing(step, 'c2'); // false while all that it lacks is on its way
  */
 export const sendMissing = (step: LogStep, id: string): boolean => {
   const { state, now } = step;
