Recover a noted part of prompts once

Cause: read in the change: a noted part always counts as missing, so each follower's report in the first second after a restart of all replicas replaced the leader's evidence and released all watch requests.

Change: a noted part that is in the table is not taken again. Result: crashing-parts.spec.ts and suspect-parts.spec.ts pass.

--- a/src/control/suspectRegistry.ts
+++ b/src/control/suspectRegistry.ts
@@ -7,6 +7,7 @@
 } from '../core/quarantine/crashTable';
 import type { StageChange, SuspectStage } from '../core/quarantine/crashTable';
 import { expireSuspects, evaluateCrashes, recordAnnouncement } from '../core/quarantine/crashEvaluation';
+import { isPartKey } from '../core/quarantine/promptPart';
 import { NO_RESTRICTION } from '../core/quarantine/placementRestriction';
 import type { RestrictionKind, PlacementRestriction } from '../core/quarantine/placementRestriction';
 import { SuspectList } from '../core/quarantine/suspectList';
@@ -131,7 +132,9 @@
   }
 
   /** Whether a cached suspect is missing here, so that its requests are not restricted. */
-  needsSuspect({ fingerprint }: SuspectRecord): boolean {
+  needsSuspect({ fingerprint, refusedMs }: SuspectRecord): boolean {
+    const isNotedPart = isPartKey(fingerprint) && refusedMs === 0;
+    if (isNotedPart && this.table.suspects.has(fingerprint)) return false;
     return findStage(this.table, fingerprint, this.parts.clock.now()) === 'noted';
   }
 
