Ask in one place whether entries are told of a suspect

Cause: the condition stood in the list and in the clearing of suspects, in the same words.

Change: isListed of the crash table. Result: no behaviour changes; tests of suspects, crashes and parts pass (48 with those of departures).

--- a/src/core/quarantine/crashTable.ts
+++ b/src/core/quarantine/crashTable.ts
@@ -143,6 +143,10 @@
   return isWatched ? 'watched' : 'noted';
 };
 
+/** Whether entries are told of a suspect: all parts of prompts, and requests beyond `noted`. */
+export const isListed = (table: CrashTable, fingerprint: string, now: number): boolean => (
+  isPartKey(fingerprint) || findStage(table, fingerprint, now) !== 'noted');
+
 /**
  * Whether a watched request must wait because one of its crashes has not been evaluated yet: it
  * takes a moment until all servers that crashed together are known.
@@ -245,7 +249,7 @@
 
 /** Removes a suspect, and returns the change if it was watched or refused. */
 export const clearSuspect = (table: CrashTable, suspect: Suspect, now: number): StageChange[] => {
-  const wasListed = isPartKey(suspect.fingerprint) || findStage(table, suspect.fingerprint, now) !== 'noted';
+  const wasListed = isListed(table, suspect.fingerprint, now);
   removeSuspect(table, suspect);
   if (!wasListed) return [];
   table.revision += 1;
--- a/src/core/quarantine/suspectRecords.ts
+++ b/src/core/quarantine/suspectRecords.ts
@@ -1,10 +1,9 @@
 /** Converts suspects to and from the records that are stored and sent to entries and replicas. */
 import type { SuspectRecord } from '../../protocol/generated/beechlift';
 import {
-  computeRemainingRefusalMs, computeSuspectWeight, findOrMakeSuspect, findStage,
+  computeRemainingRefusalMs, computeSuspectWeight, findOrMakeSuspect, isListed,
 } from './crashTable';
 import type { CrashTable, Suspect } from './crashTable';
-import { isPartKey } from './promptPart';
 
 /** Maximum number of records in a list. */
 const MAX_RECORDS = 512;
@@ -27,7 +26,7 @@
  */
 export const listSuspects = (table: CrashTable, now: number): SuspectRecord[] => (
   [...table.suspects.values()]
-    .filter(({ fingerprint }) => isPartKey(fingerprint) || findStage(table, fingerprint, now) !== 'noted')
+    .filter(({ fingerprint }) => isListed(table, fingerprint, now))
     .map((suspect) => toRecord(suspect, now))
     .sort((a, b) => b.refusedMs - a.refusedMs)
     .slice(0, MAX_RECORDS)
