Bound departures and answered parts with the library's cache

Cause: three classes evicted their oldest records by hand, and the time for which a departure is kept stood twice.

Change: lru-cache, as elsewhere, and the constant of the table of servers. Result: tests of departures, late replies, the choice and parts pass.

--- a/src/control/departureLog.ts
+++ b/src/control/departureLog.ts
@@ -1,4 +1,5 @@
 import { setTimeout as pause } from 'node:timers/promises';
+import { LRUCache } from 'lru-cache';
 import { addDeparture, NO_DEPARTURES } from '../core/routing/departures';
 import type { Departures } from '../core/routing/departures';
 import type { TrackedWorker } from '../core/routing/workerTable';
@@ -48,7 +49,7 @@
 export class DepartureLog {
   private departures = NO_DEPARTURES;
 
-  private readonly proposals = new Map<string, Proposal>();
+  private readonly proposals = new LRUCache<string, Proposal>({ max: MAX_PROPOSALS });
 
   private openCount = 0;
 
@@ -121,14 +122,7 @@
       this.openCount -= 1;
     });
     const proposal = { change, isAgreed };
-    this.proposals.delete(said.workerId);
     this.proposals.set(said.workerId, proposal);
-    if (this.proposals.size > MAX_PROPOSALS) this.dropOldest();
     return proposal;
   }
-
-  private dropOldest(): void {
-    const [oldest = ''] = this.proposals.keys();
-    this.proposals.delete(oldest);
-  }
 }
--- a/src/core/routing/departedWorkers.ts
+++ b/src/core/routing/departedWorkers.ts
@@ -1,4 +1,6 @@
+import { LRUCache } from 'lru-cache';
 import type { WorkerAnnouncement } from '../../protocol/generated/beechlift';
+import { GONE_RETENTION_MS } from './workerTable';
 import type { WorkerStanding } from './workerTable';
 
 /** The part of an announcement that identifies it. */
@@ -13,10 +15,7 @@
   readonly recordedAt: number;
 }
 
-/** How long a departure is kept, in milliseconds: as long as the leader keeps it. */
-const RETENTION_MS = 300_000;
-
-/** Bounds the memory that departures use; the oldest are dropped first. */
+/** Bounds the memory that departures use; those not looked at for the longest time are dropped first. */
 const MAX_DEPARTURES = 2_000;
 
 /**
@@ -30,7 +29,7 @@
  * if (departures.isOutdated(announcement, clock.now())) return;
  */
 export class DepartedWorkers {
-  private readonly departures = new Map<string, Departure>();
+  private readonly departures = new LRUCache<string, Departure>({ max: MAX_DEPARTURES });
 
   /** Records the standing of a server; those that take requests are left out. */
   record(
@@ -43,9 +42,7 @@
     const lastSequence = standing === 'gone' ? Infinity : sequence;
     const isKnown = known?.born === born && known.sequence >= lastSequence;
     if (isKnown) return;
-    this.departures.delete(workerId);
     this.departures.set(workerId, { born, sequence: lastSequence, recordedAt: now });
-    this.dropOldest();
   }
 
   /** Whether an announcement is older than the departure of its incarnation. */
@@ -54,12 +51,6 @@
     return known !== undefined
       && known.born === born
       && sequence <= known.sequence
-      && now - known.recordedAt < RETENTION_MS;
-  }
-
-  private dropOldest(): void {
-    if (this.departures.size <= MAX_DEPARTURES) return;
-    const [oldest = ''] = this.departures.keys();
-    this.departures.delete(oldest);
+      && now - known.recordedAt < GONE_RETENTION_MS;
   }
 }
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -51,7 +51,7 @@
 export const WORKER_TIMEOUT_MS = 5_000;
 
 /** How long a `gone` server is stored, so that a late announcement does not add it again. */
-const GONE_RETENTION_MS = 300_000;
+export const GONE_RETENTION_MS = 300_000;
 
 /**
  * How long after a restart a deregistration without a start time may belong to the earlier
--- a/src/relay/answeredParts.ts
+++ b/src/relay/answeredParts.ts
@@ -1,3 +1,5 @@
+import { LRUCache } from 'lru-cache';
+
 /** How long an answer speaks for the parts of its prompt, in milliseconds. */
 const VALID_MS = 2_000;
 
@@ -13,16 +15,11 @@
  * const suspects = keys.filter((key) => !answeredParts.has(key, clock.now()));
  */
 export class AnsweredParts {
-  private readonly answeredAt = new Map<string, number>();
+  private readonly answeredAt = new LRUCache<string, number>({ max: MAX_PARTS });
 
   /** Records that a request with these parts was answered. */
   record(keys: readonly string[], now: number): void {
-    keys.forEach((key) => {
-      this.answeredAt.delete(key);
-      this.answeredAt.set(key, now);
-    });
-    const excess = Math.max(0, this.answeredAt.size - MAX_PARTS);
-    [...this.answeredAt.keys()].slice(0, excess).forEach((key) => this.answeredAt.delete(key));
+    keys.forEach((key) => this.answeredAt.set(key, now));
   }
 
   /** Whether a request with the part was answered a short time ago. */
