--- a/src/core/routing/departedWorkers.ts
+++ b/src/core/routing/departedWorkers.ts
@@ -15,7 +15,7 @@
   readonly recordedAt: number;
 }
 
-/** Bounds the memory that departures use; those not looked at for the longest time are dropped first. */
+/** Bounds the memory that departures use; those not looked at for longest are dropped first. */
 const MAX_DEPARTURES = 2_000;
 
 /**
