Wait longer for a leader whose messages come late

What callers saw: on grown sites most refusals were for want of a lease; ten leaders followed one another in 31 s, with no fault at any replica.

Cause: a follower takes part in an election after 300 ms of silence. A leader that is out of processor time sends its heartbeats later than that, and each next leader has the same load, and all entries at once besides.

Change: a follower waits for three times the longest recent gap between messages of its leader, 300 ms at least and 1.2 s at most, and grants no pre-vote before. The gap counted falls with each message that is in time.

Why it works: the promise not to vote, on which the leader's lease rests, is unchanged. A leader that was in time is replaced as soon as before.

--- a/src/core/log/election.ts
+++ b/src/core/log/election.ts
@@ -1,4 +1,5 @@
 import type { LogMessage } from '../../protocol/generated/beechlift';
+import { computePatienceMs } from './leaderPatience';
 import { startLeading } from './replication';
 import {
   addEffect, becomeFollower, hasMajority, isVoter, listPeers, persistState, readLastIndex,
@@ -76,10 +77,15 @@
   return state.role !== 'preCandidate' || !isSameLog || message.from < state.id;
 };
 
+/** Whether the leader may only be slow: its messages came late before. */
+const isLeaderAwaited = ({ state, now }: LogStep): boolean => (
+  state.leaderId !== '' && now - state.lastLeaderContactAt < computePatienceMs(state));
+
 /** Answers a pre-vote request. The answer does not commit this replica to anything. */
 export const handlePreVote = (step: LogStep, message: LogMessage): void => {
   const { state } = step;
   const granted = !hasLeaderContact(step)
+    && !isLeaderAwaited(step)
     && message.term > state.term
     && isUpToDate(state, message)
     && hasTieBreakPriority(state, message);
--- a/src/core/log/logState.ts
+++ b/src/core/log/logState.ts
@@ -1,5 +1,6 @@
 import { LogMessage } from '../../protocol/generated/beechlift';
 import type { LogEntry } from '../../protocol/generated/beechlift';
+import { computePatienceMs, recordLeaderGap } from './leaderPatience';
 import type {
   HardState, LogEffect, LogMessageKind, LogState, LogStep, LogTimings, ReplicaSet, StoredLog,
 } from './logTypes';
@@ -16,6 +17,7 @@
 export const DEFAULT_LOG_TIMINGS: LogTimings = {
   heartbeatMs: 75,
   electionTimeoutMs: 300,
+  maxPatienceMs: 1_200,
   preVoteIntervalMs: 75,
   leaseMarginMs: 45,
 };
@@ -106,6 +108,7 @@
      * case after all processes of a site were killed.
      */
     lastLeaderContactAt: startedAt,
+    leaderGapMs: 0,
     nextHeartbeatAt: 0,
     votes: new Set(),
     peers: new Map(),
@@ -211,11 +214,12 @@
 
 /** Follows the leader that sent a message in the current or a newer term. */
 export const followLeader = (step: LogStep, message: LogMessage): void => {
-  const { state } = step;
+  const { state, now } = step;
+  recordLeaderGap(state, message.from, now);
   if (message.term > state.term || state.role !== 'follower') {
     becomeFollower(step, message.term, message.from);
   }
   state.leaderId = message.from;
-  state.lastLeaderContactAt = step.now;
-  resetElectionTimer(step);
+  state.lastLeaderContactAt = now;
+  state.electionAt = drawDeadline(state, now, computePatienceMs(state));
 };
--- a/src/core/log/logTypes.ts
+++ b/src/core/log/logTypes.ts
@@ -65,6 +65,8 @@
   readonly heartbeatMs: number;
   /** Shortest time without contact with a leader after which a follower starts a pre-vote. */
   readonly electionTimeoutMs: number;
+  /** The same after messages of the leader that came late, at most. */
+  readonly maxPatienceMs: number;
   /**
    * Shortest time between two pre-votes of a replica that has no contact with a leader. A pre-vote
    * binds no replica and writes nothing to disk, so it may be frequent.
@@ -96,6 +98,8 @@
   electionAt: number;
   /** When the last message of a leader was received, monotonic milliseconds. */
   lastLeaderContactAt: number;
+  /** Longest recent gap between messages of the leader, in ms; falls with each message. */
+  leaderGapMs: number;
   /** When the leader sends its next round, monotonic milliseconds. */
   nextHeartbeatAt: number;
   /** Replicas that granted the current pre-vote or vote, this one included. */
