Ask a leader for slots less often while it answers late

What callers saw: on grown sites most requests for engines were late or refused.

Cause: the entry took any message for a sign that the leader is in time, so one that is 600 ms behind, but sends something every 200 ms, was asked for every request. One that fell silent was asked again after 400 ms, by all entries at once, or with its first late message.

Change: an entry knows when each message with slot requests was sent, and the leader is late once the oldest has no acknowledgement for 250 ms.

Nothing rests on the pause: placing needs no lease.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -12,17 +12,18 @@
 import type { BegunStream } from './begunStreams';
 import { CrashRecords } from './crashRecords';
 import type { ServerCrash } from './crashRecords';
+import { PlacementPause } from './placementPause';
 
 /**
- * Time without a message of the leader after which an entry places requests itself, in
- * milliseconds. The leader sends a keepalive every 100 ms while requests wait, and the target
- * latency of a request is 400 ms or more.
+ * Time without an answer of the leader after which an entry places requests itself, in
+ * milliseconds. The leader acknowledges a request when it has read it, and sends a keepalive every
+ * 100 ms while requests wait. The target latency of a request is 400 ms or more.
  */
 const LEADER_SILENCE_MS = 250;
-/** How long an entry then places requests itself unless the leader sends a message, in ms. */
-const SUSPENSION_MS = 400;
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
+/** Most unacknowledged messages whose times are stored; later ones do not count as late. */
+const MAX_OPEN_MESSAGES = 1_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
 /**
@@ -49,6 +50,13 @@
   readonly resolve: (reply: PlaceReply | undefined) => void;
 }
 
+/** A message with slot requests that the leader has not acknowledged yet. */
+interface OpenMessage {
+  readonly number: number;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
+}
+
 /** The stream to one leader. */
 interface LeaderStream {
   readonly link: RpcLink<SiteClient>;
@@ -60,6 +68,8 @@
   readonly grantedIds: Set<string>;
   /** Number of the last message that the leader acknowledged. */
   lastAcknowledged: number;
+  /** Messages with slot requests that the leader has not acknowledged, oldest first. */
+  openMessages: readonly OpenMessage[];
   /** Time since which a reply is due, monotonic milliseconds. */
   replyDueSince: number;
 }
@@ -79,7 +89,7 @@
  * if (!reply) chooseLocally();
  */
 export class PlaceClient {
-  private suspendedUntil = -Infinity;
+  private readonly pause = new PlacementPause();
 
   private readonly waiting = new Map<string, PendingPlacement>();
 
@@ -99,6 +109,9 @@
 
   private leaderStream: LeaderStream | undefined;
 
+  /** Connection of the latest stream. */
+  private lastLink: RpcLink<SiteClient> | undefined;
+
   private readonly flushTask = new ImmediateTask(() => this.flush());
 
   private flushTimer: NodeJS.Timeout | undefined;
@@ -189,7 +202,7 @@
   }
 
   private canAsk(now: number): boolean {
-    return now >= this.suspendedUntil && this.parts.findLeader() !== undefined;
+    return !this.pause.isActive(now) && this.parts.findLeader() !== undefined;
   }
 
   private scheduleFlush(ms: number): void {
@@ -205,7 +218,7 @@
     this.flushTimer = undefined;
     const link = this.parts.findLeader();
     const now = this.parts.clock.now();
-    if (!link || (!this.leaderStream && now < this.suspendedUntil)) {
+    if (!link || (!this.leaderStream && this.pause.isActive(now))) {
       this.resolveWaiting();
       return;
     }
@@ -220,7 +233,12 @@
     const isFirst = leaderStream.lastSent === 0;
     if (!this.isReplyDue(leaderStream)) leaderStream.replyDueSince = now;
     leaderStream.lastSent += 1;
-    if (requests.length > 0) leaderStream.lastAsked = leaderStream.lastSent;
+    if (requests.length > 0) {
+      leaderStream.lastAsked = leaderStream.lastSent;
+      leaderStream.openMessages = [
+        ...leaderStream.openMessages, { number: leaderStream.lastSent, sentAt: now },
+      ].slice(0, MAX_OPEN_MESSAGES);
+    }
     leaderStream.stream.write({
       number: leaderStream.lastSent,
       requests,
@@ -237,6 +255,8 @@
   /** Returns the stream to the leader. A new leader is sent all pending requests and crashes. */
   private findStream(link: RpcLink<SiteClient>): LeaderStream {
     if (this.leaderStream?.link === link) return this.leaderStream;
+    if (this.lastLink !== link) this.pause.reset();
+    this.lastLink = link;
     this.closeStream();
     this.crashes.markUnreported();
     this.streams.markUnreported();
@@ -256,16 +276,22 @@
       lastAsked: 0,
       grantedIds: new Set(),
       lastAcknowledged: 0,
+      openMessages: [],
       replyDueSince: this.parts.clock.now(),
     };
     return this.leaderStream;
   }
 
   private takeDecisions({ acknowledged, replies }: PlaceDecisions): void {
-    if (!this.leaderStream) return;
-    this.leaderStream.lastAcknowledged = acknowledged;
-    this.leaderStream.replyDueSince = this.parts.clock.now();
-    this.suspendedUntil = -Infinity;
+    const { leaderStream } = this;
+    if (!leaderStream) return;
+    const now = this.parts.clock.now();
+    const answered = leaderStream.openMessages.filter(({ number }) => number <= acknowledged);
+    const isInTime = answered.some(({ sentAt }) => now - sentAt < LEADER_SILENCE_MS);
+    this.pause.recordMessage(now, isInTime);
+    leaderStream.openMessages = leaderStream.openMessages.slice(answered.length);
+    leaderStream.lastAcknowledged = acknowledged;
+    leaderStream.replyDueSince = now;
     replies.forEach((reply) => this.settle(reply));
   }
 
@@ -311,7 +337,9 @@
       this.suspendLeader(`no message for ${Math.round(silentMs)} ms`);
       return;
     }
-    if (silentMs >= LEADER_SILENCE_MS) this.handleSilence(silentMs);
+    const [oldest] = leaderStream.openMessages;
+    const lateMs = oldest ? this.parts.clock.now() - oldest.sentAt : silentMs;
+    if (lateMs >= LEADER_SILENCE_MS) this.handleLateness(lateMs);
     this.startWatchdog();
   }
 
@@ -319,17 +347,17 @@
    * Places the waiting requests at this entry. The stream stays open: a slow leader would have to
    * accept another one, which makes it slower. Slots that it grants late are released.
    */
-  private handleSilence(silentMs: number): void {
+  private handleLateness(lateMs: number): void {
     const now = this.parts.clock.now();
-    if (now < this.suspendedUntil) return;
-    this.parts.logger.warn('control leader is slow, this entry places requests itself', { silentMs: Math.round(silentMs) });
-    this.suspendedUntil = now + SUSPENSION_MS;
+    if (this.pause.isActive(now)) return;
+    this.parts.logger.warn('control leader is slow, this entry places requests itself', { lateMs: Math.round(lateMs) });
+    this.pause.begin(now);
     [...this.waiting.keys()].forEach((placeId) => this.cancel(placeId));
   }
 
   private suspendLeader(reason: string): void {
     this.parts.logger.warn('control leader is unreachable, this entry places requests itself', { reason });
-    this.suspendedUntil = this.parts.clock.now() + SUSPENSION_MS;
+    this.pause.beginShort(this.parts.clock.now());
     this.closeStream();
     this.resolveWaiting();
   }
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -129,6 +129,26 @@
     expect(dropped.map(({ placeId }) => placeId)).toEqual(expect.arrayContaining(['a', 'b']));
   });
 
+  // A full leader was asked, and its late slots were given back, several times a second by every
+  // entry. It never caught up, and most requests waited for it in vain before they were sent.
+  it('should ask a leader that stays late ever less often', async () => {
+    const leader = new ScriptedLeader(({ number, requests }, self) => {
+      const granted = requests.map(({ placeId }) => placeId);
+      setTimeout(() => self.sendReply(number, granted), 600);
+    });
+    const client = makeClient(() => leader);
+    const ids = Array.from({ length: 30 }, (unused, count) => `p${count}`);
+    await ids.reduce(async (before, id) => {
+      await before;
+      client.place(makeRequest(id), findDeadline()).catch(() => undefined);
+      await pause(200);
+    }, Promise.resolve());
+    const askedCount = leader.requestedIds.flat().length;
+    // Four times a quarter of a second, in six seconds.
+    expect(askedCount).toBeLessThanOrEqual(8);
+    client.close();
+  });
+
   // Fault: a connection that carries nothing any more was used for good.
   it('should open another stream to a leader that stays silent', async () => {
     const leader = new ScriptedLeader(() => undefined);
