Drop a follower's watch reply if the replica has led since

Entries could send requests to a server long after its word that it leaves had been acknowledged, although the replicas had agreed on it.

A follower holds a watch request at the leader for 250 ms and takes its reply for up to 700 ms; an election may begin after 300 ms. A replica that was elected meanwhile applied the reply unless it already held the lease. So did one that had led and was deposed again. By then it has a table of its own, and the reply names another epoch and holds only the changes since the request. So the replica dropped its whole table, with the departures restored from the log, and took the few changes of its predecessor for all of it, under the predecessor's epoch. An entry that had not heard of the departure yet and holds that epoch is sent only changes after its revision: it is never told, its lease is renewed, and the server stays ready for it. A reply whose revision is below the entry's renews the lease too, and its changes are ignored.

A reply is now applied only if the replica still holds the table that the request named. Each replica makes a new epoch when it begins to lead, so this covers both cases. The lists of suspects, entries and stream origins arrive in the same reply and are dropped with it.

--- a/src/control/leaderFollower.ts
+++ b/src/control/leaderFollower.ts
@@ -31,7 +31,7 @@
  *
  * @example
  * const request = follower.buildRequest(site.digest, 250);
- * follower.applyReply(reply);
+ * follower.applyReply(reply, request);
  */
 export class LeaderFollower {
   private readonly entries = new EntryList();
@@ -69,9 +69,15 @@
     });
   }
 
-  /** Applies a watch reply of the leader. */
-  applyReply(reply: WatchReply): void {
+  /**
+   * Applies a watch reply of the leader, unless this replica has led since the request.
+   *
+   * It then has a table of its own. The reply may be older, and holds only the changes of the table
+   * that the request named.
+   */
+  applyReply(reply: WatchReply, { workersEpoch }: WatchRequest): void {
     const { registry, suspects, recoveryWindow } = this.parts;
+    if (registry.table.epoch !== workersEpoch) return;
     recoveryWindow.markFollowing();
     this.entries.apply(reply);
     registry.applyReply(reply);
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -182,10 +182,11 @@
   const address = node.leaderAddress;
   const canAsk = !node.isLeading && address !== '' && node.runner.state.role !== 'leader';
   if (!canAsk) return false;
-  const reply = await callSite<WatchRequest, WatchReply>(links, address, 'watch', node.buildFollowRequest(FOLLOW_HOLD_MS), FOLLOW_TIMEOUT_MS)
+  const request = node.buildFollowRequest(FOLLOW_HOLD_MS);
+  const reply = await callSite<WatchRequest, WatchReply>(links, address, 'watch', request, FOLLOW_TIMEOUT_MS)
     .catch(() => undefined); // Asked again later.
   if (!reply || reply.leaseMs <= 0) return false;
-  node.follow(reply);
+  node.follow(reply, request);
   return true;
 };
 
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -219,9 +219,9 @@
     return this.watchService.watch(request, isAbandoned);
   }
 
-  /** Applies a watch reply of the leader on a follower. */
-  follow(reply: WatchReply): void {
-    if (!this.runner.holdsLease) this.softState.applyReply(reply);
+  /** Applies a watch reply of the leader, unless this replica has led since the request. */
+  follow(reply: WatchReply, request: WatchRequest): void {
+    this.softState.applyReply(reply, request);
   }
 
   /** Builds the watch request that a follower sends to the leader. */
--- a/src/control/softState.ts
+++ b/src/control/softState.ts
@@ -88,8 +88,8 @@
     return this.follower.buildRequest(documentDigest, holdMs);
   }
 
-  /** Applies a watch reply of the leader. */
-  applyReply(reply: WatchReply): void {
-    this.follower.applyReply(reply);
+  /** Applies a watch reply of the leader, unless this replica has led since the request. */
+  applyReply(reply: WatchReply, request: WatchRequest): void {
+    this.follower.applyReply(reply, request);
   }
 }
