Adopt a deregistration whatever announcement is known

A new leader could list a server as ready whose deregistration the replicas had agreed on and acknowledged; entries sent it requests.

A deregistration has neither a sequence number nor, often, a start time: its record has those of the last announcement that the acknowledging leader knew. `needsRecord` takes it as missing from the table, but `adoptRecord` compared the sequence numbers and start times and dropped it: if the new leader knew a later announcement of the same start, or if the acknowledging leader did not know the server's start time at all.

A record of a server that is gone is now applied as its deregistration would be: it ends the incarnation, keeps what is known of the server (address, start time), and still only drains a server that has just restarted if it may belong to the earlier incarnation.

Two of the four new tests failed before, both with `ready` instead of `gone`; the other two hold the cases in which a departure must not count.

--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -247,6 +247,14 @@
     && (standing === 'gone' || known.said.sequence < announcement.sequence);
 };
 
+/** Whether a record tells that the tracked incarnation is gone, whatever its last announcement. */
+const isDeregistered = (
+  { said: { born }, superseded }: TrackedWorker,
+  announcement: WorkerAnnouncement,
+  standing: string,
+): boolean => standing === 'gone'
+  && compareIncarnation({ born, superseded }, { born: announcement.born, state: 'gone' }) === 'same';
+
 /** Adopts a record from another replica's table. */
 export const adoptRecord = (
   table: WorkerTable,
@@ -255,7 +263,9 @@
 ): void => {
   if (!announcement) return;
   const known = table.workers.get(announcement.workerId);
-  if (known && !isNewer(known, announcement)) {
+  const isGone = known !== undefined && isDeregistered(known, announcement, standing);
+  if (isGone) applySameIncarnation(table, known, { ...announcement, state: 'gone' }, now);
+  if (known && (isGone || !isNewer(known, announcement))) {
     known.superseded = supersededStarts.reduce(addSuperseded, known.superseded);
     return;
   }
--- /dev/null
+++ b/tests/control/departure-log.spec.ts
@@ -0,0 +1,80 @@
+import {
+  beforeEach, describe, expect, it,
+} from 'vitest';
+import { DepartureLog } from '../../src/control/departureLog';
+import type { DepartureLogParts } from '../../src/control/departureLog';
+import { WorkerRegistry } from '../../src/control/workerRegistry';
+import { addDeparture, NO_DEPARTURES } from '../../src/core/routing/departures';
+import { WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import { makeLogger } from '../../src/telemetry/logger';
+import { HeldCalls } from '../../src/utils/heldCalls';
+
+const BORN = 5;
+
+const makeAnnouncement = (fields: Partial<WorkerAnnouncement>): WorkerAnnouncement => (
+  WorkerAnnouncement.fromPartial({
+    workerId: 'w1', service: 'rooms', address: '10.0.0.1:80', slots: 6, state: 'ready', sequence: 1, born: BORN, ...fields,
+  }));
+
+const makeDeparture = (fields: Partial<WorkerAnnouncement>, standing: string): WorkerRecord => (
+  WorkerRecord.fromPartial({ said: makeAnnouncement(fields), standing }));
+
+describe('the departures that a new leader restores', () => {
+  let registry: WorkerRegistry;
+
+  let departureLog: DepartureLog;
+
+  const readStanding = (): string | undefined => registry.table.workers.get('w1')?.standing;
+
+  /** Lets the replica begin to lead with the departures that it knows from the log. */
+  const startLeading = (...records: readonly WorkerRecord[]): void => {
+    departureLog.reset(records.reduce(addDeparture, NO_DEPARTURES));
+    registry.startLeading();
+    departureLog.restoreKnown();
+  };
+
+  beforeEach(() => {
+    const logger = makeLogger('test', 'silent');
+    const clock = { now: () => performance.now() };
+    registry = new WorkerRegistry({
+      cachedWorkers: [],
+      workerCache: { saveIfChanged: () => undefined },
+      clock,
+      logger,
+      watches: new HeldCalls(),
+      countEntries: () => 1,
+    });
+    const runner = { state: { role: 'leader' }, propose: () => Promise.resolve(true) } as unknown as DepartureLogParts['runner'];
+    departureLog = new DepartureLog({
+      runner, registry, clock, logger,
+    });
+  });
+
+  // A deregistration has no sequence number. The next leader had heard a later announcement than
+  // the one that acknowledged the deregistration, and went on listing the server as ready.
+  it('should include a server that is gone and whose later announcement is known', () => {
+    registry.applyAnnouncement(makeAnnouncement({ sequence: 9 }));
+    startLeading(makeDeparture({ sequence: 4, state: 'gone' }, 'gone'));
+    expect(readStanding()).toBe('gone');
+  });
+
+  // The leader that acknowledged the deregistration did not know the server, nor its start time.
+  it('should include a server that is gone and whose start time was not known', () => {
+    registry.applyAnnouncement(makeAnnouncement({ sequence: 9 }));
+    startLeading(WorkerRecord.fromPartial({ said: { workerId: 'w1', state: 'gone' }, standing: 'gone' }));
+    expect([readStanding(), registry.table.workers.get('w1')?.said.born]).toEqual(['gone', BORN]);
+  });
+
+  it('should not include an older departure than the latest announcement', () => {
+    registry.applyAnnouncement(makeAnnouncement({ sequence: 9 }));
+    startLeading(makeDeparture({ sequence: 4, state: 'draining' }, 'draining'));
+    expect(readStanding()).toBe('ready');
+  });
+
+  it('should not include the departure of an earlier incarnation', () => {
+    registry.applyAnnouncement(makeAnnouncement({ sequence: 9 }));
+    registry.applyAnnouncement(makeAnnouncement({ born: BORN + 1 }));
+    startLeading(makeDeparture({ sequence: 9, state: 'gone' }, 'gone'));
+    expect(readStanding()).toBe('ready');
+  });
+});
