Wait for cached servers also if the log knows departures

After a restart of all replicas, entries got a list without a ready server and refused requests, although one replica had cached them.

A leader without servers holds its entries for up to half a second, until another replica has reported its cached records. It took any server in its table for a sign that it has them. Since departures are in the log, a leader that has lost its cache has at least these in its table, all of them leaving or gone, and answered at once.

Entries are now held until a ready server is known, for the same time at most.

--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -4,7 +4,7 @@
 import { formatOriginRecord } from '../core/routing/originRecords';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
-import { hasMixedService } from '../core/routing/workerTable';
+import { countByStanding, hasMixedService } from '../core/routing/workerTable';
 import type { Clock } from '../utils/clock';
 import type { HeldCalls } from '../utils/heldCalls';
 import { ImmediateQueue } from '../utils/immediateQueue';
@@ -130,13 +130,13 @@
   }
 
   /*
-   * After a restart, a leader may have no backend servers while another replica is about to report
-   * its cached ones. Entries wait for these; with an empty list they would refuse all requests.
+   * After a restart, a leader may have no ready servers while another replica is about to report
+   * its cached ones. Entries wait for these; without any they would refuse all requests.
    */
   private async awaitRecovery(): Promise<void> {
     const { registry, recoveryWindow, watches } = this.parts;
     const { holdMs } = recoveryWindow;
-    if (holdMs === 0 || registry.table.workers.size > 0) return;
+    if (holdMs === 0 || countByStanding(registry.table).has('ready')) return;
     await watches.hold(holdMs);
     await this.awaitRecovery();
   }
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -26,6 +26,13 @@
     (site as ControlSite).findNode(position)
       .publish({ document, deadlineMs: 3_000, forwarded: false }));
 
+  /** Asks as an entry until the leader answers: its lease may lapse before the request arrives. */
+  const askLeader = async (started: ControlSite): Promise<WatchReply> => {
+    const reply = await started.findNode(await started.waitForLeader())
+      .watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
+    return reply.leaseMs > 0 ? reply : askLeader(started);
+  };
+
   afterEach(async () => {
     await site?.close();
     site = undefined;
@@ -176,16 +183,29 @@
     }));
     await waitFor(() => started.hasTextInAllFiles('workers.log', 'w1'), 'all replicas remember it');
     await started.restartWithOneCopy('workers.log');
-    // Repeated until the leader answers: a lease may lapse before the watch request arrives.
-    const askLeader = async (): Promise<WatchReply> => {
-      const reply = await started.findNode(await started.waitForLeader())
-        .watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
-      return reply.leaseMs > 0 ? reply : askLeader();
-    };
-    const [worker] = (await askLeader()).workers;
+    const [worker] = (await askLeader(started)).workers;
     expect([worker?.said?.workerId, worker?.standing]).toEqual(['w1', 'ready']);
   });
 
+  // Entries refused all requests after a restart: the leader knew from the log which servers had
+  // left, and did not wait for the records of the others.
+  it('should wait for cached records also if it knows servers that left', async () => {
+    const started = await found();
+    await publish(0, formatDocument(7));
+    const leader = started.findNode(await started.waitForLeader());
+    const announce = (workerId: string, state: string) => leader.announce(
+      WorkerAnnouncement.fromPartial({
+        workerId, service: 'rooms', address: `${workerId}:80`, zone: 'a', slots: 6, state, sequence: 1,
+      }),
+    );
+    await announce('w1', 'ready');
+    await announce('w2', 'draining');
+    await waitFor(() => started.hasTextInAllFiles('workers.log', 'w1'), 'all replicas remember it');
+    await started.restartWithOneCopy('workers.log');
+    const ready = (await askLeader(started)).workers.filter(({ standing }) => standing === 'ready');
+    expect(ready.map(({ said }) => said?.workerId)).toEqual(['w1']);
+  });
+
   // A founder that restarts before the others have found it must not form a second site.
   it('should found one site when a founder restarts during the founding', async () => {
     site = await ControlSite.open(3);
