Restore departures of servers that a new leader lacks

A server that had left, with its word acknowledged and agreed on, stayed ready at entries that had not heard of it when the leader changed, as long as the new leader did not know the server.

A new leader corrected only the servers in its table. An entry takes the full table of a new leader as changes to its own: a server that is not listed stays as it is, and the reply renews the lease. A leader lacks servers after its cache was lost, or if it was elected before it had copied the table; a server that has deregistered announces itself no more, so nothing corrected the entries later. Departures that were applied after the election were restored for unknown servers already.

All departures in the log are now restored when a replica begins to lead.

The new test failed before: an empty list instead of one gone server.

--- a/src/control/departureLog.ts
+++ b/src/control/departureLog.ts
@@ -84,12 +84,15 @@
     this.departures = departures;
   }
 
-  /** Corrects the table of a replica that has become the leader. */
+  /**
+   * Corrects the table of a replica that has become the leader.
+   *
+   * Servers that the table lacks are added: entries may know them from an earlier leader, and what
+   * the table of a new leader does not list remains as it is at an entry.
+   */
   restoreKnown(): void {
-    const { workers } = this.parts.registry.table;
     this.proposals.clear();
-    this.restore([...this.departures.values()]
-      .filter(({ said }) => workers.has(said?.workerId ?? '')));
+    this.restore([...this.departures.values()]);
   }
 
   /** Adds the departure of a server that the table lacks, before one of its announcements. */
--- a/tests/control/departure-log.spec.ts
+++ b/tests/control/departure-log.spec.ts
@@ -5,7 +5,7 @@
 import type { DepartureLogParts } from '../../src/control/departureLog';
 import { WorkerRegistry } from '../../src/control/workerRegistry';
 import { addDeparture, NO_DEPARTURES } from '../../src/core/routing/departures';
-import { WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import { WatchRequest, WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
 import { HeldCalls } from '../../src/utils/heldCalls';
 
@@ -65,6 +65,13 @@
     expect([readStanding(), registry.table.workers.get('w1')?.said.born]).toEqual(['gone', BORN]);
   });
 
+  // Entries that knew the server from an earlier leader were not told that it had left: the new
+  // leader had lost its table, and the server announced itself no more.
+  it('should include a server that the replica does not know', () => {
+    startLeading(makeDeparture({ sequence: 4, state: 'gone' }, 'gone'));
+    expect(registry.buildPart(WatchRequest.fromPartial({})).workers.map(({ standing }) => standing)).toEqual(['gone']);
+  });
+
   it('should not include an older departure than the latest announcement', () => {
     registry.applyAnnouncement(makeAnnouncement({ sequence: 9 }));
     startLeading(makeDeparture({ sequence: 4, state: 'draining' }, 'draining'));
