Check lease and server once more before a request's first byte

A request could reach a server later after its departure than the lease of an entry allows, by the time that its connection took to open.

The choice of a server is checked against the lease and the server's standing. Then the request may wait: up to 300 ms for a new connection, for pending input, and, if its first server broke off, for the probe of that server. The lease has a margin of 200 ms for all of this, and a busy process adds its own delay.

The HTTP client reports when it is about to write a request to an open connection. The call now asks there, in the same turn of the event loop as the write, whether the entry still holds its lease and the server is still the chosen incarnation and ready. If not, no byte is sent, the connection is closed, and the request is placed again: it waits for the lease or takes another server. Such an attempt has the outcome `withheld`: it counts neither as a failure of the server nor as sent, and its slot is released. The check compares a clock and looks up one map.

--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -88,6 +88,7 @@
     return { kind: 'answered' };
   }
   if (writer.isFinished) return { kind: 'dropped', reason: callOutcome.reason };
+  if (callOutcome.kind === 'withheld') return callOutcome;
   suspendWorker(worker, now);
   tracker.recordFailure();
   return callOutcome.kind === 'unsent' ? callOutcome : headOutcome ?? callOutcome;
--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -14,6 +14,8 @@
   | { readonly kind: 'dropped'; readonly reason: string }
   /** The server did not run the request, or received no byte of it. */
   | { readonly kind: 'unsent' | 'rejected'; readonly reason: string }
+  /** No byte was sent, as the server must get no new requests. */
+  | { readonly kind: 'withheld'; readonly reason: string }
   /** The server may have run the request. */
   | { readonly kind: 'broken' | 'failed'; readonly reason: string };
 
@@ -25,6 +27,7 @@
   broken: 'unreached',
   rejected: 'rejected',
   unsent: 'unreached',
+  withheld: 'dropped',
 };
 
 /** Events of a stream between two measurements of its server's pace. */
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -8,8 +8,10 @@
 import { ServerReach } from '../core/routing/serverReach';
 import { ServiceRetryBudget } from '../core/routing/serviceRetryBudget';
 import type { RetryBounds } from '../core/routing/serviceRetryBudget';
-import { applyRecords, makeRoutedWorkers, setConnectionShares } from '../core/routing/routedWorkers';
-import type { RoutedWorkers } from '../core/routing/routedWorkers';
+import {
+  applyRecords, isReady, makeRoutedWorkers, setConnectionShares,
+} from '../core/routing/routedWorkers';
+import type { RoutedWorker, RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import { applyLoads, listLoads, resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
@@ -137,6 +139,11 @@
     return this.leaseWaiters.hold(maxMs);
   }
 
+  /** Whether a server that was chosen before may get a request now. */
+  maySendTo(worker: RoutedWorker): boolean {
+    return this.isServing && this.workers.byId.get(worker.id) === worker && isReady(worker);
+  }
+
   /** Whether this entry shuts down and callers are sent to other entries. */
   get isLeaving(): boolean {
     return this.endsAt !== Infinity;
--- a/src/relay/retryPolicy.ts
+++ b/src/relay/retryPolicy.ts
@@ -95,7 +95,7 @@
     // unless the stream is resumed after that part.
     const canResume = writer.canResume && site.workers.mechanisms.resumption;
     if (writer.hasStarted && !canResume) return false;
-    if (outcome.kind === 'unsent') return true;
+    if (outcome.kind === 'unsent' || outcome.kind === 'withheld') return true;
     if (!this.guard.isUnsuspected) return false;
     const { route, service } = this.admitted;
     const isSafe = outcome.kind === 'rejected' || this.isRepeatable;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -210,6 +210,7 @@
     let headOutcome: AttemptOutcome | undefined;
     this.writer.discardUnsent();
     const call: UpstreamCall = new UpstreamCall(connection, {
+      maySend: () => this.parts.site.maySendTo(worker),
       onHead: (head) => {
         tracker.recordHead();
         headOutcome = this.checkHead(prepared, worker, head, tracker.startedAt);
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -7,6 +7,8 @@
 export type UpstreamOutcome = | { readonly kind: 'complete' }
   /** No byte of the request was sent. */
   | { readonly kind: 'unsent'; readonly reason: string }
+  /** No byte of it was sent, as the server must get no new requests. */
+  | { readonly kind: 'withheld'; readonly reason: string }
   /** The request was sent, and no complete answer was received. */
   | { readonly kind: 'broken'; readonly reason: string };
 
@@ -30,6 +32,8 @@
 
 /** Receives an answer. */
 export interface UpstreamListener {
+  /** Returns whether the request may still be sent; asked right before its first byte. */
+  readonly maySend?: () => boolean;
   /** Returns false to refuse the answer, which closes the connection. */
   readonly onHead: (head: UpstreamHead) => boolean;
   /** Returns false to pause the answer until `resume` is called. */
@@ -67,6 +71,8 @@
 
   private isRefused = false;
 
+  private isWithheld = false;
+
   constructor(
     private readonly connection: WorkerConnection,
     private readonly listener: UpstreamListener,
@@ -100,11 +106,10 @@
     method, path, headers, body,
   }: UpstreamRequest): Promise<UpstreamOutcome> {
     return new Promise((resolve) => {
-      const fail = (error: Error): void => resolve(
-        this.isSent
-          ? { kind: 'broken', reason: error.message }
-          : { kind: 'unsent', reason: error.message },
-      );
+      const fail = ({ message: reason }: Error): void => {
+        const unsentKind = this.isWithheld ? 'withheld' : 'unsent';
+        resolve({ kind: this.isSent ? 'broken' : unsentKind, reason });
+      };
       try {
         this.connection.client.dispatch({
           method,
@@ -160,6 +165,7 @@
    */
   private start(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    if (!this.isSent) this.checkPermission();
     if (this.abortReason) {
       controller.abort(this.abortReason);
       return;
@@ -172,6 +178,14 @@
     process.nextTick(() => this.checkFirstWrite());
   }
 
+  /** Aborts the request if its server must get no requests by the time its connection is open. */
+  private checkPermission(): void {
+    const maySend = this.listener.maySend?.() ?? true;
+    if (maySend || this.abortReason) return;
+    this.isWithheld = true;
+    this.abortReason = new Error('the server must get no new requests, or the entry has no lease');
+  }
+
   /*
    * The library writes the request right after `start`. If the operating system refuses that write,
    * it takes no byte of it, and the error is known before it is reported.
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -13,6 +13,7 @@
 import { applyCallerLimits, makeRelayServer } from '../../src/relay/relayServer';
 import { RelaySite } from '../../src/relay/relaySite';
 import type { RequestDialect } from '../../src/relay/requestDialect';
+import type { Connector } from '../../src/relay/workerConnection';
 import { WorkerConnections } from '../../src/relay/workerConnections';
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
@@ -69,7 +70,7 @@
     logger: makeLogger('test', 'silent'),
   });
 
-  private readonly connections = new WorkerConnections();
+  private readonly connections: WorkerConnections;
 
   private app: FastifyInstance | undefined;
 
@@ -77,7 +78,9 @@
     private routing: Routing,
     private readonly servers: readonly ScriptedServer[],
     off: readonly Mechanism[],
+    connect?: Connector,
   ) {
+    this.connections = new WorkerConnections(connect);
     this.site = new RelaySite({
       entryId: 'e1',
       callerAddress: '',
@@ -95,15 +98,17 @@
    * Starts a server for each script, named w0, w1 and so on, and an entry in front of them.
    *
    * @param off mechanisms that the entry does not use
+   * @param connect opens the connections to the servers; defaults to the network
    */
   static async start(
     routing: Routing,
     scripts: readonly ServerScript[],
     off: readonly Mechanism[] = [],
+    connect?: Connector,
   ): Promise<RelayRig> {
     const servers = scripts.map((script) => new ScriptedServer(script));
     await Promise.all(servers.map((server) => server.listen()));
-    const rig = new RelayRig(routing, servers, off);
+    const rig = new RelayRig(routing, servers, off, connect);
     await rig.open();
     return rig;
   }
