Let a late announcement not end a bare deregistration

A server that had deregistered could become ready again, at the leader and for all entries.

A deregistration may lack the start time. A leader that does not know the server then holds it as gone without one, and took any announcement with a start time for that of a later incarnation: an announcement that was heard late, or the record that another replica had cached over a restart.

Such a server must now prove that it runs, in the way that one must whose clock went back: it announces itself again after 2.5 s, with a higher number. A server that has restarted under its id is ready some 3.6 s later in this case, with the usual interval of 1.2 s.

The test of the late announcement and the cached record failed before (`ready`, and the record counted as missing); the one of a server that goes on announcing itself passes before and after.

--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -193,6 +193,20 @@
   older: () => undefined,
 };
 
+/*
+ * Determines which incarnation of a tracked server an announcement comes from. A deregistration of
+ * an unknown server may lack the start time. What reports one afterwards may be the same
+ * incarnation, heard late, so it has to prove that it is a later one.
+ */
+const compareWorker = (
+  { said: { born }, superseded, standing }: TrackedWorker,
+  announcement: WorkerAnnouncement,
+): IncarnationRelation => {
+  const relation = compareIncarnation({ born, superseded }, announcement);
+  const mayBeSame = standing === 'gone' && born === NO_START_TIME;
+  return relation === 'newer' && mayBeSame ? 'unproven' : relation;
+};
+
 /**
  * Applies an announcement of a backend server.
  *
@@ -209,8 +223,7 @@
 ): void => {
   const worker = table.workers.get(announcement.workerId);
   if (worker) {
-    const known = { born: worker.said.born, superseded: worker.superseded };
-    incarnationHandlers[compareIncarnation(known, announcement)](table, worker, announcement, now);
+    incarnationHandlers[compareWorker(worker, announcement)](table, worker, announcement, now);
   } else if (table.workers.size < MAX_WORKERS) {
     addWorker(table, announcement, [], now);
   }
@@ -238,10 +251,7 @@
   if (!announcement) return false;
   const known = workers.get(announcement.workerId);
   if (!known) return true;
-  const relation = compareIncarnation(
-    { born: known.said.born, superseded: known.superseded },
-    announcement,
-  );
+  const relation = compareWorker(known, announcement);
   if (relation !== 'same') return relation === 'newer';
   return known.standing !== 'gone'
     && (standing === 'gone' || known.said.sequence < announcement.sequence);
--- a/tests/core/worker-incarnations.spec.ts
+++ b/tests/core/worker-incarnations.spec.ts
@@ -2,13 +2,13 @@
 import { describe, expect, it } from 'vitest';
 import { WorkerRegistry } from '../../src/control/workerRegistry';
 import {
-  adoptRecord, applyAnnouncement, listChangedWorkers, makeWorkerTable,
+  adoptRecord, applyAnnouncement, listChangedWorkers, makeWorkerTable, needsRecord,
 } from '../../src/core/routing/workerTable';
 import type { WorkerTable } from '../../src/core/routing/workerTable';
 import { makePlacementTables, requestSlots } from '../../src/core/routing/placement';
 import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
 import { applyRecords, makeRoutedWorkers, suspendWorker } from '../../src/core/routing/routedWorkers';
-import { WatchReply, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
+import { WatchReply, WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
 import { HeldCalls } from '../../src/utils/heldCalls';
 
@@ -43,6 +43,31 @@
   });
 });
 
+describe('a deregistration without a start time, of a server that the leader does not know', () => {
+  const removeUnknown = (): WorkerTable => {
+    const table = makeWorkerTable('e');
+    applyAnnouncement(table, WorkerAnnouncement.fromPartial({ workerId: 'w1', state: 'gone' }), 0);
+    return table;
+  };
+
+  // Servers that had left were ready again: a late announcement, or the record that another replica
+  // had cached, counted as that of a later incarnation.
+  it('should not be outweighed by a late announcement or a cached record', () => {
+    const table = removeUnknown();
+    const record = WorkerRecord.fromPartial({ said: makeAnnouncement({ sequence: 7 }), standing: 'ready' });
+    const isNeeded = needsRecord(table, record);
+    applyAnnouncement(table, makeAnnouncement({ sequence: 8 }), 1_000);
+    expect([isNeeded, table.workers.get('w1')?.standing]).toEqual([false, 'gone']);
+  });
+
+  it('should be outweighed by a server that goes on announcing itself', () => {
+    const table = removeUnknown();
+    [1_000, 2_200, 3_400, 4_600].forEach((now, position) => (
+      applyAnnouncement(table, makeAnnouncement({ sequence: 1 + position }), now)));
+    expect(table.workers.get('w1')?.standing).toBe('ready');
+  });
+});
+
 describe('backend server that restarts under its id', () => {
   /*
    * A server crashes and restarts a second later under the same id. It numbers its announcements
