Send no request whose caller has ended its connection

Callers that gave up because a busy entry had not read their request found that a server ran it all the same, long after they had left.

Cause: a process that stood still finds a request and the end of its caller's connection together. Node.js reads the end one turn of the event loop after the bytes in front of it, then shuts the socket down and reports the response as closed some turns later. The entry waited for that report only, so it had sent the request by then. In an overloaded process a turn takes hundreds of milliseconds, or seconds.

The entry now destroys the responses of a connection when the end is read, and asks for that once more right before the first byte is written. By then the end has been read: the HTTP client opens a connection, or spends a turn on checking an open one. No request waits longer than before; the cost is one listener for each connection and two checks of a flag for each request.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -40,6 +40,7 @@
  * seems to be exceeded is therefore checked again after that input was read.
  *
  * @example
+ * server.on('connection', (socket) => callers.registerConnection(socket));
  * server.on('request', ({ socket }, response) => (
  *   callers.registerRequest(socket, response, server.keepAliveTimeout)));
  * server.on('timeout', (socket) => callers.closeIdle(socket));
@@ -60,6 +61,11 @@
   /** Connections that have failed and will be closed, unless a second check clears them. */
   private readonly failed = new WeakSet<Socket>();
 
+  /** Registers a new connection. */
+  registerConnection(socket: Socket): void {
+    socket.once('end', () => this.abortOpen(socket));
+  }
+
   /**
    * Registers a request whose head was received.
    *
@@ -127,6 +133,17 @@
     else refuseUnreadable(error, socket);
   }
 
+  /*
+   * Destroys the responses that cannot be completed once a caller has ended its side. Node.js
+   * reports them as closed only after it has shut down the socket, some turns of the event loop
+   * later. A complete response that is being written is left to Node.js, which ends the socket.
+   */
+  private abortOpen(socket: Socket): void {
+    const open = this.listOpen(socket);
+    if (open[0]?.writableEnded) return;
+    open.forEach((response) => response.destroy());
+  }
+
   private listOpen(socket: Socket): readonly ServerResponse[] {
     return this.openResponses.get(socket) ?? [];
   }
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { NO_SCHEMAS } from '../utils/noSchemas';
@@ -70,6 +71,7 @@
       return '/';
     },
   });
+  app.server.on('connection', (socket: Socket) => callerConnections.registerConnection(socket));
   app.server.on('request', ({ socket }, response) => (
     callerConnections.registerRequest(socket, response, app.server.keepAliveTimeout)));
   app.server.on('timeout', (socket) => callerConnections.closeIdle(socket));
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -210,6 +210,7 @@
     let headOutcome: AttemptOutcome | undefined;
     this.writer.discardUnsent();
     const call: UpstreamCall = new UpstreamCall(connection, {
+      isAbandoned: () => this.writer.isFinished,
       maySend: () => this.parts.site.maySendTo(worker),
       onHead: (head) => {
         tracker.recordHead();
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -32,6 +32,8 @@
 
 /** Receives an answer. */
 export interface UpstreamListener {
+  /** Returns whether the request is no longer needed, so that its first byte must not be sent. */
+  readonly isAbandoned: () => boolean;
   /** Returns whether the request may still be sent; asked right before its first byte. */
   readonly maySend?: () => boolean;
   /** Returns false to refuse the answer, which closes the connection. */
@@ -40,6 +42,8 @@
   readonly onData: (chunk: Buffer) => boolean;
 }
 
+const ABANDONED = 'the request is no longer needed';
+
 const readRawHeaders = (controller: Dispatcher.DispatchController): string[] => (
   ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((item) => (
     typeof item === 'string' ? item : item.toString('latin1')))
@@ -93,6 +97,7 @@
     this.connection.requestCount += 1;
     // Finds out whether the open connection has ended while this process handled other input.
     if (socketCount > 0) await readPendingInput();
+    if (this.listener.isAbandoned()) this.abort(ABANDONED);
     if (this.abortReason) return { kind: 'unsent', reason: this.abortReason.message };
     const outcome = await this.dispatch(request);
     // The connection may carry another request next.
@@ -165,6 +170,9 @@
    */
   private start(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    // Node.js reads the end of a caller's connection one turn of the event loop after its request.
+    // That turn has passed: the library has opened a connection or checked the one that is open.
+    if (this.listener.isAbandoned()) this.abortReason ??= new Error(ABANDONED);
     if (!this.isSent) this.checkPermission();
     if (this.abortReason) {
       controller.abort(this.abortReason);
--- a/tests/relay/busy-connections.spec.ts
+++ b/tests/relay/busy-connections.spec.ts
@@ -35,7 +35,9 @@
 
   const callServer = async (): Promise<UpstreamOutcome> => {
     const connection = connections.acquire(server.address);
-    const call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
+    const call = new UpstreamCall(connection, {
+      isAbandoned: () => false, onHead: () => true, onData: () => true,
+    });
     const outcome = await call.run(REQUEST);
     connections.release(connection);
     return outcome;
--- a/tests/relay/paused-answers.spec.ts
+++ b/tests/relay/paused-answers.spec.ts
@@ -62,6 +62,7 @@
     const connection = connections.acquire(server.address);
     let length = 0;
     const call: UpstreamCall = new UpstreamCall(connection, {
+      isAbandoned: () => false,
       onHead: () => true,
       onData: (chunk) => {
         length += chunk.length;
@@ -101,6 +102,7 @@
     const connection = connections.acquire(server.address);
     const lengths: number[] = [];
     const call = new UpstreamCall(connection, {
+      isAbandoned: () => false,
       onHead: () => true,
       onData: ({ length }) => {
         lengths.push(length);
--- a/tests/relay/reopened-connections.spec.ts
+++ b/tests/relay/reopened-connections.spec.ts
@@ -30,13 +30,15 @@
 
   const prepareCall = (): UpstreamCall => (
     new UpstreamCall(connections.acquire(server.address), {
-      onHead: () => true, onData: () => true,
+      isAbandoned: () => false, onHead: () => true, onData: () => true,
     }));
 
   /** Uses a connection once and returns it, and drops it before the client reads that. */
   const dropIdleConnection = async (drop: (socket: Socket) => void): Promise<void> => {
     const connection = connections.acquire(server.address);
-    await new UpstreamCall(connection, { onHead: () => true, onData: () => true }).run(REQUEST);
+    await new UpstreamCall(connection, {
+      isAbandoned: () => false, onHead: () => true, onData: () => true,
+    }).run(REQUEST);
     connections.release(connection);
     await endTurn();
     sockets.forEach(drop);
--- a/tests/relay/reused-connections.spec.ts
+++ b/tests/relay/reused-connections.spec.ts
@@ -96,7 +96,9 @@
 
   const sendTo = async (address: string, body = Buffer.alloc(0)): Promise<UpstreamOutcome> => {
     const connection = connections.acquire(address);
-    call = new UpstreamCall(connection, { onHead: () => true, onData: () => true });
+    call = new UpstreamCall(connection, {
+      isAbandoned: () => false, onHead: () => true, onData: () => true,
+    });
     const outcome = await call.run({
       method: 'POST', path: '/', headers: ['host', 'x'], body,
     });
--- a/tests/relay/unanswered-connections.spec.ts
+++ b/tests/relay/unanswered-connections.spec.ts
@@ -46,7 +46,7 @@
     const connection = new WorkerConnections().acquire(address);
     const startedAt = performance.now();
     const outcome = await new UpstreamCall(connection, {
-      onHead: () => true, onData: () => true,
+      isAbandoned: () => false, onHead: () => true, onData: () => true,
     }).run({
       method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0),
     });
