--- a/tests/control/step-stream.spec.ts
+++ b/tests/control/step-stream.spec.ts
@@ -117,7 +117,8 @@
       proxy = new SilentProxy(direct);
       await proxy.start();
       link = new RpcLink(SiteClient, proxy.address);
-      now = systemClock.now();
+      // Whole milliseconds: sums of fractions would be rounded.
+      now = Math.round(systemClock.now());
       clockReads = 0;
       stepStream = new StepStream(link, {
         now: () => {
