Report first events of streams together with other news on large sites

What callers saw: too little was served on the grown sites, whose leader is full. Its entries sent three messages for each request.

Cause: the report of a stream's first event waited 20 ms for another message. With 78 entries and three requests a second each, there seldom is one.

Change: it waits the longer the more entries there are, 195 ms with 78 entries and 250 ms at most; 20 ms as before with up to eight. Slot requests and ends of requests are sent at once and take it along.

Why it works: these come some 6.6 times a second from each such entry. What it costs: the leader takes an engine for busy with a prompt for that much longer.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,5 +1,5 @@
 import { NO_TIMINGS } from '../core/routing/placementTables';
-import { computePaceDelayMs } from '../core/routing/messageIntervals';
+import { computePaceDelayMs, computeStartDelayMs } from '../core/routing/messageIntervals';
 import type { StreamOrigin } from '../core/routing/streamOrigin';
 import type {
   PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
@@ -26,11 +26,6 @@
 const MAX_OPEN_MESSAGES = 1_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
-/**
- * Longest time that the report of a stream's first event waits to share a message with others, in
- * milliseconds. The leader uses it to estimate how many prompt tokens a server has left to process.
- */
-const STREAM_START_FLUSH_MS = 20;
 
 /** Dependencies of a place client. */
 export interface PlaceClientParts {
@@ -149,8 +144,7 @@
     this.reports.push(report);
     if (this.reports.length > MAX_REPORTS) this.reports.shift();
     if (report.phase !== 'running') this.flushTask.schedule();
-    else if (report.paceMs === 0) this.scheduleFlush(STREAM_START_FLUSH_MS);
-    else this.scheduleFlush(computePaceDelayMs(this.parts.countEntries()));
+    else this.scheduleFlush(this.computeDelayMs(report));
   }
 
   /** Reports that a server crashed while it ran a request. */
@@ -201,6 +195,12 @@
     this.resolveWaiting();
   }
 
+  /** Computes how long news of a running stream waits to share a message, in milliseconds. */
+  private computeDelayMs({ paceMs }: PlacedReport): number {
+    const entryCount = this.parts.countEntries();
+    return paceMs === 0 ? computeStartDelayMs(entryCount) : computePaceDelayMs(entryCount);
+  }
+
   private canAsk(now: number): boolean {
     return !this.pause.isActive(now) && this.parts.findLeader() !== undefined;
   }
