Send signs of life less often where many entries wait

What callers saw: too little was served on the grown sites in bursts, while their leader of control was full.

Cause: an entry whose requests wait for slots gets a message every 100 ms. In a burst requests of all entries wait: 87 entries get up to 870 messages a second that say nothing, when the leader has least time.

An acknowledgement of a new request is still due within 250 ms.

Why it works: the leader's death is noticed by the requests that it acknowledges; a waiting request loses 0.3 s more where it has waited longer than that already.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,5 +1,7 @@
 import { NO_TIMINGS } from '../core/routing/placementTables';
-import { computePaceDelayMs, computeStartDelayMs } from '../core/routing/messageIntervals';
+import {
+  computeLeaderSilenceMs, computePaceDelayMs, computeStartDelayMs,
+} from '../core/routing/messageIntervals';
 import type { StreamOrigin } from '../core/routing/streamOrigin';
 import type {
   PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
@@ -15,11 +17,11 @@
 import { PlacementPause } from './placementPause';
 
 /**
- * Time without an answer of the leader after which an entry places requests itself, in
- * milliseconds. The leader acknowledges a request when it has read it, and sends a keepalive every
- * 100 ms while requests wait. The target latency of a request is 400 ms or more.
+ * Time without an acknowledgement of the leader after which an entry places requests itself, in
+ * milliseconds. The leader acknowledges a request when it has read it. The target latency of a
+ * request is 400 ms or more.
  */
-const LEADER_SILENCE_MS = 250;
+const ACKNOWLEDGEMENT_TIMEOUT_MS = 250;
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
 /** Most unacknowledged messages whose times are stored; later ones do not count as late. */
@@ -287,7 +289,7 @@
     if (!leaderStream) return;
     const now = this.parts.clock.now();
     const answered = leaderStream.openMessages.filter(({ number }) => number <= acknowledged);
-    const isInTime = answered.some(({ sentAt }) => now - sentAt < LEADER_SILENCE_MS);
+    const isInTime = answered.some(({ sentAt }) => now - sentAt < ACKNOWLEDGEMENT_TIMEOUT_MS);
     this.pause.recordMessage(now, isInTime);
     leaderStream.openMessages = leaderStream.openMessages.slice(answered.length);
     leaderStream.lastAcknowledged = acknowledged;
@@ -325,7 +327,7 @@
       this.watchdog = undefined;
       // Input that arrived while this process was busy is read first, so that it counts.
       setImmediate(() => this.checkSilence());
-    }, LEADER_SILENCE_MS / 2);
+    }, ACKNOWLEDGEMENT_TIMEOUT_MS / 2);
   }
 
   private checkSilence(): void {
@@ -339,7 +341,10 @@
     }
     const [oldest] = leaderStream.openMessages;
     const lateMs = oldest ? this.parts.clock.now() - oldest.sentAt : silentMs;
-    if (lateMs >= LEADER_SILENCE_MS) this.handleLateness(lateMs);
+    const limitMs = oldest
+      ? ACKNOWLEDGEMENT_TIMEOUT_MS
+      : computeLeaderSilenceMs(this.parts.countEntries());
+    if (lateMs >= limitMs) this.handleLateness(lateMs);
     this.startWatchdog();
   }
 
