Acknowledge only an announcement that a server leaves which has an effect

What servers saw: the word that a server leaves was acknowledged, and it went on getting requests.

Cause: an announcement that the leader's table ignores, as a later one of the same start says that the server is ready, counted as agreed, because the server does not leave.

Change: it is not acknowledged while the same start of the server is listed as ready or silent. The server sends it again with a later number, which the table takes.

Why it works: what is acknowledged is now what the table holds.

No order of a real server's announcements is known that led there: found by reading.

--- a/src/control/announcementService.ts
+++ b/src/control/announcementService.ts
@@ -57,7 +57,7 @@
         registry.applyAnnouncement(announcement);
         suspects.handleAnnouncement(announcement);
       });
-      return { taken: await departures.ensureAgreed(workerId) };
+      return { taken: await departures.ensureAgreed(announcement) };
     }
     if (isForwarded || otherLeaderAddress === '') return { taken: false };
     return port.announce(announcement, otherLeaderAddress);
--- a/src/control/departureLog.ts
+++ b/src/control/departureLog.ts
@@ -4,7 +4,7 @@
 import type { Departures } from '../core/routing/departures';
 import type { TrackedWorker } from '../core/routing/workerTable';
 import { toBeechliftError } from '../errors/beechliftError';
-import type { WorkerRecord } from '../protocol/generated/beechlift';
+import type { WorkerAnnouncement, WorkerRecord } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import { Operation } from '../utils/operation';
@@ -44,7 +44,7 @@
  * copy the table of servers late, so that a new leader would send requests to the server again.
  *
  * @example
- * const taken = await departureLog.ensureAgreed('i-1');
+ * const taken = await departureLog.ensureAgreed(announcement);
  */
 export class DepartureLog {
   private departures = NO_DEPARTURES;
@@ -60,11 +60,18 @@
     return this.departures;
   }
 
-  /** Resolves with whether a server's standing, if it leaves, is known to a majority. */
-  async ensureAgreed(workerId: string): Promise<boolean> {
+  /**
+   * Resolves with whether an announcement that was applied may be acknowledged: if the server
+   * leaves, a majority must know it. If the table ignored that it leaves, the server would get
+   * requests after the acknowledgement.
+   */
+  async ensureAgreed({ workerId, state, born }: WorkerAnnouncement): Promise<boolean> {
     const { table } = this.parts.registry;
     const worker = table.workers.get(workerId);
-    if (!worker || worker.standing === 'ready' || worker.standing === 'silent') return true;
+    if (!worker) return true;
+    const mayGetRequests = worker.standing === 'ready' || worker.standing === 'silent';
+    // An earlier start of the server has left already.
+    if (mayGetRequests) return state === 'ready' || born !== worker.said.born;
     const change = `${table.epoch}/${worker.revision}`;
     const known = this.proposals.get(workerId);
     const isProposed = known?.change === change;
--- a/tests/control/departures-site.spec.ts
+++ b/tests/control/departures-site.spec.ts
@@ -68,6 +68,15 @@
     expect(await readStanding()).toBe('ready');
   });
 
+  // It was acknowledged without effect: the server went on getting requests. Announcements may
+  // arrive in another order than they were sent.
+  it('should not be acknowledged if a later announcement says that the server is ready', async () => {
+    const leader = await found();
+    await announce(leader, 'ready', 7);
+    expect(await announce(leader, 'draining', 5)).toBe(false);
+    expect(await readStanding()).toBe('ready');
+  });
+
   // An acknowledgement is a promise of the site: without a majority it must not be given.
   it('should not be acknowledged while no majority of the replicas answers', async () => {
     const leader = await found();
