Log what a new leader knows, and how long it held its lease

Change: a line with the servers by standing and the agreed departures when a replica begins to lead, and 'leasedMs' in the leader's line of work every 5 s.

--- a/src/control/departureLog.ts
+++ b/src/control/departureLog.ts
@@ -2,6 +2,7 @@
 import { LRUCache } from 'lru-cache';
 import { addDeparture, NO_DEPARTURES } from '../core/routing/departures';
 import type { Departures } from '../core/routing/departures';
+import { countByStanding } from '../core/routing/workerTable';
 import type { TrackedWorker } from '../core/routing/workerTable';
 import { toBeechliftError } from '../errors/beechliftError';
 import type { WorkerAnnouncement, WorkerRecord } from '../protocol/generated/beechlift';
@@ -24,6 +25,9 @@
 /** Most departures whose agreement is remembered, open ones included. */
 const MAX_PROPOSALS = 2_000;
 
+/** Characters of a table's epoch that log lines name. */
+const TABLE_NAME_LENGTH = 8;
+
 /** The agreement on one departure. */
 interface Proposal {
   /** Identifies the change of the leader's table that it is about. */
@@ -98,8 +102,14 @@
    * the table of a new leader does not list remains as it is at an entry.
    */
   restoreKnown(): void {
+    const { registry, logger } = this.parts;
     this.proposals.clear();
     this.restore([...this.departures.values()]);
+    logger.info('servers known to the new leader', {
+      ...Object.fromEntries(countByStanding(registry.table)),
+      departures: this.departures.size,
+      table: registry.table.epoch.slice(0, TABLE_NAME_LENGTH),
+    });
   }
 
   /** Adds the departure of a server that the table lacks, before one of its announcements. */
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -190,7 +190,7 @@
   /** Runs the timers of the log and, on a leader, the periodic tasks of the site. */
   tick(): void {
     this.suspensionGuard.check();
-    this.work.recordTick();
+    this.work.recordTick(this.runner.holdsLease);
     this.runner.handle({ kind: 'tick' });
     this.leaseLog.record();
     this.leaderWait.check();
--- a/src/control/workMeter.ts
+++ b/src/control/workMeter.ts
@@ -53,6 +53,9 @@
   /** Watch replies since the last log line whose client had given up the request. */
   private unreadCount = 0;
 
+  /** Time in which the leader lease was held since the last log line, in milliseconds. */
+  private leasedMs = 0;
+
   private loggedProcessorMs: number;
 
   private tickedAt: number;
@@ -82,9 +85,13 @@
     }
   }
 
-  /** Records the delay of the timer, which equals the delay of all other work in the event loop. */
-  recordTick(): void {
+  /**
+   * Records the delay of the timer, which equals the delay of all other work in the event loop, and
+   * whether this replica holds the leader lease.
+   */
+  recordTick(holdsLease: boolean): void {
     const now = this.clock.now();
+    if (holdsLease) this.leasedMs += now - this.tickedAt;
     this.mostLateMs = Math.max(this.mostLateMs, now - this.tickedAt - this.tickMs);
     this.tickedAt = now;
   }
@@ -121,6 +128,7 @@
       mostWatchWaitMs: Math.round(mostWatchWaitMs),
       unreadCount,
       processorMs: Math.round(processorMs - this.loggedProcessorMs),
+      leasedMs: Math.round(this.leasedMs),
       elapsedMs: Math.round(now - this.loggedAt),
     });
     this.loggedCounts = counts;
@@ -128,6 +136,7 @@
     this.mostLateMs = 0;
     this.mostWatchWaitMs = 0;
     this.unreadCount = 0;
+    this.leasedMs = 0;
     this.loggedProcessorMs = processorMs;
   }
 }
