Let a pause for a late leader not apply to the next one

Callers got engines that entries had chosen by themselves, on old loads, for up to 4.8 s after another leader had been elected that was in time.

The pause of an entry grows to 3.2 s and a random half of it more while its leader answers late. It was a time only, without the leader that it was about: the next leader was not asked for a slot before its end. What was reset with another leader was the length of later pauses, and that only once a message was sent to it, which the pause prevented.

The pause now counts for the leader that was late. An entry asks another one at once.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -204,7 +204,13 @@
   }
 
   private canAsk(now: number): boolean {
-    return !this.pause.isActive(now) && this.parts.findLeader() !== undefined;
+    const link = this.parts.findLeader();
+    return link !== undefined && !this.isPaused(link, now);
+  }
+
+  /** Whether this leader was late; the pause for an earlier one does not apply to it. */
+  private isPaused(link: RpcLink<SiteClient>, now: number): boolean {
+    return link === this.lastLink && this.pause.isActive(now);
   }
 
   private scheduleFlush(ms: number): void {
@@ -220,7 +226,7 @@
     this.flushTimer = undefined;
     const link = this.parts.findLeader();
     const now = this.parts.clock.now();
-    if (!link || (!this.leaderStream && this.pause.isActive(now))) {
+    if (!link || (!this.leaderStream && this.isPaused(link, now))) {
       this.resolveWaiting();
       return;
     }
--- a/src/relay/placementPause.ts
+++ b/src/relay/placementPause.ts
@@ -46,8 +46,9 @@
     if (this.count <= 1) this.until = -Infinity;
   }
 
-  /** Forgets how late the leader was, because another one leads. */
+  /** Ends the pause and forgets how late the leader was, because another one leads. */
   reset(): void {
     this.count = 0;
+    this.until = -Infinity;
   }
 }
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -280,6 +280,29 @@
     expect(second.received[0]).toMatchObject({ entryId: 'e1', held: ['a'] });
   });
 
+  // After a change of leaders, entries chose engines by themselves for seconds, on old loads: the
+  // leader before had been late.
+  it('should ask the next leader at once, however late the one before was', async () => {
+    const late = new ScriptedLeader(({ number, requests }, self) => {
+      const granted = requests.map(({ placeId }) => placeId);
+      setTimeout(() => self.sendReply(number, granted), 600);
+    });
+    const next = new ScriptedLeader(grantAll);
+    let leader = late;
+    const client = makeClient(() => leader);
+    const ids = Array.from({ length: 12 }, (unused, count) => `p${count}`);
+    await ids.reduce(async (before, id) => {
+      await before;
+      client.place(makeRequest(id), findDeadline()).catch(() => undefined);
+      await pause(200);
+    }, Promise.resolve());
+    expect(await client.place(makeRequest('during'), findDeadline())).toBeUndefined();
+    leader = next;
+    const reply = await client.place(makeRequest('after'), findDeadline());
+    client.close();
+    expect(reply?.workerId).toBe('for-after');
+  });
+
   it('should let the entry choose at once when the leader ends the stream', async () => {
     const leader = new ScriptedLeader(({ number }, self) => self.sendReply(number));
     const client = makeClient(() => leader);
