Acknowledge no departure that the leader has ignored

A server whose word that it leaves had been acknowledged could stay listed as ready, and entries sent it requests after its time to drain.

The leader ignores a departure of an incarnation that is not proven yet (the start time is earlier, as the server's clock went back) and one that is late. It then asked only whether the server is listed as leaving, found it ready, and took that for an announcement with nothing to agree on.

Such a departure is now not acknowledged, so the server repeats it, and it counts once the incarnation is proven. One that a later incarnation has replaced is acknowledged as before: it is listed no more.

Servers that name no start time are not concerned, apart from late departures.

--- a/src/control/departureLog.ts
+++ b/src/control/departureLog.ts
@@ -25,6 +25,9 @@
 /** Most departures whose agreement is remembered, open ones included. */
 const MAX_PROPOSALS = 2_000;
 
+/** The part of an announcement that tells whether its server leaves. */
+type AppliedAnnouncement = Pick<WorkerAnnouncement, 'workerId' | 'born' | 'state'>;
+
 /** Characters of a table's epoch that log lines name. */
 const TABLE_NAME_LENGTH = 8;
 
@@ -65,17 +68,19 @@
   }
 
   /**
-   * Resolves with whether an announcement that was applied may be acknowledged: if the server
-   * leaves, a majority must know it. If the table ignored that it leaves, the server would get
-   * requests after the acknowledgement.
+   * Resolves with whether a server's standing, if it leaves, is known to a majority.
+   *
+   * Its word that it leaves may have been ignored, because it is late or from an incarnation that
+   * is not proven. Then it must not be acknowledged, as the server is still listed. An incarnation
+   * that another has replaced gets no requests.
    */
-  async ensureAgreed({ workerId, state, born }: WorkerAnnouncement): Promise<boolean> {
+  async ensureAgreed({ workerId, born, state }: AppliedAnnouncement): Promise<boolean> {
     const { table } = this.parts.registry;
     const worker = table.workers.get(workerId);
     if (!worker) return true;
-    const mayGetRequests = worker.standing === 'ready' || worker.standing === 'silent';
-    // An earlier start of the server has left already.
-    if (mayGetRequests) return state === 'ready' || born !== worker.said.born;
+    if (worker.standing === 'ready' || worker.standing === 'silent') {
+      return state === 'ready' || worker.superseded.includes(born);
+    }
     const change = `${table.epoch}/${worker.revision}`;
     const known = this.proposals.get(workerId);
     const isProposed = known?.change === change;
--- a/tests/control/departure-log.spec.ts
+++ b/tests/control/departure-log.spec.ts
@@ -85,3 +85,56 @@
     expect(readStanding()).toBe('ready');
   });
 });
+
+describe('the word of a server that it leaves', () => {
+  const announceToLeader = async (...announcements: WorkerAnnouncement[]): Promise<boolean[]> => {
+    const logger = makeLogger('test', 'silent');
+    const clock = { now: () => performance.now() };
+    const registry = new WorkerRegistry({
+      cachedWorkers: [],
+      workerCache: { saveIfChanged: () => undefined },
+      clock,
+      logger,
+      watches: new HeldCalls(),
+      countEntries: () => 1,
+    });
+    const runner = {
+      state: { role: 'leader' }, propose: () => Promise.resolve(true),
+    } as unknown as DepartureLogParts['runner'];
+    const departures = new DepartureLog({
+      runner, registry, clock, logger,
+    });
+    return Promise.all(announcements.map((announcement) => {
+      registry.applyAnnouncement(announcement);
+      return departures.ensureAgreed(announcement);
+    }));
+  };
+
+  // The word of a server whose clock had gone back was acknowledged and ignored: it stayed listed
+  // as ready, and got requests after it had left.
+  it.each(['draining', 'gone'])('should not be acknowledged (%s) while the server stays ready', async (state) => {
+    const taken = await announceToLeader(
+      makeAnnouncement({ sequence: 9 }),
+      makeAnnouncement({ sequence: 3, born: BORN - 1, state }),
+    );
+    expect(taken).toEqual([true, false]);
+  });
+
+  it('should be acknowledged if a later incarnation has replaced the server', async () => {
+    const taken = await announceToLeader(
+      makeAnnouncement({ sequence: 9 }),
+      makeAnnouncement({ born: BORN + 1 }),
+      makeAnnouncement({ sequence: 10, state: 'gone' }),
+    );
+    expect(taken).toEqual([true, true, true]);
+  });
+
+  it('should be acknowledged once the server is listed as leaving', async () => {
+    const taken = await announceToLeader(
+      makeAnnouncement({ sequence: 9 }),
+      makeAnnouncement({ sequence: 10, state: 'draining' }),
+      makeAnnouncement({ state: 'gone', sequence: 0 }),
+    );
+    expect(taken).toEqual([true, true, true]);
+  });
+});
