Read counts that have arrived before a log stream is replaced

A leader whose process had stood still for a second gave up its connections to all other replicas at once, with the messages that were on their way. Its next heartbeats had to wait for new connections, at the moment at which its lease was to be renewed.

The stream of log messages looks at the time of the last count when the next message is sent, mostly by the timer of heartbeats. Timers run before input is read, so the counts that had arrived meanwhile were not read yet.

A message that finds no count now waits until the input that has arrived is read, and the connection is replaced only if there is no count among it. Messages that are sent meanwhile wait in the same order. A dead connection is replaced as soon as before.

The new test failed before (a second stream instead of none); the one beside it, that one new connection is used if nothing has arrived, passes before and after.

--- a/src/control/stepStream.ts
+++ b/src/control/stepStream.ts
@@ -35,10 +35,23 @@
 
   constructor(private readonly link: RpcLink<SiteClient>, private readonly clock: Clock) {}
 
-  /** Sends a message, unless too many are on their way. */
+  /**
+   * Sends a message, unless too many are on their way. If this process was busy, timers run before
+   * input is read: a count that seems to be missing may have arrived.
+   */
   send(message: LogMessage): void {
+    const now = this.clock.now();
+    if (this.isSilent(now)) setImmediate(() => this.sendAfterInput(message));
+    else this.write(message, now);
+  }
+
+  private sendAfterInput(message: LogMessage): void {
     const now = this.clock.now();
     if (this.isSilent(now)) this.replaceConnection();
+    this.write(message, now);
+  }
+
+  private write(message: LogMessage, now: number): void {
     this.open ??= this.openStream(now);
     const { open } = this;
     if (open.sent - open.received >= MAX_IN_FLIGHT) return;
--- a/tests/control/step-stream.spec.ts
+++ b/tests/control/step-stream.spec.ts
@@ -1,6 +1,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setImmediate as readPendingInput } from 'node:timers/promises';
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -13,6 +14,7 @@
 import { makeLogger } from '../../src/telemetry/logger';
 import { systemClock } from '../../src/utils/clock';
 import { RpcLink } from '../../src/wire/rpcLink';
+import type { StreamListener } from '../../src/wire/rpcLink';
 import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
 import { readRouting, waitFor } from '../fakes/controlSite';
 import { findFreeAddress } from '../fakes/freeAddress';
@@ -103,6 +105,55 @@
     });
   });
 
+  describe('of a replica that stood still', () => {
+    const sent: (readonly [stream: number, round: number])[] = [];
+    let listeners: StreamListener<StepCount>[] = [];
+    let replaceCount = 0;
+    let now = 0;
+    let stepStream: StepStream;
+
+    const link = {
+      openStream: (unused: unknown, listener: StreamListener<StepCount>) => {
+        listeners.push(listener);
+        const position = listeners.length;
+        return {
+          write: ({ round }: LogMessage) => sent.push([position, round]),
+          cancel: () => undefined,
+          replaceConnection: () => {
+            replaceCount += 1;
+          },
+        };
+      },
+    } as unknown as RpcLink<SiteClient>;
+
+    beforeEach(() => {
+      sent.length = 0;
+      listeners = [];
+      replaceCount = 0;
+      now = 0;
+      stepStream = new StepStream(link, { now: () => now });
+    });
+
+    // A leader that had stood still gave up its connections to all replicas, with what was on its
+    // way on them, although the counts had arrived: timers run before input is read.
+    it('should use its stream on if a count is waiting to be read', async () => {
+      stepStream.send(makeMessage(1));
+      now += 5_000;
+      setImmediate(() => listeners[0]?.take({ received: 1 }));
+      [2, 3].forEach((round) => stepStream.send(makeMessage(round)));
+      await readPendingInput();
+      expect([replaceCount, sent]).toEqual([0, [[1, 1], [1, 2], [1, 3]]]);
+    });
+
+    it('should use a new connection, once, if there is none', async () => {
+      stepStream.send(makeMessage(1));
+      now += 5_000;
+      [2, 3].forEach((round) => stepStream.send(makeMessage(round)));
+      await readPendingInput();
+      expect([replaceCount, sent]).toEqual([1, [[1, 1], [2, 2], [2, 3]]]);
+    });
+  });
+
   describe('on a kept stream', () => {
     let link: RpcLink<SiteClient>;
     let proxy: SilentProxy;
