Count a long silence of a leader no longer than its bound

A replica that had been frozen, and read a heartbeat before its next timer, waited 1.2 s and more for a failed leader for up to minutes afterwards, although the leader was in time.

The longest gap between messages was stored without a bound, while the patience that follows from it is bounded. It falls by 2 % with each message, so the time until it has fallen back grew with the length of the gap.

The gap counted is bounded by what raises the patience to its bound: it has fallen back after some 70 messages, which are 5 s.

--- a/src/core/log/leaderPatience.ts
+++ b/src/core/log/leaderPatience.ts
@@ -22,7 +22,9 @@
 export const recordLeaderGap = (state: LogState, leaderId: string, now: number): void => {
   const isSameLeader = state.role === 'follower' && state.leaderId === leaderId;
   const gapMs = isSameLeader ? now - state.lastLeaderContactAt : 0;
-  state.leaderGapMs = Math.max(gapMs, GAP_DECAY * state.leaderGapMs);
+  // A longer gap would raise the patience no further, but for longer.
+  const countedMs = Math.min(gapMs, state.timings.maxPatienceMs / GAP_FACTOR);
+  state.leaderGapMs = Math.max(countedMs, GAP_DECAY * state.leaderGapMs);
 };
 
 /**
--- a/tests/core/leader-patience.spec.ts
+++ b/tests/core/leader-patience.spec.ts
@@ -75,6 +75,16 @@
     expect(waitForPreVote(state, last)).toBeLessThanOrEqual(electionTimeoutMs + TICK_MS);
   });
 
+  // One long gap, as after a freeze of this replica, kept patience at its upper bound for long.
+  it('should fall back as soon after a very long gap as after one at its bound', () => {
+    const inTime = Array.from({ length: 80 }, () => heartbeatMs);
+    const waits = [maxPatienceMs / 3, 60_000].map((gapMs) => {
+      const state = makeFollower();
+      return waitForPreVote(state, sendHeartbeats(state, [heartbeatMs, gapMs, ...inTime]));
+    });
+    expect(waits).toEqual([electionTimeoutMs, electionTimeoutMs]);
+  });
+
   it('should not count the time between two leaders', () => {
     const state = makeFollower();
     sendHeartbeats(state, [heartbeatMs]);
