Drop log messages of a replica that is stopping

A replica that stopped while a write to disk was in progress could report a failure of its disk.

When it stops, its connections are closed before its log. A batch of the log whose write ends after that still sends its messages. As a call of its own, a message that could not be sent was a rejected promise, which was ignored; opening a stream on a closed connection throws at once, in the middle of the batch, and the log reports what is thrown there as a failure of its storage.

Such a message is now dropped, as are all that cannot be sent.

--- a/src/control/stepStream.ts
+++ b/src/control/stepStream.ts
@@ -52,9 +52,9 @@
   }
 
   private write(message: LogMessage, now: number): void {
-    this.open ??= this.openStream(now);
+    this.open ??= this.tryOpen(now);
     const { open } = this;
-    if (open.sent - open.received >= MAX_IN_FLIGHT) return;
+    if (!open || open.sent - open.received >= MAX_IN_FLIGHT) return;
     if (open.sent === open.received) open.countDueSince = now;
     open.sent += 1;
     open.stream.write(message);
@@ -73,6 +73,18 @@
     this.open = undefined;
   }
 
+  /*
+   * Connections are closed when the process stops, while a message may still wait for a write to
+   * disk. The library throws then, and the log would take that for a failure of its disk.
+   */
+  private tryOpen(now: number): OpenStream | undefined {
+    try {
+      return this.openStream(now);
+    } catch {
+      return undefined;
+    }
+  }
+
   private openStream(now: number): OpenStream {
     const stream = this.link.openStream<LogMessage, StepCount>((stub) => (
       stub.keepStepping.bind(stub)), {
--- a/tests/control/step-stream.spec.ts
+++ b/tests/control/step-stream.spec.ts
@@ -207,6 +207,13 @@
       expect(proxy.connectionCount).toBe(2);
     });
 
+    // A message whose write to disk ended during the shutdown threw, and the log took that for a
+    // failure of its disk.
+    it('should be dropped once the connections are closed', () => {
+      link.close();
+      expect(() => stepStream.send(makeMessage(1))).not.toThrow();
+    });
+
     // A stream on which nothing was sent for long is not a dead one.
     it('should keep the connection after a pause without messages', async () => {
       stepStream.send(makeMessage(1));
