Let an old bare deregistration not end a server that restarted

A server that ran and announced itself could be listed as gone, for as long as it ran, from the next change of leader on.

A deregistration of a server that the leader did not know has no start time, in the log too. If the server then restarts under its id, and proves it, the record stays in the log, and nothing told that it is about an earlier incarnation: since such a record counts whatever announcement is known, each new leader ended the running incarnation with it, which can not become ready again.

A start that had no start time is now stored among the superseded ones, and a record without a start time is not applied to a server that has one of these.

Servers whose ids are new with each start are not concerned.

--- a/src/core/routing/workerIncarnation.ts
+++ b/src/core/routing/workerIncarnation.ts
@@ -71,7 +71,7 @@
  * const superseded = addSuperseded(known.superseded, known.born);
  */
 export const addSuperseded = (superseded: readonly number[], born: number): readonly number[] => {
-  if (born === NO_START_TIME || superseded.includes(born)) return superseded;
+  if (superseded.includes(born)) return superseded;
   return [...superseded, born].slice(-MAX_SUPERSEDED);
 };
 
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -207,6 +207,15 @@
   older: () => undefined,
 };
 
+/*
+ * Whether a record has no start time, and the server has restarted since it had none: what the
+ * record tells is about an earlier incarnation.
+ */
+const isOfUnnamedStart = (
+  { superseded }: TrackedWorker,
+  { born }: WorkerAnnouncement,
+): boolean => born === NO_START_TIME && superseded.includes(NO_START_TIME);
+
 /*
  * Determines which incarnation of a tracked server an announcement comes from. A deregistration of
  * an unknown server may lack the start time. What reports one afterwards may be the same
@@ -265,6 +274,7 @@
   if (!announcement) return false;
   const known = workers.get(announcement.workerId);
   if (!known) return true;
+  if (isOfUnnamedStart(known, announcement)) return false;
   const relation = compareWorker(known, announcement);
   if (relation !== 'same') return relation === 'newer';
   return known.standing !== 'gone'
@@ -273,11 +283,15 @@
 
 /** Whether a record tells that the tracked incarnation is gone, whatever its last announcement. */
 const isDeregistered = (
-  { said: { born }, superseded }: TrackedWorker,
+  known: TrackedWorker,
   announcement: WorkerAnnouncement,
   standing: string,
-): boolean => standing === 'gone'
-  && compareIncarnation({ born, superseded }, { born: announcement.born, state: 'gone' }) === 'same';
+): boolean => {
+  const { said: { born }, superseded } = known;
+  return standing === 'gone'
+    && !isOfUnnamedStart(known, announcement)
+    && compareIncarnation({ born, superseded }, { born: announcement.born, state: 'gone' }) === 'same';
+};
 
 /** Adopts a record from another replica's table. */
 export const adoptRecord = (
--- a/tests/control/departure-log.spec.ts
+++ b/tests/control/departure-log.spec.ts
@@ -24,6 +24,8 @@
 
   let departureLog: DepartureLog;
 
+  let now = 0;
+
   const readStanding = (): string | undefined => registry.table.workers.get('w1')?.standing;
 
   /** Lets the replica begin to lead with the departures that it knows from the log. */
@@ -35,7 +37,7 @@
 
   beforeEach(() => {
     const logger = makeLogger('test', 'silent');
-    const clock = { now: () => performance.now() };
+    const clock = { now: () => now };
     registry = new WorkerRegistry({
       cachedWorkers: [],
       workerCache: { saveIfChanged: () => undefined },
@@ -72,6 +74,20 @@
     expect(registry.buildPart(WatchRequest.fromPartial({})).workers.map(({ standing }) => standing)).toEqual(['gone']);
   });
 
+  // A server that ran was listed as gone for good after each change of leader: it had restarted
+  // since its deregistration, which the log holds without a start time.
+  it('should not include a deregistration without a start time after which the server restarted', () => {
+    startLeading(WorkerRecord.fromPartial({ said: { workerId: 'w1', state: 'gone' }, standing: 'gone' }));
+    now += 1_000;
+    registry.applyAnnouncement(makeAnnouncement({ sequence: 1 }));
+    now += 3_000;
+    registry.applyAnnouncement(makeAnnouncement({ sequence: 3 }));
+    const before = readStanding();
+    registry.startLeading();
+    departureLog.restoreKnown();
+    expect([before, readStanding()]).toEqual(['ready', 'ready']);
+  });
+
   it('should not include an older departure than the latest announcement', () => {
     registry.applyAnnouncement(makeAnnouncement({ sequence: 9 }));
     startLeading(makeDeparture({ sequence: 4, state: 'draining' }, 'draining'));
