--- a/src/core/routing/messageIntervals.ts
+++ b/src/core/routing/messageIntervals.ts
@@ -18,11 +18,6 @@
 /** Bounds on how long a pace update waits for a message that is due anyway, in milliseconds. */
 const MIN_PACE_DELAY_MS = 250;
 const MAX_PACE_DELAY_MS = 1_000;
-/** Messages about the first events of streams that the leader receives per second in total. */
-const START_MESSAGES_PER_SECOND = 400;
-/** Bounds on how long the report of a first event waits for a message that is due anyway, in ms. */
-const MIN_START_DELAY_MS = 20;
-const MAX_START_DELAY_MS = 250;
 /** Signs of life per second that the leader sends while requests of all entries wait. */
 const KEEP_ALIVES_PER_SECOND = 400;
 /** Bounds on the time between two signs of life to an entry, in milliseconds. */
@@ -84,18 +79,6 @@
 export const computePaceDelayMs = (entryCount: number): number => (
   computeIntervalMs(entryCount, PACE_MESSAGES_PER_SECOND, MIN_PACE_DELAY_MS, MAX_PACE_DELAY_MS));
 
-/**
- * Computes how long an entry delays the report of a stream's first event, in milliseconds, for a
- * message that is due anyway: with many entries, two messages of one entry seldom coincide.
- *
- * The leader uses it to estimate how many prompt tokens a server has left to process.
- *
- * @example
- * const delayMs = computeStartDelayMs(78); // 195
- */
-export const computeStartDelayMs = (entryCount: number): number => (
-  computeIntervalMs(entryCount, START_MESSAGES_PER_SECOND, MIN_START_DELAY_MS, MAX_START_DELAY_MS));
-
 /**
  * Computes the time between two signs of life that the leader sends to an entry whose requests wait
  * for slots, in milliseconds.
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -1,7 +1,5 @@
 import { NO_TIMINGS } from '../core/routing/placementTables';
-import {
-  computeLeaderSilenceMs, computePaceDelayMs, computeStartDelayMs,
-} from '../core/routing/messageIntervals';
+import { computeLeaderSilenceMs, computePaceDelayMs } from '../core/routing/messageIntervals';
 import type { StreamOrigin } from '../core/routing/streamOrigin';
 import type {
   PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
@@ -28,6 +26,11 @@
 const MAX_OPEN_MESSAGES = 1_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
+/**
+ * Longest time that the report of a stream's first event waits to share a message with others, in
+ * milliseconds. The leader uses it to estimate how many prompt tokens a server has left to process.
+ */
+const STREAM_START_FLUSH_MS = 20;
 
 /** Dependencies of a place client. */
 export interface PlaceClientParts {
@@ -146,7 +149,8 @@
     this.reports.push(report);
     if (this.reports.length > MAX_REPORTS) this.reports.shift();
     if (report.phase !== 'running') this.flushTask.schedule();
-    else this.scheduleFlush(this.computeDelayMs(report));
+    else if (report.paceMs === 0) this.scheduleFlush(STREAM_START_FLUSH_MS);
+    else this.scheduleFlush(computePaceDelayMs(this.parts.countEntries()));
   }
 
   /** Reports that a server crashed while it ran a request. */
@@ -197,12 +201,6 @@
     this.resolveWaiting();
   }
 
-  /** Computes how long news of a running stream waits to share a message, in milliseconds. */
-  private computeDelayMs({ paceMs }: PlacedReport): number {
-    const entryCount = this.parts.countEntries();
-    return paceMs === 0 ? computeStartDelayMs(entryCount) : computePaceDelayMs(entryCount);
-  }
-
   private canAsk(now: number): boolean {
     const link = this.parts.findLeader();
     return link !== undefined && !this.isPaused(link, now);
