Keep the times of unacknowledged messages in a class of their own

Cause: placeClient.ts had taken in the bookkeeping of messages that the leader has not acknowledged, beside slots, reports and streams.

Change: OpenMessages records, acknowledges and measures.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -12,6 +12,7 @@
 import type { BegunStream } from './begunStreams';
 import { CrashRecords } from './crashRecords';
 import type { ServerCrash } from './crashRecords';
+import { OpenMessages } from './openMessages';
 import { PlacementPause } from './placementPause';
 
 /**
@@ -22,8 +23,6 @@
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 250;
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
-/** Most unacknowledged messages whose times are stored; later ones do not count as late. */
-const MAX_OPEN_MESSAGES = 1_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
 /**
@@ -50,13 +49,6 @@
   readonly resolve: (reply: PlaceReply | undefined) => void;
 }
 
-/** A message with slot requests that the leader has not acknowledged yet. */
-interface OpenMessage {
-  readonly number: number;
-  /** Monotonic milliseconds. */
-  readonly sentAt: number;
-}
-
 /** The stream to one leader. */
 interface LeaderStream {
   readonly link: RpcLink<SiteClient>;
@@ -68,8 +60,8 @@
   readonly grantedIds: Set<string>;
   /** Number of the last message that the leader acknowledged. */
   lastAcknowledged: number;
-  /** Messages with slot requests that the leader has not acknowledged, oldest first. */
-  openMessages: readonly OpenMessage[];
+  /** Messages with slot requests that the leader has not acknowledged. */
+  readonly openMessages: OpenMessages;
   /** Time since which a reply is due, monotonic milliseconds. */
   replyDueSince: number;
 }
@@ -241,9 +233,7 @@
     leaderStream.lastSent += 1;
     if (requests.length > 0) {
       leaderStream.lastAsked = leaderStream.lastSent;
-      leaderStream.openMessages = [
-        ...leaderStream.openMessages, { number: leaderStream.lastSent, sentAt: now },
-      ].slice(0, MAX_OPEN_MESSAGES);
+      leaderStream.openMessages.add(leaderStream.lastSent, now);
     }
     leaderStream.stream.write({
       number: leaderStream.lastSent,
@@ -282,7 +272,7 @@
       lastAsked: 0,
       grantedIds: new Set(),
       lastAcknowledged: 0,
-      openMessages: [],
+      openMessages: new OpenMessages(),
       replyDueSince: this.parts.clock.now(),
     };
     return this.leaderStream;
@@ -292,10 +282,8 @@
     const { leaderStream } = this;
     if (!leaderStream) return;
     const now = this.parts.clock.now();
-    const answered = leaderStream.openMessages.filter(({ number }) => number <= acknowledged);
-    const isInTime = answered.some(({ sentAt }) => now - sentAt < ACKNOWLEDGEMENT_TIMEOUT_MS);
-    this.pause.recordMessage(now, isInTime);
-    leaderStream.openMessages = leaderStream.openMessages.slice(answered.length);
+    const delayMs = leaderStream.openMessages.acknowledge(acknowledged, now);
+    this.pause.recordMessage(now, delayMs < ACKNOWLEDGEMENT_TIMEOUT_MS);
     leaderStream.lastAcknowledged = acknowledged;
     leaderStream.replyDueSince = now;
     replies.forEach((reply) => this.settle(reply));
@@ -343,12 +331,10 @@
       this.suspendLeader(`no message for ${Math.round(silentMs)} ms`);
       return;
     }
-    const [oldest] = leaderStream.openMessages;
-    const lateMs = oldest ? this.parts.clock.now() - oldest.sentAt : silentMs;
-    const limitMs = oldest
-      ? ACKNOWLEDGEMENT_TIMEOUT_MS
-      : computeLeaderSilenceMs(this.parts.countEntries());
-    if (lateMs >= limitMs) this.handleLateness(lateMs);
+    const unacknowledgedMs = leaderStream.openMessages.measureOldest(this.parts.clock.now());
+    const isLate = unacknowledgedMs >= ACKNOWLEDGEMENT_TIMEOUT_MS
+      || silentMs >= computeLeaderSilenceMs(this.parts.countEntries());
+    if (isLate) this.handleLateness(Math.max(unacknowledgedMs, silentMs));
     this.startWatchdog();
   }
 
