--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -8,9 +8,9 @@
   SiteClient, SiteService, SuspectRecord, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import type {
-  AnnounceReplies, AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceDecisions,
-  PlaceNews, PublishReply, PublishRequest, Replica, StepCount, WatchReply, WatchRequest,
-  WorkerAnnouncement, WorkerAnnouncements,
+  AnnounceReply, ConfirmReply, LogMessage, MeetReply, MeetRequest, PlaceDecisions, PlaceNews,
+  PublishReply, PublishRequest, Replica, StepCount, WatchReply, WatchRequest,
+  WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { RoutingReader } from '../manifest/routing';
@@ -21,7 +21,6 @@
 import { toPeerError } from '../wire/peerError';
 import { handleStream, handleUnary, RpcServer } from '../wire/rpcServer';
 import type { FailureListener } from '../wire/rpcServer';
-import { AnnouncementForwarder } from './announcementForwarder';
 import { ReplicaIdentity } from './replicaIdentity';
 import { computeLeaseMs } from './entryLease';
 import type { LeaseBounds } from './entryLease';
@@ -152,15 +151,6 @@
   announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
     (announcement) => requireNode(nodeReference).announce(announcement, true),
   ),
-  announceAll: handleUnary<WorkerAnnouncements, AnnounceReplies>(async ({ announcements }) => {
-    const node = requireNode(nodeReference);
-    const replies = await Promise.all(announcements.map((announcement) => (
-      node.announce(announcement, true).catch((thrown: unknown) => {
-        logger.warn('forwarded announcement refused', { worker: announcement.workerId, reason: toBeechliftError(thrown).message });
-        return { taken: false };
-      }))));
-    return { replies };
-  }),
   place: handleStream<PlaceNews, PlaceDecisions>(
     (stream) => stream.listen(requireNode(nodeReference).openPlacementStream(stream)),
     makeFailureListener(logger),
@@ -280,12 +270,6 @@
   const [cachedWorkers, cachedSuspects] = await Promise.all(
     [workerCache.load(), suspectCache.load()],
   );
-  const forwarder = new AnnouncementForwarder({
-    readTable: () => requireNode(nodeReference).workerTable,
-    sendOne: (announcement, address) => callSite(links, address, 'announce', announcement, ANNOUNCE_TIMEOUT_MS),
-    sendAll: (announcements, address) => callSite(links, address, 'announceAll', { announcements }, ANNOUNCE_TIMEOUT_MS),
-    logger,
-  });
   const node = new RoutedNode({
     self,
     founders,
@@ -302,7 +286,11 @@
         .catch((thrown: unknown) => {
           throw toPeerError(thrown, 'noQuorum');
         }),
-      announce: (announcement, address) => forwarder.forward(announcement, address),
+      announce: (announcement, address) => callSite<WorkerAnnouncement, AnnounceReply>(links, address, 'announce', announcement, ANNOUNCE_TIMEOUT_MS)
+        .catch((thrown: unknown) => {
+          logger.warn('announcement could not be forwarded', { worker: announcement.workerId, reason: toBeechliftError(thrown).message });
+          return { taken: false };
+        }),
       confirm: (address) => callSite<object, ConfirmReply>(links, address, 'confirm', {}, CONFIRM_TIMEOUT_MS)
         .catch((thrown: unknown) => {
           throw toPeerError(thrown, 'noQuorum');
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -7,7 +7,7 @@
 import { applyDocument, parseSiteDocument } from '../core/routing/siteDocument';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
-import type { WorkerStanding, WorkerTable } from '../core/routing/workerTable';
+import type { WorkerStanding } from '../core/routing/workerTable';
 import { BeechliftError } from '../errors/beechliftError';
 import { computeSha256 } from '../utils/canonicalJson';
 import { HeldCalls } from '../utils/heldCalls';
@@ -269,14 +269,9 @@
     return this.leaderState.countRequests();
   }
 
-  /** The backend servers: the leader's own table, or a follower's copy. */
-  get workerTable(): WorkerTable {
-    return this.softState.registry.table;
-  }
-
   /** Counts the known backend servers by status. */
   countWorkers(): ReadonlyMap<WorkerStanding, number> {
-    return countByStanding(this.workerTable);
+    return countByStanding(this.softState.registry.table);
   }
 
   /** Applies an announcement of a backend server; `taken` is false if no leader received it. */
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -127,20 +127,6 @@
     || (previous.coldMs > 0) !== (announcement.coldMs > 0);
 };
 
-/**
- * Whether an announcement says of a ready server what is known of it, so that it only shows that
- * the server is there.
- *
- * @example
- * if (isUnchanged(table, announcement)) forwardWithOthers(announcement);
- */
-export const isUnchanged = (table: WorkerTable, announcement: WorkerAnnouncement): boolean => {
-  const worker = table.workers.get(announcement.workerId);
-  return worker?.standing === 'ready'
-    && worker.said.born === announcement.born
-    && !hasChanged(worker, announcement);
-};
-
 /** Merges a deregistration, which holds only the id, into the previous announcement. */
 const mergeAnnouncement = (
   previous: WorkerAnnouncement,
