Derive from the open messages whether a reply of the leader is due

Cause: an entry kept the numbers of its last message with slot requests and of the last acknowledgement beside the list of messages that are not acknowledged, which says the same. Adding to that list copied it, with each message to a leader that is late.

Change: a reply is due while the list is not empty or requests wait; the two numbers are gone, and a message is added in place. An acknowledgement with a lower number than one before no longer makes a reply due.

--- a/src/relay/openMessages.ts
+++ b/src/relay/openMessages.ts
@@ -18,12 +18,16 @@
  */
 export class OpenMessages {
   /** Oldest first. */
-  private messages: readonly OpenMessage[] = [];
+  private messages: OpenMessage[] = [];
+
+  /** Number of messages that were not acknowledged. */
+  get size(): number {
+    return this.messages.length;
+  }
 
   /** Records a message that was sent. */
   add(number: number, now: number): void {
-    if (this.messages.length >= MAX_MESSAGES) return;
-    this.messages = [...this.messages, { number, sentAt: now }];
+    if (this.messages.length < MAX_MESSAGES) this.messages.push({ number, sentAt: now });
   }
 
   /**
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -53,13 +53,10 @@
 interface LeaderStream {
   readonly link: RpcLink<SiteClient>;
   readonly stream: ClientStream<PlaceNews>;
-  /** Numbers of the last message that was sent and of the last one with slot requests. */
+  /** Number of the last message that was sent. */
   lastSent: number;
-  lastAsked: number;
   /** Slots that this leader granted and that are in use. */
   readonly grantedIds: Set<string>;
-  /** Number of the last message that the leader acknowledged. */
-  lastAcknowledged: number;
   /** Messages with slot requests that the leader has not acknowledged. */
   readonly openMessages: OpenMessages;
   /** Time since which a reply is due, monotonic milliseconds. */
@@ -231,10 +228,7 @@
     const isFirst = leaderStream.lastSent === 0;
     if (!this.isReplyDue(leaderStream)) leaderStream.replyDueSince = now;
     leaderStream.lastSent += 1;
-    if (requests.length > 0) {
-      leaderStream.lastAsked = leaderStream.lastSent;
-      leaderStream.openMessages.add(leaderStream.lastSent, now);
-    }
+    if (requests.length > 0) leaderStream.openMessages.add(leaderStream.lastSent, now);
     leaderStream.stream.write({
       number: leaderStream.lastSent,
       requests,
@@ -269,9 +263,7 @@
       link,
       stream,
       lastSent: 0,
-      lastAsked: 0,
       grantedIds: new Set(),
-      lastAcknowledged: 0,
       openMessages: new OpenMessages(),
       replyDueSince: this.parts.clock.now(),
     };
@@ -284,7 +276,6 @@
     const now = this.parts.clock.now();
     const delayMs = leaderStream.openMessages.acknowledge(acknowledged, now);
     this.pause.recordMessage(now, delayMs < LEADER_SILENCE_MS);
-    leaderStream.lastAcknowledged = acknowledged;
     leaderStream.replyDueSince = now;
     replies.forEach((reply) => this.settle(reply));
   }
@@ -310,7 +301,7 @@
 
   /** Whether a reply of the leader is due: it replies to slot requests only, not to reports. */
   private isReplyDue(leaderStream: LeaderStream): boolean {
-    return leaderStream.lastAcknowledged < leaderStream.lastAsked || this.waiting.size > 0;
+    return leaderStream.openMessages.size > 0 || this.waiting.size > 0;
   }
 
   /** Schedules a check whether the leader has timed out. */
