Test: set up departures, and elections with a late reply, in one place each

Cause: two groups of departure-log.spec.ts built the same registry and log, two tests of late-follow-replies.spec.ts played the same election.

Change: one factory and one step; each group keeps its own clock. No assertion changed.

--- a/tests/control/departure-log.spec.ts
+++ b/tests/control/departure-log.spec.ts
@@ -7,6 +7,8 @@
 import { addDeparture, NO_DEPARTURES } from '../../src/core/routing/departures';
 import { WatchRequest, WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
+import { systemClock } from '../../src/utils/clock';
+import type { Clock } from '../../src/utils/clock';
 import { HeldCalls } from '../../src/utils/heldCalls';
 
 const BORN = 5;
@@ -19,6 +21,26 @@
 const makeDeparture = (fields: Partial<WorkerAnnouncement>, standing: string): WorkerRecord => (
   WorkerRecord.fromPartial({ said: makeAnnouncement(fields), standing }));
 
+/** A leader's table of servers, and its departures, which every proposal agrees on. */
+const makeDepartures = (clock: Clock): { registry: WorkerRegistry; departureLog: DepartureLog } => {
+  const logger = makeLogger('test', 'silent');
+  const registry = new WorkerRegistry({
+    cachedWorkers: [],
+    workerCache: { saveIfChanged: () => undefined },
+    clock,
+    logger,
+    watches: new HeldCalls(),
+    countEntries: () => 1,
+  });
+  const runner = {
+    state: { role: 'leader' }, propose: () => Promise.resolve(true),
+  } as unknown as DepartureLogParts['runner'];
+  const departureLog = new DepartureLog({
+    runner, registry, clock, logger,
+  });
+  return { registry, departureLog };
+};
+
 describe('the departures that a new leader restores', () => {
   let registry: WorkerRegistry;
 
@@ -36,20 +58,7 @@
   };
 
   beforeEach(() => {
-    const logger = makeLogger('test', 'silent');
-    const clock = { now: () => now };
-    registry = new WorkerRegistry({
-      cachedWorkers: [],
-      workerCache: { saveIfChanged: () => undefined },
-      clock,
-      logger,
-      watches: new HeldCalls(),
-      countEntries: () => 1,
-    });
-    const runner = { state: { role: 'leader' }, propose: () => Promise.resolve(true) } as unknown as DepartureLogParts['runner'];
-    departureLog = new DepartureLog({
-      runner, registry, clock, logger,
-    });
+    ({ registry, departureLog } = makeDepartures({ now: () => now }));
   });
 
   // A deregistration has no sequence number. The next leader had heard a later announcement than
@@ -104,25 +113,10 @@
 
 describe('the word of a server that it leaves', () => {
   const announceToLeader = async (...announcements: WorkerAnnouncement[]): Promise<boolean[]> => {
-    const logger = makeLogger('test', 'silent');
-    const clock = { now: () => performance.now() };
-    const registry = new WorkerRegistry({
-      cachedWorkers: [],
-      workerCache: { saveIfChanged: () => undefined },
-      clock,
-      logger,
-      watches: new HeldCalls(),
-      countEntries: () => 1,
-    });
-    const runner = {
-      state: { role: 'leader' }, propose: () => Promise.resolve(true),
-    } as unknown as DepartureLogParts['runner'];
-    const departures = new DepartureLog({
-      runner, registry, clock, logger,
-    });
+    const { registry, departureLog } = makeDepartures(systemClock);
     return Promise.all(announcements.map((announcement) => {
       registry.applyAnnouncement(announcement);
-      return departures.ensureAgreed(announcement);
+      return departureLog.ensureAgreed(announcement);
     }));
   };
 
--- a/tests/control/late-follow-replies.spec.ts
+++ b/tests/control/late-follow-replies.spec.ts
@@ -59,12 +59,10 @@
     return leader;
   };
 
-  afterEach(() => site.close());
-
-  // A leader that had no lease yet took the changes of its predecessor for its whole table: it lost
-  // its servers, and entries went on sending requests to servers that had left.
-  it('should not replace the table of a replica that leads by then', async () => {
-    const former = await found();
+  /** Lets a follower lead without a lease, and gets it the former leader's reply only then. */
+  const electWithLateReply = async (
+    former: number,
+  ): Promise<{ leader: number; reply: WatchReply }> => {
     const replies = new Map(await Promise.all(REPLICAS
       .filter((position) => position !== former)
       .map(async (position) => [position, await askLeader(position, former)] as const)));
@@ -72,6 +70,16 @@
     const { request, reply } = replies.get(leader) ?? {};
     if (!request || !reply) throw new Error('no reply was recorded');
     site.findNode(leader).follow(reply, request);
+    return { leader, reply };
+  };
+
+  afterEach(() => site.close());
+
+  // A leader that had no lease yet took the changes of its predecessor for its whole table: it lost
+  // its servers, and entries went on sending requests to servers that had left.
+  it('should not replace the table of a replica that leads by then', async () => {
+    const former = await found();
+    const { leader, reply } = await electWithLateReply(former);
     const { workersEpoch } = site.findNode(leader).buildFollowRequest(0);
     expect([countReady(leader), workersEpoch === reply.workersEpoch]).toEqual([1, false]);
   });
@@ -84,13 +92,7 @@
     const { taken } = await site.findNode(former)
       .announce({ ...ANNOUNCEMENT, state: 'draining', sequence: 2 });
     await waitFor(() => REPLICAS.every((position) => countReady(position) === 0), 'all replicas know that it leaves');
-    const replies = new Map(await Promise.all(REPLICAS
-      .filter((position) => position !== former)
-      .map(async (position) => [position, await askLeader(position, former)] as const)));
-    const leader = await electWithoutLease(former);
-    const { request, reply } = replies.get(leader) ?? {};
-    if (!request || !reply) throw new Error('no reply was recorded');
-    site.findNode(leader).follow(reply, request);
+    await electWithLateReply(former);
     await site.start(former, false);
     await waitFor(() => site.findLeader() !== undefined, 'a replica leads with a lease');
     const next = await site.findNode(site.findLeader() ?? -1).watch(WatchRequestCodec.fromPartial({
