Split records that replicas exchange from the table of servers

Change: workerRecords.ts holds needsRecord, adoptRecord and listChangedWorkers. Code is moved, with names as they were; five pieces of the table are exported for it.

Result: types and lint pass; worker-table, worker-incarnations, departure-log, worker-updates and late-watch-replies pass.

--- a/src/control/leaderFollower.ts
+++ b/src/control/leaderFollower.ts
@@ -6,7 +6,7 @@
 import { ListVersion } from '../core/routing/listVersion';
 import { toOriginRecord } from '../core/routing/originRecords';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
-import { needsRecord } from '../core/routing/workerTable';
+import { needsRecord } from '../core/routing/workerRecords';
 import type { Clock } from '../utils/clock';
 import type { RecoveryWindow } from './recoveryWindow';
 import type { SuspectRegistry } from './suspectRegistry';
--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -7,7 +7,7 @@
 import { NO_REVISION } from '../core/routing/listVersion';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
-import { listChangedWorkers } from '../core/routing/workerTable';
+import { listChangedWorkers } from '../core/routing/workerRecords';
 import type { WorkerTable } from '../core/routing/workerTable';
 import { resultCodes } from '../errors/resultCodes';
 import type { RoutedAccount } from '../manifest/routing';
--- a/src/control/workerRegistry.ts
+++ b/src/control/workerRegistry.ts
@@ -3,9 +3,8 @@
   WatchReply, WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import { computeUpdateDelayMs } from '../core/routing/messageIntervals';
-import {
-  adoptRecord, expireWorkers, listChangedWorkers, makeWorkerTable, needsRecord, applyAnnouncement,
-} from '../core/routing/workerTable';
+import { adoptRecord, listChangedWorkers, needsRecord } from '../core/routing/workerRecords';
+import { expireWorkers, makeWorkerTable, applyAnnouncement } from '../core/routing/workerTable';
 import type { WorkerTable } from '../core/routing/workerTable';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -1,6 +1,4 @@
-import type {
-  WorkerAnnouncement, WorkerRecord,
-} from '../../protocol/generated/beechlift';
+import type { WorkerAnnouncement } from '../../protocol/generated/beechlift';
 import {
   addSuperseded, compareIncarnation, isProven, NO_START_TIME,
 } from './workerIncarnation';
@@ -61,14 +59,19 @@
 const LATE_DEREGISTRATION_MS = 10_000;
 
 /** Limit on the table's size, `gone` servers included. */
-const MAX_WORKERS = 20_000;
+export const MAX_WORKERS = 20_000;
 
 /** Creates an empty table. */
 export const makeWorkerTable = (epoch: string): WorkerTable => ({
   epoch, revision: 0, workers: new Map(), ownerIds: new Map(),
 });
 
-const setStanding = (table: WorkerTable, worker: TrackedWorker, standing: WorkerStanding): void => {
+/** Sets the standing of a server, which is a change of the table. */
+export const setStanding = (
+  table: WorkerTable,
+  worker: TrackedWorker,
+  standing: WorkerStanding,
+): void => {
   table.revision += 1;
   worker.standing = standing;
   worker.revision = table.revision;
@@ -87,7 +90,8 @@
   table.ownerIds.set(address, workerId);
 };
 
-const makeTrackedWorker = (
+/** Makes a ready server from an announcement. */
+export const makeTrackedWorker = (
   announcement: WorkerAnnouncement,
   superseded: readonly number[],
   now: number,
@@ -156,7 +160,8 @@
   table: WorkerTable, worker: TrackedWorker, announcement: WorkerAnnouncement, now: number,
 ) => void;
 
-const applySameIncarnation: IncarnationHandler = (table, worker, announcement, now) => {
+/** Applies an announcement of the incarnation that is known. */
+export const applySameIncarnation: IncarnationHandler = (table, worker, announcement, now) => {
   if (worker.standing === 'gone' || isOlder(announcement, worker.said)) return;
   if (isAmbiguousDeregistration(worker, announcement, now)) {
     setStanding(table, worker, 'draining');
@@ -193,21 +198,12 @@
   older: () => undefined,
 };
 
-/*
- * Whether a record has no start time, and the server has restarted since it had none: what the
- * record tells is about an earlier incarnation.
- */
-const isOfUnnamedStart = (
-  { superseded }: TrackedWorker,
-  { born }: WorkerAnnouncement,
-): boolean => born === NO_START_TIME && superseded.includes(NO_START_TIME);
-
-/*
+/**
  * Determines which incarnation of a tracked server an announcement comes from. A deregistration of
  * an unknown server may lack the start time. What reports one afterwards may be the same
  * incarnation, heard late, so it has to prove that it is a later one.
  */
-const compareWorker = (
+export const compareWorker = (
   { said: { born }, superseded, standing }: TrackedWorker,
   announcement: WorkerAnnouncement,
 ): IncarnationRelation => {
@@ -238,70 +234,6 @@
   }
 };
 
-/** Whether a record of another replica is newer than the tracked worker. */
-const isNewer = (known: TrackedWorker, announcement: WorkerAnnouncement): boolean => {
-  if (announcement.born === known.said.born) {
-    return known.standing !== 'gone' && known.said.sequence <= announcement.sequence;
-  }
-  return announcement.born !== NO_START_TIME && !known.superseded.includes(announcement.born);
-};
-
-/**
- * Whether a record that was stored before a restart holds something that the table lacks: an
- * unknown server, the fact that a server is `gone`, or a later announcement or incarnation.
- *
- * @example
- * const missing = records.filter((record) => needsRecord(table, record));
- */
-export const needsRecord = (
-  { workers }: WorkerTable,
-  { said: announcement, standing }: WorkerRecord,
-): boolean => {
-  if (!announcement) return false;
-  const known = workers.get(announcement.workerId);
-  if (!known) return true;
-  if (isOfUnnamedStart(known, announcement)) return false;
-  const relation = compareWorker(known, announcement);
-  if (relation !== 'same') return relation === 'newer';
-  return known.standing !== 'gone'
-    && (standing === 'gone' || known.said.sequence < announcement.sequence);
-};
-
-/** Whether a record tells that the tracked incarnation is gone, whatever its last announcement. */
-const isDeregistered = (
-  known: TrackedWorker,
-  announcement: WorkerAnnouncement,
-  standing: string,
-): boolean => {
-  const { said: { born }, superseded } = known;
-  return standing === 'gone'
-    && !isOfUnnamedStart(known, announcement)
-    && compareIncarnation({ born, superseded }, { born: announcement.born, state: 'gone' }) === 'same';
-};
-
-/** Adopts a record from another replica's table. */
-export const adoptRecord = (
-  table: WorkerTable,
-  { said: announcement, standing, supersededStarts }: WorkerRecord,
-  now: number,
-): void => {
-  if (!announcement) return;
-  const known = table.workers.get(announcement.workerId);
-  const isGone = known !== undefined && isDeregistered(known, announcement, standing);
-  if (isGone) applySameIncarnation(table, known, { ...announcement, state: 'gone' }, now);
-  if (known && (isGone || !isNewer(known, announcement))) {
-    known.superseded = supersededStarts.reduce(addSuperseded, known.superseded);
-    return;
-  }
-  if (!known && table.workers.size >= MAX_WORKERS) return;
-  const previousStarts = known && known.said.born !== announcement.born ? [known.said.born] : [];
-  const superseded = [...known?.superseded ?? [], ...supersededStarts, ...previousStarts];
-  const worker = makeTrackedWorker(announcement, superseded.reduce(addSuperseded, []), now);
-  table.workers.set(announcement.workerId, worker);
-  if (standing !== 'gone') table.ownerIds.set(announcement.address, announcement.workerId);
-  setStanding(table, worker, standing as WorkerStanding);
-};
-
 /**
  * Marks servers as silent after their timeout, and removes servers that are not ready and have not
  * announced themselves for a long time.
@@ -348,22 +280,3 @@
     return other !== undefined && other !== software;
   });
 };
-
-/**
- * Lists the servers that changed since a revision, or all of them when the revision belongs to
- * another table.
- *
- * @example
- * const records = listChangedWorkers(table, request.workersEpoch, request.workersRevision);
- */
-export const listChangedWorkers = (
-  table: WorkerTable,
-  epoch: string,
-  revision: number,
-): WorkerRecord[] => {
-  const sinceRevision = epoch === table.epoch ? revision : 0;
-  return [...table.workers.values()]
-    .filter((worker) => worker.revision > sinceRevision)
-    .map(({ said, standing, superseded }) => (
-      { said, standing, supersededStarts: [...superseded] }));
-};
--- a/tests/core/worker-incarnations.spec.ts
+++ b/tests/core/worker-incarnations.spec.ts
@@ -1,9 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { WorkerRegistry } from '../../src/control/workerRegistry';
-import {
-  adoptRecord, applyAnnouncement, listChangedWorkers, makeWorkerTable, needsRecord,
-} from '../../src/core/routing/workerTable';
+import { adoptRecord, listChangedWorkers, needsRecord } from '../../src/core/routing/workerRecords';
+import { applyAnnouncement, makeWorkerTable } from '../../src/core/routing/workerTable';
 import type { WorkerTable } from '../../src/core/routing/workerTable';
 import { makePlacementTables, requestSlots } from '../../src/core/routing/placement';
 import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
--- a/tests/core/worker-table.spec.ts
+++ b/tests/core/worker-table.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
+import { adoptRecord, listChangedWorkers } from '../../src/core/routing/workerRecords';
 import {
-  adoptRecord, applyAnnouncement, expireWorkers, listChangedWorkers, makeWorkerTable,
-  WORKER_TIMEOUT_MS,
+  applyAnnouncement, expireWorkers, makeWorkerTable, WORKER_TIMEOUT_MS,
 } from '../../src/core/routing/workerTable';
 import type { WorkerTable } from '../../src/core/routing/workerTable';
 import { WorkerAnnouncement, WorkerRecord } from '../../src/protocol/generated/beechlift';
--- a/tests/relay/late-watch-replies.spec.ts
+++ b/tests/relay/late-watch-replies.spec.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { applyAnnouncement, listChangedWorkers, makeWorkerTable } from '../../src/core/routing/workerTable';
+import { listChangedWorkers } from '../../src/core/routing/workerRecords';
+import { applyAnnouncement, makeWorkerTable } from '../../src/core/routing/workerTable';
 import type { WorkerTable } from '../../src/core/routing/workerTable';
 import { WatchReply, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
 import type { WatchRequest } from '../../src/protocol/generated/beechlift';
