--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -22,10 +22,10 @@
 /** A backend server of one service; `report` receives each arrival and run. */
 export class Server {
   constructor({
-    service, host, zone, slots, queue, isEngine, operators, report, workMs = 30,
+    service, host, zone, slots, queue, isEngine, operators, report, workMs = 30, unframedShare = 0,
   }) {
     Object.assign(this, {
-      service, host, zone, slots, queue, isEngine, operators, report, workMs,
+      service, host, zone, slots, queue, isEngine, operators, report, workMs, unframedShare,
     });
     this.id = `i-${randomUUID().slice(0, 10)}`;
     this.sequence = 0;
@@ -143,6 +143,11 @@
     return { 'Attempt-Id': id, 'Server-Stamp': `${this.id}.${id}` };
   }
 
+  /** Lets the answer end with its connection, without a length. */
+  removeFraming(response) {
+    Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+  }
+
   async runPlain(response, run) {
     this.report(run);
     await pause(this.workMs);
@@ -160,6 +165,7 @@
     if (response.destroyed) return;
     // A request begins to run with its first token.
     this.report(run);
+    if (Math.random() < this.unframedShare) this.removeFraming(response);
     response.writeHead(200, { ...this.buildHeaders(run.id), 'Content-Type': 'text/event-stream', 'Weight-Versions': '1' });
     const count = Math.ceil(output / TOKENS_PER_EVENT);
     const writeEvent = async (number) => {
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -70,6 +70,9 @@
     this.serverHost = `127.${block}.2.1`;
     this.processes = new Map();
     this.exits = [];
+    // Nothing that was started outlives the script, also if it is ended early.
+    process.once('exit', () => this.processes.forEach((child) => child.kill('SIGKILL')));
+    ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => process.exit(2)));
   }
 
   /** Starts all machines for the first time. */
