Review: a late second answer makes the next request run twice

What breaks: TWICE. A worker's late second answer to an earlier request, 503 with Not-Executed and the id of that request, makes the next request on the connection, which may run once at most, run at a second worker.

Code at fault: checkAnswerHead in src/relay/attemptOutcome.ts looks at Not-Executed before it compares the id of the answer with the request's.

--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -22,11 +22,33 @@
 /** A backend server of one service; `report` receives each arrival and run. */
 export class Server {
   constructor({
-    service, host, zone, slots, queue, isEngine, operators, report, workMs = 30, unframedShare = 0,
+    service,
+    host,
+    zone,
+    slots,
+    queue,
+    isEngine,
+    operators,
+    report,
+    workMs = 30,
+    unframedShare = 0,
+    extraShare = 0,
   }) {
     Object.assign(this, {
-      service, host, zone, slots, queue, isEngine, operators, report, workMs, unframedShare,
+      service,
+      host,
+      zone,
+      slots,
+      queue,
+      isEngine,
+      operators,
+      report,
+      workMs,
+      unframedShare,
+      extraShare,
     });
+    /** Connections on which a second answer to an earlier request is due, with that request. */
+    this.dueExtras = new WeakMap();
     this.id = `i-${randomUUID().slice(0, 10)}`;
     this.sequence = 0;
     this.running = 0;
@@ -100,6 +122,7 @@
       this.refuse(response, 503, id);
       return;
     }
+    this.sendDueExtra(request.socket);
     await this.takeSlot();
     try {
       if (response.destroyed) return;
@@ -143,6 +166,18 @@
     return { 'Attempt-Id': id, 'Server-Stamp': `${this.id}.${id}` };
   }
 
+  /**
+   * Sends a second, late answer to an earlier request of the connection, which was answered: that
+   * its time in the queue has passed. It bears the id of that earlier request.
+   */
+  sendDueExtra(socket) {
+    const id = this.dueExtras.get(socket);
+    if (!id) return;
+    this.dueExtras.delete(socket);
+    socket.write(`HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+    this.reportExtra?.(id);
+  }
+
   /** Lets the answer end with its connection, without a length. */
   removeFraming(response) {
     Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
@@ -153,6 +188,7 @@
     await pause(this.workMs);
     const text = `done ${run.id}`;
     response.writeHead(200, { ...this.buildHeaders(run.id), 'Content-Length': text.length }).end(text);
+    if (Math.random() < this.extraShare) this.dueExtras.set(response.req.socket, run.id);
   }
 
   async runStream(response, run) {
