--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -31,12 +31,19 @@
   request.once('error', (error) => settle(fail, error));
   request.once('response', (response) => {
     const chunks = [];
+    const { socket } = response;
     response.on('data', (chunk) => chunks.push(chunk));
     response.once('error', (error) => settle(fail, error));
     response.once('aborted', () => settle(fail, new Error('the answer was cut off')));
-    response.once('end', () => settle(done, {
-      status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks),
-    }));
+    response.once('end', () => {
+      // An answer without a length ends with its connection: one that was reset is not complete.
+      if (socket.errored) settle(fail, socket.errored);
+      else {
+        settle(done, {
+          status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks),
+        });
+      }
+    });
   });
   request.end(body);
 });
