--- a/tests/fakes/streamCaller.ts
+++ b/tests/fakes/streamCaller.ts
@@ -32,6 +32,8 @@
 
   private isClosed = false;
 
+  private hasEnd = false;
+
   private readonly call;
 
   /** @param begun the stream that this attempt takes up; a new one without it */
@@ -51,6 +53,9 @@
         this.text += chunk.toString('latin1');
       });
       response.on('error', () => undefined);
+      response.on('end', () => {
+        this.hasEnd = response.complete;
+      });
       response.on('close', () => this.markClosed());
     });
     this.call.on('error', () => this.markClosed());
@@ -81,6 +86,11 @@
     return this.lastEventId === EVENT_COUNT;
   }
 
+  /** Whether the answer is complete as far as its caller can tell, whatever it contains. */
+  get looksComplete(): boolean {
+    return this.hasEnd;
+  }
+
   /** Resolves when some events were received. */
   async waitEvents(count: number): Promise<void> {
     await waitFor(() => this.eventIds.length >= count, `${count} events`);
--- a/tests/fakes/versionedServer.ts
+++ b/tests/fakes/versionedServer.ts
@@ -29,6 +29,8 @@
   readonly announce: AnnouncementSender;
   /** Defaults to those of the test dialect. */
   readonly headers?: ServerHeaders;
+  /** Whether its answers have no length and end with their connection. */
+  readonly isCloseDelimited?: boolean;
 }
 
 /** A backend server that streams events which name the version of its software. */
@@ -93,6 +95,9 @@
     const names = this.parts.headers ?? TEST_HEADERS;
     const { [names.id]: id = '', [names.last]: last = '0' } = request.headers;
     this.runs.push(String(id));
+    if (this.parts.isCloseDelimited) {
+      Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+    }
     response.writeHead(200, { [names.id]: String(id), 'content-type': 'text/event-stream' });
     const sendFrom = async (number: number): Promise<void> => {
       if (number > EVENT_COUNT || response.destroyed) return;
