Keep versions of documents exact, so that none is lost and every reply can be decoded

Cause: a version was a number. JSON.parse rounded it, so the second document counted as the one in force and was acknowledged without effect; the codec throws at an int64 above 2^53 - 1, so no entry could decode a reply of the leader. Nothing refused at the boundary what a later step can't hold. Change: the version is read from the text of the document, held as a bigint, stored as digits where a number does not hold it, and sent as uint64 with a text as its decoded form (same field, same encoding). A version that can't be held exactly is refused before anything is stored. Entries compare versions of control with each other, so a site that was stopped in this way serves again once it is updated. Why it works: no step on the way holds a version as a number any more, and the compiler keeps it so, as a bigint and a number don't mix. Tests changed: versions in tests are bigints, and the test format of documents is decoded as such; nothing that is asserted has changed.

--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 protoc --plugin=node_modules/.bin/protoc-gen-ts_proto \
   --ts_proto_out=src/protocol/generated \
-  --ts_proto_opt=outputServices=grpc-js,esModuleInterop=true,env=node,forceLong=number,useOptionals=messages,outputJsonMethods=false,unrecognizedEnum=false,importSuffix= \
+  --ts_proto_opt=outputServices=grpc-js,esModuleInterop=true,env=node,forceLong=number,useJsTypeOverride=true,useOptionals=messages,outputJsonMethods=false,unrecognizedEnum=false,importSuffix= \
   -I src/protocol src/protocol/beechlift.proto
--- a/src/control/announcementValidator.ts
+++ b/src/control/announcementValidator.ts
@@ -39,7 +39,7 @@
     const { readSite, readTable } = this.parts;
     const site = readSite();
     // Before the first document no service is known, but servers announce themselves already.
-    if (announcement.state === 'gone' || site.version === 0) return;
+    if (announcement.state === 'gone' || site.version === 0n) return;
     if (
       readTable().workers.get(announcement.workerId)?.said.service === announcement.service
     ) return;
--- a/src/control/documentCommand.ts
+++ b/src/control/documentCommand.ts
@@ -1,4 +1,6 @@
 import type { DocumentCommand } from '../core/routing/siteDocument';
+import { parseVersion, toStoredVersion } from '../manifest/documentVersion';
+import type { StoredVersion } from '../manifest/documentVersion';
 import { WorkerRecord } from '../protocol/generated/beechlift';
 import { packLarge, unpackText } from '../utils/packedText';
 
@@ -7,7 +9,7 @@
  * departure of a server.
  */
 interface StoredCommand {
-  readonly version: number;
+  readonly version: StoredVersion;
   readonly document?: string;
   readonly packed?: string;
   /** A server that leaves; the other fields then change nothing. */
@@ -23,9 +25,10 @@
  * reduces a document to a tenth of its size.
  *
  * @example
- * runner.propose(encodeCommand({ version: 7, document }), operation);
+ * runner.propose(encodeCommand({ version: 7n, document }), operation);
  */
-export const encodeCommand = ({ version, document }: DocumentCommand): string => {
+export const encodeCommand = ({ version: exact, document }: DocumentCommand): string => {
+  const version = toStoredVersion(exact);
   const packed = packLarge(document)?.toString('base64');
   const stored: StoredCommand = packed === undefined ? { version, document } : { version, packed };
   return JSON.stringify(stored);
@@ -34,7 +37,7 @@
 /** Decodes a command of the log; throws if its document cannot be unpacked. */
 export const decodeCommand = (text: string): DocumentCommand => {
   const { version, document, packed } = JSON.parse(text) as StoredCommand;
-  return { version, document: document ?? unpackText(Buffer.from(packed ?? '', 'base64')) };
+  return { version: parseVersion(version), document: document ?? unpackText(Buffer.from(packed ?? '', 'base64')) };
 };
 
 /** Encodes the departure of a server for the log; earlier releases ignore its version 0. */
--- a/src/control/documentPublisher.ts
+++ b/src/control/documentPublisher.ts
@@ -1,6 +1,7 @@
 import type { PublishReply, PublishRequest } from '../protocol/generated/beechlift';
 import { BeechliftError } from '../errors/beechliftError';
 import { resultCodes } from '../errors/resultCodes';
+import type { DocumentVersion } from '../manifest/documentVersion';
 import { Operation } from '../utils/operation';
 import { encodeCommand } from './documentCommand';
 import type { LogRunner } from './logRunner';
@@ -18,7 +19,7 @@
 export interface DocumentPublisherParts extends Pick<RoutedNodeParts, 'readRouting' | 'port' | 'clock' | 'logger'> {
   readonly runner: Pick<LogRunner<true>, 'propose'>;
   /** Version of the current document of this replica. */
-  readonly readVersion: () => number;
+  readonly readVersion: () => DocumentVersion;
   /** gRPC address of the leader; empty if this replica knows none. */
   readonly readLeaderAddress: () => string;
   /** Waits up to `maxMs` until a leader is known; resolves with whether it is this replica. */
@@ -40,7 +41,7 @@
     const { routing, faults } = readRouting(request.document);
     if (!routing) {
       logger.info('document refused', { faults: faults.slice(0, 3).join('; ') });
-      return { code: resultCodes.manifestInvalid.number, message: faults.join('\n'), version: 0 };
+      return { code: resultCodes.manifestInvalid.number, message: faults.join('\n'), version: '0' };
     }
     if (routing.version <= readVersion()) return this.accept(routing.version);
     const isLeading = await this.parts.waitLeader(LEADER_WAIT_MS);
@@ -51,10 +52,10 @@
     return this.accept(routing.version);
   }
 
-  private accept(version: number): PublishReply {
+  private accept(version: DocumentVersion): PublishReply {
     const inForce = this.parts.readVersion();
     this.parts.logger.info('document accepted', { version, inForce });
-    return { code: 0, message: '', version: inForce };
+    return { code: 0, message: '', version: String(inForce) };
   }
 
   private forward(request: PublishRequest): Promise<PublishReply> {
--- a/src/control/routedMetrics.ts
+++ b/src/control/routedMetrics.ts
@@ -20,7 +20,7 @@
     addGauge(registry, 'beechlift_control_leads', '1 while this replica holds the leader lease', () => Number(node.isLeading));
     addGauge(registry, 'beechlift_control_term', 'Term of the log', () => node.runner.state.term);
     addGauge(registry, 'beechlift_control_commit_index', 'Last committed index', () => node.runner.state.commitIndex);
-    addGauge(registry, 'beechlift_document_version', 'Version of the current routing document', () => node.site.version);
+    addGauge(registry, 'beechlift_document_version', 'Version of the current routing document, rounded above 2^53', () => Number(node.site.version));
     addGauge(registry, 'beechlift_entries', 'Entries that accept callers', () => node.listEntries().length);
     addGauge(registry, 'beechlift_requests_waiting', 'Requests that wait for a slot; 0 on a follower', () => node.countRequests().waiting);
     addGauge(registry, 'beechlift_requests_placed', 'Requests that hold a slot; 0 on a follower', () => node.countRequests().placed);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -4,7 +4,7 @@
 } from '../protocol/generated/beechlift';
 import type { LogRole, Snapshot } from '../core/log/logTypes';
 import { parseDepartures } from '../core/routing/departures';
-import { applyDocument, parseSiteDocument } from '../core/routing/siteDocument';
+import { applyDocument, parseSiteDocument, toStoredDocument } from '../core/routing/siteDocument';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
 import type { WorkerStanding } from '../core/routing/workerTable';
@@ -237,7 +237,7 @@
   /** Reads the latest accepted document; throws if this replica cannot confirm that it has it. */
   async readLatestDocument(): Promise<SiteDocument> {
     await this.readBarrier.waitUntilCurrent();
-    if (this.site.version === 0) throw new BeechliftError('noQuorum', 'no document has been accepted yet');
+    if (this.site.version === 0n) throw new BeechliftError('noQuorum', 'no document has been accepted yet');
     return this.site;
   }
 
@@ -345,7 +345,9 @@
   }
 
   private formatSnapshot(): string {
-    return JSON.stringify({ ...this.site, departures: [...this.departureLog.agreed.values()] });
+    return JSON.stringify({
+      ...toStoredDocument(this.site), departures: [...this.departureLog.agreed.values()],
+    });
   }
 
   private findAddress(id: string): string {
@@ -362,7 +364,7 @@
     if (role !== 'leader') return;
     this.leaderState.close();
     this.leaderState = this.makeLeaderState();
-    if (this.site.version > 0) this.configureAccounts();
+    if (this.site.version > 0n) this.configureAccounts();
     this.softState.startLeading();
     this.departureLog.restoreKnown();
   }
--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -198,7 +198,7 @@
       leaderAddress: this.parts.address,
       controlAddresses: [...replicaAddresses],
       documentDigest: site.digest,
-      documentVersion: site.version,
+      documentVersion: String(site.version),
       // Followers get the document from the log.
       ...(isEntry && request.documentDigest !== site.digest
         ? this.packer.build(site)
--- a/src/manifest/routing.ts
+++ b/src/manifest/routing.ts
@@ -2,6 +2,7 @@
  * The routing of a site that forwards the requests of callers to backend servers, through routes
  * that match host and path.
  */
+import type { DocumentVersion } from './documentVersion';
 
 /** Whether the requests of a route may be repeated: yes, no, or as a resumed stream. */
 export type RouteKind = 'idempotent' | 'nonIdempotent' | 'stream';
@@ -75,7 +76,7 @@
 
 /** The complete routing. */
 export interface Routing {
-  readonly version: number;
+  readonly version: DocumentVersion;
   readonly routes: readonly Route[];
   readonly services: readonly RoutedService[];
   readonly accounts: readonly RoutedAccount[];
--- a/src/relay/admitRequest.ts
+++ b/src/relay/admitRequest.ts
@@ -1,6 +1,7 @@
 import { pickTarget } from '../core/routing/routeTable';
 import type { RouteTable } from '../core/routing/routeTable';
 import { BeechliftError } from '../errors/beechliftError';
+import type { DocumentVersion } from '../manifest/documentVersion';
 import type { Route, RoutedAccount } from '../manifest/routing';
 import type { RelaySite } from './relaySite';
 import type { RequestFacts } from './requestDialect';
@@ -13,7 +14,7 @@
   /** Rank 0 goes first. The account's rank takes precedence over the route's. */
   readonly rank: number;
   /** Version of the routing document that admitted the request. */
-  readonly version: number;
+  readonly version: DocumentVersion;
 }
 
 /** Retry-After while the entry has no lease, in milliseconds. */
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -13,9 +13,12 @@
 } from '../core/routing/routedWorkers';
 import type { RoutedWorker, RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
+import { NO_DOCUMENT } from '../core/routing/siteDocument';
 import { applyLoads, listLoads, resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
 import type { RateSharing } from '../core/routing/workerRateLimit';
+import { parseVersion } from '../manifest/documentVersion';
+import type { DocumentVersion } from '../manifest/documentVersion';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import type { Clock, SuspensionDetector } from '../utils/clock';
@@ -81,6 +84,9 @@
 
   private documentDigest = '';
 
+  /** Version that control assigns to the document; 0 before the first. */
+  private documentVersion: DocumentVersion = NO_DOCUMENT.version;
+
   /** Epoch of the leader's server table that this entry has a copy of; empty before the first. */
   workersEpoch = '';
 
@@ -256,7 +262,7 @@
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     applyRateLimits(this.workers, reply.limits, sentAt, this.rateSharing, this.parts.clock.now());
     this.budget.applyGrants(reply.grants, this.parts.clock.now());
-    if (reply.documentVersion === 0) return;
+    if (this.documentVersion === NO_DOCUMENT.version) return;
     if (!this.isServing) this.logLeaseGap(reply);
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
     this.leaseEpoch = epoch;
@@ -270,9 +276,9 @@
   }
 
   private applyDocument(reply: WatchReply): boolean {
-    const currentVersion = this.table?.routing.version ?? 0;
+    const version = parseVersion(reply.documentVersion);
     // Versions only increase: this reply was overtaken by a newer one.
-    if (reply.documentVersion < currentVersion) return false;
+    if (version < this.documentVersion) return false;
     if (reply.documentDigest === this.documentDigest) return true;
     const document = this.unpackDocument(reply);
     if (document === '') return false;
@@ -283,6 +289,7 @@
     }
     this.table = new RouteTable(routing);
     this.documentDigest = reply.documentDigest;
+    this.documentVersion = version;
     this.parts.logger.info('routing document in force', {
       version: routing.version,
       routes: routing.routes.length,
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -2,7 +2,7 @@
 import type { LogLevel } from '../settings/settings';
 
 /** Fields of a log line beside its message. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export type LogFields = Readonly<Record<string, string | number | bigint | boolean | undefined>>;
 
 /** Writes structured log lines. */
 export type Logger = Readonly<Record<'debug' | 'info' | 'warn' | 'error', (
--- a/tests/control/announcement-validator.spec.ts
+++ b/tests/control/announcement-validator.spec.ts
@@ -24,7 +24,7 @@
 };
 
 describe('announcements of another writer', () => {
-  const site = applyDocument(NO_DOCUMENT, { version: 3, document: 'any' }, 'digest');
+  const site = applyDocument(NO_DOCUMENT, { version: 3n, document: 'any' }, 'digest');
   const [{ name: routed } = { name: '' }] = makeRouting({}).services;
 
   /*
--- a/tests/control/document-packer.spec.ts
+++ b/tests/control/document-packer.spec.ts
@@ -6,23 +6,24 @@
 import { RelaySite } from '../../src/relay/relaySite';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionDetector } from '../../src/utils/clock';
+import { formatDocument } from '../fakes/controlSite';
 import { makeRoute, makeRouting } from '../fakes/routings';
 
 /** Bytes that a link of 7 Mbit/s carries in a tenth of a second. */
 const MAX_BYTES = 87_500;
 
-const makeDocument = (routes: number): string => JSON.stringify(makeRouting({
+const makeDocument = (routes: number): string => formatDocument(1, {
   routes: Array.from({ length: routes }, (unused, position) => makeRoute({
     name: `route-${(position * 7_919).toString(36)}`,
     host: `${(position % 9).toString(36)}x.example`,
     pathPrefix: `/${(position * 104_729).toString(36)}/`,
   })),
-}));
+});
 
 const build = (packer: DocumentPacker, document: string): WatchReply => WatchReply.fromPartial({
-  ...packer.build({ version: 7, digest: `d${document.length}`, document }),
+  ...packer.build({ version: 7n, digest: `d${document.length}`, document }),
   documentDigest: 'd',
-  documentVersion: 7,
+  documentVersion: '7',
   leaseMs: 2_000,
 });
 
@@ -47,14 +48,15 @@
    */
   it('should use a fifth of its length in the log, and be decoded unchanged', () => {
     const document = makeDocument(1_449);
-    const command = encodeCommand({ version: 7, document });
+    const command = encodeCommand({ version: 7n, document });
     expect(command.length).toBeLessThan(document.length / 5);
-    expect(decodeCommand(command)).toEqual({ version: 7, document });
+    expect(decodeCommand(command)).toEqual({ version: 7n, document });
   });
 
   it('should be read from logs that hold it unpacked', () => {
-    const command = { version: 3, document: makeDocument(300) };
-    expect(decodeCommand(JSON.stringify(command))).toEqual(command);
+    const document = makeDocument(300);
+    const command = { version: 3, document };
+    expect(decodeCommand(JSON.stringify(command))).toEqual({ version: 3n, document });
   });
 
   it('should be packed once for all entries, and again when it changes', () => {
--- a/tests/control/routed-site.spec.ts
+++ b/tests/control/routed-site.spec.ts
@@ -74,7 +74,7 @@
     const read = await Promise.all(
       [0, 1, 2].map((position) => started.findNode(position).readLatestDocument()),
     );
-    expect(read.map(({ version }) => version)).toEqual([9, 9, 9]);
+    expect(read.map(({ version }) => version)).toEqual([9n, 9n, 9n]);
   });
 
   /*
@@ -116,7 +116,7 @@
     expect(refused.code).not.toBe(0);
     expect(refused.message).toMatch(/add up to nothing[\s\S]*no time/);
     expect((await publish(1, '{"version": 3, "rou')).code).not.toBe(0);
-    expect((await started.findNode(2).readLatestDocument()).version).toBe(2);
+    expect((await started.findNode(2).readLatestDocument()).version).toBe(2n);
   });
 
   // A replica loses its disk right after it acknowledged a change, without a repair by hand.
@@ -135,7 +135,7 @@
     const others = [0, 1, 2].filter((position) => position !== leader);
     await started.stop(others[0] ?? 0);
     await started.waitForLeader();
-    expect((await started.findNode(leader).readLatestDocument()).version).toBe(5);
+    expect((await started.findNode(leader).readLatestDocument()).version).toBe(5n);
     expect((await publish(leader, formatDocument(6))).code).toBe(0);
   });
 
@@ -152,7 +152,7 @@
       const newcomer = started.findNode(3).runner.state.id;
       return voters.length === 3 && voters.some(({ id }) => id === newcomer);
     }, 'the newcomer votes');
-    expect((await started.findNode(3).readLatestDocument()).version).toBe(5);
+    expect((await started.findNode(3).readLatestDocument()).version).toBe(5n);
   });
 
   it('should come back with what it knew after all processes ended at once', async () => {
@@ -168,7 +168,7 @@
     const next = await started.waitForLeader();
     const reply = await started.findNode(next)
       .watch(WatchRequest.fromPartial({ entryId: 'e1', state: 'active' }));
-    expect(reply.documentVersion).toBe(7);
+    expect(reply.documentVersion).toBe('7');
     const [worker] = reply.workers;
     expect([worker?.said?.workerId, worker?.standing]).toEqual(['w1', 'ready']);
   });
--- a/tests/core/departures.spec.ts
+++ b/tests/core/departures.spec.ts
@@ -33,7 +33,7 @@
     const site = { version: 3, digest: 'd', document: 'text' };
     const data = JSON.stringify({ ...site, departures: [...departures.values()] });
     expect(parseDepartures(data)).toEqual(departures);
-    expect(parseSiteDocument(data)).toEqual(site);
+    expect(parseSiteDocument(data)).toEqual({ ...site, version: 3n });
     expect([parseDepartures(''), parseDepartures(JSON.stringify(site))])
       .toEqual([NO_DEPARTURES, NO_DEPARTURES]);
   });
--- a/tests/core/routing-document.spec.ts
+++ b/tests/core/routing-document.spec.ts
@@ -82,10 +82,10 @@
   // An operator whose acknowledgement was lost sends an older change again, and another operator
   // sends different content under the current version. Neither may change the document in force.
   it('should be replaced only by a higher version', () => {
-    const first = applyDocument(NO_DOCUMENT, { version: 4, document: 'four' }, 'd4');
-    const late = applyDocument(first, { version: 3, document: 'three' }, 'd3');
-    const other = applyDocument(late, { version: 4, document: 'other' }, 'dx');
-    const next = applyDocument(other, { version: 9, document: 'nine' }, 'd9');
+    const first = applyDocument(NO_DOCUMENT, { version: 4n, document: 'four' }, 'd4');
+    const late = applyDocument(first, { version: 3n, document: 'three' }, 'd3');
+    const other = applyDocument(late, { version: 4n, document: 'other' }, 'dx');
+    const next = applyDocument(other, { version: 9n, document: 'nine' }, 'd9');
     expect([late.document, other.document, next.document]).toEqual(['four', 'four', 'nine']);
   });
 });
--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -5,6 +5,8 @@
 import { startRoutedControl } from '../../src/control/routedControl';
 import type { RunningRoutedControl } from '../../src/control/routedControl';
 import { checkRouting } from '../../src/manifest/checkRouting';
+import { parseVersion } from '../../src/manifest/documentVersion';
+import type { StoredVersion } from '../../src/manifest/documentVersion';
 import type { RoutingReader, Routing } from '../../src/manifest/routing';
 import { makeLogger } from '../../src/telemetry/logger';
 import { findFreeAddress } from './freeAddress';
@@ -13,7 +15,8 @@
 /** Decodes routing documents of the test format, which is JSON. */
 export const readRouting: RoutingReader = (document) => {
   try {
-    const routing = JSON.parse(document) as Routing;
+    const { version, ...rest } = JSON.parse(document) as Routing & { version: StoredVersion };
+    const routing = { ...rest, version: parseVersion(version) };
     const faults = checkRouting(routing);
     return faults.length > 0 ? { routing: undefined, faults } : { routing, faults: [] };
   } catch (error) {
@@ -38,7 +41,7 @@
 
 /** Formats a routing document of the test format. */
 export const formatDocument = (version: number, changes: Partial<Routing> = {}): string => (
-  JSON.stringify(makeRouting({ version, ...changes })));
+  JSON.stringify({ ...makeRouting(changes), version }));
 
 /** Control replicas of one site: real servers on loopback, each with its own data folder. */
 export class ControlSite {
--- a/tests/fakes/fakeReplicas.ts
+++ b/tests/fakes/fakeReplicas.ts
@@ -63,7 +63,7 @@
         leaderAddress: this.leader,
         controlAddresses: this.addresses,
         ...(isLeading ? {
-          documentDigest: 'd', documentVersion: 1, document: 'd', workersEpoch: 'e', entryCount: 200,
+          documentDigest: 'd', documentVersion: '1', document: 'd', workersEpoch: 'e', entryCount: 200,
         } : {}),
       });
     };
--- a/tests/fakes/platformSite.ts
+++ b/tests/fakes/platformSite.ts
@@ -121,8 +121,14 @@
     return answer.statusCode;
   }
 
+  /** Reads the text of the document in force at a replica. */
+  async readDocument(machine: number): Promise<string> {
+    const { body } = await request(`http://127.0.0.${machine}:${this.operatorPort}/v1/Configuration.Read`);
+    return body.text();
+  }
+
   /** Publishes a document; resolves once a replica has accepted it. */
-  async publish(document: object): Promise<void> {
+  async publish(document: object | string): Promise<void> {
     const isAccepted = async (): Promise<boolean> => await this.post(1, '/v1/Configuration.Replace', document) === 200;
     await waitFor(() => isAccepted().catch(() => false), 'the document is accepted');
   }
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -3,6 +3,7 @@
 import type { FastifyInstance } from 'fastify';
 import { makeMechanisms } from '../../src/core/routing/mechanisms';
 import type { Mechanism } from '../../src/core/routing/mechanisms';
+import type { DocumentVersion } from '../../src/manifest/documentVersion';
 import type { Routing } from '../../src/manifest/routing';
 import { WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
@@ -169,14 +170,14 @@
     return (await this.metrics.open.get()).values[0]?.value ?? 0;
   }
 
-  private applyDocument(version: number): void {
-    this.applyReply({ documentDigest: `d${version}`, documentVersion: version, document: 'd' });
+  private applyDocument(version: DocumentVersion): void {
+    this.applyReply({ documentDigest: `d${version}`, documentVersion: String(version), document: 'd' });
   }
 
   private applyServers(standing: string): void {
     this.applyReply({
       documentDigest: `d${this.routing.version}`,
-      documentVersion: this.routing.version,
+      documentVersion: String(this.routing.version),
       workers: this.servers.map(({ address }, position) => WorkerRecord.fromPartial({
         said: {
           workerId: `w${position}`, service: 'rooms', address, zone: 'a', slots: 6, state: 'ready', sequence: 1,
--- a/tests/fakes/routings.ts
+++ b/tests/fakes/routings.ts
@@ -30,7 +30,7 @@
 
 /** Makes a routing with one route, one service and one account; `changes` replaces fields. */
 export const makeRouting = (changes: Partial<Routing>): Routing => ({
-  version: 1,
+  version: 1n,
   routes: [makeRoute({})],
   services: [{ name: 'rooms', maxConnections: 100, isEngine: false }],
   accounts: [makeAccount({})],
--- a/tests/fakes/slowLeader.ts
+++ b/tests/fakes/slowLeader.ts
@@ -63,7 +63,7 @@
       leaderAddress: this.address,
       controlAddresses: [this.address],
       documentDigest: 'd',
-      documentVersion: 1,
+      documentVersion: '1',
       document: 'd',
       workersEpoch: 'e',
       entryCount: ENTRIES,
--- a/tests/relay/announced-idle-time.spec.ts
+++ b/tests/relay/announced-idle-time.spec.ts
@@ -15,7 +15,7 @@
 const BEGIN = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nbegun\r\n';
 const END = '5\r\nended\r\n0\r\n\r\n';
 
-const makeLimited = (version: number, idleTimeoutMs: number): Routing => {
+const makeLimited = (version: bigint, idleTimeoutMs: number): Routing => {
   const routing = makeRouting({ version, routes: [makeRoute({ kind: 'stream' })] });
   return { ...routing, limits: { ...routing.limits, idleTimeoutMs } };
 };
@@ -33,14 +33,14 @@
   // Fault: the connection was closed after the new idle time, although the head of the answer had
   // announced the former one.
   it('should be kept for the time that was announced with the head of the answer', async () => {
-    rig = await RelayRig.start(makeLimited(1, 15_000), [(socket) => {
+    rig = await RelayRig.start(makeLimited(1n, 15_000), [(socket) => {
       socket.write(BEGIN);
       setTimeout(() => socket.write(END), 2 * STEP_MS);
     }]);
     caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
     const asked = caller.send(REQUEST);
     await pause(STEP_MS);
-    rig.replaceRouting(makeLimited(2, STEP_MS));
+    rig.replaceRouting(makeLimited(2n, STEP_MS));
     expect(await asked).toMatchObject({ answer: { headers: { 'keep-alive': 'timeout=15' } } });
     await pause(IDLE_MS);
     expect(caller.isEnded).toBe(false);
@@ -48,10 +48,10 @@
   });
 
   it('should be closed after the new time once that was announced', async () => {
-    rig = await RelayRig.start(makeLimited(1, 15_000), [(socket) => socket.write(BEGIN + END)]);
+    rig = await RelayRig.start(makeLimited(1n, 15_000), [(socket) => socket.write(BEGIN + END)]);
     caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
     await caller.send(REQUEST);
-    rig.replaceRouting(makeLimited(2, STEP_MS));
+    rig.replaceRouting(makeLimited(2n, STEP_MS));
     expect(await caller.send(REQUEST)).toMatchObject({ answer: { headers: { 'keep-alive': 'timeout=0' } } });
     await pause(IDLE_MS);
     expect(caller.isEnded).toBe(true);
--- a/tests/relay/changes-under-requests.spec.ts
+++ b/tests/relay/changes-under-requests.spec.ts
@@ -42,14 +42,14 @@
 });
 
 const changes: readonly (readonly [string, (rig: RelayRig) => void])[] = [
-  ['no route', (rig) => rig.replaceRouting(makeDocument({ version: 2, routes: [] }))],
-  ['no service', (rig) => rig.replaceRouting(makeDocument({ version: 2, routes: [], services: [] }))],
-  ['no account', (rig) => rig.replaceRouting(makeDocument({ version: 2, accounts: [] }))],
+  ['no route', (rig) => rig.replaceRouting(makeDocument({ version: 2n, routes: [] }))],
+  ['no service', (rig) => rig.replaceRouting(makeDocument({ version: 2n, routes: [], services: [] }))],
+  ['no account', (rig) => rig.replaceRouting(makeDocument({ version: 2n, accounts: [] }))],
   ['short timeouts', (rig) => rig.replaceRouting(makeDocument({
-    version: 2, routes: [makeRoute({ timeoutMs: 1, targetLatencyMs: 1 })],
+    version: 2n, routes: [makeRoute({ timeoutMs: 1, targetLatencyMs: 1 })],
   }))],
   ['low limits', (rig) => rig.replaceRouting(makeDocument({
-    version: 2,
+    version: 2n,
     limits: {
       headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
     },
@@ -127,7 +127,7 @@
     await waitEnd('0\r\n\r\n');
     text = '';
     rig.replaceRouting(makeDocument({
-      version: 2,
+      version: 2n,
       limits: {
         headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 100,
       },
--- a/tests/relay/entry-mechanisms.spec.ts
+++ b/tests/relay/entry-mechanisms.spec.ts
@@ -68,7 +68,7 @@
     await pause(50);
     isServing = true;
     site.applyReply(WatchReply.fromPartial({
-      leaseMs: 60_000, documentDigest: 'd', documentVersion: 1, workersEpoch: 'e', workersRevision: 1, entryCount: 1,
+      leaseMs: 60_000, documentDigest: 'd', documentVersion: '1', workersEpoch: 'e', workersRevision: 1, entryCount: 1,
     }), systemClock.now(), 0);
     expect(await answer).toMatch(new RegExp(`^HTTP/1.1 ${status}`, 'u'));
   });
@@ -83,7 +83,7 @@
     });
     const picked = await picker.pick({
       admitted: {
-        route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
+        route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1n,
       },
       facts: {
         requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
--- a/tests/relay/late-watch-replies.spec.ts
+++ b/tests/relay/late-watch-replies.spec.ts
@@ -30,7 +30,7 @@
     return WatchReply.fromPartial({
       leaseMs: 2_300,
       documentDigest: 'd',
-      documentVersion: 1,
+      documentVersion: '1',
       document: 'd',
       workersEpoch: this.table.epoch,
       workersRevision: this.table.revision,
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -26,7 +26,7 @@
     log.identity = { fingerprint: computeFingerprint(content) };
     log.logAttempt(
       {
-        route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
+        route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1n,
       },
       {
         worker: { id: 'w1' } as never, expectedMs: 0, placeId: '', epoch: '',
--- a/tests/relay/request-log.spec.ts
+++ b/tests/relay/request-log.spec.ts
@@ -16,11 +16,15 @@
         info: (message: string, fields: Record<string, unknown>) => lines.push(fields),
       } as unknown as Logger,
       clock: { now: () => 0 },
-      site: { table: new RouteTable(makeRouting({ version: 7 })), leaseLeftMs: 812.4 } as RelaySite,
+      site: {
+        table: new RouteTable(makeRouting({ version: 7n })), leaseLeftMs: 812.4,
+      } as RelaySite,
     }, {
       requestId: 'r1', lastEventId: '', resumedId: '', promptParts: [],
     }, 0);
     log.logRefusal(new BeechliftError('unknownRoute', 'no route matches'), undefined, 0);
-    expect(lines).toEqual([expect.objectContaining({ code: 1_014, version: 7, leaseLeftMs: 812 })]);
+    expect(lines).toEqual([
+      expect.objectContaining({ code: 1_014, version: 7n, leaseLeftMs: 812 }),
+    ]);
   });
 });
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -40,14 +40,14 @@
     retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
   });
   site.applyReply(WatchReply.fromPartial({
-    leaseMs: 4_000, documentDigest: 'd', documentVersion: 1, document: 'd', workersEpoch: 'x', workersRevision: 1, entryCount: 1, workers,
+    leaseMs: 4_000, documentDigest: 'd', documentVersion: '1', document: 'd', workersEpoch: 'x', workersRevision: 1, entryCount: 1, workers,
   }), 0, suspension.readEpoch());
   return site;
 };
 
 const makePick = (isAbandoned: () => boolean, onWaiting: (cancel: () => void) => void) => ({
   admitted: {
-    route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1,
+    route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1n,
   },
   facts: {
     requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
