Refuse bodies that are not valid UTF-8

What callers saw: a document with a byte 0xFF in a key was acknowledged, and in force with U+FFFD in its place. Cause: bodies were decoded leniently where they arrive, each boundary in its own way; only heartbeats were not. Change: one function decodes bodies and throws malformedJson. Why it works: no text is kept or passed on that does not stand for exactly the bytes that were sent. Evidence: failed before and pass now: platform-site "should refuse a document that is not valid UTF-8", caller-errors "a prompt" and "an announcement that is not valid UTF-8".

--- a/src/entry/callers/callerApi.ts
+++ b/src/entry/callers/callerApi.ts
@@ -2,6 +2,7 @@
 import type { ClaimClient } from '../sending/claimClient';
 import { rankEntries } from '../../core/membership/entrySelection';
 import { BeechliftError, toBeechliftError } from '../../errors/beechliftError';
+import { decodeText } from '../../errors/decodeText';
 import { resultCodes } from '../../errors/resultCodes';
 import type { Manifest } from '../../manifest/manifest';
 import type { Logger } from '../../telemetry/logger';
@@ -115,7 +116,7 @@
     const known = this.findAccount(headers);
     this.checkBodySize(body, manifest);
     const request = readCompletionRequest({
-      id: this.makeId(), path, text: body.toString(), headers, known, manifest,
+      id: this.makeId(), path, text: decodeText(body), headers, known, manifest,
     });
     return { request, headers };
   }
@@ -174,7 +175,7 @@
   /** Handles the announcement of a backend server. */
   async announce(body: Buffer): Promise<{ readonly nextMs: number }> {
     const manifest = this.requireServing(true);
-    await this.parts.scheduler.announce(readAnnouncement(body.toString(), manifest));
+    await this.parts.scheduler.announce(readAnnouncement(decodeText(body), manifest));
     return { nextMs: ANNOUNCE_INTERVAL_MS };
   }
 
--- a/src/http/adminServer.ts
+++ b/src/http/adminServer.ts
@@ -2,6 +2,7 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import type { RunningControl } from '../control/controlProcess';
 import { toBeechliftError } from '../errors/beechliftError';
+import { decodeText } from '../errors/decodeText';
 import { addGauge } from '../telemetry/addGauge';
 import { makeHttpServer, readBody } from './httpServer';
 
@@ -35,7 +36,7 @@
   app.get('/v1/status', async (request) => control.node.readStatus(readOperatorKey(request)));
   app.put('/v1/manifest', async (request, reply) => {
     const result = await control.node.submit({
-      manifest: readBody(request).toString(),
+      manifest: decodeText(readBody(request)),
       operatorKey: readOperatorKey(request),
       deadlineMs: SUBMIT_TIMEOUT_MS,
       forwarded: false,
--- a/tests/fakes/platformSite.ts
+++ b/tests/fakes/platformSite.ts
@@ -112,8 +112,8 @@
     return statusCode === 200;
   }
 
-  async post(machine: number, path: string, body: object | string): Promise<number> {
-    const text = typeof body === 'string' ? body : JSON.stringify(body);
+  async post(machine: number, path: string, body: object | string | Buffer): Promise<number> {
+    const text = typeof body === 'string' || Buffer.isBuffer(body) ? body : JSON.stringify(body);
     const answer = await request(`http://127.0.0.${machine}:${this.operatorPort}${path}`, {
       method: 'POST', body: text, headers: { 'content-type': 'application/json' },
     });
--- a/tests/platform/platform-site.spec.ts
+++ b/tests/platform/platform-site.spec.ts
@@ -113,6 +113,15 @@
     expect((await sendRequest(5)).status).toBe(200);
   });
 
+  // Fault: such a byte was replaced by U+FFFD, and the document with another key was acknowledged.
+  it('should refuse a document that is not valid UTF-8 and keep the one in force', async () => {
+    const before = await site.readDocument(1);
+    const [head = '', rest = ''] = JSON.stringify(buildDocument(9, ['k?'])).split('?');
+    const document = Buffer.concat([Buffer.from(head), Buffer.from([0xFF]), Buffer.from(rest)]);
+    expect(await site.post(1, '/v1/Configuration.Replace', document)).toBe(400);
+    expect(await site.readDocument(1)).toBe(before);
+  });
+
   it('should refuse a key that a newer document removed', async () => {
     await waitFor('the key is replaced', async () => await site.post(3, '/v1/Configuration.Replace', buildDocument(5, ['k2'])) === 200);
     await waitFor('the old key is refused', async () => (await sendRequest(4)).status === 401);
--- a/tests/site/caller-errors.spec.ts
+++ b/tests/site/caller-errors.spec.ts
@@ -7,9 +7,18 @@
   API_KEY, hashKey, makeManifest, TestSite,
 } from '../fakes/testSite';
 
+/** JSON but for one byte of a string. */
+const INVALID_TEXT = Buffer.concat([
+  Buffer.from('{"model":"guide","prompt":"'), Buffer.from([0xFF]), Buffer.from('","max_tokens":2}'),
+]);
+
 describe('an entry towards callers', () => {
   const site = new TestSite();
-  const post = async (path: string, body: string, headers: Record<string, string> = {}) => {
+  const post = async (
+    path: string,
+    body: string | Buffer,
+    headers: Record<string, string> = {},
+  ) => {
     const response = await request(`http://${site.entries[0]?.address}${path}`, {
       method: 'POST', body, headers: { authorization: `Bearer ${API_KEY}`, 'content-type': 'application/json', ...headers },
     });
@@ -35,6 +44,8 @@
   it.each([
     ['an unknown key', '/v1/completions', makeBody(), { authorization: 'Bearer nobody' }, 401, 1003],
     ['malformed JSON', '/v1/completions', '{"model":', {}, 400, 1001],
+    ['a prompt that is not valid UTF-8', '/v1/completions', INVALID_TEXT, {}, 400, 1001],
+    ['an announcement that is not valid UTF-8', '/v1/announce', INVALID_TEXT, {}, 400, 1001],
     ['a body that is no object', '/v1/completions', '[]', {}, 400, 1002],
     ['a chat without messages', '/v1/chat/completions', makeBody(), {}, 400, 1002],
     ['an unknown model', '/v1/completions', makeBody({ model: 'other' }), {}, 404, 1005],
