Take the refusal of another request for broken, so that none runs twice

Without another server: 503, not run, for one that runs. Cause: checkAnswerHead looked at "not executed" before it compared the id of the answer with that of the request. Change: an answer with the id of another request is broken, whatever it says. A refusal without an id is used as before: a server that can't read an id sends none. Why it works: only an answer that can belong to the request decides whether the request has run. "should use a refusal without an id" guards what must stay.

--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -40,7 +40,9 @@
   const {
     status, answer, requestId, hasStarted,
   } = head;
-  if (answer.isNotExecuted) return { kind: 'rejected', reason: `status ${status}, not executed` };
+  // A late answer to an earlier request of the connection says nothing about this one.
+  const hasOtherId = answer.requestId !== '' && answer.requestId !== requestId;
+  if (answer.isNotExecuted && !hasOtherId) return { kind: 'rejected', reason: `status ${status}, not executed` };
   if (answer.requestId !== requestId || answer.isEncoded) {
     return { kind: 'broken', reason: 'the answer does not have the id of the request, or has a content encoding' };
   }
--- a/tests/relay/routed-request.spec.ts
+++ b/tests/relay/routed-request.spec.ts
@@ -98,6 +98,27 @@
     expect(started.received).toHaveLength(1);
   });
 
+  // Fault: a late refusal of an earlier request was taken for that of this one, which then ran at a
+  // second server, or was answered as not run.
+  it('should not use the refusal of another request', async () => {
+    const refuseOther: ServerScript = (socket) => sendAnswer(socket, 'other', '', 503, 'x-not-run: 1\r\n');
+    const started = await start({ kind: 'nonIdempotent', maxAttempts: 3 }, refuseOther, refuseOther);
+    const answer = await callShop();
+    expect([answer.status, started.received.length]).toEqual([502, 1]);
+  });
+
+  // A server that can't read the id of a request refuses it without one.
+  it('should use a refusal without an id', async () => {
+    const refuse: ServerScript = (socket) => {
+      socket.write('HTTP/1.1 400 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+    };
+    const refuseFirst: ServerScript = (socket, request, count) => (
+      rig?.received.length === 1 ? refuse : answerAll)(socket, request, count);
+    const started = await start({ kind: 'nonIdempotent' }, refuseFirst, refuseFirst);
+    expect((await callShop()).status).toBe(200);
+    expect(started.received).toHaveLength(2);
+  });
+
   it('should retry a failure on a route that allows repeats, and pass the last failure on', async () => {
     const started = await start({ kind: 'idempotent', maxAttempts: 2 }, failAll, failAll, failAll);
     const answer = await callShop();
