--- a/tests/platform/platform-decoding.spec.ts
+++ b/tests/platform/platform-decoding.spec.ts
@@ -139,6 +139,11 @@
     expect(decodeDeregistration('i-7', Buffer.from('{"born":7}')).born).toBe(7);
   });
 
+  // Fault: a strict decoder left the mark in the text, so such a server was no longer known.
+  it('should be decoded with a byte order mark', () => {
+    expect(decodeDeregistration('i-7', Buffer.from('\uFEFF{"born":7}')).born).toBe(7);
+  });
+
   /*
    * Guards against invalid announcements of other software: a number is not an integer, a field is
    * missing or has another type, or the address is invalid.
