Keep a stream of two reported versions unknown until the later report expires

Cause: the second report of a stream, of another version, replaced the record with its own time, so the stream was forgotten sooner than the first report says, and a third one could make it known again. Each further report of it also counted as a change that followers copy. Change: the later of the two times is kept, and a report that changes nothing is not stored.

--- a/src/core/routing/streamOrigins.ts
+++ b/src/core/routing/streamOrigins.ts
@@ -66,11 +66,15 @@
 
   /** Records which version began a stream; a second version makes its origin unknown. */
   recordStart(record: OriginRecord): void {
-    const { id, origin, expiresAt } = record;
-    const known = this.records.get(id);
-    if (!known) this.store(record);
-    else if (!isSame(known.origin, origin)) this.store({ ...record, origin: undefined });
-    else if (known.expiresAt < expiresAt) this.store(record);
+    const known = this.records.get(record.id);
+    if (!known) {
+      this.store(record);
+      return;
+    }
+    const origin = isSame(known.origin, record.origin) ? known.origin : undefined;
+    const expiresAt = Math.max(known.expiresAt, record.expiresAt);
+    const isNew = !isSame(origin, known.origin) || expiresAt > known.expiresAt;
+    if (isNew) this.store({ ...record, origin, expiresAt });
   }
 
   /** Finds the origin of a stream; undefined if it is unknown. */
--- a/tests/core/stream-origins.spec.ts
+++ b/tests/core/stream-origins.spec.ts
@@ -32,6 +32,17 @@
     expect(origins.find('a', 0)).toBeUndefined();
   });
 
+  // Fault: a second report that expires sooner shortened the time in which the version is unknown.
+  it('should not guess again before the first of two reports expires', () => {
+    const origins = new StreamOrigins();
+    recordStart(origins, 'a');
+    origins.recordStart({ id: 'a', origin: V2, expiresAt: 1 });
+    const { revision } = origins;
+    origins.expire(EXPIRES_AT);
+    recordStart(origins, 'a', V2);
+    expect([origins.find('a', EXPIRES_AT), origins.revision]).toEqual([undefined, revision]);
+  });
+
   it('should be kept until they expire, and longer if the stream is taken up', () => {
     const origins = new StreamOrigins();
     ['a', 'b'].forEach((id) => origins.recordStart({ id, origin: V1, expiresAt: EXPIRES_AT }));
