Log every request that ends while its entry shuts down, and what was sent and left unwritten

Cause: the record of callers that got no whole answer named four streams, and the entry's log had a line on one of them. Answers are logged at level debug, one that was ended but not written was cut without a line, and an aborted answer was logged with sent 0 while its send was in progress. Change: answered requests of an entry that shuts down are logged at info; aborted ones with status, chunks passed on and bytes not written, also after their end; each line of such an entry has the time left for answers; the send in progress is counted; the last line of a shutdown tells how long it took.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -103,6 +103,11 @@
     return this.hasFailed || this.response.destroyed || this.response.writableEnded;
   }
 
+  /** Bytes of the answer that the operating system has not accepted yet. */
+  get unwrittenBytes(): number {
+    return this.response.writableLength;
+  }
+
   /** Id of the last event that was sent to the caller; empty if there is none. */
   get lastEventId(): string {
     return this.framer?.lastEventId ?? '';
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -144,6 +144,7 @@
     logger,
   });
   const close = async (): Promise<void> => {
+    const startedAt = systemClock.now();
     await shutdown.run();
     clearInterval(refreshTimer);
     reachMonitor.stop();
@@ -151,7 +152,7 @@
     watch.stop();
     connections.close();
     await app.close();
-    logger.info('entry shut down');
+    logger.info('entry shut down', { tookMs: Math.round(systemClock.now() - startedAt) });
   };
   let closing: Promise<void> | undefined;
   return {
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -1,4 +1,5 @@
 import type { BeechliftError } from '../errors/beechliftError';
+import type { LogFields } from '../telemetry/logger';
 import type { AdmittedRequest } from './admitRequest';
 import type { AnswerWriter } from './answerWriter';
 import type { AttemptOutcome } from './attemptTracker';
@@ -10,9 +11,13 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** How far an answer has come. */
+type AnswerProgress = Pick<AnswerWriter, 'statusCode' | 'chunkCount' | 'unwrittenBytes'>;
+
 /**
  * Logs and counts one request: a line with the request's id for a refusal and for each attempt. The
- * level is `debug` for a first attempt that is answered, unless the request takes up a stream.
+ * level is `debug` for a first attempt that is answered, unless the request takes up a stream or
+ * the entry shuts down.
  *
  * @example
  * const log = new RequestLog(parts, facts, clock.now());
@@ -38,7 +43,7 @@
     { route }: AdmittedRequest,
     { worker, expectedMs, placeId }: PickedWorker,
     outcome: AttemptOutcome,
-    writer: Pick<AnswerWriter, 'statusCode' | 'hasStarted' | 'firstChunkAt' | 'chunkCount'>,
+    writer: AnswerProgress & Pick<AnswerWriter, 'hasStarted' | 'firstChunkAt'>,
   ): void {
     const {
       metrics, logger, clock, site,
@@ -51,7 +56,8 @@
       metrics.latency.observe({ kind: route.kind }, seconds);
     }
     this.attemptCount += 1;
-    const isOrdinary = outcome.kind === 'answered' && this.attemptCount === 1 && this.facts.lastEventId === '';
+    const isFirstAnswered = outcome.kind === 'answered' && this.attemptCount === 1;
+    const isOrdinary = isFirstAnswered && this.facts.lastEventId === '' && !site.isLeaving;
     const isBroken = outcome.kind === 'broken';
     const level = isOrdinary ? 'debug' : 'info';
     logger[level]('attempt ended', {
@@ -70,7 +76,9 @@
       status: writer.statusCode,
       hasStarted: writer.hasStarted,
       chunks: writer.chunkCount,
+      unwrittenBytes: writer.unwrittenBytes,
       ...this.call,
+      ...this.readLeaving(),
       tookMs: Math.round(now - this.receivedAt),
     });
   }
@@ -88,9 +96,16 @@
   }
 
   /** Logs an error of the entry that cuts off an answer whose head was sent. */
-  logAbort(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
+  logAbort(
+    error: BeechliftError,
+    admitted: AdmittedRequest | undefined,
+    sent: number,
+    { statusCode, chunkCount, unwrittenBytes }: AnswerProgress,
+  ): void {
     this.parts.metrics.abortedAnswers.inc({ code: error.number });
-    this.logError('answer aborted', error, admitted, sent);
+    this.logError('answer aborted', error, admitted, sent, {
+      status: statusCode, chunks: chunkCount, unwrittenBytes,
+    });
   }
 
   /** Logs an error with the routing document's version in force and what is left of the lease. */
@@ -99,6 +114,7 @@
     error: BeechliftError,
     admitted: AdmittedRequest | undefined,
     sent: number,
+    progress: LogFields = {},
   ): void {
     const { logger, clock, site } = this.parts;
     logger.info(message, {
@@ -110,7 +126,15 @@
       code: error.number,
       reason: error.message,
       sent,
+      ...progress,
+      ...this.readLeaving(),
       heldMs: Math.round(clock.now() - this.receivedAt),
     });
   }
+
+  /** Reads how much time is left for answers; nothing unless the entry shuts down. */
+  private readLeaving(): LogFields {
+    const { site } = this.parts;
+    return site.isLeaving ? { leavingLeftMs: Math.round(site.remainingMs) } : {};
+  }
 }
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -96,9 +96,9 @@
 
   /** Aborts an answer that has started and is incomplete. */
   abortAnswer(): void {
-    if (this.response.writableEnded) return;
-    this.log.logAbort(makeLeavingError(), this.admitted, this.retryPolicy?.sendCount ?? 0);
-    this.writer.abort();
+    if (this.response.writableFinished) return;
+    this.log.logAbort(makeLeavingError(), this.admitted, this.countSends(), this.writer);
+    if (!this.response.writableEnded) this.writer.abort();
   }
 
   private makeWriter(mode: AnswerMode): AnswerWriter {
@@ -360,9 +360,14 @@
   }
 
   private refuse(error: BeechliftError): void {
-    const sent = this.retryPolicy?.sendCount ?? 0;
-    if (this.writer.hasStarted) this.log.logAbort(error, this.admitted, sent);
+    const sent = this.countSends();
+    if (this.writer.hasStarted) this.log.logAbort(error, this.admitted, sent, this.writer);
     else this.log.logRefusal(error, this.admitted, sent);
     this.writer.fail(error);
   }
+
+  /** Counts the sends of the request, with the one that is in progress. */
+  private countSends(): number {
+    return (this.retryPolicy?.sendCount ?? 0) + (this.call?.isSent ? 1 : 0);
+  }
 }
