--- a/tests/fakes/pacedServer.ts
+++ b/tests/fakes/pacedServer.ts
@@ -39,6 +39,11 @@
   /** Ids of the requests that it started to run, in order. */
   readonly runs: string[] = [];
 
+  /** Time by which each other running stream delays every event of a stream, in milliseconds. */
+  loadMs = 0;
+
+  private running = 0;
+
   /** Whether the reader of a bulk answer is currently not reading. */
   isReaderBlocked = (): boolean => true;
 
@@ -103,10 +108,12 @@
     const sendFrom = async (number: number): Promise<void> => {
       if (number > last || response.destroyed) return;
       response.write(formatEvent(number));
-      await pause(EVENT_MS);
+      await pause(EVENT_MS + this.loadMs * (this.running - 1));
       await sendFrom(number + 1);
     };
+    this.running += 1;
     await sendFrom(readNumber(request, 'x-last') + 1);
+    this.running -= 1;
     response.end();
   }
 
