Reset the connection of an ended answer without a length that its caller has not read

Callers of HTTP/1.0 that read slowly got a part of an answer without a length, and a normal end of the connection, when their entry shut down. Cause: an answer that was ended but not written was not aborted at the end of the grace, and then all connections were closed normally. Change: every answer that the operating system does not have whole is aborted, which resets a connection whose end would complete the answer. Why it works: only a reset tells such a caller that its part is not all.

--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -98,7 +98,7 @@
   abortAnswer(): void {
     if (this.response.writableFinished) return;
     this.log.logAbort(makeLeavingError(), this.admitted, this.countSends(), this.writer);
-    if (!this.response.writableEnded) this.writer.abort();
+    this.writer.abort();
   }
 
   private makeWriter(mode: AnswerMode): AnswerWriter {
