Begin an answer at an entry that shuts down only if it ends in time under a greater load, too

Callers of entries that shut down got parts of streams: those that were sent on open connections seconds after the signal were aborted at 95 % of the grace. Cause: such an entry took a request if the mean time of earlier answers fitted into 0.8 of what is left of its grace. Requests that come later slow down those that run, and nothing asks again once a request has begun. A promise was made by an average. Why it works: what can't be taken back is decided by what answers have taken at worst. A refusal says that the request has not run, and costs its caller a moment at another entry; an aborted stream costs its whole answer.

--- a/src/core/routing/answerTime.ts
+++ b/src/core/routing/answerTime.ts
@@ -42,3 +42,22 @@
   const slowness = worker ? Math.max(1, estimateSlowness(workers, worker, fastestMs)) : 1;
   return slowness * estimateFastestAnswerMs(workers, size) <= USABLE_TIME_SHARE * remainingMs;
 };
+
+/**
+ * How many times longer than recent answers one may take that is begun now: requests that arrive
+ * later slow down those that run.
+ */
+const LOAD_MARGIN = 2;
+
+/**
+ * Shortens a time such that an answer which is estimated to end within it ends within the whole
+ * time, although answers exceed their estimates and the load may grow.
+ *
+ * @example
+ * canFinishWithin(workers, size, shortenByOverrun(workers, 'scribe', 3_000)); // at most 1_500
+ */
+export const shortenByOverrun = (
+  workers: RoutedWorkers,
+  service: string,
+  ms: number,
+): number => ms / (LOAD_MARGIN * findServiceStats(workers, service).overrun);
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -1,5 +1,5 @@
 /** Decides which requests an entry still accepts while it shuts down. */
-import { canFinishWithin } from '../core/routing/answerTime';
+import { canFinishWithin, shortenByOverrun } from '../core/routing/answerTime';
 import { BeechliftError } from '../errors/beechliftError';
 import type { AdmittedRequest } from './admitRequest';
 import type { RelaySite } from './relaySite';
@@ -15,8 +15,8 @@
 });
 
 /**
- * Returns whether an entry can complete the answer to a request before it shuts down; always true
- * unless a shutdown is in progress.
+ * Returns whether an entry can complete the answer to a request before it shuts down, even if the
+ * backend servers become slower meanwhile; always true unless a shutdown is in progress.
  *
  * @param picked the chosen backend server; if it is missing, the fastest one is assumed
  * @example
@@ -33,5 +33,7 @@
   if (Math.min(route.timeoutMs, maxWaitMs ?? Infinity) <= remainingMs) return true;
   if (!tokens) return false;
   const size = { service, promptTokens: tokens.prompt, outputTokens: tokens.output };
-  return canFinishWithin(site.workers, size, remainingMs, picked?.worker);
+  // A refusal costs the caller a moment at another entry, and an aborted stream its whole answer.
+  const safeMs = shortenByOverrun(site.workers, service, remainingMs);
+  return canFinishWithin(site.workers, size, safeMs, picked?.worker);
 };
--- a/tests/core/answer-time.spec.ts
+++ b/tests/core/answer-time.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { canFinishWithin } from '../../src/core/routing/answerTime';
+import { canFinishWithin, shortenByOverrun } from '../../src/core/routing/answerTime';
 import {
   applyRecords, recordAnswer, recordPace, makeRoutedWorkers,
 } from '../../src/core/routing/routedWorkers';
@@ -22,6 +22,15 @@
   return worker;
 };
 
+/** Records a stream that took a multiple of the usual time. */
+const recordOverrun = (workers: RoutedWorkers, factor: number): void => recordAnswer(workers, findWorker(workers, 'fast'), {
+  holdMs: factor * 2_100,
+  paceMs: 0,
+  firstEvent: { ms: factor * 100, tokens: 1_000 },
+  output: { ms: factor * 2_000, tokens: 200 },
+  failed: false,
+});
+
 const recordStreams = (workers: RoutedWorkers, id = 'fast'): void => {
   const worker = findWorker(workers, id);
   recordPace(worker, 10);
@@ -75,4 +84,22 @@
     const size = { service: SERVICE, promptTokens: 10, outputTokens: 10 };
     expect(canFinishWithin(makeWorkers(), size, 60_000)).toBe(false);
   });
+
+  // Fault: a decision that cannot be taken back relied on the mean, whatever answers had taken.
+  it('should leave more time the further answers have exceeded it, and less once they no longer do', () => {
+    const workers = makeWorkers();
+    recordStreams(workers);
+    const readOverrun = (): number => 3_000 / shortenByOverrun(workers, SERVICE, 6_000);
+    expect(readOverrun()).toBeCloseTo(1, 1);
+    recordOverrun(workers, 3);
+    expect(readOverrun()).toBeCloseTo(3, 1);
+    recordOverrun(workers, 0.1);
+    expect(readOverrun()).toBeCloseTo(3, 1);
+    Array.from({ length: 300 }, () => recordOverrun(workers, 1));
+    expect(readOverrun()).toBeCloseTo(1, 1);
+  });
+
+  it('should leave the margin for a greater load to a service without measurements', () => {
+    expect(shortenByOverrun(makeWorkers(), SERVICE, 6_000)).toBe(3_000);
+  });
 });
