Count the time until a server takes a request up in whether a stopping entry can answer it

Cause: the estimate of an answer had the time to the first event of the mean load; the queue at the chosen server, which the choice expects and tells, was left out. Change: the estimate takes the longer of the two until the answer starts. Why it works: the choice of the server knows the prompts that it processes first. The sizes of that file's other tests are built in one place; their bounds are as before.

--- a/src/core/routing/answerTime.ts
+++ b/src/core/routing/answerTime.ts
@@ -10,18 +10,24 @@
   readonly promptTokens: number;
   /** Most tokens that the answer may have. */
   readonly outputTokens: number;
+  /** Expected time until it starts, with what the server does before; 0 if it is not known. */
+  readonly startMs: number;
 }
 
 /** Share of the remaining time that an estimated answer may use, because speeds vary. */
 const USABLE_TIME_SHARE = 0.8;
 
-const estimateFastestAnswerMs = (
+const estimateAnswerMs = (
   workers: RoutedWorkers,
-  { service, promptTokens, outputTokens }: AnswerSize,
+  {
+    service, promptTokens, outputTokens, startMs,
+  }: AnswerSize,
+  slowness: number,
 ): number => {
   const { firstEvent, output } = findServiceStats(workers, service);
   if (!hasEnoughSamples(firstEvent) || !hasEnoughSamples(output)) return Infinity;
-  return estimateAt(firstEvent, promptTokens) + estimateAt(output, outputTokens);
+  const firstEventMs = Math.max(startMs, slowness * estimateAt(firstEvent, promptTokens));
+  return firstEventMs + slowness * estimateAt(output, outputTokens);
 };
 
 /**
@@ -29,7 +35,7 @@
  * otherwise at the fastest one; false while there are too few samples.
  *
  * @example
- * const size = { service: 'scribe', promptTokens: 900, outputTokens: 400 };
+ * const size = { service: 'scribe', promptTokens: 900, outputTokens: 400, startMs: 0 };
  * canFinishWithin(workers, size, 3_000, worker);
  */
 export const canFinishWithin = (
@@ -40,7 +46,7 @@
 ): boolean => {
   const fastestMs = findFastestPace(workers, size.service);
   const slowness = worker ? Math.max(1, estimateSlowness(workers, worker, fastestMs)) : 1;
-  return slowness * estimateFastestAnswerMs(workers, size) <= USABLE_TIME_SHARE * remainingMs;
+  return estimateAnswerMs(workers, size, slowness) <= USABLE_TIME_SHARE * remainingMs;
 };
 
 /**
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -32,7 +32,12 @@
   const { remainingMs } = site;
   if (Math.min(route.timeoutMs, maxWaitMs ?? Infinity) <= remainingMs) return true;
   if (!tokens) return false;
-  const size = { service, promptTokens: tokens.prompt, outputTokens: tokens.output };
+  const size = {
+    service,
+    promptTokens: tokens.prompt,
+    outputTokens: tokens.output,
+    startMs: picked?.expectedMs ?? 0,
+  };
   // A refusal costs the caller a moment at another entry, and an aborted stream its whole answer.
   const safeMs = shortenByOverrun(site.workers, service, remainingMs);
   return canFinishWithin(site.workers, size, safeMs, picked?.worker);
--- a/tests/core/answer-time.spec.ts
+++ b/tests/core/answer-time.spec.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { canFinishWithin, shortenByOverrun } from '../../src/core/routing/answerTime';
+import type { AnswerSize } from '../../src/core/routing/answerTime';
 import {
   applyRecords, recordAnswer, recordPace, makeRoutedWorkers,
 } from '../../src/core/routing/routedWorkers';
@@ -16,6 +17,10 @@
   return workers;
 };
 
+const makeSize = (outputTokens: number, startMs = 0): AnswerSize => ({
+  service: SERVICE, promptTokens: 1_000, outputTokens, startMs,
+});
+
 const findWorker = (workers: RoutedWorkers, id: string) => {
   const worker = workers.byId.get(id);
   if (!worker) throw new Error(`no worker "${id}"`);
@@ -49,17 +54,17 @@
   it('should estimate a stream with the most tokens that it may have', () => {
     const workers = makeWorkers();
     recordStreams(workers);
-    const size = { service: SERVICE, promptTokens: 1_000, outputTokens: 300 };
+    const size = makeSize(300);
     expect(canFinishWithin(workers, size, 4_500)).toBe(true);
     expect(canFinishWithin(workers, size, 3_500)).toBe(false);
-    expect(canFinishWithin(workers, { ...size, outputTokens: 100 }, 3_500)).toBe(true);
+    expect(canFinishWithin(workers, makeSize(100), 3_500)).toBe(true);
   });
 
   it('should include the slowness of the backend server', () => {
     const workers = makeWorkers();
     recordStreams(workers);
     recordPace(findWorker(workers, 'slow'), 30);
-    const size = { service: SERVICE, promptTokens: 1_000, outputTokens: 300 };
+    const size = makeSize(300);
     expect(canFinishWithin(workers, size, 4_500, findWorker(workers, 'fast'))).toBe(true);
     expect(canFinishWithin(workers, size, 4_500, findWorker(workers, 'slow'))).toBe(false);
   });
@@ -75,16 +80,25 @@
       holdMs: 1_500, paceMs: 1_500, firstEvent: undefined, output: undefined, failed: false,
     }));
     recordStreams(workers, 'slow');
-    const size = { service: SERVICE, promptTokens: 1_000, outputTokens: 300 };
+    const size = makeSize(300);
     expect(canFinishWithin(workers, size, 1_500)).toBe(false);
     expect(canFinishWithin(workers, size, 1_500, findWorker(workers, 'fast'))).toBe(false);
   });
 
   it('should return false while there are too few samples', () => {
-    const size = { service: SERVICE, promptTokens: 10, outputTokens: 10 };
+    const size = { ...makeSize(10), promptTokens: 10 };
     expect(canFinishWithin(makeWorkers(), size, 60_000)).toBe(false);
   });
 
+  // Fault: the time until a server takes a request up was not in the estimate of its answer.
+  it('should include the time until the answer starts', () => {
+    const workers = makeWorkers();
+    recordStreams(workers);
+    const server = findWorker(workers, 'fast');
+    expect(canFinishWithin(workers, makeSize(300, 50), 4_500, server)).toBe(true);
+    expect(canFinishWithin(workers, makeSize(300, 1_500), 4_500, server)).toBe(false);
+  });
+
   // Fault: a decision that cannot be taken back relied on the mean, whatever answers had taken.
   it('should leave more time the further answers have exceeded it, and less once they no longer do', () => {
     const workers = makeWorkers();
