Raise the certainty that a stopping entry wants with the time that its callers had to learn of others

Callers at a rolling stop under a burst were refused in the first second after the signal, with seven seconds left, and many found no place at their second try. Cause: the margin for a greater load, and the largest recent overrun, applied from the signal on. A refusal costs a try; one large overrun counted for a hundred answers. Change: the margin grows from the signal to the time after which no caller uses an address that it looked up before; the overrun is the one that one in twenty recent answers exceeds, in small steps. The times of a shutdown are an object. Why it works: early there is much time left and callers know no other entry yet; late it is the other way round.

--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -67,7 +67,7 @@
   readonly firstEvent: LinearFit;
   /** Time from the first to the last event on the fastest server, by allowed output tokens. */
   readonly output: LinearFit;
-  /** How many times its estimate a stream has recently taken at most; at least 1. */
+  /** How many times its estimate hardly any recent stream has exceeded; at least 1. */
   overrun: number;
   failureShare: number;
 }
@@ -111,8 +111,9 @@
 /** Weight of one sample: about ten of them replace the previous value. */
 const SMOOTHING = 0.2;
 
-/** Share of an overrun by which each later answer reduces it. */
-const OVERRUN_DECAY = 0.02;
+/** Factors by which an answer changes the overrun; balanced if one in twenty exceeds it. */
+const OVERRUN_STEP_UP = 1.2;
+const OVERRUN_STEP_DOWN = 0.99;
 /** Lower bound on the estimate of an answer's time to which its overrun refers. */
 const MIN_ESTIMATE_MS = 100;
 
@@ -287,7 +288,8 @@
 };
 
 /*
- * Keeps the largest overrun, which later answers let fade. The estimate must not know the answer.
+ * Estimates the overrun that few answers exceed: each step up equals many steps down. The estimate
+ * of the time must not know the answer.
  */
 const recordOverrun = (
   stats: ServiceStats,
@@ -299,7 +301,8 @@
   const estimatedMs = slowness * (
     estimateAt(stats.firstEvent, firstEvent.tokens) + estimateAt(stats.output, output.tokens));
   const overrun = (firstEvent.ms + output.ms) / Math.max(MIN_ESTIMATE_MS, estimatedMs);
-  stats.overrun = Math.max(1, overrun, stats.overrun - OVERRUN_DECAY * (stats.overrun - 1));
+  const step = overrun > stats.overrun ? OVERRUN_STEP_UP : OVERRUN_STEP_DOWN;
+  stats.overrun = Math.max(1, stats.overrun * step);
 };
 
 /** Records the timing of one answer. */
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -29,7 +29,7 @@
   picked?: PickedWorker,
 ): boolean => {
   if (!site.isLeaving) return true;
-  const { remainingMs } = site;
+  const { remainingMs, locatedShare } = site.leaving;
   if (Math.min(route.timeoutMs, maxWaitMs ?? Infinity) <= remainingMs) return true;
   if (!tokens) return false;
   const size = {
@@ -38,7 +38,8 @@
     outputTokens: tokens.output,
     startMs: picked?.expectedMs ?? 0,
   };
-  // A refusal costs the caller a moment at another entry, and an aborted stream its whole answer.
-  const safeMs = shortenByOverrun(site.workers, service, remainingMs);
+  // A refusal costs the caller a try at another entry, and an aborted stream its whole answer. The
+  // longer the directory has not listed this entry, the more of its callers know others.
+  const safeMs = shortenByOverrun(site.workers, service, remainingMs, locatedShare);
   return canFinishWithin(site.workers, size, safeMs, picked?.worker);
 };
--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -3,8 +3,8 @@
 import { setImmediate as readPendingInput, setTimeout as pause } from 'node:timers/promises';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import type { LeavingPeriod } from './leavingPeriod';
 import type { OpenRequests } from './openRequests';
-import type { RelaySite } from './relaySite';
 
 /** Fraction of the grace period after which the port closes, even if callers may still connect. */
 const LOCATE_FRACTION = 0.5;
@@ -17,7 +17,7 @@
 
 /** Dependencies and time limits of a shutdown. */
 export interface RelayShutdownParts {
-  readonly site: Pick<RelaySite, 'beginLeaving'>;
+  readonly site: { readonly leaving: Pick<LeavingPeriod, 'begin'> };
   /** Accepts the connections of callers. */
   readonly server: Server;
   readonly openRequests: OpenRequests;
@@ -52,7 +52,7 @@
     const readRemainingMs = (
       fraction: number,
     ): number => startedAt + fraction * graceMs - clock.now();
-    site.beginLeaving(startedAt + ANSWER_FRACTION * graceMs);
+    site.leaving.begin(startedAt + ANSWER_FRACTION * graceMs, startedAt + locateMs);
     logger.info('entry shuts down', { graceMs });
     await announceLeaving().catch((error: unknown) => logger.error('the shutdown was not reported to the leader', { reason: String(error) }));
     await pause(Math.max(0, Math.min(locateMs, readRemainingMs(LOCATE_FRACTION))));
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -24,6 +24,7 @@
 import type { Clock, SuspensionDetector } from '../utils/clock';
 import { HeldCalls } from '../utils/heldCalls';
 import { AnsweredParts } from './answeredParts';
+import { LeavingPeriod } from './leavingPeriod';
 import { readDocument } from './readDocument';
 
 /** State of an entry, as reported to control and by the readiness check. */
@@ -79,8 +80,8 @@
   /** Parts of prompts that crash no server. */
   readonly answeredParts = new AnsweredParts();
 
-  /** When answers must have ended if this entry shuts down, monotonic milliseconds. */
-  private endsAt = Infinity;
+  /** The time in which this entry shuts down. */
+  readonly leaving: LeavingPeriod;
 
   private documentDigest = '';
 
@@ -108,6 +109,7 @@
   private readonly leaseWaiters = new HeldCalls();
 
   constructor(private readonly parts: RelaySiteParts) {
+    this.leaving = new LeavingPeriod(parts.clock);
     this.workers = makeRoutedWorkers(parts.mechanisms);
     this.retries = new ServiceRetryBudget(parts.retryBounds, () => this.entryCount);
   }
@@ -152,21 +154,7 @@
 
   /** Whether this entry shuts down and callers are sent to other entries. */
   get isLeaving(): boolean {
-    return this.endsAt !== Infinity;
-  }
-
-  /** Time that remains for answers, in milliseconds; Infinity unless this entry shuts down. */
-  get remainingMs(): number {
-    return this.endsAt - this.parts.clock.now();
-  }
-
-  /**
-   * Begins to shut down.
-   *
-   * @param endsAt when the last answer must have ended, monotonic milliseconds
-   */
-  beginLeaving(endsAt: number): void {
-    this.endsAt = endsAt;
+    return this.leaving.hasBegun;
   }
 
   /** State that is reported to control and to readiness checks. */
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -135,6 +135,6 @@
   /** Reads how much time is left for answers; nothing unless the entry shuts down. */
   private readLeaving(): LogFields {
     const { site } = this.parts;
-    return site.isLeaving ? { leavingLeftMs: Math.round(site.remainingMs) } : {};
+    return site.isLeaving ? { leavingLeftMs: Math.round(site.leaving.remainingMs) } : {};
   }
 }
--- a/tests/relay/stopping-under-load.spec.ts
+++ b/tests/relay/stopping-under-load.spec.ts
@@ -7,7 +7,7 @@
 import { checkRefused, makeStoppingCalls, MAX_DELIVERY_MS } from '../fakes/stoppingCalls';
 import { makeStoppingRouting } from '../fakes/stoppingRoutes';
 import type { StoppingRoute } from '../fakes/stoppingRoutes';
-import { StoppingSite, TOKENS_HEADER } from '../fakes/stoppingSite';
+import { LOCATE_MS, StoppingSite, TOKENS_HEADER } from '../fakes/stoppingSite';
 
 const GRACE_MS = 4_000;
 const CALLERS = 8;
@@ -55,14 +55,18 @@
     const others = await Promise.all(Array.from({ length: BURST }, () => site.open(1)));
     const [server] = site.servers;
     if (server) server.loadMs = LOAD_MS;
-    const stopping = site.stop();
+    const held = await site.open();
+    const running = send(held, route, LONG_MS);
     await pause(MAX_DELIVERY_MS);
+    const stopping = site.stop();
+    await pause(LOCATE_MS);
     const asked = callers.map((caller) => send(caller, route, LONG_MS));
     await pause(MAX_DELIVERY_MS);
     const burst = others.map((caller) => send(caller, route, 2 * LONG_MS));
     const results = await Promise.all(asked);
     await stopping;
     results.filter((result) => !isWhole(result, LONG_MS)).forEach(checkRefused);
+    await running;
     others.forEach((caller) => caller.close());
     await Promise.all(burst);
   });
