Begin an answer late in a shutdown only if its own time limit ends it in time

An entry that shuts down cut streams that came late, on open connections, and took longer than those before them. Cause: what is left of the grace was divided by an overrun that was learnt, which is no bound: an entry that has just started has few samples, and overruns fade. Change: once four fifths of the time have passed in which callers may use an address that they looked up before, nothing is begun by an estimate. Why it works: a late stream that is not begun can't be cut. Its caller has an open connection, as no address of the entry is handed out from the signal on, and gets a refusal that says that it has not run and where to go: another entry.

--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -29,9 +29,9 @@
   picked?: PickedWorker,
 ): boolean => {
   if (!site.isLeaving) return true;
-  const { remainingMs, locatedShare } = site.leaving;
+  const { remainingMs, locatedShare, mayTakeRisks } = site.leaving;
   if (Math.min(route.timeoutMs, maxWaitMs ?? Infinity) <= remainingMs) return true;
-  if (!tokens) return false;
+  if (!tokens || !mayTakeRisks) return false;
   const size = {
     service,
     promptTokens: tokens.prompt,
--- a/src/relay/leavingPeriod.ts
+++ b/src/relay/leavingPeriod.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '../utils/clock';
 
+/** Share of the time in which callers may use an old address after which hardly any still does. */
+const MOST_LOCATED_SHARE = 0.8;
+
 /**
  * The time in which an entry shuts down. All times are monotonic milliseconds.
  *
@@ -32,6 +35,11 @@
     return Math.min(1, (this.clock.now() - this.startedAt) / locatedMs);
   }
 
+  /** Whether callers may not know another entry yet, so that an answer may be begun at a risk. */
+  get mayTakeRisks(): boolean {
+    return this.locatedShare < MOST_LOCATED_SHARE;
+  }
+
   /**
    * Begins it.
    *
--- a/tests/relay/stopping-under-load.spec.ts
+++ b/tests/relay/stopping-under-load.spec.ts
@@ -18,6 +18,9 @@
 const SHORT_MS = 50;
 const WARM_UP_MS = [100, 200, 300, 400, 500];
 const LONG_MS = 1_500;
+/** Duration of streams that take longer than the rest of the shutdown after `LATE_MS`. */
+const LONG_AT_LAST_MS = 3_000;
+const LATE_MS = 1_600;
 
 let site: StoppingSite;
 
@@ -71,6 +74,24 @@
     await Promise.all(burst);
   });
 
+  // Fault: an entry that shut down began streams late because streams before them had been short,
+  // and aborted them at its end.
+  it('should be whole or refused if they come late and take longer than any before', async () => {
+    site = await StoppingSite.start({ routing: makeStoppingRouting(), graceMs: GRACE_MS });
+    const callers = await Promise.all(Array.from({ length: CALLERS }, () => site.open()));
+    await Promise.all(callers.map((caller) => warmUp(caller, [SHORT_MS, SHORT_MS])));
+    const other = await site.open();
+    const openedBefore = send(other, 'stream', GRACE_MS);
+    await pause(MAX_DELIVERY_MS);
+    const stopping = site.stop();
+    await pause(LATE_MS);
+    const results = await Promise.all(callers.map((caller) => caller.send(makeRequest('stream', {
+      'x-form': 'stream', 'x-lasts': LONG_AT_LAST_MS, [TOKENS_HEADER]: countEvents(SHORT_MS),
+    }))));
+    await Promise.all([openedBefore, stopping]);
+    results.filter((result) => !isWhole(result, LONG_AT_LAST_MS)).forEach(checkRefused);
+  });
+
   // A refusal costs callers a try, so what ends in time also under load must still be served.
   it('should be served if they end long before the entry does', async () => {
     site = await StoppingSite.start({ routing: makeStoppingRouting(), graceMs: GRACE_MS });
