Drop the learnt overrun from what a stopping entry requires of an estimate

Change: the margin for a greater load is a constant that grows with the time callers had; late answers need no estimate.

--- a/src/core/routing/answerTime.ts
+++ b/src/core/routing/answerTime.ts
@@ -56,19 +56,12 @@
 const LOAD_MARGIN = 2;
 
 /**
- * Shortens a time such that an answer which is estimated to end within it ends within the whole
- * time, although answers exceed their estimates and the load may grow.
+ * Shortens a time such that an answer which is estimated to end within it still ends within the
+ * whole time if the load grows.
  *
  * @param certainty from 0, if it suffices that the answer is likely to end in time, to 1
  * @example
- * canFinishWithin(workers, size, shortenByOverrun(workers, 'scribe', 3_000, 1)); // at most 1_500
+ * canFinishWithin(workers, size, shortenForLoad(3_000, 1)); // at most 1_500
  */
-export const shortenByOverrun = (
-  workers: RoutedWorkers,
-  service: string,
-  ms: number,
-  certainty: number,
-): number => {
-  const margin = LOAD_MARGIN * findServiceStats(workers, service).overrun;
-  return ms / (1 + certainty * (margin - 1));
-};
+export const shortenForLoad = (ms: number, certainty: number): number => (
+  ms / (1 + certainty * (LOAD_MARGIN - 1)));
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -1,8 +1,6 @@
 import type { WorkerAnnouncement, WorkerRecord } from '../../protocol/generated/beechlift';
 import { DepartedWorkers } from './departedWorkers';
-import {
-  addSample, estimateAt, hasEnoughSamples, makeLinearFit,
-} from './linearFit';
+import { addSample, makeLinearFit } from './linearFit';
 import type { LinearFit } from './linearFit';
 import { makeMechanisms } from './mechanisms';
 import type { Mechanisms } from './mechanisms';
@@ -67,8 +65,6 @@
   readonly firstEvent: LinearFit;
   /** Time from the first to the last event on the fastest server, by allowed output tokens. */
   readonly output: LinearFit;
-  /** How many times its estimate hardly any recent stream has exceeded; at least 1. */
-  overrun: number;
   failureShare: number;
 }
 
@@ -111,12 +107,6 @@
 /** Weight of one sample: about ten of them replace the previous value. */
 const SMOOTHING = 0.2;
 
-/** Factors by which an answer changes the overrun; balanced if one in twenty exceeds it. */
-const OVERRUN_STEP_UP = 1.2;
-const OVERRUN_STEP_DOWN = 0.99;
-/** Lower bound on the estimate of an answer's time to which its overrun refers. */
-const MIN_ESTIMATE_MS = 100;
-
 /** Shortest and longest suspension of a server that a request did not reach. */
 const MIN_SUSPENSION_MS = 300;
 const MAX_SUSPENSION_MS = 5_000;
@@ -267,7 +257,6 @@
     holdMs: INITIAL_HOLD_MS,
     firstEvent: makeLinearFit(INITIAL_BASE_MS, INITIAL_PROMPT_TOKEN_MS),
     output: makeLinearFit(0, INITIAL_OUTPUT_TOKEN_MS),
-    overrun: 1,
     failureShare: 0,
   };
   workers.serviceStats.set(service, stats);
@@ -287,24 +276,6 @@
   worker.paceSamples += 1;
 };
 
-/*
- * Estimates the overrun that few answers exceed: each step up equals many steps down. The estimate
- * of the time must not know the answer.
- */
-const recordOverrun = (
-  stats: ServiceStats,
-  { firstEvent, output }: AnswerSample,
-  slowness: number,
-): void => {
-  if (!firstEvent || !output) return;
-  if (!hasEnoughSamples(stats.firstEvent) || !hasEnoughSamples(stats.output)) return;
-  const estimatedMs = slowness * (
-    estimateAt(stats.firstEvent, firstEvent.tokens) + estimateAt(stats.output, output.tokens));
-  const overrun = (firstEvent.ms + output.ms) / Math.max(MIN_ESTIMATE_MS, estimatedMs);
-  const step = overrun > stats.overrun ? OVERRUN_STEP_UP : OVERRUN_STEP_DOWN;
-  stats.overrun = Math.max(1, stats.overrun * step);
-};
-
 /** Records the timing of one answer. */
 export const recordAnswer = (
   workers: RoutedWorkers,
@@ -318,7 +289,6 @@
   stats.holdMs = smooth(stats.holdMs, sample.holdMs);
   const fastestMs = findFastestPace(workers, worker.service);
   const slowness = Math.max(1, estimateSlowness(workers, worker, fastestMs));
-  recordOverrun(stats, sample, slowness);
   if (sample.firstEvent) addTimedSample(stats.firstEvent, sample.firstEvent, slowness);
   if (sample.output) addTimedSample(stats.output, sample.output, slowness);
   if (sample.paceMs > 0) recordPace(worker, sample.paceMs);
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -1,5 +1,5 @@
 /** Decides which requests an entry still accepts while it shuts down. */
-import { canFinishWithin, shortenByOverrun } from '../core/routing/answerTime';
+import { canFinishWithin, shortenForLoad } from '../core/routing/answerTime';
 import { BeechliftError } from '../errors/beechliftError';
 import type { AdmittedRequest } from './admitRequest';
 import type { RelaySite } from './relaySite';
@@ -40,6 +40,6 @@
   };
   // A refusal costs the caller a try at another entry, and an aborted stream its whole answer. The
   // longer the directory has not listed this entry, the more of its callers know others.
-  const safeMs = shortenByOverrun(site.workers, service, remainingMs, locatedShare);
+  const safeMs = shortenForLoad(remainingMs, locatedShare);
   return canFinishWithin(site.workers, size, safeMs, picked?.worker);
 };
