Keep accounts within their limits when the leader of control changes

Cause: the levels of accounts are in the memory of the leader. The next one began with whole bursts, whatever had been charged, and skipped what entries had used meanwhile. While no leader answered, each entry admitted one more request of any size on what was left of its grant. What callers saw: a client account that sends several times its limit got about 1,150,000 to 1,220,000 units run in 8 s, where 864,942 are allowed, when the leader was restarted twice in a window. Change: an entry remembers what was charged for its requests in the last 8 s, by itself and by the leader, in slots of a quarter of a second, and tells a leader that may not know it. The leader computes from that how much of each burst was used up when it began. Until half of the entries have told, half a second at most, accounts get their rate and no burst and entries keep their grants; what is told also counts for the entries that have not told. While the leader is silent an entry may exceed its grant by a small share of the slack only. A request that does not fit waits for the next leader, as long as it may wait for a lease, and is refused as not run after that. Why it works: what is left is the lesser of two levels, that of a burst that was whole at the start, and that of the burst that earlier charges had left then, less all charges since plus all refills since. Their order does not matter, so a late report gives the level of one in time. Nothing counts twice: the request names the leader that knows its charges. A leader that is slow but renews grants is no silent one: there one request may overdraw a grant, as before. Where no leader places the service, a request waits in the same way, but only while no leader answers.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -47,7 +47,8 @@
 
 /**
  * State that a leader keeps in memory: the active entries, the remaining account limits, and the
- * slots in use. None of it is replicated; the next leader starts with an empty state.
+ * slots in use. None of it is replicated; the next leader starts with an empty state, and learns
+ * from the entries.
  *
  * @example
  * const leaderState = new LeaderState(parts);
@@ -71,7 +72,7 @@
   constructor(private readonly parts: LeaderStateParts) {
     this.startedAt = parts.clock.now();
     this.entries = new EntryTable(parts.leaseMs);
-    this.ledger = new AccountLedger(parts.limitSlack);
+    this.ledger = new AccountLedger(parts.limitSlack, SETTLE_MS);
     this.placementService = new PlacementService({
       clock: parts.clock,
       logger: parts.logger,
@@ -88,10 +89,16 @@
     this.ledger.configure(accounts, this.parts.clock.now());
   }
 
-  /** Records that an entry sent a watch request, and what it tells of accounts and servers. */
-  recordEntry(request: WatchRequest): void {
+  /**
+   * Records that an entry sent a watch request, and what it tells of accounts and servers.
+   *
+   * @param epoch identifies the tables of this leader
+   * @param receivedAt when the request was received, which this replica may have held since
+   */
+  recordEntry(request: WatchRequest, epoch = '', receivedAt = this.parts.clock.now()): void {
     const now = this.parts.clock.now();
     this.entries.record(request, now);
+    this.recordEarlierCharges(request, epoch, receivedAt);
     this.ledger.recordSpends(request.entryId, request.spends, now);
     this.placementService.applyNamedRates(request.limits);
   }
@@ -129,13 +136,17 @@
     return { entries: isSame ? [] : [...records], entriesRevision: revision };
   }
 
-  /** Builds the fields of a reply that only entries need. */
-  buildEntryPart({ entryId }: WatchRequest): EntryPart {
+  /**
+   * Builds the fields of a reply that only entries need. An entry with grants of an earlier leader
+   * keeps them while this one learns what was used.
+   */
+  buildEntryPart({ entryId, knownEntries }: WatchRequest): EntryPart {
     const now = this.parts.clock.now();
     const entryCount = this.countEntries();
+    const keepsGrants = knownEntries > 0 && this.ledger.isLearning(now);
     return {
       loads: this.entries.sumLoads(entryId, now),
-      grants: this.ledger.listGrants(entryId, entryCount, now),
+      grants: keepsGrants ? [] : this.ledger.listGrants(entryId, entryCount, now),
       entryCount,
       limits: this.placementService.listRateLimits(),
     };
@@ -173,6 +184,28 @@
     this.placementService.closeStream(stream);
   }
 
+  /*
+   * Only charges under another leader: what this one charged itself must not count twice, also if
+   * the entry lost the connection and is not sure who leads.
+   */
+  private recordEarlierCharges(
+    {
+      entryId, recentCharges: charges, chargesEpoch, knownEntries: entryCount,
+    }: WatchRequest,
+    epoch: string,
+    toldAt: number,
+  ): void {
+    if (entryCount <= 0 || chargesEpoch === epoch) return;
+    const now = this.parts.clock.now();
+    if (!this.ledger.recordEarlier(entryId, { charges, entryCount, toldAt }, now)) return;
+    this.parts.logger?.info('entry told what was charged under the earlier leader', {
+      entry: entryId,
+      accounts: charges.length,
+      entryCount,
+      leadingMs: Math.round(now - this.startedAt),
+    });
+  }
+
   /** Charges a request to its account; refuses it if the account is over its limit. */
   private charge(request: PlaceRequest, stream: PlacementStream): boolean {
     const {
--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -92,17 +92,23 @@
    * Answers a watch request; a replica that does not lead returns the address of the leader.
    *
    * @param isAbandoned returns whether the client has given the request up
+   * @param receivedAt when the request was received, monotonic milliseconds
    */
-  async watch(request: WatchRequest, isAbandoned = (): boolean => false): Promise<WatchReply> {
+  async watch(
+    request: WatchRequest,
+    isAbandoned = (): boolean => false,
+    receivedAt = this.parts.clock.now(),
+  ): Promise<WatchReply> {
     const {
-      readView, watches, leaderWait, work, clock,
+      readView, watches, leaderWait, work, clock, registry,
     } = this.parts;
     const view = readView();
-    if (!view.isLeading) return this.awaitLeader(request, isAbandoned);
+    if (!view.isLeading) return this.awaitLeader(request, isAbandoned, receivedAt);
     if (request.entryId === '') {
       this.recoverRecords(request);
     } else {
-      work.measure('watch', () => view.leaderState.recordEntry(request));
+      work.measure('watch', () => (
+        view.leaderState.recordEntry(request, registry.table.epoch, receivedAt)));
       await this.awaitRecovery();
     }
     const holdMs = Math.min(MAX_HOLD_MS, request.holdMs);
@@ -145,11 +151,12 @@
   private async awaitLeader(
     request: WatchRequest,
     isAbandoned: () => boolean,
+    receivedAt: number,
   ): Promise<WatchReply> {
     const { readView, leaderWait } = this.parts;
     await leaderWait.wait(Math.min(MAX_HOLD_MS, request.holdMs));
     return readView().isLeading
-      ? this.watch({ ...request, holdMs: 0 }, isAbandoned)
+      ? this.watch({ ...request, holdMs: 0 }, isAbandoned, receivedAt)
       : this.buildNotLeadingReply();
   }
 
--- a/src/core/routing/accountBudget.ts
+++ b/src/core/routing/accountBudget.ts
@@ -7,6 +7,8 @@
   total: number;
   /** Value of `total` up to which requests are admitted. */
   limit: number;
+  /** Units beyond the limit that may be admitted while no leader is reached. */
+  overdraft: number;
   /** Smoothed demand in units per second, refused requests included. */
   demand: number;
   demandUpdatedAt: number;
@@ -20,11 +22,23 @@
 /** Shortest time after which a caller over its limit may retry, in milliseconds. */
 const MIN_RETRY_MS = 250;
 
+/** Whether a leader renews the grants: each entry knows only its own charges without one. */
+export type GrantRenewal = 'renewed' | 'leaderless';
+
+const fits: Record<GrantRenewal, (budget: Budget, cost: number) => boolean> = {
+  renewed: ({ total, limit }) => total < limit,
+  leaderless: ({ total, limit, overdraft }, cost) => (
+    total < limit && total + cost <= limit + overdraft),
+};
+
 /**
  * Admits requests while the account's grant is not used up. One request may overdraw the grant, and
  * the leader subtracts that from the next grant. This way a large request of an account within its
  * limit is not refused.
  *
+ * While no leader renews the grants, a request must fit into what is left and a small overdraft:
+ * otherwise each entry would admit a whole request, and all of them far more than the limit.
+ *
  * @example
  * if (!budget.trySpend(account, tokens, clock.now())) refuse('accountLimited');
  */
@@ -33,26 +47,50 @@
 
   /** Applies grants: each one counts from the total that it was computed for. */
   applyGrants(grants: readonly AccountGrant[], now: number): void {
-    grants.forEach(({ account, units, reportedTotal }) => {
-      this.findOrMakeBudget(account, now).limit = reportedTotal + units;
+    grants.forEach(({
+      account, units, reportedTotal, overdraft,
+    }) => {
+      const budget = this.findOrMakeBudget(account, now);
+      budget.limit = reportedTotal + units;
+      budget.overdraft = overdraft;
     });
   }
 
   /** Charges the cost of a request; returns false when the account's grant is used up. */
-  trySpend(account: RoutedAccount, cost: number, now: number): boolean {
+  trySpend(
+    account: RoutedAccount,
+    cost: number,
+    now: number,
+    renewal: GrantRenewal = 'renewed',
+  ): boolean {
     const budget = this.findOrMakeBudget(account.name, now);
     budget.demand = this.computeCurrentDemand(budget, now)
       + cost / (DEMAND_WINDOW_MS / MS_PER_SECOND);
     budget.demandUpdatedAt = now;
-    if (account.perSecond > 0 && budget.total >= budget.limit) return false;
+    return this.retrySpend(account, cost, now, renewal);
+  }
+
+  /** Charges the cost of a request that was refused before, and whose demand is counted. */
+  retrySpend(
+    account: RoutedAccount,
+    cost: number,
+    now: number,
+    renewal: GrantRenewal = 'renewed',
+  ): boolean {
+    const budget = this.findOrMakeBudget(account.name, now);
+    if (account.perSecond > 0 && !fits[renewal](budget, cost)) return false;
     budget.total += cost;
     return true;
   }
 
-  /** Estimates when this entry can admit requests of the account again, in milliseconds. */
-  estimateRetryMs(account: RoutedAccount): number {
+  /**
+   * Estimates when a request of the account can be admitted, in milliseconds.
+   *
+   * @param cost units that the grant must cover; 0 if one request may overdraw it
+   */
+  estimateRetryMs(account: RoutedAccount, cost = 0): number {
     const budget = this.budgets.get(account.name);
-    const overdrawn = Math.max(0, (budget?.total ?? 0) - (budget?.limit ?? 0));
+    const overdrawn = Math.max(0, (budget?.total ?? 0) + cost - (budget?.limit ?? 0));
     return MIN_RETRY_MS + (overdrawn / Math.max(1, account.perSecond)) * MS_PER_SECOND;
   }
 
@@ -68,7 +106,7 @@
     if (existing) return existing;
     if (this.budgets.size >= MAX_ACCOUNTS) this.budgets.delete([...this.budgets.keys()][0] ?? '');
     const budget = {
-      total: 0, limit: 0, demand: 0, demandUpdatedAt: now,
+      total: 0, limit: 0, overdraft: 0, demand: 0, demandUpdatedAt: now,
     };
     this.budgets.set(account, budget);
     return budget;
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -1,8 +1,9 @@
 /** Remaining limit of each account over all entries, as tracked by the leader of control. */
-import type { AccountGrant, AccountSpend } from '../../protocol/generated/beechlift';
+import type { AccountCharges, AccountGrant, AccountSpend } from '../../protocol/generated/beechlift';
 import type { RoutedAccount } from '../../manifest/routing';
 import { computeReserve, recordDemand } from './accountDemand';
 import type { AccountDemand } from './accountDemand';
+import { computeUsedBurst, SLOT_COUNT, SLOT_MS } from './chargeSlots';
 
 /** Latest report of one entry on an account. */
 interface EntrySpend {
@@ -14,9 +15,16 @@
 
 interface LedgerAccount {
   account: RoutedAccount;
-  /** Units that may still be used; negative when overdrawn. */
+  /** Units left of a burst that was whole when this ledger began; negative when overdrawn. */
   balance: number;
   refilledAt: number;
+  readonly startedAt: number;
+  /** Units charged since the start, less all that the rate has refilled since. */
+  chargedSinceStart: number;
+  /** Units charged under earlier leaders, per slot before the start, newest first. */
+  chargedBefore: readonly number[];
+  /** Units of the burst that these had used up at the start, as computed for a factor. */
+  usedBefore: { readonly factor: number; readonly units: number };
   /** Latest report of each entry. */
   readonly entries: Map<string, EntrySpend>;
   /** Requested units per second of all entries, updated together with `entries`. */
@@ -43,6 +51,11 @@
  * share, small requests at disconnected entries could take an account over its limit in a window.
  */
 const GRANT_SLACK_SHARE = 0.2;
+/**
+ * Share of the slack by which all entries together may exceed their grants while they reach no
+ * leader. So much of a large request need not be granted.
+ */
+const ENTRY_OVERDRAFT_SLACK_SHARE = 0.2;
 /** Largest share of an account's burst that is reserved for its higher ranks. */
 const MAX_RESERVE_SHARE = 0.25;
 /** Share of grants that is divided evenly, so that an entry without demand can start at once. */
@@ -58,10 +71,33 @@
  */
 const EXPIRY_INTERVAL_MS = 1_000;
 
+/** Most entries whose reports on earlier charges are counted. */
+const MAX_TOLD_ENTRIES = 2_000;
+/**
+ * Largest factor by which reported charges are scaled up for entries that have reported none: they
+ * may have ended together with the earlier leader. Fewer than half of the entries tell too little.
+ */
+const MAX_UNTOLD_FACTOR = 2;
+
+/** Charges under earlier leaders, as remembered by one entry. */
+export interface EarlierCharges {
+  readonly charges: readonly AccountCharges[];
+  /** Number of entries that the entry knew at the earlier leader. */
+  readonly entryCount: number;
+  /** When the entry told them, monotonic milliseconds. */
+  readonly toldAt: number;
+}
+
+const NOTHING_USED = { factor: 0, units: 0 };
+
 const makeLedgerAccount = (account: RoutedAccount, now: number): LedgerAccount => ({
   account,
   balance: account.burst,
   refilledAt: now,
+  startedAt: now,
+  chargedSinceStart: 0,
+  chargedBefore: [],
+  usedBefore: NOTHING_USED,
   entries: new Map(),
   entryDemand: 0,
   expiryCheckedAt: now,
@@ -82,11 +118,51 @@
   });
 };
 
+const addCharge = (state: LedgerAccount, units: number): void => {
+  state.balance -= units;
+  state.chargedSinceStart += units;
+};
+
+/** Adds the charges that an entry tells; before the start another leader decided. */
+const addEarlierCharges = (
+  state: LedgerAccount,
+  units: readonly number[],
+  toldAt: number,
+): void => {
+  const before = Array.from({ length: SLOT_COUNT }, (unused, slot) => (
+    state.chargedBefore[slot] ?? 0));
+  units.slice(0, SLOT_COUNT).forEach((charged, age) => {
+    if (!Number.isFinite(charged) || charged <= 0) return;
+    const slot = Math.round((state.startedAt - toldAt) / SLOT_MS) + age;
+    if (slot < 0) addCharge(state, charged);
+    else if (slot < SLOT_COUNT) before[slot] = (before[slot] ?? 0) + charged;
+  });
+  state.chargedBefore = before;
+  state.usedBefore = NOTHING_USED;
+};
+
+/** Computes what was used of the burst at the start; `factor` scales the charges that were told. */
+const computeUsedBefore = (state: LedgerAccount, factor: number): number => {
+  if (state.chargedBefore.length === 0) return 0;
+  if (state.usedBefore.factor !== factor) {
+    const units = factor * computeUsedBurst(state.chargedBefore, state.account.perSecond / factor);
+    state.usedBefore = { factor, units };
+  }
+  return state.usedBefore.units;
+};
+
 /**
  * Grants the remaining limits to the entries, renewed with each of their watch requests. All grants
  * together add up to the remaining limit, so a limit applies over all entries. A disconnected entry
  * can use its last grant but no more.
  *
+ * The ledger of a new leader begins with whole bursts, and learns from each entry what was charged
+ * for it before. What remains is the lesser of two levels: that of a burst that was whole at the
+ * start, and that of the burst that earlier charges had left then, with all that was refilled and
+ * charged since. So a report that is late gives the same level as one in time. What is reported
+ * counts for the entries that have not reported yet, too. Until half of them have, accounts get
+ * their rate but no burst, for a short time.
+ *
  * @example
  * ledger.configure(routing.accounts, now);
  * ledger.recordSpends('e1', request.spends, now);
@@ -95,8 +171,46 @@
 export class AccountLedger {
   private readonly accountsByName = new Map<string, LedgerAccount>();
 
-  /** @param slack units beyond the limits that the site allows within a window */
-  constructor(private readonly slack: number) {}
+  /** Entries that have told what was charged for them before. */
+  private readonly toldIds = new Set<string>();
+
+  /** Number of entries that an earlier leader had, as far as known. */
+  private earlierEntries = 0;
+
+  /** When entries that have told nothing are no longer waited for. */
+  private learnsUntil = -Infinity;
+
+  /**
+   * @param slack units beyond the limits that the site allows within a window
+   * @param learningMs time after the first report in which the others are waited for
+   */
+  constructor(private readonly slack: number, private readonly learningMs = 0) {}
+
+  /** Whether too few entries of an earlier leader have told what was charged for them. */
+  isLearning(now: number): boolean {
+    return now < this.learnsUntil && this.untoldFactor > MAX_UNTOLD_FACTOR;
+  }
+
+  /**
+   * Records what was charged for an entry under earlier leaders; only its first report counts.
+   *
+   * @returns whether the report was counted
+   */
+  recordEarlier(
+    entryId: string,
+    { charges, entryCount, toldAt }: EarlierCharges,
+    now: number,
+  ): boolean {
+    if (this.toldIds.has(entryId) || this.toldIds.size >= MAX_TOLD_ENTRIES) return false;
+    if (this.toldIds.size === 0) this.learnsUntil = now + this.learningMs;
+    this.toldIds.add(entryId);
+    this.earlierEntries = Math.max(this.earlierEntries, entryCount);
+    charges.forEach(({ account, units }) => {
+      const state = this.accountsByName.get(account);
+      if (state) addEarlierCharges(state, units, toldAt);
+    });
+    return true;
+  }
 
   /** Applies the accounts of a routing document; the usage of existing accounts is kept. */
   configure(accounts: readonly RoutedAccount[], now: number): void {
@@ -123,8 +237,8 @@
       if (!state) return;
       this.refill(state, now);
       const previous = state.entries.get(entryId);
-      // An entry that is new to this ledger used its units under an earlier leader.
-      if (previous) state.balance -= Math.max(0, total - previous.total);
+      // An entry that is new to this ledger tells apart what it used under an earlier leader.
+      if (previous) addCharge(state, Math.max(0, total - previous.total));
       setSpend(state, entryId, { total, demand, reportedAt: now });
     });
   }
@@ -153,16 +267,16 @@
       MAX_RESERVE_SHARE * burst,
       computeReserve(state.demand, rank, perSecond, now),
     );
-    const deficit = reserve - state.balance - OVERDRAFT_SLACK_SHARE * this.slack;
+    const deficit = reserve - this.computeLeft(state, now) - OVERDRAFT_SLACK_SHARE * this.slack;
     if (deficit >= 0) return Math.max(1, (deficit / perSecond) * MS_PER_SECOND);
-    state.balance -= cost;
+    addCharge(state, cost);
     return 0;
   }
 
   /** Refunds the charge of a request that was refused later. */
   refund(name: string, cost: number): void {
     const state = this.accountsByName.get(name);
-    if (state) state.balance += cost;
+    if (state) addCharge(state, -cost);
   }
 
   /** Lists the grants of an entry for all limited accounts. */
@@ -171,8 +285,9 @@
       this.refill(state, now);
       return {
         account: state.account.name,
-        units: this.computeGrantable(state) * this.computeShare(state, entryId, entryCount),
+        units: this.computeGrantable(state, now) * this.computeShare(state, entryId, entryCount),
         reportedTotal: state.entries.get(entryId)?.total ?? 0,
+        overdraft: (ENTRY_OVERDRAFT_SLACK_SHARE * this.slack) / Math.max(1, entryCount),
       };
     });
   }
@@ -182,8 +297,22 @@
    * requests have used up the account's limit here. Grants therefore allow a lower balance than the
    * leader's own overdraft does.
    */
-  private computeGrantable({ balance }: LedgerAccount): number {
-    return Math.max(0, balance + (OVERDRAFT_SLACK_SHARE + GRANT_SLACK_SHARE) * this.slack);
+  private computeGrantable(state: LedgerAccount, now: number): number {
+    const left = this.computeLeft(state, now);
+    return Math.max(0, left + (OVERDRAFT_SLACK_SHARE + GRANT_SLACK_SHARE) * this.slack);
+  }
+
+  /** Computes the units that may still be used; negative when overdrawn. */
+  private computeLeft(state: LedgerAccount, now: number): number {
+    const capacity = this.computeCapacity(state.account);
+    const told = computeUsedBefore(state, Math.min(MAX_UNTOLD_FACTOR, this.untoldFactor));
+    const usedBefore = this.isLearning(now) ? Math.max(capacity, told) : told;
+    return Math.min(state.balance, capacity - usedBefore - state.chargedSinceStart);
+  }
+
+  /** Entries of the earlier leader for each one that has told its charges; 1 at least. */
+  private get untoldFactor(): number {
+    return Math.max(1, this.earlierEntries / Math.max(1, this.toldIds.size));
   }
 
   private computeCapacity({ burst }: RoutedAccount): number {
@@ -201,6 +330,7 @@
   private refill(state: LedgerAccount, now: number): void {
     const refill = ((now - state.refilledAt) / MS_PER_SECOND) * state.account.perSecond;
     state.balance = Math.min(this.computeCapacity(state.account), state.balance + refill);
+    state.chargedSinceStart -= refill;
     state.refilledAt = now;
     expireEntries(state, now);
   }
--- /dev/null
+++ b/src/core/routing/chargeSlots.ts
@@ -0,0 +1,23 @@
+/** What was recently charged to one account, in time slots, newest first. */
+
+/** Length of a slot, in milliseconds. */
+export const SLOT_MS = 250;
+/** Slots that are kept: 8 s, the time over which the use of an account is judged. */
+export const SLOT_COUNT = 32;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Computes how many units of the burst are used up, given what was charged in each slot: the most
+ * that was charged from any slot on, less what the rate has refilled since.
+ *
+ * @param slots units per slot, newest first
+ * @example
+ * computeUsedBurst([0, 0, 90_000], 50_000); // 65_000: half a second has refilled 25_000
+ */
+export const computeUsedBurst = (slots: readonly number[], perSecond: number): number => {
+  const refill = (perSecond * SLOT_MS) / MS_PER_SECOND;
+  return slots.reduce(({ charged, most }, units, slot) => {
+    const sum = charged + units;
+    return { charged: sum, most: Math.max(most, sum - refill * slot) };
+  }, { charged: 0, most: 0 }).most;
+};
--- a/src/relay/admitRequest.ts
+++ b/src/relay/admitRequest.ts
@@ -49,17 +49,21 @@
   return tokens ? tokens.prompt + tokens.output : account.defaultTokens;
 };
 
-/** Charges a request to the account's share at this entry; throws if the share is used up. */
+/** Charges a request to the account's share at this entry; returns false if it does not fit. */
 export const chargeAccount = (
   site: RelaySite,
-  account: RoutedAccount | undefined,
+  account: RoutedAccount,
   facts: RequestFacts,
   now: number,
-): void => {
-  if (!account) return;
-  if (site.budget.trySpend(account, computeCost(account, facts), now)) return;
-  throw new BeechliftError('accountLimited', `account "${account.name}" has used up its share of ${account.perSecond} ${account.unit} a second at this entry`, { retryAfterMs: site.budget.estimateRetryMs(account) });
-};
+): boolean => site.accounts.trySpend(account, computeCost(account, facts), now);
+
+/** Makes the refusal of a request that does not fit into the account's share at this entry. */
+export const makeLimitError = (
+  site: RelaySite,
+  account: RoutedAccount,
+  facts: RequestFacts,
+  now: number,
+): BeechliftError => new BeechliftError('accountLimited', `account "${account.name}" has used up its share of ${account.perSecond} ${account.unit} a second at this entry`, { retryAfterMs: site.accounts.estimateRetryMs(account, computeCost(account, facts), now) });
 
 /**
  * Decides whether a request may be sent, and to which service; throws the refusal otherwise.
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -39,6 +39,8 @@
   readonly findLeader: () => RpcLink<SiteClient> | undefined;
   /** Returns the number of entries that use the same leader. */
   readonly countEntries: () => number;
+  /** Called when the leader has not answered since a time, in monotonic milliseconds. */
+  readonly handleSilence?: ((since: number) => void) | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -349,12 +351,14 @@
     if (this.pause.isActive(now)) return;
     this.parts.logger.warn('control leader is slow, this entry places requests itself', { lateMs: Math.round(lateMs) });
     this.pause.begin(now);
+    this.parts.handleSilence?.(now - lateMs);
     [...this.waiting.keys()].forEach((placeId) => this.cancel(placeId));
   }
 
   private suspendLeader(reason: string): void {
     this.parts.logger.warn('control leader is unreachable, this entry places requests itself', { reason });
     this.pause.beginShort(this.parts.clock.now());
+    this.parts.handleSilence?.(this.parts.clock.now());
     this.closeStream();
     this.resolveWaiting();
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -101,6 +101,7 @@
     entryId: site.entryId,
     findLeader: () => watch.findLeader(),
     countEntries: () => site.entryCount,
+    handleSilence: (since) => site.accounts.recordSilence(since),
     clock: systemClock,
     logger,
   });
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,6 +1,5 @@
 import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import { SuspectList } from '../core/quarantine/suspectList';
-import { AccountBudget } from '../core/routing/accountBudget';
 import { BrittleServices } from '../core/routing/brittleServices';
 import { EntryList } from '../core/routing/entryList';
 import type { Mechanisms } from '../core/routing/mechanisms';
@@ -24,6 +23,7 @@
 import type { Clock, SuspensionDetector } from '../utils/clock';
 import { HeldCalls } from '../utils/heldCalls';
 import { AnsweredParts } from './answeredParts';
+import { EntryAccounts } from './entryAccounts';
 import { LeavingPeriod } from './leavingPeriod';
 import { readDocument } from './readDocument';
 
@@ -62,7 +62,7 @@
 
   readonly workers: RoutedWorkers;
 
-  readonly budget = new AccountBudget();
+  readonly accounts = new EntryAccounts();
 
   private readonly entries = new EntryList();
 
@@ -218,7 +218,7 @@
       workersRevision: this.workersRevision,
       holdMs,
       loads: listLoads(this.workers),
-      spends: this.budget.listSpends(clock.now()),
+      ...this.accounts.buildPart(this.workersEpoch, clock.now()),
       ...this.entries.heldVersion,
       ...this.suspects.heldVersion,
       rememberedWorkers: [],
@@ -249,7 +249,7 @@
     this.leasedEntryCount = Math.max(1, reply.entryCount);
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     applyRateLimits(this.workers, reply.limits, sentAt, this.rateSharing, this.parts.clock.now());
-    this.budget.applyGrants(reply.grants, this.parts.clock.now());
+    this.accounts.applyReply(reply, this.parts.clock.now());
     if (this.documentVersion === NO_DOCUMENT.version) return;
     if (!this.isServing) this.logLeaseGap(reply);
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -228,6 +228,7 @@
     }
     this.setLeader(address, reply);
     site.applyReply(reply, sentAt, epoch, request.workersEpoch);
+    site.accounts.recordTold(request, reply);
     return true;
   }
 
@@ -264,6 +265,7 @@
     const named = reply?.leaderAddress ?? '';
     if (reply && reply.controlAddresses.length > 0) this.knownReplicas = reply.controlAddresses;
     if (this.leader !== '' && this.leader !== asked) return;
+    this.parts.site.accounts.recordLostLeader();
     // The asked replica has just failed to answer as the leader, even if it names itself.
     this.leader = named === asked ? '' : named;
     if (!this.isLeaderLost) this.parts.logger.warn('control leader lost', { asked, named });
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -20,10 +20,14 @@
 import { chooseRoutedWorker, isWaitAcceptable } from '../core/routing/workerChoice';
 import { computeBackoffRetryAfterMs, isBackingOff } from '../core/routing/workerBackoff';
 import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
+import type { RoutedAccount } from '../manifest/routing';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
 import type { Clock } from '../utils/clock';
-import { chargeAccount, computeCost, makeNoLeaseError } from './admitRequest';
+import {
+  chargeAccount, computeCost, makeLimitError, makeNoLeaseError,
+} from './admitRequest';
 import type { AdmittedRequest } from './admitRequest';
+import { GrantWait } from './grantWait';
 import { computeLeaseWaitMs } from './leaseWait';
 import type { PlaceClient } from './placeClient';
 import type { RelaySite } from './relaySite';
@@ -94,6 +98,8 @@
 
   private lastPlaceNumber = 0;
 
+  private readonly grantWait = new GrantWait();
+
   constructor(private readonly parts: WorkerPickerParts) {}
 
   /**
@@ -114,10 +120,34 @@
     await this.requireLease(request);
     // A suspect request may run only one copy at a time, which only the leader can ensure.
     if (site.isPlaced(service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader cannot place it', { retryAfterMs: NO_WORKER_RETRY_MS });
-    if (request.tried.length === 0) {
-      chargeAccount(site, request.admitted.account, request.facts, clock.now());
+    const { tried, facts, admitted: { account } } = request;
+    if (tried.length > 0 || !account || chargeAccount(site, account, facts, clock.now())) {
+      return this.chooseLocally(request, lookup.origin);
     }
-    return this.chooseLocally(request, lookup.origin);
+    const until = Math.min(request.deadlineAt, clock.now() + computeLeaseWaitMs(facts));
+    const mayWait = (now: number): boolean => usesLeader || site.accounts.isLeaderless(now);
+    const picked = await this.grantWait.run(
+      () => this.pickAgain(request, account, lookup),
+      () => request.isAbandoned() || clock.now() >= until || !mayWait(clock.now()),
+    );
+    if (picked || request.isAbandoned()) return picked;
+    throw makeLimitError(site, account, facts, clock.now());
+  }
+
+  /** Tries again to pick a server for a request that did not fit into its account's grant. */
+  private async pickAgain(
+    request: PickRequest,
+    account: RoutedAccount,
+    lookup: OriginLookup,
+  ): Promise<PickedWorker | undefined> {
+    const { site, clock } = this.parts;
+    if (request.isAbandoned()) return undefined;
+    const isPlaced = site.isPlaced(request.admitted.service);
+    const placed = isPlaced ? await this.place(request, lookup) : undefined;
+    if (placed || request.isAbandoned() || !site.isServing) return placed;
+    const cost = computeCost(account, request.facts);
+    const isCharged = site.accounts.retrySpend(account, cost, clock.now());
+    return isCharged ? this.chooseLocally(request, lookup.origin) : undefined;
   }
 
   /**
@@ -180,12 +210,15 @@
     this.lastPlaceNumber += 1;
     const placeId = `${this.placeIdPrefix}${this.lastPlaceNumber}`;
     request.onWaiting(() => placeClient.cancel(placeId));
+    const cost = account && tried.length === 0 && requestCount === 1
+      ? computeCost(account, facts)
+      : 0;
     const reply = await placeClient.place({
       placeId,
       entryId: site.entryId,
       service,
       account: account?.name ?? '',
-      cost: account && tried.length === 0 && requestCount === 1 ? computeCost(account, facts) : 0,
+      cost,
       rank,
       promptTokens: facts.tokens?.prompt ?? 0,
       outputTokens: facts.tokens?.expected ?? 0,
@@ -202,6 +235,7 @@
       resumedId: facts.resumedId,
     }, deadlineAt);
     if (!reply) return undefined;
+    if (reply.code === 0 && account) site.accounts.recordPlaced(account, cost, clock.now());
     if (reply.code !== 0) {
       throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
     }
--- a/tests/control/leader-state.spec.ts
+++ b/tests/control/leader-state.spec.ts
@@ -3,6 +3,7 @@
 import { makeWorkerTable, applyAnnouncement } from '../../src/core/routing/workerTable';
 import { PlaceNews, WatchRequest, WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
 import type { PlaceDecisions } from '../../src/protocol/generated/beechlift';
+import { makeAccount } from '../fakes/routings';
 
 /** State of a leader with one engine that has one slot. */
 class LeaderRig {
@@ -80,3 +81,79 @@
     expect(rig.ended).toBe(0);
   });
 });
+
+describe('the limits of accounts at a new leader', () => {
+  const EPOCH = 'l2';
+
+  const makeRig = (): LeaderRig => {
+    const rig = new LeaderRig();
+    rig.leaderState.configureAccounts([makeAccount({ perSecond: 1_000, burst: 1_000 })]);
+    return rig;
+  };
+
+  const makeRequest = (changes: Partial<WatchRequest>): WatchRequest => WatchRequest.fromPartial({
+    entryId: 'e1', callerAddress: 'e1', state: 'active', knownEntries: 1, chargesEpoch: 'l1', ...changes,
+  });
+
+  const charges = [{ account: 'lobby', units: [1_100] }];
+
+  /** Units that are granted after a watch request; undefined if the entry keeps its grants. */
+  const grantUnits = (
+    rig: LeaderRig,
+    request: WatchRequest,
+    receivedAt?: number,
+  ): number | undefined => {
+    rig.leaderState.recordEntry(request, EPOCH, receivedAt);
+    return rig.leaderState.buildEntryPart(request).grants[0]?.units;
+  };
+
+  it('should grant a whole burst, and a share of the slack, if nothing was charged', () => {
+    expect(grantUnits(makeRig(), makeRequest({}))).toBe(1_250);
+  });
+
+  // Fault: each new leader gave the whole burst again, whatever was charged before.
+  it('should not grant a burst again that was used under the earlier leader', () => {
+    expect(grantUnits(makeRig(), makeRequest({ recentCharges: charges }))).toBe(250);
+  });
+
+  it('should count what an entry tells once', () => {
+    const rig = makeRig();
+    grantUnits(rig, makeRequest({ recentCharges: charges }));
+    expect(grantUnits(rig, makeRequest({ recentCharges: charges }))).toBe(250);
+  });
+
+  it('should not count what this leader charged itself', () => {
+    const request = makeRequest({ recentCharges: charges, chargesEpoch: EPOCH });
+    expect(grantUnits(makeRig(), request)).toBe(1_250);
+  });
+
+  it('should count charges by their age when a request was held before this replica led', () => {
+    expect(grantUnits(makeRig(), makeRequest({ recentCharges: charges }), -500)).toBe(750);
+  });
+
+  it('should add to a late report what was refilled since it began to lead', () => {
+    const rig = makeRig();
+    rig.now = 400;
+    expect(grantUnits(rig, makeRequest({ recentCharges: charges }), 0)).toBe(650);
+  });
+
+  it('should leave entries their grants until half of them have told, for half a second', () => {
+    const rig = makeRig();
+    const request = makeRequest({
+      recentCharges: [{ account: 'lobby', units: [400] }], knownEntries: 4,
+    });
+    expect(grantUnits(rig, request)).toBeUndefined();
+    rig.now = 500;
+    expect(grantUnits(rig, request)).toBe(1_050);
+  });
+
+  it('should scale what half of the entries told to all of them', () => {
+    const rig = makeRig();
+    grantUnits(rig, makeRequest({ recentCharges: [{ account: 'lobby', units: [550] }], knownEntries: 2 }));
+    expect(rig.leaderState.buildEntryPart(makeRequest({})).grants[0]?.units).toBe(250);
+  });
+
+  it.each([NaN, -5_000, Infinity])('should ignore charges of %d units', (units) => {
+    expect(grantUnits(makeRig(), makeRequest({ recentCharges: [{ account: 'lobby', units: [units] }] }))).toBe(1_250);
+  });
+});
--- a/tests/core/work-per-decision.spec.ts
+++ b/tests/core/work-per-decision.spec.ts
@@ -7,6 +7,7 @@
 import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
 import { WatchRequest, WorkerLoad, WorkerRecord } from '../../src/protocol/generated/beechlift';
+import { makeAccount } from '../fakes/routings';
 
 /*
  * On large sites the leader's processor was saturated by watch requests, whose cost grew with the
@@ -98,4 +99,26 @@
     });
     expect(reads).toBeLessThanOrEqual(MAX_READS * count);
   });
+
+  it.each(SIZES)('should read what one of %i entries tells of earlier charges once', (count) => {
+    const leader = new LeaderState({ clock: { now: () => 0 }, leaseMs: 4_000, limitSlack: 0 });
+    leader.configureAccounts([makeAccount({ perSecond: 1_000, burst: 1_000 })]);
+    const SLOTS = 32;
+    let reads = 0;
+    const units = new Proxy(Array<number>(SLOTS).fill(1), {
+      get: (target, key, receiver) => {
+        if (typeof key === 'string' && /^\d+$/u.test(key)) reads += 1;
+        return Reflect.get(target, key, receiver) as unknown;
+      },
+    });
+    const requests = Array.from({ length: count }, (unused, position) => ({
+      ...makeWatchRequest(`e${position}`, () => undefined),
+      recentCharges: [{ account: 'lobby', units }],
+      chargesEpoch: 'x',
+      knownEntries: count,
+    }));
+    requests.forEach((request) => leader.recordEntry(request, 'y'));
+    requests.forEach((request) => leader.recordEntry(request, 'y'));
+    expect(reads).toBeLessThanOrEqual(SLOTS * count);
+  });
 });
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -55,10 +55,15 @@
   leader.sendReply(number, requests.map(({ placeId }) => placeId));
 };
 
-const makeClient = (findLeader: () => ScriptedLeader, entries = 8): PlaceClient => new PlaceClient({
+const makeClient = (
+  findLeader: () => ScriptedLeader,
+  entries = 8,
+  handleSilence?: (since: number) => void,
+): PlaceClient => new PlaceClient({
   entryId: 'e1',
   findLeader: () => findLeader().link,
   countEntries: () => entries,
+  handleSilence,
   clock: systemClock,
   logger: makeLogger('test', 'silent'),
 });
@@ -307,6 +312,28 @@
   });
 
   // A crash that only the lost leader knew of must be reported to the next one.
+  /*
+   * Fault: each entry overdrew its grants by a request of any size while no leader answered. What
+   * is placed without the leader is charged as soon as the request is released, so the silence must
+   * be known by then.
+   */
+  it.each([
+    ['does not answer', () => undefined],
+    ['ends the stream', (message: PlaceNews, leader: ScriptedLeader) => leader.end()],
+  ])('should tell that the leader is silent before requests are released: it %s', async (name, script) => {
+    const leader = new ScriptedLeader(script);
+    const events: string[] = [];
+    const askedAt = systemClock.now();
+    let silentSince = Infinity;
+    const client = makeClient(() => leader, 8, (since) => {
+      events.push('silent');
+      silentSince = since;
+    });
+    await client.place(makeRequest('a'), findDeadline()).then(() => events.push('released'));
+    expect(events).toEqual(['silent', 'released']);
+    expect(silentSince).toBeLessThan(askedAt + 100);
+  });
+
   it('should report crashes once to each leader, except those of a request that was served later', async () => {
     const leaders = [new ScriptedLeader(grantAll), new ScriptedLeader(grantAll)];
     let position = 0;
