Pass on streams that may be continued without the length of their first server

Cause: the head of a stream that may be resumed was passed on with the content-length that its first server had named. When that server broke off, the rest came from another one, and nothing makes both parts add up to the length. Callers saw: with too few bytes, the next answer on their connection became the rest of this one; with too many, a 200 with a short body that is framed as whole, and the surplus bytes in front of the next answer. Change: such an answer (status 200, not to HEAD) is sent in chunks, without its length. An HTTP/1.0 caller keeps the length, and its answer is cut off instead of continued: the length then tells that it is short. Why it works: the last chunk is written only when the answer of the last server has ended, so no statement of the first one is left in the frame.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -10,6 +10,7 @@
 const OK = 200;
 const MS_PER_SECOND = 1_000;
 const NO_EXTRA_HEADERS: ReadonlySet<string> = new Set();
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 /** Answers of up to this size that are not streams are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 65_536;
 
@@ -70,6 +71,9 @@
    */
   private isCloseDelimited = false;
 
+  /** Whether the caller was told a length that the rest of another server may not add up to. */
+  private hasFixedLength = false;
+
   private bufferedHead: UpstreamHead | undefined;
 
   private buffered: Buffer[] = [];
@@ -95,7 +99,7 @@
 
   /** Whether another server can send the rest of an answer that has started. */
   get canResume(): boolean {
-    return this.statusCode === OK && this.framer?.canResume === true;
+    return this.statusCode === OK && this.framer?.canResume === true && !this.hasFixedLength;
   }
 
   /** Whether the caller disconnected, or the answer is complete or failed. */
@@ -121,11 +125,19 @@
     else this.sendHead(head);
   }
 
+  /*
+   * An answer that another server may continue is sent without its length: a rest of another size
+   * would leave the caller waiting, or be taken for the next answer on its connection.
+   */
   private sendHead(head: UpstreamHead): void {
+    const { useChunkedEncodingByDefault: takesChunks, req } = this.response;
+    const mayContinue = this.mode === 'framed' && head.status === OK && req.method !== 'HEAD';
     this.response.sendDate = false;
-    this.isCloseDelimited = !this.response.useChunkedEncodingByDefault && !hasKnownLength(head);
+    this.isCloseDelimited = !takesChunks && !hasKnownLength(head);
+    this.hasFixedLength = mayContinue && !takesChunks && !this.isCloseDelimited;
     this.response.shouldKeepAlive &&= !this.isClosing();
-    this.response.writeHead(head.status, dropHeaders(head.headers, NO_EXTRA_HEADERS));
+    const excluded = mayContinue && takesChunks ? LENGTH_HEADERS : NO_EXTRA_HEADERS;
+    this.response.writeHead(head.status, dropHeaders(head.headers, excluded));
     // The caller of a stream gets the head before the first event.
     if (this.mode !== 'buffered') this.response.flushHeaders();
   }
