Fail answers of services whose connection is reset behind their bytes

Cause: a reset that is read together with the bytes in front of it is reported as a normal end. Callers saw: a 200 with a part of the body, with a length of the entry's own, of services that answer without a length. Change: WorkerSocket moves to src/wire. ServerConnection, a connection of the HTTP client with such a socket, fails an answer whose end is a reset, and pauses answers at the socket. The service client opens its connections through it. Why it works: a socket that was reset has no peer when it ends, also if its end was reported as a normal one.

--- a/src/entry/sending/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -1,6 +1,7 @@
-import { buildConnector, Client, request } from 'undici';
+import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { BeechliftError } from '../../errors/beechliftError';
+import { ServerConnection } from './serverConnection';
 import { toEngineFailure } from './toEngineFailure';
 
 /** A call to a plain service. */
@@ -21,7 +22,6 @@
   readonly body: Buffer;
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const NOT_FORWARDED_HEADERS: readonly string[] = [
   'connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'host',
   'proxy-authorization', 'authorization', 'expect',
@@ -37,24 +37,6 @@
     .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? '']),
 );
 
-const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
-/*
- * Opens a connection whose reset fails the call. The HTTP client would treat it as the normal end
- * of an answer without a length, and half an answer would look complete. This listener is
- * registered before the library's own, which decides by the code of the error.
- */
-const openConnection: buildConnector.connector = (options, callback) => {
-  openSocket(options, (error, socket) => {
-    socket?.once('error', (reset: NodeJS.ErrnoException) => {
-      if (reset.code === 'ECONNRESET') Object.assign(reset, { code: 'UND_ERR_SOCKET' });
-    });
-    // The callback's type needs separate calls for the two cases.
-    if (error) callback(error, null);
-    else callback(null, socket);
-  });
-};
-
 const readBody = async (
   body: Dispatcher.ResponseData['body'],
   maxBytes: number,
@@ -83,8 +65,7 @@
  * const answer = await callService({ address, method: 'GET', path: '/tags/7', … });
  */
 export const callService = async (call: ServiceCall): Promise<ServiceAnswer> => {
-  const client = new Client(`http://${call.address}`, {
-    connect: openConnection,
+  const client = new ServerConnection(`http://${call.address}`, {
     headersTimeout: call.timeoutMs,
     bodyTimeout: call.timeoutMs,
   });
--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -2,7 +2,7 @@
 import { Client } from 'undici';
 import type { buildConnector } from 'undici';
 import { startInputTimer } from './startInputTimer';
-import { WorkerSocket } from './workerSocket';
+import { WorkerSocket } from '../wire/workerSocket';
 
 /**
  * Idle time after which a connection is closed, in milliseconds, unless the server announces a
--- a/tests/entry/service-client.spec.ts
+++ b/tests/entry/service-client.spec.ts
@@ -13,15 +13,19 @@
 describe('an answer of a service without a length', () => {
   let server: ScriptedServer;
 
+  const callListening = async (): Promise<ServiceAnswer> => {
+    await server.listen();
+    return callService({
+      address: server.address, method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0), timeoutMs: 2_000, maxBytes: 1_000,
+    });
+  };
+
   const callServer = async (endAnswer: (socket: Socket) => void): Promise<ServiceAnswer> => {
     server = new ScriptedServer((socket) => {
       socket.write(`${HEAD}half of it`);
       pause(END_MS).then(() => endAnswer(socket)).catch(() => undefined);
     });
-    await server.listen();
-    return callService({
-      address: server.address, method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0), timeoutMs: 2_000, maxBytes: 1_000,
-    });
+    return callListening();
   };
 
   afterEach(() => server.close());
@@ -35,4 +39,13 @@
   it('should not be passed on if its server resets the connection', async () => {
     await expect(callServer((socket) => socket.resetAndDestroy())).rejects.toMatchObject({ reach: 'maybeSent' });
   });
+
+  // Fault: a reset that is read together with the bytes in front of it is reported as a normal end.
+  it.each(['HTTP/1.1', 'HTTP/1.0'])('should not be passed on if its server resets the connection behind its bytes: %s', async (version) => {
+    server = new ScriptedServer((socket) => {
+      socket.write(`${HEAD.replace('HTTP/1.1', version)}half of it`);
+      socket.resetAndDestroy();
+    });
+    await expect(callListening()).rejects.toMatchObject({ reach: 'maybeSent' });
+  });
 });
