Pause answers of engines at their socket, so that their end does not end the entry

Cause: the HTTP client pauses its parser when nobody takes an answer. If the connection ends meanwhile, and its end is the end of the answer or the connection closes after it, the client finishes the paused parser and fails an assertion. Callers saw: the entry ended, with all its streams, after one caller had read slowly and one engine had closed or reset its connection, also behind a whole stream. Change: the engine client opens its connections through ServerConnection, which pauses at the socket. Why it works: a paused socket delivers neither bytes nor its end to the client, so the parser is never paused.

--- a/src/entry/sending/engineClient.ts
+++ b/src/entry/sending/engineClient.ts
@@ -1,11 +1,12 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
 import {
-  Agent, Client, DecoratorHandler, request,
+  Agent, DecoratorHandler, Pool, request,
 } from 'undici';
 import type { Dispatcher } from 'undici';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
+import { ServerConnection } from './serverConnection';
 import { toEngineFailure } from './toEngineFailure';
 
 /** One event of an engine's stream: its offset in the answer and its data. */
@@ -46,7 +47,6 @@
   readonly body?: string;
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
 /**
  * Idle connections are not reused after this time: network devices in between may have dropped
  * their state.
@@ -134,10 +134,12 @@
     connections: MAX_CONNECTIONS,
     keepAliveTimeout: IDLE_REUSE_MS,
     keepAliveMaxTimeout: IDLE_REUSE_MS,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 1,
+    factory: (origin, options) => new Pool(origin, {
+      ...options, factory: (address, settings) => new ServerConnection(address, settings),
+    }),
   });
 
   /** Starts a stream; returns its events as the engine produces them. */
@@ -193,10 +195,8 @@
     return this.agent.destroy();
   }
 
-  private makeFreshClient(address: string): Client {
-    return new Client(`http://${address}`, {
-      connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0,
-    });
+  private makeFreshClient(address: string): ServerConnection {
+    return new ServerConnection(`http://${address}`, { headersTimeout: 0, bodyTimeout: 0 });
   }
 
   /*
