Fail streams of engines whose event ids are no offsets

Cause: the id of an event was converted to a number unchecked. What is no number compares as an offset that was passed on before, and an empty id as 0, so such events were dropped. Callers saw: a 200 with an empty or short answer and a normal end. Change: an id that is not a whole number from 0 on fails the stream, which is then resumed or refused. Why it works: nothing is compared before it is known to be an offset.

--- a/src/entry/sending/engineClient.ts
+++ b/src/entry/sending/engineClient.ts
@@ -56,6 +56,8 @@
 const CANCEL_TIMEOUT_MS = 2_000;
 const MAX_ERROR_CHARACTERS = 65_536;
 const DONE = '[DONE]';
+const OFFSET_TEXT = /^\d{1,15}$/;
+const MAX_SHOWN_ID = 40;
 
 /** Reads the body of an error response and truncates it. */
 const readErrorBody = async (body: Dispatcher.ResponseData['body']): Promise<string> => {
@@ -69,6 +71,13 @@
   readonly done: boolean;
 }
 
+/** Reads the offset that the id of an event states; an event without an id follows the last one. */
+const readOffset = (id: string | undefined, next: number): number => {
+  if (id === undefined) return next;
+  if (OFFSET_TEXT.test(id)) return Number(id);
+  throw new EngineFailure('maybeSent', `received event id ${JSON.stringify(id.slice(0, MAX_SHOWN_ID))}, expected an offset`);
+};
+
 const makeChunkParser = (fromOffset: number): ((text: string) => ParsedChunk) => {
   let events: EngineEvent[] = [];
   let done = false;
@@ -79,7 +88,7 @@
         done = true;
         return;
       }
-      const offset = event.id === undefined ? next : Number(event.id);
+      const offset = readOffset(event.id, next);
       next = offset + 1;
       events.push({ offset, data: event.data });
     },
--- /dev/null
+++ b/tests/entry/engine-answers.spec.ts
@@ -0,0 +1,68 @@
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import { AnswerRelay } from '../../src/entry/sending/answerRelay';
+import { EngineClient } from '../../src/entry/sending/engineClient';
+import { Operation } from '../../src/utils/operation';
+import { ScriptedServer } from '../fakes/scriptedServer';
+
+const IDLE_TIMEOUT_MS = 1_000;
+const HEAD = 'HTTP/1.1 200 X\r\nconnection: close\r\n\r\n';
+
+/** What was delivered of a stream, and how it ended. */
+interface Relayed {
+  readonly events: readonly string[];
+  readonly end: string;
+}
+
+describe('an answer of an engine', () => {
+  const engines = new EngineClient();
+
+  let server: ScriptedServer;
+
+  /** Relays a stream of an engine that gives one answer after the other. */
+  const relayStream = async (answers: readonly string[], canResume = false): Promise<Relayed> => {
+    server = new ScriptedServer((socket, request, count) => socket.end(answers[count - 1] ?? ''));
+    await server.listen();
+    const operation = new Operation({ timeoutMs: 2_000 });
+    const { signal } = operation;
+    const stream = {
+      address: server.address, streamId: 's', canResume, headers: {},
+    };
+    const events: string[] = [];
+    try {
+      const first = canResume ? undefined : await engines.dispatch({
+        ...stream, path: '/', body: '{}', signal,
+      }, IDLE_TIMEOUT_MS);
+      await new AnswerRelay(engines, stream, operation).run(first, async ({ data }) => {
+        events.push(data);
+      });
+      return { events, end: 'complete' };
+    } catch (error) {
+      return { events, end: (error as Error).message };
+    }
+  };
+
+  afterEach(() => server.close());
+
+  it.each([
+    ['ids that count from 0', 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n'],
+    ['no ids', 'data: a\n\ndata: b\n\n'],
+    ['an event that comes twice', 'id: 0\ndata: a\n\nid: 0\ndata: a\n\nid: 1\ndata: b\n\n'],
+  ])('should be passed on whole: %s', async (name, text) => {
+    expect(await relayStream([`${HEAD}${text}data: [DONE]\n\n`])).toEqual({ events: ['a', 'b'], end: 'complete' });
+  });
+
+  // Fault: events whose ids are no offsets were dropped without a word, as ones that had been
+  // passed on before, so an empty or short answer looked complete.
+  it.each([
+    ['names', 'id: a\ndata: a\n\nid: b\ndata: b\n\n'],
+    ['empty', 'id: \ndata: a\n\nid: \ndata: b\n\n'],
+    ['a negative number', 'id: -1\ndata: a\n\n'],
+    ['a fraction', 'id: 0.5\ndata: a\n\n'],
+    ['a number with an exponent', 'id: 0e0\ndata: a\n\n'],
+  ])('should fail if its ids are no offsets: %s', async (name, text) => {
+    const { end } = await relayStream([`${HEAD}${text}data: [DONE]\n\n`]);
+    expect(end).toMatch(/broke and could not be resumed$/);
+  });
+});
