Resume streams whose engine breaks off in the body of a refusal

Cause: the error of reading a refusal's body was not converted into a failure of the connection, and only such a failure is recovered. Callers saw: an internal error in place of a stream that could be resumed. Change: the error is converted, so a refusal counts only once it is whole.

--- a/src/entry/sending/engineClient.ts
+++ b/src/entry/sending/engineClient.ts
@@ -55,6 +55,7 @@
 const MAX_CONNECTIONS = 1_024;
 const CANCEL_TIMEOUT_MS = 2_000;
 const MAX_ERROR_CHARACTERS = 65_536;
+const OK = 200;
 const DONE = '[DONE]';
 const OFFSET_TEXT = /^\d{1,15}$/;
 const MAX_SHOWN_ID = 40;
@@ -249,16 +250,13 @@
     url: string,
     options: RequestOptions & { readonly dispatcher: Dispatcher },
   ): Promise<Dispatcher.ResponseData> {
-    let response: Dispatcher.ResponseData;
     try {
-      response = await request(url, options);
-    } catch (error) {
-      throw toEngineFailure(error);
-    }
-    if (response.statusCode !== 200) {
+      const response = await request(url, options);
+      if (response.statusCode === OK) return response;
       throw new EngineRefusal(response.statusCode, await readErrorBody(response.body));
+    } catch (error) {
+      throw error instanceof EngineRefusal ? error : toEngineFailure(error);
     }
-    return response;
   }
 
   /*
--- a/tests/entry/engine-answers.spec.ts
+++ b/tests/entry/engine-answers.spec.ts
@@ -65,4 +65,12 @@
     const { end } = await relayStream([`${HEAD}${text}data: [DONE]\n\n`]);
     expect(end).toMatch(/broke and could not be resumed$/);
   });
+
+  // Fault: a refusal whose body breaks off was no failure of the connection, so a stream that can
+  // be resumed ended with an internal error.
+  it.each([404, 503])('should be asked for again if the body of a refusal breaks off: status %i', async (status) => {
+    const refusal = `HTTP/1.1 ${status} X\r\ncontent-length: 100\r\n\r\nabc`;
+    const answers = [refusal, `${HEAD}data: a\n\ndata: [DONE]\n\n`];
+    expect(await relayStream(answers, true)).toEqual({ events: ['a'], end: 'complete' });
+  });
 });
