Pass on answers without a body that name a length

Cause: the HTTP client compares the content-length of a 304 with its body, of which there is none, and fails the answer. The entry took this for an answer that broke off. Callers saw: a 502 with an unknown outcome in place of a 304, or a connection that is cut behind its head on streams. Change: an accepted head with status 204 or 304 is the whole answer, whatever happens to its connection, which is then closed and not used again. Why it works: such answers end with their head (RFC 9112, section 6.3), and the head was received whole.

--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -44,6 +44,9 @@
 
 const ABANDONED = 'the request is no longer needed';
 
+/** Statuses whose answers end with their head, whatever length it names (RFC 9112, section 6.3). */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+
 const readRawHeaders = (controller: Dispatcher.DispatchController): string[] => (
   ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((item) => (
     typeof item === 'string' ? item : item.toString('latin1')))
@@ -75,6 +78,9 @@
 
   private isRefused = false;
 
+  /** Whether an accepted head is the whole answer, so that no later error concerns it. */
+  private isWholeWithHead = false;
+
   private isWithheld = false;
 
   constructor(
@@ -128,7 +134,12 @@
             if (!this.isRefused && !this.listener.onData(chunk)) this.pause();
           },
           onResponseEnd: () => resolve(this.makeOutcome()),
-          onResponseError: (controller, error) => fail(error),
+          onResponseError: (controller, error) => {
+            if (this.isWholeWithHead && !this.isAborted) {
+              this.connection.end();
+              resolve(this.finishAnswer());
+            } else fail(error);
+          },
         });
       } catch (error) {
         fail(error as Error);
@@ -205,7 +216,11 @@
 
   private makeOutcome(): UpstreamOutcome {
     if (this.isRefused) return { kind: 'broken', reason: 'the answer was refused' };
-    if (this.connection.wasReset) return { kind: 'broken', reason: 'the connection was reset' };
+    if (this.connection.wasReset && !this.isWholeWithHead) return { kind: 'broken', reason: 'the connection was reset' };
+    return this.finishAnswer();
+  }
+
+  private finishAnswer(): UpstreamOutcome {
     this.hasAnswerEnd = true;
     return { kind: 'complete' };
   }
@@ -215,6 +230,7 @@
     if (status < 200) return;
     this.isRefused = !this.listener.onHead({ status, headers: readRawHeaders(controller) });
     this.hasAnswerHead = !this.isRefused;
+    this.isWholeWithHead = this.hasAnswerHead && BODILESS_STATUSES.includes(status);
     if (this.isRefused) controller.abort(new Error('the answer was refused'));
   }
 }
