--- /dev/null
+++ b/tests/platform/first-start.spec.ts
@@ -0,0 +1,41 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, describe, expect, it,
+} from 'vitest';
+import { waitFor } from '../fakes/controlSite';
+import { PlatformSite } from '../fakes/platformSite';
+
+const REPLICAS = [1, 2, 3];
+/** Before the program has stored anything, in milliseconds. */
+const KILL_AFTER_MS = 50;
+const DOWN_MS = 500;
+
+describe('the first start on the platform', () => {
+  let site: PlatformSite | undefined;
+
+  afterEach(async () => {
+    await site?.close();
+  });
+
+  // Fault: a replica that was killed while its program loaded returns without the declaration of a
+  // first start, and made the founders join a site that no one had founded.
+  it.each([
+    ['one replica', [3]],
+    ['two replicas', [2, 3]],
+  ])('should accept a document after a kill of %s', async (name, killed) => {
+    const started = await PlatformSite.open();
+    site = started;
+    REPLICAS.forEach((machine) => started.startControl(machine, true));
+    await pause(KILL_AFTER_MS);
+    await Promise.all(killed.map((machine) => started.endProcess(`control-${machine}`, 'SIGKILL')));
+    await pause(DOWN_MS);
+    killed.forEach((machine) => started.startControl(machine, false));
+    const document = { version: 1, routes: [], services: [] };
+    await started.publish(document);
+    const isRead = async () => (
+      (await Promise.all(REPLICAS.map((machine) => started.readDocument(machine))))
+        .every((text) => text === JSON.stringify(document)));
+    await waitFor(() => isRead().catch(() => false), 'all replicas return the document');
+    expect(await started.findLeader()).toBeGreaterThan(0);
+  });
+});
