--- a/tests/control/first-start.spec.ts
+++ b/tests/control/first-start.spec.ts
@@ -77,6 +77,19 @@
     expect((await publish(started, 0, 4)).code).toBe(0);
   });
 
+  // A replica that is not a seed knows nothing either, and must not keep the others from founding.
+  it('should take in a replica that starts for the first time with the founders', async () => {
+    const started = await ControlSite.open(4);
+    site = started;
+    await Promise.all([...ALL, 3].map((position) => started.start(position, true)));
+    const leader = await started.waitForLeader();
+    const ownId = started.findNode(3).runner.state.id;
+    await waitFor(() => (
+      started.findNode(leader).runner.state.replicas.learners.some(({ id }) => id === ownId)
+    ), 'it learns');
+    expect(new Set(listVoters(started)).size).toBe(1);
+  });
+
   // All machines lose power, and one its disk, which looks for the site before the others run.
   it('should keep an existing site if a replica with an empty disk starts first', async () => {
     const started = await ControlSite.open(3);
