--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -2,6 +2,7 @@
 import { BeechliftError } from '../errors/beechliftError';
 import { isResumableStream } from '../core/routing/routeTable';
 import type { Route } from '../manifest/routing';
+import { BODILESS_STATUSES } from './bodilessStatuses';
 import { EventFramer } from './eventFramer';
 import { endAfterBody } from './endAfterBody';
 import { dropHeaders, findHeader } from './rawHeaders';
@@ -14,9 +15,6 @@
 /** Answers of up to this size that are not streams are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 65_536;
 
-/** Statuses whose answers have no body, whatever their headers say (RFC 9110, section 6.4.1). */
-const BODILESS_STATUSES: readonly number[] = [204, 304];
-
 const hasKnownLength = (
   { status, headers }: UpstreamHead,
 ): boolean => BODILESS_STATUSES.includes(status)
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -1,5 +1,6 @@
 import { setImmediate as readPendingInput } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
+import { BODILESS_STATUSES } from './bodilessStatuses';
 import type { RawHeaders } from './requestDialect';
 import type { WorkerConnection } from './workerConnection';
 
@@ -44,9 +45,6 @@
 
 const ABANDONED = 'the request is no longer needed';
 
-/** Statuses whose answers end with their head, whatever length it names (RFC 9112, section 6.3). */
-const BODILESS_STATUSES: readonly number[] = [204, 304];
-
 const readRawHeaders = (controller: Dispatcher.DispatchController): string[] => (
   ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((item) => (
     typeof item === 'string' ? item : item.toString('latin1')))
