Test: let callers wait for the end of their connection behind a second answer

Cause: stray-heads took 150 ms of silence for the end of an answer. Change: silence ends an answer after 5 s; each connection is closed before that, as its request says so. What is asserted is as before.

--- a/tests/relay/stray-heads.spec.ts
+++ b/tests/relay/stray-heads.spec.ts
@@ -9,7 +9,7 @@
 import { makeRoute, makeRouting } from '../fakes/routings';
 import { sendAnswer } from '../fakes/scriptedServer';
 
-const IDLE_MS = 150;
+const IDLE_MS = 5_000;
 const LATER_MS = 10;
 const STRAY = 'HTTP/1.1 200 X\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nsame';
 
