--- a/tests/fakes/platformSite.ts
+++ b/tests/fakes/platformSite.ts
@@ -3,6 +3,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
+import { createInterface } from 'node:readline';
 import { request } from 'undici';
 import type { WorkerAnnouncement } from '../../src/protocol/generated/beechlift';
 import { waitFor } from './controlSite';
@@ -13,6 +14,24 @@
 /** Time after its acknowledgement in which all entries must apply a change, in milliseconds. */
 export const APPLY_MS = 2_500;
 
+/** Grace of an entry, unless a test names another. */
+const GRACE_SECONDS = 5;
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: string | null;
+}
+
+/** What tests may change. */
+export interface PlatformSiteParts {
+  readonly graceSeconds?: number;
+  /** Receives each line that a process writes; without it, their standard output is dropped. */
+  readonly recordLine?: (name: string, line: string) => void;
+  /** Receives the end of each process. */
+  readonly recordEnd?: (name: string, end: ProcessEnd) => void;
+}
+
 const parsePort = (address: string): string => address.slice(address.lastIndexOf(':') + 1);
 
 /**
@@ -30,16 +49,19 @@
 
   private readonly processes = new Map<string, ChildProcess>();
 
-  private constructor(private readonly ports: readonly string[]) {
+  private constructor(
+    private readonly ports: readonly string[],
+    private readonly parts: PlatformSiteParts,
+  ) {
     const [entryPort = '', operatorPort = '', , readinessPort = ''] = ports;
     this.entryPort = entryPort;
     this.operatorPort = operatorPort;
     this.readinessPort = readinessPort;
   }
 
-  static async open(): Promise<PlatformSite> {
+  static async open(parts: PlatformSiteParts = {}): Promise<PlatformSite> {
     const addresses = await Promise.all(Array.from({ length: 5 }, findFreeAddress));
-    return new PlatformSite(addresses.map(parsePort));
+    return new PlatformSite(addresses.map(parsePort), parts);
   }
 
   startControl(machine: number, isFirstStart: boolean): void {
@@ -62,7 +84,7 @@
       ...this.buildCommon(ip),
       callerAddress: `${ip}:${this.entryPort}`,
       readinessAddress: `${ip}:${this.readinessPort}`,
-      graceSeconds: 5,
+      graceSeconds: this.parts.graceSeconds ?? GRACE_SECONDS,
       retryRatio: 0.2,
       retrySlack: 50,
       retryWindowSeconds: 10,
@@ -77,13 +99,26 @@
   /** Ends a process and resolves with its exit code. */
   endProcess(name: string, signal: 'SIGTERM' | 'SIGKILL'): Promise<number | null> {
     const child = this.processes.get(name);
+    const hasEnded = child !== undefined && !this.isRunning(name);
     this.processes.delete(name);
+    if (hasEnded) return Promise.resolve(child.exitCode);
     return new Promise((done) => {
       child?.once('exit', (code) => done(code));
       child?.kill(signal);
     });
   }
 
+  /** Whether a process was started and has not ended. */
+  isRunning(name: string): boolean {
+    const child = this.processes.get(name);
+    return child !== undefined && child.exitCode === null && child.signalCode === null;
+  }
+
+  /** Sends a signal to a process, if it runs. */
+  sendSignal(name: string, signal: 'SIGTERM' | 'SIGHUP' | 'SIGKILL'): void {
+    this.processes.get(name)?.kill(signal);
+  }
+
   /** Suspends processes. */
   freeze(names: readonly string[]): void {
     names.forEach((name) => this.processes.get(name)?.kill('SIGSTOP'));
@@ -97,7 +132,10 @@
   /** Returns the machine of the leading control replica, or 0 if there is none. */
   async findLeader(): Promise<number> {
     const texts = await Promise.all(REPLICAS.map(async (machine) => (
-      (await request(`http://127.0.0.${machine}:${this.operatorPort}/metrics`)).body.text())));
+      request(`http://127.0.0.${machine}:${this.operatorPort}/metrics`)
+        .then(({ body }) => body.text())
+        // A replica that is down leads nothing.
+        .catch(() => ''))));
     return 1 + texts.findIndex((text) => /^beechlift_control_leads 1$/m.test(text));
   }
 
@@ -158,8 +196,19 @@
   private startProcess(name: string, role: string, settings: object): void {
     const file = join(this.folder, `${name}.jsonc`);
     writeFileSync(file, JSON.stringify(settings));
-    this.processes.set(name, spawn(process.execPath, [PROGRAM, role], {
-      env: { ...process.env, BEECHLIFT_SETTINGS: file }, stdio: ['ignore', 'ignore', 'inherit'],
-    }));
+    const { recordLine, recordEnd } = this.parts;
+    const output = recordLine ? 'pipe' : 'ignore';
+    const child = spawn(process.execPath, [PROGRAM, role], {
+      env: { ...process.env, BEECHLIFT_SETTINGS: file }, stdio: ['ignore', output, recordLine ? 'pipe' : 'inherit'],
+    });
+    [child.stdout, child.stderr].filter((stream) => stream !== null).forEach((input) => {
+      createInterface({ input }).on('line', (line) => recordLine?.(name, line));
+    });
+    // Its lines have all been read when it is closed.
+    child.once('close', (code, signal) => {
+      if (this.processes.get(name) === child) this.processes.delete(name);
+      recordEnd?.(name, { code, signal });
+    });
+    this.processes.set(name, child);
   }
 }
