Test: split the choice of servers by whether a leader answers

Change: worker-picker-grants has those without a leader; what both share is in tests/fakes (pickerSite, fixedLeader). No assertion changes.

--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -1,68 +1,17 @@
 import { describe, expect, it } from 'vitest';
-import type { BeechliftError } from '../../src/errors/beechliftError';
-import type { Routing } from '../../src/manifest/routing';
-import { PlaceReply, WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
-import type { PlacedReport, PlaceRequest } from '../../src/protocol/generated/beechlift';
+import { PlaceReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import type { PlaceClient } from '../../src/relay/placeClient';
 import { RelayMetrics } from '../../src/relay/relayMetrics';
-import { RelaySite } from '../../src/relay/relaySite';
+import type { RelaySite } from '../../src/relay/relaySite';
 import { applyNotice } from '../../src/relay/workerNotices';
 import type { WorkerNotice } from '../../src/relay/workerNotices';
 import { WorkerPicker } from '../../src/relay/workerPicker';
 import { makeLogger } from '../../src/telemetry/logger';
-import { SuspensionDetector, systemClock } from '../../src/utils/clock';
-import type { Clock } from '../../src/utils/clock';
+import { FixedLeader } from '../fakes/fixedLeader';
+import {
+  engineRouting as routing, makePick, makeRecord, makeSite, stoppedClock as clock,
+} from '../fakes/pickerSite';
 import { NO_CONNECTIONS } from '../fakes/relayRig';
-import { makeAccount, makeRoute, makeRouting } from '../fakes/routings';
-
-const clock = { now: () => 0 };
-
-const makeRecord = (workerId: string, standing: string) => WorkerRecord.fromPartial({
-  said: {
-    workerId, service: 'rooms', address: `${workerId}:80`, zone: 'a', slots: 6, state: standing, sequence: 1, coldMs: 0, software: '',
-  },
-  standing,
-});
-
-const makeSite = (
-  routing: Routing,
-  workers: WorkerRecord[],
-  siteClock: Clock = clock,
-): RelaySite => {
-  const suspension = new SuspensionDetector(siteClock, () => siteClock.now());
-  const site = new RelaySite({
-    entryId: 'e1',
-    callerAddress: '',
-    zone: 'a',
-    readRouting: () => ({ routing, faults: [] }),
-    clock: siteClock,
-    suspension,
-    logger: makeLogger('test', 'silent'),
-    retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
-  });
-  site.applyReply(WatchReply.fromPartial({
-    leaseMs: 4_000, documentDigest: 'd', documentVersion: '1', document: 'd', workersEpoch: 'x', workersRevision: 1, entryCount: 1, workers,
-  }), siteClock.now(), suspension.readEpoch());
-  return site;
-};
-
-const makePick = (isAbandoned: () => boolean, onWaiting: (cancel: () => void) => void) => ({
-  admitted: {
-    route: makeRoute({}), service: 'rooms', account: undefined, rank: 0, version: 1n,
-  },
-  facts: {
-    requestId: 'r1', maxWaitMs: 5_000, key: '', lastEventId: '', resumedId: '', tokens: undefined, promptParts: [],
-  },
-  deadlineAt: 5_000,
-  tried: [],
-  guard: { fingerprint: '', isUnsuspected: true },
-  isAbandoned,
-  onWaiting,
-});
-
-const routing = makeRouting({
-  services: [{ name: 'rooms', maxConnections: 0, isEngine: true }], accounts: [],
-});
 
 /** Makes a site whose clock can be set. */
 const makeMovingSite = (workers: WorkerRecord[]) => {
@@ -96,25 +45,6 @@
 const askForBackoff = (site: RelaySite, workerId: string, restMs: number): void => (
   reportNotice(site, workerId, { restMs, isLeaving: false }));
 
-/** A leader that grants slots at one server, to all requests but the first ones if it is silent. */
-class FixedLeader {
-  readonly reports: PlacedReport[] = [];
-
-  readonly avoided: string[][] = [];
-
-  constructor(private readonly workerId: string, private readonly silentRequests = 0) {}
-
-  async place({ avoided }: PlaceRequest): Promise<PlaceReply | undefined> {
-    this.avoided.push(avoided);
-    if (this.avoided.length <= this.silentRequests) return undefined;
-    return PlaceReply.fromPartial({ workerId: this.workerId });
-  }
-
-  report(report: PlacedReport): void {
-    this.reports.push(report);
-  }
-}
-
 describe('WorkerPicker', () => {
   /*
    * Fault: a leaving server got new requests and cut them off. A leader that was cut off from the
@@ -265,104 +195,3 @@
     expect(leader.avoided).toHaveLength(0);
   });
 });
-
-describe('WorkerPicker without a leader', () => {
-  const account = makeAccount({ perSecond: 1_000, burst: 1_000 });
-
-  /** Picks for a request of 700 units, whose entry has a grant of 500. */
-  const pickOverGrant = (
-    silentRequests: number,
-    isAbandoned = () => false,
-    onPick: (site: RelaySite) => void = () => undefined,
-  ) => {
-    const site = makeSite(routing, [makeRecord('w1', 'ready')], systemClock);
-    site.accounts.applyReply(WatchReply.fromPartial({
-      workersEpoch: 'x', entryCount: 1, grants: [{ account: 'lobby', units: 500, overdraft: 100 }],
-    }), systemClock.now());
-    site.accounts.recordSilence(systemClock.now() + 1);
-    const leader = new FixedLeader('w1', silentRequests);
-    const picker = new WorkerPicker({
-      site,
-      placeClient: leader as unknown as PlaceClient,
-      connections: NO_CONNECTIONS,
-      clock: systemClock,
-    });
-    const request = makePick(isAbandoned, () => undefined);
-    const picked = picker.pick({
-      ...request,
-      admitted: { ...request.admitted, account },
-      facts: {
-        ...request.facts, maxWaitMs: 2_400, tokens: { prompt: 600, output: 100, expected: 100 },
-      },
-      deadlineAt: systemClock.now() + 5_000,
-    }).then(
-      (result) => result?.placeId,
-      ({ code, detail }: BeechliftError) => ({ code, ...detail }),
-    );
-    onPick(site);
-    return { leader, picked };
-  };
-
-  // Fault: an entry overdrew its grant by a request of any size while no leader answered.
-  it('should let a request that does not fit into the grant wait for the next leader', async () => {
-    const { leader, picked } = pickOverGrant(2);
-    expect(await picked).toMatch(/./u);
-    expect(leader.avoided).toHaveLength(3);
-  });
-
-  it('should refuse it as not run if no leader comes', async () => {
-    const { leader, picked } = pickOverGrant(100);
-    expect(await picked).toMatchObject({ code: 'accountLimited', retryAfterMs: 450 });
-    expect(leader.avoided.length).toBeLessThanOrEqual(4);
-  });
-
-  it('should choose a server itself once the grant is renewed', async () => {
-    const { leader, picked } = pickOverGrant(100, () => false, (site) => {
-      setTimeout(() => site.accounts.applyReply(WatchReply.fromPartial({
-        workersEpoch: 'x', entryCount: 1, grants: [{ account: 'lobby', units: 900, overdraft: 0 }],
-      }), systemClock.now()), 50);
-    });
-    expect(await picked).toBe('');
-    expect(leader.avoided).toHaveLength(2);
-  });
-
-  it.each([
-    ['wait while no leader renews the grants', 101, ''],
-    ['be refused at once while a leader does', -1, 'accountLimited'],
-  ])('should let a request for a service that no leader places %s', async (name, silentMs, expected) => {
-    const site = makeSite(makeRouting({
-      services: [{ name: 'rooms', maxConnections: 0, isEngine: false }], accounts: [],
-    }), [makeRecord('w1', 'ready')], systemClock);
-    const renew = (units: number) => site.accounts.applyReply(WatchReply.fromPartial({
-      workersEpoch: 'x', entryCount: 1, grants: [{ account: 'lobby', units }],
-    }), systemClock.now());
-    renew(0);
-    site.accounts.recordSilence(systemClock.now() + silentMs);
-    const leader = new FixedLeader('w1');
-    const picker = new WorkerPicker({
-      site,
-      placeClient: leader as unknown as PlaceClient,
-      connections: NO_CONNECTIONS,
-      clock: systemClock,
-    });
-    const request = makePick(() => false, () => undefined);
-    const picked = picker.pick({
-      ...request,
-      admitted: { ...request.admitted, account },
-      deadlineAt: systemClock.now() + 5_000,
-    }).then((result) => result?.placeId, ({ code }: BeechliftError) => code);
-    setTimeout(() => renew(900), 150);
-    expect(await picked).toBe(expected);
-    expect(leader.avoided).toEqual([]);
-  });
-
-  it('should end the wait when the caller leaves', async () => {
-    let isAbandoned = false;
-    const { leader, picked } = pickOverGrant(100, () => isAbandoned);
-    setTimeout(() => {
-      isAbandoned = true;
-    }, 50);
-    expect(await picked).toBeUndefined();
-    expect(leader.avoided.length).toBeLessThanOrEqual(2);
-  });
-});
