Revert: Found the site if replicas are killed before they have stored anything

Callers of the registry got nothing for good after two disks had been lost one after the other: with the fix of the first start, a replica with an empty disk was taken in as a learner while it still looked for the site, and got no entry. Cause of the loss is suspected to be a kept log stream that is opened before the replica has a log; not traced further. The tests that go guard the code that goes; those that were there before are as they were before it.

--- a/src/control/replicaSetManager.ts
+++ b/src/control/replicaSetManager.ts
@@ -1,5 +1,4 @@
 import type { Replica } from '../protocol/generated/beechlift';
-import { REPLICAS_COMMAND_PREFIX } from '../core/log/logState';
 import { planReplicas } from '../core/log/replicaPlan';
 import type { LogState, ReplicaSet } from '../core/log/logTypes';
 import type { Logger } from '../telemetry/logger';
@@ -12,16 +11,6 @@
 /** Time without a message after which a joining replica may replace a replica, in milliseconds. */
 const REPLICA_TIMEOUT_MS = 3_000;
 
-/*
- * Guards against replicas that keep different lists of founders, if one of them lost its disk while
- * the site was founded. One that still counts on a lost identity would need all others as soon as
- * it led. So the first leader writes its set into the log.
- */
-const isSetLogged = ({ snapshot, entries }: LogState): boolean => (
-  snapshot.index > 0
-  || entries.some(({ command }) => command.startsWith(REPLICAS_COMMAND_PREFIX))
-);
-
 /**
  * Tracks the other replicas on the leader, and repairs the replica set one step at a time.
  *
@@ -61,7 +50,6 @@
   }
 
   private plan(state: LogState, leadingSince: number): ReplicaSet | undefined {
-    if (!isSetLogged(state)) return state.replicas;
     const now = this.clock.now();
     return planReplicas({
       ownId: state.id,
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -117,7 +117,8 @@
 
 const makeService = (
   nodeReference: NodeReference,
-  founding: SeedFounding,
+  identity: ReplicaIdentity,
+  self: Replica,
   logger: Logger,
 ) => ({
   watch: handleUnary<WatchRequest, WatchReply>((request, { onCancel }) => {
@@ -162,8 +163,12 @@
     })),
     makeFailureListener(logger),
   ),
-  meet: handleUnary<MeetRequest, MeetReply>((request) => (
-    nodeReference.node?.meet(request) ?? founding.answer(request.from))),
+  meet: handleUnary<MeetRequest, MeetReply>((request) => nodeReference.node?.meet(request) ?? {
+    self,
+    founded: identity.founders !== undefined,
+    founders: [...(identity.founders ?? [])],
+    leaderAddress: '',
+  }),
 });
 
 /** Sends one watch request to the leader; resolves with whether the leader answered. */
@@ -230,14 +235,6 @@
   files: nodeFileSystem, path: join(folder, name), parse: messageType.fromPartial, logger,
 });
 
-/** Lists the founders if the settings declare the first start and this replica is one of them. */
-const listDeclaredSeeds = (
-  { isFirstStart, address, readSeeds }: RoutedControlSettings,
-): readonly string[] => {
-  const seeds = readSeeds();
-  return isFirstStart && seeds.includes(address) ? seeds : [];
-};
-
 /**
  * Starts a replica that serves control of a routed site.
  *
@@ -250,23 +247,21 @@
   const { settings, logger } = parts;
   const links = new LinkTable(SiteClient);
   const identity = new ReplicaIdentity(nodeFileSystem, settings.dataFolder);
-  await identity.open(listDeclaredSeeds(settings));
+  await identity.open();
   const self: Replica = { id: identity.id, address: settings.address, zone: settings.zone };
-  const founding = new SeedFounding({
-    identity,
-    self,
-    readSeeds: settings.readSeeds,
-    maxDiskLosses: Math.floor((settings.voterCount - 1) / 2),
-    askReplica: (address) => callMeet(links, address, self),
-    logger,
-  });
   const nodeReference: NodeReference = { node: undefined };
   // Replicas bound each of their calls, and the leader detects entries that are gone, so slow pings
   // suffice.
   const server = new RpcServer('infrequent');
-  server.add(SiteService, makeService(nodeReference, founding, logger));
+  server.add(SiteService, makeService(nodeReference, identity, self, logger));
   await server.listen(settings.address);
-  const founders = await founding.waitForFounders();
+  const founders = await new SeedFounding({
+    identity,
+    readSelf: () => self,
+    seeds: settings.readSeeds(),
+    isFirstStart: settings.isFirstStart,
+    askSeed: (address) => callMeet(links, address, self),
+  }).waitForFounders();
   logger.info('initial voters determined', { birth: self.id, founders: founders.length });
   const store = new LogStore(nodeFileSystem, settings.dataFolder);
   const stored = await store.load(makeEmptyLog({ voters: founders, learners: [], leaving: [] }));
--- a/tests/control/acknowledgedModel.ts
+++ b/tests/control/acknowledgedModel.ts
@@ -39,10 +39,6 @@
   ({ index, command }) => index > commitIndex && command.startsWith(REPLICAS_COMMAND_PREFIX),
 );
 
-const hasCommittedSet = ({ entries, commitIndex }: LogState): boolean => entries.some(
-  ({ index, command }) => index <= commitIndex && command.startsWith(REPLICAS_COMMAND_PREFIX),
-);
-
 const settleTasks = async (): Promise<void> => {
   await new Promise((resolve) => {
     setImmediate(resolve);
@@ -85,12 +81,6 @@
 
   private readonly unrepairedLosses = new Map<string, string>();
 
-  /** Whether a machine may lose its disk again before the first loss is repaired. */
-  private canLoseAgain = true;
-
-  /** Whether all leaders have the same replica set; a list of founders may differ. */
-  private isSetLogged = true;
-
   /** Lost identities, with the address of their machine. */
   private readonly lostIdentities = new Map<string, string>();
 
@@ -115,47 +105,19 @@
 
   /** Founds the site, and waits until it has its target number of voters. */
   async foundSite(): Promise<void> {
-    await this.startFirst((founders) => founders);
-    await this.runRounds(60, ROUND_MS);
-    const voters = this.findLeader()?.runner.state.replicas.voters.length;
-    if (voters !== this.voterCount) throw new Error(`founded with ${voters} voters`);
-    this.minVoters = Infinity;
-  }
-
-  /**
-   * Founds the site with two lists of founders: the disk of the last seed was lost meanwhile, and
-   * the first seeds still have a list with its earlier identity. No machine loses its disk again
-   * before that is repaired: with one list, too, two lost identities among four voters stop a site.
-   */
-  async foundSiteOfTwoLists(earlierCount: number): Promise<void> {
-    const { address } = this.pickMachine(SEEDS - 1);
-    this.canLoseAgain = false;
-    this.isSetLogged = false;
-    this.lostIdentities.set('gone', address);
-    this.unrepairedLosses.set('gone', address);
-    await this.startFirst((founders, position) => (
-      position < earlierCount
-        ? [...founders.slice(0, -1), { id: 'gone', address, zone: '' }]
-        : founders));
-  }
-
-  /** Lists the lost identities that a replica still takes for voters. */
-  listLostVoters(): string[] {
-    return [...this.listVoters()].filter((id) => this.lostIdentities.has(id));
-  }
-
-  private async startFirst(
-    pickList: (founders: readonly Replica[], position: number) => readonly Replica[],
-  ): Promise<void> {
+    const seeds = this.machines.slice(0, SEEDS);
     const records = await Promise.all(this.machines.map((machine) => machine.prepareDisk()));
-    const founders = this.machines.slice(0, SEEDS)
-      .map(({ address, replicaId }) => ({ id: replicaId, address, zone: '' }));
+    const founders = seeds.map(({ address, replicaId }) => ({ id: replicaId, address, zone: '' }));
     await Promise.all(records.map((record, position) => (
-      record.saveFounders(position < SEEDS ? pickList(founders, position) : []))));
+      record.saveFounders(position < seeds.length ? founders : []))));
     this.machines.forEach((machine) => {
       machine.files.isSyncImmediate = false;
       machine.start();
     });
+    await this.runRounds(60, ROUND_MS);
+    const voters = this.findLeader()?.runner.state.replicas.voters.length;
+    if (voters !== this.voterCount) throw new Error(`founded with ${voters} voters`);
+    this.minVoters = Infinity;
   }
 
   async run(event: SiteEvent): Promise<void> {
@@ -272,8 +234,7 @@
   /** Machines whose lost disk is not replaced yet: the lost identity may still be a voter. */
   private listUnrepaired(): Set<string> {
     const state = this.findLeader()?.runner.state;
-    this.isSetLogged ||= state !== undefined && hasCommittedSet(state);
-    if (state && this.isSetLogged && isReplicaSetCommitted(state)) {
+    if (state && isReplicaSetCommitted(state)) {
       const { voters, learners } = state.replicas;
       const ids = new Set([...voters, ...learners].map(({ id }) => id));
       this.unrepairedLosses.forEach((address, replicaId) => {
@@ -368,8 +329,7 @@
 
   private dropDisk(machine: ModelMachine): void {
     const unrepaired = this.listUnrepaired();
-    const isLostAgain = this.canLoseAgain && unrepaired.has(machine.address);
-    if (unrepaired.size >= this.size.losses && !isLostAgain) return;
+    if (unrepaired.size >= this.size.losses && !unrepaired.has(machine.address)) return;
     this.removeDisk(machine);
   }
 
--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -2,10 +2,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
-import { ReplicaIdentity } from '../../src/control/replicaIdentity';
 import { startRoutedControl } from '../../src/control/routedControl';
 import type { RunningRoutedControl } from '../../src/control/routedControl';
-import { nodeFileSystem } from '../../src/disk/fileSystem';
 import { checkRouting } from '../../src/manifest/checkRouting';
 import { parseVersion } from '../../src/manifest/documentVersion';
 import type { StoredVersion } from '../../src/manifest/documentVersion';
@@ -58,20 +56,14 @@
     return new ControlSite(addresses);
   }
 
-  /** Leaves the disk as a first start does that ends before the founders are known. */
-  async storeIdentity(position: number): Promise<void> {
-    const identity = new ReplicaIdentity(nodeFileSystem, await this.makeFolder(position));
-    await identity.open(this.listSeeds());
-    await identity.close();
-  }
-
   async start(position: number, isFirstStart: boolean): Promise<void> {
-    const folder = await this.makeFolder(position);
+    const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
+    this.folders.set(position, folder);
     this.running.set(position, await startRoutedControl({
       settings: {
         zone: 'a',
         address: this.getAddress(position),
-        readSeeds: () => this.listSeeds(),
+        readSeeds: () => [0, 1, 2].map((seed) => this.getAddress(seed)),
         isFirstStart,
         dataFolder: folder,
         bounds: { revokeMs: 5_000, applyMs: 5_000 },
@@ -149,14 +141,4 @@
   getAddress(position: number): string {
     return this.addresses[position] ?? '';
   }
-
-  private listSeeds(): string[] {
-    return [0, 1, 2].map((seed) => this.getAddress(seed));
-  }
-
-  private async makeFolder(position: number): Promise<string> {
-    const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
-    this.folders.set(position, folder);
-    return folder;
-  }
 }
