Log what marked the end of an answer, and each answer that only its connection ended

Cause: the record of streams that ended as complete too early has no line about them. An attempt that is answered first is logged at debug, and no line tells how the server framed its answer, so a complete answer and a part whose connection was closed look alike. Change: "attempt ended" has `framing` (length, chunked, none, closeDelimited). A close-delimited answer has its line at info even if its first attempt was answered, with `isWithinEvent`, and a counter by outcome. No decision changes.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -3,6 +3,7 @@
 import { isResumableStream } from '../core/routing/routeTable';
 import type { Route } from '../manifest/routing';
 import { BODILESS_STATUSES } from './bodilessStatuses';
+import { EventBoundary } from './eventBoundary';
 import { EventFramer } from './eventFramer';
 import { endAfterBody } from './endAfterBody';
 import { dropHeaders, findHeader } from './rawHeaders';
@@ -61,6 +62,9 @@
 
   private readonly framer: EventFramer | undefined;
 
+  /** Follows the events of a stream; undefined for other answers. */
+  private readonly boundary: EventBoundary | undefined;
+
   /**
    * Whether only the end of the connection marks the end of the answer: its length is unknown, and
    * an HTTP/1.0 caller does not understand chunks. Other callers get such an answer in chunks: if
@@ -88,6 +92,7 @@
     private readonly isClosing: () => boolean,
   ) {
     this.framer = mode === 'framed' ? new EventFramer() : undefined;
+    this.boundary = mode === 'buffered' ? undefined : new EventBoundary();
   }
 
   /** Whether the head of an answer was sent to the caller. */
@@ -110,13 +115,19 @@
     return this.response.writableLength;
   }
 
+  /** Whether a stream of events has stopped within an event. */
+  get isWithinEvent(): boolean {
+    return this.statusCode === OK && this.boundary?.isWithinEvent === true;
+  }
+
   /** Id of the last event that was sent to the caller; empty if there is none. */
   get lastEventId(): string {
     return this.framer?.lastEventId ?? '';
   }
 
-  /** Passes a head on; does nothing for a resumed stream, whose head was sent before. */
+  /** Passes a head on, unless it is that of a resumed stream, whose head was sent before. */
   writeHead(head: UpstreamHead): void {
+    this.boundary?.reset();
     if (this.hasStarted) return;
     this.statusCode = head.status;
     if (this.mode === 'buffered') this.bufferedHead = head;
@@ -143,6 +154,7 @@
   /** Passes a chunk on; returns false if the caller reads more slowly than chunks arrive. */
   write(chunk: Buffer): boolean {
     if (this.mode === 'buffered') return this.bufferChunk(chunk);
+    this.boundary?.push(chunk);
     const bytes = this.framer ? this.framer.push(chunk) : chunk;
     if (bytes.length === 0) return true;
     this.lastChunkAt = this.readNow();
--- a/src/relay/relayMetrics.ts
+++ b/src/relay/relayMetrics.ts
@@ -28,6 +28,10 @@
     name: 'beechlift_aborted_answers_total', help: 'Answers that the entry cut off after their head was sent, by result code', labelNames: ['code'], registers: [this.registry],
   });
 
+  readonly closeDelimitedAnswers = new Counter({
+    name: 'beechlift_close_delimited_answers_total', help: 'Answers whose end only the end of the connection to the backend server marked, by outcome of their attempt', labelNames: ['outcome'], registers: [this.registry],
+  });
+
   readonly repeats = new Counter({
     name: 'beechlift_repeats_total', help: 'Retries at another backend server, by outcome of the previous attempt', labelNames: ['reason'], registers: [this.registry],
   });
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -16,8 +16,8 @@
 
 /**
  * Logs and counts one request: a line with the request's id for a refusal and for each attempt. The
- * level is `debug` for a first attempt that is answered, unless the request takes up a stream or
- * the entry shuts down.
+ * level is `debug` for a first attempt that is answered, unless the request takes up a stream, only
+ * the end of a connection marked the end of the answer, or the entry shuts down.
  *
  * @example
  * const log = new RequestLog(parts, facts, clock.now());
@@ -43,7 +43,7 @@
     { route }: AdmittedRequest,
     { worker, expectedMs, placeId }: PickedWorker,
     outcome: AttemptOutcome,
-    writer: AnswerProgress & Pick<AnswerWriter, 'hasStarted' | 'firstChunkAt'>,
+    writer: AnswerProgress & Pick<AnswerWriter, 'hasStarted' | 'firstChunkAt' | 'isWithinEvent'>,
   ): void {
     const {
       metrics, logger, clock, site,
@@ -57,7 +57,9 @@
     }
     this.attemptCount += 1;
     const isFirstAnswered = outcome.kind === 'answered' && this.attemptCount === 1;
-    const isOrdinary = isFirstAnswered && this.facts.lastEventId === '' && !site.isLeaving;
+    const isCloseDelimited = this.call?.framing === 'closeDelimited';
+    if (isCloseDelimited) metrics.closeDelimitedAnswers.inc({ outcome: outcome.kind });
+    const isOrdinary = isFirstAnswered && this.facts.lastEventId === '' && !site.isLeaving && !isCloseDelimited;
     const isBroken = outcome.kind === 'broken';
     const level = isOrdinary ? 'debug' : 'info';
     logger[level]('attempt ended', {
@@ -78,6 +80,7 @@
       chunks: writer.chunkCount,
       unwrittenBytes: writer.unwrittenBytes,
       ...this.call,
+      isWithinEvent: isCloseDelimited ? writer.isWithinEvent : undefined,
       ...this.readLeaving(),
       tookMs: Math.round(now - this.receivedAt),
     });
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -1,6 +1,8 @@
 import { setImmediate as readPendingInput } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
 import { BODILESS_STATUSES } from './bodilessStatuses';
+import { readFraming } from './answerFraming';
+import type { AnswerFraming } from './answerFraming';
 import type { RawHeaders } from './requestDialect';
 import type { WorkerConnection } from './workerConnection';
 
@@ -28,7 +30,7 @@
 }
 
 /** What the log tells about a call. */
-export type CallSummary = Pick<UpstreamCall, 'isSent' | 'hasAnswerEnd'>
+export type CallSummary = Pick<UpstreamCall, 'isSent' | 'hasAnswerEnd' | 'framing'>
   & Pick<WorkerConnection, 'requestCount' | 'socketCount'>;
 
 /** Receives an answer. */
@@ -67,6 +69,9 @@
   /** Whether the HTTP client has read an answer to its end. */
   hasAnswerEnd = false;
 
+  /** What marks the end of the answer; undefined until its head is received. */
+  framing: AnswerFraming | undefined;
+
   /** Whether the answer is paused; chunks that were read together with the last one still come. */
   isPaused = false;
 
@@ -127,7 +132,7 @@
           body: body.length > 0 ? body : null,
         }, {
           onRequestStart: (controller) => this.start(controller),
-          onResponseStart: (controller, status) => this.readHead(controller, status),
+          onResponseStart: (controller, status) => this.readHead(controller, method, status),
           onResponseData: (controller, chunk) => {
             if (!this.isRefused && !this.listener.onData(chunk)) this.pause();
           },
@@ -147,9 +152,11 @@
 
   /** Summarizes the call and its connection for the log. */
   summarize(): CallSummary {
-    const { isSent, hasAnswerEnd, connection: { requestCount, socketCount } } = this;
+    const {
+      isSent, hasAnswerEnd, framing, connection: { requestCount, socketCount },
+    } = this;
     return {
-      isSent, hasAnswerEnd, requestCount, socketCount,
+      isSent, hasAnswerEnd, framing, requestCount, socketCount,
     };
   }
 
@@ -223,10 +230,16 @@
     return { kind: 'complete' };
   }
 
-  private readHead(controller: Dispatcher.DispatchController, status: number): void {
+  private readHead(
+    controller: Dispatcher.DispatchController,
+    method: string,
+    status: number,
+  ): void {
     // A status below 200 is informational: the final answer follows.
     if (status < 200) return;
-    this.isRefused = !this.listener.onHead({ status, headers: readRawHeaders(controller) });
+    const head = { status, headers: readRawHeaders(controller) };
+    this.framing = readFraming(method, head);
+    this.isRefused = !this.listener.onHead(head);
     this.hasAnswerHead = !this.isRefused;
     this.isWholeWithHead = this.hasAnswerHead && BODILESS_STATUSES.includes(status);
     if (this.isRefused) controller.abort(new Error('the answer was refused'));
--- a/tests/relay/request-fingerprint.spec.ts
+++ b/tests/relay/request-fingerprint.spec.ts
@@ -33,7 +33,12 @@
       },
       { kind: 'broken', reason: 'other side closed' },
       {
-        statusCode: 0, hasStarted: false, firstChunkAt: 0, chunkCount: 0, unwrittenBytes: 0,
+        statusCode: 0,
+        hasStarted: false,
+        firstChunkAt: 0,
+        chunkCount: 0,
+        unwrittenBytes: 0,
+        isWithinEvent: false,
       },
     );
   });
--- a/tests/relay/request-log.spec.ts
+++ b/tests/relay/request-log.spec.ts
@@ -11,11 +11,15 @@
 /** A line of the log, with its level. */
 type Line = Record<string, unknown>;
 
-const makeLog = (lines: Line[], isLeaving: boolean): RequestLog => {
+const makeLog = (
+  lines: Line[],
+  isLeaving: boolean,
+  metrics = new RelayMetrics(),
+): RequestLog => {
   const record = (level: string) => (message: string, fields: Line): unknown => (
     lines.push({ level, message, ...fields }));
   return new RequestLog({
-    metrics: new RelayMetrics(),
+    metrics,
     logger: { info: record('info'), debug: record('debug') } as unknown as Logger,
     clock: { now: () => 0 },
     site: {
@@ -35,7 +39,12 @@
   },
   { kind: 'answered' },
   {
-    statusCode: 200, hasStarted: true, firstChunkAt: 0, chunkCount: 3, unwrittenBytes: 12,
+    statusCode: 200,
+    hasStarted: true,
+    firstChunkAt: 0,
+    chunkCount: 3,
+    unwrittenBytes: 12,
+    isWithinEvent: true,
   },
 );
 
@@ -60,6 +69,22 @@
     ]);
   });
 
+  // Without this line, a part that looks complete can't be told from a complete answer.
+  it('should tell of each answer whose end only the end of a connection marked', async () => {
+    const lines: Line[] = [];
+    const metrics = new RelayMetrics();
+    const log = makeLog(lines, false, metrics);
+    log.call = {
+      isSent: true, hasAnswerEnd: true, framing: 'closeDelimited', requestCount: 1, socketCount: 1,
+    };
+    logAnswered(log);
+    expect(lines).toMatchObject([{
+      level: 'info', message: 'attempt ended', framing: 'closeDelimited', isWithinEvent: true,
+    }]);
+    expect((await metrics.closeDelimitedAnswers.get()).values)
+      .toEqual([{ labels: { outcome: 'answered' }, value: 1 }]);
+  });
+
   // Without these lines, an answer that ends with its entry looks like one that was never sent.
   it('should tell of each request that ends while the entry shuts down', () => {
     const lines: Line[] = [];
--- a/tests/relay/reused-connections.spec.ts
+++ b/tests/relay/reused-connections.spec.ts
@@ -128,7 +128,7 @@
     const outcomes = [await sendTo(server.address), await sendTo(server.address)];
     expect(outcomes).toEqual([{ kind: 'complete' }, { kind: 'complete' }]);
     expect(call.summarize()).toEqual({
-      isSent: true, hasAnswerEnd: true, requestCount: 2, socketCount: 2,
+      isSent: true, hasAnswerEnd: true, framing: 'chunked', requestCount: 2, socketCount: 2,
     });
   });
 
