Take a close-delimited answer for complete only if its server still runs

What callers saw: nine streams that may be resumed ended as complete before their last event; each had one attempt, which its entry took for answered. Cause: an answer without a length and chunks ends with its connection, and an entry took an orderly end of the connection for the end of the answer. The operating system closes the connections of a process that has crashed in the same orderly way, so the end of a server was read as a statement of the server. Change: such an end is checked before the answer is ended. It counts as broken off if a stream has stopped within an event, or at the time limit that the entry named to the server, or if the server accepts no connection 10 ms later. Then it is treated like any broken attempt: streams that may be resumed go on at another server, idempotent requests are sent again, others are cut off or answered as of unknown outcome. While an answer is checked, its deadline does not cut it off. Why it works: a process that has ended can't accept a connection, and one that stopped for its time limit did so no earlier than that. Framed answers are not touched. Tests changed: cut-answers and its kin counted each part of a stream that was closed in an orderly way as whole; now a part that ends within an event must not look whole, which is stricter. close-delimited-answers used a body that is no event.

--- /dev/null
+++ b/src/relay/closeDelimitedEnd.ts
@@ -0,0 +1,40 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Clock } from '../utils/clock';
+import type { AnswerWriter } from './answerWriter';
+import type { WorkerConnections } from './workerConnections';
+
+/**
+ * Time between the end of an answer and the check of its server, in milliseconds. The operating
+ * system closes the connections of a process that ends one after another.
+ */
+const SETTLE_MS = 10;
+
+/** An answer whose end only the end of its connection marks. */
+export interface CloseDelimitedEnd {
+  readonly writer: Pick<AnswerWriter, 'isWithinEvent'>;
+  /** Address of the server that sent it. */
+  readonly address: string;
+  readonly connections: Pick<WorkerConnections, 'canConnect'>;
+  /** When the server stops its work, monotonic milliseconds. */
+  readonly limitAt: number;
+  readonly clock: Clock;
+}
+
+/**
+ * Returns why a close-delimited answer counts as broken off, or undefined if it is complete.
+ *
+ * A connection that is closed in an orderly way does not tell that the answer is complete: the
+ * operating system does the same for a server that has crashed. The server must still run.
+ *
+ * @example
+ * const cutReason = await findCutReason({ writer, address, connections, limitAt, clock });
+ */
+export const findCutReason = async ({
+  writer, address, connections, limitAt, clock,
+}: CloseDelimitedEnd): Promise<string | undefined> => {
+  if (writer.isWithinEvent) return 'the connection was closed within an event';
+  if (clock.now() >= limitAt) return 'the connection was closed at the time limit of the server';
+  await pause(SETTLE_MS);
+  const isRunning = await connections.canConnect(address);
+  return isRunning ? undefined : 'the connection was closed, and the server accepts no other';
+};
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -12,6 +12,7 @@
 import { checkAnswerHead, settleAttempt } from './attemptOutcome';
 import { drawTargetShare } from './drawTargetShare';
 import { computeLeaseWaitMs } from './leaseWait';
+import { findCutReason } from './closeDelimitedEnd';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest } from './openRequests';
 import { prepareRequest } from './prepareRequest';
@@ -204,8 +205,10 @@
   private async attempt(prepared: PreparedRequest, picked: PickedWorker): Promise<AttemptOutcome> {
     const { admitted, guard, retryPolicy } = prepared;
     const { worker } = picked;
-    const { connections } = this.parts;
+    const { connections, clock } = this.parts;
     const connection = connections.acquire(worker.address);
+    const sentAt = clock.now();
+    const remainingMs = Math.max(1, Math.floor(this.deadlineAt - sentAt));
     const tracker = this.makeTracker(admitted, picked);
     let headOutcome: AttemptOutcome | undefined;
     this.writer.discardUnsent();
@@ -228,13 +231,20 @@
         if (!canWriteMore && !call.isPaused) this.writer.waitDrained(() => call.resume());
         return canWriteMore;
       },
+      findCutReason: () => findCutReason({
+        writer: this.writer,
+        address: worker.address,
+        connections,
+        limitAt: sentAt + remainingMs,
+        clock,
+      }),
     });
     this.call = call;
     const stopSilenceTimer = startInputTimer(
       () => this.handleSilence(prepared, worker, call),
       computeSilenceMs(admitted.route),
     );
-    const callOutcome = await call.run(this.buildUpstreamRequest(admitted, worker, prepared.body));
+    const callOutcome = await call.run(this.buildUpstreamRequest(prepared, worker, remainingMs));
     this.log.call = call.summarize();
     stopSilenceTimer();
     tracker.releaseWorker();
@@ -243,7 +253,7 @@
     if (callOutcome.kind === 'complete') connections.release(connection);
     else connection.end();
     const outcome = settleAttempt({
-      worker, tracker, writer: this.writer, now: this.parts.clock.now(),
+      worker, tracker, writer: this.writer, now: clock.now(),
     }, callOutcome, headOutcome);
     // Before any await: a refusal meanwhile depends on whether the request may have run.
     retryPolicy.recordOutcome(outcome);
@@ -269,18 +279,18 @@
   }
 
   private buildUpstreamRequest(
-    { account }: AdmittedRequest,
+    { admitted: { account }, body }: PreparedRequest,
     worker: RoutedWorker,
-    body: Buffer,
+    remainingMs: number,
   ): UpstreamRequest {
-    const { dialect, clock } = this.parts;
+    const { dialect } = this.parts;
     return {
       method: this.request.method ?? 'GET',
       path: this.target,
       headers: dialect.buildRequestHeaders(this.request.rawHeaders, {
         workerId: worker.id,
         account,
-        remainingMs: Math.max(1, Math.floor(this.deadlineAt - clock.now())),
+        remainingMs,
         lastEventId: this.writer.lastEventId,
       }),
       body,
@@ -345,7 +355,8 @@
   }
 
   private giveUp(error: BeechliftError, reason: string): void {
-    if (this.writer.isFinished) return;
+    // An answer that has ended is only being confirmed.
+    if (this.writer.isFinished || this.call?.hasAnswerEnd) return;
     if (this.call?.isSent) this.retryPolicy?.recordOutcome({ kind: 'broken', reason });
     this.refuse(this.retryPolicy?.adjustRefusal(error) ?? error);
     this.call?.abort(reason);
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -43,6 +43,8 @@
   readonly onHead: (head: UpstreamHead) => boolean;
   /** Returns false to pause the answer until `resume` is called. */
   readonly onData: (chunk: Buffer) => boolean;
+  /** Returns why a close-delimited answer counts as broken off; undefined if it is complete. */
+  readonly findCutReason?: () => Promise<string | undefined>;
 }
 
 const ABANDONED = 'the request is no longer needed';
@@ -112,8 +114,14 @@
     // The connection may carry another request next.
     this.resume();
     const hasTriedNewSocket = socketCount === 0 || this.connection.socketCount > socketCount;
-    if (outcome.kind !== 'unsent' || hasTriedNewSocket || this.isAborted) return outcome;
-    return this.dispatch(request);
+    const mayDispatchAgain = outcome.kind === 'unsent' && !hasTriedNewSocket && !this.isAborted;
+    return this.confirmEnd(mayDispatchAgain ? await this.dispatch(request) : outcome);
+  }
+
+  private async confirmEnd(outcome: UpstreamOutcome): Promise<UpstreamOutcome> {
+    if (outcome.kind !== 'complete' || this.framing !== 'closeDelimited') return outcome;
+    const reason = await this.listener.findCutReason?.();
+    return reason === undefined ? outcome : { kind: 'broken', reason };
   }
 
   private dispatch({
@@ -175,6 +183,7 @@
   /** Aborts the request and closes its connection, which cancels it at the backend server. */
   abort(reason: string): void {
     this.abortReason = new Error(reason);
+    if (this.hasAnswerEnd) return;
     // Without a controller the request has not started: closing the connection cancels it.
     if (this.controller) this.controller.abort(this.abortReason);
     else this.connection.client.destroy(this.abortReason).catch(() => undefined);
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -1,4 +1,5 @@
 import { ConnectionProbe } from './connectionProbe';
+import { probeAddress } from './probeAddress';
 import { openNetworkSocket, WorkerConnection } from './workerConnection';
 import type { Connector } from './workerConnection';
 
@@ -59,6 +60,11 @@
     return this.probe.isRefused(address);
   }
 
+  /** Whether a server accepts a connection from now on. */
+  async canConnect(address: string): Promise<boolean> {
+    return await probeAddress(this.connect, address) === undefined;
+  }
+
   /** Closes all idle connections. */
   close(): void {
     this.closeExcept(new Set());
--- a/tests/fakes/cutAnswers.ts
+++ b/tests/fakes/cutAnswers.ts
@@ -60,17 +60,25 @@
   return Array.from({ length: most + 1 }, (unused, cut) => cut);
 };
 
-/** Returns whether a cut answer must count as whole, may do so, or must not. */
+/**
+ * Returns whether a cut answer must count as whole, may do so, or must not.
+ *
+ * @param isStream whether the body is a stream of events, which stops within an event only if it
+ *   was cut
+ */
 export const classifyCut = (
   {
     head, body, size, prefix,
   }: CutAnswer,
   cut: number,
   end: CutEnd,
+  isStream = false,
 ): 'whole' | 'either' | 'part' => {
   // An answer to another request: the connection says nothing about this one any more.
   if (prefix.includes(' 200 ') || cut < head.length) return 'part';
-  if (size === undefined) return end === 'closed' ? 'whole' : 'part';
+  const received = body.slice(0, cut - head.length);
+  const isWithinEvent = isStream && received !== '' && !received.endsWith('\n\n');
+  if (size === undefined) return end === 'closed' && !isWithinEvent ? 'whole' : 'part';
   if (cut < head.length + body.length) return 'part';
   // A reset may overtake the bytes in front of it.
   return end === 'closed' ? 'whole' : 'either';
--- a/tests/fakes/cutSite.ts
+++ b/tests/fakes/cutSite.ts
@@ -136,7 +136,7 @@
     const bytes = Buffer.from(text, 'latin1');
     const first = parseAnswer(bytes);
     const next = first && parseAnswer(bytes.subarray(first.length));
-    const result = classifyCut(answer, cut, this.plan.end);
+    const result = classifyCut(answer, cut, this.plan.end, this.plan.route.kind === 'stream');
     const isUnsized = answer.size === undefined && result === 'whole';
     const before = this.plan.isContinued ? FIRST : '';
     const body = isUnsized ? before + answer.body.slice(0, cut - answer.head.length) : FIRST + REST;
--- a/tests/relay/close-delimited-answers.spec.ts
+++ b/tests/relay/close-delimited-answers.spec.ts
@@ -11,6 +11,7 @@
 const REQUEST = 'GET /orders/7 HTTP/1.0\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\n\r\n';
 const PLAIN_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\nconnection: close\r\n\r\n';
 const CHUNKED_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
+const EVENT = 'data: all\n\n';
 const STEP_MS = 30;
 
 const stream: Partial<Route> = { kind: 'stream', isResumable: false, maxAttempts: 1 };
@@ -46,10 +47,10 @@
   };
 
   it.each([
-    ['without a length', `${PLAIN_HEAD}all`],
-    ['in chunks', `${CHUNKED_HEAD}3\r\nall\r\n0\r\n\r\n`],
+    ['without a length', `${PLAIN_HEAD}${EVENT}`],
+    ['in chunks', `${CHUNKED_HEAD}${EVENT.length.toString(16)}\r\n${EVENT}\r\n0\r\n\r\n`],
   ])('should end with its connection: the server answers %s', async (name, answer) => {
-    expect(await serve((socket) => socket.end(answer))).toEqual({ body: 'all', end: 'closed' });
+    expect(await serve((socket) => socket.end(answer))).toEqual({ body: EVENT, end: 'closed' });
   });
 
   // Fault: the connection of an answer that its server had sent in chunks and broken off was closed
