Let another server prove the end of a close-delimited stream that may be resumed

What callers saw: a stream ended as complete before its last event although its server went on running. Cause: a server that breaks off an answer without a length closes its connection like one that has finished. That it still runs says nothing about the one answer, so the check of the server does not find this. Change: where the stream may be resumed, its entry asks another server for what follows the last event before it ends the answer. Events that follow are passed on; an answer without any proves the end. If no server can tell within a second, or the second send is refused, fails or breaks off without a byte, the stream ends as complete, as its server closed it in order. Such sends keep to the attempts of the route, and to the retry budget while a quarter of it is left for others; an entry that shuts down makes none. Why it works: only a server that can generate the stream knows whether it has more events; the caller has all that came. Price: one more send for each such stream, and its end comes later by that. Answers in chunks or with a length are not touched. Answers that may not be repeated stay as they are: nobody can be asked. Tests changed: cut-repeats expects the whole stream now where a part counted as whole before; paused-answers and ended-servers count the second send.

--- a/src/core/routing/serviceRetryBudget.ts
+++ b/src/core/routing/serviceRetryBudget.ts
@@ -18,6 +18,9 @@
 /** Share of the limits that is used: the rest covers entries that restart with a full budget. */
 const USED_SHARE = 0.5;
 
+/** Share of the capacity that optional retries leave to others. */
+const KEPT_SHARE = 0.25;
+
 /**
  * Counts retries by service. Each request adds the ratio, and the slack is refilled over the
  * window; both are shared among the entries.
@@ -48,6 +51,12 @@
     return true;
   }
 
+  /** Takes a retry that is optional; returns false when few are left. */
+  takeSpare(service: string, now: number): boolean {
+    const { remaining } = this.refill(service, now);
+    return remaining - 1 >= this.capacity * KEPT_SHARE && this.take(service, now);
+  }
+
   /** Returns a retry that was taken but not made. */
   refund(service: string, now: number): void {
     const budget = this.refill(service, now);
--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -84,6 +84,8 @@
 
   private hasFailed = false;
 
+  private isPresumed = false;
+
   /** @param isClosing returns whether the connection closes after this answer */
   constructor(
     private readonly response: ServerResponse,
@@ -110,6 +112,11 @@
     return this.hasFailed || this.response.destroyed || this.response.writableEnded;
   }
 
+  /** Whether the answer seems complete, and nothing was received since that proves the contrary. */
+  get isPresumedComplete(): boolean {
+    return this.isPresumed;
+  }
+
   /** Bytes of the answer that the operating system has not accepted yet. */
   get unwrittenBytes(): number {
     return this.response.writableLength;
@@ -154,6 +161,7 @@
   /** Passes a chunk on; returns false if the caller reads more slowly than chunks arrive. */
   write(chunk: Buffer): boolean {
     if (this.mode === 'buffered') return this.bufferChunk(chunk);
+    this.isPresumed = false;
     this.boundary?.push(chunk);
     const bytes = this.framer ? this.framer.push(chunk) : chunk;
     if (bytes.length === 0) return true;
@@ -168,6 +176,12 @@
     return this.isFinished || this.response.write(bytes);
   }
 
+  /** Marks an answer that seems complete; returns whether another server can prove that it is. */
+  markPresumedComplete(): boolean {
+    this.isPresumed = this.canResume && this.framer?.hasRemainder === false;
+    return this.isPresumed;
+  }
+
   /** Discards what was not sent to the caller, before another server is tried. */
   discardUnsent(): void {
     this.framer?.discardPartial();
--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -2,6 +2,7 @@
 import { clearSuspension, suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { isBackingOff } from '../core/routing/workerBackoff';
+import type { AnswerFraming } from './answerFraming';
 import type { AnswerWriter } from './answerWriter';
 import type { AttemptOutcome, AttemptTracker } from './attemptTracker';
 import type { AnswerFacts } from './requestDialect';
@@ -9,6 +10,7 @@
 
 const OK = 200;
 const SERVER_ERROR = 500;
+const UNCONFIRMED = 'only the end of the connection marked the end of the stream';
 
 /** The head of an answer, with the request that it should answer. */
 export interface AnswerHead {
@@ -56,12 +58,14 @@
   readonly worker: RoutedWorker;
   readonly tracker: AttemptTracker;
   readonly writer: AnswerWriter;
+  readonly framing: AnswerFraming | undefined;
   /** Monotonic milliseconds. */
   readonly now: number;
 }
 
 /**
- * Settles an attempt: ends a complete answer, and updates the statistics of the server.
+ * Settles an attempt: ends a complete answer, unless another server can prove that it is complete,
+ * and updates the statistics of the server.
  *
  * @param headOutcome why the answer's head was refused; undefined if it was not
  * @example
@@ -69,7 +73,7 @@
  */
 export const settleAttempt = (
   {
-    worker, tracker, writer, now,
+    worker, tracker, writer, framing, now,
   }: FinishedAttempt,
   callOutcome: UpstreamOutcome,
   headOutcome: AttemptOutcome | undefined,
@@ -85,9 +89,10 @@
   }
   if (callOutcome.kind === 'complete') {
     clearSuspension(worker);
-    writer.end();
+    const isUnconfirmed = framing === 'closeDelimited' && writer.markPresumedComplete();
+    if (!isUnconfirmed) writer.end();
     tracker.recordResult(writer.statusCode >= SERVER_ERROR);
-    return { kind: 'answered' };
+    return isUnconfirmed ? { kind: 'unconfirmed', reason: UNCONFIRMED } : { kind: 'answered' };
   }
   if (writer.isFinished) return { kind: 'dropped', reason: callOutcome.reason };
   if (callOutcome.kind === 'withheld') return callOutcome;
--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -10,6 +10,8 @@
 
 /** Outcome of one attempt. */
 export type AttemptOutcome = | { readonly kind: 'answered' }
+  /** The stream seems complete, but another server may have more of it. */
+  | { readonly kind: 'unconfirmed'; readonly reason: string }
   /** The request no longer needed an answer. */
   | { readonly kind: 'dropped'; readonly reason: string }
   /** The server did not run the request, or received no byte of it. */
@@ -22,6 +24,7 @@
 /** Phase that is reported to the leader for each outcome. */
 const PLACED_PHASES: Record<AttemptOutcome['kind'], string> = {
   answered: 'ended',
+  unconfirmed: 'ended',
   dropped: 'dropped',
   failed: 'failed',
   broken: 'unreached',
@@ -108,7 +111,7 @@
   /** Reports the outcome of the attempt to the leader. */
   reportOutcome(kind: AttemptOutcome['kind']): void {
     const { firstChunkAt, lastChunkAt, chunkCount } = this.parts.writer;
-    const isTimed = kind === 'answered' && chunkCount > 0;
+    const isTimed = PLACED_PHASES[kind] === 'ended' && chunkCount > 0;
     this.report({
       phase: PLACED_PHASES[kind],
       paceMs: 0,
--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -30,6 +30,11 @@
     return hasId && !this.hasPartialBlocks;
   }
 
+  /** Whether bytes after the last complete event are held back. */
+  get hasRemainder(): boolean {
+    return this.remainder.length > 0;
+  }
+
   /** Adds bytes; returns the events that are complete now. */
   push(chunk: Buffer): Buffer {
     const bytes = this.remainder.length > 0 ? Buffer.concat([this.remainder, chunk]) : chunk;
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -92,6 +92,11 @@
     return undefined;
   }
 
+  /** Logs that a stream is ended as complete although no server has proved it. */
+  logUnprovedEnd({ message: reason }: BeechliftError): void {
+    this.parts.logger.info('stream ended without proof', { requestId: this.facts.requestId, reason });
+  }
+
   /** Logs an error of the entry that answers the request. */
   logRefusal(error: BeechliftError, admitted: AdmittedRequest | undefined, sent: number): void {
     this.parts.metrics.refusals.inc({ code: error.number });
--- a/src/relay/retryPolicy.ts
+++ b/src/relay/retryPolicy.ts
@@ -50,7 +50,7 @@
 
   /** Records the outcome of an attempt. */
   recordOutcome({ kind }: AttemptOutcome): void {
-    this.mayHaveRun ||= kind === 'broken' || kind === 'failed';
+    this.mayHaveRun ||= kind === 'broken' || kind === 'failed' || kind === 'unconfirmed';
   }
 
   /** Whether the route allows another send beside the one that is in progress. */
@@ -100,7 +100,10 @@
     const { route, service } = this.admitted;
     const isSafe = outcome.kind === 'rejected' || this.isRepeatable;
     const hasAttempts = outcome.kind === 'rejected' || this.sendCount < route.maxAttempts;
-    return isSafe && hasAttempts && this.takeRetry(service, now);
+    if (!isSafe || !hasAttempts) return false;
+    if (!writer.isPresumedComplete) return this.takeRetry(service, now);
+    // A stream that seems complete is worth a retry only while others don't need it.
+    return !site.isLeaving && site.retries.takeSpare(service, now);
   }
 
   /*
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -29,6 +29,12 @@
 import { applyNotice } from './workerNotices';
 import type { PickedWorker } from './workerPicker';
 
+/**
+ * Longest wait for the proof that a stream is complete, in milliseconds: callers abandon a stream
+ * that is silent for two seconds.
+ */
+const PROOF_TIMEOUT_MS = 1_000;
+
 /**
  * Admits a request, sends it to a backend server and answers it once. Sends it to another server
  * only if it cannot run twice by mistake: the first did not run it, or its route allows repeats.
@@ -98,6 +104,10 @@
   /** Aborts an answer that has started and is incomplete. */
   abortAnswer(): void {
     if (this.response.writableFinished) return;
+    if (this.writer.isPresumedComplete) {
+      this.refuse(makeLeavingError());
+      return;
+    }
     this.log.logAbort(makeLeavingError(), this.admitted, this.countSends(), this.writer);
     this.writer.abort();
   }
@@ -166,6 +176,7 @@
     const outcome = await this.attempt(prepared, picked);
     this.log.logAttempt(admitted, picked, outcome, this.writer);
     if (outcome.kind === 'answered' || this.writer.isFinished) return;
+    if (outcome.kind === 'unconfirmed') this.startProofTimer(retryPolicy);
     if (!retryPolicy.mayRetry(outcome, this.writer, this.deadlineAt)) {
       throw retryPolicy.makeFailure(outcome.reason);
     }
@@ -173,6 +184,15 @@
     await this.tryServers(prepared);
   }
 
+  /** Limits the time in which another server may prove that a stream is complete. */
+  private startProofTimer(retryPolicy: RetryPolicy): void {
+    const timer = setTimeout(() => {
+      if (!this.writer.isPresumedComplete) return;
+      this.giveUp(retryPolicy.makeFailure('no server proved the end of the stream in time'), 'its caller has waited long enough');
+    }, PROOF_TIMEOUT_MS);
+    this.response.once('close', () => clearTimeout(timer));
+  }
+
   /** Throws if the request was quarantined while it waited for its slot, which is released. */
   private checkQuarantine({ admitted, guard }: PreparedRequest, picked: PickedWorker): void {
     try {
@@ -253,12 +273,12 @@
     if (callOutcome.kind === 'complete') connections.release(connection);
     else connection.end();
     const outcome = settleAttempt({
-      worker, tracker, writer: this.writer, now: clock.now(),
+      worker, tracker, writer: this.writer, framing: call.framing, now: clock.now(),
     }, callOutcome, headOutcome);
     // Before any await: a refusal meanwhile depends on whether the request may have run.
     retryPolicy.recordOutcome(outcome);
     if (outcome.kind === 'broken' && !headOutcome && !call.isAborted) await guard.checkForCrash(worker);
-    if (outcome.kind === 'answered') guard.recordAnswer(this.writer.statusCode);
+    if (outcome.kind === 'answered' || outcome.kind === 'unconfirmed') guard.recordAnswer(this.writer.statusCode);
     tracker.reportOutcome(outcome.kind);
     return outcome;
   }
@@ -371,6 +391,11 @@
   }
 
   private refuse(error: BeechliftError): void {
+    if (this.writer.isPresumedComplete) {
+      this.log.logUnprovedEnd(error);
+      this.writer.end();
+      return;
+    }
     const sent = this.countSends();
     if (this.writer.hasStarted) this.log.logAbort(error, this.admitted, sent, this.writer);
     else this.log.logRefusal(error, this.admitted, sent);
--- a/tests/fakes/cutSite.ts
+++ b/tests/fakes/cutSite.ts
@@ -137,7 +137,8 @@
     const first = parseAnswer(bytes);
     const next = first && parseAnswer(bytes.subarray(first.length));
     const result = classifyCut(answer, cut, this.plan.end, this.plan.route.kind === 'stream');
-    const isUnsized = answer.size === undefined && result === 'whole';
+    const isProved = this.mayRepeat && this.plan.route.kind === 'stream';
+    const isUnsized = answer.size === undefined && result === 'whole' && !isProved;
     const before = this.plan.isContinued ? FIRST : '';
     const body = isUnsized ? before + answer.body.slice(0, cut - answer.head.length) : FIRST + REST;
     const isWhole = first?.answer.status === 200;
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -130,12 +130,12 @@
 
   // Guards against complete answers of servers that run and are taken for parts.
   it.each([
-    ['a stream that may be resumed', resumable],
-    ['a stream that may run once', streamOnce],
-    ['an idempotent request', idempotent],
-    ['a request that may run once', once],
-  ])('should be complete if its server runs: %s', async (name, route) => {
+    ['a stream that may be resumed', resumable, 2],
+    ['a stream that may run once', streamOnce, 1],
+    ['an idempotent request', idempotent, 1],
+    ['a request that may run once', once, 1],
+  ])('should be complete if its server runs: %s', async (name, route, sends) => {
     const { answer } = await ask(route, closeConnection(`${HEAD}\r\n${WHOLE}`));
-    expect([answer?.body, rig.received.length]).toEqual([WHOLE, 1]);
+    expect([answer?.body, rig.received.length]).toEqual([WHOLE, sends]);
   });
 });
--- a/tests/relay/paused-answers.spec.ts
+++ b/tests/relay/paused-answers.spec.ts
@@ -15,7 +15,7 @@
 import { readBody } from '../fakes/readBody';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
-import { ScriptedServer } from '../fakes/scriptedServer';
+import { ScriptedServer, sendAnswer } from '../fakes/scriptedServer';
 
 const BODY = 'x'.repeat(100);
 /** Time in which a chunk or the end of a connection reaches the entry, in milliseconds. */
@@ -214,16 +214,20 @@
   it.each(kinds)('should be complete: %s', async (name, route) => {
     const waits = countWaits();
     let filled: Promise<number> | undefined;
-    rig = await RelayRig.start(makeLongRouting(route), [(socket) => {
-      socket.write('HTTP/1.1 200 X\r\nx-id: r1\r\n\r\n');
-      filled = fillCaller(socket, () => waits.now > 0);
+    rig = await RelayRig.start(makeLongRouting(route), [(socket, request) => {
+      // Proves the end of a stream that may be resumed: there are no more events.
+      if (request.includes('x-last: 1')) sendAnswer(socket, 'r1', '');
+      else {
+        socket.write('HTTP/1.1 200 X\r\nx-id: r1\r\n\r\n');
+        filled = fillCaller(socket, () => waits.now > 0);
+      }
     }]);
     const response = await callShop();
     const sent = await filled;
     await pause(READING_STARTS_MS);
     const body = await readBody(response);
     expect([body.length, response.complete]).toEqual([sent, true]);
-    expect(rig.received).toHaveLength(1);
+    expect(rig.received).toHaveLength(route.isResumable ? 2 : 1);
   });
 
   // Guards against a listener for each of the many chunks that are read at once.
