Learn no times from a stream that another server began

What callers saw: nothing by itself; estimates of a service with continued streams were too short, and entries that stop begin streams by them. Cause: an attempt reported the times of the whole answer as those of its server. For a stream that it continued, the first event came before its request was sent, so the time was negative, and the output was that of two servers. Change: an attempt whose answer has events of another server reports no times and no pace. Evidence: attempt-tracker.spec.ts, the new case failed before (firstEventMs -350), 5 of 5 pass. Why it works: the writer tells at the begin of an attempt whether events were passed on before; only then are times mixed.

--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -67,8 +67,12 @@
 
   private hasReportedStart = false;
 
+  /** Whether another server sent events before: the times of the answer are not this server's. */
+  private readonly isContinued: boolean;
+
   constructor(private readonly parts: AttemptTrackerParts) {
-    const { picked, clock } = parts;
+    const { picked, clock, writer } = parts;
+    this.isContinued = writer.chunkCount > 0;
     const { worker } = picked;
     this.startedAt = clock.now();
     this.pendingTokensBefore = worker.pendingTokens + worker.othersPendingTokens;
@@ -92,7 +96,7 @@
     const { isStream, picked } = this.parts;
     const { firstChunkAt, lastChunkAt, chunkCount } = this.parts.writer;
     if (!isStream || chunkCount === 0) return;
-    const hasPaceSample = chunkCount % PACE_SAMPLE_CHUNKS === 0;
+    const hasPaceSample = !this.isContinued && chunkCount % PACE_SAMPLE_CHUNKS === 0;
     const paceMs = hasPaceSample ? (lastChunkAt - firstChunkAt) / (chunkCount - 1) : 0;
     if (hasPaceSample) recordPace(picked.worker, paceMs);
     if (!hasPaceSample && this.hasReportedStart) return;
@@ -111,7 +115,7 @@
   /** Reports the outcome of the attempt to the leader. */
   reportOutcome(kind: AttemptOutcome['kind']): void {
     const { firstChunkAt, lastChunkAt, chunkCount } = this.parts.writer;
-    const isTimed = PLACED_PHASES[kind] === 'ended' && chunkCount > 0;
+    const isTimed = PLACED_PHASES[kind] === 'ended' && chunkCount > 0 && !this.isContinued;
     this.report({
       phase: PLACED_PHASES[kind],
       paceMs: 0,
@@ -127,7 +131,7 @@
     } = this.parts;
     const { firstChunkAt, lastChunkAt, chunkCount } = this.parts.writer;
     const { tokens } = this.parts.facts;
-    const isTimed = isStream && tokens !== undefined && chunkCount > 0;
+    const isTimed = isStream && tokens !== undefined && chunkCount > 0 && !this.isContinued;
     const holdMs = clock.now() - this.startedAt;
     recordAnswer(site.workers, picked.worker, {
       holdMs,
--- a/tests/relay/attempt-tracker.spec.ts
+++ b/tests/relay/attempt-tracker.spec.ts
@@ -1,13 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { applyRecords, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
-import type { RoutedWorker } from '../../src/core/routing/routedWorkers';
+import { applyRecords, findServiceStats, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
+import type { RoutedWorker, RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
 import type { PlacedReport } from '../../src/protocol/generated/beechlift';
 import { AttemptTracker } from '../../src/relay/attemptTracker';
 import type { AttemptTrackerParts } from '../../src/relay/attemptTracker';
 
-const makeWorker = (): RoutedWorker => {
-  const workers = makeRoutedWorkers();
+const makeWorker = (workers = makeRoutedWorkers()): RoutedWorker => {
   applyRecords(workers, [WorkerRecord.fromPartial({
     said: {
       workerId: 'w', service: 'rooms', address: 'w:80', state: 'ready',
@@ -37,6 +36,48 @@
   });
 };
 
+/** Reports on a whole stream, whose first events came before the attempt that ends it. */
+const reportContinued = (chunksBefore: number): [PlacedReport | undefined, RoutedWorkers] => {
+  const reports: PlacedReport[] = [];
+  const writer = { firstChunkAt: 100, lastChunkAt: 600, chunkCount: chunksBefore };
+  const workers = makeRoutedWorkers();
+  const worker = makeWorker(workers);
+  const tracker = new AttemptTracker({
+    site: { workersEpoch: 'e', workers },
+    placeClient: { report: (report: PlacedReport) => reports.push(report) },
+    clock: { now: () => 50 + 100 * chunksBefore },
+    picked: { worker, placeId: 'p', epoch: 'e' },
+    writer,
+    facts: { tokens: { prompt: 40, expected: 8 } },
+    isStream: true,
+  } as unknown as AttemptTrackerParts);
+  writer.chunkCount = 8;
+  tracker.recordResult(false);
+  tracker.reportOutcome('answered');
+  return [reports.at(-1), workers];
+};
+
+describe('the times of a stream', () => {
+  const readWeights = (workers: RoutedWorkers): number[] => {
+    const { firstEvent, output } = findServiceStats(workers, 'rooms');
+    return [firstEvent.weight, output.weight];
+  };
+
+  it('should be learnt from a server that sent all of it', () => {
+    const [report, workers] = reportContinued(0);
+    expect(report).toMatchObject({ phase: 'ended', firstEventMs: 50, outputMs: 500 });
+    expect(readWeights(workers).every((weight) => weight > 0)).toBe(true);
+  });
+
+  // Fault: the times of two servers counted as those of the second one, with a first event before
+  // the request was sent.
+  it('should not be learnt from a server that continued it', () => {
+    const [report, workers] = reportContinued(4);
+    expect(report).toMatchObject({ phase: 'ended', firstEventMs: 0, outputMs: 0 });
+    expect(readWeights(workers)).toEqual([0, 0]);
+  });
+});
+
 describe('the reports on a stream', () => {
   // Fault: the begin of a stream was not reported if its first bytes held more than one event.
   it.each([
