Move what tells a part of an answer from a whole one to src/wire

Change: answerFraming, bodilessStatuses, rawHeaders, probeAddress, eventBoundary and closeDelimitedEnd move from src/relay to src/wire, where our own interface can use them; the type RawHeaders moves along. Import lines, and two types that named classes of the relay, now name what is needed of them. No change of behaviour.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -2,11 +2,11 @@
 import { BeechliftError } from '../errors/beechliftError';
 import { isResumableStream } from '../core/routing/routeTable';
 import type { Route } from '../manifest/routing';
-import { BODILESS_STATUSES } from './bodilessStatuses';
-import { EventBoundary } from './eventBoundary';
+import { BODILESS_STATUSES } from '../wire/bodilessStatuses';
+import { EventBoundary } from '../wire/eventBoundary';
 import { EventFramer } from './eventFramer';
 import { endAfterBody } from './endAfterBody';
-import { dropHeaders, findHeader } from './rawHeaders';
+import { dropHeaders, findHeader } from '../wire/rawHeaders';
 import type { UpstreamHead } from './upstreamCall';
 
 const OK = 200;
--- a/src/relay/connectionProbe.ts
+++ b/src/relay/connectionProbe.ts
@@ -1,4 +1,4 @@
-import { probeAddress } from './probeAddress';
+import { probeAddress } from '../wire/probeAddress';
 import type { Connector } from './workerConnection';
 
 /**
--- a/src/relay/reachMonitor.ts
+++ b/src/relay/reachMonitor.ts
@@ -2,7 +2,7 @@
 import { isReady } from '../core/routing/routedWorkers';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
-import { probeAddress } from './probeAddress';
+import { probeAddress } from '../wire/probeAddress';
 import type { RelaySite } from './relaySite';
 import type { Connector } from './workerConnection';
 
--- a/src/relay/requestDialect.ts
+++ b/src/relay/requestDialect.ts
@@ -1,7 +1,5 @@
 import type { RoutedAccount } from '../manifest/routing';
-
-/** Headers as received, names and values alternating. */
-export type RawHeaders = readonly string[];
+import type { RawHeaders } from '../wire/rawHeaders';
 
 /** Token counts of a request. */
 export interface RequestTokens {
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -12,7 +12,7 @@
 import { checkAnswerHead, settleAttempt } from './attemptOutcome';
 import { drawTargetShare } from './drawTargetShare';
 import { computeLeaseWaitMs } from './leaseWait';
-import { findCutReason } from './closeDelimitedEnd';
+import { findCutReason } from '../wire/closeDelimitedEnd';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest } from './openRequests';
 import { prepareRequest } from './prepareRequest';
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -1,9 +1,9 @@
 import { setImmediate as readPendingInput } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
-import { BODILESS_STATUSES } from './bodilessStatuses';
-import { readFraming } from './answerFraming';
-import type { AnswerFraming } from './answerFraming';
-import type { RawHeaders } from './requestDialect';
+import { BODILESS_STATUSES } from '../wire/bodilessStatuses';
+import { readFraming } from '../wire/answerFraming';
+import type { AnswerFraming } from '../wire/answerFraming';
+import type { RawHeaders } from '../wire/rawHeaders';
 import type { WorkerConnection } from './workerConnection';
 
 /** Outcome of a request at one backend server. */
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -1,5 +1,5 @@
 import { ConnectionProbe } from './connectionProbe';
-import { probeAddress } from './probeAddress';
+import { probeAddress } from '../wire/probeAddress';
 import { openNetworkSocket, WorkerConnection } from './workerConnection';
 import type { Connector } from './workerConnection';
 
--- a/src/relay/answerFraming.ts
+++ b/src/wire/answerFraming.ts
@@ -1,6 +1,12 @@
 import { BODILESS_STATUSES } from './bodilessStatuses';
 import { findHeader } from './rawHeaders';
-import type { UpstreamHead } from './upstreamCall';
+import type { RawHeaders } from './rawHeaders';
+
+/** What the framing of a body depends on, beside the method. */
+interface FramedHead {
+  readonly status: number;
+  readonly headers: RawHeaders;
+}
 
 /**
  * What marks the end of an answer's body (RFC 9112, section 6.3). `closeDelimited`: only the end
@@ -17,7 +23,7 @@
  * @example
  * readFraming('GET', { status: 200, headers: ['Content-Length', '4'] }); // 'length'
  */
-export const readFraming = (method: string, { status, headers }: UpstreamHead): AnswerFraming => {
+export const readFraming = (method: string, { status, headers }: FramedHead): AnswerFraming => {
   if (method === 'HEAD' || BODILESS_STATUSES.includes(status)) return 'none';
   const codings = findHeader(headers, 'transfer-encoding');
   if (codings !== undefined) return LAST_CODING_IS_CHUNKED.test(codings) ? 'chunked' : 'closeDelimited';
--- a/src/relay/closeDelimitedEnd.ts
+++ b/src/wire/closeDelimitedEnd.ts
@@ -1,7 +1,5 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Clock } from '../utils/clock';
-import type { AnswerWriter } from './answerWriter';
-import type { WorkerConnections } from './workerConnections';
 
 /**
  * Time between the end of an answer and the check of its server, in milliseconds. The operating
@@ -11,10 +9,10 @@
 
 /** An answer whose end only the end of its connection marks. */
 export interface CloseDelimitedEnd {
-  readonly writer: Pick<AnswerWriter, 'isWithinEvent'>;
+  readonly writer: { readonly isWithinEvent: boolean };
   /** Address of the server that sent it. */
   readonly address: string;
-  readonly connections: Pick<WorkerConnections, 'canConnect'>;
+  readonly connections: { readonly canConnect: (address: string) => Promise<boolean> };
   /** When the server stops its work, monotonic milliseconds. */
   readonly limitAt: number;
   readonly clock: Clock;
--- a/src/relay/probeAddress.ts
+++ b/src/wire/probeAddress.ts
@@ -1,4 +1,4 @@
-import type { Connector } from './workerConnection';
+import type { buildConnector } from 'undici';
 
 /**
  * Opens a connection to a server and closes it at once; resolves with the error if it does not
@@ -9,7 +9,7 @@
  * const hasEnded = error?.code === 'ECONNREFUSED';
  */
 export const probeAddress = (
-  connect: Connector,
+  connect: buildConnector.connector,
   address: string,
 ): Promise<NodeJS.ErrnoException | undefined> => new Promise((resolve) => {
   const colon = address.lastIndexOf(':');
--- a/src/relay/rawHeaders.ts
+++ b/src/wire/rawHeaders.ts
@@ -1,4 +1,5 @@
-import type { RawHeaders } from './requestDialect';
+/** Headers as received, names and values alternating. */
+export type RawHeaders = readonly string[];
 
 /** Hop-by-hop headers, which are never forwarded (RFC 9110, section 7.6.1). */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -6,7 +6,7 @@
 import type { DocumentVersion } from '../../src/manifest/documentVersion';
 import type { Routing } from '../../src/manifest/routing';
 import { WatchReply, WorkerRecord } from '../../src/protocol/generated/beechlift';
-import { dropHeaders, findHeader } from '../../src/relay/rawHeaders';
+import { dropHeaders, findHeader } from '../../src/wire/rawHeaders';
 import { PlaceClient } from '../../src/relay/placeClient';
 import { OpenRequests } from '../../src/relay/openRequests';
 import { readRateLimit } from '../../src/relay/rateLimit';
--- a/tests/fakes/stoppingSite.ts
+++ b/tests/fakes/stoppingSite.ts
@@ -1,10 +1,11 @@
 import type { Socket } from 'node:net';
 import type { Routing } from '../../src/manifest/routing';
 import { WatchReply } from '../../src/protocol/generated/beechlift';
-import { findHeader } from '../../src/relay/rawHeaders';
+import { findHeader } from '../../src/wire/rawHeaders';
 import { startRelay } from '../../src/relay/relayProcess';
 import type { RunningRelay } from '../../src/relay/relayProcess';
-import type { RequestTokens, RawHeaders, RequestDialect } from '../../src/relay/requestDialect';
+import type { RequestTokens, RequestDialect } from '../../src/relay/requestDialect';
+import type { RawHeaders } from '../../src/wire/rawHeaders';
 import { makeLogger } from '../../src/telemetry/logger';
 import { SuspensionDetector, systemClock } from '../../src/utils/clock';
 import { readRouting, waitFor } from './controlSite';
