Take a service's answer without a length for complete only if the service still runs

Without a length and chunks an answer ends with its connection, and the system of a process that ends closes its connections in an orderly way. Our own interface took that for the end of the answer, framed the part by a length and stored it with the claim. Change: callService checks such an end with the code of the relay (src/wire): within an event of an event stream, at the time limit that the caller named and that is passed on, or if the service accepts no connection 10 ms later, the call failed with an unknown outcome, and nothing is stored. Why it works: a process that has ended can't accept a connection, an event that is whole ends with an empty line, and a service that stops for its limit does so no earlier. Answers with a length or in chunks are not checked.

--- /dev/null
+++ b/src/entry/sending/checkAnswerEnd.ts
@@ -0,0 +1,56 @@
+import { CALLER_HEADERS } from '../callers/callerRequest';
+import { readFraming } from '../../wire/answerFraming';
+import { findCutReason } from '../../wire/closeDelimitedEnd';
+import { EventBoundary } from '../../wire/eventBoundary';
+import { probeAddress } from '../../wire/probeAddress';
+import { systemClock } from '../../utils/clock';
+import { EngineFailure } from './engineFailure';
+import { openServerSocket } from './serverConnection';
+import type { ServiceAnswer, ServiceCall } from './serviceClient';
+
+const OK = 200;
+const EVENT_STREAM = /^text\/event-stream\b/i;
+
+/** An answer as received, before any header is dropped. */
+export interface ReceivedAnswer extends Pick<ServiceAnswer, 'status' | 'body'> {
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+const isWithinEvent = ({ status, headers, body }: ReceivedAnswer): boolean => {
+  if (status !== OK || !EVENT_STREAM.test(String(headers['content-type'] ?? ''))) return false;
+  const boundary = new EventBoundary();
+  boundary.push(body);
+  return boundary.isWithinEvent;
+};
+
+/** Returns the time limit that the caller named and that the service got; infinite if none. */
+const readNamedLimitMs = ({ headers }: ServiceCall): number => (
+  Number(headers[CALLER_HEADERS.deadline]) || Number.POSITIVE_INFINITY
+);
+
+/**
+ * Checks an answer that has ended. Throws if only the end of its connection marks its end and it
+ * counts as broken off: it must be neither passed on nor stored as complete.
+ *
+ * @param sentAt when the call was sent, monotonic milliseconds
+ * @example
+ * await checkAnswerEnd(call, sentAt, { status, headers, body });
+ */
+export const checkAnswerEnd = async (
+  call: ServiceCall,
+  sentAt: number,
+  answer: ReceivedAnswer,
+): Promise<void> => {
+  const headers = Object.entries(answer.headers).flatMap(([name, value]) => [name, String(value)]);
+  if (readFraming(call.method, { status: answer.status, headers }) !== 'closeDelimited') return;
+  const reason = await findCutReason({
+    writer: { isWithinEvent: isWithinEvent(answer) },
+    address: call.address,
+    connections: {
+      canConnect: async (address) => await probeAddress(openServerSocket, address) === undefined,
+    },
+    limitAt: sentAt + readNamedLimitMs(call),
+    clock: systemClock,
+  });
+  if (reason !== undefined) throw new EngineFailure('maybeSent', reason);
+};
--- a/src/entry/sending/serverConnection.ts
+++ b/src/entry/sending/serverConnection.ts
@@ -5,7 +5,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
-const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+/** Opens a socket to a backend server. */
+export const openServerSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
 /**
  * One connection to a backend server, for the HTTP client's `request`.
@@ -23,7 +24,7 @@
     super(origin, {
       ...options,
       connect: (connectOptions, callback) => {
-        openSocket(connectOptions, (error, opened) => {
+        openServerSocket(connectOptions, (error, opened) => {
           socket = opened ? new WorkerSocket(opened) : undefined;
           // The callback's type needs separate calls for the two cases.
           if (error) callback(error, null);
--- a/src/entry/sending/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -1,6 +1,9 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { BeechliftError } from '../../errors/beechliftError';
+import { systemClock } from '../../utils/clock';
+import { checkAnswerEnd } from './checkAnswerEnd';
+import { EngineFailure } from './engineFailure';
 import { ServerConnection } from './serverConnection';
 import { toEngineFailure } from './toEngineFailure';
 
@@ -69,6 +72,7 @@
     headersTimeout: call.timeoutMs,
     bodyTimeout: call.timeoutMs,
   });
+  const sentAt = systemClock.now();
   try {
     const response = await request(`http://${call.address}${call.path}`, {
       method: call.method,
@@ -77,9 +81,13 @@
       dispatcher: client,
     });
     const body = await readBody(response.body, call.maxBytes);
-    return { status: response.statusCode, headers: pickForwardedHeaders(response.headers), body };
+    const { statusCode: status, headers } = response;
+    await checkAnswerEnd(call, sentAt, { status, headers, body });
+    return { status, headers: pickForwardedHeaders(headers), body };
   } catch (error) {
-    throw error instanceof BeechliftError ? error : toEngineFailure(error);
+    throw error instanceof BeechliftError || error instanceof EngineFailure
+      ? error
+      : toEngineFailure(error);
   } finally {
     client.destroy().catch(() => undefined);
   }
--- a/tests/fakes/fakeService.ts
+++ b/tests/fakes/fakeService.ts
@@ -13,6 +13,11 @@
   /** Duration of a call, in milliseconds. */
   workMs = 0;
 
+  /**
+   * Whether answers have neither a length nor chunks; they begin at once and end after the work.
+   */
+  isCloseDelimited = false;
+
   address = '';
 
   private readonly server: Server;
@@ -54,8 +59,13 @@
     const body = await readBody(incoming);
     this.calls.push(`${incoming.method} ${incoming.url} ${body}`);
     const count = this.calls.length;
-    await pause(this.workMs);
+    if (!this.isCloseDelimited) await pause(this.workMs);
+    else response.useChunkedEncodingByDefault = false;
     response.writeHead(201, { 'content-type': 'text/plain', 'x-door': incoming.headers['x-door'] ?? '' });
-    response.end(`room ${count} by ${this.id}`);
+    if (this.isCloseDelimited) {
+      response.write('room ');
+      await pause(this.workMs);
+      response.end(`${count} by ${this.id}`);
+    } else response.end(`room ${count} by ${this.id}`);
   }
 }
--- a/tests/site/service-failures.spec.ts
+++ b/tests/site/service-failures.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -8,6 +9,9 @@
 } from '../fakes/testSite';
 import type { SiteProcess } from '../fakes/testSite';
 
+/** Time in which a part of an answer reaches the entry, in milliseconds. */
+const PART_MS = 200;
+
 describe('plain services under failure', () => {
   let site: TestSite;
   let first: SiteProcess;
@@ -111,6 +115,31 @@
     expect(other.calls).toHaveLength(0);
   });
 
+  // Fault: the operating system closes the connections of a service that has ended in an orderly
+  // way; the part of its answer was given to the caller as complete, and to each resend.
+  it('should not give a part of an answer without a length when its service died', async () => {
+    const service = await addService('s1');
+    service.isCloseDelimited = true;
+    service.workMs = 5_000;
+    const asked = askForRoom(first, 'k');
+    await waitUntil('the call has arrived', () => service.calls.length === 1);
+    await pause(PART_MS);
+    service.crash();
+    const answers = [await asked, await askForRoom(second, 'k')];
+    expect(answers.map((answer) => [answer.status, answer.status === 502 && readErrorName(answer)]))
+      .toEqual([[502, 'outcomeUnknown'], [502, 'outcomeUnknown']]);
+  });
+
+  // Guards against whole answers that are taken for parts.
+  it('should give an answer without a length whole when its service runs on', async () => {
+    const service = await addService('s1');
+    service.isCloseDelimited = true;
+    service.workMs = PART_MS;
+    const answers = [await askForRoom(first, 'k'), await askForRoom(second, 'k')];
+    expect(answers.map(({ status, text }) => [status, text]))
+      .toEqual([[201, 'room 1 by s1'], [201, 'room 1 by s1']]);
+  });
+
   /*
    * One service announces itself, but nothing listens at its address. No call was sent, so each
    * must go to the other service instead of failing with "no backend".
