Test: engines' streams whose frame is whole and whose last event is missing

Cause: none; a guard. The end of an engine's stream is its last event (data: [DONE]), and no frame may stand for it. Change: no code of the product; five forms of frames around a part, of streams that may be resumed and not.

--- a/tests/entry/engine-answers.spec.ts
+++ b/tests/entry/engine-answers.spec.ts
@@ -8,6 +8,7 @@
 
 const IDLE_TIMEOUT_MS = 1_000;
 const HEAD = 'HTTP/1.1 200 X\r\nconnection: close\r\n\r\n';
+const PART = 'id: 0\ndata: a\n\n';
 
 /** What was delivered of a stream, and how it ended. */
 interface Relayed {
@@ -68,6 +69,22 @@
     expect(end).toMatch(/broke and could not be resumed$/);
   });
 
+  // Guards against a part that counts as complete because its frame is: only the last event ends a
+  // stream.
+  it.each([
+    ['with a length', `HTTP/1.1 200 X\r\ncontent-length: ${PART.length}\r\n\r\n${PART}`],
+    ['in chunks', `HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n${PART.length.toString(16)}\r\n${PART}\r\n0\r\n\r\n`],
+    ['without a length', `${HEAD}${PART}`],
+    ['without the empty line behind the last event', `${HEAD}${PART}data: [DONE]\n`],
+    ['without any event', 'HTTP/1.1 200 X\r\ncontent-length: 0\r\n\r\n'],
+  ])('should fail without its last event, and be resumed where it can be: %s', async (name, answer) => {
+    const failed = await relayStream([answer]);
+    server.close();
+    expect(failed.end).toMatch(/broke and could not be resumed$/);
+    const rest = [HEAD, ...(answer.includes(PART) ? [] : [PART]), 'id: 1\ndata: b\n\ndata: [DONE]\n\n'].join('');
+    expect(await relayStream([answer, rest], true)).toEqual({ events: ['a', 'b'], end: 'complete' });
+  });
+
   // Fault: a refusal whose body breaks off was no failure of the connection, so a stream that can
   // be resumed ended with an internal error.
   it.each([404, 503])('should be asked for again if the body of a refusal breaks off: status %i', async (status) => {
