Test: resets on a connection to a server that was used before

Cause: none; a guard. Node.js keeps the first reply to the question for a socket's peer, by which a reset is told from an end. Read in the HTTP client: it asks at an error, behind the end, or as a connection fails; nothing in src asks earlier. Change: no code of the product; three moments of a reset on a connection that has carried an answer before.

--- a/tests/relay/reset-answers.spec.ts
+++ b/tests/relay/reset-answers.spec.ts
@@ -6,6 +6,7 @@
 import type { Route } from '../../src/manifest/routing';
 import { RelayRig } from '../fakes/relayRig';
 import { makeRoute, makeRouting } from '../fakes/routings';
+import { sendAnswer } from '../fakes/scriptedServer';
 
 const REQUEST = 'GET /orders/7 HTTP/1.1\r\nHost: shop.example\r\nx-id: r1\r\nx-key: k1\r\n\r\n';
 const HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\n\r\n';
@@ -60,6 +61,23 @@
     expect(await countFailures()).toBe(1);
   });
 
+  // Guards against something that asks for the peer of a connection between two answers: Node.js
+  // keeps the first reply to that, and each later reset would look like a normal end.
+  it.each(resets)('should be cut off on a connection that was used before: reset %s', async (moment, reset) => {
+    const sockets: Socket[] = [];
+    rig = await RelayRig.start(
+      makeRouting({ routes: [makeRoute({ kind: 'stream', isResumable: false, maxAttempts: 1 })] }),
+      [(socket) => {
+        sockets.push(socket);
+        if (sockets.length === 1) sendAnswer(socket, 'r1', PART);
+        else reset(socket);
+      }],
+    );
+    await rig.send(REQUEST);
+    expect([await countFailures(), sockets.length, sockets[0] === sockets[1]])
+      .toEqual([1, 2, true]);
+  });
+
   // Guards against a normal end that is taken for a reset.
   it.each(kinds)('should be complete if its connection is only closed: %s', async (kind, route) => {
     rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [async (socket) => {
