Take a server that resets further connections for one that runs

What callers saw: complete answers without a length were cut off, or replaced by an outcome that is unknown, if their server was at its limit of connections. Cause: the check of a close-delimited end opens a connection and took each error for an ended server. A server at its limit resets connections after its system has accepted them; if the reset is read together with the accept, opening fails. Change: a reset counts as a sign of life; `canConnect` is `isRunning` now, as it no longer tells that. Evidence: ended-servers.spec.ts, 3 of 29 failed before, 29 of 29 pass. Why it works: the system of an ended process refuses connections, it does not accept and reset them.

--- a/src/entry/sending/checkAnswerEnd.ts
+++ b/src/entry/sending/checkAnswerEnd.ts
@@ -1,7 +1,7 @@
 import { CALLER_HEADERS } from '../callers/callerRequest';
 import { findCutReason } from '../../wire/closeDelimitedEnd';
 import { EventBoundary } from '../../wire/eventBoundary';
-import { probeAddress } from '../../wire/probeAddress';
+import { isServerRunning } from '../../wire/isServerRunning';
 import { systemClock } from '../../utils/clock';
 import { EngineFailure } from './engineFailure';
 import { openServerSocket } from './serverConnection';
@@ -43,9 +43,7 @@
   const reason = await findCutReason({
     writer: { isWithinEvent: isWithinEvent(answer) },
     address: call.address,
-    connections: {
-      canConnect: async (address) => await probeAddress(openServerSocket, address) === undefined,
-    },
+    connections: { isRunning: (address) => isServerRunning(openServerSocket, address) },
     limitAt: sentAt + readNamedLimitMs(call),
     clock: systemClock,
   });
--- a/src/relay/workerConnections.ts
+++ b/src/relay/workerConnections.ts
@@ -1,5 +1,5 @@
 import { ConnectionProbe } from './connectionProbe';
-import { probeAddress } from '../wire/probeAddress';
+import { isServerRunning } from '../wire/isServerRunning';
 import { openNetworkSocket, WorkerConnection } from './workerConnection';
 import type { Connector } from './workerConnection';
 
@@ -60,9 +60,9 @@
     return this.probe.isRefused(address);
   }
 
-  /** Whether a server accepts a connection from now on. */
-  async canConnect(address: string): Promise<boolean> {
-    return await probeAddress(this.connect, address) === undefined;
+  /** Whether a server accepts a connection from now on, or resets it because it has too many. */
+  isRunning(address: string): Promise<boolean> {
+    return isServerRunning(this.connect, address);
   }
 
   /** Closes all idle connections. */
--- a/src/wire/closeDelimitedEnd.ts
+++ b/src/wire/closeDelimitedEnd.ts
@@ -12,7 +12,7 @@
   readonly writer: { readonly isWithinEvent: boolean };
   /** Address of the server that sent it. */
   readonly address: string;
-  readonly connections: { readonly canConnect: (address: string) => Promise<boolean> };
+  readonly connections: { readonly isRunning: (address: string) => Promise<boolean> };
   /** When the server stops its work, monotonic milliseconds. */
   readonly limitAt: number;
   readonly clock: Clock;
@@ -33,6 +33,6 @@
   if (writer.isWithinEvent) return 'the connection was closed within an event';
   if (clock.now() >= limitAt) return 'the connection was closed at the time limit of the server';
   await pause(SETTLE_MS);
-  const isRunning = await connections.canConnect(address);
+  const isRunning = await connections.isRunning(address);
   return isRunning ? undefined : 'the connection was closed, and the server accepts no other';
 };
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -3,6 +3,8 @@
   afterEach, describe, expect, it,
 } from 'vitest';
 import type { Route } from '../../src/manifest/routing';
+import { openNetworkSocket } from '../../src/relay/workerConnection';
+import type { Connector } from '../../src/relay/workerConnection';
 import { RawCaller } from '../fakes/rawCaller';
 import type { CallerResult } from '../fakes/rawCaller';
 import { RelayRig } from '../fakes/relayRig';
@@ -57,6 +59,7 @@
     route: Partial<Route>,
     script: (socket: Socket, position: number, request: string) => void,
     headers: Readonly<Record<string, string>> = {},
+    connect?: Connector,
   ): Promise<CallerResult> => {
     let count = 0;
     const serve = (position: number) => (socket: Socket, request: string): void => {
@@ -67,7 +70,8 @@
         socket.write(`${HEAD}content-length: ${rest.length}\r\n\r\n${rest}`);
       }
     };
-    rig = await RelayRig.start(makeRouting({ routes: [makeRoute(route)] }), [serve(0), serve(1)]);
+    const routing = makeRouting({ routes: [makeRoute(route)] });
+    rig = await RelayRig.start(routing, [serve(0), serve(1)], [], connect);
     caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
     return caller.send({ id: 'r1', path: '/orders/7', headers: { 'x-key': 'k1', ...headers } });
   };
@@ -138,4 +142,20 @@
     const { answer } = await ask(route, closeConnection(`${HEAD}\r\n${WHOLE}`));
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, sends]);
   });
+
+  // Guards against a server at its limit of connections that is taken for one that has ended.
+  it.each([
+    ['a stream that may be resumed', resumable],
+    ['a stream that may run once', streamOnce],
+    ['a request that may run once', once],
+  ])('should be complete if its server resets further connections: %s', async (name, route) => {
+    let sockets = 0;
+    const openOnce: Connector = (options, callback) => {
+      sockets += 1;
+      if (sockets === 1) openNetworkSocket(options, callback);
+      else callback(Object.assign(new Error('connect ECONNRESET'), { code: 'ECONNRESET' }), null);
+    };
+    const { answer } = await ask(route, closeConnection(`${HEAD}\r\n${WHOLE}`), {}, openOnce);
+    expect([answer?.body, rig.received.length]).toEqual([WHOLE, 1]);
+  });
 });
