Frame events whose lines end with CR LF or CR

What callers saw: all events of such a stream at its end, and a part of it as a complete stream if its server closed the connection and went on running. Cause: the framer knew only LF LF as the end of an event. Of other streams it held back all bytes, took them for a remainder that proves nothing, and the end was not asked about; the check of the boundary knew the other line ends. Change: the framer splits at the three forms of an empty line, too. Why it works: the format allows these line ends, and an empty line ends an event in each of them.

--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -1,8 +1,16 @@
-const EVENT_END = '\n\n';
+/** Ends of an event: an empty line, whose line ends may be LF, CR LF or CR. */
+const EVENT_ENDS = ['\n\n', '\n\r\n', '\r\r'];
+const EVENT_END = /\n\n|\n\r\n|\r\r/;
 const ID_LINE = /^id: ?(.*)$/m;
 /** A block that exceeds this size without an end is not an event and is passed on unchanged. */
 const MAX_BLOCK_BYTES = 1_048_576;
 
+/** Returns the position behind the last complete event; 0 if there is none. */
+const findLastEnd = (bytes: Buffer): number => Math.max(0, ...EVENT_ENDS.map((end) => {
+  const position = bytes.lastIndexOf(end);
+  return position < 0 ? 0 : position + end.length;
+}));
+
 /**
  * Splits a stream of server-sent events at the ends of events and keeps all bytes unchanged, which
  * an event parser would not.
@@ -38,8 +46,7 @@
   /** Adds bytes; returns the events that are complete now. */
   push(chunk: Buffer): Buffer {
     const bytes = this.remainder.length > 0 ? Buffer.concat([this.remainder, chunk]) : chunk;
-    const position = bytes.lastIndexOf(EVENT_END);
-    const end = position < 0 ? 0 : position + EVENT_END.length;
+    const end = findLastEnd(bytes);
     this.remainder = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
     this.readEvents(completeEvents);
--- a/tests/relay/event-framer.spec.ts
+++ b/tests/relay/event-framer.spec.ts
@@ -42,4 +42,20 @@
     expect(framer.takeRemainder().toString()).toBe(': done');
     expect(framer.takeRemainder()).toHaveLength(0);
   });
+
+  // Fault: a stream whose lines do not end with LF was held back until its end. It could neither be
+  // continued nor be proved complete.
+  it.each([
+    ['CR LF', '\r\n'], ['CR', '\r'], ['LF', '\n'],
+  ])('should find the ends of events whose lines end with %s', (name, lineEnd) => {
+    const stream = makeStream(1, 9).replaceAll('\n', lineEnd);
+    fc.assert(fc.property(fc.array(fc.nat()), (cuts) => {
+      const bytes = Buffer.from(stream);
+      const framer = new EventFramer();
+      const passed = Buffer.concat(cutAt(bytes, cuts).map((piece) => framer.push(piece)));
+      expect(passed.equals(bytes)).toBe(true);
+      expect([framer.lastEventId, framer.eventCount]).toEqual(['9', 9]);
+      expect(framer.hasRemainder).toBe(false);
+    }), { seed: 7 });
+  });
 });
--- a/tests/relay/unproved-ends.spec.ts
+++ b/tests/relay/unproved-ends.spec.ts
@@ -63,6 +63,19 @@
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, 2]);
   });
 
+  // Fault: a stream whose lines do not end with LF was never proved.
+  it.each([['CR LF', '\r\n'], ['CR', '\r']])('should be continued if its lines end with %s', async (name, lineEnd) => {
+    const closeAfterTwo: Script = (socket) => {
+      socket.write(`${HEAD}\r\n${EVENTS.slice(0, 2).join('').replaceAll('\n', lineEnd)}`);
+      setTimeout(() => socket.end(), STEP_MS);
+    };
+    const { answer } = await ask([
+      closeAfterTwo,
+      (socket, rest) => sendRest(socket, rest.replaceAll('\n', lineEnd)),
+    ]);
+    expect([answer?.body, rig.received.length]).toEqual([WHOLE.replaceAll('\n', lineEnd), 2]);
+  });
+
   // Guards against complete streams that are lost because their end can't be proved.
   it.each<[string, Script]>([
     ['has no more events', sendRest],
