Import the framing of answers from where it is now

Cause: the move to src/wire and the proof of streams' ends were made side by side; one import named the earlier place. Change: that import. Result: types are clean, and the specs of ended servers, of proved ends and of the own interface pass.

--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -2,7 +2,7 @@
 import { clearSuspension, suspendWorker } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { isBackingOff } from '../core/routing/workerBackoff';
-import type { AnswerFraming } from './answerFraming';
+import type { AnswerFraming } from '../wire/answerFraming';
 import type { AnswerWriter } from './answerWriter';
 import type { AttemptOutcome, AttemptTracker } from './attemptTracker';
 import type { AnswerFacts } from './requestDialect';
