Test: kill a service whose answer has no length as a process

Cause: the service of the earlier test ends inside the test's process; what the operating system does with the connections of a killed process is the point. No code of the product; BACKENDS.md says how a service marks the end of its answers.

--- a/tests/site/service-failures.spec.ts
+++ b/tests/site/service-failures.spec.ts
@@ -1,3 +1,4 @@
+import { fork } from 'node:child_process';
 import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, beforeEach, describe, expect, it,
@@ -130,6 +131,26 @@
       .toEqual([[502, 'outcomeUnknown'], [502, 'outcomeUnknown']]);
   });
 
+  // Fault: the same, with the connections that the operating system closes for a killed process.
+  it('should not give a part of an answer without a length when its service is killed', async () => {
+    const program = fork('tests/fakes/serviceProgram.ts', ['s1', ...site.entries.map(({ address }) => address)], { execArgv: ['--import', 'tsx'] });
+    let callCount = 0;
+    program.on('message', (count) => {
+      callCount = Number(count);
+    });
+    try {
+      await waitUntil('s1 is known', async () => (await site.listWorkers()).includes('s1'));
+      const asked = askForRoom(first, 'k');
+      await waitUntil('the call has arrived', () => callCount === 1);
+      program.kill('SIGKILL');
+      const answers = [await asked, await askForRoom(second, 'k')];
+      expect(answers.map(({ status }) => status)).toEqual([502, 502]);
+      expect(answers.map(readErrorName)).toEqual(['outcomeUnknown', 'outcomeUnknown']);
+    } finally {
+      program.kill('SIGKILL');
+    }
+  });
+
   // Guards against whole answers that are taken for parts.
   it('should give an answer without a length whole when its service runs on', async () => {
     const service = await addService('s1');
