Cut off a continued stream whose known rest no server has

What callers saw: a stream ended as complete although its first server had begun another event, or had named a length that counts more bytes, if the server that continued it answered with no event. Cause: the form of the second answer, a proper end, was taken for the end of the stream. What the first one had begun was dropped with its bytes. Change: the writer remembers that a server broke off in front of more (ReceivedPart); an answer without a further event does not complete such a stream. Why it works: a part of an event, or a length, is a statement of the server that the stream goes on; only an event behind it can make it good.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -3,10 +3,10 @@
 import { isResumableStream } from '../core/routing/routeTable';
 import type { Route } from '../manifest/routing';
 import { BODILESS_STATUSES } from '../wire/bodilessStatuses';
-import { EventBoundary } from '../wire/eventBoundary';
 import { EventFramer } from './eventFramer';
 import { endAfterBody } from './endAfterBody';
 import { dropHeaders, findHeader } from '../wire/rawHeaders';
+import { ReceivedPart } from './receivedPart';
 import type { UpstreamHead } from './upstreamCall';
 
 const OK = 200;
@@ -62,8 +62,11 @@
 
   private readonly framer: EventFramer | undefined;
 
-  /** Follows the events of a stream; undefined for other answers. */
-  private readonly boundary: EventBoundary | undefined;
+  /** What the current server has sent of a stream; undefined for other answers. */
+  private part: ReceivedPart | undefined;
+
+  /** Whether an earlier server had begun more of the stream than was passed on. */
+  private hasKnownRest = false;
 
   /**
    * Whether only the end of the connection marks the end of the answer: its length is unknown, and
@@ -94,7 +97,6 @@
     private readonly isClosing: () => boolean,
   ) {
     this.framer = mode === 'framed' ? new EventFramer() : undefined;
-    this.boundary = mode === 'buffered' ? undefined : new EventBoundary();
   }
 
   /** Whether the head of an answer was sent to the caller. */
@@ -124,7 +126,12 @@
 
   /** Whether a stream of events has stopped within an event. */
   get isWithinEvent(): boolean {
-    return this.statusCode === OK && this.boundary?.isWithinEvent === true;
+    return this.statusCode === OK && this.part?.isWithinEvent === true;
+  }
+
+  /** Whether more of the stream is known to exist than was passed on. */
+  get lacksKnownRest(): boolean {
+    return this.hasKnownRest;
   }
 
   /** Id of the last event that was sent to the caller; empty if there is none. */
@@ -134,7 +141,7 @@
 
   /** Passes a head on, unless it is that of a resumed stream, whose head was sent before. */
   writeHead(head: UpstreamHead): void {
-    this.boundary?.reset();
+    this.part = this.mode === 'buffered' ? undefined : new ReceivedPart(head);
     if (this.hasStarted) return;
     this.statusCode = head.status;
     if (this.mode === 'buffered') this.bufferedHead = head;
@@ -162,9 +169,10 @@
   write(chunk: Buffer): boolean {
     if (this.mode === 'buffered') return this.bufferChunk(chunk);
     this.isPresumed = false;
-    this.boundary?.push(chunk);
+    this.part?.push(chunk);
     const bytes = this.framer ? this.framer.push(chunk) : chunk;
     if (bytes.length === 0) return true;
+    this.hasKnownRest = false;
     this.lastChunkAt = this.readNow();
     if (this.chunkCount === 0) this.firstChunkAt = this.lastChunkAt;
     this.chunkCount = this.framer ? this.framer.eventCount : this.chunkCount + 1;
@@ -182,6 +190,11 @@
     return this.isPresumed;
   }
 
+  /** Records that the current server broke off: it may have begun more than it has sent. */
+  recordBreak(): void {
+    this.hasKnownRest ||= this.canResume && this.part?.hasBegunMore === true;
+  }
+
   /** Discards what was not sent to the caller, before another server is tried. */
   discardUnsent(): void {
     this.framer?.discardPartial();
--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -87,6 +87,9 @@
     tracker.recordResult(true);
     return headOutcome;
   }
+  if (callOutcome.kind === 'complete' && writer.lacksKnownRest) {
+    return { kind: 'failed', reason: 'the server has no more events, but an earlier one had begun another' };
+  }
   if (callOutcome.kind === 'complete') {
     clearSuspension(worker);
     const isUnconfirmed = framing === 'closeDelimited' && writer.markPresumedComplete();
@@ -94,6 +97,7 @@
     tracker.recordResult(writer.statusCode >= SERVER_ERROR);
     return isUnconfirmed ? { kind: 'unconfirmed', reason: UNCONFIRMED } : { kind: 'answered' };
   }
+  writer.recordBreak();
   if (writer.isFinished) return { kind: 'dropped', reason: callOutcome.reason };
   if (callOutcome.kind === 'withheld') return callOutcome;
   suspendWorker(worker, now);
--- a/src/wire/eventBoundary.ts
+++ b/src/wire/eventBoundary.ts
@@ -22,9 +22,4 @@
   push(chunk: Buffer): void {
     this.tail = (this.tail + chunk.toString('latin1', Math.max(0, chunk.length - BOUNDARY_BYTES))).slice(-BOUNDARY_BYTES);
   }
-
-  /** Starts anew, for the answer of another server. */
-  reset(): void {
-    this.tail = '';
-  }
 }
