Look for events only in answers that may have them

What callers saw: an answer in another format than events, without a length, was cut off at its end on a route for streams. Cause: the check of a close-delimited end took the lines of any format for a part of an event. Change: it looks at answers of the type text/event-stream, or without a type. Evidence: ended-servers.spec.ts "another format", 1 of 1 failed before, 30 of 30 pass. Why it works: the type says which format the body has; without one the kind of the route does.

--- a/src/relay/receivedPart.ts
+++ b/src/relay/receivedPart.ts
@@ -2,6 +2,8 @@
 import { findHeader } from '../wire/rawHeaders';
 import type { UpstreamHead } from './upstreamCall';
 
+const EVENT_STREAM = /^text\/event-stream\b/i;
+
 /**
  * What one backend server has sent of a stream, and whether it had begun more than that.
  *
@@ -11,7 +13,7 @@
  * if (part.hasBegunMore) …
  */
 export class ReceivedPart {
-  private readonly boundary = new EventBoundary();
+  private readonly boundary: EventBoundary | undefined;
 
   /** Length of the body, if the head named it. */
   private readonly length: number;
@@ -19,12 +21,15 @@
   private receivedBytes = 0;
 
   constructor({ headers }: Pick<UpstreamHead, 'headers'>) {
+    const contentType = findHeader(headers, 'content-type');
+    const hasEvents = contentType === undefined || EVENT_STREAM.test(contentType);
+    this.boundary = hasEvents ? new EventBoundary() : undefined;
     this.length = Number(findHeader(headers, 'content-length') ?? 0);
   }
 
   /** Whether the bytes so far end within an event. */
   get isWithinEvent(): boolean {
-    return this.boundary.isWithinEvent;
+    return this.boundary?.isWithinEvent === true;
   }
 
   /** Whether the server had begun more than it has sent, so that the stream is not complete. */
@@ -35,6 +40,6 @@
   /** Adds received bytes. */
   push(chunk: Buffer): void {
     this.receivedBytes += chunk.length;
-    this.boundary.push(chunk);
+    this.boundary?.push(chunk);
   }
 }
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -143,6 +143,14 @@
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, sends]);
   });
 
+  // Fault: lines of another format were taken for events, and each such answer was cut off.
+  it('should be complete if it has no events but another format', async () => {
+    const lines = '{"text":"a"}\n{"text":"b"}\n';
+    const answer = `${HEAD}content-type: application/x-ndjson\r\n\r\n${lines}`;
+    expect(await ask(streamOnce, closeConnection(answer)))
+      .toMatchObject({ answer: { body: lines } });
+  });
+
   // Guards against a server at its limit of connections that is taken for one that has ended.
   it.each([
     ['a stream that may be resumed', resumable],
