Let a joining replica look for a leader that it hears and cannot answer

Cause: the log of a joining replica names nobody, so it can answer only those that its search has found. If the leader takes it in before, the leader's rounds count as contact, so the search never begins, and every answer is dropped.

Callers saw: a replica whose disk was lost gets no entry until the leader gives it up after 3 s; a second loss in that time finds a site that was not repaired.

Change: a replica also looks for the site while it hears a leader whose address it does not know.

Why it works: the search asks the seeds and those whom it names, and records who answers; the leader is among them.

--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -208,7 +208,7 @@
   self: Replica,
   readSeeds: () => readonly string[],
 ): void => {
-  if (!node.hasLostContact) return;
+  if (!node.needsDiscovery) return;
   const addresses = new Set([...readSeeds(), ...node.replicaAddresses]);
   addresses.delete(self.address);
   const ask = async (address: string): Promise<string> => {
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -175,11 +175,17 @@
     return [...voters, ...learners].map(({ address }) => address);
   }
 
-  /** Whether contact with the leader was lost; this replica may no longer be part of the site. */
-  get hasLostContact(): boolean {
+  /**
+   * Whether this replica hears no leader, or cannot answer it; it may not be part of the site.
+   *
+   * Guards against a joining replica that the leader sends rounds before the replica has found it:
+   * its log is empty, so it knows no address for its answers.
+   */
+  get needsDiscovery(): boolean {
     const { state } = this.runner;
-    return state.role !== 'leader'
-      && this.parts.clock.now() - state.lastLeaderContactAt > LOST_CONTACT_MS;
+    const isLeaderKnown = state.leaderId === '' || this.leaderAddress !== '';
+    const isContactLost = this.parts.clock.now() - state.lastLeaderContactAt > LOST_CONTACT_MS;
+    return state.role !== 'leader' && (isContactLost || !isLeaderKnown);
   }
 
   /** Lists the entries that accept callers. */
--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -2,12 +2,15 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
+import { ReplicaIdentity } from '../../src/control/replicaIdentity';
 import { startRoutedControl } from '../../src/control/routedControl';
 import type { RunningRoutedControl } from '../../src/control/routedControl';
+import { nodeFileSystem } from '../../src/disk/fileSystem';
 import { checkRouting } from '../../src/manifest/checkRouting';
 import { parseVersion } from '../../src/manifest/documentVersion';
 import type { StoredVersion } from '../../src/manifest/documentVersion';
 import type { RoutingReader, Routing } from '../../src/manifest/routing';
+import type { Replica } from '../../src/protocol/generated/beechlift';
 import { makeLogger } from '../../src/telemetry/logger';
 import { findFreeAddress } from './freeAddress';
 import { makeRouting } from './routings';
@@ -56,9 +59,17 @@
     return new ControlSite(addresses);
   }
 
+  /** Leaves the disk as a replica does that ends right after it has decided to join. */
+  async storeJoiner(position: number): Promise<Replica> {
+    const identity = new ReplicaIdentity(nodeFileSystem, await this.makeFolder(position));
+    await identity.open();
+    await identity.saveFounders([]);
+    await identity.close();
+    return { id: identity.id, address: this.getAddress(position), zone: 'a' };
+  }
+
   async start(position: number, isFirstStart: boolean): Promise<void> {
-    const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
-    this.folders.set(position, folder);
+    const folder = await this.makeFolder(position);
     this.running.set(position, await startRoutedControl({
       settings: {
         zone: 'a',
@@ -141,4 +152,10 @@
   getAddress(position: number): string {
     return this.addresses[position] ?? '';
   }
+
+  private async makeFolder(position: number): Promise<string> {
+    const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
+    this.folders.set(position, folder);
+    return folder;
+  }
 }
