Found the site although a replica is killed before it has stored anything

Cause: a replica without a stored identity and without the declaration of a first start stored an empty list of founders at once, and told the others that it belongs to a site. They took that for the word that a site exists, and stored an empty list as well. Nothing stored the declaration itself.

Callers saw: no document is ever accepted and no request served, for good, after a kill of one of three control replicas while its program loads at the very first start.

Change: the declaration is stored in one record with the identity, with the seeds. Only a list of founders or a leader is word of a site. A replica without either waits, and declared ones count it as a founder if such replicas are fewer than a majority of the seeds. A round of questions names the identities that it is about (a new field of meet); who is asked about others drops its own round, and who has decided is silent until that is stored.

A declared replica without a list never had one on any disk, so no majority can have accepted anything, whatever disks are lost.

Also, replicas that answered before the log runs are known to it, and one word of a site ends a round.

Not covered: two of three seeds killed before they have stored anything; the operator declares the first start again.

--- a/src/control/replicaIdentity.ts
+++ b/src/control/replicaIdentity.ts
@@ -6,6 +6,7 @@
 
 interface IdentityRecord {
   readonly birth?: string;
+  readonly seeds?: readonly string[];
   readonly founders?: readonly Replica[];
 }
 
@@ -15,32 +16,41 @@
  *
  * @example
  * const identity = new ReplicaIdentity(nodeFileSystem, 'data');
- * await identity.open();
+ * await identity.open(seeds); // the settings declare the first start, and it is one of the seeds
  */
 export class ReplicaIdentity {
   /** Id of the replica; unchanged as long as its disk exists. */
   id = '';
 
+  /** Addresses of all founders if the settings of a first start named this one, else empty. */
+  seeds: readonly string[] = [];
+
   /** Initial voters of the site, empty on a joining replica; undefined until they are known. */
   founders: readonly Replica[] | undefined;
 
-  /** Whether the disk already held an identity when the process started. */
-  existedAtStart = false;
-
   private readonly file: RecordFile;
 
   constructor(files: FileSystem, folder: string) {
     this.file = new RecordFile(files, join(folder, 'birth.log'));
   }
 
-  /** Reads the identity, or writes a new one and syncs it before it is used. */
-  async open(): Promise<void> {
+  /**
+   * Reads the identity, or writes a new one and syncs it before it is used.
+   *
+   * @param declaredSeeds addresses of all founders if the settings declare the first start and this
+   * replica is one of them; later settings no longer tell
+   */
+  async open(declaredSeeds: readonly string[] = []): Promise<void> {
     const records = await this.file.open() as IdentityRecord[];
     const birth = records.find((record) => record.birth !== undefined)?.birth;
+    const seeds = records.find((record) => record.seeds !== undefined)?.seeds;
     this.founders = records.find((record) => record.founders !== undefined)?.founders;
-    this.existedAtStart = birth !== undefined;
     this.id = birth ?? randomUUID();
-    if (birth === undefined) await this.file.append([{ birth: this.id }]);
+    this.seeds = seeds ?? declaredSeeds;
+    const isNew = birth === undefined || (seeds === undefined && declaredSeeds.length > 0);
+    if (!isNew) return;
+    const declared = this.seeds.length > 0 ? { seeds: this.seeds } : {};
+    await this.file.append([{ birth: this.id, ...declared }]);
   }
 
   /** Stores the initial voters of the site; empty for a replica that joins an existing site. */
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -99,8 +99,8 @@
 const callMeet = (
   links: Links,
   address: string,
-  self: Replica,
-): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', { from: self }, MEET_TIMEOUT_MS)
+  request: MeetRequest,
+): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', request, MEET_TIMEOUT_MS)
   .catch(() => undefined); // Asked again later.
 
 /** Refers to the node, which exists once the initial voters are known. */
@@ -117,8 +117,7 @@
 
 const makeService = (
   nodeReference: NodeReference,
-  identity: ReplicaIdentity,
-  self: Replica,
+  founding: SeedFounding,
   logger: Logger,
 ) => ({
   watch: handleUnary<WatchRequest, WatchReply>((request, { onCancel }) => {
@@ -163,12 +162,8 @@
     })),
     makeFailureListener(logger),
   ),
-  meet: handleUnary<MeetRequest, MeetReply>((request) => nodeReference.node?.meet(request) ?? {
-    self,
-    founded: identity.founders !== undefined,
-    founders: [...(identity.founders ?? [])],
-    leaderAddress: '',
-  }),
+  meet: handleUnary<MeetRequest, MeetReply>((request) => (
+    nodeReference.node?.meet(request) ?? founding.answer(request))),
 });
 
 /** Sends one watch request to the leader; resolves with whether the leader answered. */
@@ -212,7 +207,7 @@
   const addresses = new Set([...readSeeds(), ...node.replicaAddresses]);
   addresses.delete(self.address);
   const ask = async (address: string): Promise<string> => {
-    const reply = await callMeet(links, address, self);
+    const reply = await callMeet(links, address, { from: self, candidates: [] });
     if (reply?.self) node.addDiscovered(reply.self);
     return reply?.leaderAddress ?? '';
   };
@@ -235,6 +230,14 @@
   files: nodeFileSystem, path: join(folder, name), parse: messageType.fromPartial, logger,
 });
 
+/** Lists the founders if the settings declare the first start and this replica is one of them. */
+const listDeclaredSeeds = (
+  { isFirstStart, address, readSeeds }: RoutedControlSettings,
+): readonly string[] => {
+  const seeds = readSeeds();
+  return isFirstStart && seeds.includes(address) ? seeds : [];
+};
+
 /**
  * Starts a replica that serves control of a routed site.
  *
@@ -247,21 +250,27 @@
   const { settings, logger } = parts;
   const links = new LinkTable(SiteClient);
   const identity = new ReplicaIdentity(nodeFileSystem, settings.dataFolder);
-  await identity.open();
+  await identity.open(listDeclaredSeeds(settings));
   const self: Replica = { id: identity.id, address: settings.address, zone: settings.zone };
   const nodeReference: NodeReference = { node: undefined };
+  const metReplicas = new Map<string, Replica>();
+  const founding = new SeedFounding({
+    identity,
+    self,
+    readSeeds: settings.readSeeds,
+    askReplica: (address, request) => callMeet(links, address, request),
+    recordReplica: (replica) => {
+      metReplicas.set(replica.address, replica);
+      nodeReference.node?.addDiscovered(replica);
+    },
+    logger,
+  });
   // Replicas bound each of their calls, and the leader detects entries that are gone, so slow pings
   // suffice.
   const server = new RpcServer('infrequent');
-  server.add(SiteService, makeService(nodeReference, identity, self, logger));
+  server.add(SiteService, makeService(nodeReference, founding, logger));
   await server.listen(settings.address);
-  const founders = await new SeedFounding({
-    identity,
-    readSelf: () => self,
-    seeds: settings.readSeeds(),
-    isFirstStart: settings.isFirstStart,
-    askSeed: (address) => callMeet(links, address, self),
-  }).waitForFounders();
+  const founders = await founding.waitForFounders();
   logger.info('initial voters determined', { birth: self.id, founders: founders.length });
   const store = new LogStore(nodeFileSystem, settings.dataFolder);
   const stored = await store.load(makeEmptyLog({ voters: founders, learners: [], leaving: [] }));
@@ -307,6 +316,7 @@
     mechanisms: makeMechanisms(settings.mechanismsOff),
   });
   nodeReference.node = node;
+  metReplicas.forEach((replica) => node.addDiscovered(replica));
   const ticking = setInterval(() => node.tick(), TICK_MS);
   const discovering = setInterval(
     () => discoverSite(node, links, self, settings.readSeeds),
--- a/tests/control/joining-replica.spec.ts
+++ b/tests/control/joining-replica.spec.ts
@@ -29,7 +29,7 @@
     await started.eraseDisk(lost);
     const self = await started.storeJoiner(lost);
     const { runner } = started.findNode(leader);
-    started.findNode(leader).meet({ from: self });
+    started.findNode(leader).meet({ from: self, candidates: [] });
     await waitFor(() => runner.state.replicas.learners.some(({ id }) => id === self.id), 'the leader takes it in');
     const startedAt = performance.now();
     await started.start(lost, false);
--- a/tests/fakes/controlSite.ts
+++ b/tests/fakes/controlSite.ts
@@ -59,6 +59,13 @@
     return new ControlSite(addresses);
   }
 
+  /** Leaves the disk as a first start does that ends before the founders are known. */
+  async storeIdentity(position: number): Promise<void> {
+    const identity = new ReplicaIdentity(nodeFileSystem, await this.makeFolder(position));
+    await identity.open(this.listSeeds());
+    await identity.close();
+  }
+
   /** Leaves the disk as a replica does that ends right after it has decided to join. */
   async storeJoiner(position: number): Promise<Replica> {
     const identity = new ReplicaIdentity(nodeFileSystem, await this.makeFolder(position));
@@ -74,7 +81,7 @@
       settings: {
         zone: 'a',
         address: this.getAddress(position),
-        readSeeds: () => [0, 1, 2].map((seed) => this.getAddress(seed)),
+        readSeeds: () => this.listSeeds(),
         isFirstStart,
         dataFolder: folder,
         bounds: { revokeMs: 5_000, applyMs: 5_000 },
@@ -153,6 +160,10 @@
     return this.addresses[position] ?? '';
   }
 
+  private listSeeds(): string[] {
+    return [0, 1, 2].map((seed) => this.getAddress(seed));
+  }
+
   private async makeFolder(position: number): Promise<string> {
     const folder = this.folders.get(position) ?? await mkdtemp(join(tmpdir(), 'routed-'));
     this.folders.set(position, folder);
--- a/tests/fakes/platformSite.ts
+++ b/tests/fakes/platformSite.ts
@@ -78,6 +78,11 @@
     });
   }
 
+  /** Removes the disk of a control replica that was ended. */
+  removeDisk(machine: number): void {
+    rmSync(join(this.folder, `data-${machine}`), { recursive: true, force: true });
+  }
+
   startEntry(machine: number): void {
     const ip = `127.0.0.${machine}`;
     this.startProcess(`entry-${machine}`, 'relay', {
