Don't take comments for events that follow a complete stream

What callers saw: a complete stream that was cut off, at once or at its deadline. Cause: the answer that is to prove the end of a stream may begin with a comment, which servers send to keep a connection open. It counted as an event: the stream no longer seemed complete, so a break behind it cut the stream off, and the limit of a second no longer applied. Change: blocks of comments are not counted as events, and a stream seems complete until an event, or a part of one, follows. Why it works: a comment tells nothing about what the server has generated. Streams that begin with one and are broken off before their first event may now be continued, too.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -87,7 +87,8 @@
 
   private hasFailed = false;
 
-  private isPresumed = false;
+  /** Number of events with which the answer seemed complete; undefined if it does not. */
+  private presumedCount: number | undefined;
 
   /** @param isClosing returns whether the connection closes after this answer */
   constructor(
@@ -116,7 +117,9 @@
 
   /** Whether the answer seems complete, and nothing was received since that proves the contrary. */
   get isPresumedComplete(): boolean {
-    return this.isPresumed;
+    return this.framer !== undefined
+      && this.framer.eventCount === this.presumedCount
+      && !this.framer.hasRemainder;
   }
 
   /** Bytes of the answer that the operating system has not accepted yet. */
@@ -168,11 +171,11 @@
   /** Passes a chunk on; returns false if the caller reads more slowly than chunks arrive. */
   write(chunk: Buffer): boolean {
     if (this.mode === 'buffered') return this.bufferChunk(chunk);
-    this.isPresumed = false;
     this.part?.push(chunk);
+    const eventsBefore = this.framer?.eventCount ?? 0;
     const bytes = this.framer ? this.framer.push(chunk) : chunk;
     if (bytes.length === 0) return true;
-    this.hasKnownRest = false;
+    if (this.framer && this.framer.eventCount > eventsBefore) this.hasKnownRest = false;
     this.lastChunkAt = this.readNow();
     if (this.chunkCount === 0) this.firstChunkAt = this.lastChunkAt;
     this.chunkCount = this.framer ? this.framer.eventCount : this.chunkCount + 1;
@@ -186,8 +189,8 @@
 
   /** Marks an answer that seems complete; returns whether another server can prove that it is. */
   markPresumedComplete(): boolean {
-    this.isPresumed = this.canResume && this.framer?.hasRemainder === false;
-    return this.isPresumed;
+    this.presumedCount = this.canResume ? this.framer?.eventCount : undefined;
+    return this.isPresumedComplete;
   }
 
   /** Records that the current server broke off: it may have begun more than it has sent. */
@@ -197,6 +200,8 @@
 
   /** Discards what was not sent to the caller, before another server is tried. */
   discardUnsent(): void {
+    // A partial event proves that there are more.
+    if (!this.isPresumedComplete) this.presumedCount = undefined;
     this.framer?.discardPartial();
     this.buffered = [];
     this.bufferedBytes = 0;
--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -1,6 +1,8 @@
 /** Ends of an event: an empty line, whose line ends may be LF, CR LF or CR. */
 const EVENT_ENDS = ['\n\n', '\n\r\n', '\r\r'];
 const EVENT_END = /\n\n|\n\r\n|\r\r/;
+/** Comments, which servers send to keep a connection open, are no events. */
+const EVENT_LINE = /^[^:\r\n]/m;
 const ID_LINE = /^id: ?(.*)$/m;
 /** A block that exceeds this size without an end is not an event and is passed on unchanged. */
 const MAX_BLOCK_BYTES = 1_048_576;
@@ -69,7 +71,7 @@
 
   private readEvents(completeEvents: Buffer): void {
     if (completeEvents.length === 0) return;
-    const blocks = completeEvents.toString('latin1').split(EVENT_END).filter((block) => block !== '');
+    const blocks = completeEvents.toString('latin1').split(EVENT_END).filter((block) => EVENT_LINE.test(block));
     this.eventCount += blocks.length;
     const id = blocks.findLast((block) => ID_LINE.test(block));
     if (id !== undefined) this.lastEventId = ID_LINE.exec(id)?.[1]?.trim() ?? this.lastEventId;
--- a/tests/relay/unproved-ends.spec.ts
+++ b/tests/relay/unproved-ends.spec.ts
@@ -15,6 +15,8 @@
 /** Time after which callers may abandon a silent stream, in milliseconds. */
 const PATIENCE_MS = 2_000;
 
+const COMMENT = `${HEAD}transfer-encoding: chunked\r\n\r\n8\r\n: wait\n\n\r\n`;
+
 type Script = (socket: Socket, rest: string) => void;
 
 const sendRest: Script = (socket, rest) => {
@@ -92,6 +94,19 @@
     expect(endedAt - sentAt).toBeLessThan(PATIENCE_MS);
   });
 
+  // Guards against a comment, which keeps a connection open, that is taken for an event.
+  it.each<[string, Script]>([
+    ['sends only a comment', (socket) => socket.write(COMMENT)],
+    ['breaks off behind a comment', (socket) => {
+      socket.write(COMMENT);
+      setTimeout(() => socket.end(), STEP_MS);
+    }],
+  ])('should be complete if the other server %s', async (name, script) => {
+    const { answer, endedAt, sentAt } = await ask([closeAfter(3), script]);
+    expect(answer?.body).toBe(`${WHOLE}: wait\n\n`);
+    expect(endedAt - sentAt).toBeLessThan(PATIENCE_MS);
+  });
+
   it('should be complete if its server is the only one', async () => {
     const { answer } = await ask([closeAfter(3), sendRest], 1);
     expect(answer?.body).toBe(WHOLE);
@@ -118,6 +133,14 @@
   });
 
   // Guards against a stream that counts as complete although another server had more of it.
+  it('should not look complete if the other server breaks off within another event', async () => {
+    const breakOff: Script = (socket) => {
+      socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\n5\r\nid: 3\r\n`);
+      setTimeout(() => socket.end(), STEP_MS);
+    };
+    expect(await ask([closeAfter(2), breakOff])).toMatchObject({ answer: undefined });
+  });
+
   it('should not look complete if the other server breaks off behind another event', async () => {
     const breakOff: Script = (socket) => {
       socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\n${EVENTS[2]?.length.toString(16)}\r\n${EVENTS[2]}\r\n`);
