Read the last of several lines of transfer codings

Cause: an answer whose codings come in several lines was judged by the first. If that is chunked and the last is not, the HTTP client reads up to the end of the connection, and nothing checked whether the server still runs: a part looked complete. Change: the last line decides, as for the client. Why it works: only the last coding tells what marks the end (RFC 9112, section 6.3), and lines of one name are one list.

--- a/src/wire/answerFraming.ts
+++ b/src/wire/answerFraming.ts
@@ -1,5 +1,5 @@
 import { BODILESS_STATUSES } from './bodilessStatuses';
-import { findHeader } from './rawHeaders';
+import { findHeader, listPairs } from './rawHeaders';
 import type { RawHeaders } from './rawHeaders';
 
 /** What the framing of a body depends on, beside the method. */
@@ -25,7 +25,8 @@
  */
 export const readFraming = (method: string, { status, headers }: FramedHead): AnswerFraming => {
   if (method === 'HEAD' || BODILESS_STATUSES.includes(status)) return 'none';
-  const codings = findHeader(headers, 'transfer-encoding');
+  const codings = listPairs(headers)
+    .findLast(([name]) => name.toLowerCase() === 'transfer-encoding')?.[1];
   if (codings !== undefined) return LAST_CODING_IS_CHUNKED.test(codings) ? 'chunked' : 'closeDelimited';
   return findHeader(headers, 'content-length') === undefined ? 'closeDelimited' : 'length';
 };
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -109,6 +109,13 @@
     expect(answer?.body).toContain('outcomeUnknown');
   });
 
+  // Fault: of several lines of transfer codings the first decided whether the answer is in chunks.
+  it('should be replaced by a failure if the last of its transfer codings is not chunked', async () => {
+    const lines = 'transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n';
+    const { answer } = await ask(once, endServer(`${HEAD}${lines}\r\nid: 1`));
+    expect(answer).toMatchObject({ status: 502 });
+  });
+
   // Fault: a stream that stops within an event is incomplete by its own format.
   it.each(heads)('should be continued if it stops within an event of a server that runs: %s', async (name, head) => {
     expect(await ask(resumable, closeConnection(head + WITHIN_EVENT)))
