Don't count the check of a server as its work

Cause: an attempt kept its slot at the server, and measured its time, until the check of the close-delimited end was over. Servers that answer without a length looked slower by the wait and the connection of the check, and got fewer requests at a time. Change: the request leaves the server when its answer has ended, before the check. Why it works: a server that has closed the connection no longer works on the request, whatever the check finds.

--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -70,6 +70,9 @@
   /** Whether another server sent events before: the times of the answer are not this server's. */
   private readonly isContinued: boolean;
 
+  /** When the request left the server; undefined until then. */
+  private releasedAt: number | undefined;
+
   constructor(private readonly parts: AttemptTrackerParts) {
     const { picked, clock, writer } = parts;
     this.isContinued = writer.chunkCount > 0;
@@ -104,9 +107,11 @@
     this.report({ phase: 'running', ...NO_TIMINGS, paceMs });
   }
 
-  /** Records that the request has left the server. */
+  /** Records that the request has left the server; does nothing the second time. */
   releaseWorker(): void {
-    const { picked, site } = this.parts;
+    if (this.releasedAt !== undefined) return;
+    const { picked, site, clock } = this.parts;
+    this.releasedAt = clock.now();
     this.recordHead();
     picked.worker.inFlight -= 1;
     if (picked.epoch !== '' && picked.epoch === site.workersEpoch) picked.worker.placed -= 1;
@@ -132,7 +137,7 @@
     const { firstChunkAt, lastChunkAt, chunkCount } = this.parts.writer;
     const { tokens } = this.parts.facts;
     const isTimed = isStream && tokens !== undefined && chunkCount > 0 && !this.isContinued;
-    const holdMs = clock.now() - this.startedAt;
+    const holdMs = (this.releasedAt ?? clock.now()) - this.startedAt;
     recordAnswer(site.workers, picked.worker, {
       holdMs,
       paceMs: isStream ? 0 : holdMs,
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -251,13 +251,17 @@
         if (!canWriteMore && !call.isPaused) this.writer.waitDrained(() => call.resume());
         return canWriteMore;
       },
-      findCutReason: () => findCutReason({
-        writer: this.writer,
-        address: worker.address,
-        connections,
-        limitAt: sentAt + remainingMs,
-        clock,
-      }),
+      findCutReason: () => {
+        // The server has ended its work: the check is no time of it.
+        tracker.releaseWorker();
+        return findCutReason({
+          writer: this.writer,
+          address: worker.address,
+          connections,
+          limitAt: sentAt + remainingMs,
+          clock,
+        });
+      },
     });
     this.call = call;
     const stopSilenceTimer = startInputTimer(
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -20,6 +20,9 @@
 /** Time for which the process is busy before and after a time limit, in milliseconds. */
 const BUSY_MS = 10;
 
+/** Time for which a connection that checks a server takes to open, in milliseconds. */
+const SLOW_MS = 500;
+
 const streamOnce: Partial<Route> = { kind: 'stream', isResumable: false, maxAttempts: 1 };
 const resumable: Partial<Route> = { kind: 'stream', isResumable: true, maxAttempts: 2 };
 const idempotent: Partial<Route> = { kind: 'idempotent', maxAttempts: 2 };
@@ -173,4 +176,31 @@
     const { answer } = await ask(route, closeConnection(`${HEAD}\r\n${WHOLE}`), {}, openOnce);
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, 1]);
   });
+
+  // Guards against an answer without events, such as a document, that is taken for a part of one.
+  it.each([['that may be resumed', resumable], ['that may run once', streamOnce]])('should be complete if it is a document on the route of a stream %s', async (name, route) => {
+    const document = '{"data":"all"}';
+    const head = `${HEAD}content-type: application/json\r\n\r\n`;
+    const { answer } = await ask(route, closeConnection(head + document));
+    expect([answer?.body, rig.received.length]).toEqual([document, 1]);
+  });
+
+  // Fault: the check of a server held its slot and counted as its time, so it looked slower.
+  it('should hold no slot of its server while that is checked', async () => {
+    const counts: (number | undefined)[] = [];
+    let sockets = 0;
+    const openSlowly: Connector = (options, callback) => {
+      sockets += 1;
+      if (sockets === 1) {
+        openNetworkSocket(options, callback);
+        return;
+      }
+      counts.push(...[...rig.site.workers.byId.values()].map(({ inFlight }) => inFlight));
+      setTimeout(() => openNetworkSocket(options, callback), SLOW_MS);
+    };
+    await ask(idempotent, closeConnection(`${HEAD}\r\n${WHOLE}`), {}, openSlowly);
+    const paces = [...rig.site.workers.byId.values()].map(({ paceMs }) => paceMs);
+    expect(counts).toEqual([0, 0]);
+    expect(Math.max(...paces)).toBeLessThan(SLOW_MS);
+  });
 });
