Assume the only version of a service only by a table that a leader sent after the request came

Cause: an entry takes up a stream that nobody knows at the only version that its service has had. Without an answer of the leader it went by its own table, which may lack all that joined since its last reply, up to a lease ago; for services whose requests are not placed it never asked. So a stream that another entry had begun at a new version went on at the old one. Change: such a request now goes the way of one whose version is unknown. It asks the leader, or for a service that is not placed for the leader's table, and is refused as not run (2014) if neither answers within 2 s. The entry assumes by itself only once its table was confirmed by a watch request that was sent after the request came. Why it works: whoever began the stream had learnt its version from a leader before the caller had an event, so before the request came. A leader under its lease that answers later has that version in its table, or was told less than an earlier leader, which is another fault. Cost: while no leader answers, a taken-up stream of another entry waits for up to 2 s and is refused, also if there is only one version; it was served until the lease ended before.

--- a/src/core/routing/streamOrigin.ts
+++ b/src/core/routing/streamOrigin.ts
@@ -26,6 +26,9 @@
 /** Explains why a stream cannot continue that nobody knows. */
 export const ORIGIN_UNKNOWN = 'servers of several versions run, and it is not known which one began the stream';
 
+/** Explains why a stream cannot continue although only one version is known. */
+export const VERSIONS_UNCONFIRMED = 'it is not known which version began the stream, and no control leader has confirmed in time that there is only one';
+
 /** Retry-After then, in milliseconds: the entry that began it may still report it. */
 export const ORIGIN_UNKNOWN_RETRY_MS = 500;
 
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -113,7 +113,11 @@
   });
   const connections = new WorkerConnections(reachMonitor.connect);
   const picker = new WorkerPicker({
-    site, placeClient, connections, clock: systemClock,
+    site,
+    placeClient,
+    connections,
+    requestTable: () => watch.requestTable(),
+    clock: systemClock,
   });
   const openRequests = new OpenRequests(metrics);
   const app = makeRelayServer({
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -97,6 +97,9 @@
   /** When the watch request was sent whose reply brought the held table. */
   private tableSentAt = -Infinity;
 
+  /** When the latest watch request was sent whose reply the held table takes into account. */
+  private confirmedAt = -Infinity;
+
   private leaseUntil = 0;
 
   /** When the latest answered watch request was sent, monotonic milliseconds. */
@@ -108,6 +111,8 @@
 
   private readonly leaseWaiters = new HeldCalls();
 
+  private readonly replyWaiters = new HeldCalls();
+
   constructor(private readonly parts: RelaySiteParts) {
     this.leaving = new LeavingPeriod(parts.clock);
     this.workers = makeRoutedWorkers(parts.mechanisms);
@@ -147,6 +152,19 @@
     return this.leaseWaiters.hold(maxMs);
   }
 
+  /**
+   * Whether the held server table contains all that a leader knew at some moment after a time. The
+   * lease alone does not ensure that: the table may be as old as the lease is long.
+   */
+  isTableConfirmedSince(time: number): boolean {
+    return this.confirmedAt >= time;
+  }
+
+  /** Resolves when the next reply of a leader was applied, or after some milliseconds. */
+  waitReply(maxMs: number): Promise<void> {
+    return this.replyWaiters.hold(maxMs);
+  }
+
   /** Whether a server that was chosen before may get a request now. */
   maySendTo(worker: RoutedWorker): boolean {
     return this.isServing && this.workers.byId.get(worker.id) === worker && isReady(worker);
@@ -246,10 +264,12 @@
     // No lease either: it would be granted for a table that is not applied.
     if (this.isOfOtherTable(reply, sentAt, askedEpoch)) return;
     if (!this.isOvertaken(reply)) this.applyWorkers(reply, sentAt);
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
     this.leasedEntryCount = Math.max(1, reply.entryCount);
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     applyRateLimits(this.workers, reply.limits, sentAt, this.rateSharing, this.parts.clock.now());
     this.accounts.applyReply(reply, this.parts.clock.now());
+    this.replyWaiters.release();
     if (this.documentVersion === NO_DOCUMENT.version) return;
     if (!this.isServing) this.logLeaseGap(reply);
     this.leaseUntil = Math.max(this.leaseUntil, sentAt + reply.leaseMs);
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -79,6 +79,8 @@
 
   private isLeaderLost = false;
 
+  private isTableRequested = false;
+
   /** Failed calls to control since the last log line on one. */
   private failedCalls = 0;
 
@@ -111,6 +113,20 @@
     if (this.leader !== '') await this.watchOnce(this.leader, 0);
   }
 
+  /**
+   * Asks the leader for its server table at once, in addition to the watch request that it holds;
+   * does nothing while such a request is open.
+   */
+  requestTable(): void {
+    if (this.isTableRequested || this.leader === '') return;
+    this.isTableRequested = true;
+    this.watchOnce(this.leader, 0)
+      .catch((error: unknown) => this.logFailure(error))
+      .finally(() => {
+        this.isTableRequested = false;
+      });
+  }
+
   /** Returns the connection to the last known leader; undefined while none is known. */
   findLeader(): RpcLink<SiteClient> | undefined {
     return this.leader === '' || this.isLeaderLost ? undefined : this.links.find(this.leader);
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from 'node:crypto';
-import { setTimeout as pause } from 'node:timers/promises';
 import { MAX_CONTINUATION_WAIT_MS } from '../core/routing/placementWait';
 import { NO_TIMINGS } from '../core/routing/placementTables';
 import {
@@ -13,7 +12,7 @@
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import {
   canContinue, explainVersionGone, hasOriginServer, ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_RETRY_MS,
-  VERSION_GONE_RETRY_MS,
+  VERSION_GONE_RETRY_MS, VERSIONS_UNCONFIRMED,
 } from '../core/routing/streamOrigin';
 import type { StreamOrigin } from '../core/routing/streamOrigin';
 import { isResumableStream } from '../core/routing/routeTable';
@@ -69,6 +68,8 @@
   readonly site: RelaySite;
   readonly placeClient: PlaceClient;
   readonly connections: Pick<WorkerConnections, 'hasIdle'>;
+  /** Asks the leader for its server table; if it is missing, only regular replies bring it. */
+  readonly requestTable?: () => void;
   readonly clock: Clock;
 }
 
@@ -79,8 +80,10 @@
 const NO_WORKER_RETRY_MS = 1_000;
 /** Retry-After of an entry that is cut off, in milliseconds: other entries can serve at once. */
 const CUT_OFF_RETRY_MS = 250;
-/** Interval at which a request whose stream is unknown looks for a leader, in milliseconds. */
+/** Longest interval at which a request whose stream is unknown asks for a leader, in ms. */
 const LEADER_RETRY_MS = 100;
+/** Passed on for a stream of which only a leader may tell the version. */
+const UNKNOWN_ORIGIN: OriginLookup = { kind: 'unknown' };
 /** Most slot requests to the leader for one choice, if it grants slots at unusable servers. */
 const MAX_PLACE_REQUESTS = 2;
 
@@ -107,19 +110,26 @@
    * if there is no server.
    */
   async pick(request: PickRequest): Promise<PickedWorker | undefined> {
-    const { site, clock } = this.parts;
-    const { service } = request.admitted;
-    this.checkBackoff(service);
-    const { isCutOff } = site.reach;
+    this.checkBackoff(request.admitted.service);
     const lookup = this.findOrigin(request);
-    if (lookup.kind === 'unknown') return this.placeUnknown(request, lookup);
-    const usesLeader = site.isPlaced(service) && !isCutOff;
+    return lookup.kind === 'unknown' || lookup.kind === 'assumed'
+      ? this.pickUnknown(request, this.parts.clock.now())
+      : this.pickByOrigin(request, lookup);
+  }
+
+  /** Picks a server, of the version that began the request's stream if it continues one. */
+  private async pickByOrigin(
+    request: PickRequest,
+    lookup: OriginLookup,
+  ): Promise<PickedWorker | undefined> {
+    const { site, clock } = this.parts;
+    const usesLeader = this.canUseLeader(request);
     const placed = usesLeader ? await this.place(request, lookup) : undefined;
     if (placed) return placed;
     if (request.isAbandoned()) return undefined;
     await this.requireLease(request);
     // A suspect request may run only one copy at a time, which only the leader can ensure.
-    if (site.isPlaced(service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader cannot place it', { retryAfterMs: NO_WORKER_RETRY_MS });
+    if (site.isPlaced(request.admitted.service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader cannot place it', { retryAfterMs: NO_WORKER_RETRY_MS });
     const { tried, facts, admitted: { account } } = request;
     if (tried.length > 0 || !account || chargeAccount(site, account, facts, clock.now())) {
       return this.chooseLocally(request, lookup.origin);
@@ -150,22 +160,44 @@
     return isCharged ? this.chooseLocally(request, lookup.origin) : undefined;
   }
 
+  /** Whether the leader is asked for a slot, whatever the request is. */
+  private canUseLeader({ admitted: { service } }: PickRequest): boolean {
+    const { site } = this.parts;
+    return site.isPlaced(service) && !site.reach.isCutOff;
+  }
+
   /**
-   * Lets the leader place a request whose stream another entry began; waits for a leader while
-   * there is none. The caller would lose what it has if the request were refused at once.
+   * Picks a server for a request whose stream another entry began: the leader knows its version, or
+   * confirms that there is only one. Waits for a leader while there is none, as the caller would
+   * lose what it has if the request were refused at once.
+   *
+   * Whoever began the stream had learnt its version from a leader before. So a table that a leader
+   * sent after the request came has that version; the table that this entry had then may lack it.
+   *
+   * @param since when the request came, monotonic milliseconds
    */
-  private async placeUnknown(
+  private async pickUnknown(
     request: PickRequest,
-    lookup: OriginLookup,
-    waitedMs = 0,
+    since: number,
   ): Promise<PickedWorker | undefined> {
-    const { site, clock } = this.parts;
-    const placed = await this.place(request, lookup);
-    if (placed || request.isAbandoned()) return placed;
-    const isOver = waitedMs >= MAX_CONTINUATION_WAIT_MS || clock.now() >= request.deadlineAt;
-    if (isOver || site.reach.isCutOff) throw new BeechliftError('streamOriginUnknown', ORIGIN_UNKNOWN, { retryAfterMs: ORIGIN_UNKNOWN_RETRY_MS });
-    await pause(LEADER_RETRY_MS);
-    return this.placeUnknown(request, lookup, waitedMs + LEADER_RETRY_MS);
+    const { site, clock, requestTable } = this.parts;
+    const lookup = this.findOrigin(request);
+    const isAssumed = lookup.kind === 'assumed';
+    if (isAssumed && site.isTableConfirmedSince(since)) return this.pickByOrigin(request, lookup);
+    if (!isAssumed || this.canUseLeader(request)) {
+      const placed = await this.place(request, UNKNOWN_ORIGIN);
+      if (placed) return placed;
+    } else {
+      requestTable?.();
+    }
+    if (request.isAbandoned()) return undefined;
+    const isOver = clock.now() - since >= MAX_CONTINUATION_WAIT_MS
+      || clock.now() >= request.deadlineAt;
+    if (isOver || (!isAssumed && site.reach.isCutOff)) {
+      throw new BeechliftError('streamOriginUnknown', isAssumed ? VERSIONS_UNCONFIRMED : ORIGIN_UNKNOWN, { retryAfterMs: ORIGIN_UNKNOWN_RETRY_MS });
+    }
+    await site.waitReply(LEADER_RETRY_MS);
+    return this.pickUnknown(request, since);
   }
 
   /** Finds the version that began the request's stream, as far as this entry knows. */
--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -42,6 +42,9 @@
 
   private readonly scripted: ScriptedServer[] = [];
 
+  /** Whether what servers announce is lost. */
+  losesAnnouncements = false;
+
   private announceTimer: NodeJS.Timeout | undefined;
 
   private announcementCount = 0;
@@ -113,8 +116,16 @@
     await this.waitForServers(count);
   }
 
-  /** Adds a server for each version, named v0, v1 and so on. */
+  /** Adds a server for each version, and waits until all entries and replicas know them. */
   async addVersioned(...versions: readonly string[]): Promise<void> {
+    await this.openVersioned(...versions);
+    await this.waitForServers(this.versioned.length);
+    await waitFor(() => [...this.control.running.values()].every(({ node }) => (
+      (node.countWorkers().get('ready') ?? 0) >= this.versioned.length)), 'all replicas follow the leader');
+  }
+
+  /** Adds a server for each version, named v0, v1 and so on. */
+  async openVersioned(...versions: readonly string[]): Promise<void> {
     const servers = versions.map((software, position) => new VersionedServer({
       id: `v${this.versioned.length + position}`,
       service: SERVICE,
@@ -123,9 +134,16 @@
     }));
     this.versioned.push(...servers);
     await Promise.all(servers.map((server) => server.open()));
-    await this.waitForServers(this.versioned.length);
-    await waitFor(() => [...this.control.running.values()].every(({ node }) => (
-      (node.countWorkers().get('ready') ?? 0) >= this.versioned.length)), 'all replicas follow the leader');
+  }
+
+  /** Whether an entry lists a number of servers or more. */
+  hasServers(entry: number, count: number): boolean {
+    return (this.entries[entry]?.relay.site.workers.byService.get(SERVICE)?.length ?? 0) >= count;
+  }
+
+  /** Id of an entry towards control. */
+  getEntryId(entry: number): string {
+    return this.entries[entry]?.relay.site.entryId ?? '';
   }
 
   /** Address at which an entry serves callers. */
@@ -212,7 +230,7 @@
   }
 
   private async announce(announcement: WorkerAnnouncement): Promise<void> {
-    const leader = this.control.findLeader();
+    const leader = this.losesAnnouncements ? undefined : this.control.findLeader();
     if (leader !== undefined) await this.control.findNode(leader).announce(announcement);
   }
 
