Let a new leader assume the only version of a service once it has heard of all streams and versions

Cause: servers are not in the log, and a new leader's copy may lack the servers of a version that joined last. It waited for the reports of entries where its table had several versions, but where it had one it took that one at once, also for an entry that knew both. Change: for an attempt that its caller names, the only version is assumed after the 2 s in which entries report their streams to a new leader and servers announce themselves. An entry that assumes by itself needs a table that its leader has had for that long, and asks the leader for a slot until then, whatever the service is. Why it works: after 2 s each living entry has reported the streams that it began, and each server that announces itself at the usual 1.2 s is in the table. It is no proof: a version all of whose servers are gone or silent by then stays unknown. Cost: a take-up of a named stream that the new leader has no record of waits for up to 2 s after the leader's begin.

--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -16,6 +16,7 @@
 import { applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
+import { LEARNING_MS } from '../core/routing/streamPlacement';
 import { applyLoads } from '../core/routing/workerLoads';
 import { applyNamedRates, listRateLimits } from '../core/routing/workerRateLimit';
 import { resultCodes } from '../errors/resultCodes';
@@ -25,9 +26,6 @@
 
 const REPORT_PHASES: readonly string[] = ['running', 'ended', 'failed', 'dropped', 'rejected', 'unreached'];
 
-/** Time in which all entries report to a new leader which streams they began, in milliseconds. */
-const LEARNING_MS = 2_000;
-
 /** Phases of requests that their servers did not work on. */
 const UNUSED_PHASES: readonly string[] = ['rejected', 'unreached'];
 
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -68,8 +68,8 @@
   /** Latest slots of attempts that have not begun a stream as far as is known, by attempt. */
   readonly grantedStreams: Map<string, string>;
   /**
-   * Until when entries may report streams that began before these tables were made, monotonic
-   * milliseconds.
+   * Until when entries may report streams that began before these tables were made, and servers
+   * may announce themselves that these tables lack, monotonic milliseconds.
    */
   readonly learnsUntil: number;
   /** Number of refusals so far, by which the retries of refused callers are spread. */
--- a/src/core/routing/streamPlacement.ts
+++ b/src/core/routing/streamPlacement.ts
@@ -7,6 +7,13 @@
 import type { StreamOrigin } from './streamOrigin';
 import { ORIGIN_RETENTION_MS } from './streamOrigins';
 
+/**
+ * Time in which a new leader hears of all streams and versions, in milliseconds: entries report
+ * which streams they began, and servers announce themselves, every 1.2 s as a rule. Until then its
+ * copy of the servers may lack those that only the leader before knew.
+ */
+export const LEARNING_MS = 2_000;
+
 /**
  * Result of the check of a waiting request. `unknown` and `gone`: no server may get it; `learning`:
  * a report may still arrive.
@@ -43,6 +50,9 @@
   if (kind === 'unknown') {
     return { kind: mayBeReported(tables, request, now) ? 'learning' : 'unknown' };
   }
+  const isNamed = request.resumedId !== undefined && request.resumedId !== '';
+  // A report tells the version also if these tables lack its servers.
+  if (kind === 'assumed' && isNamed && now < tables.learnsUntil) return { kind: 'learning' };
   if (!origin) return { kind: 'placeable', request };
   if (!hasOriginServer(tables.workers, request.service, origin)) return { kind: 'gone', origin };
   return { kind: 'placeable', request: { ...request, origin } };
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -13,6 +13,7 @@
 import type { RoutedWorker, RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import { NO_DOCUMENT } from '../core/routing/siteDocument';
+import { LEARNING_MS } from '../core/routing/streamPlacement';
 import { applyLoads, listLoads, resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
 import type { RateSharing } from '../core/routing/workerRateLimit';
@@ -97,6 +98,9 @@
   /** When the watch request was sent whose reply brought the held table. */
   private tableSentAt = -Infinity;
 
+  /** When the table of the current leader was applied first, monotonic milliseconds. */
+  private tableBegunAt = -Infinity;
+
   /** When the latest watch request was sent whose reply the held table takes into account. */
   private confirmedAt = -Infinity;
 
@@ -160,6 +164,11 @@
     return this.confirmedAt >= time;
   }
 
+  /** Whether the leader has led for long enough to have heard of all streams and versions. */
+  get isTableSettled(): boolean {
+    return this.parts.clock.now() - this.tableBegunAt >= LEARNING_MS;
+  }
+
   /** Resolves when the next reply of a leader was applied, or after some milliseconds. */
   waitReply(maxMs: number): Promise<void> {
     return this.replyWaiters.hold(maxMs);
@@ -339,7 +348,10 @@
 
   private applyWorkers(reply: WatchReply, sentAt: number): void {
     applyRecords(this.workers, reply.workers, this.parts.clock.now());
-    if (reply.workersEpoch !== this.workersEpoch) resetPlaced(this.workers);
+    if (reply.workersEpoch !== this.workersEpoch) {
+      resetPlaced(this.workers);
+      this.tableBegunAt = this.parts.clock.now();
+    }
     applyLoads(this.workers, reply.loads);
     this.entries.apply(reply);
     this.suspects.apply(reply, this.parts.clock.now());
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -183,8 +183,11 @@
     const { site, clock, requestTable } = this.parts;
     const lookup = this.findOrigin(request);
     const isAssumed = lookup.kind === 'assumed';
-    if (isAssumed && site.isTableConfirmedSince(since)) return this.pickByOrigin(request, lookup);
-    if (!isAssumed || this.canUseLeader(request)) {
+    // A new leader may still hear of the stream, if its caller names it.
+    const isSettled = site.isTableSettled || request.facts.resumedId === '';
+    const isConfirmed = isAssumed && isSettled && site.isTableConfirmedSince(since);
+    if (isConfirmed) return this.pickByOrigin(request, lookup);
+    if (!isAssumed || !isSettled || this.canUseLeader(request)) {
       const placed = await this.place(request, UNKNOWN_ORIGIN);
       if (placed) return placed;
     } else {
--- a/tests/core/stream-placement.spec.ts
+++ b/tests/core/stream-placement.spec.ts
@@ -6,6 +6,7 @@
 import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
 import { MAX_CONTINUATION_WAIT_MS } from '../../src/core/routing/placementWait';
 import { applyRecords, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
+import { LEARNING_MS } from '../../src/core/routing/streamPlacement';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
 
 const SERVICE = 'engines';
@@ -133,6 +134,32 @@
     expect(request(makeGranted('v1', 'v1'), takeUp)).toEqual(['take 1']);
   });
 
+  // Fault: a new leader whose copy of the servers lacked a version took the service for one of one
+  // version, before the servers of that version had announced themselves to it.
+  it('should wait while a new leader may lack a version', () => {
+    const { workers } = makeTables('v1');
+    const tables = makePlacementTables(workers, undefined, { learnsUntil: LEARNING_MS });
+    expect(request(tables, takeUp)).toEqual([]);
+    expect(placeWaiting(tables, LEARNING_MS - 1)).toEqual([]);
+    applyRecords(workers, [makeRecord('1', 'v2')], LEARNING_MS - 1);
+    expect(placeWaiting(tables, LEARNING_MS).map(formatDecision)).toEqual(['take streamOriginUnknown']);
+  });
+
+  // Guards against refusals while there is one version.
+  it('should go on once a new leader has learnt of no other version', () => {
+    const { workers } = makeTables('v1');
+    const tables = makePlacementTables(workers, undefined, { learnsUntil: LEARNING_MS });
+    expect(request(tables, takeUp)).toEqual([]);
+    expect(placeWaiting(tables, LEARNING_MS).map(formatDecision)).toEqual(['take 0']);
+  });
+
+  // Guards against waits for a report that can't come.
+  it('should not wait for a new leader to learn if its caller names no attempt', () => {
+    const { workers } = makeTables('v1');
+    const tables = makePlacementTables(workers, undefined, { learnsUntil: LEARNING_MS });
+    expect(request(tables, { ...takeUp, resumedId: '' })).toEqual(['take 0']);
+  });
+
   it('should leave nothing behind', () => {
     const tables = makeGranted('v1', 'v2');
     expect(tables.grantedStreams.size).toBe(1);
--- a/tests/relay/streams-out-of-step.spec.ts
+++ b/tests/relay/streams-out-of-step.spec.ts
@@ -12,6 +12,8 @@
 const EVENTS_BEFORE_BREAK = 4;
 const OLD = ['v1', 'v1', 'v1'];
 const NEW = ['v1.1', 'v1.1', 'v1.1'];
+/** How long after the end of a leader servers announce themselves, in milliseconds. */
+const ANNOUNCE_MS = 1_000;
 /** How long a cut lasts once streams are taken up, in milliseconds: less than a request waits. */
 const JOIN_MS = 600;
 
@@ -113,4 +115,21 @@
     if (way) cuts.cutEntry(started.getEntryId(1), way);
     expect(await takeUp(started, 1, begun)).toEqual(ALL_WHOLE);
   });
+
+  // Fault: a leader that had just begun to lead, with a copy of the servers that lacked the new
+  // ones, took a service for one of one version before these announced themselves to it.
+  it('should not be joined of two versions if a new leader does not know the new servers yet', async () => {
+    const [started, cuts] = await start(true);
+    cuts.cutCopies();
+    const begun = await beginAtNew(started, 0);
+    started.losesAnnouncements = true;
+    const leader = await started.control.waitForLeader();
+    await Promise.all([started.stopEntry(0), started.control.stop(leader)]);
+    await started.control.waitForLeader();
+    setTimeout(() => {
+      started.losesAnnouncements = false;
+    }, ANNOUNCE_MS);
+    const results = await takeUp(started, 0, begun);
+    expect(listJoined(results)).toEqual([]);
+  });
 });
