Let a leader assume the only version of a service only under its lease

Cause: placing rests on no lease, so a leader that others have replaced goes on placing until it hears of it. Its table lacks the servers that announced themselves to the next leader, and it took a service of two versions for one of one version. Change: without the lease, a request whose stream nobody knows waits, as it does for a report, and is refused as not run after 2 s. Begun streams, known ones and other requests are placed without a lease as before. Why it works: under the lease no other leader can exist, so nobody can have been told of a version that this one lacks, but by an earlier leader. Result: stream-placement.spec "should wait while another leader may know other versions" failed before, passes since.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -30,6 +30,8 @@
   readonly suspects?: Pick<SuspectRegistry, 'applyReports' | 'findRestriction'> | undefined;
   /** Which version began which stream; kept over changes of the leader. */
   readonly origins?: StreamOrigins | undefined;
+  /** Whether no other leader can exist; if it is missing, none can. */
+  readonly holdsLease?: (() => boolean) | undefined;
   /** Defaults to all mechanisms on. */
   readonly mechanisms?: Mechanisms | undefined;
   /** If it is missing, nothing is logged. */
@@ -78,6 +80,7 @@
       logger: parts.logger,
       mechanisms: parts.mechanisms,
       origins: parts.origins,
+      holdsLease: parts.holdsLease,
       findRestriction: (fingerprint) => parts.suspects?.findRestriction(fingerprint)
         ?? NO_RESTRICTION,
       handleUnplaced: ({ account, cost }) => this.ledger.refund(account, cost),
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -84,6 +84,8 @@
   readonly findRestriction?: RestrictionFinder | undefined;
   /** Which version began which stream; if it is missing, the service starts without knowledge. */
   readonly origins?: StreamOrigins | undefined;
+  /** Whether no other leader can exist; if it is missing, none can. */
+  readonly holdsLease?: (() => boolean) | undefined;
   /** Defaults to all mechanisms on. */
   readonly mechanisms?: Mechanisms | undefined;
   /** If it is missing, nothing is logged. */
@@ -106,7 +108,9 @@
   constructor(private readonly parts: PlacementServiceParts) {
     this.workers = makeRoutedWorkers(parts.mechanisms);
     this.tables = makePlacementTables(this.workers, parts.findRestriction, {
-      origins: parts.origins, learnsUntil: parts.clock.now() + LEARNING_MS,
+      origins: parts.origins,
+      learnsUntil: parts.clock.now() + LEARNING_MS,
+      holdsLease: parts.holdsLease,
     });
   }
 
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -319,7 +319,9 @@
   }
 
   private makeLeaderState(): LeaderState {
-    return new LeaderState({ ...this.parts, ...this.softState.leaderParts });
+    return new LeaderState({
+      ...this.parts, ...this.softState.leaderParts, holdsLease: () => this.isLeading,
+    });
   }
 
   /** Applies the account limits of the document; only a leader tracks them. */
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -66,7 +66,7 @@
 export const makePlacementTables = (
   workers: RoutedWorkers,
   findRestriction: RestrictionFinder = () => NO_RESTRICTION,
-  streams: Partial<Pick<PlacementTables, 'origins' | 'learnsUntil'>> = {},
+  streams: Partial<Pick<PlacementTables, 'origins' | 'learnsUntil' | 'holdsLease'>> = {},
 ): PlacementTables => ({
   workers,
   waiting: new Map(),
@@ -77,6 +77,7 @@
   origins: streams.origins ?? new StreamOrigins(),
   grantedStreams: new Map(),
   learnsUntil: streams.learnsUntil ?? 0,
+  holdsLease: streams.holdsLease ?? (() => true),
   refusals: 0,
 });
 
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -72,6 +72,8 @@
    * may announce themselves that these tables lack, monotonic milliseconds.
    */
   readonly learnsUntil: number;
+  /** Whether no other leader can exist, which may know more versions. */
+  readonly holdsLease: () => boolean;
   /** Number of refusals so far, by which the retries of refused callers are spread. */
   refusals: number;
 }
--- a/src/core/routing/streamPlacement.ts
+++ b/src/core/routing/streamPlacement.ts
@@ -35,6 +35,16 @@
   return isGranted || now < learnsUntil;
 };
 
+/**
+ * Whether servers of other versions may have begun the stream, although these tables have only one:
+ * another leader may know them, or an entry may still report one.
+ */
+const mayLackVersions = (
+  { learnsUntil, holdsLease }: PlacementTables,
+  { resumedId = '' }: SlotRequest,
+  now: number,
+): boolean => (resumedId !== '' && now < learnsUntil) || !holdsLease();
+
 /**
  * Checks whether a waiting request may be placed, and at which version.
  *
@@ -50,9 +60,9 @@
   if (kind === 'unknown') {
     return { kind: mayBeReported(tables, request, now) ? 'learning' : 'unknown' };
   }
-  const isNamed = request.resumedId !== undefined && request.resumedId !== '';
-  // A report tells the version also if these tables lack its servers.
-  if (kind === 'assumed' && isNamed && now < tables.learnsUntil) return { kind: 'learning' };
+  if (kind === 'assumed' && mayLackVersions(tables, request, now)) {
+    return { kind: now - request.askedAt < MAX_CONTINUATION_WAIT_MS ? 'learning' : 'unknown' };
+  }
   if (!origin) return { kind: 'placeable', request };
   if (!hasOriginServer(tables.workers, request.service, origin)) return { kind: 'gone', origin };
   return { kind: 'placeable', request: { ...request, origin } };
--- a/tests/core/stream-placement.spec.ts
+++ b/tests/core/stream-placement.spec.ts
@@ -160,6 +160,20 @@
     expect(request(tables, { ...takeUp, resumedId: '' })).toEqual(['take 0']);
   });
 
+  // Fault: a leader that others had replaced, and that had not heard of it, took a service for one
+  // of one version, while servers of another announced themselves to the next leader.
+  it('should wait while another leader may know other versions', () => {
+    let holdsLease = false;
+    const { workers } = makeTables('v1');
+    const tables = makePlacementTables(workers, undefined, { holdsLease: () => holdsLease });
+    expect(request(tables, takeUp, { ...takeUp, id: 'unnamed', resumedId: '' })).toEqual([]);
+    expect(placeWaiting(tables, MAX_CONTINUATION_WAIT_MS - 1)).toEqual([]);
+    expect(placeWaiting(tables, MAX_CONTINUATION_WAIT_MS).map(formatDecision))
+      .toEqual(['take streamOriginUnknown', 'unnamed streamOriginUnknown']);
+    holdsLease = true;
+    expect(request(tables, takeUp)).toEqual(['take 0']);
+  });
+
   it('should leave nothing behind', () => {
     const tables = makeGranted('v1', 'v2');
     expect(tables.grantedStreams.size).toBe(1);
