Leave streams to other entries while free slots of their server may still be taken

Cause: an entry that shut down began a stream if the pace of its server so far, with a margin of 1 to 2, fitted into what was left. Change: while most entries accept callers and slots of the server are free, a stream is begun only if it would end in time at a third of the pace (mayLoadGrow, shortenForFreeSlots). Slots count as taken, too, if half of the recent requests waited for one or got none, as an entry doesn't know what the leader lets others run. Otherwise the margin is as before. Why it works: the decision is by how much slower a server may still become, which is known at the signal. Where its slots are free, the refused caller gets one through another entry; where they are taken, a refusal would cost it its place, and the estimate has the load in it.

--- a/src/core/routing/answerTime.ts
+++ b/src/core/routing/answerTime.ts
@@ -1,6 +1,6 @@
 /** Estimates whether a model's answer ends in time at a backend server. */
 import { estimateAt, hasEnoughSamples } from './linearFit';
-import { findServiceStats } from './routedWorkers';
+import { findServiceStats, isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 
@@ -17,6 +17,9 @@
 /** Share of the remaining time that an estimated answer may use, because speeds vary. */
 const USABLE_TIME_SHARE = 0.8;
 
+/** Share of requests that wait for slots above which all slots count as taken. */
+const FULL_QUEUED_SHARE = 0.5;
+
 const estimateAnswerMs = (
   workers: RoutedWorkers,
   {
@@ -50,11 +53,29 @@
 };
 
 /**
- * How many times longer than recent answers one may take that is begun now: requests that arrive
- * later slow down those that run.
+ * Whether the load on the servers of a service may still grow, which slows down the answers that
+ * run: slots are free, and requests do not wait for them.
+ *
+ * @param worker the chosen server; if it is missing, any server of the service may be chosen
+ * @example
+ * mayLoadGrow(workers, 'scribe'); // false once all slots are taken
  */
+export const mayLoadGrow = (
+  workers: RoutedWorkers,
+  service: string,
+  worker?: RoutedWorker,
+): boolean => {
+  if (findServiceStats(workers, service).queuedShare >= FULL_QUEUED_SHARE) return false;
+  const servers = worker ? [worker] : (workers.byService.get(service) ?? []).filter(isReady);
+  return servers.some(({ inFlight, othersInFlight, slots }) => inFlight + othersInFlight < slots);
+};
+
+/** How many times longer than recent answers one may take if the load grows. */
 const LOAD_MARGIN = 2;
 
+/** The same for an answer at a server that has free slots now, which all may be taken. */
+const FREE_SLOTS_MARGIN = 3;
+
 /**
  * Shortens a time such that an answer which is estimated to end within it still ends within the
  * whole time if the load grows.
@@ -65,3 +86,12 @@
  */
 export const shortenForLoad = (ms: number, certainty: number): number => (
   ms / (1 + certainty * (LOAD_MARGIN - 1)));
+
+/**
+ * Shortens a time such that an answer which is estimated to end within it still ends within the
+ * whole time if the free slots of its server are taken.
+ *
+ * @example
+ * canFinishWithin(workers, size, shortenForFreeSlots(3_000)); // at most 1_000
+ */
+export const shortenForFreeSlots = (ms: number): number => ms / FREE_SLOTS_MARGIN;
--- a/src/core/routing/entryList.ts
+++ b/src/core/routing/entryList.ts
@@ -23,6 +23,11 @@
 
   private readonly version = new ListVersion();
 
+  /** Whether a leader has sent the list. */
+  get isReceived(): boolean {
+    return this.version.epoch !== '';
+  }
+
   /** Held version, for the next watch request to a leader. */
   get heldVersion(): EntryListVersion {
     return { entriesEpoch: this.version.epoch, entriesRevision: this.version.revision };
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -66,6 +66,8 @@
   /** Time from the first to the last event on the fastest server, by allowed output tokens. */
   readonly output: LinearFit;
   failureShare: number;
+  /** Smoothed share of recent requests that waited for a slot or got none. */
+  queuedShare: number;
 }
 
 /** The backend servers that an entry knows, and their statistics. */
@@ -104,6 +106,9 @@
 const INITIAL_PROMPT_TOKEN_MS = 0.02;
 const INITIAL_OUTPUT_TOKEN_MS = 5;
 
+/** A request that got its slot after at least this time, in milliseconds, waited for it. */
+const QUEUED_MS = 50;
+
 /** Weight of one sample: about ten of them replace the previous value. */
 const SMOOTHING = 0.2;
 
@@ -258,6 +263,7 @@
     firstEvent: makeLinearFit(INITIAL_BASE_MS, INITIAL_PROMPT_TOKEN_MS),
     output: makeLinearFit(0, INITIAL_OUTPUT_TOKEN_MS),
     failureShare: 0,
+    queuedShare: 0,
   };
   workers.serviceStats.set(service, stats);
   return stats;
@@ -276,6 +282,17 @@
   worker.paceSamples += 1;
 };
 
+/**
+ * Records how long a request waited until it got a slot; Infinity if it got none.
+ *
+ * @example
+ * recordSlotWait(workers, 'scribe', 3);
+ */
+export const recordSlotWait = (workers: RoutedWorkers, service: string, waitedMs: number): void => {
+  const stats = findServiceStats(workers, service);
+  stats.queuedShare = smooth(stats.queuedShare, waitedMs >= QUEUED_MS ? 1 : 0);
+};
+
 /** Records the timing of one answer. */
 export const recordAnswer = (
   workers: RoutedWorkers,
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -1,5 +1,7 @@
 /** Decides which requests an entry still accepts while it shuts down. */
-import { canFinishWithin, shortenForLoad } from '../core/routing/answerTime';
+import {
+  canFinishWithin, mayLoadGrow, shortenForFreeSlots, shortenForLoad,
+} from '../core/routing/answerTime';
 import { BeechliftError } from '../errors/beechliftError';
 import type { AdmittedRequest } from './admitRequest';
 import type { RelaySite } from './relaySite';
@@ -39,7 +41,12 @@
     startMs: picked?.expectedMs ?? 0,
   };
   // A refusal costs the caller a try at another entry, and an aborted stream its whole answer. The
-  // longer the directory has not listed this entry, the more of its callers know others.
-  const safeMs = shortenForLoad(remainingMs, locatedShare);
+  // longer the directory has not listed this entry, the more of its callers know others. While
+  // slots are free, the caller gets one through another entry; once all are taken, a refusal costs
+  // it its place.
+  const isCautious = site.hasOtherEntries && mayLoadGrow(site.workers, service, picked?.worker);
+  const safeMs = isCautious
+    ? shortenForFreeSlots(remainingMs)
+    : shortenForLoad(remainingMs, locatedShare);
   return canFinishWithin(site.workers, size, safeMs, picked?.worker);
 };
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -205,6 +205,12 @@
     return this.leasedEntryCount;
   }
 
+  /** Whether most entries accept callers; by their number until their list is received. */
+  get hasOtherEntries(): boolean {
+    if (!this.entries.isReceived) return this.entryCount > 1;
+    return 2 * this.listEntries().length >= this.entryCount;
+  }
+
   /** How the entries divide the rate limits of backend servers. */
   get rateSharing(): RateSharing {
     return {
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -8,7 +8,7 @@
 import { findOrigin } from '../core/routing/originLookup';
 import type { OriginLookup } from '../core/routing/originLookup';
 import { hasAllowance } from '../core/routing/rateAllowance';
-import { isReachable, isReady } from '../core/routing/routedWorkers';
+import { isReachable, isReady, recordSlotWait } from '../core/routing/routedWorkers';
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import {
   canContinue, explainVersionGone, hasOriginServer, ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_RETRY_MS,
@@ -21,6 +21,7 @@
 import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
 import type { RoutedAccount } from '../manifest/routing';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
+import { resultCodes } from '../errors/resultCodes';
 import type { Clock } from '../utils/clock';
 import {
   chargeAccount, computeCost, makeLimitError, makeNoLeaseError,
@@ -248,6 +249,7 @@
     const cost = account && tried.length === 0 && requestCount === 1
       ? computeCost(account, facts)
       : 0;
+    const askedAt = clock.now();
     const reply = await placeClient.place({
       placeId,
       entryId: site.entryId,
@@ -270,6 +272,11 @@
       resumedId: facts.resumedId,
     }, deadlineAt);
     if (!reply) return undefined;
+    const waitedMs = clock.now() - askedAt;
+    if (reply.code === 0) recordSlotWait(site.workers, service, waitedMs);
+    if (reply.code === resultCodes.noSlotInTime.number) {
+      recordSlotWait(site.workers, service, Infinity);
+    }
     if (reply.code === 0 && account) site.accounts.recordPlaced(account, cost, clock.now());
     if (reply.code !== 0) {
       throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
--- a/tests/core/answer-time.spec.ts
+++ b/tests/core/answer-time.spec.ts
@@ -1,8 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { canFinishWithin, shortenForLoad } from '../../src/core/routing/answerTime';
+import {
+  canFinishWithin, mayLoadGrow, shortenForFreeSlots, shortenForLoad,
+} from '../../src/core/routing/answerTime';
 import type { AnswerSize } from '../../src/core/routing/answerTime';
 import {
-  applyRecords, recordAnswer, recordPace, makeRoutedWorkers,
+  applyRecords, recordAnswer, recordPace, recordSlotWait, makeRoutedWorkers,
 } from '../../src/core/routing/routedWorkers';
 import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
@@ -96,4 +98,37 @@
     expect(shortenForLoad(6_000, 0.5)).toBe(4_000);
     expect(shortenForLoad(6_000, 1)).toBe(3_000);
   });
+
+  // Fault: answers at servers that had free slots were begun by the pace that these had then, and
+  // requests that took the slots later slowed the servers down by more than twice.
+  it('should leave thrice the time if slots of its server are free', () => {
+    expect(shortenForFreeSlots(6_000)).toBe(2_000);
+  });
+});
+
+describe('load that may still grow', () => {
+  // Guards against a margin for requests that find no slot at any entry: it would only refuse them.
+  it('should not be expected once all slots are taken', () => {
+    const workers = makeWorkers();
+    const server = findWorker(workers, 'slow');
+    server.inFlight = 1;
+    server.othersInFlight = 2;
+    expect(mayLoadGrow(workers, SERVICE, server)).toBe(true);
+    server.inFlight = 2;
+    expect(mayLoadGrow(workers, SERVICE, server)).toBe(false);
+    expect(mayLoadGrow(workers, SERVICE)).toBe(true);
+    findWorker(workers, 'fast').inFlight = 4;
+    expect(mayLoadGrow(workers, SERVICE)).toBe(false);
+  });
+
+  // Guards against the same where this entry doesn't know all that runs at a server.
+  it('should not be expected while requests wait for slots, or get none', () => {
+    const workers = makeWorkers();
+    recordSlotWait(workers, SERVICE, 5);
+    expect(mayLoadGrow(workers, SERVICE)).toBe(true);
+    [200, Infinity, 400, Infinity].forEach((ms) => recordSlotWait(workers, SERVICE, ms));
+    expect(mayLoadGrow(workers, SERVICE)).toBe(false);
+    Array.from({ length: 4 }, () => recordSlotWait(workers, SERVICE, 5));
+    expect(mayLoadGrow(workers, SERVICE)).toBe(true);
+  });
 });
--- a/tests/relay/leaving-entry.spec.ts
+++ b/tests/relay/leaving-entry.spec.ts
@@ -32,6 +32,7 @@
 
 const leaving = { remainingMs: REMAINING_MS, locatedShare: 0.75, mayTakeRisks: true };
 const site = { workers, isLeaving: true, leaving } as unknown as RelaySite;
+const siteOfMany = { ...site, hasOtherEntries: true } as unknown as RelaySite;
 const admitted = {
   service: SERVICE, route: makeRoute({ kind: 'stream', timeoutMs: 20_000 }),
 } as unknown as AdmittedRequest;
@@ -50,4 +51,21 @@
     expect(decide(FIRST_EVENT_MS)).toBe(true);
     expect(decide(REMAINING_MS / 2)).toBe(false);
   });
+
+  // Fault: streams were begun at servers with free slots. Others took these, and the streams were
+  // aborted at the end. Where no slot is free, a refusal would cost their callers more.
+  it('should leave an answer to other entries while the load of its server may grow', () => {
+    const picked = {
+      worker, expectedMs: FIRST_EVENT_MS, placeId: 'p', epoch: 'e',
+    };
+    const longer = {
+      ...facts, tokens: { prompt: 1_000, output: 200, expected: 200 },
+    } as unknown as RequestFacts;
+    const decideLonger = (at: RelaySite): boolean => canAnswerInTime(at, admitted, longer, picked);
+    expect(decideLonger(site)).toBe(true);
+    expect(decideLonger(siteOfMany)).toBe(false);
+    worker.inFlight = worker.slots;
+    expect(decideLonger(siteOfMany)).toBe(true);
+    worker.inFlight = 0;
+  });
 });
