Wait for answers of requests at a server after those at none were refused

Cause: an entry that shuts down gave up every request without a started answer after 0.9 of the grace, also those at a server, whose answers came while streams were still passed on until 0.95. They got a 502 though a server had run them. Change: refuseAll takes a scope. After 0.9 requests at no server are refused, as not run; those at a server have until 0.93, the rest is for their errors to be written. An answer that starts by then and is not whole at 0.95 is cut; before, it was a 502, and neither promises anything. Why it works: a request that may have run can't be refused as not run, so there is nothing to gain by giving it up while its answer can still be passed on.

--- a/src/relay/openRequests.ts
+++ b/src/relay/openRequests.ts
@@ -3,12 +3,15 @@
 import type { RelayMetrics } from './relayMetrics';
 import { waitWritten } from './waitWritten';
 
+/** Requests that are refused: those of which no server has a byte, or all without an answer. */
+export type RefusalScope = 'unsent' | 'unanswered';
+
 /** A request in progress. */
 export interface OpenRequest {
   /** Serves the request; never rejects. */
   readonly run: () => Promise<void>;
   /** Refuses the request because the entry shuts down, unless an answer has started. */
-  readonly refuseForShutdown: () => void;
+  readonly refuseForShutdown: (scope: RefusalScope) => void;
   /** Aborts an answer that has started, so that it does not look complete. */
   readonly abortAnswer: () => void;
 }
@@ -58,9 +61,9 @@
     return this.open.size === 0 ? Promise.resolve() : this.idle.hold(Math.max(0, maxMs));
   }
 
-  /** Refuses all requests whose answers have not started. */
-  refuseAll(): void {
-    [...this.open].forEach((request) => request.refuseForShutdown());
+  /** Refuses the requests of a scope; none whose answer has started. */
+  refuseAll(scope: RefusalScope = 'unanswered'): void {
+    [...this.open].forEach((request) => request.refuseForShutdown(scope));
   }
 
   /** Aborts all answers in progress. */
--- a/src/relay/relayShutdown.ts
+++ b/src/relay/relayShutdown.ts
@@ -8,8 +8,10 @@
 
 /** Fraction of the grace period after which the port closes, even if callers may still connect. */
 const LOCATE_FRACTION = 0.5;
-/** Fraction of the grace period after which requests without a started answer are refused. */
+/** Fraction of the grace period after which requests that are at no server are refused. */
 const ANSWER_FRACTION = 0.9;
+/** The same for requests at a server that have no started answer: they may have run. */
+const START_FRACTION = 0.93;
 /** Fraction of the grace period after which streams are aborted; the rest is for the exit. */
 const STREAM_FRACTION = 0.95;
 /** Time without a request, in milliseconds, before callers' open connections are closed. */
@@ -61,6 +63,9 @@
     await this.waitQuiet(() => readRemainingMs(ANSWER_FRACTION));
     // Refuses the requests that are still open when the grace period ends.
     logger.info('entry closes its connections', { tookMs: Math.round(clock.now() - startedAt), open: openRequests.count });
+    openRequests.refuseAll('unsent');
+    await openRequests.waitIdle(readRemainingMs(START_FRACTION));
+    // The rest of the grace is for streams, and for errors to be written.
     openRequests.refuseAll();
     await openRequests.waitIdle(readRemainingMs(STREAM_FRACTION));
     // Refuses requests that arrived meanwhile.
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -14,7 +14,7 @@
 import { computeLeaseWaitMs } from './leaseWait';
 import { findCutReason } from '../wire/closeDelimitedEnd';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
-import type { OpenRequest } from './openRequests';
+import type { OpenRequest, RefusalScope } from './openRequests';
 import { prepareRequest } from './prepareRequest';
 import type { PreparedRequest } from './prepareRequest';
 import type { AnswerFacts, RequestFacts } from './requestDialect';
@@ -96,8 +96,9 @@
   }
 
   /** Refuses the request because the entry shuts down, unless an answer has started. */
-  refuseForShutdown(): void {
-    if (this.writer.hasStarted) return;
+  refuseForShutdown(scope: RefusalScope): void {
+    const isAtServer = this.call?.isSent ?? false;
+    if (this.writer.hasStarted || (scope === 'unsent' && isAtServer)) return;
     this.giveUp(makeLeavingError(), 'the entry shuts down');
   }
 
