Allow optional retries on large sites, too

Cause: the share of the retry budget that is kept for others was a quarter of the capacity of one entry. Where that is about one retry, even a full budget was no quarter above one. Change: the share is that of what exceeds one retry. Why it works: a full budget always allows one, and of larger ones about a quarter stays.

--- a/src/core/routing/serviceRetryBudget.ts
+++ b/src/core/routing/serviceRetryBudget.ts
@@ -54,7 +54,7 @@
   /** Takes a retry that is optional; returns false when few are left. */
   takeSpare(service: string, now: number): boolean {
     const { remaining } = this.refill(service, now);
-    return remaining - 1 >= this.capacity * KEPT_SHARE && this.take(service, now);
+    return remaining - 1 >= (this.capacity - 1) * KEPT_SHARE && this.take(service, now);
   }
 
   /** Returns a retry that was taken but not made. */
