Believe no unproved end of a stream where proofs have found parts

What callers saw: in a burst of close-delimited streams that running servers broke off, the first few were continued and the others ended as complete. Cause: a proof is a second send, the budget pays for few, and whoever got none was believed like before. Change: an entry learns from its proofs, by service, how many ends were cuts. Where it is a fifth or more of the latest, a stream without a proof is cut off instead, so that its caller takes it up, and its next send counts as any other retry. A second server that has no further event counts as a proof, however it ends its answer. Why it works: what proofs have shown of a service is the only evidence about the ends that nobody could prove.

--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -65,6 +65,9 @@
   /** What the current server has sent of a stream; undefined for other answers. */
   private part: ReceivedPart | undefined;
 
+  /** Whether the current server continues what an earlier one began. */
+  private isContinued = false;
+
   /** Whether an earlier server had begun more of the stream than was passed on. */
   private hasKnownRest = false;
 
@@ -144,6 +147,7 @@
 
   /** Passes a head on, unless it is that of a resumed stream, whose head was sent before. */
   writeHead(head: UpstreamHead): void {
+    this.isContinued = this.hasStarted;
     this.part = this.mode === 'buffered' ? undefined : new ReceivedPart(head);
     if (this.hasStarted) return;
     this.statusCode = head.status;
@@ -187,10 +191,15 @@
     return this.isFinished || this.response.write(bytes);
   }
 
-  /** Marks an answer that seems complete; returns whether another server can prove that it is. */
-  markPresumedComplete(): boolean {
-    this.presumedCount = this.canResume ? this.framer?.eventCount : undefined;
-    return this.isPresumedComplete;
+  /** Whether another server can tell what follows, and none has told yet that nothing does. */
+  get needsProof(): boolean {
+    const isConfirmed = this.isContinued && this.part?.isEmpty === true;
+    return this.canResume && this.framer?.hasRemainder === false && !isConfirmed;
+  }
+
+  /** Marks an answer that seems complete, so that it is ended if no server proves the contrary. */
+  markPresumedComplete(): void {
+    this.presumedCount = this.framer?.eventCount;
   }
 
   /** Records that the current server broke off: it may have begun more than it has sent. */
--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -59,6 +59,8 @@
   readonly tracker: AttemptTracker;
   readonly writer: AnswerWriter;
   readonly framing: AnswerFraming | undefined;
+  /** Whether streams of the service that seemed complete were often cut off. */
+  readonly isDistrusted: boolean;
   /** Monotonic milliseconds. */
   readonly now: number;
 }
@@ -69,11 +71,13 @@
  *
  * @param headOutcome why the answer's head was refused; undefined if it was not
  * @example
- * const outcome = settleAttempt({ worker, tracker, writer, now }, callOutcome, headOutcome);
+ * const outcome = settleAttempt({
+ *   worker, tracker, writer, framing, isDistrusted, now,
+ * }, callOutcome, headOutcome);
  */
 export const settleAttempt = (
   {
-    worker, tracker, writer, framing, now,
+    worker, tracker, writer, framing, isDistrusted, now,
   }: FinishedAttempt,
   callOutcome: UpstreamOutcome,
   headOutcome: AttemptOutcome | undefined,
@@ -92,8 +96,9 @@
   }
   if (callOutcome.kind === 'complete') {
     clearSuspension(worker);
-    const isUnconfirmed = framing === 'closeDelimited' && writer.markPresumedComplete();
+    const isUnconfirmed = framing === 'closeDelimited' && writer.needsProof;
     if (!isUnconfirmed) writer.end();
+    else if (!isDistrusted) writer.markPresumedComplete();
     tracker.recordResult(writer.statusCode >= SERVER_ERROR);
     return isUnconfirmed ? { kind: 'unconfirmed', reason: UNCONFIRMED } : { kind: 'answered' };
   }
--- a/src/relay/receivedPart.ts
+++ b/src/relay/receivedPart.ts
@@ -32,6 +32,11 @@
     return this.boundary?.isWithinEvent === true;
   }
 
+  /** Whether the server has sent nothing behind its head. */
+  get isEmpty(): boolean {
+    return this.receivedBytes === 0;
+  }
+
   /** Whether the server had begun more than it has sent, so that the stream is not complete. */
   get hasBegunMore(): boolean {
     return this.isWithinEvent || this.receivedBytes < this.length;
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -24,6 +24,7 @@
 import type { Clock, SuspensionDetector } from '../utils/clock';
 import { HeldCalls } from '../utils/heldCalls';
 import { AnsweredParts } from './answeredParts';
+import { CutShares } from './cutShares';
 import { EntryAccounts } from './entryAccounts';
 import { LeavingPeriod } from './leavingPeriod';
 import { readDocument } from './readDocument';
@@ -75,6 +76,9 @@
   /** Services whose servers fail if they must turn many requests away. */
   readonly brittleServices = new BrittleServices();
 
+  /** How often streams of a service seemed complete and were cut off. */
+  readonly cutShares = new CutShares();
+
   /** Requests that are known to crash backend servers. */
   readonly suspects = new SuspectList();
 
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -174,7 +174,9 @@
     retryPolicy.countTry();
     this.stream.adoptOrigin(picked);
     this.tried.push(picked.worker.id);
+    const { isPresumedComplete, chunkCount } = this.writer;
     const outcome = await this.attempt(prepared, picked);
+    if (isPresumedComplete) this.recordProof(admitted, outcome, chunkCount);
     this.log.logAttempt(admitted, picked, outcome, this.writer);
     if (outcome.kind === 'answered' || this.writer.isFinished) return;
     if (outcome.kind === 'unconfirmed') this.startProofTimer(retryPolicy);
@@ -185,6 +187,17 @@
     await this.tryServers(prepared);
   }
 
+  /** Records whether a stream that seemed complete was cut off, if its second server told. */
+  private recordProof(
+    { service }: AdmittedRequest,
+    outcome: AttemptOutcome,
+    countBefore: number,
+  ): void {
+    const { site, clock } = this.parts;
+    const wasCut = this.writer.chunkCount > countBefore;
+    if (wasCut || outcome.kind === 'answered') site.cutShares.record(service, wasCut, clock.now());
+  }
+
   /** Limits the time in which another server may prove that a stream is complete. */
   private startProofTimer(retryPolicy: RetryPolicy): void {
     const timer = setTimeout(() => {
@@ -278,7 +291,12 @@
     if (callOutcome.kind === 'complete') connections.release(connection);
     else connection.end();
     const outcome = settleAttempt({
-      worker, tracker, writer: this.writer, framing: call.framing, now: clock.now(),
+      worker,
+      tracker,
+      writer: this.writer,
+      framing: call.framing,
+      isDistrusted: this.parts.site.cutShares.hasManyCuts(admitted.service, clock.now()),
+      now: clock.now(),
     }, callOutcome, headOutcome);
     // Before any await: a refusal meanwhile depends on whether the request may have run.
     retryPolicy.recordOutcome(outcome);
--- a/tests/relay/unproved-ends.spec.ts
+++ b/tests/relay/unproved-ends.spec.ts
@@ -107,6 +107,22 @@
     expect(endedAt - sentAt).toBeLessThan(PATIENCE_MS);
   });
 
+  // Fault: once the budget for proofs was used up, each further part of a burst looked complete.
+  it('should not look complete without a proof where proofs have found parts', async () => {
+    const parts: CallerResult[] = [];
+    const askAll = async (left: number): Promise<void> => {
+      if (left === 0) return;
+      while (rig.site.retries.take('rooms', performance.now()));
+      parts.push(await caller.send({ id: 'r1', path: '/orders/7', headers: { 'x-key': 'k1' } }));
+      caller.close();
+      caller = await RawCaller.open(`127.0.0.1:${rig.port}`);
+      await askAll(left - 1);
+    };
+    await ask([closeAfter(1), sendRest, ...Array<Script>(6).fill(closeAfter(1))]);
+    await askAll(3);
+    expect(parts.map(({ answer }) => answer)).toEqual([undefined, undefined, undefined]);
+  });
+
   it('should be complete if its server is the only one', async () => {
     const { answer } = await ask([closeAfter(3), sendRest], 1);
     expect(answer?.body).toBe(WHOLE);
