Take a comment behind the last event for no part of an event

What callers saw: a complete stream without a length that ended with a comment line was cut off, or continued for nothing. Cause: the check of a close-delimited end looked only at the last bytes, and took any line without an empty one behind it for a part of an event. Change: it keeps the lines since the last event and asks whether one of them is no comment. Framer and check share the form of the lines. Why it works: a comment tells nothing about what the server has generated.

--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -1,8 +1,7 @@
-/** Ends of an event: an empty line, whose line ends may be LF, CR LF or CR. */
+import { EVENT_END, EVENT_LINE } from '../wire/eventLines';
+
+/** The same ends as `EVENT_END`, as bytes to look for. */
 const EVENT_ENDS = ['\n\n', '\n\r\n', '\r\r'];
-const EVENT_END = /\n\n|\n\r\n|\r\r/;
-/** Comments, which servers send to keep a connection open, are no events. */
-const EVENT_LINE = /^[^:\r\n]/m;
 const ID_LINE = /^id: ?(.*)$/m;
 /** A block that exceeds this size without an end is not an event and is passed on unchanged. */
 const MAX_BLOCK_BYTES = 1_048_576;
--- a/src/wire/eventBoundary.ts
+++ b/src/wire/eventBoundary.ts
@@ -1,6 +1,8 @@
-/** Bytes that tell whether a stream of events ends behind an event. */
-const BOUNDARY_BYTES = 4;
-const EMPTY_LINE_END = /(?:\n\n|\n\r\n|\r\r)$/;
+import { EVENT_END, EVENT_LINE } from './eventLines';
+
+/** Bytes of an event that are kept: its first lines, and what may begin its end. */
+const KEPT_BYTES = 1_024;
+const END_BYTES = 3;
 
 /**
  * Follows a stream of server-sent events and tells whether it has stopped within an event: an event
@@ -11,15 +13,18 @@
  * boundary.isWithinEvent; // true
  */
 export class EventBoundary {
-  private tail = '';
+  /** What was received since the end of the last event. */
+  private rest = '';
 
   /** Whether the bytes so far end within an event. */
   get isWithinEvent(): boolean {
-    return this.tail !== '' && !EMPTY_LINE_END.test(this.tail);
+    return EVENT_LINE.test(this.rest);
   }
 
   /** Adds received bytes. */
   push(chunk: Buffer): void {
-    this.tail = (this.tail + chunk.toString('latin1', Math.max(0, chunk.length - BOUNDARY_BYTES))).slice(-BOUNDARY_BYTES);
+    const rest = (this.rest + chunk.toString('latin1')).split(EVENT_END).at(-1) ?? '';
+    const isLong = rest.length > KEPT_BYTES;
+    this.rest = isLong ? rest.slice(0, KEPT_BYTES) + rest.slice(-END_BYTES) : rest;
   }
 }
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -153,6 +153,12 @@
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, sends]);
   });
 
+  // Fault: a comment behind the last event was taken for a part of another one.
+  it.each([['that may be resumed', resumable], ['that may run once', streamOnce]])('should be complete if a comment follows its last event: a stream %s', async (name, route) => {
+    const { answer } = await ask(route, closeConnection(`${HEAD}\r\n${WHOLE}: done\n`));
+    expect([answer?.body, rig.received.length]).toEqual([`${WHOLE}: done\n`, 1]);
+  });
+
   // Fault: lines of another format were taken for events, and each such answer was cut off.
   it('should be complete if it has no events but another format', async () => {
     const lines = '{"text":"a"}\n{"text":"b"}\n';
