Don't take a lack of connections of this process for an ended server

What callers saw: a complete answer without a length was cut off, or answered as of unknown outcome, if its entry had no descriptor left. Cause: the check of the server took every error but a reset for an ended server. Change: only errors that tell of the other side count: refused, timed out, unreachable. Why it works: an error of this process says nothing about the server.

--- a/src/wire/isServerRunning.ts
+++ b/src/wire/isServerRunning.ts
@@ -1,9 +1,13 @@
 import type { buildConnector } from 'undici';
 import { probeAddress } from './probeAddress';
 
+/** Errors of a connection to an address at which no process accepts it. */
+const GONE_CODES: readonly (string | undefined)[] = ['ECONNREFUSED', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN'];
+
 /**
- * Returns whether a server accepts a connection from now on, or resets it because it has too many;
- * false if its process has ended, or if it does not answer. Never rejects.
+ * Returns whether a server may still run; false if its process has ended, or if it does not answer.
+ * A server that has too many connections resets further ones, and this process may have none left:
+ * neither tells that the server has ended. Never rejects.
  *
  * @example
  * const isRunning = await isServerRunning(openNetworkSocket, '10.0.0.9:8080');
@@ -13,5 +17,5 @@
   address: string,
 ): Promise<boolean> => {
   const error = await probeAddress(connect, address);
-  return error === undefined || error.code === 'ECONNRESET';
+  return !GONE_CODES.includes(error?.code);
 };
--- a/tests/relay/ended-servers.spec.ts
+++ b/tests/relay/ended-servers.spec.ts
@@ -167,17 +167,19 @@
       .toMatchObject({ answer: { body: lines } });
   });
 
-  // Guards against a server at its limit of connections that is taken for one that has ended.
+  // Guards against a server that is taken for one that has ended because it is at its limit of
+  // connections, or because this process is.
   it.each([
-    ['a stream that may be resumed', resumable],
-    ['a stream that may run once', streamOnce],
-    ['a request that may run once', once],
-  ])('should be complete if its server resets further connections: %s', async (name, route) => {
+    ['a stream that may be resumed', resumable, 'ECONNRESET'],
+    ['a stream that may run once', streamOnce, 'ECONNRESET'],
+    ['a request that may run once', once, 'ECONNRESET'],
+    ['a stream that may run once', streamOnce, 'EMFILE'],
+  ])('should be complete if further connections fail: %s, %s', async (name, route, code) => {
     let sockets = 0;
     const openOnce: Connector = (options, callback) => {
       sockets += 1;
       if (sockets === 1) openNetworkSocket(options, callback);
-      else callback(Object.assign(new Error('connect ECONNRESET'), { code: 'ECONNRESET' }), null);
+      else callback(Object.assign(new Error(`connect ${code}`), { code }), null);
     };
     const { answer } = await ask(route, closeConnection(`${HEAD}\r\n${WHOLE}`), {}, openOnce);
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, 1]);
