Don't count a server that cannot continue a complete stream as failing

What callers saw: nothing by itself; a sound server was preferred less after it was asked for what follows a complete stream. Cause: its answer, for instance 416, isn't a success, and each such answer to a resumed stream counted as a failure. Change: while the stream seems complete, it does not count. Why it works: that nothing follows is a right answer here, whatever its status.

--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -90,7 +90,8 @@
     return headOutcome;
   }
   if (headOutcome?.kind === 'failed') {
-    tracker.recordResult(true);
+    // A server that cannot continue a complete stream has not failed.
+    if (!writer.isPresumedComplete) tracker.recordResult(true);
     return headOutcome;
   }
   if (callOutcome.kind === 'complete' && writer.lacksKnownRest) {
--- a/tests/relay/unproved-ends.spec.ts
+++ b/tests/relay/unproved-ends.spec.ts
@@ -139,6 +139,13 @@
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, 1]);
   });
 
+  // Fault: a server that knew of no further event counted as one that fails, and got fewer requests.
+  it('should not count as a failure of a server that cannot continue it', async () => {
+    await ask([closeAfter(3), (socket) => socket.write(`${HEAD.replace('200', '416')}content-length: 0\r\n\r\n`)]);
+    expect([...rig.site.workers.byId.values()].map(({ failureShare }) => failureShare))
+      .toEqual([0, 0]);
+  });
+
   it('should be complete if its entry shuts down meanwhile', async () => {
     const asked = ask([closeAfter(3), () => undefined]);
     await new Promise((resolve) => {
