--- a/tests/relay/unproved-ends.spec.ts
+++ b/tests/relay/unproved-ends.spec.ts
@@ -139,9 +139,12 @@
     expect([answer?.body, rig.received.length]).toEqual([WHOLE, 1]);
   });
 
-  // Fault: a server that knew of no further event counted as one that fails, and got fewer requests.
+  // Fault: a server that knew of no further event counted as failing, and got fewer requests.
   it('should not count as a failure of a server that cannot continue it', async () => {
-    await ask([closeAfter(3), (socket) => socket.write(`${HEAD.replace('200', '416')}content-length: 0\r\n\r\n`)]);
+    const refuse: Script = (socket) => {
+      socket.write(`${HEAD.replace('200', '416')}content-length: 0\r\n\r\n`);
+    };
+    await ask([closeAfter(3), refuse]);
     expect([...rig.site.workers.byId.values()].map(({ failureShare }) => failureShare))
       .toEqual([0, 0]);
   });
