Take a host that does not answer for one that does not run, in our own interface, too

What callers saw: a part of an answer without a length looked complete in our own interface if its server's host did not answer any more. Cause: since errors of this process no longer count, only codes of the operating system did; the connector of our own interface reports a timeout by a code of the HTTP client. Change: that code counts as well. Why it works: both connectors' codes for a host that does not answer are listed, and the spec asks both about a closed port.

--- a/src/wire/isServerRunning.ts
+++ b/src/wire/isServerRunning.ts
@@ -2,7 +2,9 @@
 import { probeAddress } from './probeAddress';
 
 /** Errors of a connection to an address at which no process accepts it. */
-const GONE_CODES: readonly (string | undefined)[] = ['ECONNREFUSED', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN'];
+const GONE_CODES: readonly (string | undefined)[] = [
+  'ECONNREFUSED', 'ETIMEDOUT', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN',
+];
 
 /**
  * Returns whether a server may still run; false if its process has ended, or if it does not answer.
