Follow the events of a stream once, and read the framing of an answer once

Cause: each chunk of every stream was searched for the ends of events twice, by the framer and by the check of close-delimited ends, and in streams that are passed on directly although only a close-delimited end asks for it. The writer decided by rules of its own whether the length of an answer is known, beside readFraming. The type of event streams stood in two places, and findCutReason took two objects for one fact each. Change: in framed streams the framer tells whether it stands within an event, when it is asked; others are followed only if they are close-delimited. The head of an answer carries its framing. One pattern for the type; the check takes the two facts. The time of a chunk was not measured.

--- a/src/entry/sending/checkAnswerEnd.ts
+++ b/src/entry/sending/checkAnswerEnd.ts
@@ -1,6 +1,7 @@
 import { CALLER_HEADERS } from '../callers/callerRequest';
 import { findCutReason } from '../../wire/closeDelimitedEnd';
 import { EventBoundary } from '../../wire/eventBoundary';
+import { EVENT_STREAM } from '../../wire/eventLines';
 import { isServerRunning } from '../../wire/isServerRunning';
 import { systemClock } from '../../utils/clock';
 import { EngineFailure } from './engineFailure';
@@ -8,7 +9,6 @@
 import type { ServiceAnswer, ServiceCall } from './serviceClient';
 
 const OK = 200;
-const EVENT_STREAM = /^text\/event-stream\b/i;
 
 /** An answer as received, before any header is dropped. */
 interface ReceivedAnswer extends Pick<ServiceAnswer, 'status' | 'body'> {
@@ -41,9 +41,8 @@
   answer: ReceivedAnswer,
 ): Promise<void> => {
   const reason = await findCutReason({
-    writer: { isWithinEvent: isWithinEvent(answer) },
-    address: call.address,
-    connections: { isRunning: (address) => isServerRunning(openServerSocket, address) },
+    isWithinEvent: isWithinEvent(answer),
+    isRunning: () => isServerRunning(openServerSocket, call.address),
     limitAt: sentAt + readNamedLimitMs(call),
     clock: systemClock,
   });
--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -2,10 +2,9 @@
 import { BeechliftError } from '../errors/beechliftError';
 import { isResumableStream } from '../core/routing/routeTable';
 import type { Route } from '../manifest/routing';
-import { BODILESS_STATUSES } from '../wire/bodilessStatuses';
 import { EventFramer } from './eventFramer';
 import { endAfterBody } from './endAfterBody';
-import { dropHeaders, findHeader } from '../wire/rawHeaders';
+import { dropHeaders } from '../wire/rawHeaders';
 import { ReceivedPart } from './receivedPart';
 import type { UpstreamHead } from './upstreamCall';
 
@@ -16,10 +15,7 @@
 /** Answers of up to this size that are not streams are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 65_536;
 
-const hasKnownLength = (
-  { status, headers }: UpstreamHead,
-): boolean => BODILESS_STATUSES.includes(status)
-  || findHeader(headers, 'content-length') !== undefined;
+const hasKnownLength = ({ framing }: UpstreamHead): boolean => framing === 'none' || framing === 'length';
 
 /**
  * How an answer is passed on. `direct`: each chunk at once. `framed`: in complete events, so that
@@ -148,7 +144,7 @@
   /** Passes a head on, unless it is that of a resumed stream, whose head was sent before. */
   writeHead(head: UpstreamHead): void {
     this.isContinued = this.hasStarted;
-    this.part = this.mode === 'buffered' ? undefined : new ReceivedPart(head);
+    this.part = this.mode === 'buffered' ? undefined : new ReceivedPart(head, this.framer);
     if (this.hasStarted) return;
     this.statusCode = head.status;
     if (this.mode === 'buffered') this.bufferedHead = head;
--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -31,6 +31,9 @@
 
   private hasPartialBlocks = false;
 
+  /** Whether the begin of the current block was passed on although it had not ended. */
+  private isBlockOpen = false;
+
   private remainder: Buffer = Buffer.alloc(0);
 
   /** Whether another stream can continue after the last complete event. */
@@ -44,6 +47,11 @@
     return this.remainder.length > 0;
   }
 
+  /** Whether the bytes so far end within an event. */
+  get isWithinEvent(): boolean {
+    return this.isBlockOpen || EVENT_LINE.test(this.remainder.toString('latin1'));
+  }
+
   /** Adds bytes; returns the events that are complete now. */
   push(chunk: Buffer): Buffer {
     const bytes = this.remainder.length > 0 ? Buffer.concat([this.remainder, chunk]) : chunk;
@@ -51,8 +59,10 @@
     this.remainder = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
     this.readEvents(completeEvents);
+    if (end > 0) this.isBlockOpen = false;
     if (this.remainder.length <= MAX_BLOCK_BYTES) return completeEvents;
     this.hasPartialBlocks = true;
+    this.isBlockOpen = true;
     return Buffer.concat([completeEvents, this.takeRemainder()]);
   }
 
--- a/src/relay/receivedPart.ts
+++ b/src/relay/receivedPart.ts
@@ -1,35 +1,42 @@
 import { EventBoundary } from '../wire/eventBoundary';
+import { EVENT_STREAM } from '../wire/eventLines';
 import { findHeader } from '../wire/rawHeaders';
 import type { UpstreamHead } from './upstreamCall';
 
-const EVENT_STREAM = /^text\/event-stream\b/i;
+/** Follows the events of a stream. */
+type EventFollower = Pick<EventBoundary, 'isWithinEvent'>;
 
 /**
  * What one backend server has sent of a stream, and whether it had begun more than that.
  *
  * @example
- * const part = new ReceivedPart(head);
+ * const part = new ReceivedPart(head, framer);
  * part.push(chunk);
  * if (part.hasBegunMore) …
  */
 export class ReceivedPart {
+  /** Follows the events if nobody else does and their end matters. */
   private readonly boundary: EventBoundary | undefined;
 
+  private readonly events: EventFollower | undefined;
+
   /** Length of the body, if the head named it. */
   private readonly length: number;
 
   private receivedBytes = 0;
 
-  constructor({ headers }: Pick<UpstreamHead, 'headers'>) {
+  /** @param framer follows the events of the whole stream, if it is passed on in events */
+  constructor({ headers, framing }: UpstreamHead, framer: EventFollower | undefined) {
     const contentType = findHeader(headers, 'content-type');
     const hasEvents = contentType === undefined || EVENT_STREAM.test(contentType);
-    this.boundary = hasEvents ? new EventBoundary() : undefined;
+    this.boundary = !framer && framing === 'closeDelimited' ? new EventBoundary() : undefined;
+    this.events = hasEvents ? framer ?? this.boundary : undefined;
     this.length = Number(findHeader(headers, 'content-length') ?? 0);
   }
 
   /** Whether the bytes so far end within an event. */
   get isWithinEvent(): boolean {
-    return this.boundary?.isWithinEvent === true;
+    return this.events?.isWithinEvent === true;
   }
 
   /** Whether the server has sent nothing behind its head. */
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -269,9 +269,8 @@
         // The server has ended its work: the check is no time of it.
         tracker.releaseWorker();
         return findCutReason({
-          writer: this.writer,
-          address: worker.address,
-          connections,
+          isWithinEvent: this.writer.isWithinEvent,
+          isRunning: () => connections.isRunning(worker.address),
           limitAt: sentAt + remainingMs,
           clock,
         });
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -27,6 +27,8 @@
 export interface UpstreamHead {
   readonly status: number;
   readonly headers: RawHeaders;
+  /** What marks the end of the body. */
+  readonly framing: AnswerFraming;
 }
 
 /** What the log tells about a call. */
@@ -246,9 +248,10 @@
   ): void {
     // A status below 200 is informational: the final answer follows.
     if (status < 200) return;
-    const head = { status, headers: readRawHeaders(controller) };
-    this.framing = readFraming(method, head);
-    this.isRefused = !this.listener.onHead(head);
+    const headers = readRawHeaders(controller);
+    const framing = readFraming(method, { status, headers });
+    this.framing = framing;
+    this.isRefused = !this.listener.onHead({ status, headers, framing });
     this.hasAnswerHead = !this.isRefused;
     this.isWholeWithHead = this.hasAnswerHead && BODILESS_STATUSES.includes(status);
     if (this.isRefused) controller.abort(new Error('the answer was refused'));
--- a/src/wire/closeDelimitedEnd.ts
+++ b/src/wire/closeDelimitedEnd.ts
@@ -9,10 +9,10 @@
 
 /** An answer whose end only the end of its connection marks. */
 export interface CloseDelimitedEnd {
-  readonly writer: { readonly isWithinEvent: boolean };
-  /** Address of the server that sent it. */
-  readonly address: string;
-  readonly connections: { readonly isRunning: (address: string) => Promise<boolean> };
+  /** Whether it stopped within an event. */
+  readonly isWithinEvent: boolean;
+  /** Returns whether the server that sent it still runs. */
+  readonly isRunning: () => Promise<boolean>;
   /** When the server stops its work, monotonic milliseconds. */
   readonly limitAt: number;
   readonly clock: Clock;
@@ -25,14 +25,13 @@
  * operating system does the same for a server that has crashed. The server must still run.
  *
  * @example
- * const cutReason = await findCutReason({ writer, address, connections, limitAt, clock });
+ * const cutReason = await findCutReason({ isWithinEvent, isRunning, limitAt, clock });
  */
 export const findCutReason = async ({
-  writer, address, connections, limitAt, clock,
+  isWithinEvent, isRunning, limitAt, clock,
 }: CloseDelimitedEnd): Promise<string | undefined> => {
-  if (writer.isWithinEvent) return 'the connection was closed within an event';
+  if (isWithinEvent) return 'the connection was closed within an event';
   if (clock.now() >= limitAt) return 'the connection was closed at the time limit of the server';
   await pause(SETTLE_MS);
-  const isRunning = await connections.isRunning(address);
-  return isRunning ? undefined : 'the connection was closed, and the server accepts no other';
+  return await isRunning() ? undefined : 'the connection was closed, and the server accepts no other';
 };
--- a/tests/relay/answer-writer.spec.ts
+++ b/tests/relay/answer-writer.spec.ts
@@ -15,7 +15,7 @@
       response.on('error', (error) => failures.push(error));
       const writer = new AnswerWriter(response, 'direct', () => 0, () => false);
       writer.fail(new BeechliftError('routeTimeout', 'its time is over'));
-      writer.writeHead({ status: 200, headers: ['content-length', '4'] });
+      writer.writeHead({ status: 200, headers: ['content-length', '4'], framing: 'length' });
       rooms.push(writer.write(Buffer.from('late')));
     });
     await new Promise<void>((resolve) => {
--- a/tests/relay/event-framer.spec.ts
+++ b/tests/relay/event-framer.spec.ts
@@ -58,4 +58,13 @@
       expect(framer.hasRemainder).toBe(false);
     }), { seed: 7 });
   });
+
+  // Guards against a stream that seems to end behind an event as the begin of one was passed on.
+  it('should be within an event whose begin was passed on because it is too long', () => {
+    const framer = new EventFramer();
+    framer.push(Buffer.from(`data: ${'x'.repeat(1_100_000)}`));
+    expect([framer.hasRemainder, framer.isWithinEvent]).toEqual([false, true]);
+    framer.push(Buffer.from('\n\n'));
+    expect(framer.isWithinEvent).toBe(false);
+  });
 });
