--- a/tests/relay/close-delimited-answers.spec.ts
+++ b/tests/relay/close-delimited-answers.spec.ts
@@ -12,6 +12,7 @@
 const PLAIN_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\nconnection: close\r\n\r\n';
 const CHUNKED_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
 const EVENT = 'data: all\n\n';
+const TEXT_HEAD = 'HTTP/1.1 200 X\r\nx-id: r1\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n';
 const STEP_MS = 30;
 
 const stream: Partial<Route> = { kind: 'stream', isResumable: false, maxAttempts: 1 };
@@ -53,6 +54,14 @@
     expect(await serve((socket) => socket.end(answer))).toEqual({ body: EVENT, end: 'closed' });
   });
 
+  // Guards against an answer without events that is taken for a part of one.
+  it.each([
+    ['without a length, as text', `${TEXT_HEAD}all`],
+    ['in chunks', `${CHUNKED_HEAD}3\r\nall\r\n0\r\n\r\n`],
+  ])('should end with its connection if it has no events: the server answers %s', async (name, answer) => {
+    expect(await serve((socket) => socket.end(answer))).toEqual({ body: 'all', end: 'closed' });
+  });
+
   // Fault: the connection of an answer that its server had sent in chunks and broken off was closed
   // normally, so the part looked complete.
   it.each([
