--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -7,26 +7,22 @@
 import type { AdmittedRequest } from './admitRequest';
 import { AnswerWriter, pickAnswerMode } from './answerWriter';
 import type { AnswerMode } from './answerWriter';
-import { AttemptTracker } from './attemptTracker';
 import type { AttemptOutcome } from './attemptTracker';
-import { checkAnswerHead, settleAttempt } from './attemptOutcome';
 import { drawTargetShare } from './drawTargetShare';
 import { computeLeaseWaitMs } from './leaseWait';
-import { findCutReason } from '../wire/closeDelimitedEnd';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest, RefusalScope } from './openRequests';
 import { prepareRequest } from './prepareRequest';
 import type { PreparedRequest } from './prepareRequest';
-import type { AnswerFacts, RequestFacts } from './requestDialect';
+import type { RequestFacts } from './requestDialect';
 import type { RetryPolicy } from './retryPolicy';
 import { RequestLog } from './requestLog';
 import type { RequestParts } from './requestParts';
 import { RequestStream } from './requestStream';
-import { computeSilenceMs, RequestFailover } from './requestFailover';
+import { RequestFailover } from './requestFailover';
+import { makeAttemptTracker, ServerAttempt } from './serverAttempt';
 import { startInputTimer } from './startInputTimer';
-import { UpstreamCall } from './upstreamCall';
-import type { UpstreamHead, UpstreamRequest } from './upstreamCall';
-import { applyNotice } from './workerNotices';
+import type { UpstreamCall } from './upstreamCall';
 import type { PickedWorker } from './workerPicker';
 
 /**
@@ -151,7 +147,7 @@
       await this.tryServers(prepared);
     } finally {
       stopTimer();
-      await this.cancelFailover(admitted);
+      await this.cancelFailover(prepared);
       retryPolicy.releaseRetry();
     }
   }
@@ -162,12 +158,12 @@
     const picked = await this.failover.takeWorker() ?? await this.pickWorker(prepared);
     if (!picked) return;
     if (this.writer.isFinished) {
-      this.releasePicked(admitted, picked);
+      this.releasePicked(prepared, picked);
       return;
     }
     if (!this.writer.hasStarted
       && !canAnswerInTime(this.parts.site, admitted, this.facts, picked)) {
-      this.releasePicked(admitted, picked);
+      this.releasePicked(prepared, picked);
       throw makeLeavingError();
     }
     this.checkQuarantine(prepared, picked);
@@ -208,11 +204,11 @@
   }
 
   /** Throws if the request was quarantined while it waited for its slot, which is released. */
-  private checkQuarantine({ admitted, guard }: PreparedRequest, picked: PickedWorker): void {
+  private checkQuarantine(prepared: PreparedRequest, picked: PickedWorker): void {
     try {
-      guard.check();
+      prepared.guard.check();
     } catch (thrown) {
-      this.releasePicked(admitted, picked);
+      this.releasePicked(prepared, picked);
       throw thrown;
     }
   }
@@ -236,128 +232,41 @@
     });
   }
 
-  private async attempt(prepared: PreparedRequest, picked: PickedWorker): Promise<AttemptOutcome> {
-    const { admitted, guard, retryPolicy } = prepared;
-    const { worker } = picked;
-    const { connections, clock } = this.parts;
-    const connection = connections.acquire(worker.address);
-    const sentAt = clock.now();
-    const remainingMs = Math.max(1, Math.floor(this.deadlineAt - sentAt));
-    const tracker = this.makeTracker(admitted, picked);
-    let headOutcome: AttemptOutcome | undefined;
-    this.writer.discardUnsent();
-    const call: UpstreamCall = new UpstreamCall(connection, {
-      isAbandoned: () => this.writer.isFinished,
-      maySend: () => this.parts.site.maySendTo(worker),
-      onHead: (head) => {
-        tracker.recordHead();
-        headOutcome = this.checkHead(prepared, worker, head, tracker.startedAt);
-        if (headOutcome) return false;
-        this.cancelPick?.();
-        const isContinued = this.writer.hasStarted;
-        this.writer.writeHead(head);
-        if (this.writer.canResume) this.stream.recordHead(picked, this.deadlineAt, isContinued);
-        return true;
+  private attempt(prepared: PreparedRequest, picked: PickedWorker): Promise<AttemptOutcome> {
+    const {
+      parts, facts, writer, stream, log, deadlineAt, target, request: { method = 'GET', rawHeaders },
+    } = this;
+    return new ServerAttempt({
+      shared: parts,
+      prepared,
+      picked,
+      facts,
+      writer,
+      stream,
+      log,
+      deadlineAt,
+      method,
+      target,
+      rawHeaders,
+      setCall: (call) => {
+        this.call = call;
       },
-      onData: (chunk) => {
-        const canWriteMore = this.writer.write(chunk);
-        tracker.recordChunk();
-        if (!canWriteMore && !call.isPaused) this.writer.waitDrained(() => call.resume());
-        return canWriteMore;
-      },
-      findCutReason: () => {
-        // The server has ended its work: the check is no time of it.
-        tracker.releaseWorker();
-        return findCutReason({
-          isWithinEvent: this.writer.isWithinEvent,
-          isRunning: () => connections.isRunning(worker.address),
-          limitAt: sentAt + remainingMs,
-          clock,
-        });
-      },
-    });
-    this.call = call;
-    const stopSilenceTimer = startInputTimer(
-      () => this.handleSilence(prepared, worker, call),
-      computeSilenceMs(admitted.route),
-    );
-    const callOutcome = await call.run(this.buildUpstreamRequest(prepared, worker, remainingMs));
-    this.log.call = call.summarize();
-    stopSilenceTimer();
-    tracker.releaseWorker();
-    this.call = undefined;
-    if (call.isSent) retryPolicy.sendCount += 1;
-    if (callOutcome.kind === 'complete') connections.release(connection);
-    else connection.end();
-    const outcome = settleAttempt({
-      worker,
-      tracker,
-      writer: this.writer,
-      framing: call.framing,
-      isDistrusted: this.parts.site.cutShares.hasManyCuts(admitted.service, clock.now()),
-      hasExpired: clock.now() >= sentAt + remainingMs,
-      now: clock.now(),
-    }, callOutcome, headOutcome);
-    // Before any await: a refusal meanwhile depends on whether the request may have run.
-    retryPolicy.recordOutcome(outcome);
-    if (outcome.kind === 'broken' && !headOutcome && !call.isAborted) await guard.checkForCrash(worker);
-    if (outcome.kind === 'answered' || outcome.kind === 'unconfirmed') guard.recordAnswer(this.writer.statusCode);
-    tracker.reportOutcome(outcome.kind);
-    return outcome;
-  }
-
-  private makeTracker({ route }: AdmittedRequest, picked: PickedWorker): AttemptTracker {
-    const { site, placeClient, clock } = this.parts;
-    const { writer, facts } = this;
-    return new AttemptTracker({
-      site, placeClient, clock, picked, writer, facts, isStream: route.kind === 'stream',
-    });
+      handleAnswer: () => this.cancelPick?.(),
+      handleSilence: (call) => this.handleSilence(prepared, picked.worker, call),
+      reserveRetry: () => this.reserveRetry(prepared),
+    }).run();
   }
 
   /** Releases a slot that was granted after the request no longer needed it. */
-  private releasePicked(admitted: AdmittedRequest, picked: PickedWorker): void {
-    const tracker = this.makeTracker(admitted, picked);
+  private releasePicked(prepared: PreparedRequest, picked: PickedWorker): void {
+    const { parts: shared, facts, writer } = this;
+    const tracker = makeAttemptTracker({
+      shared, prepared, picked, facts, writer,
+    });
     tracker.releaseWorker();
     tracker.reportOutcome('dropped');
   }
 
-  private buildUpstreamRequest(
-    { admitted: { account }, body }: PreparedRequest,
-    worker: RoutedWorker,
-    remainingMs: number,
-  ): UpstreamRequest {
-    const { dialect } = this.parts;
-    return {
-      method: this.request.method ?? 'GET',
-      path: this.target,
-      headers: dialect.buildRequestHeaders(this.request.rawHeaders, {
-        workerId: worker.id,
-        account,
-        remainingMs,
-        lastEventId: this.writer.lastEventId,
-      }),
-      body,
-    };
-  }
-
-  /** Returns why an answer's head is refused, or undefined if the answer is passed on. */
-  private checkHead(
-    prepared: PreparedRequest,
-    worker: RoutedWorker,
-    { status, headers }: UpstreamHead,
-    sentAt: number,
-  ): AttemptOutcome | undefined {
-    const answer: AnswerFacts = this.parts.dialect.readAnswer(headers);
-    const { requestId } = this.facts;
-    applyNotice(this.parts, worker, {
-      ...answer, status, requestId, sentAt,
-    });
-    const { hasStarted } = this.writer;
-    return checkAnswerHead({
-      status, answer, requestId, hasStarted,
-    }, () => this.reserveRetry(prepared));
-  }
-
   /*
    * Handles a server that accepts requests and does not answer. From now on the entry prefers other
    * servers. A request that may be repeated moves to another server as soon as that one has a free
@@ -372,7 +281,7 @@
     this.failover.start(call, {
       log: this.log,
       pickWorker: (isUnneeded) => this.pickWorker(prepared, isUnneeded),
-      releasePicked: (picked) => this.releasePicked(prepared.admitted, picked),
+      releasePicked: (picked) => this.releasePicked(prepared, picked),
       reserveRetry: (picked) => this.reserveRetry(prepared, picked),
       isCurrentCall: (other) => this.call === other,
       isFinished: () => this.writer.isFinished,
@@ -386,10 +295,10 @@
       && retryPolicy.reserveRetry(this.deadlineAt, this.stream.origin);
   }
 
-  private async cancelFailover(admitted: AdmittedRequest): Promise<void> {
+  private async cancelFailover(prepared: PreparedRequest): Promise<void> {
     this.cancelPick?.();
     const picked = await this.failover.takeWorker();
-    if (picked) this.releasePicked(admitted, picked);
+    if (picked) this.releasePicked(prepared, picked);
   }
 
   private expire(retryPolicy: RetryPolicy): void {
