--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -13,7 +13,6 @@
 import type { RoutedWorker, RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import { NO_DOCUMENT } from '../core/routing/siteDocument';
-import { LEARNING_MS } from '../core/routing/streamPlacement';
 import { applyLoads, listLoads, resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
 import type { RateSharing } from '../core/routing/workerRateLimit';
@@ -26,6 +25,7 @@
 import { AnsweredParts } from './answeredParts';
 import { CutShares } from './cutShares';
 import { EntryAccounts } from './entryAccounts';
+import { HeldTable } from './heldTable';
 import { LeavingPeriod } from './leavingPeriod';
 import { readDocument } from './readDocument';
 
@@ -93,20 +93,8 @@
   /** Version that control assigns to the document; 0 before the first. */
   private documentVersion: DocumentVersion = NO_DOCUMENT.version;
 
-  /** Epoch of the leader's server table that this entry has a copy of; empty before the first. */
-  workersEpoch = '';
-
-  /** Revision of that table; a later one knows more announcements. */
-  workersRevision = 0;
-
-  /** When the watch request was sent whose reply brought the held table. */
-  private tableSentAt = -Infinity;
-
-  /** When the table of the current leader was applied first, monotonic milliseconds. */
-  private tableBegunAt = -Infinity;
-
-  /** When the latest watch request was sent whose reply the held table takes into account. */
-  private confirmedAt = -Infinity;
+  /** The leader's server table that this entry has a copy of. */
+  private readonly heldTable = new HeldTable();
 
   private leaseUntil = 0;
 
@@ -160,17 +148,24 @@
     return this.leaseWaiters.hold(maxMs);
   }
 
-  /**
-   * Whether the held server table contains all that a leader knew at some moment after a time. The
-   * lease alone does not ensure that: the table may be as old as the lease is long.
-   */
+  /** Epoch of the held server table; empty before the first. */
+  get workersEpoch(): string {
+    return this.heldTable.epoch;
+  }
+
+  /** Revision of that table; a later one knows more announcements. */
+  get workersRevision(): number {
+    return this.heldTable.revision;
+  }
+
+  /** Whether the held server table has all that a leader knew at some moment after a time. */
   isTableConfirmedSince(time: number): boolean {
-    return this.confirmedAt >= time;
+    return this.heldTable.isConfirmedSince(time);
   }
 
   /** Whether the leader has led for long enough to have heard of all streams and versions. */
   get isTableSettled(): boolean {
-    return this.parts.clock.now() - this.tableBegunAt >= LEARNING_MS;
+    return this.heldTable.isSettled(this.parts.clock.now());
   }
 
   /** Resolves when the next reply of a leader was applied, or after some milliseconds. */
@@ -281,9 +276,9 @@
     if (!this.applyDocument(reply)) return;
     this.lastAnsweredSentAt = Math.max(this.lastAnsweredSentAt, sentAt);
     // No lease either: it would be granted for a table that is not applied.
-    if (this.isOfOtherTable(reply, sentAt, askedEpoch)) return;
-    if (!this.isOvertaken(reply)) this.applyWorkers(reply, sentAt);
-    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+    if (this.heldTable.isOfOtherTable(reply, sentAt, askedEpoch)) return;
+    if (!this.heldTable.isOvertaken(reply)) this.applyWorkers(reply, sentAt);
+    this.heldTable.confirm(sentAt);
     this.leasedEntryCount = Math.max(1, reply.entryCount);
     setConnectionShares(this.workers, this.table?.routing.services ?? [], this.entryCount);
     applyRateLimits(this.workers, reply.limits, sentAt, this.rateSharing, this.parts.clock.now());
@@ -336,37 +331,12 @@
     }
   }
 
-  /*
-   * Guards against an older table that makes a leaving server ready again: requests overlap, so
-   * replies may arrive in another order than they were built, and from an earlier leader. Changes
-   * since a revision apply only to the table that the request named.
-   */
-  private isOfOtherTable(
-    { workersEpoch }: WatchReply,
-    sentAt: number,
-    askedEpoch: string,
-  ): boolean {
-    if (workersEpoch === this.workersEpoch) return false;
-    const isChange = workersEpoch === askedEpoch;
-    return isChange || sentAt < this.tableSentAt;
-  }
-
-  /** Whether a later reply of the same leader was applied before. */
-  private isOvertaken({ workersEpoch, workersRevision }: WatchReply): boolean {
-    return workersEpoch === this.workersEpoch && workersRevision < this.workersRevision;
-  }
-
   private applyWorkers(reply: WatchReply, sentAt: number): void {
-    applyRecords(this.workers, reply.workers, this.parts.clock.now());
-    if (reply.workersEpoch !== this.workersEpoch) {
-      resetPlaced(this.workers);
-      this.tableBegunAt = this.parts.clock.now();
-    }
+    const now = this.parts.clock.now();
+    applyRecords(this.workers, reply.workers, now);
+    if (this.heldTable.advance(reply, sentAt, now)) resetPlaced(this.workers);
     applyLoads(this.workers, reply.loads);
     this.entries.apply(reply);
-    this.suspects.apply(reply, this.parts.clock.now());
-    this.workersEpoch = reply.workersEpoch;
-    this.workersRevision = reply.workersRevision;
-    this.tableSentAt = Math.max(this.tableSentAt, sentAt);
+    this.suspects.apply(reply, now);
   }
 }
