--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -6,7 +6,7 @@
 import type { PlaceClient } from './placeClient';
 import type { RelaySite } from './relaySite';
 import type { RequestFacts } from './requestDialect';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 /** Outcome of one attempt. */
 export type AttemptOutcome = | { readonly kind: 'answered' }
--- a/src/relay/leavingEntry.ts
+++ b/src/relay/leavingEntry.ts
@@ -6,7 +6,7 @@
 import type { AdmittedRequest } from './admitRequest';
 import type { RelaySite } from './relaySite';
 import type { RequestFacts } from './requestDialect';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 /** Retry-After for callers that can use another entry, in milliseconds. */
 const OTHER_ENTRY_RETRY_MS = 50;
--- a/src/relay/requestFailover.ts
+++ b/src/relay/requestFailover.ts
@@ -2,7 +2,7 @@
 import type { Route } from '../manifest/routing';
 import type { RequestLog } from './requestLog';
 import type { UpstreamCall } from './upstreamCall';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 /** Time without an answer after which a server counts as unresponsive, in target latencies. */
 const SILENCE_TARGET_FACTOR = 2.5;
--- a/src/relay/requestLog.ts
+++ b/src/relay/requestLog.ts
@@ -7,7 +7,7 @@
 import type { RequestFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
 import type { CallSummary } from './upstreamCall';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 const MS_PER_SECOND = 1_000;
 
--- a/src/relay/requestStream.ts
+++ b/src/relay/requestStream.ts
@@ -2,7 +2,7 @@
 import type { StreamOrigin } from '../core/routing/streamOrigin';
 import type { RequestFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 /**
  * The stream that one request begins or continues. Once its version is known, only servers of that
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -23,7 +23,7 @@
 import { makeAttemptTracker, ServerAttempt } from './serverAttempt';
 import { startInputTimer } from './startInputTimer';
 import type { UpstreamCall } from './upstreamCall';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 /**
  * Longest wait for the proof that a stream is complete, in milliseconds: callers abandon a stream
--- a/src/relay/serverAttempt.ts
+++ b/src/relay/serverAttempt.ts
@@ -13,7 +13,7 @@
 import { UpstreamCall } from './upstreamCall';
 import type { UpstreamHead, UpstreamOutcome, UpstreamRequest } from './upstreamCall';
 import { applyNotice } from './workerNotices';
-import type { PickedWorker } from './workerPicker';
+import type { PickedWorker } from './pickRequest';
 
 /** The request of which an attempt is made, and what the attempt tells it. */
 export interface ServerAttemptParts {
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -1,24 +1,18 @@
 import { randomUUID } from 'node:crypto';
 import { MAX_CONTINUATION_WAIT_MS } from '../core/routing/placementWait';
 import { NO_TIMINGS } from '../core/routing/placementTables';
-import {
-  isServiceBlocked, listAvoidedIds, isEligible, recordProbe, computeShortestAllowanceMs,
-  computeShortestBackoffMs,
-} from '../core/routing/workerEligibility';
+import { listAvoidedIds, isEligible, recordProbe } from '../core/routing/workerEligibility';
 import { findOrigin } from '../core/routing/originLookup';
 import type { OriginLookup } from '../core/routing/originLookup';
 import { hasAllowance } from '../core/routing/rateAllowance';
 import { isReachable, isReady, recordSlotWait } from '../core/routing/routedWorkers';
-import type { RoutedWorker } from '../core/routing/routedWorkers';
 import {
-  canContinue, explainVersionGone, hasOriginServer, ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_RETRY_MS,
-  VERSION_GONE_RETRY_MS, VERSIONS_UNCONFIRMED,
+  canContinue, ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_RETRY_MS,
+  VERSIONS_UNCONFIRMED,
 } from '../core/routing/streamOrigin';
 import type { StreamOrigin } from '../core/routing/streamOrigin';
 import { isResumableStream } from '../core/routing/routeTable';
-import { chooseRoutedWorker, isWaitAcceptable } from '../core/routing/workerChoice';
-import { computeBackoffRetryAfterMs, isBackingOff } from '../core/routing/workerBackoff';
-import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
+import { isBackingOff } from '../core/routing/workerBackoff';
 import type { RoutedAccount } from '../manifest/routing';
 import { BeechliftError, makeErrorFromNumber } from '../errors/beechliftError';
 import { resultCodes } from '../errors/resultCodes';
@@ -26,44 +20,14 @@
 import {
   chargeAccount, computeCost, makeLimitError, makeNoLeaseError,
 } from './admitRequest';
-import type { AdmittedRequest } from './admitRequest';
 import { GrantWait } from './grantWait';
+import { LocalChoice, NO_WORKER_RETRY_MS } from './localChoice';
+import type { PickedWorker, PickRequest } from './pickRequest';
 import { computeLeaseWaitMs } from './leaseWait';
 import type { PlaceClient } from './placeClient';
 import type { RelaySite } from './relaySite';
-import type { RequestFacts } from './requestDialect';
-import type { RequestGuard } from './requestGuard';
 import type { WorkerConnections } from './workerConnections';
 
-/** A request that needs a backend server. */
-export interface PickRequest {
-  readonly admitted: AdmittedRequest;
-  readonly facts: RequestFacts;
-  readonly deadlineAt: number;
-  /** Ids of backend servers that were tried before. */
-  readonly tried: readonly string[];
-  /** Set if the request continues a stream: only servers of this version may be chosen. */
-  readonly origin?: StreamOrigin | undefined;
-  /** Identifies the request, and knows whether it is suspected of crashing servers. */
-  readonly guard: Pick<RequestGuard, 'fingerprint' | 'isUnsuspected'>;
-  /** Returns whether the request no longer needs a server. */
-  readonly isAbandoned: () => boolean;
-  /** Receives a function that cancels the request while it waits for a slot. */
-  readonly onWaiting: (cancel: () => void) => void;
-}
-
-/** The backend server that was chosen for a request. */
-export interface PickedWorker {
-  readonly worker: RoutedWorker;
-  readonly expectedMs: number;
-  /** Id of the slot that the leader granted; empty if the entry chose the server. */
-  readonly placeId: string;
-  /** Epoch of the leader's server table that counts the slot. */
-  readonly epoch: string;
-  /** Version that the server was required to have; undefined if the request begins a stream. */
-  readonly origin?: StreamOrigin | undefined;
-}
-
 /** Dependencies of the picker. */
 export interface WorkerPickerParts {
   readonly site: RelaySite;
@@ -74,13 +38,6 @@
   readonly clock: Clock;
 }
 
-/** Bounds on the Retry-After of a request that is refused because of its wait, in milliseconds. */
-const MIN_RETRY_MS = 250;
-const MAX_RETRY_MS = 3_000;
-/** Retry-After if no server is known, in milliseconds: one or two announcement intervals. */
-const NO_WORKER_RETRY_MS = 1_000;
-/** Retry-After of an entry that is cut off, in milliseconds: other entries can serve at once. */
-const CUT_OFF_RETRY_MS = 250;
 /** Longest interval at which a request whose stream is unknown asks for a leader, in ms. */
 const LEADER_RETRY_MS = 100;
 /** Passed on for a stream of which only a leader may tell the version. */
@@ -104,14 +61,19 @@
 
   private readonly grantWait = new GrantWait();
 
-  constructor(private readonly parts: WorkerPickerParts) {}
+  /** Chooses without the leader. */
+  private readonly local: LocalChoice;
+
+  constructor(private readonly parts: WorkerPickerParts) {
+    this.local = new LocalChoice(parts);
+  }
 
   /**
    * Resolves with the server, or with undefined if the request ended meanwhile; throws the refusal
    * if there is no server.
    */
   async pick(request: PickRequest): Promise<PickedWorker | undefined> {
-    this.checkBackoff(request.admitted.service);
+    this.local.checkBackoff(request.admitted.service);
     const lookup = this.findOrigin(request);
     return lookup.kind === 'unknown' || lookup.kind === 'assumed'
       ? this.pickUnknown(request, this.parts.clock.now())
@@ -133,7 +95,7 @@
     if (site.isPlaced(request.admitted.service) && !request.guard.isUnsuspected) throw new BeechliftError('noSlotInTime', 'backend servers crashed while they ran this request, and the control leader cannot place it', { retryAfterMs: NO_WORKER_RETRY_MS });
     const { tried, facts, admitted: { account } } = request;
     if (tried.length > 0 || !account || chargeAccount(site, account, facts, clock.now())) {
-      return this.chooseLocally(request, lookup.origin);
+      return this.local.choose(request, lookup.origin);
     }
     const until = Math.min(request.deadlineAt, clock.now() + computeLeaseWaitMs(facts));
     const mayWait = (now: number): boolean => usesLeader || site.accounts.isLeaderless(now);
@@ -158,7 +120,7 @@
     if (placed || request.isAbandoned() || !site.isServing) return placed;
     const cost = computeCost(account, request.facts);
     const isCharged = site.accounts.retrySpend(account, cost, clock.now());
-    return isCharged ? this.chooseLocally(request, lookup.origin) : undefined;
+    return isCharged ? this.local.choose(request, lookup.origin) : undefined;
   }
 
   /** Whether the leader is asked for a slot, whatever the request is. */
@@ -303,7 +265,7 @@
     // `rejected` means that this entry does not know the server yet.
     placeClient.report({ placeId, phase: worker ? 'dropped' : 'rejected', ...NO_TIMINGS });
     if (worker?.standing !== 'ready' || requestCount >= MAX_PLACE_REQUESTS || request.isAbandoned()) return undefined;
-    this.checkBackoff(service);
+    this.local.checkBackoff(service);
     return this.place(request, lookup, requestCount + 1);
   }
 
@@ -317,74 +279,4 @@
     await site.waitServing(computeLeaseWaitMs(facts));
     if (!site.isServing) throw makeNoLeaseError();
   }
-
-  /** Throws the refusal if all ready servers of a service are backing off. */
-  private checkBackoff(service: string): void {
-    const { site, clock } = this.parts;
-    if (isServiceBlocked(site.workers, service, clock.now())) throw this.makeNoWorkerError(service);
-  }
-
-  private makeNoWorkerError(service: string): BeechliftError {
-    const { site, clock } = this.parts;
-    const now = clock.now();
-    const restMs = computeShortestBackoffMs(site.workers, service, now);
-    const limitedMs = computeShortestAllowanceMs(site.workers, service, now);
-    if (restMs === 0 && limitedMs > 0) {
-      return new BeechliftError('backendsLimited', `all backend servers of service "${service}" have named a rate limit, the first accepts a request in ${Math.round(limitedMs)} ms`, {
-        retryAfterMs: Math.round(computeBackoffRetryAfterMs(limitedMs, Math.random())),
-      });
-    }
-    if (restMs === 0) return new BeechliftError('noBackend', `no backend server of service "${service}" can accept the request`, { retryAfterMs: NO_WORKER_RETRY_MS });
-    return new BeechliftError('backendsResting', `all backend servers of service "${service}" are backing off, the first for ${Math.round(restMs)} ms more`, {
-      retryAfterMs: Math.round(computeBackoffRetryAfterMs(restMs, Math.random())),
-    });
-  }
-
-  /** Lists the servers to which an entry that is cut off has no open connection. */
-  private listUnreachable(service: string): ReadonlySet<string> {
-    const { site: { reach, workers }, connections } = this.parts;
-    if (!reach.isCutOff) return new Set();
-    return new Set((workers.byService.get(service) ?? [])
-      .filter(({ address }) => reach.isSilent || !connections.hasIdle(address))
-      .map(({ id }) => id));
-  }
-
-  private chooseLocally({
-    admitted, facts, deadlineAt, tried,
-  }: PickRequest, origin: StreamOrigin | undefined): PickedWorker {
-    const { site, clock } = this.parts;
-    const { service, route, rank } = admitted;
-    const now = clock.now();
-    const choice = chooseRoutedWorker(site.workers, {
-      service,
-      promptTokens: facts.tokens?.prompt ?? 0,
-      outputTokens: facts.tokens?.expected ?? 0,
-      remainingMs: deadlineAt - now,
-      zone: site.zone,
-      tried,
-      avoided: this.listUnreachable(service),
-      requiresFreeSlot: site.isBrittle(service),
-      origin,
-    }, now);
-    if (!choice && site.reach.isCutOff) throw new BeechliftError('backendsUnreachable', 'this entry reaches no backend server, others may', { retryAfterMs: CUT_OFF_RETRY_MS });
-    if (!choice && site.isBrittle(service)) throw new BeechliftError('noSlotInTime', `no server of service "${service}" has a free slot, and they bear few requests that they turn away`, { retryAfterMs: MAX_RETRY_MS });
-    if (!choice && origin && !hasOriginServer(site.workers, service, origin)) {
-      throw new BeechliftError('streamVersionGone', explainVersionGone(origin), { retryAfterMs: VERSION_GONE_RETRY_MS });
-    }
-    if (!choice) throw this.makeNoWorkerError(service);
-    if (tried.length === 0 && !isWaitAcceptable(choice, route.targetLatencyMs, rank)) {
-      throw new BeechliftError('noSlotInTime', `the estimated wait at service "${service}" is ${Math.round(choice.waitMs)} ms, the target latency is ${route.targetLatencyMs} ms`, {
-        retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, choice.waitMs)),
-      });
-    }
-    recordProbe(choice.worker, now);
-    takeWorkerAllowance(choice.worker, now);
-    return {
-      worker: choice.worker,
-      expectedMs: choice.waitMs + choice.ownMs,
-      placeId: '',
-      epoch: '',
-      origin,
-    };
-  }
 }
--- a/tests/relay/leaving-entry.spec.ts
+++ b/tests/relay/leaving-entry.spec.ts
@@ -6,7 +6,7 @@
 import { canAnswerInTime } from '../../src/relay/leavingEntry';
 import type { RelaySite } from '../../src/relay/relaySite';
 import type { RequestFacts } from '../../src/relay/requestDialect';
-import type { PickedWorker } from '../../src/relay/workerPicker';
+import type { PickedWorker } from '../../src/relay/pickRequest';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { makeRoute } from '../fakes/routings';
 
