Look at requests that wait for a slot only when one of them may get it

What callers saw: too little was served on the grown sites in bursts; slots were granted late, streams began late, and entries that waited too long placed requests by themselves, at full engines.

Cause: each message of an entry made the leader sort all requests that wait and look each one up again, twice, also if it freed no slot and the service was known to be full. So a burst cost the leader messages times queue: slots were granted later, more requests waited, and each message cost more. Class: work per event that grows with the backlog, on the process that everything waits for.

Change: WaitingQueue keeps the requests in order for each service. A message tries its own requests, and the next ones of a service of which a slot was freed or a server came back, until that service is full. How long a request would wait is found by its position, not by comparing it with all.

Why it works: between two looks of the timer nothing but a freed slot, a server that came back or a new request can change a decision, and each of these is tried at once.

--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -2,7 +2,9 @@
   PlacedReport, PlaceReply, PlaceRequest, StreamOriginRecord, WorkerLoad, WorkerRateLimit,
   WorkerRecord,
 } from '../protocol/generated/beechlift';
-import { requestSlots, makePlacementTables, placeWaiting } from '../core/routing/placement';
+import {
+  requestSlots, makePlacementTables, placeFreed, placeWaiting,
+} from '../core/routing/placement';
 import {
   applyPlacementUpdate, expirePlaced, removeAbandonedRequest, retainPlaced,
 } from '../core/routing/placementUpdates';
@@ -142,7 +144,7 @@
       applyPlacementUpdate(this.tables, { id: placeId, phase: phase as PlacementUpdate['phase'], ...rest }, now);
       if (phase === 'dropped') this.cancelPending(placeId);
     });
-    this.deliver(placeWaiting(this.tables, now));
+    this.deliver(placeFreed(this.tables, now));
   }
 
   /** Frees slots that an entry does not hold, as the grant or the final report was lost. */
--- a/src/core/routing/pairReach.ts
+++ b/src/core/routing/pairReach.ts
@@ -66,12 +66,15 @@
     return [...entries].filter((id) => !this.isCutOff(id, service)).length;
   }
 
-  /** Records that a request of an entry made progress at a server. */
-  recordSuccess(entryId: string, { id: workerId, service }: ServiceMember, now: number): void {
+  /**
+   * Records that a request of an entry made progress at a server; returns whether the server was
+   * paused for that entry.
+   */
+  recordSuccess(entryId: string, { id: workerId, service }: ServiceMember, now: number): boolean {
     this.reachedAt.set(service, now);
     this.failedEntries.delete(workerId);
     this.failedServers.delete(formatPair(entryId, service));
-    this.pauses.get(entryId)?.delete(workerId);
+    return this.pauses.get(entryId)?.delete(workerId) ?? false;
   }
 
   /** Lists the servers at which an entry gets no slot at the moment. */
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -14,7 +14,6 @@
 import { PairReach } from './pairReach';
 import type { PlacementTables, SlotRequest } from './placementTables';
 import { chooseFreeWorker, chooseIsolatedWorker, readRestriction } from './freeSlot';
-import { makeComparator } from './placementOrder';
 import { computeMaxWaitMs, estimateWaitMs } from './placementWait';
 import { isReady } from './routedWorkers';
 import type { RoutedWorkers } from './routedWorkers';
@@ -25,6 +24,7 @@
 import { StreamOrigins } from './streamOrigins';
 import { checkStream, recordStreamGrant } from './streamPlacement';
 import type { WorkerChoice } from './workerChoice';
+import { WaitingQueue } from './waitingQueue';
 import { takeWorkerAllowance } from './workerRateLimit';
 
 /** Why a request gets no slot. */
@@ -69,7 +69,9 @@
   streams: Partial<Pick<PlacementTables, 'origins' | 'learnsUntil' | 'holdsLease'>> = {},
 ): PlacementTables => ({
   workers,
-  waiting: new Map(),
+  waiting: new WaitingQueue(workers),
+  full: new Set(),
+  freed: new Set(),
   placed: new Map(),
   arrivalRates: makeArrivalRates(),
   findRestriction,
@@ -89,7 +91,7 @@
   { id }: SlotRequest,
   refusal: PlacementRefusal,
 ): PlacementDecision => {
-  tables.waiting.delete(id);
+  tables.waiting.remove(id);
   return { kind: 'refuse', id, ...refusal };
 };
 
@@ -115,7 +117,7 @@
   { worker, waitMs, ownMs }: WorkerChoice,
   now: number,
 ): PlacementDecision => {
-  tables.waiting.delete(request.id);
+  tables.waiting.remove(request.id);
   tables.placed.set(request.id, {
     request,
     worker,
@@ -136,12 +138,6 @@
   };
 };
 
-/**
- * Services without a free slot, so that further requests need not be tried. Keyed together with the
- * avoided servers and the version, because other requests may still find free slots.
- */
-type FullServices = Set<string>;
-
 const formatFullKey = ({ service, avoidedIds = [], origin }: SlotRequest): string => [
   service, ...avoidedIds, ...(origin ? [JSON.stringify(origin.software)] : []),
 ].join(' ');
@@ -178,9 +174,9 @@
 const chooseIfNotFull = (
   tables: PlacementTables,
   request: SlotRequest,
-  full: FullServices,
   now: number,
 ): WorkerChoice | undefined => {
+  const { full } = tables;
   if (full.has(request.service) || full.has(formatFullKey(request))) return undefined;
   const choice = chooseFreeWorker(tables, request, now);
   if (!choice) full.add(formatFullKey(request));
@@ -221,10 +217,20 @@
   });
 };
 
+type WorkerChooser = (
+  tables: PlacementTables, request: SlotRequest, now: number,
+) => WorkerChoice | undefined;
+
+const choosers: Record<RestrictionKind, WorkerChooser> = {
+  none: chooseIfNotFull,
+  alone: chooseIsolatedWorker,
+  held: () => undefined,
+  refused: () => undefined,
+};
+
 const decideWaiting = (
   tables: PlacementTables,
   waiting: SlotRequest,
-  full: FullServices,
   now: number,
 ): PlacementDecision | undefined => {
   const stream = checkStream(tables, waiting, now);
@@ -236,13 +242,7 @@
   const request = addUnreached(stream.request, unreached);
   const restriction = readRestriction(tables, request);
   if (restriction.kind === 'refused') return refuseQuarantined(tables, request, restriction);
-  const choosers: Record<RestrictionKind, () => WorkerChoice | undefined> = {
-    none: () => chooseIfNotFull(tables, request, full, now),
-    alone: () => chooseIsolatedWorker(tables, request, now),
-    held: () => undefined,
-    refused: () => undefined,
-  };
-  const choice = choosers[restriction.kind]();
+  const choice = choosers[restriction.kind](tables, request, now);
   if (choice) return grant(tables, request, choice, now);
   const isOver = now - request.askedAt > computeMaxWaitMs(tables, request);
   return isOver ? refuse(tables, request, now, 'no slot was free in time') : undefined;
@@ -250,16 +250,52 @@
 
 /**
  * Grants free slots to waiting requests in their order, and refuses requests that have waited too
- * long to be answered on time.
+ * long to be answered on time. Looks at all waiting requests, so it is for a timer: servers become
+ * available again with time, restrictions end, and patience runs out.
  *
  * @example
  * const decisions = placeWaiting(tables, clock.now());
  */
 export const placeWaiting = (tables: PlacementTables, now: number): PlacementDecision[] => {
-  const full: FullServices = new Set();
-  return [...tables.waiting.values()]
-    .sort(makeComparator(tables))
-    .flatMap((request) => decideWaiting(tables, request, full, now) ?? []);
+  tables.full.clear();
+  tables.freed.clear();
+  tables.waiting.sort();
+  return tables.waiting.services
+    .flatMap((service) => tables.waiting.list(service))
+    .flatMap((request) => decideWaiting(tables, request, now) ?? []);
+};
+
+/** Tries the waiting requests of a service in their order, until it has no free slot. */
+const placeNext = (
+  tables: PlacementTables,
+  service: string,
+  now: number,
+): PlacementDecision[] => {
+  const decisions: PlacementDecision[] = [];
+  let position = 0;
+  while (!tables.full.has(service)) {
+    const request = tables.waiting.get(service, position);
+    if (!request) break;
+    const decision = decideWaiting(tables, request, now);
+    // What is decided leaves the queue.
+    if (decision) decisions.push(decision);
+    else position += 1;
+  }
+  return decisions;
+};
+
+/**
+ * Grants slots that were freed to waiting requests in their order. Costs the same however many
+ * requests wait, and nothing if no slot was freed.
+ *
+ * @example
+ * applyPlacementUpdate(tables, update, clock.now());
+ * const decisions = placeFreed(tables, clock.now());
+ */
+export const placeFreed = (tables: PlacementTables, now: number): PlacementDecision[] => {
+  const services = [...tables.freed];
+  tables.freed.clear();
+  return services.flatMap((service) => placeNext(tables, service, now));
 };
 
 const addWaiting = (
@@ -301,10 +337,12 @@
   const newRequests = requests
     .filter(({ id }) => !tables.waiting.has(id) && !tables.placed.has(id));
   const refusedAsFull = newRequests.flatMap((request) => addWaiting(tables, request, now) ?? []);
-  const decisions = placeWaiting(tables, now);
-  const refusedForWait = [...newRequests]
-    .sort(makeComparator(tables))
-    .reverse()
+  const placed = placeFreed(tables, now);
+  const ordered = tables.waiting.order(newRequests);
+  const decisions = ordered
+    .filter(({ id }) => tables.waiting.has(id))
+    .flatMap((request) => decideWaiting(tables, request, now) ?? []);
+  const refusedForWait = ordered.reverse()
     .flatMap((request) => refuseLongWait(tables, request, now) ?? []);
-  return [...refusedAsFull, ...decisions, ...refusedForWait];
+  return [...refusedAsFull, ...placed, ...decisions, ...refusedForWait];
 };
--- a/src/core/routing/placementOrder.ts
+++ b/src/core/routing/placementOrder.ts
@@ -1,16 +1,35 @@
 /** Order in which waiting requests get a slot. */
 import { estimateAt } from './linearFit';
-import type { PlacementTables, SlotRequest } from './placementTables';
+import type { SlotRequest } from './placementTables';
 import { findServiceStats } from './routedWorkers';
+import type { RoutedWorkers } from './routedWorkers';
 
-/** Expected milliseconds that a request holds a slot of the fastest engine. */
-const estimateHoldMs = ({ workers }: PlacementTables, request: SlotRequest): number => {
+/** What the place of a request in its queue depends on. */
+export interface OrderKey {
+  readonly rank: number;
+  /** Expected milliseconds that it holds a slot of the fastest engine; 0 if lengths don't count. */
+  readonly holdMs: number;
+  /** When it arrived at the leader, monotonic milliseconds. */
+  readonly askedAt: number;
+}
+
+/**
+ * Computes the key of a request by what is known of its service now.
+ *
+ * @example
+ * const key = computeOrderKey(workers, request);
+ */
+export const computeOrderKey = (workers: RoutedWorkers, request: SlotRequest): OrderKey => {
+  const { rank, askedAt } = request;
+  if (!workers.mechanisms.shortestFirst) return { rank, holdMs: 0, askedAt };
   const { firstEvent, output } = findServiceStats(workers, request.service);
-  return estimateAt(firstEvent, request.promptTokens) + estimateAt(output, request.outputTokens);
+  const holdMs = estimateAt(firstEvent, request.promptTokens)
+    + estimateAt(output, request.outputTokens);
+  return { rank, holdMs, askedAt };
 };
 
 /**
- * Makes the comparator: higher ranks first, then shorter requests, then earlier ones.
+ * Compares two keys: higher ranks first, then shorter requests, then earlier ones.
  *
  * The shorter request goes first because of bursts in which slots are scarce. Lengths differ by a
  * factor of up to 100 within a rank, and many requests can be served in the time of a few of the
@@ -18,19 +37,7 @@
  * the burst.
  *
  * @example
- * waiting.sort(makeComparator(tables));
+ * keys.sort(compareOrder);
  */
-export const makeComparator = (
-  tables: PlacementTables,
-): (a: SlotRequest, b: SlotRequest) => number => {
-  const isShortestFirst = tables.workers.mechanisms.shortestFirst;
-  const holdMsById = new Map<string, number>();
-  const readHoldMs = (request: SlotRequest): number => {
-    const holdMs = holdMsById.get(request.id) ?? estimateHoldMs(tables, request);
-    holdMsById.set(request.id, holdMs);
-    return holdMs;
-  };
-  return (a, b) => a.rank - b.rank
-    || (isShortestFirst ? readHoldMs(a) - readHoldMs(b) : 0)
-    || a.askedAt - b.askedAt;
-};
+export const compareOrder = (a: OrderKey, b: OrderKey): number => (
+  a.rank - b.rank || a.holdMs - b.holdMs || a.askedAt - b.askedAt);
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -5,6 +5,7 @@
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 import type { StreamOrigin } from './streamOrigin';
 import type { StreamOrigins } from './streamOrigins';
+import type { WaitingQueue } from './waitingQueue';
 
 /** A request for a slot. */
 export interface SlotRequest {
@@ -57,7 +58,14 @@
 /** All state of the placement. */
 export interface PlacementTables {
   readonly workers: RoutedWorkers;
-  readonly waiting: Map<string, SlotRequest>;
+  readonly waiting: WaitingQueue;
+  /**
+   * Services without a free slot, so that further requests need not be tried. Keyed together with
+   * the avoided servers and the version, because other requests may still find free slots.
+   */
+  readonly full: Set<string>;
+  /** Services of which a slot was freed since their waiting requests were tried. */
+  readonly freed: Set<string>;
   readonly placed: Map<string, PlacedRequest>;
   readonly arrivalRates: ArrivalRates;
   readonly findRestriction: RestrictionFinder;
--- a/src/core/routing/placementUpdates.ts
+++ b/src/core/routing/placementUpdates.ts
@@ -17,7 +17,13 @@
 
 /** Removes a waiting request that its caller has abandoned. */
 export const removeAbandonedRequest = (tables: PlacementTables, id: string): void => {
-  tables.waiting.delete(id);
+  tables.waiting.remove(id);
+};
+
+/** Records that a server may be granted which could not be when requests were last tried. */
+const markAvailable = ({ freed, full }: PlacementTables, service: string): void => {
+  freed.add(service);
+  full.clear();
 };
 
 const releaseSlot = (
@@ -25,6 +31,7 @@
   { request, worker, hasStarted }: PlacedRequest,
 ): RoutedWorker => {
   tables.placed.delete(request.id);
+  markAvailable(tables, request.service);
   removeStreamGrant(tables, request);
   worker.inFlight -= 1;
   if (!hasStarted) worker.pendingTokens -= request.promptTokens;
@@ -37,7 +44,8 @@
   { request, worker }: PlacedRequest,
   now: number,
 ): void => {
-  tables.reach.recordSuccess(request.entryId, worker, now);
+  const wasPaused = tables.reach.recordSuccess(request.entryId, worker, now);
+  if (wasPaused || now < worker.suspendedUntil) markAvailable(tables, request.service);
   clearSuspension(worker);
 };
 
@@ -143,8 +151,8 @@
   [...tables.placed.values()]
     .filter(({ request }) => now > request.deadlineAt || !isPresent(request.entryId))
     .forEach((placed) => releaseSlot(tables, placed));
-  [...tables.waiting.values()]
+  tables.waiting.listAll()
     .filter(({ entryId }) => !isPresent(entryId))
-    .forEach(({ id }) => tables.waiting.delete(id));
+    .forEach(({ id }) => tables.waiting.remove(id));
   tables.reach.forgetGone(isPresent, (id) => tables.workers.byId.has(id), now);
 };
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -1,7 +1,6 @@
 /** How long requests are expected to wait for a slot of a model engine, and how long they may. */
 import { sumHigherRates } from './arrivalRates';
 import { estimateAt } from './linearFit';
-import { makeComparator } from './placementOrder';
 import type { PlacementTables, SlotRequest } from './placementTables';
 import { findServiceStats, isReachable } from './routedWorkers';
 import { canContinue } from './streamOrigin';
@@ -21,22 +20,19 @@
   now: number,
 ): number => {
   const { holdMs } = findServiceStats(workers, service);
-  const freedPerMs = (workers.byService.get(service) ?? [])
-    .filter((worker) => worker.standing === 'ready' && isReachable(workers, worker, now))
-    .filter((worker) => !avoidedIds?.includes(worker.id) && canContinue(worker, origin))
-    .reduce((sum, { slots, rateLimit: { allowance } }) => (
-      sum + Math.min(slots / holdMs, allowance.perSecond / MS_PER_SECOND)), 0);
+  const freedPerMs = (workers.byService.get(service) ?? []).reduce((sum, worker) => {
+    const isCounted = worker.standing === 'ready'
+      && isReachable(workers, worker, now)
+      && !avoidedIds?.includes(worker.id)
+      && canContinue(worker, origin);
+    const { slots, rateLimit: { allowance } } = worker;
+    return isCounted
+      ? sum + Math.min(slots / holdMs, allowance.perSecond / MS_PER_SECOND)
+      : sum;
+  }, 0);
   return freedPerMs > 0 ? freedPerMs : 1 / holdMs;
 };
 
-const countAhead = (tables: PlacementTables, request: SlotRequest): number => {
-  const compare = makeComparator(tables);
-  return [...tables.waiting.values()].filter((other) => (
-    other.service === request.service
-      && other.id !== request.id
-      && compare(other, request) <= 0)).length;
-};
-
 /** Smallest share of the freed slots that a rank is assumed to get despite higher ranks. */
 const MIN_SLOT_SHARE = 0.05;
 
@@ -58,7 +54,7 @@
     ? sumHigherRates(tables.arrivalRates, request.service, request.rank, now)
     : 0;
   const remainingPerMs = Math.max(MIN_SLOT_SHARE * freedPerMs, freedPerMs - higherPerMs);
-  return (countAhead(tables, request) + 1) / remainingPerMs;
+  return (tables.waiting.countAhead(request) + 1) / remainingPerMs;
 };
 
 /**
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -205,7 +205,7 @@
       const id = `${entryId} at ${now}`;
       requestSlots(tables, [makeRequest({ id, entryId, targetMs: 5_000 })], now);
       const isPlaced = tables.placed.has(id);
-      tables.waiting.delete(id);
+      tables.waiting.remove(id);
       return isPlaced ? 'placed' : 'waits';
     };
     expect(requestOf('e1', 0)).toBe('placed');
--- a/tests/core/placementModel.ts
+++ b/tests/core/placementModel.ts
@@ -249,7 +249,7 @@
   }
 
   private start(request: ModelRequest, engine: number): void {
-    const higher = [...this.tables.waiting.values()].filter(({ rank, askedAt }) => (
+    const higher = this.tables.waiting.listAll().filter(({ rank, askedAt }) => (
       rank < request.slotRequest.rank && askedAt <= request.slotRequest.askedAt));
     this.counts.inversions += higher.length > 0 ? 1 : 0;
     const slowness = this.workload.slowness[engine] ?? 1;
