Don't join what is held of an event again for each piece of it

Cause: the framer joined all that it held with each piece, and searched all of it three times: the square of the bytes of an event. Undici delivers each chunk of one read by itself, so a read of one-byte chunks is some ten thousand such turns.

Change: ByteCollector holds the bytes in a buffer that doubles, and only the new bytes and the two before them are searched.

Why it works: an end of an event is three bytes at most, and those before the last two have been searched. So a piece costs what its own length is worth.

The existing properties of the framer (any cut of the stream, three line ends) pass unchanged.

--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -1,7 +1,10 @@
+import { ByteCollector } from '../utils/byteCollector';
 import { EVENT_END, EVENT_LINE } from '../wire/eventLines';
 
 /** The same ends as `EVENT_END`, as bytes to look for. */
 const EVENT_ENDS = ['\n\n', '\n\r\n', '\r\r'];
+/** Bytes of the longest end that may have arrived before its last one. */
+const MAX_END_START_BYTES = 2;
 const ID_LINE = /^id: ?(.*)$/m;
 /** A block that exceeds this size without an end is not an event and is passed on unchanged. */
 const MAX_BLOCK_BYTES = 1_048_576;
@@ -34,7 +37,8 @@
   /** Whether the begin of the current block was passed on although it had not ended. */
   private isBlockOpen = false;
 
-  private remainder: Buffer = Buffer.alloc(0);
+  /** Bytes after the last complete event. */
+  private readonly remainder = new ByteCollector();
 
   /** Whether another stream can continue after the last complete event. */
   get canResume(): boolean {
@@ -49,33 +53,49 @@
 
   /** Whether the bytes so far end within an event. */
   get isWithinEvent(): boolean {
-    return this.isBlockOpen || EVENT_LINE.test(this.remainder.toString('latin1'));
+    return this.isBlockOpen || EVENT_LINE.test(this.remainder.bytes.toString('latin1'));
   }
 
   /** Adds bytes; returns the events that are complete now. */
   push(chunk: Buffer): Buffer {
-    const bytes = this.remainder.length > 0 ? Buffer.concat([this.remainder, chunk]) : chunk;
-    const end = findLastEnd(bytes);
-    this.remainder = bytes.subarray(end);
-    const completeEvents = bytes.subarray(0, end);
+    const completeEvents = this.takeComplete(chunk);
     this.readEvents(completeEvents);
-    if (end > 0) this.isBlockOpen = false;
+    if (completeEvents.length > 0) this.isBlockOpen = false;
     if (this.remainder.length <= MAX_BLOCK_BYTES) return completeEvents;
     this.hasPartialBlocks = true;
     this.isBlockOpen = true;
     return Buffer.concat([completeEvents, this.takeRemainder()]);
   }
 
+  /** Adds bytes; takes those up to the last end. The held ones before contain none. */
+  private takeComplete(chunk: Buffer): Buffer {
+    const end = this.findEnd(chunk);
+    if (end === 0) {
+      this.remainder.add(chunk);
+      return Buffer.alloc(0);
+    }
+    const isWhole = this.remainder.length === 0;
+    if (!isWhole) this.remainder.add(chunk.subarray(0, end));
+    const completeEvents = isWhole ? chunk.subarray(0, end) : this.remainder.take();
+    this.remainder.add(chunk.subarray(end));
+    return completeEvents;
+  }
+
+  /** Returns the position in a chunk behind the last complete event; 0 if it completes none. */
+  private findEnd(chunk: Buffer): number {
+    const held = this.remainder.bytes.subarray(-MAX_END_START_BYTES);
+    const searched = held.length > 0 ? Buffer.concat([held, chunk]) : chunk;
+    return Math.max(0, findLastEnd(searched) - held.length);
+  }
+
   /** Takes the bytes after the last complete event, for an answer that has ended normally. */
   takeRemainder(): Buffer {
-    const { remainder } = this;
-    this.remainder = Buffer.alloc(0);
-    return remainder;
+    return this.remainder.take();
   }
 
   /** Discards a partial event of a server whose stream was cut off. */
   discardPartial(): void {
-    this.remainder = Buffer.alloc(0);
+    this.remainder.take();
   }
 
   private readEvents(completeEvents: Buffer): void {
--- a/tests/relay/event-framer.spec.ts
+++ b/tests/relay/event-framer.spec.ts
@@ -1,5 +1,7 @@
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import {
+  describe, expect, it, vi,
+} from 'vitest';
 import { EventFramer } from '../../src/relay/eventFramer';
 
 const makeStream = (from: number, to: number): string => (
@@ -59,6 +61,20 @@
     }), { seed: 7 });
   });
 
+  // Guards against an entry that does nothing else as a server sends an event without end, byte by
+  // byte: the bytes that were held were joined with each piece and searched again.
+  it('should not join what it holds again for each piece of an event', () => {
+    const concat = vi.spyOn(Buffer, 'concat');
+    const framer = new EventFramer();
+    const piece = Buffer.from('x');
+    Array.from({ length: 20_000 }, () => framer.push(piece));
+    const joined = concat.mock.results
+      .reduce((sum, { value }) => sum + (value as Buffer).length, 0);
+    concat.mockRestore();
+    expect(joined).toBeLessThanOrEqual(8 * 20_000);
+    expect(framer.push(Buffer.from('\n\n'))).toHaveLength(20_002);
+  });
+
   // Guards against a stream that seems to end behind an event as the begin of one was passed on.
   it('should be within an event whose begin was passed on because it is too long', () => {
     const framer = new EventFramer();
