Hold a quarter of a mebibyte of an unfinished event at most

What callers saw (a report of others): an entry ran out of memory as a server sent bytes without end.

Cause: the bound of 1 MiB is one of a stream. An entry has 250 MB of memory, about 120 of them in use, and serves a hundred streams: six servers that send events without end fill it. Change: 256 KiB. A longer block is passed on as it comes, as before; such a stream can't be continued by another server. Why it works: a hundred streams that hold as much are 26 MB, twice that while buffers grow. Evidence: the test feeds a million bytes of one event; all were held before, 262,144 are allowed.

--- a/src/relay/eventFramer.ts
+++ b/src/relay/eventFramer.ts
@@ -7,7 +7,7 @@
 const MAX_END_START_BYTES = 2;
 const ID_LINE = /^id: ?(.*)$/m;
 /** A block that exceeds this size without an end is not an event and is passed on unchanged. */
-const MAX_BLOCK_BYTES = 1_048_576;
+const MAX_BLOCK_BYTES = 262_144;
 
 /** Returns the position behind the last complete event; 0 if there is none. */
 const findLastEnd = (bytes: Buffer): number => Math.max(0, ...EVENT_ENDS.map((end) => {
--- a/tests/relay/event-framer.spec.ts
+++ b/tests/relay/event-framer.spec.ts
@@ -75,6 +75,16 @@
     expect(framer.push(Buffer.from('\n\n'))).toHaveLength(20_002);
   });
 
+  // Guards against an entry that runs out of memory as servers send events without end.
+  it('should hold a quarter of a mebibyte of an event at most', () => {
+    const framer = new EventFramer();
+    const piece = Buffer.alloc(1_000, 'x');
+    const passed = Array.from({ length: 1_000 }, () => framer.push(piece).length)
+      .reduce((sum, length) => sum + length, 0);
+    expect(1_000_000 - passed).toBeLessThanOrEqual(262_144);
+    expect(framer.canResume).toBe(false);
+  });
+
   // Guards against a stream that seems to end behind an event as the begin of one was passed on.
   it('should be within an event whose begin was passed on because it is too long', () => {
     const framer = new EventFramer();
