Bound what is read of an engine's refusal, reply to a cancel, and event

What callers saw (a report of others, by reading ours): the product's own entry keeps all that an engine sends as a refusal, as a reply to a cancel, or as one event, without end.

Cause: the whole body was read before it was cut to its length; the parser of events had no bound. Change: 64 KiB of a refusal or reply are read, then the connection is closed. The parser's own bound is set to 1,048,576 characters; a longer event is a failure of the engine whose outcome is unknown. Why it works: reading stops at the bound, and what is not read is not received. Evidence: engine-answers.spec, two cases.

--- a/src/entry/sending/engineClient.ts
+++ b/src/entry/sending/engineClient.ts
@@ -2,6 +2,7 @@
 import type { EventSourceMessage } from 'eventsource-parser';
 import { Agent, Pool, request } from 'undici';
 import type { Dispatcher } from 'undici';
+import { ByteCollector } from '../../utils/byteCollector';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
 import { ServerConnection } from './serverConnection';
@@ -52,16 +53,28 @@
 const IDLE_REUSE_MS = 1_000;
 const MAX_CONNECTIONS = 1_024;
 const CANCEL_TIMEOUT_MS = 2_000;
-const MAX_ERROR_CHARACTERS = 65_536;
+/** Most bytes of a refusal or of a reply to a cancel that are read. */
+const MAX_REPLY_BYTES = 65_536;
+/** Longest event of a stream, in characters. */
+const MAX_EVENT_CHARACTERS = 1_048_576;
 const OK = 200;
 const DONE = '[DONE]';
 const OFFSET_TEXT = /^\d{1,15}$/;
 const MAX_SHOWN_ID = 40;
 
-/** Reads the body of an error response and truncates it. */
-const readErrorBody = async (body: Dispatcher.ResponseData['body']): Promise<string> => {
-  const text = await body.text();
-  return text.slice(0, MAX_ERROR_CHARACTERS);
+/** Reads the begin of a body; the rest of a longer one is not received. */
+const readBegin = async (body: Dispatcher.ResponseData['body']): Promise<string> => {
+  const collector = new ByteCollector();
+  try {
+    // eslint-disable-next-line no-restricted-syntax -- a stream is read in order
+    for await (const chunk of body) {
+      collector.add(chunk as Buffer);
+      if (collector.length >= MAX_REPLY_BYTES) break;
+    }
+  } finally {
+    body.destroy();
+  }
+  return collector.bytes.subarray(0, MAX_REPLY_BYTES).toString();
 };
 
 /** The events parsed from one chunk, and whether the end of the stream was reached. */
@@ -91,6 +104,10 @@
       next = offset + 1;
       events.push({ offset, data: event.data });
     },
+    onError: ({ type, message }) => {
+      if (type === 'max-buffer-size-exceeded') throw new EngineFailure('maybeSent', message);
+    },
+    maxBufferSize: MAX_EVENT_CHARACTERS,
   });
   return (text) => {
     events = [];
@@ -190,7 +207,9 @@
         bodyTimeout: CANCEL_TIMEOUT_MS,
         dispatcher: fresh,
       });
-      const { state, incarnation } = await response.body.json() as Partial<CancelReply>;
+      const { state, incarnation } = JSON.parse(
+        await readBegin(response.body),
+      ) as Partial<CancelReply>;
       return { state: state ?? 'unknown', incarnation: incarnation ?? '' };
     } catch {
       return { state: 'unknown', incarnation: '' };
@@ -252,7 +271,7 @@
     try {
       const response = await request(url, options);
       if (response.statusCode === OK) return response;
-      throw new EngineRefusal(response.statusCode, await readErrorBody(response.body));
+      throw new EngineRefusal(response.statusCode, await readBegin(response.body));
     } catch (error) {
       throw error instanceof EngineRefusal ? error : toEngineFailure(error);
     }
--- a/tests/entry/engine-answers.spec.ts
+++ b/tests/entry/engine-answers.spec.ts
@@ -3,6 +3,8 @@
 } from 'vitest';
 import { AnswerRelay } from '../../src/entry/sending/answerRelay';
 import { EngineClient } from '../../src/entry/sending/engineClient';
+import { EngineFailure } from '../../src/entry/sending/engineFailure';
+import { EngineRefusal } from '../../src/entry/sending/engineRefusal';
 import { Operation } from '../../src/utils/operation';
 import { ScriptedServer } from '../fakes/scriptedServer';
 
@@ -92,4 +94,31 @@
     const answers = [refusal, `${HEAD}data: a\n\ndata: [DONE]\n\n`];
     expect(await relayStream(answers, true)).toEqual({ events: ['a'], end: 'complete' });
   });
+
+  /** Starts a stream at an engine that writes `start` and then goes on without end. */
+  const dispatchEndless = async (start: string): Promise<unknown> => {
+    server = new ScriptedServer((socket) => {
+      socket.write(start);
+      const timer = setInterval(() => socket.write(Buffer.alloc(65_536, 'x')), 1);
+      socket.on('close', () => clearInterval(timer));
+    });
+    await server.listen();
+    const { signal } = new Operation({ timeoutMs: 2_000 });
+    const events = await engines.dispatch({
+      address: server.address, streamId: 's', headers: {}, path: '/', body: '{}', signal,
+    }, IDLE_TIMEOUT_MS);
+    return events.next();
+  };
+
+  // Guards against an entry that runs out of memory as it keeps all that an engine sends.
+  it.each([
+    ['a refusal', 'HTTP/1.1 503 X\r\nconnection: close\r\n\r\n', EngineRefusal, /status 503$/],
+    ['an event', `${HEAD}data: `, EngineFailure, /max buffer size/],
+  ])('should not be read to its end if it has none: %s', async (name, start, type, message) => {
+    const error = await dispatchEndless(start).catch((thrown: unknown) => thrown);
+    expect(error).toBeInstanceOf(type);
+    expect((error as Error).message).toMatch(message);
+    await expect.poll(() => server.closedCount).toBeGreaterThan(0);
+    expect(server.requests).toHaveLength(1);
+  });
 });
