Show entries whose requests wait that the leader is there, also while its lease has lapsed

Cause: an entry takes a leader that it has not heard of for 250 ms for late, withdraws what waits and chooses by itself for 0.4 s and more. Placing rests on no lease, but the leader's timer did nothing for it without one: no signs of life, and no look at what waits. A full leader has no lease for a fifth of the time. Class: a duty that stops with a condition on which it does not rest.

Change: without the lease the timer still decides on waiting requests and sends signs of life. It frees no slots of entries then: entries are not heard without a lease.

Why it works: the signs of life are due every 100 ms, whatever the lease.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -242,7 +242,16 @@
       .filter((stream) => this.hasTimedOut(stream, now))
       .forEach((stream) => this.closeStream(stream));
     this.placementService.applyLoads(this.entries.sumLoads('', now));
-    this.placementService.tick((entryId) => this.entries.has(entryId, now));
+    this.placementService.expire((entryId) => this.entries.has(entryId, now));
+    this.placementService.placeWaiting();
+  }
+
+  /**
+   * Decides on all waiting requests. Needs no lease: entries whose requests wait would otherwise
+   * hear nothing while it has lapsed, and choose servers themselves.
+   */
+  placeWaiting(): void {
+    this.placementService.placeWaiting();
   }
 
   /** Ends all streams when this replica no longer leads; the entries connect to the new leader. */
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -178,11 +178,14 @@
     return listRateLimits(this.workers);
   }
 
-  /** Frees the slots of disconnected entries, decides on waiting requests, sends keepalives. */
-  tick(isConnected: (entryId: string) => boolean): void {
-    const now = this.parts.clock.now();
-    expirePlaced(this.tables, isConnected, now);
-    this.deliver(placeWaiting(this.tables, now));
+  /** Frees the slots of entries that are gone and of requests past their deadline. */
+  expire(isConnected: (entryId: string) => boolean): void {
+    expirePlaced(this.tables, isConnected, this.parts.clock.now());
+  }
+
+  /** Decides on all waiting requests, and sends keepalives to the entries of those that wait on. */
+  placeWaiting(): void {
+    this.deliver(placeWaiting(this.tables, this.parts.clock.now()));
     new Set([...this.pending.values()].map(({ stream }) => stream))
       .forEach((stream) => stream.keepAlive());
   }
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -201,7 +201,10 @@
     this.leaseLog.record();
     this.leaderWait.check();
     this.softState.save();
-    if (!this.runner.holdsLease) return;
+    if (!this.runner.holdsLease) {
+      if (this.runner.state.role === 'leader') this.work.measure('tend', () => this.leaderState.placeWaiting());
+      return;
+    }
     this.softState.expire();
     this.work.measure('tend', () => this.leaderState.refresh(this.softState.registry.table));
     this.replicaSetManager.reconcile(this.runner, this.leaderState.startedAt);
--- a/tests/control/placement-service.spec.ts
+++ b/tests/control/placement-service.spec.ts
@@ -149,7 +149,7 @@
     await settle();
     const before = rig.messages.length;
     rig.now = 120;
-    rig.service.tick(() => true);
+    rig.service.placeWaiting();
     await settle();
     expect(rig.messages).toHaveLength(before + 1);
   });
