Log the longest queue of a leader

Cause: whether placing is slow because many requests wait could not be told from the leader's log: it names the time and number of messages, not the queue. Change: `work of the leader` has `mostWaiting`, the most requests that waited at once since the last line. Result: with `placeMs` and `placeCount` of the same line it tells a queue that costs from a transport that does.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -201,6 +201,7 @@
     this.leaseLog.record();
     this.leaderWait.check();
     this.softState.save();
+    if (this.runner.state.role === 'leader') this.work.recordWaiting(this.countRequests().waiting);
     if (!this.runner.holdsLease) {
       if (this.runner.state.role === 'leader') this.work.measure('tend', () => this.leaderState.placeWaiting());
       return;
--- a/src/control/workMeter.ts
+++ b/src/control/workMeter.ts
@@ -53,6 +53,9 @@
   /** Watch replies since the last log line whose client had given up the request. */
   private unreadCount = 0;
 
+  /** Most requests that waited for a slot at once since the last log line. */
+  private mostWaiting = 0;
+
   /** Time in which the leader lease was held since the last log line, in milliseconds. */
   private leasedMs = 0;
 
@@ -104,6 +107,11 @@
     if (isAbandoned) this.unreadCount += 1;
   }
 
+  /** Records how many requests wait for a slot. */
+  recordWaiting(count: number): void {
+    this.mostWaiting = Math.max(this.mostWaiting, count);
+  }
+
   /** Returns the totals since the start. */
   read(): WorkCounts {
     return makeCounts((kind) => this.counts.get(kind) ?? NO_WORK);
@@ -114,7 +122,7 @@
     const now = this.clock.now();
     if (now - this.loggedAt < LOG_INTERVAL_MS) return;
     const {
-      loggedCounts, mostLateMs, mostWatchWaitMs, unreadCount,
+      loggedCounts, mostLateMs, mostWatchWaitMs, unreadCount, mostWaiting,
     } = this;
     const counts = this.read();
     const processorMs = this.readProcessor();
@@ -127,6 +135,7 @@
       mostLateMs: Math.round(mostLateMs),
       mostWatchWaitMs: Math.round(mostWatchWaitMs),
       unreadCount,
+      mostWaiting,
       processorMs: Math.round(processorMs - this.loggedProcessorMs),
       leasedMs: Math.round(this.leasedMs),
       elapsedMs: Math.round(now - this.loggedAt),
@@ -136,6 +145,7 @@
     this.mostLateMs = 0;
     this.mostWatchWaitMs = 0;
     this.unreadCount = 0;
+    this.mostWaiting = 0;
     this.leasedMs = 0;
     this.loggedProcessorMs = processorMs;
   }
