Use a connection that answers late until its replacement is open

Cause: a call that is not answered in time replaces its connection, and all later calls and streams use the new one, whether it is open or not. A full leader accepts one connection a turn of its event loop: from second 9 to 27 all five replicas that follow failed in nearly every second with `Waiting for LB pick`, announcements of servers as well as the change, while their old connections worked. Entries' watch and slot streams and the acknowledgements of the log, on which the lease rests, are opened in the same way.

Change: until the new connection is open, calls and streams wait 50 ms for it and then use the last one on which the peer answered. A peer that refused or ended a connection has none: there the new one is used at once, as before.

Why it works: a slow peer goes on answering on a connection that it has accepted. A dead connection loses at most one more call, as a live peer accepts a new one within those 50 ms.

--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -9,6 +9,7 @@
 import { systemClock } from '../utils/clock';
 import { buildChannelOptions } from './channelOptions';
 import type { KeepaliveMode } from './channelOptions';
+import { DeferredStream } from './deferredStream';
 import { ReplacementBackoff } from './replacementBackoff';
 
 /** Constructor of a generated client. */
@@ -51,8 +52,13 @@
 interface PeerConnection<Stub> {
   readonly stub: Stub;
   activeCalls: number;
+  /** Whether the peer has answered on it. */
+  hasAnswered: boolean;
 }
 
+/** How long a call waits for a new connection before it uses the one before, in milliseconds. */
+const OPEN_WAIT_MS = 50;
+
 /** Statuses that indicate a failed connection rather than an error of the peer. */
 const CONNECTION_ERRORS: readonly number[] = [status.DEADLINE_EXCEEDED, status.UNAVAILABLE];
 
@@ -61,7 +67,8 @@
  *
  * A connection may stop carrying data for good while new ones work. Pings detect this, and after a
  * call that was not answered in time, the next call uses a new connection. If the peer does not
- * answer on that one either, further replacements back off.
+ * answer on that one either, further replacements back off. Until the new connection is open, calls
+ * use the one before: a peer that is only slow may not accept another one for seconds.
  *
  * @example
  * const link = new RpcLink(PeerClient, '10.0.0.2:7100');
@@ -70,6 +77,9 @@
 export class RpcLink<Stub extends Client> {
   private current: PeerConnection<Stub>;
 
+  /** The last connection on which the peer answered, until the current one is open. */
+  private fallback: PeerConnection<Stub> | undefined;
+
   private readonly backoff = new ReplacementBackoff();
 
   /** Replaced connections on which calls or streams are still open. */
@@ -92,14 +102,26 @@
   ): Promise<Reply> {
     const metadata = new Metadata();
     Object.entries(headers).forEach(([key, value]) => metadata.set(key, value));
-    const connection = this.acquire();
+    const run = (connection: PeerConnection<Stub>): Promise<Reply> => (
+      this.callOn(connection, pickMethod, request, operation, metadata));
+    return this.fallback ? this.pickOpen().then(run) : run(this.current);
+  }
+
+  private callOn<Request, Reply>(
+    connection: PeerConnection<Stub>,
+    pickMethod: (stub: Stub) => UnaryMethod<Request, Reply>,
+    request: Request,
+    operation: Operation,
+    metadata: Metadata,
+  ): Promise<Reply> {
+    connection.activeCalls += 1;
     return new Promise((resolve, reject) => {
       // eslint-disable-next-line no-restricted-globals -- the library converts it to a duration
       const deadline = Date.now() + operation.remainingMs;
       const method = pickMethod(connection.stub);
       const call = method.call(connection.stub, request, metadata, { deadline }, (error, reply) => {
         if (error && CONNECTION_ERRORS.includes(error.code)) this.handleFailure(connection, error);
-        else this.resetBackoff(connection);
+        else this.recordAnswer(connection);
         this.release(connection);
         if (error) reject(error);
         else resolve(reply);
@@ -118,10 +140,23 @@
    * stream.write(message);
    */
   openStream<Message, Reply>(
+    pickMethod: (stub: Stub) => StreamMethod<Message, Reply>,
+    listener: StreamListener<Reply>,
+  ): ClientStream<Message> {
+    if (!this.fallback) return this.openStreamOn(this.current, pickMethod, listener);
+    const stream = new DeferredStream<Message>();
+    this.pickOpen()
+      .then((connection) => stream.open(() => this.openStreamOn(connection, pickMethod, listener)))
+      .catch((error: unknown) => listener.close(error as Error));
+    return stream;
+  }
+
+  private openStreamOn<Message, Reply>(
+    connection: PeerConnection<Stub>,
     pickMethod: (stub: Stub) => StreamMethod<Message, Reply>,
     { take, close }: StreamListener<Reply>,
   ): ClientStream<Message> {
-    const connection = this.acquire();
+    connection.activeCalls += 1;
     const call = pickMethod(connection.stub).call(connection.stub);
     let isClosed = false;
     const finish = (): void => {
@@ -135,7 +170,7 @@
       close(error);
     };
     call.on('data', (reply: Reply) => {
-      this.resetBackoff(connection);
+      this.recordAnswer(connection);
       if (isClosed) return;
       try {
         take(reply);
@@ -163,6 +198,7 @@
   close(): void {
     [this.current, ...this.replacedConnections].forEach(({ stub }) => stub.close());
     this.replacedConnections.clear();
+    this.fallback = undefined;
   }
 
   private open(): PeerConnection<Stub> {
@@ -171,12 +207,7 @@
       credentials.createInsecure(),
       buildChannelOptions(this.keepaliveMode),
     );
-    return { stub, activeCalls: 0 };
-  }
-
-  private acquire(): PeerConnection<Stub> {
-    this.current.activeCalls += 1;
-    return this.current;
+    return { stub, activeCalls: 0, hasAnswered: false };
   }
 
   private release(connection: PeerConnection<Stub>): void {
@@ -190,7 +221,11 @@
    */
   private handleFailure(connection: PeerConnection<Stub>, error: Error): void {
     const { code } = error as Partial<ServiceError>;
-    if (code === status.UNAVAILABLE) this.resetBackoff(connection);
+    if (code === status.UNAVAILABLE) {
+      connection.hasAnswered = false;
+      if (this.fallback === connection) this.dropFallback();
+      if (this.current === connection) this.backoff.reset();
+    }
     this.replaceConnection(connection);
   }
 
@@ -202,17 +237,45 @@
    * the library would abort open calls with the next ping after a close.
    */
   private replaceConnection(connection: PeerConnection<Stub>): void {
-    if (this.current !== connection || !this.backoff.tryReplace(systemClock.now())) return;
+    const isUsed = this.current === connection || this.fallback === connection;
+    if (!isUsed || !this.backoff.tryReplace(systemClock.now())) return;
+    const replaced = this.current;
     this.current = this.open();
-    this.replacedConnections.add(connection);
-    this.closeUnused(connection);
+    this.replacedConnections.add(replaced);
+    if (replaced.hasAnswered) this.setFallback(replaced);
+    this.closeUnused(replaced);
+  }
+
+  /** Returns the current connection once it is open, or the one before if that takes too long. */
+  private pickOpen(): Promise<PeerConnection<Stub>> {
+    const { current } = this;
+    return new Promise((resolve) => {
+      // eslint-disable-next-line no-restricted-globals -- the library converts it to a duration
+      current.stub.waitForReady(Date.now() + OPEN_WAIT_MS, (error) => {
+        if (!error && this.current === current) this.dropFallback();
+        resolve(error ? this.fallback ?? this.current : this.current);
+      });
+    });
+  }
+
+  private setFallback(connection: PeerConnection<Stub>): void {
+    this.dropFallback();
+    this.fallback = connection;
+  }
+
+  private dropFallback(): void {
+    const { fallback } = this;
+    this.fallback = undefined;
+    if (fallback) this.closeUnused(fallback);
   }
 
-  private resetBackoff(connection: PeerConnection<Stub>): void {
+  private recordAnswer(connection: PeerConnection<Stub>): void {
+    connection.hasAnswered = true;
     if (this.current === connection) this.backoff.reset();
   }
 
   private closeUnused(connection: PeerConnection<Stub>): void {
+    if (connection === this.fallback) return;
     if (connection.activeCalls > 0 || !this.replacedConnections.delete(connection)) return;
     connection.stub.close();
   }
--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -3,7 +3,7 @@
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {
-  PlaceDecisions, SiteClient, SiteService, WatchReply, WatchRequest,
+  PlaceDecisions, PlaceNews as PlaceNewsCodec, SiteClient, SiteService, WatchReply, WatchRequest,
 } from '../../src/protocol/generated/beechlift';
 import type { PlaceNews } from '../../src/protocol/generated/beechlift';
 import { Operation } from '../../src/utils/operation';
@@ -114,6 +114,64 @@
     expect(proxy.connectionCount).toBeLessThanOrEqual(3);
   });
 
+  // Guards against a change of the operator that waits for seconds: the leader was slow once, and
+  // all that was forwarded to it waited for another connection, which it did not accept.
+  it('should use a connection that answers late until its replacement is open', async () => {
+    let answerMs = 0;
+    server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>(async () => {
+        await pause(answerMs);
+        return WatchReply.fromPartial({ leaseMs: 7 });
+      }),
+    });
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
+    proxy.openDelayMs = 5_000;
+    answerMs = 600;
+    expect(await askUntilAnswered(300, 300)).toBe(false);
+    expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
+    expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
+  });
+
+  // Guards against a log, a lease or a slot that waits for seconds for the same reason.
+  it('should open streams on a connection that answers late until its replacement is open', async () => {
+    server.add(SiteService, {
+      watch: answerAtOnce,
+      place: handleStream((stream: ServerStream<PlaceNews, PlaceDecisions>) => stream.listen({
+        take: ({ number }) => stream.send({ acknowledged: number, replies: [] }),
+        close: () => undefined,
+      })),
+    });
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    const acknowledged: number[] = [];
+    const open = () => link?.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), {
+      take: (decisions) => acknowledged.push(decisions.acknowledged), close: () => undefined,
+    });
+    const first = open();
+    first?.write(PlaceNewsCodec.fromPartial({ number: 1 }));
+    await expect.poll(() => acknowledged).toEqual([1]);
+    proxy.openDelayMs = 5_000;
+    first?.replaceConnection();
+    open()?.write(PlaceNewsCodec.fromPartial({ number: 2 }));
+    await expect.poll(() => acknowledged).toEqual([1, 2]);
+  });
+
+  // Guards against calls that go on using a dead connection once its replacement is open.
+  it('should use the replacement as soon as it is open', async () => {
+    server.add(SiteService, { watch: answerAtOnce });
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
+    proxy.openDelayMs = 700;
+    proxy.dropTraffic();
+    expect(await askUntilAnswered(200, 2_500)).toBe(true);
+  });
+
   // A connection that something between both ends has dropped must be replaced at once.
   it('should use a new connection after the first call that is not answered', async () => {
     server.add(SiteService, { watch: answerAtOnce });
