--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -148,7 +148,8 @@
     await proxy.start();
     link = new RpcLink(SiteClient, proxy.address);
     const acknowledged: number[] = [];
-    const open = () => link?.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), {
+    const pickMethod = (stub: SiteClient) => stub.place.bind(stub);
+    const open = () => link?.openStream<PlaceNews, PlaceDecisions>(pickMethod, {
       take: (decisions) => acknowledged.push(decisions.acknowledged), close: () => undefined,
     });
     const first = open();
