Cancel a call that is given up while it waits for a connection

Change: a call of a cancelled operation is cancelled at once. Result: the new test of rpc-link.spec fails without the change (the call is answered in place of being cancelled) and passes with it.

--- a/src/wire/rpcLink.ts
+++ b/src/wire/rpcLink.ts
@@ -127,7 +127,8 @@
         else resolve(reply);
       });
       const cancel = () => call.cancel();
-      operation.signal.addEventListener('abort', cancel, { once: true });
+      if (operation.signal.aborted) cancel();
+      else operation.signal.addEventListener('abort', cancel, { once: true });
       call.on('status', () => operation.signal.removeEventListener('abort', cancel));
     });
   }
--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -161,6 +161,31 @@
     await expect.poll(() => acknowledged).toEqual([1, 2]);
   });
 
+  // Guards against a call that goes on although it was given up while it waited for a connection.
+  it('should cancel a call that is given up while its connection opens', async () => {
+    server.add(SiteService, {
+      watch: handleUnary<WatchRequest, WatchReply>(async () => {
+        await pause(SLOW_ANSWER_MS);
+        return WatchReply.fromPartial({ leaseMs: 7 });
+      }),
+    });
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    const ask = (operation: Operation) => link?.call<WatchRequest, WatchReply>(
+      (stub) => stub.watch.bind(stub),
+      WatchRequest.fromPartial({}),
+      operation,
+    );
+    await ask(new Operation({ timeoutMs: CALL_TIMEOUT_MS }));
+    proxy.openDelayMs = CALL_TIMEOUT_MS;
+    await expect(ask(new Operation({ timeoutMs: RETRY_MS }))).rejects.toThrow('DEADLINE_EXCEEDED');
+    const operation = new Operation({ timeoutMs: CALL_TIMEOUT_MS });
+    const answer = ask(operation);
+    operation.cancel('not needed');
+    await expect(answer).rejects.toThrow('CANCELLED');
+  });
+
   // Guards against calls that go on using a dead connection once its replacement is open.
   it('should use the replacement as soon as it is open', async () => {
     server.add(SiteService, { watch: answerAtOnce });
