Remove the right request from the queue where a time is no number

Cause: a request is found in the queue by its key. An entry that reports a time without end makes estimates that are no numbers; keys from before and after that have no order, the request was not found, and the last one of the queue was removed in its place. The one that had got its slot stayed, and the leader would have decided on it again without end. Change: a request that is not where its key says is looked for in the whole queue.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -201,9 +201,10 @@
     this.leaseLog.record();
     this.leaderWait.check();
     this.softState.save();
-    if (this.runner.state.role === 'leader') this.work.recordWaiting(this.countRequests().waiting);
+    const isLeader = this.runner.state.role === 'leader';
+    if (isLeader) this.work.recordWaiting(this.countRequests().waiting);
     if (!this.runner.holdsLease) {
-      if (this.runner.state.role === 'leader') this.work.measure('tend', () => this.leaderState.placeWaiting());
+      if (isLeader) this.work.measure('tend', () => this.leaderState.placeWaiting());
       return;
     }
     this.softState.expire();
--- a/src/core/routing/waitingQueue.ts
+++ b/src/core/routing/waitingQueue.ts
@@ -73,8 +73,9 @@
     this.byId.delete(id);
     const { request: { service }, key } = queued;
     const queue = this.byService.get(service) ?? [];
-    // Requests with the same key are neighbours.
-    queue.splice(queue.lastIndexOf(queued, findPosition(queue, key)), 1);
+    // Requests with the same key are neighbours, unless a key is no number and breaks the order.
+    const position = queue.lastIndexOf(queued, findPosition(queue, key));
+    queue.splice(position < 0 ? queue.indexOf(queued) : position, 1);
     if (queue.length === 0) this.byService.delete(service);
   }
 
--- a/tests/core/waiting-queue.spec.ts
+++ b/tests/core/waiting-queue.spec.ts
@@ -8,7 +8,9 @@
 import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
 import { compareOrder, computeOrderKey } from '../../src/core/routing/placementOrder';
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
-import { applyRecords, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
+import { addSample } from '../../src/core/routing/linearFit';
+import { applyRecords, findServiceStats, makeRoutedWorkers } from '../../src/core/routing/routedWorkers';
+import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { WaitingQueue } from '../../src/core/routing/waitingQueue';
 import { WorkerRecord } from '../../src/protocol/generated/beechlift';
 
@@ -85,6 +87,9 @@
   }
 }
 
+const addSampleToAll = (workers: RoutedWorkers, ms: number): void => SERVICES.forEach((service) => (
+  addSample(findServiceStats(workers, service).firstEvent, 1, ms)));
+
 describe('requests that wait for a slot', () => {
   // Guards against a free slot that no waiting request gets, as only what has changed is looked at.
   it('should leave nothing to grant for a look at all of them', () => {
@@ -109,6 +114,29 @@
     }), { numRuns: 300 });
   });
 
+  // Guards against a leader that never ends a look at its queue: another request was removed in
+  // place of the one that got a slot.
+  it('should be removed whatever times their entries report', () => {
+    const batch = fc.array(requestFields, { minLength: 30, maxLength: 40 });
+    fc.assert(fc.property(batch, fc.nat(), (items, seed) => {
+      const workers = makeRoutedWorkers();
+      const queue = new WaitingQueue(workers);
+      const requests = items.map((fields, position) => ({
+        ...fields, id: `r${position}`, deadlineAt: 1, zone: 'a', askedAt: (position * seed) % 7,
+      }));
+      requests.forEach((request, position) => {
+        queue.set(request.id, request);
+        const ms = position === 10 ? Infinity : 1;
+        if (position >= 10 && position < 20) addSampleToAll(workers, ms);
+      });
+      requests.forEach(({ id, service }) => {
+        queue.remove(id);
+        expect(queue.list(service).some((other) => other.id === id)).toBe(false);
+      });
+      expect(queue.services).toEqual([]);
+    }), { numRuns: 300 });
+  });
+
   it('should be counted and listed in the order of a whole sort', () => {
     const item = fc.record({ fields: requestFields, isRemoved: fc.boolean() });
     fc.assert(fc.property(fc.array(item, { maxLength: 40 }), (items) => {
