Look for a request to remove in its queue without its key

Cause: `WaitingQueue.remove` looked for a request by its key first, and in the whole queue where the key has no order: two ways for one answer. Taking it out moves the rest of the queue anyway. Change: one way, in the whole queue. Result: waiting-queue.spec and placement-queue.spec pass unchanged, 40 tests, the property on times that are no numbers among them.

--- a/src/core/routing/waitingQueue.ts
+++ b/src/core/routing/waitingQueue.ts
@@ -71,11 +71,10 @@
     const queued = this.byId.get(id);
     if (!queued) return;
     this.byId.delete(id);
-    const { request: { service }, key } = queued;
+    const { service } = queued.request;
     const queue = this.byService.get(service) ?? [];
-    // Requests with the same key are neighbours, unless a key is no number and breaks the order.
-    const position = queue.lastIndexOf(queued, findPosition(queue, key));
-    queue.splice(position < 0 ? queue.indexOf(queued) : position, 1);
+    // Not looked for by its key: keys that are no numbers have no order.
+    queue.splice(queue.indexOf(queued), 1);
     if (queue.length === 0) this.byService.delete(service);
   }
 
