Collect the pieces of bodies in one buffer

Cause: the fault of events without end stood in three more places: the body of a request, a plain answer that is held until it is whole, and the answer of a service of our own interface were kept as lists of pieces. A piece of one byte takes a hundred bytes, so a million of them within the limit on a body are 109 MB (measured alone; 4 MB in one buffer). Change: all three use ByteCollector, which also replaces their counts of bytes. The engine's and the service's client read a body with the same function; what exceeds the limit is an error for one and cut off by the other, as before. Why it works: what is held of a body is twice its length at most, whatever its pieces are.

--- a/src/entry/sending/engineClient.ts
+++ b/src/entry/sending/engineClient.ts
@@ -2,9 +2,9 @@
 import type { EventSourceMessage } from 'eventsource-parser';
 import { Agent, Pool, request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { ByteCollector } from '../../utils/byteCollector';
 import { EngineFailure } from './engineFailure';
 import { EngineRefusal } from './engineRefusal';
+import { readBody } from './readBody';
 import { ServerConnection } from './serverConnection';
 import { toEngineFailure } from './toEngineFailure';
 
@@ -64,17 +64,8 @@
 
 /** Reads the begin of a body; the rest of a longer one is not received. */
 const readBegin = async (body: Dispatcher.ResponseData['body']): Promise<string> => {
-  const collector = new ByteCollector();
-  try {
-    // eslint-disable-next-line no-restricted-syntax -- a stream is read in order
-    for await (const chunk of body) {
-      collector.add(chunk as Buffer);
-      if (collector.length >= MAX_REPLY_BYTES) break;
-    }
-  } finally {
-    body.destroy();
-  }
-  return collector.bytes.subarray(0, MAX_REPLY_BYTES).toString();
+  const bytes = await readBody(body, MAX_REPLY_BYTES);
+  return bytes.subarray(0, MAX_REPLY_BYTES).toString();
 };
 
 /** The events parsed from one chunk, and whether the end of the stream was reached. */
--- a/src/entry/sending/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -6,6 +6,7 @@
 import type { AnswerFraming } from '../../wire/answerFraming';
 import { checkAnswerEnd } from './checkAnswerEnd';
 import { EngineFailure } from './engineFailure';
+import { readBody } from './readBody';
 import { ServerConnection } from './serverConnection';
 import { toEngineFailure } from './toEngineFailure';
 
@@ -42,22 +43,13 @@
     .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? '']),
 );
 
-const readBody = async (
+const readAnswer = async (
   body: Dispatcher.ResponseData['body'],
   maxBytes: number,
 ): Promise<Buffer> => {
-  const pieces: Buffer[] = [];
-  let bytes = 0;
-  // eslint-disable-next-line no-restricted-syntax -- a body is read in order
-  for await (const piece of body) {
-    bytes += (piece as Buffer).length;
-    if (bytes > maxBytes) {
-      body.destroy();
-      throw new BeechliftError('answerTooLarge', `the answer of the service exceeds the limit of ${maxBytes} bytes`);
-    }
-    pieces.push(piece as Buffer);
-  }
-  return Buffer.concat(pieces);
+  const bytes = await readBody(body, maxBytes);
+  if (bytes.length <= maxBytes) return bytes;
+  throw new BeechliftError('answerTooLarge', `the answer of the service exceeds the limit of ${maxBytes} bytes`);
 };
 
 const findFraming = (
@@ -93,7 +85,7 @@
     const framing = findFraming(call.method, response);
     // The HTTP client fails an answer without a body whose head names the length of one.
     if (framing === 'none') await response.body.dump();
-    const body = framing === 'none' ? Buffer.alloc(0) : await readBody(response.body, call.maxBytes);
+    const body = framing === 'none' ? Buffer.alloc(0) : await readAnswer(response.body, call.maxBytes);
     if (framing === 'closeDelimited') await checkAnswerEnd(call, sentAt, { status, headers, body });
     return { status, headers: pickForwardedHeaders(headers), body };
   } catch (error) {
--- a/src/relay/answerWriter.ts
+++ b/src/relay/answerWriter.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
+import { ByteCollector } from '../utils/byteCollector';
 import { isResumableStream } from '../core/routing/routeTable';
 import type { Route } from '../manifest/routing';
 import { EventFramer } from './eventFramer';
@@ -80,9 +81,7 @@
 
   private bufferedHead: UpstreamHead | undefined;
 
-  private buffered: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  private readonly buffered = new ByteCollector();
 
   private hasFailed = false;
 
@@ -208,8 +207,7 @@
     // A partial event proves that there are more.
     if (!this.isPresumedComplete) this.presumedCount = undefined;
     this.framer?.discardPartial();
-    this.buffered = [];
-    this.bufferedBytes = 0;
+    this.buffered.take();
     this.bufferedHead = undefined;
   }
 
@@ -227,9 +225,8 @@
   }
 
   private bufferChunk(chunk: Buffer): boolean {
-    this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes <= MAX_BUFFERED_BYTES) return true;
+    this.buffered.add(chunk);
+    if (this.buffered.length <= MAX_BUFFERED_BYTES) return true;
     const canWriteMore = this.flushBuffered();
     this.mode = 'direct';
     return canWriteMore;
@@ -237,7 +234,7 @@
 
   private flushBuffered(): boolean {
     if (this.bufferedHead) this.sendHead(this.bufferedHead);
-    const bytes = Buffer.concat(this.buffered);
+    const bytes = this.buffered.take();
     this.discardUnsent();
     return bytes.length === 0 || this.send(bytes);
   }
--- a/src/relay/readRequestBody.ts
+++ b/src/relay/readRequestBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
+import { ByteCollector } from '../utils/byteCollector';
 
 /** Longest time that a caller may take to send its body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
@@ -26,18 +27,16 @@
     reject(new BeechliftError('callerGone', 'the caller disconnected before its body was read'));
     return;
   }
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const collector = new ByteCollector();
   const timer = setTimeout(() => reject(new BeechliftError('bodyTooSlow', `the body was not complete after ${BODY_TIMEOUT_MS} ms`)), BODY_TIMEOUT_MS);
   const settle = (run: () => void): void => {
     clearTimeout(timer);
     run();
   };
   request.on('data', (chunk: Buffer) => {
-    length += chunk.length;
-    if (length <= maxBytes) chunks.push(chunk);
+    if (collector.length + chunk.length <= maxBytes) collector.add(chunk);
     else settle(() => reject(new BeechliftError('bodyTooLarge', `the body exceeds the limit of ${maxBytes} bytes`)));
   });
-  request.on('end', () => settle(() => resolve(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))));
+  request.on('end', () => settle(() => resolve(collector.take())));
   request.on('error', (cause) => settle(() => reject(new BeechliftError('callerGone', 'the caller disconnected while it sent its body', { cause }))));
 });
