--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -38,6 +38,14 @@
     return isAnswered || askUntilAnswered(timeoutMs, maxMs - (performance.now() - startedAt));
   };
 
+  /** Connects to the server through a proxy that can delay and drop traffic. */
+  const openProxied = async (): Promise<SilentProxy> => {
+    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
+    await proxy.start();
+    link = new RpcLink(SiteClient, proxy.address);
+    return proxy;
+  };
+
   beforeEach(() => {
     server = new RpcServer();
   });
@@ -106,12 +114,10 @@
   // late call, before the leader had accepted it, and the next connection waited as long.
   it('should let a new connection open for longer than its calls may wait', async () => {
     server.add(SiteService, { watch: answerAtOnce });
-    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
-    await proxy.start();
-    link = new RpcLink(SiteClient, proxy.address);
-    proxy.openDelayMs = 900;
+    const proxied = await openProxied();
+    proxied.openDelayMs = 900;
     expect(await askUntilAnswered(300, 5_000)).toBe(true);
-    expect(proxy.connectionCount).toBeLessThanOrEqual(3);
+    expect(proxied.connectionCount).toBeLessThanOrEqual(3);
   });
 
   // Guards against a change of the operator that waits for seconds: the leader was slow once, and
@@ -124,11 +130,9 @@
         return WatchReply.fromPartial({ leaseMs: 7 });
       }),
     });
-    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
-    await proxy.start();
-    link = new RpcLink(SiteClient, proxy.address);
+    const proxied = await openProxied();
     expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
-    proxy.openDelayMs = 5_000;
+    proxied.openDelayMs = 5_000;
     answerMs = 600;
     expect(await askUntilAnswered(300, 300)).toBe(false);
     expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
@@ -144,9 +148,7 @@
         close: () => undefined,
       })),
     });
-    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
-    await proxy.start();
-    link = new RpcLink(SiteClient, proxy.address);
+    const proxied = await openProxied();
     const acknowledged: number[] = [];
     const pickMethod = (stub: SiteClient) => stub.place.bind(stub);
     const open = () => link?.openStream<PlaceNews, PlaceDecisions>(pickMethod, {
@@ -155,7 +157,7 @@
     const first = open();
     first?.write(PlaceNewsCodec.fromPartial({ number: 1 }));
     await expect.poll(() => acknowledged).toEqual([1]);
-    proxy.openDelayMs = 5_000;
+    proxied.openDelayMs = 5_000;
     first?.replaceConnection();
     open()?.write(PlaceNewsCodec.fromPartial({ number: 2 }));
     await expect.poll(() => acknowledged).toEqual([1, 2]);
@@ -169,16 +171,14 @@
         return WatchReply.fromPartial({ leaseMs: 7 });
       }),
     });
-    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
-    await proxy.start();
-    link = new RpcLink(SiteClient, proxy.address);
+    const proxied = await openProxied();
     const ask = (operation: Operation) => link?.call<WatchRequest, WatchReply>(
       (stub) => stub.watch.bind(stub),
       WatchRequest.fromPartial({}),
       operation,
     );
     await ask(new Operation({ timeoutMs: CALL_TIMEOUT_MS }));
-    proxy.openDelayMs = CALL_TIMEOUT_MS;
+    proxied.openDelayMs = CALL_TIMEOUT_MS;
     await expect(ask(new Operation({ timeoutMs: RETRY_MS }))).rejects.toThrow('DEADLINE_EXCEEDED');
     const operation = new Operation({ timeoutMs: CALL_TIMEOUT_MS });
     const answer = ask(operation);
@@ -189,23 +189,19 @@
   // Guards against calls that go on using a dead connection once its replacement is open.
   it('should use the replacement as soon as it is open', async () => {
     server.add(SiteService, { watch: answerAtOnce });
-    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
-    await proxy.start();
-    link = new RpcLink(SiteClient, proxy.address);
+    const proxied = await openProxied();
     expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
-    proxy.openDelayMs = 700;
-    proxy.dropTraffic();
+    proxied.openDelayMs = 700;
+    proxied.dropTraffic();
     expect(await askUntilAnswered(200, 2_500)).toBe(true);
   });
 
   // A connection that something between both ends has dropped must be replaced at once.
   it('should use a new connection after the first call that is not answered', async () => {
     server.add(SiteService, { watch: answerAtOnce });
-    proxy = new SilentProxy(await server.listen('127.0.0.1:0'));
-    await proxy.start();
-    link = new RpcLink(SiteClient, proxy.address);
+    const proxied = await openProxied();
     expect(await askUntilAnswered(1_000, 1_000)).toBe(true);
-    proxy.dropTraffic();
+    proxied.dropTraffic();
     expect(await askUntilAnswered(300, 900)).toBe(true);
   });
 
