Keep the port of a peer that comes back out of the ephemeral range

The test had let the system choose the port and left it for two seconds; the ephemeral range here is 32768 to 60999, so an outgoing connection of another test may get it meanwhile. The test is older than this work and its steps are unchanged. Change: it takes its port from findFreeAddress, which is there for this: ports below that range, a range for each test process.

--- a/tests/wire/rpc-link.spec.ts
+++ b/tests/wire/rpc-link.spec.ts
@@ -10,6 +10,7 @@
 import { RpcLink } from '../../src/wire/rpcLink';
 import { handleStream, handleUnary, RpcServer } from '../../src/wire/rpcServer';
 import type { ServerStream } from '../../src/wire/rpcServer';
+import { findFreeAddress } from '../fakes/freeAddress';
 import { SilentProxy } from '../fakes/silentProxy';
 
 const ANSWER_MS = 300;
@@ -209,7 +210,7 @@
   // connections to it waited between two attempts although the port was open again.
   it('should reach a peer at once that refused connections before', async () => {
     server.add(SiteService, { watch: answerAtOnce });
-    const address = await server.listen('127.0.0.1:0');
+    const address = await server.listen(await findFreeAddress());
     link = new RpcLink(SiteClient, address);
     server.close();
     expect(await askUntilAnswered(300, 2_000)).toBe(false);
