Count the log messages in the line on the leader's work

Cause: the line on the leader's work named watch requests, placement, announcements and the timer. Log messages of the other replicas, some hundred a second, appeared in no field, so standing work could not be divided. Change: a kind of work, step, with its count and time, in the line and in the metric. Result: work-meter.spec passes with the new field.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -217,7 +217,7 @@
   /** Handles a log message of another replica. */
   step(message: LogMessage): void {
     this.replicaSetManager.recordMessage(message.from);
-    this.runner.handle({ kind: 'message', message });
+    this.work.measure('step', () => this.runner.handle({ kind: 'message', message }));
     this.leaderWait.check();
   }
 
--- a/src/control/workMeter.ts
+++ b/src/control/workMeter.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../utils/clock';
 
 /** Kinds of work that are measured separately. */
-export const WORK_KINDS = ['watch', 'place', 'announce', 'tend'] as const;
+export const WORK_KINDS = ['watch', 'place', 'announce', 'step', 'tend'] as const;
 export type WorkKind = typeof WORK_KINDS[number];
 
 /** Total of one kind of work since the start. */
--- a/tests/control/work-meter.spec.ts
+++ b/tests/control/work-meter.spec.ts
@@ -15,6 +15,9 @@
     });
     advance(7);
     advance(5);
+    meter.measure('step', () => {
+      now += 2;
+    });
     meter.recordWatchTurn(900, true);
     meter.recordWatchTurn(20, false);
     now = 3_000;
@@ -31,6 +34,8 @@
         watchCount: 2,
         watchMs: 12,
         placeCount: 0,
+        stepCount: 1,
+        stepMs: 2,
         mostLateMs: 2_975,
         leasedMs: 3_000,
         mostWatchWaitMs: 900,
