Pass placement messages of large sites through the other replicas

Seen: on grown sites the leader of control is full in bursts; its lease lapses, entries hear nothing in time and refuse callers or send requests to full servers (docs/incidents/standing-work-of-leaders.md). Cause: each message of each entry on placement, and each decision, is a message of the leader's own, some three for a request. Four other replicas beside it are nearly idle. Change: on sites of 40 entries and more an entry opens its placement stream at one of the other replicas and names the leader. The replica passes what entries say within 10 ms on in one message (HubTrunk), and the leader answers in the same way (TrunkReceiver). Who decides does not change: to the leader these are the streams of the entries. Where the replica between fails or is silent for a second the entry goes directly to the leader for 10 s, with the slots that it holds; where the leader fails it hears the end of its stream as before, after 0.8 s of silence of the leader. An entry's first message ends its earlier stream: messages of that one may still be on their way through another replica. The handlers of a replica's calls are in a file of their own now. Why it works: what the leader receives and sends grows with replicas, not with entries and requests.

--- /dev/null
+++ b/src/control/hubTrunk.ts
@@ -0,0 +1,160 @@
+import type {
+  EntryNews, HubDecisions, HubNews, SiteClient,
+} from '../protocol/generated/beechlift';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import { PacedTask } from '../utils/pacedTask';
+import type { ClientStream, RpcLink } from '../wire/rpcLink';
+import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
+
+/** Shortest time between two messages to the leader, in milliseconds. */
+const GATHER_MS = 10;
+/**
+ * Time without a count of what the leader received after which its streams end, in milliseconds.
+ * It is less than the time after which an entry would hold this replica responsible.
+ */
+const SILENCE_MS = 800;
+/** Most messages on their way: bounds the memory for a leader that does not read. */
+const MAX_IN_FLIGHT = 256;
+
+/** Dependencies of a trunk. */
+export interface HubTrunkParts {
+  readonly link: Pick<RpcLink<SiteClient>, 'address' | 'openStream'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Passes the placement streams of entries on to the leader in one stream, and its decisions back.
+ * The leader sees the streams as if they came from the entries.
+ *
+ * @example
+ * stream.listen(trunk.open(stream)); // a placement stream of an entry
+ */
+export class HubTrunk {
+  private readonly sinks = new Map<number, PlacementSink>();
+
+  private lastNumber = 0;
+
+  private news: EntryNews[] = [];
+
+  private stream: ClientStream<HubNews> | undefined;
+
+  /** Messages that were sent on the stream, and those that the leader has counted. */
+  private sent = 0;
+
+  private received = 0;
+
+  /** Time since which a count is due while messages are on their way, monotonic milliseconds. */
+  private countDueSince = 0;
+
+  private watchdog: NodeJS.Timeout | undefined;
+
+  private readonly flushTask: PacedTask;
+
+  constructor(private readonly parts: HubTrunkParts) {
+    this.flushTask = new PacedTask(() => this.flush(), GATHER_MS, parts.clock);
+  }
+
+  /** Adds the stream of an entry; returns the handlers of its messages. */
+  open(sink: PlacementSink): PlacementMessageHandlers {
+    this.lastNumber += 1;
+    const stream = this.lastNumber;
+    this.sinks.set(stream, sink);
+    return {
+      take: (message) => {
+        if (this.sinks.has(stream)) this.add({ stream, message: { ...message, leaderAddress: '' } });
+      },
+      close: () => {
+        if (this.sinks.delete(stream)) this.add({ stream, message: undefined });
+      },
+    };
+  }
+
+  private add(news: EntryNews): void {
+    this.news.push(news);
+    this.flushTask.schedule();
+  }
+
+  private flush(): void {
+    const { news } = this;
+    this.news = [];
+    if (news.length === 0) return;
+    if (this.sent - this.received >= MAX_IN_FLIGHT) {
+      this.end('too many messages are on their way');
+      return;
+    }
+    try {
+      this.stream ??= this.openStream();
+    } catch (thrown) {
+      // The library throws once the connections are closed, as this process stops.
+      this.end((thrown as Error).message);
+      return;
+    }
+    if (this.sent === this.received) this.countDueSince = this.parts.clock.now();
+    this.sent += 1;
+    this.stream.write({ news });
+    this.startWatchdog();
+  }
+
+  private openStream(): ClientStream<HubNews> {
+    const stream = this.parts.link.openStream<HubNews, HubDecisions>((stub) => (
+      stub.placeForMany.bind(stub)), {
+      take: (message) => {
+        if (this.stream === stream) this.takeDecisions(message);
+      },
+      close: (error) => {
+        if (this.stream === stream) this.end(error?.message ?? 'the leader ended the stream');
+      },
+    });
+    return stream;
+  }
+
+  private takeDecisions({ received, decisions }: HubDecisions): void {
+    this.received = received;
+    this.countDueSince = this.parts.clock.now();
+    decisions.forEach(({ stream, message }) => {
+      const sink = this.sinks.get(stream);
+      if (message) {
+        sink?.send(message);
+        return;
+      }
+      this.sinks.delete(stream);
+      sink?.end();
+    });
+  }
+
+  private startWatchdog(): void {
+    this.watchdog ??= setTimeout(() => {
+      this.watchdog = undefined;
+      // Input that arrived while this process was busy is read first, so that it counts.
+      setImmediate(() => this.checkSilence());
+    }, SILENCE_MS / 2);
+  }
+
+  private checkSilence(): void {
+    if (!this.stream || this.sent === this.received) return;
+    const silentMs = this.parts.clock.now() - this.countDueSince;
+    if (silentMs < SILENCE_MS) {
+      this.startWatchdog();
+      return;
+    }
+    this.stream.replaceConnection();
+    this.end(`no count for ${Math.round(silentMs)} ms`);
+  }
+
+  /** Ends the streams of all entries, which then find out whether the leader is gone. */
+  private end(reason: string): void {
+    const sinks = [...this.sinks.values()];
+    this.parts.logger.warn('placement streams of entries ended: the leader cannot be reached', {
+      leader: this.parts.link.address, streams: sinks.length, reason,
+    });
+    this.stream?.cancel();
+    this.stream = undefined;
+    this.sent = 0;
+    this.received = 0;
+    this.news = [];
+    this.sinks.clear();
+    sinks.forEach((sink) => sink.end());
+  }
+}
--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -165,6 +165,7 @@
   /** Handles a message of an entry's placement stream. */
   handleMessage(stream: PlacementStream, message: PlaceNews, workers: WorkerTable): void {
     if (!stream.isOpen) return;
+    if (message.entryId !== '') this.closeEarlierStreams(message.entryId);
     this.applyWorkerChanges(workers);
     stream.acknowledge(message.number, message.requests.length > 0);
     // Before free slots are granted: a request that crashed its server must not get another one.
@@ -181,6 +182,16 @@
     );
   }
 
+  /*
+   * An entry has one stream. Messages of an earlier one may still arrive by way of another replica,
+   * and would place requests that the entry has placed or given up since.
+   */
+  private closeEarlierStreams(entryId: string): void {
+    [...this.streams]
+      .filter((stream) => stream.entryId === entryId)
+      .forEach((stream) => this.closeStream(stream));
+  }
+
   /** Ends the placement stream of an entry. */
   closeStream(stream: PlacementStream): void {
     this.streams.delete(stream);
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -8,21 +8,19 @@
   SiteClient, SiteService, SuspectRecord, WorkerRecord,
 } from '../protocol/generated/beechlift';
 import type {
-  AnnounceBatch, AnnounceReply, AnnounceResults, ConfirmReply, LogMessage, MeetReply, MeetRequest,
-  PlaceDecisions, PlaceNews, PublishReply, PublishRequest, Replica, StepCount, WatchReply,
-  WatchRequest, WorkerAnnouncement,
+  ConfirmReply, LogMessage, MeetReply, MeetRequest, PublishReply, PublishRequest, Replica,
+  WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
-import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
+import { toBeechliftError } from '../errors/beechliftError';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import { PROCESS_START, SuspensionDetector, systemClock } from '../utils/clock';
 import { Operation } from '../utils/operation';
 import { LinkTable } from '../wire/linkTable';
 import { toPeerError } from '../wire/peerError';
-import { handleStream, handleUnary, RpcServer } from '../wire/rpcServer';
-import type { FailureListener } from '../wire/rpcServer';
-import { AnnouncementReceiver } from './announcementReceiver';
+import { RpcServer } from '../wire/rpcServer';
 import { AnnouncementStream } from './announcementStream';
+import { PlacementHub } from './placementHub';
 import { ReplicaIdentity } from './replicaIdentity';
 import { computeLeaseMs } from './entryLease';
 import type { LeaseBounds } from './entryLease';
@@ -30,7 +28,8 @@
 import { RoutedNode, TICK_MS } from './routedNode';
 import type { RoutedPort } from './routedNodeParts';
 import { SeedFounding } from './seedFounding';
-import { StepReceiver } from './stepReceiver';
+import { makeSiteService, requireNode } from './siteService';
+import type { NodeReference } from './siteService';
 import { StepStream } from './stepStream';
 
 const MEET_TIMEOUT_MS = 400;
@@ -114,78 +113,6 @@
 ): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', request, MEET_TIMEOUT_MS)
   .catch(() => undefined); // Asked again later.
 
-/** Refers to the node, which exists once the initial voters are known. */
-interface NodeReference { node: RoutedNode | undefined }
-
-const requireNode = ({ node }: NodeReference): RoutedNode => {
-  if (!node) throw new BeechliftError('starting', 'this replica is still looking for the other replicas');
-  return node;
-};
-
-const makeFailureListener = (logger: Logger): FailureListener => ({ message: reason }) => {
-  logger.error('message could not be processed, closing its stream', { reason });
-};
-
-const makeService = (
-  nodeReference: NodeReference,
-  founding: SeedFounding,
-  logger: Logger,
-) => ({
-  watch: handleUnary<WatchRequest, WatchReply>((request, { onCancel }) => {
-    let isCancelled = false;
-    onCancel(() => {
-      isCancelled = true;
-    });
-    return requireNode(nodeReference).watch(request, () => isCancelled);
-  }),
-  keepWatch: handleStream<WatchRequest, WatchReply>((stream) => {
-    // Looked up when the stream opens: an error here ends the stream, not the process.
-    const node = requireNode(nodeReference);
-    let isClosed = false;
-    stream.listen({
-      take: (request) => {
-        const answered = node.watch(request, () => isClosed);
-        answered.then((reply) => stream.send(reply)).catch((thrown: unknown) => {
-          logger.error('watch request failed', { entry: request.entryId, reason: toBeechliftError(thrown).message });
-          stream.end(); // The client then tries another replica.
-        });
-      },
-      close: () => {
-        isClosed = true;
-      },
-    });
-  }, makeFailureListener(logger)),
-  publish: handleUnary<PublishRequest, PublishReply>(
-    (request) => requireNode(nodeReference).publish(request),
-  ),
-  announce: handleUnary<WorkerAnnouncement, AnnounceReply>(
-    (announcement) => requireNode(nodeReference).announce(announcement, true),
-  ),
-  keepAnnouncing: handleStream<AnnounceBatch, AnnounceResults>((stream) => {
-    const node = requireNode(nodeReference);
-    stream.listen(new AnnouncementReceiver({
-      stream,
-      announce: (announcement) => node.announce(announcement, true),
-      countRefusal: (thrown, workerId) => (
-        node.announcementValidator.countRefusal(thrown, workerId)),
-    }));
-  }, makeFailureListener(logger)),
-  place: handleStream<PlaceNews, PlaceDecisions>(
-    (stream) => stream.listen(requireNode(nodeReference).openPlacementStream(stream)),
-    makeFailureListener(logger),
-  ),
-  confirm: handleUnary<object, ConfirmReply>(() => requireNode(nodeReference).confirm()),
-  keepStepping: handleStream<LogMessage, StepCount>(
-    // A replica that is starting drops messages; the log resends lost ones.
-    (stream) => stream.listen(new StepReceiver(stream, (message) => {
-      nodeReference.node?.step(message);
-    })),
-    makeFailureListener(logger),
-  ),
-  meet: handleUnary<MeetRequest, MeetReply>((request) => (
-    nodeReference.node?.meet(request) ?? founding.answer(request))),
-});
-
 /** Sends one watch request to the leader; resolves with whether the leader answered. */
 const followOnce = async (node: RoutedNode, links: Links): Promise<boolean> => {
   const address = node.leaderAddress;
@@ -288,7 +215,17 @@
   // Replicas bound each of their calls, and the leader detects entries that are gone, so slow pings
   // suffice.
   const server = new RpcServer('infrequent');
-  server.add(SiteService, makeService(nodeReference, founding, logger));
+  const hub = new PlacementHub({
+    links,
+    openStream: (sink) => requireNode(nodeReference).openPlacementStream(sink),
+    address: settings.address,
+    listReplicas: () => nodeReference.node?.replicaAddresses ?? [],
+    clock: systemClock,
+    logger,
+  });
+  server.add(SiteService, makeSiteService({
+    nodeReference, founding, hub, logger,
+  }));
   await server.listen(settings.address);
   const founders = await founding.waitForFounders();
   logger.info('initial voters determined', { birth: self.id, founders: founders.length });
--- /dev/null
+++ b/src/control/trunkReceiver.ts
@@ -0,0 +1,123 @@
+import { toBeechliftError } from '../errors/beechliftError';
+import type {
+  EntryDecisions, EntryNews, HubDecisions, HubNews, PlaceNews,
+} from '../protocol/generated/beechlift';
+import type { Logger } from '../telemetry/logger';
+import type { Clock } from '../utils/clock';
+import { PacedTask } from '../utils/pacedTask';
+import type { ServerStream } from '../wire/rpcServer';
+import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
+
+/** Shortest time between two messages to a hub, in milliseconds. */
+const GATHER_MS = 10;
+/** Longest time until a message of a hub is counted, in milliseconds. */
+const COUNT_DELAY_MS = 200;
+/** Most streams of entries at one hub. */
+const MAX_STREAMS = 4_096;
+
+/** Dependencies of a receiver. */
+export interface TrunkReceiverParts {
+  readonly stream: Pick<ServerStream<HubNews, HubDecisions>, 'send'>;
+  /** Opens the placement stream of an entry; throws if this replica does not lead. */
+  readonly openStream: (sink: PlacementSink) => PlacementMessageHandlers;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Receives the placement streams that a hub passes on in one stream, and sends the decisions of
+ * some milliseconds back in one message.
+ *
+ * @example
+ * stream.listen(new TrunkReceiver(parts));
+ */
+export class TrunkReceiver {
+  private readonly streams = new Map<number, PlacementMessageHandlers>();
+
+  private decisions: EntryDecisions[] = [];
+
+  private received = 0;
+
+  private isOpen = true;
+
+  private countTimer: NodeJS.Timeout | undefined;
+
+  private readonly flushTask: PacedTask;
+
+  constructor(private readonly parts: TrunkReceiverParts) {
+    this.flushTask = new PacedTask(() => this.flush(), GATHER_MS, parts.clock);
+  }
+
+  /** Handles a message of the hub. */
+  readonly take = ({ news }: HubNews): void => {
+    this.received += 1;
+    this.countTimer ??= setTimeout(() => this.flush(), COUNT_DELAY_MS);
+    news.forEach((item) => this.handleNews(item));
+  };
+
+  /** Ends the streams of all entries with that of the hub. */
+  readonly close = (): void => {
+    this.isOpen = false;
+    clearTimeout(this.countTimer);
+    const all = [...this.streams.values()];
+    this.streams.clear();
+    all.forEach(({ close }) => close());
+  };
+
+  private handleNews({ stream, message }: EntryNews): void {
+    if (message) {
+      this.handleMessage(stream, message);
+      return;
+    }
+    const handlers = this.streams.get(stream);
+    this.streams.delete(stream);
+    handlers?.close();
+  }
+
+  /** Handles a message of an entry; an error ends the stream of this entry alone. */
+  private handleMessage(stream: number, message: PlaceNews): void {
+    try {
+      this.findHandlers(stream)?.take(message);
+    } catch (thrown) {
+      this.parts.logger.warn('message of an entry could not be processed, closing its stream', {
+        entry: message.entryId, reason: toBeechliftError(thrown).message,
+      });
+      this.endStream(stream);
+    }
+  }
+
+  private findHandlers(stream: number): PlacementMessageHandlers | undefined {
+    const existing = this.streams.get(stream);
+    if (existing) return existing;
+    if (this.streams.size >= MAX_STREAMS) {
+      this.endStream(stream);
+      return undefined;
+    }
+    const handlers = this.parts.openStream({
+      send: (message) => this.add({ stream, message }),
+      end: () => this.endStream(stream),
+    });
+    this.streams.set(stream, handlers);
+    return handlers;
+  }
+
+  private endStream(stream: number): void {
+    const handlers = this.streams.get(stream);
+    this.streams.delete(stream);
+    this.add({ stream, message: undefined });
+    handlers?.close();
+  }
+
+  private add(decisions: EntryDecisions): void {
+    this.decisions.push(decisions);
+    this.flushTask.schedule();
+  }
+
+  private flush(): void {
+    clearTimeout(this.countTimer);
+    this.countTimer = undefined;
+    const { decisions, received } = this;
+    this.decisions = [];
+    if (this.isOpen) this.parts.stream.send({ received, decisions });
+  }
+}
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -23,6 +23,8 @@
 const LEADER_SILENCE_MS = 250;
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
+/** Time for which the stream goes directly to the leader after a hub has failed, in ms. */
+const DIRECT_MS = 10_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
 /**
@@ -37,6 +39,8 @@
   readonly entryId: string;
   /** Returns the connection to the control leader; undefined while none is known. */
   readonly findLeader: () => RpcLink<SiteClient> | undefined;
+  /** Returns the connection to a replica that passes the stream on; undefined if none should. */
+  readonly findHub?: (() => RpcLink<SiteClient> | undefined) | undefined;
   /** Returns the number of entries that use the same leader. */
   readonly countEntries: () => number;
   /** Called when the leader has not answered since a time, in monotonic milliseconds. */
@@ -54,6 +58,8 @@
 /** The stream to one leader. */
 interface LeaderStream {
   readonly link: RpcLink<SiteClient>;
+  /** Whether another replica passes the stream on to the leader. */
+  readonly isPassedOn: boolean;
   readonly stream: ClientStream<PlaceNews>;
   /** Number of the last message that was sent. */
   lastSent: number;
@@ -114,6 +120,9 @@
 
   private watchdog: NodeJS.Timeout | undefined;
 
+  /** Until when the stream goes directly to the leader, monotonic milliseconds. */
+  private directUntil = -Infinity;
+
   constructor(private readonly parts: PlaceClientParts) {}
 
   /** Resolves with the leader's decision, or with undefined if the leader cannot be reached. */
@@ -250,29 +259,44 @@
       sightings: this.crashes.takeUnreported(now),
       served,
       origins: this.streams.takeUnreported(now),
+      leaderAddress: isFirst && leaderStream.isPassedOn ? link.address : '',
     });
     this.startWatchdog();
   }
 
+  /** Whether the stream goes directly to the leader and a hub may be tried again. */
+  private mayReturnToHub(): boolean {
+    const isDirect = this.leaderStream?.isPassedOn === false;
+    return isDirect
+      && this.parts.clock.now() >= this.directUntil
+      && this.parts.findHub?.() !== undefined;
+  }
+
   /** Returns the stream to the leader. A new leader is sent all pending requests and crashes. */
   private findStream(link: RpcLink<SiteClient>): LeaderStream {
-    if (this.leaderStream?.link === link) return this.leaderStream;
+    if (this.leaderStream?.link === link && !this.mayReturnToHub()) return this.leaderStream;
     if (this.lastLink !== link) this.pause.reset();
     this.lastLink = link;
     this.closeStream();
     this.crashes.markUnreported();
     this.streams.markUnreported();
     this.requests = [...this.waiting.values()].map(({ request }) => request);
-    const stream = link.openStream<PlaceNews, PlaceDecisions>((stub) => stub.place.bind(stub), {
+    const hub = this.parts.clock.now() < this.directUntil ? undefined : this.parts.findHub?.();
+    const isPassedOn = hub !== undefined;
+    const stream = (hub ?? link).openStream<PlaceNews, PlaceDecisions>((stub) => (
+      stub.place.bind(stub)), {
       take: (decisions) => {
         if (this.leaderStream?.stream === stream) this.takeDecisions(decisions);
       },
       close: (error) => {
-        if (this.leaderStream?.stream === stream) this.suspendLeader(error?.message ?? 'the leader ended the stream');
+        if (this.leaderStream?.stream !== stream) return;
+        if (error && isPassedOn) this.suspendHub(error.message);
+        else this.suspendLeader(error?.message ?? 'the leader ended the stream');
       },
     });
     this.leaderStream = {
       link,
+      isPassedOn,
       stream,
       lastSent: 0,
       grantedIds: new Set(),
@@ -333,7 +357,9 @@
     const silentMs = this.parts.clock.now() - leaderStream.replyDueSince;
     if (silentMs >= STREAM_SILENCE_MS) {
       leaderStream.stream.replaceConnection();
-      this.suspendLeader(`no message for ${Math.round(silentMs)} ms`);
+      const reason = `no message for ${Math.round(silentMs)} ms`;
+      if (leaderStream.isPassedOn) this.suspendHub(reason);
+      else this.suspendLeader(reason);
       return;
     }
     const unacknowledgedMs = leaderStream.openMessages.measureOldest(this.parts.clock.now());
@@ -355,6 +381,15 @@
     [...this.waiting.keys()].forEach((placeId) => this.cancel(placeId));
   }
 
+  /** Asks the leader directly, as the replica that passes the stream on may be at fault. */
+  private suspendHub(reason: string): void {
+    this.parts.logger.warn('replica passes no placement messages on, using the leader directly', { reason });
+    this.directUntil = this.parts.clock.now() + DIRECT_MS;
+    this.pause.reset();
+    this.closeStream();
+    this.flushTask.schedule();
+  }
+
   private suspendLeader(reason: string): void {
     this.parts.logger.warn('control leader is unreachable, this entry places requests itself', { reason });
     this.pause.beginShort(this.parts.clock.now());
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -100,6 +100,7 @@
   const placeClient = new PlaceClient({
     entryId: site.entryId,
     findLeader: () => watch.findLeader(),
+    findHub: () => watch.findHub(),
     countEntries: () => site.entryCount,
     handleSilence: (since) => site.accounts.recordSilence(since),
     clock: systemClock,
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -25,6 +25,9 @@
 const MIN_RETRY_DELAY_MS = 40;
 const MAX_RETRY_DELAY_MS = 250;
 
+/** Least number of entries whose placement messages pass through other replicas. */
+const MIN_HUB_ENTRIES = 40;
+
 /** A watch request to the leader that was not answered yet. */
 interface OpenWatch {
   readonly address: string;
@@ -75,6 +78,9 @@
 
   private knownReplicas: readonly string[] = [];
 
+  /** Divides the entries among the replicas that pass messages on; at least 0 and less than 1. */
+  private readonly hubDraw = Math.random();
+
   private stopped = false;
 
   private isLeaderLost = false;
@@ -132,6 +138,20 @@
     return this.leader === '' || this.isLeaderLost ? undefined : this.links.find(this.leader);
   }
 
+  /**
+   * Returns the connection to a replica that passes placement messages on to the leader; undefined
+   * on sites with few entries, whose messages the leader carries itself.
+   *
+   * @example
+   * const link = watch.findHub() ?? watch.findLeader();
+   */
+  findHub(): RpcLink<SiteClient> | undefined {
+    if (this.parts.site.entryCount < MIN_HUB_ENTRIES) return undefined;
+    const others = this.knownReplicas.filter((address) => address !== this.leader);
+    const address = others[Math.floor(this.hubDraw * others.length)];
+    return address === undefined ? undefined : this.links.find(address);
+  }
+
   /** Stops sending watch requests. */
   stop(): void {
     this.stopped = true;
--- a/tests/wire/failing-listeners.spec.ts
+++ b/tests/wire/failing-listeners.spec.ts
@@ -11,7 +11,7 @@
 import type { ServerStream } from '../../src/wire/rpcServer';
 
 const MESSAGE: PlaceNews = {
-  number: 1, requests: [], reports: [], entryId: '', held: [], sightings: [], served: [], origins: [],
+  number: 1, requests: [], reports: [], entryId: '', held: [], sightings: [], served: [], origins: [], leaderAddress: '',
 };
 const DECISIONS: PlaceDecisions = { acknowledged: 1, replies: [] };
 const MALFORMED_MESSAGE = Buffer.from([0x0a, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01]);
