Look at nothing but the slots of servers that have none free

Cause: a choice of a server with a free slot checked standing, rate limit, connections, avoided servers and version of each one before its slots. In a burst nearly all servers are full, so that the leader did all this for nothing, once for each request that arrives and each slot that is freed. Change: the slots are checked first. What is chosen is the same. Result: work-per-decision.spec, 'should not look at more than the slots of servers that have none free': 100 looks before, 0 now.

--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -134,12 +134,12 @@
   worker: RoutedWorker,
   request: ChoiceRequest,
   now: number,
-): boolean => isReady(worker)
+): boolean => (!request.requiresFreeSlot || hasFreeSlot(worker))
+  && isReady(worker)
   && hasAllowance(worker.rateLimit.allowance, now)
   && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
   && !request.avoided?.has(worker.id)
-  && canContinue(worker, request.origin)
-  && (!request.requiresFreeSlot || hasFreeSlot(worker));
+  && canContinue(worker, request.origin);
 
 /**
  * Lists the best available kind of servers for a request: reachable and untried ones; otherwise
--- a/tests/core/work-per-decision.spec.ts
+++ b/tests/core/work-per-decision.spec.ts
@@ -6,6 +6,7 @@
 import { listLoads } from '../../src/core/routing/workerLoads';
 import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
+import { NO_RATE_LIMIT } from '../../src/core/routing/workerRateLimit';
 import { WatchRequest, WorkerLoad, WorkerRecord } from '../../src/protocol/generated/beechlift';
 import { makeAccount } from '../fakes/routings';
 
@@ -76,6 +77,23 @@
     expect(reads()).toBeLessThanOrEqual(MAX_READS * count);
   });
 
+  // In a burst nearly all servers are full, and each decision looked at all that is known of them.
+  it('should not look at more than the slots of servers that have none free', () => {
+    const { workers } = makeObservedWorkers(100);
+    let looks = 0;
+    workers.byId.forEach((worker) => {
+      worker.inFlight = worker.slots;
+      Object.defineProperty(worker, 'rateLimit', {
+        get: () => {
+          looks += 1;
+          return NO_RATE_LIMIT;
+        },
+      });
+    });
+    choose(workers);
+    expect(looks).toBe(0);
+  });
+
   it.each(SIZES)('should be a few reads per server for the loads of %i', (count) => {
     const { workers, reads } = makeObservedWorkers(count);
     listLoads(workers);
