Send the announcements of many servers to the replicas that follow

Cause: servers call any replica, so that one announcement of five or six is an HTTP call at the leader, while the others forward theirs together. On smaller sites nothing changes: a call at the leader saves a message.

--- a/src/control/announcementService.ts
+++ b/src/control/announcementService.ts
@@ -15,6 +15,9 @@
  */
 const LEADER_WAIT_MS = 250;
 
+/** Least number of servers whose announcements the leader leaves to the other replicas. */
+const MIN_LEFT_SERVERS = 40;
+
 /** Dependencies of the announcement service. */
 export interface AnnouncementServiceParts {
   readonly validator: Pick<AnnouncementValidator, 'check'>;
@@ -25,6 +28,8 @@
   readonly work: Pick<WorkMeter, 'measure'>;
   readonly readView: () => Pick<ReplicaView, 'isLeading' | 'otherLeaderAddress'>;
   readonly port: Pick<RoutedPort, 'announce'>;
+  /** Lists the addresses of the replicas that follow this one. */
+  readonly listFollowers: () => readonly string[];
 }
 
 /**
@@ -67,4 +72,18 @@
       isSignOfLife(registry.table, announcement),
     );
   }
+
+  /**
+   * Picks a replica for the later announcements of a server; empty if it may stay with this one. On
+   * sites with many servers the leader would spend much of its processor time on their calls,
+   * while the other replicas have little to do and forward announcements together.
+   *
+   * @param draw at least 0 and less than 1: divides the servers among the replicas
+   */
+  pickReceiver(draw = Math.random()): string {
+    const { registry, readView, listFollowers } = this.parts;
+    if (registry.table.workers.size < MIN_LEFT_SERVERS || !readView().isLeading) return '';
+    const followers = listFollowers();
+    return followers[Math.floor(draw * followers.length)] ?? '';
+  }
 }
--- a/src/control/replicaSetManager.ts
+++ b/src/control/replicaSetManager.ts
@@ -10,6 +10,8 @@
 const MAX_LAG_ENTRIES = 4;
 /** Time without a message after which a joining replica may replace a replica, in milliseconds. */
 const REPLICA_TIMEOUT_MS = 3_000;
+/** Time without a message after which a replica is not recommended to servers, in milliseconds. */
+const RESPONSIVE_MS = 500;
 
 /**
  * Tracks the other replicas on the leader, and repairs the replica set one step at a time.
@@ -39,6 +41,15 @@
     this.joinRequests.record(replica, this.clock.now());
   }
 
+  /** Lists the addresses of the other voters that were heard of recently. */
+  listResponsive({ id: ownId, replicas }: LogState): string[] {
+    const now = this.clock.now();
+    return replicas.voters
+      .filter(({ id }) => id !== ownId
+        && now - (this.lastSeenAt.get(id) ?? -Infinity) <= RESPONSIVE_MS)
+      .map(({ address }) => address);
+  }
+
   /** Starts the next change of the replica set, if one is due. */
   reconcile(runner: Pick<LogRunner<true>, 'state' | 'changeReplicas'>, leadingSince: number): void {
     const next = this.plan(runner.state, leadingSince);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -126,7 +126,10 @@
     this.departureLog = new DepartureLog({ ...parts, runner: this.runner, registry });
     this.departureLog.reset(parseDepartures(parts.stored.snapshot.data));
     this.announcementService = new AnnouncementService({
-      ...serviceParts, validator: this.announcementValidator, departures: this.departureLog,
+      ...serviceParts,
+      validator: this.announcementValidator,
+      departures: this.departureLog,
+      listFollowers: () => this.replicaSetManager.listResponsive(this.runner.state),
     });
     this.leaseLog = new LeaseLog(this.runner, parts);
     this.learnerLog = new LearnerLog(this.runner, parts);
@@ -290,6 +293,11 @@
     return this.announcementService.announce(announcement, isForwarded);
   }
 
+  /** Picks the address of a replica for the later announcements of a server; empty for this one. */
+  pickAnnouncementReceiver(): string {
+    return this.announcementService.pickReceiver();
+  }
+
   /** Records a replica that answered while this one searched for the site. */
   addDiscovered(replica: Replica): void {
     this.directory.addDiscovered(replica);
