Gather more placement messages for a leader that is busy

Change: the next message waits until the leader has counted the last one, 60 ms at most; the leader counts within 10 ms. At most 64 messages are on their way in place of 256.

--- a/src/control/hubTrunk.ts
+++ b/src/control/hubTrunk.ts
@@ -9,13 +9,15 @@
 
 /** Shortest time between two messages to the leader, in milliseconds. */
 const GATHER_MS = 10;
+/** The same while the leader has not counted the last one: it is busy. */
+const BUSY_GATHER_MS = 60;
 /**
  * Time without a count of what the leader received after which its streams end, in milliseconds.
  * It is less than the time after which an entry would hold this replica responsible.
  */
 const SILENCE_MS = 800;
 /** Most messages on their way: bounds the memory for a leader that does not read. */
-const MAX_IN_FLIGHT = 256;
+const MAX_IN_FLIGHT = 64;
 
 /** Dependencies of a trunk. */
 export interface HubTrunkParts {
@@ -28,6 +30,9 @@
  * Passes the placement streams of entries on to the leader in one stream, and its decisions back.
  * The leader sees the streams as if they came from the entries.
  *
+ * The next message waits until the leader has counted the last one, for a while at most: the longer
+ * the leader takes, the more is gathered.
+ *
  * @example
  * stream.listen(trunk.open(stream)); // a placement stream of an entry
  */
@@ -48,6 +53,11 @@
   /** Time since which a count is due while messages are on their way, monotonic milliseconds. */
   private countDueSince = 0;
 
+  /** When the last message was sent, monotonic milliseconds. */
+  private sentAt = -Infinity;
+
+  private busyTimer: NodeJS.Timeout | undefined;
+
   private watchdog: NodeJS.Timeout | undefined;
 
   private readonly flushTask: PacedTask;
@@ -76,10 +86,24 @@
     this.flushTask.schedule();
   }
 
+  /** Sends what was gathered; a leader that is busy gets fewer and larger messages. */
   private flush(): void {
+    if (this.news.length === 0) return;
+    const busyMs = this.sent === this.received
+      ? 0
+      : this.sentAt + BUSY_GATHER_MS - this.parts.clock.now();
+    if (busyMs <= 0) this.send();
+    else this.busyTimer ??= setTimeout(() => this.flushBusy(), busyMs);
+  }
+
+  private flushBusy(): void {
+    this.busyTimer = undefined;
+    this.flush();
+  }
+
+  private send(): void {
     const { news } = this;
     this.news = [];
-    if (news.length === 0) return;
     if (this.sent - this.received >= MAX_IN_FLIGHT) {
       this.end('too many messages are on their way');
       return;
@@ -91,7 +115,9 @@
       this.end((thrown as Error).message);
       return;
     }
-    if (this.sent === this.received) this.countDueSince = this.parts.clock.now();
+    const now = this.parts.clock.now();
+    if (this.sent === this.received) this.countDueSince = now;
+    this.sentAt = now;
     this.sent += 1;
     this.stream.write({ news });
     this.startWatchdog();
@@ -113,6 +139,7 @@
   private takeDecisions({ received, decisions }: HubDecisions): void {
     this.received = received;
     this.countDueSince = this.parts.clock.now();
+    if (this.news.length > 0) this.flushTask.schedule();
     decisions.forEach(({ stream, message }) => {
       const sink = this.sinks.get(stream);
       if (message) {
--- a/src/control/trunkReceiver.ts
+++ b/src/control/trunkReceiver.ts
@@ -10,8 +10,6 @@
 
 /** Shortest time between two messages to a hub, in milliseconds. */
 const GATHER_MS = 10;
-/** Longest time until a message of a hub is counted, in milliseconds. */
-const COUNT_DELAY_MS = 200;
 /** Most streams of entries at one hub. */
 const MAX_STREAMS = 4_096;
 
@@ -40,8 +38,6 @@
 
   private isOpen = true;
 
-  private countTimer: NodeJS.Timeout | undefined;
-
   private readonly flushTask: PacedTask;
 
   constructor(private readonly parts: TrunkReceiverParts) {
@@ -51,14 +47,14 @@
   /** Handles a message of the hub. */
   readonly take = ({ news }: HubNews): void => {
     this.received += 1;
-    this.countTimer ??= setTimeout(() => this.flush(), COUNT_DELAY_MS);
     news.forEach((item) => this.handleNews(item));
+    // The hub waits for the count before it sends more.
+    this.flushTask.schedule();
   };
 
   /** Ends the streams of all entries with that of the hub. */
   readonly close = (): void => {
     this.isOpen = false;
-    clearTimeout(this.countTimer);
     const all = [...this.streams.values()];
     this.streams.clear();
     all.forEach(({ close }) => close());
@@ -114,8 +110,6 @@
   }
 
   private flush(): void {
-    clearTimeout(this.countTimer);
-    this.countTimer = undefined;
     const { decisions, received } = this;
     this.decisions = [];
     if (this.isOpen) this.parts.stream.send({ received, decisions });
