Handle placement messages in slices, with other input in between

Cause: a message of a hub carries what its entries said in up to 60 ms, and was handled as a whole before anything else was read: acknowledgements of the log, on which the leader's lease rests, and watch requests, on which those of entries do. Change: TrunkReceiver handles such messages for 2 ms at a time, in order, and reads other input in between. A message is counted once it is handled, so that the hub waits. An error in a message of one entry ends the stream of that entry alone, as before. Result: trunk-receiver.spec, 'should leave the leader time for other input between them', fails without it (50 messages handled in one turn, 4 are allowed).

--- a/src/control/trunkReceiver.ts
+++ b/src/control/trunkReceiver.ts
@@ -4,12 +4,15 @@
 } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import { ImmediateTask } from '../utils/immediateTask';
 import { PacedTask } from '../utils/pacedTask';
 import type { ServerStream } from '../wire/rpcServer';
 import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
 
 /** Shortest time between two messages to a hub, in milliseconds. */
 const GATHER_MS = 10;
+/** Longest time that messages are handled before other input is read, in milliseconds. */
+const SLICE_MS = 2;
 /** Most streams of entries at one hub. */
 const MAX_STREAMS = 4_096;
 
@@ -26,6 +29,9 @@
  * Receives the placement streams that a hub passes on in one stream, and sends the decisions of
  * some milliseconds back in one message.
  *
+ * Messages are handled in slices. In between, the leader reads what its own lease and those of
+ * entries rest on: it must not wait until all that a burst brings is placed.
+ *
  * @example
  * stream.listen(new TrunkReceiver(parts));
  */
@@ -34,10 +40,19 @@
 
   private decisions: EntryDecisions[] = [];
 
+  /** Messages of the hub that were not handled completely, oldest first. */
+  private queue: HubNews[] = [];
+
+  /** Position of the next item in the oldest message. */
+  private position = 0;
+
+  /** Messages of the hub that were handled. */
   private received = 0;
 
   private isOpen = true;
 
+  private readonly sliceTask = new ImmediateTask(() => this.handleSlice());
+
   private readonly flushTask: PacedTask;
 
   constructor(private readonly parts: TrunkReceiverParts) {
@@ -45,21 +60,42 @@
   }
 
   /** Handles a message of the hub. */
-  readonly take = ({ news }: HubNews): void => {
-    this.received += 1;
-    news.forEach((item) => this.handleNews(item));
-    // The hub waits for the count before it sends more.
-    this.flushTask.schedule();
+  readonly take = (message: HubNews): void => {
+    this.queue.push(message);
+    this.sliceTask.schedule();
   };
 
   /** Ends the streams of all entries with that of the hub. */
   readonly close = (): void => {
     this.isOpen = false;
+    this.queue = [];
     const all = [...this.streams.values()];
     this.streams.clear();
     all.forEach(({ close }) => close());
   };
 
+  private handleSlice(): void {
+    const { clock } = this.parts;
+    const endsAt = clock.now() + SLICE_MS;
+    do this.handleNext();
+    while (this.queue.length > 0 && clock.now() < endsAt);
+    if (this.queue.length > 0) this.sliceTask.schedule();
+  }
+
+  /** Handles the next item of the oldest message, and counts the message after its last one. */
+  private handleNext(): void {
+    const [message] = this.queue;
+    const item = message?.news[this.position];
+    this.position += 1;
+    if (item) this.handleNews(item);
+    if (!message || this.position < message.news.length) return;
+    this.queue.shift();
+    this.position = 0;
+    this.received += 1;
+    // The hub waits for the count before it sends more.
+    this.flushTask.schedule();
+  }
+
   private handleNews({ stream, message }: EntryNews): void {
     if (message) {
       this.handleMessage(stream, message);
