Tell entries in time that the leader has stopped, not the hub

Cause: a hub looked every 0.4 s whether the leader had been silent for 0.8 s, so that it knew after up to 1.2 s. Entries hold the hub responsible after one second, and ask the leader directly for 10 s: all of them at once, and the next leader is full from the start. Change: a hub looks when 0.7 s are over; an entry asks directly for 3 s.

--- a/src/control/hubTrunk.ts
+++ b/src/control/hubTrunk.ts
@@ -15,7 +15,7 @@
  * Time without a count of what the leader received after which its streams end, in milliseconds.
  * It is less than the time after which an entry would hold this replica responsible.
  */
-const SILENCE_MS = 800;
+const SILENCE_MS = 700;
 /** Most messages on their way: bounds the memory for a leader that does not read. */
 const MAX_IN_FLIGHT = 64;
 
@@ -152,11 +152,12 @@
   }
 
   private startWatchdog(): void {
+    const leftMs = this.countDueSince + SILENCE_MS - this.parts.clock.now();
     this.watchdog ??= setTimeout(() => {
       this.watchdog = undefined;
       // Input that arrived while this process was busy is read first, so that it counts.
       setImmediate(() => this.checkSilence());
-    }, SILENCE_MS / 2);
+    }, Math.max(1, leftMs));
   }
 
   private checkSilence(): void {
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -24,7 +24,7 @@
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
 /** Time for which the stream goes directly to the leader after a hub has failed, in ms. */
-const DIRECT_MS = 10_000;
+const DIRECT_MS = 3_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
 /**
--- a/tests/control/placement-hub.spec.ts
+++ b/tests/control/placement-hub.spec.ts
@@ -221,13 +221,18 @@
     expect(written.length).toBeLessThanOrEqual((performance.now() - startedAt) / 10);
   });
 
-  // A leader that had stopped reading kept the entries waiting: none of them heard of it.
-  it('should end the streams of all entries if the leader counts nothing for 0.8 s', async () => {
+  // Entries hold the replica responsible after a second of silence. It told them later that the
+  // leader had stopped, and they all went to the next leader directly, which was full at once.
+  it.each([0, 150, 390])('should tell the entries within 0.9 s that the leader has stopped: %i ms after a count', async (delayMs) => {
     const [first] = openStreams(2);
     first?.take(PlaceNews.fromPartial({ number: 1 }));
-    await vi.advanceTimersByTimeAsync(700);
+    await vi.advanceTimersByTimeAsync(20);
+    listener?.take({ received: 1, decisions: [] });
+    await vi.advanceTimersByTimeAsync(delayMs);
+    first?.take(PlaceNews.fromPartial({ number: 2 }));
+    await vi.advanceTimersByTimeAsync(650);
     expect([ended, replaceCount]).toEqual([[], 0]);
-    await vi.advanceTimersByTimeAsync(600);
+    await vi.advanceTimersByTimeAsync(250);
     expect([ended, replaceCount]).toEqual([[0, 1], 1]);
   });
 
