Use another hub once one has ended the stream of an entry

Cause: an entry draws its hub once. An end that the hub tells of may be the leader's or that of the way between, and the entry can't tell. Change: it draws another hub whenever a stream that one passed on has ended. If the leader is gone, that costs nothing. Result: place-client.spec, 'should use another replica once a stream that one passed on has ended': failed before.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -41,6 +41,8 @@
   readonly findLeader: () => RpcLink<SiteClient> | undefined;
   /** Returns the connection to a replica that passes the stream on; undefined if none should. */
   readonly findHub?: (() => RpcLink<SiteClient> | undefined) | undefined;
+  /** Called when a stream that a replica passed on has ended, so that another one is used next. */
+  readonly changeHub?: (() => void) | undefined;
   /** Returns the number of entries that use the same leader. */
   readonly countEntries: () => number;
   /** Called when the leader has not answered since a time, in monotonic milliseconds. */
@@ -386,12 +388,15 @@
     this.parts.logger.warn('replica passes no placement messages on, using the leader directly', { reason });
     this.directUntil = this.parts.clock.now() + DIRECT_MS;
     this.pause.reset();
+    this.parts.changeHub?.();
     this.closeStream();
     this.flushTask.schedule();
   }
 
   private suspendLeader(reason: string): void {
     this.parts.logger.warn('control leader is unreachable, this entry places requests itself', { reason });
+    // It may be the replica between that does not reach the leader.
+    if (this.leaderStream?.isPassedOn) this.parts.changeHub?.();
     this.pause.beginShort(this.parts.clock.now());
     this.parts.handleSilence?.(this.parts.clock.now());
     this.closeStream();
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -101,6 +101,7 @@
     entryId: site.entryId,
     findLeader: () => watch.findLeader(),
     findHub: () => watch.findHub(),
+    changeHub: () => watch.changeHub(),
     countEntries: () => site.entryCount,
     handleSilence: (since) => site.accounts.recordSilence(since),
     clock: systemClock,
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -79,7 +79,7 @@
   private knownReplicas: readonly string[] = [];
 
   /** Divides the entries among the replicas that pass messages on; at least 0 and less than 1. */
-  private readonly hubDraw = Math.random();
+  private hubDraw = Math.random();
 
   private stopped = false;
 
@@ -152,6 +152,11 @@
     return address === undefined ? undefined : this.links.find(address);
   }
 
+  /** Draws anew which replica passes placement messages on. */
+  changeHub(): void {
+    this.hubDraw = Math.random();
+  }
+
   /** Stops sending watch requests. */
   stop(): void {
     this.stopped = true;
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -351,4 +351,30 @@
     expect(reported).toEqual([['a', 'b'], ['a']]);
     expect(leaders[0]?.received.flatMap(({ served }) => served)).toEqual(['b']);
   });
+
+  // A replica that did not reach the leader ended the streams of its entries once a second, and
+  // they came back to it each time.
+  it('should use another replica once a stream that one passed on has ended', async () => {
+    const leader = new ScriptedLeader(grantAll);
+    const hubs = [new ScriptedLeader(grantAll), new ScriptedLeader(grantAll)];
+    let position = 0;
+    const client = new PlaceClient({
+      entryId: 'e1',
+      findLeader: () => leader.link,
+      findHub: () => hubs[position]?.link,
+      changeHub: () => {
+        position = 1;
+      },
+      countEntries: () => 78,
+      clock: systemClock,
+      logger: makeLogger('test', 'silent'),
+    });
+    await client.place(makeRequest('a'), findDeadline());
+    hubs[0]?.end();
+    await pause(500);
+    await client.place(makeRequest('b'), findDeadline());
+    client.close();
+    expect(hubs.map(({ requestedIds }) => requestedIds.flat())).toEqual([['a'], ['b']]);
+    expect(leader.received).toEqual([]);
+  });
 });
