Bound the messages of a hub that wait, and name the way of a placement stream

Cause: found while the change was read. Since messages of a hub are handled in slices, one that does not wait for the counts could fill the leader's memory; and the client of placement held the choice between hub and leader in three places. Change: beyond 256 waiting messages the leader ends the hub's stream (a hub sends 64 at most). StreamRoute holds the choice; what it does is the same.

--- a/src/control/trunkReceiver.ts
+++ b/src/control/trunkReceiver.ts
@@ -13,12 +13,14 @@
 const GATHER_MS = 10;
 /** Longest time that messages are handled before other input is read, in milliseconds. */
 const SLICE_MS = 2;
+/** Most messages of a hub that wait: several times as many as it sends without a count. */
+const MAX_QUEUED = 256;
 /** Most streams of entries at one hub. */
 const MAX_STREAMS = 4_096;
 
 /** Dependencies of a receiver. */
 export interface TrunkReceiverParts {
-  readonly stream: Pick<ServerStream<HubNews, HubDecisions>, 'send'>;
+  readonly stream: Pick<ServerStream<HubNews, HubDecisions>, 'send' | 'end'>;
   /** Opens the placement stream of an entry; throws if this replica does not lead. */
   readonly openStream: (sink: PlacementSink) => PlacementMessageHandlers;
   readonly clock: Clock;
@@ -61,6 +63,13 @@
 
   /** Handles a message of the hub. */
   readonly take = (message: HubNews): void => {
+    if (!this.isOpen) return;
+    if (this.queue.length >= MAX_QUEUED) {
+      this.parts.logger.warn('hub sends more than it may, closing its stream', { waiting: this.queue.length });
+      this.parts.stream.end();
+      this.close();
+      return;
+    }
     this.queue.push(message);
     this.sliceTask.schedule();
   };
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -14,6 +14,8 @@
 import type { ServerCrash } from './crashRecords';
 import { OpenMessages } from './openMessages';
 import { PlacementPause } from './placementPause';
+import { StreamRoute } from './streamRoute';
+import type { StreamRouteParts } from './streamRoute';
 
 /**
  * Time without an answer of the leader after which an entry places requests itself, in
@@ -23,8 +25,6 @@
 const LEADER_SILENCE_MS = 250;
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
-/** Time for which the stream goes directly to the leader after a hub has failed, in ms. */
-const DIRECT_MS = 3_000;
 /** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
 const MAX_REPORTS = 2_000;
 /**
@@ -34,15 +34,11 @@
 const STREAM_START_FLUSH_MS = 20;
 
 /** Dependencies of a place client. */
-export interface PlaceClientParts {
+export interface PlaceClientParts extends StreamRouteParts {
   /** Id of this run of the entry. */
   readonly entryId: string;
   /** Returns the connection to the control leader; undefined while none is known. */
   readonly findLeader: () => RpcLink<SiteClient> | undefined;
-  /** Returns the connection to a replica that passes the stream on; undefined if none should. */
-  readonly findHub?: (() => RpcLink<SiteClient> | undefined) | undefined;
-  /** Called when a stream that a replica passed on has ended, so that another one is used next. */
-  readonly changeHub?: (() => void) | undefined;
   /** Returns the number of entries that use the same leader. */
   readonly countEntries: () => number;
   /** Called when the leader has not answered since a time, in monotonic milliseconds. */
@@ -122,10 +118,11 @@
 
   private watchdog: NodeJS.Timeout | undefined;
 
-  /** Until when the stream goes directly to the leader, monotonic milliseconds. */
-  private directUntil = -Infinity;
+  private readonly route: StreamRoute;
 
-  constructor(private readonly parts: PlaceClientParts) {}
+  constructor(private readonly parts: PlaceClientParts) {
+    this.route = new StreamRoute(parts);
+  }
 
   /** Resolves with the leader's decision, or with undefined if the leader cannot be reached. */
   place(request: PlaceRequest, deadlineAt: number): Promise<PlaceReply | undefined> {
@@ -269,9 +266,7 @@
   /** Whether the stream goes directly to the leader and a hub may be tried again. */
   private mayReturnToHub(): boolean {
     const isDirect = this.leaderStream?.isPassedOn === false;
-    return isDirect
-      && this.parts.clock.now() >= this.directUntil
-      && this.parts.findHub?.() !== undefined;
+    return isDirect && this.route.findHub() !== undefined;
   }
 
   /** Returns the stream to the leader. A new leader is sent all pending requests and crashes. */
@@ -283,7 +278,7 @@
     this.crashes.markUnreported();
     this.streams.markUnreported();
     this.requests = [...this.waiting.values()].map(({ request }) => request);
-    const hub = this.parts.clock.now() < this.directUntil ? undefined : this.parts.findHub?.();
+    const hub = this.route.findHub();
     const isPassedOn = hub !== undefined;
     const stream = (hub ?? link).openStream<PlaceNews, PlaceDecisions>((stub) => (
       stub.place.bind(stub)), {
@@ -386,17 +381,15 @@
   /** Asks the leader directly, as the replica that passes the stream on may be at fault. */
   private suspendHub(reason: string): void {
     this.parts.logger.warn('replica passes no placement messages on, using the leader directly', { reason });
-    this.directUntil = this.parts.clock.now() + DIRECT_MS;
+    this.route.recordFailure();
     this.pause.reset();
-    this.parts.changeHub?.();
     this.closeStream();
     this.flushTask.schedule();
   }
 
   private suspendLeader(reason: string): void {
     this.parts.logger.warn('control leader is unreachable, this entry places requests itself', { reason });
-    // It may be the replica between that does not reach the leader.
-    if (this.leaderStream?.isPassedOn) this.parts.changeHub?.();
+    if (this.leaderStream?.isPassedOn) this.route.recordEnd();
     this.pause.beginShort(this.parts.clock.now());
     this.parts.handleSilence?.(this.parts.clock.now());
     this.closeStream();
--- a/tests/control/trunk-receiver.spec.ts
+++ b/tests/control/trunk-receiver.spec.ts
@@ -22,6 +22,7 @@
   let taken: string[] = [];
   let closed: number[] = [];
   let sent: HubDecisions[] = [];
+  let isEnded = false;
   let receiver: TrunkReceiver;
 
   beforeEach(() => {
@@ -29,9 +30,15 @@
     taken = [];
     closed = [];
     sent = [];
+    isEnded = false;
     let opened = 0;
     receiver = new TrunkReceiver({
-      stream: { send: (message) => sent.push(message) },
+      stream: {
+        send: (message) => sent.push(message),
+        end: () => {
+          isEnded = true;
+        },
+      },
       // Each message takes a millisecond.
       openStream: () => {
         const stream = opened;
@@ -89,6 +96,13 @@
     expect(closed).toHaveLength(length);
   });
 
+  it('should end if more messages wait than a replica may send', async () => {
+    Array.from({ length: 300 }).forEach(() => receiver.take(makeMessage(1, 1)));
+    await runTurns(5);
+    expect(isEnded).toBe(true);
+    expect(taken).toEqual([]);
+  });
+
   // An error of one entry's message ended the streams of all entries at the replica.
   it('should fail alone', async () => {
     receiver.take(makeMessage(1, 2));
