Let a new leader wait for the entries of a large site before it names them

Cause: a new leader keeps to the list of the one before until all entries had time for two watch requests, half a second. Since these are held longer on large sites two of them take 0.9 s on a site of 78 entries, and callers were sent to the entries that had come first. Change: the time follows from the number of entries, by what they tell of the leader before. Result: leader-state.spec, 'should not replace an earlier one before the entries of a large site had time for two watch requests': failed before.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -5,6 +5,7 @@
 import { AccountLedger } from '../core/routing/accountLedger';
 import type { EntryListVersion } from '../core/routing/entryList';
 import { NO_REVISION } from '../core/routing/listVersion';
+import { computeWatchHoldMs } from '../core/routing/messageIntervals';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import { listChangedWorkers } from '../core/routing/workerRecords';
@@ -41,8 +42,10 @@
 /** Fields of a watch reply that only entries need. */
 export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount' | 'limits'>;
 
-/** Time in which all entries reach a new leader, in milliseconds: two held watch requests. */
+/** Time in which the entries of a small site reach a new leader, in milliseconds. */
 const SETTLE_MS = 500;
+/** Added to two held watch requests in the time in which all entries reach a new leader, in ms. */
+const SETTLE_SLACK_MS = 100;
 
 /** Fields of a watch reply that list the entries that accept callers. */
 export type EntryListPart = Pick<WatchReply, 'entries' | 'entriesRevision'>;
@@ -68,6 +71,9 @@
   /** Revision of the server table that the placement service has applied. */
   private appliedRevision = 0;
 
+  /** Most entries that an entry knew at the leader before. */
+  private earlierEntries = 0;
+
   /** When this replica began to lead, monotonic milliseconds. */
   readonly startedAt: number;
 
@@ -101,6 +107,7 @@
   recordEntry(request: WatchRequest, epoch = '', receivedAt = this.parts.clock.now()): void {
     const now = this.parts.clock.now();
     this.entries.record(request, now);
+    this.earlierEntries = Math.max(this.earlierEntries, request.knownEntries);
     this.recordEarlierCharges(request, epoch, receivedAt);
     this.ledger.recordSpends(request.entryId, request.spends, now);
     this.placementService.applyNamedRates(request.limits);
@@ -132,7 +139,7 @@
   ): EntryListPart {
     const now = this.parts.clock.now();
     const isOwn = entriesEpoch === epoch;
-    const isSettling = now - this.startedAt < SETTLE_MS;
+    const isSettling = now - this.startedAt < this.settleMs;
     if (isSettling && !isOwn && entriesEpoch !== '') return { entries: [], entriesRevision: NO_REVISION };
     const { records, revision } = this.entries.listActive(now);
     const isSame = isOwn && revision === entriesRevision;
@@ -198,6 +205,12 @@
     this.placementService.closeStream(stream);
   }
 
+  /** Time in which all entries reach a new leader, in milliseconds: two held watch requests. */
+  private get settleMs(): number {
+    const entryCount = Math.max(this.earlierEntries, this.countEntries());
+    return Math.max(SETTLE_MS, 2 * computeWatchHoldMs(entryCount) + SETTLE_SLACK_MS);
+  }
+
   /*
    * Only charges under another leader: what this one charged itself must not count twice, also if
    * the entry lost the connection and is not sure who leads.
--- a/tests/control/leader-state.spec.ts
+++ b/tests/control/leader-state.spec.ts
@@ -157,3 +157,26 @@
     expect(grantUnits(makeRig(), makeRequest({ recentCharges: [{ account: 'lobby', units: [units] }] }))).toBe(1_250);
   });
 });
+
+describe('the list of entries of a new leader', () => {
+  /** Whether an entry with the list of an earlier leader gets the new one by then. */
+  const isSent = (afterMs: number, knownEntries: number): boolean => {
+    const rig = new LeaderRig();
+    rig.now = afterMs;
+    const request = WatchRequest.fromPartial({
+      entryId: 'e1', callerAddress: 'e1', state: 'active', entriesEpoch: 'earlier', entriesRevision: 7, knownEntries,
+    });
+    rig.leaderState.recordEntry(request, 'own');
+    return rig.leaderState.buildEntryListPart(request, 'own').entries.length > 0;
+  };
+
+  // Entries of a large site send their watch requests less often. Callers were sent to the few
+  // that had reached the new leader after half a second.
+  it('should not replace an earlier one before the entries of a large site had time for two watch requests', () => {
+    expect([700, 950].map((afterMs) => isSent(afterMs, 78))).toEqual([false, true]);
+  });
+
+  it('should replace an earlier one after half a second on a small site', () => {
+    expect([400, 550].map((afterMs) => isSent(afterMs, 8))).toEqual([false, true]);
+  });
+});
