Keep what an entry has to say to the leader in a class of its own

What waits for the next message was held in five fields, beside the stream and its silence. Change: PlacementOutbox holds requests, reports, crashes, served suspects and begun streams, and hands them out for one message. No change of behaviour; PlaceClientParts named the clock twice.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -5,14 +5,12 @@
   PlaceDecisions, PlacedReport, PlaceNews, PlaceReply, PlaceRequest, SiteClient,
 } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
-import type { Clock } from '../utils/clock';
 import { ImmediateTask } from '../utils/immediateTask';
 import type { ClientStream, RpcLink } from '../wire/rpcLink';
-import { BegunStreams } from './begunStreams';
 import type { BegunStream } from './begunStreams';
-import { CrashRecords } from './crashRecords';
 import type { ServerCrash } from './crashRecords';
 import { OpenMessages } from './openMessages';
+import { PlacementOutbox } from './placementOutbox';
 import { PlacementPause } from './placementPause';
 import { StreamRoute } from './streamRoute';
 import type { StreamRouteParts } from './streamRoute';
@@ -25,8 +23,6 @@
 const LEADER_SILENCE_MS = 250;
 /** Time without a message after which the stream and its connection are replaced, in ms. */
 const STREAM_SILENCE_MS = 1_000;
-/** Most reports in one message; the oldest are dropped, and the leader expires their slots. */
-const MAX_REPORTS = 2_000;
 /**
  * Longest time that the report of a stream's first event waits to share a message with others, in
  * milliseconds. The leader uses it to estimate how many prompt tokens a server has left to process.
@@ -43,7 +39,6 @@
   readonly countEntries: () => number;
   /** Called when the leader has not answered since a time, in monotonic milliseconds. */
   readonly handleSilence?: ((since: number) => void) | undefined;
-  readonly clock: Clock;
   readonly logger: Logger;
 }
 
@@ -93,16 +88,7 @@
   /** Ids of the slots that the leader has granted and that are in use. */
   private readonly activePlaceIds = new Set<string>();
 
-  private requests: PlaceRequest[] = [];
-
-  private reports: PlacedReport[] = [];
-
-  private readonly crashes = new CrashRecords();
-
-  /** Fingerprints of suspect requests that were served, not reported to the leader yet. */
-  private served: string[] = [];
-
-  private readonly streams = new BegunStreams();
+  private readonly outbox = new PlacementOutbox();
 
   private leaderStream: LeaderStream | undefined;
 
@@ -130,7 +116,7 @@
     if (!this.canAsk(now) || now >= deadlineAt) return Promise.resolve(undefined);
     return new Promise((resolve) => {
       this.waiting.set(request.placeId, { request, resolve });
-      this.requests.push(request);
+      this.outbox.addRequest(request);
       this.flushTask.schedule();
     });
   }
@@ -150,8 +136,7 @@
    */
   report(report: PlacedReport): void {
     if (report.phase !== 'running') this.removeGranted(report.placeId);
-    this.reports.push(report);
-    if (this.reports.length > MAX_REPORTS) this.reports.shift();
+    this.outbox.addReport(report);
     const isStreamStart = this.leaderStream?.startingIds.delete(report.placeId) ?? false;
     if (report.phase !== 'running' || isStreamStart) this.flushTask.schedule();
     else if (report.paceMs === 0) this.scheduleFlush(STREAM_START_FLUSH_MS);
@@ -160,24 +145,23 @@
 
   /** Reports that a server crashed while it ran a request. */
   reportCrash(crash: ServerCrash): void {
-    this.crashes.add(crash, this.parts.clock.now());
+    this.outbox.crashes.add(crash, this.parts.clock.now());
     this.flushTask.schedule();
   }
 
   /** Whether this entry has recently seen a server crash while it ran any request. */
   get hasCrashes(): boolean {
-    return this.crashes.hasCrashes(this.parts.clock.now());
+    return this.outbox.crashes.hasCrashes(this.parts.clock.now());
   }
 
   /** Counts the servers that this entry has recently seen crash while they ran a request. */
   countCrashes(fingerprint: string): number {
-    return this.crashes.countServers(fingerprint, this.parts.clock.now());
+    return this.outbox.crashes.countServers(fingerprint, this.parts.clock.now());
   }
 
   /** Reports that a request was served although a server had crashed while running it. */
   reportServed(fingerprint: string): void {
-    this.crashes.forget(fingerprint);
-    this.served = [...this.served, fingerprint].slice(-MAX_REPORTS);
+    this.outbox.addServed(fingerprint);
     this.flushTask.schedule();
   }
 
@@ -187,21 +171,21 @@
    */
   recordStream(stream: BegunStream, placeId: string): void {
     const isGranted = this.leaderStream?.grantedIds.has(placeId) ?? false;
-    this.streams.add(stream, isGranted);
+    this.outbox.streams.add(stream, isGranted);
     if (isGranted) this.leaderStream?.startingIds.add(placeId);
     else this.flushTask.schedule();
   }
 
   /** Finds the version that began a stream of this entry; undefined if another entry began it. */
   findOrigin(id: string): StreamOrigin | undefined {
-    return this.streams.find(id, this.parts.clock.now());
+    return this.outbox.streams.find(id, this.parts.clock.now());
   }
 
   /** Tells a new leader which streams this entry began, even if there is nothing else to tell. */
   reportStreams(): void {
     const link = this.parts.findLeader();
     const isNew = link !== undefined && link !== this.leaderStream?.link;
-    if (isNew && this.streams.size > 0) this.flushTask.schedule();
+    if (isNew && this.outbox.streams.size > 0) this.flushTask.schedule();
   }
 
   /** Ends the stream. */
@@ -238,26 +222,17 @@
       return;
     }
     const leaderStream = this.findStream(link);
-    const { requests, reports, served } = this;
-    const isEmpty = requests.length + reports.length + served.length === 0;
-    const hasRecords = this.crashes.hasUnreported || this.streams.hasUnreported;
-    if (isEmpty && !hasRecords) return;
-    this.requests = [];
-    this.reports = [];
-    this.served = [];
+    if (this.outbox.isEmpty) return;
+    const content = this.outbox.take(now);
     const isFirst = leaderStream.lastSent === 0;
     if (!this.isReplyDue(leaderStream)) leaderStream.replyDueSince = now;
     leaderStream.lastSent += 1;
-    if (requests.length > 0) leaderStream.openMessages.add(leaderStream.lastSent, now);
+    if (content.requests.length > 0) leaderStream.openMessages.add(leaderStream.lastSent, now);
     leaderStream.stream.write({
+      ...content,
       number: leaderStream.lastSent,
-      requests,
-      reports,
       entryId: isFirst ? this.parts.entryId : '',
       held: isFirst ? [...this.activePlaceIds] : [],
-      sightings: this.crashes.takeUnreported(now),
-      served,
-      origins: this.streams.takeUnreported(now),
       leaderAddress: isFirst && leaderStream.isPassedOn ? link.address : '',
     });
     this.startWatchdog();
@@ -275,9 +250,8 @@
     if (this.lastLink !== link) this.pause.reset();
     this.lastLink = link;
     this.closeStream();
-    this.crashes.markUnreported();
-    this.streams.markUnreported();
-    this.requests = [...this.waiting.values()].map(({ request }) => request);
+    this.outbox.markUnreported();
+    this.outbox.setRequests([...this.waiting.values()].map(({ request }) => request));
     const hub = this.route.findHub();
     const isPassedOn = hub !== undefined;
     const stream = (hub ?? link).openStream<PlaceNews, PlaceDecisions>((stub) => (
@@ -404,7 +378,7 @@
   private resolveWaiting(): void {
     const all = [...this.waiting.values()];
     this.waiting.clear();
-    this.requests = [];
+    this.outbox.setRequests([]);
     all.forEach(({ resolve }) => resolve(undefined));
   }
 }
