Keep the stream to one leader in a class of its own, and look for a hub once

Change: LeaderStream holds what one leader granted and has not acknowledged; findStream looks for the hub once; the spec's scripted leader stands with the other fakes. No change of behaviour, and no test or assertion changed.

--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -6,10 +6,10 @@
 } from '../protocol/generated/beechlift';
 import type { Logger } from '../telemetry/logger';
 import { ImmediateTask } from '../utils/immediateTask';
-import type { ClientStream, RpcLink } from '../wire/rpcLink';
+import type { RpcLink } from '../wire/rpcLink';
 import type { BegunStream } from './begunStreams';
 import type { ServerCrash } from './crashRecords';
-import { OpenMessages } from './openMessages';
+import { LeaderStream } from './leaderStream';
 import { PlacementOutbox } from './placementOutbox';
 import { PlacementPause } from './placementPause';
 import { StreamRoute } from './streamRoute';
@@ -48,24 +48,6 @@
   readonly resolve: (reply: PlaceReply | undefined) => void;
 }
 
-/** The stream to one leader. */
-interface LeaderStream {
-  readonly link: RpcLink<SiteClient>;
-  /** Whether another replica passes the stream on to the leader. */
-  readonly isPassedOn: boolean;
-  readonly stream: ClientStream<PlaceNews>;
-  /** Number of the last message that was sent. */
-  lastSent: number;
-  /** Slots that this leader granted and that are in use. */
-  readonly grantedIds: Set<string>;
-  /** Those whose streams have begun, and whose first events were not reported. */
-  readonly startingIds: Set<string>;
-  /** Messages with slot requests that the leader has not acknowledged. */
-  readonly openMessages: OpenMessages;
-  /** Time since which a reply is due, monotonic milliseconds. */
-  replyDueSince: number;
-}
-
 /**
  * Asks the leader for slots at model engines and reports the progress of the requests that use
  * them, over one stream. Everything that is sent in one turn of the event loop forms one message,
@@ -238,21 +220,17 @@
     this.startWatchdog();
   }
 
-  /** Whether the stream goes directly to the leader and a hub may be tried again. */
-  private mayReturnToHub(): boolean {
-    const isDirect = this.leaderStream?.isPassedOn === false;
-    return isDirect && this.route.findHub() !== undefined;
-  }
-
   /** Returns the stream to the leader. A new leader is sent all pending requests and crashes. */
   private findStream(link: RpcLink<SiteClient>): LeaderStream {
-    if (this.leaderStream?.link === link && !this.mayReturnToHub()) return this.leaderStream;
+    const hub = this.route.findHub();
+    // A stream that goes directly is replaced as soon as there is a hub again.
+    const isUsable = this.leaderStream?.isPassedOn === true || hub === undefined;
+    if (this.leaderStream?.link === link && isUsable) return this.leaderStream;
     if (this.lastLink !== link) this.pause.reset();
     this.lastLink = link;
     this.closeStream();
     this.outbox.markUnreported();
     this.outbox.setRequests([...this.waiting.values()].map(({ request }) => request));
-    const hub = this.route.findHub();
     const isPassedOn = hub !== undefined;
     const stream = (hub ?? link).openStream<PlaceNews, PlaceDecisions>((stub) => (
       stub.place.bind(stub)), {
@@ -265,16 +243,9 @@
         else this.suspendLeader(error?.message ?? 'the leader ended the stream');
       },
     });
-    this.leaderStream = {
-      link,
-      isPassedOn,
-      stream,
-      lastSent: 0,
-      grantedIds: new Set(),
-      startingIds: new Set(),
-      openMessages: new OpenMessages(),
-      replyDueSince: this.parts.clock.now(),
-    };
+    this.leaderStream = new LeaderStream({
+      link, isPassedOn, stream, openedAt: this.parts.clock.now(),
+    });
     return this.leaderStream;
   }
 
@@ -282,9 +253,8 @@
     const { leaderStream } = this;
     if (!leaderStream) return;
     const now = this.parts.clock.now();
-    const delayMs = leaderStream.openMessages.acknowledge(acknowledged, now);
+    const delayMs = leaderStream.recordMessage(acknowledged, now);
     this.pause.recordMessage(now, delayMs < LEADER_SILENCE_MS);
-    leaderStream.replyDueSince = now;
     replies.forEach((reply) => this.settle(reply));
   }
 
@@ -304,8 +274,7 @@
 
   private removeGranted(placeId: string): void {
     this.activePlaceIds.delete(placeId);
-    this.leaderStream?.grantedIds.delete(placeId);
-    this.leaderStream?.startingIds.delete(placeId);
+    this.leaderStream?.removeGranted(placeId);
   }
 
   /** Whether a reply of the leader is due: it replies to slot requests only, not to reports. */
@@ -325,7 +294,8 @@
   private checkSilence(): void {
     const { leaderStream } = this;
     if (!leaderStream || !this.isReplyDue(leaderStream)) return;
-    const silentMs = this.parts.clock.now() - leaderStream.replyDueSince;
+    const now = this.parts.clock.now();
+    const silentMs = leaderStream.measureSilence(now);
     if (silentMs >= STREAM_SILENCE_MS) {
       leaderStream.stream.replaceConnection();
       const reason = `no message for ${Math.round(silentMs)} ms`;
@@ -333,8 +303,7 @@
       else this.suspendLeader(reason);
       return;
     }
-    const unacknowledgedMs = leaderStream.openMessages.measureOldest(this.parts.clock.now());
-    const lateMs = Math.max(unacknowledgedMs, silentMs);
+    const lateMs = leaderStream.measureLateness(now);
     if (lateMs >= LEADER_SILENCE_MS) this.handleLateness(lateMs);
     this.startWatchdog();
   }
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -1,59 +1,12 @@
 import { setImmediate as immediate, setTimeout as pause } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { NO_TIMINGS } from '../../src/core/routing/placementTables';
-import { PlaceDecisions, PlaceReply, PlaceRequest } from '../../src/protocol/generated/beechlift';
-import type { PlaceNews, SiteClient } from '../../src/protocol/generated/beechlift';
+import { PlaceRequest } from '../../src/protocol/generated/beechlift';
+import type { PlaceNews } from '../../src/protocol/generated/beechlift';
 import { PlaceClient } from '../../src/relay/placeClient';
 import { makeLogger } from '../../src/telemetry/logger';
 import { systemClock } from '../../src/utils/clock';
-import type { RpcLink, StreamListener } from '../../src/wire/rpcLink';
-
-type Script = (message: PlaceNews, leader: ScriptedLeader) => void;
-
-/** A leader that replies by a script and records the messages that it receives. */
-class ScriptedLeader {
-  readonly received: PlaceNews[] = [];
-
-  /** Number of streams that were opened. */
-  streamCount = 0;
-
-  private listener: StreamListener<PlaceDecisions> | undefined;
-
-  /** The same object for the whole life of this leader. */
-  readonly link = {
-    openStream: (unused: unknown, listener: StreamListener<PlaceDecisions>) => {
-      this.listener = listener;
-      this.streamCount += 1;
-      return {
-        write: (message: PlaceNews) => {
-          this.received.push(message);
-          this.script(message, this);
-        },
-        cancel: () => undefined,
-        replaceConnection: () => undefined,
-      };
-    },
-  } as unknown as RpcLink<SiteClient>;
-
-  constructor(private readonly script: Script) {}
-
-  get requestedIds(): string[][] {
-    return this.received.map(({ requests }) => requests.map(({ placeId }) => placeId));
-  }
-
-  sendReply(acknowledged: number, granted: readonly string[] = []): void {
-    const replies = granted.map((placeId) => PlaceReply.fromPartial({ placeId, workerId: `for-${placeId}` }));
-    this.listener?.take(PlaceDecisions.fromPartial({ acknowledged, replies }));
-  }
-
-  end(): void {
-    this.listener?.close(undefined);
-  }
-}
-
-const grantAll: Script = ({ number, requests }, leader) => {
-  leader.sendReply(number, requests.map(({ placeId }) => placeId));
-};
+import { grantAll, ScriptedLeader } from '../fakes/scriptedLeader';
 
 const makeClient = (
   findLeader: () => ScriptedLeader,
