Compute the time until all entries reach a new leader beside the other intervals

Cause: the leader's state worked it out from how long watch requests are held, with a bound that the formula has already, and one constant stood for two facts: this time and how long a new leader waits for earlier charges. Change: computeSettleMs stands beside computeEntryTimeoutMs; the other constant has a name of its own. The same times at all sizes. Result: leader-state.spec, entry-list.spec, message-intervals.spec and account-leader-changes.spec pass unchanged.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -5,7 +5,7 @@
 import { AccountLedger } from '../core/routing/accountLedger';
 import type { EntryListVersion } from '../core/routing/entryList';
 import { NO_REVISION } from '../core/routing/listVersion';
-import { computeWatchHoldMs } from '../core/routing/messageIntervals';
+import { computeSettleMs } from '../core/routing/messageIntervals';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import { listChangedWorkers } from '../core/routing/workerRecords';
@@ -42,10 +42,8 @@
 /** Fields of a watch reply that only entries need. */
 export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount' | 'limits'>;
 
-/** Time in which the entries of a small site reach a new leader, in milliseconds. */
-const SETTLE_MS = 500;
-/** Added to two held watch requests in the time in which all entries reach a new leader, in ms. */
-const SETTLE_SLACK_MS = 100;
+/** Longest time for which a new leader waits for what entries tell of earlier charges, in ms. */
+const LEARNING_MS = 500;
 
 /** Fields of a watch reply that list the entries that accept callers. */
 export type EntryListPart = Pick<WatchReply, 'entries' | 'entriesRevision'>;
@@ -80,7 +78,7 @@
   constructor(private readonly parts: LeaderStateParts) {
     this.startedAt = parts.clock.now();
     this.entries = new EntryTable(parts.leaseMs);
-    this.ledger = new AccountLedger(parts.limitSlack, SETTLE_MS);
+    this.ledger = new AccountLedger(parts.limitSlack, LEARNING_MS);
     this.placementService = new PlacementService({
       clock: parts.clock,
       logger: parts.logger,
@@ -205,10 +203,9 @@
     this.placementService.closeStream(stream);
   }
 
-  /** Time in which all entries reach a new leader, in milliseconds: two held watch requests. */
+  /** Time in which all entries reach a new leader, in milliseconds. */
   private get settleMs(): number {
-    const entryCount = Math.max(this.earlierEntries, this.countEntries());
-    return Math.max(SETTLE_MS, 2 * computeWatchHoldMs(entryCount) + SETTLE_SLACK_MS);
+    return computeSettleMs(Math.max(this.earlierEntries, this.countEntries()));
   }
 
   /*
--- a/src/core/routing/messageIntervals.ts
+++ b/src/core/routing/messageIntervals.ts
@@ -8,6 +8,8 @@
 const MAX_WATCH_HOLD_MS = 600;
 /** Added to two held watch requests in an entry's timeout, for a pause of either process. */
 const ENTRY_TIMEOUT_SLACK_MS = 500;
+/** Added to two held watch requests in the time in which all entries reach a new leader, in ms. */
+const SETTLE_SLACK_MS = 100;
 /** Replies per second that the leader may have to send because of backend server updates. */
 const UPDATE_REPLIES_PER_SECOND = 1_000;
 /** Bounds on how long updates are delayed to be sent together, in milliseconds. */
@@ -49,6 +51,17 @@
   2 * computeWatchHoldMs(entryCount) + ENTRY_TIMEOUT_SLACK_MS
 );
 
+/**
+ * Computes the time in which all entries reach a new leader, in milliseconds: two of their watch
+ * requests.
+ *
+ * @example
+ * const settleMs = computeSettleMs(78); // 880
+ */
+export const computeSettleMs = (entryCount: number): number => (
+  2 * computeWatchHoldMs(entryCount) + SETTLE_SLACK_MS
+);
+
 /**
  * Computes how long updates of backend servers are delayed to be sent together, in milliseconds:
  * each one answers the watch requests of all entries at once.
