Keep what the log of a routed site replicates in a class of its own

Change: SiteStateMachine applies commands, restores and formats; the wait for earlier charges is named CHARGES_WAIT_MS, as another constant is named LEARNING_MS. No change of behaviour.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -43,7 +43,7 @@
 export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount' | 'limits'>;
 
 /** Longest time for which a new leader waits for what entries tell of earlier charges, in ms. */
-const LEARNING_MS = 500;
+const CHARGES_WAIT_MS = 500;
 
 /** Fields of a watch reply that list the entries that accept callers. */
 export type EntryListPart = Pick<WatchReply, 'entries' | 'entriesRevision'>;
@@ -78,7 +78,7 @@
   constructor(private readonly parts: LeaderStateParts) {
     this.startedAt = parts.clock.now();
     this.entries = new EntryTable(parts.leaseMs);
-    this.ledger = new AccountLedger(parts.limitSlack, LEARNING_MS);
+    this.ledger = new AccountLedger(parts.limitSlack, CHARGES_WAIT_MS);
     this.placementService = new PlacementService({
       clock: parts.clock,
       logger: parts.logger,
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -2,19 +2,15 @@
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import type { LogRole, Snapshot } from '../core/log/logTypes';
-import { parseDepartures } from '../core/routing/departures';
-import { applyDocument, parseSiteDocument, toStoredDocument } from '../core/routing/siteDocument';
+import type { LogRole } from '../core/log/logTypes';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
 import type { WorkerStanding } from '../core/routing/workerTable';
 import { BeechliftError } from '../errors/beechliftError';
-import { computeSha256 } from '../utils/canonicalJson';
 import { HeldCalls } from '../utils/heldCalls';
 import { AnnouncementService } from './announcementService';
 import { AnnouncementValidator } from './announcementValidator';
 import { DepartureLog } from './departureLog';
-import { decodeCommand, decodeDeparture } from './documentCommand';
 import { DocumentPublisher } from './documentPublisher';
 import { SoftState } from './softState';
 import { SuspensionGuard } from './suspensionGuard';
@@ -28,6 +24,7 @@
 import { ReplicaDirectory } from './replicaDirectory';
 import { ReplicaSetManager } from './replicaSetManager';
 import type { RoutedNodeParts } from './routedNodeParts';
+import { SiteStateMachine } from './siteStateMachine';
 import type { SuspectRegistry } from './suspectRegistry';
 import { WatchService } from './watchService';
 import type { ReplicaView } from './watchService';
@@ -49,7 +46,7 @@
 export class RoutedNode {
   readonly runner: LogRunner<true>;
 
-  site: SiteDocument;
+  private readonly stateMachine: SiteStateMachine;
 
   private readonly softState: SoftState;
 
@@ -85,7 +82,6 @@
   readonly work: WorkMeter;
 
   constructor(private readonly parts: RoutedNodeParts) {
-    this.site = parseSiteDocument(parts.stored.snapshot.data);
     this.work = new WorkMeter(parts.clock, parts.logger, TICK_MS);
     this.softState = new SoftState({
       ...parts, watches: this.watches, countEntries: () => this.leaderState.countEntries(),
@@ -95,7 +91,7 @@
     } = this.softState;
     this.leaderState = this.makeLeaderState();
     this.replicaSetManager = new ReplicaSetManager(parts.voterCount, parts.clock, parts.logger);
-    this.leaderWait = new LeaderWait(() => this.isLeading || this.isOtherLeaderKnown);
+    this.leaderWait = new LeaderWait(() => this.isLeading || this.otherLeaderAddress !== '');
     this.announcementValidator = new AnnouncementValidator({
       ...parts, readSite: () => this.site, readTable: () => registry.table,
     });
@@ -116,15 +112,20 @@
       ...parts, handleSuspension: () => this.runner.handle({ kind: 'suspended' }),
     });
     this.runner = new LogRunner(parts.self.id, parts.stored, parts.store, {
-      applyCommand: (command) => this.applyCommand(command),
-      restoreSnapshot: (snapshot) => this.restoreSnapshot(snapshot),
-      takeSnapshot: () => this.formatSnapshot(),
+      applyCommand: (command) => this.stateMachine.apply(command),
+      restoreSnapshot: (snapshot) => this.stateMachine.restore(snapshot),
+      takeSnapshot: () => this.stateMachine.format(),
       sendMessage: (message) => this.sendMessage(message),
       handleRoleChange: (role, term) => this.handleRoleChange(role, term),
       failStorage: (error) => parts.port.failStorage(error),
     }, parts.clock, { startedAt: parts.startedAt });
     this.departureLog = new DepartureLog({ ...parts, runner: this.runner, registry });
-    this.departureLog.reset(parseDepartures(parts.stored.snapshot.data));
+    this.stateMachine = new SiteStateMachine({
+      data: parts.stored.snapshot.data,
+      departures: this.departureLog,
+      handleDocument: () => this.handleDocument(),
+      handleRestore: () => this.watches.release(),
+    });
     this.announcementService = new AnnouncementService({
       ...serviceParts,
       validator: this.announcementValidator,
@@ -151,6 +152,11 @@
     });
   }
 
+  /** The routing document that is in force. */
+  get site(): SiteDocument {
+    return this.stateMachine.site;
+  }
+
   /** Requests that are suspected of crashing backend servers. */
   get suspects(): SuspectRegistry {
     return this.softState.suspects;
@@ -167,9 +173,9 @@
     return this.runner.holdsLease;
   }
 
-  /** Whether another replica is known to lead. */
-  private get isOtherLeaderKnown(): boolean {
-    return this.leaderAddress !== '' && this.leaderAddress !== this.parts.self.address;
+  /** Address of another replica that is known to lead; empty if there is none. */
+  private get otherLeaderAddress(): string {
+    return this.leaderAddress === this.parts.self.address ? '' : this.leaderAddress;
   }
 
   /** gRPC addresses of all replicas of the site. */
@@ -324,7 +330,7 @@
   private readView(): ReplicaView {
     return {
       isLeading: this.isLeading,
-      otherLeaderAddress: this.isOtherLeaderKnown ? this.leaderAddress : '',
+      otherLeaderAddress: this.otherLeaderAddress,
       replicaAddresses: this.replicaAddresses,
       site: this.site,
       leaderState: this.leaderState,
@@ -343,32 +349,11 @@
     if (routing) this.leaderState.configureAccounts(routing.accounts);
   }
 
-  private applyCommand(text: string): true {
-    const departure = decodeDeparture(text);
-    if (departure) {
-      this.departureLog.apply(departure);
-      return true;
-    }
-    const command = decodeCommand(text);
-    const previous = this.site;
-    this.site = applyDocument(this.site, command, computeSha256(command.document));
-    if (this.site === previous) return true;
-    this.parts.logger.info('routing document applied', { version: this.site.version, role: this.runner.state.role });
-    if (this.runner.state.role === 'leader') this.configureAccounts();
+  private handleDocument(): void {
+    const { role } = this.runner.state;
+    this.parts.logger.info('routing document applied', { version: this.site.version, role });
+    if (role === 'leader') this.configureAccounts();
     this.watches.release();
-    return true;
-  }
-
-  private restoreSnapshot(snapshot: Snapshot): void {
-    this.site = parseSiteDocument(snapshot.data);
-    this.departureLog.reset(parseDepartures(snapshot.data));
-    this.watches.release();
-  }
-
-  private formatSnapshot(): string {
-    return JSON.stringify({
-      ...toStoredDocument(this.site), departures: [...this.departureLog.agreed.values()],
-    });
   }
 
   private findAddress(id: string): string {
