Count the messages on their way of both kept streams in one place

Cause: the hub's stream wrote again how a log stream tells, by counts of its receiver, what is on its way and for how long nothing was counted. Change: CountedMessages serves StepStream and HubTrunk. A late count of a stream that was replaced now only reaches the counts of that stream. Result: step-stream.spec and placement-hub.spec pass unchanged.

--- a/src/control/hubTrunk.ts
+++ b/src/control/hubTrunk.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../utils/clock';
 import { PacedTask } from '../utils/pacedTask';
 import type { ClientStream, RpcLink } from '../wire/rpcLink';
+import { CountedMessages } from './countedMessages';
 import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
 
 /** Shortest time between two messages to the leader, in milliseconds. */
@@ -45,13 +46,7 @@
 
   private stream: ClientStream<HubNews> | undefined;
 
-  /** Messages that were sent on the stream, and those that the leader has counted. */
-  private sent = 0;
-
-  private received = 0;
-
-  /** Time since which a count is due while messages are on their way, monotonic milliseconds. */
-  private countDueSince = 0;
+  private messages = new CountedMessages();
 
   /** When the last message was sent, monotonic milliseconds. */
   private sentAt = -Infinity;
@@ -89,7 +84,7 @@
   /** Sends what was gathered; a leader that is busy gets fewer and larger messages. */
   private flush(): void {
     if (this.news.length === 0) return;
-    const busyMs = this.sent === this.received
+    const busyMs = this.messages.onTheirWay === 0
       ? 0
       : this.sentAt + BUSY_GATHER_MS - this.parts.clock.now();
     if (busyMs <= 0) this.send();
@@ -104,7 +99,7 @@
   private send(): void {
     const { news } = this;
     this.news = [];
-    if (this.sent - this.received >= MAX_IN_FLIGHT) {
+    if (this.messages.onTheirWay >= MAX_IN_FLIGHT) {
       this.end('too many messages are on their way');
       return;
     }
@@ -116,9 +111,8 @@
       return;
     }
     const now = this.parts.clock.now();
-    if (this.sent === this.received) this.countDueSince = now;
+    this.messages.recordSent(now);
     this.sentAt = now;
-    this.sent += 1;
     this.stream.write({ news });
     this.startWatchdog();
   }
@@ -137,8 +131,7 @@
   }
 
   private takeDecisions({ received, decisions }: HubDecisions): void {
-    this.received = received;
-    this.countDueSince = this.parts.clock.now();
+    this.messages.recordCount(received, this.parts.clock.now());
     if (this.news.length > 0) this.flushTask.schedule();
     decisions.forEach(({ stream, message }) => {
       const sink = this.sinks.get(stream);
@@ -152,17 +145,17 @@
   }
 
   private startWatchdog(): void {
-    const leftMs = this.countDueSince + SILENCE_MS - this.parts.clock.now();
+    const silentMs = this.messages.measureSilence(this.parts.clock.now());
     this.watchdog ??= setTimeout(() => {
       this.watchdog = undefined;
       // Input that arrived while this process was busy is read first, so that it counts.
       setImmediate(() => this.checkSilence());
-    }, Math.max(1, leftMs));
+    }, Math.max(1, SILENCE_MS - silentMs));
   }
 
   private checkSilence(): void {
-    if (!this.stream || this.sent === this.received) return;
-    const silentMs = this.parts.clock.now() - this.countDueSince;
+    if (!this.stream || this.messages.onTheirWay === 0) return;
+    const silentMs = this.messages.measureSilence(this.parts.clock.now());
     if (silentMs < SILENCE_MS) {
       this.startWatchdog();
       return;
@@ -179,8 +172,7 @@
     });
     this.stream?.cancel();
     this.stream = undefined;
-    this.sent = 0;
-    this.received = 0;
+    this.messages = new CountedMessages();
     this.news = [];
     this.sinks.clear();
     sinks.forEach((sink) => sink.end());
--- a/src/control/stepStream.ts
+++ b/src/control/stepStream.ts
@@ -1,6 +1,7 @@
 import type { LogMessage, SiteClient, StepCount } from '../protocol/generated/beechlift';
 import type { Clock } from '../utils/clock';
 import type { ClientStream, RpcLink } from '../wire/rpcLink';
+import { CountedMessages } from './countedMessages';
 
 /** Time without a count of what has arrived after which the connection is replaced, in ms. */
 const SILENCE_MS = 1_000;
@@ -13,10 +14,7 @@
 /** A stream to the replica, and what is on its way on it. */
 interface OpenStream {
   readonly stream: ClientStream<LogMessage>;
-  sent: number;
-  received: number;
-  /** Time since which a count is due while messages are on their way, monotonic milliseconds. */
-  countDueSince: number;
+  readonly messages: CountedMessages;
 }
 
 /**
@@ -52,19 +50,15 @@
   }
 
   private write(message: LogMessage, now: number): void {
-    this.open ??= this.tryOpen(now);
+    this.open ??= this.tryOpen();
     const { open } = this;
-    if (!open || open.sent - open.received >= MAX_IN_FLIGHT) return;
-    if (open.sent === open.received) open.countDueSince = now;
-    open.sent += 1;
+    if (!open || open.messages.onTheirWay >= MAX_IN_FLIGHT) return;
+    open.messages.recordSent(now);
     open.stream.write(message);
   }
 
   private isSilent(now: number): boolean {
-    const { open } = this;
-    return open !== undefined
-      && open.sent > open.received
-      && now - open.countDueSince >= SILENCE_MS;
+    return (this.open?.messages.measureSilence(now) ?? 0) >= SILENCE_MS;
   }
 
   private replaceConnection(): void {
@@ -77,30 +71,25 @@
    * Connections are closed when the process stops, while a message may still wait for a write to
    * disk. The library throws then, and the log would take that for a failure of its disk.
    */
-  private tryOpen(now: number): OpenStream | undefined {
+  private tryOpen(): OpenStream | undefined {
     try {
-      return this.openStream(now);
+      return this.openStream();
     } catch {
       return undefined;
     }
   }
 
-  private openStream(now: number): OpenStream {
+  private openStream(): OpenStream {
+    const messages = new CountedMessages();
     const stream = this.link.openStream<LogMessage, StepCount>((stub) => (
       stub.keepStepping.bind(stub)), {
       take: ({ received }) => {
-        if (this.open?.stream === stream) this.recordCount(this.open, received);
+        messages.recordCount(received, this.clock.now());
       },
       close: () => {
         if (this.open?.stream === stream) this.open = undefined;
       },
     });
-    return {
-      stream, sent: 0, received: 0, countDueSince: now,
-    };
-  }
-
-  private recordCount(open: OpenStream, received: number): void {
-    Object.assign(open, { received, countDueSince: this.clock.now() });
+    return { stream, messages };
   }
 }
