--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -95,7 +95,8 @@
   /** Resolves with the leader's decision, or with undefined if the leader cannot be reached. */
   place(request: PlaceRequest, deadlineAt: number): Promise<PlaceReply | undefined> {
     const now = this.parts.clock.now();
-    if (!this.canAsk(now) || now >= deadlineAt) return Promise.resolve(undefined);
+    const link = this.parts.findLeader();
+    if (!link || this.isPaused(link, now) || now >= deadlineAt) return Promise.resolve(undefined);
     return new Promise((resolve) => {
       this.waiting.set(request.placeId, { request, resolve });
       this.outbox.addRequest(request);
@@ -176,11 +177,6 @@
     this.resolveWaiting();
   }
 
-  private canAsk(now: number): boolean {
-    const link = this.parts.findLeader();
-    return link !== undefined && !this.isPaused(link, now);
-  }
-
   /** Whether this leader was late; the pause for an earlier one does not apply to it. */
   private isPaused(link: RpcLink<SiteClient>, now: number): boolean {
     return link === this.lastLink && this.pause.isActive(now);
