Give each check of the binary ports of its own

Cause: the check used the ports 11801 to 11804 whatever else runs. Two of them at once talk to each other's processes, and the first to end takes these away. Change: a block of four ports by the id of the process that runs the check, below those that the system assigns. What is checked is the same.

--- a/scripts/checkBinary.mjs
+++ b/scripts/checkBinary.mjs
@@ -13,9 +13,15 @@
 const BINARY = 'dist/beechlift';
 const MAX_RETRIES = 200;
 const RETRY_INTERVAL_MS = 100;
-const [CONTROL, ADMIN, CALLER, PEER] = [
-  11_801, 11_802, 11_803, 11_804,
-].map((port) => `127.0.0.1:${port}`);
+/** Ports below those that the system assigns; a block for each process that runs this check. */
+const FIRST_PORT = 11_800;
+const PORTS = 4;
+const BLOCKS = 2_000;
+const firstPort = FIRST_PORT + (process.pid % BLOCKS) * PORTS;
+const [CONTROL, ADMIN, CALLER, PEER] = Array.from(
+  { length: PORTS },
+  (unused, index) => `127.0.0.1:${firstPort + index}`,
+);
 
 const folder = mkdtempSync(join(tmpdir(), 'beechlift-binary-'));
 const children = [];
