Tell entries what the leader has placed at each server

Callers wait for the next server or get a 503, while other servers have free slots.

Cause: entries that choose a server themselves, because the leader is late, know the load of other entries without the requests that the leader placed: an entry leaves them out of its report, as the leader counts them itself, and the leader leaves its own count out of the reply. Servers whose slots are all granted look idle. Class: a sum that each side leaves to the other.

Change: the reply to an entry names what the leader has placed at each server.

Why it works: the choice by expected wait needs the requests at a server, from wherever they were placed. The leader's own tables are unchanged, as reports of entries never name placed requests.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -153,7 +153,7 @@
     const entryCount = this.countEntries();
     const keepsGrants = knownEntries > 0 && this.ledger.isLearning(now);
     return {
-      loads: this.entries.sumLoads(entryId, now),
+      loads: this.placementService.addPlaced(this.entries.sumLoads(entryId, now)),
       grants: keepsGrants ? [] : this.ledger.listGrants(entryId, entryCount, now),
       entryCount,
       limits: this.placementService.listRateLimits(),
--- a/src/control/loadSums.ts
+++ b/src/control/loadSums.ts
@@ -59,6 +59,8 @@
         inFlight: sum.inFlight - (load?.inFlight ?? 0),
         tokens: sum.tokens - (load?.tokens ?? 0),
         slowness: Math.round(slowness / Math.max(1, observers)),
+        placed: 0,
+        placedTokens: 0,
       };
     });
   }
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -19,7 +19,7 @@
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import { LEARNING_MS } from '../core/routing/streamPlacement';
-import { applyLoads } from '../core/routing/workerLoads';
+import { addPlaced, applyLoads } from '../core/routing/workerLoads';
 import { applyNamedRates, listRateLimits } from '../core/routing/workerRateLimit';
 import { resultCodes } from '../errors/resultCodes';
 import type { Logger } from '../telemetry/logger';
@@ -168,6 +168,11 @@
     applyLoads(this.workers, loads);
   }
 
+  /** Adds the requests placed here to the loads that entries reported. */
+  addPlaced(loads: WorkerLoad[]): WorkerLoad[] {
+    return addPlaced(loads, this.workers);
+  }
+
   /** Applies the rate limits that backend servers named to an entry. */
   applyNamedRates(records: readonly WorkerRateLimit[]): void {
     applyNamedRates(this.workers, records, this.parts.clock.now());
--- a/tests/control/load-sums.spec.ts
+++ b/tests/control/load-sums.spec.ts
@@ -32,6 +32,8 @@
       inFlight: loads.reduce((sum, load) => sum + load.inFlight, 0),
       tokens: loads.reduce((sum, load) => sum + load.tokens, 0),
       slowness: Math.round(slowness / Math.max(1, observed.length)),
+      placed: 0,
+      placedTokens: 0,
     };
   });
 };
