Spread the choices of entries that share one view of the servers

Cause: such an entry takes the one server with the shortest expected wait. What it knows of other entries is as old as the last reply of the leader, so the best server stays the best for all entries, in each zone the same one. Class: many deciders take the same best choice by one old view.

Change: an entry that chooses for a placed service draws few of the servers with a free slot, two on large sites, and takes the better one. If it is the only entry, it chooses among all as before.

Why it works: the draws of entries differ, so their requests meet only by chance, and the better of two avoids slow servers and own backlogs. No entry has to know more than before.

--- a/src/core/routing/answerTime.ts
+++ b/src/core/routing/answerTime.ts
@@ -1,6 +1,6 @@
 /** Estimates whether a model's answer ends in time at a backend server. */
 import { estimateAt, hasEnoughSamples } from './linearFit';
-import { findServiceStats, isReady } from './routedWorkers';
+import { findServiceStats, hasFreeSlot, isReady } from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 
@@ -67,7 +67,7 @@
 ): boolean => {
   if (findServiceStats(workers, service).queuedShare >= FULL_QUEUED_SHARE) return false;
   const servers = worker ? [worker] : (workers.byService.get(service) ?? []).filter(isReady);
-  return servers.some(({ inFlight, othersInFlight, slots }) => inFlight + othersInFlight < slots);
+  return servers.some(hasFreeSlot);
 };
 
 /** How many times longer than recent answers one may take if the load grows. */
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -331,6 +331,11 @@
   standing === 'ready' && !isLeaving
 );
 
+/** Whether a server has a slot that no known request holds. */
+export const hasFreeSlot = ({ inFlight, othersInFlight, slots }: RoutedWorker): boolean => (
+  inFlight + othersInFlight < slots
+);
+
 /** Whether requests are expected to reach a server. */
 export const isReachable = (
   { mechanisms }: RoutedWorkers,
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -2,9 +2,13 @@
  * Choice of the backend server for a request: among the eligible servers, the one that is expected
  * to start its answer first.
  */
+import { drawCandidates } from './candidateSample';
+import type { SampleOptions } from './candidateSample';
 import { estimateAt, estimateSlope } from './linearFit';
 import { hasAllowance } from './rateAllowance';
-import { findServiceStats, isReachable, isReady } from './routedWorkers';
+import {
+  findServiceStats, hasFreeSlot, isReachable, isReady,
+} from './routedWorkers';
 import type { RoutedWorker, RoutedWorkers, ServiceStats } from './routedWorkers';
 import { canContinue } from './streamOrigin';
 import type { StreamOrigin } from './streamOrigin';
@@ -29,6 +33,8 @@
   readonly requiresFreeSlot: boolean;
   /** Set if the request continues a stream: only servers of this version may be chosen. */
   readonly origin?: StreamOrigin | undefined;
+  /** Set if other entries may choose by the same view at the same time. */
+  readonly sample?: SampleOptions | undefined;
 }
 
 /** A chosen backend server with its estimates. */
@@ -125,10 +131,6 @@
     + overrunMs;
 };
 
-const hasFreeSlot = ({ inFlight, othersInFlight, slots }: RoutedWorker): boolean => (
-  inFlight + othersInFlight < slots
-);
-
 const isUsable = (
   { connectionShares }: RoutedWorkers,
   worker: RoutedWorker,
@@ -178,7 +180,9 @@
 ): WorkerChoice | undefined => {
   const stats = findServiceStats(workers, request.service);
   const fastestMs = findFastestPace(workers, request.service);
-  const scored = listCandidates(workers, request, now).map((worker) => {
+  const available = listCandidates(workers, request, now);
+  const candidates = request.sample ? drawCandidates(available, request.sample) : available;
+  const scored = candidates.map((worker) => {
     const estimate = estimateAnswer(workers, stats, worker, request, fastestMs);
     const { waitMs, ownMs } = estimate;
     const score = computeScore(workers, stats, worker, estimate, request);
--- a/src/relay/localChoice.ts
+++ b/src/relay/localChoice.ts
@@ -3,6 +3,7 @@
 } from '../core/routing/workerEligibility';
 import { explainVersionGone, hasOriginServer, VERSION_GONE_RETRY_MS } from '../core/routing/streamOrigin';
 import type { StreamOrigin } from '../core/routing/streamOrigin';
+import type { SampleOptions } from '../core/routing/candidateSample';
 import { computeBackoffRetryAfterMs } from '../core/routing/workerBackoff';
 import { chooseRoutedWorker, isWaitAcceptable } from '../core/routing/workerChoice';
 import { takeWorkerAllowance } from '../core/routing/workerRateLimit';
@@ -25,6 +26,8 @@
   readonly site: RelaySite;
   readonly connections: Pick<WorkerConnections, 'hasIdle'>;
   readonly clock: Clock;
+  /** Defaults to `Math.random`. */
+  readonly drawRandom?: (() => number) | undefined;
 }
 
 /**
@@ -67,6 +70,12 @@
       .map(({ id }) => id));
   }
 
+  /** Servers of other services are chosen by all entries all the time, from few candidates. */
+  private makeSample(service: string): SampleOptions | undefined {
+    const { site, drawRandom = Math.random } = this.parts;
+    return site.isPlaced(service) ? { entryCount: site.entryCount, drawRandom } : undefined;
+  }
+
   /**
    * Chooses a server; throws the refusal if there is none.
    *
@@ -88,6 +97,7 @@
       avoided: this.listUnreachable(service),
       requiresFreeSlot: site.isBrittle(service),
       origin,
+      sample: this.makeSample(service),
     }, now);
     if (!choice && site.reach.isCutOff) throw new BeechliftError('backendsUnreachable', 'this entry reaches no backend server, others may', { retryAfterMs: CUT_OFF_RETRY_MS });
     if (!choice && site.isBrittle(service)) throw new BeechliftError('noSlotInTime', `no server of service "${service}" has a free slot, and they bear few requests that they turn away`, { retryAfterMs: MAX_RETRY_MS });
