Count what the leader charged as demand of an entry for its account

Cause: a limit is divided among entries by demand, and an entry's demand was what it had decided itself. The leader decides on model requests, so entries had next to no demand for accounts that send little else. Once the leader was late they had an even share of two fifths of the limit: less than one request. Class: a share that is computed without what it is for.

Change: a request that the leader charged and placed counts as demand, too. What an entry has admitted itself, which the leader subtracts, is as before.

Why it works: the shares of all entries still add up to what is left of the limit, so it holds; more of it is at the entries that have the callers.

--- a/src/core/routing/accountBudget.ts
+++ b/src/core/routing/accountBudget.ts
@@ -63,11 +63,16 @@
     now: number,
     renewal: GrantRenewal = 'renewed',
   ): boolean {
+    this.recordDemand(account, cost, now);
+    return this.retrySpend(account, cost, now, renewal);
+  }
+
+  /** Records the demand of a request, whoever decides on it: shares of the limit follow demand. */
+  recordDemand(account: RoutedAccount, cost: number, now: number): void {
     const budget = this.findOrMakeBudget(account.name, now);
     budget.demand = this.computeCurrentDemand(budget, now)
       + cost / (DEMAND_WINDOW_MS / MS_PER_SECOND);
     budget.demandUpdatedAt = now;
-    return this.retrySpend(account, cost, now, renewal);
   }
 
   /** Charges the cost of a request that was refused before, and whose demand is counted. */
--- a/src/relay/entryAccounts.ts
+++ b/src/relay/entryAccounts.ts
@@ -49,9 +49,13 @@
     return isCharged;
   }
 
-  /** Records what the leader charged for a request of this entry. */
+  /**
+   * Records what the leader charged for a request of this entry. It counts as demand, so that this
+   * entry has a share for such requests if it has to decide on them itself.
+   */
   recordPlaced(account: RoutedAccount, cost: number, now: number): void {
     this.recentCharges.record(account, cost, now);
+    if (account.perSecond > 0 && cost > 0) this.budget.recordDemand(account, cost, now);
   }
 
   /** Whether no leader renews the grants, so that one may soon allow more than they do. */
