Refund an account for a slot that is given back before it is used

Cause: an entry that hears of its slot too late, as the leader is late, serves the request itself and charges it to its own grant. It gives the slot back, but the leader kept what it had charged: such a request cost its account twice, and once more for each further attempt to get a slot, ten a second. Class: a debt that is taken over without being handed over.

Change: an entry reports a slot that it gives back before a byte was sent as unused, or as unknown if it does not know the server; both refund the charge, as does a grant that was never sent. The entry remembers a charge for later leaders when it uses the slot. A second slot for the same request is charged again. Slots that were used, and dropped or rejected, are not refunded.

Why it works: each request is charged once, where the slot that it uses was decided on. A report is refunded once, as the slot is gone after the first.

Measured: placement-service.spec, 4 of 15 failed before: nothing was refunded. Two of these are older tests that now expect the refund of a grant that was not sent.

--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -12,7 +12,7 @@
 import type { PlacementDecision } from '../core/routing/placement';
 import type { PlacementUpdate } from '../core/routing/placementUpdates';
 import { NO_TIMINGS } from '../core/routing/placementTables';
-import type { SlotRequest, PlacementTables } from '../core/routing/placementTables';
+import type { AccountCharge, SlotRequest, PlacementTables } from '../core/routing/placementTables';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import { toOriginRecord } from '../core/routing/originRecords';
 import { applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
@@ -26,12 +26,23 @@
 import type { Clock } from '../utils/clock';
 import type { PlacementStream } from './placementStream';
 
-const REPORT_PHASES: readonly string[] = ['running', 'ended', 'failed', 'dropped', 'rejected', 'unreached'];
+/** What becomes of the slot, by the phase that an entry reports. */
+const SLOT_PHASES: Readonly<Record<string, PlacementUpdate['phase']>> = {
+  running: 'running',
+  ended: 'ended',
+  failed: 'failed',
+  dropped: 'dropped',
+  unused: 'dropped',
+  rejected: 'rejected',
+  unknown: 'rejected',
+  unreached: 'unreached',
+};
 
 /** Phases of requests that their servers did not work on. */
-const UNUSED_PHASES: readonly string[] = ['rejected', 'unreached'];
+const UNSERVED_PHASES: readonly string[] = ['rejected', 'unknown', 'unreached'];
 
-const hasKnownPhase = (report: PlacedReport): boolean => REPORT_PHASES.includes(report.phase);
+/** Phases of slots that were given back before any byte was sent. */
+const UNUSED_PHASES: readonly string[] = ['unused', 'unknown'];
 
 const toSlotRequest = (request: PlaceRequest, now: number): SlotRequest => ({
   id: request.placeId,
@@ -46,6 +57,7 @@
   tried: request.tried,
   fingerprint: request.fingerprint,
   avoidedIds: request.avoided,
+  charge: { account: request.account, cost: request.cost },
   origin: request.origin,
   requestId: request.requestId,
   resumedId: request.takesUp ? request.resumedId : undefined,
@@ -77,11 +89,14 @@
   readonly request: PlaceRequest;
 }
 
+/** A request that used no slot, and what was charged for it. */
+type UnplacedRequest = Pick<PlaceRequest, 'placeId'> & AccountCharge;
+
 /** Dependencies of the placement service. */
 export interface PlacementServiceParts {
   readonly clock: Clock;
-  /** Called for each request that gets no slot, so that its account can be refunded. */
-  readonly handleUnplaced: (request: PlaceRequest) => void;
+  /** Called for each request that gets no slot or does not use it, to refund its account. */
+  readonly handleUnplaced: (request: UnplacedRequest) => void;
   /** Finds the restriction on a request; if it is missing, no request is restricted. */
   readonly findRestriction?: RestrictionFinder | undefined;
   /** Which version began which stream; if it is missing, the service starts without knowledge. */
@@ -139,14 +154,28 @@
   applyReports(reports: readonly PlacedReport[]): void {
     if (reports.length === 0) return;
     const now = this.parts.clock.now();
-    reports.filter(hasKnownPhase).forEach(({ placeId, phase, ...rest }) => {
-      if (UNUSED_PHASES.includes(phase)) this.logUnused(placeId, phase);
-      applyPlacementUpdate(this.tables, { id: placeId, phase: phase as PlacementUpdate['phase'], ...rest }, now);
-      if (phase === 'dropped') this.cancelPending(placeId);
-    });
+    reports.forEach((report) => this.applyReport(report, now));
     this.deliver(placeFreed(this.tables, now));
   }
 
+  private applyReport({ placeId, phase: reported, ...timings }: PlacedReport, now: number): void {
+    const phase = SLOT_PHASES[reported];
+    if (!phase) return;
+    if (UNSERVED_PHASES.includes(reported)) this.logUnserved(placeId, reported);
+    if (UNUSED_PHASES.includes(reported)) this.refundPlaced(placeId);
+    applyPlacementUpdate(this.tables, { id: placeId, phase, ...timings }, now);
+    if (phase === 'dropped') this.cancelPending(placeId);
+  }
+
+  /*
+   * An entry that hears of its slot too late places the request itself and charges it to its grant.
+   * Without the refund the account would be charged twice.
+   */
+  private refundPlaced(placeId: string): void {
+    const charge = this.tables.placed.get(placeId)?.request.charge;
+    if (charge) this.parts.handleUnplaced({ placeId, ...charge });
+  }
+
   /** Frees slots that an entry does not hold, as the grant or the final report was lost. */
   releaseUnheld(entryId: string, heldIds: readonly string[]): void {
     retainPlaced(this.tables, entryId, new Set(heldIds));
@@ -208,7 +237,7 @@
       });
   }
 
-  private logUnused(placeId: string, phase: string): void {
+  private logUnserved(placeId: string, phase: string): void {
     const placed = this.tables.placed.get(placeId);
     if (!placed) return;
     this.parts.logger?.info('entry could not use the backend server of its slot', {
@@ -222,8 +251,8 @@
     if (pending) this.parts.handleUnplaced(pending.request);
   }
 
-  private releaseGrant(id: string): void {
-    applyPlacementUpdate(this.tables, { id, phase: 'dropped', ...NO_TIMINGS }, this.parts.clock.now());
+  private releaseGrant(placeId: string): void {
+    this.applyReport({ placeId, phase: 'unused', ...NO_TIMINGS }, this.parts.clock.now());
   }
 
   private deliver(decisions: readonly PlacementDecision[]): void {
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -7,6 +7,12 @@
 import type { StreamOrigins } from './streamOrigins';
 import type { WaitingQueue } from './waitingQueue';
 
+/** What the leader charged an account for a request, in the unit of its limit. */
+export interface AccountCharge {
+  readonly account: string;
+  readonly cost: number;
+}
+
 /** A request for a slot. */
 export interface SlotRequest {
   readonly id: string;
@@ -27,6 +33,8 @@
   readonly fingerprint?: string;
   /** Backend servers that do not accept requests from its entry at the moment. */
   readonly avoidedIds?: readonly string[];
+  /** If it is missing, nothing was charged. */
+  readonly charge?: AccountCharge;
   /** Set if the request continues a stream: only servers of this version may do so. */
   readonly origin?: StreamOrigin | undefined;
   /** The caller's id of the attempt if another one can take up its stream; empty otherwise. */
--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -117,6 +117,11 @@
     if (picked.epoch !== '' && picked.epoch === site.workersEpoch) picked.worker.placed -= 1;
   }
 
+  /** Reports that the slot was not used: no byte was sent, nor will be. */
+  reportUnused(): void {
+    this.report({ phase: 'unused', ...NO_TIMINGS });
+  }
+
   /** Reports the outcome of the attempt to the leader. */
   reportOutcome(kind: AttemptOutcome['kind']): void {
     const { firstChunkAt, lastChunkAt, chunkCount } = this.parts.writer;
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -109,7 +109,7 @@
     const pending = this.waiting.get(placeId);
     if (!pending) return;
     this.waiting.delete(placeId);
-    this.report({ placeId, phase: 'dropped', ...NO_TIMINGS });
+    this.report({ placeId, phase: 'unused', ...NO_TIMINGS });
     pending.resolve(undefined);
   }
 
@@ -260,7 +260,7 @@
     if (reply.code === 0) this.addGranted(reply.placeId);
     if (pending) pending.resolve(reply);
     // The request was placed by this entry or cancelled meanwhile: its slot must be released.
-    else if (reply.code === 0) this.report({ placeId: reply.placeId, phase: 'dropped', ...NO_TIMINGS });
+    else if (reply.code === 0) this.report({ placeId: reply.placeId, phase: 'unused', ...NO_TIMINGS });
   }
 
   private addGranted(placeId: string): void {
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -264,7 +264,7 @@
       shared, prepared, picked, facts, writer,
     });
     tracker.releaseWorker();
-    tracker.reportOutcome('dropped');
+    tracker.reportUnused();
   }
 
   /*
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -197,6 +197,7 @@
     request: PickRequest,
     lookup: OriginLookup,
     requestCount = 1,
+    isCharged = request.tried.length > 0,
   ): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const {
@@ -208,9 +209,7 @@
     this.lastPlaceNumber += 1;
     const placeId = `${this.placeIdPrefix}${this.lastPlaceNumber}`;
     request.onWaiting(() => placeClient.cancel(placeId));
-    const cost = account && tried.length === 0 && requestCount === 1
-      ? computeCost(account, facts)
-      : 0;
+    const cost = account && !isCharged ? computeCost(account, facts) : 0;
     const askedAt = clock.now();
     const reply = await placeClient.place({
       placeId,
@@ -239,12 +238,11 @@
     if (reply.code === resultCodes.noSlotInTime.number) {
       recordSlotWait(site.workers, service, Infinity);
     }
-    if (reply.code === 0 && account) site.accounts.recordPlaced(account, cost, clock.now());
     if (reply.code !== 0) {
       throw makeErrorFromNumber(reply.code, reply.message, { retryAfterMs: reply.retryAfterMs });
     }
     await this.requireLease(request).catch((error: unknown) => {
-      placeClient.report({ placeId, phase: 'dropped', ...NO_TIMINGS });
+      placeClient.report({ placeId, phase: 'unused', ...NO_TIMINGS });
       throw error;
     });
     const worker = site.workers.byId.get(reply.workerId);
@@ -258,15 +256,16 @@
     const isUsable = worker?.standing === 'ready' && isProven && canContinue(worker, origin);
     if (isUsable && isEligible(site.workers, worker, clock.now())) {
       recordProbe(worker, clock.now());
+      if (account) site.accounts.recordPlaced(account, cost, clock.now());
       return {
         worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch, origin,
       };
     }
-    // `rejected` means that this entry does not know the server yet.
-    placeClient.report({ placeId, phase: worker ? 'dropped' : 'rejected', ...NO_TIMINGS });
+    // `unknown` means that this entry does not know the server yet.
+    placeClient.report({ placeId, phase: worker ? 'unused' : 'unknown', ...NO_TIMINGS });
     if (worker?.standing !== 'ready' || requestCount >= MAX_PLACE_REQUESTS || request.isAbandoned()) return undefined;
     this.local.checkBackoff(service);
-    return this.place(request, lookup, requestCount + 1);
+    return this.place(request, lookup, requestCount + 1, isCharged);
   }
 
   /*
--- a/tests/control/placement-service.spec.ts
+++ b/tests/control/placement-service.spec.ts
@@ -93,7 +93,7 @@
     rig.service.requestSlots([makeRequest('a'), makeRequest('b')], rig.stream);
     rig.service.closeStream(rig.stream);
     expect(rig.service.countRequests()).toEqual({ waiting: 0, placed: 0 });
-    expect(rig.unplaced).toEqual(['b']);
+    expect(rig.unplaced).toEqual(['a', 'b']);
   });
 
   /*
@@ -128,7 +128,7 @@
     rig.service.applyReports([report('a', 'ended')]);
     await settle();
     expect(later.flatMap(({ replies }) => replies).map(({ placeId }) => placeId)).toEqual(['b']);
-    expect(rig.unplaced).toEqual([]);
+    expect(rig.unplaced).toEqual(['a']);
   });
 
   // The caller disconnects while its request waits: the next request gets the slot.
@@ -142,6 +142,22 @@
     expect(rig.unplaced).toEqual(['b']);
   });
 
+  // Fault: an entry that heard of its slot too late was charged here and for its own choice.
+  it.each(['unused', 'unknown'])('should refund a slot that is given back as %s, once', (phase) => {
+    const rig = new PlacementRig(2);
+    rig.service.requestSlots(['a', 'b'].map((id) => makeRequest(id)), rig.stream);
+    rig.service.applyReports([report('a', phase), report('a', phase)]);
+    expect(rig.unplaced).toEqual(['a']);
+    expect(rig.service.countRequests().placed).toBe(1);
+  });
+
+  it.each(['ended', 'failed', 'dropped', 'rejected', 'unreached'])('should not refund a slot that was used and %s', (phase) => {
+    const rig = new PlacementRig(2);
+    rig.service.requestSlots([makeRequest('a')], rig.stream);
+    rig.service.applyReports([report('a', phase)]);
+    expect(rig.unplaced).toEqual([]);
+  });
+
   // An entry with waiting requests takes the leader for unavailable after 250 ms without a message.
   it('should send keep-alive messages to an entry with waiting requests', async () => {
     const rig = new PlacementRig(1);
--- a/tests/relay/place-client.spec.ts
+++ b/tests/relay/place-client.spec.ts
@@ -84,8 +84,8 @@
     await pause(400);
     expect(leader.streamCount).toBe(1);
     expect(leader.requestedIds.flat()).toEqual(['a', 'b']);
-    const dropped = leader.received.flatMap(({ reports }) => reports).filter(({ phase }) => phase === 'dropped');
-    expect(dropped.map(({ placeId }) => placeId)).toEqual(expect.arrayContaining(['a', 'b']));
+    const unused = leader.received.flatMap(({ reports }) => reports).filter(({ phase }) => phase === 'unused');
+    expect(unused.map(({ placeId }) => placeId)).toEqual(expect.arrayContaining(['a', 'b']));
   });
 
   // A full leader was asked, and its late slots were given back, several times a second by every
@@ -209,7 +209,7 @@
     leader.sendReply(1, ['a']);
     await pause(10);
     const phases = leader.received.flatMap(({ reports }) => reports).map(({ placeId, phase }) => `${placeId} ${phase}`);
-    expect(new Set(phases)).toEqual(new Set(['a dropped']));
+    expect(new Set(phases)).toEqual(new Set(['a unused']));
   });
 
   /*
--- a/tests/relay/slow-servers.spec.ts
+++ b/tests/relay/slow-servers.spec.ts
@@ -85,7 +85,7 @@
       return PlaceReply.fromPartial({ placeId, workerId: 'w1' });
     });
     expect(await callShop()).toMatch(/^HTTP\/1.1 200 [^]*late$/);
-    await vi.waitFor(() => expect(report.mock.calls.map(([{ phase }]) => phase)).toContain('dropped'));
+    await vi.waitFor(() => expect(report.mock.calls.map(([{ phase }]) => phase)).toContain('unused'));
     expect(rig.findServer(1).requests).toHaveLength(0);
   });
 
--- a/tests/relay/worker-picker.spec.ts
+++ b/tests/relay/worker-picker.spec.ts
@@ -58,7 +58,7 @@
     });
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect([picked?.worker.id, picked?.placeId]).toEqual(['w2', '']);
-    expect(leader.reports.map(({ phase }) => phase)).toEqual(['dropped']);
+    expect(leader.reports.map(({ phase }) => phase)).toEqual(['unused']);
   });
 
   // Fault: a server that had left got requests that had waited for a slot. The entry chose
@@ -126,7 +126,7 @@
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect(picked?.worker.id).toBe('w2');
     expect(leader.avoided).toEqual([['w1'], ['w1']]);
-    expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['dropped']));
+    expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['unused']));
   });
 
   // Callers must not wait for a slot that this entry would not use.
@@ -153,7 +153,7 @@
     const picked = await picker.pick(makePick(() => false, () => undefined));
     expect(picked?.worker.id).toBe('w2');
     expect(leader.avoided[0]).toEqual(['w1']);
-    expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['dropped']));
+    expect(new Set(leader.reports.map(({ phase }) => phase))).toEqual(new Set(['unused']));
   });
 
   // The second request must not wait at the leader once another one used up the backoff's probes.
