Build the list of loads once for the replies to all entries

Cause: a reply to an entry lists the loads of all servers but the entry's own share, so each of 200 replies a second was built and encoded for itself. What the leader has placed made each longer. Class: work for each receiver where all receivers need the same.

An entry subtracts what it reported itself.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -88,10 +88,10 @@
     return entry !== undefined && now - entry.lastSeenAt <= ENTRY_TIMEOUT_MS;
   }
 
-  /** Sums the loads of all entries but one at each backend server. */
-  sumLoads(exceptId: string, now: number): WorkerLoad[] {
+  /** Sums the loads of all entries at each backend server. */
+  sumLoads(now: number): WorkerLoad[] {
     this.expire(now);
-    return this.loads.sum(exceptId);
+    return this.loads.list();
   }
 
   private buildList(): void {
--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -15,6 +15,7 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import { EntryTable, ENTRY_TIMEOUT_MS } from './entryTable';
+import { LoadPacker } from './loadPacker';
 import { PlacementService } from './placementService';
 import { PlacementStream } from './placementStream';
 import type { PlacementSink } from './placementStream';
@@ -40,7 +41,7 @@
 }
 
 /** Fields of a watch reply that only entries need. */
-export type EntryPart = Pick<WatchReply, 'loads' | 'grants' | 'entryCount' | 'limits'>;
+export type EntryPart = Pick<WatchReply, 'loadList' | 'grants' | 'entryCount' | 'limits'>;
 
 /** Longest time for which a new leader waits for what entries tell of earlier charges, in ms. */
 const CHARGES_WAIT_MS = 500;
@@ -64,6 +65,9 @@
 
   private readonly placementService: PlacementService;
 
+  private readonly loadPacker = new LoadPacker(() => (
+    this.placementService.addPlaced(this.entries.sumLoads(this.parts.clock.now()))));
+
   private readonly streams = new Set<PlacementStream>();
 
   /** Revision of the server table that the placement service has applied. */
@@ -153,7 +157,7 @@
     const entryCount = this.countEntries();
     const keepsGrants = knownEntries > 0 && this.ledger.isLearning(now);
     return {
-      loads: this.placementService.addPlaced(this.entries.sumLoads(entryId, now)),
+      loadList: this.loadPacker.build(now),
       grants: keepsGrants ? [] : this.ledger.listGrants(entryId, entryCount, now),
       entryCount,
       limits: this.placementService.listRateLimits(),
@@ -262,7 +266,7 @@
     [...this.streams]
       .filter((stream) => this.hasTimedOut(stream, now))
       .forEach((stream) => this.closeStream(stream));
-    this.placementService.applyLoads(this.entries.sumLoads('', now));
+    this.placementService.applyLoads(this.entries.sumLoads(now));
     this.placementService.expire((entryId) => this.entries.has(entryId, now));
     this.placementService.placeWaiting();
   }
--- a/src/control/loadSums.ts
+++ b/src/control/loadSums.ts
@@ -12,8 +12,6 @@
   reporters: number;
 }
 
-const NO_LOADS: readonly WorkerLoad[] = [];
-
 /**
  * Sums of the loads of all entries at each backend server, updated with each report.
  *
@@ -22,7 +20,7 @@
  *
  * @example
  * sums.set('e1', request.loads);
- * const others = sums.sum('e1'); // loads of all entries but e1
+ * const totals = sums.list();
  */
 export class LoadSums {
   private readonly reportedLoads = new Map<string, readonly WorkerLoad[]>();
@@ -45,24 +43,13 @@
     loads.forEach((load) => this.add(load, -1));
   }
 
-  /** Sums the loads of all entries but one. */
-  sum(exceptId: string): WorkerLoad[] {
-    const own = new Map(
-      (this.reportedLoads.get(exceptId) ?? NO_LOADS).map((load) => [load.workerId, load]),
-    );
-    return [...this.sums].map(([workerId, sum]) => {
-      const load = own.get(workerId);
-      const slowness = sum.slowness - (load?.slowness ?? 0);
-      const observers = sum.observers - (load && load.slowness > 0 ? 1 : 0);
-      return {
-        workerId,
-        inFlight: sum.inFlight - (load?.inFlight ?? 0),
-        tokens: sum.tokens - (load?.tokens ?? 0),
-        slowness: Math.round(slowness / Math.max(1, observers)),
-        placed: 0,
-        placedTokens: 0,
-      };
-    });
+  /** Lists the total load at each backend server; the slowness is a sum over its observers. */
+  list(): WorkerLoad[] {
+    return [...this.sums].map(([workerId, {
+      inFlight, tokens, slowness, observers,
+    }]) => ({
+      workerId, inFlight, tokens, slowness, observers, placed: 0, placedTokens: 0,
+    }));
   }
 
   private add({
--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -30,7 +30,7 @@
 
 /** Sent to followers, which need neither loads nor grants. */
 const NO_ENTRY_PART: EntryPart = {
-  loads: [], grants: [], entryCount: 0, limits: [],
+  loadList: Buffer.alloc(0), grants: [], entryCount: 0, limits: [],
 };
 
 /** Fields of a watch reply on streams, for followers. */
--- a/src/core/routing/workerLoads.ts
+++ b/src/core/routing/workerLoads.ts
@@ -3,13 +3,19 @@
 import type { RoutedWorker, RoutedWorkers } from './routedWorkers';
 import { estimateSlowness, findFastestPace } from './workerSlowness';
 
+/** Fields of a load that are sums over entries. */
+type LoadField = 'inFlight' | 'tokens' | 'slowness';
+
+/** A slowness is reported in thousandths. */
+const THOUSANDTHS = 1_000;
+
 /**
  * Adds what the leader has placed to the loads that entries reported. Without it, servers whose
  * slots are granted look idle to entries that choose while the leader does not answer.
  *
  * @param workers the leader's tables, in which only placed requests count as open
  * @example
- * reply.loads = addPlaced(entries.sumLoads(entryId, now), workers);
+ * const loads = addPlaced(entries.sumLoads(now), workers);
  */
 export const addPlaced = (loads: WorkerLoad[], { byId }: RoutedWorkers): WorkerLoad[] => {
   const missing = new Map([...byId].filter(([, { inFlight }]) => inFlight > 0));
@@ -20,31 +26,40 @@
     missing.delete(load.workerId);
   });
   missing.forEach(({ inFlight: placed, pendingTokens: placedTokens }, workerId) => loads.push({
-    workerId, inFlight: 0, tokens: 0, slowness: 0, placed, placedTokens,
+    workerId, inFlight: 0, tokens: 0, slowness: 0, placed, placedTokens, observers: 0,
   }));
   return loads;
 };
 
-/** Applies the load of the other entries on one server. */
-const applyLoad = (worker: RoutedWorker, load: WorkerLoad | undefined): void => {
+/** Applies a total to one server, less what this entry itself contributed to it. */
+const applyLoad = (worker: RoutedWorker, total?: WorkerLoad, own?: WorkerLoad): void => {
+  const sumOthers = (field: LoadField): number => (
+    Math.max(0, (total?.[field] ?? 0) - (own?.[field] ?? 0)));
   const ownPlacedTokens = worker.placed > 0 ? worker.pendingTokens : 0;
-  worker.othersInFlight = (load?.inFlight ?? 0) + Math.max(0, (load?.placed ?? 0) - worker.placed);
-  worker.othersPendingTokens = (load?.tokens ?? 0)
-    + Math.max(0, (load?.placedTokens ?? 0) - ownPlacedTokens);
-  worker.othersSlowness = (load?.slowness ?? 0) / 1_000;
+  const observers = (total?.observers ?? 0) - ((own?.slowness ?? 0) > 0 ? 1 : 0);
+  worker.othersInFlight = sumOthers('inFlight') + Math.max(0, (total?.placed ?? 0) - worker.placed);
+  worker.othersPendingTokens = sumOthers('tokens')
+    + Math.max(0, (total?.placedTokens ?? 0) - ownPlacedTokens);
+  worker.othersSlowness = observers > 0 ? sumOthers('slowness') / observers / THOUSANDTHS : 0;
 };
 
 /**
  * Applies the other entries' load on each backend server; a server without a load has none.
  *
+ * @param totals loads of all entries, this one included
+ * @param reported loads that this entry reported before
  * @example
- * applyLoads(workers, reply.loads);
+ * applyLoads(workers, LoadList.decode(reply.loadList).loads, reportedLoads);
  */
-export const applyLoads = (workers: RoutedWorkers, loads: readonly WorkerLoad[]): void => {
-  const byId = new Map(loads.map((load) => [load.workerId, load]));
-  workers.byId.forEach((worker) => {
-    applyLoad(worker, byId.get(worker.id));
-  });
+export const applyLoads = (
+  workers: RoutedWorkers,
+  totals: readonly WorkerLoad[],
+  reported: readonly WorkerLoad[] = [],
+): void => {
+  const totalsById = new Map(totals.map((load) => [load.workerId, load]));
+  const reportedById = new Map(reported.map((load) => [load.workerId, load]));
+  workers.byId.forEach((worker) => (
+    applyLoad(worker, totalsById.get(worker.id), reportedById.get(worker.id))));
 };
 
 /** Resets the placed counts, because a new leader does not know the earlier leader's placements. */
@@ -63,10 +78,11 @@
   inFlight: Math.max(0, worker.inFlight - worker.placed),
   tokens: worker.placed > 0 ? 0 : Math.max(0, worker.pendingTokens),
   slowness: worker.paceSamples > 0
-    ? Math.round(1_000 * estimateSlowness(workers, worker, fastestMs))
+    ? Math.round(THOUSANDTHS * estimateSlowness(workers, worker, fastestMs))
     : 0,
   placed: 0,
   placedTokens: 0,
+  observers: 0,
 });
 
 /**
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,4 +1,7 @@
-import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import { LoadList } from '../protocol/generated/beechlift';
+import type {
+  EntryRecord, WatchReply, WatchRequest, WorkerLoad,
+} from '../protocol/generated/beechlift';
 import { SuspectList } from '../core/quarantine/suspectList';
 import { BrittleServices } from '../core/routing/brittleServices';
 import { EntryList } from '../core/routing/entryList';
@@ -96,6 +99,9 @@
   /** The leader's server table that this entry has a copy of. */
   private readonly heldTable = new HeldTable();
 
+  /** Loads in the latest watch request. */
+  private reportedLoads: WorkerLoad[] = [];
+
   private leaseUntil = 0;
 
   /** When the latest answered watch request was sent, monotonic milliseconds. */
@@ -240,6 +246,7 @@
     const {
       entryId, callerAddress, zone, clock,
     } = this.parts;
+    this.reportedLoads = listLoads(this.workers);
     return {
       entryId,
       callerAddress,
@@ -249,7 +256,7 @@
       workersEpoch: this.workersEpoch,
       workersRevision: this.workersRevision,
       holdMs,
-      loads: listLoads(this.workers),
+      loads: this.reportedLoads,
       ...this.accounts.buildPart(this.workersEpoch, clock.now()),
       ...this.entries.heldVersion,
       ...this.suspects.heldVersion,
@@ -335,7 +342,7 @@
     const now = this.parts.clock.now();
     applyRecords(this.workers, reply.workers, now);
     if (this.heldTable.advance(reply, sentAt, now)) resetPlaced(this.workers);
-    applyLoads(this.workers, reply.loads);
+    applyLoads(this.workers, LoadList.decode(reply.loadList).loads, this.reportedLoads);
     this.entries.apply(reply);
     this.suspects.apply(reply, now);
   }
--- a/tests/control/placed-loads.spec.ts
+++ b/tests/control/placed-loads.spec.ts
@@ -6,11 +6,12 @@
 import { applyLoads, listLoads } from '../../src/core/routing/workerLoads';
 import { applyAnnouncement, makeWorkerTable } from '../../src/core/routing/workerTable';
 import {
-  PlaceNews, WatchRequest, WorkerAnnouncement, WorkerRecord,
+  LoadList, PlaceNews, WatchRequest, WorkerAnnouncement, WorkerRecord,
 } from '../../src/protocol/generated/beechlift';
 
 const SLOTS = 2;
-const NOW = 0;
+/** Time between two watch requests. */
+const STEP_MS = 400;
 
 const announcements = ['w1', 'w2', 'w3'].map((workerId) => WorkerAnnouncement.fromPartial({
   workerId, service: 'm', address: `${workerId}:80`, zone: 'a', slots: SLOTS, state: 'ready', sequence: 1,
@@ -18,14 +19,16 @@
 
 /** A leader with three engines, and the copy that entries have of these. */
 class LoadRig {
+  private now = 0;
+
   private readonly leaderState = new LeaderState({
-    clock: { now: () => NOW }, leaseMs: 2_300, limitSlack: 1_000,
+    clock: { now: () => this.now }, leaseMs: 2_300, limitSlack: 1_000,
   });
 
   private readonly table = makeWorkerTable('t');
 
   constructor() {
-    announcements.forEach((said) => applyAnnouncement(this.table, said, NOW));
+    announcements.forEach((said) => applyAnnouncement(this.table, said, this.now));
   }
 
   /** Lets the leader place requests of an entry. */
@@ -46,14 +49,16 @@
     const request = WatchRequest.fromPartial({
       entryId, callerAddress: entryId, state: 'active', loads: listLoads(workers),
     });
+    this.now += STEP_MS;
     this.leaderState.recordEntry(request);
-    applyLoads(workers, this.leaderState.buildEntryPart(request).loads);
+    const { loadList } = this.leaderState.buildEntryPart(request);
+    applyLoads(workers, LoadList.decode(loadList).loads, request.loads);
   }
 }
 
 const makeWorkers = (): RoutedWorkers => {
   const workers = makeRoutedWorkers();
-  applyRecords(workers, announcements.map((said) => WorkerRecord.fromPartial({ said, standing: 'ready' })), NOW);
+  applyRecords(workers, announcements.map((said) => WorkerRecord.fromPartial({ said, standing: 'ready' })), 0);
   return workers;
 };
 
@@ -62,7 +67,7 @@
 
 const findFree = (workers: RoutedWorkers): string | undefined => chooseRoutedWorker(workers, {
   service: 'm', promptTokens: 100, outputTokens: 10, remainingMs: 9_000, zone: 'a', tried: [], requiresFreeSlot: true,
-}, NOW)?.worker.id;
+}, 0)?.worker.id;
 
 describe('the loads that an entry knows', () => {
   // Fault: servers whose slots the leader had granted looked idle to entries that chose without it.
--- a/tests/core/mechanisms.spec.ts
+++ b/tests/core/mechanisms.spec.ts
@@ -103,7 +103,7 @@
   },
   sharedSlowness: {
     decide: (tables) => {
-      applyLoads(tables.workers, [WorkerLoad.fromPartial({ workerId: 'w-b', slowness: 4_000 })]);
+      applyLoads(tables.workers, [WorkerLoad.fromPartial({ workerId: 'w-b', slowness: 4_000, observers: 1 })]);
       return chooseId(tables);
     },
     on: 'w-a',
--- a/tests/relay/crowded-choices.spec.ts
+++ b/tests/relay/crowded-choices.spec.ts
@@ -1,6 +1,6 @@
 import prand from 'pure-rand';
 import { describe, expect, it } from 'vitest';
-import { WatchReply, WorkerLoad } from '../../src/protocol/generated/beechlift';
+import { LoadList, WatchReply, WorkerLoad } from '../../src/protocol/generated/beechlift';
 import { LocalChoice } from '../../src/relay/localChoice';
 import type { RelaySite } from '../../src/relay/relaySite';
 import {
@@ -24,7 +24,7 @@
     workersEpoch: 'x',
     workersRevision: 1,
     entryCount,
-    loads: [...loads],
+    loadList: Buffer.from(LoadList.encode({ loads: [...loads] }).finish()),
   }), 0, 0);
   return site;
 };
