Report the speeds of servers seldom on large sites

The leader decodes each list, takes the entry's last one out of its sums and adds the new one, mostly the same numbers. Class: work for what has not changed.

Change: loads of requests that the leader did not place go with each watch request, as before; the speeds of all servers go every 2 s on sites of some 80 entries, every 200 ms on small ones, and at once to another leader.

Why it works: the leader keeps the last speeds of an entry, so the sums are as before, up to 2 s old. Loads, on which slots are granted, are as new as before.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -3,6 +3,7 @@
   EntryRecord, WatchRequest, WorkerLoad,
 } from '../protocol/generated/beechlift';
 import { computeEntryTimeoutMs } from '../core/routing/messageIntervals';
+import { addUpLoads } from '../core/routing/workerLoads';
 import { LoadSums } from './loadSums';
 
 /** State of one entry on the leader. */
@@ -42,6 +43,8 @@
 
   private readonly loads = new LoadSums();
 
+  private readonly speeds = new LoadSums();
+
   private activeRecords: readonly EntryRecord[] = [];
 
   private activeRevision = 1;
@@ -67,6 +70,7 @@
     this.isListStale ||= !previous?.isResponsive || !isSame(previous.record, record);
     this.entries.set(entryId, { record, lastSeenAt: now, isResponsive: true });
     this.loads.set(entryId, request.loads);
+    if (request.speeds.length > 0) this.speeds.set(entryId, request.speeds);
   }
 
   /** Lists the entries that accept callers; the revision increases when the list changes. */
@@ -91,7 +95,7 @@
   /** Sums the loads of all entries at each backend server. */
   sumLoads(now: number): WorkerLoad[] {
     this.expire(now);
-    return this.loads.list();
+    return addUpLoads([...this.loads.list(), ...this.speeds.list()]);
   }
 
   private buildList(): void {
@@ -133,11 +137,13 @@
     entry.isResponsive = false;
     this.isListStale = true;
     this.loads.remove(id);
+    this.speeds.remove(id);
   }
 
   private remove(id: string): void {
     this.entries.delete(id);
     this.isListStale = true;
     this.loads.remove(id);
+    this.speeds.remove(id);
   }
 }
--- a/src/core/routing/messageIntervals.ts
+++ b/src/core/routing/messageIntervals.ts
@@ -15,6 +15,11 @@
 /** Bounds on how long updates are delayed to be sent together, in milliseconds. */
 const MIN_UPDATE_DELAY_MS = 50;
 const MAX_UPDATE_DELAY_MS = 250;
+/** Reports on the speeds of servers that the leader receives per second in total. */
+const SPEED_REPORTS_PER_SECOND = 40;
+/** Bounds on the interval of these reports of an entry, in milliseconds. */
+const MIN_SPEED_REPORT_MS = 200;
+const MAX_SPEED_REPORT_MS = 2_000;
 /** Messages about the pace of running streams that the leader receives per second in total. */
 const PACE_MESSAGES_PER_SECOND = 200;
 /** Bounds on how long a pace update waits for a message that is due anyway, in milliseconds. */
@@ -84,3 +89,18 @@
  */
 export const computePaceDelayMs = (entryCount: number): number => (
   computeIntervalMs(entryCount, PACE_MESSAGES_PER_SECOND, MIN_PACE_DELAY_MS, MAX_PACE_DELAY_MS));
+
+/**
+ * Computes the interval at which an entry reports the speeds that it observes at servers, in
+ * milliseconds. Such a report names all servers that the entry uses, and speeds change slowly.
+ *
+ * @example
+ * const intervalMs = computeSpeedReportMs(78); // 1_950
+ */
+export const computeSpeedReportMs = (entryCount: number): number => (
+  computeIntervalMs(
+    entryCount,
+    SPEED_REPORTS_PER_SECOND,
+    MIN_SPEED_REPORT_MS,
+    MAX_SPEED_REPORT_MS,
+  ));
--- a/src/core/routing/workerLoads.ts
+++ b/src/core/routing/workerLoads.ts
@@ -6,6 +6,10 @@
 /** Fields of a load that are sums over entries. */
 type LoadField = 'inFlight' | 'tokens' | 'slowness';
 
+const NO_LOAD: Omit<WorkerLoad, 'workerId'> = {
+  inFlight: 0, tokens: 0, slowness: 0, placed: 0, placedTokens: 0, observers: 0,
+};
+
 /** A slowness is reported in thousandths. */
 const THOUSANDTHS = 1_000;
 
@@ -26,11 +30,28 @@
     missing.delete(load.workerId);
   });
   missing.forEach(({ inFlight: placed, pendingTokens: placedTokens }, workerId) => loads.push({
-    workerId, inFlight: 0, tokens: 0, slowness: 0, placed, placedTokens, observers: 0,
+    ...NO_LOAD, workerId, placed, placedTokens,
   }));
   return loads;
 };
 
+/** Adds up the loads of each server, of which there may be several. */
+export const addUpLoads = (loads: readonly WorkerLoad[]): WorkerLoad[] => {
+  const byId = new Map<string, WorkerLoad>();
+  loads.forEach((load) => {
+    const sum = byId.get(load.workerId);
+    if (!sum) {
+      byId.set(load.workerId, { ...load });
+      return;
+    }
+    sum.inFlight += load.inFlight;
+    sum.tokens += load.tokens;
+    sum.slowness += load.slowness;
+    sum.observers += load.observers;
+  });
+  return [...byId.values()];
+};
+
 /** Applies a total to one server, less what this entry itself contributed to it. */
 const applyLoad = (worker: RoutedWorker, total?: WorkerLoad, own?: WorkerLoad): void => {
   const sumOthers = (field: LoadField): number => (
@@ -47,7 +68,7 @@
  * Applies the other entries' load on each backend server; a server without a load has none.
  *
  * @param totals loads of all entries, this one included
- * @param reported loads that this entry reported before
+ * @param reported loads and speeds that this entry reported before
  * @example
  * applyLoads(workers, LoadList.decode(reply.loadList).loads, reportedLoads);
  */
@@ -57,7 +78,7 @@
   reported: readonly WorkerLoad[] = [],
 ): void => {
   const totalsById = new Map(totals.map((load) => [load.workerId, load]));
-  const reportedById = new Map(reported.map((load) => [load.workerId, load]));
+  const reportedById = new Map(addUpLoads(reported).map((load) => [load.workerId, load]));
   workers.byId.forEach((worker) => (
     applyLoad(worker, totalsById.get(worker.id), reportedById.get(worker.id))));
 };
@@ -69,22 +90,6 @@
   });
 };
 
-const makeLoad = (
-  workers: RoutedWorkers,
-  worker: RoutedWorker,
-  fastestMs: number | undefined,
-): WorkerLoad => ({
-  workerId: worker.id,
-  inFlight: Math.max(0, worker.inFlight - worker.placed),
-  tokens: worker.placed > 0 ? 0 : Math.max(0, worker.pendingTokens),
-  slowness: worker.paceSamples > 0
-    ? Math.round(THOUSANDTHS * estimateSlowness(workers, worker, fastestMs))
-    : 0,
-  placed: 0,
-  placedTokens: 0,
-  observers: 0,
-});
-
 /**
  * Lists the load that this entry puts on each backend server without the leader's placement, for
  * the leader and the other entries.
@@ -92,11 +97,32 @@
  * @example
  * request.loads = listLoads(workers);
  */
-export const listLoads = (workers: RoutedWorkers): WorkerLoad[] => (
+export const listLoads = ({ byId }: RoutedWorkers): WorkerLoad[] => [...byId.values()]
+  .filter(({ inFlight, placed }) => inFlight > placed)
+  .map(({
+    id, inFlight, placed, pendingTokens,
+  }) => ({
+    ...NO_LOAD,
+    workerId: id,
+    inFlight: inFlight - placed,
+    tokens: placed > 0 ? 0 : Math.max(0, pendingTokens),
+  }));
+
+/**
+ * Lists the slowness of each backend server that this entry observed.
+ *
+ * @example
+ * request.speeds = listSpeeds(workers);
+ */
+export const listSpeeds = (workers: RoutedWorkers): WorkerLoad[] => (
   [...workers.byService].flatMap(([service, members]) => {
     const fastestMs = findFastestPace(workers, service);
     return members
-      .filter(({ inFlight, placed, paceSamples }) => inFlight > placed || paceSamples > 0)
-      .map((worker) => makeLoad(workers, worker, fastestMs));
+      .filter(({ paceSamples }) => paceSamples > 0)
+      .map((worker) => ({
+        ...NO_LOAD,
+        workerId: worker.id,
+        slowness: Math.round(THOUSANDTHS * estimateSlowness(workers, worker, fastestMs)),
+      }));
   })
 );
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -1,7 +1,4 @@
-import { LoadList } from '../protocol/generated/beechlift';
-import type {
-  EntryRecord, WatchReply, WatchRequest, WorkerLoad,
-} from '../protocol/generated/beechlift';
+import type { EntryRecord, WatchReply, WatchRequest } from '../protocol/generated/beechlift';
 import { SuspectList } from '../core/quarantine/suspectList';
 import { BrittleServices } from '../core/routing/brittleServices';
 import { EntryList } from '../core/routing/entryList';
@@ -16,7 +13,7 @@
 import type { RoutedWorker, RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import { NO_DOCUMENT } from '../core/routing/siteDocument';
-import { applyLoads, listLoads, resetPlaced } from '../core/routing/workerLoads';
+import { resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
 import type { RateSharing } from '../core/routing/workerRateLimit';
 import { parseVersion } from '../manifest/documentVersion';
@@ -30,6 +27,7 @@
 import { EntryAccounts } from './entryAccounts';
 import { HeldTable } from './heldTable';
 import { LeavingPeriod } from './leavingPeriod';
+import { LoadReports } from './loadReports';
 import { readDocument } from './readDocument';
 
 /** State of an entry, as reported to control and by the readiness check. */
@@ -99,8 +97,8 @@
   /** The leader's server table that this entry has a copy of. */
   private readonly heldTable = new HeldTable();
 
-  /** Loads in the latest watch request. */
-  private reportedLoads: WorkerLoad[] = [];
+  /** What this entry reports about the servers. */
+  private readonly loadReports = new LoadReports();
 
   private leaseUntil = 0;
 
@@ -246,7 +244,7 @@
     const {
       entryId, callerAddress, zone, clock,
     } = this.parts;
-    this.reportedLoads = listLoads(this.workers);
+    const now = clock.now();
     return {
       entryId,
       callerAddress,
@@ -256,13 +254,13 @@
       workersEpoch: this.workersEpoch,
       workersRevision: this.workersRevision,
       holdMs,
-      loads: this.reportedLoads,
-      ...this.accounts.buildPart(this.workersEpoch, clock.now()),
+      ...this.loadReports.buildPart(this.workers, this.workersEpoch, this.entryCount, now),
+      ...this.accounts.buildPart(this.workersEpoch, now),
       ...this.entries.heldVersion,
       ...this.suspects.heldVersion,
       rememberedWorkers: [],
       rememberedSuspects: [],
-      limits: listNamedRates(this.workers, clock.now()),
+      limits: listNamedRates(this.workers, now),
       originsRevision: 0,
     };
   }
@@ -298,6 +296,12 @@
     this.leaseWaiters.release();
   }
 
+  /** Records that a leader has received a watch request, and so what it tells. */
+  recordTold(request: WatchRequest, reply: WatchReply): void {
+    this.accounts.recordTold(request, reply);
+    this.loadReports.recordTold(request, reply, this.parts.clock.now());
+  }
+
   private logLeaseGap({ leaderAddress: leader, documentVersion: version }: WatchReply): void {
     this.parts.logger.info('lease on the routing document granted after a gap', {
       leader, version, gapMs: Math.round(-this.leaseLeftMs),
@@ -342,7 +346,7 @@
     const now = this.parts.clock.now();
     applyRecords(this.workers, reply.workers, now);
     if (this.heldTable.advance(reply, sentAt, now)) resetPlaced(this.workers);
-    applyLoads(this.workers, LoadList.decode(reply.loadList).loads, this.reportedLoads);
+    this.loadReports.applyReply(this.workers, reply);
     this.entries.apply(reply);
     this.suspects.apply(reply, now);
   }
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -269,7 +269,7 @@
     }
     this.setLeader(address, reply);
     site.applyReply(reply, sentAt, epoch, request.workersEpoch);
-    site.accounts.recordTold(request, reply);
+    site.recordTold(request, reply);
     return true;
   }
 
--- a/tests/core/work-per-decision.spec.ts
+++ b/tests/core/work-per-decision.spec.ts
@@ -3,7 +3,7 @@
 import {
   applyRecords, makeRoutedWorkers, recordPace,
 } from '../../src/core/routing/routedWorkers';
-import { listLoads } from '../../src/core/routing/workerLoads';
+import { listLoads, listSpeeds } from '../../src/core/routing/workerLoads';
 import type { RoutedWorkers } from '../../src/core/routing/routedWorkers';
 import { chooseRoutedWorker } from '../../src/core/routing/workerChoice';
 import { NO_RATE_LIMIT } from '../../src/core/routing/workerRateLimit';
@@ -97,6 +97,7 @@
   it.each(SIZES)('should be a few reads per server for the loads of %i', (count) => {
     const { workers, reads } = makeObservedWorkers(count);
     listLoads(workers);
+    listSpeeds(workers);
     expect(reads()).toBeLessThanOrEqual(MAX_READS * count);
   });
 
