Tests with crowds of callers that send more than they may, or never end

Cause: in a trial of the users callers that they do not control ended a process by its memory. Nothing tested more than one such caller at a time. Change: crowds at the callers' address, the look-ups and the operators' address of real processes, one test at a time after all others. They check that the process lives, its peak memory, its open descriptors and that an ordinary request is served afterwards.

--- a/tests/fakes/platformSite.ts
+++ b/tests/fakes/platformSite.ts
@@ -25,6 +25,8 @@
 
 /** What tests may change. */
 export interface PlatformSiteParts {
+  /** Further settings of all processes. */
+  readonly settings?: object;
   readonly graceSeconds?: number;
   /** Receives each line that a process writes; without it, their standard output is dropped. */
   readonly recordLine?: (name: string, line: string) => void;
@@ -113,6 +115,21 @@
     });
   }
 
+  /** Address at which an entry or a replica names the entries to callers. */
+  getDirectoryAddress(machine: number): string {
+    return `127.0.0.${machine}:${this.ports[2]}`;
+  }
+
+  /** Address of a replica for operators and backend servers. */
+  getOperatorAddress(machine: number): string {
+    return `127.0.0.${machine}:${this.operatorPort}`;
+  }
+
+  /** Process id; 0 if it does not run. */
+  getProcessId(name: string): number {
+    return this.processes.get(name)?.pid ?? 0;
+  }
+
   /** Whether a process was started and has not ended. */
   isRunning(name: string): boolean {
     const child = this.processes.get(name);
@@ -195,6 +212,7 @@
       internalPorts: `${this.ports[4]},${this.ports[4]}`,
       directoryAddress: `${ip}:${this.ports[2]}`,
       logLevel: 'info',
+      ...this.parts.settings,
     };
   }
 
