Divide the turns of the event loop among connections that send bodies

What callers saw: 60 callers that send bodies in chunks of one byte keep an entry from serving anybody, for more than 15 s after they have gone.

Cause: the parser handles all that has arrived on a connection at once, up to 2 MiB in one turn of the event loop, with a call for each chunk. Nothing slows a connection down that brings much work, and the operating system keeps up to megabytes of it after its caller has left. Class: work for each piece without back pressure.

Change: a connection that uses up a turn with pieces or bytes of bodies is paused; one paused connection resumes each turn, the one that waits longest. That holds for bodies that are read and for those that are discarded.

Why it works: a turn is bounded by one read of each new connection and one of a paused one, so others are served between them. A single body in chunks of one byte is received, over more turns. The HTTP server resumes a connection by itself when its request has room; that is undone while it is paused.

--- a/src/relay/endAfterBody.ts
+++ b/src/relay/endAfterBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { discardBody } from '../bodies/readTurns';
 
 /** Longest wait for the rest of a body that is discarded, in milliseconds. */
 const REMAINING_BODY_TIMEOUT_MS = 1_000;
@@ -26,5 +27,5 @@
   };
   request.once('end', end);
   request.once('close', end);
-  request.resume();
+  discardBody(request);
 };
--- a/src/relay/readRequestBody.ts
+++ b/src/relay/readRequestBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { readTurns } from '../bodies/readTurns';
 import { BeechliftError } from '../errors/beechliftError';
 import { ByteCollector } from '../utils/byteCollector';
 
@@ -34,6 +35,7 @@
     run();
   };
   request.on('data', (chunk: Buffer) => {
+    readTurns.recordPiece(request.socket, chunk.length);
     if (collector.length + chunk.length <= maxBytes) collector.add(chunk);
     else settle(() => reject(new BeechliftError('bodyTooLarge', `the body exceeds the limit of ${maxBytes} bytes`)));
   });
--- a/tests/relay/pieces-of-bodies.spec.ts
+++ b/tests/relay/pieces-of-bodies.spec.ts
@@ -13,6 +13,8 @@
 class PiecewiseBody extends PassThrough {
   readonly headers = {};
 
+  readonly socket = new PassThrough();
+
   /** Ends the body after its pieces, each of which is delivered by itself. */
   deliver(): this {
     Array.from({ length: COUNT }, () => this.emit('data', PIECE));
