Bound the memory that the bodies of all requests hold together

What callers saw: an entry ran out of memory, and all of its callers lost their connections, as 100 callers sent bodies just within the limit and left them open. Bodies far over the limit did the same after they had been refused.

Cause: each body had a limit, 4 MiB by the users' documents, and 30 s to arrive; nothing bounded the sum. The buffer of a body doubled as it grew, and that of a refused body stayed until its connection closed. Class: a bound for each, none for the sum.

Change: all bodies of an entry share a budget, an eighth of the machine's memory (a setting, from the platform's). If a body does not fit, the largest incomplete one is refused as not run, with 503 and Retry-After. Bodies of more than 64 KiB may use three quarters, so that ordinary ones fit beside those that are complete and wait. A body that is alone may have its whole limit. Longer bodies are collected in blocks, which are used again.

Why it works: what never ends is what grows, so it gives way first; a request that is refused has sent no byte to a server. No caller within the users' limits meets the budget unless six bodies of 4 MiB arrive at once on 256 MB.

--- a/src/relay/prepareRequest.ts
+++ b/src/relay/prepareRequest.ts
@@ -1,6 +1,5 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AdmittedRequest } from './admitRequest';
-import { readRequestBody } from './readRequestBody';
 import { RequestGuard } from './requestGuard';
 import type { RequestFacts } from './requestDialect';
 import type { RequestParts } from './requestParts';
@@ -14,24 +13,31 @@
   readonly retryPolicy: RetryPolicy;
 }
 
+/** A request and its response. */
+interface CallerExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /**
  * Reads the body of an admitted request, and makes what decides over its sends. Rejects if the body
  * exceeds the limit of the routing document or is incomplete.
  *
  * @param target path and query as received
  * @example
- * const prepared = await prepareRequest(parts, request, '/orders/7', admitted, facts);
+ * const exchange = { request, response };
+ * const prepared = await prepareRequest(parts, exchange, '/orders/7', admitted, facts);
  */
 export const prepareRequest = async (
   parts: RequestParts,
-  request: IncomingMessage,
+  { request, response }: CallerExchange,
   target: string,
   admitted: AdmittedRequest,
   { promptParts }: Pick<RequestFacts, 'promptParts'>,
 ): Promise<PreparedRequest> => {
   const { method = 'GET', headers: { host = '' } } = request;
   const limits = parts.site.table?.routing.limits;
-  const body = await readRequestBody(request, limits?.bodyBytes ?? 0);
+  const body = await parts.bodies.read(request, response, limits?.bodyBytes ?? 0);
   const guard = new RequestGuard(parts, {
     method, host, target, account: admitted.account?.name ?? '', body,
   }, { service: admitted.service, promptParts });
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -1,5 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import type { FastifyInstance } from 'fastify';
+import { BodyReader } from '../bodies/bodyReader';
+import { computeBodyBytes } from '../bodies/machineLimits';
+import type { MachineLimits } from '../bodies/machineLimits';
 import { makeMechanisms } from '../core/routing/mechanisms';
 import type { Mechanism } from '../core/routing/mechanisms';
 import type { RetryBounds } from '../core/routing/serviceRetryBudget';
@@ -32,6 +35,7 @@
   readonly locateMs: number;
   /** How long a shutdown may take, in milliseconds. */
   readonly graceMs: number;
+  readonly machine: MachineLimits;
   /** Mechanisms that are off, for experiments; deployments leave all on. */
   readonly mechanismsOff?: readonly Mechanism[];
 }
@@ -132,6 +136,7 @@
     logger,
     metrics,
     openRequests,
+    bodies: new BodyReader(computeBodyBytes(settings.machine)),
     reportState,
     reportSilence: (address) => reachMonitor.recordSilence(address),
   });
--- a/src/relay/requestParts.ts
+++ b/src/relay/requestParts.ts
@@ -1,3 +1,4 @@
+import type { BodyReader } from '../bodies/bodyReader';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import type { OpenRequests } from './openRequests';
@@ -19,6 +20,7 @@
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly openRequests: OpenRequests;
+  readonly bodies: BodyReader;
   /** Tells the leader the state of this entry at once. */
   readonly reportState: () => void;
   /** Reports that the server at an address does not answer a request. */
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -130,7 +130,7 @@
     this.writer = this.makeWriter(pickAnswerMode(route));
     const prepared = await prepareRequest(
       this.parts,
-      this.request,
+      { request: this.request, response: this.response },
       this.target,
       admitted,
       this.facts,
--- a/tests/fakes/relayRig.ts
+++ b/tests/fakes/relayRig.ts
@@ -1,6 +1,7 @@
 import { Socket } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import type { FastifyInstance } from 'fastify';
+import { BodyReader } from '../../src/bodies/bodyReader';
 import { makeMechanisms } from '../../src/core/routing/mechanisms';
 import type { Mechanism } from '../../src/core/routing/mechanisms';
 import type { DocumentVersion } from '../../src/manifest/documentVersion';
@@ -212,6 +213,7 @@
       logger: makeLogger('test', 'silent'),
       metrics: this.metrics,
       openRequests: this.openRequests,
+      bodies: new BodyReader(67_108_864),
       reportState: () => undefined,
       reportSilence: () => undefined,
     });
--- a/tests/fakes/routedSite.ts
+++ b/tests/fakes/routedSite.ts
@@ -168,6 +168,7 @@
         readSeeds: () => REPLICAS.map((position) => this.control.getAddress(position)),
         retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
         locateMs: 0,
+        machine: { memoryMb: 256, maxFiles: 4_096 },
         graceMs: 100,
       },
       readRouting,
--- a/tests/fakes/stoppingSite.ts
+++ b/tests/fakes/stoppingSite.ts
@@ -149,6 +149,7 @@
         readSeeds: () => (this.leader ? [this.leader.address] : []),
         retryBounds: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
         locateMs: LOCATE_MS,
+        machine: { memoryMb: 256, maxFiles: 4_096 },
         graceMs: this.options.graceMs ?? GRACE_MS,
       },
       readRouting,
--- a/tests/relay/pieces-of-bodies.spec.ts
+++ b/tests/relay/pieces-of-bodies.spec.ts
@@ -1,10 +1,9 @@
-import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 import {
   afterEach, describe, expect, it, vi,
 } from 'vitest';
 import { readBody } from '../../src/entry/sending/readBody';
-import { readRequestBody } from '../../src/relay/readRequestBody';
+import { BodyReader } from '../../src/bodies/bodyReader';
 
 const PIECE = Buffer.from('x');
 const COUNT = 5_000;
@@ -35,7 +34,7 @@
 
   it('should be held in one piece if it is of a request', async () => {
     const body = new PiecewiseBody();
-    const read = readRequestBody(body as unknown as IncomingMessage, COUNT);
+    const read = new BodyReader(COUNT).read(body as never, new PassThrough() as never, COUNT);
     body.deliver();
     expect(await read).toHaveLength(COUNT);
     expect(countPieces()).toBeLessThanOrEqual(2);
