Bound the bodies of look-ups and of operators' requests

What callers saw: 60 callers that send bodies without an end to the look-ups of an entry, or to the operators' address of a replica, made the process use more than 1 GB, with which the platform ends it.

Cause: the server that these addresses share takes 64 MiB for each body, also where no request has one, keeps each chunk in a list, and has no bound on the sum and no time limit.

Change: these servers read bodies with the reader of the entry, its budget, its time limit and its turns. Look-ups and readiness checks have no body: one that is announced or begun is refused from its head. Bodies of GET requests, which were never used, are discarded by turns. A connection whose body was refused is closed.

Why it works: memory is bounded by the process, whatever the number of callers. Documents and announcements of the users are far below the budget, and a single document may have 64 MiB as before.

--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -1,20 +1,26 @@
+import { ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import Fastify from 'fastify';
 import type {
   FastifyError, FastifyInstance, FastifyReply, FastifyRequest,
 } from 'fastify';
+import { BodyReader } from '../bodies/bodyReader';
+import { discardBody } from '../bodies/readTurns';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { ResultCode } from '../errors/resultCodes';
 import { NO_SCHEMAS } from '../utils/noSchemas';
 import { addGracefulClose } from './addGracefulClose';
 
 const MAX_BODY_BYTES = 67_108_864;
+/** Most bytes that the bodies of all requests to one server hold together, unless it is named. */
+const MAX_HELD_BYTES = 4 * MAX_BODY_BYTES;
+const BODILESS_METHODS: readonly string[] = ['GET', 'HEAD'];
 const MAX_HEADER_BYTES = 32_768;
 const MS_PER_SECOND = 1_000;
 const KEEP_ALIVE_MS = 72_000;
 
 const frameworkCodes: Readonly<Record<string, ResultCode>> = {
-  FST_ERR_CTP_BODY_TOO_LARGE: 'bodyTooLarge',
   FST_ERR_CTP_INVALID_JSON_BODY: 'malformedJson',
   FST_ERR_CTP_EMPTY_JSON_BODY: 'malformedJson',
   FST_ERR_CTP_INVALID_CONTENT_LENGTH: 'invalidRequest',
@@ -58,27 +64,60 @@
   socket.end(`HTTP/1.1 ${codedError.status} Refused\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
 };
 
+/** What callers of a server may use. */
+export interface HttpServerLimits {
+  /** Reads the bodies; servers of a process share one. */
+  readonly bodies: BodyReader;
+  /** Largest body of a request, in bytes; 0 if no request has one. */
+  readonly maxBodyBytes: number;
+}
+
+const hasBody = ({ headers }: IncomingMessage): boolean => (
+  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0);
+
+/** Reads bodies within the limits. */
+const addBodyParser = (
+  app: FastifyInstance,
+  { bodies, maxBodyBytes }: Pick<HttpServerLimits, 'bodies' | 'maxBodyBytes'>,
+): void => {
+  const responses = new WeakMap<IncomingMessage, ServerResponse>();
+  app.addHook('onRequest', async ({ raw }, reply) => {
+    responses.set(raw, reply.raw);
+    if (!hasBody(raw)) return;
+    if (maxBodyBytes === 0) throw new BeechliftError('bodyTooLarge', 'requests to this server have no body');
+    if (BODILESS_METHODS.includes(raw.method ?? '')) discardBody(raw);
+  });
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', async ({ raw }: FastifyRequest) => (
+    bodies.read(raw, responses.get(raw) ?? new ServerResponse(raw), maxBodyBytes)));
+};
+
 /**
  * Makes an HTTP server whose error responses all have a result code.
  *
  * @example
  * const app = makeHttpServer();
  */
-export const makeHttpServer = (): FastifyInstance => {
+export const makeHttpServer = ({
+  bodies = new BodyReader(MAX_HELD_BYTES),
+  maxBodyBytes = MAX_BODY_BYTES,
+}: Partial<HttpServerLimits> = {}): FastifyInstance => {
   const app = Fastify({
     ...NO_SCHEMAS,
-    bodyLimit: MAX_BODY_BYTES,
     keepAliveTimeout: KEEP_ALIVE_MS,
     http: { maxHeaderSize: MAX_HEADER_BYTES },
     forceCloseConnections: 'idle',
     clientErrorHandler: handleClientError,
   });
   addGracefulClose(app);
-  app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', { parseAs: 'buffer' }, (request, body, done) => {
-    done(null, body);
+  addBodyParser(app, { bodies, maxBodyBytes });
+  app.setErrorHandler((error: Error, { raw }, reply) => {
+    if (!raw.complete) {
+      reply.header('connection', 'close');
+      discardBody(raw);
+    }
+    return sendError(reply, toCodedError(error));
   });
-  app.setErrorHandler((error: Error, request, reply) => sendError(reply, toCodedError(error)));
   app.setNotFoundHandler((request, reply) => sendError(reply, new BeechliftError('unknownPath', `${request.method} ${request.url.slice(0, 200)}`)));
   return app;
 };
--- a/tests/platform/announcement-receivers.spec.ts
+++ b/tests/platform/announcement-receivers.spec.ts
@@ -8,6 +8,7 @@
 const OPERATOR_PORT = '7300';
 /** Number of servers of a site whose leader would spend much time on their calls. */
 const MANY_SERVERS = 45;
+const LIMITS = { memoryMb: 256, maxFiles: 4_096 };
 
 describe('the receiver of a server\'s announcements', () => {
   let site: ControlSite;
@@ -15,7 +16,7 @@
 
   /** Sends the calls of servers to a replica; resolves with the addresses that it names. */
   const announceAll = async (position: number, count: number): Promise<(string | undefined)[]> => {
-    const app = makeControlServer(() => site.findNode(position), OPERATOR_PORT);
+    const app = makeControlServer(() => site.findNode(position), OPERATOR_PORT, LIMITS);
     const answers = await Promise.all(Array.from({ length: count }, (unused, server) => app.inject({
       method: 'POST',
       url: `/v1/Instances.Heartbeat/w${server}`,
