Leave descriptors for everything else when callers open many connections

What callers saw: connections that never send a whole request stay open, each with a descriptor; with as many as the platform allows, an entry can accept no caller and reach no server.

Cause: nothing bounded the connections of callers, of look-ups and of operators. Class: as before, a bound for each and none for the sum. Evidence: crowds.spec, 427 descriptors at both doors, 256 allowed.

Change: each server has a limit of connections, a part of the descriptors of the machine (a setting, from the platform's). At the limit the connection that was used longest ago gives way to the new one, except those on which a complete request is being answered; if all are, the new one is closed.

Why it works: a crowd that holds connections makes room for those who ask now. A closed connection had no complete request, so nothing has run that is lost.

--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -6,6 +6,7 @@
   FastifyError, FastifyInstance, FastifyReply, FastifyRequest,
 } from 'fastify';
 import { BodyReader } from '../bodies/bodyReader';
+import { applyConnectionLimit } from '../bodies/applyConnectionLimit';
 import { discardBody } from '../bodies/readTurns';
 import { BeechliftError, toBeechliftError } from '../errors/beechliftError';
 import type { ResultCode } from '../errors/resultCodes';
@@ -70,6 +71,8 @@
   readonly bodies: BodyReader;
   /** Largest body of a request, in bytes; 0 if no request has one. */
   readonly maxBodyBytes: number;
+  /** Most open connections. */
+  readonly maxConnections: number;
 }
 
 const hasBody = ({ headers }: IncomingMessage): boolean => (
@@ -101,6 +104,7 @@
 export const makeHttpServer = ({
   bodies = new BodyReader(MAX_HELD_BYTES),
   maxBodyBytes = MAX_BODY_BYTES,
+  maxConnections = Infinity,
 }: Partial<HttpServerLimits> = {}): FastifyInstance => {
   const app = Fastify({
     ...NO_SCHEMAS,
@@ -110,6 +114,7 @@
     clientErrorHandler: handleClientError,
   });
   addGracefulClose(app);
+  applyConnectionLimit(app.server, maxConnections);
   addBodyParser(app, { bodies, maxBodyBytes });
   app.setErrorHandler((error: Error, { raw }, reply) => {
     if (!raw.complete) {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -1,7 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import type { FastifyInstance } from 'fastify';
 import { BodyReader } from '../bodies/bodyReader';
-import { computeBodyBytes } from '../bodies/machineLimits';
+import { applyConnectionLimit } from '../bodies/applyConnectionLimit';
+import { computeBodyBytes, computeMaxConnections } from '../bodies/machineLimits';
 import type { MachineLimits } from '../bodies/machineLimits';
 import { makeMechanisms } from '../core/routing/mechanisms';
 import type { Mechanism } from '../core/routing/mechanisms';
@@ -140,6 +141,7 @@
     reportState,
     reportSilence: (address) => reachMonitor.recordSilence(address),
   });
+  applyConnectionLimit(app.server, computeMaxConnections(settings.machine, 'callers'));
   watch.start();
   const refreshTimer = setInterval(() => {
     refreshConnections(site, app, connections);
