Bound the requests that wait behind others on their connections

What callers saw: nothing was reported; found while the class of the crowds was looked for elsewhere. 20 callers that send 20,000 requests each on one connection, and read no answer, made an entry use 399 MB.

Cause: requests on one connection are answered in their order, so each waits for those before it. All of them were kept, whatever their number, with all that a request needs. Class: a bound for each, none for the sum.

Change: 100 requests may wait behind others on their connections, over all connections of an entry; a connection that brings more is closed.

Why it works: a request that waits has not run, and a closed connection promises nothing else. Requests that are the only ones on their connections are not counted, and callers of the users' pages send one at a time.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -11,6 +11,8 @@
 /** Time beyond its idle time in which a connection stays open, as in Node.js, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
 const BAD_REQUEST = '400 Bad Request';
+/** Most requests that wait behind others on their connections, over all connections. */
+const MAX_WAITING = 100;
 
 /** Status line for each error code of the HTTP parser. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
@@ -58,6 +60,12 @@
   /** Resolves once the answer to the latest request of each connection was written. */
   private readonly turns = new WeakMap<Socket, Promise<void>>();
 
+  /** Requests of each connection whose answers are not written. */
+  private readonly pendingCounts = new WeakMap<Socket, number>();
+
+  /** Requests that wait behind others, over all connections. */
+  private waitingCount = 0;
+
   /** Connections that have failed and will be closed, unless a second check clears them. */
   private readonly failed = new WeakSet<Socket>();
 
@@ -84,10 +92,27 @@
    * Waits until the answers to earlier requests of a connection are written, or it has closed: an
    * earlier answer may close the connection, and the request would then run without an answer.
    */
-  waitTurn(socket: Socket, response: ServerResponse): Promise<void> {
+  async waitTurn(socket: Socket, response: ServerResponse): Promise<void> {
     const turn = this.turns.get(socket) ?? Promise.resolve();
-    this.turns.set(socket, turn.then(() => waitWritten(socket, response)));
-    return turn;
+    const pending = this.pendingCounts.get(socket) ?? 0;
+    this.pendingCounts.set(socket, pending + 1);
+    this.turns.set(socket, turn.then(() => waitWritten(socket, response)).then(() => {
+      this.pendingCounts.set(socket, (this.pendingCounts.get(socket) ?? 1) - 1);
+    }));
+    if (pending === 0) return;
+    this.waitingCount += 1;
+    await turn;
+    this.waitingCount -= 1;
+  }
+
+  /**
+   * Returns whether another request may begin on a connection. Closes it if too many wait behind
+   * others already; none of these has run.
+   */
+  tryBegin(socket: Socket): boolean {
+    const isWaiting = (this.pendingCounts.get(socket) ?? 0) > 0;
+    if (isWaiting && this.waitingCount >= MAX_WAITING) socket.destroy();
+    return !socket.destroyed;
   }
 
   /** Whether a response answers the latest request of its connection. */
--- a/tests/crowds/crowds.spec.ts
+++ b/tests/crowds/crowds.spec.ts
@@ -44,6 +44,14 @@
   reads: false,
 });
 
+/** Sends many requests on one connection before any is answered. */
+const sendManyRequests = (): CrowdScript => ({
+  head: '',
+  piece: Buffer.from('POST /orders HTTP/1.1\r\nhost: shop.example\r\nattempt-id: crowd\r\ncontent-length: 0\r\n\r\n'.repeat(200)),
+  pieceCount: 100,
+  reads: false,
+});
+
 /** Sends a part of a head, and stops. */
 const openOnly = (): CrowdScript => ({
   head: 'POST /orders HTTP/1.1\r\n', piece: Buffer.from(''), pieceCount: 0,
@@ -99,6 +107,11 @@
     await runCrowd('entry-4', site.callerAddress, readNothing(), 60);
   });
 
+  // Fault: each request that waits for its turn on a connection was kept, whatever their number.
+  it('should not use up the memory of an entry with many requests on one connection', async () => {
+    await runCrowd('entry-4', site.callerAddress, sendManyRequests(), 20);
+  });
+
   // Fault: open connections took all descriptors of the process.
   it('should not use up the descriptors of an entry with connections that stay open', async () => {
     await runCrowd('entry-4', site.callerAddress, openOnly(), 400);
