Read the bodies of requests while they wait for their turn

What callers saw: nothing was reported; found while the class of the crowds was looked for elsewhere. 60 callers that send a body in chunks of one byte behind a request whose answer they do not read made an entry use 256 MB.

Cause: a body was read once its request was admitted. Until then, behind an earlier request on the connection or while the entry waited for a lease, the HTTP server kept its chunks in a list, of which each takes a hundred times its byte. Class: work and memory for each piece without back pressure.

Change: a body is read from the arrival of its request, into the budget of all bodies and by turns. It is still refused by the limit in force when its request is admitted. A waiting response whose connection has closed is destroyed, so that its body is released.

Why it works: no chunk waits in a list any more; what waits is counted.

--- a/src/relay/prepareRequest.ts
+++ b/src/relay/prepareRequest.ts
@@ -1,4 +1,5 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { BeechliftError } from '../errors/beechliftError';
 import type { AdmittedRequest } from './admitRequest';
 import { RequestGuard } from './requestGuard';
 import type { RequestFacts } from './requestDialect';
@@ -13,31 +14,34 @@
   readonly retryPolicy: RetryPolicy;
 }
 
-/** A request and its response. */
-interface CallerExchange {
+/** A request, and its body while it arrives. */
+interface ReceivedRequest {
   readonly request: IncomingMessage;
-  readonly response: ServerResponse;
+  readonly received: Promise<Buffer>;
 }
 
 /**
- * Reads the body of an admitted request, and makes what decides over its sends. Rejects if the body
- * exceeds the limit of the routing document or is incomplete.
+ * Waits for the body of an admitted request, and makes what decides over its sends. Rejects if the
+ * body exceeds the limit of the routing document or is incomplete.
  *
  * @param target path and query as received
  * @example
- * const exchange = { request, response };
+ * const received = parts.bodies.read(request, response, 4_194_304);
+ * const exchange = { request, received };
  * const prepared = await prepareRequest(parts, exchange, '/orders/7', admitted, facts);
  */
 export const prepareRequest = async (
   parts: RequestParts,
-  { request, response }: CallerExchange,
+  { request, received }: ReceivedRequest,
   target: string,
   admitted: AdmittedRequest,
   { promptParts }: Pick<RequestFacts, 'promptParts'>,
 ): Promise<PreparedRequest> => {
   const { method = 'GET', headers: { host = '' } } = request;
   const limits = parts.site.table?.routing.limits;
-  const body = await parts.bodies.read(request, response, limits?.bodyBytes ?? 0);
+  const body = await received;
+  const maxBytes = limits?.bodyBytes ?? 0;
+  if (body.length > maxBytes) throw new BeechliftError('bodyTooLarge', `the body has ${body.length} bytes, at most ${maxBytes} are allowed`);
   const guard = new RequestGuard(parts, {
     method, host, target, account: admitted.account?.name ?? '', body,
   }, { service: admitted.service, promptParts });
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -89,6 +89,7 @@
     // The connection was ended before the request arrived: no answer can be written.
     if (!raw.socket.writable) {
       raw.resume();
+      reply.raw.destroy();
       return;
     }
     const maxHeadBytes = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -31,6 +31,9 @@
  */
 const PROOF_TIMEOUT_MS = 1_000;
 
+/** Largest body until a routing document is in force, in bytes. */
+const DEFAULT_BODY_BYTES = 4_194_304;
+
 /**
  * Admits a request, sends it to a backend server and answers it once. Sends it to another server
  * only if it cannot run twice by mistake: the first did not run it, or its route allows repeats.
@@ -47,6 +50,9 @@
 
   private readonly tried: string[] = [];
 
+  /** Read from the start: chunks that wait to be read take far more memory than their bytes. */
+  private readonly body: Promise<Buffer>;
+
   private deadlineAt = Infinity;
 
   private call: UpstreamCall | undefined;
@@ -74,6 +80,10 @@
     private readonly isNewest: () => boolean,
   ) {
     this.receivedAt = parts.clock.now();
+    const maxBytes = parts.site.table?.routing.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+    this.body = parts.bodies.read(request, response, maxBytes);
+    // The request may be refused for another reason before it waits for its body.
+    this.body.catch(() => undefined);
     this.facts = parts.dialect.readRequest(request.rawHeaders);
     this.log = new RequestLog(parts, this.facts, this.receivedAt);
     this.stream = new RequestStream(parts, this.facts);
@@ -130,7 +140,7 @@
     this.writer = this.makeWriter(pickAnswerMode(route));
     const prepared = await prepareRequest(
       this.parts,
-      { request: this.request, response: this.response },
+      { request: this.request, received: this.body },
       this.target,
       admitted,
       this.facts,
--- a/tests/crowds/crowds.spec.ts
+++ b/tests/crowds/crowds.spec.ts
@@ -52,6 +52,12 @@
   reads: false,
 });
 
+/** Sends a body in chunks of one byte behind a request whose answer it does not read. */
+const sendBytesBehind = (bytes: number): CrowdScript => {
+  const behind = sendBytes('/orders', bytes);
+  return { ...behind, head: `${readNothing().piece.toString()}${behind.head}`, reads: false };
+};
+
 /** Sends a part of a head, and stops. */
 const openOnly = (): CrowdScript => ({
   head: 'POST /orders HTTP/1.1\r\n', piece: Buffer.from(''), pieceCount: 0,
@@ -112,6 +118,11 @@
     await runCrowd('entry-4', site.callerAddress, sendManyRequests(), 20);
   });
 
+  // Fault: a body that waits for its turn was kept as a list of its chunks.
+  it('should not use up the memory of an entry with chunks of one byte behind another request', async () => {
+    await runCrowd('entry-4', site.callerAddress, sendBytesBehind(131_072), 60);
+  });
+
   // Fault: open connections took all descriptors of the process.
   it('should not use up the descriptors of an entry with connections that stay open', async () => {
     await runCrowd('entry-4', site.callerAddress, openOnly(), 400);
