Let every connection have one request behind another

What callers saw: nothing; found while the change was read again. While many requests wait behind others, a caller that sent its next request before it had its answer lost the connection, and with it the answer.

Cause: the bound on waiting requests counts over all connections, and it fell on whoever came next. Class: a remedy against one caller that falls on another.

Change: a connection with one request that is not answered may have another one, however many wait.

Why it works: only connections with more than one request behind another are closed; with those, memory is bounded by the limit of connections.

--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -67,7 +67,7 @@
 
 /** What callers of a server may use. */
 export interface HttpServerLimits {
-  /** Reads the bodies; servers of a process share one. */
+  /** Reads the bodies, within its budget for all of them. */
   readonly bodies: BodyReader;
   /** Largest body of a request, in bytes; 0 if no request has one. */
   readonly maxBodyBytes: number;
@@ -91,6 +91,7 @@
     if (BODILESS_METHODS.includes(raw.method ?? '')) discardBody(raw);
   });
   app.removeAllContentTypeParsers();
+  // The hook has stored the response of each request.
   app.addContentTypeParser('*', async ({ raw }: FastifyRequest) => (
     bodies.read(raw, responses.get(raw) ?? new ServerResponse(raw), maxBodyBytes)));
 };
--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -106,12 +106,13 @@
   }
 
   /**
-   * Returns whether another request may begin on a connection. Closes it if too many wait behind
-   * others already; none of these has run.
+   * Returns whether another request may begin on a connection. Closes it if too many requests wait
+   * behind others already, unless it has only one that is not answered: a caller that sends its
+   * next request early must not lose its answer to those that send hundreds.
    */
   tryBegin(socket: Socket): boolean {
-    const isWaiting = (this.pendingCounts.get(socket) ?? 0) > 0;
-    if (isWaiting && this.waitingCount >= MAX_WAITING) socket.destroy();
+    const hasMany = (this.pendingCounts.get(socket) ?? 0) > 1;
+    if (hasMany && this.waitingCount >= MAX_WAITING) socket.destroy();
     return !socket.destroyed;
   }
 
