End the wait for a grant although its last timer fired early

What callers saw: next to nothing; a request over its account's share at an entry without a leader waited up to 100 ms longer than an eighth of its time.

Cause: the wait ends when the clock has reached its end, looked at after each pause of 100 ms. A timer may fire a fraction of a millisecond before its time by the clock, and another whole pause and attempt followed.

Change: what is left of the wait must be more than 2 ms for another attempt.

Why it works: the fraction is below a millisecond a timer, and there are few.

The test and its bound are unchanged.

--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -38,6 +38,8 @@
   readonly clock: Clock;
 }
 
+/** How much earlier than its time a timer may fire by the clock, in milliseconds. */
+const EARLY_TIMER_MS = 2;
 /** Longest interval at which a request whose stream is unknown asks for a leader, in ms. */
 const LEADER_RETRY_MS = 100;
 /** Passed on for a stream of which only a leader may tell the version. */
@@ -101,7 +103,7 @@
     const mayWait = (now: number): boolean => usesLeader || site.accounts.isLeaderless(now);
     const picked = await this.grantWait.run(
       () => this.pickAgain(request, account, lookup),
-      () => request.isAbandoned() || clock.now() >= until || !mayWait(clock.now()),
+      () => request.isAbandoned() || clock.now() + EARLY_TIMER_MS >= until || !mayWait(clock.now()),
     );
     if (picked || request.isAbandoned()) return picked;
     throw makeLimitError(site, account, facts, clock.now());
