Derive what the loads and charges of entries need instead of keeping it twice

Change: one table of sums with two reports an entry; the charge follows from the servers tried; reports of loads are reached as accounts are. No behaviour changes; load-reports.spec drives the new place, its assertions are the same.

--- a/src/control/entryTable.ts
+++ b/src/control/entryTable.ts
@@ -3,7 +3,6 @@
   EntryRecord, WatchRequest, WorkerLoad,
 } from '../protocol/generated/beechlift';
 import { computeEntryTimeoutMs } from '../core/routing/messageIntervals';
-import { addUpLoads } from '../core/routing/workerLoads';
 import { LoadSums } from './loadSums';
 
 /** State of one entry on the leader. */
@@ -24,6 +23,8 @@
 /** Interval of the check for unresponsive entries, in milliseconds; far below the timeout. */
 const EXPIRE_MS = 25;
 
+const formatSpeedsKey = (entryId: string): string => `${entryId} speeds`;
+
 const isSame = (a: EntryRecord, b: EntryRecord): boolean => (
   a.state === b.state && a.callerAddress === b.callerAddress && a.zone === b.zone);
 
@@ -41,10 +42,9 @@
 export class EntryTable {
   private readonly entries = new Map<string, TrackedEntry>();
 
+  /** Loads and speeds, each of which an entry reports by itself. */
   private readonly loads = new LoadSums();
 
-  private readonly speeds = new LoadSums();
-
   private activeRecords: readonly EntryRecord[] = [];
 
   private activeRevision = 1;
@@ -70,7 +70,7 @@
     this.isListStale ||= !previous?.isResponsive || !isSame(previous.record, record);
     this.entries.set(entryId, { record, lastSeenAt: now, isResponsive: true });
     this.loads.set(entryId, request.loads);
-    if (request.speeds.length > 0) this.speeds.set(entryId, request.speeds);
+    if (request.speeds.length > 0) this.loads.set(formatSpeedsKey(entryId), request.speeds);
   }
 
   /** Lists the entries that accept callers; the revision increases when the list changes. */
@@ -95,7 +95,7 @@
   /** Sums the loads of all entries at each backend server. */
   sumLoads(now: number): WorkerLoad[] {
     this.expire(now);
-    return addUpLoads([...this.loads.list(), ...this.speeds.list()]);
+    return this.loads.list();
   }
 
   private buildList(): void {
@@ -136,14 +136,17 @@
   private markUnresponsive(id: string, entry: TrackedEntry): void {
     entry.isResponsive = false;
     this.isListStale = true;
+    this.removeLoads(id);
+  }
+
+  private removeLoads(id: string): void {
     this.loads.remove(id);
-    this.speeds.remove(id);
+    this.loads.remove(formatSpeedsKey(id));
   }
 
   private remove(id: string): void {
     this.entries.delete(id);
     this.isListStale = true;
-    this.loads.remove(id);
-    this.speeds.remove(id);
+    this.removeLoads(id);
   }
 }
--- a/src/control/loadSums.ts
+++ b/src/control/loadSums.ts
@@ -8,8 +8,8 @@
   slowness: number;
   /** Number of entries that reported a slowness, because they measured the speed of the server. */
   observers: number;
-  /** Number of entries that reported a load. */
-  reporters: number;
+  /** Number of reports that name the server. */
+  reports: number;
 }
 
 /**
@@ -19,7 +19,7 @@
  * entries, and would saturate the CPU of a large site's leader before the first request.
  *
  * @example
- * sums.set('e1', request.loads);
+ * sums.set(entryId, request.loads);
  * const totals = sums.list();
  */
 export class LoadSums {
@@ -27,19 +27,19 @@
 
   private readonly sums = new Map<string, LoadSum>();
 
-  /** Replaces the reported loads of an entry. */
-  set(entryId: string, loads: readonly WorkerLoad[]): void {
-    this.remove(entryId);
+  /** Replaces the loads of a report, which an entry may have several of. */
+  set(reportId: string, loads: readonly WorkerLoad[]): void {
+    this.remove(reportId);
     if (loads.length === 0) return;
-    this.reportedLoads.set(entryId, loads);
+    this.reportedLoads.set(reportId, loads);
     loads.forEach((load) => this.add(load, 1));
   }
 
-  /** Removes the reported loads of an entry. */
-  remove(entryId: string): void {
-    const loads = this.reportedLoads.get(entryId);
+  /** Removes the loads of a report. */
+  remove(reportId: string): void {
+    const loads = this.reportedLoads.get(reportId);
     if (!loads) return;
-    this.reportedLoads.delete(entryId);
+    this.reportedLoads.delete(reportId);
     loads.forEach((load) => this.add(load, -1));
   }
 
@@ -56,14 +56,14 @@
     workerId, inFlight, tokens, slowness,
   }: WorkerLoad, sign: 1 | -1): void {
     const sum = this.sums.get(workerId) ?? {
-      inFlight: 0, tokens: 0, slowness: 0, observers: 0, reporters: 0,
+      inFlight: 0, tokens: 0, slowness: 0, observers: 0, reports: 0,
     };
     sum.inFlight += sign * inFlight;
     sum.tokens += sign * tokens;
     sum.slowness += sign * slowness;
     sum.observers += slowness > 0 ? sign : 0;
-    sum.reporters += sign;
-    if (sum.reporters > 0) this.sums.set(workerId, sum);
+    sum.reports += sign;
+    if (sum.reports > 0) this.sums.set(workerId, sum);
     else this.sums.delete(workerId);
   }
 }
--- a/src/core/routing/workerLoads.ts
+++ b/src/core/routing/workerLoads.ts
@@ -36,7 +36,7 @@
 };
 
 /** Adds up the loads of each server, of which there may be several. */
-export const addUpLoads = (loads: readonly WorkerLoad[]): WorkerLoad[] => {
+const addUpLoads = (loads: readonly WorkerLoad[]): WorkerLoad[] => {
   const byId = new Map<string, WorkerLoad>();
   loads.forEach((load) => {
     const sum = byId.get(load.workerId);
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -98,7 +98,7 @@
   private readonly heldTable = new HeldTable();
 
   /** What this entry reports about the servers. */
-  private readonly loadReports = new LoadReports();
+  readonly loadReports = new LoadReports();
 
   private leaseUntil = 0;
 
@@ -296,12 +296,6 @@
     this.leaseWaiters.release();
   }
 
-  /** Records that a leader has received a watch request, and so what it tells. */
-  recordTold(request: WatchRequest, reply: WatchReply): void {
-    this.accounts.recordTold(request, reply);
-    this.loadReports.recordTold(request, reply, this.parts.clock.now());
-  }
-
   private logLeaseGap({ leaderAddress: leader, documentVersion: version }: WatchReply): void {
     this.parts.logger.info('lease on the routing document granted after a gap', {
       leader, version, gapMs: Math.round(-this.leaseLeftMs),
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -269,7 +269,8 @@
     }
     this.setLeader(address, reply);
     site.applyReply(reply, sentAt, epoch, request.workersEpoch);
-    site.recordTold(request, reply);
+    site.accounts.recordTold(request, reply);
+    site.loadReports.recordTold(request, reply, clock.now());
     return true;
   }
 
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -199,7 +199,6 @@
     request: PickRequest,
     lookup: OriginLookup,
     requestCount = 1,
-    isCharged = request.tried.length > 0,
   ): Promise<PickedWorker | undefined> {
     const { site, placeClient, clock } = this.parts;
     const {
@@ -211,7 +210,7 @@
     this.lastPlaceNumber += 1;
     const placeId = `${this.placeIdPrefix}${this.lastPlaceNumber}`;
     request.onWaiting(() => placeClient.cancel(placeId));
-    const cost = account && !isCharged ? computeCost(account, facts) : 0;
+    const cost = account && tried.length === 0 ? computeCost(account, facts) : 0;
     const askedAt = clock.now();
     const reply = await placeClient.place({
       placeId,
@@ -267,7 +266,7 @@
     placeClient.report({ placeId, phase: worker ? 'unused' : 'unknown', ...NO_TIMINGS });
     if (worker?.standing !== 'ready' || requestCount >= MAX_PLACE_REQUESTS || request.isAbandoned()) return undefined;
     this.local.checkBackoff(service);
-    return this.place(request, lookup, requestCount + 1, isCharged);
+    return this.place(request, lookup, requestCount + 1);
   }
 
   /*
--- a/tests/relay/load-reports.spec.ts
+++ b/tests/relay/load-reports.spec.ts
@@ -42,7 +42,7 @@
       entryCount: this.entryCount,
     });
     this.site.applyReply(reply, this.now, 0);
-    this.site.recordTold(request, reply);
+    this.site.loadReports.recordTold(request, reply, this.now);
   }
 }
 
