Use what the project has for the limits on callers' connections and bodies

Cause: found when the change was read again. Change: ImmediateTask, the open responses, no limit where none is named, and beginBody beside what waits for the body.

--- a/src/bodies/readTurns.ts
+++ b/src/bodies/readTurns.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { ImmediateTask } from '../utils/immediateTask';
 
 /** Most pieces of bodies that are handled in a turn of the event loop, and their bytes. */
 const MAX_PIECES = 1_000;
@@ -31,13 +32,13 @@
   /** Connections that were paused before, whose resumption is guarded. */
   private readonly guarded = new WeakSet<PausableSocket>();
 
-  private isScheduled = false;
+  private readonly turnTask = new ImmediateTask(() => this.beginTurn());
 
   /** Records a piece of a body that was received on a connection. */
   recordPiece(socket: PausableSocket, bytes: number): void {
     this.pieces += 1;
     this.bytes += bytes;
-    this.schedule();
+    this.turnTask.schedule();
     if (this.pieces > MAX_PIECES || this.bytes > MAX_BYTES) this.pause(socket);
   }
 
@@ -55,22 +56,15 @@
     socket.pause();
   }
 
-  private schedule(): void {
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    setImmediate(() => this.beginTurn());
-  }
-
   /** Lets the connection go on that waits longest. */
   private beginTurn(): void {
-    this.isScheduled = false;
     this.pieces = 0;
     this.bytes = 0;
     const [next] = this.paused;
     if (!next) return;
     this.paused.delete(next);
     next.resume();
-    this.schedule();
+    this.turnTask.schedule();
   }
 }
 
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -71,7 +71,7 @@
   readonly bodies: BodyReader;
   /** Largest body of a request, in bytes; 0 if no request has one. */
   readonly maxBodyBytes: number;
-  /** Most open connections. */
+  /** Most open connections; if it is missing, they are not limited. */
   readonly maxConnections: number;
 }
 
@@ -105,7 +105,7 @@
 export const makeHttpServer = ({
   bodies = new BodyReader(MAX_HELD_BYTES),
   maxBodyBytes = MAX_BODY_BYTES,
-  maxConnections = Infinity,
+  maxConnections,
 }: Partial<HttpServerLimits> = {}): FastifyInstance => {
   const app = Fastify({
     ...NO_SCHEMAS,
@@ -115,7 +115,7 @@
     clientErrorHandler: handleClientError,
   });
   addGracefulClose(app);
-  applyConnectionLimit(app.server, maxConnections);
+  if (maxConnections !== undefined) applyConnectionLimit(app.server, maxConnections);
   addBodyParser(app, { bodies, maxBodyBytes });
   app.setErrorHandler((error: Error, { raw }, reply) => {
     if (!raw.complete) {
--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -60,9 +60,6 @@
   /** Resolves once the answer to the latest request of each connection was written. */
   private readonly turns = new WeakMap<Socket, Promise<void>>();
 
-  /** Requests of each connection whose answers are not written. */
-  private readonly pendingCounts = new WeakMap<Socket, number>();
-
   /** Requests that wait behind others, over all connections. */
   private waitingCount = 0;
 
@@ -94,12 +91,7 @@
    */
   async waitTurn(socket: Socket, response: ServerResponse): Promise<void> {
     const turn = this.turns.get(socket) ?? Promise.resolve();
-    const pending = this.pendingCounts.get(socket) ?? 0;
-    this.pendingCounts.set(socket, pending + 1);
-    this.turns.set(socket, turn.then(() => waitWritten(socket, response)).then(() => {
-      this.pendingCounts.set(socket, (this.pendingCounts.get(socket) ?? 1) - 1);
-    }));
-    if (pending === 0) return;
+    this.turns.set(socket, turn.then(() => waitWritten(socket, response)));
     this.waitingCount += 1;
     await turn;
     this.waitingCount -= 1;
@@ -110,8 +102,8 @@
    * behind others already, unless it has only one that is not answered: a caller that sends its
    * next request early must not lose its answer to those that send hundreds.
    */
-  tryBegin(socket: Socket): boolean {
-    const hasMany = (this.pendingCounts.get(socket) ?? 0) > 1;
+  tryBegin(socket: Socket, response: ServerResponse): boolean {
+    const hasMany = this.listOpen(socket).filter((other) => other !== response).length > 1;
     if (hasMany && this.waitingCount >= MAX_WAITING) socket.destroy();
     return !socket.destroyed;
   }
--- a/src/relay/prepareRequest.ts
+++ b/src/relay/prepareRequest.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { BeechliftError } from '../errors/beechliftError';
 import type { AdmittedRequest } from './admitRequest';
 import { RequestGuard } from './requestGuard';
@@ -14,6 +14,27 @@
   readonly retryPolicy: RetryPolicy;
 }
 
+/** Largest body until a routing document is in force, in bytes. */
+const DEFAULT_BODY_BYTES = 4_194_304;
+
+/**
+ * Begins to read the body of a request that is not admitted yet.
+ *
+ * @example
+ * const received = beginBody(parts, request, response);
+ */
+export const beginBody = (
+  parts: Pick<RequestParts, 'bodies' | 'site'>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<Buffer> => {
+  const maxBytes = parts.site.table?.routing.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+  const received = parts.bodies.read(request, response, maxBytes);
+  // The request may be refused for another reason before anything waits for its body.
+  received.catch(() => undefined);
+  return received;
+};
+
 /** A request, and its body while it arrives. */
 interface ReceivedRequest {
   readonly request: IncomingMessage;
@@ -26,7 +47,7 @@
  *
  * @param target path and query as received
  * @example
- * const received = parts.bodies.read(request, response, 4_194_304);
+ * const received = beginBody(parts, request, response);
  * const exchange = { request, received };
  * const prepared = await prepareRequest(parts, exchange, '/orders/7', admitted, facts);
  */
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -80,7 +80,7 @@
   app.addHook('onRequest', async (request, reply) => {
     reply.hijack();
     const { raw } = request;
-    if (!callerConnections.tryBegin(raw.socket)) return;
+    if (!callerConnections.tryBegin(raw.socket, reply.raw)) return;
     const target = targets.get(raw) ?? '/';
     const isNewest = (): boolean => callerConnections.isNewest(raw.socket, reply.raw);
     // Made before the wait, which counts towards the time limit of the request.
--- a/src/relay/routedRequest.ts
+++ b/src/relay/routedRequest.ts
@@ -12,7 +12,7 @@
 import { computeLeaseWaitMs } from './leaseWait';
 import { canAnswerInTime, makeLeavingError } from './leavingEntry';
 import type { OpenRequest, RefusalScope } from './openRequests';
-import { prepareRequest } from './prepareRequest';
+import { prepareRequest, beginBody } from './prepareRequest';
 import type { PreparedRequest } from './prepareRequest';
 import type { RequestFacts } from './requestDialect';
 import type { RetryPolicy } from './retryPolicy';
@@ -31,9 +31,6 @@
  */
 const PROOF_TIMEOUT_MS = 1_000;
 
-/** Largest body until a routing document is in force, in bytes. */
-const DEFAULT_BODY_BYTES = 4_194_304;
-
 /**
  * Admits a request, sends it to a backend server and answers it once. Sends it to another server
  * only if it cannot run twice by mistake: the first did not run it, or its route allows repeats.
@@ -80,10 +77,7 @@
     private readonly isNewest: () => boolean,
   ) {
     this.receivedAt = parts.clock.now();
-    const maxBytes = parts.site.table?.routing.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-    this.body = parts.bodies.read(request, response, maxBytes);
-    // The request may be refused for another reason before it waits for its body.
-    this.body.catch(() => undefined);
+    this.body = beginBody(parts, request, response);
     this.facts = parts.dialect.readRequest(request.rawHeaders);
     this.log = new RequestLog(parts, this.facts, this.receivedAt);
     this.stream = new RequestStream(parts, this.facts);
--- a/tests/relay/waiting-requests.spec.ts
+++ b/tests/relay/waiting-requests.spec.ts
@@ -21,11 +21,13 @@
   /** Sends a request, if the connection may have another one; returns its response. */
   send(connections: CallerConnections): EventEmitter | undefined {
     const socket = this as unknown as Socket;
-    if (!connections.tryBegin(socket)) return undefined;
     const response = Object.assign(new EventEmitter(), {
       writableFinished: false, destroyed: false,
     });
-    connections.waitTurn(socket, response as unknown as ServerResponse).catch(() => undefined);
+    const answer = response as unknown as ServerResponse;
+    if (!connections.tryBegin(socket, answer)) return undefined;
+    connections.waitTurn(socket, answer).catch(() => undefined);
+    connections.registerRequest(socket, answer, 0);
     return response;
   }
 }
