Let the replicas that carry placement messages grant the slots of lent servers

Requests were refused for want of a lease, for shares of accounts, or sent to full servers.

Cause: every request was a decision of one process. The replicas that pass the messages on decided nothing and were idle.

Change: the leader lends these replicas servers by demand (LentServers, planLoans). A replica grants the slots of its servers itself (PlacementDelegate, DelegatedStream), in the same order as the leader, and charges accounts up to a part of their limits that is renewed with each watch reply (DelegateAccounts). What must be known in one place still goes to the leader: suspects, continued streams, and streams that can be taken up while a service has several versions. A late leader holds up these requests only. Servers that named a rate limit, and services with few servers, are not lent. Sites with fewer than 40 entries have no such replicas and work as before.

Why it works: a loan is not a lease. Two replicas that grant one server for a moment make it queue a request, so nothing has to be agreed before it is granted, and a replica goes on with its servers while the leader is late or replaced. Limits hold as delegates are one more holder of grants in the ledger.

Found by tests of the change: a delegate that had no reply yet took accounts for unlimited; a reserve for high ranks whose requests get no slot starved the others.

--- a/src/control/hubTrunk.ts
+++ b/src/control/hubTrunk.ts
@@ -175,6 +175,6 @@
     this.messages = new CountedMessages();
     this.news = [];
     this.sinks.clear();
-    sinks.forEach((sink) => sink.end());
+    sinks.forEach((sink) => sink.end('leaderLost'));
   }
 }
--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -1,3 +1,4 @@
+import { PlaceReply } from '../protocol/generated/beechlift';
 import type {
   EntryRecord, PlaceNews, PlaceRequest, WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
@@ -5,7 +6,7 @@
 import { AccountLedger } from '../core/routing/accountLedger';
 import type { EntryListVersion } from '../core/routing/entryList';
 import { NO_REVISION } from '../core/routing/listVersion';
-import { computeSettleMs } from '../core/routing/messageIntervals';
+import { computeSettleMs, needsDelegates } from '../core/routing/messageIntervals';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import { listChangedWorkers } from '../core/routing/workerRecords';
@@ -15,6 +16,7 @@
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
 import { EntryTable, ENTRY_TIMEOUT_MS } from './entryTable';
+import { LentServers } from './lentServers';
 import { LoadPacker } from './loadPacker';
 import { PlacementService } from './placementService';
 import { PlacementStream } from './placementStream';
@@ -43,9 +45,15 @@
 /** Fields of a watch reply that only entries need. */
 export type EntryPart = Pick<WatchReply, 'loadList' | 'grants' | 'entryCount' | 'limits'>;
 
+/** Fields of a watch reply that only followers need which grant slots. */
+export type DelegatePart = EntryPart & Pick<WatchReply, 'delegate'>;
+
 /** Longest time for which a new leader waits for what entries tell of earlier charges, in ms. */
 const CHARGES_WAIT_MS = 500;
 
+/** Interval at which the loads of entries and delegates are applied, in milliseconds. */
+const LOADS_INTERVAL_MS = 100;
+
 /** Fields of a watch reply that list the entries that accept callers. */
 export type EntryListPart = Pick<WatchReply, 'entries' | 'entriesRevision'>;
 
@@ -65,14 +73,20 @@
 
   private readonly placementService: PlacementService;
 
-  private readonly loadPacker = new LoadPacker(() => (
-    this.placementService.addPlaced(this.entries.sumLoads(this.parts.clock.now()))));
+  private readonly lent = new LentServers();
+
+  private readonly loadPacker = new LoadPacker(() => this.lent.addPlaced(
+    this.placementService.addPlaced(this.entries.sumLoads(this.parts.clock.now())),
+  ));
 
   private readonly streams = new Set<PlacementStream>();
 
   /** Revision of the server table that the placement service has applied. */
   private appliedRevision = 0;
 
+  /** When loads were applied last, monotonic milliseconds. */
+  private loadsAppliedAt = -Infinity;
+
   /** Most entries that an entry knew at the leader before. */
   private earlierEntries = 0;
 
@@ -158,12 +172,36 @@
     const keepsGrants = knownEntries > 0 && this.ledger.isLearning(now);
     return {
       loadList: this.loadPacker.build(now),
-      grants: keepsGrants ? [] : this.ledger.listGrants(entryId, entryCount, now),
+      grants: keepsGrants
+        ? []
+        : this.ledger.listGrants(entryId, entryCount + this.lent.size, now),
       entryCount,
       limits: this.placementService.listRateLimits(),
     };
   }
 
+  /** Records what a follower reports that grants slots. */
+  recordDelegate({ delegate, spends }: WatchRequest): void {
+    if (!delegate) return;
+    const now = this.parts.clock.now();
+    this.lent.report(delegate, now);
+    this.placementService.applyOrigins(delegate.origins);
+    this.ledger.recordDelegateSpends(delegate.replicaId, spends, now);
+  }
+
+  /** Builds the fields of a reply that tell a follower which slots it grants. */
+  buildDelegatePart(replicaId: string): DelegatePart {
+    const now = this.parts.clock.now();
+    const entryCount = this.countEntries();
+    return {
+      loadList: this.loadPacker.build(now),
+      grants: this.ledger.listGrants(replicaId, entryCount + this.lent.size, now),
+      entryCount,
+      limits: [],
+      delegate: { workerIds: this.lent.list(replicaId) },
+    };
+  }
+
   /** Opens the placement stream of an entry. */
   openStream(sink: PlacementSink): PlacementStream {
     const stream = new PlacementStream(sink, this.parts.clock);
@@ -243,14 +281,12 @@
     if (this.placementService.isWaiting(placeId)) return true;
     const waitMs = this.ledger.charge(account, cost, rank, this.parts.clock.now());
     if (waitMs <= 0) return true;
-    stream.add({
+    stream.add(PlaceReply.fromPartial({
       placeId,
       code: resultCodes.accountLimited.number,
       message: `account "${account}" is over its limit`,
-      workerId: '',
       retryAfterMs: Math.ceil(waitMs),
-      expectedMs: 0,
-    });
+    }));
     return false;
   }
 
@@ -266,11 +302,27 @@
     [...this.streams]
       .filter((stream) => this.hasTimedOut(stream, now))
       .forEach((stream) => this.closeStream(stream));
-    this.placementService.applyLoads(this.entries.sumLoads(now));
+    this.applyLoads(now);
+    this.assignServers(now);
     this.placementService.expire((entryId) => this.entries.has(entryId, now));
     this.placementService.placeWaiting();
   }
 
+  private applyLoads(now: number): void {
+    if (now - this.loadsAppliedAt < LOADS_INTERVAL_MS) return;
+    this.loadsAppliedAt = now;
+    this.placementService.applyLoads(this.lent.addOpen(this.entries.sumLoads(now)));
+  }
+
+  private assignServers(now: number): void {
+    const { placementService, lent } = this;
+    const demands = new Map(placementService.listDemands()
+      .map(({ service, slots }) => [service, slots]));
+    const isEven = needsDelegates(this.countEntries());
+    if (!lent.plan(placementService.servers, demands, now, isEven)) return;
+    placementService.markLent((id) => lent.isLent(id));
+  }
+
   /**
    * Decides on all waiting requests. Needs no lease: entries whose requests wait would otherwise
    * hear nothing while it has lapsed, and choose servers themselves.
--- a/src/control/placementHub.ts
+++ b/src/control/placementHub.ts
@@ -3,7 +3,9 @@
 import type { Clock } from '../utils/clock';
 import type { LinkTable } from '../wire/linkTable';
 import type { ServerStream, StreamHandlers } from '../wire/rpcServer';
+import { DelegatedStream } from './delegatedStream';
 import { HubTrunk } from './hubTrunk';
+import type { PlacementDelegate } from './placementDelegate';
 import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
 
 /** Dependencies of a hub. */
@@ -11,6 +13,8 @@
   readonly links: Pick<LinkTable<SiteClient>, 'find'>;
   /** Opens a placement stream at this replica; throws if it does not lead. */
   readonly openStream: (sink: PlacementSink) => PlacementMessageHandlers;
+  /** Grants the slots of the servers that the leader lends; undefined while this replica starts. */
+  readonly findDelegate: () => PlacementDelegate | undefined;
   /** Address of this replica. */
   readonly address: string;
   /** Lists the addresses of all replicas of the site. */
@@ -20,8 +24,9 @@
 }
 
 /**
- * Serves the placement streams of entries: here if this replica leads, and otherwise through the
- * leader that the entry names, together with those of other entries.
+ * Serves the placement streams of entries: here if this replica leads, and otherwise as a delegate
+ * of the leader that the entry names. What a delegate does not decide is passed on to the leader,
+ * together with the messages of other entries.
  *
  * @example
  * stream.listen(hub.serve(stream));
@@ -52,7 +57,7 @@
   private tryOpen(leader: string, sink: PlacementSink): PlacementMessageHandlers | undefined {
     const { address, listReplicas, openStream } = this.parts;
     if (leader !== '' && leader !== address) {
-      return listReplicas().includes(leader) ? this.findTrunk(leader).open(sink) : undefined;
+      return listReplicas().includes(leader) ? this.openDelegated(leader, sink) : undefined;
     }
     try {
       return openStream(sink);
@@ -62,6 +67,16 @@
     }
   }
 
+  private openDelegated(leader: string, sink: PlacementSink): PlacementMessageHandlers | undefined {
+    const delegate = this.parts.findDelegate();
+    return delegate && new DelegatedStream({
+      sink,
+      delegate,
+      openUpstream: (upstreamSink) => this.findTrunk(leader).open(upstreamSink),
+      clock: this.parts.clock,
+    });
+  }
+
   private findTrunk(leader: string): HubTrunk {
     const { links, clock, logger } = this.parts;
     const trunk = this.trunks.get(leader)
--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -1,7 +1,9 @@
+import { PlaceReply } from '../protocol/generated/beechlift';
 import type {
-  PlacedReport, PlaceReply, PlaceRequest, StreamOriginRecord, WorkerLoad, WorkerRateLimit,
+  PlacedReport, PlaceRequest, ServiceDemand, StreamOriginRecord, WorkerLoad, WorkerRateLimit,
   WorkerRecord,
 } from '../protocol/generated/beechlift';
+import { recordArrival } from '../core/routing/arrivalRates';
 import {
   requestSlots, makePlacementTables, placeFreed, placeWaiting,
 } from '../core/routing/placement';
@@ -15,11 +17,12 @@
 import type { AccountCharge, SlotRequest, PlacementTables } from '../core/routing/placementTables';
 import type { Mechanisms } from '../core/routing/mechanisms';
 import { toOriginRecord } from '../core/routing/originRecords';
-import { applyRecords, makeRoutedWorkers } from '../core/routing/routedWorkers';
+import { estimateDemand } from '../core/routing/placementWait';
+import { applyRecords, isReady, makeRoutedWorkers } from '../core/routing/routedWorkers';
 import type { RoutedWorkers } from '../core/routing/routedWorkers';
 import type { StreamOrigins } from '../core/routing/streamOrigins';
 import { LEARNING_MS } from '../core/routing/streamPlacement';
-import { addPlaced, applyLoads } from '../core/routing/workerLoads';
+import { addPlaced, applyLoads, applyOtherLoads } from '../core/routing/workerLoads';
 import { applyNamedRates, listRateLimits } from '../core/routing/workerRateLimit';
 import { resultCodes } from '../errors/resultCodes';
 import type { Logger } from '../telemetry/logger';
@@ -64,24 +67,21 @@
   askedAt: now,
 });
 
-const toReply = (decision: PlacementDecision): PlaceReply => (decision.kind === 'grant'
-  ? {
-    placeId: decision.id,
-    code: 0,
-    message: '',
-    workerId: decision.workerId,
-    retryAfterMs: 0,
-    expectedMs: decision.expectedMs,
-    origin: decision.origin,
-  }
-  : {
-    placeId: decision.id,
-    code: resultCodes[decision.code].number,
-    message: decision.reason,
-    workerId: '',
-    retryAfterMs: decision.retryAfterMs,
-    expectedMs: 0,
-  });
+const toReply = (decision: PlacementDecision, delegated: boolean): PlaceReply => (
+  PlaceReply.fromPartial(decision.kind === 'grant'
+    ? {
+      placeId: decision.id,
+      workerId: decision.workerId,
+      expectedMs: decision.expectedMs,
+      origin: decision.origin,
+      delegated,
+    }
+    : {
+      placeId: decision.id,
+      code: resultCodes[decision.code].number,
+      message: decision.reason,
+      retryAfterMs: decision.retryAfterMs,
+    }));
 
 /** A request that waits for a decision, and the stream on which its entry receives it. */
 interface PendingRequest {
@@ -105,6 +105,8 @@
   readonly holdsLease?: (() => boolean) | undefined;
   /** Defaults to all mechanisms on. */
   readonly mechanisms?: Mechanisms | undefined;
+  /** Whether it grants slots for a leader that does not know them; defaults to false. */
+  readonly isDelegate?: boolean;
   /** If it is missing, nothing is logged. */
   readonly logger?: Logger | undefined;
 }
@@ -128,6 +130,7 @@
       origins: parts.origins,
       learnsUntil: parts.clock.now() + LEARNING_MS,
       holdsLease: parts.holdsLease,
+      mayUseLent: parts.isDelegate !== true,
     });
   }
 
@@ -141,6 +144,42 @@
     return this.pending.has(placeId);
   }
 
+  /** Whether a request waits for a slot, or holds one that was granted here. */
+  holds(placeId: string): boolean {
+    return this.pending.has(placeId) || this.tables.placed.has(placeId);
+  }
+
+  /** Counts a request that arrived here and is decided elsewhere. */
+  recordArrival({ service, rank }: PlaceRequest): void {
+    recordArrival(this.tables.arrivalRates, service, rank, this.parts.clock.now());
+  }
+
+  /** Lists how many slots the requests that arrive here would use, by service. */
+  listDemands(): ServiceDemand[] {
+    const now = this.parts.clock.now();
+    return [...this.tables.arrivalRates.keys()].map((service) => ({
+      service, slots: estimateDemand(this.tables, service, now),
+    }));
+  }
+
+  /** Sets which servers' slots another replica grants. */
+  markLent(isLent: (workerId: string) => boolean): void {
+    this.workers.byId.forEach((worker) => {
+      worker.isLent = isLent(worker.id);
+    });
+  }
+
+  /** Whether any server of a service is ready whose slots are granted here. */
+  canGrant(service: string): boolean {
+    return (this.workers.byService.get(service) ?? [])
+      .some((worker) => !worker.isLent && isReady(worker));
+  }
+
+  /** The servers, for the leader's decision on which ones to lend. */
+  get servers(): Pick<RoutedWorkers, 'byService'> {
+    return this.workers;
+  }
+
   /** Requests slots; each decision is made now or when a slot becomes free. */
   requestSlots(requests: readonly PlaceRequest[], stream: PlacementStream): void {
     const now = this.parts.clock.now();
@@ -197,6 +236,11 @@
     applyLoads(this.workers, loads);
   }
 
+  /** Applies the loads of all entries and replicas, less what was placed here. */
+  applyOtherLoads(totals: readonly WorkerLoad[]): void {
+    applyOtherLoads(this.workers, totals);
+  }
+
   /** Adds the requests placed here to the loads that entries reported. */
   addPlaced(loads: WorkerLoad[]): WorkerLoad[] {
     return addPlaced(loads, this.workers);
@@ -261,7 +305,7 @@
       this.pending.delete(decision.id);
       if (!pending) return;
       if (decision.kind === 'refuse') this.parts.handleUnplaced(pending.request);
-      pending.stream.add(toReply(decision));
+      pending.stream.add(toReply(decision, this.parts.isDelegate ?? false));
     });
   }
 }
--- a/src/control/placementStream.ts
+++ b/src/control/placementStream.ts
@@ -2,10 +2,16 @@
 import type { Clock } from '../utils/clock';
 import { ImmediateTask } from '../utils/immediateTask';
 
+/**
+ * - `ended`: the leader ended this stream.
+ * - `leaderLost`: the leader cannot be reached, nor can it tell.
+ */
+export type StreamEnd = 'ended' | 'leaderLost';
+
 /** Sends messages to an entry over its placement stream, and ends the stream. */
 export interface PlacementSink {
   readonly send: (decisions: PlaceDecisions) => void;
-  readonly end: () => void;
+  readonly end: (reason?: StreamEnd) => void;
 }
 
 /** Handles what an entry sends over its placement stream, and the end of the stream. */
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -218,6 +218,7 @@
   const hub = new PlacementHub({
     links,
     openStream: (sink) => requireNode(nodeReference).openPlacementStream(sink),
+    findDelegate: () => nodeReference.node?.delegate,
     address: settings.address,
     listReplicas: () => nodeReference.node?.replicaAddresses ?? [],
     clock: systemClock,
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -19,6 +19,7 @@
 import { LearnerLog } from './learnerLog';
 import { LeaseLog } from './leaseLog';
 import { LogRunner } from './logRunner';
+import { PlacementDelegate } from './placementDelegate';
 import type { PlacementMessageHandlers, PlacementSink } from './placementStream';
 import { ReadBarrier } from './readBarrier';
 import { ReplicaDirectory } from './replicaDirectory';
@@ -59,6 +60,9 @@
 
   private leaderState: LeaderState;
 
+  /** Grants slots for the leader while this replica follows. */
+  readonly delegate: PlacementDelegate;
+
   private readonly watches = new HeldCalls();
 
   private readonly leaderWait: LeaderWait;
@@ -90,6 +94,12 @@
       registry, suspects, origins, recoveryWindow,
     } = this.softState;
     this.leaderState = this.makeLeaderState();
+    this.delegate = new PlacementDelegate({
+      ...parts,
+      replicaId: parts.self.id,
+      readTable: () => registry.table,
+      findRestriction: (fingerprint) => suspects.findRestriction(fingerprint),
+    });
     this.replicaSetManager = new ReplicaSetManager(parts.voterCount, parts.clock, parts.logger);
     this.leaderWait = new LeaderWait(() => this.isLeading || this.otherLeaderAddress !== '');
     this.announcementValidator = new AnnouncementValidator({
@@ -212,6 +222,7 @@
     this.softState.save();
     const isLeader = this.runner.state.role === 'leader';
     if (isLeader) this.work.recordWaiting(this.countRequests().waiting);
+    else this.work.measure('tend', () => this.delegate.tick());
     if (!this.runner.holdsLease) {
       if (isLeader) this.work.measure('tend', () => this.leaderState.placeWaiting());
       return;
@@ -242,11 +253,15 @@
   /** Applies a watch reply of the leader, unless this replica has led since the request. */
   follow(reply: WatchReply, request: WatchRequest): void {
     this.softState.applyReply(reply, request);
+    if (this.runner.state.role !== 'leader') this.delegate.applyReply(reply, request);
   }
 
   /** Builds the watch request that a follower sends to the leader. */
   buildFollowRequest(holdMs: number): WatchRequest {
-    return this.softState.buildFollowRequest(this.site.digest, holdMs);
+    return {
+      ...this.softState.buildFollowRequest(this.site.digest, holdMs),
+      ...this.delegate.buildPart(),
+    };
   }
 
   /** Validates a document and replicates it to a majority; a follower forwards it to the leader. */
@@ -368,6 +383,7 @@
   private handleRoleChange(role: LogRole, term: number): void {
     this.parts.logger.info('role changed', { role, term });
     if (role !== 'leader') return;
+    this.delegate.close();
     this.leaderState.close();
     this.leaderState = this.makeLeaderState();
     if (this.site.version > 0n) this.configureAccounts();
--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -9,7 +9,7 @@
 import type { HeldCalls } from '../utils/heldCalls';
 import { ImmediateQueue } from '../utils/immediateQueue';
 import { DocumentPacker, NO_DOCUMENT_PART } from './documentPacker';
-import type { EntryPart, LeaderState } from './leaderState';
+import type { DelegatePart, EntryPart, LeaderState } from './leaderState';
 import type { LeaderWait } from './leaderWait';
 import type { RecoveryWindow } from './recoveryWindow';
 import type { SuspectRegistry } from './suspectRegistry';
@@ -28,7 +28,7 @@
  */
 const LEASE_WAIT_MS = 200;
 
-/** Sent to followers, which need neither loads nor grants. */
+/** Sent to followers that grant no slots, which need neither loads nor grants. */
 const NO_ENTRY_PART: EntryPart = {
   loadList: Buffer.alloc(0), grants: [], entryCount: 0, limits: [],
 };
@@ -106,6 +106,7 @@
     if (!view.isLeading) return this.awaitLeader(request, isAbandoned, receivedAt);
     if (request.entryId === '') {
       this.recoverRecords(request);
+      work.measure('watch', () => view.leaderState.recordDelegate(request));
     } else {
       work.measure('watch', () => (
         view.leaderState.recordEntry(request, registry.table.epoch, receivedAt)));
@@ -199,7 +200,7 @@
     const { site, leaderState, replicaAddresses } = readView();
     const isEntry = request.entryId !== '';
     return {
-      ...(isEntry ? leaderState.buildEntryPart(request) : NO_ENTRY_PART),
+      ...this.buildOwnPart(request),
       ...leaderState.buildEntryListPart(request, registry.table.epoch),
       leaseMs,
       leaderAddress: this.parts.address,
@@ -216,6 +217,14 @@
     };
   }
 
+  /** Builds the part on loads and limits for an entry, or for a follower that grants slots. */
+  private buildOwnPart(request: WatchRequest): EntryPart | DelegatePart {
+    const { leaderState } = this.parts.readView();
+    if (request.entryId !== '') return leaderState.buildEntryPart(request);
+    const { delegate } = request;
+    return delegate ? leaderState.buildDelegatePart(delegate.replicaId) : NO_ENTRY_PART;
+  }
+
   /** Builds the part with the origins of streams that a follower does not have yet. */
   private buildOriginPart(request: WatchRequest): OriginPart {
     const { registry, origins, clock } = this.parts;
--- a/src/core/routing/accountBudget.ts
+++ b/src/core/routing/accountBudget.ts
@@ -25,12 +25,15 @@
 /** Whether a leader renews the grants: each entry knows only its own charges without one. */
 export type GrantRenewal = 'renewed' | 'leaderless';
 
-const fits: Record<GrantRenewal, (budget: Budget, cost: number) => boolean> = {
-  renewed: ({ total, limit }) => total < limit,
-  leaderless: ({ total, limit, overdraft }, cost) => (
-    total < limit && total + cost <= limit + overdraft),
+const fits: Record<GrantRenewal, (budget: Budget, cost: number, reserve: number) => boolean> = {
+  renewed: ({ total, limit }, cost, reserve) => total + reserve < limit,
+  leaderless: ({ total, limit, overdraft }, cost, reserve) => (
+    total + reserve < limit && total + cost <= limit + overdraft),
 };
 
+/** What a budget needs to know of an account. */
+type BudgetAccount = Pick<RoutedAccount, 'name' | 'perSecond'>;
+
 /**
  * Admits requests while the account's grant is not used up. One request may overdraw the grant, and
  * the leader subtracts that from the next grant. This way a large request of an account within its
@@ -56,19 +59,30 @@
     });
   }
 
-  /** Charges the cost of a request; returns false when the account's grant is used up. */
+  /**
+   * Charges the cost of a request; returns false when the account's grant is used up.
+   *
+   * @param reserve units of the grant that must be left for others
+   */
   trySpend(
-    account: RoutedAccount,
+    account: BudgetAccount,
     cost: number,
     now: number,
     renewal: GrantRenewal = 'renewed',
+    reserve = 0,
   ): boolean {
     this.recordDemand(account, cost, now);
-    return this.retrySpend(account, cost, now, renewal);
+    return this.retrySpend(account, cost, now, renewal, reserve);
+  }
+
+  /** Refunds the cost of a request that was charged and not served. */
+  refund(account: string, cost: number): void {
+    const budget = this.budgets.get(account);
+    if (budget) budget.total -= cost;
   }
 
   /** Records the demand of a request, whoever decides on it: shares of the limit follow demand. */
-  recordDemand(account: RoutedAccount, cost: number, now: number): void {
+  recordDemand(account: BudgetAccount, cost: number, now: number): void {
     const budget = this.findOrMakeBudget(account.name, now);
     budget.demand = this.computeCurrentDemand(budget, now)
       + cost / (DEMAND_WINDOW_MS / MS_PER_SECOND);
@@ -77,13 +91,14 @@
 
   /** Charges the cost of a request that was refused before, and whose demand is counted. */
   retrySpend(
-    account: RoutedAccount,
+    account: BudgetAccount,
     cost: number,
     now: number,
     renewal: GrantRenewal = 'renewed',
+    reserve = 0,
   ): boolean {
     const budget = this.findOrMakeBudget(account.name, now);
-    if (account.perSecond > 0 && !fits[renewal](budget, cost)) return false;
+    if (account.perSecond > 0 && !fits[renewal](budget, cost, reserve)) return false;
     budget.total += cost;
     return true;
   }
@@ -93,7 +108,7 @@
    *
    * @param cost units that the grant must cover; 0 if one request may overdraw it
    */
-  estimateRetryMs(account: RoutedAccount, cost = 0): number {
+  estimateRetryMs(account: BudgetAccount, cost = 0): number {
     const budget = this.budgets.get(account.name);
     const overdrawn = Math.max(0, (budget?.total ?? 0) + cost - (budget?.limit ?? 0));
     return MIN_RETRY_MS + (overdrawn / Math.max(1, account.perSecond)) * MS_PER_SECOND;
--- a/src/core/routing/accountDemand.ts
+++ b/src/core/routing/accountDemand.ts
@@ -43,6 +43,12 @@
  */
 const RESERVE_MS = 200;
 
+/** Computes how many units the demand of higher ranks needs until they are refilled. */
+export const computeHigherDemand = (demand: AccountDemand, rank: number, now: number): number => {
+  const higher = [...demand].filter(([other]) => other < rank).map(([, item]) => item);
+  return (sumDemand(higher, now) * RESERVE_MS) / MS_PER_SECOND;
+};
+
 /**
  * Computes how many units a request must leave for higher ranks: none while the account's limit
  * covers its whole demand.
@@ -57,6 +63,5 @@
   now: number,
 ): number => {
   if (sumDemand([...demand.values()], now) <= perSecond) return 0;
-  const higher = [...demand].filter(([other]) => other < rank).map(([, item]) => item);
-  return (sumDemand(higher, now) * RESERVE_MS) / MS_PER_SECOND;
+  return computeHigherDemand(demand, rank, now);
 };
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -174,6 +174,9 @@
   /** Entries that have told what was charged for them before. */
   private readonly toldIds = new Set<string>();
 
+  /** Replicas that charge accounts for the requests which they place. */
+  private readonly delegateIds = new Set<string>();
+
   /** Number of entries that an earlier leader had, as far as known. */
   private earlierEntries = 0;
 
@@ -232,14 +235,33 @@
 
   /** Records the units that an entry admitted. */
   recordSpends(entryId: string, spends: readonly AccountSpend[], now: number): void {
+    this.recordTotals(entryId, spends, now, (units) => Math.max(0, units));
+  }
+
+  /** Records the units that a delegate charged, less those that it refunded. */
+  recordDelegateSpends(
+    delegateId: string,
+    spends: readonly AccountSpend[],
+    now: number,
+  ): void {
+    this.delegateIds.add(delegateId);
+    this.recordTotals(delegateId, spends, now, (units) => units);
+  }
+
+  private recordTotals(
+    spenderId: string,
+    spends: readonly AccountSpend[],
+    now: number,
+    computeCharge: (units: number) => number,
+  ): void {
     spends.forEach(({ account, total, demand }) => {
       const state = this.accountsByName.get(account);
       if (!state) return;
       this.refill(state, now);
-      const previous = state.entries.get(entryId);
+      const previous = state.entries.get(spenderId);
       // An entry that is new to this ledger tells apart what it used under an earlier leader.
-      if (previous) addCharge(state, Math.max(0, total - previous.total));
-      setSpend(state, entryId, { total, demand, reportedAt: now });
+      if (previous) addCharge(state, computeCharge(total - previous.total));
+      setSpend(state, spenderId, { total, demand, reportedAt: now });
     });
   }
 
@@ -279,7 +301,7 @@
     if (state) addCharge(state, -cost);
   }
 
-  /** Lists the grants of an entry for all limited accounts. */
+  /** Lists the grants of an entry or delegate for all limited accounts. */
   listGrants(entryId: string, entryCount: number, now: number): AccountGrant[] {
     return [...this.accountsByName.values()].map((state) => {
       this.refill(state, now);
@@ -288,6 +310,9 @@
         units: this.computeGrantable(state, now) * this.computeShare(state, entryId, entryCount),
         reportedTotal: state.entries.get(entryId)?.total ?? 0,
         overdraft: (ENTRY_OVERDRAFT_SLACK_SHARE * this.slack) / Math.max(1, entryCount),
+        left: this.computeLeft(state, now),
+        perSecond: state.account.perSecond,
+        isExceeded: this.sumDelegateDemand(state) > state.account.perSecond,
       };
     });
   }
@@ -310,6 +335,10 @@
     return Math.min(state.balance, capacity - usedBefore - state.chargedSinceStart);
   }
 
+  private sumDelegateDemand({ entries }: LedgerAccount): number {
+    return [...this.delegateIds].reduce((total, id) => total + (entries.get(id)?.demand ?? 0), 0);
+  }
+
   /** Entries of the earlier leader for each one that has told its charges; 1 at least. */
   private get untoldFactor(): number {
     return Math.max(1, this.earlierEntries / Math.max(1, this.toldIds.size));
--- a/src/core/routing/freeSlot.ts
+++ b/src/core/routing/freeSlot.ts
@@ -11,12 +11,20 @@
   { fingerprint }: SlotRequest,
 ): PlacementRestriction => (fingerprint ? findRestriction(fingerprint) : NO_RESTRICTION);
 
+/** Which servers are considered for a request. */
+interface FreeSlotOptions {
+  /** Servers that must not be chosen. */
+  readonly avoided?: readonly string[];
+  /** Defaults to whether the request continues a stream, whose version few servers may have. */
+  readonly includesLent?: boolean;
+}
+
 /** Chooses a server with a free slot, except `avoided` ones and those that the entry avoids. */
 export const chooseFreeWorker = (
   tables: PlacementTables,
   request: SlotRequest,
   now: number,
-  avoided: readonly string[] = [],
+  { avoided = [], includesLent = request.origin !== undefined }: FreeSlotOptions = {},
 ): WorkerChoice | undefined => chooseRoutedWorker(tables.workers, {
   service: request.service,
   promptTokens: request.promptTokens,
@@ -27,6 +35,7 @@
   avoided: new Set([...avoided, ...request.avoidedIds ?? []]),
   requiresFreeSlot: true,
   origin: request.origin,
+  includesLent,
 }, now);
 
 /**
@@ -41,5 +50,7 @@
   const suspects = [...tables.placed.values()]
     .filter((placed) => readRestriction(tables, placed.request).kind !== 'none');
   if (suspects.some((other) => other.request.fingerprint === request.fingerprint)) return undefined;
-  return chooseFreeWorker(tables, request, now, suspects.map(({ worker }) => worker.id));
+  return chooseFreeWorker(tables, request, now, {
+    avoided: suspects.map(({ worker }) => worker.id), includesLent: true,
+  });
 };
--- a/src/core/routing/messageIntervals.ts
+++ b/src/core/routing/messageIntervals.ts
@@ -26,6 +26,14 @@
 const MIN_PACE_DELAY_MS = 250;
 const MAX_PACE_DELAY_MS = 1_000;
 const MS_PER_SECOND = 1_000;
+/** Least number of entries whose placement messages go to other replicas than the leader. */
+const MIN_HUB_ENTRIES = 40;
+
+/**
+ * Whether the placement messages of entries go to replicas that grant slots for the leader. On
+ * sites with fewer entries the leader has the time to decide on all requests itself.
+ */
+export const needsDelegates = (entryCount: number): boolean => entryCount >= MIN_HUB_ENTRIES;
 
 /** Computes the interval of each entry that keeps all of them at a total rate, within bounds. */
 const computeIntervalMs = (
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -62,11 +62,14 @@
 /** Limit on waiting requests over all services. */
 const MAX_WAITING = 4_096;
 
+/** Parts of the tables that have a default. */
+type PlacementOptions = Partial<Pick<PlacementTables, 'origins' | 'learnsUntil' | 'holdsLease' | 'mayUseLent'>>;
+
 /** Makes empty tables for the given backend servers. */
 export const makePlacementTables = (
   workers: RoutedWorkers,
   findRestriction: RestrictionFinder = () => NO_RESTRICTION,
-  streams: Partial<Pick<PlacementTables, 'origins' | 'learnsUntil' | 'holdsLease'>> = {},
+  streams: PlacementOptions = {},
 ): PlacementTables => ({
   workers,
   waiting: new WaitingQueue(workers),
@@ -80,6 +83,7 @@
   grantedStreams: new Map(),
   learnsUntil: streams.learnsUntil ?? 0,
   holdsLease: streams.holdsLease ?? (() => true),
+  mayUseLent: streams.mayUseLent ?? false,
   refusals: 0,
 });
 
@@ -171,6 +175,14 @@
   retryAfterMs: refusedMs,
 });
 
+/** A leader without free slots of its own uses those of the servers that it has lent. */
+const chooseLentWorker = (
+  tables: PlacementTables,
+  request: SlotRequest,
+  now: number,
+): WorkerChoice | undefined => (
+  tables.mayUseLent ? chooseFreeWorker(tables, request, now, { includesLent: true }) : undefined);
+
 const chooseIfNotFull = (
   tables: PlacementTables,
   request: SlotRequest,
@@ -178,7 +190,7 @@
 ): WorkerChoice | undefined => {
   const { full } = tables;
   if (full.has(request.service) || full.has(formatFullKey(request))) return undefined;
-  const choice = chooseFreeWorker(tables, request, now);
+  const choice = chooseFreeWorker(tables, request, now) ?? chooseLentWorker(tables, request, now);
   if (!choice) full.add(formatFullKey(request));
   return choice;
 };
@@ -196,7 +208,8 @@
   unreached: readonly string[],
 ): boolean => {
   if (unreached.length === 0) return false;
-  const ready = (workers.byService.get(service) ?? []).filter(isReady);
+  const ready = (workers.byService.get(service) ?? [])
+    .filter((worker) => isReady(worker) && !worker.isLent);
   return ready.length > 0 && ready.every(({ id }) => unreached.includes(id));
 };
 
--- a/src/core/routing/placementTables.ts
+++ b/src/core/routing/placementTables.ts
@@ -90,6 +90,8 @@
   readonly learnsUntil: number;
   /** Whether no other leader can exist, which may know more versions. */
   readonly holdsLease: () => boolean;
+  /** Whether servers whose slots another replica grants are used when no other slot is free. */
+  readonly mayUseLent: boolean;
   /** Number of refusals so far, by which the retries of refused callers are spread. */
   refusals: number;
 }
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -22,6 +22,7 @@
   const { holdMs } = findServiceStats(workers, service);
   const freedPerMs = (workers.byService.get(service) ?? []).reduce((sum, worker) => {
     const isCounted = worker.standing === 'ready'
+      && (!worker.isLent || origin !== undefined)
       && isReachable(workers, worker, now)
       && !avoidedIds?.includes(worker.id)
       && canContinue(worker, origin);
@@ -81,3 +82,17 @@
   );
   return Math.max(0, share * request.targetMs - Math.min(ownMs, request.targetMs / 2));
 };
+
+/**
+ * Estimates how many slots the requests that arrive for a service would use on average, whether
+ * they get one or not.
+ *
+ * @example
+ * const slots = estimateDemand(tables, 'bale-scribe', clock.now()); // 40 requests/s of 0.5 s: 20
+ */
+export const estimateDemand = (
+  { arrivalRates, workers }: PlacementTables,
+  service: string,
+  now: number,
+): number => (
+  sumHigherRates(arrivalRates, service, Infinity, now) * findServiceStats(workers, service).holdMs);
--- a/src/core/routing/routedWorkers.ts
+++ b/src/core/routing/routedWorkers.ts
@@ -38,6 +38,10 @@
   inFlight: number;
   /** Those of them that the current leader of control placed. */
   placed: number;
+  /** Those of them that the current delegate of the leader placed. */
+  delegated: number;
+  /** Whether another control replica grants its slots; never at an entry. */
+  isLent: boolean;
   /** Prompt tokens of this entry's open requests whose answers have not started. */
   pendingTokens: number;
   /** Open requests of all other entries at the server, as last reported. */
@@ -147,6 +151,8 @@
   isCold: false,
   inFlight: 0,
   placed: 0,
+  delegated: 0,
+  isLent: false,
   pendingTokens: 0,
   othersInFlight: 0,
   othersPendingTokens: 0,
--- a/src/core/routing/workerChoice.ts
+++ b/src/core/routing/workerChoice.ts
@@ -35,6 +35,8 @@
   readonly origin?: StreamOrigin | undefined;
   /** Set if other entries may choose by the same view at the same time. */
   readonly sample?: SampleOptions | undefined;
+  /** Whether servers whose slots another replica grants may be chosen too. */
+  readonly includesLent?: boolean;
 }
 
 /** A chosen backend server with its estimates. */
@@ -138,6 +140,7 @@
   now: number,
 ): boolean => (!request.requiresFreeSlot || hasFreeSlot(worker))
   && isReady(worker)
+  && (!worker.isLent || request.includesLent === true)
   && hasAllowance(worker.rateLimit.allowance, now)
   && worker.inFlight < (connectionShares.get(worker.service) ?? Infinity)
   && !request.avoided?.has(worker.id)
--- a/src/core/routing/workerLoads.ts
+++ b/src/core/routing/workerLoads.ts
@@ -56,9 +56,10 @@
 const applyLoad = (worker: RoutedWorker, total?: WorkerLoad, own?: WorkerLoad): void => {
   const sumOthers = (field: LoadField): number => (
     Math.max(0, (total?.[field] ?? 0) - (own?.[field] ?? 0)));
-  const ownPlacedTokens = worker.placed > 0 ? worker.pendingTokens : 0;
+  const ownPlaced = worker.placed + worker.delegated;
+  const ownPlacedTokens = ownPlaced > 0 ? worker.pendingTokens : 0;
   const observers = (total?.observers ?? 0) - ((own?.slowness ?? 0) > 0 ? 1 : 0);
-  worker.othersInFlight = sumOthers('inFlight') + Math.max(0, (total?.placed ?? 0) - worker.placed);
+  worker.othersInFlight = sumOthers('inFlight') + Math.max(0, (total?.placed ?? 0) - ownPlaced);
   worker.othersPendingTokens = sumOthers('tokens')
     + Math.max(0, (total?.placedTokens ?? 0) - ownPlacedTokens);
   worker.othersSlowness = observers > 0 ? sumOthers('slowness') / observers / THOUSANDTHS : 0;
@@ -90,6 +91,26 @@
   });
 };
 
+/** Resets the delegated counts, because another delegate does not know what this one placed. */
+export const resetDelegated = (workers: RoutedWorkers): void => {
+  workers.byId.forEach((worker) => {
+    worker.delegated = 0;
+  });
+};
+
+/**
+ * Applies loads at a replica that grants slots, without the requests that it placed itself.
+ *
+ * @example
+ * applyOtherLoads(workers, LoadList.decode(reply.loadList).loads);
+ */
+export const applyOtherLoads = (workers: RoutedWorkers, totals: readonly WorkerLoad[]): void => {
+  workers.byId.forEach((worker) => {
+    worker.delegated = worker.inFlight;
+  });
+  applyLoads(workers, totals);
+};
+
 /**
  * Lists the load that this entry puts on each backend server without the leader's placement, for
  * the leader and the other entries.
@@ -98,10 +119,9 @@
  * request.loads = listLoads(workers);
  */
 export const listLoads = ({ byId }: RoutedWorkers): WorkerLoad[] => [...byId.values()]
-  .filter(({ inFlight, placed }) => inFlight > placed)
-  .map(({
-    id, inFlight, placed, pendingTokens,
-  }) => ({
+  .map((worker) => ({ worker, placed: worker.placed + worker.delegated }))
+  .filter(({ worker, placed }) => worker.inFlight > placed)
+  .map(({ worker: { id, inFlight, pendingTokens }, placed }) => ({
     ...NO_LOAD,
     workerId: id,
     inFlight: inFlight - placed,
--- a/src/relay/attemptTracker.ts
+++ b/src/relay/attemptTracker.ts
@@ -74,13 +74,15 @@
   private releasedAt: number | undefined;
 
   constructor(private readonly parts: AttemptTrackerParts) {
-    const { picked, clock, writer } = parts;
+    const {
+      picked, clock, writer, site,
+    } = parts;
     this.isContinued = writer.chunkCount > 0;
     const { worker } = picked;
     this.startedAt = clock.now();
     this.pendingTokensBefore = worker.pendingTokens + worker.othersPendingTokens;
     worker.inFlight += 1;
-    if (picked.placeId !== '') worker.placed += 1;
+    site.countSlot(picked, 1);
     worker.pendingTokens += this.promptTokens;
   }
 
@@ -114,7 +116,7 @@
     this.releasedAt = clock.now();
     this.recordHead();
     picked.worker.inFlight -= 1;
-    if (picked.epoch !== '' && picked.epoch === site.workersEpoch) picked.worker.placed -= 1;
+    site.countSlot(picked, -1);
   }
 
   /** Reports that the slot was not used: no byte was sent, nor will be. */
--- a/src/relay/entryAccounts.ts
+++ b/src/relay/entryAccounts.ts
@@ -54,10 +54,15 @@
    * entry has a share for such requests if it has to decide on them itself.
    */
   recordPlaced(account: RoutedAccount, cost: number, now: number): void {
-    this.recentCharges.record(account, cost, now);
+    this.recordDelegated(account, cost, now);
     if (account.perSecond > 0 && cost > 0) this.budget.recordDemand(account, cost, now);
   }
 
+  /** Records what a delegate of the leader charged, which reports the demand itself. */
+  recordDelegated(account: RoutedAccount, cost: number, now: number): void {
+    this.recentCharges.record(account, cost, now);
+  }
+
   /** Whether no leader renews the grants, so that one may soon allow more than they do. */
   isLeaderless(now: number): boolean {
     return this.findRenewal(now) === 'leaderless';
--- a/src/relay/pickRequest.ts
+++ b/src/relay/pickRequest.ts
@@ -27,7 +27,7 @@
   readonly expectedMs: number;
   /** Id of the slot that the leader granted; empty if the entry chose the server. */
   readonly placeId: string;
-  /** Epoch of the leader's server table that counts the slot. */
+  /** Epoch of the leader's server table, or of its delegate, that counts the slot. */
   readonly epoch: string;
   /** Version that the server was required to have; undefined if the request begins a stream. */
   readonly origin?: StreamOrigin | undefined;
--- a/src/relay/placeClient.ts
+++ b/src/relay/placeClient.ts
@@ -39,6 +39,8 @@
   readonly countEntries: () => number;
   /** Called when the leader has not answered since a time, in monotonic milliseconds. */
   readonly handleSilence?: ((since: number) => void) | undefined;
+  /** Called with the address of the replica that passes a new stream on. */
+  readonly handleHub?: ((address: string) => void) | undefined;
   readonly logger: Logger;
 }
 
@@ -95,7 +97,7 @@
   /** Resolves with the leader's decision, or with undefined if the leader cannot be reached. */
   place(request: PlaceRequest, deadlineAt: number): Promise<PlaceReply | undefined> {
     const now = this.parts.clock.now();
-    const link = this.parts.findLeader();
+    const link = this.findTarget();
     if (!link || this.isPaused(link, now) || now >= deadlineAt) return Promise.resolve(undefined);
     return new Promise((resolve) => {
       this.waiting.set(request.placeId, { request, resolve });
@@ -177,6 +179,12 @@
     this.resolveWaiting();
   }
 
+  /** Returns the leader; while none is known, a replica between may go on without one. */
+  private findTarget(): RpcLink<SiteClient> | undefined {
+    const { leaderStream } = this;
+    return this.parts.findLeader() ?? (leaderStream?.isPassedOn ? leaderStream.link : undefined);
+  }
+
   /** Whether this leader was late; the pause for an earlier one does not apply to it. */
   private isPaused(link: RpcLink<SiteClient>, now: number): boolean {
     return link === this.lastLink && this.pause.isActive(now);
@@ -193,7 +201,7 @@
   private flush(): void {
     clearTimeout(this.flushTimer);
     this.flushTimer = undefined;
-    const link = this.parts.findLeader();
+    const link = this.findTarget();
     const now = this.parts.clock.now();
     if (!link || (!this.leaderStream && this.isPaused(link, now))) {
       this.resolveWaiting();
@@ -228,6 +236,7 @@
     this.outbox.markUnreported();
     this.outbox.setRequests([...this.waiting.values()].map(({ request }) => request));
     const isPassedOn = hub !== undefined;
+    if (hub) this.parts.handleHub?.(hub.address);
     const stream = (hub ?? link).openStream<PlaceNews, PlaceDecisions>((stub) => (
       stub.place.bind(stub)), {
       take: (decisions) => {
@@ -257,15 +266,19 @@
   private settle(reply: PlaceReply): void {
     const pending = this.waiting.get(reply.placeId);
     this.waiting.delete(reply.placeId);
-    if (reply.code === 0) this.addGranted(reply.placeId);
+    if (reply.undecided) {
+      pending?.resolve(undefined);
+      return;
+    }
+    if (reply.code === 0) this.addGranted(reply);
     if (pending) pending.resolve(reply);
     // The request was placed by this entry or cancelled meanwhile: its slot must be released.
     else if (reply.code === 0) this.report({ placeId: reply.placeId, phase: 'unused', ...NO_TIMINGS });
   }
 
-  private addGranted(placeId: string): void {
+  private addGranted({ placeId, delegated }: PlaceReply): void {
     this.activePlaceIds.add(placeId);
-    this.leaderStream?.grantedIds.add(placeId);
+    if (!delegated) this.leaderStream?.grantedIds.add(placeId);
   }
 
   private removeGranted(placeId: string): void {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -109,6 +109,7 @@
     changeHub: () => watch.changeHub(),
     countEntries: () => site.entryCount,
     handleSilence: (since) => site.accounts.recordSilence(since),
+    handleHub: (address) => site.recordDelegate(address),
     clock: systemClock,
     logger,
   });
--- a/src/relay/relaySite.ts
+++ b/src/relay/relaySite.ts
@@ -13,7 +13,7 @@
 import type { RoutedWorker, RoutedWorkers } from '../core/routing/routedWorkers';
 import { RouteTable } from '../core/routing/routeTable';
 import { NO_DOCUMENT } from '../core/routing/siteDocument';
-import { resetPlaced } from '../core/routing/workerLoads';
+import { resetDelegated, resetPlaced } from '../core/routing/workerLoads';
 import { applyRateLimits, listNamedRates } from '../core/routing/workerRateLimit';
 import type { RateSharing } from '../core/routing/workerRateLimit';
 import { parseVersion } from '../manifest/documentVersion';
@@ -28,6 +28,7 @@
 import { HeldTable } from './heldTable';
 import { LeavingPeriod } from './leavingPeriod';
 import { LoadReports } from './loadReports';
+import type { PickedWorker } from './pickRequest';
 import { readDocument } from './readDocument';
 
 /** State of an entry, as reported to control and by the readiness check. */
@@ -157,6 +158,28 @@
     return this.heldTable.epoch;
   }
 
+  /** Identifies the delegate of the leader that grants slots to this entry; empty before one. */
+  delegateEpoch = '';
+
+  /** Records which delegate grants slots; another one does not know what was granted before. */
+  recordDelegate(address: string): void {
+    const epoch = `delegate ${address}`;
+    if (epoch === this.delegateEpoch) return;
+    this.delegateEpoch = epoch;
+    resetDelegated(this.workers);
+  }
+
+  /**
+   * Counts a slot as granted, so that it is not reported as a load of this entry's own.
+   *
+   * @param change 1 when it is taken into use, -1 when it is released
+   */
+  countSlot({ worker, epoch }: Pick<PickedWorker, 'worker' | 'epoch'>, change: 1 | -1): void {
+    if (epoch === '') return;
+    if (epoch === this.workersEpoch) worker.placed += change;
+    else if (epoch === this.delegateEpoch) worker.delegated += change;
+  }
+
   /** Revision of that table; a later one knows more announcements. */
   get workersRevision(): number {
     return this.heldTable.revision;
--- a/src/relay/siteWatch.ts
+++ b/src/relay/siteWatch.ts
@@ -1,10 +1,13 @@
+import { randomUUID } from 'node:crypto';
 import { setTimeout as pause } from 'node:timers/promises';
 import { SiteClient } from '../protocol/generated/beechlift';
 import type { WatchReply, WatchRequest } from '../protocol/generated/beechlift';
+import { needsDelegates } from '../core/routing/messageIntervals';
 import type { Logger } from '../telemetry/logger';
 import { BeechliftError } from '../errors/beechliftError';
 import type { Clock, SuspensionDetector } from '../utils/clock';
 import { Operation } from '../utils/operation';
+import { rankByRendezvous } from '../utils/rendezvous';
 import type { RpcLink } from '../wire/rpcLink';
 import { LinkTable } from '../wire/linkTable';
 import type { RelaySite } from './relaySite';
@@ -25,9 +28,6 @@
 const MIN_RETRY_DELAY_MS = 40;
 const MAX_RETRY_DELAY_MS = 250;
 
-/** Least number of entries whose placement messages pass through other replicas. */
-const MIN_HUB_ENTRIES = 40;
-
 /** A watch request to the leader that was not answered yet. */
 interface OpenWatch {
   readonly address: string;
@@ -78,8 +78,11 @@
 
   private knownReplicas: readonly string[] = [];
 
-  /** Divides the entries among the replicas that pass messages on; at least 0 and less than 1. */
-  private hubDraw = Math.random();
+  /**
+   * Replicas that may pass messages on, in an order of this entry's own. It is the same under each
+   * leader, so that the entries of a replica stay there when another one leads.
+   */
+  private rankedHubs: readonly string[] = [];
 
   private stopped = false;
 
@@ -139,22 +142,32 @@
   }
 
   /**
-   * Returns the connection to a replica that passes placement messages on to the leader; undefined
-   * on sites with few entries, whose messages the leader carries itself.
+   * Returns the connection to a replica that grants slots for the leader, and passes on what only
+   * the leader decides; undefined on sites with few entries.
    *
    * @example
    * const link = watch.findHub() ?? watch.findLeader();
    */
   findHub(): RpcLink<SiteClient> | undefined {
-    if (this.parts.site.entryCount < MIN_HUB_ENTRIES) return undefined;
-    const others = this.knownReplicas.filter((address) => address !== this.leader);
-    const address = others[Math.floor(this.hubDraw * others.length)];
+    if (!needsDelegates(this.parts.site.entryCount)) return undefined;
+    const address = this.rankedHubs.find((replica) => replica !== this.leader);
     return address === undefined ? undefined : this.links.find(address);
   }
 
   /** Draws anew which replica passes placement messages on. */
   changeHub(): void {
-    this.hubDraw = Math.random();
+    this.rankHubs(randomUUID());
+  }
+
+  private rankHubs(key: string): void {
+    this.rankedHubs = rankByRendezvous(key, this.knownReplicas);
+  }
+
+  private setReplicas(addresses: readonly string[]): void {
+    const isSame = addresses.length === this.knownReplicas.length
+      && addresses.every((address) => this.knownReplicas.includes(address));
+    this.knownReplicas = addresses;
+    if (!isSame) this.rankHubs(this.parts.site.entryId);
   }
 
   /** Stops sending watch requests. */
@@ -298,14 +311,14 @@
 
   private setLeader(address: string, reply: WatchReply): void {
     this.leader = address;
-    this.knownReplicas = reply.controlAddresses;
+    this.setReplicas(reply.controlAddresses);
     if (this.isLeaderLost) this.parts.logger.info('control leader found', { address });
     this.isLeaderLost = false;
   }
 
   private handleNoLeader(asked: string, reply: WatchReply | undefined): void {
     const named = reply?.leaderAddress ?? '';
-    if (reply && reply.controlAddresses.length > 0) this.knownReplicas = reply.controlAddresses;
+    if (reply && reply.controlAddresses.length > 0) this.setReplicas(reply.controlAddresses);
     if (this.leader !== '' && this.leader !== asked) return;
     this.parts.site.accounts.recordLostLeader();
     // The asked replica has just failed to answer as the leader, even if it names itself.
--- a/src/relay/workerPicker.ts
+++ b/src/relay/workerPicker.ts
@@ -257,9 +257,11 @@
     const isUsable = worker?.standing === 'ready' && isProven && canContinue(worker, origin);
     if (isUsable && isEligible(site.workers, worker, clock.now())) {
       recordProbe(worker, clock.now());
-      if (account) site.accounts.recordPlaced(account, cost, clock.now());
+      const epoch = reply.delegated ? site.delegateEpoch : site.workersEpoch;
+      if (account && reply.delegated) site.accounts.recordDelegated(account, cost, clock.now());
+      else if (account) site.accounts.recordPlaced(account, cost, clock.now());
       return {
-        worker, expectedMs: reply.expectedMs, placeId, epoch: site.workersEpoch, origin,
+        worker, expectedMs: reply.expectedMs, placeId, epoch, origin,
       };
     }
     // `unknown` means that this entry does not know the server yet.
--- a/tests/relay/attempt-tracker.spec.ts
+++ b/tests/relay/attempt-tracker.spec.ts
@@ -21,7 +21,7 @@
   const reports: PlacedReport[] = [];
   const writer = { firstChunkAt: 0, lastChunkAt: 0, chunkCount: 0 };
   const tracker = new AttemptTracker({
-    site: { workersEpoch: 'e' },
+    site: { workersEpoch: 'e', countSlot: () => undefined },
     placeClient: { report: (report: PlacedReport) => reports.push(report) },
     clock: { now: () => 0 },
     picked: { worker: makeWorker(), placeId: 'p', epoch: 'e' },
@@ -43,7 +43,7 @@
   const workers = makeRoutedWorkers();
   const worker = makeWorker(workers);
   const tracker = new AttemptTracker({
-    site: { workersEpoch: 'e', workers },
+    site: { workersEpoch: 'e', workers, countSlot: () => undefined },
     placeClient: { report: (report: PlacedReport) => reports.push(report) },
     clock: { now: () => 50 + 100 * chunksBefore },
     picked: { worker, placeId: 'p', epoch: 'e' },
