Divide lent servers closely, by demand that is smoothed for seconds

What callers saw: with a leader that has time to spare, delegates served less than the leader alone, as some refused requests of the highest rank while others had free slots.

Cause: the demand of a delegate was its rate times the time that its last ten requests held their slots, smoothed over a second: it varied by more than what it measures. A granter could be a quarter off its share before anything moved.

Change: demand is smoothed over some 2.5 s, and servers move once a granter is 15 in 100 off its share.

A tolerance of 10 moved servers when demand varied by a tenth, which a test forbids.

--- a/src/control/lentServers.ts
+++ b/src/control/lentServers.ts
@@ -8,7 +8,7 @@
 /** Time without a report after which the servers of a delegate are the leader's again, in ms. */
 const DELEGATE_TIMEOUT_MS = 2_500;
 /** Weight of one report in the smoothed demand of a delegate. */
-const SMOOTHING = 0.25;
+const SMOOTHING = 0.1;
 /** Most replicas that grant slots. */
 const MAX_DELEGATES = 64;
 
--- a/src/core/routing/serverLoans.ts
+++ b/src/core/routing/serverLoans.ts
@@ -24,7 +24,7 @@
 /** Least part of an even share that the leader keeps, for requests that are passed on to it. */
 const MIN_LEADER_SHARE = 0.1;
 /** Deviation from a share, as a part of it, up to which no server changes its granter. */
-const TOLERANCE = 0.25;
+const TOLERANCE = 0.15;
 
 const sum = (values: Iterable<number>): number => (
   [...values].reduce((total, value) => total + value, 0));
