Wait for the late reply of a leader instead of asking it again

Cause: a follower gave its watch request up after 700 ms and sent it again. A leader whose replies took 1.2 s answered none in time. Since followers grant slots, that reply carries what they grant by; without it they passed all requests on to the same leader.

Change: a request stays open for 3 s (FollowLoop), unless another replica leads meanwhile. A delegate keeps its servers for 10 s without a reply, in place of 5: they are no lease.

Failed before: "should wait for the reply of a slow leader instead of being sent again" (no reply applied with the time limit of before).

--- a/src/control/placementDelegate.ts
+++ b/src/control/placementDelegate.ts
@@ -16,7 +16,7 @@
 import type { PlacementStream } from './placementStream';
 
 /** Time without a reply of a leader after which nothing is granted any more, in milliseconds. */
-const SHARE_TIMEOUT_MS = 5_000;
+const SHARE_TIMEOUT_MS = 10_000;
 /** Time for which a leader that was late is not asked, in milliseconds. */
 const LATE_LEADER_MS = 400;
 /** How long an entry without a stream keeps its slots, in milliseconds. */
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -11,7 +11,6 @@
   ConfirmReply, LogMessage, MeetReply, MeetRequest, PublishReply, PublishRequest, Replica,
   WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
-import { toBeechliftError } from '../errors/beechliftError';
 import type { RoutingReader } from '../manifest/routing';
 import type { Logger } from '../telemetry/logger';
 import { PROCESS_START, SuspensionDetector, systemClock } from '../utils/clock';
@@ -20,6 +19,7 @@
 import { toPeerError } from '../wire/peerError';
 import { RpcServer } from '../wire/rpcServer';
 import { AnnouncementStream } from './announcementStream';
+import { FollowLoop } from './followLoop';
 import { PlacementHub } from './placementHub';
 import { ReplicaIdentity } from './replicaIdentity';
 import { computeLeaseMs } from './entryLease';
@@ -35,9 +35,6 @@
 const MEET_TIMEOUT_MS = 400;
 const PUBLISH_TIMEOUT_MS = 3_000;
 const CONFIRM_TIMEOUT_MS = 800;
-/** How long the leader holds a watch request of a follower, in milliseconds. */
-const FOLLOW_HOLD_MS = 250;
-const FOLLOW_TIMEOUT_MS = 700;
 /** Interval at which a replica without a leader searches for the site, in milliseconds. */
 const DISCOVERY_INTERVAL_MS = 400;
 
@@ -113,37 +110,6 @@
 ): Promise<MeetReply | undefined> => callSite<MeetRequest, MeetReply>(links, address, 'meet', request, MEET_TIMEOUT_MS)
   .catch(() => undefined); // Asked again later.
 
-/** Sends one watch request to the leader; resolves with whether the leader answered. */
-const followOnce = async (node: RoutedNode, links: Links): Promise<boolean> => {
-  const address = node.leaderAddress;
-  const canAsk = !node.isLeading && address !== '' && node.runner.state.role !== 'leader';
-  if (!canAsk) return false;
-  const request = node.buildFollowRequest(FOLLOW_HOLD_MS);
-  const reply = await callSite<WatchRequest, WatchReply>(links, address, 'watch', request, FOLLOW_TIMEOUT_MS)
-    .catch(() => undefined); // Asked again later.
-  if (!reply || reply.leaseMs <= 0) return false;
-  node.follow(reply, request);
-  return true;
-};
-
-const startFollowing = (node: RoutedNode, links: Links, logger: Logger): (() => void) => {
-  let stopped = false;
-  const ask = async (): Promise<void> => {
-    if (stopped) return;
-    const isAnswered = await followOnce(node, links).catch((thrown: unknown) => {
-      logger.error('watch reply of the leader could not be applied', { reason: toBeechliftError(thrown).message });
-      return false;
-    });
-    setTimeout(() => {
-      ask().catch(() => undefined); // Never rejects.
-    }, isAnswered ? 0 : FOLLOW_HOLD_MS).unref();
-  };
-  ask().catch(() => undefined); // Never rejects.
-  return () => {
-    stopped = true;
-  };
-};
-
 const discoverSite = (
   node: RoutedNode,
   links: Links,
@@ -276,13 +242,18 @@
     () => discoverSite(node, links, self, settings.readSeeds),
     DISCOVERY_INTERVAL_MS,
   );
-  const stopFollowing = startFollowing(node, links, logger);
+  const followLoop = new FollowLoop({
+    node,
+    send: (address, request, timeoutMs) => callSite<WatchRequest, WatchReply>(links, address, 'watch', request, timeoutMs),
+    logger,
+  });
+  followLoop.start();
   return {
     node,
     stop: async () => {
       clearInterval(ticking);
       clearInterval(discovering);
-      stopFollowing();
+      followLoop.stop();
       server.close();
       links.close();
       await node.stop();
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -207,6 +207,12 @@
     return state.role !== 'leader' && (isContactLost || !isLeaderKnown);
   }
 
+  /** Address of the leader to follow; empty if none is known, or this replica leads. */
+  get followedAddress(): string {
+    const canFollow = !this.isLeading && this.runner.state.role !== 'leader';
+    return canFollow ? this.leaderAddress : '';
+  }
+
   /** Lists the entries that accept callers. */
   listEntries(): readonly EntryRecord[] {
     return this.isLeading ? this.leaderState.listEntries() : this.softState.listEntries();
