Divide servers under a new leader once all delegates have reported

Cause: a new leader learns who grants what from the first report of each delegate. It divided all servers when the first one had reported; what the others then named was taken.

Change: nothing is divided in the first 1.5 s, and a delegate counts as gone after 4 s in place of 2.5, as its reports may wait for a full leader.

Failed before: "should stay with replicas from which a new leader hears late".

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -73,7 +73,7 @@
 
   private readonly placementService: PlacementService;
 
-  private readonly lent = new LentServers();
+  private readonly lent: LentServers;
 
   private readonly loadPacker = new LoadPacker(() => this.lent.addPlaced(
     this.placementService.addPlaced(this.entries.sumLoads(this.parts.clock.now())),
@@ -95,6 +95,7 @@
 
   constructor(private readonly parts: LeaderStateParts) {
     this.startedAt = parts.clock.now();
+    this.lent = new LentServers(this.startedAt);
     this.entries = new EntryTable(parts.leaseMs);
     this.ledger = new AccountLedger(parts.limitSlack, CHARGES_WAIT_MS);
     this.placementService = new PlacementService({
--- a/src/control/lentServers.ts
+++ b/src/control/lentServers.ts
@@ -6,7 +6,9 @@
 /** Shortest time between two divisions of the servers, in milliseconds. */
 const PLAN_INTERVAL_MS = 500;
 /** Time without a report after which the servers of a delegate are the leader's again, in ms. */
-const DELEGATE_TIMEOUT_MS = 2_500;
+const DELEGATE_TIMEOUT_MS = 4_000;
+/** Time in which a new leader hears from all delegates before it divides servers, in ms. */
+const SETTLE_MS = 1_500;
 /** Weight of one report in the smoothed demand of a delegate. */
 const SMOOTHING = 0.1;
 /** Most replicas that grant slots. */
@@ -54,6 +56,9 @@
 
   private plannedAt = -Infinity;
 
+  /** @param startedAt when this replica began to lead, monotonic milliseconds */
+  constructor(private readonly startedAt: number) {}
+
   /** Number of replicas that grant slots. */
   get size(): number {
     return this.delegates.size;
@@ -129,7 +134,7 @@
     this.plannedAt = now;
     // A leader that had no lease meanwhile took no reports.
     if (sinceMs < 2 * PLAN_INTERVAL_MS) this.expire(now);
-    if (this.delegates.size === 0) return true;
+    if (this.delegates.size === 0 || now - this.startedAt < SETTLE_MS) return true;
     byService.forEach((members, service) => (
       this.splitServers(service, members, {
         leaderDemand: demands.get(service) ?? 0, leastDemand: isEven ? LEAST_DEMAND : 0,
