Answer followers before the entries that wait for their turn

What callers saw: as before, delegates without servers or grants while the leader was late.

Cause: replies take turns, eight in each iteration of the event loop, so that a reply to all entries holds up no heartbeat.

Change: followers take no turn.

Failed before: "should answer a follower at once, however many entries wait for their turn" (200 entries were answered first, 50 are allowed).

--- a/src/control/watchService.ts
+++ b/src/control/watchService.ts
@@ -118,8 +118,9 @@
     }
     // A change answers the requests of all entries at once, and a new leader gets requests of all
     // entries at once: yielding between replies lets the log send its heartbeats.
+    // Followers are few, and what they grant for the leader must not wait behind all entries.
     const dueAt = clock.now();
-    await this.turns.wait();
+    if (request.entryId !== '') await this.turns.wait();
     const isUnread = isAbandoned();
     work.recordWatchTurn(clock.now() - dueAt, isUnread);
     if (isUnread) return WatchReplyCodec.fromPartial({});
--- a/tests/control/watch-service.spec.ts
+++ b/tests/control/watch-service.spec.ts
@@ -79,6 +79,21 @@
 };
 
 describe('the watch service of a leader', () => {
+  // The servers and grants of a replica that grants slots waited behind the replies to all entries.
+  it('should answer a follower at once, however many entries wait for their turn', async () => {
+    let answered = 0;
+    const { desk: service } = makeService(new HeldCalls(), () => undefined);
+    const entries = Array.from({ length: ENTRIES }, async (unused, position) => {
+      await service.watch(WatchRequest.fromPartial({ entryId: `e${position}` }));
+      answered += 1;
+    });
+    // All entries wait for their turn before the first of them has it.
+    await new Promise(process.nextTick);
+    await service.watch(WatchRequest.fromPartial({ delegate: { replicaId: 'r1' } }));
+    expect(answered).toBeLessThan(ENTRIES / 4);
+    await Promise.all(entries);
+  });
+
   // While all servers of a service have one version, followers need no origins of streams at once:
   // each reply costs both sides processor time.
   it.each([[['v1', 'v1'], false], [['v1', 'v2'], true]] as const)('should give followers new origins of streams soon if versions differ: %j', async (versions, isSoon) => {
