--- a/src/control/placementDelegate.ts
+++ b/src/control/placementDelegate.ts
@@ -1,6 +1,6 @@
 import { LoadList, PlaceNews, PlaceReply } from '../protocol/generated/beechlift';
 import type {
-  CrashSighting, PlacedReport, PlaceRequest, StreamOriginRecord, WatchReply, WatchRequest,
+  PlacedReport, PlaceRequest, StreamOriginRecord, WatchReply, WatchRequest,
 } from '../protocol/generated/beechlift';
 import type { RestrictionFinder } from '../core/quarantine/placementRestriction';
 import type { Mechanisms } from '../core/routing/mechanisms';
@@ -10,8 +10,10 @@
 import { resultCodes } from '../errors/resultCodes';
 import type { Logger } from '../telemetry/logger';
 import type { Clock } from '../utils/clock';
+import { CrashMemory } from './crashMemory';
 import { DelegateAccounts } from './delegateAccounts';
 import type { DelegatedStream } from './delegatedStream';
+import { DelegateWork } from './delegateWork';
 import { PlacementService } from './placementService';
 import type { PlacementStream } from './placementStream';
 
@@ -21,14 +23,8 @@
 const LATE_LEADER_MS = 400;
 /** How long an entry without a stream keeps its slots, in milliseconds. */
 const ENTRY_TIMEOUT_MS = 2_000;
-/** How long a request under which a server crashed is left to the leader, in milliseconds. */
-const CRASH_MEMORY_MS = 2_000;
-/** Most such requests that are remembered. */
-const MAX_CRASHED = 1_000;
 /** Most origins of streams that are kept for the leader; the oldest are dropped. */
 const MAX_ORIGINS = 10_000;
-/** Interval of the log lines on the work of a delegate, in milliseconds. */
-const LOG_INTERVAL_MS = 5_000;
 
 /** Dependencies of a delegate. */
 export interface PlacementDelegateParts {
@@ -56,10 +52,6 @@
   readonly others: PlaceNews | undefined;
 }
 
-const NO_COUNTS = {
-  granted: 0, limited: 0, passedOn: 0, undecided: 0,
-};
-
 /**
  * Grants the slots of the servers that the leader lends this replica, to the entries whose streams
  * it serves. Without it each request of a site would be a decision of one process.
@@ -88,8 +80,8 @@
 
   private leaderLateUntil = -Infinity;
 
-  /** Requests under which servers crashed, and until when they are left to the leader. */
-  private readonly crashed = new Map<string, number>();
+  /** Requests that are left to the leader before its list names them. */
+  private readonly crashes = new CrashMemory();
 
   /** Origins of streams that the leader was not told. */
   private origins: readonly StreamOriginRecord[] = [];
@@ -97,11 +89,10 @@
   /** The server table that was applied. */
   private applied = { epoch: '', revision: 0 };
 
-  private counts = { ...NO_COUNTS };
-
-  private loggedAt: number;
+  private readonly work: DelegateWork;
 
   constructor(private readonly parts: PlacementDelegateParts) {
+    this.work = new DelegateWork(parts.clock, parts.logger);
     this.service = new PlacementService({
       clock: parts.clock,
       logger: parts.logger,
@@ -110,7 +101,6 @@
       isDelegate: true,
       handleUnplaced: ({ account, cost }) => this.accounts.refund(account, cost),
     });
-    this.loggedAt = parts.clock.now();
   }
 
   /** Whether this replica has servers to grant. */
@@ -160,14 +150,14 @@
   /** Divides a message of an entry into what is decided here and what the leader decides. */
   split(message: PlaceNews): SplitNews {
     const { requests, reports, entryId } = message;
-    this.recordCrashes(message.sightings);
+    this.crashes.add(message.sightings, this.parts.clock.now());
     const origins = this.keepOrigins(message);
     const ownRequests = requests.filter((request) => this.canDecide(request));
     const otherRequests = requests.filter((request) => !ownRequests.includes(request));
     const otherReports = reports.filter(({ placeId }) => !this.service.holds(placeId));
     otherRequests.filter((request) => this.isDelegable(request))
       .forEach((request) => this.service.recordArrival(request));
-    this.counts.passedOn += otherRequests.length;
+    this.work.count('passedOn', otherRequests.length);
     const count = otherRequests.length + otherReports.length + message.sightings.length
       + message.served.length + origins.length;
     return {
@@ -217,7 +207,7 @@
 
   /** Counts requests that are left to their entries. */
   countUndecided(count: number): void {
-    this.counts.undecided += count;
+    this.work.count('undecided', count);
   }
 
   /** Runs the timers: waiting requests, lost entries, late leaders. */
@@ -230,7 +220,7 @@
     this.service.expire((entryId) => this.entries.has(entryId));
     this.service.placeWaiting();
     this.streams.forEach((stream) => stream.checkLeader());
-    this.logCounts(now);
+    this.work.log({ servers: this.ownIds.size, ...this.service.countRequests() });
   }
 
   /** Gives up all servers and streams, as this replica leads now or stops. */
@@ -285,18 +275,8 @@
 
   private isSuspect(fingerprint: string): boolean {
     if (fingerprint === '') return false;
-    if ((this.crashed.get(fingerprint) ?? -Infinity) > this.parts.clock.now()) return true;
-    return this.parts.findRestriction(fingerprint).kind !== 'none';
-  }
-
-  private recordCrashes(sightings: readonly CrashSighting[]): void {
-    const until = this.parts.clock.now() + CRASH_MEMORY_MS;
-    sightings.forEach(({ fingerprint }) => {
-      this.crashed.delete(fingerprint);
-      this.crashed.set(fingerprint, until);
-    });
-    [...this.crashed.keys()].slice(0, Math.max(0, this.crashed.size - MAX_CRASHED))
-      .forEach((fingerprint) => this.crashed.delete(fingerprint));
+    return this.crashes.has(fingerprint, this.parts.clock.now())
+      || this.parts.findRestriction(fingerprint).kind !== 'none';
   }
 
   /** Charges a request to its account; answers it if that is not possible. */
@@ -305,7 +285,7 @@
     if (this.service.holds(placeId)) return false;
     const result = this.accounts.charge(request, this.parts.clock.now());
     if (result.kind === 'charged') {
-      this.counts.granted += 1;
+      this.work.count('decided');
       return true;
     }
     if (result.kind === 'unknown') {
@@ -313,7 +293,7 @@
       stream.add(PlaceReply.fromPartial({ placeId, undecided: true }));
       return false;
     }
-    this.counts.limited += 1;
+    this.work.count('limited');
     stream.add(PlaceReply.fromPartial({
       placeId,
       code: resultCodes.accountLimited.number,
@@ -322,26 +302,4 @@
     }));
     return false;
   }
-
-  private logCounts(now: number): void {
-    if (now - this.loggedAt < LOG_INTERVAL_MS) return;
-    const { waiting, placed } = this.service.countRequests();
-    const {
-      limited, passedOn, undecided, granted: decided,
-    } = this.counts;
-    if (decided + limited + passedOn > 0) {
-      this.parts.logger.info('work of a delegate', {
-        servers: this.ownIds.size,
-        decided,
-        limited,
-        passedOn,
-        undecided,
-        waiting,
-        placed,
-        elapsedMs: Math.round(now - this.loggedAt),
-      });
-    }
-    this.counts = { ...NO_COUNTS };
-    this.loggedAt = now;
-  }
 }
