Leave small sites as they were where no server is lent

Cause: followers that grant nothing counted as holders of grants, so the even part of an entry's grant fell by a third on a site with eight entries. The leader applied loads every 100 ms instead of with each tick.

Failed before: "should divide grants among those that decide on requests".

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -51,7 +51,7 @@
 /** Longest time for which a new leader waits for what entries tell of earlier charges, in ms. */
 const CHARGES_WAIT_MS = 500;
 
-/** Interval at which the loads of entries and delegates are applied, in milliseconds. */
+/** Interval at which loads are applied where delegates report some too, in milliseconds. */
 const LOADS_INTERVAL_MS = 100;
 
 /** Fields of a watch reply that list the entries that accept callers. */
@@ -175,7 +175,7 @@
       loadList: this.loadPacker.build(now),
       grants: keepsGrants
         ? []
-        : this.ledger.listGrants(entryId, entryCount + this.lent.size, now),
+        : this.ledger.listGrants(entryId, entryCount + this.lent.granterCount, now),
       entryCount,
       limits: this.placementService.listRateLimits(),
     };
@@ -194,12 +194,17 @@
   buildDelegatePart(replicaId: string): DelegatePart {
     const now = this.parts.clock.now();
     const entryCount = this.countEntries();
+    const workerIds = this.lent.list(replicaId);
+    // Without servers it charges nobody.
+    const needsGrants = workerIds.length > 0;
     return {
-      loadList: this.loadPacker.build(now),
-      grants: this.ledger.listGrants(replicaId, entryCount + this.lent.size, now),
+      loadList: needsGrants ? this.loadPacker.build(now) : Buffer.alloc(0),
+      grants: needsGrants
+        ? this.ledger.listGrants(replicaId, entryCount + this.lent.granterCount, now)
+        : [],
       entryCount,
       limits: [],
-      delegate: { workerIds: this.lent.list(replicaId) },
+      delegate: { workerIds },
     };
   }
 
@@ -310,7 +315,8 @@
   }
 
   private applyLoads(now: number): void {
-    if (now - this.loadsAppliedAt < LOADS_INTERVAL_MS) return;
+    const intervalMs = this.lent.granterCount > 0 ? LOADS_INTERVAL_MS : 0;
+    if (now - this.loadsAppliedAt < intervalMs) return;
     this.loadsAppliedAt = now;
     this.placementService.applyLoads(this.lent.addOpen(this.entries.sumLoads(now)));
   }
--- a/src/control/lentServers.ts
+++ b/src/control/lentServers.ts
@@ -59,9 +59,9 @@
   /** @param startedAt when this replica began to lead, monotonic milliseconds */
   constructor(private readonly startedAt: number) {}
 
-  /** Number of replicas that grant slots. */
-  get size(): number {
-    return this.delegates.size;
+  /** Number of replicas that grant slots of at least one server. */
+  get granterCount(): number {
+    return new Set(this.owners.values()).size;
   }
 
   /** Records the report of a delegate; a new leader learns from the first one what it grants. */
--- a/tests/control/leader-state.spec.ts
+++ b/tests/control/leader-state.spec.ts
@@ -179,4 +179,19 @@
   it('should replace an earlier one after half a second on a small site', () => {
     expect([400, 550].map((afterMs) => isSent(afterMs, 8))).toEqual([false, true]);
   });
+
+  // On small sites, replicas that grant no slots took a part of each account's grants from entries.
+  it('should divide grants among those that decide on requests', () => {
+    const rig = new LeaderRig();
+    rig.leaderState.configureAccounts([makeAccount({ name: 'shop', perSecond: 100, burst: 100 })]);
+    const request = WatchRequest.fromPartial({ entryId: 'e1', callerAddress: 'e1', state: 'active' });
+    rig.leaderState.recordEntry(request);
+    const readUnits = (): number | undefined => (
+      rig.leaderState.buildEntryPart(request).grants[0]?.units);
+    const before = readUnits();
+    ['r1', 'r2', 'r3'].forEach((replicaId) => (
+      rig.leaderState.recordDelegate(WatchRequest.fromPartial({ delegate: { replicaId } }))));
+    expect(readUnits()).toBe(before);
+    expect(rig.leaderState.buildDelegatePart('r1').grants).toEqual([]);
+  });
 });
