Lend servers by the demand of delegates alone, and let a rise count at once

Cause: the demand of a delegate was smoothed from zero over seconds, while the leader's own was not smoothed and held what delegates had passed on to it for want of servers. So the leader kept 69 of 98 servers, and a replica that had restarted had one.

Change: the leader's demand counts for nothing, as it uses lent servers too, and its estimate of waits counts these. A rise in a delegate's demand counts by half in each report, a fall by a tenth.

Failed before: "should soon be enough for a replica that has just started beside a busy one", with the weight of before. "should reach replicas within a second and a half of their first requests" passes with that weight too: what it guards against came from the leader's demand, which is no longer an input.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -323,10 +323,8 @@
 
   private assignServers(now: number): void {
     const { placementService, lent } = this;
-    const demands = new Map(placementService.listDemands()
-      .map(({ service, slots }) => [service, slots]));
     const isEven = needsDelegates(this.countEntries());
-    if (!lent.plan(placementService.servers, demands, now, isEven)) return;
+    if (!lent.plan(placementService.servers, now, isEven)) return;
     placementService.markLent((id) => lent.isLent(id));
   }
 
--- a/src/control/lentServers.ts
+++ b/src/control/lentServers.ts
@@ -9,8 +9,12 @@
 const DELEGATE_TIMEOUT_MS = 4_000;
 /** Time in which a new leader hears from all delegates before it divides servers, in ms. */
 const SETTLE_MS = 1_500;
-/** Weight of one report in the smoothed demand of a delegate. */
-const SMOOTHING = 0.1;
+/**
+ * Weights of one report in the smoothed demand of a delegate. A rise counts at once: a replica that
+ * has just started, or gets the entries of another one, refuses requests until it has servers.
+ */
+const RISE_WEIGHT = 0.5;
+const FALL_WEIGHT = 0.1;
 /** Most replicas that grant slots. */
 const MAX_DELEGATES = 64;
 
@@ -22,12 +26,6 @@
   loads: readonly WorkerLoad[];
 }
 
-/** Demand at the leader, and what each delegate is assumed to have at least, in slots. */
-interface DemandBounds {
-  readonly leaderDemand: number;
-  readonly leastDemand: number;
-}
-
 /** Assumed demand of a delegate without requests, in slots: far less than that of a busy one. */
 const LEAST_DEMAND = 1;
 
@@ -46,7 +44,7 @@
  *
  * @example
  * lent.report(request.delegate, clock.now());
- * if (lent.plan(workers, demands, clock.now())) service.markLent((id) => lent.isLent(id));
+ * if (lent.plan(workers, clock.now())) service.markLent((id) => lent.isLent(id));
  */
 export class LentServers {
   private readonly delegates = new Map<string, Delegate>();
@@ -74,8 +72,10 @@
     delegate.seenAt = now;
     delegate.loads = loads;
     demands.forEach(({ service, slots }) => {
-      const before = delegate.demands.get(service) ?? keepNumber(slots);
-      delegate.demands.set(service, before + SMOOTHING * (keepNumber(slots) - before));
+      const demand = keepNumber(slots);
+      const before = delegate.demands.get(service) ?? demand;
+      const weight = demand > before ? RISE_WEIGHT : FALL_WEIGHT;
+      delegate.demands.set(service, before + weight * (demand - before));
     });
     this.delegates.set(replicaId, delegate);
     if (known) return;
@@ -118,14 +118,14 @@
   }
 
   /**
-   * Divides the servers anew by demand, if it is time to; returns whether it did.
+   * Divides the servers anew by demand, if it is time to; returns whether it did. Requests at the
+   * leader count for nothing, as it uses lent servers too: most of them are those that delegates
+   * passed on while they had no servers.
    *
-   * @param demands slots that the requests at the leader itself would use, by service
    * @param isEven whether servers are lent in even parts before there is any demand
    */
   plan(
     { byService }: Pick<RoutedWorkers, 'byService'>,
-    demands: ReadonlyMap<string, number>,
     now: number,
     isEven = false,
   ): boolean {
@@ -136,19 +136,17 @@
     if (sinceMs < 2 * PLAN_INTERVAL_MS) this.expire(now);
     if (this.delegates.size === 0 || now - this.startedAt < SETTLE_MS) return true;
     byService.forEach((members, service) => (
-      this.splitServers(service, members, {
-        leaderDemand: demands.get(service) ?? 0, leastDemand: isEven ? LEAST_DEMAND : 0,
-      })));
+      this.splitServers(service, members, isEven ? LEAST_DEMAND : 0)));
     return true;
   }
 
   private splitServers(
     service: string,
     members: readonly RoutedWorker[],
-    bounds: DemandBounds,
+    leastDemand: number,
   ): void {
     const servers = members.filter(isReady).map(({ id, slots }) => ({ id, slots }));
-    const demands = this.listDemands(service, bounds);
+    const demands = this.listDemands(service, leastDemand);
     const owners = members.every(isLendable)
       ? planLoans({ servers, demands, owners: this.owners })
       : new Map<string, string>();
@@ -159,17 +157,10 @@
     });
   }
 
-  /** Requests that delegates pass on as they have no server count as the delegates' own. */
-  private listDemands(
-    service: string,
-    { leaderDemand, leastDemand }: DemandBounds,
-  ): Map<string, number> {
+  private listDemands(service: string, leastDemand: number): Map<string, number> {
     const demands = [...this.delegates].map(([id, delegate]) => (
       [id, Math.max(leastDemand, delegate.demands.get(service) ?? 0)] as const));
-    const granting = new Set(this.owners.values());
-    const passedOn = demands.filter(([id]) => !granting.has(id))
-      .reduce((total, [, demand]) => total + demand, 0);
-    return new Map([[LEADER, Math.max(0, leaderDemand - passedOn)], ...demands]);
+    return new Map([[LEADER, 0], ...demands]);
   }
 
   private listLoads(): readonly WorkerLoad[] {
--- a/src/core/routing/placementWait.ts
+++ b/src/core/routing/placementWait.ts
@@ -15,14 +15,14 @@
 
 /** Sums the slots that become free per millisecond, as far as rate limits allow to use them. */
 const sumFreedPerMs = (
-  { workers }: PlacementTables,
+  { workers, mayUseLent }: PlacementTables,
   { service, avoidedIds, origin }: SlotRequest,
   now: number,
 ): number => {
   const { holdMs } = findServiceStats(workers, service);
   const freedPerMs = (workers.byService.get(service) ?? []).reduce((sum, worker) => {
     const isCounted = worker.standing === 'ready'
-      && (!worker.isLent || origin !== undefined)
+      && (!worker.isLent || mayUseLent || origin !== undefined)
       && isReachable(workers, worker, now)
       && !avoidedIds?.includes(worker.id)
       && canContinue(worker, origin);
--- a/tests/control/lent-servers.spec.ts
+++ b/tests/control/lent-servers.spec.ts
@@ -40,7 +40,7 @@
     Array.from({ length: ms / REPORT_MS }).forEach(() => {
       now += REPORT_MS;
       Object.entries(demands).forEach(([id, slots]) => report(id, slots));
-      lent.plan(workers, new Map(), now, isEven);
+      lent.plan(workers, now, isEven);
     }));
 
   const count = (replicaId: string): number => lent.list(replicaId).length;
@@ -69,6 +69,21 @@
     expect(Math.abs(count('r1') - count('r2'))).toBeLessThanOrEqual(1);
   });
 
+  // After a restart of all replicas the leader kept most servers for seconds, and delegates refused
+  // requests meanwhile.
+  it('should reach replicas within a second and a half of their first requests', () => {
+    run(2_000, { r1: 0, r2: 0 });
+    run(1_500, { r1: 40, r2: 40 });
+    expect(count('r1') + count('r2')).toBeGreaterThanOrEqual(22);
+  });
+
+  it('should soon be enough for a replica that has just started beside a busy one', () => {
+    run(5_000, { r1: 40 });
+    run(1_500, { r1: 40, r2: 0 });
+    run(1_500, { r1: 40, r2: 40 });
+    expect(count('r2')).toBeGreaterThanOrEqual(8);
+  });
+
   it('should return to the leader when their replica is gone', () => {
     run(5_000, { r1: 20, r2: 20 });
     run(6_000, { r1: 20 });
@@ -93,10 +108,10 @@
     const before = ids.map((id) => lent.list(id));
     lent = new LentServers(now);
     report('r1', 20, { workerIds: before[0] ?? [] });
-    lent.plan(workers, new Map(), now);
+    lent.plan(workers, now);
     now += 1_200;
     ['r2', 'r3'].forEach((id, index) => report(id, 20, { workerIds: before[index + 1] ?? [] }));
-    lent.plan(workers, new Map(), now);
+    lent.plan(workers, now);
     expect(ids.map((id) => lent.list(id))).toEqual(before);
   });
 
@@ -104,7 +119,7 @@
     run(5_000, { r1: 20, r2: 20 });
     const before = lent.list('r1');
     now += 4_000;
-    lent.plan(workers, new Map(), now);
+    lent.plan(workers, now);
     expect(lent.list('r1')).toEqual(before);
   });
 
