Scan the server table only for messages with origins, and poll the leader once

keepOrigins looked through all servers on each message of an entry, though most messages name no origins. waitForOtherLeader attached another handler to the reply at each poll, to learn what its caller knows. No behaviour changes.

--- a/src/control/followLoop.ts
+++ b/src/control/followLoop.ts
@@ -71,24 +71,19 @@
     const request = node.buildFollowRequest(FOLLOW_HOLD_MS);
     const answered = send(address, request, FOLLOW_TIMEOUT_MS)
       .catch(() => undefined); // Asked again later.
-    const reply = await Promise.race([answered, this.waitForOtherLeader(address, answered)]);
+    let isOver = false;
+    const reply = await Promise.race([answered, this.waitForOtherLeader(address, () => isOver)]);
+    isOver = true;
     if (!reply || reply.leaseMs <= 0) return false;
     node.follow(reply, request);
     return true;
   }
 
   /** Resolves once another replica leads, so that the last leader is not waited for. */
-  private async waitForOtherLeader(
-    address: string,
-    answered: Promise<unknown>,
-  ): Promise<undefined> {
-    const state = { isAnswered: false };
-    answered.then(() => {
-      state.isAnswered = true;
-    }).catch(() => undefined); // Never rejects.
+  private async waitForOtherLeader(address: string, isOver: () => boolean): Promise<undefined> {
     await pause(LEADER_CHECK_MS, undefined, { ref: false });
-    const isOver = this.isStopped || state.isAnswered
-      || this.parts.node.followedAddress !== address;
-    return isOver ? undefined : this.waitForOtherLeader(address, answered);
+    const hasChanged = this.parts.node.followedAddress !== address;
+    if (hasChanged || this.isStopped || isOver()) return undefined;
+    return this.waitForOtherLeader(address, isOver);
   }
 }
--- a/src/control/placementDelegate.ts
+++ b/src/control/placementDelegate.ts
@@ -267,8 +267,9 @@
    * An entry that begins its stream tells all of them to a leader that may be another one.
    */
   private keepOrigins({ origins, entryId }: PlaceNews): StreamOriginRecord[] {
+    if (origins.length === 0) return origins;
     const canWait = this.isActive && entryId === '' && !hasMixedService(this.parts.readTable());
-    if (!canWait || origins.length === 0) return origins;
+    if (!canWait) return origins;
     this.origins = [...this.origins, ...origins].slice(-MAX_ORIGINS);
     return [];
   }
