--- a/src/control/placementService.ts
+++ b/src/control/placementService.ts
@@ -4,9 +4,8 @@
   WorkerRecord,
 } from '../protocol/generated/beechlift';
 import { recordArrival } from '../core/routing/arrivalRates';
-import {
-  requestSlots, makePlacementTables, placeFreed, placeWaiting,
-} from '../core/routing/placement';
+import { makePlacementTables } from '../core/routing/makePlacementTables';
+import { requestSlots, placeFreed, placeWaiting } from '../core/routing/placement';
 import {
   applyPlacementUpdate, expirePlaced, removeAbandonedRequest, retainPlaced,
 } from '../core/routing/placementUpdates';
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -6,25 +6,18 @@
  * engine is idle. Here all slots are known, none is granted twice, and waiting requests are served
  * by rank.
  */
-import { NO_RESTRICTION } from '../quarantine/placementRestriction';
-import type {
-  PlacementRestriction, RestrictionFinder, RestrictionKind,
-} from '../quarantine/placementRestriction';
-import { makeArrivalRates, recordArrival } from './arrivalRates';
-import { PairReach } from './pairReach';
+import type { PlacementRestriction, RestrictionKind } from '../quarantine/placementRestriction';
+import { recordArrival } from './arrivalRates';
 import type { PlacementTables, SlotRequest } from './placementTables';
 import { chooseFreeWorker, chooseIsolatedWorker, readRestriction } from './freeSlot';
 import { computeMaxWaitMs, estimateWaitMs } from './placementWait';
 import { isReady } from './routedWorkers';
-import type { RoutedWorkers } from './routedWorkers';
 import {
   explainVersionGone, ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_RETRY_MS, VERSION_GONE_RETRY_MS,
 } from './streamOrigin';
 import type { StreamOrigin } from './streamOrigin';
-import { StreamOrigins } from './streamOrigins';
 import { checkStream, recordStreamGrant } from './streamPlacement';
 import type { WorkerChoice } from './workerChoice';
-import { WaitingQueue } from './waitingQueue';
 import { takeWorkerAllowance } from './workerRateLimit';
 
 /** Why a request gets no slot. */
@@ -62,31 +55,6 @@
 /** Limit on waiting requests over all services. */
 const MAX_WAITING = 4_096;
 
-/** Parts of the tables that have a default. */
-type PlacementOptions = Partial<Pick<PlacementTables, 'origins' | 'learnsUntil' | 'holdsLease' | 'mayUseLent'>>;
-
-/** Makes empty tables for the given backend servers. */
-export const makePlacementTables = (
-  workers: RoutedWorkers,
-  findRestriction: RestrictionFinder = () => NO_RESTRICTION,
-  streams: PlacementOptions = {},
-): PlacementTables => ({
-  workers,
-  waiting: new WaitingQueue(workers),
-  full: new Set(),
-  freed: new Set(),
-  placed: new Map(),
-  arrivalRates: makeArrivalRates(),
-  findRestriction,
-  reach: new PairReach(),
-  origins: streams.origins ?? new StreamOrigins(),
-  grantedStreams: new Map(),
-  learnsUntil: streams.learnsUntil ?? 0,
-  holdsLease: streams.holdsLease ?? (() => true),
-  mayUseLent: streams.mayUseLent ?? false,
-  refusals: 0,
-});
-
 const computeRetrySpreadMs = ({ refusals }: PlacementTables): number => (
   (refusals % RETRY_SPREAD_STEPS) * RETRY_SPREAD_STEP_MS);
 
--- a/tests/core/mechanisms.spec.ts
+++ b/tests/core/mechanisms.spec.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { MECHANISMS, makeMechanisms } from '../../src/core/routing/mechanisms';
 import type { Mechanism } from '../../src/core/routing/mechanisms';
-import { makePlacementTables, placeWaiting, requestSlots } from '../../src/core/routing/placement';
+import { makePlacementTables } from '../../src/core/routing/makePlacementTables';
+import { placeWaiting, requestSlots } from '../../src/core/routing/placement';
 import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
 import { computeMaxWaitMs, estimateWaitMs } from '../../src/core/routing/placementWait';
--- a/tests/core/placement.spec.ts
+++ b/tests/core/placement.spec.ts
@@ -2,7 +2,8 @@
 import type {
   RestrictionFinder, RestrictionKind,
 } from '../../src/core/quarantine/placementRestriction';
-import { makePlacementTables, placeWaiting, requestSlots } from '../../src/core/routing/placement';
+import { makePlacementTables } from '../../src/core/routing/makePlacementTables';
+import { placeWaiting, requestSlots } from '../../src/core/routing/placement';
 import { applyPlacementUpdate, expirePlaced } from '../../src/core/routing/placementUpdates';
 import type { PlacementDecision } from '../../src/core/routing/placement';
 import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
--- a/tests/core/stream-placement.spec.ts
+++ b/tests/core/stream-placement.spec.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { makePlacementTables, placeWaiting, requestSlots } from '../../src/core/routing/placement';
+import { makePlacementTables } from '../../src/core/routing/makePlacementTables';
+import { placeWaiting, requestSlots } from '../../src/core/routing/placement';
 import type { PlacementDecision } from '../../src/core/routing/placement';
 import type { PlacementTables, SlotRequest } from '../../src/core/routing/placementTables';
 import { applyPlacementUpdate, retainPlaced } from '../../src/core/routing/placementUpdates';
--- a/tests/core/unreached-services.spec.ts
+++ b/tests/core/unreached-services.spec.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { makePlacementTables, requestSlots } from '../../src/core/routing/placement';
+import { makePlacementTables } from '../../src/core/routing/makePlacementTables';
+import { requestSlots } from '../../src/core/routing/placement';
 import type { PlacementDecision } from '../../src/core/routing/placement';
 import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
 import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
--- a/tests/core/waiting-queue.spec.ts
+++ b/tests/core/waiting-queue.spec.ts
@@ -1,8 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import {
-  makePlacementTables, placeFreed, placeWaiting, requestSlots,
-} from '../../src/core/routing/placement';
+import { makePlacementTables } from '../../src/core/routing/makePlacementTables';
+import { placeFreed, placeWaiting, requestSlots } from '../../src/core/routing/placement';
 import type { PlacementDecision } from '../../src/core/routing/placement';
 import { applyPlacementUpdate } from '../../src/core/routing/placementUpdates';
 import type { PlacementUpdate } from '../../src/core/routing/placementUpdates';
