--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -140,6 +140,18 @@
     }, 'the config is acknowledged');
   }
 
+  /** Finds the machine of the replica that leads; 0 if none does. */
+  async findLeader() {
+    const answers = await Promise.all(REPLICAS.map((machine) => (
+      callHttp(`${formatIp(machine)}:${this.operatorPort}`, { path: '/metrics', timeoutMs: 500 }))));
+    return 1 + answers.findIndex(({ text }) => /^beechlift_control_leads 1$/m.test(text));
+  }
+
+  /** Sends a signal to a process, if it runs. */
+  sendSignal(name, signal) {
+    this.processes.get(name)?.kill(signal);
+  }
+
   async checkReady(machine) {
     const { status } = await callHttp(`${formatIp(machine)}:${this.readinessPort}`, { path: '/v1/readyz', timeoutMs: 500 });
     return status === 200;
