Review case 6: a lost successor of a replaced machine leaves the site without a leader for good

What breaks: CONFIG. A machine of control is replaced as planned, the new one first. A second after the old one has gone, the new one loses its disk and is down for 3 s. Nobody leads from then on: the acknowledged config doesn't come at any replica, and all requests are answered with 503. One machine of three is lost, as is to be borne.

At fault: promoteLearner in src/core/log/replicaPlan.ts makes the lost successor a fourth voter once the old machine has been silent for 3 s, so that two of four voters are gone.

--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -9,6 +9,8 @@
 
 /** Machines of control: 127.0.0.1 to 127.0.0.3. */
 export const REPLICAS = [1, 2, 3];
+/** A machine of control that a case may add. */
+export const ADDED_REPLICA = 4;
 
 /** Below the range of ephemeral ports. */
 const FIRST_PORT = 21_000;
@@ -49,7 +51,7 @@
 
   /** Finds free ports; starts nothing yet. */
   static async open(entries, recordLine = () => undefined) {
-    const hosts = [...REPLICAS, ...entries].map(formatIp);
+    const hosts = [...REPLICAS, ADDED_REPLICA, ...entries].map(formatIp);
     return new Site(entries, await findPorts(5, hosts), recordLine);
   }
 
@@ -102,7 +104,7 @@
     this.entries.forEach((machine) => this.startEntry(machine));
   }
 
-  endProcess(name) {
+  endProcess(name, signal = 'SIGKILL') {
     const child = this.processes.get(name);
     return new Promise((settle) => {
       if (!child) {
@@ -110,7 +112,7 @@
         return;
       }
       child.once('exit', settle);
-      child.kill('SIGKILL');
+      child.kill(signal);
     });
   }
 
@@ -140,6 +142,16 @@
     }, 'the config is acknowledged');
   }
 
+  /** Reads the config back at a replica. */
+  readConfig(machine) {
+    return callHttp(`${formatIp(machine)}:${this.operatorPort}`, { path: '/v1/Configuration.Read', timeoutMs: OPERATOR_TIMEOUT_MS });
+  }
+
+  /** Removes the disk of a replica that was ended. */
+  removeDisk(machine) {
+    rmSync(join(this.folder, `data-${machine}`), { recursive: true, force: true });
+  }
+
   /** Finds the machine of the replica that leads; 0 if none does. */
   async findLeader() {
     const answers = await Promise.all(REPLICAS.map((machine) => (
