--- a/review/8/main.mjs
+++ b/review/8/main.mjs
@@ -1,65 +1,48 @@
-/** The leading replica freezes and wakes by turns, and each entry overdraws a tenant's limit. */
+/** A config lifts the limit of a tenant, and its requests are refused as before. */
 import { dirname } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { readNow } from '../lib-2/calls.mjs';
-import { countStatuses } from '../lib-2/callers.mjs';
+import { countStatuses, sendStream } from '../lib-2/callers.mjs';
 import { buildConfig, TENANT } from '../lib-2/documents.mjs';
-import { checkQuota, Demand, startEngines } from '../lib-2/limitedTenant.mjs';
+import { startEngines } from '../lib-2/limitedTenant.mjs';
 import { runCase } from '../lib-2/runCase.mjs';
 import { Site } from '../lib-2/site.mjs';
 
-/** As many as the site has `edge` machines. */
-const ENTRIES = [11, 12, 13, 14, 15, 16, 17, 18];
-const LIMIT = { rate: 1_000, burst: 50_000 };
-const LIMITED = { ...TENANT, rate_per_s: LIMIT.rate, burst: LIMIT.burst };
-/** The largest request of the site has 53,200 prompt tokens. */
-const LARGE = { prompt: 49_900, output: 100 };
-const SMALL = { prompt: 90, output: 10 };
-const QUIET_MS = 6_000;
-/** The leader stands still for 0.29 s, wakes for 0.1 s, and so on: 3.8 s in all. */
-const FREEZES = 13;
-const FREEZE_MS = 290;
-const AWAKE_MS = 100;
-/** From the first freeze until the tenant's callers begin. */
-const LEAD_MS = 800;
-const AFTER_MS = 4_000;
+const ENTRIES = [11, 12, 13, 14];
+const LIMITED = { ...TENANT, rate_per_s: 2_000, burst: 2_000 };
+const UNLIMITED = { ...TENANT, rate_per_s: 0, burst: 0 };
+/** The users' bound `config_apply_ms`. */
+const APPLY_MS = 2_000;
+const PHASE_MS = 15_000;
+const REQUEST_INTERVAL_MS = 100;
+const SIZE = { prompt: 3_000, output: 100 };
+/** Refusals that are not counted, as for the rule DENIED: 5, and one in 500. */
+const EXCUSED = 5;
 
-const freezeByTurns = async (site, name, count) => {
-  if (count === 0) return;
-  site.sendSignal(name, 'SIGSTOP');
-  await pause(FREEZE_MS);
-  site.sendSignal(name, 'SIGCONT');
-  await pause(AWAKE_MS);
-  await freezeByTurns(site, name, count - 1);
+const sendTraffic = async (site, endAt, answers = []) => {
+  if (readNow() >= endAt) return answers;
+  const machine = ENTRIES[answers.length % ENTRIES.length];
+  answers.push(await sendStream(site.getEntryAddress(machine), SIZE));
+  await pause(REQUEST_INTERVAL_MS);
+  return sendTraffic(site, endAt, answers);
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ hasTrouble, record, onEnd }) => {
-  const pauses = [];
-  const roles = [];
-  const site = await Site.open(ENTRIES, (name, text) => {
-    if (text.includes('this entry places requests itself')) pauses.push(name);
-    if (text.includes('"role":"leader"') && text.includes('role changed')) roles.push(name);
-  });
+  const site = await Site.open(ENTRIES);
   onEnd(() => site.close());
-  await site.startAll(buildConfig(1, { tenants: [LIMITED] }));
-  const servers = await startEngines(site, onEnd, SMALL);
-  await pause(QUIET_MS);
-  const leader = `control-${await site.findLeader()}`;
-  record(`the tenant has ${LIMIT.rate} tokens a second and a burst of ${LIMIT.burst}; ${leader} leads`);
-  const startedAt = readNow();
-  const frozen = hasTrouble
-    ? freezeByTurns(site, leader, FREEZES)
-    : pause(FREEZES * (FREEZE_MS + AWAKE_MS));
-  await pause(LEAD_MS);
-  record('its callers begin to ask for more, with large requests');
-  const demand = new Demand(site, LARGE);
-  await frozen;
-  if (hasTrouble) record(`${leader} has frozen ${FREEZES} times, in ${Math.round(readNow() - startedAt)} ms`);
-  await pause(AFTER_MS);
-  await demand.stop();
-  record(`replicas that began to lead, in order: ${roles.join(', ')}`);
-  record(`entries that placed requests themselves, times in all: ${pauses.length}`);
-  record(`answers by status: ${JSON.stringify(countStatuses(demand.answers))}`);
-  return checkQuota(servers, LIMIT, record);
+  await site.startAll(buildConfig(1, { tenants: [hasTrouble ? LIMITED : UNLIMITED] }));
+  const servers = await startEngines(site, onEnd);
+  record(`version 1 is acknowledged: ${hasTrouble ? 'the tenant has 2,000 tokens a second' : 'the tenant has no limit'}`);
+  const before = await sendTraffic(site, readNow() + PHASE_MS);
+  record(`${before.length} requests of 3,100 tokens, answers by status: ${JSON.stringify(countStatuses(before))}`);
+  await site.publish(buildConfig(7, { tenants: [UNLIMITED] }));
+  record('version 7 is acknowledged: rate_per_s 0, burst 0, which means no limit');
+  await pause(APPLY_MS);
+  const after = await sendTraffic(site, readNow() + 2 * PHASE_MS);
+  const refused = after.filter(({ status }) => status === 429);
+  record(`sent later than ${APPLY_MS} ms after that: ${after.length} requests, answers by status: ${JSON.stringify(countStatuses(after))}`);
+  if (refused.length > 0) record(`last refusal: ${refused.at(-1).text.slice(0, 260)}`);
+  record(`requests that ran: ${servers.reduce((sum, { runs }) => sum + runs.length, 0)}`);
+  return refused.length > EXCUSED + after.length / 500;
 });
