--- a/review/lib-2/callers.mjs
+++ b/review/lib-2/callers.mjs
@@ -19,7 +19,7 @@
 };
 
 /** Sends a request for a stream of a model engine, of so many tokens. */
-export const sendStream = (address, { prompt, output }) => {
+export const sendStream = (address, { prompt, output }, key = KEY) => {
   const id = makeId();
   return callHttp(address, {
     method: 'POST',
@@ -28,7 +28,7 @@
       host: HOST,
       'attempt-id': id,
       'deadline-ms': '15000',
-      authorization: `Bearer ${KEY}`,
+      authorization: `Bearer ${key}`,
       model: 'm',
       'token-count': `${prompt},${output}`,
       'prompt-prefix': `${id}:${prompt}`,
--- a/review/lib-2/limitedTenant.mjs
+++ b/review/lib-2/limitedTenant.mjs
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { readNow, waitUntil } from './calls.mjs';
 import { findWorstWindow, sendStream } from './callers.mjs';
-import { ENGINE_SERVICE } from './documents.mjs';
+import { ENGINE_SERVICE, KEY, TENANT } from './documents.mjs';
 import { makeStreamAnswer, Server } from './server.mjs';
 
 const SERVERS = 6;
@@ -36,15 +36,16 @@
 
   isStopped = false;
 
-  constructor(site, size = USUAL_SIZE) {
+  constructor(site, size = USUAL_SIZE, key = KEY) {
     this.size = size;
+    this.key = key;
     this.loops = Array.from({ length: LOOPS }, (unused, number) => this.send(site, number));
   }
 
   async send(site, number) {
     if (this.isStopped) return;
     const machine = site.entries[number % site.entries.length];
-    const answer = await sendStream(site.getEntryAddress(machine), this.size);
+    const answer = await sendStream(site.getEntryAddress(machine), this.size, this.key);
     this.answers.push(answer);
     if (answer.status !== 200) await pause(REFUSED_PAUSE_MS);
     await this.send(site, number + 1);
@@ -60,10 +61,11 @@
   String(headers['token-count']).split(',').reduce((sum, text) => sum + Number(text), 0));
 
 /** Checks what ran for a tenant against the rule QUOTA; returns whether the rule was broken. */
-export const checkQuota = (servers, { rate, burst }, record) => {
+export const checkQuota = (servers, { rate, burst }, record, tenant = TENANT.name) => {
   const checkedAt = readNow();
-  const uses = servers.flatMap(({ runs }) => runs.map((run) => (
-    { at: run.at, units: countTokens(run) })));
+  const uses = servers.flatMap(({ runs }) => runs
+    .filter(({ headers }) => headers.tenant === tenant)
+    .map((run) => ({ at: run.at, units: countTokens(run) })));
   const worst = findWorstWindow(uses, WINDOW_MS);
   const plain = rate * (WINDOW_MS / 1_000) + burst;
   const bound = plain * (1 + OVERSHOOT) + SLACK;
