Hand the vote of a control replica that stops to a standby

Callers saw: a machine of control was replaced as planned and stopped; another one lost its disk within three seconds, and nobody led for good, although the removed machine no longer counts by then.

Cause: a replica that gets SIGTERM just ended, and kept its vote until it had been silent for 3 s. With that vote and another disk gone, one of three voters was left.

Change: it asks the leader to replace it and goes on until it sees the change committed, for 2 s at most. The leader swaps it for a standby that answers, and keeps it as a learner meanwhile. Without a standby it ends at once, as before.

Why it works: all voters are alive during the swap, which needs any two of the old and any two of the new ones; after it the process that ends has no vote.

--- a/src/control/replicaSetManager.ts
+++ b/src/control/replicaSetManager.ts
@@ -1,4 +1,4 @@
-import type { Replica } from '../protocol/generated/beechlift';
+import type { LogMessage, Replica } from '../protocol/generated/beechlift';
 import { isReadyToVote } from '../core/log/learnerReadiness';
 import { listReplicas } from '../core/log/logState';
 import { planReplicas } from '../core/log/replicaPlan';
@@ -8,6 +8,10 @@
 import type { LogRunner } from './logRunner';
 import { JoinRequests } from './joinRequests';
 
+/** Kind of the message by which a replica asks the leader to take its vote before it stops. */
+export const LEAVE_MESSAGE = 'leave';
+/** Lifetime of such a request, in milliseconds; a replica that stops repeats it. */
+const LEAVE_TTL_MS = 500;
 /** Time without a message after which a joining replica may replace a replica, in milliseconds. */
 const REPLICA_TIMEOUT_MS = 3_000;
 /** Time without a message after which a replica is not recommended to servers, in milliseconds. */
@@ -24,6 +28,9 @@
 
   private readonly lastSeenAt = new Map<string, number>();
 
+  /** When each replica last asked to be replaced. */
+  private readonly leavingAt = new Map<string, number>();
+
   /** @param voterCount target number of voters of the site */
   constructor(
     private readonly voterCount: number,
@@ -32,8 +39,14 @@
   ) {}
 
   /** Records that a message of a replica arrived. */
-  recordMessage(id: string): void {
-    this.lastSeenAt.set(id, this.clock.now());
+  recordMessage({ from, kind }: Pick<LogMessage, 'from' | 'kind'>): void {
+    this.lastSeenAt.set(from, this.clock.now());
+    if (kind === LEAVE_MESSAGE) this.recordLeaving(from);
+  }
+
+  /** Records that a replica is about to stop and asks to be replaced. */
+  recordLeaving(id: string): void {
+    this.leavingAt.set(id, this.clock.now());
   }
 
   /** Records that a replica asked to join the site. */
@@ -68,12 +81,20 @@
       replicas: state.replicas,
       newcomers: this.joinRequests.list(now),
       unresponsive: new Set(this.listUnresponsive(state, leadingSince, now)),
+      leaving: new Set(this.listLeaving(now)),
       caughtUp: new Set(state.replicas.learners.map(({ id }) => id)
         .filter((id) => isReadyToVote(state, id, now))),
       voterCount: this.voterCount,
     });
   }
 
+  private listLeaving(now: number): string[] {
+    this.leavingAt.forEach((askedAt, id) => {
+      if (now - askedAt > LEAVE_TTL_MS) this.leavingAt.delete(id);
+    });
+    return [...this.leavingAt.keys()];
+  }
+
   /*
    * The timeout of a joining replica counts from the moment at which this replica first saw it in
    * the set. Otherwise it would be removed before its first message and added again, repeatedly.
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -35,6 +35,8 @@
 const MEET_TIMEOUT_MS = 400;
 const PUBLISH_TIMEOUT_MS = 3_000;
 const CONFIRM_TIMEOUT_MS = 800;
+/** Longest wait for a standby that takes the vote of a replica that stops, in milliseconds. */
+const HANDOVER_TIMEOUT_MS = 2_000;
 /** Interval at which a replica without a leader searches for the site, in milliseconds. */
 const DISCOVERY_INTERVAL_MS = 400;
 
@@ -67,6 +69,8 @@
 /** A running routed control process. */
 export interface RunningRoutedControl {
   readonly node: RoutedNode;
+  /** Gives the vote of the replica to a standby; it serves as before until then. */
+  readonly prepareStop: () => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -250,6 +254,7 @@
   followLoop.start();
   return {
     node,
+    prepareStop: () => node.voteHandover.run(new Operation({ timeoutMs: HANDOVER_TIMEOUT_MS })),
     stop: async () => {
       clearInterval(ticking);
       clearInterval(discovering);
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -28,6 +28,7 @@
 import type { RoutedNodeParts } from './routedNodeParts';
 import { SiteStateMachine } from './siteStateMachine';
 import type { SuspectRegistry } from './suspectRegistry';
+import { VoteHandover } from './voteHandover';
 import { WatchService } from './watchService';
 import type { ReplicaView } from './watchService';
 import { WorkMeter } from './workMeter';
@@ -70,6 +71,9 @@
 
   private readonly replicaSetManager: ReplicaSetManager;
 
+  /** Gives the vote of this replica to a standby before the process stops. */
+  readonly voteHandover: VoteHandover;
+
   private readonly departureLog: DepartureLog;
 
   private readonly readBarrier: ReadBarrier;
@@ -143,6 +147,12 @@
       departures: this.departureLog,
       listFollowers: () => this.replicaSetManager.listResponsive(this.runner.state),
     });
+    this.voteHandover = new VoteHandover({
+      ...parts,
+      runner: this.runner,
+      replicaSetManager: this.replicaSetManager,
+      sendMessage: (message) => this.sendMessage(message),
+    });
     this.leaseLog = new LeaseLog(this.runner, parts);
     this.learnerLog = new LearnerLog(this.runner, parts);
     this.readBarrier = new ReadBarrier({
@@ -223,6 +233,7 @@
     this.suspensionGuard.check();
     this.work.recordTick(this.runner.holdsLease);
     this.runner.handle({ kind: 'tick' });
+    this.voteHandover.tick();
     this.leaseLog.record();
     this.leaderWait.check();
     this.softState.save();
@@ -242,7 +253,7 @@
 
   /** Handles a log message of another replica. */
   step(message: LogMessage): void {
-    this.replicaSetManager.recordMessage(message.from);
+    this.replicaSetManager.recordMessage(message);
     this.work.measure('step', () => this.runner.handle({ kind: 'message', message }));
     this.leaderWait.check();
   }
--- a/src/core/log/replicaPlan.ts
+++ b/src/core/log/replicaPlan.ts
@@ -10,6 +10,8 @@
   readonly newcomers: readonly Replica[];
   /** Replicas that have acknowledged nothing for longer than the time limit. */
   readonly unresponsive: ReadonlySet<string>;
+  /** Replicas that are about to stop and ask to be replaced. */
+  readonly leaving: ReadonlySet<string>;
   /** Learners that have nearly all of the log, and have answered recently. */
   readonly caughtUp: ReadonlySet<string>;
   /** Desired number of voters. */
@@ -35,6 +37,10 @@
     && (unresponsive.has(voter.id) || isReplaced(voter, others)));
 };
 
+const listLeavingVoters = ({ replicas, leaving }: ReplicaPlanInput): Replica[] => (
+  replicas.voters.filter(({ id }) => leaving.has(id))
+);
+
 const replaceLearners = (replicas: ReplicaSet, learners: readonly Replica[]): ReplicaSet => (
   { ...replicas, learners }
 );
@@ -62,7 +68,8 @@
 };
 
 const findReadyLearner = (input: ReplicaPlanInput): Replica | undefined => (
-  listHealthyLearners(input).find(({ id }) => input.caughtUp.has(id))
+  listHealthyLearners(input)
+    .find(({ id }) => input.caughtUp.has(id) && !input.leaving.has(id))
 );
 
 /** Makes a learner a voter, in the place of another voter if one is given. */
@@ -103,15 +110,24 @@
 const replaceVoter = (input: ReplicaPlanInput): ReplicaSet | undefined => {
   const { replicas } = input;
   const [failed] = listFailedVoters(input);
+  const [leaving] = listLeavingVoters(input);
+  const replaced = failed ?? leaving;
   const learner = findReadyLearner(input);
-  if (!failed || !learner) return undefined;
-  return { ...promoteLearner(replicas, learner, failed), previousVoters: replicas.voters };
+  if (!replaced || !learner) return undefined;
+  const { voters, learners } = promoteLearner(replicas, learner, replaced);
+  return {
+    ...replicas,
+    voters,
+    previousVoters: replicas.voters,
+    // A voter that leaves hears of the change as a learner, and may end once it is committed.
+    learners: replaced === failed ? learners : [...learners, replaced],
+  };
 };
 
 /**
  * Plans the next repair step of the replica set; undefined when none is needed. A voter that lost
- * its disk or was replaced by another machine leaves the set as its successor enters it, once that
- * has caught up, so the site never relies on a voter with an empty log.
+ * its disk, was replaced by another machine or is about to stop leaves the set as its successor
+ * enters it, once that has caught up, so the site never relies on a voter with an empty log.
  *
  * @example
  * const next = planReplicas(input);
--- a/tests/control/acknowledged-model.spec.ts
+++ b/tests/control/acknowledged-model.spec.ts
@@ -42,7 +42,7 @@
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('lose' as const), pick }) },
   pickMachineEvent(14, 'sync' as const),
   pickMachineEvent(2, 'compact' as const),
-  pickMachineEvent(3, 'kill' as const, 'cutPower' as const, 'dropDisk' as const),
+  pickMachineEvent(3, 'kill' as const, 'cutPower' as const, 'dropDisk' as const, 'stop' as const),
   pickMachineEvent(4, 'restartBusy' as const),
   pickMachineEvent(1, 'freeze' as const),
   pickSiteEvent(16, 'publish' as const),
--- a/tests/control/acknowledgedModel.ts
+++ b/tests/control/acknowledgedModel.ts
@@ -5,7 +5,7 @@
 import { ModelMachine } from './modelMachine';
 import type { ReplicaProcess } from './modelMachine';
 
-type MachineEvent = | 'sync' | 'compact' | 'kill' | 'remove' | 'restartBusy' | 'cutPower' | 'dropDisk' | 'freeze' | 'start';
+type MachineEvent = | 'sync' | 'compact' | 'kill' | 'stop' | 'remove' | 'restartBusy' | 'cutPower' | 'dropDisk' | 'freeze' | 'start';
 
 /** An event on one machine or on the whole site. */
 export type SiteEvent = | { readonly kind: 'advance'; readonly ms: number }
@@ -130,6 +130,7 @@
       sync: ({ machine }) => this.pickMachine(machine).files.finishSyncs(),
       compact: ({ machine }) => this.pickMachine(machine).compact(),
       kill: ({ machine }) => this.pickMachine(machine).kill(),
+      stop: ({ machine }) => this.pickMachine(machine).stop(),
       remove: ({ machine }) => this.pickMachine(machine).remove(),
       restartBusy: () => this.restartBusy(),
       cutPower: ({ machine }) => this.cutPower(this.pickMachine(machine)),
@@ -204,6 +205,19 @@
     };
   }
 
+  /** Runs small rounds until a machine that was told to stop has ended, for 5 s at most. */
+  async runUntilEnded(position: number, rounds = 200): Promise<void> {
+    if (!this.machines[position]?.isRunning || rounds === 0) return;
+    await this.runRounds(1, 25);
+    await this.runUntilEnded(position, rounds - 1);
+  }
+
+  /** Counts the replicas in the set of the leader. */
+  countReplicas(): { readonly voters: number; readonly learners: number } {
+    const { voters = [], learners = [] } = this.findLeader()?.runner.state.replicas ?? {};
+    return { voters: voters.length, learners: learners.length };
+  }
+
   private findLeader(): ReplicaProcess | undefined {
     return this.machines.map(({ replica }) => replica)
       .find((replica) => replica?.runner.holdsLease);
@@ -260,9 +274,12 @@
     this.machines.filter(({ isFrozen }) => !isFrozen).forEach((machine) => this.tick(machine));
   }
 
-  private tick({ replica }: ModelMachine): void {
+  private tick(machine: ModelMachine): void {
+    const { replica } = machine;
     if (!replica) return;
     replica.runner.handle({ kind: 'tick' });
+    machine.tickStop();
+    if (!machine.isRunning) return;
     if (!replica.runner.holdsLease) {
       this.requestJoin(replica);
       return;
@@ -301,7 +318,7 @@
   private deliver(pending: PendingMessage | undefined): void {
     const machine = this.machines.find(({ address }) => address === pending?.address);
     if (!pending || !machine?.replica || machine.isFrozen) return;
-    machine.replica.replicaSetManager.recordMessage(pending.message.from);
+    machine.replica.replicaSetManager.recordMessage(pending.message);
     machine.replica.runner.handle({ kind: 'message', message: pending.message });
   }
 
--- a/tests/control/modelMachine.ts
+++ b/tests/control/modelMachine.ts
@@ -1,6 +1,7 @@
 import { ReplicaIdentity } from '../../src/control/replicaIdentity';
 import { LogRunner } from '../../src/control/logRunner';
 import { ReplicaSetManager } from '../../src/control/replicaSetManager';
+import { VoteHandover } from '../../src/control/voteHandover';
 import { makeEmptyLog } from '../../src/core/log/logState';
 import type { StoredLog } from '../../src/core/log/logTypes';
 import { LogStore } from '../../src/disk/logStore';
@@ -15,6 +16,7 @@
   readonly self: Replica;
   readonly runner: LogRunner<true>;
   readonly replicaSetManager: ReplicaSetManager;
+  readonly voteHandover: VoteHandover;
   version: number;
   leadingSince: number;
 }
@@ -29,6 +31,8 @@
 }
 
 const FOLDER = 'data';
+/** As long as a process waits for a standby. */
+const HANDOVER_TIMEOUT_MS = 2_000;
 const logger = makeLogger('model', 'silent');
 
 /** A machine with a disk, and the replica process that runs on it. */
@@ -46,6 +50,9 @@
 
   private isRemoved = false;
 
+  /** When the process ends at the latest, once it was told to stop. */
+  private stopsAt = Infinity;
+
   /** Counts the processes, to drop messages and starts of a process that was killed. */
   private starts = 0;
 
@@ -73,9 +80,29 @@
     this.replica = undefined;
     this.isUp = false;
     this.isFrozen = false;
+    this.stopsAt = Infinity;
     this.starts += 1;
   }
 
+  get isRunning(): boolean {
+    return this.isUp;
+  }
+
+  /** Tells the process to stop; its machine may start it again. */
+  stop(): void {
+    if (!this.replica) return;
+    this.replica.voteHandover.start();
+    this.stopsAt = Math.min(this.stopsAt, this.site.clock.now() + HANDOVER_TIMEOUT_MS);
+  }
+
+  /** Continues or ends a stop. */
+  tickStop(): void {
+    if (!this.replica || this.stopsAt === Infinity) return;
+    this.replica.voteHandover.tick();
+    const isDue = this.site.clock.now() >= this.stopsAt;
+    if (isDue || this.replica.voteHandover.isDone) this.kill();
+  }
+
   /** Ends the process for good. */
   remove(): void {
     this.kill();
@@ -131,30 +158,34 @@
     const {
       clock, voterCount, send, recordFailure,
     } = this.site;
-    const replica: ReplicaProcess = {
-      self,
-      replicaSetManager: new ReplicaSetManager(voterCount, clock, logger),
-      version: Number(stored.snapshot.data),
-      leadingSince: 0,
-      runner: new LogRunner<true>(self.id, stored, store, {
-        applyCommand: (command) => {
-          const { version } = JSON.parse(command) as { version: number };
-          replica.version = Math.max(replica.version, version);
-          return true;
-        },
-        restoreSnapshot: ({ data }) => {
-          replica.version = Number(data);
-        },
-        takeSnapshot: () => String(replica.version),
-        sendMessage: (message) => {
-          if (this.starts === start) send(message);
-        },
-        handleRoleChange: (role) => {
-          if (role === 'leader') replica.leadingSince = clock.now();
-        },
-        failStorage: (error) => recordFailure(`${self.address}: ${String(error)}`),
-      }, clock, { startedAt: clock.now() }),
+    const replicaSetManager = new ReplicaSetManager(voterCount, clock, logger);
+    const sendOwn = (message: LogMessage) => {
+      if (this.starts === start) send(message);
     };
-    return replica;
+    const progress = { version: Number(stored.snapshot.data), leadingSince: 0 };
+    const runner = new LogRunner<true>(self.id, stored, store, {
+      applyCommand: (command) => {
+        const { version } = JSON.parse(command) as { version: number };
+        progress.version = Math.max(progress.version, version);
+        return true;
+      },
+      restoreSnapshot: ({ data }) => {
+        progress.version = Number(data);
+      },
+      takeSnapshot: () => String(progress.version),
+      sendMessage: sendOwn,
+      handleRoleChange: (role) => {
+        if (role === 'leader') progress.leadingSince = clock.now();
+      },
+      failStorage: (error) => recordFailure(`${self.address}: ${String(error)}`),
+    }, clock, { startedAt: clock.now() });
+    return Object.assign(progress, {
+      self,
+      runner,
+      replicaSetManager,
+      voteHandover: new VoteHandover({
+        runner, replicaSetManager, sendMessage: sendOwn, logger,
+      }),
+    });
   }
 }
--- a/tests/core/replica-plan.spec.ts
+++ b/tests/core/replica-plan.spec.ts
@@ -13,6 +13,7 @@
   replicas: { voters: [a, b, c], learners: [], leaving: [] },
   newcomers: [],
   unresponsive: new Set(),
+  leaving: new Set(),
   caughtUp: new Set(),
   voterCount: 3,
   ...fields,
--- a/tests/platform/lost-disks.spec.ts
+++ b/tests/platform/lost-disks.spec.ts
@@ -6,6 +6,8 @@
 import { PlatformSite } from '../fakes/platformSite';
 
 const REPLICAS = [1, 2, 3];
+/** A machine of control that replaces one of the others. */
+const SUCCESSOR = 4;
 const DOCUMENT = { version: 1, routes: [], services: [] };
 /** How long after its start a replica may count as lost, `catch_up_s` of the sites. */
 const CATCH_UP_MS = 4_000;
@@ -73,6 +75,30 @@
     expect(rejoinMs).toBeLessThan(CATCH_UP_MS);
   });
 
+  // A replaced machine of control was stopped and removed, another one lost its disk a second
+  // later, and nobody led for good: the removed one still had its vote.
+  it.each(['follower', 'leader'])('should be survived right after a replaced replica was stopped: the %s', async (role) => {
+    const started = await foundSite();
+    started.startControl(SUCCESSOR, false);
+    await waitFor(() => lines.some(({ message, learners }) => (
+      message === 'replica set change started' && learners !== '')), 'the successor is a standby');
+    await pause(CATCH_UP_MS);
+    const leader = await started.findLeader();
+    const followers = await pickFollowers(started);
+    const removed = role === 'leader' ? leader : followers[0] ?? 0;
+    const lost = role === 'leader' ? followers[0] ?? 0 : leader;
+    await started.endProcess(`control-${removed}`, 'SIGTERM');
+    await dropDisk(started, lost);
+    const startedAt = performance.now();
+    const remaining = [...REPLICAS, SUCCESSOR]
+      .filter((machine) => ![removed, lost].includes(machine));
+    const isRead = async () => (
+      (await Promise.all(remaining.map((machine) => started.readDocument(machine))))
+        .every((text) => text === JSON.stringify(DOCUMENT)));
+    await waitFor(() => isRead().catch(() => false), 'the others return the document');
+    expect(performance.now() - startedAt).toBeLessThan(RECOVERY_MS);
+  });
+
   // Guards against the same, where the disks of two replicas are lost one after the other, and all
   // others lose their processes with the second.
   it('should keep what was acknowledged when a second disk is lost beside a kill of all', async () => {
