Swap the replicas of our own pools in one change, too

Cause: planReplicaChange made the new replica a fourth voter beside the one that is gone, and went by what it had acknowledged at any time.

Change: the new replica takes the place of the old one in one change that needs a majority of both sets, once it has the log and has acknowledged a recent round. A change that an earlier release began is still completed.

Why it works: the remaining replicas are a majority before, within and after the change.

--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -3,6 +3,7 @@
   ReportCopiedRequest, StatusReply, SubmitReply, SubmitRequest,
 } from '../protocol/generated/beechlift';
 import { HeartbeatReply as HeartbeatReplyCodec } from '../protocol/generated/beechlift';
+import { listReplicas, listVoters } from '../core/log/logState';
 import type { LogRole, Snapshot, StoredLog } from '../core/log/logTypes';
 import {
   computeMembers, recordHeartbeat, removeStaleMembers,
@@ -114,7 +115,7 @@
 
   /** Lists the ids of the voters in the log of this replica. */
   listVoterIds(): string[] {
-    return this.runner.state.replicas.voters.map(({ id }) => id);
+    return listVoters(this.runner.state.replicas).map(({ id }) => id);
   }
 
   /** Runs the timers of the log and, on a leader, the periodic tasks of the site. */
@@ -211,7 +212,7 @@
   }
 
   private continueReplacement(): void {
-    const next = planReplicaChange(this.runner.state);
+    const next = planReplicaChange(this.runner.state, this.clock.now());
     if (next) this.runner.changeReplicas(next);
   }
 
@@ -287,8 +288,7 @@
   }
 
   private findReplica(id: string): Replica | undefined {
-    const { voters, learners } = this.runner.state.replicas;
-    return [...voters, ...learners].find((replica) => replica.id === id);
+    return listReplicas(this.runner.state.replicas).find((replica) => replica.id === id);
   }
 
   private sendMessage(message: LogMessage): void {
--- a/src/control/replacement.ts
+++ b/src/control/replacement.ts
@@ -1,12 +1,13 @@
+import { isReadyToVote } from '../core/log/learnerReadiness';
 import type { Replica } from '../protocol/generated/beechlift';
 import type { LogState, ReplicaSet } from '../core/log/logTypes';
 import type { AgreedHolders, SiteCommand } from '../core/membership/siteState';
 
 /**
- * Steps that replace a control replica: the new replica learns the log, then votes, then the old
- * replica is removed. After that the claim holders change, first to both sets together, then to the
- * new set alone. Every step is a command of the log, so a new leader continues where the old one
- * stopped.
+ * Steps that replace a control replica: the new replica learns the log, then takes the place of
+ * the old one in a single change. After that the claim holders change, first to both sets together,
+ * then to the new set alone. Every step is a command of the log, so a new leader continues where
+ * the old one stopped.
  */
 
 /**
@@ -27,28 +28,29 @@
   return { voters: replicas.voters, learners: [newcomer], leaving: [removeId] };
 };
 
-const MAX_LAG_ENTRIES = 4;
-
-/*
- * A learner votes only once it has all but the last entries. A voter that lacks the log does not
- * help to form a majority: if a second VM were lost right after the repair, nothing could be
- * committed.
+/**
+ * Plans the next step of the replica set; undefined if none is due. The new replica votes once it
+ * has the log and answers: a voter that lacks the log does not help to form a majority.
+ *
+ * @param now monotonic milliseconds
+ * @example
+ * const next = planReplicaChange(state, clock.now());
  */
-const hasCaughtUp = (state: LogState, id: string): boolean => {
-  const matchIndex = state.peers.get(id)?.matchIndex ?? 0;
-  return matchIndex > 0 && state.commitIndex - matchIndex <= MAX_LAG_ENTRIES;
-};
-
-/** Plans the next step of the replica set; undefined if none is due. */
-export const planReplicaChange = (state: LogState): ReplicaSet | undefined => {
-  const { voters, learners, leaving } = state.replicas;
+export const planReplicaChange = (state: LogState, now: number): ReplicaSet | undefined => {
+  const {
+    voters, previousVoters = [], learners, leaving,
+  } = state.replicas;
+  const remaining = voters.filter(({ id }) => !leaving.includes(id));
   const [learner] = learners;
   if (learner) {
-    if (!hasCaughtUp(state, learner.id)) return undefined;
-    return { voters: [...voters, learner], learners: [], leaving };
+    if (!isReadyToVote(state, learner.id, now)) return undefined;
+    return {
+      voters: [...remaining, learner], previousVoters: voters, learners: [], leaving,
+    };
   }
-  if (leaving.length === 0) return undefined;
-  return { voters: voters.filter(({ id }) => !leaving.includes(id)), learners: [], leaving: [] };
+  // Without previous voters, an earlier release began the change.
+  const isChanging = previousVoters.length > 0 || leaving.length > 0;
+  return isChanging ? { voters: remaining, learners: [], leaving: [] } : undefined;
 };
 
 const formatIds = (replicas: readonly Replica[]): string => (
--- a/src/core/log/logTypes.ts
+++ b/src/core/log/logTypes.ts
@@ -19,7 +19,7 @@
    */
   readonly previousVoters?: readonly Replica[];
   readonly learners: readonly Replica[];
-  /** Voters to be removed once every learner is a voter. */
+  /** Voters to be removed as a learner takes their place. */
   readonly leaving: readonly string[];
 }
 
