Apply account limits as the version that names them describes them

A tenant that one version left out and the next one put back got its whole burst again.

Cause: the leader's ledger applied a version as an update of the accounts that have a limit in it. An account named without one kept the old limit, one that was not named was forgotten, and units that a higher limit had allowed counted in full against a lower one.

Change: an account without a limit in the version in force is not limited; what it had used is remembered until its burst would be whole, and counts if a limit comes back. A changed limit keeps the share of the burst that is left.

Why it works: the accounts that are limited are exactly those of the version, and what is left never grows because limits go back and forth.

--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -3,7 +3,8 @@
 import type { RoutedAccount } from '../../manifest/routing';
 import { computeReserve, recordDemand } from './accountDemand';
 import {
-  addCharge, addEarlierCharges, computeUsedBefore, expireEntries, makeLedgerAccount, setSpend,
+  addCharge, addEarlierCharges, changeLimit, clearReports, computeUsedBefore, expireEntries,
+  makeLedgerAccount, setSpend,
 } from './ledgerAccount';
 import type { LedgerAccount } from './ledgerAccount';
 
@@ -35,6 +36,8 @@
 /** Total units per second below which the entries count as having no demand. */
 const MIN_TOTAL_DEMAND = 0.001;
 const MS_PER_SECOND = 1_000;
+/** Most accounts that have no limit any more and whose use is remembered. */
+const MAX_SUSPENDED = 20_000;
 /** Most entries whose reports on earlier charges are counted. */
 const MAX_TOLD_ENTRIES = 2_000;
 /**
@@ -72,6 +75,9 @@
 export class AccountLedger {
   private readonly accountsByName = new Map<string, LedgerAccount>();
 
+  /** Accounts that had a limit and have none now. */
+  private readonly suspendedByName = new Map<string, LedgerAccount>();
+
   /** Entries that have told what was charged for them before. */
   private readonly toldIds = new Set<string>();
 
@@ -116,22 +122,48 @@
     return true;
   }
 
-  /** Applies the accounts of a routing document; the usage of existing accounts is kept. */
+  /**
+   * Applies the accounts of a routing document. The document names all limits: an account that it
+   * leaves out, or that has no limit in it, is not limited. What such an account had used counts if
+   * a later document limits it again.
+   */
   configure(accounts: readonly RoutedAccount[], now: number): void {
-    const names = new Set(accounts.map(({ name }) => name));
-    this.accountsByName.forEach((state, name) => {
-      if (!names.has(name)) this.accountsByName.delete(name);
-    });
-    accounts.filter(({ perSecond }) => perSecond > 0).forEach((account) => {
-      const state = this.accountsByName.get(account.name);
-      if (!state) {
-        this.accountsByName.set(account.name, makeLedgerAccount(account, now));
-        return;
-      }
+    const limited = accounts.filter(({ perSecond }) => perSecond > 0);
+    const names = new Set(limited.map(({ name }) => name));
+    [...this.accountsByName.values()]
+      .filter(({ account }) => !names.has(account.name))
+      .forEach((state) => this.suspend(state));
+    limited.forEach((account) => this.applyLimit(account, now));
+    this.dropUnused(now);
+  }
+
+  private applyLimit(account: RoutedAccount, now: number): void {
+    const { name } = account;
+    const state = this.accountsByName.get(name) ?? this.suspendedByName.get(name);
+    this.suspendedByName.delete(name);
+    this.accountsByName.set(name, state ?? makeLedgerAccount(account, now));
+    if (!state) return;
+    this.refill(state, now);
+    changeLimit(state, account, (changed) => this.computeCapacity(changed));
+  }
+
+  private suspend(state: LedgerAccount): void {
+    const { name } = state.account;
+    this.accountsByName.delete(name);
+    this.suspendedByName.set(name, state);
+    clearReports(state);
+  }
+
+  /** Drops accounts without a limit whose bursts are whole again, or that are too many. */
+  private dropUnused(now: number): void {
+    this.suspendedByName.forEach((state, name) => {
       this.refill(state, now);
-      state.account = account;
-      state.balance = Math.min(state.balance, this.computeCapacity(account));
+      const isWhole = state.balance >= this.computeCapacity(state.account);
+      if (isWhole) this.suspendedByName.delete(name);
     });
+    [...this.suspendedByName.keys()]
+      .slice(0, Math.max(0, this.suspendedByName.size - MAX_SUSPENDED))
+      .forEach((name) => this.suspendedByName.delete(name));
   }
 
   /** Records the units that an entry admitted. */
--- a/src/core/routing/chargeSlots.ts
+++ b/src/core/routing/chargeSlots.ts
@@ -21,3 +21,28 @@
     return { charged: sum, most: Math.max(most, sum - refill * slot) };
   }, { charged: 0, most: 0 }).most;
 };
+
+/** Rate and burst of a limit, in units. */
+export interface SlotLimit {
+  readonly perSecond: number;
+  readonly burst: number;
+}
+
+/**
+ * Adjusts what was charged under one limit, so that it uses up the same share of the burst of
+ * another one, and the whole burst at most.
+ *
+ * @param slots units per slot, newest first
+ * @example
+ * // Half of the burst: 1_000 units of 2_000 become 2_000 of 4_000.
+ * adjustCharges([1_000], { perSecond: 0, burst: 2_000 }, { perSecond: 0, burst: 4_000 });
+ */
+export const adjustCharges = (
+  slots: readonly number[],
+  from: SlotLimit,
+  to: SlotLimit,
+): readonly number[] => {
+  if (from.perSecond === to.perSecond && from.burst === to.burst) return slots;
+  const usedShare = computeUsedBurst(slots, from.perSecond) / Math.max(1, from.burst);
+  return [Math.min(1, usedShare) * to.burst];
+};
--- a/src/core/routing/ledgerAccount.ts
+++ b/src/core/routing/ledgerAccount.ts
@@ -1,7 +1,9 @@
 /** One account in the ledger of a leader: what is left of its limit, and who asks for it. */
 import type { RoutedAccount } from '../../manifest/routing';
 import type { AccountDemand } from './accountDemand';
-import { computeUsedBurst, SLOT_COUNT, SLOT_MS } from './chargeSlots';
+import {
+  computeUsedBurst, adjustCharges, SLOT_COUNT, SLOT_MS,
+} from './chargeSlots';
 
 /** Latest report of one entry on an account. */
 export interface EntrySpend {
@@ -59,6 +61,37 @@
   demand: new Map(),
 });
 
+/**
+ * Puts another limit in force. The share of the burst that is left stays the same. So what was used
+ * still counts when a limit is lowered and raised again, and a lower limit does not count in full
+ * what a higher one had allowed.
+ *
+ * @param computeCapacity returns the most units that may be left of an account
+ */
+export const changeLimit = (
+  state: LedgerAccount,
+  account: RoutedAccount,
+  computeCapacity: (account: RoutedAccount) => number,
+): void => {
+  const from = { perSecond: state.account.perSecond, burst: computeCapacity(state.account) };
+  const to = { perSecond: account.perSecond, burst: computeCapacity(account) };
+  const ratio = to.burst / Math.max(1, from.burst);
+  // What is overdrawn does not grow with the limit.
+  const adjustLevel = (level: number) => level * (level < 0 ? Math.min(1, ratio) : ratio);
+  state.account = account;
+  state.balance = adjustLevel(state.balance);
+  state.chargedSinceStart = to.burst - adjustLevel(from.burst - state.chargedSinceStart);
+  state.chargedBefore = adjustCharges(state.chargedBefore, from, to);
+  state.usedBefore = NOTHING_USED;
+};
+
+/** Forgets who asked: what is asked while there is no limit does not count when there is one. */
+export const clearReports = (state: LedgerAccount): void => {
+  state.entries.clear();
+  state.demand.clear();
+  state.entryDemand = 0;
+};
+
 /** Replaces the report of an entry, or removes it. */
 export const setSpend = (
   account: LedgerAccount,
