Let a document raise the limit on the heads of requests

Cause: the limit of the parser is a constant of 64 KiB; a document could lower it only.

Change: connections get the limit of the document in force when they are opened. A head that overflows the lower limit of an older connection is refused with 503 and retry-after 0 on a connection that ends, as it has not run.

Why it works: the parser counts less than the check of the document's limit does, so a head that the document allows passes it on any new connection.

--- a/src/relay/callerConnections.ts
+++ b/src/relay/callerConnections.ts
@@ -10,23 +10,26 @@
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Time beyond its idle time in which a connection stays open, as in Node.js, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
+const HEAD_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 const BAD_REQUEST = '400 Bad Request';
+/** Not run: a new connection takes the request. */
+const TRY_AGAIN = '503 Service Unavailable\r\nretry-after: 0';
 /** Most requests that wait behind others on their connections, over all connections. */
 const MAX_WAITING = 100;
 
 /** Status line for each error code of the HTTP parser. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  [HEAD_OVERFLOW]: '431 Request Header Fields Too Large',
   [HEAD_TIMEOUT]: '408 Request Timeout',
 };
 
 /** Answers input that is not a valid request and closes the connection; nothing was forwarded. */
-const refuseUnreadable = (error: ReadError, socket: Socket): void => {
+const refuseUnreadable = (error: ReadError, socket: Socket, statusLine?: string): void => {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy();
     return;
   }
-  const status = STATUS_LINES[error.code ?? ''] ?? BAD_REQUEST;
+  const status = statusLine ?? STATUS_LINES[error.code ?? ''] ?? BAD_REQUEST;
   socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
 };
 
@@ -66,8 +69,16 @@
   /** Connections that have failed and will be closed, unless a second check clears them. */
   private readonly failed = new WeakSet<Socket>();
 
-  /** Registers a new connection. */
-  registerConnection(socket: Socket): void {
+  /** Limit on the heads of each connection, in bytes: the one in force when it was opened. */
+  private readonly headLimits = new WeakMap<Socket, number>();
+
+  /**
+   * Registers a new connection.
+   *
+   * @param maxHeadBytes limit on its heads, for as long as it is open
+   */
+  registerConnection(socket: Socket, maxHeadBytes: number): void {
+    this.headLimits.set(socket, maxHeadBytes);
     socket.once('end', () => this.abortOpen(socket));
   }
 
@@ -132,11 +143,16 @@
   /**
    * Answers an error in the input of a connection and closes the connection. Answers in progress
    * to requests that were read completely are finished first.
+   *
+   * @param maxHeadBytes limit on the heads of new connections
    */
-  handleError(error: ReadError, socket: Socket): void {
+  handleError(error: ReadError, socket: Socket, maxHeadBytes: number): void {
     if (this.failed.has(socket)) return;
     this.failed.add(socket);
-    this.closeAfterError(error, socket, this.latestResponse.get(socket));
+    const isOutdated = error.code === HEAD_OVERFLOW
+      && (this.headLimits.get(socket) ?? maxHeadBytes) < maxHeadBytes;
+    const latest = this.latestResponse.get(socket);
+    this.closeAfterError(error, socket, latest, isOutdated ? TRY_AGAIN : undefined);
   }
 
   /** @param latest response to the latest request when the error occurred */
@@ -144,11 +160,12 @@
     error: ReadError,
     socket: Socket,
     latest: ServerResponse | undefined,
+    statusLine?: string,
   ): void {
     const inProgress = this.listOpen(socket).findLast((response) => isInProgress(response, error));
-    if (inProgress) inProgress.once('close', () => this.closeAfterError(error, socket, latest));
+    if (inProgress) inProgress.once('close', () => this.closeAfterError(error, socket, latest, statusLine));
     else if (error.code === HEAD_TIMEOUT) this.checkHeadTimeout(error, socket, latest);
-    else refuseUnreadable(error, socket);
+    else refuseUnreadable(error, socket, statusLine);
   }
 
   /*
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -9,8 +9,8 @@
 import { RoutedRequest } from './routedRequest';
 import type { RequestParts } from './requestParts';
 
-/** Largest request head that is read; the routing document may set a lower limit. */
-const MAX_HEAD_BYTES = 65_536;
+/** Largest request head that is read, unless the routing document sets a higher limit. */
+const DEFAULT_HEAD_BYTES = 65_536;
 /** Limits until a routing document is in force. */
 const DEFAULT_IDLE_MS = 15_000;
 const DEFAULT_HEAD_TIMEOUT_MS = 3_000;
@@ -35,6 +35,13 @@
     index % 2 === 0 && text.length === HOST.length && text.toLowerCase() === HOST)).length > 1
 );
 
+/** A server whose limit on heads applies to each connection that is opened from then on. */
+type LimitedServer = FastifyInstance['server'] & { maxHeaderSize?: number };
+
+const readMaxHeadBytes = ({ maxHeaderSize }: LimitedServer): number => (
+  maxHeaderSize ?? DEFAULT_HEAD_BYTES
+);
+
 const checkHead = (request: IncomingMessage, maxBytes: number): number | undefined => {
   if (measureHead(request) > maxBytes) return HEAD_TOO_LARGE;
   return hasManyHosts(request) ? BAD_REQUEST : undefined;
@@ -51,17 +58,18 @@
 export const makeRelayServer = (parts: RequestParts): FastifyInstance => {
   const targets = new WeakMap<IncomingMessage, string>();
   const callerConnections = new CallerConnections();
-  const app = Fastify({
+  const app: FastifyInstance = Fastify({
     ...NO_SCHEMAS,
     keepAliveTimeout: DEFAULT_IDLE_MS,
     connectionTimeout: 0,
     requestTimeout: 0,
     http: {
-      maxHeaderSize: MAX_HEAD_BYTES,
+      maxHeaderSize: DEFAULT_HEAD_BYTES,
       headersTimeout: DEFAULT_HEAD_TIMEOUT_MS,
       connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
     },
-    clientErrorHandler: (error, socket) => callerConnections.handleError(error, socket),
+    clientErrorHandler: (error, socket) => (
+      callerConnections.handleError(error, socket, readMaxHeadBytes(app.server))),
     forceCloseConnections: 'idle',
     // Requests on connections that stay open after the port closes are answered as usual.
     return503OnClosing: false,
@@ -71,7 +79,8 @@
       return '/';
     },
   });
-  app.server.on('connection', (socket: Socket) => callerConnections.registerConnection(socket));
+  app.server.on('connection', (socket: Socket) => (
+    callerConnections.registerConnection(socket, readMaxHeadBytes(app.server))));
   app.server.on('request', ({ socket }, response) => (
     callerConnections.registerRequest(socket, response, app.server.keepAliveTimeout)));
   app.server.on('timeout', (socket) => callerConnections.closeIdle(socket));
@@ -92,7 +101,7 @@
       reply.raw.destroy();
       return;
     }
-    const maxHeadBytes = parts.site.table?.routing.limits.headerBytes ?? MAX_HEAD_BYTES;
+    const maxHeadBytes = parts.site.table?.routing.limits.headerBytes ?? DEFAULT_HEAD_BYTES;
     const status = checkHead(raw, maxHeadBytes);
     if (status !== undefined) {
       reply.raw.writeHead(status, { connection: 'close', 'content-length': 0 }).flushHeaders();
@@ -115,4 +124,6 @@
 export const applyCallerLimits = (app: FastifyInstance, limits: CallerLimits): void => {
   app.server.keepAliveTimeout = Math.min(MAX_IDLE_MS, Math.max(0, limits.idleTimeoutMs));
   app.server.headersTimeout = limits.headerTimeoutMs;
+  const server: LimitedServer = app.server;
+  server.maxHeaderSize = Math.max(DEFAULT_HEAD_BYTES, limits.headerBytes);
 };
