--- a/src/relay/workerConnection.ts
+++ b/src/relay/workerConnection.ts
@@ -110,6 +110,11 @@
     return this.socket?.wasReset ?? false;
   }
 
+  /** Whether the server ended the latest socket before all of the request was written. */
+  get wasEndedEarly(): boolean {
+    return this.socket?.wasEndedEarly ?? false;
+  }
+
   /** Whether the connection can no longer be used. */
   get isEnded(): boolean {
     return this.client.destroyed;
--- a/src/wire/workerSocket.ts
+++ b/src/wire/workerSocket.ts
@@ -16,6 +16,9 @@
   /** Whether the socket had no peer when it ended. */
   private hasLostPeer = false;
 
+  /** Whether the peer ended its side before this process had written all bytes. */
+  private hasEndedEarly = false;
+
   constructor(private readonly socket: Socket) {
     const read = socket.read.bind(socket);
     const push = socket.push.bind(socket);
@@ -29,6 +32,7 @@
     // that was reset has no peer any more, unlike one whose peer has closed it.
     socket.once('end', () => {
       this.hasLostPeer = socket.remoteAddress === undefined;
+      this.hasEndedEarly = socket.writableLength > 0;
     });
   }
 
@@ -37,6 +41,11 @@
     return this.hasLostPeer || Boolean(this.socket.errored);
   }
 
+  /** Whether the peer ended its side while bytes for it were still to be written. */
+  get wasEndedEarly(): boolean {
+    return this.hasEndedEarly;
+  }
+
   /** Stops the delivery after the chunk that is being delivered. */
   pause(): void {
     this.isPaused = true;
