Refuse such a success in our own interface, too

Callers would see the same as at the relay: a service ends its side while a call is still being written, and the part that had arrived is a complete answer.

--- a/src/entry/sending/serverConnection.ts
+++ b/src/entry/sending/serverConnection.ts
@@ -41,6 +41,6 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(options, pauseAtSocket(handler, this.findSocket));
+    return super.dispatch(options, pauseAtSocket(handler, options.method, this.findSocket));
   }
 }
--- a/tests/entry/service-client.spec.ts
+++ b/tests/entry/service-client.spec.ts
@@ -9,14 +9,17 @@
 
 const HEAD = 'HTTP/1.1 200 X\r\nconnection: close\r\n\r\n';
 const END_MS = 30;
+/** More than the operating systems of both ends keep. */
+const UPLOAD_BYTES = 16_000_000;
 
 describe('an answer of a service without a length', () => {
   let server: ScriptedServer;
 
-  const callListening = async (): Promise<ServiceAnswer> => {
+  const callListening = async (body = Buffer.alloc(0)): Promise<ServiceAnswer> => {
     await server.listen();
+    const method = body.length > 0 ? 'POST' : 'GET';
     return callService({
-      address: server.address, method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0), timeoutMs: 2_000, maxBytes: 1_000,
+      address: server.address, method, path: '/', headers: {}, body, timeoutMs: 2_000, maxBytes: 1_000,
     });
   };
 
@@ -48,4 +51,23 @@
     });
     await expect(callListening()).rejects.toMatchObject({ reach: 'maybeSent' });
   });
+
+  const refuseUpload = (head: string): Promise<ServiceAnswer> => {
+    server = new ScriptedServer((socket) => {
+      socket.pause();
+      socket.end(`${head}half of it`);
+      pause(END_MS).then(() => socket.resetAndDestroy()).catch(() => undefined);
+    });
+    return callListening(Buffer.alloc(UPLOAD_BYTES));
+  };
+
+  // A server ended its side while the call was still being written, and reset the connection later:
+  // the part that had arrived looked complete.
+  it('should not be passed on if its server ends the connection before it has read the call', async () => {
+    await expect(refuseUpload(HEAD)).rejects.toMatchObject({ reach: 'maybeSent' });
+  });
+
+  it('should be passed on if it is a failure, though its server has not read the call', async () => {
+    expect((await refuseUpload(HEAD.replace('200', '413'))).status).toBe(413);
+  });
 });
