Refuse answers with a status that HTTP does not have

Callers saw: a status of 600 to 999 as a server sent it. The report as worded, 000, was refused already.

Cause: the HTTP client takes any three digits for a status, and all from 200 on were passed on.

Change: an answer with a status outside 100 to 599 counts as broken, at the relay and in our own interface. It is asked for again where the request may be repeated, and replaced by 502 otherwise.

Why it works: the check stands where a head is accepted, before any of it is passed on.

--- a/src/entry/sending/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -4,6 +4,7 @@
 import { systemClock } from '../../utils/clock';
 import { readFraming } from '../../wire/answerFraming';
 import type { AnswerFraming } from '../../wire/answerFraming';
+import { isValidStatus } from '../../wire/isValidStatus';
 import { checkAnswerEnd } from './checkAnswerEnd';
 import { EngineFailure } from './engineFailure';
 import { readBody } from './readBody';
@@ -82,6 +83,7 @@
       dispatcher: client,
     });
     const { statusCode: status, headers } = response;
+    if (!isValidStatus(status)) throw new EngineFailure('maybeSent', `the service answered with status ${status}, which is not within 100 to 599`);
     const framing = findFraming(call.method, response);
     // The HTTP client fails an answer without a body whose head names the length of one.
     if (framing === 'none') await response.body.dump();
--- a/src/relay/attemptOutcome.ts
+++ b/src/relay/attemptOutcome.ts
@@ -3,6 +3,7 @@
 import type { RoutedWorker } from '../core/routing/routedWorkers';
 import { isBackingOff } from '../core/routing/workerBackoff';
 import type { AnswerFraming } from '../wire/answerFraming';
+import { isValidStatus } from '../wire/isValidStatus';
 import type { AnswerWriter } from './answerWriter';
 import type { AttemptOutcome, AttemptTracker } from './attemptTracker';
 import type { AnswerFacts } from './requestDialect';
@@ -45,6 +46,7 @@
   // A late answer to an earlier request of the connection says nothing about this one.
   const hasOtherId = answer.requestId !== '' && answer.requestId !== requestId;
   if (answer.isNotExecuted && !hasOtherId) return { kind: 'rejected', reason: `status ${status}, not executed` };
+  if (!isValidStatus(status)) return { kind: 'broken', reason: `status ${status} is not within 100 to 599` };
   if (answer.requestId !== requestId || answer.isEncoded) {
     return { kind: 'broken', reason: 'the answer does not have the id of the request, or has a content encoding' };
   }
--- a/tests/entry/service-client.spec.ts
+++ b/tests/entry/service-client.spec.ts
@@ -67,6 +67,14 @@
     await expect(refuseUpload(HEAD)).rejects.toMatchObject({ reach: 'maybeSent' });
   });
 
+  // A server answered with a status that HTTP does not have, and the caller got it.
+  it.each([0, 99, 600, 999])('should not be passed on with status %i', async (status) => {
+    server = new ScriptedServer((socket) => {
+      socket.end(`HTTP/1.1 ${String(status).padStart(3, '0')} X\r\ncontent-length: 2\r\n\r\nok`);
+    });
+    await expect(callListening()).rejects.toMatchObject({ reach: 'maybeSent' });
+  });
+
   it('should be passed on if it is a failure, though its server has not read the call', async () => {
     expect((await refuseUpload(HEAD.replace('200', '413'))).status).toBe(413);
   });
