Keep an address with its server until that is silent

Cause: whoever was heard last owned an address, and the server that used it became gone, which no later announcement takes back.

Change: an address changes hands only if its server has been silent for 2 s. A server that loses its address is silent, takes it back by the same rule, and is gone after 10 s.

Why it works: a server that runs announces itself more often than that, and an address is not given away sooner, so a late announcement meets an owner that is not silent; if that owner's own announcements are late, it comes back with the next ones.

--- a/src/control/departureLog.ts
+++ b/src/control/departureLog.ts
@@ -77,7 +77,8 @@
   async ensureAgreed({ workerId, born, state }: AppliedAnnouncement): Promise<boolean> {
     const { table } = this.parts.registry;
     const worker = table.workers.get(workerId);
-    if (!worker) return true;
+    // Another server uses its address: nothing is stored that a later announcement could overtake.
+    if (!worker) return state !== 'draining';
     if (worker.standing === 'ready' || worker.standing === 'silent') {
       return state === 'ready' || worker.superseded.includes(born);
     }
--- a/src/core/routing/workerRecords.ts
+++ b/src/core/routing/workerRecords.ts
@@ -75,7 +75,10 @@
   const superseded = [...known?.superseded ?? [], ...supersededStarts, ...previousStarts];
   const worker = makeTrackedWorker(announcement, superseded.reduce(addSuperseded, []), now);
   table.workers.set(announcement.workerId, worker);
-  if (standing !== 'gone') table.ownerIds.set(announcement.address, announcement.workerId);
+  // A silent server may have lost its address to another one.
+  const usesAddress = standing !== 'gone'
+    && (standing !== 'silent' || !table.ownerIds.has(announcement.address));
+  if (usesAddress) table.ownerIds.set(announcement.address, announcement.workerId);
   setStanding(table, worker, standing as WorkerStanding);
 };
 
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -8,9 +8,9 @@
  * State of a backend server; only a `ready` one gets new requests.
  *
  * - `draining`: finishes its open requests.
- * - `gone`: was deregistered, or another server uses its address. This incarnation cannot become
- *   ready again.
- * - `silent`: has not announced itself within the timeout.
+ * - `gone`: was deregistered, or has ended and another server uses its address. This incarnation
+ *   cannot become ready again.
+ * - `silent`: has not announced itself within the timeout, or another server uses its address.
  */
 export type WorkerStanding = 'ready' | 'draining' | 'gone' | 'silent';
 
@@ -48,6 +48,19 @@
  */
 export const WORKER_TIMEOUT_MS = 5_000;
 
+/**
+ * How long the server that uses an address must have been silent before another one takes the
+ * address over, in milliseconds. A server that runs announces itself twice in that time, and no
+ * platform gives an address away sooner after its server has ended.
+ */
+export const ADDRESS_RELEASE_MS = 2_000;
+
+/**
+ * How long a server that lost its address may come back, in milliseconds: a few announcement
+ * intervals. Then it has ended.
+ */
+const DISPLACED_RETENTION_MS = 10_000;
+
 /** How long a `gone` server is stored, so that a late announcement does not add it again. */
 export const GONE_RETENTION_MS = 300_000;
 
@@ -77,17 +90,39 @@
   worker.revision = table.revision;
 };
 
+/** Returns the other server that uses the address of an announcement. */
+const findOtherOwner = (
+  { ownerIds, workers }: WorkerTable,
+  { workerId, address }: WorkerAnnouncement,
+): TrackedWorker | undefined => {
+  const ownerId = ownerIds.get(address);
+  const owner = ownerId === undefined || ownerId === workerId ? undefined : workers.get(ownerId);
+  return owner?.standing === 'gone' ? undefined : owner;
+};
+
 /*
- * Guards against a late announcement of a crashed server whose address another server now uses. The
- * earlier server becomes `gone`, and announcements of that incarnation are ignored from then on.
+ * Protects the server that uses an address from late announcements of others that used it before,
+ * known ones or not: a server that runs is heard of again before the address may be taken over.
  */
-const assignAddress = (table: WorkerTable, { workerId, address }: WorkerAnnouncement): void => {
-  const ownerId = table.ownerIds.get(address);
-  const previousOwner = ownerId === undefined ? undefined : table.workers.get(ownerId);
-  if (previousOwner && ownerId !== workerId && previousOwner.standing !== 'gone') {
-    setStanding(table, previousOwner, 'gone');
-  }
-  table.ownerIds.set(address, workerId);
+const isAddressInUse = (
+  table: WorkerTable,
+  announcement: WorkerAnnouncement,
+  now: number,
+): boolean => {
+  const owner = findOtherOwner(table, announcement);
+  return announcement.state !== 'gone'
+    && owner !== undefined
+    && now - owner.lastSeenAt < ADDRESS_RELEASE_MS;
+};
+
+/*
+ * A server whose address is taken over may run all the same, if its announcements were late: it
+ * gets no requests, and takes the address back once the other one is silent.
+ */
+const assignAddress = (table: WorkerTable, announcement: WorkerAnnouncement): void => {
+  const previousOwner = findOtherOwner(table, announcement);
+  if (previousOwner) setStanding(table, previousOwner, previousOwner.standing === 'draining' ? 'gone' : 'silent');
+  table.ownerIds.set(announcement.address, announcement.workerId);
 };
 
 /** Makes a ready server from an announcement. */
@@ -187,6 +222,7 @@
   worker.lastSeenAt = now;
   const changed = hasChanged(worker, announcement);
   worker.said = mergeAnnouncement(worker.said, announcement);
+  if (announcement.state !== 'gone') assignAddress(table, worker.said);
   if (changed) setStanding(table, worker, announcement.state as WorkerStanding);
 };
 
@@ -233,7 +269,8 @@
  * Applies an announcement of a backend server.
  *
  * Ignores late announcements: those with a lower sequence number than the newest one of their
- * incarnation, those of a superseded incarnation, and those of an incarnation that is `gone`.
+ * incarnation, those of a superseded incarnation, those of an incarnation that is `gone`, and those
+ * with an address that another server uses.
  *
  * @example
  * applyAnnouncement(table, announcement, clock.now());
@@ -244,6 +281,7 @@
   now: number,
 ): void => {
   const worker = table.workers.get(announcement.workerId);
+  if (isAddressInUse(table, announcement, now)) return;
   if (worker) {
     incarnationHandlers[compareWorker(worker, announcement)](table, worker, announcement, now);
   } else if (table.workers.size < MAX_WORKERS) {
@@ -251,9 +289,15 @@
   }
 };
 
+const hasLostAddress = ({ ownerIds }: WorkerTable, { said }: TrackedWorker): boolean => {
+  const ownerId = ownerIds.get(said.address);
+  return ownerId !== undefined && ownerId !== said.workerId;
+};
+
 /**
- * Marks servers as silent after their timeout, and removes servers that are not ready and have not
- * announced themselves for a long time.
+ * Marks servers as silent after their timeout, and as `gone` if they do not take their address back
+ * from another server. Removes servers that are not ready and have not announced themselves for a
+ * long time.
  *
  * @example
  * expireWorkers(table, clock.now());
@@ -264,6 +308,8 @@
     if (worker.standing === 'ready' && silentMs > WORKER_TIMEOUT_MS) {
       setStanding(table, worker, 'silent');
     }
+    const isDisplaced = worker.standing === 'silent' && hasLostAddress(table, worker);
+    if (isDisplaced && silentMs > DISPLACED_RETENTION_MS) setStanding(table, worker, 'gone');
     if (worker.standing === 'ready' || silentMs <= GONE_RETENTION_MS) return;
     table.workers.delete(id);
     if (table.ownerIds.get(worker.said.address) === id) table.ownerIds.delete(worker.said.address);
