Count bursts as used up until entries tell what was charged

Cause: a leader that is told of no earlier charges took that for none.

Change: a replica that begins to lead with commands of earlier leaders in its log counts all bursts as used up until an entry tells what was charged, for 8 s at most.

Why it works: while nobody can tell, accounts get their rate, so that with what was used before the kill no window holds more than the limit allows.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -110,6 +110,11 @@
     });
   }
 
+  /** Takes accounts as used up under earlier leaders, until entries tell what was used. */
+  awaitEarlierCharges(): void {
+    this.ledger.countAsUsed(this.parts.clock.now());
+  }
+
   /** Sets the limits of accounts. */
   configureAccounts(accounts: readonly RoutedAccount[]): void {
     this.ledger.configure(accounts, this.parts.clock.now());
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -2,12 +2,13 @@
   AnnounceReply, ConfirmReply, EntryRecord, LogMessage, MeetReply, MeetRequest,
   PublishReply, PublishRequest, Replica, WatchReply, WatchRequest, WorkerAnnouncement,
 } from '../protocol/generated/beechlift';
-import { listReplicas } from '../core/log/logState';
+import { hasSiteCommands, listReplicas } from '../core/log/logState';
 import type { LogRole } from '../core/log/logTypes';
 import type { SiteDocument } from '../core/routing/siteDocument';
 import { countByStanding } from '../core/routing/workerTable';
 import type { WorkerStanding } from '../core/routing/workerTable';
 import { BeechliftError } from '../errors/beechliftError';
+import type { RoutedAccount } from '../manifest/routing';
 import { HeldCalls } from '../utils/heldCalls';
 import { AnnouncementService } from './announcementService';
 import { AnnouncementValidator } from './announcementValidator';
@@ -376,16 +377,15 @@
     });
   }
 
-  /** Applies the account limits of the document; only a leader tracks them. */
-  private configureAccounts(): void {
-    const { routing } = this.parts.readRouting(this.site.document);
-    if (routing) this.leaderState.configureAccounts(routing.accounts);
+  /** Lists the accounts of the document, whose limits only a leader tracks. */
+  private listAccounts(): readonly RoutedAccount[] {
+    return this.parts.readRouting(this.site.document).routing?.accounts ?? [];
   }
 
   private handleDocument(): void {
     const { role } = this.runner.state;
     this.parts.logger.info('routing document applied', { version: this.site.version, role });
-    if (role === 'leader') this.configureAccounts();
+    if (role === 'leader') this.leaderState.configureAccounts(this.listAccounts());
     this.watches.release();
   }
 
@@ -404,7 +404,9 @@
     this.delegate.close();
     this.leaderState.close();
     this.leaderState = this.makeLeaderState();
-    if (this.site.version > 0n) this.configureAccounts();
+    // After a restart, the document may be in the log only, and not be applied yet.
+    if (hasSiteCommands(this.runner.state)) this.leaderState.awaitEarlierCharges();
+    if (this.site.version > 0n) this.leaderState.configureAccounts(this.listAccounts());
     this.softState.startLeading();
     this.departureLog.restoreKnown();
   }
--- a/src/core/log/logState.ts
+++ b/src/core/log/logState.ts
@@ -194,6 +194,12 @@
   ({ index, command }) => index > commitIndex && command.startsWith(REPLICAS_COMMAND_PREFIX),
 );
 
+/** Whether the log holds commands of the state machine, committed or not. */
+export const hasSiteCommands = ({ snapshot, entries }: LogState): boolean => (
+  snapshot.data !== '' || entries.some(({ command }) => (
+    command !== '' && !command.startsWith(REPLICAS_COMMAND_PREFIX)))
+);
+
 /** Returns the part of the state that must be on disk before a vote or acknowledgement is sent. */
 export const readHardState = ({ term, votedFor }: LogState): HardState => ({ term, votedFor });
 
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -2,6 +2,7 @@
 import type { AccountCharges, AccountGrant, AccountSpend } from '../../protocol/generated/beechlift';
 import type { RoutedAccount } from '../../manifest/routing';
 import { computeReserve, recordDemand } from './accountDemand';
+import { SLOT_COUNT, SLOT_MS } from './chargeSlots';
 import {
   addCharge, addEarlierCharges, changeLimit, clearReports, computeUsedBefore, expireEntries,
   makeLedgerAccount, setSpend,
@@ -87,6 +88,9 @@
   /** Number of entries that an earlier leader had, as far as known. */
   private earlierEntries = 0;
 
+  /** Until when bursts count as used up while no entry has told anything. */
+  private countedUntil = -Infinity;
+
   /** When entries that have told nothing are no longer waited for. */
   private learnsUntil = -Infinity;
 
@@ -98,9 +102,18 @@
 
   /** Whether too few entries of an earlier leader have told what was charged for them. */
   isLearning(now: number): boolean {
+    if (this.toldIds.size === 0) return now < this.countedUntil;
     return now < this.learnsUntil && this.untoldFactor > MAX_UNTOLD_FACTOR;
   }
 
+  /**
+   * Counts all bursts as used up by an earlier leader, until an entry tells what was, or nothing of
+   * that counts any more. Nobody can tell if all entries ended together with that leader.
+   */
+  countAsUsed(now: number): void {
+    this.countedUntil = now + SLOT_COUNT * SLOT_MS;
+  }
+
   /**
    * Records what was charged for an entry under earlier leaders; only its first report counts.
    *
