Give displaced servers a minute to come back, and tidy what reading found

A server whose address a late heartbeat took was gone after 10 s without an announcement; a cut may last longer, so it is a minute now, in which entries hold one record more. The accounts of a document that cannot be read are not applied, as before the ledger's change.

--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -8,7 +8,6 @@
 import { countByStanding } from '../core/routing/workerTable';
 import type { WorkerStanding } from '../core/routing/workerTable';
 import { BeechliftError } from '../errors/beechliftError';
-import type { RoutedAccount } from '../manifest/routing';
 import { HeldCalls } from '../utils/heldCalls';
 import { AnnouncementService } from './announcementService';
 import { AnnouncementValidator } from './announcementValidator';
@@ -377,15 +376,16 @@
     });
   }
 
-  /** Lists the accounts of the document, whose limits only a leader tracks. */
-  private listAccounts(): readonly RoutedAccount[] {
-    return this.parts.readRouting(this.site.document).routing?.accounts ?? [];
+  /** Applies the account limits of the document; only a leader tracks them. */
+  private configureAccounts(): void {
+    const { routing } = this.parts.readRouting(this.site.document);
+    if (routing) this.leaderState.configureAccounts(routing.accounts);
   }
 
   private handleDocument(): void {
     const { role } = this.runner.state;
     this.parts.logger.info('routing document applied', { version: this.site.version, role });
-    if (role === 'leader') this.leaderState.configureAccounts(this.listAccounts());
+    if (role === 'leader') this.configureAccounts();
     this.watches.release();
   }
 
@@ -406,7 +406,7 @@
     this.leaderState = this.makeLeaderState();
     // After a restart, the document may be in the log only, and not be applied yet.
     if (hasSiteCommands(this.runner.state)) this.leaderState.awaitEarlierCharges();
-    if (this.site.version > 0n) this.leaderState.configureAccounts(this.listAccounts());
+    if (this.site.version > 0n) this.configureAccounts();
     this.softState.startLeading();
     this.departureLog.restoreKnown();
   }
--- a/src/core/routing/ledgerAccount.ts
+++ b/src/core/routing/ledgerAccount.ts
@@ -2,7 +2,7 @@
 import type { RoutedAccount } from '../../manifest/routing';
 import type { AccountDemand } from './accountDemand';
 import {
-  computeUsedBurst, adjustCharges, SLOT_COUNT, SLOT_MS,
+  adjustCharges, computeUsedBurst, SLOT_COUNT, SLOT_MS,
 } from './chargeSlots';
 
 /** Latest report of one entry on an account. */
--- a/src/core/routing/recentCharges.ts
+++ b/src/core/routing/recentCharges.ts
@@ -2,7 +2,7 @@
 import type { AccountCharges } from '../../protocol/generated/beechlift';
 import type { RoutedAccount } from '../../manifest/routing';
 import {
-  computeUsedBurst, adjustCharges, SLOT_COUNT, SLOT_MS,
+  adjustCharges, computeUsedBurst, SLOT_COUNT, SLOT_MS,
 } from './chargeSlots';
 import type { SlotLimit } from './chargeSlots';
 
--- a/src/core/routing/workerTable.ts
+++ b/src/core/routing/workerTable.ts
@@ -56,10 +56,10 @@
 export const ADDRESS_RELEASE_MS = 2_000;
 
 /**
- * How long a server that lost its address may come back, in milliseconds: a few announcement
- * intervals. Then it has ended.
+ * How long a server that lost its address may come back, in milliseconds: longer than announcements
+ * are late. Then it counts as ended, and entries forget it.
  */
-const DISPLACED_RETENTION_MS = 10_000;
+const DISPLACED_RETENTION_MS = 60_000;
 
 /** How long a `gone` server is stored, so that a late announcement does not add it again. */
 export const GONE_RETENTION_MS = 300_000;
