Grant what the slack covers of a burst after a kill of all

Callers saw, with the form before: after all processes had lost power, tenants whose bursts are a second's rate were answered late for some four seconds.

Cause: all of a burst counted as used while no entry could tell. The slack of a limit covers a second burst of that size; only larger ones break the rule.

Change: bursts count as used but for half of the slack.

Why it works: the other half is left for what the ledger's other shares use of it, so that no window holds more than the limit allows.

--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -30,6 +30,11 @@
  * leader. So much of a large request need not be granted.
  */
 const ENTRY_OVERDRAFT_SLACK_SHARE = 0.2;
+/**
+ * Share of the slack that accounts may use as a burst while nobody can tell what they had used of
+ * it. The rest covers what the other shares are for.
+ */
+const UNTOLD_SLACK_SHARE = 0.5;
 /** Largest share of an account's burst that is reserved for its higher ranks. */
 const MAX_RESERVE_SHARE = 0.25;
 /** Share of grants that is divided evenly, so that an entry without demand can start at once. */
@@ -102,13 +107,13 @@
 
   /** Whether too few entries of an earlier leader have told what was charged for them. */
   isLearning(now: number): boolean {
-    if (this.toldIds.size === 0) return now < this.countedUntil;
     return now < this.learnsUntil && this.untoldFactor > MAX_UNTOLD_FACTOR;
   }
 
   /**
-   * Counts all bursts as used up by an earlier leader, until an entry tells what was, or nothing of
-   * that counts any more. Nobody can tell if all entries ended together with that leader.
+   * Counts bursts as used under an earlier leader, but for what the slack covers, until an entry
+   * tells what was used, or nothing of that counts any more. Nobody can tell if all entries ended
+   * together with that leader.
    */
   countAsUsed(now: number): void {
     this.countedUntil = now + SLOT_COUNT * SLOT_MS;
@@ -277,10 +282,17 @@
   private computeLeft(state: LedgerAccount, now: number): number {
     const capacity = this.computeCapacity(state.account);
     const told = computeUsedBefore(state, Math.min(MAX_UNTOLD_FACTOR, this.untoldFactor));
-    const usedBefore = this.isLearning(now) ? Math.max(capacity, told) : told;
+    const usedBefore = Math.max(told, this.computeExpectedUse(capacity, now));
     return Math.min(state.balance, capacity - usedBefore - state.chargedSinceStart);
   }
 
+  /** Computes what counts as used of a burst although no entry has told it. */
+  private computeExpectedUse(capacity: number, now: number): number {
+    if (this.isLearning(now)) return capacity;
+    const isUntold = this.toldIds.size === 0 && now < this.countedUntil;
+    return isUntold ? Math.max(0, capacity - UNTOLD_SLACK_SHARE * this.slack) : 0;
+  }
+
   private sumDelegateDemand({ entries }: LedgerAccount): number {
     return [...this.delegateIds].reduce((total, id) => total + (entries.get(id)?.demand ?? 0), 0);
   }
