--- a/src/entry/sending/checkAnswerEnd.ts
+++ b/src/entry/sending/checkAnswerEnd.ts
@@ -32,15 +32,19 @@
  * neither passed on nor stored as complete.
  *
  * @param sentAt when the call was sent, monotonic milliseconds
+ * @param wasEndedEarly whether the connection ended before all of the call was written
  * @example
- * await checkAnswerEnd(call, sentAt, { status, headers, body });
+ * await checkAnswerEnd(call, sentAt, client.wasEndedEarly, { status, headers, body });
  */
 export const checkAnswerEnd = async (
   call: ServiceCall,
   sentAt: number,
+  wasEndedEarly: boolean,
   answer: ReceivedAnswer,
 ): Promise<void> => {
   const reason = await findCutReason({
+    status: answer.status,
+    wasEndedEarly,
     isWithinEvent: isWithinEvent(answer),
     isRunning: () => isServerRunning(openServerSocket, call.address),
     limitAt: sentAt + readNamedLimitMs(call),
--- a/src/entry/sending/serverConnection.ts
+++ b/src/entry/sending/serverConnection.ts
@@ -37,10 +37,15 @@
 
   private readonly findSocket: () => WorkerSocket | undefined;
 
+  /** Whether the server ended the latest socket before all of the request was written. */
+  get wasEndedEarly(): boolean {
+    return this.findSocket()?.wasEndedEarly ?? false;
+  }
+
   override dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(options, pauseAtSocket(handler, options.method, this.findSocket));
+    return super.dispatch(options, pauseAtSocket(handler, this.findSocket));
   }
 }
--- a/src/entry/sending/serviceClient.ts
+++ b/src/entry/sending/serviceClient.ts
@@ -88,7 +88,7 @@
     // The HTTP client fails an answer without a body whose head names the length of one.
     if (framing === 'none') await response.body.dump();
     const body = framing === 'none' ? Buffer.alloc(0) : await readAnswer(response.body, call.maxBytes);
-    if (framing === 'closeDelimited') await checkAnswerEnd(call, sentAt, { status, headers, body });
+    if (framing === 'closeDelimited') await checkAnswerEnd(call, sentAt, client.wasEndedEarly, { status, headers, body });
     return { status, headers: pickForwardedHeaders(headers), body };
   } catch (error) {
     throw error instanceof BeechliftError || error instanceof EngineFailure
--- a/src/relay/serverAttempt.ts
+++ b/src/relay/serverAttempt.ts
@@ -114,7 +114,7 @@
         if (!canWriteMore && !call.isPaused) writer.waitDrained(() => call.resume());
         return canWriteMore;
       },
-      findCutReason: () => this.findCutReason(),
+      findCutReason: () => this.findCutReason(connection.wasEndedEarly),
     });
     return call;
   }
@@ -165,11 +165,13 @@
     }, reserveRetry);
   }
 
-  private findCutReason(): Promise<string | undefined> {
+  private findCutReason(wasEndedEarly: boolean): Promise<string | undefined> {
     const { shared: { connections, clock }, picked: { worker }, writer } = this.parts;
     // The server has ended its work: the check is no time of it.
     this.tracker.releaseWorker();
     return findCutReason({
+      status: writer.statusCode,
+      wasEndedEarly,
       isWithinEvent: writer.isWithinEvent,
       isRunning: () => connections.isRunning(worker.address),
       limitAt: this.limitAt,
--- a/src/relay/upstreamCall.ts
+++ b/src/relay/upstreamCall.ts
@@ -1,7 +1,7 @@
 import { setImmediate as readPendingInput } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
 import { BODILESS_STATUSES } from '../wire/bodilessStatuses';
-import { needsWholeRequest, readFraming } from '../wire/answerFraming';
+import { readFraming } from '../wire/answerFraming';
 import type { AnswerFraming } from '../wire/answerFraming';
 import type { RawHeaders } from '../wire/rawHeaders';
 import type { WorkerConnection } from './workerConnection';
@@ -49,7 +49,6 @@
   readonly findCutReason?: () => Promise<string | undefined>;
 }
 
-const ENDED_EARLY = 'the connection was closed before the request was written';
 const ABANDONED = 'the request is no longer needed';
 
 const readRawHeaders = (controller: Dispatcher.DispatchController): string[] => (
@@ -91,9 +90,6 @@
 
   private isWithheld = false;
 
-  /** Whether the answer counts only if all of the request was written before its end. */
-  private needsWholeRequest = false;
-
   constructor(
     private readonly connection: WorkerConnection,
     private readonly listener: UpstreamListener,
@@ -237,7 +233,6 @@
   private makeOutcome(): UpstreamOutcome {
     if (this.isRefused) return { kind: 'broken', reason: 'the answer was refused' };
     if (this.connection.wasReset && !this.isWholeWithHead) return { kind: 'broken', reason: 'the connection was reset' };
-    if (this.needsWholeRequest && this.connection.wasEndedEarly) return { kind: 'broken', reason: ENDED_EARLY };
     return this.finishAnswer();
   }
 
@@ -256,7 +251,6 @@
     const headers = readRawHeaders(controller);
     const framing = readFraming(method, { status, headers });
     this.framing = framing;
-    this.needsWholeRequest = needsWholeRequest(framing, status);
     this.isRefused = !this.listener.onHead({ status, headers, framing });
     this.hasAnswerHead = !this.isRefused;
     this.isWholeWithHead = this.hasAnswerHead && BODILESS_STATUSES.includes(status);
--- a/src/wire/answerFraming.ts
+++ b/src/wire/answerFraming.ts
@@ -14,8 +14,6 @@
  */
 export type AnswerFraming = 'none' | 'length' | 'chunked' | 'closeDelimited';
 
-/** Lowest status of a failure. */
-const FIRST_FAILURE = 400;
 const LAST_CODING_IS_CHUNKED = /(?:^|,)\s*chunked\s*$/i;
 
 /**
@@ -32,15 +30,3 @@
   if (codings !== undefined) return LAST_CODING_IS_CHUNKED.test(codings) ? 'chunked' : 'closeDelimited';
   return findHeader(headers, 'content-length') === undefined ? 'closeDelimited' : 'length';
 };
-
-/**
- * Returns whether an answer is a success whose end only the end of the connection marks. If it ends
- * before the server has read the request, it proves nothing. A failure does: a server need not read
- * a request that it refuses.
- *
- * @example
- * const isBroken = wasEndedEarly && needsWholeRequest(framing, status);
- */
-export const needsWholeRequest = (framing: AnswerFraming, status: number): boolean => (
-  framing === 'closeDelimited' && status < FIRST_FAILURE
-);
