Name a change of voters, the handover's limit and equal limits once

Whether a change of voters is in progress was written four times, the longest wait of a handover twice. Limits that a version leaves as they are cost nothing when it is applied: the ledger adjusted every account, and an entry moved the slots of each on. What both leader and ledger call counting bursts as used has one name.

--- a/src/control/leaderState.ts
+++ b/src/control/leaderState.ts
@@ -111,8 +111,8 @@
   }
 
   /** Takes accounts as used up under earlier leaders, until entries tell what was used. */
-  awaitEarlierCharges(): void {
-    this.ledger.countAsUsed(this.parts.clock.now());
+  countBurstsAsUsed(): void {
+    this.ledger.countBurstsAsUsed(this.parts.clock.now());
   }
 
   /** Sets the limits of accounts. */
--- a/src/control/replacement.ts
+++ b/src/control/replacement.ts
@@ -1,4 +1,5 @@
 import { isReadyToVote } from '../core/log/learnerReadiness';
+import { isChanging } from '../core/log/logState';
 import type { Replica } from '../protocol/generated/beechlift';
 import type { LogState, ReplicaSet } from '../core/log/logTypes';
 import type { AgreedHolders, SiteCommand } from '../core/membership/siteState';
@@ -22,9 +23,9 @@
   newcomer: Replica | undefined,
 ): ReplicaSet | undefined => {
   const isVoter = replicas.voters.some(({ id }) => id === removeId);
-  const isChanging = replicas.learners.length > 0 || replicas.leaving.length > 0;
+  const isReplacing = replicas.learners.length > 0 || replicas.leaving.length > 0;
   const isTaken = replicas.voters.some(({ id }) => id === newcomer?.id);
-  if (!isVoter || isChanging || !newcomer || isTaken) return undefined;
+  if (!isVoter || isReplacing || !newcomer || isTaken) return undefined;
   return { voters: replicas.voters, learners: [newcomer], leaving: [removeId] };
 };
 
@@ -37,9 +38,7 @@
  * const next = planReplicaChange(state, clock.now());
  */
 export const planReplicaChange = (state: LogState, now: number): ReplicaSet | undefined => {
-  const {
-    voters, previousVoters = [], learners, leaving,
-  } = state.replicas;
+  const { voters, learners, leaving } = state.replicas;
   const remaining = voters.filter(({ id }) => !leaving.includes(id));
   const [learner] = learners;
   if (learner) {
@@ -49,8 +48,8 @@
     };
   }
   // Without previous voters, an earlier release began the change.
-  const isChanging = previousVoters.length > 0 || leaving.length > 0;
-  return isChanging ? { voters: remaining, learners: [], leaving: [] } : undefined;
+  const isIncomplete = isChanging(state.replicas) || leaving.length > 0;
+  return isIncomplete ? { voters: remaining, learners: [], leaving: [] } : undefined;
 };
 
 const formatIds = (replicas: readonly Replica[]): string => (
--- a/src/control/routedControl.ts
+++ b/src/control/routedControl.ts
@@ -31,12 +31,11 @@
 import { makeSiteService, requireNode } from './siteService';
 import type { NodeReference } from './siteService';
 import { StepStream } from './stepStream';
+import { HANDOVER_TIMEOUT_MS } from './voteHandover';
 
 const MEET_TIMEOUT_MS = 400;
 const PUBLISH_TIMEOUT_MS = 3_000;
 const CONFIRM_TIMEOUT_MS = 800;
-/** Longest wait for a standby that takes the vote of a replica that stops, in milliseconds. */
-const HANDOVER_TIMEOUT_MS = 2_000;
 /** Interval at which a replica without a leader searches for the site, in milliseconds. */
 const DISCOVERY_INTERVAL_MS = 400;
 
--- a/src/control/routedNode.ts
+++ b/src/control/routedNode.ts
@@ -405,7 +405,7 @@
     this.leaderState.close();
     this.leaderState = this.makeLeaderState();
     // After a restart, the document may be in the log only, and not be applied yet.
-    if (hasSiteCommands(this.runner.state)) this.leaderState.awaitEarlierCharges();
+    if (hasSiteCommands(this.runner.state)) this.leaderState.countBurstsAsUsed();
     if (this.site.version > 0n) this.configureAccounts();
     this.softState.startLeading();
     this.departureLog.restoreKnown();
--- a/src/control/voteHandover.ts
+++ b/src/control/voteHandover.ts
@@ -15,6 +15,8 @@
   readonly logger: Logger;
 }
 
+/** Longest wait for a standby that takes the vote of a replica that stops, in milliseconds. */
+export const HANDOVER_TIMEOUT_MS = 2_000;
 /** Interval at which the end of the handover is checked, in milliseconds. */
 const POLL_MS = 10;
 
@@ -24,7 +26,7 @@
  *
  * @example
  * setInterval(() => voteHandover.tick(), TICK_MS);
- * await voteHandover.run(new Operation({ timeoutMs: 2_000 }));
+ * await voteHandover.run(new Operation({ timeoutMs: HANDOVER_TIMEOUT_MS }));
  */
 export class VoteHandover {
   private isStarted = false;
--- a/src/core/log/logState.ts
+++ b/src/core/log/logState.ts
@@ -142,9 +142,14 @@
 /** Returns the term of the last entry, or 0 for an empty log. */
 export const readLastTerm = (state: LogState): number => findTerm(state, readLastIndex(state)) ?? 0;
 
+/** Whether a change of the voters is not complete, so that two majorities are needed. */
+export const isChanging = ({ previousVoters = [] }: ReplicaSet): boolean => (
+  previousVoters.length > 0
+);
+
 /** Lists the sets of voters of which a majority each is needed: two during a change. */
-const listVoterSets = ({ voters, previousVoters = [] }: ReplicaSet): (readonly Replica[])[] => (
-  previousVoters.length > 0 ? [voters, previousVoters] : [voters]
+const listVoterSets = (replicas: ReplicaSet): (readonly Replica[])[] => (
+  isChanging(replicas) ? [replicas.voters, replicas.previousVoters ?? []] : [replicas.voters]
 );
 
 /**
--- a/src/core/log/replicaPlan.ts
+++ b/src/core/log/replicaPlan.ts
@@ -1,5 +1,5 @@
 import type { Replica } from '../../protocol/generated/beechlift';
-import { listReplicas } from './logState';
+import { isChanging, listReplicas } from './logState';
 import type { ReplicaSet } from './logTypes';
 
 /** Input of the leader for planning the next change of the replica set. */
@@ -85,7 +85,7 @@
 
 /** Ends a change of the voters, once the set that needs both majorities is committed. */
 const finishChange = ({ replicas }: ReplicaPlanInput): ReplicaSet | undefined => (
-  (replicas.previousVoters ?? []).length > 0 ? { ...replicas, previousVoters: [] } : undefined
+  isChanging(replicas) ? { ...replicas, previousVoters: [] } : undefined
 );
 
 const removeSurplusVoter = (input: ReplicaPlanInput): ReplicaSet | undefined => {
--- a/src/core/log/replication.ts
+++ b/src/core/log/replication.ts
@@ -5,8 +5,8 @@
 import { markAcknowledged } from './resendTimer';
 import {
   addEffect, becomeFollower, findEntry, findReplicaSet, findTerm, followLeader, hasMajority,
-  isReplicaSetCommitted, isVoter, listPeers, persistState, readLastIndex, REPLICAS_COMMAND_PREFIX,
-  sendMessage,
+  isChanging, isReplicaSetCommitted, isVoter, listPeers, persistState, readLastIndex,
+  REPLICAS_COMMAND_PREFIX, sendMessage,
 } from './logState';
 import type {
   LogState, LogStep, PeerProgress, ReplicaSet,
@@ -111,15 +111,13 @@
   some.length === others.length && some.every(({ id }) => others.some((other) => other.id === id))
 );
 
-const isInProgress = ({ previousVoters = [] }: ReplicaSet): boolean => previousVoters.length > 0;
-
 /*
  * Any two majorities of the sets overlap if one voter at most differs. A larger change passes
  * through a set that needs a majority of the voters before it and of those after it.
  */
 const hasOverlappingMajorities = (from: ReplicaSet, to: ReplicaSet): boolean => {
-  if (isInProgress(from)) return !isInProgress(to) && isSameSet(from.voters, to.voters);
-  if (isInProgress(to)) return isSameSet(from.voters, to.previousVoters ?? []);
+  if (isChanging(from)) return !isChanging(to) && isSameSet(from.voters, to.voters);
+  if (isChanging(to)) return isSameSet(from.voters, to.previousVoters ?? []);
   return countVoterChanges(from, to) <= 1;
 };
 
--- a/src/core/routing/accountLedger.ts
+++ b/src/core/routing/accountLedger.ts
@@ -2,7 +2,7 @@
 import type { AccountCharges, AccountGrant, AccountSpend } from '../../protocol/generated/beechlift';
 import type { RoutedAccount } from '../../manifest/routing';
 import { computeReserve, recordDemand } from './accountDemand';
-import { SLOT_COUNT, SLOT_MS } from './chargeSlots';
+import { isSameLimit, SLOT_COUNT, SLOT_MS } from './chargeSlots';
 import {
   addCharge, addEarlierCharges, changeLimit, clearReports, computeUsedBefore, expireEntries,
   makeLedgerAccount, setSpend,
@@ -115,7 +115,7 @@
    * tells what was used, or nothing of that counts any more. Nobody can tell if all entries ended
    * together with that leader.
    */
-  countAsUsed(now: number): void {
+  countBurstsAsUsed(now: number): void {
     this.countedUntil = now + SLOT_COUNT * SLOT_MS;
   }
 
@@ -160,7 +160,7 @@
     const state = this.accountsByName.get(name) ?? this.suspendedByName.get(name);
     this.suspendedByName.delete(name);
     this.accountsByName.set(name, state ?? makeLedgerAccount(account, now));
-    if (!state) return;
+    if (!state || isSameLimit(state.account, account)) return;
     this.refill(state, now);
     changeLimit(state, account, (changed) => this.computeCapacity(changed));
   }
--- a/src/core/routing/chargeSlots.ts
+++ b/src/core/routing/chargeSlots.ts
@@ -28,6 +28,16 @@
   readonly burst: number;
 }
 
+/**
+ * Whether two limits allow the same.
+ *
+ * @example
+ * if (!isSameLimit(state.account, account)) changeLimit(state, account, computeCapacity);
+ */
+export const isSameLimit = (some: SlotLimit, other: SlotLimit): boolean => (
+  some.perSecond === other.perSecond && some.burst === other.burst
+);
+
 /**
  * Adjusts what was charged under one limit, so that it uses up the same share of the burst of
  * another one, and the whole burst at most.
@@ -42,7 +52,6 @@
   from: SlotLimit,
   to: SlotLimit,
 ): readonly number[] => {
-  if (from.perSecond === to.perSecond && from.burst === to.burst) return slots;
   const usedShare = computeUsedBurst(slots, from.perSecond) / Math.max(1, from.burst);
   return [Math.min(1, usedShare) * to.burst];
 };
--- a/src/core/routing/recentCharges.ts
+++ b/src/core/routing/recentCharges.ts
@@ -2,7 +2,7 @@
 import type { AccountCharges } from '../../protocol/generated/beechlift';
 import type { RoutedAccount } from '../../manifest/routing';
 import {
-  adjustCharges, computeUsedBurst, SLOT_COUNT, SLOT_MS,
+  adjustCharges, computeUsedBurst, isSameLimit, SLOT_COUNT, SLOT_MS,
 } from './chargeSlots';
 import type { SlotLimit } from './chargeSlots';
 
@@ -70,7 +70,7 @@
     const newest = findSlot(now);
     accounts.filter(({ perSecond }) => perSecond > 0).forEach((account) => {
       const slots = this.slotsByAccount.get(account.name);
-      if (!slots) return;
+      if (!slots || isSameLimit(slots.account, account)) return;
       slots.units = adjustCharges(
         advanceSlots(slots, newest),
         computeShare(slots.account, entryCount),
--- a/tests/control/acknowledged-model.spec.ts
+++ b/tests/control/acknowledged-model.spec.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import { runSearchAsync } from '../fakes/runSearch';
 import { AcknowledgedModel } from './acknowledgedModel';
-import type { SiteEvent } from './acknowledgedModel';
+import type { SiteEvent } from './siteEvents';
 
 const identities = vi.hoisted(() => ({ count: 0 }));
 
--- a/tests/control/acknowledgedModel.ts
+++ b/tests/control/acknowledgedModel.ts
@@ -4,50 +4,19 @@
 import type { UnsyncedWriteState } from '../fakes/powerLossFileSystem';
 import { ModelMachine } from './modelMachine';
 import type { ReplicaProcess } from './modelMachine';
-
-type MachineEvent = | 'sync' | 'compact' | 'kill' | 'stop' | 'remove' | 'restartBusy' | 'cutPower' | 'dropDisk' | 'freeze' | 'start';
-
-/** An event on one machine or on the whole site. */
-export type SiteEvent = | { readonly kind: 'advance'; readonly ms: number }
-  | { readonly kind: 'round'; readonly ms: number; readonly count: number }
-  | { readonly kind: 'deliver' | 'lose'; readonly pick: number }
-  | { readonly kind: MachineEvent; readonly machine: number }
-  | { readonly kind: 'publish' | 'cutPowerOfAll' | 'killAll' | 'startAll' };
-
-/** Last fault of a run, on the machines that keep their disk. */
-export type LastFault = 'killAll' | 'cutPower' | 'nothing';
+import { settleTasks, startSeries } from './startSeries';
+import type { LastFault, SiteEvent, SiteSize } from './siteEvents';
 
 interface PendingMessage {
   readonly message: LogMessage;
   readonly address: string;
 }
 
-/** Size of a site. */
-export interface SiteSize {
-  readonly machines: number;
-  /** Number of disks whose simultaneous loss the site tolerates. */
-  readonly losses: number;
-}
-
 /** Number of replicas that found a site. */
 const SEEDS = 3;
 const CONTACT_TIMEOUT_MS = 1_000;
 const ROUND_MS = 60;
 
-const settleTasks = async (): Promise<void> => {
-  await new Promise((resolve) => {
-    setImmediate(resolve);
-  });
-};
-
-const startSeries = async <Item>(
-  items: readonly Item[],
-  run: (item: Item) => Promise<void>,
-): Promise<void> => items.reduce(async (before, item) => {
-  await before;
-  await run(item);
-}, Promise.resolve());
-
 /**
  * Model of the replicas of a site on disks that lose unsynced writes. The identities, the log, its
  * store and the replica set manager are the real classes.
--- a/tests/control/modelMachine.ts
+++ b/tests/control/modelMachine.ts
@@ -1,7 +1,7 @@
 import { ReplicaIdentity } from '../../src/control/replicaIdentity';
 import { LogRunner } from '../../src/control/logRunner';
 import { ReplicaSetManager } from '../../src/control/replicaSetManager';
-import { VoteHandover } from '../../src/control/voteHandover';
+import { HANDOVER_TIMEOUT_MS, VoteHandover } from '../../src/control/voteHandover';
 import { makeEmptyLog } from '../../src/core/log/logState';
 import type { StoredLog } from '../../src/core/log/logTypes';
 import { LogStore } from '../../src/disk/logStore';
@@ -31,8 +31,6 @@
 }
 
 const FOLDER = 'data';
-/** As long as a process waits for a standby. */
-const HANDOVER_TIMEOUT_MS = 2_000;
 const logger = makeLogger('model', 'silent');
 
 /** A machine with a disk, and the replica process that runs on it. */
--- a/tests/control/replaced-replicas.spec.ts
+++ b/tests/control/replaced-replicas.spec.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import { runSearchAsync } from '../fakes/runSearch';
 import { AcknowledgedModel } from './acknowledgedModel';
-import type { SiteEvent } from './acknowledgedModel';
+import type { SiteEvent } from './siteEvents';
 
 const SEARCH = { runs: 100, seed: 4_711 };
 const pick = fc.nat({ max: 60 });
--- a/tests/core/restarted-limits.spec.ts
+++ b/tests/core/restarted-limits.spec.ts
@@ -23,7 +23,7 @@
 const restart = (now: number): AccountLedger => {
   const ledger = new AccountLedger(SLACK);
   ledger.configure([account], now);
-  ledger.countAsUsed(now);
+  ledger.countBurstsAsUsed(now);
   return ledger;
 };
 
@@ -50,7 +50,7 @@
     const small = makeAccount({ perSecond: RATE, burst: 60_000 });
     const ledger = new AccountLedger(SLACK);
     ledger.configure([small], 0);
-    ledger.countAsUsed(0);
+    ledger.countBurstsAsUsed(0);
     expect(ledger.charge(small.name, 59_000, 0, 0)).toBe(0);
     expect(ledger.charge(small.name, 1_000, 0, 1)).toBe(0);
   });
